--- /dev/null
+++ b/src/coordination/evidence.rs
@@ -0,0 +1,1 @@
+//! Not implemented yet.
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,14 @@
+//! State machines without I/O: time and random numbers are passed in, actions are returned.
+//! See `docs/design.md`, section 7.
+
+pub mod admission;
+pub mod balancer;
+pub mod dissemination;
+pub mod evidence;
+pub mod idempotency;
+pub mod membership;
+pub mod quarantine;
+pub mod readiness;
+pub mod rendezvous;
+pub mod retry;
+pub mod rollout;
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,11 @@
+//! Messages and names that cross a process boundary, see `docs/design.md`, section 7.
+
+pub mod auth;
+pub mod call;
+pub mod claim;
+pub mod codec;
+pub mod document;
+pub mod gossip;
+pub mod name;
+pub mod record;
+pub mod time;
--- /dev/null
+++ b/src/result_code.rs
@@ -0,0 +1,187 @@
+//! Numbered results, see `docs/result-codes.md`.
+
+use std::fmt;
+
+macro_rules! result_codes {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $text:literal;)*) => {
+        /// Numbered result of an operation; the table stands in `docs/result-codes.md`.
+        #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+        #[repr(u16)]
+        pub enum ResultCode {
+            $($(#[$doc])* $name = $number,)*
+        }
+
+        impl ResultCode {
+            /// All codes in ascending order.
+            pub const ALL: &[Self] = &[$(Self::$name,)*];
+
+            /// Returns the short text of the code.
+            #[must_use]
+            pub fn text(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)*
+                }
+            }
+        }
+    };
+}
+
+result_codes! {
+    /// A configuration version is in force everywhere.
+    InForce = 1001, "configuration in force everywhere";
+    /// A rollout advanced by a step.
+    RolloutStep = 1002, "rollout advanced";
+    /// A rollout has given all traffic to the new version.
+    RolloutCompleted = 1003, "rollout completed";
+    /// The hold period of a rollout ended without a fault.
+    RolloutHeld = 1004, "hold period ended";
+    /// A version was taken back.
+    RolledBack = 1005, "version taken back";
+    /// A rollout waits for something.
+    RolloutStalled = 1006, "rollout stalled";
+    /// A request was quarantined because it crashes backend servers.
+    Quarantined = 1007, "request quarantined";
+    /// A publication was appended and took effect.
+    PublishAccepted = 1008, "publication accepted";
+    /// A node went into service.
+    NodeReady = 1009, "node ready";
+    /// A node stopped gracefully.
+    NodeStopped = 1010, "node stopped";
+
+    /// A publication was based on a version that is no longer in force.
+    PublishStale = 2001, "publication based on an old version";
+    /// A publication's document is invalid.
+    PublishInvalid = 2002, "publication invalid";
+    /// A publication could not be confirmed.
+    PublishUnconfirmed = 2003, "publication not confirmed";
+    /// The log does not answer.
+    LogUnavailable = 2004, "log unavailable";
+    /// The log no longer has the records that were asked for.
+    LogTruncated = 2005, "log truncated";
+
+    /// The text is not valid JSON with comments.
+    SyntaxError = 3001, "syntax error";
+    /// A field is unknown.
+    UnknownField = 3002, "unknown field";
+    /// A field is missing or has a wrong type.
+    InvalidField = 3003, "invalid field";
+    /// A name occurs twice.
+    DuplicateName = 3004, "duplicate name";
+    /// Shares do not add up to 100.
+    InvalidShares = 3005, "shares do not add up";
+    /// A reference points to something that is not in the document.
+    DanglingReference = 3006, "dangling reference";
+    /// The schedule of a rollout is impossible.
+    InvalidRollout = 3007, "invalid rollout";
+    /// A limit of the document is exceeded.
+    LimitExceeded = 3008, "limit exceeded";
+
+    /// No route matches the request.
+    NoRoute = 4001, "no route";
+    /// No backend server is available for the request.
+    NoBackend = 4002, "no backend server available";
+    /// The backend server's queue is full or the wait was too long.
+    Overloaded = 4003, "overloaded";
+    /// The node stops and takes no new work.
+    Draining = 4004, "draining";
+    /// The deadline of the call has passed.
+    DeadlineExceeded = 4005, "deadline exceeded";
+    /// The retry budget is used up.
+    RetryBudgetExhausted = 4006, "retry budget exhausted";
+    /// The call was forwarded and its result is not known.
+    OutcomeUnknown = 4007, "outcome unknown";
+    /// The answer of the backend server was cut or did not belong to the call.
+    BrokenAnswer = 4008, "broken answer";
+    /// The body exceeds its limit.
+    BodyTooLarge = 4009, "body too large";
+    /// The request is quarantined.
+    RequestQuarantined = 4010, "request is quarantined";
+    /// A call with the same key still runs.
+    KeyInUse = 4011, "key in use";
+    /// The key was used for another request.
+    KeyMismatch = 4012, "key used for another request";
+    /// The key ran and its answer was not kept.
+    AnswerNotKept = 4013, "already run, answer not kept";
+    /// The replicas of the key cannot be reached.
+    KeyReplicasUnreachable = 4014, "key replicas unreachable";
+    /// The node has no configuration yet.
+    NotReady = 4015, "node not ready";
+    /// The request is malformed.
+    BadRequest = 4016, "bad request";
+
+    /// A message between nodes could not be encoded.
+    EncodeFailed = 5001, "encoding failed";
+    /// A message between nodes is malformed.
+    MessageMalformed = 5002, "message malformed";
+    /// A message between nodes is too large.
+    MessageTooLarge = 5003, "message too large";
+    /// A message between nodes is not authentic.
+    AuthFailed = 5004, "authentication failed";
+    /// A message between nodes was received before.
+    Replayed = 5005, "message replayed";
+    /// A peer could not be reached.
+    PeerUnreachable = 5006, "peer unreachable";
+    /// A delta does not fit the version that the node has.
+    DeltaMismatch = 5007, "delta does not fit";
+    /// A version is lower than the one in force.
+    VersionNotNewer = 5008, "version not newer";
+
+    /// An invariant of the program does not hold.
+    InvariantViolated = 9001, "invariant violated";
+    /// Settings of the process are invalid.
+    InvalidSettings = 9002, "invalid settings";
+    /// A socket could not be opened.
+    BindFailed = 9003, "cannot listen";
+    /// Log lines were dropped because their queue was full.
+    LogLinesDropped = 9004, "log lines dropped";
+}
+
+impl ResultCode {
+    /// Returns the number of the code.
+    #[must_use]
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// Returns the code with this number.
+    #[must_use]
+    pub fn from_number(number: u16) -> Option<Self> {
+        let index = Self::ALL
+            .binary_search_by_key(&number, |code| code.number())
+            .ok()?;
+        Some(Self::ALL[index])
+    }
+}
+
+impl fmt::Display for ResultCode {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.number(), self.text())
+    }
+}
+
+/// A failure with its code and one plain sentence on what was found.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Failure {
+    /// Number of the failure.
+    pub code: ResultCode,
+    /// What was found and where.
+    pub text: String,
+}
+
+impl Failure {
+    /// Creates a failure.
+    pub fn new(code: ResultCode, text: impl Into<String>) -> Self {
+        Self {
+            code,
+            text: text.into(),
+        }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.code, self.text)
+    }
+}
+
+impl std::error::Error for Failure {}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,10 @@
+//! Sockets, HTTP servers and clients, and the client of the platform's log.
+//! See `docs/design.md`, section 7.
+
+pub mod http_client;
+pub mod http_server;
+pub mod log_client;
+pub mod node_port;
+pub mod operator_port;
+pub mod request_port;
+pub mod udp;
--- /dev/null
+++ b/testbed/src/main.rs
@@ -0,0 +1,2 @@
+//! Stub.
+fn main() {}
