--- a/src/protocol/gossip.rs
+++ b/src/protocol/gossip.rs
@@ -135,6 +135,16 @@
 pub enum Rumor {
     /// A change of a member.
     Member(Member),
+    /// A member that misses probes. It names its accuser, since independent accusers shorten the
+    /// time until the member is declared dead.
+    Suspect {
+        /// The member.
+        id: NodeId,
+        /// Its incarnation that misses probes; a higher one refutes the suspicion.
+        incarnation: u64,
+        /// Member that probed it itself.
+        by: NodeId,
+    },
     /// A step of a rollout.
     Progress(RolloutProgress),
     /// A version that was taken back.
@@ -205,6 +215,12 @@
         /// Number of the ping.
         sequence: u64,
     },
+    /// Tells the sender of a [`Message::PingReq`] that the target has not answered. A missing nack
+    /// shows that the sender's own connection is at fault (Lifeguard, section IV.A).
+    Nack {
+        /// Number of the request.
+        sequence: u64,
+    },
     /// Asks the receiver to probe `target` and to pass its ack on.
     PingReq {
         /// Number that the ack repeats.
