Add the interfaces of rollouts and of the quarantine

RolloutProgress carries the time of step 0, so that every node can tell a rollout that began after its deadline. Latency buckets are half octaves: a factor of two would else hide within one bucket.

--- a/src/protocol/gossip.rs
+++ b/src/protocol/gossip.rs
@@ -77,7 +77,8 @@
     pub since: ConfigVersion,
 }
 
-/// Progress of a rollout; merges by the highest step.
+/// Progress of a rollout; merges by the highest step, then the earliest times, so that two nodes
+/// that advance at once end up with the same state.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RolloutProgress {
     /// The rollout.
@@ -86,6 +87,8 @@
     pub step: u8,
     /// Wall time at which the step began.
     pub entered_at: WallMs,
+    /// Wall time at which step 0 began.
+    pub began_at: WallMs,
     /// Node that advanced the rollout.
     pub by: NodeId,
 }
@@ -144,10 +147,11 @@
 }
 
 /// Number of latency buckets in a [`RouteEvidence`]; bucket `i` counts calls of less than
-/// `2^i` × 125 µs, the last one all slower calls.
-pub const LATENCY_BUCKETS: usize = 16;
+/// `2^(i/2)` × 125 µs, the last one all slower calls (4 s). Half octaves, since a version that is
+/// slower by a factor of two would else stay in the bucket of the old version's 95th percentile.
+pub const LATENCY_BUCKETS: usize = 32;
 
-/// Calls of one route within the last evidence windows.
+/// Calls of one route at one backend server.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RouteEvidence {
     /// The route.
@@ -156,7 +160,7 @@
     pub calls: u32,
     /// Failed calls among them.
     pub errors: u32,
-    /// Calls by latency.
+    /// Successful calls outside of cold starts by latency, downstream calls excluded.
     pub latency: [u32; LATENCY_BUCKETS],
 }
 
@@ -167,13 +171,16 @@
     pub key: RolloutKey,
     /// Version that the sender's backend server runs.
     pub version: VersionName,
-    /// Step to which the figures belong.
+    /// Step that the sender is in.
     pub step: u8,
-    /// Raised with every report of the sender, so that late datagrams are dropped.
+    /// Raised with every report of the sender, also across its restarts, so that late datagrams are
+    /// dropped.
     pub sequence: u64,
     /// Crashes of the backend server that no quarantined request explains.
     pub crashes: u32,
-    /// Figures by route, cumulative since the step began, sorted by route.
+    /// Figures by route, sorted by route, cumulative since the sender began to observe the rollout, so
+    /// that a lost report or a step that the sender has not heard of loses no calls. A report that would
+    /// exceed a datagram is sent as several.
     pub routes: Vec<RouteEvidence>,
 }
 
