--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -75,6 +75,8 @@
     InvalidRollout = 3007, "invalid rollout";
     /// A limit of the document is exceeded.
     LimitExceeded = 3008, "limit exceeded";
+    /// Two routes match the same requests.
+    AmbiguousRoute = 3009, "ambiguous route";
 
     /// No route matches the request.
     NoRoute = 4001, "no route";
@@ -125,6 +127,8 @@
     DeltaMismatch = 5007, "delta does not fit";
     /// A version is lower than the one in force.
     VersionNotNewer = 5008, "version not newer";
+    /// Two nodes have different configurations under one version.
+    DigestMismatch = 5009, "configurations differ under one version";
 
     /// An invariant of the program does not hold.
     InvariantViolated = 9001, "invariant violated";
