Validate configuration documents

parse_document reports every failure with file, line, column and field path: a table of fields is walked over the syntax tree, since serde stops at the first failure.

--- a/src/state/validate.rs
+++ b/src/state/validate.rs
@@ -1,1 +1,765 @@
-//! Not implemented yet.
+//! Reads and checks configuration documents, see `docs/configuration.md`.
+//!
+//! Every reader of the log runs [`validate`] on the same records, so its result depends on the
+//! document alone. A change of a limit changes which publications take effect; it must reach the
+//! whole fleet before a document that needs it is published.
+
+use std::fmt::Write as _;
+
+use jsonc_parser::CollectOptions;
+use jsonc_parser::ParseOptions;
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
+
+use crate::protocol::codec;
+use crate::protocol::document::Document;
+use crate::protocol::document::Rollout;
+use crate::protocol::document::Route;
+use crate::protocol::document::Service;
+use crate::protocol::name::ServiceName;
+use crate::protocol::time::WallMs;
+use crate::result_code::Failure;
+use crate::result_code::ResultCode;
+
+/// Largest document, bytes, as text and encoded; a checkpoint with it fits
+/// [`codec::MAX_MESSAGE_BYTES`].
+pub const MAX_DOCUMENT_BYTES: usize = 2 << 20;
+/// Most regions of a document.
+pub const MAX_REGIONS: usize = 16;
+/// Most failure domains of a region.
+pub const MAX_DOMAINS_PER_REGION: usize = 16;
+/// Most services of a document.
+pub const MAX_SERVICES: usize = 1_000;
+/// Most routes of a document.
+pub const MAX_ROUTES: usize = 10_000;
+/// Most versions of a service.
+pub const MAX_VERSIONS_PER_SERVICE: usize = 16;
+/// Longest name, bytes; the limit of a DNS label (RFC 1035).
+pub const MAX_NAME_BYTES: usize = 63;
+/// Longest host of a route, bytes; the limit of a DNS name (RFC 1035).
+pub const MAX_HOST_BYTES: usize = 253;
+/// Longest path prefix, bytes; bounds the cost of a route lookup.
+pub const MAX_PATH_PREFIX_BYTES: usize = 256;
+/// Most methods of a route.
+pub const MAX_METHODS: usize = 16;
+/// Longest method, bytes.
+pub const MAX_METHOD_BYTES: usize = 16;
+/// Most steps of a rollout.
+pub const MAX_STEPS: usize = 16;
+/// Largest first step, percent; limits the traffic that an unproven version receives.
+pub const MAX_FIRST_STEP_PERCENT: u8 = 10;
+/// Least time of a step, milliseconds; evidence is exchanged once per second, so that a shorter
+/// step would be decided on one report.
+pub const MIN_STEP_MS: u64 = 2_000;
+/// Longest hold period, seconds (7 days).
+pub const MAX_HOLD_S: u64 = 7 * 24 * 3_600;
+/// Largest number of calls that a step may need as evidence.
+pub const MAX_MIN_CALLS: u32 = 1_000_000;
+/// Most slots of a backend server.
+pub const MAX_SLOTS: u32 = 10_000;
+/// Longest cold start, milliseconds (10 min).
+pub const MAX_COLD_START_MS: u64 = 600_000;
+/// Longest deadline or attempt time limit, milliseconds (10 min).
+pub const MAX_DEADLINE_MS: u64 = 600_000;
+/// Most failures that are reported for one document; bounds the report on a hostile one.
+pub const MAX_FAILURES: usize = 200;
+
+/// A failure before it is known whether a text position belongs to it.
+struct Finding {
+    code: ResultCode,
+    path: String,
+    text: String,
+}
+
+#[derive(Default)]
+struct Findings {
+    list: Vec<Finding>,
+    dropped: usize,
+}
+
+impl Findings {
+    fn add(&mut self, code: ResultCode, path: impl Into<String>, text: impl Into<String>) {
+        if self.list.len() >= MAX_FAILURES {
+            self.dropped += 1;
+            return;
+        }
+        self.list.push(Finding {
+            code,
+            path: path.into(),
+            text: text.into(),
+        });
+    }
+
+    fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    fn into_failures(self, place: impl Fn(&str) -> String) -> Vec<Failure> {
+        let mut failures: Vec<Failure> = self
+            .list
+            .iter()
+            .map(|finding| {
+                let mut text = place(&finding.path);
+                if !finding.path.is_empty() {
+                    let _ = write!(text, "{}: ", finding.path);
+                }
+                Failure::new(finding.code, text + &finding.text)
+            })
+            .collect();
+        if self.dropped > 0 {
+            let text = format!("{}{} more failures are not listed", place(""), self.dropped);
+            failures.push(Failure::new(ResultCode::LimitExceeded, text));
+        }
+        failures
+    }
+}
+
+enum Kind {
+    Text,
+    Bool,
+    /// Whole number from zero to the given one.
+    Number(u64),
+    List(&'static Kind),
+    Object(&'static [Field]),
+}
+
+struct Field {
+    name: &'static str,
+    required: bool,
+    kind: Kind,
+}
+
+const fn required(name: &'static str, kind: Kind) -> Field {
+    Field {
+        name,
+        required: true,
+        kind,
+    }
+}
+
+const fn optional(name: &'static str, kind: Kind) -> Field {
+    Field {
+        name,
+        required: false,
+        kind,
+    }
+}
+
+const U8: Kind = Kind::Number(u8::MAX as u64);
+const U32: Kind = Kind::Number(u32::MAX as u64);
+const U64: Kind = Kind::Number(u64::MAX);
+
+const REGION: Kind = Kind::Object(&[
+    required("name", Kind::Text),
+    required("failure_domains", Kind::List(&Kind::Text)),
+]);
+const VERSION: Kind = Kind::Object(&[required("name", Kind::Text), required("share", U8)]);
+const ROLLOUT: Kind = Kind::Object(&[
+    required("from", Kind::Text),
+    required("to", Kind::Text),
+    required("start_ms", U64),
+    required("finish_by_ms", U64),
+    required("steps", Kind::List(&U8)),
+    optional("hold_s", U64),
+    optional("min_calls", U32),
+]);
+const SERVICE: Kind = Kind::Object(&[
+    required("name", Kind::Text),
+    optional("slots", U32),
+    optional("cold_start_ms", U64),
+    required("versions", Kind::List(&VERSION)),
+    optional("rollout", ROLLOUT),
+]);
+const ROUTE: Kind = Kind::Object(&[
+    required("name", Kind::Text),
+    optional("host", Kind::Text),
+    optional("methods", Kind::List(&Kind::Text)),
+    required("path_prefix", Kind::Text),
+    required("service", Kind::Text),
+    required("idempotent", Kind::Bool),
+    optional("deadline_ms", U64),
+    optional("attempt_timeout_ms", U64),
+]);
+/// Fields of the document; serde alone would stop at the first failure.
+const DOCUMENT: Kind = Kind::Object(&[
+    required("regions", Kind::List(&REGION)),
+    required("services", Kind::List(&SERVICE)),
+    required("routes", Kind::List(&ROUTE)),
+]);
+
+/// Reads a document in JSON with comments, checks it and brings it into normal form.
+///
+/// # Errors
+/// Every failure found, each with file, line, column (in characters, from 1) and field path. The
+/// syntax is checked first, then fields and types, then the rules of [`validate`]; a stage runs
+/// only if the stages before it found nothing.
+pub fn parse_document(text: &str, file: &str) -> Result<Document, Vec<Failure>> {
+    if text.len() > MAX_DOCUMENT_BYTES {
+        let what = format!(
+            "{file}: found {} bytes, allowed are at most {MAX_DOCUMENT_BYTES}",
+            text.len()
+        );
+        return Err(vec![Failure::new(ResultCode::LimitExceeded, what)]);
+    }
+    let lines = LineIndex::new(text);
+    let options = ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    };
+    let root = match jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &options) {
+        Ok(parsed) => parsed.value,
+        Err(e) => {
+            let place = lines.place(text, e.range().start);
+            let what = format!(
+                "{file}:{place}: {}; allowed is JSON with comments and trailing commas",
+                e.kind()
+            );
+            return Err(vec![Failure::new(ResultCode::SyntaxError, what)]);
+        }
+    };
+    let Some(root) = root else {
+        let what = format!("{file}:1:1: found no value, required is an object");
+        return Err(vec![Failure::new(ResultCode::SyntaxError, what)]);
+    };
+    let place = |path: &str| format!("{file}:{}: ", lines.place(text, locate(&root, path)));
+
+    let mut findings = Findings::default();
+    check_kind(&root, &DOCUMENT, "", &mut findings);
+    if !findings.is_empty() {
+        return Err(findings.into_failures(place));
+    }
+    let value = serde_json::Value::from(root.clone());
+    let mut document: Document = serde_path_to_error::deserialize(value).map_err(|e| {
+        let path = e.path().to_string();
+        let what = format!("{}{path}: {}", place(&path), e.into_inner());
+        vec![Failure::new(ResultCode::InvalidField, what)]
+    })?;
+    // Checked before the sort, so that the paths are those of the text.
+    let findings = check_document(&document);
+    if !findings.is_empty() {
+        return Err(findings.into_failures(place));
+    }
+    normalise(&mut document);
+    Ok(document)
+}
+
+/// Checks a document against all rules of `docs/configuration.md`.
+///
+/// # Errors
+/// Every failure found, at most [`MAX_FAILURES`] and a count of the rest, each with its field path.
+pub fn validate(document: &Document) -> Result<(), Vec<Failure>> {
+    let findings = check_document(document);
+    if findings.is_empty() {
+        Ok(())
+    } else {
+        Err(findings.into_failures(|_| String::new()))
+    }
+}
+
+/// Sorts services, routes and versions by name, so that documents that differ only in the order of
+/// their sections are equal and lookups can use binary search.
+pub fn normalise(document: &mut Document) {
+    document.services.sort_by(|a, b| a.name.cmp(&b.name));
+    document.routes.sort_by(|a, b| a.name.cmp(&b.name));
+    for service in &mut document.services {
+        service.versions.sort_by(|a, b| a.name.cmp(&b.name));
+    }
+}
+
+/// Offsets of the starts of all lines.
+struct LineIndex(Vec<usize>);
+
+impl LineIndex {
+    fn new(text: &str) -> Self {
+        let starts = text.match_indices('\n').map(|(at, _)| at + 1);
+        Self(std::iter::once(0).chain(starts).collect())
+    }
+
+    /// Returns `line:column`, both from 1, the column in characters.
+    fn place(&self, text: &str, offset: usize) -> String {
+        let line = self.0.partition_point(|&start| start <= offset);
+        let start = self.0[line - 1];
+        let column = text[start..offset].chars().count() + 1;
+        format!("{line}:{column}")
+    }
+}
+
+/// Returns the offset of the field at `path`, or of the nearest enclosing value that is written out.
+fn locate(root: &Value<'_>, path: &str) -> usize {
+    let mut value = root;
+    for part in path.split(['.', '[']).filter(|part| !part.is_empty()) {
+        let next = match (value, part.strip_suffix(']')) {
+            (Value::Array(array), Some(index)) => index
+                .parse()
+                .ok()
+                .and_then(|index: usize| array.elements.get(index)),
+            (Value::Object(object), None) => object.get(part).map(|property| &property.value),
+            _ => None,
+        };
+        match next {
+            Some(next) => value = next,
+            None => break,
+        }
+    }
+    value.start()
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() {
+        name.to_owned()
+    } else {
+        format!("{path}.{name}")
+    }
+}
+
+/// Shortens text of the document for a message, since it may be of any length.
+fn quote(text: &str) -> String {
+    const SHOWN_CHARS: usize = 80;
+    let shown: String = text.chars().take(SHOWN_CHARS).collect();
+    let rest = if shown.len() < text.len() { "..." } else { "" };
+    format!("{shown:?}{rest}")
+}
+
+fn describe(value: &Value<'_>) -> String {
+    match value {
+        Value::StringLit(text) => format!("the text {}", quote(&text.value)),
+        Value::NumberLit(number) => format!("the number {}", quote(number.value).trim_matches('"')),
+        Value::BooleanLit(boolean) => boolean.value.to_string(),
+        Value::Object(_) => "an object".to_owned(),
+        Value::Array(_) => "a list".to_owned(),
+        Value::NullKeyword(_) => "null".to_owned(),
+    }
+}
+
+fn check_kind(value: &Value<'_>, kind: &Kind, path: &str, findings: &mut Findings) {
+    let allowed = match (kind, value) {
+        (Kind::Text, Value::StringLit(_)) | (Kind::Bool, Value::BooleanLit(_)) => return,
+        (Kind::Number(max), Value::NumberLit(number))
+            if number.value.parse::<u64>().is_ok_and(|n| n <= *max) =>
+        {
+            return;
+        }
+        (Kind::List(kind), Value::Array(array)) => {
+            for (index, element) in array.elements.iter().enumerate() {
+                check_kind(element, kind, &format!("{path}[{index}]"), findings);
+            }
+            return;
+        }
+        (Kind::Object(fields), Value::Object(object)) => {
+            check_fields(object, fields, path, findings);
+            return;
+        }
+        (Kind::Text, _) => "a text".to_owned(),
+        (Kind::Bool, _) => "true or false".to_owned(),
+        (Kind::Number(max), _) => format!("a whole number from 0 to {max}"),
+        (Kind::List(_), _) => "a list".to_owned(),
+        (Kind::Object(_), _) => "an object".to_owned(),
+    };
+    let text = format!("found {}, allowed is {allowed}", describe(value));
+    findings.add(ResultCode::InvalidField, path, text);
+}
+
+fn check_fields(
+    object: &jsonc_parser::ast::Object<'_>,
+    fields: &[Field],
+    path: &str,
+    findings: &mut Findings,
+) {
+    let allowed = || {
+        let names: Vec<&str> = fields.iter().map(|field| field.name).collect();
+        names.join(", ")
+    };
+    let mut seen: Vec<&str> = Vec::new();
+    for property in &object.properties {
+        let name = property.name.as_str();
+        let Some(field) = fields.iter().find(|field| field.name == name) else {
+            let text = format!(
+                "found the unknown field {}, allowed are: {}",
+                quote(name),
+                allowed()
+            );
+            // A name with a separator would make the path ambiguous.
+            let plain = name.len() <= MAX_NAME_BYTES && !name.contains(['.', '[', ']']);
+            let path = if plain {
+                join(path, name)
+            } else {
+                path.to_owned()
+            };
+            findings.add(ResultCode::UnknownField, path, text);
+            continue;
+        };
+        let path = join(path, name);
+        if seen.contains(&name) {
+            let text =
+                "found the field more than once in one object, the first is here; allowed is once";
+            findings.add(ResultCode::DuplicateName, path.as_str(), text);
+        }
+        seen.push(name);
+        check_kind(&property.value, &field.kind, &path, findings);
+    }
+    for field in fields.iter().filter(|field| field.required) {
+        if !seen.contains(&field.name) {
+            let text = format!(
+                "the field is missing; required are: {}",
+                required_names(fields)
+            );
+            findings.add(ResultCode::InvalidField, join(path, field.name), text);
+        }
+    }
+}
+
+fn required_names(fields: &[Field]) -> String {
+    let names: Vec<&str> = fields
+        .iter()
+        .filter(|field| field.required)
+        .map(|field| field.name)
+        .collect();
+    names.join(", ")
+}
+
+fn check_document(document: &Document) -> Findings {
+    let mut findings = Findings::default();
+    check_regions(document, &mut findings);
+    check_services(document, &mut findings);
+    check_routes(document, &mut findings);
+    if findings.is_empty() {
+        check_encoded_size(document, &mut findings);
+    }
+    findings
+}
+
+/// The limits on counts and lengths together allow more than a message between nodes can carry.
+fn check_encoded_size(document: &Document, findings: &mut Findings) {
+    match codec::encode(document) {
+        Ok(bytes) if bytes.len() <= MAX_DOCUMENT_BYTES => {}
+        Ok(bytes) => {
+            let text = format!(
+                "the document has {} bytes encoded, allowed are at most {MAX_DOCUMENT_BYTES}",
+                bytes.len()
+            );
+            findings.add(ResultCode::LimitExceeded, "", text);
+        }
+        Err(failure) => findings.add(failure.code, "", failure.text),
+    }
+}
+
+fn check_count(path: &str, count: usize, min: usize, max: usize, findings: &mut Findings) {
+    if count < min || count > max {
+        let text = format!("found {count} entries, allowed are {min} to {max}");
+        findings.add(ResultCode::LimitExceeded, path, text);
+    }
+}
+
+fn check_range(path: String, found: u64, min: u64, max: u64, unit: &str, findings: &mut Findings) {
+    if found < min || found > max {
+        let text = format!("found {found}, allowed are {min} to {max}{unit}");
+        findings.add(ResultCode::LimitExceeded, path, text);
+    }
+}
+
+fn check_name(path: String, name: &str, findings: &mut Findings) {
+    let valid = |byte: u8| {
+        byte.is_ascii_lowercase() || byte.is_ascii_digit() || matches!(byte, b'.' | b'_' | b'-')
+    };
+    if name.is_empty() || name.len() > MAX_NAME_BYTES || !name.bytes().all(valid) {
+        let text = format!(
+            "found {}, allowed are 1 to {MAX_NAME_BYTES} characters out of a-z, 0-9, '.', '_' and '-'",
+            quote(name)
+        );
+        findings.add(ResultCode::InvalidField, path, text);
+    }
+}
+
+/// Reports every name that an earlier entry has as well.
+fn check_unique(names: &mut [(&str, String)], findings: &mut Findings) {
+    // The sort is stable, so that the first of equal names is the first in the document.
+    names.sort_by(|a, b| a.0.cmp(b.0));
+    for pair in names.windows(2) {
+        if pair[0].0 == pair[1].0 {
+            let text = format!(
+                "found {}, which {} has already; allowed are unique names",
+                quote(pair[1].0),
+                pair[0].1
+            );
+            findings.add(ResultCode::DuplicateName, pair[1].1.as_str(), text);
+        }
+    }
+}
+
+fn check_regions(document: &Document, findings: &mut Findings) {
+    check_count("regions", document.regions.len(), 1, MAX_REGIONS, findings);
+    let mut names = Vec::new();
+    let mut domains = Vec::new();
+    for (i, region) in document.regions.iter().enumerate() {
+        let path = format!("regions[{i}]");
+        check_name(join(&path, "name"), region.name.as_str(), findings);
+        names.push((region.name.as_str(), join(&path, "name")));
+        let list = join(&path, "failure_domains");
+        let count = region.failure_domains.len();
+        check_count(&list, count, 1, MAX_DOMAINS_PER_REGION, findings);
+        for (j, domain) in region.failure_domains.iter().enumerate() {
+            check_name(format!("{list}[{j}]"), domain.as_str(), findings);
+            domains.push((domain.as_str(), format!("{list}[{j}]")));
+        }
+    }
+    check_unique(&mut names, findings);
+    check_unique(&mut domains, findings);
+}
+
+fn check_services(document: &Document, findings: &mut Findings) {
+    let services = &document.services;
+    check_count("services", services.len(), 0, MAX_SERVICES, findings);
+    let mut names = Vec::new();
+    for (i, service) in services.iter().enumerate() {
+        let path = format!("services[{i}]");
+        check_name(join(&path, "name"), service.name.as_str(), findings);
+        names.push((service.name.as_str(), join(&path, "name")));
+        check_service(service, &path, findings);
+    }
+    check_unique(&mut names, findings);
+}
+
+fn check_service(service: &Service, path: &str, findings: &mut Findings) {
+    let slots = u64::from(service.slots);
+    check_range(
+        join(path, "slots"),
+        slots,
+        1,
+        u64::from(MAX_SLOTS),
+        "",
+        findings,
+    );
+    let cold_start = join(path, "cold_start_ms");
+    check_range(
+        cold_start,
+        service.cold_start_ms,
+        0,
+        MAX_COLD_START_MS,
+        " ms",
+        findings,
+    );
+
+    let list = join(path, "versions");
+    let count = service.versions.len();
+    check_count(&list, count, 1, MAX_VERSIONS_PER_SERVICE, findings);
+    let mut names = Vec::new();
+    for (i, version) in service.versions.iter().enumerate() {
+        check_name(format!("{list}[{i}].name"), version.name.as_str(), findings);
+        names.push((version.name.as_str(), format!("{list}[{i}].name")));
+    }
+    check_unique(&mut names, findings);
+    let sum: u64 = service.versions.iter().map(|v| u64::from(v.share)).sum();
+    if sum != 100 {
+        let text = format!("found shares that add up to {sum}, allowed is 100");
+        findings.add(ResultCode::InvalidShares, list, text);
+    }
+    if let Some(rollout) = &service.rollout {
+        check_rollout(service, rollout, &join(path, "rollout"), findings);
+    }
+}
+
+fn check_rollout(service: &Service, rollout: &Rollout, path: &str, findings: &mut Findings) {
+    let share_of = |name| {
+        let version = service.versions.iter().find(|v| &v.name == name);
+        version.map(|v| v.share)
+    };
+    for (field, name) in [("from", &rollout.from), ("to", &rollout.to)] {
+        if share_of(name).is_none() {
+            let text = format!(
+                "found {}, allowed are the versions of the service",
+                quote(name.as_str())
+            );
+            findings.add(ResultCode::DanglingReference, join(path, field), text);
+        }
+    }
+    if rollout.from == rollout.to {
+        let text = format!(
+            "found {}, allowed is another version than that of from",
+            quote(rollout.to.as_str())
+        );
+        findings.add(ResultCode::InvalidRollout, join(path, "to"), text);
+    } else if let Some(share) = share_of(&rollout.to).filter(|&share| share > 0) {
+        let text = format!(
+            "found a version whose share is {share}, allowed is one whose share is 0, since the \
+             share is in force before the first step"
+        );
+        findings.add(ResultCode::InvalidRollout, join(path, "to"), text);
+    }
+    check_steps(rollout, path, findings);
+    let hold = join(path, "hold_s");
+    check_range(hold, rollout.hold_s, 0, MAX_HOLD_S, " s", findings);
+    let (min_calls, max) = (u64::from(rollout.min_calls), u64::from(MAX_MIN_CALLS));
+    check_range(join(path, "min_calls"), min_calls, 1, max, "", findings);
+}
+
+fn check_steps(rollout: &Rollout, path: &str, findings: &mut Findings) {
+    let list = join(path, "steps");
+    let steps = &rollout.steps;
+    check_count(&list, steps.len(), 1, MAX_STEPS, findings);
+    let mut report = |path: String, text: String| {
+        findings.add(ResultCode::InvalidRollout, path, text);
+    };
+    if let Some(&first) = steps.first()
+        && !(1..=MAX_FIRST_STEP_PERCENT).contains(&first)
+    {
+        let text = format!("found {first}, allowed are 1 to {MAX_FIRST_STEP_PERCENT} percent");
+        report(format!("{list}[0]"), text);
+    }
+    for (i, pair) in steps.windows(2).enumerate() {
+        if pair[0] >= pair[1] {
+            let text = format!(
+                "found {} after {}, allowed is a larger one",
+                pair[1], pair[0]
+            );
+            report(format!("{list}[{}]", i + 1), text);
+        }
+    }
+    if let Some(&last) = steps.last()
+        && last != 100
+    {
+        let text = format!("found {last}, allowed as last step is 100 percent");
+        report(format!("{list}[{}]", steps.len() - 1), text);
+    }
+    let needed = MIN_STEP_MS.saturating_mul(steps.len().max(1) as u64);
+    let WallMs(start) = rollout.start_ms;
+    let WallMs(finish) = rollout.finish_by_ms;
+    if finish < start.saturating_add(needed) {
+        let text = format!(
+            "found {finish}, allowed is start_ms ({start}) plus {needed} ms or later, {MIN_STEP_MS} \
+             ms for each of {} steps",
+            steps.len()
+        );
+        report(join(path, "finish_by_ms"), text);
+    }
+}
+
+fn check_routes(document: &Document, findings: &mut Findings) {
+    let routes = &document.routes;
+    check_count("routes", routes.len(), 0, MAX_ROUTES, findings);
+    let mut services: Vec<&ServiceName> = document.services.iter().map(|s| &s.name).collect();
+    services.sort();
+    let mut names = Vec::new();
+    for (i, route) in routes.iter().enumerate() {
+        let path = format!("routes[{i}]");
+        check_name(join(&path, "name"), route.name.as_str(), findings);
+        names.push((route.name.as_str(), join(&path, "name")));
+        if services.binary_search(&&route.service).is_err() {
+            let text = format!(
+                "found {}, allowed are the names of the document's services",
+                quote(route.service.as_str())
+            );
+            findings.add(ResultCode::DanglingReference, join(&path, "service"), text);
+        }
+        check_route(route, &path, findings);
+    }
+    check_unique(&mut names, findings);
+    check_overlap(routes, findings);
+}
+
+fn check_route(route: &Route, path: &str, findings: &mut Findings) {
+    let host = &route.host;
+    let host_byte = |byte: u8| {
+        byte.is_ascii_lowercase() || byte.is_ascii_digit() || matches!(byte, b'.' | b'-')
+    };
+    let is_name = (1..=MAX_HOST_BYTES).contains(&host.len()) && host.bytes().all(host_byte);
+    if host != "*" && !is_name {
+        let text = format!(
+            "found {}, allowed are '*' or 1 to {MAX_HOST_BYTES} characters out of a-z, 0-9, '.' \
+             and '-'",
+            quote(host)
+        );
+        findings.add(ResultCode::InvalidField, join(path, "host"), text);
+    }
+
+    let list = join(path, "methods");
+    check_count(&list, route.methods.len(), 0, MAX_METHODS, findings);
+    let mut names = Vec::new();
+    for (i, method) in route.methods.iter().enumerate() {
+        let at = format!("{list}[{i}]");
+        let letter = |byte: u8| byte.is_ascii_uppercase() || byte == b'-';
+        let length = method.len();
+        if !(1..=MAX_METHOD_BYTES).contains(&length) || !method.bytes().all(letter) {
+            let text = format!(
+                "found {}, allowed are 1 to {MAX_METHOD_BYTES} characters out of A-Z and '-'",
+                quote(method)
+            );
+            findings.add(ResultCode::InvalidField, at.as_str(), text);
+        }
+        names.push((method.as_str(), at));
+    }
+    check_unique(&mut names, findings);
+
+    let prefix = &route.path_prefix;
+    let visible = |byte: u8| byte.is_ascii_graphic() && !matches!(byte, b'?' | b'#');
+    if !prefix.starts_with('/')
+        || prefix.len() > MAX_PATH_PREFIX_BYTES
+        || !prefix.bytes().all(visible)
+    {
+        let text = format!(
+            "found {}, allowed are '/' and up to {} visible ASCII characters but '?' and '#'",
+            quote(prefix),
+            MAX_PATH_PREFIX_BYTES - 1
+        );
+        findings.add(ResultCode::InvalidField, join(path, "path_prefix"), text);
+    }
+
+    let deadline = route.deadline_ms;
+    check_range(
+        join(path, "deadline_ms"),
+        deadline,
+        1,
+        MAX_DEADLINE_MS,
+        " ms",
+        findings,
+    );
+    let at = join(path, "attempt_timeout_ms");
+    let attempt = route.attempt_timeout_ms;
+    check_range(at.clone(), attempt, 1, MAX_DEADLINE_MS, " ms", findings);
+    if attempt > deadline {
+        let text = format!("found {attempt}, allowed is at most deadline_ms ({deadline})");
+        findings.add(ResultCode::LimitExceeded, at, text);
+    }
+}
+
+/// Reports routes that match the same requests, since the choice between them would be arbitrary.
+fn check_overlap(routes: &[Route], findings: &mut Findings) {
+    let mut order: Vec<usize> = (0..routes.len()).collect();
+    let key = |i: usize| (routes[i].host.as_str(), routes[i].path_prefix.as_str());
+    order.sort_by(|&a, &b| key(a).cmp(&key(b)));
+    for group in order.chunk_by(|&a, &b| key(a) == key(b)) {
+        let any = group.iter().find(|&&i| routes[i].methods.is_empty());
+        let mut methods: Vec<(&str, usize)> = group
+            .iter()
+            .flat_map(|&i| routes[i].methods.iter().map(move |m| (m.as_str(), i)))
+            .collect();
+        methods.sort_unstable();
+        let same_method = methods
+            .windows(2)
+            .filter(|pair| pair[0].0 == pair[1].0 && pair[0].1 != pair[1].1)
+            .map(|pair| (pair[0].1, pair[1].1));
+        let any_method = any
+            .into_iter()
+            .flat_map(|&first| group.iter().map(move |&i| (first, i)))
+            .filter(|(first, i)| first != i);
+        for (a, b) in same_method.chain(any_method) {
+            let (first, second) = (a.min(b), a.max(b));
+            let text = format!(
+                "the route matches the same host, path prefix and method as routes[{first}]; \
+                 allowed is one of them"
+            );
+            findings.add(
+                ResultCode::AmbiguousRoute,
+                format!("routes[{second}]"),
+                text,
+            );
+        }
+    }
+}
