--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -1,1 +1,412 @@
-//! Not implemented yet.
+//! Admission of calls to the backend server beside this node, see `docs/design.md`, section 3,
+//! "Admission".
+//!
+//! The node counts slots itself, since the load figures of a backend server lag or mislead.
+//!
+//! * Queue. Calls start in the order of arrival while the queue empties at least once in
+//!   [`STANDING_INTERVAL`]. A queue that has not been empty for that long is a standing queue: it
+//!   adds delay and no throughput. Then the newest call starts first and the others are refused
+//!   after a short wait, so that they can be retried elsewhere while their callers still wait.
+//!   Sources: Nichols and Jacobson, "Controlling Queue Delay", 2012, for the test of the interval;
+//!   Maurer, "Fail at Scale", ACM Queue 2015, for its use with request queues and for newest first.
+//! * Limit. The number of running calls is limited to the announced slots, or to less while the
+//!   backend server sheds load or responds much slower than usual: additive increase and
+//!   multiplicative decrease (Chiu and Jain, 1989), at most one decrease per round of calls.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::invariant;
+use crate::protocol::call::Run;
+use crate::result_code::ResultCode;
+
+/// Longest time that a call waits for a slot.
+pub const MAX_QUEUE_WAIT: Duration = Duration::from_millis(100);
+/// A queue that was not empty for this long is treated as standing (the interval of `CoDel`).
+pub const STANDING_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest wait that is granted in a standing queue (the target of `CoDel`).
+pub const STANDING_WAIT: Duration = Duration::from_millis(5);
+/// Factor on the limit after the backend server shed a call.
+const SHED_FACTOR: f64 = 0.7;
+/// Factor on the limit after the backend server became slow.
+const SLOW_FACTOR: f64 = 0.9;
+/// The backend server counts as slow if its recent latency exceeds the usual one by this factor.
+/// Below two, the ordinary spread of a mix of cheap and expensive calls would reduce the limit.
+const SLOW_TOLERANCE: f64 = 2.0;
+/// Weight of one call in the recent latency.
+const RECENT_WEIGHT: f64 = 1.0 / 16.0;
+/// Weight of one call in the usual latency; slow enough that an overload of seconds does not
+/// become the usual latency, and fast enough that a lasting change does within some 500 calls.
+const USUAL_WEIGHT: f64 = 1.0 / 500.0;
+/// Calls after which the usual latency is used.
+const WARM_UP_CALLS: u32 = 32;
+/// Latencies below this are treated alike, since their ratio is noise.
+const MIN_LATENCY_S: f64 = 0.000_2;
+
+/// Right to run one call; must be given back with [`Admission::finish`].
+#[derive(Debug, Eq, PartialEq)]
+#[must_use]
+pub struct Permit {
+    started: Duration,
+}
+
+/// Place of a call in the queue.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Ticket(u64);
+
+/// Decision on a call that has just arrived.
+#[derive(Debug, Eq, PartialEq)]
+pub enum Admit {
+    /// The call may be forwarded now.
+    Run(Permit),
+    /// The call waits; [`Changes`] of a later call decide on it.
+    Wait(Ticket),
+    /// The call is refused as not run.
+    Refuse(ResultCode),
+}
+
+/// How a permitted call ended, as far as the limit is concerned.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunEnd {
+    /// The backend server responded.
+    Responded,
+    /// The backend server responded that it is overloaded (status 503 or 429).
+    Shed,
+    /// The backend server did not respond within the call's time.
+    TimedOut,
+    /// The call was cancelled or its connection failed; its latency says nothing.
+    Aborted,
+}
+
+/// Decisions on queued calls.
+#[derive(Debug, Default, Eq, PartialEq)]
+pub struct Changes {
+    /// Calls that may be forwarded now.
+    pub start: Vec<(Ticket, Permit)>,
+    /// Calls that are refused as not run.
+    pub refuse: Vec<(Ticket, ResultCode)>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    ticket: Ticket,
+    since: Duration,
+    deadline: Duration,
+}
+
+/// Admission of one backend server.
+#[derive(Debug)]
+pub struct Admission {
+    slots: u32,
+    queue_bound: usize,
+    limit: f64,
+    running: u32,
+    queue: VecDeque<Waiting>,
+    next_ticket: u64,
+    queue_empty_at: Duration,
+    last_decrease: Duration,
+    last_finish: Duration,
+    finish_gap_s: f64,
+    recent_ln: f64,
+    usual_ln: f64,
+    observed: u32,
+    draining: bool,
+}
+
+impl Admission {
+    /// Creates the admission of a backend server with `slots` slots and a queue of at most
+    /// `queue_bound` calls.
+    #[must_use]
+    pub fn new(slots: u32, queue_bound: usize) -> Self {
+        let slots = slots.max(1);
+        Self {
+            slots,
+            queue_bound,
+            limit: f64::from(slots),
+            running: 0,
+            queue: VecDeque::new(),
+            next_ticket: 0,
+            queue_empty_at: Duration::ZERO,
+            last_decrease: Duration::ZERO,
+            last_finish: Duration::ZERO,
+            finish_gap_s: 0.0,
+            recent_ln: 0.0,
+            usual_ln: 0.0,
+            observed: 0,
+            draining: false,
+        }
+    }
+
+    /// Takes over a new number of announced slots. More slots are used as calls finish.
+    pub fn set_slots(&mut self, slots: u32) {
+        let slots = slots.max(1);
+        if slots > self.slots && self.limit >= f64::from(self.slots) {
+            self.limit = f64::from(slots);
+        }
+        self.slots = slots;
+        self.limit = self.limit.min(f64::from(slots));
+    }
+
+    /// Calls that run or wait, the value of the `sw-load` header.
+    #[must_use]
+    pub fn load(&self) -> u32 {
+        self.running
+            .saturating_add(u32::try_from(self.queue.len()).unwrap_or(u32::MAX))
+    }
+
+    /// Calls that run.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Calls that may run at the same time now; at least one.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the limit lies between 1 and the number of slots"
+        )]
+        let limit = self.limit as u32;
+        limit.max(1)
+    }
+
+    /// Whether new calls are refused.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Whether the node stops and no call runs any more.
+    #[must_use]
+    pub fn is_drained(&self) -> bool {
+        self.draining && self.running == 0
+    }
+
+    /// Decides on a new call. `deadline` is on the same clock as `now`.
+    ///
+    /// Queued calls whose time is over must be collected with [`Admission::tick`].
+    pub fn offer(&mut self, now: Duration, deadline: Duration) -> Admit {
+        if self.draining {
+            return Admit::Refuse(ResultCode::Draining);
+        }
+        if deadline <= now {
+            return Admit::Refuse(ResultCode::DeadlineExceeded);
+        }
+        if self.queue.is_empty() {
+            self.queue_empty_at = now;
+            if self.running < self.limit() {
+                return Admit::Run(self.permit(now));
+            }
+        }
+        if self.queue.len() >= self.queue_bound {
+            return Admit::Refuse(ResultCode::Overloaded);
+        }
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        self.queue.push_back(Waiting {
+            ticket,
+            since: now,
+            deadline,
+        });
+        Admit::Wait(ticket)
+    }
+
+    /// Gives a permit back and decides which queued calls start or are refused.
+    #[allow(clippy::needless_pass_by_value, reason = "a permit is given back once")]
+    pub fn finish(&mut self, now: Duration, permit: Permit, end: RunEnd) -> Changes {
+        let saturated = self.running >= self.limit();
+        self.running = self.running.saturating_sub(1);
+        self.adapt(now, permit.started, end, saturated);
+        let gap = now.saturating_sub(self.last_finish).as_secs_f64();
+        self.finish_gap_s += (gap - self.finish_gap_s) * RECENT_WEIGHT;
+        self.last_finish = now;
+        self.tick(now)
+    }
+
+    /// Refuses queued calls whose wait or deadline is over, and starts others if slots are free.
+    pub fn tick(&mut self, now: Duration) -> Changes {
+        let mut changes = Changes::default();
+        if self.queue.is_empty() {
+            self.queue_empty_at = now;
+            return changes;
+        }
+        let standing = self.is_standing(now);
+        while self.running < self.limit() {
+            let next = if standing {
+                self.queue.pop_back()
+            } else {
+                self.queue.pop_front()
+            };
+            let Some(waiting) = next else { break };
+            if let Some(code) = Self::expired(&waiting, now, MAX_QUEUE_WAIT) {
+                changes.refuse.push((waiting.ticket, code));
+            } else {
+                changes.start.push((waiting.ticket, self.permit(now)));
+            }
+        }
+        let wait = self.allowed_wait(standing);
+        self.queue.retain(|waiting| {
+            let code = Self::expired(waiting, now, wait);
+            if let Some(code) = code {
+                changes.refuse.push((waiting.ticket, code));
+            }
+            code.is_none()
+        });
+        if self.queue.is_empty() {
+            self.queue_empty_at = now;
+        }
+        changes
+    }
+
+    /// Time at which [`Admission::tick`] has something to do at the latest.
+    #[must_use]
+    pub fn next_tick(&self, now: Duration) -> Option<Duration> {
+        let wait = self.allowed_wait(self.is_standing(now));
+        self.queue
+            .iter()
+            .map(|waiting| waiting.deadline.min(waiting.since + wait))
+            .min()
+    }
+
+    /// Removes a queued call whose caller has gone. Returns false if it does not wait any more.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        let before = self.queue.len();
+        self.queue.retain(|waiting| waiting.ticket != ticket);
+        self.queue.len() != before
+    }
+
+    /// Refuses all further calls and hands the queued ones back, to be answered as not run.
+    pub fn drain(&mut self) -> Vec<Ticket> {
+        self.draining = true;
+        self.queue.drain(..).map(|waiting| waiting.ticket).collect()
+    }
+
+    fn permit(&mut self, now: Duration) -> Permit {
+        self.running += 1;
+        Permit { started: now }
+    }
+
+    fn is_standing(&self, now: Duration) -> bool {
+        !self.queue.is_empty() && now.saturating_sub(self.queue_empty_at) >= STANDING_INTERVAL
+    }
+
+    /// In a standing queue a call waits at most for about two starts of other calls; a shorter
+    /// wait would leave slots of a backend server with long calls unused.
+    fn allowed_wait(&self, standing: bool) -> Duration {
+        if !standing {
+            return MAX_QUEUE_WAIT;
+        }
+        Duration::from_secs_f64(2.0 * self.finish_gap_s)
+            .max(STANDING_WAIT)
+            .min(MAX_QUEUE_WAIT)
+    }
+
+    fn expired(waiting: &Waiting, now: Duration, wait: Duration) -> Option<ResultCode> {
+        if now >= waiting.deadline {
+            Some(ResultCode::DeadlineExceeded)
+        } else if now.saturating_sub(waiting.since) >= wait {
+            Some(ResultCode::Overloaded)
+        } else {
+            None
+        }
+    }
+
+    fn adapt(&mut self, now: Duration, started: Duration, end: RunEnd, saturated: bool) {
+        let latency = now.saturating_sub(started).as_secs_f64().max(MIN_LATENCY_S);
+        match end {
+            RunEnd::Aborted => return,
+            RunEnd::Shed => {
+                self.decrease(now, started, SHED_FACTOR);
+                return;
+            }
+            RunEnd::TimedOut | RunEnd::Responded => {}
+        }
+        // Logarithms make the mean robust against a few calls that take far longer than the rest.
+        let sample = latency.ln();
+        if self.observed == 0 {
+            self.recent_ln = sample;
+            self.usual_ln = sample;
+        }
+        self.observed = self.observed.saturating_add(1);
+        self.recent_ln += (sample - self.recent_ln) * RECENT_WEIGHT;
+        let usual_weight = USUAL_WEIGHT.max(1.0 / f64::from(self.observed));
+        self.usual_ln += (sample - self.usual_ln) * usual_weight;
+        let slow =
+            self.observed > WARM_UP_CALLS && self.recent_ln - self.usual_ln > SLOW_TOLERANCE.ln();
+        if slow || end == RunEnd::TimedOut {
+            self.decrease(now, started, SLOW_FACTOR);
+        } else if saturated {
+            self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.slots));
+        }
+    }
+
+    /// Only a call that started after the last decrease shows the effect of the reduced limit.
+    fn decrease(&mut self, now: Duration, started: Duration, factor: f64) {
+        if started >= self.last_decrease {
+            self.limit = (self.limit * factor).max(1.0);
+            self.last_decrease = now;
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    Received,
+    Forwarded,
+    Answered,
+}
+
+/// State of one call at the serving node, which decides whether "not run" may be answered.
+///
+/// A permit that was not used, because the connection to the backend server was refused, may still
+/// be answered with "not run". From [`CallState::forward`] on it may not (invariant 6).
+#[derive(Debug)]
+pub struct CallState {
+    phase: Phase,
+}
+
+impl Default for CallState {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl CallState {
+    /// State of a call that has just arrived.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            phase: Phase::Received,
+        }
+    }
+
+    /// Must be called before the first byte of the call is given to the connection to the backend
+    /// server. Consumes nothing of the permit, which is given back when the call ends.
+    pub fn forward(&mut self, _permit: &Permit) {
+        self.phase = Phase::Forwarded;
+    }
+
+    /// Whether the call was given to a connection.
+    #[must_use]
+    pub fn is_forwarded(&self) -> bool {
+        self.phase != Phase::Received
+    }
+
+    /// Ends the call and returns the value for the `sw-run` header. An answer "not run" for a
+    /// forwarded call violates invariant 6 and becomes "unknown".
+    ///
+    /// # Panics
+    /// In builds with debug assertions, if invariant 6 is violated.
+    pub fn answer(&mut self, run: Run) -> Run {
+        let forwarded = self.is_forwarded();
+        self.phase = Phase::Answered;
+        let truthful = run != Run::No || !forwarded;
+        if invariant::check(6, truthful, "answer \"not run\" for a forwarded call") {
+            run
+        } else {
+            Run::Unknown
+        }
+    }
+}
