--- a/src/protocol/claim.rs
+++ b/src/protocol/claim.rs
@@ -75,6 +75,8 @@
 pub struct CompleteRequest {
     /// The key.
     pub key: Arc<str>,
+    /// Hash of the request, for a key replica that has not seen the claim.
+    pub fingerprint: u64,
     /// The attempt.
     pub claim: ClaimId,
     /// The answer; `None` if the outcome is unknown.
