--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the platform around the nodes (log, backend server, caller), a fleet of real node
 //! processes, and the measuring tool. Not shipped.
 
+pub mod backend_server;
 pub mod http;
 pub mod log_server;
