--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -2,5 +2,6 @@
 //! processes, and the measuring tool. Not shipped.
 
 pub mod backend_server;
+pub mod caller;
 pub mod http;
 pub mod log_server;
