--- /dev/null
+++ b/testbed/src/cli.rs
@@ -0,0 +1,422 @@
+//! Arguments of the `testbed` binary.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use eyre::WrapErr;
+use testbed::backend_server::BackendOptions;
+use testbed::backend_server::BackendServer;
+use testbed::backend_server::Downstream;
+use testbed::backend_server::Fault;
+use testbed::backend_server::ServiceTime;
+use testbed::caller;
+use testbed::caller::CallerOptions;
+use testbed::caller::Keys;
+use testbed::log_server::LogControlChange;
+use testbed::log_server::LogServer;
+use testbed::log_server::Outage;
+
+/// Exit code of a backend server that crashed on purpose.
+const CRASH_EXIT_CODE: u8 = 134;
+/// Time between checks whether a backend server still runs.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Parses the arguments and runs the subcommand.
+///
+/// # Errors
+/// Returns the failure of the subcommand.
+pub fn run() -> eyre::Result<ExitCode> {
+    match command().get_matches().subcommand() {
+        Some(("log", args)) => log(args),
+        Some(("backend", args)) => backend(args),
+        Some(("caller", args)) => call(args),
+        _ => Ok(ExitCode::FAILURE),
+    }
+}
+
+fn command() -> Command {
+    Command::new("testbed")
+        .about("Stand-ins for the platform and the measuring tool")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(log_command())
+        .subcommand(backend_command())
+        .subcommand(caller_command())
+}
+
+fn option(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value).help(help)
+}
+
+fn log_command() -> Command {
+    Command::new("log")
+        .about("Run the append-only log in memory; settings change with POST /control")
+        .arg(
+            option("listen", "ADDR", "Listen address")
+                .value_parser(value_parser!(SocketAddr))
+                .default_value("127.0.0.1:7500"),
+        )
+        .arg(
+            option("delay-ms", "MS", "Time added to each request")
+                .value_parser(value_parser!(u64))
+                .default_value("0"),
+        )
+        .arg(
+            option("retention", "RECORDS", "Records kept per stream; 0 for all")
+                .value_parser(value_parser!(usize))
+                .default_value("0"),
+        )
+        .arg(
+            option("append-rate", "N", "Appends per second; 0 for no limit")
+                .value_parser(value_parser!(u32))
+                .default_value("0"),
+        )
+        .arg(
+            option("outage", "KIND", "Start with an outage")
+                .value_parser(["off", "refuse", "hang"])
+                .default_value("off"),
+        )
+}
+
+fn log(args: &ArgMatches) -> eyre::Result<ExitCode> {
+    let mut log = LogServer::start(*required(args, "listen")?).wrap_err("cannot start the log")?;
+    log.change(&LogControlChange {
+        outage: Some(match required::<String>(args, "outage")?.as_str() {
+            "refuse" => Outage::Refuse,
+            "hang" => Outage::Hang,
+            _ => Outage::Off,
+        }),
+        delay_ms: Some(*required(args, "delay-ms")?),
+        retention: Some(*required(args, "retention")?),
+        append_rate: Some(*required(args, "append-rate")?),
+        lose_answers: None,
+    });
+    println!("log listens on {}", log.addr());
+    actix_rt::System::new().block_on(wait_for_stop());
+    log.stop();
+    Ok(ExitCode::SUCCESS)
+}
+
+fn backend_command() -> Command {
+    Command::new("backend")
+        .about("Run a backend server; faults change with POST /control")
+        .arg(
+            option("listen", "ADDR", "Listen address")
+                .value_parser(value_parser!(SocketAddr))
+                .default_value("127.0.0.1:0"),
+        )
+        .arg(option(
+            "id",
+            "ID",
+            "Own id, part of each answer; SERVICE-VERSION-PID if absent",
+        ))
+        .arg(option("service", "NAME", "Service").required(true))
+        .arg(option("version", "NAME", "Version of the service").required(true))
+        .arg(
+            option("node", "ADDR", "Request port of the node to announce to")
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(
+            option("slots", "N", "Requests that run at the same time")
+                .value_parser(value_parser!(u32))
+                .default_value("10"),
+        )
+        .arg(
+            option("connections", "N", "Connections at the same time")
+                .value_parser(value_parser!(usize))
+                .default_value("100"),
+        )
+        .arg(
+            option("median-us", "US", "Median service time")
+                .value_parser(value_parser!(u64))
+                .default_value("0"),
+        )
+        .arg(
+            option("p99-us", "US", "99th percentile of the service time")
+                .value_parser(value_parser!(u64))
+                .default_value("0"),
+        )
+        .arg(
+            option("seed", "N", "Seed of service times and errors")
+                .value_parser(value_parser!(u64))
+                .default_value("1"),
+        )
+        .arg(
+            option("answer-bytes", "N", "Size of an answer's body")
+                .value_parser(value_parser!(usize))
+                .default_value("512"),
+        )
+        .arg(
+            option(
+                "cold-start-ms",
+                "MS",
+                "Time after the start with slow requests",
+            )
+            .value_parser(value_parser!(u64))
+            .default_value("0"),
+        )
+        .arg(
+            option(
+                "cold-factor",
+                "X",
+                "Factor on the service time during the cold start",
+            )
+            .value_parser(value_parser!(f64))
+            .default_value("5"),
+        )
+        .args(fault_args())
+        .args(downstream_args())
+}
+
+/// Faults that a backend server starts with.
+fn fault_args() -> Vec<Arg> {
+    vec![
+        option(
+            "error-rate",
+            "SHARE",
+            "Share of requests answered with 500, 0 to 1",
+        )
+        .value_parser(value_parser!(f64))
+        .default_value("0"),
+        option("slowdown", "X", "Factor on the service time")
+            .value_parser(value_parser!(f64))
+            .default_value("1"),
+        option("extra-us", "US", "Time added to the service time")
+            .value_parser(value_parser!(u64))
+            .default_value("0"),
+        Arg::new("hang")
+            .long("hang")
+            .help("Accept requests and never answer")
+            .action(ArgAction::SetTrue),
+        option("fault-path", "PREFIX", "Paths that show the faults").default_value("/"),
+        option("fault-after-calls", "N", "Requests before the faults start")
+            .value_parser(value_parser!(u64))
+            .default_value("0"),
+        option("fault-after-ms", "MS", "Time before the faults start")
+            .value_parser(value_parser!(u64))
+            .default_value("0"),
+        option(
+            "fault-above",
+            "N",
+            "Show the faults only while more requests run",
+        )
+        .value_parser(value_parser!(u32))
+        .default_value("0"),
+    ]
+}
+
+/// Call that a backend server makes for each of its own requests.
+fn downstream_args() -> Vec<Arg> {
+    vec![
+        option(
+            "downstream-node",
+            "ADDR",
+            "Request port that takes a downstream call",
+        )
+        .value_parser(value_parser!(SocketAddr))
+        .requires("downstream-host"),
+        option("downstream-host", "HOST", "Host of the downstream call"),
+        option("downstream-path", "PATH", "Path of the downstream call").default_value("/"),
+        option(
+            "downstream-for",
+            "PREFIX",
+            "Paths that make the downstream call",
+        )
+        .default_value("/"),
+    ]
+}
+
+fn backend(args: &ArgMatches) -> eyre::Result<ExitCode> {
+    let service: &String = required(args, "service")?;
+    let version: &String = required(args, "version")?;
+    let listen: SocketAddr = *required(args, "listen")?;
+    let id = match args.get_one::<String>("id") {
+        Some(id) => id.clone(),
+        None => format!("{service}-{version}-{}", std::process::id()),
+    };
+    let mut options = BackendOptions::new(&id, service, version);
+    options.listen = listen;
+    options.node_addr = args.get_one("node").copied();
+    options.slots = *required(args, "slots")?;
+    options.max_connections = *required(args, "connections")?;
+    options.service_time = ServiceTime {
+        median_us: *required(args, "median-us")?,
+        p99_us: *required(args, "p99-us")?,
+    };
+    options.seed = *required(args, "seed")?;
+    options.answer_bytes = *required(args, "answer-bytes")?;
+    options.cold_start = Duration::from_millis(*required(args, "cold-start-ms")?);
+    options.cold_factor = *required(args, "cold-factor")?;
+    options.faults = vec![Fault {
+        path_prefix: required::<String>(args, "fault-path")?.clone(),
+        error_rate: *required(args, "error-rate")?,
+        slowdown: *required(args, "slowdown")?,
+        extra_us: *required(args, "extra-us")?,
+        hang: args.get_flag("hang"),
+        crash: false,
+        after_calls: *required(args, "fault-after-calls")?,
+        after_ms: *required(args, "fault-after-ms")?,
+        above_running: *required(args, "fault-above")?,
+    }];
+    if let Some(node_addr) = args.get_one("downstream-node") {
+        options.downstream = vec![Downstream {
+            path_prefix: required::<String>(args, "downstream-for")?.clone(),
+            node_addr: *node_addr,
+            host: required::<String>(args, "downstream-host")?.clone(),
+            path: required::<String>(args, "downstream-path")?.clone(),
+        }];
+    }
+    let mut server = BackendServer::start(options).wrap_err("cannot start the backend server")?;
+    println!("backend server {id} listens on {}", server.addr());
+    actix_rt::System::new().block_on(async {
+        let ended = async {
+            while server.is_running() {
+                actix_rt::time::sleep(CHECK_INTERVAL).await;
+            }
+        };
+        let ended = std::pin::pin!(ended);
+        let stop = std::pin::pin!(wait_for_stop());
+        futures_util::future::select(ended, stop).await;
+    });
+    if server.has_crashed() {
+        eprintln!("backend server {id} crashed on a request");
+        return Ok(ExitCode::from(CRASH_EXIT_CODE));
+    }
+    server.stop();
+    println!("{}", serde_json::to_string(&server.report())?);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn caller_command() -> Command {
+    Command::new("caller")
+        .about("Send calls at a fixed rate and print one JSON line with the result")
+        .arg(
+            option("target", "ADDR", "Address to call; repeat for several")
+                .value_parser(value_parser!(SocketAddr))
+                .action(ArgAction::Append)
+                .value_delimiter(',')
+                .required(true),
+        )
+        .arg(
+            option("rate", "N", "Calls per second over all targets")
+                .value_parser(value_parser!(f64))
+                .default_value("47"),
+        )
+        .arg(
+            option("seconds", "S", "Duration")
+                .value_parser(value_parser!(f64))
+                .default_value("10"),
+        )
+        .arg(option("method", "METHOD", "Method").default_value("GET"))
+        .arg(option("path", "PATH", "Path").default_value("/"))
+        .arg(option("host", "HOST", "Host header"))
+        .arg(option("body", "TEXT", "Body").default_value(""))
+        .arg(
+            option("header", "NAME:VALUE", "Further header; repeat for several")
+                .action(ArgAction::Append),
+        )
+        .arg(
+            Arg::new("keys")
+                .long("keys")
+                .help("Give each call a fresh idempotency key")
+                .action(ArgAction::SetTrue),
+        )
+        .arg(
+            option(
+                "repeated",
+                "SHARE",
+                "Share of calls that repeat a recent keyed call",
+            )
+            .value_parser(value_parser!(f64))
+            .requires("keys")
+            .default_value("0"),
+        )
+        .arg(
+            option("timeout-ms", "MS", "Time limit of a call")
+                .value_parser(value_parser!(u64))
+                .default_value("5000"),
+        )
+        .arg(
+            option("seed", "N", "Seed of the choice of repeated calls")
+                .value_parser(value_parser!(u64))
+                .default_value("1"),
+        )
+        .arg(
+            Arg::new("samples")
+                .long("samples")
+                .help("Include each single call in the result")
+                .action(ArgAction::SetTrue),
+        )
+}
+
+fn call(args: &ArgMatches) -> eyre::Result<ExitCode> {
+    let targets = args
+        .get_many("target")
+        .map(|targets| targets.copied().collect())
+        .unwrap_or_default();
+    let duration = Duration::try_from_secs_f64(*required(args, "seconds")?)
+        .wrap_err("--seconds is out of range")?;
+    let rate: f64 = *required(args, "rate")?;
+    eyre::ensure!(rate > 0.0, "--rate must be above zero");
+    let mut options = CallerOptions::new(targets, rate, duration);
+    options.method = required::<String>(args, "method")?
+        .parse()
+        .wrap_err("--method is not a method")?;
+    options.path.clone_from(required(args, "path")?);
+    options.host = args.get_one("host").cloned();
+    options.body = required::<String>(args, "body")?.clone().into();
+    for header in args.get_many::<String>("header").unwrap_or_default() {
+        let (name, value) = header
+            .split_once(':')
+            .ok_or_else(|| eyre::eyre!("--header {header} has no colon"))?;
+        options
+            .headers
+            .push((name.trim().into(), value.trim().into()));
+    }
+    if args.get_flag("keys") {
+        options.keys = Keys::Fresh {
+            repeated: *required(args, "repeated")?,
+        };
+    }
+    options.timeout = Duration::from_millis(*required(args, "timeout-ms")?);
+    options.seed = *required(args, "seed")?;
+    options.keep_samples = args.get_flag("samples");
+    let report = actix_rt::System::new().block_on(caller::run(options));
+    println!("{}", serde_json::to_string(&report)?);
+    let correct = report.mismatched == 0 && report.malformed == 0;
+    Ok(if correct {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn required<'a, T>(args: &'a ArgMatches, name: &str) -> eyre::Result<&'a T>
+where
+    T: Clone + Send + Sync + 'static,
+{
+    args.get_one(name)
+        .ok_or_else(|| eyre::eyre!("--{name} is missing"))
+}
+
+/// Waits for SIGINT or SIGTERM.
+async fn wait_for_stop() {
+    use tokio::signal::unix::SignalKind;
+    use tokio::signal::unix::signal;
+    let (Ok(mut int), Ok(mut term)) = (
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::terminate()),
+    ) else {
+        eprintln!("signals cannot be received");
+        return;
+    };
+    let int = std::pin::pin!(int.recv());
+    let term = std::pin::pin!(term.recv());
+    futures_util::future::select(int, term).await;
+}
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -1,2 +1,15 @@
-//! Stub.
-fn main() {}
+//! Entry point of the test doubles and the measuring tool.
+
+mod cli;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match cli::run() {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("{e:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
