--- /dev/null
+++ b/testbed/src/lib.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for the platform around the nodes (log, backend server, caller), a fleet of real node
+//! processes, and the measuring tool. Not shipped.
+
+pub mod backend_server;
+pub mod caller;
+pub mod fleet;
+pub mod http;
+pub mod log_server;
