Compare the two versions of a rollout by a sequential test

Likelihood ratios of concurrent blocks cancel faults that both versions share; CUSUM finds faults that begin late. Reports also count calls that failed because of a downstream call, and their tallies are cumulative, so that a lost report loses no evidence.

--- a/src/coordination/evidence.rs
+++ b/src/coordination/evidence.rs
@@ -1,1 +1,805 @@
-//! Not implemented yet.
+//! Evidence of a rollout and the sequential test of the new version against the old one, see
+//! `docs/design.md`, section 6.
+//!
+//! The evidence of each route is cut into blocks of about a second. For a block with `n_a` calls and
+//! `e_a` failures of the old version and `n_b`, `e_b` of the new one, and guesses `p_a`, `p_b` of the
+//! two rates made before the block, the likelihood ratio against the pooled rate
+//! `p_0 = (n_a p_a + n_b p_b) / (n_a + n_b)` has an expectation of at most 1 whenever both versions
+//! have the same rate, whatever that rate is in this block (Turner, Ly and Grünwald, "Generic
+//! E-variables for exact sequential k-sample tests that allow for optional stopping", 2024). A fault
+//! that both versions share therefore yields no evidence, and looking at the result again and again
+//! does not raise the rate of false alarms. The ratios of several guesses are summed up by CUSUM
+//! (Page, 1954; as e-detector: Shin, Ramdas and Rinaldo, 2024), so that a fault that begins late is
+//! found as fast as one that was there from the start.
+//!
+//! Limits: calls are taken as independent; bursts are covered by [`MAX_BLOCK_EVIDENCE`], the
+//! confirmation time and the least effects only. A fault of a single backend server counts as a fault
+//! of its version.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::protocol::gossip::LATENCY_BUCKETS;
+use crate::protocol::gossip::RollbackCause;
+use crate::protocol::gossip::RouteEvidence;
+use crate::protocol::name::RouteName;
+
+/// Evidence (natural logarithm of the likelihood ratio) at which the new version is taken to be worse.
+/// One start of a CUSUM raises a false alarm with a probability of at most `exp(-16)`, about 1e-7; an
+/// hour, 5 routes, 2 measures and 4 guesses make 1.4e5 starts.
+pub const ALARM_EVIDENCE: f64 = 16.0;
+/// Evidence from which a rollout does not advance ahead of its latest time.
+pub const SUSPICION_EVIDENCE: f64 = 6.0;
+/// Most evidence that one block adds, so that a burst of latency within one second cannot raise an alarm.
+pub const MAX_BLOCK_EVIDENCE: f64 = 7.0;
+/// Least difference of the failure rates that matters.
+pub const MIN_ERROR_EXCESS: f64 = 0.02;
+/// Least difference of the shares of slow calls that matters.
+pub const MIN_SLOW_EXCESS: f64 = 0.12;
+/// Least ratio of the new version's rate to the old one's that matters.
+pub const MIN_RATIO: f64 = 1.5;
+/// A disturbance of the old version counts as shared unless the new version is worse by this factor.
+pub const SHARED_FAULT_RATIO: f64 = 2.0;
+/// Rise of the old version's rate over its own history that counts as a disturbance.
+pub const DISTURBANCE: f64 = 0.05;
+/// Time for which an alarm must last. Reports of the old version, sent once a second, arrive in it and
+/// show whether it has the same fault.
+pub const CONFIRM_TIME: Duration = Duration::from_millis(1_200);
+/// Longest wait for a report of the old version.
+pub const MAX_CONFIRM_TIME: Duration = Duration::from_millis(2_200);
+/// Time for which an alarm on latency must last, since slowness passes more often than errors do.
+pub const CONFIRM_LATENCY_TIME: Duration = Duration::from_secs(3);
+/// Failures (or slow calls) of the new version after the alarm that confirm it.
+pub const MIN_CONFIRMING_HITS: f64 = 2.0;
+/// Shortest block.
+pub const BLOCK_TIME: Duration = Duration::from_secs(1);
+/// Time without calls of the old version after which its stored baseline takes their place.
+pub const OLD_SILENCE: Duration = Duration::from_secs(5);
+/// Failure rate that a version may have as long as nothing is known of the old one.
+pub const ASSUMED_ERROR_RATE: f64 = 0.3;
+/// Calls of the old version needed for a baseline of its latency.
+pub const MIN_BASELINE_CALLS: f64 = 50.0;
+/// Share of calls with failed downstream calls above which the stored baseline accuses nobody.
+pub const MAX_DOWNSTREAM_FAILURES: f64 = 0.05;
+/// Rise of the call rate over the baseline above which slowness counts as overload.
+pub const MAX_LOAD_RISE: f64 = 1.5;
+/// Routes tracked; further ones count in the sum of all routes only.
+pub const MAX_ROUTES: usize = 64;
+
+/// Weight of a second in the old version's history after another second.
+const HISTORY_DECAY: f64 = 0.99;
+/// Closed blocks that are kept.
+const KEPT_BLOCKS: usize = 32;
+/// Blocks of the old version that a block of the new one is compared with; covers the time between
+/// two reports.
+const SMOOTHED_BLOCKS: usize = 3;
+/// Assumed increases of the failure rate.
+const ERROR_EFFECTS: [f64; 4] = [0.03, 0.1, 0.3, 0.9];
+/// Assumed increases of the share of slow calls.
+const SLOW_EFFECTS: [f64; 4] = [0.15, 0.3, 0.6, 0.9];
+/// Failure rate of the old version before anything is known, and its weight in calls.
+const PRIOR_ERRORS: (f64, f64) = (0.005, 50.0);
+/// Share of slow calls, by the definition of the 95th percentile, and its weight.
+const PRIOR_SLOW: (f64, f64) = (0.05, 50.0);
+
+/// Version that a figure belongs to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Side {
+    /// The version that has the traffic before the rollout.
+    Old,
+    /// The version that is rolled out.
+    New,
+}
+
+/// Calls since the last look.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    /// Finished calls.
+    pub calls: u32,
+    /// Failed calls among them.
+    pub errors: u32,
+    /// Failed calls not among them, since a call they depend on failed.
+    pub downstream_failed: u32,
+    /// Calls by latency.
+    pub latency: [u32; LATENCY_BUCKETS],
+}
+
+impl Tally {
+    /// Adds another tally.
+    pub fn add(&mut self, other: &Self) {
+        self.calls = self.calls.saturating_add(other.calls);
+        self.errors = self.errors.saturating_add(other.errors);
+        self.downstream_failed = self
+            .downstream_failed
+            .saturating_add(other.downstream_failed);
+        for (sum, n) in self.latency.iter_mut().zip(other.latency) {
+            *sum = sum.saturating_add(n);
+        }
+    }
+
+    /// Returns the increase from `earlier`, or all of it if the sender has counted anew.
+    #[must_use]
+    pub fn increase(&self, earlier: &Self) -> Self {
+        if self.calls < earlier.calls || self.downstream_failed < earlier.downstream_failed {
+            return *self;
+        }
+        let mut delta = *self;
+        delta.calls -= earlier.calls;
+        delta.errors = delta.errors.saturating_sub(earlier.errors);
+        delta.downstream_failed -= earlier.downstream_failed;
+        for (n, before) in delta.latency.iter_mut().zip(earlier.latency) {
+            *n = n.saturating_sub(before);
+        }
+        delta
+    }
+
+    /// Puts the tally into a message.
+    #[must_use]
+    pub fn to_evidence(&self, route: RouteName) -> RouteEvidence {
+        RouteEvidence {
+            route,
+            calls: self.calls,
+            errors: self.errors,
+            downstream_failed: self.downstream_failed,
+            latency: self.latency,
+        }
+    }
+}
+
+impl From<&RouteEvidence> for Tally {
+    /// A sender cannot report more failures than calls; the surplus of a faulty one is cut.
+    fn from(evidence: &RouteEvidence) -> Self {
+        Self {
+            calls: evidence.calls,
+            errors: evidence.errors.min(evidence.calls),
+            downstream_failed: evidence.downstream_failed,
+            latency: evidence.latency,
+        }
+    }
+}
+
+/// Returns the latency bucket of a call, see [`LATENCY_BUCKETS`].
+#[must_use]
+pub fn latency_bucket(latency: Duration) -> usize {
+    let above = |i: &usize| latency.as_secs_f64() < bucket_limit(*i);
+    (0..LATENCY_BUCKETS - 1)
+        .find(above)
+        .unwrap_or(LATENCY_BUCKETS - 1)
+}
+
+/// Returns the upper limit of a latency bucket in seconds.
+#[must_use]
+pub fn bucket_limit(bucket: usize) -> f64 {
+    125e-6 * 2f64.powf(f64::from(u32::try_from(bucket).unwrap_or(u32::MAX)) / 2.0)
+}
+
+/// Finding against the new version.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Finding {
+    /// What is worse.
+    pub cause: RollbackCause,
+    /// Route that shows it, `None` if only the sum of all routes does.
+    pub route: Option<RouteName>,
+    /// Figures of both versions.
+    pub text: String,
+}
+
+/// Hits (failures or slow calls) among calls of both versions.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pair {
+    old_calls: f64,
+    old_hits: f64,
+    new_calls: f64,
+    new_hits: f64,
+}
+
+impl Pair {
+    fn add(&mut self, other: &Self) {
+        self.old_calls += other.old_calls;
+        self.old_hits += other.old_hits;
+        self.new_calls += other.new_calls;
+        self.new_hits += other.new_hits;
+    }
+
+    fn old_rate(&self) -> f64 {
+        rate(self.old_hits, self.old_calls)
+    }
+
+    fn new_rate(&self) -> f64 {
+        rate(self.new_hits, self.new_calls)
+    }
+
+    /// Rate of the old version that chance alone hardly exceeds the true one with.
+    fn old_rate_lower(&self) -> f64 {
+        rate(
+            (self.old_hits - 2.0 * self.old_hits.sqrt()).max(0.0),
+            self.old_calls,
+        )
+    }
+}
+
+fn rate(hits: f64, calls: f64) -> f64 {
+    if calls > 0.0 { hits / calls } else { 0.0 }
+}
+
+/// Least effect and timing of a measure.
+#[derive(Clone, Copy, Debug)]
+struct Measure {
+    cause: RollbackCause,
+    effects: [f64; 4],
+    prior: (f64, f64),
+    min_excess: f64,
+    max_block: f64,
+    confirm: Duration,
+}
+
+const ERRORS: Measure = Measure {
+    cause: RollbackCause::Errors,
+    effects: ERROR_EFFECTS,
+    prior: PRIOR_ERRORS,
+    min_excess: MIN_ERROR_EXCESS,
+    max_block: f64::INFINITY,
+    confirm: CONFIRM_TIME,
+};
+
+const LATENCY: Measure = Measure {
+    cause: RollbackCause::Latency,
+    effects: SLOW_EFFECTS,
+    prior: PRIOR_SLOW,
+    min_excess: MIN_SLOW_EXCESS,
+    max_block: MAX_BLOCK_EVIDENCE,
+    confirm: CONFIRM_LATENCY_TIME,
+};
+
+#[derive(Clone, Copy, Debug)]
+struct Alarm {
+    since: Duration,
+    /// Calls and hits of the new version since then.
+    new_calls: f64,
+    new_hits: f64,
+}
+
+/// CUSUM of one measure on one route.
+#[derive(Clone, Debug)]
+struct Detector {
+    measure: Measure,
+    sums: [f64; 4],
+    /// Closed blocks since each sum was zero last.
+    ages: [usize; 4],
+    blocks: VecDeque<Pair>,
+    history: (f64, f64),
+    alarm: Option<Alarm>,
+}
+
+/// How the old version's rate is known in a block.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Reference {
+    /// From calls of the same time.
+    Concurrent,
+    /// From its history only, or a limit when even that is missing.
+    Baseline(f64),
+    /// Not at all.
+    Unknown,
+}
+
+impl Detector {
+    fn new(measure: Measure) -> Self {
+        Self {
+            measure,
+            sums: [0.0; 4],
+            ages: [0; 4],
+            blocks: VecDeque::with_capacity(KEPT_BLOCKS),
+            history: (0.0, 0.0),
+            alarm: None,
+        }
+    }
+
+    fn history_rate(&self) -> f64 {
+        let (prior, weight) = self.measure.prior;
+        let (calls, hits) = self.history;
+        ((hits + prior * weight) / (calls + weight)).clamp(0.002, 0.95)
+    }
+
+    /// Evidence of a block for each assumed effect.
+    fn evidence(&self, block: &Pair, reference: Reference) -> [f64; 4] {
+        let old = self.history_rate();
+        self.measure.effects.map(|effect| {
+            let value = match reference {
+                Reference::Concurrent => {
+                    concurrent_evidence(&self.smoothed(block), old, (old + effect).min(0.95))
+                }
+                Reference::Baseline(limit) => {
+                    let alternative = limit + effect;
+                    if alternative > 0.95 && effect < 0.9 {
+                        return 0.0;
+                    }
+                    baseline_evidence(block, limit, alternative.min(0.95))
+                }
+                Reference::Unknown => 0.0,
+            };
+            value.min(self.measure.max_block)
+        })
+    }
+
+    /// The block with the old version's calls averaged over the last blocks.
+    fn smoothed(&self, block: &Pair) -> Pair {
+        let (mut calls, mut hits, mut n) = (block.old_calls, block.old_hits, 1.0);
+        for earlier in self.blocks.iter().rev().take(SMOOTHED_BLOCKS - 1) {
+            calls += earlier.old_calls;
+            hits += earlier.old_hits;
+            n += 1.0;
+        }
+        Pair {
+            old_calls: calls / n,
+            old_hits: hits / n,
+            ..*block
+        }
+    }
+
+    fn old_calls_near(&self, block: &Pair) -> f64 {
+        self.smoothed(block).old_calls
+    }
+
+    fn sums_with(&self, open: &Pair, reference: Reference) -> [f64; 4] {
+        let mut sums = self.evidence(open, reference);
+        for (sum, closed) in sums.iter_mut().zip(self.sums) {
+            *sum += closed;
+        }
+        sums
+    }
+
+    fn close(&mut self, block: Pair, reference: Reference) {
+        let evidence = self.evidence(&block, reference);
+        for (i, value) in evidence.into_iter().enumerate() {
+            // The upper limit lets a version recover from an alarm whose effect is too small.
+            self.sums[i] = (self.sums[i] + value).clamp(0.0, 2.0 * ALARM_EVIDENCE);
+            self.ages[i] = if self.sums[i] > 0.0 {
+                (self.ages[i] + 1).min(KEPT_BLOCKS)
+            } else {
+                0
+            };
+        }
+        if self.blocks.len() == KEPT_BLOCKS {
+            self.blocks.pop_front();
+        }
+        self.blocks.push_back(block);
+        if block.old_calls > 0.0 {
+            let (calls, hits) = self.history;
+            self.history = (
+                calls * HISTORY_DECAY + block.old_calls,
+                hits * HISTORY_DECAY + block.old_hits,
+            );
+        }
+    }
+
+    fn reset(&mut self) {
+        self.sums = [0.0; 4];
+        self.ages = [0; 4];
+        self.alarm = None;
+    }
+
+    /// Judges the open block; returns the figures if the new version is worse for certain.
+    fn judge(&mut self, now: Duration, open: &Pair, view: &View) -> Option<(Pair, f64)> {
+        let sums = self.sums_with(open, view.reference);
+        let (best, top) = (0..4).fold((0, 0.0), |(best, top), i| {
+            if sums[i] > top {
+                (i, sums[i])
+            } else {
+                (best, top)
+            }
+        });
+        if top < ALARM_EVIDENCE {
+            self.alarm = None;
+            return None;
+        }
+        let alarm = *self.alarm.get_or_insert(Alarm {
+            since: now,
+            new_calls: 0.0,
+            new_hits: 0.0,
+        });
+        let lasted = now.saturating_sub(alarm.since);
+        let heard = view
+            .old_heard
+            .is_some_and(|at| at >= alarm.since + CONFIRM_TIME * 2 / 3);
+        let confirmed = lasted >= self.measure.confirm && (heard || lasted >= MAX_CONFIRM_TIME);
+        if !confirmed {
+            return None;
+        }
+        let window = self.window(open, self.ages[best].max(2));
+        // A burst that is over is no reason to act.
+        let lasting = rate(alarm.new_hits, alarm.new_calls) >= window.new_rate() / 2.0;
+        if alarm.new_hits < MIN_CONFIRMING_HITS || !lasting {
+            return None;
+        }
+        match self.effect(&window, view) {
+            Effect::Matters => Some((window, top)),
+            Effect::Small => None,
+            Effect::Shared => {
+                self.reset();
+                None
+            }
+        }
+    }
+
+    fn window(&self, open: &Pair, blocks: usize) -> Pair {
+        let mut sum = *open;
+        for block in self.blocks.iter().rev().take(blocks) {
+            sum.add(block);
+        }
+        sum
+    }
+
+    fn effect(&self, window: &Pair, view: &View) -> Effect {
+        let new = window.new_rate();
+        let normal = self.history_rate();
+        if let Reference::Baseline(limit) = view.reference {
+            if view.explained {
+                return Effect::Shared;
+            }
+            let excess = new - limit;
+            return if excess >= self.measure.min_excess {
+                Effect::Matters
+            } else {
+                Effect::Small
+            };
+        }
+        let old = window.old_rate();
+        if new - old < self.measure.min_excess || new < MIN_RATIO * old {
+            return Effect::Small;
+        }
+        // Reports of the two versions cover slightly different seconds: at the end of a shared fault
+        // the new version's figures can still show it when the old one's no longer do.
+        let peaks = self.blocks.iter().rev().take(8);
+        let peak = peaks.map(Pair::old_rate_lower).fold(0.0, f64::max);
+        if peak > 2.0 * normal + DISTURBANCE && new < SHARED_FAULT_RATIO * peak {
+            return Effect::Shared;
+        }
+        Effect::Matters
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Effect {
+    Matters,
+    Small,
+    Shared,
+}
+
+/// What a detector needs to know of its surroundings.
+#[derive(Clone, Copy, Debug)]
+struct View {
+    reference: Reference,
+    /// Last report of the old version.
+    old_heard: Option<Duration>,
+    /// Whether something else explains a difference from the stored baseline.
+    explained: bool,
+}
+
+fn concurrent_evidence(block: &Pair, old: f64, new: f64) -> f64 {
+    let (n_a, n_b) = (block.old_calls, block.new_calls);
+    if n_a == 0.0 || n_b == 0.0 {
+        return 0.0;
+    }
+    let pooled = (n_a * old + n_b * new) / (n_a + n_b);
+    block.old_hits * (old / pooled).ln()
+        + (n_a - block.old_hits) * ((1.0 - old) / (1.0 - pooled)).ln()
+        + block.new_hits * (new / pooled).ln()
+        + (n_b - block.new_hits) * ((1.0 - new) / (1.0 - pooled)).ln()
+}
+
+fn baseline_evidence(block: &Pair, limit: f64, new: f64) -> f64 {
+    block.new_hits * (new / limit).ln()
+        + (block.new_calls - block.new_hits) * ((1.0 - new) / (1.0 - limit)).ln()
+}
+
+/// Both measures of one route, or of the sum of all routes.
+#[derive(Clone, Debug)]
+struct Track {
+    route: Option<RouteName>,
+    open: [Tally; 2],
+    opened: Duration,
+    errors: Detector,
+    latency: Detector,
+    /// Latency histogram of the old version, decaying.
+    histogram: [f64; LATENCY_BUCKETS],
+    /// Calls per second of both versions while the old one had traffic, decaying.
+    normal_load: f64,
+    /// Last block with calls of the old version.
+    old_seen: Option<Duration>,
+}
+
+impl Track {
+    fn new(route: Option<RouteName>, now: Duration) -> Self {
+        Self {
+            route,
+            open: [Tally::default(); 2],
+            opened: now,
+            errors: Detector::new(ERRORS),
+            latency: Detector::new(LATENCY),
+            histogram: [0.0; LATENCY_BUCKETS],
+            normal_load: 0.0,
+            old_seen: None,
+        }
+    }
+
+    fn add(&mut self, side: Side, tally: &Tally) {
+        self.open[side as usize].add(tally);
+        if side == Side::New {
+            let limit = self.slow_limit();
+            let timed = self.latency.alarm.as_mut();
+            if let (Some(alarm), Some(limit)) = (timed, limit) {
+                let (calls, hits) = slow_calls(tally, limit);
+                alarm.new_calls += calls;
+                alarm.new_hits += hits;
+            }
+            if let Some(alarm) = &mut self.errors.alarm {
+                alarm.new_calls += f64::from(tally.calls);
+                alarm.new_hits += f64::from(tally.errors);
+            }
+        }
+    }
+
+    /// Bucket of the old version's 95th percentile; slower calls are slow.
+    fn slow_limit(&self) -> Option<usize> {
+        let total: f64 = self.histogram.iter().sum();
+        if total < MIN_BASELINE_CALLS {
+            return None;
+        }
+        let mut sum = 0.0;
+        self.histogram.iter().position(|n| {
+            sum += n;
+            sum >= 0.95 * total
+        })
+    }
+
+    fn error_pair(&self) -> Pair {
+        Pair {
+            old_calls: self.open[0].calls.into(),
+            old_hits: self.open[0].errors.into(),
+            new_calls: self.open[1].calls.into(),
+            new_hits: self.open[1].errors.into(),
+        }
+    }
+
+    fn slow_pair(&self) -> Pair {
+        let Some(limit) = self.slow_limit() else {
+            return Pair::default();
+        };
+        let (old_calls, old_hits) = slow_calls(&self.open[0], limit);
+        let (new_calls, new_hits) = slow_calls(&self.open[1], limit);
+        Pair {
+            old_calls,
+            old_hits,
+            new_calls,
+            new_hits,
+        }
+    }
+
+    fn is_old_silent(&self, now: Duration) -> bool {
+        self.old_seen
+            .is_none_or(|at| now.saturating_sub(at) >= OLD_SILENCE)
+    }
+
+    fn views(&self, now: Duration, old_heard: Option<Duration>) -> (View, View) {
+        let silent = self.is_old_silent(now);
+        let known = self.errors.history.0 >= MIN_BASELINE_CALLS;
+        let errors = if self.errors.old_calls_near(&self.error_pair()) > 0.0 {
+            Reference::Concurrent
+        } else if silent && known {
+            Reference::Baseline(MIN_RATIO * self.errors.history_rate() + MIN_ERROR_EXCESS)
+        } else {
+            Reference::Baseline(ASSUMED_ERROR_RATE)
+        };
+        let latency = if self.latency.old_calls_near(&self.slow_pair()) > 0.0 {
+            Reference::Concurrent
+        } else if silent && self.slow_limit().is_some() {
+            Reference::Baseline(MIN_RATIO * self.latency.history_rate() + MIN_SLOW_EXCESS)
+        } else {
+            Reference::Unknown
+        };
+        let failed = f64::from(self.open[1].downstream_failed);
+        let explained = failed > MAX_DOWNSTREAM_FAILURES * (f64::from(self.open[1].calls) + failed);
+        let age = now.saturating_sub(self.opened).as_secs_f64();
+        let calls: f64 = self.open.iter().map(|side| f64::from(side.calls)).sum();
+        let overload = self.normal_load > 0.0
+            && calls > MAX_LOAD_RISE * self.normal_load * age.max(BLOCK_TIME.as_secs_f64());
+        let view = |reference, explained| View {
+            reference,
+            old_heard,
+            explained,
+        };
+        (
+            view(errors, explained),
+            view(latency, explained || overload),
+        )
+    }
+
+    fn tick(&mut self, now: Duration, old_heard: Option<Duration>) -> Option<Finding> {
+        let (errors_view, latency_view) = self.views(now, old_heard);
+        let (errors, slow) = (self.error_pair(), self.slow_pair());
+        let found = self.errors.judge(now, &errors, &errors_view);
+        let mut finding = found.map(|found| self.finding(&self.errors, &found, errors_view));
+        let found = self.latency.judge(now, &slow, &latency_view);
+        if finding.is_none() {
+            finding = found.map(|found| self.finding(&self.latency, &found, latency_view));
+        }
+        let age = now.saturating_sub(self.opened);
+        // A block without calls of one version has no evidence; it stays open for a while so that
+        // versions with little traffic are compared at all.
+        let both = errors.old_calls > 0.0 && errors.new_calls > 0.0;
+        let settled = both || errors.new_calls == 0.0 || self.is_old_silent(now);
+        if age >= OLD_SILENCE || age >= BLOCK_TIME && settled {
+            self.close(now, age, (errors, errors_view), (slow, latency_view));
+        }
+        finding
+    }
+
+    fn close(
+        &mut self,
+        now: Duration,
+        age: Duration,
+        (errors, errors_view): (Pair, View),
+        (slow, latency_view): (Pair, View),
+    ) {
+        self.errors.close(errors, errors_view.reference);
+        self.latency.close(slow, latency_view.reference);
+        if errors.old_calls > 0.0 {
+            self.old_seen = Some(now);
+            for (sum, n) in self.histogram.iter_mut().zip(self.open[0].latency) {
+                *sum = *sum * HISTORY_DECAY + f64::from(n);
+            }
+            let load = (errors.old_calls + errors.new_calls) / age.as_secs_f64();
+            self.normal_load = if self.normal_load == 0.0 {
+                load
+            } else {
+                0.95 * self.normal_load + 0.05 * load
+            };
+        }
+        self.open = [Tally::default(); 2];
+        self.opened = now;
+    }
+
+    fn finding(&self, detector: &Detector, found: &(Pair, f64), view: View) -> Finding {
+        let (window, evidence) = found;
+        let what = match detector.measure.cause {
+            RollbackCause::Latency => {
+                let limit = self.slow_limit().map_or(0.0, bucket_limit);
+                format!("calls slower than {:.1} ms", limit * 1e3)
+            }
+            _ => "failed calls".to_owned(),
+        };
+        let old = match view.reference {
+            Reference::Concurrent => {
+                format!("{} of {} of the old one", window.old_hits, window.old_calls)
+            }
+            Reference::Baseline(limit) => format!("a limit of {:.1} %", limit * 100.0),
+            Reference::Unknown => "nothing".to_owned(),
+        };
+        Finding {
+            cause: detector.measure.cause,
+            route: self.route.clone(),
+            text: format!(
+                "{what}: {} of {} of the new version against {old}, evidence {evidence:.1}",
+                window.new_hits, window.new_calls
+            ),
+        }
+    }
+
+    fn suspicion(&self) -> f64 {
+        let sums = self.errors.sums.iter().chain(&self.latency.sums);
+        sums.copied().fold(0.0, f64::max)
+    }
+}
+
+fn slow_calls(tally: &Tally, limit: usize) -> (f64, f64) {
+    let count = |buckets: &[u32]| buckets.iter().map(|n| f64::from(*n)).sum::<f64>();
+    (count(&tally.latency), count(&tally.latency[limit + 1..]))
+}
+
+/// Evidence of one rollout from all serving nodes of the service.
+#[derive(Clone, Debug)]
+pub struct Evidence {
+    total: Track,
+    /// Sorted by route.
+    routes: Vec<Track>,
+    old_heard: Option<Duration>,
+    step: [Tally; 2],
+}
+
+impl Evidence {
+    /// Creates evidence without figures.
+    #[must_use]
+    pub fn new(now: Duration) -> Self {
+        Self {
+            total: Track::new(None, now),
+            routes: Vec::new(),
+            old_heard: None,
+            step: [Tally::default(); 2],
+        }
+    }
+
+    /// Notes that figures of the old version arrived, even if they contain no calls.
+    pub fn heard_old(&mut self, now: Duration) {
+        self.old_heard = Some(now);
+    }
+
+    /// Adds calls.
+    pub fn add(&mut self, now: Duration, side: Side, route: &RouteName, tally: &Tally) {
+        self.step[side as usize].add(tally);
+        self.total.add(side, tally);
+        let found = self
+            .routes
+            .binary_search_by(|track| track.route.as_ref().cmp(&Some(route)));
+        match found {
+            Ok(at) => self.routes[at].add(side, tally),
+            Err(at) if self.routes.len() < MAX_ROUTES => {
+                self.routes.insert(at, Track::new(Some(route.clone()), now));
+                self.routes[at].add(side, tally);
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Starts the figures of a step anew; the test goes on.
+    pub fn begin_step(&mut self) {
+        self.step = [Tally::default(); 2];
+    }
+
+    /// Returns the calls of a version since the step began.
+    #[must_use]
+    pub fn step_calls(&self, side: Side) -> u32 {
+        self.step[side as usize].calls
+    }
+
+    /// Returns the failed calls of a version since the step began.
+    #[must_use]
+    pub fn step_errors(&self, side: Side) -> u32 {
+        self.step[side as usize].errors
+    }
+
+    /// Forgets pending alarms, whose times mean nothing after a pause of this process.
+    pub fn forget_alarms(&mut self, now: Duration) {
+        for track in self.routes.iter_mut().chain([&mut self.total]) {
+            track.errors.alarm = None;
+            track.latency.alarm = None;
+            track.open = [Tally::default(); 2];
+            track.opened = now;
+        }
+    }
+
+    /// Tells whether the new version may be worse, so that the rollout had better wait.
+    #[must_use]
+    pub fn is_suspicious(&self) -> bool {
+        let mut tracks = self.routes.iter().chain([&self.total]);
+        tracks.any(|track| {
+            track.suspicion() >= SUSPICION_EVIDENCE
+                || track.errors.alarm.is_some()
+                || track.latency.alarm.is_some()
+        })
+    }
+
+    /// Returns the slots that all calls of the service together occupy on average, by Little's law
+    /// from the last blocks.
+    #[must_use]
+    pub fn busy_slots(&self) -> f64 {
+        let total: f64 = self.total.histogram.iter().sum();
+        if total == 0.0 {
+            return 0.0;
+        }
+        let time = |(i, n): (usize, &f64)| n * bucket_limit(i) * 0.85;
+        let mean: f64 = self.total.histogram.iter().enumerate().map(time).sum();
+        mean / total * self.total.normal_load
+    }
+
+    /// Evaluates all routes; call it about every 200 ms.
+    pub fn tick(&mut self, now: Duration) -> Option<Finding> {
+        let old_heard = self.old_heard;
+        let mut finding = None;
+        for track in &mut self.routes {
+            let found = track.tick(now, old_heard);
+            finding = finding.or(found);
+        }
+        let total = self.total.tick(now, old_heard);
+        finding.or(total)
+    }
+}
--- a/src/protocol/gossip.rs
+++ b/src/protocol/gossip.rs
@@ -160,6 +160,8 @@
     pub calls: u32,
     /// Failed calls among them.
     pub errors: u32,
+    /// Failed calls that are not counted, since a call to another service that they depend on failed.
+    pub downstream_failed: u32,
     /// Successful calls outside of cold starts by latency, downstream calls excluded.
     pub latency: [u32; LATENCY_BUCKETS],
 }
