Advance and roll back versions on evidence

The share of a version is a function of the document, the time and gossiped state. A rollout that began after its deadline gets a short time for each step instead of all traffic at once.

--- a/src/coordination/rollout.rs
+++ b/src/coordination/rollout.rs
@@ -1,11 +1,22 @@
 //! Rollouts: shifts traffic to a new version step by step while evidence allows it, and takes a bad
 //! version back, see `docs/design.md`, section 6.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
+use crate::coordination::evidence::Evidence;
+use crate::coordination::evidence::Finding;
+use crate::coordination::evidence::MAX_ROUTES;
+use crate::coordination::evidence::Side;
+use crate::coordination::evidence::Tally;
+use crate::coordination::evidence::latency_bucket;
+use crate::invariant;
+use crate::protocol::document::Rollout;
 use crate::protocol::document::VersionShare;
 use crate::protocol::gossip::EvidenceReport;
 use crate::protocol::gossip::Rollback;
+use crate::protocol::gossip::RollbackCause;
+use crate::protocol::gossip::RolloutKey;
 use crate::protocol::gossip::RolloutProgress;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::RouteName;
@@ -14,6 +25,8 @@
 use crate::protocol::record::OutcomeRecord;
 use crate::protocol::record::VersionedDocument;
 use crate::protocol::time::WallMs;
+use crate::protocol::time::millis;
+use crate::result_code::ResultCode;
 
 /// How a call ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -130,23 +143,175 @@
     }
 }
 
+/// Longest time before the start of a rollout from which on the serving nodes exchange reports, so that
+/// the old version's normal figures are known when the first call reaches the new one.
+pub const WARM_UP: Duration = Duration::from_secs(30);
+/// Time between two reports.
+pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Routes in one report: with 32 buckets of up to 5 bytes and a name, five fit a datagram.
+pub const MAX_REPORT_ROUTES: usize = 5;
+/// Shortest time in a step, unless the schedule is too tight; reports of all nodes arrive in it.
+pub const MIN_DWELL: Duration = Duration::from_secs(3);
+/// Part of a step's time budget that passes before it may end early.
+pub const DWELL_PART: u32 = 2;
+/// Time before `finish_by` at which the last step begins at the latest; covers clock differences of
+/// 1 s and the spread of the rumor. A quarter of a schedule at most.
+pub const FINISH_MARGIN: Duration = Duration::from_secs(4);
+/// Largest share of the first step, percent.
+pub const MAX_FIRST_SHARE: u8 = 10;
+/// Time for each step of a rollout that began too late for its schedule.
+pub const LATE_STEP: Duration = Duration::from_secs(5);
+/// Time that a node waits for the progress of others before it begins a rollout whose start lies back.
+pub const BEGIN_GRACE: Duration = Duration::from_secs(2);
+/// Part of the new version's slots that a step may occupy, percent.
+pub const MAX_SLOT_USE: f64 = 80.0;
+/// Time after which a crash counts unless a repeated request explains it. The caller's repetition
+/// crashes the second backend server within a second, and the rumor of it takes another.
+pub const CRASH_HOLD_BACK: Duration = Duration::from_secs(3);
+/// Crashes of the new version that take it back.
+pub const MIN_CRASHES: u32 = 3;
+/// Further crashes of the new version needed for each crash of the old one.
+pub const CRASH_RATIO: u32 = 3;
+/// Time without ticks after which this process was paused: its own measurements of that time are wrong.
+pub const PAUSE: Duration = Duration::from_secs(1);
+/// Time after a pause in which nothing is decided, since late reports are still being read.
+pub const PAUSE_GRACE: Duration = Duration::from_millis(1_500);
+/// Time without the expected step after which a rollout counts as stalled.
+pub const STALL_TIME: Duration = Duration::from_secs(10);
+/// Shortest time between two outcomes on the same stalled rollout.
+pub const STALL_REPORT_INTERVAL: Duration = Duration::from_mins(1);
+/// Serving nodes of one service whose reports are kept; a service has about 7 backend servers.
+pub const MAX_REPORTERS: usize = 64;
+/// Crashes held back at a time.
+pub const MAX_PENDING_CRASHES: usize = 64;
+/// Progress and rollbacks kept for configuration versions that this node does not have yet.
+pub const MAX_EARLY: usize = 512;
+
+/// Figures of another serving node.
+#[derive(Debug)]
+struct Reporter {
+    node: NodeId,
+    side: Side,
+    first_sequence: u64,
+    last_sequence: u64,
+    crashes: u32,
+    /// Sorted by route: sequence of the last figures and the figures.
+    routes: Vec<(RouteName, u64, Tally)>,
+}
+
+#[derive(Debug)]
+struct PendingCrash {
+    backend_start: u64,
+    side: Side,
+    route: RouteName,
+    fingerprints: Vec<u64>,
+    due: Duration,
+}
+
+/// Part of a rollout that only serving nodes keep.
+#[derive(Debug)]
+struct Observation {
+    evidence: Evidence,
+    reporters: Vec<Reporter>,
+    /// Figures of the local backend server since the last tick, sorted by route.
+    staged: Vec<(RouteName, Tally)>,
+    /// Cumulative figures of the local backend server, sorted by route.
+    own: Vec<(RouteName, Tally)>,
+    own_side: Option<Side>,
+    own_crashes: u32,
+    pending: Vec<PendingCrash>,
+    next_report: Duration,
+    sequence: u64,
+}
+
+/// One rollout.
+#[derive(Debug)]
+struct Active {
+    key: RolloutKey,
+    plan: Rollout,
+    progress: Option<RolloutProgress>,
+    rollback: Option<Rollback>,
+    from_slots: Option<u32>,
+    to_slots: Option<u32>,
+    first_tick: Option<Duration>,
+    last_tick: Option<Duration>,
+    quiet_until: Duration,
+    next_stall_report: Duration,
+    reported_complete: bool,
+    reported_held: bool,
+    observation: Option<Box<Observation>>,
+}
+
+/// A service with its fixed shares and its rollout.
+#[derive(Debug)]
+struct ServiceState {
+    name: ServiceName,
+    versions: Vec<VersionShare>,
+    rollout: Option<Active>,
+}
+
 /// Rollouts of all services as one node sees them.
 #[derive(Debug)]
 pub struct RolloutEngine {
     me: NodeId,
     serving: Option<(ServiceName, VersionName)>,
+    /// Sorted by name.
+    services: Vec<ServiceState>,
+    early_progress: Vec<RolloutProgress>,
+    early_rollbacks: Vec<Rollback>,
 }
 
 impl RolloutEngine {
     /// Creates an engine without configuration.
     #[must_use]
     pub fn new(me: NodeId) -> Self {
-        Self { me, serving: None }
+        Self {
+            me,
+            serving: None,
+            services: Vec::new(),
+            early_progress: Vec::new(),
+            early_rollbacks: Vec::new(),
+        }
     }
 
     /// Takes over a configuration; rollouts whose service, version and `since` are unchanged keep
     /// their state.
-    pub fn on_config(&mut self, _doc: &VersionedDocument) {}
+    pub fn on_config(&mut self, doc: &VersionedDocument) {
+        let mut old = std::mem::take(&mut self.services);
+        for service in &doc.document.services {
+            let since = doc.since.iter().find(|s| s.service == service.name);
+            let since = since.map_or(doc.version, |s| s.since);
+            let rollout = service.rollout.as_ref().map(|plan| {
+                let key = RolloutKey {
+                    service: service.name.clone(),
+                    to: plan.to.clone(),
+                    since,
+                };
+                let mut kept = old.iter_mut().filter_map(|state| {
+                    let same = |active: &mut Active| active.key == key;
+                    state.rollout.take_if(same)
+                });
+                kept.next()
+                    .unwrap_or_else(|| Active::new(key, plan.clone()))
+            });
+            self.services.push(ServiceState {
+                name: service.name.clone(),
+                versions: service.versions.clone(),
+                rollout,
+            });
+        }
+        self.services.sort_by(|a, b| a.name.cmp(&b.name));
+        for progress in std::mem::take(&mut self.early_progress) {
+            if progress.key.since > doc.version || self.active(&progress.key).is_some() {
+                self.on_progress(progress);
+            }
+        }
+        for rollback in std::mem::take(&mut self.early_rollbacks) {
+            if rollback.key.since > doc.version || self.active(&rollback.key).is_some() {
+                self.on_rollback(rollback);
+            }
+        }
+    }
 
     /// Notes what the backend server beside this node serves, `None` if there is none.
     pub fn set_serving(&mut self, serving: Option<(ServiceName, VersionName)>) {
@@ -154,58 +319,822 @@
     }
 
     /// Notes the slots of all backend servers of a version that are up.
-    pub fn on_slots(&mut self, _service: &str, _version: &str, _slots: u32) {}
+    pub fn on_slots(&mut self, service: &str, version: &str, slots: u32) {
+        if let Some(active) = self.rollout_mut(service) {
+            if active.plan.to.as_str() == version {
+                active.to_slots = Some(slots);
+            } else if active.plan.from.as_str() == version {
+                active.from_slots = Some(slots);
+            }
+        }
+    }
 
     /// Counts a call that the backend server beside this node finished.
-    pub fn record(&mut self, _now: Duration, _wall: WallMs, _call: &CallSample<'_>) {}
+    pub fn record(&mut self, now: Duration, wall: WallMs, call: &CallSample<'_>) {
+        let Some(active) = self.rollout_mut(call.service) else {
+            return;
+        };
+        let Some(side) = active.side(call.version) else {
+            return;
+        };
+        let Some(observation) = active.observe(now, wall) else {
+            return;
+        };
+        observation.own_version(side);
+        let tally = entry(&mut observation.staged, call.route);
+        if call.outcome == CallOutcome::Failure && call.downstream_failed {
+            tally.downstream_failed += 1;
+            return;
+        }
+        tally.calls += 1;
+        if call.outcome == CallOutcome::Failure {
+            tally.errors += 1;
+        } else if !call.cold {
+            let own = call.latency.saturating_sub(call.downstream);
+            tally.latency[latency_bucket(own)] += 1;
+        }
+    }
 
     /// Enters a call that ended with a crash of the backend server beside this node.
-    pub fn record_crash(&mut self, _now: Duration, _wall: WallMs, _crash: &CrashSample<'_>) {}
+    pub fn record_crash(&mut self, now: Duration, wall: WallMs, crash: &CrashSample<'_>) {
+        let Some(active) = self.rollout_mut(crash.service) else {
+            return;
+        };
+        let Some(side) = active.side(crash.version) else {
+            return;
+        };
+        let Some(observation) = active.observe(now, wall) else {
+            return;
+        };
+        observation.own_version(side);
+        let pending = &mut observation.pending;
+        let same = |p: &&mut PendingCrash| p.backend_start == crash.backend_start;
+        if let Some(known) = pending.iter_mut().find(same) {
+            // Calls that ran at the same time ended with the same crash; any of them may be the cause.
+            known.fingerprints.push(crash.fingerprint);
+        } else if pending.len() < MAX_PENDING_CRASHES {
+            pending.push(PendingCrash {
+                backend_start: crash.backend_start,
+                side,
+                route: crash.route.clone(),
+                fingerprints: vec![crash.fingerprint],
+                due: now + CRASH_HOLD_BACK,
+            });
+        }
+    }
 
     /// Withdraws the crashes that a quarantined request explains.
-    pub fn on_explained(&mut self, _fingerprint: u64) {}
+    pub fn on_explained(&mut self, fingerprint: u64) {
+        for state in &mut self.services {
+            let active = state.rollout.as_mut();
+            if let Some(observation) = active.and_then(|active| active.observation.as_mut()) {
+                let explained = |p: &PendingCrash| p.fingerprints.contains(&fingerprint);
+                observation.pending.retain(|p| !explained(p));
+            }
+        }
+    }
 
     /// Takes over the figures of another serving node.
     pub fn on_report(
         &mut self,
-        _now: Duration,
-        _wall: WallMs,
-        _from: &NodeId,
-        _report: EvidenceReport,
+        now: Duration,
+        wall: WallMs,
+        from: &NodeId,
+        report: &EvidenceReport,
     ) {
+        if *from == self.me {
+            return;
+        }
+        let serves = self.serves(report.key.service.as_str());
+        let Some(active) = self.active(&report.key) else {
+            return;
+        };
+        let Some(side) = active.side(report.version.as_str()) else {
+            return;
+        };
+        if serves && let Some(observation) = active.observe(now, wall) {
+            observation.on_report(now, from, side, report);
+        }
     }
 
     /// Merges progress that another node reports; returns whether anything changed.
-    pub fn on_progress(&mut self, _progress: RolloutProgress) -> bool {
-        false
+    pub fn on_progress(&mut self, progress: RolloutProgress) -> bool {
+        if let Some(active) = self.active(&progress.key) {
+            return active.merge_progress(progress);
+        }
+        let known = self
+            .early_progress
+            .iter_mut()
+            .find(|p| p.key == progress.key);
+        if let Some(known) = known {
+            let newer = is_newer(&progress, known);
+            if newer {
+                *known = progress;
+            }
+            return newer;
+        }
+        let room = self.early_progress.len() < MAX_EARLY;
+        if room {
+            self.early_progress.push(progress);
+        }
+        room
     }
 
     /// Merges a rollback that another node reports; returns whether anything changed.
-    pub fn on_rollback(&mut self, _rollback: Rollback) -> bool {
-        false
+    pub fn on_rollback(&mut self, rollback: Rollback) -> bool {
+        // The earliest of several decisions is kept, so that all nodes end up with the same state.
+        let first = |known: &Rollback| (rollback.at, &rollback.by) < (known.at, &known.by);
+        if let Some(active) = self.active(&rollback.key) {
+            let changed = active.rollback.as_ref().is_none_or(first);
+            if changed {
+                active.rollback = Some(rollback);
+            }
+            return changed;
+        }
+        let mut early = self.early_rollbacks.iter_mut();
+        if let Some(known) = early.find(|known| known.key == rollback.key) {
+            let changed = first(known);
+            if changed {
+                *known = rollback;
+            }
+            return changed;
+        }
+        let room = self.early_rollbacks.len() < MAX_EARLY;
+        if room {
+            self.early_rollbacks.push(rollback);
+        }
+        room
     }
 
     /// Returns the progress of all rollouts, sorted by key, for the full exchange of state.
     #[must_use]
     pub fn progress(&self) -> Vec<RolloutProgress> {
-        Vec::new()
+        let active = self.services.iter().filter_map(|s| s.rollout.as_ref());
+        let known = active.filter_map(|a| a.progress.as_ref());
+        let mut all: Vec<_> = known.chain(&self.early_progress).cloned().collect();
+        all.sort_by(|a, b| a.key.cmp(&b.key));
+        all
     }
 
     /// Returns all rollbacks, sorted by key, for the full exchange of state.
     #[must_use]
     pub fn rollbacks(&self) -> Vec<Rollback> {
-        Vec::new()
+        let active = self.services.iter().filter_map(|s| s.rollout.as_ref());
+        let known = active.filter_map(|a| a.rollback.as_ref());
+        let mut all: Vec<_> = known.chain(&self.early_rollbacks).cloned().collect();
+        all.sort_by(|a, b| a.key.cmp(&b.key));
+        all
     }
 
     /// Evaluates the evidence; call it about every 200 ms.
-    pub fn tick(&mut self, _now: Duration, _wall: WallMs) -> Vec<RolloutAction> {
-        let _ = &self.me;
-        Vec::new()
+    pub fn tick(&mut self, now: Duration, wall: WallMs) -> Vec<RolloutAction> {
+        let mut actions = Vec::new();
+        for state in &mut self.services {
+            let Some(active) = &mut state.rollout else {
+                continue;
+            };
+            let serving = self.serving.as_ref().filter(|(s, _)| *s == state.name);
+            let side = serving.and_then(|(_, version)| active.side(version.as_str()));
+            if let Some(side) = side {
+                let mut turn = Turn {
+                    me: &self.me,
+                    side,
+                    now,
+                    wall,
+                    actions: &mut actions,
+                };
+                active.tick(&mut turn);
+            }
+        }
+        actions
     }
 
     /// Returns the traffic shares of a service, `None` if the configuration does not contain it.
     #[must_use]
-    pub fn shares(&self, _service: &str, _wall: WallMs) -> Option<Shares<'_>> {
-        None
+    pub fn shares(&self, service: &str, wall: WallMs) -> Option<Shares<'_>> {
+        let at = self
+            .services
+            .binary_search_by(|s| s.name.as_str().cmp(service))
+            .ok()?;
+        let state = &self.services[at];
+        let Some(active) = &state.rollout else {
+            return Some(Shares::Fixed(&state.versions));
+        };
+        let serving = self.serving.as_ref();
+        let beside = serving.is_some_and(|(s, v)| *s == state.name && *v == active.plan.to);
+        Some(Shares::Split {
+            from: &active.plan.from,
+            to: &active.plan.to,
+            to_share: active.share(wall, beside),
+        })
+    }
+
+    fn serves(&self, service: &str) -> bool {
+        let serving = self.serving.as_ref();
+        serving.is_some_and(|(s, _)| s.as_str() == service)
+    }
+
+    fn rollout_mut(&mut self, service: &str) -> Option<&mut Active> {
+        let found = self
+            .services
+            .binary_search_by(|s| s.name.as_str().cmp(service));
+        self.services[found.ok()?].rollout.as_mut()
+    }
+
+    fn active(&mut self, key: &RolloutKey) -> Option<&mut Active> {
+        self.rollout_mut(key.service.as_str())
+            .filter(|active| active.key == *key)
+    }
+}
+
+fn entry<'a>(list: &'a mut Vec<(RouteName, Tally)>, route: &RouteName) -> &'a mut Tally {
+    let at = match list.binary_search_by(|(name, _)| name.cmp(route)) {
+        Ok(at) => at,
+        Err(at) => {
+            list.insert(at, (route.clone(), Tally::default()));
+            at
+        }
+    };
+    &mut list[at].1
+}
+
+fn is_newer(progress: &RolloutProgress, known: &RolloutProgress) -> bool {
+    let rank = |p: &RolloutProgress| (Reverse(p.step), p.entered_at, p.began_at, p.by.clone());
+    rank(progress) < rank(known)
+}
+
+impl Observation {
+    fn new(now: Duration) -> Self {
+        Self {
+            evidence: Evidence::new(now),
+            reporters: Vec::new(),
+            staged: Vec::new(),
+            own: Vec::new(),
+            own_side: None,
+            own_crashes: 0,
+            pending: Vec::new(),
+            next_report: now,
+            sequence: 0,
+        }
+    }
+
+    /// Starts the local figures anew when the backend server was replaced by another version.
+    fn own_version(&mut self, side: Side) {
+        if self.own_side != Some(side) {
+            self.own_side = Some(side);
+            self.own.clear();
+            self.staged.clear();
+            self.own_crashes = 0;
+        }
+    }
+
+    fn on_report(&mut self, now: Duration, from: &NodeId, side: Side, report: &EvidenceReport) {
+        if side == Side::Old {
+            self.evidence.heard_old(now);
+        }
+        let known = self
+            .reporters
+            .iter()
+            .position(|r| r.node == *from && r.side == side);
+        let at = match known {
+            Some(at) => at,
+            None if self.reporters.len() < MAX_REPORTERS => {
+                self.reporters.push(Reporter {
+                    node: from.clone(),
+                    side,
+                    first_sequence: report.sequence,
+                    last_sequence: 0,
+                    crashes: 0,
+                    routes: Vec::new(),
+                });
+                self.reporters.len() - 1
+            }
+            None => return,
+        };
+        let reporter = &mut self.reporters[at];
+        if report.sequence >= reporter.last_sequence {
+            reporter.last_sequence = report.sequence;
+            reporter.crashes = report.crashes;
+        }
+        for figures in &report.routes {
+            let tally = Tally::from(figures);
+            let found = reporter
+                .routes
+                .binary_search_by(|(route, ..)| route.cmp(&figures.route));
+            let delta = match found {
+                Ok(at) if report.sequence <= reporter.routes[at].1 => continue,
+                Ok(at) => {
+                    let delta = tally.increase(&reporter.routes[at].2);
+                    reporter.routes[at].1 = report.sequence;
+                    reporter.routes[at].2 = tally;
+                    delta
+                }
+                Err(_) if reporter.routes.len() >= MAX_ROUTES => continue,
+                Err(at) => {
+                    let entry = (figures.route.clone(), report.sequence, tally);
+                    reporter.routes.insert(at, entry);
+                    // The first report of a node may cover any time; only what follows is counted.
+                    if report.sequence == reporter.first_sequence {
+                        continue;
+                    }
+                    tally
+                }
+            };
+            self.evidence.add(now, side, &figures.route, &delta);
+        }
+    }
+
+    /// Takes the local figures since the last tick into the evidence.
+    fn take_staged(&mut self, now: Duration, side: Side) {
+        if side == Side::Old {
+            self.evidence.heard_old(now);
+        }
+        let (due, pending) = std::mem::take(&mut self.pending)
+            .into_iter()
+            .partition(|crash| crash.due <= now);
+        self.pending = pending;
+        let due: Vec<PendingCrash> = due;
+        for crash in due {
+            if crash.side == side {
+                self.own_crashes += 1;
+                // A crash is one fault, however many calls it ended.
+                let tally = entry(&mut self.staged, &crash.route);
+                tally.calls += 1;
+                tally.errors += 1;
+            }
+        }
+        for (route, tally) in std::mem::take(&mut self.staged) {
+            self.evidence.add(now, side, &route, &tally);
+            entry(&mut self.own, &route).add(&tally);
+        }
+    }
+
+    fn crashes(&self, side: Side) -> u32 {
+        let others = self.reporters.iter().filter(|r| r.side == side);
+        let own = if self.own_side == Some(side) {
+            self.own_crashes
+        } else {
+            0
+        };
+        others.map(|r| r.crashes).sum::<u32>() + own
+    }
+
+    fn crash_finding(&self) -> Option<Finding> {
+        let (old, new) = (self.crashes(Side::Old), self.crashes(Side::New));
+        (new >= MIN_CRASHES + CRASH_RATIO * old).then(|| Finding {
+            cause: RollbackCause::Crashes,
+            route: None,
+            text: format!("backend servers of the new version crashed {new} times, those of the old one {old} times"),
+        })
+    }
+}
+
+/// One tick of one rollout at a serving node.
+struct Turn<'a> {
+    me: &'a NodeId,
+    side: Side,
+    now: Duration,
+    wall: WallMs,
+    actions: &'a mut Vec<RolloutAction>,
+}
+
+/// Times of a step.
+struct StepTimes {
+    /// End of the minimum dwell.
+    earliest: WallMs,
+    /// The step ends here even without evidence.
+    latest: WallMs,
+    /// The step ends here even under suspicion.
+    last: WallMs,
+}
+
+impl Active {
+    fn new(key: RolloutKey, plan: Rollout) -> Self {
+        Self {
+            key,
+            plan,
+            progress: None,
+            rollback: None,
+            from_slots: None,
+            to_slots: None,
+            first_tick: None,
+            last_tick: None,
+            quiet_until: Duration::ZERO,
+            next_stall_report: Duration::ZERO,
+            reported_complete: false,
+            reported_held: false,
+            observation: None,
+        }
+    }
+
+    fn side(&self, version: &str) -> Option<Side> {
+        if self.plan.to.as_str() == version {
+            Some(Side::New)
+        } else if self.plan.from.as_str() == version {
+            Some(Side::Old)
+        } else {
+            None
+        }
+    }
+
+    fn last_step(&self) -> u8 {
+        u8::try_from(self.plan.steps.len().saturating_sub(1)).unwrap_or(u8::MAX)
+    }
+
+    fn span(&self) -> Duration {
+        self.plan.finish_by_ms.since(self.plan.start_ms)
+    }
+
+    /// Time at which the version has all traffic unless it is rolled back.
+    ///
+    /// It is `finish_by`, except for a rollout that began so late that a bad version would get all
+    /// traffic before it shows: that one gets a short time for each step from when it began.
+    fn deadline(&self) -> WallMs {
+        let steps = u32::from(self.last_step()).max(1);
+        let late_step = LATE_STEP.min(self.span() / (2 * steps));
+        let began = self.progress.as_ref().map_or(WallMs(0), |p| p.began_at);
+        self.plan.finish_by_ms.max(began.plus(late_step * steps))
+    }
+
+    fn completed_at(&self) -> Option<WallMs> {
+        let progress = self.progress.as_ref()?;
+        Some(if progress.step >= self.last_step() {
+            progress.entered_at
+        } else {
+            self.deadline()
+        })
+    }
+
+    fn hold_end(&self) -> WallMs {
+        let completed = self.completed_at().unwrap_or(self.plan.finish_by_ms);
+        completed.plus(Duration::from_secs(self.plan.hold_s))
+    }
+
+    /// Returns the observation while the rollout or its hold is on.
+    fn observe(&mut self, now: Duration, wall: WallMs) -> Option<&mut Observation> {
+        let begins = WallMs(self.plan.start_ms.0.saturating_sub(millis(WARM_UP)));
+        if wall < begins || wall >= self.hold_end() || self.rollback.is_some() {
+            self.observation = None;
+            return None;
+        }
+        let create = || Box::new(Observation::new(now));
+        Some(self.observation.get_or_insert_with(create))
+    }
+
+    fn has_backends(&self, beside: bool) -> bool {
+        beside || self.to_slots != Some(0)
+    }
+
+    /// Share of the new version, percent.
+    fn share(&self, wall: WallMs, beside: bool) -> u8 {
+        let planned = match &self.progress {
+            _ if self.rollback.is_some() || !self.has_backends(beside) => 0,
+            // Nobody has begun: either no backend server of the new version is up, or no node with
+            // evidence has seen it. The old version keeps the traffic.
+            None => 0,
+            Some(_) if wall >= self.deadline() => 100,
+            Some(progress) => {
+                let step = usize::from(progress.step);
+                let share = self.plan.steps.get(step).copied().unwrap_or(0);
+                if step == 0 {
+                    share.min(MAX_FIRST_SHARE)
+                } else {
+                    share
+                }
+            }
+        };
+        let cap = self.share_cap(wall, beside);
+        if invariant::check(4, planned <= cap, "share of a version above its cap") {
+            planned
+        } else {
+            cap
+        }
+    }
+
+    /// Largest share that the new version may have, computed apart from the planned share.
+    fn share_cap(&self, wall: WallMs, beside: bool) -> u8 {
+        let Some(progress) = &self.progress else {
+            return 0;
+        };
+        if self.rollback.is_some() || !self.has_backends(beside) {
+            0
+        } else if wall >= self.deadline() {
+            100
+        } else if progress.step == 0 {
+            MAX_FIRST_SHARE
+        } else {
+            let steps = self.plan.steps.iter().take(usize::from(progress.step) + 1);
+            steps.copied().max().unwrap_or(0)
+        }
+    }
+
+    fn merge_progress(&mut self, progress: RolloutProgress) -> bool {
+        if progress.step > self.last_step() {
+            return false;
+        }
+        let known = self.progress.as_ref();
+        if known.is_some_and(|known| !is_newer(&progress, known)) {
+            return false;
+        }
+        let advances = known.is_none_or(|known| known.step < progress.step);
+        if advances && let Some(observation) = &mut self.observation {
+            observation.evidence.begin_step();
+        }
+        self.progress = Some(progress);
+        true
+    }
+
+    fn tick(&mut self, turn: &mut Turn<'_>) {
+        let (now, wall) = (turn.now, turn.wall);
+        let paused = self
+            .last_tick
+            .is_some_and(|last| now.saturating_sub(last) > PAUSE);
+        self.last_tick = Some(now);
+        self.first_tick.get_or_insert(now);
+        if paused {
+            self.quiet_until = now + PAUSE_GRACE;
+        }
+        if self.observe(now, wall).is_some() {
+            self.exchange(turn, paused);
+            self.begin(turn);
+            self.judge(turn);
+            self.advance(turn);
+            self.report_stall(turn);
+        }
+        self.report_end(turn);
+    }
+
+    fn exchange(&mut self, turn: &mut Turn<'_>, paused: bool) {
+        let step = self.progress.as_ref().map_or(0, |p| p.step);
+        let Some(observation) = &mut self.observation else {
+            return;
+        };
+        observation.own_version(turn.side);
+        if paused {
+            observation.staged.clear();
+            observation.evidence.forget_alarms(turn.now);
+        }
+        observation.take_staged(turn.now, turn.side);
+        if turn.now < observation.next_report {
+            return;
+        }
+        observation.next_report = turn.now + REPORT_INTERVAL;
+        observation.sequence = turn.wall.0.max(observation.sequence + 1);
+        let version = match turn.side {
+            Side::Old => &self.plan.from,
+            Side::New => &self.plan.to,
+        };
+        // A report without routes still tells that its sender sees no calls.
+        let figures = |(route, tally): &(RouteName, Tally)| tally.to_evidence(route.clone());
+        let routes: Vec<_> = observation
+            .own
+            .iter()
+            .take(MAX_ROUTES)
+            .map(figures)
+            .collect();
+        let mut chunks: Vec<_> = routes
+            .chunks(MAX_REPORT_ROUTES)
+            .map(<[_]>::to_vec)
+            .collect();
+        if chunks.is_empty() {
+            chunks.push(Vec::new());
+        }
+        let reports = chunks.into_iter().map(|routes| {
+            RolloutAction::SendReport(EvidenceReport {
+                key: self.key.clone(),
+                version: version.clone(),
+                step,
+                sequence: observation.sequence,
+                crashes: observation.own_crashes,
+                routes,
+            })
+        });
+        turn.actions.extend(reports);
+    }
+
+    /// Begins step 0, at a node of either version that knows backend servers of the new one.
+    fn begin(&mut self, turn: &mut Turn<'_>) {
+        let start = self.plan.start_ms;
+        let known = turn.side == Side::New || self.to_slots.is_some_and(|slots| slots > 0);
+        if self.progress.is_some() || turn.wall < start || !known {
+            return;
+        }
+        // A node that starts during a rollout learns its progress before it begins one itself.
+        let running = turn.now.saturating_sub(self.first_tick.unwrap_or(turn.now));
+        if turn.wall >= start.plus(BEGIN_GRACE) && running < BEGIN_GRACE {
+            return;
+        }
+        self.enter(turn, 0, "its start time has come");
+    }
+
+    fn judge(&mut self, turn: &mut Turn<'_>) {
+        let quiet = turn.now < self.quiet_until;
+        let Some(observation) = &mut self.observation else {
+            return;
+        };
+        let finding = observation.evidence.tick(turn.now);
+        let finding = finding.or_else(|| observation.crash_finding());
+        let Some(finding) = finding.filter(|_| !quiet && self.progress.is_some()) else {
+            return;
+        };
+        let share = self.share(turn.wall, turn.side == Side::New);
+        let rollback = Rollback {
+            key: self.key.clone(),
+            cause: finding.cause,
+            route: finding.route.clone(),
+            at: turn.wall,
+            by: turn.me.clone(),
+        };
+        self.rollback = Some(rollback.clone());
+        let route = finding.route.as_ref();
+        let place = route.map_or_else(|| "all routes".to_owned(), |r| format!("route {r}"));
+        let text = format!("at {share} %, {place}: {}", finding.text);
+        turn.actions.push(RolloutAction::RollBack(rollback));
+        self.outcome(turn, ResultCode::RolledBack, "rolled-back", text);
+    }
+
+    fn step_times(&self, progress: &RolloutProgress) -> StepTimes {
+        let deadline = self.deadline();
+        let margin = FINISH_MARGIN.min(self.span() / 4);
+        let target = WallMs(deadline.0.saturating_sub(millis(margin)));
+        let left = u32::from(self.last_step().saturating_sub(progress.step)).max(1);
+        // The time that is left is divided among the steps that are left, so that a rollout that is
+        // ahead or behind stays on a schedule.
+        let budget = target.since(progress.entered_at) / left;
+        let dwell = (budget / DWELL_PART).max(MIN_DWELL.min(budget));
+        let latest = progress.entered_at.plus(budget);
+        let rest = millis(MIN_DWELL) * u64::from(left - 1);
+        StepTimes {
+            earliest: progress.entered_at.plus(dwell),
+            latest,
+            last: WallMs(target.0.saturating_sub(rest)).max(latest),
+        }
+    }
+
+    /// Calls of the new version that suffice at `wall`; falls to none at the latest time.
+    fn required_calls(&self, times: &StepTimes, wall: WallMs) -> u64 {
+        let whole = times.latest.0.saturating_sub(times.earliest.0).max(1);
+        let left = times.latest.0.saturating_sub(wall.0).min(whole);
+        (u64::from(self.plan.min_calls) * left).div_ceil(whole)
+    }
+
+    /// Tells whether the backend servers of the new version can serve the share of a step.
+    fn has_capacity(&self, step: u8) -> bool {
+        let share = self.plan.steps.get(usize::from(step)).copied();
+        let (Some(share), Some(slots), Some(observation)) =
+            (share, self.to_slots, self.observation.as_ref())
+        else {
+            return true;
+        };
+        observation.evidence.busy_slots() * f64::from(share) <= MAX_SLOT_USE * f64::from(slots)
+    }
+
+    /// Returns what the current step waits for, `None` if the next one may begin.
+    fn waits_for(&self, progress: &RolloutProgress, turn: &Turn<'_>) -> Option<String> {
+        let times = self.step_times(progress);
+        let (wall, next) = (turn.wall, progress.step + 1);
+        let evidence = &self.observation.as_ref()?.evidence;
+        let calls = evidence.step_calls(Side::New);
+        let required = self.required_calls(&times, wall);
+        if !self.has_backends(turn.side == Side::New) {
+            Some("a backend server of the new version that is up".to_owned())
+        } else if !self.has_capacity(next) {
+            let slots = self.to_slots.unwrap_or(0);
+            let busy = evidence.busy_slots();
+            Some(format!(
+                "slots: the service occupies {busy:.1} and the new version has {slots}"
+            ))
+        } else if evidence.is_suspicious() && wall < times.last {
+            Some(format!(
+                "a clear finding on a suspicion ({} of {calls} calls failed)",
+                evidence.step_errors(Side::New)
+            ))
+        } else if u64::from(calls) < required {
+            Some(format!("calls of the new version: {calls} of {required}"))
+        } else if wall < times.earliest {
+            Some("the minimum time in a step".to_owned())
+        } else {
+            None
+        }
+    }
+
+    fn advance(&mut self, turn: &mut Turn<'_>) {
+        let Some(progress) = self.progress.clone() else {
+            return;
+        };
+        let last = self.last_step();
+        if progress.step >= last || self.rollback.is_some() || turn.now < self.quiet_until {
+            return;
+        }
+        if turn.wall >= self.deadline() {
+            if self.has_backends(turn.side == Side::New) {
+                self.enter(turn, last, "its deadline has come");
+            }
+            return;
+        }
+        if self.waits_for(&progress, turn).is_none() {
+            let evidence = self.observation.as_ref().map(|o| &o.evidence);
+            let count =
+                |side| evidence.map_or((0, 0), |e| (e.step_errors(side), e.step_calls(side)));
+            let ((new_errors, new_calls), (old_errors, old_calls)) =
+                (count(Side::New), count(Side::Old));
+            let why = format!(
+                "{new_errors} of {new_calls} calls of the new version and {old_errors} of {old_calls} of the old one failed in {:.1} s",
+                turn.wall.since(progress.entered_at).as_secs_f64()
+            );
+            self.enter(turn, progress.step + 1, &why);
+        }
+    }
+
+    fn enter(&mut self, turn: &mut Turn<'_>, step: u8, why: &str) {
+        let began = self.progress.as_ref().map_or(turn.wall, |p| p.began_at);
+        let progress = RolloutProgress {
+            key: self.key.clone(),
+            step,
+            entered_at: turn.wall,
+            began_at: began,
+            by: turn.me.clone(),
+        };
+        if self.merge_progress(progress.clone()) {
+            turn.actions.push(RolloutAction::Advance(progress));
+            self.next_stall_report = Duration::ZERO;
+            let share = self.share(turn.wall, turn.side == Side::New);
+            let text = format!(
+                "step {} of {} at {share} %: {why}",
+                step + 1,
+                self.last_step() + 1
+            );
+            self.outcome(turn, ResultCode::RolloutStep, &format!("step-{step}"), text);
+        }
+    }
+
+    fn report_stall(&mut self, turn: &mut Turn<'_>) {
+        if self.rollback.is_some() || turn.now < self.next_stall_report {
+            return;
+        }
+        let waiting = match &self.progress {
+            None if turn.wall >= self.plan.start_ms.plus(STALL_TIME) => {
+                "a backend server of the new version that is up".to_owned()
+            }
+            None => return,
+            Some(progress) => {
+                let times = self.step_times(progress);
+                let overdue = turn.wall >= times.latest.min(times.earliest.plus(STALL_TIME));
+                let complete = progress.step >= self.last_step();
+                match self.waits_for(progress, turn) {
+                    Some(what) if overdue && !complete => what,
+                    _ => return,
+                }
+            }
+        };
+        self.next_stall_report = turn.now + STALL_REPORT_INTERVAL;
+        let step = self.progress.as_ref().map_or(0, |p| p.step);
+        let minute = turn.wall.0 / millis(STALL_REPORT_INTERVAL);
+        let text = format!("waits for {waiting}");
+        let identity = format!("stalled-{step}-{minute}");
+        self.outcome(turn, ResultCode::RolloutStalled, &identity, text);
+    }
+
+    fn report_end(&mut self, turn: &mut Turn<'_>) {
+        let Some(completed) = self.completed_at() else {
+            return;
+        };
+        if self.rollback.is_some() || turn.wall < completed {
+            return;
+        }
+        if !self.reported_complete {
+            self.reported_complete = true;
+            let late = turn.wall.0.saturating_sub(self.plan.finish_by_ms.0);
+            let text = if late > 0 {
+                format!(
+                    "all traffic on {} {late} ms after the set time",
+                    self.plan.to
+                )
+            } else {
+                let early = self.plan.finish_by_ms.since(completed).as_secs_f64();
+                format!(
+                    "all traffic on {} {early:.1} s before the set time",
+                    self.plan.to
+                )
+            };
+            self.outcome(turn, ResultCode::RolloutCompleted, "completed", text);
+        }
+        if !self.reported_held && turn.wall >= self.hold_end() {
+            self.reported_held = true;
+            let text = format!("no late fault within {} s", self.plan.hold_s);
+            self.outcome(turn, ResultCode::RolloutHeld, "held", text);
+        }
+    }
+
+    fn outcome(&self, turn: &mut Turn<'_>, code: ResultCode, what: &str, text: String) {
+        let RolloutKey { service, to, since } = &self.key;
+        turn.actions.push(RolloutAction::Outcome(OutcomeRecord {
+            code: code.number(),
+            identity: format!("rollout/{service}/{to}/{since}/{what}"),
+            at: turn.wall,
+            node: turn.me.clone(),
+            subject: format!("{service} {to}"),
+            text,
+        }));
     }
 }
