Implement SWIM membership with the Lifeguard corrections and dissemination

A record of a dead member from a full exchange is checked with the member itself first, since after a network partition both sides hold each other dead.

--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -1,9 +1,64 @@
-//! Membership by SWIM with the Lifeguard corrections, see `docs/design.md`, section 5.
+//! Membership by SWIM (Das et al., 2002) with the Lifeguard corrections (Dadgar et al., 2017), see
+//! `docs/design.md`, section 5.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::invariant;
+use crate::protocol::gossip::Member;
+use crate::protocol::gossip::MemberStatus;
+use crate::protocol::gossip::Message;
+use crate::protocol::gossip::Rumor;
+use crate::protocol::name::ConfigVersion;
 use crate::protocol::name::DomainName;
 use crate::protocol::name::NodeId;
 use crate::protocol::time::WallMs;
 
+/// Time between two probes of a healthy node.
+pub const PROBE_PERIOD: Duration = Duration::from_secs(1);
+/// Time after which a probe is repeated through other members. Regions are 8 ms apart, so that even a
+/// busy receiver answers within it; it leaves more than half of the period for the indirect probes.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Members that are asked to repeat a probe (SWIM's k).
+pub const INDIRECT_PROBES: usize = 3;
+/// Largest local health score; it multiplies the probe period and timeout by up to 9 (Lifeguard's S).
+pub const MAX_HEALTH_SCORE: u32 = 8;
+/// Shortest suspicion is this times log10(n) probe periods (Lifeguard's alpha).
+pub const SUSPICION_FACTOR: f64 = 4.0;
+/// Longest suspicion as a multiple of the shortest (Lifeguard's beta).
+pub const SUSPICION_MAX_RATIO: f64 = 6.0;
+/// Independent confirmations that bring a suspicion down to its shortest time (Lifeguard's K).
+pub const SUSPICION_CONFIRMATIONS: usize = 3;
+/// Time for which the record of a dead member is kept. Rumors live for seconds and a network partition
+/// for about an hour, so that no copy of an older record is left when it is forgotten.
+pub const FORGET_AFTER: Duration = Duration::from_hours(24);
+/// Time for which [`Membership::departed`] lists a member; the window in which keys of non-idempotent
+/// calls are kept.
+pub const DEPARTED_WINDOW: Duration = Duration::from_mins(10);
+/// Time between two ticks above which the process was paused. Silence of other members in that time is
+/// no evidence against them.
+pub const PAUSE: Duration = Duration::from_secs(3);
+/// Time between two pings to dead members by a node in a fleet of up to [`RECONNECT_FLEET`] members.
+/// They end a network partition after which both sides hold each other dead.
+pub const RECONNECT_PERIOD: Duration = Duration::from_secs(10);
+/// Above this number of members the period grows in proportion, so that the fleet sends about 3 such
+/// pings a second whatever its size.
+pub const RECONNECT_FLEET: usize = 32;
+/// Challenges sent a tick; 650 members, one of two regions, are asked within 9 s.
+pub const CHALLENGES_PER_TICK: usize = 8;
+/// Unanswered challenges after which the member is suspected.
+pub const CHALLENGE_TRIES: u8 = 3;
+/// Time between two challenges of a member.
+pub const CHALLENGE_PERIOD: Duration = Duration::from_millis(500);
+/// Probes repeated for other members at the same time.
+pub const MAX_RELAYS: usize = 64;
+
 /// A member that left or died.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Departed {
@@ -14,3 +69,867 @@
     /// Wall time at which this node learned of it.
     pub at: WallMs,
 }
+
+/// What a [`Membership`] asks its owner to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum MembershipEvent {
+    /// Send a message.
+    Send {
+        /// Gossip address of the receiver.
+        to: SocketAddr,
+        /// The message.
+        message: Message,
+        /// Rumors that the datagram must carry.
+        first: Vec<Rumor>,
+    },
+    /// A record changed; all but suspicions are to be spread.
+    Changed {
+        /// The former record, `None` for a new member.
+        before: Option<Member>,
+        /// The record now in force.
+        after: Member,
+    },
+    /// Spread a suspicion.
+    Spread(Rumor),
+    /// Other members declared this node dead; it has refuted.
+    DeclaredDead,
+}
+
+/// What a node knows of a member besides its replicated record.
+#[derive(Clone, Debug)]
+pub struct MemberInfo {
+    /// Highest version that the member's datagrams have shown.
+    pub version: ConfigVersion,
+    /// Whether the member's polls of the log succeed, as far as it said.
+    pub log_reachable: bool,
+    suspicion: Option<Suspicion>,
+    dead_since: Option<Duration>,
+    left: bool,
+    listed: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Suspicion {
+    since: Duration,
+    accusers: Vec<NodeId>,
+}
+
+#[derive(Debug)]
+struct Probe {
+    target: NodeId,
+    sequence: u64,
+    sent_at: Duration,
+    helpers: u32,
+    nacks: u32,
+    indirect: bool,
+}
+
+#[derive(Debug)]
+struct Relay {
+    sequence: u64,
+    to: SocketAddr,
+    their_sequence: u64,
+    sent_at: Duration,
+    nacked: bool,
+}
+
+#[derive(Debug)]
+struct Challenge {
+    record: Member,
+    tries: u8,
+    due: Duration,
+}
+
+/// Members as one node sees them.
+#[derive(Debug)]
+pub struct Membership {
+    rng: StdRng,
+    id: NodeId,
+    members: Vec<Member>,
+    /// Parallel to `members`.
+    info: Vec<MemberInfo>,
+    order: Vec<NodeId>,
+    next: usize,
+    probe: Option<Probe>,
+    next_probe: Duration,
+    next_reconnect: Duration,
+    relays: Vec<Relay>,
+    challenges: Vec<Challenge>,
+    sequence: u64,
+    health: u32,
+    departed: Vec<Departed>,
+    declared_dead_at: Option<Duration>,
+    refuted_death: Option<u64>,
+    last_tick: Option<Duration>,
+    digest: u64,
+    present: usize,
+    generation: u64,
+    joins: u64,
+}
+
+impl Membership {
+    /// Creates the state of a node that knows only itself.
+    ///
+    /// The incarnation starts at the wall time of the start of the process at least, so that a restart
+    /// under the same id prevails over the records of the former process.
+    #[must_use]
+    pub fn new(mut me: Member, seed: u64) -> Self {
+        me.incarnation = me.incarnation.max(me.started_at.0);
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            id: me.id.clone(),
+            digest: member_hash(&me),
+            info: vec![MemberInfo::new()],
+            members: vec![me],
+            order: Vec::new(),
+            next: 0,
+            probe: None,
+            next_probe: Duration::ZERO,
+            next_reconnect: Duration::ZERO,
+            relays: Vec::new(),
+            challenges: Vec::new(),
+            sequence: 0,
+            health: 0,
+            departed: Vec::new(),
+            declared_dead_at: None,
+            refuted_death: None,
+            last_tick: None,
+            present: 1,
+            generation: 0,
+            joins: 0,
+        }
+    }
+
+    /// Returns the record of this node.
+    ///
+    /// # Panics
+    /// Never: the own record is not removed.
+    #[must_use]
+    pub fn me(&self) -> &Member {
+        &self.members[self.find(&self.id).expect("the own record is kept")]
+    }
+
+    /// Returns all members sorted by id, this node and dead ones included.
+    #[must_use]
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Returns the local knowledge of the members, parallel to [`Membership::members`].
+    #[must_use]
+    pub fn info(&self) -> &[MemberInfo] {
+        &self.info
+    }
+
+    /// Returns the local knowledge of a member.
+    pub fn info_mut(&mut self, index: usize) -> &mut MemberInfo {
+        &mut self.info[index]
+    }
+
+    /// Returns the index of a member.
+    #[must_use]
+    pub fn find(&self, id: &NodeId) -> Option<usize> {
+        self.members.binary_search_by(|m| m.id.cmp(id)).ok()
+    }
+
+    /// Number of members that are not dead, this node included.
+    #[must_use]
+    pub fn present(&self) -> usize {
+        self.present
+    }
+
+    /// Order-independent digest of the members that are not dead. Suspicions and dead members are left
+    /// out, since nodes end and forget them at different times.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Changes with every change of a record.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Changes when a member comes or returns.
+    #[must_use]
+    pub fn joins(&self) -> u64 {
+        self.joins
+    }
+
+    /// Local health score, 0 for a healthy node.
+    #[must_use]
+    pub fn health(&self) -> u32 {
+        self.health
+    }
+
+    /// Returns when this node last learned that it had been declared dead.
+    #[must_use]
+    pub fn declared_dead_at(&self) -> Option<Duration> {
+        self.declared_dead_at
+    }
+
+    /// Returns the members that left or died within [`DEPARTED_WINDOW`], oldest first.
+    #[must_use]
+    pub fn departed(&self, now: WallMs) -> &[Departed] {
+        let start = self
+            .departed
+            .partition_point(|d| now.since(d.at) > DEPARTED_WINDOW);
+        &self.departed[start..]
+    }
+
+    /// Returns a number for a message that asks for an answer.
+    pub fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    /// Returns the generator of the owner's random decisions.
+    pub fn rng(&mut self) -> &mut StdRng {
+        &mut self.rng
+    }
+
+    /// Chooses up to `count` different other members that are not dead and pass `filter`.
+    pub fn choose(&mut self, count: usize, filter: impl Fn(&Member) -> bool) -> Vec<usize> {
+        let mut eligible: Vec<usize> = (0..self.members.len())
+            .filter(|&i| {
+                let m = &self.members[i];
+                m.status != MemberStatus::Dead && m.id != self.id && filter(m)
+            })
+            .collect();
+        let count = count.min(eligible.len());
+        for i in 0..count {
+            let j = self.rng.random_range(i..eligible.len());
+            eligible.swap(i, j);
+        }
+        eligible.truncate(count);
+        eligible
+    }
+
+    /// Changes the own record and raises its incarnation.
+    pub fn change_me(
+        &mut self,
+        now: Duration,
+        wall: WallMs,
+        change: impl FnOnce(&mut Member),
+    ) -> MembershipEvent {
+        let mut record = self.me().clone();
+        record.incarnation = record.incarnation.saturating_add(1);
+        change(&mut record);
+        self.put(now, wall, record)
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Duration, wall: WallMs) -> Vec<MembershipEvent> {
+        let mut events = Vec::new();
+        self.detect_pause(now, wall, &mut events);
+        self.end_suspicions(now, wall, &mut events);
+        self.forget(now, wall);
+        self.drive_probe(now, wall, &mut events);
+        self.drive_relays(now, &mut events);
+        self.drive_challenges(now, wall, &mut events);
+        self.reconnect(now, &mut events);
+        events
+    }
+
+    fn detect_pause(&mut self, now: Duration, wall: WallMs, events: &mut Vec<MembershipEvent>) {
+        let gap = now.saturating_sub(self.last_tick.replace(now).unwrap_or(now));
+        if gap < PAUSE {
+            return;
+        }
+        self.probe = None;
+        self.relays.clear();
+        self.raise_health(1);
+        for suspicion in self.info.iter_mut().filter_map(|i| i.suspicion.as_mut()) {
+            suspicion.since += gap;
+        }
+        if gap < FORGET_AFTER / 2 {
+            return;
+        }
+        // Other members may have forgotten members that this node still holds alive, so that its
+        // records could bring them back.
+        let others: Vec<Member> = self
+            .members
+            .iter()
+            .filter(|m| m.id != self.id && m.status != MemberStatus::Dead)
+            .cloned()
+            .collect();
+        for mut record in others {
+            record.status = MemberStatus::Dead;
+            events.push(self.put(now, wall, record));
+        }
+        let id = self.id.clone();
+        self.remove_where(|m, _| m.id != id);
+    }
+
+    fn end_suspicions(&mut self, now: Duration, wall: WallMs, events: &mut Vec<MembershipEvent>) {
+        for index in 0..self.members.len() {
+            let Some(suspicion) = &self.info[index].suspicion else {
+                continue;
+            };
+            let timeout = suspicion_timeout(self.present, suspicion.accusers.len());
+            if now.saturating_sub(suspicion.since) >= timeout {
+                let mut record = self.members[index].clone();
+                record.status = MemberStatus::Dead;
+                events.push(self.put(now, wall, record));
+            }
+        }
+    }
+
+    fn forget(&mut self, now: Duration, wall: WallMs) {
+        let expired = |info: &MemberInfo| {
+            info.dead_since
+                .is_some_and(|at| now.saturating_sub(at) >= FORGET_AFTER)
+        };
+        if self.info.iter().any(expired) {
+            self.remove_where(|_, info| expired(info));
+        }
+        let gone = self.departed.len() - self.departed(wall).len();
+        self.departed.drain(..gone);
+    }
+
+    fn remove_where(&mut self, condition: impl Fn(&Member, &MemberInfo) -> bool) {
+        for index in (0..self.members.len()).rev() {
+            if condition(&self.members[index], &self.info[index]) {
+                self.members.remove(index);
+                self.info.remove(index);
+            }
+        }
+        self.generation += 1;
+    }
+
+    fn drive_probe(&mut self, now: Duration, wall: WallMs, events: &mut Vec<MembershipEvent>) {
+        let scale = self.health + 1;
+        if let Some(probe) = &mut self.probe {
+            let age = now.saturating_sub(probe.sent_at);
+            if age >= PROBE_PERIOD * scale {
+                let probe = self.probe.take();
+                if let Some(probe) = probe {
+                    self.fail_probe(now, wall, &probe, events);
+                }
+            } else if age >= PROBE_TIMEOUT * scale && !probe.indirect {
+                probe.indirect = true;
+                let sequence = probe.sequence;
+                let target = probe.target.clone();
+                let helpers = self.choose(INDIRECT_PROBES, |m| {
+                    m.id != target && m.status == MemberStatus::Alive
+                });
+                for &index in &helpers {
+                    events.push(MembershipEvent::Send {
+                        to: self.members[index].gossip_addr,
+                        message: Message::PingReq {
+                            sequence,
+                            target: target.clone(),
+                        },
+                        first: Vec::new(),
+                    });
+                }
+                if let Some(probe) = &mut self.probe {
+                    probe.helpers = u32::try_from(helpers.len()).unwrap_or(u32::MAX);
+                }
+            }
+        }
+        if self.probe.is_some() || now < self.next_probe {
+            return;
+        }
+        let Some(target) = self.next_target() else {
+            return;
+        };
+        self.next_probe = now + PROBE_PERIOD * (self.health + 1);
+        let sequence = self.next_sequence();
+        let index = self.find(&target);
+        self.probe = Some(Probe {
+            target,
+            sequence,
+            sent_at: now,
+            helpers: 0,
+            nacks: 0,
+            indirect: false,
+        });
+        if let Some(index) = index {
+            events.push(self.ping(index, sequence));
+        }
+    }
+
+    fn ping(&self, index: usize, sequence: u64) -> MembershipEvent {
+        MembershipEvent::Send {
+            to: self.members[index].gossip_addr,
+            message: Message::Ping { sequence },
+            first: self.doubt(index).into_iter().collect(),
+        }
+    }
+
+    /// Returns the record of a member that it would refute, to be sent to the member itself first
+    /// (Lifeguard's buddy system).
+    fn doubt(&self, index: usize) -> Option<Rumor> {
+        let record = &self.members[index];
+        matches!(record.status, MemberStatus::Suspect | MemberStatus::Dead)
+            .then(|| Rumor::Member(record.clone()))
+    }
+
+    fn fail_probe(
+        &mut self,
+        now: Duration,
+        wall: WallMs,
+        probe: &Probe,
+        events: &mut Vec<MembershipEvent>,
+    ) {
+        self.raise_health(if probe.helpers == 0 {
+            1
+        } else {
+            probe.helpers.saturating_sub(probe.nacks)
+        });
+        let Some(index) = self.find(&probe.target) else {
+            return;
+        };
+        if self.members[index].status == MemberStatus::Leaving {
+            // It has said that it stops, so that its silence needs no confirmation.
+            let mut record = self.members[index].clone();
+            record.status = MemberStatus::Dead;
+            events.push(self.put(now, wall, record));
+            return;
+        }
+        self.accuse(now, wall, index, Some(self.id.clone()), events);
+    }
+
+    /// Starts or confirms the suspicion of a member.
+    fn accuse(
+        &mut self,
+        now: Duration,
+        wall: WallMs,
+        index: usize,
+        by: Option<NodeId>,
+        events: &mut Vec<MembershipEvent>,
+    ) {
+        let mut record = self.members[index].clone();
+        if !matches!(record.status, MemberStatus::Alive | MemberStatus::Suspect) {
+            return;
+        }
+        if record.status == MemberStatus::Alive {
+            record.status = MemberStatus::Suspect;
+            events.push(self.put(now, wall, record));
+            self.info[index].suspicion = Some(Suspicion {
+                since: now,
+                accusers: Vec::new(),
+            });
+        }
+        let Some(by) = by else {
+            return;
+        };
+        let Some(suspicion) = &mut self.info[index].suspicion else {
+            return;
+        };
+        if suspicion.accusers.len() <= SUSPICION_CONFIRMATIONS && !suspicion.accusers.contains(&by)
+        {
+            suspicion.accusers.push(by.clone());
+            events.push(MembershipEvent::Spread(Rumor::Suspect {
+                id: self.members[index].id.clone(),
+                incarnation: self.members[index].incarnation,
+                by,
+            }));
+        }
+    }
+
+    fn next_target(&mut self) -> Option<NodeId> {
+        while !self.order.is_empty() {
+            if self.next >= self.order.len() {
+                self.order.shuffle(&mut self.rng);
+                self.next = 0;
+            }
+            let id = self.order[self.next].clone();
+            let index = self.find(&id);
+            if index.is_some_and(|i| self.members[i].status != MemberStatus::Dead) {
+                self.next += 1;
+                return Some(id);
+            }
+            self.order.remove(self.next);
+            if let Some(index) = index {
+                self.info[index].listed = false;
+            }
+        }
+        None
+    }
+
+    fn drive_relays(&mut self, now: Duration, events: &mut Vec<MembershipEvent>) {
+        for relay in &mut self.relays {
+            if !relay.nacked && now.saturating_sub(relay.sent_at) >= PROBE_TIMEOUT {
+                relay.nacked = true;
+                events.push(MembershipEvent::Send {
+                    to: relay.to,
+                    message: Message::Nack {
+                        sequence: relay.their_sequence,
+                    },
+                    first: Vec::new(),
+                });
+            }
+        }
+        self.relays
+            .retain(|r| now.saturating_sub(r.sent_at) < PROBE_PERIOD * 2);
+    }
+
+    fn drive_challenges(&mut self, now: Duration, wall: WallMs, events: &mut Vec<MembershipEvent>) {
+        let mut budget = CHALLENGES_PER_TICK;
+        let mut index = 0;
+        while index < self.challenges.len() && budget > 0 {
+            let challenge = &mut self.challenges[index];
+            let found = self
+                .members
+                .binary_search_by(|m| m.id.cmp(&challenge.record.id))
+                .ok()
+                .filter(|&i| {
+                    let m = &self.members[i];
+                    m.incarnation <= challenge.record.incarnation
+                        && matches!(m.status, MemberStatus::Alive | MemberStatus::Suspect)
+                });
+            let Some(member) = found else {
+                self.challenges.swap_remove(index);
+                continue;
+            };
+            if now >= challenge.due {
+                budget -= 1;
+                if challenge.tries == CHALLENGE_TRIES {
+                    self.challenges.swap_remove(index);
+                    self.accuse(now, wall, member, Some(self.id.clone()), events);
+                    continue;
+                }
+                challenge.tries += 1;
+                challenge.due = now + CHALLENGE_PERIOD;
+                let record = challenge.record.clone();
+                let sequence = self.next_sequence();
+                events.push(MembershipEvent::Send {
+                    to: self.members[member].gossip_addr,
+                    message: Message::Ping { sequence },
+                    first: vec![Rumor::Member(record)],
+                });
+            }
+            index += 1;
+        }
+    }
+
+    fn reconnect(&mut self, now: Duration, events: &mut Vec<MembershipEvent>) {
+        if now < self.next_reconnect {
+            return;
+        }
+        let fleet = u32::try_from(self.present.div_ceil(RECONNECT_FLEET)).unwrap_or(u32::MAX);
+        let jitter = self.rng.random_range(0.5..1.5);
+        self.next_reconnect = now + (RECONNECT_PERIOD * fleet).mul_f64(jitter);
+        let dead: Vec<usize> = (0..self.members.len())
+            .filter(|&i| self.members[i].status == MemberStatus::Dead && !self.info[i].left)
+            .collect();
+        if dead.is_empty() {
+            return;
+        }
+        let index = dead[self.rng.random_range(0..dead.len())];
+        let sequence = self.next_sequence();
+        events.push(self.ping(index, sequence));
+    }
+
+    /// Takes a ping; the answer carries what the sender would refute.
+    #[must_use]
+    pub fn on_ping(
+        &self,
+        from: &NodeId,
+        to: SocketAddr,
+        sequence: u64,
+        mut first: Vec<Rumor>,
+    ) -> MembershipEvent {
+        first.extend(self.find(from).and_then(|i| self.doubt(i)));
+        MembershipEvent::Send {
+            to,
+            message: Message::Ack { sequence },
+            first,
+        }
+    }
+
+    /// Takes a request to repeat a probe.
+    pub fn on_ping_req(
+        &mut self,
+        now: Duration,
+        to: SocketAddr,
+        their_sequence: u64,
+        target: &NodeId,
+    ) -> MembershipEvent {
+        let found = self.find(target).filter(|_| self.relays.len() < MAX_RELAYS);
+        let Some(index) = found else {
+            return MembershipEvent::Send {
+                to,
+                message: Message::Nack {
+                    sequence: their_sequence,
+                },
+                first: Vec::new(),
+            };
+        };
+        let sequence = self.next_sequence();
+        self.relays.push(Relay {
+            sequence,
+            to,
+            their_sequence,
+            sent_at: now,
+            nacked: false,
+        });
+        self.ping(index, sequence)
+    }
+
+    /// Takes the answer to a ping.
+    pub fn on_ack(&mut self, sequence: u64) -> Option<MembershipEvent> {
+        if self.probe.as_ref().is_some_and(|p| p.sequence == sequence) {
+            self.probe = None;
+            self.health = self.health.saturating_sub(1);
+        }
+        let index = self.relays.iter().position(|r| r.sequence == sequence)?;
+        let relay = self.relays.swap_remove(index);
+        Some(MembershipEvent::Send {
+            to: relay.to,
+            message: Message::Ack {
+                sequence: relay.their_sequence,
+            },
+            first: Vec::new(),
+        })
+    }
+
+    /// Takes the statement of a helper that the target has not answered it either.
+    pub fn on_nack(&mut self, sequence: u64) {
+        if let Some(probe) = &mut self.probe
+            && probe.sequence == sequence
+        {
+            probe.nacks += 1;
+        }
+    }
+
+    /// Takes a suspicion that another member spreads.
+    pub fn on_suspect(
+        &mut self,
+        now: Duration,
+        wall: WallMs,
+        id: &NodeId,
+        incarnation: u64,
+        by: NodeId,
+    ) -> Vec<MembershipEvent> {
+        let mut events = Vec::new();
+        if *id == self.id {
+            if incarnation >= self.me().incarnation {
+                events.push(self.refute(now, wall, incarnation));
+            }
+        } else if let Some(index) = self.find(id)
+            && self.members[index].incarnation == incarnation
+        {
+            self.accuse(now, wall, index, Some(by), &mut events);
+        }
+        events
+    }
+
+    /// Takes the record of a member from a rumor.
+    pub fn on_record(
+        &mut self,
+        now: Duration,
+        wall: WallMs,
+        update: Member,
+    ) -> Vec<MembershipEvent> {
+        self.merge(now, wall, update, false)
+    }
+
+    /// Takes the record of a member from a full exchange. The peer may hold members dead that only it
+    /// cannot reach, after a network partition all members of this side. They are asked first.
+    pub fn on_synced_record(
+        &mut self,
+        now: Duration,
+        wall: WallMs,
+        update: Member,
+    ) -> Vec<MembershipEvent> {
+        self.merge(now, wall, update, true)
+    }
+
+    fn merge(
+        &mut self,
+        now: Duration,
+        wall: WallMs,
+        mut update: Member,
+        synced: bool,
+    ) -> Vec<MembershipEvent> {
+        let mut events = Vec::new();
+        if update.id == self.id {
+            self.merge_own(now, wall, &update, &mut events);
+            return events;
+        }
+        let found = self.find(&update.id);
+        if let Some(index) = found {
+            let current = &self.members[index];
+            if (update.incarnation, update.status) <= (current.incarnation, current.status) {
+                return events;
+            }
+            if synced
+                && update.status == MemberStatus::Dead
+                && matches!(current.status, MemberStatus::Alive | MemberStatus::Suspect)
+            {
+                if !self.challenges.iter().any(|c| c.record.id == update.id) {
+                    self.challenges.push(Challenge {
+                        record: update,
+                        tries: 0,
+                        due: now,
+                    });
+                }
+                return events;
+            }
+        } else if update.status == MemberStatus::Dead {
+            // Records of dead members would otherwise travel in circles and never be forgotten.
+            return events;
+        }
+        let suspected = update.status == MemberStatus::Suspect;
+        let unchanged = found.is_some_and(|i| self.members[i].incarnation == update.incarnation);
+        if suspected {
+            update.status = MemberStatus::Alive;
+        }
+        if !(suspected && unchanged) {
+            events.push(self.put(now, wall, update.clone()));
+        }
+        if suspected && let Some(index) = self.find(&update.id) {
+            self.accuse(now, wall, index, None, &mut events);
+        }
+        events
+    }
+
+    fn merge_own(
+        &mut self,
+        now: Duration,
+        wall: WallMs,
+        update: &Member,
+        events: &mut Vec<MembershipEvent>,
+    ) {
+        let me = self.me();
+        let newer = (update.incarnation, update.status) > (me.incarnation, me.status);
+        if update.status == MemberStatus::Dead
+            && update.started_at == me.started_at
+            && self.refuted_death.is_none_or(|i| update.incarnation > i)
+        {
+            self.refuted_death = Some(update.incarnation);
+            self.declared_dead_at = Some(now);
+            events.push(MembershipEvent::DeclaredDead);
+        }
+        if newer {
+            events.push(self.refute(now, wall, update.incarnation));
+        }
+    }
+
+    fn refute(&mut self, now: Duration, wall: WallMs, incarnation: u64) -> MembershipEvent {
+        self.raise_health(1);
+        self.change_me(now, wall, |me| {
+            me.incarnation = me.incarnation.max(incarnation.saturating_add(1));
+        })
+    }
+
+    fn raise_health(&mut self, by: u32) {
+        self.health = (self.health + by).min(MAX_HEALTH_SCORE);
+    }
+
+    /// Puts a record in force and keeps the digest and the lists in step.
+    fn put(&mut self, now: Duration, wall: WallMs, record: Member) -> MembershipEvent {
+        let (index, before) = match self.members.binary_search_by(|m| m.id.cmp(&record.id)) {
+            Ok(index) => {
+                let rising = record.incarnation >= self.members[index].incarnation;
+                if !invariant::check(1, rising, "the incarnation of a member falls") {
+                    let current = self.members[index].clone();
+                    return MembershipEvent::Changed {
+                        before: Some(current.clone()),
+                        after: current,
+                    };
+                }
+                let before = std::mem::replace(&mut self.members[index], record);
+                (index, Some(before))
+            }
+            Err(index) => {
+                self.members.insert(index, record);
+                self.info.insert(index, MemberInfo::new());
+                (index, None)
+            }
+        };
+        let after = self.members[index].clone();
+        let was = before.as_ref().map_or(MemberStatus::Dead, |b| b.status);
+        if let Some(before) = &before {
+            self.digest ^= member_hash(before);
+        }
+        self.digest ^= member_hash(&after);
+        let was_present = was != MemberStatus::Dead;
+        let is_present = after.status != MemberStatus::Dead;
+        let info = &mut self.info[index];
+        if after.status != MemberStatus::Suspect {
+            info.suspicion = None;
+        }
+        if before
+            .as_ref()
+            .is_some_and(|b| b.started_at != after.started_at)
+        {
+            info.version = ConfigVersion::NONE;
+            info.log_reachable = true;
+        }
+        info.left = after.status == MemberStatus::Leaving || (info.left && !is_present);
+        info.dead_since = match (is_present, info.dead_since) {
+            (true, _) => None,
+            (false, since) => since.or(Some(now)),
+        };
+        if after.id != self.id {
+            if is_present && !std::mem::replace(&mut info.listed, true) {
+                let place = self.rng.random_range(0..=self.order.len());
+                self.order.insert(place, after.id.clone());
+            }
+            if matches!(was, MemberStatus::Alive | MemberStatus::Suspect)
+                && after.status >= MemberStatus::Leaving
+            {
+                self.departed.push(Departed {
+                    id: after.id.clone(),
+                    domain: after.domain.clone(),
+                    at: self.departed.last().map_or(wall, |d| d.at.max(wall)),
+                });
+            }
+        }
+        match (was_present, is_present) {
+            (false, true) => {
+                self.present += 1;
+                self.joins += 1;
+            }
+            (true, false) => self.present -= 1,
+            _ => (),
+        }
+        self.generation += 1;
+        MembershipEvent::Changed { before, after }
+    }
+}
+
+impl MemberInfo {
+    fn new() -> Self {
+        Self {
+            version: ConfigVersion::NONE,
+            log_reachable: true,
+            suspicion: None,
+            dead_since: None,
+            left: false,
+            listed: false,
+        }
+    }
+}
+
+/// Returns the time after which a suspected member is declared dead (Lifeguard, section IV.B).
+#[must_use]
+pub fn suspicion_timeout(members: usize, accusers: usize) -> Duration {
+    let members_f64 = f64::from(u32::try_from(members).unwrap_or(u32::MAX));
+    let shortest = PROBE_PERIOD.mul_f64(SUSPICION_FACTOR * members_f64.log10().max(1.0));
+    if members < SUSPICION_CONFIRMATIONS + 2 {
+        // There are not enough other members to confirm.
+        return shortest;
+    }
+    let ratio = |n: usize| f64::from(u32::try_from(n).unwrap_or(u32::MAX)).ln();
+    let confirmations = accusers.saturating_sub(1).min(SUSPICION_CONFIRMATIONS);
+    let share = ratio(confirmations + 1) / ratio(SUSPICION_CONFIRMATIONS + 1);
+    shortest.mul_f64(SUSPICION_MAX_RATIO - (SUSPICION_MAX_RATIO - 1.0) * share)
+}
+
+/// Hash of a member in the digest; zero for a dead one.
+fn member_hash(member: &Member) -> u64 {
+    if member.status == MemberStatus::Dead {
+        return 0;
+    }
+    let leaving = u64::from(member.status == MemberStatus::Leaving);
+    xxh3_64_with_seed(
+        member.id.as_str().as_bytes(),
+        member.incarnation.wrapping_mul(2).wrapping_add(leaving),
+    )
+}
--- a/src/protocol/gossip.rs
+++ b/src/protocol/gossip.rs
@@ -228,7 +228,8 @@
         /// Node to probe.
         target: NodeId,
     },
-    /// Tells that a new configuration version is in force at the sender.
+    /// Asks for nothing: tells by its header that a new configuration version is in force at the sender,
+    /// or carries rumors.
     Hint,
     /// Carries evidence between the serving nodes of one service.
     Evidence(EvidenceReport),
