--- a/src/coordination/idempotency.rs
+++ b/src/coordination/idempotency.rs
@@ -41,6 +41,7 @@
 
 use uuid::Uuid;
 
+use crate::coordination::membership::Departed;
 use crate::coordination::rendezvous;
 use crate::invariant;
 use crate::protocol::call::Run;
@@ -109,17 +110,6 @@
     Some(WallMs(seconds * 1_000 + u64::from(nanos) / 1_000_000))
 }
 
-/// A member that has left its failure domain or was declared dead.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Departed {
-    /// The member.
-    pub id: NodeId,
-    /// Its failure domain.
-    pub domain: DomainName,
-    /// When this node learned of it.
-    pub at: WallMs,
-}
-
 /// What a key replica knows of the fleet when it decides on a claim.
 #[derive(Clone, Copy, Debug)]
 pub struct ReplicaView<'a> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,13 @@
 //! Distributes configuration across a service mesh and shifts traffic between versions of backend
 //! servers. `docs/design.md` describes the design; the layers are [`transport`], [`protocol`],
-//! [`coordination`] and [`state`].
+//! [`coordination`] and [`state`]; [`node`] joins them in one process.
 
 pub mod coordination;
 pub mod invariant;
+pub mod logging;
+pub mod node;
 pub mod protocol;
 pub mod result_code;
+pub mod settings;
 pub mod state;
 pub mod transport;
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,43 @@
+//! Structured logging through a bounded queue, so that a slow output never blocks a call.
+
+use std::io;
+
+use slog::Drain;
+use slog::Level;
+use slog::Logger;
+use slog::o;
+
+use crate::settings::LogFormat;
+use crate::settings::LogLevel;
+
+/// Records that may wait for the output; at 47 calls/s and two lines a call this is 40 s of lines.
+const QUEUE_RECORDS: usize = 4_096;
+
+/// Flushes the queue when it is dropped.
+pub struct LogGuard {
+    _guard: slog_async::AsyncGuard,
+}
+
+/// Creates the logger of a node. Records that find the queue full are dropped, and their number is
+/// logged as soon as there is room.
+pub fn start(format: LogFormat, level: LogLevel) -> (Logger, LogGuard) {
+    let level = match level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    };
+    let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = match format {
+        LogFormat::Json => Box::new(slog_json::Json::default(io::stderr()).ignore_res()),
+        LogFormat::Text => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            Box::new(slog_term::FullFormat::new(decorator).build().ignore_res())
+        }
+    };
+    let (drain, guard) = slog_async::Async::new(drain)
+        .chan_size(QUEUE_RECORDS)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    let drain = drain.filter_level(level).ignore_res();
+    (Logger::root(drain, o!()), LogGuard { _guard: guard })
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,13 @@
 //! Entry point: parses the arguments, builds one `Config`, runs it and returns its exit code.
 
-fn main() {}
+mod cli;
+mod commands;
+mod config;
+mod exit_code;
+
+use std::process;
+
+fn main() -> process::ExitCode {
+    let config = cli::config_from(&cli::build().get_matches());
+    commands::run(&config).into()
+}
--- /dev/null
+++ b/src/node/config_reader.rs
@@ -0,0 +1,393 @@
+//! Brings configuration versions into force: from the log if this node is a reader, from peers
+//! otherwise. See `docs/design.md`, section 4.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+use serde::Deserialize;
+use serde::Serialize;
+use slog::debug;
+use slog::info;
+use slog::warn;
+
+use crate::coordination::readiness::PeerAnswer;
+use crate::coordination::readiness::ReadyState;
+use crate::node::Node;
+use crate::node::gossip_loop;
+use crate::node::log_writer;
+use crate::protocol::codec;
+use crate::protocol::gossip::Member;
+use crate::protocol::gossip::MemberStatus;
+use crate::protocol::name::ConfigVersion;
+use crate::protocol::name::DomainName;
+use crate::protocol::name::NodeId;
+use crate::protocol::record::CONFIG_STREAM;
+use crate::protocol::record::ConfigRecord;
+use crate::protocol::record::VersionedDocument;
+use crate::result_code::Failure;
+use crate::result_code::ResultCode;
+use crate::state::log_fold::FoldEvent;
+use crate::state::log_fold::LogFold;
+use crate::state::log_fold::RetentionState;
+use crate::state::log_fold::checkpoint_due;
+use crate::state::snapshot::ConfigTransfer;
+use crate::state::snapshot::Snapshot;
+
+/// Wait of one long poll of the log.
+const POLL_WAIT: Duration = Duration::from_secs(10);
+/// Records read at a time.
+const BATCH_RECORDS: usize = 64;
+/// Pause after a failed read of the log, up to twice as long.
+const LOG_RETRY: Duration = Duration::from_millis(500);
+/// Period in which a node that is not a reader looks whether it has become one.
+const ELECTION_CHECK: Duration = Duration::from_millis(500);
+/// Time limit of a pull from a peer.
+const PULL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Period of the attempts to become ready.
+const READY_CHECK: Duration = Duration::from_millis(200);
+/// Time for which a starting node asks its peers only; a herd that starts at once must not read the
+/// whole log 1,300 times.
+const PEERS_FIRST: Duration = Duration::from_secs(1);
+/// Failure domains that a starting node asks at a time.
+const ASKED_DOMAINS: usize = 3;
+
+/// Asks a peer for its configuration.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct ConfigQuestion {
+    /// Version that the asking node has.
+    pub have: ConfigVersion,
+    /// Digest of that version.
+    pub digest: u64,
+}
+
+/// Answer of a peer.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct ConfigAnswer {
+    /// What the asking node lacks.
+    pub transfer: ConfigTransfer,
+    /// Version in force at the peer.
+    pub version: ConfigVersion,
+    /// Failure domain of the peer.
+    pub domain: DomainName,
+    /// Whether the peer is ready.
+    pub ready: bool,
+}
+
+/// Starts to follow the configuration.
+pub fn start(node: &Rc<Node>) {
+    let reader = node.clone();
+    actix_rt::spawn(async move { follow_log(&reader).await });
+    let starter = node.clone();
+    actix_rt::spawn(async move { become_ready(&starter).await });
+}
+
+/// Answers the question of a peer.
+pub fn on_question(node: &Node, body: &[u8]) -> Result<Vec<u8>, Failure> {
+    let question: ConfigQuestion = codec::decode(body)?;
+    let state = node.state.borrow();
+    codec::encode(&ConfigAnswer {
+        transfer: state.store.transfer(question.have, question.digest),
+        version: state.store.version(),
+        domain: node.settings.failure_domain.clone(),
+        ready: state.ready,
+    })
+}
+
+async fn follow_log(node: &Rc<Node>) {
+    loop {
+        let (is_reader, ready) = {
+            let state = node.state.borrow();
+            (state.gossip.is_reader(), state.ready)
+        };
+        let starting = !ready && node.clock.now() > PEERS_FIRST;
+        if !is_reader && !starting {
+            actix_rt::time::sleep(ELECTION_CHECK).await;
+            continue;
+        }
+        let wait = if ready { POLL_WAIT } else { Duration::ZERO };
+        if let Err(failure) = read_log(node, wait).await {
+            warn!(node.log, "cannot read the log"; "failure" => failure.to_string());
+            set_log_reachable(node, false);
+            let pause = LOG_RETRY.mul_f64(node.state.borrow_mut().rng.random_range(1.0..2.0));
+            actix_rt::time::sleep(pause).await;
+            continue;
+        }
+        set_log_reachable(node, true);
+        if ready {
+            append_checkpoint(node).await;
+        } else {
+            actix_rt::time::sleep(READY_CHECK).await;
+        }
+    }
+}
+
+fn set_log_reachable(node: &Rc<Node>, reachable: bool) {
+    let mut state = node.state.borrow_mut();
+    if !reachable {
+        state.readiness.on_log_lost();
+    }
+    let actions = state.gossip.set_log_reachable(node.clock.now(), reachable);
+    drop(state);
+    gossip_loop::apply(node, actions);
+}
+
+/// Reads once from the log and puts in force what it says.
+///
+/// # Errors
+/// If the log does not answer.
+pub async fn read_log(node: &Rc<Node>, wait: Duration) -> Result<(), Failure> {
+    let from = {
+        let mut state = node.state.borrow_mut();
+        resume_fold(&mut state);
+        state.fold.next_offset()
+    };
+    let batch = match node
+        .log_client
+        .read(CONFIG_STREAM, from, BATCH_RECORDS, wait)
+        .await
+    {
+        Err(failure) if failure.code == ResultCode::LogTruncated => {
+            let oldest = node.log_client.bounds(CONFIG_STREAM).await?.oldest;
+            node.log_client
+                .read(CONFIG_STREAM, oldest, BATCH_RECORDS, Duration::ZERO)
+                .await?
+        }
+        other => other?,
+    };
+    let bytes: usize = batch.records.iter().map(|(_, record)| record.len()).sum();
+    node.metrics.log_bytes.increment(bytes as u64);
+    let events = node
+        .state
+        .borrow_mut()
+        .fold
+        .on_records(batch.oldest, &batch.records);
+    for event in events {
+        on_event(node, event);
+    }
+    let mut state = node.state.borrow_mut();
+    state.log_bounds = (batch.oldest, batch.end);
+    if state.fold.is_complete() && state.fold.next_offset() >= batch.end {
+        let version = state.fold.version();
+        state.readiness.on_log_end(version);
+    }
+    Ok(())
+}
+
+/// A version that came from a peer lets the fold go on behind its record, so that a node that
+/// becomes a reader does not read the whole log.
+fn resume_fold(state: &mut super::NodeState) {
+    let Some(current) = state.store.current() else {
+        return;
+    };
+    if current.version() > state.fold.version() {
+        state.fold = LogFold::resume(current.versioned().clone());
+        let rollbacks = state.rollouts.rollbacks();
+        state.fold.merge_rollbacks(&rollbacks);
+    }
+}
+
+fn on_event(node: &Rc<Node>, event: FoldEvent) {
+    match event {
+        FoldEvent::Accepted {
+            author, current, ..
+        } => {
+            info!(node.log, "publication accepted"; "version" => current.version.0, "author" => author);
+            install(node, current);
+        }
+        FoldEvent::Restored { current } => {
+            info!(node.log, "configuration restored from a checkpoint"; "version" => current.version.0);
+            install(node, current);
+        }
+        FoldEvent::RolledBack(rollback) => {
+            let (now, wall) = (node.clock.now(), node.clock.wall());
+            let mut state = node.state.borrow_mut();
+            state.rollouts.on_rollback(rollback.clone());
+            let actions = state.gossip.submit_rollback(now, wall, rollback);
+            drop(state);
+            gossip_loop::apply(node, actions);
+        }
+        FoldEvent::Rejected {
+            publish_id,
+            failure,
+            ..
+        } => {
+            let text = format!("publication {publish_id} was refused: {failure}");
+            let subject = format!("publication {publish_id}");
+            node.report(failure.code, format!("publish/{publish_id}"), subject, text);
+        }
+        other => info!(node.log, "log record without effect"; "event" => format!("{other:?}")),
+    }
+}
+
+fn install(node: &Rc<Node>, versioned: VersionedDocument) {
+    if versioned.version <= node.state.borrow().store.version() {
+        return;
+    }
+    let installed =
+        Snapshot::build(versioned).and_then(|s| node.state.borrow_mut().store.install(s));
+    match installed {
+        Ok(snapshot) => on_installed(node, &snapshot),
+        Err(failure) => node.report(
+            failure.code,
+            format!("install/{failure}"),
+            "configuration".into(),
+            format!("a configuration was not applied: {failure}"),
+        ),
+    }
+}
+
+fn on_installed(node: &Rc<Node>, snapshot: &Snapshot) {
+    let now = node.clock.now();
+    let version = snapshot.version();
+    info!(node.log, "configuration in force"; "version" => version.0,
+        "digest" => format!("{:016x}", snapshot.digest()));
+    #[allow(clippy::cast_precision_loss)]
+    node.metrics.version.set(version.0 as f64);
+    let mut state = node.state.borrow_mut();
+    state.readiness.on_in_force(version);
+    state.rollouts.on_config(snapshot.versioned());
+    state
+        .gossip
+        .set_services(version, &snapshot.versioned().since);
+    let actions = state.gossip.on_new_version(now, version);
+    drop(state);
+    gossip_loop::apply(node, actions);
+}
+
+/// Pulls the configuration from a peer that shows a higher version.
+pub fn pull(node: &Rc<Node>, peer: Member) {
+    let node = node.clone();
+    actix_rt::spawn(async move {
+        if let Err(failure) = ask_config(&node, &peer).await {
+            debug!(node.log, "pull failed"; "peer" => peer.id.as_str(), "failure" => failure.to_string());
+            let actions = node
+                .state
+                .borrow_mut()
+                .gossip
+                .on_pull_failed(node.clock.now());
+            gossip_loop::apply(&node, actions);
+        }
+    });
+}
+
+async fn ask_config(node: &Rc<Node>, peer: &Member) -> Result<(), Failure> {
+    let answer = ask(node, peer, false).await?;
+    let received = node.state.borrow_mut().store.receive(answer.transfer);
+    let received = match received {
+        Err(failure) if failure.code == ResultCode::DeltaMismatch => {
+            let whole = ask(node, peer, true).await?;
+            node.state.borrow_mut().store.receive(whole.transfer)
+        }
+        other => other,
+    };
+    if let Some(snapshot) = received? {
+        on_installed(node, &snapshot);
+    }
+    let peer_answer = PeerAnswer {
+        domain: answer.domain,
+        version: answer.version,
+        ready: answer.ready,
+    };
+    node.state
+        .borrow_mut()
+        .readiness
+        .on_peer(node.clock.now(), &peer_answer);
+    Ok(())
+}
+
+async fn ask(node: &Rc<Node>, peer: &Member, whole: bool) -> Result<ConfigAnswer, Failure> {
+    let current = node.snapshot().filter(|_| !whole);
+    let question = ConfigQuestion {
+        have: current
+            .as_ref()
+            .map_or(ConfigVersion::NONE, |s| s.version()),
+        digest: current.as_ref().map_or(0, |s| s.digest()),
+    };
+    node.ask_peer(peer.node_addr, "/peer/config", &question, PULL_TIMEOUT)
+        .await
+}
+
+/// Asks peers in several failure domains until the node is ready; the log is read by
+/// [`follow_log`].
+async fn become_ready(node: &Rc<Node>) {
+    let mut shown = String::new();
+    loop {
+        let now = node.clock.now();
+        let ready = node.state.borrow_mut().readiness.state(now);
+        match ready {
+            ReadyState::Ready { .. } => {
+                info!(node.log, "node ready"; "state" => ready.to_string());
+                node.state.borrow_mut().ready = true;
+                log_writer::announce_member(node);
+                return;
+            }
+            ReadyState::Waiting(text) if text != shown => {
+                info!(node.log, "node not ready"; "state" => text.as_str());
+                shown = text;
+            }
+            ReadyState::Waiting(_) => {}
+        }
+        let peers = one_peer_a_domain(node);
+        let questions = peers.iter().map(|peer| ask_config(node, peer));
+        futures_util::future::join_all(questions).await;
+        actix_rt::time::sleep(READY_CHECK).await;
+    }
+}
+
+fn one_peer_a_domain(node: &Node) -> Vec<Member> {
+    let mut state = node.state.borrow_mut();
+    let state = &mut *state;
+    let me: &NodeId = &node.settings.id;
+    let alive = |m: &&Member| m.status == MemberStatus::Alive && m.id != *me;
+    let mut domains: Vec<&DomainName> = state
+        .gossip
+        .members()
+        .iter()
+        .filter(alive)
+        .map(|m| &m.domain)
+        .collect();
+    domains.sort_unstable();
+    domains.dedup();
+    let mut peers = Vec::new();
+    for domain in domains.sample(&mut state.rng, ASKED_DOMAINS) {
+        let members: Vec<&Member> = state
+            .gossip
+            .members()
+            .iter()
+            .filter(alive)
+            .filter(|m| m.domain == **domain)
+            .collect();
+        peers.extend(members.choose(&mut state.rng).map(|m| (*m).clone()));
+    }
+    peers
+}
+
+async fn append_checkpoint(node: &Rc<Node>) {
+    let checkpoint = {
+        let state = node.state.borrow();
+        let (oldest, end) = state.log_bounds;
+        let due = checkpoint_due(&RetentionState {
+            held_from: state.fold.held_from(),
+            oldest,
+            end,
+            age: None,
+            retention: None,
+        });
+        due.then(|| state.fold.checkpoint()).flatten()
+    };
+    let Some(checkpoint) = checkpoint else {
+        return;
+    };
+    let as_of = checkpoint.as_of;
+    let Ok(record) = codec::encode(&ConfigRecord::Checkpoint(checkpoint)) else {
+        return;
+    };
+    match node.log_client.append(CONFIG_STREAM, record).await {
+        Ok(offset) => info!(node.log, "checkpoint appended"; "offset" => offset, "as_of" => as_of),
+        Err(failure) => {
+            warn!(node.log, "checkpoint not appended"; "failure" => failure.to_string());
+        }
+    }
+}
--- /dev/null
+++ b/src/node/entry.rs
@@ -0,0 +1,489 @@
+//! Request port: takes callers' requests to a backend server of the right service and version.
+//! See `docs/design.md`, section 3.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::HttpMessage;
+use actix_http::Payload;
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BoxBody;
+use actix_http::header::CONTENT_TYPE;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
+use bytes::Bytes;
+use futures_util::FutureExt;
+use rand::Rng;
+use rand::RngExt;
+use serde_json::json;
+use slog::info;
+
+use crate::coordination::balancer::AttemptEnd;
+use crate::coordination::balancer::Feedback;
+use crate::coordination::balancer::Pick;
+use crate::coordination::quarantine::fingerprint;
+use crate::coordination::retry::AttemptResult;
+use crate::coordination::retry::CallPlan;
+use crate::coordination::retry::CallSpec;
+use crate::coordination::retry::Next;
+use crate::coordination::rollout::Shares;
+use crate::node::Node;
+use crate::node::headers;
+use crate::node::hop;
+use crate::node::keyed;
+use crate::node::keyed::KeyedCall;
+use crate::node::local_port;
+use crate::node::serving;
+use crate::node::serving::Downstream;
+use crate::node::serving::ServeAnswer;
+use crate::node::serving::ServeRequest;
+use crate::protocol::call::ATTEMPTS_HEADER;
+use crate::protocol::call::CALL_HEADER;
+use crate::protocol::call::CODE_HEADER;
+use crate::protocol::call::DEADLINE_HEADER;
+use crate::protocol::call::KEY_HEADER;
+use crate::protocol::call::MAX_BODY_BYTES;
+use crate::protocol::call::RUN_HEADER;
+use crate::protocol::call::Run;
+use crate::protocol::document::Route;
+use crate::protocol::name::NodeId;
+use crate::protocol::name::VersionName;
+use crate::result_code::ResultCode;
+use crate::transport::http_client::SendFailure;
+use crate::transport::http_server;
+use crate::transport::http_server::Handler;
+
+/// Longest idempotency key, bytes.
+const MAX_KEY_BYTES: usize = 256;
+
+/// Returns the handler of the request port.
+pub fn handler(node: &Rc<Node>) -> Handler {
+    let node = node.clone();
+    Rc::new(move |req| handle(node.clone(), req).boxed_local())
+}
+
+/// Counts an open call until it is answered or cancelled, so that a stop can wait for it.
+struct OpenCall(Rc<Node>);
+
+impl OpenCall {
+    fn begin(node: &Rc<Node>) -> Self {
+        node.open_calls.set(node.open_calls.get() + 1);
+        Self(node.clone())
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.open_calls.set(self.0.open_calls.get() - 1);
+    }
+}
+
+/// A caller's request as the entry node works on it.
+pub struct EntryCall {
+    /// Identity of the call.
+    pub call: u64,
+    /// Route.
+    pub route: Route,
+    /// Method.
+    pub method: actix_http::Method,
+    /// Path and query.
+    pub target: actix_http::uri::PathAndQuery,
+    /// Headers that are passed on.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// Whole body.
+    pub body: Bytes,
+    /// Hash of the request.
+    pub fingerprint: u64,
+    /// Time by which the call must have ended, since the start of the process.
+    pub deadline: Duration,
+    /// Retry budget from the caller.
+    pub attempts: Option<u8>,
+    /// Idempotency key, for routes that are not idempotent.
+    pub key: Option<Arc<str>>,
+}
+
+/// Result of a call at the entry node.
+pub enum CallResult {
+    /// The answer of a backend server.
+    Answered(ServeAnswer),
+    /// The node answers itself.
+    Failed(ResultCode, Run),
+}
+
+async fn handle(node: Rc<Node>, mut req: Request) -> Response<BoxBody> {
+    if req.path().starts_with(local_port::PREFIX) {
+        return local_port::handle(&node, req).await;
+    }
+    let _open = OpenCall::begin(&node);
+    let began = node.clock.now();
+    node.metrics.calls.increment(1);
+    let mut payload = req.take_payload();
+    let mut response = match accept(&node, &req, &mut payload).await {
+        Ok(call) => run(&node, &req, call).await,
+        Err(code) => failure_response(code, Run::No),
+    };
+    node.metrics.call_latency.record(node.clock.since(began));
+    if node.stopping.get() {
+        http_server::close_after(&mut response);
+    }
+    response
+}
+
+async fn accept(
+    node: &Rc<Node>,
+    req: &Request,
+    payload: &mut Payload,
+) -> Result<EntryCall, ResultCode> {
+    let head = req.head();
+    let body = http_server::read_body(payload, MAX_BODY_BYTES)
+        .await
+        .map_err(|failure| failure.code)?;
+    if !node.state.borrow().ready {
+        return Err(ResultCode::NotReady);
+    }
+    let snapshot = node.snapshot().ok_or(ResultCode::NotReady)?;
+    let path = req.path();
+    let route = snapshot.find_route(headers::host(&head.headers), head.method.as_str(), path);
+    let route = route.ok_or(ResultCode::NoRoute)?.clone();
+    let target = head
+        .uri
+        .path_and_query()
+        .ok_or(ResultCode::BadRequest)?
+        .clone();
+    let hash = fingerprint(
+        head.method.as_str(),
+        route.name.as_str(),
+        target.as_str(),
+        &body,
+    );
+    if node
+        .state
+        .borrow()
+        .quarantine
+        .is_quarantined(hash, node.clock.wall())
+    {
+        return Err(ResultCode::RequestQuarantined);
+    }
+    let key = match headers::text(&head.headers, KEY_HEADER) {
+        Some(key) if key.len() > MAX_KEY_BYTES => return Err(ResultCode::BadRequest),
+        Some(key) if !route.idempotent => Some(Arc::from(key)),
+        _ => None,
+    };
+    let limit = headers::number(&head.headers, DEADLINE_HEADER)
+        .unwrap_or(u64::MAX)
+        .min(route.deadline_ms);
+    Ok(EntryCall {
+        call: node.state.borrow_mut().rng.next_u64(),
+        method: head.method.clone(),
+        target,
+        headers: headers::end_to_end(&head.headers, 10),
+        body,
+        fingerprint: hash,
+        deadline: node.clock.now() + Duration::from_millis(limit),
+        attempts: headers::number(&head.headers, ATTEMPTS_HEADER),
+        key,
+        route,
+    })
+}
+
+async fn run(node: &Rc<Node>, req: &Request, call: EntryCall) -> Response<BoxBody> {
+    let parent = headers::text(req.headers(), CALL_HEADER)
+        .and_then(|text| u64::from_str_radix(text, 16).ok());
+    let began = node.clock.now();
+    let mut used = Downstream::default();
+    let result = match &call.key {
+        Some(key) => keyed::run(node, &call, key.clone(), &mut used).await,
+        None => attempt_all(node, &call, None, &mut used).await,
+    };
+    if let Some(parent) = parent {
+        used.time = node.clock.since(began);
+        used.failed = match &result {
+            CallResult::Answered(answer) => answer.status.is_server_error(),
+            CallResult::Failed(..) => true,
+        };
+        node.state.borrow_mut().running.charge(parent, used);
+    }
+    match result {
+        CallResult::Answered(answer) => answer_response(answer),
+        CallResult::Failed(code, run) => {
+            info!(node.log, "call failed"; "call" => format!("{:016x}", call.call),
+                "route" => call.route.name.as_str(), "code" => code.number(), "run" => run.as_str());
+            match run {
+                Run::No => node.metrics.refusals.increment(1),
+                Run::Yes | Run::Unknown => node.metrics.unknown_outcomes.increment(1),
+            }
+            failure_response(code, run)
+        }
+    }
+}
+
+/// Makes attempts until the plan of the call ends it. `keyed` must permit each dispatch.
+pub async fn attempt_all(
+    node: &Rc<Node>,
+    call: &EntryCall,
+    mut keyed: Option<&mut KeyedCall>,
+    used: &mut Downstream,
+) -> CallResult {
+    let mut plan = CallPlan::new(CallSpec {
+        idempotent: call.route.idempotent,
+        deadline: call.deadline,
+        attempt_timeout: Duration::from_millis(call.route.attempt_timeout_ms),
+        attempts: call.attempts,
+    });
+    let mut tried: Vec<NodeId> = Vec::new();
+    let mut next = plan.first(node.clock.now(), &mut node.state.borrow_mut().bucket);
+    let mut last = None;
+    loop {
+        let (after, timeout, attempts) = match next {
+            Next::Try {
+                after,
+                timeout,
+                attempts_to_pass_on,
+                reset_exclusions,
+            } => {
+                if reset_exclusions {
+                    tried.clear();
+                }
+                (after, timeout, attempts_to_pass_on)
+            }
+            Next::Answer => match last {
+                Some(answer) => return CallResult::Answered(answer),
+                None => return CallResult::Failed(ResultCode::BrokenAnswer, Run::Unknown),
+            },
+            Next::Fail(code, run) => return CallResult::Failed(code, run),
+        };
+        if !after.is_zero() {
+            actix_rt::time::sleep(after).await;
+        }
+        let Some((pick, version)) = pick(node, call, &tried) else {
+            next = plan.no_candidate();
+            continue;
+        };
+        if let Some(keyed) = keyed.as_deref_mut()
+            && let Err((code, run)) = keyed.permit(node)
+        {
+            return CallResult::Failed(code, run);
+        }
+        let attempt = Attempt {
+            pick,
+            version,
+            timeout,
+            attempts,
+        };
+        let (result, answer) = make_attempt(node, call, &attempt).await;
+        if let Some(keyed) = keyed.as_deref_mut()
+            && matches!(
+                result,
+                AttemptResult::Refused(_) | AttemptResult::ConnectFailed
+            )
+        {
+            keyed.not_run();
+        }
+        tried.push(attempt.pick.node);
+        last = answer;
+        let mut state = node.state.borrow_mut();
+        let state = &mut *state;
+        let others = state
+            .balancer
+            .has_other(&call.route.service, &attempt.version, &tried);
+        next = plan.on_result(
+            node.clock.now(),
+            &mut state.rng,
+            &mut state.bucket,
+            result,
+            others,
+        );
+        if matches!(next, Next::Try { .. }) {
+            node.metrics.retries.increment(1);
+            used.retries = used.retries.saturating_add(1);
+        }
+    }
+}
+
+/// Chooses the version by its share in force, then a node. A version in rollout that has no node
+/// left falls back to the old one; the reverse would exceed the share of an unproven version.
+fn pick(node: &Node, call: &EntryCall, tried: &[NodeId]) -> Option<(Pick, VersionName)> {
+    let (now, wall) = (node.clock.now(), node.clock.wall());
+    let mut state = node.state.borrow_mut();
+    let state = &mut *state;
+    let service = &call.route.service;
+    let shares = state.rollouts.shares(service.as_str(), wall)?;
+    let point: u8 = state.rng.random_range(0..100);
+    let first = shares.pick(point)?.clone();
+    let fallback = fallback(shares, &first);
+    for version in std::iter::once(first).chain(fallback) {
+        if let Some(pick) = state
+            .balancer
+            .pick(now, &mut state.rng, service, &version, tried)
+        {
+            info!(node.log, "routed"; "call" => format!("{:016x}", call.call),
+                "route" => call.route.name.as_str(), "service" => service.as_str(),
+                "version" => version.as_str(), "node" => pick.node.as_str(),
+                "attempt" => tried.len() + 1, "why" => pick.why.as_str());
+            return Some((pick, version));
+        }
+    }
+    None
+}
+
+fn fallback(shares: Shares<'_>, first: &VersionName) -> Option<VersionName> {
+    match shares {
+        Shares::Split { from, to, .. } => (first == to).then(|| from.clone()),
+        Shares::Fixed(all) => all
+            .iter()
+            .find(|v| v.share > 0 && v.name != *first)
+            .map(|v| v.name.clone()),
+    }
+}
+
+struct Attempt {
+    pick: Pick,
+    version: VersionName,
+    timeout: Duration,
+    attempts: u8,
+}
+
+/// Tells the balancer that an attempt ended, also when the caller cancels it.
+struct InFlight<'a> {
+    node: &'a Rc<Node>,
+    to: NodeId,
+    began: Duration,
+    feedback: Option<Feedback>,
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        let now = self.node.clock.now();
+        let cancelled = Feedback {
+            end: AttemptEnd::Cancelled,
+            latency: now.saturating_sub(self.began),
+            load: None,
+        };
+        let feedback = self.feedback.take().unwrap_or(cancelled);
+        self.node
+            .state
+            .borrow_mut()
+            .balancer
+            .on_finish(now, &self.to, feedback);
+    }
+}
+
+async fn make_attempt(
+    node: &Rc<Node>,
+    call: &EntryCall,
+    attempt: &Attempt,
+) -> (AttemptResult, Option<ServeAnswer>) {
+    let req = ServeRequest {
+        call: call.call,
+        route: call.route.name.clone(),
+        service: call.route.service.clone(),
+        version: attempt.version.clone(),
+        method: call.method.clone(),
+        target: call.target.clone(),
+        headers: call.headers.clone(),
+        body: call.body.clone(),
+        timeout: attempt.timeout,
+        attempts: attempt.attempts,
+    };
+    let began = node.clock.now();
+    node.state
+        .borrow_mut()
+        .balancer
+        .on_start(&attempt.pick.node);
+    let mut in_flight = InFlight {
+        node,
+        to: attempt.pick.node.clone(),
+        began,
+        feedback: None,
+    };
+    let result = if attempt.pick.node == node.settings.id {
+        Ok(serving::serve(node, req).await)
+    } else {
+        hop::send(node, attempt.pick.addr, req).await
+    };
+    let attempt_result = classify(&result);
+    in_flight.feedback = Some(Feedback {
+        end: attempt_end(attempt_result),
+        latency: node.clock.since(began),
+        load: result.as_ref().ok().map(|answer| answer.load),
+    });
+    drop(in_flight);
+    (attempt_result, result.ok())
+}
+
+fn classify(result: &Result<ServeAnswer, SendFailure>) -> AttemptResult {
+    match result {
+        Ok(answer) => match (answer.run, answer.code) {
+            (Run::No, code) => AttemptResult::Refused(code.unwrap_or(ResultCode::NoBackend)),
+            (Run::Yes, _) => AttemptResult::Responded {
+                status: answer.status.as_u16(),
+                attempts_left: Some(answer.attempts_left),
+            },
+            (Run::Unknown, code) => {
+                AttemptResult::Unknown(code.unwrap_or(ResultCode::OutcomeUnknown))
+            }
+        },
+        Err(SendFailure::NotConnected(_)) => AttemptResult::ConnectFailed,
+        Err(SendFailure::TimedOut) => AttemptResult::TimedOut,
+        Err(SendFailure::Broken(_)) => AttemptResult::ConnectionDied,
+        Err(SendFailure::TooLarge) => AttemptResult::Unknown(ResultCode::BodyTooLarge),
+    }
+}
+
+fn attempt_end(result: AttemptResult) -> AttemptEnd {
+    match result {
+        AttemptResult::Refused(ResultCode::Overloaded) => AttemptEnd::Overloaded,
+        AttemptResult::Refused(_) => AttemptEnd::Refused,
+        AttemptResult::Responded { status, .. } if status < 500 => AttemptEnd::Succeeded,
+        AttemptResult::TimedOut => AttemptEnd::TimedOut,
+        AttemptResult::ConnectFailed
+        | AttemptResult::Responded { .. }
+        | AttemptResult::Unknown(_)
+        | AttemptResult::ConnectionDied => AttemptEnd::Failed,
+    }
+}
+
+fn answer_response(answer: ServeAnswer) -> Response<BoxBody> {
+    let mut response = Response::with_body(answer.status, BoxBody::new(answer.body));
+    for (name, value) in answer.headers {
+        response.headers_mut().append(name, value);
+    }
+    let run = HeaderValue::from_static(answer.run.as_str());
+    response
+        .headers_mut()
+        .insert(HeaderName::from_static(RUN_HEADER), run);
+    response
+}
+
+/// Builds the answer that the node gives itself.
+pub fn failure_response(code: ResultCode, run: Run) -> Response<BoxBody> {
+    let body = json!({ "code": code.number(), "error": code.text(), "run": run.as_str() });
+    let mut response = Response::with_body(status_of(code), BoxBody::new(body.to_string()));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(
+        HeaderName::from_static(RUN_HEADER),
+        HeaderValue::from_static(run.as_str()),
+    );
+    headers.insert(
+        HeaderName::from_static(CODE_HEADER),
+        HeaderValue::from(code.number()),
+    );
+    response
+}
+
+fn status_of(code: ResultCode) -> StatusCode {
+    match code {
+        ResultCode::NoRoute => StatusCode::NOT_FOUND,
+        ResultCode::BadRequest => StatusCode::BAD_REQUEST,
+        ResultCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        ResultCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+        ResultCode::OutcomeUnknown | ResultCode::BrokenAnswer => StatusCode::BAD_GATEWAY,
+        ResultCode::KeyInUse | ResultCode::AnswerNotKept => StatusCode::CONFLICT,
+        ResultCode::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/src/node/gossip_loop.rs
@@ -0,0 +1,290 @@
+//! Carries gossip between the state machine and the network.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use slog::debug;
+use slog::info;
+
+use crate::coordination::dissemination::GossipAction;
+use crate::coordination::rollout::RolloutAction;
+use crate::node::Node;
+use crate::node::config_reader;
+use crate::node::every;
+use crate::node::log_writer;
+use crate::node::publish;
+use crate::protocol::auth;
+use crate::protocol::codec;
+use crate::protocol::gossip::EvidenceReport;
+use crate::protocol::gossip::MAX_DATAGRAM_BYTES;
+use crate::protocol::gossip::Member;
+use crate::protocol::gossip::MemberStatus;
+use crate::protocol::gossip::Packet;
+use crate::protocol::gossip::SyncState;
+use crate::protocol::record::ConfigRecord;
+use crate::transport::udp;
+
+/// Period of the gossip state machine.
+const GOSSIP_TICK: Duration = Duration::from_millis(100);
+/// Period of the rollout state machine.
+const ROLLOUT_TICK: Duration = Duration::from_millis(200);
+/// Time limit of a state exchange.
+const SYNC_TIMEOUT: Duration = Duration::from_secs(3);
+/// Bytes of the IPv4 and UDP headers, counted as control traffic.
+const UDP_OVERHEAD: u64 = 28;
+
+/// Starts to receive datagrams and to drive the periodic state machines.
+pub fn start(node: &Rc<Node>) {
+    let receiver = node.clone();
+    actix_rt::spawn(async move { receive(&receiver).await });
+    every(node, GOSSIP_TICK, |node| {
+        let (now, wall) = (node.clock.now(), node.clock.wall());
+        let actions = node.state.borrow_mut().gossip.tick(now, wall);
+        apply(node, actions);
+        expire_backend(node);
+    });
+    every(node, ROLLOUT_TICK, tick_rollouts);
+}
+
+async fn receive(node: &Rc<Node>) {
+    let mut buf = [0; MAX_DATAGRAM_BYTES];
+    loop {
+        let Ok((length, from)) = udp::receive(&node.udp, &mut buf).await else {
+            continue;
+        };
+        node.metrics
+            .gossip_bytes_received
+            .increment(length as u64 + UDP_OVERHEAD);
+        let Some(packet) = open(node, &buf[..length]) else {
+            node.metrics.gossip_rejected.increment(1);
+            continue;
+        };
+        let (now, wall) = (node.clock.now(), node.clock.wall());
+        let actions = node
+            .state
+            .borrow_mut()
+            .gossip
+            .on_packet(now, wall, from, packet);
+        apply(node, actions);
+    }
+}
+
+fn open(node: &Node, datagram: &[u8]) -> Option<Packet> {
+    let mut state = node.state.borrow_mut();
+    let opened = auth::open(&node.keys, &mut state.replay, node.clock.wall(), datagram);
+    match opened.and_then(codec::decode) {
+        Ok(packet) => Some(packet),
+        Err(failure) => {
+            debug!(node.log, "datagram rejected"; "failure" => failure.to_string());
+            None
+        }
+    }
+}
+
+/// Carries out what the gossip state machine asks for.
+pub fn apply(node: &Rc<Node>, actions: Vec<GossipAction>) {
+    for action in actions {
+        apply_one(node, action);
+    }
+}
+
+fn apply_one(node: &Rc<Node>, action: GossipAction) {
+    let now = node.clock.now();
+    match action {
+        GossipAction::Send { to, packet } => send(node, to, &packet),
+        GossipAction::MemberChanged { before, after } => on_member(node, before.as_ref(), &after),
+        GossipAction::PullConfig { peer } => config_reader::pull(node, peer),
+        GossipAction::Sync { addr } => sync(node, addr),
+        GossipAction::Progress(progress) => {
+            node.state.borrow_mut().rollouts.on_progress(progress);
+        }
+        GossipAction::Rollback(rollback) => {
+            node.state.borrow_mut().rollouts.on_rollback(rollback);
+        }
+        GossipAction::Crash(report) => {
+            let actions = node
+                .state
+                .borrow_mut()
+                .quarantine
+                .on_report(&report, node.clock.wall());
+            node.apply_quarantine(actions);
+        }
+        GossipAction::Evidence { from, report } => {
+            let wall = node.clock.wall();
+            node.state
+                .borrow_mut()
+                .rollouts
+                .on_report(now, wall, &from, &report);
+        }
+        GossipAction::VersionStatus {
+            version,
+            have,
+            total,
+            missing,
+        } => {
+            publish::on_version_status(node, version, have, total, &missing);
+        }
+        GossipAction::DeclaredDead => {
+            info!(node.log, "this node was declared dead and has refuted it");
+        }
+    }
+}
+
+fn send(node: &Node, to: SocketAddr, packet: &Packet) {
+    let Ok(payload) = codec::encode_compact(packet) else {
+        return;
+    };
+    let nonce = node.state.borrow_mut().rng.next_u64();
+    let datagram = auth::seal(&node.keys[0], node.clock.wall(), nonce, &payload);
+    if udp::send(&node.udp, to, &datagram) {
+        node.metrics
+            .gossip_bytes_sent
+            .increment(datagram.len() as u64 + UDP_OVERHEAD);
+    }
+}
+
+fn on_member(node: &Rc<Node>, before: Option<&Member>, after: &Member) {
+    let placed = |member: Option<&Member>| member.map(|m| (m.status, m.backend.clone()));
+    if placed(before) != placed(Some(after)) {
+        info!(node.log, "member changed"; "member" => after.id.as_str(),
+        "status" => format!("{:?}", after.status), "incarnation" => after.incarnation,
+        "backend" => after.backend.as_ref().map_or_else(String::new, |b| {
+            format!("{} {} {}", b.service, b.version, if b.up { "up" } else { "down" })
+        }));
+    }
+    let now = node.clock.now();
+    let mut state = node.state.borrow_mut();
+    state.balancer.on_member(now, after);
+    let backends = [before, Some(after)]
+        .into_iter()
+        .flatten()
+        .filter_map(|m| m.backend.as_ref());
+    for backend in backends {
+        let slots = state
+            .gossip
+            .members()
+            .iter()
+            .filter(|m| m.status < MemberStatus::Leaving);
+        let slots = slots
+            .filter_map(|m| m.backend.as_ref())
+            .filter(|b| b.up && b.service == backend.service && b.version == backend.version)
+            .map(|b| b.slots)
+            .sum();
+        state
+            .rollouts
+            .on_slots(backend.service.as_str(), backend.version.as_str(), slots);
+    }
+    let alive = state
+        .gossip
+        .members()
+        .iter()
+        .filter(|m| m.status < MemberStatus::Leaving)
+        .count();
+    node.metrics
+        .members
+        .set(u32::try_from(alive).unwrap_or(u32::MAX));
+}
+
+fn sync(node: &Rc<Node>, addr: SocketAddr) {
+    let node = node.clone();
+    actix_rt::spawn(async move {
+        let own = node.state.borrow().gossip.sync_state();
+        let answer: Result<SyncState, _> =
+            node.ask_peer(addr, "/peer/sync", &own, SYNC_TIMEOUT).await;
+        match answer {
+            Ok(theirs) => on_sync(&node, theirs),
+            Err(failure) => {
+                debug!(node.log, "state exchange failed"; "failure" => failure.to_string());
+                node.state
+                    .borrow_mut()
+                    .gossip
+                    .on_sync_failed(node.clock.now());
+            }
+        }
+    });
+}
+
+/// Takes over the replicated state of a peer.
+pub fn on_sync(node: &Rc<Node>, theirs: SyncState) {
+    let (now, wall) = (node.clock.now(), node.clock.wall());
+    let actions = node.state.borrow_mut().gossip.on_sync(now, wall, theirs);
+    apply(node, actions);
+}
+
+fn expire_backend(node: &Rc<Node>) {
+    let now = node.clock.now();
+    let expired = node.state.borrow_mut().backend.expire(now);
+    if expired {
+        info!(node.log, "backend server is down"; "reason" => "no announcement");
+        backend_changed(node);
+    }
+}
+
+/// Tells the fleet and the rollouts about a change of the backend server beside the node.
+pub fn backend_changed(node: &Rc<Node>) {
+    let (now, wall) = (node.clock.now(), node.clock.wall());
+    let mut state = node.state.borrow_mut();
+    let backend = state.backend.state();
+    if let Some(backend) = &backend {
+        state.admission.set_slots(backend.slots);
+    }
+    let serving = backend
+        .as_ref()
+        .filter(|b| b.up)
+        .map(|b| (b.service.clone(), b.version.clone()));
+    state.rollouts.set_serving(serving);
+    let actions = state.gossip.set_backend(now, wall, backend);
+    drop(state);
+    apply(node, actions);
+}
+
+fn tick_rollouts(node: &Rc<Node>) {
+    let (now, wall) = (node.clock.now(), node.clock.wall());
+    let actions = node.state.borrow_mut().rollouts.tick(now, wall);
+    for action in actions {
+        let sends = match action {
+            RolloutAction::SendReport(report) => send_report(node, &report),
+            RolloutAction::Advance(progress) => {
+                info!(node.log, "rollout advanced"; "service" => progress.key.service.as_str(),
+                    "version" => progress.key.to.as_str(), "step" => progress.step);
+                node.state
+                    .borrow_mut()
+                    .gossip
+                    .submit_progress(now, wall, progress)
+            }
+            RolloutAction::RollBack(rollback) => {
+                log_writer::append_record(node, &ConfigRecord::Rollback(rollback.clone()));
+                node.state
+                    .borrow_mut()
+                    .gossip
+                    .submit_rollback(now, wall, rollback)
+            }
+            RolloutAction::Outcome(outcome) => {
+                node.report_record(outcome);
+                Vec::new()
+            }
+        };
+        apply(node, sends);
+    }
+}
+
+fn send_report(node: &Rc<Node>, report: &EvidenceReport) -> Vec<GossipAction> {
+    let mut state = node.state.borrow_mut();
+    let serves = |m: &&Member| {
+        m.backend
+            .as_ref()
+            .is_some_and(|b| b.service == report.key.service)
+    };
+    let me = &node.settings.id;
+    let to: Vec<_> = state
+        .gossip
+        .members()
+        .iter()
+        .filter(|m| m.status < MemberStatus::Leaving && m.id != *me)
+        .filter(serves)
+        .map(|m| m.id.clone())
+        .collect();
+    state.gossip.send_evidence(node.clock.now(), &to, report)
+}
--- /dev/null
+++ b/src/node/headers.rs
@@ -0,0 +1,72 @@
+//! Headers that pass from hop to hop.
+
+use actix_http::header::CONNECTION;
+use actix_http::header::CONTENT_LENGTH;
+use actix_http::header::EXPECT;
+use actix_http::header::HOST;
+use actix_http::header::HeaderMap;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
+use actix_http::header::PROXY_AUTHENTICATE;
+use actix_http::header::PROXY_AUTHORIZATION;
+use actix_http::header::TE;
+use actix_http::header::TRAILER;
+use actix_http::header::TRANSFER_ENCODING;
+use actix_http::header::UPGRADE;
+
+/// Prefix of the headers by which nodes talk to each other.
+const INTERNAL_PREFIX: &str = "sw-";
+/// Headers that belong to one connection (RFC 9110, section 7.6.1), and those that each hop sets.
+const HOP_BY_HOP: [HeaderName; 9] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    EXPECT,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Whether a header is passed on unchanged.
+#[must_use]
+pub fn is_end_to_end(name: &HeaderName) -> bool {
+    !HOP_BY_HOP.contains(name)
+        && !name.as_str().starts_with(INTERNAL_PREFIX)
+        && name.as_str() != "keep-alive"
+}
+
+/// Copies the headers that are passed on, with room for `extra` more.
+#[must_use]
+pub fn end_to_end(headers: &HeaderMap, extra: usize) -> Vec<(HeaderName, HeaderValue)> {
+    let mut kept = Vec::with_capacity(headers.len() + extra);
+    for (name, value) in headers {
+        if is_end_to_end(name) {
+            kept.push((name.clone(), value.clone()));
+        }
+    }
+    kept
+}
+
+/// Returns a header's value if it is readable text.
+#[must_use]
+pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Returns a header's value as a number.
+#[must_use]
+pub fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    text(headers, name)?.parse().ok()
+}
+
+/// Returns the host of a request without its port.
+#[must_use]
+pub fn host(headers: &HeaderMap) -> &str {
+    let host = headers
+        .get(HOST)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
--- /dev/null
+++ b/src/node/keyed.rs
@@ -0,0 +1,331 @@
+//! Calls with an idempotency key on routes that are not idempotent: claims the key at its replicas
+//! before dispatch, and keeps keys for others. See `docs/design.md`, section 3, "At most once".
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use actix_http::header::CONTENT_TYPE;
+use actix_http::header::HeaderValue;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use slog::info;
+
+use crate::coordination::idempotency::Claimant;
+use crate::coordination::idempotency::Decision;
+use crate::coordination::idempotency::MAX_ANSWER_BYTES;
+use crate::coordination::idempotency::REPLICAS;
+use crate::coordination::idempotency::ReplicaView;
+use crate::coordination::idempotency::replicas_for;
+use crate::coordination::idempotency::scoped_key;
+use crate::node::Node;
+use crate::node::entry;
+use crate::node::entry::CallResult;
+use crate::node::entry::EntryCall;
+use crate::node::serving::Downstream;
+use crate::node::serving::ServeAnswer;
+use crate::protocol::call::Run;
+use crate::protocol::claim::ClaimId;
+use crate::protocol::claim::ClaimReply;
+use crate::protocol::claim::ClaimRequest;
+use crate::protocol::claim::CompleteRequest;
+use crate::protocol::claim::RecordedAnswer;
+use crate::protocol::claim::ReleaseRequest;
+use crate::protocol::codec;
+use crate::protocol::name::NodeId;
+use crate::protocol::time::WallMs;
+use crate::protocol::time::millis;
+use crate::result_code::Failure;
+use crate::result_code::ResultCode;
+
+/// Time limit of a completion or release; both are repeated.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Attempts to tell a key replica the end of a call.
+const REPORT_ATTEMPTS: u32 = 4;
+
+type Replica = Option<(NodeId, SocketAddr)>;
+
+/// A keyed call at the entry node, from its claim to its end.
+pub struct KeyedCall {
+    node: Rc<Node>,
+    claimant: Claimant,
+    replicas: [Replica; REPLICAS],
+}
+
+impl KeyedCall {
+    /// Asks for the right to make one attempt.
+    pub fn permit(&mut self, node: &Node) -> Result<(), (ResultCode, Run)> {
+        self.claimant
+            .dispatch(node.clock.now(), node.clock.wall())
+            .map_err(|decision| match decision {
+                Decision::Refuse(code, run) => (code, run),
+                Decision::Dispatch | Decision::Replay(_) => {
+                    (ResultCode::OutcomeUnknown, Run::Unknown)
+                }
+            })
+    }
+
+    /// Notes that the last attempt did not run.
+    pub fn not_run(&mut self) {
+        self.claimant.not_run();
+    }
+
+    fn end(&mut self, result: &CallResult) {
+        let answer = match result {
+            CallResult::Answered(answer) => Some(recorded(answer)),
+            CallResult::Failed(..) => None,
+        };
+        if let Some(request) = self.claimant.complete(answer) {
+            self.tell_all(&request);
+        }
+    }
+
+    fn tell_all(&self, request: &CompleteRequest) {
+        for (node, addr) in self.replicas.iter().flatten() {
+            tell(
+                &self.node,
+                node,
+                *addr,
+                "/peer/complete",
+                request.clone(),
+                |node, request| {
+                    let now = node.clock.now();
+                    node.state.borrow_mut().key_replica.complete(now, request);
+                },
+            );
+        }
+    }
+}
+
+/// A call that is cancelled before its end leaves its claim in a definite state.
+impl Drop for KeyedCall {
+    fn drop(&mut self) {
+        if !self.claimant.abandon() {
+            if let Some(request) = self.claimant.complete(None) {
+                self.tell_all(&request);
+            }
+            return;
+        }
+        for (replica, request) in self.claimant.releases() {
+            let Some((node, addr)) = &self.replicas[replica] else {
+                continue;
+            };
+            tell(
+                &self.node,
+                node,
+                *addr,
+                "/peer/release",
+                request,
+                |node, request| {
+                    let now = node.clock.now();
+                    node.state.borrow_mut().key_replica.release(now, request);
+                },
+            );
+        }
+    }
+}
+
+/// Sends a report to a key replica, which may be this node itself.
+fn tell<Q: serde::Serialize + 'static>(
+    node: &Rc<Node>,
+    to: &NodeId,
+    addr: SocketAddr,
+    path: &'static str,
+    request: Q,
+    here: impl Fn(&Node, &Q),
+) {
+    if *to == node.settings.id {
+        here(node, &request);
+        return;
+    }
+    let node = node.clone();
+    actix_rt::spawn(async move {
+        for attempt in 1..=REPORT_ATTEMPTS {
+            let told: Result<(), Failure> =
+                node.ask_peer(addr, path, &request, REPORT_TIMEOUT).await;
+            if told.is_ok() {
+                return;
+            }
+            actix_rt::time::sleep(REPORT_TIMEOUT * attempt).await;
+        }
+    });
+}
+
+fn recorded(answer: &ServeAnswer) -> RecordedAnswer {
+    let content_type = answer
+        .headers
+        .iter()
+        .find(|(name, _)| *name == CONTENT_TYPE);
+    RecordedAnswer {
+        status: answer.status.as_u16(),
+        content_type: content_type
+            .and_then(|(_, value)| value.to_str().ok())
+            .map(str::to_owned),
+        body: (answer.body.len() <= MAX_ANSWER_BYTES).then(|| answer.body.to_vec()),
+    }
+}
+
+/// Claims the key, then makes the call.
+pub async fn run(
+    node: &Rc<Node>,
+    call: &EntryCall,
+    key: Arc<str>,
+    used: &mut Downstream,
+) -> CallResult {
+    let mut keyed = match begin(node, call, &key) {
+        Ok(keyed) => keyed,
+        Err((code, run)) => return CallResult::Failed(code, run),
+    };
+    let decision = claim(node, &mut keyed).await;
+    info!(node.log, "key claimed"; "call" => format!("{:016x}", call.call),
+    "decision" => match &decision {
+        Decision::Dispatch => "dispatch",
+        Decision::Replay(_) => "replay",
+        Decision::Refuse(..) => "refuse",
+    });
+    match decision {
+        Decision::Dispatch => {}
+        Decision::Replay(answer) => return replay(answer),
+        Decision::Refuse(code, run) => return CallResult::Failed(code, run),
+    }
+    let result = entry::attempt_all(node, call, Some(&mut keyed), used).await;
+    keyed.end(&result);
+    result
+}
+
+fn begin(node: &Rc<Node>, call: &EntryCall, key: &str) -> Result<KeyedCall, (ResultCode, Run)> {
+    let snapshot = node.snapshot().ok_or((ResultCode::NotReady, Run::No))?;
+    let key = scoped_key(&call.route.name, key);
+    let mut state = node.state.borrow_mut();
+    let regions = &snapshot.versioned().document.regions;
+    let replicas = replicas_for(&key, regions, state.gossip.members());
+    state.claims += 1;
+    let claim = ClaimId {
+        node: node.settings.id.clone(),
+        started_ms: state.gossip.me().started_at.0,
+        sequence: state.claims,
+    };
+    drop(state);
+    let domains = [0, 1, 2].map(|i| replicas[i].as_ref().map(|(domain, ..)| domain.clone()));
+    let (now, wall) = (node.clock.now(), node.clock.wall());
+    Ok(KeyedCall {
+        node: node.clone(),
+        claimant: Claimant::new(
+            now,
+            wall,
+            call.deadline,
+            claim,
+            key,
+            call.fingerprint,
+            domains,
+        ),
+        replicas: replicas.map(|replica| replica.map(|(_, id, addr)| (id, addr))),
+    })
+}
+
+async fn claim(node: &Rc<Node>, keyed: &mut KeyedCall) -> Decision {
+    let mut replies = FuturesUnordered::new();
+    for replica in 0..REPLICAS {
+        let request = keyed.claimant.request(replica);
+        let target = keyed.replicas[replica].clone();
+        let limit = keyed.claimant.timeout_at().saturating_sub(node.clock.now());
+        replies.push(async move {
+            let reply = match (request, target) {
+                (Some(request), Some((id, _))) if id == node.settings.id => {
+                    Ok(decide(node, &request))
+                }
+                (Some(request), Some((_, addr))) => {
+                    node.ask_peer(addr, "/peer/claim", &request, limit).await
+                }
+                _ => Err(Failure::new(
+                    ResultCode::KeyReplicasUnreachable,
+                    "no member in the failure domain",
+                )),
+            };
+            (replica, reply)
+        });
+    }
+    while let Some((replica, reply)) = replies.next().await {
+        let now = node.clock.now();
+        let decision = match reply {
+            Ok(reply) => keyed.claimant.on_reply(now, replica, reply),
+            Err(_) => keyed.claimant.on_unreachable(now, replica),
+        };
+        if let Some(decision) = decision {
+            // The claims that are still under way go on, so that their grants can be released.
+            return decision;
+        }
+    }
+    Decision::Refuse(ResultCode::KeyReplicasUnreachable, Run::No)
+}
+
+fn replay(answer: RecordedAnswer) -> CallResult {
+    let Some(body) = answer.body else {
+        return CallResult::Failed(ResultCode::AnswerNotKept, Run::Yes);
+    };
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let content_type = answer
+        .content_type
+        .and_then(|text| HeaderValue::try_from(text).ok());
+    CallResult::Answered(ServeAnswer {
+        status,
+        headers: content_type
+            .map(|value| (CONTENT_TYPE, value))
+            .into_iter()
+            .collect(),
+        body: Bytes::from(body),
+        run: Run::Yes,
+        code: None,
+        load: 0,
+        attempts_left: 0,
+    })
+}
+
+fn decide(node: &Node, request: &ClaimRequest) -> ClaimReply {
+    let (now, wall) = (node.clock.now(), node.clock.wall());
+    let mut state = node.state.borrow_mut();
+    let state = &mut *state;
+    let dead_at = state.gossip.declared_dead_at();
+    let view = ReplicaView {
+        members: state.gossip.members(),
+        started_at: state.gossip.me().started_at,
+        declared_dead_at: dead_at.map(|at| wall_at(node, at)),
+        departed: state.gossip.departed(wall),
+    };
+    state.key_replica.claim(now, wall, &view, request)
+}
+
+/// Returns the wall time of a past monotonic time.
+fn wall_at(node: &Node, at: Duration) -> WallMs {
+    let ago = node.clock.now().saturating_sub(at);
+    WallMs(node.clock.wall().0.saturating_sub(millis(ago)))
+}
+
+/// Decides on the claim of another node.
+pub fn on_claim(node: &Node, body: &[u8]) -> Result<Vec<u8>, Failure> {
+    let request = codec::decode(body)?;
+    codec::encode(&decide(node, &request))
+}
+
+/// Takes back a claim of another node.
+pub fn on_release(node: &Node, body: &[u8]) -> Result<Vec<u8>, Failure> {
+    let request: ReleaseRequest = codec::decode(body)?;
+    node.state
+        .borrow_mut()
+        .key_replica
+        .release(node.clock.now(), &request);
+    codec::encode(&())
+}
+
+/// Records the end of a call of another node.
+pub fn on_complete(node: &Node, body: &[u8]) -> Result<Vec<u8>, Failure> {
+    let request: CompleteRequest = codec::decode(body)?;
+    node.state
+        .borrow_mut()
+        .key_replica
+        .complete(node.clock.now(), &request);
+    codec::encode(&())
+}
--- /dev/null
+++ b/src/node/serving.rs
@@ -0,0 +1,583 @@
+//! Runs calls on the backend server beside this node. See `docs/design.md`, section 3.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_http::StatusCode;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
+use actix_http::uri::PathAndQuery;
+use actix_rt::net::TcpStream;
+use bytes::Bytes;
+use slog::info;
+use tokio::sync::oneshot;
+
+use crate::coordination::admission::Admit;
+use crate::coordination::admission::CallState;
+use crate::coordination::admission::Changes;
+use crate::coordination::admission::Permit;
+use crate::coordination::admission::RunEnd;
+use crate::coordination::admission::Ticket;
+use crate::coordination::quarantine::QuarantineAction;
+use crate::coordination::quarantine::fingerprint;
+use crate::coordination::rollout::CallOutcome;
+use crate::coordination::rollout::CallSample;
+use crate::coordination::rollout::CrashSample;
+use crate::node::Node;
+use crate::node::backend::BackendAnnouncement;
+use crate::node::gossip_loop;
+use crate::node::headers;
+use crate::protocol::call::ATTEMPTS_HEADER;
+use crate::protocol::call::CALL_HEADER;
+use crate::protocol::call::DEADLINE_HEADER;
+use crate::protocol::call::MAX_BODY_BYTES;
+use crate::protocol::call::Run;
+use crate::protocol::gossip::CrashReport;
+use crate::protocol::name::RouteName;
+use crate::protocol::name::ServiceName;
+use crate::protocol::name::VersionName;
+use crate::protocol::time::millis;
+use crate::result_code::ResultCode;
+use crate::transport::http_client::HttpAnswer;
+use crate::transport::http_client::Outgoing;
+use crate::transport::http_client::SendFailure;
+
+/// Time in which a connection to a backend server is accepted that has not crashed.
+const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Pause before the crash probe; a process that dies closes its listening socket in this time.
+const CRASH_PROBE_DELAY: Duration = Duration::from_millis(50);
+
+/// A call for the backend server beside this node.
+#[derive(Debug)]
+pub struct ServeRequest {
+    /// Identity of the call.
+    pub call: u64,
+    /// Route that the entry node chose.
+    pub route: RouteName,
+    /// Service that the call is for.
+    pub service: ServiceName,
+    /// Version that the entry node chose.
+    pub version: VersionName,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: PathAndQuery,
+    /// Headers that are passed on.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// Whole body.
+    pub body: Bytes,
+    /// Time limit of the attempt.
+    pub timeout: Duration,
+    /// Retries that the backend server may use in calls of its own.
+    pub attempts: u8,
+}
+
+/// Result of a call on the backend server beside this node.
+#[derive(Debug)]
+pub struct ServeAnswer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers that are passed on.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// Whole body.
+    pub body: Bytes,
+    /// Whether the call ran.
+    pub run: Run,
+    /// Result code if the node made the answer itself.
+    pub code: Option<ResultCode>,
+    /// Calls that run or wait at this node.
+    pub load: u32,
+    /// Retries that are left of those passed on.
+    pub attempts_left: u8,
+}
+
+/// Use of other services by one running call.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Downstream {
+    /// Time spent in other services.
+    pub time: Duration,
+    /// Whether a call to another service failed.
+    pub failed: bool,
+    /// Retries used.
+    pub retries: u8,
+}
+
+/// Calls that run on the backend server, sorted by id, with what they used of other services.
+#[derive(Debug, Default)]
+pub struct RunningCalls(Vec<(u64, Downstream)>);
+
+impl RunningCalls {
+    fn begin(&mut self, call: u64) {
+        let index = self.0.partition_point(|(id, _)| *id < call);
+        self.0.insert(index, (call, Downstream::default()));
+    }
+
+    fn end(&mut self, call: u64) -> Downstream {
+        match self.0.binary_search_by_key(&call, |(id, _)| *id) {
+            Ok(index) => self.0.remove(index).1,
+            Err(_) => Downstream::default(),
+        }
+    }
+
+    /// Charges a call to another service to the running call that made it.
+    pub fn charge(&mut self, parent: u64, used: Downstream) {
+        if let Ok(index) = self.0.binary_search_by_key(&parent, |(id, _)| *id) {
+            let sum = &mut self.0[index].1;
+            sum.time += used.time;
+            sum.failed |= used.failed;
+            sum.retries = sum.retries.saturating_add(used.retries);
+        }
+    }
+}
+
+type Admitted = Result<Permit, ResultCode>;
+
+/// Calls that wait for a slot, sorted by ticket.
+#[derive(Debug, Default)]
+pub struct WaitingCalls(Vec<(Ticket, oneshot::Sender<Admitted>)>);
+
+impl WaitingCalls {
+    fn add(&mut self, ticket: Ticket) -> oneshot::Receiver<Admitted> {
+        let (tx, rx) = oneshot::channel();
+        let index = self.0.partition_point(|(other, _)| *other < ticket);
+        self.0.insert(index, (ticket, tx));
+        rx
+    }
+
+    fn take(&mut self, ticket: Ticket) -> Option<oneshot::Sender<Admitted>> {
+        let index = self
+            .0
+            .binary_search_by_key(&ticket, |(other, _)| *other)
+            .ok()?;
+        Some(self.0.remove(index).1)
+    }
+}
+
+impl Node {
+    /// Tells waiting calls what the admission decided.
+    pub(super) fn apply_admission(&self, mut changes: Changes) {
+        loop {
+            let mut lost = Vec::new();
+            let mut state = self.state.borrow_mut();
+            for (ticket, code) in changes.refuse {
+                if let Some(tx) = state.waiting.take(ticket) {
+                    let _ = tx.send(Err(code));
+                }
+            }
+            for (ticket, permit) in changes.start {
+                match state.waiting.take(ticket) {
+                    Some(tx) => lost.extend(tx.send(Ok(permit)).err().and_then(Result::ok)),
+                    None => lost.push(permit),
+                }
+            }
+            // A call that was cancelled meanwhile gives its slot to the next one.
+            let Some(permit) = lost.pop() else {
+                return;
+            };
+            let now = self.clock.now();
+            changes = state.admission.finish(now, permit, RunEnd::Aborted);
+            for permit in lost {
+                let more = state.admission.finish(now, permit, RunEnd::Aborted);
+                changes.start.extend(more.start);
+                changes.refuse.extend(more.refuse);
+            }
+        }
+    }
+
+    /// Hands all waiting calls back as not run and refuses new ones.
+    pub(super) fn drain_admission(&self) {
+        let mut state = self.state.borrow_mut();
+        for ticket in state.admission.drain() {
+            if let Some(tx) = state.waiting.take(ticket) {
+                let _ = tx.send(Err(ResultCode::Draining));
+            }
+        }
+    }
+
+    /// Carries out what the quarantine decided.
+    pub(super) fn apply_quarantine(self: &Rc<Self>, actions: Vec<QuarantineAction>) {
+        let (now, wall) = (self.clock.now(), self.clock.wall());
+        for action in actions {
+            match action {
+                QuarantineAction::Spread(report) => {
+                    let sends = self
+                        .state
+                        .borrow_mut()
+                        .gossip
+                        .submit_crash(now, wall, report);
+                    gossip_loop::apply(self, sends);
+                }
+                QuarantineAction::Quarantined {
+                    fingerprint,
+                    code,
+                    text,
+                } => {
+                    self.state.borrow_mut().rollouts.on_explained(fingerprint);
+                    let subject = format!("request {fingerprint:016x}");
+                    self.report(
+                        code,
+                        format!("quarantine/{fingerprint:016x}/{}", wall.0 / 600_000),
+                        subject,
+                        text,
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// Gives the slot back when the call ends or is cancelled.
+struct Slot {
+    node: Rc<Node>,
+    call: u64,
+    permit: Option<Permit>,
+}
+
+impl Slot {
+    fn end(&mut self, end: RunEnd) -> Downstream {
+        let Some(permit) = self.permit.take() else {
+            return Downstream::default();
+        };
+        let now = self.node.clock.now();
+        let mut state = self.node.state.borrow_mut();
+        let used = state.running.end(self.call);
+        let changes = state.admission.finish(now, permit, end);
+        drop(state);
+        self.node.apply_admission(changes);
+        used
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.end(RunEnd::Aborted);
+    }
+}
+
+/// Leaves the queue when a waiting call is cancelled.
+struct QueuePlace {
+    node: Rc<Node>,
+    ticket: Ticket,
+}
+
+impl Drop for QueuePlace {
+    fn drop(&mut self) {
+        let mut state = self.node.state.borrow_mut();
+        state.admission.cancel(self.ticket);
+        state.waiting.take(self.ticket);
+    }
+}
+
+/// Runs a call on the backend server, or refuses it as not run.
+pub async fn serve(node: &Rc<Node>, req: ServeRequest) -> ServeAnswer {
+    let mut call = CallState::new();
+    let hash = fingerprint(
+        req.method.as_str(),
+        req.route.as_str(),
+        req.target.as_str(),
+        &req.body,
+    );
+    let backend = match check(node, &req, hash) {
+        Ok(backend) => backend,
+        Err(code) => return refuse(node, &req, call.answer(Run::No), code),
+    };
+    let permit = match admit(node, req.timeout).await {
+        Ok(permit) => permit,
+        Err(code) => return refuse(node, &req, call.answer(Run::No), code),
+    };
+    let began = node.clock.now();
+    node.state.borrow_mut().running.begin(req.call);
+    let mut slot = Slot {
+        node: node.clone(),
+        call: req.call,
+        permit: Some(permit),
+    };
+    let result = forward(node, &req, backend.addr).await;
+    if let Some(permit) = &slot.permit
+        && !matches!(result, Err(SendFailure::NotConnected(_)))
+    {
+        call.forward(permit);
+    }
+    let latency = node.clock.since(began);
+    node.metrics.backend_latency.record(latency);
+    let used = slot.end(run_end(&result));
+    let ended = EndedCall {
+        req: &req,
+        backend: &backend,
+        hash,
+        latency,
+        used,
+    };
+    record(node, &ended, &result);
+    let left = req.attempts.saturating_sub(used.retries);
+    answer(node, &req, &mut call, result, left)
+}
+
+fn check(node: &Node, req: &ServeRequest, hash: u64) -> Result<BackendAnnouncement, ResultCode> {
+    let state = node.state.borrow();
+    if state.quarantine.is_quarantined(hash, node.clock.wall()) {
+        return Err(ResultCode::RequestQuarantined);
+    }
+    let backend = state.backend.available().ok_or(ResultCode::NoBackend)?;
+    if backend.service != req.service || backend.version != req.version {
+        return Err(ResultCode::NoBackend);
+    }
+    Ok(backend.clone())
+}
+
+async fn admit(node: &Rc<Node>, timeout: Duration) -> Admitted {
+    let now = node.clock.now();
+    let (rx, ticket, wait) = {
+        let mut state = node.state.borrow_mut();
+        match state.admission.offer(now, now + timeout) {
+            Admit::Run(permit) => return Ok(permit),
+            Admit::Refuse(code) => return Err(code),
+            Admit::Wait(ticket) => {
+                let rx = state.waiting.add(ticket);
+                let next = state.admission.next_tick(now).unwrap_or(now + timeout);
+                (rx, ticket, next.saturating_sub(now))
+            }
+        }
+    };
+    let place = QueuePlace {
+        node: node.clone(),
+        ticket,
+    };
+    let expiry = node.clone();
+    actix_rt::spawn(async move {
+        actix_rt::time::sleep(wait + Duration::from_millis(1)).await;
+        let changes = expiry.state.borrow_mut().admission.tick(expiry.clock.now());
+        expiry.apply_admission(changes);
+    });
+    let admitted = rx.await.unwrap_or(Err(ResultCode::Overloaded));
+    drop(place);
+    admitted
+}
+
+async fn forward(
+    node: &Node,
+    req: &ServeRequest,
+    addr: SocketAddr,
+) -> Result<HttpAnswer, SendFailure> {
+    let mut headers = Vec::with_capacity(req.headers.len() + 3);
+    headers.extend(req.headers.iter().cloned());
+    let number = |name, value: String| {
+        let value = HeaderValue::try_from(value).expect("digits make a valid header value");
+        (HeaderName::from_static(name), value)
+    };
+    headers.push(number(CALL_HEADER, format!("{:016x}", req.call)));
+    headers.push(number(DEADLINE_HEADER, millis(req.timeout).to_string()));
+    headers.push(number(ATTEMPTS_HEADER, req.attempts.to_string()));
+    let outgoing = Outgoing {
+        method: req.method.clone(),
+        target: req.target.clone(),
+        headers,
+        body: req.body.clone(),
+        timeout: req.timeout,
+        max_answer: MAX_BODY_BYTES,
+    };
+    node.backend_http.send(addr, outgoing).await
+}
+
+fn run_end(result: &Result<HttpAnswer, SendFailure>) -> RunEnd {
+    match result {
+        Ok(answer) if matches!(answer.status.as_u16(), 429 | 503) => RunEnd::Shed,
+        Ok(_) => RunEnd::Responded,
+        Err(SendFailure::TimedOut) => RunEnd::TimedOut,
+        Err(_) => RunEnd::Aborted,
+    }
+}
+
+struct EndedCall<'a> {
+    req: &'a ServeRequest,
+    backend: &'a BackendAnnouncement,
+    hash: u64,
+    latency: Duration,
+    used: Downstream,
+}
+
+/// Hands the result to the evidence. A connection that broke may be a crash, which takes a probe to
+/// tell; a call that was never sent is no evidence.
+fn record(node: &Rc<Node>, call: &EndedCall<'_>, result: &Result<HttpAnswer, SendFailure>) {
+    match result {
+        Err(SendFailure::NotConnected(_)) => mark_down(node, "connection refused"),
+        Err(SendFailure::Broken(_)) => {
+            let (req, hash) = (call.req, call.hash);
+            let crash = SuspectedCrash {
+                addr: call.backend.addr,
+                service: req.service.clone(),
+                version: req.version.clone(),
+                route: req.route.clone(),
+                hash,
+                backend_start: node.state.borrow().backend.starts(),
+                latency: call.latency,
+                used: call.used,
+            };
+            let node = node.clone();
+            actix_rt::spawn(async move { probe_crash(&node, crash).await });
+        }
+        Ok(answer) => {
+            let failed = answer.status.is_server_error();
+            record_sample(
+                node,
+                &call.req.service,
+                &call.req.version,
+                &call.req.route,
+                failed,
+                call.latency,
+                call.used,
+            );
+        }
+        Err(_) => {
+            record_sample(
+                node,
+                &call.req.service,
+                &call.req.version,
+                &call.req.route,
+                true,
+                call.latency,
+                call.used,
+            );
+        }
+    }
+}
+
+fn record_sample(
+    node: &Node,
+    service: &ServiceName,
+    version: &VersionName,
+    route: &RouteName,
+    failed: bool,
+    latency: Duration,
+    used: Downstream,
+) {
+    let (now, wall) = (node.clock.now(), node.clock.wall());
+    let mut state = node.state.borrow_mut();
+    let cold_start = state
+        .store
+        .current()
+        .and_then(|s| s.service(service.as_str()).map(|s| s.cold_start_ms));
+    let cold = state
+        .backend
+        .is_cold(now, Duration::from_millis(cold_start.unwrap_or_default()));
+    let sample = CallSample {
+        service: service.as_str(),
+        version: version.as_str(),
+        route,
+        outcome: if failed {
+            CallOutcome::Failure
+        } else {
+            CallOutcome::Success
+        },
+        latency,
+        downstream: used.time.min(latency),
+        downstream_failed: used.failed,
+        cold,
+    };
+    state.rollouts.record(now, wall, &sample);
+}
+
+struct SuspectedCrash {
+    addr: SocketAddr,
+    service: ServiceName,
+    version: VersionName,
+    route: RouteName,
+    hash: u64,
+    backend_start: u64,
+    latency: Duration,
+    used: Downstream,
+}
+
+async fn probe_crash(node: &Rc<Node>, crash: SuspectedCrash) {
+    actix_rt::time::sleep(CRASH_PROBE_DELAY).await;
+    let probe = actix_rt::time::timeout(CRASH_PROBE_TIMEOUT, TcpStream::connect(crash.addr)).await;
+    if matches!(probe, Ok(Ok(_))) && node.state.borrow().backend.starts() == crash.backend_start {
+        record_sample(
+            node,
+            &crash.service,
+            &crash.version,
+            &crash.route,
+            true,
+            crash.latency,
+            crash.used,
+        );
+        return;
+    }
+    mark_down(node, "crashed");
+    let (now, wall) = (node.clock.now(), node.clock.wall());
+    let sample = CrashSample {
+        service: crash.service.as_str(),
+        version: crash.version.as_str(),
+        route: &crash.route,
+        fingerprint: crash.hash,
+        backend_start: crash.backend_start,
+    };
+    let report = CrashReport {
+        fingerprint: crash.hash,
+        node: node.settings.id.clone(),
+        backend_start: crash.backend_start,
+        at: wall,
+    };
+    let mut state = node.state.borrow_mut();
+    state.rollouts.record_crash(now, wall, &sample);
+    let actions = state.quarantine.on_crash(&report, wall);
+    drop(state);
+    node.apply_quarantine(actions);
+}
+
+fn mark_down(node: &Rc<Node>, reason: &str) {
+    let was_up = node.state.borrow_mut().backend.mark_down();
+    if was_up {
+        info!(node.log, "backend server is down"; "reason" => reason);
+        gossip_loop::backend_changed(node);
+    }
+}
+
+fn answer(
+    node: &Node,
+    req: &ServeRequest,
+    call: &mut CallState,
+    result: Result<HttpAnswer, SendFailure>,
+    attempts_left: u8,
+) -> ServeAnswer {
+    match result {
+        Ok(answer) => ServeAnswer {
+            status: answer.status,
+            headers: headers::end_to_end(&answer.headers, 0),
+            body: answer.body,
+            run: call.answer(Run::Yes),
+            code: None,
+            load: node.state.borrow().admission.load(),
+            attempts_left,
+        },
+        Err(SendFailure::NotConnected(_)) => {
+            refuse(node, req, call.answer(Run::No), ResultCode::NoBackend)
+        }
+        Err(SendFailure::TooLarge) => refuse(
+            node,
+            req,
+            call.answer(Run::Unknown),
+            ResultCode::BodyTooLarge,
+        ),
+        Err(SendFailure::TimedOut | SendFailure::Broken(_)) => refuse(
+            node,
+            req,
+            call.answer(Run::Unknown),
+            ResultCode::OutcomeUnknown,
+        ),
+    }
+}
+
+fn refuse(node: &Node, req: &ServeRequest, run: Run, code: ResultCode) -> ServeAnswer {
+    ServeAnswer {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        headers: Vec::new(),
+        body: Bytes::new(),
+        run,
+        code: Some(code),
+        load: node.state.borrow().admission.load(),
+        attempts_left: if run == Run::No { req.attempts } else { 0 },
+    }
+}
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -1,1 +1,238 @@
-//! Not implemented yet.
+//! HTTP/1.1 client of a node, with one connection pool a peer so that a pool whose connections
+//! have gone silent can be dropped whole. See `docs/design.md`, section 3, "Unresponsive
+//! connections".
+
+use std::cell::RefCell;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_http::StatusCode;
+use actix_http::Uri;
+use actix_http::header::HeaderMap;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
+use actix_http::uri::Authority;
+use actix_http::uri::PathAndQuery;
+use actix_http::uri::Scheme;
+use awc::Client;
+use awc::Connector;
+use awc::error::ConnectError;
+use awc::error::SendRequestError;
+use bytes::Bytes;
+
+/// Time for which an idle connection is reused. Middleboxes lose track of idle connections; a
+/// fresh connection costs about 1 ms.
+pub const IDLE_REUSE: Duration = Duration::from_secs(2);
+/// Age at which a connection is replaced even if it is busy.
+pub const CONNECTION_LIFETIME: Duration = Duration::from_mins(5);
+/// Time limit for opening a connection.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Pools kept at the same time; the least recently used one is dropped first. An entry node talks
+/// to about 8 nodes a service that it calls.
+pub const MAX_POOLS: usize = 512;
+
+/// A complete answer.
+#[derive(Debug)]
+pub struct HttpAnswer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl HttpAnswer {
+    /// Returns a header's value if it is present and readable text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// Why no complete answer was received.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SendFailure {
+    /// No connection could be opened, so the peer has not seen the request.
+    NotConnected(String),
+    /// The connection broke after the request may have been sent.
+    Broken(String),
+    /// No complete answer came in time.
+    TimedOut,
+    /// The answer exceeds the limit.
+    TooLarge,
+}
+
+impl fmt::Display for SendFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotConnected(text) => write!(f, "not connected: {text}"),
+            Self::Broken(text) => write!(f, "connection broke: {text}"),
+            Self::TimedOut => f.write_str("timed out"),
+            Self::TooLarge => f.write_str("answer too large"),
+        }
+    }
+}
+
+/// A request to one address.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: PathAndQuery,
+    /// Headers besides `content-length`.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// Whole body.
+    pub body: Bytes,
+    /// Time limit for the complete answer.
+    pub timeout: Duration,
+    /// Largest body of the answer, bytes.
+    pub max_answer: usize,
+}
+
+struct Pool {
+    addr: SocketAddr,
+    authority: Authority,
+    client: Client,
+    last_used: u64,
+}
+
+/// Sends requests and keeps the connections to each peer.
+pub struct HttpClient {
+    pools: RefCell<Vec<Pool>>,
+    max_connections: usize,
+    uses: std::cell::Cell<u64>,
+}
+
+impl HttpClient {
+    /// Creates a client that opens at most `max_connections` to each peer.
+    #[must_use]
+    pub fn new(max_connections: usize) -> Self {
+        Self {
+            pools: RefCell::default(),
+            max_connections,
+            uses: std::cell::Cell::new(0),
+        }
+    }
+
+    /// Sends a request and returns the complete answer.
+    ///
+    /// An attempt that is dropped or times out closes its connection, so that a late answer cannot
+    /// be taken for the answer to another request.
+    ///
+    /// # Errors
+    /// A [`SendFailure`] that says whether the peer may have seen the request.
+    pub async fn send(
+        &self,
+        addr: SocketAddr,
+        outgoing: Outgoing,
+    ) -> Result<HttpAnswer, SendFailure> {
+        let timeout = outgoing.timeout;
+        let (client, authority) = self.pool(addr);
+        if let Ok(result) =
+            actix_rt::time::timeout(timeout, exchange(client, authority, outgoing)).await
+        {
+            return result;
+        }
+        self.retire(addr);
+        Err(SendFailure::TimedOut)
+    }
+
+    /// Drops all idle connections to a peer; the next request opens a new one.
+    pub fn retire(&self, addr: SocketAddr) {
+        let mut pools = self.pools.borrow_mut();
+        if let Ok(index) = pools.binary_search_by_key(&addr, |pool| pool.addr) {
+            pools.remove(index);
+        }
+    }
+
+    fn pool(&self, addr: SocketAddr) -> (Client, Authority) {
+        let use_number = self.uses.get() + 1;
+        self.uses.set(use_number);
+        let mut pools = self.pools.borrow_mut();
+        let found = pools.binary_search_by_key(&addr, |pool| pool.addr);
+        if let Ok(index) = found {
+            pools[index].last_used = use_number;
+            return (pools[index].client.clone(), pools[index].authority.clone());
+        }
+        if pools.len() >= MAX_POOLS
+            && let Some(oldest) = (0..pools.len()).min_by_key(|&index| pools[index].last_used)
+        {
+            pools.remove(oldest);
+        }
+        let pool = Pool {
+            addr,
+            authority: Authority::try_from(addr.to_string())
+                .expect("a socket address is a valid authority"),
+            client: new_client(self.max_connections),
+            last_used: use_number,
+        };
+        let result = (pool.client.clone(), pool.authority.clone());
+        let index = pools.partition_point(|pool| pool.addr < addr);
+        pools.insert(index, pool);
+        result
+    }
+}
+
+fn new_client(max_connections: usize) -> Client {
+    let connector = Connector::new()
+        .limit(max_connections)
+        .timeout(CONNECT_TIMEOUT)
+        .conn_keep_alive(IDLE_REUSE)
+        .conn_lifetime(CONNECTION_LIFETIME);
+    Client::builder()
+        .connector(connector)
+        .disable_redirects()
+        .disable_timeout()
+        .no_default_headers()
+        .finish()
+}
+
+async fn exchange(
+    client: Client,
+    authority: Authority,
+    outgoing: Outgoing,
+) -> Result<HttpAnswer, SendFailure> {
+    let mut parts = actix_http::uri::Parts::default();
+    parts.scheme = Some(Scheme::HTTP);
+    parts.authority = Some(authority);
+    parts.path_and_query = Some(outgoing.target);
+    let uri = Uri::from_parts(parts).map_err(|e| SendFailure::NotConnected(e.to_string()))?;
+    let mut request = client.request(outgoing.method, uri).no_decompress();
+    for (name, value) in outgoing.headers {
+        request.headers_mut().append(name, value);
+    }
+    let mut response = request
+        .send_body(outgoing.body)
+        .await
+        .map_err(send_failure)?;
+    let body = response
+        .body()
+        .limit(outgoing.max_answer)
+        .await
+        .map_err(|e| match e {
+            awc::error::PayloadError::Overflow => SendFailure::TooLarge,
+            other => SendFailure::Broken(other.to_string()),
+        })?;
+    Ok(HttpAnswer {
+        status: response.status(),
+        headers: response.headers().clone(),
+        body,
+    })
+}
+
+/// Tells apart what the peer cannot have seen. `ConnectError::Disconnected` is also reported when
+/// the connection closes after the request was sent, so it does not count as not connected.
+fn send_failure(error: SendRequestError) -> SendFailure {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            SendFailure::Broken("closed without an answer".into())
+        }
+        SendRequestError::Connect(other) => SendFailure::NotConnected(other.to_string()),
+        SendRequestError::Timeout => SendFailure::TimedOut,
+        other => SendFailure::Broken(other.to_string()),
+    }
+}
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -1,1 +1,168 @@
-//! Not implemented yet.
+//! HTTP/1.1 servers of a node: accept loop, limits and graceful stop.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::ConnectionType;
+use actix_http::HttpService;
+use actix_http::Payload;
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::body::BoxBody;
+use actix_rt::net::TcpListener;
+use actix_rt::task::JoinHandle;
+use actix_service::Service;
+use actix_service::ServiceFactory;
+use actix_service::fn_service;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
+
+use crate::result_code::Failure;
+use crate::result_code::ResultCode;
+
+/// Pause after a failed accept, for example when the process has no file descriptors left.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// Idle time after which a server closes a connection. It is longer than the time for which
+/// clients reuse idle connections, so that a client never sends on a connection that the server is
+/// about to close.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+/// Time in which a client has to send the head of its request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Answers one request.
+pub type Handler = Rc<dyn Fn(Request) -> LocalBoxFuture<'static, Response<BoxBody>>>;
+
+/// A running server; it stops accepting when it is dropped.
+pub struct HttpServer {
+    accept_loop: JoinHandle<()>,
+    connections: Rc<Cell<usize>>,
+}
+
+impl HttpServer {
+    /// Starts to serve `listener` with at most `max_connections` open connections.
+    ///
+    /// Connections beyond the limit are closed at once, so that a flood cannot use up the
+    /// descriptors and memory that open calls need.
+    #[must_use]
+    pub fn start(listener: TcpListener, max_connections: usize, handler: Handler) -> Self {
+        let connections = Rc::new(Cell::new(0));
+        let accept_loop = actix_rt::spawn(accept(
+            listener,
+            max_connections,
+            handler,
+            connections.clone(),
+        ));
+        Self {
+            accept_loop,
+            connections,
+        }
+    }
+
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// Closes the listening socket; open connections go on.
+    pub fn stop_accepting(&self) {
+        self.accept_loop.abort();
+    }
+}
+
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.accept_loop.abort();
+    }
+}
+
+struct ConnectionGuard(Rc<Cell<usize>>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    max_connections: usize,
+    handler: Handler,
+    connections: Rc<Cell<usize>>,
+) {
+    let factory = HttpService::build()
+        .keep_alive(KEEP_ALIVE)
+        .client_request_timeout(HEAD_TIMEOUT)
+        .client_disconnect_timeout(Duration::from_secs(1))
+        .h1_allow_half_closed(false)
+        .tcp_nodelay(true)
+        .h1(fn_service(move |req: Request| {
+            let answer = handler(req);
+            async move { Ok::<_, std::convert::Infallible>(answer.await) }
+        }))
+        .tcp();
+    let Ok(service) = factory.new_service(()).await else {
+        return;
+    };
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            actix_rt::time::sleep(ACCEPT_RETRY).await;
+            continue;
+        };
+        if connections.get() >= max_connections {
+            drop(stream);
+            continue;
+        }
+        connections.set(connections.get() + 1);
+        let guard = ConnectionGuard(connections.clone());
+        let connection = service.call(stream);
+        actix_rt::spawn(async move {
+            // A broken connection is the client's affair; the call itself reports its own result.
+            let _ = connection.await;
+            drop(guard);
+        });
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+/// [`ResultCode::BodyTooLarge`] if it is longer, [`ResultCode::BadRequest`] if it is cut.
+pub async fn read_body(payload: &mut Payload, limit: usize) -> Result<Bytes, Failure> {
+    let mut first: Option<Bytes> = None;
+    let mut rest = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk
+            .map_err(|e| Failure::new(ResultCode::BadRequest, format!("body was cut: {e}")))?;
+        let length = first.as_ref().map_or(0, Bytes::len) + rest.len() + chunk.len();
+        if length > limit {
+            return Err(Failure::new(
+                ResultCode::BodyTooLarge,
+                format!("body exceeds {limit} bytes"),
+            ));
+        }
+        // Most bodies arrive in one chunk, which is passed on without a copy.
+        match first {
+            None => first = Some(chunk),
+            Some(_) => rest.extend_from_slice(&chunk),
+        }
+    }
+    let first = first.unwrap_or_default();
+    if rest.is_empty() {
+        return Ok(first);
+    }
+    let mut whole = BytesMut::with_capacity(first.len() + rest.len());
+    whole.extend_from_slice(&first);
+    whole.extend_from_slice(&rest);
+    Ok(whole.freeze())
+}
+
+/// Makes the server close the connection after this answer, for a graceful stop.
+pub fn close_after(response: &mut Response<BoxBody>) {
+    response
+        .head_mut()
+        .set_connection_type(ConnectionType::Close);
+}
--- a/src/transport/log_client.rs
+++ b/src/transport/log_client.rs
@@ -1,1 +1,164 @@
-//! Not implemented yet.
+//! Client of the platform's append-only log.
+//!
+//! Only this module knows the log's wire format, see `docs/design.md`, section 7. The log has no
+//! conditional append, and an append that failed may have taken effect.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_http::StatusCode;
+use actix_http::uri::PathAndQuery;
+use bytes::Bytes;
+
+use crate::protocol::codec;
+use crate::protocol::codec::MAX_MESSAGE_BYTES;
+use crate::protocol::time::millis;
+use crate::result_code::Failure;
+use crate::result_code::ResultCode;
+use crate::transport::http_client::HttpAnswer;
+use crate::transport::http_client::HttpClient;
+use crate::transport::http_client::Outgoing;
+
+/// Time limit of an append, and what a read may take beyond its wait.
+pub const LOG_TIMEOUT: Duration = Duration::from_secs(2);
+/// Connections to the log: one long poll, one append and one outcome batch at a time.
+const LOG_CONNECTIONS: usize = 4;
+
+/// Records read from a stream.
+#[derive(Debug, Default)]
+pub struct LogBatch {
+    /// Offset and bytes of each record, ascending.
+    pub records: Vec<(u64, Vec<u8>)>,
+    /// Offset of the oldest record that the log still has.
+    pub oldest: u64,
+    /// Offset that the next append gets.
+    pub end: u64,
+}
+
+/// Reads and appends records.
+pub struct LogClient {
+    addr: SocketAddr,
+    http: HttpClient,
+}
+
+impl LogClient {
+    /// Creates a client of the log at `addr`.
+    #[must_use]
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            http: HttpClient::new(LOG_CONNECTIONS),
+        }
+    }
+
+    /// Appends a record and returns its offset.
+    ///
+    /// # Errors
+    /// [`ResultCode::LogUnavailable`]; the record may have been appended all the same.
+    pub async fn append(&self, stream: &str, record: Vec<u8>) -> Result<u64, Failure> {
+        let outgoing = outgoing(
+            Method::POST,
+            &format!("/streams/{stream}"),
+            record.into(),
+            LOG_TIMEOUT,
+        );
+        let answer = self.exchange(outgoing).await?;
+        let text = std::str::from_utf8(&answer.body).unwrap_or_default();
+        text.trim()
+            .parse()
+            .map_err(|_| unavailable("append answered without an offset"))
+    }
+
+    /// Reads at most `max` records from offset `from`, waiting up to `wait` for the first one.
+    ///
+    /// # Errors
+    /// [`ResultCode::LogTruncated`] if `from` is older than the oldest record, otherwise
+    /// [`ResultCode::LogUnavailable`].
+    pub async fn read(
+        &self,
+        stream: &str,
+        from: u64,
+        max: usize,
+        wait: Duration,
+    ) -> Result<LogBatch, Failure> {
+        let path = format!(
+            "/streams/{stream}?from={from}&max={max}&wait_ms={}",
+            millis(wait)
+        );
+        let answer = self
+            .exchange(outgoing(
+                Method::GET,
+                &path,
+                Bytes::new(),
+                wait + LOG_TIMEOUT,
+            ))
+            .await?;
+        let oldest = offset_header(&answer, "log-oldest")?;
+        let end = offset_header(&answer, "log-end")?;
+        if answer.status == StatusCode::GONE {
+            let text = format!("offset {from} of stream {stream} is older than {oldest}");
+            return Err(Failure::new(ResultCode::LogTruncated, text));
+        }
+        let records = codec::decode(&answer.body)?;
+        Ok(LogBatch {
+            records,
+            oldest,
+            end,
+        })
+    }
+
+    /// Returns the bounds of a stream, without records.
+    ///
+    /// # Errors
+    /// [`ResultCode::LogUnavailable`].
+    pub async fn bounds(&self, stream: &str) -> Result<LogBatch, Failure> {
+        let path = format!("/streams/{stream}?from=0&max=0&wait_ms=0");
+        let answer = self
+            .exchange(outgoing(Method::GET, &path, Bytes::new(), LOG_TIMEOUT))
+            .await?;
+        let oldest = offset_header(&answer, "log-oldest")?;
+        let end = offset_header(&answer, "log-end")?;
+        Ok(LogBatch {
+            records: Vec::new(),
+            oldest,
+            end,
+        })
+    }
+
+    async fn exchange(&self, outgoing: Outgoing) -> Result<HttpAnswer, Failure> {
+        let answer = self
+            .http
+            .send(self.addr, outgoing)
+            .await
+            .map_err(|e| unavailable(&e.to_string()))?;
+        match answer.status {
+            StatusCode::OK | StatusCode::GONE => Ok(answer),
+            status => Err(unavailable(&format!("answered {status}"))),
+        }
+    }
+}
+
+fn outgoing(method: Method, path: &str, body: Bytes, timeout: Duration) -> Outgoing {
+    Outgoing {
+        method,
+        target: PathAndQuery::try_from(path).expect("stream names and numbers make a valid path"),
+        headers: Vec::new(),
+        body,
+        timeout,
+        max_answer: MAX_MESSAGE_BYTES,
+    }
+}
+
+fn unavailable(text: &str) -> Failure {
+    Failure::new(
+        ResultCode::LogUnavailable,
+        format!("the platform's log: {text}"),
+    )
+}
+
+fn offset_header(answer: &HttpAnswer, name: &str) -> Result<u64, Failure> {
+    let text = answer.header(name).unwrap_or_default();
+    text.parse()
+        .map_err(|_| unavailable(&format!("answer without header {name}")))
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -4,7 +4,4 @@
 pub mod http_client;
 pub mod http_server;
 pub mod log_client;
-pub mod node_port;
-pub mod operator_port;
-pub mod request_port;
 pub mod udp;
--- a/src/transport/operator_port.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Not implemented yet.
