--- a/src/coordination/dissemination.rs
+++ b/src/coordination/dissemination.rs
@@ -88,6 +88,9 @@
 /// Time between two attempts to reach a seed that is not a member, in a fleet of up to
 /// [`REJOIN_FLEET`] members; above, it grows in proportion.
 pub const REJOIN_PERIOD: Duration = Duration::from_secs(30);
+/// Time until the first of these attempts; it doubles up to [`REJOIN_PERIOD`]. After a mass restart
+/// the seeds may have joined in separate groups.
+pub const FIRST_REJOIN: Duration = Duration::from_secs(1);
 /// See [`REJOIN_PERIOD`].
 pub const REJOIN_FLEET: usize = 100;
 /// Readers of the log in each region.
@@ -205,6 +208,7 @@
     join_at: Option<Duration>,
     join_failures: u32,
     next_rejoin: Option<Duration>,
+    rejoins: u32,
     candidates: Vec<NodeId>,
     readers: Vec<NodeId>,
     readers_of: Option<u64>,
@@ -270,6 +274,7 @@
             join_at: None,
             join_failures: 0,
             next_rejoin: None,
+            rejoins: 0,
             candidates: Vec::new(),
             readers: Vec::new(),
             readers_of: None,
@@ -1062,13 +1067,15 @@
             return;
         }
         let fleet = u32::try_from(self.membership.present().div_ceil(REJOIN_FLEET));
-        let period = REJOIN_PERIOD * fleet.unwrap_or(u32::MAX);
+        let longest = REJOIN_PERIOD * fleet.unwrap_or(u32::MAX);
+        let period = longest.min(FIRST_REJOIN * 2u32.saturating_pow(self.rejoins.min(16)));
         let jitter = self.membership.rng().random_range(0.5..1.5);
         let at = *self.next_rejoin.get_or_insert(now + period.mul_f64(jitter));
         if now < at {
             return;
         }
         self.next_rejoin = None;
+        self.rejoins += 1;
         let present = |seed: &SocketAddr| {
             self.members()
                 .iter()
