--- a/src/coordination/dissemination.rs
+++ b/src/coordination/dissemination.rs
@@ -190,6 +190,8 @@
     rollbacks: Vec<Rollback>,
     /// Sorted.
     crashes: Vec<CrashReport>,
+    /// Digest of progress, rollbacks and crashes.
+    rollout_digest: u64,
     /// Version and services of the last call of [`Gossip::set_services`].
     services: (ConfigVersion, Vec<ServiceSince>),
     queue: Vec<Queued>,
@@ -258,6 +260,7 @@
             progress: Vec::new(),
             rollbacks: Vec::new(),
             crashes: Vec::new(),
+            rollout_digest: 0,
             services: (ConfigVersion::NONE, Vec::new()),
             queue: Vec::new(),
             spread_order: Vec::new(),
@@ -289,7 +292,11 @@
     pub fn tick(&mut self, now: Duration, wall: WallMs) -> Vec<GossipAction> {
         let events = self.membership.tick(now, wall);
         self.take_events(events, true);
-        self.crashes.retain(|c| wall.since(c.at) < CRASH_EXPIRY);
+        let expired = |c: &CrashReport| wall.since(c.at) >= CRASH_EXPIRY;
+        if self.crashes.iter().any(expired) {
+            self.crashes.retain(|c| !expired(c));
+            self.refresh_digest();
+        }
         self.drive_join(now);
         self.drive_check(now);
         self.drive_pull(now);
@@ -647,6 +654,7 @@
         let services = &self.services;
         self.progress.retain(|p| is_current(services, &p.key));
         self.rollbacks.retain(|r| is_current(services, &r.key));
+        self.refresh_digest();
     }
 
     /// Returns all members sorted by id, this node and dead ones included.
@@ -670,14 +678,16 @@
     /// Returns the digest of the replicated state, independent of the order in which it came.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        // Rollouts and crashes are few, so that hashing them for each datagram is cheap.
+        self.membership.digest() ^ self.rollout_digest
+    }
+
+    /// Recomputes the part of the digest that changes rarely.
+    fn refresh_digest(&mut self) {
         let progress = self.progress.iter().map(|p| item_hash(0, p));
         let rollbacks = self.rollbacks.iter().map(|r| item_hash(1, r));
         let crashes = self.crashes.iter().map(|c| item_hash(2, c));
-        progress
-            .chain(rollbacks)
-            .chain(crashes)
-            .fold(self.membership.digest(), |digest, hash| digest ^ hash)
+        let items = progress.chain(rollbacks).chain(crashes);
+        self.rollout_digest = items.fold(0, |digest, hash| digest ^ hash);
     }
 
     fn finish(&mut self) -> Vec<GossipAction> {
@@ -742,6 +752,7 @@
             Ok(index) => self.progress[index] = progress.clone(),
             Err(index) => self.progress.insert(index, progress.clone()),
         }
+        self.refresh_digest();
         self.enqueue(Rumor::Progress(progress.clone()), false);
         if report {
             self.actions.push(GossipAction::Progress(progress));
@@ -766,6 +777,7 @@
                 }
             }
         }
+        self.refresh_digest();
         self.enqueue(Rumor::Rollback(rollback), true);
     }
 
@@ -776,6 +788,7 @@
         }
         if let Err(index) = self.crashes.binary_search(&crash) {
             self.crashes.insert(index, crash.clone());
+            self.refresh_digest();
             self.enqueue(Rumor::Crash(crash.clone()), true);
             if report {
                 self.actions.push(GossipAction::Crash(crash));
