--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -3,5 +3,6 @@
 
 pub mod backend_server;
 pub mod caller;
+pub mod fleet;
 pub mod http;
 pub mod log_server;
