--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -56,7 +56,7 @@
 /// Time limit of a request to an operator port.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between two checks of a condition.
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Largest answer of an operator port, bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Bearer token of the operator ports.
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod fleet;
 pub mod http;
 pub mod log_server;
+pub mod measure;
