--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -1,6 +1,7 @@
 //! Arguments of the `testbed` binary.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use clap::Command;
 use clap::value_parser;
 use eyre::WrapErr;
+use futures_util::future::Either;
 use testbed::backend_server::BackendOptions;
 use testbed::backend_server::BackendServer;
 use testbed::backend_server::Downstream;
@@ -21,6 +23,10 @@
 use testbed::log_server::LogControlChange;
 use testbed::log_server::LogServer;
 use testbed::log_server::Outage;
+use testbed::measure::convergence;
+use testbed::measure::convergence::ConvergenceOptions;
+use testbed::measure::latency;
+use testbed::measure::latency::LatencyOptions;
 
 /// Exit code of a backend server that crashed on purpose.
 const CRASH_EXIT_CODE: u8 = 134;
@@ -36,6 +42,7 @@
         Some(("log", args)) => log(args),
         Some(("backend", args)) => backend(args),
         Some(("caller", args)) => call(args),
+        Some(("measure", args)) => measure(args),
         _ => Ok(ExitCode::FAILURE),
     }
 }
@@ -48,6 +55,7 @@
         .subcommand(log_command())
         .subcommand(backend_command())
         .subcommand(caller_command())
+        .subcommand(measure_command())
 }
 
 fn option(name: &'static str, value: &'static str, help: &'static str) -> Arg {
@@ -397,6 +405,130 @@
     })
 }
 
+fn measure_command() -> Command {
+    Command::new("measure")
+        .about("Measure real node processes; prints JSON lines and a table")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(latency_command())
+        .subcommand(convergence_command())
+}
+
+/// Arguments of all measurements.
+fn common_args() -> Vec<Arg> {
+    vec![
+        option("binary", "FILE", "The sycamorewick binary")
+            .value_parser(value_parser!(PathBuf))
+            .default_value("target/release/sycamorewick"),
+        option("plot", "FILE", "Write a plot as SVG").value_parser(value_parser!(PathBuf)),
+    ]
+}
+
+fn latency_command() -> Command {
+    Command::new("latency")
+        .about("Latency that both hops add to a call, against direct calls")
+        .args(common_args())
+        .arg(
+            option("pairs", "N", "Pairs of an entry node and a serving node")
+                .value_parser(value_parser!(usize))
+                .default_value("2"),
+        )
+        .arg(
+            option("rates", "LIST", "Calls per second of each node")
+                .value_parser(value_parser!(f64))
+                .value_delimiter(',')
+                .default_value("47,200,500"),
+        )
+        .arg(
+            option("rounds", "N", "Rounds for each rate")
+                .value_parser(value_parser!(usize))
+                .default_value("5"),
+        )
+        .arg(
+            option("seconds", "S", "Time of each way in a round")
+                .value_parser(value_parser!(f64))
+                .default_value("5"),
+        )
+}
+
+fn convergence_command() -> Command {
+    Command::new("convergence")
+        .about("Time until a version is in force everywhere, and cost of control, by fleet size")
+        .args(common_args())
+        .arg(
+            option("sizes", "LIST", "Nodes of the fleets")
+                .value_parser(value_parser!(usize))
+                .value_delimiter(',')
+                .default_value("10,20,40,80,160"),
+        )
+        .arg(
+            option("services", "N", "Services of the document")
+                .value_parser(value_parser!(usize))
+                .default_value("180"),
+        )
+        .arg(
+            option("publishes", "N", "Publications in each fleet")
+                .value_parser(value_parser!(usize))
+                .default_value("5"),
+        )
+        .arg(
+            option("publish-interval", "S", "Time between two publications")
+                .value_parser(value_parser!(f64))
+                .default_value("2"),
+        )
+        .arg(
+            option("idle", "S", "Time in which the idle cost is measured")
+                .value_parser(value_parser!(f64))
+                .default_value("8"),
+        )
+}
+
+fn measure(args: &ArgMatches) -> eyre::Result<ExitCode> {
+    actix_rt::System::new().block_on(async {
+        // A signal ends the measurement by dropping it, which ends the processes that it started.
+        let measurement = std::pin::pin!(measurement(args));
+        let stop = std::pin::pin!(wait_for_stop());
+        match futures_util::future::select(measurement, stop).await {
+            Either::Left((result, _)) => result.map(|()| ExitCode::SUCCESS),
+            Either::Right(_) => Err(eyre::eyre!("stopped by a signal")),
+        }
+    })
+}
+
+async fn measurement(args: &ArgMatches) -> eyre::Result<()> {
+    match args.subcommand() {
+        Some(("latency", args)) => {
+            let options = LatencyOptions {
+                binary: required::<PathBuf>(args, "binary")?.clone(),
+                pairs: *required(args, "pairs")?,
+                rates: list(args, "rates"),
+                rounds: *required(args, "rounds")?,
+                seconds: *required(args, "seconds")?,
+                plot: args.get_one("plot").cloned(),
+            };
+            latency::run(&options).await?;
+        }
+        Some(("convergence", args)) => {
+            let options = ConvergenceOptions {
+                binary: required::<PathBuf>(args, "binary")?.clone(),
+                sizes: list(args, "sizes"),
+                services: *required(args, "services")?,
+                publishes: *required(args, "publishes")?,
+                publish_interval_s: *required(args, "publish-interval")?,
+                idle_s: *required(args, "idle")?,
+                plot: args.get_one("plot").cloned(),
+            };
+            convergence::run(&options).await?;
+        }
+        _ => {}
+    }
+    Ok(())
+}
+
+fn list<T: Clone + Send + Sync + 'static>(args: &ArgMatches, name: &str) -> Vec<T> {
+    args.get_many(name).unwrap_or_default().cloned().collect()
+}
+
 fn required<'a, T>(args: &'a ArgMatches, name: &str) -> eyre::Result<&'a T>
 where
     T: Clone + Send + Sync + 'static,
--- a/testbed/src/measure/mod.rs
+++ b/testbed/src/measure/mod.rs
@@ -1,8 +1,10 @@
 //! Measurements of real node processes. Each prints JSON lines as results arrive and a table at the
 //! end.
 
+pub mod convergence;
 pub mod latency;
 pub mod plot;
+pub mod process_usage;
 pub mod table;
 
 use serde::Serialize;
--- /dev/null
+++ b/testbed/src/measure/process_usage.rs
@@ -0,0 +1,41 @@
+//! Processor time and memory of a process, read from `/proc`.
+
+use std::fs;
+use std::time::Duration;
+
+/// Processor time and memory of a process at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ProcessUsage {
+    /// Time on a processor since the start, all threads.
+    pub cpu: Duration,
+    /// Resident memory, KiB.
+    pub rss_kib: u64,
+}
+
+impl ProcessUsage {
+    /// Reads the usage of a process. `schedstat` counts nanoseconds, whereas `stat` counts ticks of
+    /// 10 ms, too coarse for a node that uses less than one percent of a core.
+    ///
+    /// # Errors
+    /// Returns an error if the process is gone.
+    pub fn read(pid: u32) -> eyre::Result<Self> {
+        let mut cpu = Duration::ZERO;
+        for task in fs::read_dir(format!("/proc/{pid}/task"))? {
+            let file = task?.path().join("schedstat");
+            // A thread may end between the listing and the read.
+            let Ok(text) = fs::read_to_string(&file) else {
+                continue;
+            };
+            let nanos = text.split_whitespace().next().and_then(|n| n.parse().ok());
+            cpu += Duration::from_nanos(nanos.unwrap_or_default());
+        }
+        let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
+        let rss_kib = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))
+            .and_then(|rest| rest.split_whitespace().next())
+            .and_then(|kib| kib.parse().ok())
+            .ok_or_else(|| eyre::eyre!("status of process {pid} has no VmRSS"))?;
+        Ok(Self { cpu, rss_kib })
+    }
+}
