--- a/testbed/tests/fleet.rs
+++ b/testbed/tests/fleet.rs
@@ -43,10 +43,7 @@
 /// Guards against a stop that does not deliver SIGTERM, and a node that cannot be started again.
 #[gtest]
 fn stopped_node_starts_again() {
-    let binary = stand_in(
-        &dir,
-        "trap 'exit 7' TERM\necho started\nwhile :; do sleep 0.01; done",
-    );
+    let binary = stand_in("stopping_node.sh");
     let mut fleet = Fleet::start(FleetOptions::new(binary, 1)).unwrap();
     wait_for("start", || fleet.output_tail(0, 1) == "started");
     let status = block_on(fleet.stop_node(0, LIMIT)).unwrap();
