Judge the effect of a limit that was reduced for latency

A limit that follows latency alone keeps falling when the calls themselves take longer. It is now at most halved, then kept until 32 calls show whether that helped. Usual latency is learned mainly while half of the slots are free, since the earlier mean drifted to the latency of the overload within seconds.

--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -35,10 +35,14 @@
 const SLOW_TOLERANCE: f64 = 2.0;
 /// Weight of one call in the recent latency.
 const RECENT_WEIGHT: f64 = 1.0 / 16.0;
-/// Weight of one call in the usual latency; slow enough that an overload of seconds does not
-/// become the usual latency, and fast enough that a lasting change does within some 500 calls.
-const USUAL_WEIGHT: f64 = 1.0 / 500.0;
-/// Calls after which the usual latency is used.
+/// Weight of a call in the usual latency that started while at most half of the slots were used.
+const USUAL_WEIGHT: f64 = 1.0 / 200.0;
+/// Weight of the other calls; small, so that an overload does not become the usual latency.
+const BUSY_WEIGHT: f64 = 1.0 / 2_000.0;
+/// Ratio by which the latency must have fallen when the limit was halved. Otherwise the calls
+/// themselves take longer, and fewer of them at once would only cost throughput.
+const EXPECTED_GAIN: f64 = 1.5;
+/// Calls after which the usual latency is used, and the effect of a reduced limit is judged.
 const WARM_UP_CALLS: u32 = 32;
 /// Latencies below this are treated alike, since their ratio is noise.
 const MIN_LATENCY_S: f64 = 0.000_2;
@@ -48,6 +52,8 @@
 #[must_use]
 pub struct Permit {
     started: Duration,
+    /// Whether at most half of the slots were used when the call started.
+    quiet: bool,
 }
 
 /// Place of a call in the queue.
@@ -94,6 +100,17 @@
     deadline: Duration,
 }
 
+/// Reduction of the limit because of latency.
+#[derive(Debug)]
+struct SlowPeriod {
+    /// Limit when it began.
+    limit: f64,
+    /// Highest recent latency since then.
+    peak_ln: f64,
+    /// Calls that started and ended after the limit was halved.
+    calls_at_half: u32,
+}
+
 /// Admission of one backend server.
 #[derive(Debug)]
 pub struct Admission {
@@ -110,6 +127,7 @@
     recent_ln: f64,
     usual_ln: f64,
     observed: u32,
+    slow: Option<SlowPeriod>,
     draining: bool,
 }
 
@@ -133,6 +151,7 @@
             recent_ln: 0.0,
             usual_ln: 0.0,
             observed: 0,
+            slow: None,
             draining: false,
         }
     }
@@ -218,7 +237,7 @@
     pub fn finish(&mut self, now: Duration, permit: Permit, end: RunEnd) -> Changes {
         let saturated = self.running >= self.limit();
         self.running = self.running.saturating_sub(1);
-        self.adapt(now, permit.started, end, saturated);
+        self.adapt(now, &permit, end, saturated);
         let gap = now.saturating_sub(self.last_finish).as_secs_f64();
         self.finish_gap_s += (gap - self.finish_gap_s) * RECENT_WEIGHT;
         self.last_finish = now;
@@ -285,7 +304,10 @@
 
     fn permit(&mut self, now: Duration) -> Permit {
         self.running += 1;
-        Permit { started: now }
+        Permit {
+            started: now,
+            quiet: self.running * 2 <= self.slots,
+        }
     }
 
     fn is_standing(&self, now: Duration) -> bool {
@@ -313,39 +335,70 @@
         }
     }
 
-    fn adapt(&mut self, now: Duration, started: Duration, end: RunEnd, saturated: bool) {
-        let latency = now.saturating_sub(started).as_secs_f64().max(MIN_LATENCY_S);
+    fn adapt(&mut self, now: Duration, permit: &Permit, end: RunEnd, saturated: bool) {
+        let started = permit.started;
         match end {
             RunEnd::Aborted => return,
             RunEnd::Shed => {
-                self.decrease(now, started, SHED_FACTOR);
+                self.decrease(now, started, SHED_FACTOR, 1.0);
                 return;
             }
             RunEnd::TimedOut | RunEnd::Responded => {}
         }
         // Logarithms make the mean robust against a few calls that take far longer than the rest.
-        let sample = latency.ln();
+        let latency = now.saturating_sub(started).as_secs_f64();
+        let sample = latency.max(MIN_LATENCY_S).ln();
         if self.observed == 0 {
             self.recent_ln = sample;
             self.usual_ln = sample;
         }
         self.observed = self.observed.saturating_add(1);
         self.recent_ln += (sample - self.recent_ln) * RECENT_WEIGHT;
-        let usual_weight = USUAL_WEIGHT.max(1.0 / f64::from(self.observed));
-        self.usual_ln += (sample - self.usual_ln) * usual_weight;
-        let slow =
-            self.observed > WARM_UP_CALLS && self.recent_ln - self.usual_ln > SLOW_TOLERANCE.ln();
-        if slow || end == RunEnd::TimedOut {
-            self.decrease(now, started, SLOW_FACTOR);
-        } else if saturated {
+        let weight = if permit.quiet {
+            USUAL_WEIGHT.max(1.0 / f64::from(self.observed))
+        } else {
+            BUSY_WEIGHT
+        };
+        self.usual_ln += (sample - self.usual_ln) * weight;
+        if end == RunEnd::TimedOut || self.is_slow(started) {
+            let floor = self.slow.as_ref().map_or(1.0, |slow| slow.limit / 2.0);
+            self.decrease(now, started, SLOW_FACTOR, floor);
+        } else if saturated && self.slow.is_none() {
             self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.slots));
         }
     }
 
+    /// Whether the limit should fall because of latency. At half the former limit it first waits
+    /// for the effect.
+    fn is_slow(&mut self, started: Duration) -> bool {
+        let warm = self.observed > WARM_UP_CALLS;
+        if !warm || self.recent_ln - self.usual_ln <= SLOW_TOLERANCE.ln() {
+            self.slow = None;
+            return false;
+        }
+        let slow = self.slow.get_or_insert(SlowPeriod {
+            limit: self.limit,
+            peak_ln: self.recent_ln,
+            calls_at_half: 0,
+        });
+        slow.peak_ln = slow.peak_ln.max(self.recent_ln);
+        if self.limit * 2.0 > slow.limit {
+            return true;
+        }
+        slow.calls_at_half += u32::from(started >= self.last_decrease);
+        if slow.calls_at_half >= WARM_UP_CALLS {
+            if slow.peak_ln - self.recent_ln < EXPECTED_GAIN.ln() {
+                self.usual_ln = self.recent_ln;
+            }
+            self.slow = None;
+        }
+        false
+    }
+
     /// Only a call that started after the last decrease shows the effect of the reduced limit.
-    fn decrease(&mut self, now: Duration, started: Duration, factor: f64) {
+    fn decrease(&mut self, now: Duration, started: Duration, factor: f64, floor: f64) {
         if started >= self.last_decrease {
-            self.limit = (self.limit * factor).max(1.0);
+            self.limit = (self.limit * factor).max(floor).max(1.0);
             self.last_decrease = now;
         }
     }
