--- a/src/coordination/idempotency.rs
+++ b/src/coordination/idempotency.rs
@@ -10,8 +10,8 @@
 //!   the first was released before.
 //! * A key replica that may have forgotten a grant, because it started or replaced another one,
 //!   abstains. The exception is a key that was created after that event, by its `UUIDv7` timestamp
-//!   and [`MAX_CLOCK_SKEW`]. The skew also leaves the time for the event to become known to the
-//!   other nodes.
+//!   and [`MAX_CLOCK_SKEW`]. What the clocks do not use up of the skew is time for the event to
+//!   become known to the other nodes.
 //! * A claim that is granted late, after its claimant gave up, only blocks the key. The claimant
 //!   therefore releases also where it got no reply, and the replica remembers released claims for
 //!   [`TOMBSTONE_TIME`], so that a release that overtakes its claim takes effect.
@@ -329,7 +329,7 @@
         let complete_since = self.complete_since(view, &request.key);
         let created_after =
             created.is_some_and(|created| created > complete_since.plus(MAX_CLOCK_SKEW));
-        let window_passed = wall.since(complete_since) > KEY_WINDOW + MAX_CLOCK_SKEW;
+        let window_passed = wall.since(complete_since) > KEY_WINDOW;
         if !created_after && !window_passed {
             return ClaimReply::Abstain;
         }
