--- a/tests/idempotency_random.rs
+++ b/tests/idempotency_random.rs
@@ -17,12 +17,11 @@
 use request_common::ms;
 use sycamorewick::coordination::idempotency::Claimant;
 use sycamorewick::coordination::idempotency::Decision;
-use sycamorewick::coordination::idempotency::KEY_WINDOW;
+use sycamorewick::coordination::idempotency::Departed;
 use sycamorewick::coordination::idempotency::KeyReplica;
 use sycamorewick::coordination::idempotency::REPLICAS;
 use sycamorewick::coordination::idempotency::ReplicaView;
 use sycamorewick::coordination::idempotency::replicas_for;
-use sycamorewick::coordination::membership::Departed;
 use sycamorewick::protocol::call::Run;
 use sycamorewick::protocol::claim::ClaimId;
 use sycamorewick::protocol::claim::ClaimReply;
@@ -41,9 +40,9 @@
 /// Nodes with an index from here on are entry nodes only.
 const ENTRY_NODES: usize = 4;
 const KEYS: usize = 60;
-const RUN_TIME: Duration = Duration::from_secs(120);
+const RUN_TIME: Duration = Duration::from_mins(2);
 /// The fleet is old enough that opaque keys are granted.
-const EPOCH: Duration = Duration::from_secs(3_600);
+const EPOCH: Duration = Duration::from_hours(1);
 const WALL_BASE: u64 = 1_700_000_000_000;
 
 /// Probabilities per message, call or second.
@@ -250,7 +249,7 @@
     }
 
     fn now(&self, node: usize) -> Duration {
-        self.time - self.nodes[node].started
+        self.time.saturating_sub(self.nodes[node].started)
     }
 
     fn at(&mut self, time: Duration, event: Event) {
@@ -446,7 +445,7 @@
                 request: request.clone(),
             });
         }
-        let timeout = self.time + (claimant.timeout_at() - now);
+        let timeout = self.time + claimant.timeout_at().saturating_sub(now);
         self.at(
             timeout,
             Event::Timeout {
