--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -235,9 +235,10 @@
                     self.act(index, |g, now, wall| g.on_sync(now, wall, state));
                 }
             }
-            Event::SyncReply(reply) => self.act(index, |g, now, wall| match reply {
-                Some(state) => g.on_sync(now, wall, state),
-                None => {
+            Event::SyncReply(reply) => self.act(index, |g, now, wall| {
+                if let Some(state) = reply {
+                    g.on_sync(now, wall, state)
+                } else {
                     g.on_sync_failed(now);
                     Vec::new()
                 }
