--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -250,6 +250,12 @@
         self.may_have_run
     }
 
+    /// Retries of the tree that are left after the end of the call, for the response to the caller.
+    #[must_use]
+    pub fn budget_left(&self) -> u8 {
+        self.budget
+    }
+
     fn after_not_run(
         &mut self,
         now: Duration,
