Drop references to expired bodies of key replicas

The order of eviction kept the keys of all completed calls until the bodies exceeded their bound, which small bodies never do. Found by review; replica_bounds_its_memory failed before.

--- a/src/coordination/idempotency.rs
+++ b/src/coordination/idempotency.rs
@@ -293,6 +293,11 @@
                 .map(KeyRecord::body_len)
                 .sum::<usize>();
         }
+        while let Some(key) = self.stored.front()
+            && self.find(key).is_none()
+        {
+            self.stored.pop_front();
+        }
         while self
             .tombstones
             .pop_front_if(|t| t.at + TOMBSTONE_TIME <= now)
--- a/tests/idempotency.rs
+++ b/tests/idempotency.rs
@@ -425,6 +425,7 @@
     replica.tick(KEY_WINDOW * 2, wall.plus(KEY_WINDOW * 2));
     expect_that!(replica.len(), eq(0));
     expect_that!(replica.stored_bytes(), eq(0));
+    expect_that!(format!("{replica:?}"), not(contains_substring("claim/")));
 }
 
 /// Guards against key replicas that share a failure domain or depend on the order of the members.
