--- a/tests/idempotency_random.rs
+++ b/tests/idempotency_random.rs
@@ -105,6 +105,9 @@
         member: usize,
         status: MemberStatus,
     },
+    Restart {
+        to: usize,
+    },
     Fault,
 }
 
@@ -119,7 +122,8 @@
             | Self::Timeout { to, .. }
             | Self::Dispatch { to, .. }
             | Self::RunEnd { to, .. }
-            | Self::View { to, .. } => Some(*to),
+            | Self::View { to, .. }
+            | Self::Restart { to } => Some(*to),
             Self::Fault => None,
         }
     }
@@ -394,7 +398,7 @@
                 let node = &mut self.nodes[to];
                 let entry = &mut node.members[member];
                 entry.status = status;
-                if status == MemberStatus::Dead {
+                if status >= MemberStatus::Leaving {
                     let (id, domain) = (entry.id.clone(), entry.domain.clone());
                     node.departed.push(Departed {
                         id,
@@ -405,6 +409,16 @@
                     node.declared_dead_at = Some(wall);
                 }
             }
+            Event::Restart { to } => {
+                let wall = self.wall(to);
+                let node = &mut self.nodes[to];
+                let Member { id, domain, .. } = node.members[to].clone();
+                node.replica = KeyReplica::new(id, domain);
+                node.departed.clear();
+                node.declared_dead_at = None;
+                node.started = self.time;
+                node.started_at = wall;
+            }
             Event::Fault => self.inject(),
         }
     }
@@ -615,31 +629,33 @@
             self.nodes[node].paused_until = time + self.random_ms(50, 20_000);
         }
         if self.chance(self.faults.restart) {
-            let node = self.rng.random_range(0..replicas);
-            let wall = self.wall(node);
-            let Member { id, domain, .. } = self.nodes[node].members[node].clone();
-            let node = &mut self.nodes[node];
-            node.replica = KeyReplica::new(id, domain);
-            node.departed.clear();
-            node.declared_dead_at = None;
-            node.started = time;
-            node.started_at = wall;
+            let to = self.rng.random_range(0..replicas);
+            self.at(time, Event::Restart { to });
         }
         if time >= self.settled_at && self.chance(self.faults.replaced) {
             // One failure domain at a time, see "What can still fail".
             let member = self.rng.random_range(0..replicas);
             let down = self.random_ms(3_000, 15_000);
-            self.nodes[member].paused_until = time + down;
-            for to in (0..self.nodes.len()).filter(|to| *to != member) {
-                let dead = time + self.random_ms(1_000, 3_000);
+            let leaves = self.chance(0.5);
+            let (status, learns) = if leaves {
+                // A leaving node knows it first and comes back as a new process.
                 self.at(
-                    dead,
+                    time,
                     Event::View {
-                        to,
+                        to: member,
                         member,
-                        status: MemberStatus::Dead,
+                        status: MemberStatus::Leaving,
                     },
                 );
+                self.at(time + down, Event::Restart { to: member });
+                (MemberStatus::Leaving, time + down)
+            } else {
+                self.nodes[member].paused_until = time + down;
+                (MemberStatus::Dead, time + down + ms(500))
+            };
+            for to in (0..self.nodes.len()).filter(|to| *to != member) {
+                let gone = time + self.random_ms(1_000, 3_000);
+                self.at(gone, Event::View { to, member, status });
                 let back = time + down + self.random_ms(1_000, 3_000);
                 self.at(
                     back,
@@ -650,7 +666,6 @@
                     },
                 );
             }
-            let learns = time + down + ms(500);
             self.at(
                 learns,
                 Event::View {
