Test each event after which a key replica abstains

The randomised runs pass without the time of the declared death as long as the pause is detected, and the other way round. Shown to fail first: claim_after_hiding_event_abstains without either of them.

--- a/tests/idempotency.rs
+++ b/tests/idempotency.rs
@@ -14,6 +14,7 @@
 use sycamorewick::coordination::idempotency::CLAIM_TIMEOUT;
 use sycamorewick::coordination::idempotency::Claimant;
 use sycamorewick::coordination::idempotency::Decision;
+use sycamorewick::coordination::idempotency::Departed;
 use sycamorewick::coordination::idempotency::KEY_WINDOW;
 use sycamorewick::coordination::idempotency::KeyReplica;
 use sycamorewick::coordination::idempotency::MAX_ANSWER_BYTES;
@@ -25,6 +26,7 @@
 use sycamorewick::coordination::idempotency::TOMBSTONE_TIME;
 use sycamorewick::coordination::idempotency::created_at;
 use sycamorewick::coordination::idempotency::replicas_for;
+use sycamorewick::coordination::rendezvous;
 use sycamorewick::protocol::claim::ClaimId;
 use sycamorewick::protocol::claim::ClaimReply;
 use sycamorewick::protocol::claim::ClaimRequest;
@@ -509,3 +511,67 @@
     );
     expect_that!(total / claims, lt(ms(5)));
 }
+
+/// Guards against grants after each event that may have hidden an earlier one. The randomised runs
+/// do not tell a declared death from a pause.
+#[gtest]
+fn claim_after_hiding_event_abstains() {
+    let members = [member("r0", DOMAINS[0], 0), member("r1", DOMAINS[0], 1)];
+    let time = Duration::from_hours(1);
+    let wall = WallMs(WALL_BASE).plus(time);
+    let event = WallMs(wall.0 - 10_000);
+    let departed = |id: &str, domain: &str| Departed {
+        id: id.into(),
+        domain: domain.into(),
+        at: event,
+    };
+    let view = ReplicaView {
+        members: &members[..1],
+        started_at: WallMs(0),
+        declared_dead_at: None,
+        departed: &[],
+    };
+    let reply = |view: &ReplicaView<'_>, age: u64, paused: bool| {
+        let mut replica = KeyReplica::new("r0".into(), DOMAINS[0].into());
+        replica.tick(ms(0), WallMs(WALL_BASE));
+        if !paused {
+            replica = KeyReplica::new("r0".into(), DOMAINS[0].into());
+        }
+        // Of this key, "r1" is the first and "r0" the second candidate.
+        let key = (0..100)
+            .map(|n| key_at(WallMs(wall.0 - age), n))
+            .find(|key| {
+                let ids = members.each_ref().map(|m| m.id.as_str());
+                rendezvous::weight(key, ids[1]) > rendezvous::weight(key, ids[0])
+            });
+        let request = ClaimRequest {
+            key: key.unwrap().into(),
+            fingerprint: 7,
+            claim: claim_id("alice", 1),
+            domain: DOMAINS[0].into(),
+        };
+        replica.claim(time, wall, view, &request)
+    };
+    expect_that!(reply(&view, 6_000, false), eq(&ClaimReply::Granted));
+    expect_that!(reply(&view, 6_000, true), eq(&ClaimReply::Abstain));
+    let outranking = [departed("r1", DOMAINS[0])];
+    let elsewhere = [departed("r1", DOMAINS[1]), departed("r0", DOMAINS[0])];
+    let with = |departed| ReplicaView { departed, ..view };
+    expect_that!(
+        reply(&with(&elsewhere), 6_000, false),
+        eq(&ClaimReply::Granted)
+    );
+    let dead = ReplicaView {
+        declared_dead_at: Some(event),
+        ..view
+    };
+    for hidden in [with(&outranking), dead] {
+        expect_that!(reply(&hidden, 6_000, false), eq(&ClaimReply::Abstain));
+        expect_that!(reply(&hidden, 4_000, false), eq(&ClaimReply::Granted));
+    }
+    let first = ReplicaView {
+        members: &members,
+        ..view
+    };
+    expect_that!(reply(&first, 6_000, false), eq(&ClaimReply::Abstain));
+}
