--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -12,6 +12,8 @@
 //! * Limit. The number of running calls is limited to the announced slots, or to less while the
 //!   backend server sheds load or responds much slower than usual: additive increase and
 //!   multiplicative decrease (Chiu and Jain, 1989), at most one decrease per round of calls.
+//!   Latency at most halves the limit before its effect is judged, since calls may also take longer
+//!   for reasons that fewer of them do not change, such as a slow downstream service.
 
 use std::collections::VecDeque;
 use std::time::Duration;
