--- a/tests/idempotency_random.rs
+++ b/tests/idempotency_random.rs
@@ -3,8 +3,7 @@
 
 mod request_common;
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -61,93 +60,25 @@
     skew_ms: u64,
 }
 
+/// Events at one node, except `Fault`.
 enum Event {
-    Call {
-        key: usize,
-        entry: usize,
-        left: u8,
-    },
-    Claim {
-        to: usize,
-        from: usize,
-        claimant: usize,
-        slot: usize,
-        request: ClaimRequest,
-    },
-    Reply {
-        to: usize,
-        claimant: usize,
-        slot: usize,
-        reply: ClaimReply,
-    },
-    Release {
-        to: usize,
-        request: ReleaseRequest,
-    },
-    Complete {
-        to: usize,
-        request: CompleteRequest,
-    },
-    Timeout {
-        to: usize,
-        claimant: usize,
-    },
-    Dispatch {
-        to: usize,
-        claimant: usize,
-    },
-    RunEnd {
-        to: usize,
-        claimant: usize,
-    },
-    View {
-        to: usize,
-        member: usize,
-        status: MemberStatus,
-    },
-    Restart {
-        to: usize,
-    },
+    /// Key and number of repeats that the caller has left.
+    Call(usize, u8),
+    /// Sender, call, slot of the key replica.
+    Claim(usize, usize, usize, ClaimRequest),
+    /// Call and slot of the key replica.
+    Reply(usize, usize, ClaimReply),
+    Release(ReleaseRequest),
+    Complete(CompleteRequest),
+    /// The others concern a call of this number.
+    Timeout(usize),
+    Dispatch(usize),
+    RunEnd(usize),
+    View(usize, MemberStatus),
+    Restart,
     Fault,
 }
 
-impl Event {
-    fn node(&self) -> Option<usize> {
-        match self {
-            Self::Call { entry, .. } => Some(*entry),
-            Self::Claim { to, .. }
-            | Self::Reply { to, .. }
-            | Self::Release { to, .. }
-            | Self::Complete { to, .. }
-            | Self::Timeout { to, .. }
-            | Self::Dispatch { to, .. }
-            | Self::RunEnd { to, .. }
-            | Self::View { to, .. }
-            | Self::Restart { to } => Some(*to),
-            Self::Fault => None,
-        }
-    }
-}
-
-struct Queued(Duration, u64, Event);
-
-impl PartialEq for Queued {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-impl Eq for Queued {}
-impl PartialOrd for Queued {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Queued {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
 struct Node {
     replica: KeyReplica,
     members: Vec<Member>,
@@ -181,7 +112,8 @@
 struct World<'a> {
     rng: &'a mut StdRng,
     faults: Faults,
-    queue: BinaryHeap<Reverse<Queued>>,
+    /// Node and event by time.
+    queue: BTreeMap<(Duration, u64), (usize, Event)>,
     sequence: u64,
     time: Duration,
     nodes: Vec<Node>,
@@ -228,7 +160,7 @@
         Self {
             rng,
             faults,
-            queue: BinaryHeap::new(),
+            queue: BTreeMap::new(),
             sequence: 0,
             time: EPOCH,
             nodes,
@@ -256,9 +188,9 @@
         self.time.saturating_sub(self.nodes[node].started)
     }
 
-    fn at(&mut self, time: Duration, event: Event) {
+    fn at(&mut self, time: Duration, node: usize, event: Event) {
         self.sequence += 1;
-        self.queue.push(Reverse(Queued(time, self.sequence, event)));
+        self.queue.insert((time, self.sequence), (node, event));
     }
 
     fn chance(&mut self, probability: f64) -> bool {
@@ -282,7 +214,7 @@
         for _ in 0..copies {
             let slow = self.chance(self.faults.slow);
             let delay = self.random_ms(1, if slow { 20_000 } else { 8 });
-            self.at(time + delay, event());
+            self.at(time + delay, to, event());
         }
     }
 
@@ -302,27 +234,18 @@
             for _ in 0..copies {
                 let time = start + self.random_ms(0, 20);
                 let entry = self.random_entry();
-                self.at(
-                    time,
-                    Event::Call {
-                        key,
-                        entry,
-                        left: 10,
-                    },
-                );
+                self.at(time, entry, Event::Call(key, 10));
             }
         }
-        self.at(EPOCH, Event::Fault);
-        while let Some(Reverse(Queued(time, sequence, event))) = self.queue.pop() {
-            if let Some(node) = event.node() {
-                let resume = self.nodes[node].paused_until;
-                if resume > time {
-                    self.queue.push(Reverse(Queued(resume, sequence, event)));
-                    continue;
-                }
+        self.at(EPOCH, 0, Event::Fault);
+        while let Some(((time, sequence), (node, event))) = self.queue.pop_first() {
+            let resume = self.nodes[node].paused_until;
+            if resume > time && !matches!(event, Event::Fault) {
+                self.queue.insert((resume, sequence), (node, event));
+                continue;
             }
             self.time = time;
-            self.handle(event);
+            self.handle(node, event);
         }
         self.figures
     }
@@ -332,18 +255,12 @@
         self.rng.random_range(first..first + ENTRY_NODES)
     }
 
-    fn handle(&mut self, event: Event) {
+    fn handle(&mut self, at: usize, event: Event) {
+        let (now, wall) = (self.now(at), self.wall(at));
+        let node = &mut self.nodes[at];
         match event {
-            Event::Call { key, entry, left } => self.start_call(key, entry, left),
-            Event::Claim {
-                to,
-                from,
-                claimant,
-                slot,
-                request,
-            } => {
-                let (now, wall) = (self.now(to), self.wall(to));
-                let node = &mut self.nodes[to];
+            Event::Call(key, left) => self.start_call(key, at, left),
+            Event::Claim(from, call, slot, request) => {
                 let view = ReplicaView {
                     members: &node.members,
                     started_at: node.started_at,
@@ -351,68 +268,40 @@
                     departed: &node.departed,
                 };
                 let reply = node.replica.claim(now, wall, &view, &request);
-                self.send(to, from, || Event::Reply {
-                    to: from,
-                    claimant,
-                    slot,
-                    reply: reply.clone(),
-                });
-            }
-            Event::Reply {
-                to,
-                claimant,
-                slot,
-                reply,
-            } => {
-                let now = self.now(to);
-                self.with(claimant, |claim| claim.on_reply(now, slot, reply));
-            }
-            Event::Timeout { to, claimant } => {
-                let now = self.now(to);
-                self.with(claimant, |claim| claim.on_timeout(now));
-            }
-            Event::Release { to, request } => {
-                let now = self.now(to);
-                self.nodes[to].replica.release(now, &request);
+                self.send(at, from, || Event::Reply(call, slot, reply.clone()));
             }
-            Event::Complete { to, request } => {
-                let now = self.now(to);
-                self.nodes[to].replica.complete(now, &request);
+            Event::Reply(call, slot, reply) => {
+                self.with(call, |claim| claim.on_reply(now, slot, reply));
             }
-            Event::Dispatch { to, claimant } => self.dispatch(to, claimant),
-            Event::RunEnd { to, claimant } => {
+            Event::Timeout(call) => self.with(call, |claim| claim.on_timeout(now)),
+            Event::Release(request) => node.replica.release(now, &request),
+            Event::Complete(request) => node.replica.complete(now, &request),
+            Event::Dispatch(call) => self.dispatch(at, call),
+            Event::RunEnd(call) => {
                 let answer = (!self.chance(self.faults.drop)).then(|| RecordedAnswer {
                     status: 201,
                     content_type: None,
-                    body: Some(self.calls[claimant].key.to_be_bytes().to_vec()),
+                    body: Some(self.calls[call].key.to_be_bytes().to_vec()),
                 });
                 let known = answer.is_some();
-                self.complete(to, claimant, answer);
-                let repeat = !known || self.chance(0.3);
-                if repeat {
-                    self.repeat(claimant);
+                self.complete(at, call, answer);
+                if !known || self.chance(0.3) {
+                    self.repeat(call);
                 }
             }
-            Event::View { to, member, status } => {
-                let wall = self.wall(to);
-                let node = &mut self.nodes[to];
+            Event::View(member, status) => {
                 let entry = &mut node.members[member];
                 entry.status = status;
                 if status >= MemberStatus::Leaving {
                     let (id, domain) = (entry.id.clone(), entry.domain.clone());
-                    node.departed.push(Departed {
-                        id,
-                        domain,
-                        at: wall,
-                    });
-                } else if to == member {
+                    let at = wall;
+                    node.departed.push(Departed { id, domain, at });
+                } else if at == member {
                     node.declared_dead_at = Some(wall);
                 }
             }
-            Event::Restart { to } => {
-                let wall = self.wall(to);
-                let node = &mut self.nodes[to];
-                let Member { id, domain, .. } = node.members[to].clone();
+            Event::Restart => {
+                let Member { id, domain, .. } = node.members[at].clone();
                 node.replica = KeyReplica::new(id, domain);
                 node.departed.clear();
                 node.declared_dead_at = None;
@@ -451,22 +340,12 @@
             let (Some(to), Some(request)) = (*to, claimant.request(slot)) else {
                 continue;
             };
-            self.send(entry, to, || Event::Claim {
-                to,
-                from: entry,
-                claimant: index,
-                slot,
-                request: request.clone(),
+            self.send(entry, to, || {
+                Event::Claim(entry, index, slot, request.clone())
             });
         }
         let timeout = self.time + claimant.timeout_at().saturating_sub(now);
-        self.at(
-            timeout,
-            Event::Timeout {
-                to: entry,
-                claimant: index,
-            },
-        );
+        self.at(timeout, entry, Event::Timeout(index));
         self.calls.push(Call {
             claimant: Some(claimant),
             key,
@@ -489,7 +368,7 @@
                 }
                 let time = self.time + self.random_ms(0, 2);
                 let to = self.calls[call].entry;
-                self.at(time, Event::Dispatch { to, claimant: call });
+                self.at(time, to, Event::Dispatch(call));
             }
             Some(decision) => self.refused(call, &decision),
         }
@@ -526,13 +405,7 @@
                     return;
                 }
                 let time = self.time + self.random_ms(5, 500);
-                self.at(
-                    time,
-                    Event::RunEnd {
-                        to: entry,
-                        claimant: call,
-                    },
-                );
+                self.at(time, entry, Event::RunEnd(call));
             }
         }
     }
@@ -543,10 +416,7 @@
             .and_then(|claimant| claimant.complete(answer))
             .unwrap();
         for to in self.calls[call].replicas.into_iter().flatten() {
-            self.send(entry, to, || Event::Complete {
-                to,
-                request: request.clone(),
-            });
+            self.send(entry, to, || Event::Complete(request.clone()));
         }
     }
 
@@ -566,10 +436,7 @@
             .collect();
         for (slot, request) in releases {
             let to = replicas[slot].unwrap();
-            self.send(entry, to, || Event::Release {
-                to,
-                request: request.clone(),
-            });
+            self.send(entry, to, || Event::Release(request.clone()));
         }
         let ran = self.figures.runs[key] > 0;
         match decision {
@@ -599,14 +466,7 @@
         if left > 0 {
             let time = self.time + self.random_ms(50, 3_000);
             let entry = self.random_entry();
-            self.at(
-                time,
-                Event::Call {
-                    key,
-                    entry,
-                    left: left - 1,
-                },
-            );
+            self.at(time, entry, Event::Call(key, left - 1));
         }
     }
 
@@ -630,7 +490,7 @@
         }
         if self.chance(self.faults.restart) {
             let to = self.rng.random_range(0..replicas);
-            self.at(time, Event::Restart { to });
+            self.at(time, to, Event::Restart);
         }
         if time >= self.settled_at && self.chance(self.faults.replaced) {
             // One failure domain at a time, see "What can still fail".
@@ -639,15 +499,8 @@
             let leaves = self.chance(0.5);
             let (status, learns) = if leaves {
                 // A leaving node knows it first and comes back as a new process.
-                self.at(
-                    time,
-                    Event::View {
-                        to: member,
-                        member,
-                        status: MemberStatus::Leaving,
-                    },
-                );
-                self.at(time + down, Event::Restart { to: member });
+                self.at(time, member, Event::View(member, MemberStatus::Leaving));
+                self.at(time + down, member, Event::Restart);
                 (MemberStatus::Leaving, time + down)
             } else {
                 self.nodes[member].paused_until = time + down;
@@ -655,29 +508,15 @@
             };
             for to in (0..self.nodes.len()).filter(|to| *to != member) {
                 let gone = time + self.random_ms(1_000, 3_000);
-                self.at(gone, Event::View { to, member, status });
+                self.at(gone, to, Event::View(member, status));
                 let back = time + down + self.random_ms(1_000, 3_000);
-                self.at(
-                    back,
-                    Event::View {
-                        to,
-                        member,
-                        status: MemberStatus::Alive,
-                    },
-                );
+                self.at(back, to, Event::View(member, MemberStatus::Alive));
             }
-            self.at(
-                learns,
-                Event::View {
-                    to: member,
-                    member,
-                    status: MemberStatus::Alive,
-                },
-            );
+            self.at(learns, member, Event::View(member, MemberStatus::Alive));
             self.settled_at = time + down + ms(10_000);
         }
         if time < EPOCH + RUN_TIME {
-            self.at(time + ms(1_000), Event::Fault);
+            self.at(time + ms(1_000), 0, Event::Fault);
         }
     }
 }
