--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -2,8 +2,7 @@
 
 mod request_common;
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -197,7 +196,7 @@
 }
 
 #[derive(Debug, Default)]
-struct Result {
+struct Outcome {
     good: u32,
     late: u32,
     refused: u32,
@@ -218,45 +217,24 @@
     Tick,
 }
 
-struct Entry(Duration, u64, Step);
-impl PartialEq for Entry {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-impl Eq for Entry {}
-impl PartialOrd for Entry {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Entry {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
 /// Open arrivals at `rate` calls per second after a second at a tenth of it; returns what the
 /// callers saw of those that arrived after two seconds.
-fn overload(queue: Queue, backend: Backend, rate: f64, seed: u64) -> Result {
+fn overload(queue: Queue, backend: Backend, rate: f64, seed: u64) -> Outcome {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut admission = Admission::new(SLOTS, 100);
     let mut fifo: VecDeque<Duration> = VecDeque::new();
     let mut arrivals: Vec<(Ticket, Duration)> = Vec::new();
     let mut running = 0_u32;
-    let mut events = BinaryHeap::from([
-        Reverse(Entry(ms(0), 0, Step::Arrive)),
-        Reverse(Entry(ms(0), 1, Step::Tick)),
-    ]);
+    let mut events = BTreeMap::from([((ms(0), 0), Step::Arrive), ((ms(0), 1), Step::Tick)]);
     let mut sequence = 2;
-    let mut result = Result::default();
+    let mut result = Outcome::default();
     let measured = ms(2_000);
-    while let Some(Reverse(Entry(now, _, step))) = events.pop() {
+    while let Some(((now, _), step)) = events.pop_first() {
         let mut start: Vec<(Duration, Option<Permit>)> = Vec::new();
         let mut changes = Changes::default();
         let mut push = |time: Duration, step: Step| {
             sequence += 1;
-            events.push(Reverse(Entry(time, sequence, step)));
+            events.insert((time, sequence), step);
         };
         match step {
             Step::Arrive => {
@@ -350,7 +328,7 @@
         let results =
             [base, Queue::Adaptive].map(|queue| overload(queue, backend, load * capacity, 1));
         let [old, new] = results.each_ref().map(|r| f64::from(r.good) / seconds);
-        let p99 = |r: &Result| {
+        let p99 = |r: &Outcome| {
             r.latency
                 .get(r.latency.len() * 99 / 100)
                 .map_or(0, Duration::as_millis)
