Compare again with the old version when faults rise after completion

A rise of faults now gives the old version traffic again for seconds; the comparison decides, and fewer calls are spoiled meanwhile. A fault that goes and comes with the load is rolled back at the third rise.

Invariant 4 is asserted in Active::share.

--- a/src/coordination/evidence.rs
+++ b/src/coordination/evidence.rs
@@ -70,6 +70,8 @@
 const HISTORY_DECAY: f64 = 0.99;
 /// Closed blocks that are kept.
 const KEPT_BLOCKS: usize = 32;
+/// Blocks that tell whether a fault is over.
+const CALM_BLOCKS: usize = 3;
 /// Blocks of the old version that a block of the new one is compared with; covers the time between
 /// two reports.
 const SMOOTHED_BLOCKS: usize = 3;
@@ -182,6 +184,11 @@
     pub route: Option<RouteName>,
     /// Figures of both versions.
     pub text: String,
+    /// Whether the old version served calls at the same time. Without them a fault of the
+    /// surroundings cannot be told from one of the version.
+    pub concurrent: bool,
+    /// Failures, or slow calls, of the new version per call since the alarm.
+    pub rate: f64,
 }
 
 /// Hits (failures or slow calls) among calls of both versions.
@@ -253,19 +260,53 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Alarm {
+    concurrent: bool,
     since: Duration,
     /// Calls and hits of the new version since then.
     new_calls: f64,
     new_hits: f64,
 }
 
-/// CUSUM of one measure on one route.
-#[derive(Clone, Debug)]
-struct Detector {
-    measure: Measure,
+/// Cumulative sums of the evidence for each assumed effect, never below zero.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cusum {
     sums: [f64; 4],
     /// Closed blocks since each sum was zero last.
     ages: [usize; 4],
+}
+
+impl Cusum {
+    fn add(&mut self, evidence: [f64; 4]) {
+        for (i, value) in evidence.into_iter().enumerate() {
+            // The upper limit lets a version recover from an alarm whose effect is too small.
+            self.sums[i] = (self.sums[i] + value).clamp(0.0, 2.0 * ALARM_EVIDENCE);
+            self.ages[i] = if self.sums[i] > 0.0 {
+                (self.ages[i] + 1).min(KEPT_BLOCKS)
+            } else {
+                0
+            };
+        }
+    }
+
+    /// Largest sum together with the evidence of the open block, and its age.
+    fn top(&self, open: [f64; 4]) -> (f64, usize) {
+        let sums = (0..4).map(|i| (self.sums[i] + open[i], self.ages[i]));
+        sums.fold((0.0, 0), |top, sum| if sum.0 > top.0 { sum } else { top })
+    }
+
+    fn max(&self) -> f64 {
+        self.sums.into_iter().fold(0.0, f64::max)
+    }
+}
+
+/// Both sums of one measure on one route.
+#[derive(Clone, Debug)]
+struct Detector {
+    measure: Measure,
+    /// Against calls of the same time.
+    concurrent: Cusum,
+    /// Against the stored baseline; void as soon as there are calls of the same time.
+    baseline: Cusum,
     blocks: VecDeque<Pair>,
     history: (f64, f64),
     alarm: Option<Alarm>,
@@ -286,8 +327,8 @@
     fn new(measure: Measure) -> Self {
         Self {
             measure,
-            sums: [0.0; 4],
-            ages: [0; 4],
+            concurrent: Cusum::default(),
+            baseline: Cusum::default(),
             blocks: VecDeque::with_capacity(KEPT_BLOCKS),
             history: (0.0, 0.0),
             alarm: None,
@@ -300,6 +341,11 @@
         ((hits + prior * weight) / (calls + weight)).clamp(0.002, 0.95)
     }
 
+    /// Rate up to which the stored baseline accuses nobody.
+    fn baseline_limit(&self) -> f64 {
+        MIN_RATIO * self.history_rate() + self.measure.min_excess / 2.0
+    }
+
     /// Evidence of a block for each assumed effect.
     fn evidence(&self, block: &Pair, reference: Reference) -> [f64; 4] {
         let old = self.history_rate();
@@ -340,24 +386,15 @@
         self.smoothed(block).old_calls
     }
 
-    fn sums_with(&self, open: &Pair, reference: Reference) -> [f64; 4] {
-        let mut sums = self.evidence(open, reference);
-        for (sum, closed) in sums.iter_mut().zip(self.sums) {
-            *sum += closed;
-        }
-        sums
-    }
-
     fn close(&mut self, block: Pair, reference: Reference) {
         let evidence = self.evidence(&block, reference);
-        for (i, value) in evidence.into_iter().enumerate() {
-            // The upper limit lets a version recover from an alarm whose effect is too small.
-            self.sums[i] = (self.sums[i] + value).clamp(0.0, 2.0 * ALARM_EVIDENCE);
-            self.ages[i] = if self.sums[i] > 0.0 {
-                (self.ages[i] + 1).min(KEPT_BLOCKS)
-            } else {
-                0
-            };
+        match reference {
+            Reference::Concurrent => {
+                self.concurrent.add(evidence);
+                self.baseline = Cusum::default();
+            }
+            Reference::Baseline(_) => self.baseline.add(evidence),
+            Reference::Unknown => {}
         }
         if self.blocks.len() == KEPT_BLOCKS {
             self.blocks.pop_front();
@@ -373,30 +410,33 @@
     }
 
     fn reset(&mut self) {
-        self.sums = [0.0; 4];
-        self.ages = [0; 4];
+        self.concurrent = Cusum::default();
+        self.baseline = Cusum::default();
         self.alarm = None;
     }
 
     /// Judges the open block; returns the figures if the new version is worse for certain.
-    fn judge(&mut self, now: Duration, open: &Pair, view: &View) -> Option<(Pair, f64)> {
-        let sums = self.sums_with(open, view.reference);
-        let (best, top) = (0..4).fold((0, 0.0), |(best, top), i| {
-            if sums[i] > top {
-                (i, sums[i])
-            } else {
-                (best, top)
-            }
-        });
+    fn judge(&mut self, now: Duration, open: &Pair, view: &View) -> Option<Judgement> {
+        let concurrent = view.reference == Reference::Concurrent;
+        let cusum = if concurrent {
+            &self.concurrent
+        } else {
+            &self.baseline
+        };
+        let (top, age) = cusum.top(self.evidence(open, view.reference));
         if top < ALARM_EVIDENCE {
             self.alarm = None;
             return None;
         }
-        let alarm = *self.alarm.get_or_insert(Alarm {
+        // An alarm against the baseline says nothing about calls of the same time.
+        let pending = self.alarm.filter(|alarm| alarm.concurrent == concurrent);
+        let alarm = pending.unwrap_or(Alarm {
+            concurrent,
             since: now,
             new_calls: 0.0,
             new_hits: 0.0,
         });
+        self.alarm = Some(alarm);
         let lasted = now.saturating_sub(alarm.since);
         let heard = view
             .old_heard
@@ -405,14 +445,18 @@
         if !confirmed {
             return None;
         }
-        let window = self.window(open, self.ages[best].max(2));
+        let window = self.window(open, age.max(2));
         // A burst that is over is no reason to act.
         let lasting = rate(alarm.new_hits, alarm.new_calls) >= window.new_rate() / 2.0;
         if alarm.new_hits < MIN_CONFIRMING_HITS || !lasting {
             return None;
         }
         match self.effect(&window, view) {
-            Effect::Matters => Some((window, top)),
+            Effect::Matters => Some(Judgement {
+                window,
+                evidence: top,
+                rate: rate(alarm.new_hits, alarm.new_calls),
+            }),
             Effect::Small => None,
             Effect::Shared => {
                 self.reset();
@@ -421,6 +465,12 @@
         }
     }
 
+    fn is_calm(&self) -> bool {
+        let recent = self.window(&Pair::default(), CALM_BLOCKS);
+        let limit = MIN_RATIO * self.history_rate() + self.measure.min_excess;
+        recent.old_rate_lower() <= limit && recent.new_rate() <= limit
+    }
+
     fn window(&self, open: &Pair, blocks: usize) -> Pair {
         let mut sum = *open;
         for block in self.blocks.iter().rev().take(blocks) {
@@ -436,8 +486,8 @@
             if view.explained {
                 return Effect::Shared;
             }
-            let excess = new - limit;
-            return if excess >= self.measure.min_excess {
+            let least = limit.max(normal + self.measure.min_excess);
+            return if new >= least {
                 Effect::Matters
             } else {
                 Effect::Small
@@ -458,6 +508,15 @@
     }
 }
 
+/// Figures behind a finding.
+#[derive(Clone, Copy, Debug)]
+struct Judgement {
+    window: Pair,
+    evidence: f64,
+    /// Rate of the new version since the alarm.
+    rate: f64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Effect {
     Matters,
@@ -586,14 +645,14 @@
         let errors = if self.errors.old_calls_near(&self.error_pair()) > 0.0 {
             Reference::Concurrent
         } else if silent && known {
-            Reference::Baseline(MIN_RATIO * self.errors.history_rate() + MIN_ERROR_EXCESS)
+            Reference::Baseline(self.errors.baseline_limit())
         } else {
             Reference::Baseline(ASSUMED_ERROR_RATE)
         };
         let latency = if self.latency.old_calls_near(&self.slow_pair()) > 0.0 {
             Reference::Concurrent
         } else if silent && self.slow_limit().is_some() {
-            Reference::Baseline(MIN_RATIO * self.latency.history_rate() + MIN_SLOW_EXCESS)
+            Reference::Baseline(self.latency.baseline_limit())
         } else {
             Reference::Unknown
         };
@@ -659,8 +718,10 @@
         self.opened = now;
     }
 
-    fn finding(&self, detector: &Detector, found: &(Pair, f64), view: View) -> Finding {
-        let (window, evidence) = found;
+    fn finding(&self, detector: &Detector, found: &Judgement, view: View) -> Finding {
+        let Judgement {
+            window, evidence, ..
+        } = found;
         let what = match detector.measure.cause {
             RollbackCause::Latency => {
                 let limit = self.slow_limit().map_or(0.0, bucket_limit);
@@ -682,12 +743,15 @@
                 "{what}: {} of {} of the new version against {old}, evidence {evidence:.1}",
                 window.new_hits, window.new_calls
             ),
+            concurrent: view.reference == Reference::Concurrent,
+            rate: found.rate,
         }
     }
 
     fn suspicion(&self) -> f64 {
-        let sums = self.errors.sums.iter().chain(&self.latency.sums);
-        sums.copied().fold(0.0, f64::max)
+        let detectors = [&self.errors, &self.latency];
+        let sums = detectors.map(|d| d.concurrent.max().max(d.baseline.max()));
+        sums[0].max(sums[1])
     }
 }
 
@@ -745,6 +809,21 @@
         self.step = [Tally::default(); 2];
     }
 
+    /// Tells whether both versions have been as good lately as the old one normally is.
+    #[must_use]
+    pub fn is_calm(&self) -> bool {
+        let mut tracks = self.routes.iter().chain([&self.total]);
+        tracks.all(|track| track.errors.is_calm() && track.latency.is_calm())
+    }
+
+    /// Drops the evidence, but not what is known of the old version.
+    pub fn restart(&mut self) {
+        for track in self.routes.iter_mut().chain([&mut self.total]) {
+            track.errors.reset();
+            track.latency.reset();
+        }
+    }
+
     /// Returns the calls of a version since the step began.
     #[must_use]
     pub fn step_calls(&self, side: Side) -> u32 {
--- a/src/coordination/rollout.rs
+++ b/src/coordination/rollout.rs
@@ -172,6 +172,32 @@
 pub const MIN_CRASHES: u32 = 3;
 /// Further crashes of the new version needed for each crash of the old one.
 pub const CRASH_RATIO: u32 = 3;
+/// Share of the new version in a probe after a large rise of its faults, percent. The old version's
+/// calls then show within seconds whether the rise has another cause, while few calls are spoiled.
+pub const SEVERE_PROBE_SHARE: u8 = 10;
+/// Share of the new version in a probe after a small rise, which needs many calls of both versions.
+pub const MILD_PROBE_SHARE: u8 = 50;
+/// Rate of failed or slow calls from which a rise is large.
+pub const SEVERE_RATE: f64 = 0.3;
+/// Calls of each version that end a probe after a large rise without a finding.
+pub const SEVERE_PROBE_CALLS: u32 = 50;
+/// Calls of each version that end a probe after a small rise without a finding.
+pub const MILD_PROBE_CALLS: u32 = 2_000;
+/// Shortest probe; covers the spread of the rumor and several reports.
+pub const MIN_PROBE_TIME: Duration = Duration::from_secs(6);
+/// Longest probe.
+pub const MAX_PROBE_TIME: Duration = Duration::from_mins(1);
+/// Shortest time between two probes, doubled after each.
+pub const PROBE_PAUSE: Duration = Duration::from_secs(3);
+/// Consecutive probes without a fault after which the next rise of faults at 100 % is taken to depend on
+/// the load of the new version.
+pub const LOAD_FAULT_PROBES: u8 = 2;
+/// Longest time from a probe to the next rise of faults that still depends on the load.
+pub const LOAD_FAULT_TIME: Duration = Duration::from_mins(1);
+/// Failed or slow calls expected in a probe, at the rate before it, after which their absence is clear.
+pub const VANISHED_CALLS: f64 = 20.0;
+/// Probes in one hold period.
+pub const MAX_PROBES: u8 = 20;
 /// Time without ticks after which this process was paused: its own measurements of that time are wrong.
 pub const PAUSE: Duration = Duration::from_secs(1);
 /// Time after a pause in which nothing is decided, since late reports are still being read.
@@ -239,6 +265,10 @@
     next_stall_report: Duration,
     reported_complete: bool,
     reported_held: bool,
+    /// Consecutive probes in which neither version showed a fault.
+    calm_probes: u8,
+    /// Rate of failed or slow calls at which this node began a probe.
+    probe_rate: f64,
     observation: Option<Box<Observation>>,
 }
 
@@ -685,6 +715,8 @@
             cause: RollbackCause::Crashes,
             route: None,
             text: format!("backend servers of the new version crashed {new} times, those of the old one {old} times"),
+            concurrent: true,
+            rate: 1.0,
         })
     }
 }
@@ -698,6 +730,17 @@
     actions: &'a mut Vec<RolloutAction>,
 }
 
+/// Part of the hold period.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Probe {
+    /// The new version has all traffic.
+    None,
+    /// Comparison after a large rise of faults.
+    Severe,
+    /// Comparison after a small rise of faults.
+    Mild,
+}
+
 /// Times of a step.
 struct StepTimes {
     /// End of the minimum dwell.
@@ -723,6 +766,8 @@
             next_stall_report: Duration::ZERO,
             reported_complete: false,
             reported_held: false,
+            calm_probes: 0,
+            probe_rate: 0.0,
             observation: None,
         }
     }
@@ -741,6 +786,35 @@
         u8::try_from(self.plan.steps.len().saturating_sub(1)).unwrap_or(u8::MAX)
     }
 
+    /// Probe of the hold period that the step stands for.
+    ///
+    /// Steps beyond the last one of the document come in threes: a probe after a small rise, a probe
+    /// after a large rise, and all traffic again. Their order makes them merge like other steps.
+    fn probe(&self, step: u8) -> Probe {
+        match step.saturating_sub(self.last_step()) % 3 {
+            1 => Probe::Mild,
+            2 => Probe::Severe,
+            _ => Probe::None,
+        }
+    }
+
+    fn step_share(&self, step: u8) -> u8 {
+        match self.probe(step) {
+            Probe::Severe => SEVERE_PROBE_SHARE,
+            Probe::Mild => MILD_PROBE_SHARE,
+            Probe::None => {
+                let step = step.min(self.last_step());
+                let share = self.plan.steps.get(usize::from(step)).copied();
+                let share = share.unwrap_or(0);
+                if step == 0 {
+                    share.min(MAX_FIRST_SHARE)
+                } else {
+                    share
+                }
+            }
+        }
+    }
+
     fn span(&self) -> Duration {
         self.plan.finish_by_ms.since(self.plan.start_ms)
     }
@@ -765,15 +839,17 @@
         })
     }
 
-    fn hold_end(&self) -> WallMs {
-        let completed = self.completed_at().unwrap_or(self.plan.finish_by_ms);
-        completed.plus(Duration::from_secs(self.plan.hold_s))
+    /// End of the hold period; none as long as the rollout is not complete. A probe starts it anew.
+    fn hold_end(&self) -> Option<WallMs> {
+        let hold = Duration::from_secs(self.plan.hold_s);
+        self.completed_at().map(|completed| completed.plus(hold))
     }
 
     /// Returns the observation while the rollout or its hold is on.
     fn observe(&mut self, now: Duration, wall: WallMs) -> Option<&mut Observation> {
         let begins = WallMs(self.plan.start_ms.0.saturating_sub(millis(WARM_UP)));
-        if wall < begins || wall >= self.hold_end() || self.rollback.is_some() {
+        let ended = self.hold_end().is_some_and(|end| wall >= end);
+        if wall < begins || ended || self.rollback.is_some() {
             self.observation = None;
             return None;
         }
@@ -785,23 +861,25 @@
         beside || self.to_slots != Some(0)
     }
 
+    /// Tells whether the rollout is over and its old version is gone.
+    ///
+    /// A fleet that restarts as a whole after a rollout has lost the progress; it must not send traffic to
+    /// the old version that nobody runs any more.
+    fn is_only_version(&self, wall: WallMs) -> bool {
+        let gone = self.from_slots == Some(0) && self.to_slots.is_some_and(|slots| slots > 0);
+        gone && wall >= self.plan.finish_by_ms
+    }
+
     /// Share of the new version, percent.
     fn share(&self, wall: WallMs, beside: bool) -> u8 {
         let planned = match &self.progress {
             _ if self.rollback.is_some() || !self.has_backends(beside) => 0,
+            _ if self.is_only_version(wall) => 100,
             // Nobody has begun: either no backend server of the new version is up, or no node with
             // evidence has seen it. The old version keeps the traffic.
             None => 0,
-            Some(_) if wall >= self.deadline() => 100,
-            Some(progress) => {
-                let step = usize::from(progress.step);
-                let share = self.plan.steps.get(step).copied().unwrap_or(0);
-                if step == 0 {
-                    share.min(MAX_FIRST_SHARE)
-                } else {
-                    share
-                }
-            }
+            Some(p) if wall >= self.deadline() && p.step <= self.last_step() => 100,
+            Some(progress) => self.step_share(progress.step),
         };
         let cap = self.share_cap(wall, beside);
         if invariant::check(4, planned <= cap, "share of a version above its cap") {
@@ -813,11 +891,21 @@
 
     /// Largest share that the new version may have, computed apart from the planned share.
     fn share_cap(&self, wall: WallMs, beside: bool) -> u8 {
+        if self.rollback.is_some() || !self.has_backends(beside) {
+            return 0;
+        }
+        if self.is_only_version(wall) {
+            return 100;
+        }
         let Some(progress) = &self.progress else {
             return 0;
         };
-        if self.rollback.is_some() || !self.has_backends(beside) {
-            0
+        if progress.step > self.last_step() {
+            match self.probe(progress.step) {
+                Probe::Severe => SEVERE_PROBE_SHARE,
+                Probe::Mild => MILD_PROBE_SHARE,
+                Probe::None => 100,
+            }
         } else if wall >= self.deadline() {
             100
         } else if progress.step == 0 {
@@ -829,7 +917,7 @@
     }
 
     fn merge_progress(&mut self, progress: RolloutProgress) -> bool {
-        if progress.step > self.last_step() {
+        if progress.step > self.last_step().saturating_add(3 * MAX_PROBES) {
             return false;
         }
         let known = self.progress.as_ref();
@@ -837,8 +925,17 @@
             return false;
         }
         let advances = known.is_none_or(|known| known.step < progress.step);
+        let in_hold = progress.step > self.last_step();
+        let probed = known.is_some_and(|known| self.probe(known.step) != Probe::None);
         if advances && let Some(observation) = &mut self.observation {
+            let calm = observation.evidence.is_calm();
             observation.evidence.begin_step();
+            if in_hold {
+                observation.evidence.restart();
+            }
+            if probed {
+                self.calm_probes = if calm { self.calm_probes + 1 } else { 0 };
+            }
         }
         self.progress = Some(progress);
         true
@@ -934,9 +1031,23 @@
         };
         let finding = observation.evidence.tick(turn.now);
         let finding = finding.or_else(|| observation.crash_finding());
-        let Some(finding) = finding.filter(|_| !quiet && self.progress.is_some()) else {
+        let (Some(finding), Some(step), false) =
+            (finding, self.progress.as_ref().map(|p| p.step), quiet)
+        else {
             return;
         };
+        let entered = self.progress.as_ref().map_or(turn.wall, |p| p.entered_at);
+        if turn.wall.since(entered) > LOAD_FAULT_TIME {
+            self.calm_probes = 0;
+        }
+        // A fault that comes with all traffic, goes with less and comes again depends on the version.
+        let load = self.calm_probes >= LOAD_FAULT_PROBES && self.probe(step) == Probe::None;
+        // At 100 % the calls of the old version are single ones, from nodes that enter or leave a probe.
+        let compared = finding.concurrent && self.probe(step) != Probe::None;
+        if step >= self.last_step() && !compared && !load {
+            self.begin_probe(turn, step, &finding);
+            return;
+        }
         let share = self.share(turn.wall, turn.side == Side::New);
         let rollback = Rollback {
             key: self.key.clone(),
@@ -953,6 +1064,50 @@
         self.outcome(turn, ResultCode::RolledBack, "rolled-back", text);
     }
 
+    /// Gives the old version traffic again for a short time, so that both can be compared.
+    fn begin_probe(&mut self, turn: &mut Turn<'_>, step: u8, finding: &Finding) {
+        let probes = (step - self.last_step()) / 3;
+        let entered = self.progress.as_ref().map_or(turn.wall, |p| p.entered_at);
+        let pause = if probes == 0 {
+            Duration::ZERO
+        } else {
+            PROBE_PAUSE * (1 << u32::from(probes.min(10)))
+        };
+        let possible = self.from_slots != Some(0) && probes < MAX_PROBES;
+        if self.probe(step) != Probe::None || !possible || turn.wall < entered.plus(pause) {
+            return;
+        }
+        let next = if finding.rate >= SEVERE_RATE { 2 } else { 1 };
+        self.probe_rate = finding.rate;
+        let why = format!("comparison with the old version: {}", finding.text);
+        self.enter(turn, step + next, &why);
+    }
+
+    fn end_probe(&mut self, turn: &mut Turn<'_>, progress: &RolloutProgress) {
+        let (calls, rest) = match self.probe(progress.step) {
+            Probe::None => return,
+            Probe::Severe => (SEVERE_PROBE_CALLS, 1),
+            Probe::Mild => (MILD_PROBE_CALLS, 2),
+        };
+        let Some(observation) = &self.observation else {
+            return;
+        };
+        let evidence = &observation.evidence;
+        let (new, old) = (
+            evidence.step_calls(Side::New),
+            evidence.step_calls(Side::Old),
+        );
+        let time = turn.wall.since(progress.entered_at);
+        let vanished = self.probe_rate * f64::from(new) >= VANISHED_CALLS && evidence.is_calm();
+        let enough = vanished || new >= calls && old >= calls;
+        let clear = enough && !evidence.is_suspicious();
+        if time >= MAX_PROBE_TIME || time >= MIN_PROBE_TIME && clear {
+            let why =
+                format!("no difference in {new} calls of the new and {old} of the old version");
+            self.enter(turn, progress.step + rest, &why);
+        }
+    }
+
     fn step_times(&self, progress: &RolloutProgress) -> StepTimes {
         let deadline = self.deadline();
         let margin = FINISH_MARGIN.min(self.span() / 4);
@@ -964,10 +1119,12 @@
         let dwell = (budget / DWELL_PART).max(MIN_DWELL.min(budget));
         let latest = progress.entered_at.plus(budget);
         let rest = millis(MIN_DWELL) * u64::from(left - 1);
+        let most = progress.entered_at.plus(budget * 2);
         StepTimes {
             earliest: progress.entered_at.plus(dwell),
             latest,
-            last: WallMs(target.0.saturating_sub(rest)).max(latest),
+            // Later steps need time too, and show more.
+            last: WallMs(target.0.saturating_sub(rest)).min(most).max(latest),
         }
     }
 
@@ -1023,7 +1180,11 @@
             return;
         };
         let last = self.last_step();
-        if progress.step >= last || self.rollback.is_some() || turn.now < self.quiet_until {
+        if self.rollback.is_some() || turn.now < self.quiet_until {
+            return;
+        }
+        if progress.step >= last {
+            self.end_probe(turn, &progress);
             return;
         }
         if turn.wall >= self.deadline() {
@@ -1059,11 +1220,12 @@
             turn.actions.push(RolloutAction::Advance(progress));
             self.next_stall_report = Duration::ZERO;
             let share = self.share(turn.wall, turn.side == Side::New);
-            let text = format!(
-                "step {} of {} at {share} %: {why}",
-                step + 1,
-                self.last_step() + 1
-            );
+            let text = if step > self.last_step() {
+                format!("hold at {share} %: {why}")
+            } else {
+                let steps = self.last_step() + 1;
+                format!("step {} of {steps} at {share} %: {why}", step + 1)
+            };
             self.outcome(turn, ResultCode::RolloutStep, &format!("step-{step}"), text);
         }
     }
@@ -1119,7 +1281,7 @@
             };
             self.outcome(turn, ResultCode::RolloutCompleted, "completed", text);
         }
-        if !self.reported_held && turn.wall >= self.hold_end() {
+        if !self.reported_held && self.hold_end().is_some_and(|end| turn.wall >= end) {
             self.reported_held = true;
             let text = format!("no late fault within {} s", self.plan.hold_s);
             self.outcome(turn, ResultCode::RolloutHeld, "held", text);
--- /dev/null
+++ b/tests/rollout.rs
@@ -0,0 +1,355 @@
+//! Sessions of whole rollouts as golden files, and the rules that need no traffic.
+
+#[path = "support/service.rs"]
+mod service;
+
+use std::time::Duration;
+
+use service::EPOCH_MS;
+use service::Fault;
+use service::START_MS;
+use service::Scenario;
+use service::Session;
+use service::run;
+use sycamorewick::coordination::rollout::RolloutAction;
+use sycamorewick::coordination::rollout::RolloutEngine;
+use sycamorewick::protocol::gossip::Rollback;
+use sycamorewick::protocol::gossip::RollbackCause;
+use sycamorewick::protocol::gossip::RolloutKey;
+use sycamorewick::protocol::gossip::RolloutProgress;
+use sycamorewick::protocol::name::ConfigVersion;
+use sycamorewick::protocol::time::WallMs;
+use sycamorewick::result_code::ResultCode;
+
+fn golden(name: &str, session: &Session) {
+    insta::assert_snapshot!(name, session.text());
+}
+
+fn assert_complete(scenario: &Scenario, session: &Session) {
+    assert!(!session.rolled_back, "{}", session.text());
+    // A clock may be half a second behind.
+    let limit = scenario.finish_ms() + 600;
+    assert!(
+        session.complete_ms.is_some_and(|ms| ms <= limit),
+        "{}",
+        session.text()
+    );
+}
+
+fn with_faults(seed: u64, faults: &[Fault]) -> Scenario {
+    let mut scenario = Scenario::new(seed);
+    scenario.faults = faults.to_vec();
+    scenario
+}
+
+/// Guards against a good version that is delayed, and against outcomes without figures.
+#[test]
+fn session_good() {
+    let mut scenario = Scenario::new(1);
+    scenario.after_ms = 40_000;
+    let session = run(&scenario);
+    assert_complete(&scenario, &session);
+    assert!(
+        session.report_bytes < 1_300,
+        "{} bytes",
+        session.report_bytes
+    );
+    golden("good", &session);
+}
+
+/// Guards against a version that fails every call and keeps traffic for more than seconds.
+#[test]
+fn session_bad_at_once() {
+    let session = run(&with_faults(
+        2,
+        &[Fault::Errors {
+            from_ms: 0,
+            part: 1.0,
+        }],
+    ));
+    assert!(session.spoiled <= 25);
+    golden("bad_at_once", &session);
+}
+
+/// Guards against evidence that stops with the last step.
+#[test]
+fn session_bad_after_completion() {
+    let fault = Fault::Errors {
+        from_ms: 110_000,
+        part: 0.5,
+    };
+    let session = run(&with_faults(3, &[fault]));
+    assert!(session.complete_ms.is_some() && session.zero_ms.is_some());
+    golden("bad_after_completion", &session);
+}
+
+/// Guards against a fault that vanishes in every comparison with the old version, since that takes
+/// the load away that causes it.
+#[test]
+fn session_bad_under_full_load() {
+    let mut scenario = with_faults(
+        4,
+        &[Fault::Load {
+            running: 6,
+            part: 0.3,
+        }],
+    );
+    scenario.latency_ms = 60.0;
+    scenario.rate = 110.0;
+    scenario.after_ms = 60_000;
+    let session = run(&scenario);
+    assert!(session.zero_ms.is_some(), "{}", session.text());
+    golden("bad_under_full_load", &session);
+}
+
+/// Guards against a fault that is lost among the calls of healthy routes.
+#[test]
+fn session_bad_on_one_route() {
+    let session = run(&with_faults(5, &[Fault::OneRoute { part: 0.2 }]));
+    assert!(session.zero_ms.is_some());
+    golden("bad_on_one_route", &session);
+}
+
+/// Guards against a version that is blamed for a slowness or for errors of the whole service.
+#[test]
+fn session_shared_faults() {
+    let faults = [
+        Fault::SharedSlow {
+            from_ms: 40_000,
+            to_ms: 50_000,
+            factor: 5.0,
+        },
+        Fault::SharedErrors {
+            from_ms: 70_000,
+            to_ms: 75_000,
+            part: 0.5,
+        },
+        Fault::SharedErrors {
+            from_ms: 118_000,
+            to_ms: 128_000,
+            part: 0.5,
+        },
+    ];
+    let scenario = with_faults(6, &faults);
+    let session = run(&scenario);
+    assert_complete(&scenario, &session);
+    golden("shared_faults", &session);
+}
+
+/// Guards against a rollout that waits for calls that never come.
+#[test]
+fn session_low_traffic() {
+    let mut scenario = Scenario::new(7);
+    scenario.rate = 0.5;
+    let session = run(&scenario);
+    assert_complete(&scenario, &session);
+    golden("low_traffic", &session);
+}
+
+/// Guards against a service without any calls that blocks its rollout.
+#[test]
+fn session_without_traffic() {
+    let mut scenario = Scenario::new(8);
+    scenario.rate = 0.0;
+    assert_complete(&scenario, &run(&scenario));
+}
+
+/// Guards against a decision by a node that was paused and reads late reports.
+#[test]
+fn session_paused_nodes() {
+    let mut scenario = Scenario::new(9);
+    scenario.pauses = vec![
+        (0, 30_000, 45_000),
+        (4, 60_000, 85_000),
+        (5, 120_000, 135_000),
+    ];
+    let session = run(&scenario);
+    assert!(!session.rolled_back);
+    golden("paused_nodes", &session);
+}
+
+/// Guards against a request that takes down backend servers and with them a good version.
+#[test]
+fn session_crashing_request() {
+    let mut scenario = with_faults(10, &[Fault::CrashingRequest { from_ms: 30_000 }]);
+    scenario.after_ms = 5_000;
+    let session = run(&scenario);
+    assert_complete(&scenario, &session);
+    assert!(session.crashes <= 3, "{}", session.text());
+    golden("crashing_request", &session);
+}
+
+/// Guards against backend servers of a bad version that crash again and again.
+#[test]
+fn session_crashing_version() {
+    let session = run(&with_faults(11, &[Fault::Crashes { part: 0.05 }]));
+    assert!(session.zero_ms.is_some());
+    golden("crashing_version", &session);
+}
+
+/// Guards against traffic for a version without backend servers.
+#[test]
+fn session_without_new_backend_servers() {
+    let mut scenario = Scenario::new(12);
+    scenario.new_version_up = false;
+    let session = run(&scenario);
+    assert!(session.complete_ms.is_none());
+    assert!(session.has(ResultCode::RolloutStalled.number()));
+    golden("without_new_backend_servers", &session);
+}
+
+fn wall(ms: u64) -> WallMs {
+    WallMs(EPOCH_MS + ms)
+}
+
+fn engine(serving: Option<&str>) -> RolloutEngine {
+    let mut engine = RolloutEngine::new("me".into());
+    engine.on_config(&Scenario::new(0).document());
+    engine.set_serving(serving.map(|version| ("registry".into(), version.into())));
+    engine
+}
+
+fn key() -> RolloutKey {
+    RolloutKey {
+        service: "registry".into(),
+        to: "v2".into(),
+        since: ConfigVersion(7),
+    }
+}
+
+fn progress(step: u8, at_ms: u64) -> RolloutProgress {
+    RolloutProgress {
+        key: key(),
+        step,
+        entered_at: wall(at_ms),
+        began_at: wall(START_MS),
+        by: "n1".into(),
+    }
+}
+
+fn rollback(at_ms: u64) -> Rollback {
+    Rollback {
+        key: key(),
+        cause: RollbackCause::Errors,
+        route: None,
+        at: wall(at_ms),
+        by: "n1".into(),
+    }
+}
+
+fn share(engine: &RolloutEngine, at_ms: u64) -> u8 {
+    let shares = engine.shares("registry", wall(at_ms)).unwrap();
+    assert_eq!(shares.of("v1") + shares.of("v2"), 100);
+    shares.of("v2")
+}
+
+/// Guards against a deadline that depends on the log, on peers or on ticks.
+#[test]
+fn deadline_alone() {
+    let finish = Scenario::new(0).finish_ms();
+    let mut entry = engine(None);
+    assert_eq!(share(&entry, finish), 0, "nobody has begun");
+    assert!(entry.on_progress(progress(1, 20_000)));
+    assert_eq!(share(&entry, finish - 1), 25);
+    assert_eq!(share(&entry, finish), 100);
+    entry.on_slots("registry", "v2", 0);
+    assert_eq!(share(&entry, finish), 0, "no backend server is up");
+}
+
+/// Guards against a node of the new version that cannot complete alone: every step comes in time
+/// although no other node is heard.
+#[test]
+fn deadline_all_peers_silent() {
+    let finish = Scenario::new(0).finish_ms();
+    let mut node = engine(Some("v2"));
+    let mut advances = 0;
+    for ms in (0..finish).step_by(200) {
+        let actions = node.tick(Duration::from_millis(ms), wall(ms));
+        let steps = actions
+            .iter()
+            .filter(|a| matches!(a, RolloutAction::Advance(_)));
+        advances += steps.count();
+    }
+    assert_eq!(advances, 5);
+    assert_eq!(share(&node, finish), 100);
+}
+
+/// Guards against a version that begins after its deadline and gets all traffic at once.
+#[test]
+fn deadline_passed_before_begin() {
+    let late = Scenario::new(0).finish_ms() + 60_000;
+    let mut node = engine(Some("v2"));
+    let mut shares = Vec::new();
+    for ms in (late..late + 30_000).step_by(200) {
+        node.tick(Duration::from_millis(ms), wall(ms));
+        shares.push(share(&node, ms));
+    }
+    shares.dedup();
+    assert_eq!(shares, [0, 5, 25, 50, 75, 100]);
+}
+
+/// Guards against a fleet that restarts after a rollout and sends traffic to the version that is gone.
+#[test]
+fn deadline_passed_old_version_gone() {
+    let late = Scenario::new(0).finish_ms() + 600_000;
+    let mut entry = engine(None);
+    entry.on_slots("registry", "v2", 30);
+    assert_eq!(share(&entry, late), 0);
+    entry.on_slots("registry", "v1", 0);
+    assert_eq!(share(&entry, late), 100);
+    entry.on_rollback(rollback(30_000));
+    assert_eq!(share(&entry, late), 0);
+}
+
+/// Guards against states that differ for ever after two nodes have advanced at once.
+#[test]
+fn progress_two_at_once() {
+    let (mut a, mut b) = (progress(2, 50_000), progress(2, 50_200));
+    a.by = "a".into();
+    b.by = "b".into();
+    let mut first = engine(None);
+    let mut second = engine(None);
+    assert!(first.on_progress(a.clone()) && !first.on_progress(b.clone()));
+    assert!(second.on_progress(b) && second.on_progress(a));
+    assert_eq!(first.progress(), second.progress());
+    assert!(
+        !first.on_progress(progress(1, 60_000)),
+        "steps never go back"
+    );
+}
+
+/// Guards against a rolled back version that gets traffic again by progress, by the deadline, by
+/// another configuration version or by a rumor that came before the configuration.
+#[test]
+fn rollback_is_final() {
+    let finish = Scenario::new(0).finish_ms();
+    let mut node = RolloutEngine::new("me".into());
+    assert!(node.on_rollback(rollback(30_000)));
+    node.on_config(&Scenario::new(0).document());
+    assert!(!node.on_rollback(rollback(30_000)));
+    node.on_progress(progress(4, 90_000));
+    let mut newer = Scenario::new(0).document();
+    newer.since = vec![sycamorewick::protocol::record::ServiceSince {
+        service: "registry".into(),
+        since: newer.version,
+    }];
+    newer.version = ConfigVersion(9);
+    node.on_config(&newer);
+    assert_eq!(share(&node, finish + 1), 0);
+    assert_eq!(node.rollbacks(), [rollback(30_000)]);
+    // A change of the service's section is a new rollout.
+    newer.since[0].since = ConfigVersion(9);
+    node.on_config(&newer);
+    assert!(node.rollbacks().is_empty());
+}
+
+/// Guards against a first step of the document that exposes more than a tenth of the traffic.
+#[test]
+fn first_step_is_capped() {
+    let mut scenario = Scenario::new(0);
+    scenario.steps = vec![60, 100];
+    let mut entry = RolloutEngine::new("me".into());
+    entry.on_config(&scenario.document());
+    entry.on_progress(progress(0, START_MS));
+    assert_eq!(share(&entry, START_MS), 10);
+}
