--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,111 @@
+//! The quarantine of requests that crash backend servers.
+
+use sycamorewick::coordination::quarantine::MAX_FINGERPRINTS;
+use sycamorewick::coordination::quarantine::QUARANTINE_TIME;
+use sycamorewick::coordination::quarantine::Quarantine;
+use sycamorewick::coordination::quarantine::QuarantineAction;
+use sycamorewick::coordination::quarantine::fingerprint;
+use sycamorewick::protocol::gossip::CrashReport;
+use sycamorewick::protocol::time::WallMs;
+
+const START: WallMs = WallMs(1_000_000);
+
+fn crash(fingerprint: u64, node: &str, backend_start: u64, at: WallMs) -> CrashReport {
+    CrashReport {
+        fingerprint,
+        node: node.into(),
+        backend_start,
+        at,
+    }
+}
+
+fn is_quarantining(actions: &[QuarantineAction]) -> bool {
+    let found = |a: &QuarantineAction| matches!(a, QuarantineAction::Quarantined { .. });
+    actions.iter().any(found)
+}
+
+/// Guards against two requests that are taken for one because their parts join to the same bytes.
+#[test]
+fn fingerprint_parts() {
+    let prints = [
+        fingerprint("GET", "r", "/ab", b"c"),
+        fingerprint("GET", "r", "/a", b"bc"),
+        fingerprint("GET", "r/", "ab", b"c"),
+        fingerprint("POST", "r", "/ab", b"c"),
+    ];
+    for (i, print) in prints.iter().enumerate() {
+        assert!(!prints[..i].contains(print));
+    }
+}
+
+/// Guards against a quarantine after one crash, or after one crash that is reported twice.
+#[test]
+fn crash_second_quarantines() {
+    let mut quarantine = Quarantine::new();
+    let first = crash(7, "a", 1, START);
+    assert!(!is_quarantining(&quarantine.on_crash(&first, START)));
+    assert!(quarantine.on_report(&first, START).is_empty());
+    assert!(!quarantine.is_quarantined(7, START));
+    assert!(is_quarantining(
+        &quarantine.on_report(&crash(7, "a", 2, START), START)
+    ));
+    assert!(quarantine.is_quarantined(7, START) && quarantine.is_explained(7));
+    assert!(!quarantine.is_quarantined(8, START));
+}
+
+/// Guards against a quarantine that never ends, and against one that a later crash does not extend.
+#[test]
+fn crash_expiry() {
+    let mut quarantine = Quarantine::new();
+    quarantine.on_crash(&crash(7, "a", 1, START), START);
+    quarantine.on_crash(&crash(7, "b", 1, START), START);
+    let later = START.plus(QUARANTINE_TIME / 2);
+    quarantine.on_report(&crash(7, "c", 1, later), later);
+    let end = later.plus(QUARANTINE_TIME);
+    assert!(quarantine.is_quarantined(7, WallMs(end.0 - 1)));
+    assert!(!quarantine.is_quarantined(7, end));
+    assert!(
+        quarantine
+            .on_report(&crash(7, "a", 1, START), end)
+            .is_empty(),
+        "too old"
+    );
+    quarantine.tick(end);
+    assert!(quarantine.reports(end).is_empty());
+}
+
+/// Guards against a clock that is ahead and extends the quarantine.
+#[test]
+fn crash_future_time() {
+    let mut quarantine = Quarantine::new();
+    let ahead = START.plus(QUARANTINE_TIME * 10);
+    quarantine.on_report(&crash(7, "a", 1, ahead), START);
+    quarantine.on_report(&crash(7, "b", 1, ahead), START);
+    assert!(!quarantine.is_quarantined(7, START.plus(QUARANTINE_TIME)));
+}
+
+/// Guards against innocent requests that ran beside the cause of one crash and beside that of the next.
+#[test]
+fn crash_answered_clears() {
+    let mut quarantine = Quarantine::new();
+    quarantine.on_crash(&crash(7, "a", 1, START), START);
+    quarantine.on_answered(7);
+    assert!(!is_quarantining(
+        &quarantine.on_crash(&crash(7, "b", 1, START), START)
+    ));
+}
+
+/// Guards against a table that grows without limit, and against a flood of single crashes that
+/// displaces a quarantined request.
+#[test]
+fn table_bound() {
+    let mut quarantine = Quarantine::new();
+    quarantine.on_crash(&crash(7, "a", 1, START), START);
+    quarantine.on_crash(&crash(7, "b", 1, START), START);
+    let later = WallMs(START.0 + 1);
+    for print in 100..100 + 2 * MAX_FINGERPRINTS as u64 {
+        quarantine.on_crash(&crash(print, "a", 1, later), later);
+    }
+    assert!(quarantine.is_quarantined(7, later));
+    assert_eq!(quarantine.reports(later).len(), MAX_FINGERPRINTS + 1);
+}
