--- /dev/null
+++ b/tests/rollout_random.rs
@@ -0,0 +1,247 @@
+//! Seeded random rollouts: how many good versions complete in time, how many are rolled back by
+//! mistake, and how fast bad ones are rolled back, compared with a schedule without evidence.
+//!
+//! `ROLLOUT_GOOD` and `ROLLOUT_BAD` set the number of seeds (of each kind), `ROLLOUT_SEED` runs one.
+
+#[path = "support/service.rs"]
+mod service;
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use service::Fault;
+use service::Policy;
+use service::START_MS;
+use service::Scenario;
+use service::Session;
+use service::run;
+
+fn setting(name: &str) -> Option<u64> {
+    std::env::var(name).ok().map(|v| v.parse().expect(name))
+}
+
+/// Seeds to run: the one of a replay, or the first ones.
+fn seeds(name: &str, default: u64) -> Vec<u64> {
+    match setting("ROLLOUT_SEED") {
+        Some(seed) => vec![seed],
+        None => (0..setting(name).unwrap_or(default)).collect(),
+    }
+}
+
+/// Runs a session for each seed on several threads; results are in the order of the seeds.
+fn run_all<T: Send>(seeds: &[u64], job: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    let next = AtomicU64::new(0);
+    let workers = std::thread::available_parallelism().map_or(2, |n| n.get().min(8));
+    let mut results: Vec<(usize, T)> = std::thread::scope(|scope| {
+        let work = || {
+            let mut done = Vec::new();
+            loop {
+                let i = usize::try_from(next.fetch_add(1, Ordering::Relaxed)).unwrap();
+                let Some(seed) = seeds.get(i) else {
+                    return done;
+                };
+                done.push((i, job(*seed)));
+            }
+        };
+        let threads: Vec<_> = (0..workers).map(|_| scope.spawn(work)).collect();
+        let joined = threads.into_iter().map(|t| t.join().expect("session ends"));
+        joined.flatten().collect()
+    });
+    results.sort_by_key(|(i, _)| *i);
+    results.into_iter().map(|(_, result)| result).collect()
+}
+
+/// A good version in a noisy environment: faults that both versions share, stops of one backend
+/// server, pauses, cuts, restarts, clock differences, lost and late reports.
+fn good(seed: u64) -> Scenario {
+    let mut rng = StdRng::seed_from_u64(seed ^ 0x600D);
+    let mut scenario = Scenario::new(seed);
+    scenario.rate = [1.0, 5.0, 20.0, 50.0, 100.0][rng.random_range(0..5)];
+    scenario.base_errors = rng.random_range(0.0..0.02);
+    scenario.noise = rng.random_range(0.2..1.0);
+    scenario.routes = rng.random_range(1..=4);
+    scenario.steps = match rng.random_range(0..3) {
+        0 => vec![10, 100],
+        1 => vec![5, 25, 50, 75, 100],
+        _ => vec![1, 10, 30, 60, 80, 90, 100],
+    };
+    scenario.span_ms = [20_000, 60_000, 120_000][rng.random_range(0..3)];
+    scenario.hold_s = 30;
+    scenario.after_ms = 35_000;
+    scenario.loss = rng.random_range(0.0..0.1);
+    scenario.max_delay_ms = rng.random_range(5..300);
+    let at = rng.random_range(0..scenario.finish_ms());
+    let length = rng.random_range(500..15_000);
+    let node = rng.random_range(0..7);
+    match rng.random_range(0..8) {
+        0 => scenario.faults.push(Fault::SharedErrors {
+            from_ms: at,
+            to_ms: at + length,
+            part: rng.random_range(0.05..1.0),
+        }),
+        1 => scenario.faults.push(Fault::SharedSlow {
+            from_ms: at,
+            to_ms: at + length,
+            factor: rng.random_range(1.5..10.0),
+        }),
+        2 => scenario.faults.push(Fault::Stops {
+            server: rng.random_range(0..6),
+        }),
+        3 => scenario.pauses.push((node, at, at + length)),
+        4 => scenario.cuts.push((node, at, at + length)),
+        5 => scenario.restarts.push((node, at / 10 * 10)),
+        _ => {}
+    }
+    scenario
+}
+
+#[test]
+fn good_versions() {
+    let seeds = seeds("ROLLOUT_GOOD", 200);
+    let sessions = run_all(&seeds, |seed| run(&good(seed)));
+    let (mut rolled_back, mut in_time) = (Vec::new(), 0);
+    let mut late = Vec::new();
+    for (seed, session) in seeds.iter().zip(&sessions) {
+        // A clock may be half a second behind.
+        let limit = good(*seed).finish_ms() + 600;
+        if session.rolled_back {
+            rolled_back.push(*seed);
+        } else if session.complete_ms.is_some_and(|ms| ms <= limit) {
+            in_time += 1;
+        } else {
+            late.push(*seed);
+        }
+    }
+    println!(
+        "good versions: {} sessions, {in_time} completed in time, {} rolled back, {} late",
+        seeds.len(),
+        rolled_back.len(),
+        late.len()
+    );
+    for seed in rolled_back.iter().chain(&late) {
+        println!(
+            "ROLLOUT_SEED={seed} cargo test --test rollout_random good_versions -- --nocapture"
+        );
+        println!("{:?}", good(*seed));
+        println!("{}", run(&good(*seed)).text());
+    }
+    assert!(rolled_back.is_empty() && late.is_empty());
+}
+
+const KINDS: [&str; 11] = [
+    "at once, all",
+    "at once, 5 %",
+    "after some minutes",
+    "after completion",
+    "late, 5 %",
+    "one route, 50 %",
+    "one route, 5 %",
+    "under load",
+    "slow, factor 3",
+    "crashes, 5 %",
+    "low traffic, all",
+];
+
+/// Faults near the least effect that matters: traffic allows a finding within the session for most
+/// seeds only.
+fn is_small(kind: &str) -> bool {
+    kind.ends_with(", 5 %") && !kind.starts_with("crashes")
+}
+
+fn bad(kind: &str, seed: u64) -> Scenario {
+    let mut rng = StdRng::seed_from_u64(seed ^ 0xBAD);
+    let mut scenario = Scenario::new(seed);
+    scenario.rate = rng.random_range(40.0..120.0);
+    scenario.base_errors = rng.random_range(0.0..0.01);
+    scenario.noise = rng.random_range(0.2..0.6);
+    scenario.hold_s = 120;
+    scenario.after_ms = 60_000;
+    let finish = scenario.finish_ms();
+    let middle = rng.random_range(START_MS + 40_000..finish - 20_000);
+    let errors = |from_ms, part| Fault::Errors { from_ms, part };
+    scenario.faults = vec![match kind {
+        "at once, all" | "low traffic, all" => errors(0, 1.0),
+        "at once, 5 %" => errors(0, 0.05),
+        "after some minutes" => errors(middle, 0.5),
+        "after completion" => errors(finish + 5_000, 0.5),
+        "late, 5 %" => errors(middle, 0.05),
+        "one route, 50 %" => Fault::OneRoute { part: 0.5 },
+        "one route, 5 %" => Fault::OneRoute { part: 0.05 },
+        "under load" => Fault::Load {
+            running: 4,
+            part: 0.3,
+        },
+        "slow, factor 3" => Fault::Slow { factor: 3.0 },
+        "crashes, 5 %" => Fault::Crashes { part: 0.05 },
+        _ => panic!("unknown kind {kind}"),
+    }];
+    if is_small(kind) {
+        scenario.after_ms = 120_000;
+    }
+    if kind == "under load" {
+        scenario.latency_ms = 60.0;
+        scenario.rate = rng.random_range(90.0..120.0);
+    }
+    if kind == "low traffic, all" {
+        scenario.rate = 4.0;
+    }
+    scenario
+}
+
+#[test]
+fn bad_versions() {
+    let seeds = seeds("ROLLOUT_BAD", 20);
+    println!(
+        "{:20} {:>9} {:>10} {:>10} {:>8} {:>8} {:>14}",
+        "bad version", "back", "median s", "longest s", "spoiled", "most", "fixed schedule"
+    );
+    let mut missed = Vec::new();
+    for kind in KINDS {
+        let sessions: Vec<(Session, Session)> = run_all(&seeds, |seed| {
+            let mut fixed = bad(kind, seed);
+            fixed.policy = Policy::FixedSchedule;
+            (run(&bad(kind, seed)), run(&fixed))
+        });
+        let times = sessions.iter().filter_map(|(session, _)| {
+            let zero = session.zero_ms.filter(|_| session.rolled_back)?;
+            Some(zero.saturating_sub(session.first_fault_ms?))
+        });
+        let mut times: Vec<u64> = times.collect();
+        times.sort_unstable();
+        let mut spoiled: Vec<u64> = sessions.iter().map(|(s, _)| s.spoiled).collect();
+        spoiled.sort_unstable();
+        let mut fixed: Vec<u64> = sessions.iter().map(|(_, s)| s.spoiled).collect();
+        fixed.sort_unstable();
+        let at = seeds.len() / 2;
+        let seconds = |ms: Option<&u64>| {
+            ms.map_or_else(String::new, |ms| {
+                format!("{}.{}", ms / 1000, ms % 1000 / 100)
+            })
+        };
+        println!(
+            "{kind:20} {:>5}/{:<3} {:>10} {:>10} {:>8} {:>8} {:>14}",
+            times.len(),
+            seeds.len(),
+            seconds(times.get(times.len() / 2)),
+            seconds(times.last()),
+            spoiled[at],
+            spoiled[spoiled.len() - 1],
+            fixed[at]
+        );
+        // At least 9 of 10 faults near the least effect, all others.
+        let tolerated = if is_small(kind) { seeds.len() / 10 } else { 0 };
+        let enough = times.len() + tolerated >= seeds.len();
+        for (seed, (session, _)) in seeds.iter().zip(&sessions) {
+            if session.zero_ms.is_none() && !enough {
+                missed.push(format!(
+                    "ROLLOUT_SEED={seed} cargo test --test rollout_random bad_versions -- --nocapture # {kind}\n{}",
+                    session.text()
+                ));
+            }
+        }
+    }
+    assert!(missed.is_empty(), "not rolled back:\n{}", missed.join("\n"));
+}
