Tell a sick backend server from a bad version

A finding now needs evidence at another backend server of the new version too. Reports after a long silence only set a new starting point, since their old calls hid a shared fault; single calls of the old version no longer count as no evidence of a shared fault.

--- a/src/coordination/evidence.rs
+++ b/src/coordination/evidence.rs
@@ -13,8 +13,8 @@
 //! found as fast as one that was there from the start.
 //!
 //! Limits: calls are taken as independent; bursts are covered by [`MAX_BLOCK_EVIDENCE`], the
-//! confirmation time and the least effects only. A fault of a single backend server counts as a fault
-//! of its version.
+//! confirmation time and the least effects only. A fault that only one of several backend servers of the new
+//! version shows is taken to be the server's, so that a version that is bad on one of them is not found.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -51,6 +51,16 @@
 pub const CONFIRM_LATENCY_TIME: Duration = Duration::from_secs(3);
 /// Failures (or slow calls) of the new version after the alarm that confirm it.
 pub const MIN_CONFIRMING_HITS: f64 = 2.0;
+/// Evidence that must remain without the worst backend server. One start of a CUSUM reaches it by chance with a
+/// probability of at most `exp(-8)`, so that an alarm that a single server keeps up for some minutes
+/// stays its own.
+pub const MIN_OTHER_EVIDENCE: f64 = 8.0;
+/// Part of the evidence against the worst backend server that the others must reach together.
+pub const MIN_OTHER_PART: f64 = 0.4;
+/// Calls at the other backend servers needed to tell a fault of the version from one of a server.
+pub const MIN_OTHER_CALLS: f64 = 2.0;
+/// Time after which an alarm counts although the other backend servers have too few calls.
+pub const LONE_ALARM_TIME: Duration = Duration::from_secs(10);
 /// Shortest block.
 pub const BLOCK_TIME: Duration = Duration::from_secs(1);
 /// Time without calls of the old version after which its stored baseline takes their place.
@@ -68,6 +78,8 @@
 
 /// Weight of a second in the old version's history after another second.
 const HISTORY_DECAY: f64 = 0.99;
+/// Weight of a block in the figures of a single backend server after another block.
+const SOURCE_DECAY: f64 = 0.95;
 /// Closed blocks that are kept.
 const KEPT_BLOCKS: usize = 32;
 /// Blocks that tell whether a fault is over.
@@ -261,12 +273,26 @@
 #[derive(Clone, Copy, Debug)]
 struct Alarm {
     concurrent: bool,
+    raised: Duration,
+    /// Begin of the time to confirm.
     since: Duration,
     /// Calls and hits of the new version since then.
     new_calls: f64,
     new_hits: f64,
 }
 
+impl Alarm {
+    fn new(concurrent: bool, raised: Duration, since: Duration) -> Self {
+        Self {
+            concurrent,
+            raised,
+            since,
+            new_calls: 0.0,
+            new_hits: 0.0,
+        }
+    }
+}
+
 /// Cumulative sums of the evidence for each assumed effect, never below zero.
 #[derive(Clone, Copy, Debug, Default)]
 struct Cusum {
@@ -310,6 +336,7 @@
     blocks: VecDeque<Pair>,
     history: (f64, f64),
     alarm: Option<Alarm>,
+    sources: Vec<Source>,
 }
 
 /// How the old version's rate is known in a block.
@@ -332,6 +359,7 @@
             blocks: VecDeque::with_capacity(KEPT_BLOCKS),
             history: (0.0, 0.0),
             alarm: None,
+            sources: Vec::new(),
         }
     }
 
@@ -341,6 +369,63 @@
         ((hits + prior * weight) / (calls + weight)).clamp(0.002, 0.95)
     }
 
+    fn add_new(&mut self, id: u8, calls: f64, hits: f64) {
+        if let Some(alarm) = &mut self.alarm {
+            alarm.new_calls += calls;
+            alarm.new_hits += hits;
+        }
+        let known = self.sources.iter().position(|s| s.id == id);
+        let at = known.unwrap_or_else(|| {
+            let source = Source {
+                id,
+                ..Source::default()
+            };
+            self.sources.push(source);
+            self.sources.len() - 1
+        });
+        self.sources[at].open.0 += calls;
+        self.sources[at].open.1 += hits;
+    }
+
+    /// Evidence of the open block against one backend server.
+    fn source_evidence(&self, source: &Source, open: &Pair, reference: Reference) -> [f64; 4] {
+        let block = Pair {
+            new_calls: source.open.0,
+            new_hits: source.open.1,
+            ..*open
+        };
+        self.evidence(&block, reference)
+    }
+
+    /// Tells whether the fault shows without the worst backend server of the new version too.
+    fn is_widespread(&self, open: &Pair, reference: Reference, raised: Duration) -> bool {
+        let calls = |s: &Source| s.calls + s.open.0;
+        let mut worst = 0.0;
+        let (mut sum, mut all_calls, mut worst_calls) = ([0.0; 4], 0.0, 0.0);
+        let mut worst_sums = [0.0; 4];
+        for source in &self.sources {
+            let mut sums = self.source_evidence(source, open, reference);
+            for (i, value) in sums.iter_mut().enumerate() {
+                *value = (*value + source.cusum.sums[i]).max(0.0);
+                sum[i] += *value;
+            }
+            all_calls += calls(source);
+            let top = sums.into_iter().fold(0.0, f64::max);
+            if top >= worst {
+                (worst, worst_sums, worst_calls) = (top, sums, calls(source));
+            }
+        }
+        let active = self.sources.iter().filter(|s| calls(s) > 0.0).count();
+        if active < 2 {
+            return true;
+        }
+        if all_calls - worst_calls < MIN_OTHER_CALLS {
+            return raised >= LONE_ALARM_TIME;
+        }
+        let least = MIN_OTHER_EVIDENCE.max(MIN_OTHER_PART * worst);
+        (0..4).any(|i| sum[i] - worst_sums[i] >= least)
+    }
+
     /// Rate up to which the stored baseline accuses nobody.
     fn baseline_limit(&self) -> f64 {
         MIN_RATIO * self.history_rate() + self.measure.min_excess / 2.0
@@ -388,6 +473,15 @@
 
     fn close(&mut self, block: Pair, reference: Reference) {
         let evidence = self.evidence(&block, reference);
+        let mut sources = std::mem::take(&mut self.sources);
+        for source in &mut sources {
+            let evidence = self.source_evidence(source, &block, reference);
+            source.cusum.add(evidence);
+            source.calls = source.calls * SOURCE_DECAY + source.open.0;
+            source.open = (0.0, 0.0);
+        }
+        sources.retain(|s| s.calls > 0.1);
+        self.sources = sources;
         match reference {
             Reference::Concurrent => {
                 self.concurrent.add(evidence);
@@ -412,6 +506,9 @@
     fn reset(&mut self) {
         self.concurrent = Cusum::default();
         self.baseline = Cusum::default();
+        for source in &mut self.sources {
+            source.cusum = Cusum::default();
+        }
         self.alarm = None;
     }
 
@@ -428,30 +525,26 @@
             self.alarm = None;
             return None;
         }
+        let window = self.window(open, age.max(2));
         // An alarm against the baseline says nothing about calls of the same time.
         let pending = self.alarm.filter(|alarm| alarm.concurrent == concurrent);
-        let alarm = pending.unwrap_or(Alarm {
-            concurrent,
-            since: now,
-            new_calls: 0.0,
-            new_hits: 0.0,
-        });
+        let mut alarm = pending.unwrap_or(Alarm::new(concurrent, now, now));
+        if !self.is_widespread(open, view.reference, now.saturating_sub(alarm.raised)) {
+            // The time to confirm begins when the fault is the version's.
+            alarm = Alarm::new(concurrent, alarm.raised, now);
+        }
         self.alarm = Some(alarm);
         let lasted = now.saturating_sub(alarm.since);
         let heard = view
             .old_heard
             .is_some_and(|at| at >= alarm.since + CONFIRM_TIME * 2 / 3);
         let confirmed = lasted >= self.measure.confirm && (heard || lasted >= MAX_CONFIRM_TIME);
-        if !confirmed {
-            return None;
-        }
-        let window = self.window(open, age.max(2));
         // A burst that is over is no reason to act.
         let lasting = rate(alarm.new_hits, alarm.new_calls) >= window.new_rate() / 2.0;
-        if alarm.new_hits < MIN_CONFIRMING_HITS || !lasting {
+        if !confirmed || alarm.new_hits < MIN_CONFIRMING_HITS || !lasting {
             return None;
         }
-        match self.effect(&window, view) {
+        match self.effect(&window, open, view) {
             Effect::Matters => Some(Judgement {
                 window,
                 evidence: top,
@@ -479,7 +572,7 @@
         sum
     }
 
-    fn effect(&self, window: &Pair, view: &View) -> Effect {
+    fn effect(&self, window: &Pair, open: &Pair, view: &View) -> Effect {
         let new = window.new_rate();
         let normal = self.history_rate();
         if let Reference::Baseline(limit) = view.reference {
@@ -499,7 +592,7 @@
         }
         // Reports of the two versions cover slightly different seconds: at the end of a shared fault
         // the new version's figures can still show it when the old one's no longer do.
-        let peaks = self.blocks.iter().rev().take(8);
+        let peaks = self.blocks.iter().rev().take(8).chain([open]);
         let peak = peaks.map(Pair::old_rate_lower).fold(0.0, f64::max);
         if peak > 2.0 * normal + DISTURBANCE && new < SHARED_FAULT_RATIO * peak {
             return Effect::Shared;
@@ -508,6 +601,17 @@
     }
 }
 
+/// Evidence against one backend server of the new version.
+#[derive(Clone, Copy, Debug, Default)]
+struct Source {
+    id: u8,
+    /// Calls and hits in the open block.
+    open: (f64, f64),
+    /// Calls of closed blocks, decaying.
+    calls: f64,
+    cusum: Cusum,
+}
+
 /// Figures behind a finding.
 #[derive(Clone, Copy, Debug)]
 struct Judgement {
@@ -581,21 +685,17 @@
         }
     }
 
-    fn add(&mut self, side: Side, tally: &Tally) {
+    fn add(&mut self, side: Side, source: u8, tally: &Tally) {
         self.open[side as usize].add(tally);
-        if side == Side::New {
-            let limit = self.slow_limit();
-            let timed = self.latency.alarm.as_mut();
-            if let (Some(alarm), Some(limit)) = (timed, limit) {
-                let (calls, hits) = slow_calls(tally, limit);
-                alarm.new_calls += calls;
-                alarm.new_hits += hits;
-            }
-            if let Some(alarm) = &mut self.errors.alarm {
-                alarm.new_calls += f64::from(tally.calls);
-                alarm.new_hits += f64::from(tally.errors);
-            }
+        if side == Side::Old {
+            return;
+        }
+        if let Some(limit) = self.slow_limit() {
+            let (calls, hits) = slow_calls(tally, limit);
+            self.latency.add_new(source, calls, hits);
         }
+        self.errors
+            .add_new(source, tally.calls.into(), tally.errors.into());
     }
 
     /// Bucket of the old version's 95th percentile; slower calls are slow.
@@ -755,6 +855,15 @@
     }
 }
 
+/// Prefers a finding from calls of the same time.
+fn stronger(first: Option<Finding>, second: Option<Finding>) -> Option<Finding> {
+    match (&first, &second) {
+        (Some(a), Some(b)) if b.concurrent && !a.concurrent => second,
+        (None, _) => second,
+        _ => first,
+    }
+}
+
 fn slow_calls(tally: &Tally, limit: usize) -> (f64, f64) {
     let count = |buckets: &[u32]| buckets.iter().map(|n| f64::from(*n)).sum::<f64>();
     (count(&tally.latency), count(&tally.latency[limit + 1..]))
@@ -787,18 +896,25 @@
         self.old_heard = Some(now);
     }
 
-    /// Adds calls.
-    pub fn add(&mut self, now: Duration, side: Side, route: &RouteName, tally: &Tally) {
+    /// Tells whether reports of the old version arrive.
+    #[must_use]
+    pub fn hears_old(&self, now: Duration) -> bool {
+        self.old_heard
+            .is_some_and(|at| now.saturating_sub(at) < OLD_SILENCE)
+    }
+
+    /// Adds calls of the backend server with the number `source`.
+    pub fn add(&mut self, now: Duration, side: Side, source: u8, route: &RouteName, tally: &Tally) {
         self.step[side as usize].add(tally);
-        self.total.add(side, tally);
+        self.total.add(side, source, tally);
         let found = self
             .routes
             .binary_search_by(|track| track.route.as_ref().cmp(&Some(route)));
         match found {
-            Ok(at) => self.routes[at].add(side, tally),
+            Ok(at) => self.routes[at].add(side, source, tally),
             Err(at) if self.routes.len() < MAX_ROUTES => {
                 self.routes.insert(at, Track::new(Some(route.clone()), now));
-                self.routes[at].add(side, tally);
+                self.routes[at].add(side, source, tally);
             }
             Err(_) => {}
         }
@@ -816,11 +932,14 @@
         tracks.all(|track| track.errors.is_calm() && track.latency.is_calm())
     }
 
-    /// Drops the evidence, but not what is known of the old version.
-    pub fn restart(&mut self) {
+    /// Drops the evidence and the calls of the last blocks, but not what is known of the old version.
+    pub fn restart(&mut self, now: Duration) {
+        self.discard_open(now);
         for track in self.routes.iter_mut().chain([&mut self.total]) {
-            track.errors.reset();
-            track.latency.reset();
+            for detector in [&mut track.errors, &mut track.latency] {
+                detector.reset();
+                detector.blocks.clear();
+            }
         }
     }
 
@@ -838,11 +957,22 @@
 
     /// Forgets pending alarms, whose times mean nothing after a pause of this process.
     pub fn forget_alarms(&mut self, now: Duration) {
+        self.discard_open(now);
         for track in self.routes.iter_mut().chain([&mut self.total]) {
             track.errors.alarm = None;
             track.latency.alarm = None;
+        }
+    }
+
+    fn discard_open(&mut self, now: Duration) {
+        for track in self.routes.iter_mut().chain([&mut self.total]) {
             track.open = [Tally::default(); 2];
             track.opened = now;
+            for detector in [&mut track.errors, &mut track.latency] {
+                for source in &mut detector.sources {
+                    source.open = (0.0, 0.0);
+                }
+            }
         }
     }
 
@@ -876,9 +1006,9 @@
         let mut finding = None;
         for track in &mut self.routes {
             let found = track.tick(now, old_heard);
-            finding = finding.or(found);
+            finding = stronger(finding, found);
         }
         let total = self.total.tick(now, old_heard);
-        finding.or(total)
+        stronger(finding, total)
     }
 }
--- a/src/coordination/rollout.rs
+++ b/src/coordination/rollout.rs
@@ -148,6 +148,8 @@
 pub const WARM_UP: Duration = Duration::from_secs(30);
 /// Time between two reports.
 pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Silence of a node after which its next report only sets a new starting point.
+pub const MAX_REPORT_GAP: Duration = Duration::from_millis(3_500);
 /// Routes in one report: with 32 buckets of up to 5 bytes and a name, five fit a datagram.
 pub const MAX_REPORT_ROUTES: usize = 5;
 /// Shortest time in a step, unless the schedule is too tight; reports of all nodes arrive in it.
@@ -208,6 +210,8 @@
 pub const STALL_REPORT_INTERVAL: Duration = Duration::from_mins(1);
 /// Serving nodes of one service whose reports are kept; a service has about 7 backend servers.
 pub const MAX_REPORTERS: usize = 64;
+/// Number of the local backend server as a source of evidence; the others have their place in the list.
+const OWN_SOURCE: u8 = u8::MAX;
 /// Crashes held back at a time.
 pub const MAX_PENDING_CRASHES: usize = 64;
 /// Progress and rollbacks kept for configuration versions that this node does not have yet.
@@ -220,6 +224,7 @@
     side: Side,
     first_sequence: u64,
     last_sequence: u64,
+    heard: Duration,
     crashes: u32,
     /// Sorted by route: sequence of the last figures and the figures.
     routes: Vec<(RouteName, u64, Tally)>,
@@ -248,6 +253,8 @@
     pending: Vec<PendingCrash>,
     next_report: Duration,
     sequence: u64,
+    /// Time of the last event.
+    seen: Duration,
 }
 
 /// One rollout.
@@ -605,6 +612,7 @@
             pending: Vec::new(),
             next_report: now,
             sequence: 0,
+            seen: now,
         }
     }
 
@@ -634,6 +642,7 @@
                     side,
                     first_sequence: report.sequence,
                     last_sequence: 0,
+                    heard: now,
                     crashes: 0,
                     routes: Vec::new(),
                 });
@@ -641,7 +650,14 @@
             }
             None => return,
         };
+        let source = u8::try_from(at).unwrap_or(OWN_SOURCE);
         let reporter = &mut self.reporters[at];
+        // The calls of a longer silence would stand against those of the last second.
+        if now.saturating_sub(reporter.heard) > MAX_REPORT_GAP {
+            reporter.first_sequence = report.sequence;
+        }
+        let first = report.sequence == reporter.first_sequence;
+        reporter.heard = now;
         if report.sequence >= reporter.last_sequence {
             reporter.last_sequence = report.sequence;
             reporter.crashes = report.crashes;
@@ -654,7 +670,11 @@
             let delta = match found {
                 Ok(at) if report.sequence <= reporter.routes[at].1 => continue,
                 Ok(at) => {
-                    let delta = tally.increase(&reporter.routes[at].2);
+                    let delta = if first {
+                        Tally::default()
+                    } else {
+                        tally.increase(&reporter.routes[at].2)
+                    };
                     reporter.routes[at].1 = report.sequence;
                     reporter.routes[at].2 = tally;
                     delta
@@ -664,13 +684,13 @@
                     let entry = (figures.route.clone(), report.sequence, tally);
                     reporter.routes.insert(at, entry);
                     // The first report of a node may cover any time; only what follows is counted.
-                    if report.sequence == reporter.first_sequence {
+                    if first {
                         continue;
                     }
                     tally
                 }
             };
-            self.evidence.add(now, side, &figures.route, &delta);
+            self.evidence.add(now, side, source, &figures.route, &delta);
         }
     }
 
@@ -694,7 +714,7 @@
             }
         }
         for (route, tally) in std::mem::take(&mut self.staged) {
-            self.evidence.add(now, side, &route, &tally);
+            self.evidence.add(now, side, OWN_SOURCE, &route, &tally);
             entry(&mut self.own, &route).add(&tally);
         }
     }
@@ -854,7 +874,9 @@
             return None;
         }
         let create = || Box::new(Observation::new(now));
-        Some(self.observation.get_or_insert_with(create))
+        let observation = self.observation.get_or_insert_with(create);
+        observation.seen = now;
+        Some(observation)
     }
 
     fn has_backends(&self, beside: bool) -> bool {
@@ -931,7 +953,7 @@
             let calm = observation.evidence.is_calm();
             observation.evidence.begin_step();
             if in_hold {
-                observation.evidence.restart();
+                observation.evidence.restart(observation.seen);
             }
             if probed {
                 self.calm_probes = if calm { self.calm_probes + 1 } else { 0 };
@@ -1030,6 +1052,7 @@
             return;
         };
         let finding = observation.evidence.tick(turn.now);
+        let hears_old = observation.evidence.hears_old(turn.now);
         let finding = finding.or_else(|| observation.crash_finding());
         let (Some(finding), Some(step), false) =
             (finding, self.progress.as_ref().map(|p| p.step), quiet)
@@ -1048,6 +1071,10 @@
             self.begin_probe(turn, step, &finding);
             return;
         }
+        // The old version has single calls only, and its node would tell of a fault; more calls follow.
+        if step < self.last_step() && !finding.concurrent && hears_old {
+            return;
+        }
         let share = self.share(turn.wall, turn.side == Side::New);
         let rollback = Rollback {
             key: self.key.clone(),
