--- a/tests/support/service.rs
+++ b/tests/support/service.rs
@@ -69,6 +69,10 @@
     },
     /// Both versions fail this part of their calls in a time span.
     SharedErrors { from_ms: u64, to_ms: u64, part: f64 },
+    /// One backend server fails this part of its calls, whatever its version.
+    OneServer { server: usize, part: f64 },
+    /// One backend server goes down at a time and starts cold, ten times slower for two seconds.
+    Restart { server: usize, at_ms: u64 },
     /// One backend server stops for half a second every ten seconds, which delays its calls.
     Stops { server: usize },
     /// A caller sends a request that crashes every backend server, every two seconds.
@@ -370,6 +374,14 @@
                 self.nodes[*node].engine = engine(self.scenario, *node);
             }
         }
+        for fault in &self.scenario.faults {
+            if let Fault::Restart { server, at_ms } = fault
+                && *at_ms == self.ms
+            {
+                self.nodes[*server].down_until_ms = self.ms + 2_000;
+                self.nodes[*server].cold_until_ms = self.ms + 4_000;
+            }
+        }
         if self.ms.is_multiple_of(500) {
             self.announce_slots();
         }
@@ -538,6 +550,10 @@
             latency *= 8.0;
         }
         latency *= self.nodes[server].speed;
+        latency *= 1.0 + self.nodes[server].calls.len() as f64 / f64::from(SLOTS);
+        if ms < self.nodes[server].cold_until_ms {
+            latency *= 10.0;
+        }
         let mut failed = self.rng.random_bool(self.scenario.base_errors);
         let (mut crash, mut spoiled) = (crashing, false);
         for fault in &self.scenario.faults {
@@ -575,6 +591,10 @@
                     failed |= self.rng.random_bool(part);
                     0.0
                 }
+                Fault::OneServer { server: sick, part } if sick == server => {
+                    failed |= self.rng.random_bool(part);
+                    0.0
+                }
                 Fault::Stops { server: stops } if stops == server && ms % 10_000 < 500 => {
                     latency += (500 - ms % 10_000) as f64;
                     0.0
