--- a/src/coordination/evidence.rs
+++ b/src/coordination/evidence.rs
@@ -13,8 +13,8 @@
 //! found as fast as one that was there from the start.
 //!
 //! Limits: calls are taken as independent; bursts are covered by [`MAX_BLOCK_EVIDENCE`], the
-//! confirmation time and the least effects only. A fault of a single backend server counts as a fault
-//! of its version.
+//! confirmation time and the least effects only. A fault that only one of several backend servers of the new
+//! version shows is taken to be the server's, so that a version that is bad on one of them is not found.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -51,6 +51,16 @@
 pub const CONFIRM_LATENCY_TIME: Duration = Duration::from_secs(3);
 /// Failures (or slow calls) of the new version after the alarm that confirm it.
 pub const MIN_CONFIRMING_HITS: f64 = 2.0;
+/// Evidence that must remain without the worst backend server. One start of a CUSUM reaches it by chance with a
+/// probability of at most `exp(-8)`, so that an alarm that a single server keeps up for some minutes
+/// stays its own.
+pub const MIN_OTHER_EVIDENCE: f64 = 8.0;
+/// Part of the evidence against the worst backend server that the others must reach together.
+pub const MIN_OTHER_PART: f64 = 0.4;
+/// Calls at the other backend servers needed to tell a fault of the version from one of a server.
+pub const MIN_OTHER_CALLS: f64 = 2.0;
+/// Time after which an alarm counts although the other backend servers have too few calls.
+pub const LONE_ALARM_TIME: Duration = Duration::from_secs(10);
 /// Shortest block.
 pub const BLOCK_TIME: Duration = Duration::from_secs(1);
 /// Time without calls of the old version after which its stored baseline takes their place.
@@ -68,8 +78,12 @@
 
 /// Weight of a second in the old version's history after another second.
 const HISTORY_DECAY: f64 = 0.99;
+/// Weight of a block in the figures of a single backend server after another block.
+const SOURCE_DECAY: f64 = 0.95;
 /// Closed blocks that are kept.
 const KEPT_BLOCKS: usize = 32;
+/// Blocks that tell whether a fault is over.
+const CALM_BLOCKS: usize = 3;
 /// Blocks of the old version that a block of the new one is compared with; covers the time between
 /// two reports.
 const SMOOTHED_BLOCKS: usize = 3;
@@ -182,6 +196,11 @@
     pub route: Option<RouteName>,
     /// Figures of both versions.
     pub text: String,
+    /// Whether the old version served calls at the same time. Without them a fault of the
+    /// surroundings cannot be told from one of the version.
+    pub concurrent: bool,
+    /// Failures, or slow calls, of the new version per call since the alarm.
+    pub rate: f64,
 }
 
 /// Hits (failures or slow calls) among calls of both versions.
@@ -253,22 +272,71 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Alarm {
+    concurrent: bool,
+    raised: Duration,
+    /// Begin of the time to confirm.
     since: Duration,
     /// Calls and hits of the new version since then.
     new_calls: f64,
     new_hits: f64,
 }
 
-/// CUSUM of one measure on one route.
-#[derive(Clone, Debug)]
-struct Detector {
-    measure: Measure,
+impl Alarm {
+    fn new(concurrent: bool, raised: Duration, since: Duration) -> Self {
+        Self {
+            concurrent,
+            raised,
+            since,
+            new_calls: 0.0,
+            new_hits: 0.0,
+        }
+    }
+}
+
+/// Cumulative sums of the evidence for each assumed effect, never below zero.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cusum {
     sums: [f64; 4],
     /// Closed blocks since each sum was zero last.
     ages: [usize; 4],
+}
+
+impl Cusum {
+    fn add(&mut self, evidence: [f64; 4]) {
+        for (i, value) in evidence.into_iter().enumerate() {
+            // The upper limit lets a version recover from an alarm whose effect is too small.
+            self.sums[i] = (self.sums[i] + value).clamp(0.0, 2.0 * ALARM_EVIDENCE);
+            self.ages[i] = if self.sums[i] > 0.0 {
+                (self.ages[i] + 1).min(KEPT_BLOCKS)
+            } else {
+                0
+            };
+        }
+    }
+
+    /// Largest sum together with the evidence of the open block, and its age.
+    fn top(&self, open: [f64; 4]) -> (f64, usize) {
+        let sums = (0..4).map(|i| (self.sums[i] + open[i], self.ages[i]));
+        sums.fold((0.0, 0), |top, sum| if sum.0 > top.0 { sum } else { top })
+    }
+
+    fn max(&self) -> f64 {
+        self.sums.into_iter().fold(0.0, f64::max)
+    }
+}
+
+/// Both sums of one measure on one route.
+#[derive(Clone, Debug)]
+struct Detector {
+    measure: Measure,
+    /// Against calls of the same time.
+    concurrent: Cusum,
+    /// Against the stored baseline; void as soon as there are calls of the same time.
+    baseline: Cusum,
     blocks: VecDeque<Pair>,
     history: (f64, f64),
     alarm: Option<Alarm>,
+    sources: Vec<Source>,
 }
 
 /// How the old version's rate is known in a block.
@@ -286,11 +354,12 @@
     fn new(measure: Measure) -> Self {
         Self {
             measure,
-            sums: [0.0; 4],
-            ages: [0; 4],
+            concurrent: Cusum::default(),
+            baseline: Cusum::default(),
             blocks: VecDeque::with_capacity(KEPT_BLOCKS),
             history: (0.0, 0.0),
             alarm: None,
+            sources: Vec::new(),
         }
     }
 
@@ -300,6 +369,68 @@
         ((hits + prior * weight) / (calls + weight)).clamp(0.002, 0.95)
     }
 
+    fn add_new(&mut self, id: u8, calls: f64, hits: f64) {
+        if let Some(alarm) = &mut self.alarm {
+            alarm.new_calls += calls;
+            alarm.new_hits += hits;
+        }
+        let known = self.sources.iter().position(|s| s.id == id);
+        let at = known.unwrap_or_else(|| {
+            let source = Source {
+                id,
+                ..Source::default()
+            };
+            self.sources.push(source);
+            self.sources.len() - 1
+        });
+        self.sources[at].open.0 += calls;
+        self.sources[at].open.1 += hits;
+    }
+
+    /// Evidence of the open block against one backend server.
+    fn source_evidence(&self, source: &Source, open: &Pair, reference: Reference) -> [f64; 4] {
+        let block = Pair {
+            new_calls: source.open.0,
+            new_hits: source.open.1,
+            ..*open
+        };
+        self.evidence(&block, reference)
+    }
+
+    /// Tells whether the fault shows without the worst backend server of the new version too.
+    fn is_widespread(&self, open: &Pair, reference: Reference, raised: Duration) -> bool {
+        let calls = |s: &Source| s.calls + s.open.0;
+        let mut worst = 0.0;
+        let (mut sum, mut all_calls, mut worst_calls) = ([0.0; 4], 0.0, 0.0);
+        let mut worst_sums = [0.0; 4];
+        for source in &self.sources {
+            let mut sums = self.source_evidence(source, open, reference);
+            for (i, value) in sums.iter_mut().enumerate() {
+                *value = (*value + source.cusum.sums[i]).max(0.0);
+                sum[i] += *value;
+            }
+            all_calls += calls(source);
+            let top = sums.into_iter().fold(0.0, f64::max);
+            if top >= worst {
+                (worst, worst_sums, worst_calls) = (top, sums, calls(source));
+            }
+        }
+        let active = self.sources.iter().filter(|s| calls(s) > 0.0).count();
+        if active < 2 {
+            return true;
+        }
+        if all_calls - worst_calls < MIN_OTHER_CALLS {
+            return raised >= LONE_ALARM_TIME;
+        }
+        let least = MIN_OTHER_EVIDENCE.max(MIN_OTHER_PART * worst);
+        (0..4).any(|i| sum[i] - worst_sums[i] >= least)
+    }
+
+    /// Rate up to which the stored baseline accuses nobody.
+    fn baseline_limit(&self) -> f64 {
+        MIN_RATIO * self.history_rate() + self.measure.min_excess / 2.0
+    }
+
     /// Evidence of a block for each assumed effect.
     fn evidence(&self, block: &Pair, reference: Reference) -> [f64; 4] {
         let old = self.history_rate();
@@ -340,24 +471,24 @@
         self.smoothed(block).old_calls
     }
 
-    fn sums_with(&self, open: &Pair, reference: Reference) -> [f64; 4] {
-        let mut sums = self.evidence(open, reference);
-        for (sum, closed) in sums.iter_mut().zip(self.sums) {
-            *sum += closed;
-        }
-        sums
-    }
-
     fn close(&mut self, block: Pair, reference: Reference) {
         let evidence = self.evidence(&block, reference);
-        for (i, value) in evidence.into_iter().enumerate() {
-            // The upper limit lets a version recover from an alarm whose effect is too small.
-            self.sums[i] = (self.sums[i] + value).clamp(0.0, 2.0 * ALARM_EVIDENCE);
-            self.ages[i] = if self.sums[i] > 0.0 {
-                (self.ages[i] + 1).min(KEPT_BLOCKS)
-            } else {
-                0
-            };
+        let mut sources = std::mem::take(&mut self.sources);
+        for source in &mut sources {
+            let evidence = self.source_evidence(source, &block, reference);
+            source.cusum.add(evidence);
+            source.calls = source.calls * SOURCE_DECAY + source.open.0;
+            source.open = (0.0, 0.0);
+        }
+        sources.retain(|s| s.calls > 0.1);
+        self.sources = sources;
+        match reference {
+            Reference::Concurrent => {
+                self.concurrent.add(evidence);
+                self.baseline = Cusum::default();
+            }
+            Reference::Baseline(_) => self.baseline.add(evidence),
+            Reference::Unknown => {}
         }
         if self.blocks.len() == KEPT_BLOCKS {
             self.blocks.pop_front();
@@ -373,46 +504,52 @@
     }
 
     fn reset(&mut self) {
-        self.sums = [0.0; 4];
-        self.ages = [0; 4];
+        self.concurrent = Cusum::default();
+        self.baseline = Cusum::default();
+        for source in &mut self.sources {
+            source.cusum = Cusum::default();
+        }
         self.alarm = None;
     }
 
     /// Judges the open block; returns the figures if the new version is worse for certain.
-    fn judge(&mut self, now: Duration, open: &Pair, view: &View) -> Option<(Pair, f64)> {
-        let sums = self.sums_with(open, view.reference);
-        let (best, top) = (0..4).fold((0, 0.0), |(best, top), i| {
-            if sums[i] > top {
-                (i, sums[i])
-            } else {
-                (best, top)
-            }
-        });
+    fn judge(&mut self, now: Duration, open: &Pair, view: &View) -> Option<Judgement> {
+        let concurrent = view.reference == Reference::Concurrent;
+        let cusum = if concurrent {
+            &self.concurrent
+        } else {
+            &self.baseline
+        };
+        let (top, age) = cusum.top(self.evidence(open, view.reference));
         if top < ALARM_EVIDENCE {
             self.alarm = None;
             return None;
         }
-        let alarm = *self.alarm.get_or_insert(Alarm {
-            since: now,
-            new_calls: 0.0,
-            new_hits: 0.0,
-        });
+        let window = self.window(open, age.max(2));
+        // An alarm against the baseline says nothing about calls of the same time.
+        let pending = self.alarm.filter(|alarm| alarm.concurrent == concurrent);
+        let mut alarm = pending.unwrap_or(Alarm::new(concurrent, now, now));
+        if !self.is_widespread(open, view.reference, now.saturating_sub(alarm.raised)) {
+            // The time to confirm begins when the fault is the version's.
+            alarm = Alarm::new(concurrent, alarm.raised, now);
+        }
+        self.alarm = Some(alarm);
         let lasted = now.saturating_sub(alarm.since);
         let heard = view
             .old_heard
             .is_some_and(|at| at >= alarm.since + CONFIRM_TIME * 2 / 3);
         let confirmed = lasted >= self.measure.confirm && (heard || lasted >= MAX_CONFIRM_TIME);
-        if !confirmed {
-            return None;
-        }
-        let window = self.window(open, self.ages[best].max(2));
         // A burst that is over is no reason to act.
         let lasting = rate(alarm.new_hits, alarm.new_calls) >= window.new_rate() / 2.0;
-        if alarm.new_hits < MIN_CONFIRMING_HITS || !lasting {
+        if !confirmed || alarm.new_hits < MIN_CONFIRMING_HITS || !lasting {
             return None;
         }
-        match self.effect(&window, view) {
-            Effect::Matters => Some((window, top)),
+        match self.effect(&window, open, view) {
+            Effect::Matters => Some(Judgement {
+                window,
+                evidence: top,
+                rate: rate(alarm.new_hits, alarm.new_calls),
+            }),
             Effect::Small => None,
             Effect::Shared => {
                 self.reset();
@@ -421,6 +558,12 @@
         }
     }
 
+    fn is_calm(&self) -> bool {
+        let recent = self.window(&Pair::default(), CALM_BLOCKS);
+        let limit = MIN_RATIO * self.history_rate() + self.measure.min_excess;
+        recent.old_rate_lower() <= limit && recent.new_rate() <= limit
+    }
+
     fn window(&self, open: &Pair, blocks: usize) -> Pair {
         let mut sum = *open;
         for block in self.blocks.iter().rev().take(blocks) {
@@ -429,15 +572,15 @@
         sum
     }
 
-    fn effect(&self, window: &Pair, view: &View) -> Effect {
+    fn effect(&self, window: &Pair, open: &Pair, view: &View) -> Effect {
         let new = window.new_rate();
         let normal = self.history_rate();
         if let Reference::Baseline(limit) = view.reference {
             if view.explained {
                 return Effect::Shared;
             }
-            let excess = new - limit;
-            return if excess >= self.measure.min_excess {
+            let least = limit.max(normal + self.measure.min_excess);
+            return if new >= least {
                 Effect::Matters
             } else {
                 Effect::Small
@@ -449,7 +592,7 @@
         }
         // Reports of the two versions cover slightly different seconds: at the end of a shared fault
         // the new version's figures can still show it when the old one's no longer do.
-        let peaks = self.blocks.iter().rev().take(8);
+        let peaks = self.blocks.iter().rev().take(8).chain([open]);
         let peak = peaks.map(Pair::old_rate_lower).fold(0.0, f64::max);
         if peak > 2.0 * normal + DISTURBANCE && new < SHARED_FAULT_RATIO * peak {
             return Effect::Shared;
@@ -458,6 +601,26 @@
     }
 }
 
+/// Evidence against one backend server of the new version.
+#[derive(Clone, Copy, Debug, Default)]
+struct Source {
+    id: u8,
+    /// Calls and hits in the open block.
+    open: (f64, f64),
+    /// Calls of closed blocks, decaying.
+    calls: f64,
+    cusum: Cusum,
+}
+
+/// Figures behind a finding.
+#[derive(Clone, Copy, Debug)]
+struct Judgement {
+    window: Pair,
+    evidence: f64,
+    /// Rate of the new version since the alarm.
+    rate: f64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Effect {
     Matters,
@@ -522,21 +685,17 @@
         }
     }
 
-    fn add(&mut self, side: Side, tally: &Tally) {
+    fn add(&mut self, side: Side, source: u8, tally: &Tally) {
         self.open[side as usize].add(tally);
-        if side == Side::New {
-            let limit = self.slow_limit();
-            let timed = self.latency.alarm.as_mut();
-            if let (Some(alarm), Some(limit)) = (timed, limit) {
-                let (calls, hits) = slow_calls(tally, limit);
-                alarm.new_calls += calls;
-                alarm.new_hits += hits;
-            }
-            if let Some(alarm) = &mut self.errors.alarm {
-                alarm.new_calls += f64::from(tally.calls);
-                alarm.new_hits += f64::from(tally.errors);
-            }
+        if side == Side::Old {
+            return;
         }
+        if let Some(limit) = self.slow_limit() {
+            let (calls, hits) = slow_calls(tally, limit);
+            self.latency.add_new(source, calls, hits);
+        }
+        self.errors
+            .add_new(source, tally.calls.into(), tally.errors.into());
     }
 
     /// Bucket of the old version's 95th percentile; slower calls are slow.
@@ -586,14 +745,14 @@
         let errors = if self.errors.old_calls_near(&self.error_pair()) > 0.0 {
             Reference::Concurrent
         } else if silent && known {
-            Reference::Baseline(MIN_RATIO * self.errors.history_rate() + MIN_ERROR_EXCESS)
+            Reference::Baseline(self.errors.baseline_limit())
         } else {
             Reference::Baseline(ASSUMED_ERROR_RATE)
         };
         let latency = if self.latency.old_calls_near(&self.slow_pair()) > 0.0 {
             Reference::Concurrent
         } else if silent && self.slow_limit().is_some() {
-            Reference::Baseline(MIN_RATIO * self.latency.history_rate() + MIN_SLOW_EXCESS)
+            Reference::Baseline(self.latency.baseline_limit())
         } else {
             Reference::Unknown
         };
@@ -659,8 +818,10 @@
         self.opened = now;
     }
 
-    fn finding(&self, detector: &Detector, found: &(Pair, f64), view: View) -> Finding {
-        let (window, evidence) = found;
+    fn finding(&self, detector: &Detector, found: &Judgement, view: View) -> Finding {
+        let Judgement {
+            window, evidence, ..
+        } = found;
         let what = match detector.measure.cause {
             RollbackCause::Latency => {
                 let limit = self.slow_limit().map_or(0.0, bucket_limit);
@@ -682,12 +843,24 @@
                 "{what}: {} of {} of the new version against {old}, evidence {evidence:.1}",
                 window.new_hits, window.new_calls
             ),
+            concurrent: view.reference == Reference::Concurrent,
+            rate: found.rate,
         }
     }
 
     fn suspicion(&self) -> f64 {
-        let sums = self.errors.sums.iter().chain(&self.latency.sums);
-        sums.copied().fold(0.0, f64::max)
+        let detectors = [&self.errors, &self.latency];
+        let sums = detectors.map(|d| d.concurrent.max().max(d.baseline.max()));
+        sums[0].max(sums[1])
+    }
+}
+
+/// Prefers a finding from calls of the same time.
+fn stronger(first: Option<Finding>, second: Option<Finding>) -> Option<Finding> {
+    match (&first, &second) {
+        (Some(a), Some(b)) if b.concurrent && !a.concurrent => second,
+        (None, _) => second,
+        _ => first,
     }
 }
 
@@ -723,18 +896,25 @@
         self.old_heard = Some(now);
     }
 
-    /// Adds calls.
-    pub fn add(&mut self, now: Duration, side: Side, route: &RouteName, tally: &Tally) {
+    /// Tells whether reports of the old version arrive.
+    #[must_use]
+    pub fn hears_old(&self, now: Duration) -> bool {
+        self.old_heard
+            .is_some_and(|at| now.saturating_sub(at) < OLD_SILENCE)
+    }
+
+    /// Adds calls of the backend server with the number `source`.
+    pub fn add(&mut self, now: Duration, side: Side, source: u8, route: &RouteName, tally: &Tally) {
         self.step[side as usize].add(tally);
-        self.total.add(side, tally);
+        self.total.add(side, source, tally);
         let found = self
             .routes
             .binary_search_by(|track| track.route.as_ref().cmp(&Some(route)));
         match found {
-            Ok(at) => self.routes[at].add(side, tally),
+            Ok(at) => self.routes[at].add(side, source, tally),
             Err(at) if self.routes.len() < MAX_ROUTES => {
                 self.routes.insert(at, Track::new(Some(route.clone()), now));
-                self.routes[at].add(side, tally);
+                self.routes[at].add(side, source, tally);
             }
             Err(_) => {}
         }
@@ -745,6 +925,24 @@
         self.step = [Tally::default(); 2];
     }
 
+    /// Tells whether both versions have been as good lately as the old one normally is.
+    #[must_use]
+    pub fn is_calm(&self) -> bool {
+        let mut tracks = self.routes.iter().chain([&self.total]);
+        tracks.all(|track| track.errors.is_calm() && track.latency.is_calm())
+    }
+
+    /// Drops the evidence and the calls of the last blocks, but not what is known of the old version.
+    pub fn restart(&mut self, now: Duration) {
+        self.discard_open(now);
+        for track in self.routes.iter_mut().chain([&mut self.total]) {
+            for detector in [&mut track.errors, &mut track.latency] {
+                detector.reset();
+                detector.blocks.clear();
+            }
+        }
+    }
+
     /// Returns the calls of a version since the step began.
     #[must_use]
     pub fn step_calls(&self, side: Side) -> u32 {
@@ -759,11 +957,22 @@
 
     /// Forgets pending alarms, whose times mean nothing after a pause of this process.
     pub fn forget_alarms(&mut self, now: Duration) {
+        self.discard_open(now);
         for track in self.routes.iter_mut().chain([&mut self.total]) {
             track.errors.alarm = None;
             track.latency.alarm = None;
+        }
+    }
+
+    fn discard_open(&mut self, now: Duration) {
+        for track in self.routes.iter_mut().chain([&mut self.total]) {
             track.open = [Tally::default(); 2];
             track.opened = now;
+            for detector in [&mut track.errors, &mut track.latency] {
+                for source in &mut detector.sources {
+                    source.open = (0.0, 0.0);
+                }
+            }
         }
     }
 
@@ -797,9 +1006,9 @@
         let mut finding = None;
         for track in &mut self.routes {
             let found = track.tick(now, old_heard);
-            finding = finding.or(found);
+            finding = stronger(finding, found);
         }
         let total = self.total.tick(now, old_heard);
-        finding.or(total)
+        stronger(finding, total)
     }
 }
