Decide when a started node is ready

Answers of peers that are not ready themselves do not count, since nodes that start together would confirm each other; answers count for 4 s, the time in which a newer version reaches everyone.

--- a/src/coordination/readiness.rs
+++ b/src/coordination/readiness.rs
@@ -1,1 +1,174 @@
-//! Not implemented yet.
+//! Decides when a started node may serve calls, see `docs/design.md`, section 4, "Start of a node".
+//!
+//! A node starts without state, so an old configuration from a single peer could bring a version
+//! back that was replaced. The node is ready when the log's end, or ready peers in
+//! [`NEEDED_DOMAINS`] failure domains, have told it the newest version, and that version is in
+//! force. It stays ready from then on: a later outage of the log must not take nodes out of service.
+
+use std::fmt;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use crate::protocol::name::ConfigVersion;
+use crate::protocol::name::DomainName;
+
+/// Failure domains whose peers must answer if the log does not.
+pub const NEEDED_DOMAINS: usize = 2;
+/// Age beyond which an answer of a peer is no evidence any more: a configuration is in force
+/// everywhere within 4 s, so that an older answer may predate the newest one.
+pub const MAX_ANSWER_AGE: Duration = Duration::from_secs(4);
+
+/// Answer of a peer that was asked for its configuration version.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerAnswer {
+    /// Failure domain of the peer.
+    pub domain: DomainName,
+    /// Version in force at the peer.
+    pub version: ConfigVersion,
+    /// Whether the peer is ready itself. Nodes that start at the same time and know nothing must
+    /// not confirm each other.
+    pub ready: bool,
+}
+
+/// What made a node ready.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Proof {
+    /// The log was read to its end.
+    Log,
+    /// Peers in enough failure domains agreed.
+    Peers,
+}
+
+/// Whether a node may serve calls.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReadyState {
+    /// It may.
+    Ready {
+        /// Version that was found to be the newest at that time; [`ConfigVersion::NONE`] if nothing
+        /// has been published yet.
+        version: ConfigVersion,
+        /// How it was found.
+        proof: Proof,
+    },
+    /// It must wait for what the text names.
+    Waiting(String),
+}
+
+impl fmt::Display for ReadyState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Ready { version, proof } => {
+                let proof = match proof {
+                    Proof::Log => "the log",
+                    Proof::Peers => "peers",
+                };
+                write!(f, "ready with version {version}, confirmed by {proof}")
+            }
+            Self::Waiting(text) => f.write_str(text),
+        }
+    }
+}
+
+/// State machine of a node's start.
+#[derive(Clone, Debug, Default)]
+pub struct Readiness {
+    in_force: ConfigVersion,
+    /// Highest version that anyone has told.
+    newest: ConfigVersion,
+    /// Whether the log was read to its end, every retained record folded.
+    log_end: bool,
+    /// Last answer of a ready peer in each domain, sorted by domain.
+    answers: Vec<(DomainName, Duration)>,
+    ready: Option<(ConfigVersion, Proof)>,
+}
+
+impl Readiness {
+    /// Creates the state of a node that has just started.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The log was read to its end and the fold has `version`. Must be called only if the fold is
+    /// complete, see [`LogFold::is_complete`](crate::state::log_fold::LogFold::is_complete).
+    pub fn on_log_end(&mut self, version: ConfigVersion) {
+        self.log_end = true;
+        self.newest = self.newest.max(version);
+    }
+
+    /// The log stopped answering, or records between the last read and the retained ones are lost;
+    /// its end is not known any more.
+    pub fn on_log_lost(&mut self) {
+        self.log_end = false;
+    }
+
+    /// A peer answered at `now`. An answer without a version proves nothing: only the log can tell
+    /// that nothing has been published yet.
+    pub fn on_peer(&mut self, now: Duration, answer: &PeerAnswer) {
+        self.newest = self.newest.max(answer.version);
+        if !answer.ready || answer.version == ConfigVersion::NONE {
+            return;
+        }
+        let at = self
+            .answers
+            .binary_search_by(|(domain, _)| domain.cmp(&answer.domain));
+        match at {
+            Ok(at) => self.answers[at].1 = now,
+            Err(at) => self.answers.insert(at, (answer.domain.clone(), now)),
+        }
+    }
+
+    /// A configuration version is in force at this node.
+    pub fn on_in_force(&mut self, version: ConfigVersion) {
+        self.in_force = self.in_force.max(version);
+        self.newest = self.newest.max(version);
+    }
+
+    /// Returns whether the node may serve calls. The first [`ReadyState::Ready`] is final.
+    pub fn state(&mut self, now: Duration) -> ReadyState {
+        if self.ready.is_none() && self.in_force == self.newest {
+            self.ready = self.proof(now).map(|proof| (self.in_force, proof));
+        }
+        match self.ready {
+            Some((version, proof)) => ReadyState::Ready { version, proof },
+            None => ReadyState::Waiting(self.waits_for(now)),
+        }
+    }
+
+    fn proof(&self, now: Duration) -> Option<Proof> {
+        if self.log_end {
+            return Some(Proof::Log);
+        }
+        (self.domains(now).count() >= NEEDED_DOMAINS).then_some(Proof::Peers)
+    }
+
+    fn domains(&self, now: Duration) -> impl Iterator<Item = &DomainName> {
+        self.answers
+            .iter()
+            .filter(move |(_, at)| now.saturating_sub(*at) <= MAX_ANSWER_AGE)
+            .map(|(domain, _)| domain)
+    }
+
+    fn waits_for(&self, now: Duration) -> String {
+        if self.proof(now).is_some() {
+            return format!(
+                "waits for version {}, the newest one known, to be in force; in force is {}",
+                self.newest, self.in_force
+            );
+        }
+        let domains: Vec<&str> = self.domains(now).map(DomainName::as_str).collect();
+        let missing = NEEDED_DOMAINS - domains.len();
+        let mut text = format!(
+            "waits for the end of the log or for ready peers in {missing} more failure domain{}",
+            if missing == 1 { "" } else { "s" }
+        );
+        if !domains.is_empty() {
+            let _ = write!(text, " than {}", domains.join(", "));
+        }
+        let _ = write!(text, "; in force is version {}", self.in_force);
+        if self.newest > self.in_force {
+            let _ = write!(text, ", the newest one known is {}", self.newest);
+        }
+        text
+    }
+}
--- /dev/null
+++ b/tests/readiness.rs
@@ -0,0 +1,136 @@
+//! Tests of `coordination::readiness`.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use sycamorewick::coordination::readiness::MAX_ANSWER_AGE;
+use sycamorewick::coordination::readiness::PeerAnswer;
+use sycamorewick::coordination::readiness::Proof;
+use sycamorewick::coordination::readiness::Readiness;
+use sycamorewick::coordination::readiness::ReadyState;
+use sycamorewick::protocol::name::ConfigVersion;
+
+const NOW: Duration = Duration::from_secs(10);
+
+fn answer(domain: &str, version: u64) -> PeerAnswer {
+    PeerAnswer {
+        domain: domain.into(),
+        version: ConfigVersion(version),
+        ready: true,
+    }
+}
+
+fn ready(version: u64, proof: Proof) -> ReadyState {
+    ReadyState::Ready {
+        version: ConfigVersion(version),
+        proof,
+    }
+}
+
+fn text(readiness: &mut Readiness) -> String {
+    readiness.state(NOW).to_string()
+}
+
+/// Guards against a node that serves an old version because one lagging peer told it so.
+#[gtest]
+fn state_needs_two_domains() {
+    let mut readiness = Readiness::new();
+    expect_that!(
+        text(&mut readiness),
+        eq(
+            "waits for the end of the log or for ready peers in 2 more failure domains; in force is \
+            version 0"
+        )
+    );
+    readiness.on_peer(NOW, &answer("a", 7));
+    readiness.on_peer(NOW, &answer("a", 7));
+    readiness.on_in_force(ConfigVersion(7));
+    expect_that!(
+        text(&mut readiness),
+        eq(
+            "waits for the end of the log or for ready peers in 1 more failure domain than a; in \
+            force is version 7"
+        )
+    );
+    readiness.on_peer(NOW, &answer("b", 9));
+    expect_that!(
+        text(&mut readiness),
+        eq("waits for version 9, the newest one known, to be in force; in force is 7")
+    );
+    readiness.on_in_force(ConfigVersion(9));
+    expect_that!(readiness.state(NOW), eq(&ready(9, Proof::Peers)));
+    expect_that!(
+        text(&mut readiness),
+        eq("ready with version 9, confirmed by peers")
+    );
+}
+
+/// Guards against nodes that start together and confirm each other.
+#[gtest]
+fn state_unready_peers() {
+    let mut readiness = Readiness::new();
+    for domain in ["a", "b", "c"] {
+        let mut starting = answer(domain, 7);
+        starting.ready = false;
+        readiness.on_peer(NOW, &starting);
+        readiness.on_peer(NOW, &answer(domain, 0));
+    }
+    readiness.on_in_force(ConfigVersion(7));
+    expect_that!(
+        matches!(readiness.state(NOW), ReadyState::Waiting(_)),
+        eq(true)
+    );
+    // Their version counts as known all the same.
+    readiness.on_log_end(ConfigVersion(6));
+    expect_that!(readiness.state(NOW), eq(&ready(7, Proof::Log)));
+}
+
+/// Guards against old answers that predate a newer version.
+#[gtest]
+fn state_old_answer() {
+    let mut readiness = Readiness::new();
+    readiness.on_in_force(ConfigVersion(7));
+    readiness.on_peer(Duration::ZERO, &answer("a", 7));
+    let late = MAX_ANSWER_AGE + Duration::from_millis(1);
+    readiness.on_peer(late, &answer("b", 7));
+    expect_that!(
+        matches!(readiness.state(late), ReadyState::Waiting(_)),
+        eq(true)
+    );
+    readiness.on_peer(late, &answer("a", 7));
+    expect_that!(readiness.state(late), eq(&ready(7, Proof::Peers)));
+}
+
+/// Guards against a fleet without any publication that goes into service while the log is down, and
+/// against one that never does.
+#[gtest]
+fn state_first_start() {
+    let mut readiness = Readiness::new();
+    readiness.on_peer(NOW, &answer("a", 0));
+    readiness.on_peer(NOW, &answer("b", 0));
+    expect_that!(
+        matches!(readiness.state(NOW), ReadyState::Waiting(_)),
+        eq(true)
+    );
+    readiness.on_log_end(ConfigVersion::NONE);
+    expect_that!(readiness.state(NOW), eq(&ready(0, Proof::Log)));
+}
+
+/// Guards against a node that trusts a log whose records it has lost, and against one that leaves
+/// service because the log fails later.
+#[gtest]
+fn state_log_lost() {
+    let mut readiness = Readiness::new();
+    readiness.on_log_end(ConfigVersion(3));
+    readiness.on_log_lost();
+    readiness.on_in_force(ConfigVersion(3));
+    expect_that!(
+        matches!(readiness.state(NOW), ReadyState::Waiting(_)),
+        eq(true)
+    );
+    readiness.on_log_end(ConfigVersion(3));
+    expect_that!(readiness.state(NOW), eq(&ready(3, Proof::Log)));
+    readiness.on_log_lost();
+    readiness.on_peer(NOW, &answer("a", 8));
+    expect_that!(readiness.state(NOW), eq(&ready(3, Proof::Log)));
+}
