--- a/src/state/log_fold.rs
+++ b/src/state/log_fold.rs
@@ -11,6 +11,10 @@
 //! 3. As rule 1 says, a publish whose `base` was written down before it existed is rejected, and a
 //!    copy of it that is appended once that version is in force takes effect.
 //!
+//! A reader that cannot find a usable checkpoint accepts no publication. If no reader has the full
+//! state any more, an operator continues the stream by a checkpoint whose `as_of` is the last offset
+//! and whose version is `as_of + 1`.
+//!
 //! Offsets are dense: the record after offset `o` has offset `o + 1`.
 
 use std::time::Duration;
--- a/tests/log_fold.rs
+++ b/tests/log_fold.rs
@@ -316,6 +316,34 @@
     insta::assert_snapshot!(s.text);
 }
 
+/// Guards against a fleet that can never publish again after all full readers and checkpoints were
+/// lost: an operator appends a checkpoint with a document of their choice.
+#[gtest]
+fn on_records_operator_checkpoint() {
+    let mut log = Log::default();
+    let mut full = LogFold::new();
+    log.append(&ConfigRecord::Publish(publish(1, 0, document(&[("a", 1)]))));
+    log.follow(&mut full, 1);
+    let mut checkpoint = full.checkpoint().unwrap();
+    let mut resumed = LogFold::resume(checkpoint.current.clone());
+    log.append(&ConfigRecord::Rollback(rollback("a", 1)));
+    log.append(&ConfigRecord::Publish(publish(2, 1, document(&[]))));
+    log.oldest = 2;
+    let mut new = LogFold::new();
+    for fold in [&mut new, &mut resumed] {
+        log.follow(fold, 1);
+        expect_that!(fold.is_complete(), eq(false));
+    }
+    (checkpoint.as_of, checkpoint.current.version) = (2, ConfigVersion(3));
+    log.append(&ConfigRecord::Checkpoint(checkpoint));
+    log.append(&ConfigRecord::Publish(publish(3, 3, document(&[("a", 2)]))));
+    for fold in [&mut new, &mut resumed] {
+        log.follow(fold, 1);
+        expect_that!(fold.version(), eq(ConfigVersion(5)));
+        expect_that!(fold.is_complete(), eq(true));
+    }
+}
+
 /// Guards against a checkpoint by a writer with another state, and against one that is not what any
 /// writer can have computed.
 #[gtest]
