--- a/tests/validate.rs
+++ b/tests/validate.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use sycamorewick::protocol::document::Document;
+use sycamorewick::protocol::document::Region;
 use sycamorewick::result_code::Failure;
 use sycamorewick::result_code::ResultCode;
 use sycamorewick::state::validate::MAX_DOCUMENT_BYTES;
@@ -258,6 +259,26 @@
             }));
         })
     };
+    let regions = |count: usize| {
+        failures_after(|d| {
+            d.regions.truncate(count);
+            d.regions.extend((3..count).map(|i| Region {
+                name: format!("r{i}").into(),
+                failure_domains: vec![format!("d{i}").into()],
+            }));
+        })
+    };
+    let methods = |count: u8| {
+        failures_after(|d| {
+            let letters = (b'A'..b'A' + count).map(char::from);
+            d.routes[2].methods = letters.map(String::from).collect();
+        })
+    };
+    expect_that!(regions(0), len(eq(1)));
+    expect_that!(regions(16), is_empty());
+    expect_that!(regions(17), len(eq(1)));
+    expect_that!(methods(16), is_empty());
+    expect_that!(methods(17), len(eq(1)));
     expect_that!(services(1_000), is_empty());
     expect_that!(services(1_001), len(eq(1)));
     expect_that!(routes(10_000), is_empty());
