--- a/src/state/log_fold.rs
+++ b/src/state/log_fold.rs
@@ -8,9 +8,12 @@
 //! 2. Otherwise it is a duplicate if its `publish_id` is in the list of recent publications, and
 //!    rejected if it is not. That a repeated append never takes effect twice follows from rule 1:
 //!    versions only rise, so its `base` is no longer in force.
-//! 3. A publish whose `base` is after `o` was written by a publisher that cannot have read that
-//!    version. It is rejected and not remembered: whether a later copy takes effect depends on
-//!    rule 1 alone.
+//! 3. As rule 1 says, a publish whose `base` was written down before it existed is rejected, and a
+//!    copy of it that is appended once that version is in force takes effect.
+//!
+//! A reader that cannot find a usable checkpoint accepts no publication. If no reader has the full
+//! state any more, an operator continues the stream by a checkpoint whose `as_of` is the last offset
+//! and whose version is `as_of + 1`.
 //!
 //! Offsets are dense: the record after offset `o` has offset `o + 1`.
 
@@ -294,9 +297,7 @@
                 version,
             };
         }
-        if publish.base <= ConfigVersion(offset) {
-            self.remember(publish_id, None);
-        }
+        self.remember(publish_id, None);
         FoldEvent::Rejected {
             publish_id,
             failure,
@@ -354,14 +355,25 @@
         }
         let resume_at = checkpoint.as_of + 1;
         let theirs = checkpoint.current.version;
-        // A stale checkpoint of a paused writer lacks records that are no longer retained, or a
-        // version that this reader has.
-        if resume_at < oldest || theirs < self.version() {
+        if resume_at < oldest {
+            // A stale checkpoint of a paused writer: records after it are no longer retained.
             return;
         }
-        if theirs == self.version() {
-            self.compare_digests(offset, &checkpoint.current, events);
+        if theirs <= self.version() {
+            // The checkpoint covers all records that this reader has, so only a writer that came to
+            // another result can have a lower version.
+            let same = self.compare_digests(offset, &checkpoint.current, events);
+            if !same && theirs < self.version() {
+                return;
+            }
         } else {
+            if !invariant::check(
+                1,
+                theirs > self.version(),
+                "a checkpoint brings an old version",
+            ) {
+                return;
+            }
             let current = checkpoint.current;
             self.set_current(current.clone());
             events.push(FoldEvent::Restored { current });
@@ -378,7 +390,9 @@
     fn compare(&mut self, offset: u64, checkpoint: Checkpoint, events: &mut Vec<FoldEvent>) {
         let theirs = checkpoint.current.version;
         if theirs < self.version() && checkpoint.as_of < self.version().0 - 1 {
-            // Written before the version in force was published.
+            // Written before the version in force was published: nothing to compare, but a reader
+            // without state can start from it.
+            self.held_from = self.held_from.max(checkpoint.as_of + 1);
             return;
         }
         if !self.compare_digests(offset, &checkpoint.current, events) {
