--- a/tests/gossip_random.rs
+++ b/tests/gossip_random.rs
@@ -10,6 +10,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use sycamorewick::coordination::dissemination::Gossip;
 use sycamorewick::protocol::gossip::BackendState;
 use sycamorewick::protocol::gossip::CrashReport;
 use sycamorewick::protocol::gossip::MemberStatus;
@@ -27,7 +28,7 @@
 const THREADS: u64 = 4;
 /// Bound for all nodes to agree after faults end. It covers the longest suspicion of 20 members (31 s)
 /// at a node with a bad health score, and two full exchanges.
-const HEAL_BOUND: Duration = Duration::from_secs(120);
+const HEAL_BOUND: Duration = Duration::from_mins(2);
 
 /// Prints how to repeat a run that fails.
 struct Replay(u64);
@@ -83,16 +84,16 @@
     if took.is_none() {
         for node in net.nodes.iter().filter(|n| n.running) {
             let members = node.gossip.members();
-            let seen: Vec<_> = members.iter().map(|m| (&m.id, m.status)).collect();
+            let statuses: Vec<_> = members.iter().map(|m| (&m.id, m.status)).collect();
             eprintln!(
-                "{} {}: {seen:?}",
+                "{} {}: {statuses:?}",
                 node.gossip.me().id,
                 node.gossip.version()
             );
         }
     }
     assert!(took.is_some(), "no agreement within {HEAL_BOUND:?}");
-    net.run(Duration::from_secs(60));
+    net.run(Duration::from_mins(1));
     assert!(
         converged(&net),
         "agreement was lost, a member may have come back"
@@ -103,7 +104,7 @@
     let running = || net.nodes.iter().filter(|n| n.running).map(|n| &n.gossip);
     let first = running().next().expect("one runs").sync_state();
     checks::settled(net)
-        && running().map(|g| g.sync_state()).all(|state| {
+        && running().map(Gossip::sync_state).all(|state| {
             state.version == first.version
                 && state.progress == first.progress
                 && state.rollbacks == first.rollbacks
@@ -178,7 +179,7 @@
         }
         32..34 if usable && net.count(|_| true) > net.nodes.len() / 2 + 1 => {
             if small > 2 {
-                net.act(index, |g, now, wall| g.leave(now, wall));
+                net.act(index, Gossip::leave);
                 net.run(Duration::from_millis(500));
                 let left = net.nodes[index].gossip.me().status == MemberStatus::Leaving;
                 assert!(left, "a leaving node took its leave back");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,7 +1,10 @@
 //! Parts shared by the tests.
 
+#![allow(dead_code, reason = "each test file uses some of the parts")]
+
 pub mod checks;
 pub mod network;
+pub mod node;
 
 use sycamorewick::protocol::gossip::Member;
 use sycamorewick::protocol::gossip::MemberStatus;
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -11,7 +11,6 @@
 use rand::rngs::StdRng;
 use sycamorewick::coordination::dissemination::Gossip;
 use sycamorewick::coordination::dissemination::GossipAction;
-use sycamorewick::coordination::dissemination::GossipConfig;
 use sycamorewick::protocol::auth::AUTH_OVERHEAD;
 use sycamorewick::protocol::codec;
 use sycamorewick::protocol::gossip::MAX_DATAGRAM_BYTES;
@@ -20,38 +19,14 @@
 use sycamorewick::protocol::gossip::SyncState;
 use sycamorewick::protocol::name::ConfigVersion;
 use sycamorewick::protocol::time::WallMs;
-use sycamorewick::protocol::time::millis;
 
 use super::checks;
-use super::member;
+use super::node::Node;
+use super::node::wall;
 
 /// Bytes of the IP and UDP headers, counted with every datagram.
 const IP_UDP_BYTES: usize = 28;
 const TICK: Duration = Duration::from_millis(100);
-const WALL_START: u64 = 1_700_000_000_000;
-
-/// What a node sent; datagrams with their IP and UDP headers.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Counts {
-    pub datagrams: usize,
-    pub bytes: usize,
-    pub syncs: usize,
-    pub sync_bytes: usize,
-}
-
-pub struct Node {
-    pub gossip: Gossip,
-    pub running: bool,
-    pub paused_until: Duration,
-    /// Nodes of different groups cannot reach each other.
-    pub group: u8,
-    pub sent: Counts,
-    pub declared_dead: usize,
-    pub statuses: Vec<(usize, usize)>,
-    epoch: u32,
-    started: Duration,
-    last: SyncState,
-}
 
 enum Event {
     Tick,
@@ -97,34 +72,18 @@
             scheduled: 0,
         };
         for index in 0..count {
-            let node = net.start(index, 0);
+            let node = Node::start(index, net.now, net.rng.random());
             net.nodes.push(node);
             net.schedule_tick(index);
         }
         net
     }
 
-    fn start(&mut self, index: usize, epoch: u32) -> Node {
-        let seeds = (0..4).map(|i| member(i, WallMs(0)).node_addr).collect();
-        let me = member(index, self.wall(index));
-        Node {
-            gossip: Gossip::new(me, self.rng.random(), GossipConfig { seeds }),
-            running: true,
-            paused_until: Duration::ZERO,
-            group: 0,
-            sent: Counts::default(),
-            declared_dead: 0,
-            statuses: Vec::new(),
-            epoch,
-            started: self.now,
-            last: SyncState::default(),
-        }
-    }
-
     /// Ends the process of a node and starts it anew under the same id.
     pub fn restart(&mut self, index: usize) {
-        let mut node = self.start(index, self.nodes[index].epoch + 1);
+        let mut node = Node::start(index, self.now, self.rng.random());
         node.group = self.nodes[index].group;
+        node.epoch = self.nodes[index].epoch + 1;
         self.nodes[index] = node;
         self.schedule_tick(index);
     }
@@ -134,19 +93,13 @@
         self.nodes[index].epoch += 1;
     }
 
-    /// Wall time at a node; clocks differ by up to half a second.
-    pub fn wall(&self, index: usize) -> WallMs {
-        let skew = index as u64 * 137 % 500;
-        WallMs(WALL_START + millis(self.now) + skew)
-    }
-
     /// Calls a node and carries its actions out.
     pub fn act(
         &mut self,
         index: usize,
         call: impl FnOnce(&mut Gossip, Duration, WallMs) -> Vec<GossipAction>,
     ) {
-        let wall = self.wall(index);
+        let wall = wall(index, self.now);
         let node = &mut self.nodes[index];
         let local = self.now.saturating_sub(node.started);
         let actions = call(&mut node.gossip, local, wall);
@@ -227,7 +180,7 @@
             }
             Event::SyncRequest(from, state) => {
                 let served = node.gossip.may_serve_sync();
-                let reply = served.then(|| node.gossip.sync_state());
+                let reply = served.then(|| self.nodes[index].count_sync());
                 let delay = self.delay(index, from);
                 self.schedule(delay, from, Event::SyncReply(reply));
                 if served {
@@ -235,13 +188,13 @@
                     self.act(index, |g, now, wall| g.on_sync(now, wall, state));
                 }
             }
-            Event::SyncReply(reply) => self.act(index, |g, now, wall| match reply {
-                Some(state) => g.on_sync(now, wall, state),
-                None => {
-                    g.on_sync_failed(now);
-                    Vec::new()
-                }
-            }),
+            Event::SyncReply(Some(state)) => {
+                self.act(index, |g, now, wall| g.on_sync(now, wall, state));
+            }
+            Event::SyncReply(None) => {
+                let local = self.now.saturating_sub(node.started);
+                node.gossip.on_sync_failed(local);
+            }
             Event::PullRequest(from) => {
                 let version = node.gossip.version();
                 let delay = self.delay(index, from);
@@ -258,10 +211,7 @@
         match action {
             GossipAction::Send { to, packet } => self.send(index, to, &packet),
             GossipAction::Sync { addr } => {
-                let node = &mut self.nodes[index];
-                let state = node.gossip.sync_state();
-                node.sent.syncs += 1;
-                node.sent.sync_bytes += codec::encode(&state).expect("encodes").len();
+                let state = self.nodes[index].count_sync();
                 self.note(index, || format!("sync with {}", addr.port()));
                 let request = Event::SyncRequest(index, state);
                 self.request(index, addr, request, Event::SyncReply(None));
--- /dev/null
+++ b/tests/support/node.rs
@@ -0,0 +1,70 @@
+//! One node of the network in virtual time.
+
+use std::time::Duration;
+
+use sycamorewick::coordination::dissemination::Gossip;
+use sycamorewick::coordination::dissemination::GossipConfig;
+use sycamorewick::protocol::codec;
+use sycamorewick::protocol::gossip::SyncState;
+use sycamorewick::protocol::time::WallMs;
+use sycamorewick::protocol::time::millis;
+
+use super::member;
+
+const WALL_START: u64 = 1_700_000_000_000;
+
+/// What a node sent; datagrams with their IP and UDP headers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub datagrams: usize,
+    pub bytes: usize,
+    pub syncs: usize,
+    pub sync_bytes: usize,
+}
+
+pub struct Node {
+    pub gossip: Gossip,
+    pub running: bool,
+    pub paused_until: Duration,
+    /// Nodes of different groups cannot reach each other.
+    pub group: u8,
+    pub sent: Counts,
+    pub declared_dead: usize,
+    pub statuses: Vec<(usize, usize)>,
+    /// Counts the starts of the process; events for an earlier one are dropped.
+    pub epoch: u32,
+    pub started: Duration,
+    pub last: SyncState,
+}
+
+impl Node {
+    pub fn start(index: usize, now: Duration, seed: u64) -> Self {
+        let seeds = (0..4).map(|i| member(i, WallMs(0)).node_addr).collect();
+        let me = member(index, wall(index, now));
+        Self {
+            gossip: Gossip::new(me, seed, GossipConfig { seeds }),
+            running: true,
+            paused_until: Duration::ZERO,
+            group: 0,
+            sent: Counts::default(),
+            declared_dead: 0,
+            statuses: Vec::new(),
+            epoch: 0,
+            started: now,
+            last: SyncState::default(),
+        }
+    }
+
+    pub fn count_sync(&mut self) -> SyncState {
+        let state = self.gossip.sync_state();
+        self.sent.syncs += 1;
+        self.sent.sync_bytes += codec::encode(&state).expect("encodes").len();
+        state
+    }
+}
+
+/// Wall time at a node; clocks differ by up to half a second.
+pub fn wall(index: usize, now: Duration) -> WallMs {
+    let skew = index as u64 * 137 % 500;
+    WallMs(WALL_START + millis(now) + skew)
+}
