--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,527 @@
+//! Membership and dissemination in scripted situations.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sycamorewick::coordination::dissemination::CRASH_EXPIRY;
+use sycamorewick::coordination::dissemination::Gossip;
+use sycamorewick::coordination::dissemination::GossipAction;
+use sycamorewick::coordination::dissemination::GossipConfig;
+use sycamorewick::coordination::dissemination::MAX_SYNCS_SERVED;
+use sycamorewick::coordination::membership::DEPARTED_WINDOW;
+use sycamorewick::coordination::membership::FORGET_AFTER;
+use sycamorewick::coordination::membership::suspicion_timeout;
+use sycamorewick::protocol::gossip::BackendState;
+use sycamorewick::protocol::gossip::CrashReport;
+use sycamorewick::protocol::gossip::EvidenceReport;
+use sycamorewick::protocol::gossip::Header;
+use sycamorewick::protocol::gossip::LATENCY_BUCKETS;
+use sycamorewick::protocol::gossip::Member;
+use sycamorewick::protocol::gossip::MemberStatus;
+use sycamorewick::protocol::gossip::Message;
+use sycamorewick::protocol::gossip::Packet;
+use sycamorewick::protocol::gossip::Rollback;
+use sycamorewick::protocol::gossip::RollbackCause;
+use sycamorewick::protocol::gossip::RolloutKey;
+use sycamorewick::protocol::gossip::RouteEvidence;
+use sycamorewick::protocol::gossip::Rumor;
+use sycamorewick::protocol::gossip::SyncState;
+use sycamorewick::protocol::name::ConfigVersion;
+use sycamorewick::protocol::name::NodeId;
+use sycamorewick::protocol::record::ServiceSince;
+use sycamorewick::protocol::time::WallMs;
+
+use support::checks;
+use support::member;
+use support::network::Network;
+use support::node::wall;
+
+const SECOND: Duration = Duration::from_secs(1);
+const TICK: Duration = Duration::from_millis(100);
+const WALL: WallMs = WallMs(1_700_000_000_000);
+
+fn fleet(count: usize, seed: u64) -> Network {
+    let mut net = Network::new(count, seed);
+    let joined = net.run_until(SECOND * 30, TICK, checks::settled);
+    assert!(joined.is_some(), "nodes do not see each other after 30 s");
+    net
+}
+
+fn status(gossip: &Gossip, id: &str) -> Option<MemberStatus> {
+    let found = gossip.members().iter().find(|m| m.id.as_str() == id);
+    found.map(|m| m.status)
+}
+
+fn rollback(by: &NodeId, at: WallMs) -> Rollback {
+    Rollback {
+        key: RolloutKey {
+            service: "booking".into(),
+            to: "v2".into(),
+            since: ConfigVersion(1),
+        },
+        cause: RollbackCause::Errors,
+        route: None,
+        at,
+        by: by.clone(),
+    }
+}
+
+/// A node that knows `count` members, this one included.
+fn lone(count: usize) -> Gossip {
+    let cfg = GossipConfig { seeds: Vec::new() };
+    let mut gossip = Gossip::new(member(0, WALL), 1, cfg);
+    let members = (1..count).map(|i| member(i, WALL)).collect();
+    let state = SyncState {
+        members,
+        ..SyncState::default()
+    };
+    gossip.on_sync(Duration::ZERO, WALL, state);
+    gossip
+}
+
+fn packet(
+    from: &Member,
+    version: u64,
+    message: Message,
+    rumors: Vec<Rumor>,
+) -> (SocketAddr, Packet) {
+    let header = Header {
+        from: from.id.clone(),
+        incarnation: from.incarnation,
+        version: ConfigVersion(version),
+        digest: 0,
+        log_reachable: true,
+    };
+    let packet = Packet {
+        header,
+        message,
+        rumors,
+    };
+    (from.gossip_addr, packet)
+}
+
+/// A failure to rejoin absent seeds leaves the groups in which the seeds joined.
+#[test]
+fn join_herd_sees_each_other() {
+    for seed in 0..10 {
+        let mut net = Network::new(20, seed);
+        let took = net.run_until(SECOND * 10, TICK, checks::settled);
+        assert!(took.is_some(), "seed {seed}");
+    }
+}
+
+/// A death that some node never learns leaves it choosing a dead key replica.
+#[test]
+fn kill_dead_everywhere_and_stays_dead() {
+    for seed in 0..5 {
+        let mut net = fleet(20, seed);
+        net.nodes[9].paused_until = net.now + SECOND * 45;
+        net.run(SECOND);
+        net.kill(7);
+        let bound = SECOND * 2 + suspicion_timeout(20, 1);
+        let dead = |g: &Gossip| status(g, "n07") == Some(MemberStatus::Dead);
+        let others = |net: &Network| net.count(dead) >= 18;
+        let took = net.run_until(bound, TICK, others);
+        assert!(took.is_some(), "seed {seed}: {} know", net.count(dead));
+        // Node 9 comes back with a record from before the death.
+        let took = net.run_until(SECOND * 90, TICK, |net| net.count(dead) == 19);
+        assert!(took.is_some(), "seed {seed}: {} know", net.count(dead));
+        for _ in 0..60 {
+            net.run(SECOND);
+            assert_eq!(net.count(dead), 19, "seed {seed}: the member came back");
+        }
+    }
+}
+
+/// Requests go to a leaving backend server for as long as an entry node has not heard of it.
+#[test]
+fn leave_known_everywhere_within_two_seconds() {
+    for seed in 0..20 {
+        let mut net = fleet(20, seed);
+        net.act(5, Gossip::leave);
+        let left = |g: &Gossip| status(g, "n05") == Some(MemberStatus::Leaving);
+        let took = net.run_until(SECOND * 2, TICK, |net| net.count(left) == 20);
+        assert!(took.is_some(), "seed {seed}: {} know", net.count(left));
+    }
+}
+
+/// A rumor that waits for probes takes 3 to 4 s to reach 20 nodes.
+#[test]
+fn urgent_changes_known_everywhere_within_two_seconds() {
+    for seed in 0..20 {
+        let mut net = fleet(20, seed);
+        net.act(5, |g, now, wall| {
+            let backend = BackendState {
+                service: "booking".into(),
+                version: "v2".into(),
+                slots: 10,
+                up: false,
+            };
+            g.set_backend(now, wall, Some(backend))
+        });
+        net.act(6, |g, now, wall| {
+            let rollback = rollback(&g.me().id.clone(), wall);
+            g.submit_rollback(now, wall, rollback)
+        });
+        let known = |g: &Gossip| {
+            let backend = g.members().iter().any(|m| m.backend.is_some());
+            backend && !g.sync_state().rollbacks.is_empty()
+        };
+        let took = net.run_until(SECOND * 2, TICK, |net| net.count(known) == 20);
+        assert!(took.is_some(), "seed {seed}: {} know", net.count(known));
+    }
+}
+
+/// Without pings to dead members two regions that hold each other dead never meet again.
+#[test]
+fn partition_for_an_hour_heals() {
+    let mut net = fleet(20, 3);
+    for index in (0..20).step_by(2) {
+        net.nodes[index].group = 1;
+    }
+    net.act(0, |g, now, _| g.on_new_version(now, ConfigVersion(5)));
+    net.run(SECOND * 3_600);
+    let alive = |g: &Gossip| {
+        g.members()
+            .iter()
+            .filter(|m| m.status == MemberStatus::Alive)
+            .count()
+    };
+    assert_eq!(net.count(|g| alive(g) == 10), 20, "each side sees itself");
+    assert_eq!(net.count(|g| g.version() == ConfigVersion(5)), 10);
+    net.nodes.iter_mut().for_each(|n| n.group = 0);
+    let took = net.run_until(SECOND * 120, TICK, checks::settled);
+    println!("members after {took:?}");
+    assert!(took.is_some(), "no agreement 120 s after the partition");
+    let current = |g: &Gossip| g.version() == ConfigVersion(5);
+    let took = net.run_until(SECOND * 4, TICK, |net| net.count(current) == 20);
+    println!("version after {took:?} more");
+    assert!(
+        took.is_some(),
+        "{} of 20 have the version",
+        net.count(current)
+    );
+}
+
+/// Without refutation a node that was paused stays dead for its peers.
+#[test]
+fn pause_of_a_minute_is_refuted() {
+    for seed in 0..5 {
+        let mut net = fleet(20, seed);
+        net.nodes[4].paused_until = net.now + SECOND * 60;
+        net.run(SECOND * 60);
+        let dead = |g: &Gossip| status(g, "n04") == Some(MemberStatus::Dead);
+        assert_eq!(net.count(dead), 19, "seed {seed}");
+        let took = net.run_until(SECOND * 30, TICK, checks::settled);
+        assert!(
+            took.is_some(),
+            "seed {seed}: not alive everywhere after 30 s"
+        );
+        assert!(net.nodes[4].declared_dead >= 1);
+        assert!(net.nodes[4].gossip.declared_dead_at().is_some());
+        let others = net.nodes.iter().map(|n| n.declared_dead).sum::<usize>();
+        assert_eq!(
+            others, net.nodes[4].declared_dead,
+            "seed {seed}: a false death"
+        );
+    }
+}
+
+/// Without hints to other regions a version stays in the region whose reader read it.
+#[test]
+fn new_version_reaches_both_regions_from_one_reader() {
+    for seed in 0..10 {
+        let mut net = fleet(20, seed);
+        net.act(2, |g, now, _| g.on_new_version(now, ConfigVersion(9)));
+        net.act(2, |g, now, _| {
+            g.start_version_query(now, ConfigVersion(9));
+            Vec::new()
+        });
+        let took = net.run_until(SECOND * 4, TICK, |net| {
+            net.count(|g| g.version() == ConfigVersion(9)) == 20
+        });
+        assert!(took.is_some(), "seed {seed}");
+        net.run(SECOND);
+        assert_eq!(net.nodes[2].statuses, [(20, 20)], "seed {seed}");
+    }
+}
+
+/// A publish that is not in force at a member must not be reported as in force everywhere.
+#[test]
+fn version_query_names_the_members_without_the_version() {
+    let mut net = fleet(8, 1);
+    net.nodes[3].paused_until = net.now + TICK * 45;
+    net.act(2, |g, now, _| g.on_new_version(now, ConfigVersion(9)));
+    net.act(2, |g, now, _| {
+        g.start_version_query(now, ConfigVersion(9));
+        Vec::new()
+    });
+    net.run(SECOND * 12);
+    assert_eq!(net.nodes[2].statuses, [(7, 8), (8, 8)]);
+}
+
+/// Two readers in one failure domain would be lost together; different views would leave none.
+#[test]
+fn readers_two_domains_of_each_region_and_reachable() {
+    let mut net = fleet(20, 2);
+    let readers = |net: &Network| -> Vec<usize> {
+        let nodes = net.nodes.iter().enumerate();
+        let readers = nodes.filter(|(_, n)| n.running && n.gossip.is_reader());
+        readers.map(|(i, _)| i).collect()
+    };
+    let domain = |net: &Network, i: usize| net.nodes[i].gossip.me().domain.clone();
+    let check = |net: &Network| {
+        let chosen = readers(net);
+        for region in 0..2 {
+            let own: Vec<_> = chosen.iter().filter(|i| **i % 2 == region).collect();
+            assert_eq!(own.len(), 2, "{chosen:?}");
+            assert_ne!(domain(net, *own[0]), domain(net, *own[1]));
+        }
+        chosen
+    };
+    let first = check(&net);
+    let other = (0..20).find(|i| !first.contains(i)).expect("16 others");
+    net.kill(other);
+    net.run(SECOND * 40);
+    assert_eq!(
+        check(&net),
+        first,
+        "another member's death changed the readers"
+    );
+    net.act(first[0], |g, now, _| g.set_log_reachable(now, false));
+    net.run(SECOND);
+    let second = check(&net);
+    assert!(!second.contains(&first[0]), "a reader without log is kept");
+    let kept = first[1..].iter().filter(|r| second.contains(r)).count();
+    assert!(kept >= 2, "{first:?} to {second:?}");
+    for index in (0..20).filter(|i| *i != other) {
+        net.act(index, |g, now, _| g.set_log_reachable(now, false));
+    }
+    net.run(SECOND * 2);
+    assert!(!readers(&net).is_empty(), "nobody tries the log any more");
+}
+
+/// A list of departed members that forgets too early would let a key replica grant a key twice.
+#[test]
+fn departed_lists_members_for_the_key_window() {
+    let mut net = fleet(6, 1);
+    net.act(5, Gossip::leave);
+    net.run(SECOND * 2);
+    net.kill(5);
+    net.kill(4);
+    net.run(SECOND * 60);
+    let departed = |net: &Network| -> Vec<String> {
+        let gossip = &net.nodes[0].gossip;
+        let listed = gossip.departed(wall(0, net.now)).iter();
+        listed.map(|d| d.id.to_string()).collect()
+    };
+    assert_eq!(departed(&net), ["n05", "n04"]);
+    net.restart(4);
+    net.run(SECOND * 10);
+    assert_eq!(
+        status(&net.nodes[0].gossip, "n04"),
+        Some(MemberStatus::Alive)
+    );
+    assert_eq!(
+        departed(&net),
+        ["n05", "n04"],
+        "a return does not undo the absence"
+    );
+    net.run(DEPARTED_WINDOW);
+    assert!(departed(&net).is_empty());
+}
+
+/// A rumor from before a death must not bring the member back; a new process under its id must.
+#[test]
+fn dead_member_returns_only_with_a_higher_incarnation() {
+    let mut gossip = lone(3);
+    let old = member(1, WALL);
+    let mut dead = old.clone();
+    dead.status = MemberStatus::Dead;
+    let mut now = SECOND;
+    let hear = |gossip: &mut Gossip, now, rumor| {
+        let (from, packet) = packet(&member(2, WALL), 0, Message::Hint, vec![rumor]);
+        gossip.on_packet(now, WALL, from, packet);
+        status(gossip, "n01")
+    };
+    assert_eq!(
+        hear(&mut gossip, now, Rumor::Member(dead.clone())),
+        Some(MemberStatus::Dead)
+    );
+    assert_eq!(
+        hear(&mut gossip, now, Rumor::Member(old)),
+        Some(MemberStatus::Dead)
+    );
+    while now < FORGET_AFTER + SECOND * 2 {
+        gossip.tick(now, WALL);
+        now += SECOND * 2;
+    }
+    assert_eq!(status(&gossip, "n01"), None, "forgotten");
+    assert_eq!(
+        hear(&mut gossip, now, Rumor::Member(dead)),
+        None,
+        "and not kept again"
+    );
+    let new = member(1, WALL.plus(SECOND));
+    assert_eq!(
+        hear(&mut gossip, now, Rumor::Member(new)),
+        Some(MemberStatus::Alive)
+    );
+}
+
+/// One accuser alone waits six times as long as four independent ones.
+#[test]
+fn suspicion_timeout_shrinks_with_accusers() {
+    let seconds = |members, accusers| suspicion_timeout(members, accusers).as_secs();
+    assert_eq!([1, 2, 3, 4, 5].map(|n| seconds(10, n)), [24, 14, 8, 4, 4]);
+    assert_eq!(seconds(1_300, 4), 12);
+    assert_eq!(seconds(3, 1), 4, "nobody else could confirm");
+}
+
+/// A suspicion that is repeated by its accuser must not count as confirmed.
+#[test]
+fn suspicion_same_accuser_is_no_confirmation() {
+    let dead_after = |accusers: [usize; 4]| {
+        let mut gossip = lone(10);
+        for by in accusers {
+            let rumor = Rumor::Suspect {
+                id: "n01".into(),
+                incarnation: 0,
+                by: member(by, WALL).id,
+            };
+            let (from, packet) = packet(&member(2, WALL), 0, Message::Hint, vec![rumor]);
+            gossip.on_packet(Duration::ZERO, WALL, from, packet);
+        }
+        let mut now = Duration::ZERO;
+        while status(&gossip, "n01") != Some(MemberStatus::Dead) {
+            now += TICK;
+            gossip.tick(now, WALL);
+        }
+        now
+    };
+    assert_eq!(dead_after([2, 3, 4, 5]), SECOND * 4);
+    assert!(dead_after([2, 2, 2, 2]) > SECOND * 8);
+}
+
+/// A peer that serves every full exchange at once is overloaded by a mass restart.
+#[test]
+fn sync_served_limit() {
+    let mut gossip = lone(2);
+    for _ in 0..MAX_SYNCS_SERVED {
+        assert!(gossip.may_serve_sync());
+    }
+    assert!(!gossip.may_serve_sync());
+    gossip.sync_served();
+    assert!(gossip.may_serve_sync());
+}
+
+fn pulls(actions: Vec<GossipAction>) -> Vec<String> {
+    let peer = |action| match action {
+        GossipAction::PullConfig { peer } => Some(peer.id.to_string()),
+        _ => None,
+    };
+    actions.into_iter().filter_map(peer).collect()
+}
+
+/// A pull from each peer that shows the version would move the same configuration many times.
+#[test]
+fn pull_one_at_a_time_then_another_peer() {
+    let mut gossip = lone(10);
+    let hint = |gossip: &mut Gossip, index| {
+        let (from, packet) = packet(&member(index, WALL), 7, Message::Hint, Vec::new());
+        pulls(gossip.on_packet(Duration::ZERO, WALL, from, packet))
+    };
+    assert!(
+        hint(&mut gossip, 1).is_empty(),
+        "other regions wait for the own"
+    );
+    assert_eq!(hint(&mut gossip, 2), ["n02"]);
+    assert!(hint(&mut gossip, 4).is_empty());
+    assert_eq!(pulls(gossip.on_pull_failed(TICK)), ["n04"]);
+    let mut later = Vec::new();
+    for i in 2..20 {
+        later.extend(pulls(gossip.tick(TICK * i, WALL)));
+    }
+    assert_eq!(later, ["n01"], "the pull from n04 timed out");
+    assert!(pulls(gossip.on_new_version(SECOND * 2, ConfigVersion(7))).is_empty());
+    assert!(hint(&mut gossip, 2).is_empty(), "nothing newer");
+}
+
+/// A report that exceeds a datagram would be lost whole.
+#[test]
+fn evidence_parts_fit_datagrams() {
+    let mut net = fleet(4, 1);
+    let route = |i| RouteEvidence {
+        route: format!("a-rather-long-route-name-{i}").into(),
+        calls: u32::MAX,
+        errors: u32::MAX,
+        latency: [u32::MAX; LATENCY_BUCKETS],
+    };
+    let report = EvidenceReport {
+        key: rollback(&"n00".into(), WALL).key,
+        version: "v2".into(),
+        step: 1,
+        sequence: 1,
+        crashes: 0,
+        routes: (0..50).map(route).collect(),
+    };
+    let mut sent = Vec::new();
+    net.act(0, |g, now, _| {
+        let actions = g.send_evidence(now, &["n01".into()], &report);
+        for action in &actions {
+            if let GossipAction::Send { packet, .. } = action
+                && let Message::Evidence(part) = &packet.message
+            {
+                sent.extend(part.routes.clone());
+            }
+        }
+        actions
+    });
+    assert_eq!(sent, report.routes);
+}
+
+/// Queued rumors that are packed by number instead of size exceed the datagram.
+#[test]
+fn many_rumors_fit_datagrams() {
+    let mut net = fleet(10, 1);
+    net.act(0, |g, now, wall| {
+        let mut actions = Vec::new();
+        for i in 0..300 {
+            let crash = CrashReport {
+                fingerprint: u64::MAX - i,
+                node: format!("node-{}", "x".repeat(usize::try_from(i).expect("small"))).into(),
+                backend_start: i,
+                at: wall,
+            };
+            actions.extend(g.submit_crash(now, wall, crash));
+        }
+        actions
+    });
+    let crashes = |g: &Gossip| g.sync_state().crashes.len();
+    let took = net.run_until(SECOND * 60, TICK, |net| {
+        net.count(|g| crashes(g) == 300) == 10
+    });
+    assert!(took.is_some(), "crash reports are missing after 60 s");
+    net.run(CRASH_EXPIRY);
+    assert_eq!(net.count(|g| crashes(g) == 0), 10, "reports do not expire");
+    assert!(checks::settled(&net));
+}
+
+/// State of finished rollouts that is kept, or taken again from a peer, grows without bound.
+#[test]
+fn services_drop_rollouts_of_old_configurations() {
+    let mut gossip = lone(2);
+    let old = rollback(&"n01".into(), WALL);
+    gossip.submit_rollback(SECOND, WALL, old.clone());
+    let since = |version| ServiceSince {
+        service: "booking".into(),
+        since: ConfigVersion(version),
+    };
+    gossip.set_services(ConfigVersion(3), &[since(1)]);
+    assert_eq!(gossip.sync_state().rollbacks.len(), 1);
+    gossip.set_services(ConfigVersion(4), &[since(4)]);
+    gossip.submit_rollback(SECOND, WALL, old);
+    assert!(gossip.sync_state().rollbacks.is_empty());
+}
