--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -192,7 +192,19 @@
     assert_eq!(net.count(|g| alive(g) == 6), 12, "each side sees itself");
     assert_eq!(net.count(|g| g.version() == ConfigVersion(5)), 6);
     net.nodes.iter_mut().for_each(|n| n.group = 0);
-    let took = net.run_until(SECOND * 120, TICK, checks::settled);
+    let own_side = |g: &Gossip| {
+        let own = g.members().iter().filter(|m| m.region == g.me().region);
+        own.filter(|m| m.status != MemberStatus::Dead).count() == 6
+    };
+    let took = net.run_until(SECOND * 120, TICK, |net| {
+        // Each side learns that the other one holds it dead, which must not be taken for true.
+        assert_eq!(
+            net.count(own_side),
+            12,
+            "a member of the own side was declared dead"
+        );
+        checks::settled(net)
+    });
     assert!(took.is_some(), "no agreement 120 s after the partition");
     let current = |g: &Gossip| g.version() == ConfigVersion(5);
     let took = net.run_until(SECOND * 4, TICK, |net| net.count(current) == 12);
@@ -301,6 +313,31 @@
     assert!(!readers(&net).is_empty(), "nobody tries the log any more");
 }
 
+/// Whether two readers share a failure domain depends on the hash, so that one fleet shows little.
+#[test]
+fn readers_two_domains_in_fleets_of_any_size() {
+    for count in 6..30 {
+        let all = SyncState {
+            members: (0..count).map(|i| member(i, WALL)).collect(),
+            ..SyncState::default()
+        };
+        let mut readers: Vec<Member> = Vec::new();
+        for index in 0..count {
+            let cfg = GossipConfig { seeds: Vec::new() };
+            let mut gossip = Gossip::new(member(index, WALL), 1, cfg);
+            gossip.on_sync(Duration::ZERO, WALL, all.clone());
+            gossip.tick(TICK, WALL);
+            if gossip.is_reader() {
+                readers.push(gossip.me().clone());
+            }
+        }
+        readers.sort_by(|a, b| a.domain.cmp(&b.domain));
+        readers.dedup_by(|a, b| a.domain == b.domain);
+        let regions: Vec<_> = readers.iter().map(|m| m.region.as_str()).collect();
+        assert_eq!(regions, ["r0", "r0", "r1", "r1"], "{count} nodes");
+    }
+}
+
 /// A list of departed members that forgets too early would let a key replica grant a key twice.
 #[test]
 fn departed_lists_members_for_the_key_window() {
@@ -378,6 +415,37 @@
     assert_eq!(seconds(3, 1), 4, "nobody else could confirm");
 }
 
+/// A process that was paused has read no refutation in that time.
+#[test]
+fn suspicion_pause_of_the_accuser_gives_time_to_refute() {
+    let mut gossip = lone(10);
+    gossip.tick(Duration::ZERO, WALL);
+    for by in 2..6 {
+        let rumor = Rumor::Suspect {
+            id: "n01".into(),
+            incarnation: 0,
+            by: member(by, WALL).id,
+        };
+        let (from, packet) = packet(&member(2, WALL), 0, Message::Hint, vec![rumor]);
+        gossip.on_packet(Duration::ZERO, WALL, from, packet);
+    }
+    gossip.tick(SECOND * 60, WALL);
+    assert_eq!(status(&gossip, "n01"), Some(MemberStatus::Suspect));
+    for second in 61..65 {
+        gossip.tick(SECOND * second, WALL);
+    }
+    assert_eq!(status(&gossip, "n01"), Some(MemberStatus::Dead));
+}
+
+/// A version that falls would bring an older configuration back.
+#[test]
+#[should_panic(expected = "9001 invariant violated: number 1")]
+fn new_version_lower_violates_the_invariant() {
+    let mut gossip = lone(2);
+    gossip.on_new_version(SECOND, ConfigVersion(2));
+    gossip.on_new_version(SECOND, ConfigVersion(1));
+}
+
 /// A suspicion that is repeated by its accuser must not count as confirmed.
 #[test]
 fn suspicion_same_accuser_is_no_confirmation() {
