--- a/src/coordination/dissemination.rs
+++ b/src/coordination/dissemination.rs
@@ -1,5 +1,10 @@
 //! Dissemination of member changes, rollout state and configuration versions, see `docs/design.md`,
 //! section 4.
+//!
+//! Cost at 1,300 members, as `tests/gossip_scale.rs` measures it: an urgent change is known everywhere
+//! after 0.7 s (expected: log3(1300) = 6.5 ticks) and costs each node 2.7 KB (16 sends); a version is
+//! in force everywhere after 0.9 s for 1.0 KB; probes cost 193 bytes/s. With 270 restarts of 4 changes
+//! and 1,100 versions a day that is 240 bytes/s.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -47,7 +52,7 @@
 /// Datagrams sent at once on an urgent change of this node.
 pub const URGENT_FANOUT: usize = 4;
 /// Datagrams sent a tick while the queue holds urgent rumors. Two make the number of members that
-/// know of a change grow threefold a tick: about 7 ticks to most of 1,300 and 4 more to the last.
+/// know of a change grow threefold a tick.
 pub const SPREAD_FANOUT: usize = 2;
 /// Rumors in the queue above which one datagram a tick is sent although none is urgent, since probes
 /// alone would take minutes after a mass restart. A datagram holds about as many.
