--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use proptest::prelude::*;
 use sycamorewick::coordination::dissemination::CRASH_EXPIRY;
 use sycamorewick::coordination::dissemination::Gossip;
 use sycamorewick::coordination::dissemination::GossipAction;
@@ -13,6 +14,7 @@
 use sycamorewick::coordination::membership::DEPARTED_WINDOW;
 use sycamorewick::coordination::membership::FORGET_AFTER;
 use sycamorewick::coordination::membership::suspicion_timeout;
+use sycamorewick::protocol::codec;
 use sycamorewick::protocol::gossip::BackendState;
 use sycamorewick::protocol::gossip::CrashReport;
 use sycamorewick::protocol::gossip::EvidenceReport;
@@ -592,6 +594,50 @@
     assert!(gossip.sync_state().rollbacks.is_empty());
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// A datagram of a node with a fault must not end the process that receives it.
+    #[test]
+    fn on_packet_damaged_packets_do_not_panic(
+        places in proptest::collection::vec((any::<u16>(), any::<u8>()), 0..6),
+        number in prop_oneof![Just(0), Just(u64::MAX), any::<u64>()],
+        kind in 0..6,
+    ) {
+        let mut suspect = member(1, WallMs(number));
+        suspect.incarnation = number;
+        suspect.status = MemberStatus::Dead;
+        let rumors = vec![
+            Rumor::Member(suspect),
+            Rumor::Suspect { id: "n00".into(), incarnation: number, by: "n03".into() },
+            Rumor::Member(Member { status: MemberStatus::Dead, ..member(0, WALL) }),
+            Rumor::Rollback(rollback(&"n01".into(), WallMs(number))),
+        ];
+        let message = match kind {
+            0 => Message::Ping { sequence: number },
+            1 => Message::Ack { sequence: number },
+            2 => Message::Nack { sequence: 1 },
+            3 => Message::PingReq { sequence: number, target: "n01".into() },
+            4 => Message::VersionQuery { sequence: number },
+            _ => Message::Hint,
+        };
+        let (from, packet) = packet(&member(2, WALL), number, message, rumors);
+        let mut bytes = codec::encode_compact(&packet).expect("encodes");
+        for (place, value) in places {
+            let place = usize::from(place) % bytes.len();
+            bytes[place] = value;
+        }
+        let mut gossip = lone(6);
+        gossip.tick(Duration::ZERO, WALL);
+        if let Ok(packet) = codec::decode::<Packet>(&bytes) {
+            gossip.on_packet(TICK, WALL, from, packet);
+        }
+        for i in 2..20 {
+            gossip.tick(TICK * i * 10, WALL);
+        }
+    }
+}
+
 /// Lines of a session that tell what happened; the whole session is compared with its golden file.
 fn session(net: &mut Network, mut run: impl FnMut(&mut Network)) -> String {
     net.trace = Some(Vec::new());
