--- a/src/coordination/dissemination.rs
+++ b/src/coordination/dissemination.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use rand::seq::SliceRandom;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::coordination::membership::Departed;
@@ -913,7 +912,6 @@
         if self.spread_order.is_empty() {
             let all = self.membership.choose(usize::MAX, |_| true);
             self.spread_order = all.iter().map(|&i| self.members()[i].id.clone()).collect();
-            self.spread_order.shuffle(self.membership.rng());
         }
         while let Some(id) = self.spread_order.pop() {
             let Some(index) = self.membership.find(&id).filter(|_| !self.is_dead(&id)) else {
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -289,7 +289,7 @@
         &mut self.rng
     }
 
-    /// Chooses up to `count` different other members that are not dead and pass `filter`.
+    /// Chooses up to `count` different other members that are not dead and pass `filter`, in random order.
     pub fn choose(&mut self, count: usize, filter: impl Fn(&Member) -> bool) -> Vec<usize> {
         let mut eligible: Vec<usize> = (0..self.members.len())
             .filter(|&i| {
