--- a/tests/gossip_random.rs
+++ b/tests/gossip_random.rs
@@ -10,6 +10,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use sycamorewick::coordination::dissemination::Gossip;
 use sycamorewick::protocol::gossip::BackendState;
 use sycamorewick::protocol::gossip::CrashReport;
 use sycamorewick::protocol::gossip::MemberStatus;
@@ -23,7 +24,7 @@
 use support::network::Network;
 
 const STEPS: u32 = 2_000;
-const FIXED_SEEDS: u64 = 24;
+const FIXED_SEEDS: u64 = 30;
 const THREADS: u64 = 4;
 /// Bound for all nodes to agree after faults end. It covers the longest suspicion of 20 members (31 s)
 /// at a node with a bad health score, and two full exchanges.
@@ -83,9 +84,9 @@
     if took.is_none() {
         for node in net.nodes.iter().filter(|n| n.running) {
             let members = node.gossip.members();
-            let states: Vec<_> = members.iter().map(|m| (&m.id, m.status)).collect();
+            let statuses: Vec<_> = members.iter().map(|m| (&m.id, m.status)).collect();
             eprintln!(
-                "{} {}: {states:?}",
+                "{} {}: {statuses:?}",
                 node.gossip.me().id,
                 node.gossip.version()
             );
@@ -103,14 +104,12 @@
     let running = || net.nodes.iter().filter(|n| n.running).map(|n| &n.gossip);
     let first = running().next().expect("one runs").sync_state();
     checks::settled(net)
-        && running()
-            .map(sycamorewick::coordination::dissemination::Gossip::sync_state)
-            .all(|state| {
-                state.version == first.version
-                    && state.progress == first.progress
-                    && state.rollbacks == first.rollbacks
-                    && state.crashes == first.crashes
-            })
+        && running().map(Gossip::sync_state).all(|state| {
+            state.version == first.version
+                && state.progress == first.progress
+                && state.rollbacks == first.rollbacks
+                && state.crashes == first.crashes
+        })
 }
 
 fn step(net: &mut Network, rng: &mut StdRng) {
@@ -181,10 +180,7 @@
         }
         32..34 if usable && net.count(|_| true) > net.nodes.len() / 2 + 1 => {
             if small > 2 {
-                net.act(
-                    index,
-                    sycamorewick::coordination::dissemination::Gossip::leave,
-                );
+                net.act(index, Gossip::leave);
                 net.run(Duration::from_millis(500));
                 let left = net.nodes[index].gossip.me().status == MemberStatus::Leaving;
                 assert!(left, "a leaving node took its leave back");
