--- a/testbed/src/caller.rs
+++ b/testbed/src/caller.rs
@@ -254,6 +254,14 @@
 /// # Panics
 /// Panics if the histogram's constants are out of its range.
 pub async fn run(options: CallerOptions) -> CallerReport {
+    run_while(options, || true).await
+}
+
+/// Like [`run`], but stops sending as soon as `go_on` returns false.
+///
+/// # Panics
+/// Panics if the histogram's constants are out of its range.
+pub async fn run_while(options: CallerOptions, go_on: impl Fn() -> bool) -> CallerReport {
     let histogram =
         || Histogram::new_with_max(MAX_LATENCY_US, LATENCY_DIGITS).expect("constants are in range");
     let client = Client::builder()
@@ -278,7 +286,7 @@
     let interval = Duration::from_secs_f64(1.0 / run.options.rate.max(1e-3));
     let mut next = Duration::ZERO;
     let mut index: u32 = 0;
-    while next < run.options.duration && !run.options.targets.is_empty() {
+    while next < run.options.duration && !run.options.targets.is_empty() && go_on() {
         wait_until(run.start + next).await;
         let repeated = match run.options.keys {
             Keys::Fresh { repeated } => {
--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -27,6 +27,8 @@
 use testbed::measure::convergence::ConvergenceOptions;
 use testbed::measure::latency;
 use testbed::measure::latency::LatencyOptions;
+use testbed::measure::rollback;
+use testbed::measure::rollback::RollbackOptions;
 
 /// Exit code of a backend server that crashed on purpose.
 const CRASH_EXIT_CODE: u8 = 134;
@@ -412,22 +414,24 @@
         .arg_required_else_help(true)
         .subcommand(latency_command())
         .subcommand(convergence_command())
+        .subcommand(rollback_command())
 }
 
-/// Arguments of all measurements.
-fn common_args() -> Vec<Arg> {
-    vec![
-        option("binary", "FILE", "The sycamorewick binary")
-            .value_parser(value_parser!(PathBuf))
-            .default_value("target/release/sycamorewick"),
-        option("plot", "FILE", "Write a plot as SVG").value_parser(value_parser!(PathBuf)),
-    ]
+fn binary_arg() -> Arg {
+    option("binary", "FILE", "The sycamorewick binary")
+        .value_parser(value_parser!(PathBuf))
+        .default_value("target/release/sycamorewick")
+}
+
+fn plot_arg() -> Arg {
+    option("plot", "FILE", "Write a plot as SVG").value_parser(value_parser!(PathBuf))
 }
 
 fn latency_command() -> Command {
     Command::new("latency")
         .about("Latency that both hops add to a call, against direct calls")
-        .args(common_args())
+        .arg(binary_arg())
+        .arg(plot_arg())
         .arg(
             option("pairs", "N", "Pairs of an entry node and a serving node")
                 .value_parser(value_parser!(usize))
@@ -454,7 +458,8 @@
 fn convergence_command() -> Command {
     Command::new("convergence")
         .about("Time until a version is in force everywhere, and cost of control, by fleet size")
-        .args(common_args())
+        .arg(binary_arg())
+        .arg(plot_arg())
         .arg(
             option("sizes", "LIST", "Nodes of the fleets")
                 .value_parser(value_parser!(usize))
@@ -483,6 +488,33 @@
         )
 }
 
+fn rollback_command() -> Command {
+    Command::new("rollback")
+        .about("Time to take a bad version back and requests that it spoils, by kind of fault")
+        .arg(binary_arg())
+        .arg(
+            option("kinds", "LIST", "Kinds of faults")
+                .value_parser(rollback::KINDS)
+                .value_delimiter(',')
+                .action(ArgAction::Append),
+        )
+        .arg(
+            option("servers", "N", "Backend servers of each version")
+                .value_parser(value_parser!(usize))
+                .default_value("6"),
+        )
+        .arg(
+            option("rate", "N", "Calls per second")
+                .value_parser(value_parser!(f64))
+                .default_value("280"),
+        )
+        .arg(
+            option("window", "S", "Time from the first step to the latest end")
+                .value_parser(value_parser!(f64))
+                .default_value("24"),
+        )
+}
+
 fn measure(args: &ArgMatches) -> eyre::Result<ExitCode> {
     actix_rt::System::new().block_on(async {
         // A signal ends the measurement by dropping it, which ends the processes that it started.
@@ -520,6 +552,16 @@
             };
             convergence::run(&options).await?;
         }
+        Some(("rollback", args)) => {
+            let options = RollbackOptions {
+                binary: required::<PathBuf>(args, "binary")?.clone(),
+                kinds: list(args, "kinds"),
+                servers: *required(args, "servers")?,
+                rate: *required(args, "rate")?,
+                window_s: *required(args, "window")?,
+            };
+            rollback::run(&options).await?;
+        }
         _ => {}
     }
     Ok(())
--- a/testbed/src/measure/mod.rs
+++ b/testbed/src/measure/mod.rs
@@ -5,6 +5,7 @@
 pub mod latency;
 pub mod plot;
 pub mod process_usage;
+pub mod rollback;
 pub mod table;
 
 use serde::Serialize;
