--- /dev/null
+++ b/src/jsonc.rs
@@ -0,0 +1,390 @@
+//! JSON with comments: reads it and reports every failure with its place in the text.
+//!
+//! Documents and settings files share this code, so that their messages have one form: file, line,
+//! column, field, what was found and what is allowed.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+use jsonc_parser::CollectOptions;
+use jsonc_parser::ParseOptions;
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
+use serde::de::DeserializeOwned;
+
+use crate::result_code::Failure;
+use crate::result_code::ResultCode;
+
+/// Most failures that are reported for one text; bounds the report on a hostile one.
+pub const MAX_FAILURES: usize = 200;
+/// Longest unknown field name that a path shows, bytes.
+const MAX_SHOWN_NAME_BYTES: usize = 63;
+
+/// A text that was parsed.
+pub struct Source<'a> {
+    text: &'a str,
+    file: &'a str,
+    lines: LineIndex,
+    root: Value<'a>,
+}
+
+impl<'a> Source<'a> {
+    /// Parses JSON with comments and trailing commas; `file` is the name that failures begin with.
+    ///
+    /// # Errors
+    /// [`ResultCode::LimitExceeded`] if the text has more than `max_bytes`, otherwise
+    /// [`ResultCode::SyntaxError`] with the place.
+    pub fn parse(text: &'a str, file: &'a str, max_bytes: usize) -> Result<Self, Vec<Failure>> {
+        if text.len() > max_bytes {
+            let what = format!(
+                "{file}: found {} bytes, allowed are at most {max_bytes}",
+                text.len()
+            );
+            return Err(vec![Failure::new(ResultCode::LimitExceeded, what)]);
+        }
+        let lines = LineIndex::new(text);
+        let options = ParseOptions {
+            allow_comments: true,
+            allow_trailing_commas: true,
+            allow_loose_object_property_names: false,
+            allow_missing_commas: false,
+            allow_single_quoted_strings: false,
+            allow_hexadecimal_numbers: false,
+            allow_unary_plus_numbers: false,
+            allow_bare_decimal_point_numbers: false,
+            allow_non_finite_numbers: false,
+            allow_extended_string_escapes: false,
+        };
+        let root = match jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &options) {
+            Ok(parsed) => parsed.value,
+            Err(e) => {
+                let place = lines.place(text, e.range().start);
+                let what = format!(
+                    "{file}:{place}: {}; allowed is JSON with comments and trailing commas",
+                    e.kind()
+                );
+                return Err(vec![Failure::new(ResultCode::SyntaxError, what)]);
+            }
+        };
+        let Some(root) = root else {
+            let what = format!("{file}:1:1: found no value, required is an object");
+            return Err(vec![Failure::new(ResultCode::SyntaxError, what)]);
+        };
+        Ok(Self {
+            text,
+            file,
+            lines,
+            root,
+        })
+    }
+
+    /// Checks fields and types.
+    ///
+    /// # Errors
+    /// Every failure found, at most [`MAX_FAILURES`] and a count of the rest.
+    pub fn check(&self, kind: &Kind) -> Result<(), Vec<Failure>> {
+        let mut findings = Findings::default();
+        check_kind(&self.root, kind, "", &mut findings);
+        if findings.is_empty() {
+            Ok(())
+        } else {
+            Err(self.failures(findings))
+        }
+    }
+
+    /// Turns the text into a value.
+    ///
+    /// # Errors
+    /// The first failure.
+    pub fn deserialize<T: DeserializeOwned>(&self) -> Result<T, Vec<Failure>> {
+        let value = serde_json::Value::from(self.root.clone());
+        serde_path_to_error::deserialize(value).map_err(|e| {
+            let path = e.path().to_string();
+            let what = format!("{}{path}: {}", self.place(&path), e.into_inner());
+            vec![Failure::new(ResultCode::InvalidField, what)]
+        })
+    }
+
+    /// Adds the places in the text to findings.
+    #[must_use]
+    pub fn failures(&self, findings: Findings) -> Vec<Failure> {
+        findings.into_failures(|path| self.place(path))
+    }
+
+    fn place(&self, path: &str) -> String {
+        let place = self.lines.place(self.text, locate(&self.root, path));
+        format!("{}:{place}: ", self.file)
+    }
+}
+
+/// A failure before it is known whether a text position belongs to it.
+struct Finding {
+    code: ResultCode,
+    path: String,
+    text: String,
+}
+
+/// Failures of one text, in the order in which they were found.
+#[derive(Default)]
+pub struct Findings {
+    list: Vec<Finding>,
+    dropped: usize,
+}
+
+impl Findings {
+    /// Adds a failure at the field `path`; an empty path means the whole text.
+    pub fn add(&mut self, code: ResultCode, path: impl Into<String>, text: impl Into<String>) {
+        if self.list.len() >= MAX_FAILURES {
+            self.dropped += 1;
+            return;
+        }
+        self.list.push(Finding {
+            code,
+            path: path.into(),
+            text: text.into(),
+        });
+    }
+
+    /// Whether nothing was found.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// Turns the findings into failures that begin with what `place` returns for their path.
+    pub fn into_failures(self, place: impl Fn(&str) -> String) -> Vec<Failure> {
+        let mut failures: Vec<Failure> = self
+            .list
+            .iter()
+            .map(|finding| {
+                let mut text = place(&finding.path);
+                if !finding.path.is_empty() {
+                    let _ = write!(text, "{}: ", finding.path);
+                }
+                Failure::new(finding.code, text + &finding.text)
+            })
+            .collect();
+        if self.dropped > 0 {
+            let text = format!("{}{} more failures are not listed", place(""), self.dropped);
+            failures.push(Failure::new(ResultCode::LimitExceeded, text));
+        }
+        failures
+    }
+}
+
+/// What a value may be.
+pub enum Kind {
+    /// Any text.
+    Text,
+    /// One of these texts.
+    OneOf(&'static [&'static str]),
+    /// IP address with port.
+    Address,
+    /// True or false.
+    Bool,
+    /// Whole number from zero to the given one.
+    Number(u64),
+    /// List of values of one kind.
+    List(&'static Kind),
+    /// Object with these fields.
+    Object(&'static [Field]),
+}
+
+/// A field of an object.
+pub struct Field {
+    /// Its name.
+    pub name: &'static str,
+    /// Whether it must be present.
+    pub required: bool,
+    /// What its value may be.
+    pub kind: Kind,
+}
+
+/// A field that must be present.
+#[must_use]
+pub const fn required(name: &'static str, kind: Kind) -> Field {
+    Field {
+        name,
+        required: true,
+        kind,
+    }
+}
+
+/// A field that may be absent.
+#[must_use]
+pub const fn optional(name: &'static str, kind: Kind) -> Field {
+    Field {
+        name,
+        required: false,
+        kind,
+    }
+}
+
+/// Whole number of 8 bits.
+pub const U8: Kind = Kind::Number(u8::MAX as u64);
+/// Whole number of 32 bits.
+pub const U32: Kind = Kind::Number(u32::MAX as u64);
+/// Whole number of 64 bits.
+pub const U64: Kind = Kind::Number(u64::MAX);
+
+/// Offsets of the starts of all lines.
+struct LineIndex(Vec<usize>);
+
+impl LineIndex {
+    fn new(text: &str) -> Self {
+        let starts = text.match_indices('\n').map(|(at, _)| at + 1);
+        Self(std::iter::once(0).chain(starts).collect())
+    }
+
+    /// Returns `line:column`, both from 1, the column in characters.
+    fn place(&self, text: &str, offset: usize) -> String {
+        let line = self.0.partition_point(|&start| start <= offset);
+        let start = self.0[line - 1];
+        let column = text[start..offset].chars().count() + 1;
+        format!("{line}:{column}")
+    }
+}
+
+/// Returns the offset of the field at `path`, or of the nearest enclosing value that is written out.
+fn locate(root: &Value<'_>, path: &str) -> usize {
+    let mut value = root;
+    for part in path.split(['.', '[']).filter(|part| !part.is_empty()) {
+        let next = match (value, part.strip_suffix(']')) {
+            (Value::Array(array), Some(index)) => index
+                .parse()
+                .ok()
+                .and_then(|index: usize| array.elements.get(index)),
+            (Value::Object(object), None) => object.get(part).map(|property| &property.value),
+            _ => None,
+        };
+        match next {
+            Some(next) => value = next,
+            None => break,
+        }
+    }
+    value.start()
+}
+
+/// Appends a field name to a path.
+#[must_use]
+pub fn join(path: &str, name: &str) -> String {
+    if path.is_empty() {
+        name.to_owned()
+    } else {
+        format!("{path}.{name}")
+    }
+}
+
+/// Quotes and shortens text of a file for a message, since it may be of any length.
+#[must_use]
+pub fn quote(text: &str) -> String {
+    const SHOWN_CHARS: usize = 80;
+    let shown: String = text.chars().take(SHOWN_CHARS).collect();
+    let rest = if shown.len() < text.len() { "..." } else { "" };
+    format!("{shown:?}{rest}")
+}
+
+fn describe(value: &Value<'_>) -> String {
+    match value {
+        Value::StringLit(text) => format!("the text {}", quote(&text.value)),
+        Value::NumberLit(number) => format!("the number {}", quote(number.value).trim_matches('"')),
+        Value::BooleanLit(boolean) => boolean.value.to_string(),
+        Value::Object(_) => "an object".to_owned(),
+        Value::Array(_) => "a list".to_owned(),
+        Value::NullKeyword(_) => "null".to_owned(),
+    }
+}
+
+fn check_kind(value: &Value<'_>, kind: &Kind, path: &str, findings: &mut Findings) {
+    let allowed = match (kind, value) {
+        (Kind::Text, Value::StringLit(_)) | (Kind::Bool, Value::BooleanLit(_)) => return,
+        (Kind::OneOf(texts), Value::StringLit(text)) if texts.contains(&text.value.as_ref()) => {
+            return;
+        }
+        (Kind::Address, Value::StringLit(text)) if text.value.parse::<SocketAddr>().is_ok() => {
+            return;
+        }
+        (Kind::Number(max), Value::NumberLit(number))
+            if number.value.parse::<u64>().is_ok_and(|n| n <= *max) =>
+        {
+            return;
+        }
+        (Kind::List(kind), Value::Array(array)) => {
+            for (index, element) in array.elements.iter().enumerate() {
+                check_kind(element, kind, &format!("{path}[{index}]"), findings);
+            }
+            return;
+        }
+        (Kind::Object(fields), Value::Object(object)) => {
+            check_fields(object, fields, path, findings);
+            return;
+        }
+        (Kind::Text, _) => "a text".to_owned(),
+        (Kind::OneOf(texts), _) => format!("one of {}", texts.join(", ")),
+        (Kind::Address, _) => "an IP address with port such as 192.0.2.1:7401".to_owned(),
+        (Kind::Bool, _) => "true or false".to_owned(),
+        (Kind::Number(max), _) => format!("a whole number from 0 to {max}"),
+        (Kind::List(_), _) => "a list".to_owned(),
+        (Kind::Object(_), _) => "an object".to_owned(),
+    };
+    let text = format!("found {}, allowed is {allowed}", describe(value));
+    findings.add(ResultCode::InvalidField, path, text);
+}
+
+fn check_fields(
+    object: &jsonc_parser::ast::Object<'_>,
+    fields: &[Field],
+    path: &str,
+    findings: &mut Findings,
+) {
+    let allowed = || {
+        let names: Vec<&str> = fields.iter().map(|field| field.name).collect();
+        names.join(", ")
+    };
+    let mut seen: Vec<&str> = Vec::new();
+    for property in &object.properties {
+        let name = property.name.as_str();
+        let Some(field) = fields.iter().find(|field| field.name == name) else {
+            let text = format!(
+                "found the unknown field {}, allowed are: {}",
+                quote(name),
+                allowed()
+            );
+            // A name with a separator would make the path ambiguous.
+            let plain = name.len() <= MAX_SHOWN_NAME_BYTES && !name.contains(['.', '[', ']']);
+            let path = if plain {
+                join(path, name)
+            } else {
+                path.to_owned()
+            };
+            findings.add(ResultCode::UnknownField, path, text);
+            continue;
+        };
+        let path = join(path, name);
+        if seen.contains(&name) {
+            let text =
+                "found the field more than once in one object, the first is here; allowed is once";
+            findings.add(ResultCode::DuplicateName, path.as_str(), text);
+        }
+        seen.push(name);
+        check_kind(&property.value, &field.kind, &path, findings);
+    }
+    for field in fields.iter().filter(|field| field.required) {
+        if !seen.contains(&field.name) {
+            let text = format!(
+                "the field is missing; required are: {}",
+                required_names(fields)
+            );
+            findings.add(ResultCode::InvalidField, join(path, field.name), text);
+        }
+    }
+}
+
+fn required_names(fields: &[Field]) -> String {
+    let names: Vec<&str> = fields
+        .iter()
+        .filter(|field| field.required)
+        .map(|field| field.name)
+        .collect();
+    names.join(", ")
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod coordination;
 pub mod invariant;
+pub mod jsonc;
 pub mod logging;
 pub mod node;
 pub mod protocol;
--- a/src/state/validate.rs
+++ b/src/state/validate.rs
@@ -4,13 +4,18 @@
 //! document alone. A change of a limit changes which publications take effect; it must reach the
 //! whole fleet before a document that needs it is published.
 
-use std::fmt::Write as _;
-
-use jsonc_parser::CollectOptions;
-use jsonc_parser::ParseOptions;
-use jsonc_parser::ast::Value;
-use jsonc_parser::common::Ranged;
-
+pub use crate::jsonc::MAX_FAILURES;
+
+use crate::jsonc::Findings;
+use crate::jsonc::Kind;
+use crate::jsonc::Source;
+use crate::jsonc::U8;
+use crate::jsonc::U32;
+use crate::jsonc::U64;
+use crate::jsonc::join;
+use crate::jsonc::optional;
+use crate::jsonc::quote;
+use crate::jsonc::required;
 use crate::protocol::codec;
 use crate::protocol::document::Document;
 use crate::protocol::document::Rollout;
@@ -61,93 +66,6 @@
 pub const MAX_COLD_START_MS: u64 = 600_000;
 /// Longest deadline or attempt time limit, milliseconds (10 min).
 pub const MAX_DEADLINE_MS: u64 = 600_000;
-/// Most failures that are reported for one document; bounds the report on a hostile one.
-pub const MAX_FAILURES: usize = 200;
-
-/// A failure before it is known whether a text position belongs to it.
-struct Finding {
-    code: ResultCode,
-    path: String,
-    text: String,
-}
-
-#[derive(Default)]
-struct Findings {
-    list: Vec<Finding>,
-    dropped: usize,
-}
-
-impl Findings {
-    fn add(&mut self, code: ResultCode, path: impl Into<String>, text: impl Into<String>) {
-        if self.list.len() >= MAX_FAILURES {
-            self.dropped += 1;
-            return;
-        }
-        self.list.push(Finding {
-            code,
-            path: path.into(),
-            text: text.into(),
-        });
-    }
-
-    fn is_empty(&self) -> bool {
-        self.list.is_empty()
-    }
-
-    fn into_failures(self, place: impl Fn(&str) -> String) -> Vec<Failure> {
-        let mut failures: Vec<Failure> = self
-            .list
-            .iter()
-            .map(|finding| {
-                let mut text = place(&finding.path);
-                if !finding.path.is_empty() {
-                    let _ = write!(text, "{}: ", finding.path);
-                }
-                Failure::new(finding.code, text + &finding.text)
-            })
-            .collect();
-        if self.dropped > 0 {
-            let text = format!("{}{} more failures are not listed", place(""), self.dropped);
-            failures.push(Failure::new(ResultCode::LimitExceeded, text));
-        }
-        failures
-    }
-}
-
-enum Kind {
-    Text,
-    Bool,
-    /// Whole number from zero to the given one.
-    Number(u64),
-    List(&'static Kind),
-    Object(&'static [Field]),
-}
-
-struct Field {
-    name: &'static str,
-    required: bool,
-    kind: Kind,
-}
-
-const fn required(name: &'static str, kind: Kind) -> Field {
-    Field {
-        name,
-        required: true,
-        kind,
-    }
-}
-
-const fn optional(name: &'static str, kind: Kind) -> Field {
-    Field {
-        name,
-        required: false,
-        kind,
-    }
-}
-
-const U8: Kind = Kind::Number(u8::MAX as u64);
-const U32: Kind = Kind::Number(u32::MAX as u64);
-const U64: Kind = Kind::Number(u64::MAX);
 
 const REGION: Kind = Kind::Object(&[
     required("name", Kind::Text),
@@ -194,58 +112,13 @@
 /// syntax is checked first, then fields and types, then the rules of [`validate`]; a stage runs
 /// only if the stages before it found nothing.
 pub fn parse_document(text: &str, file: &str) -> Result<Document, Vec<Failure>> {
-    if text.len() > MAX_DOCUMENT_BYTES {
-        let what = format!(
-            "{file}: found {} bytes, allowed are at most {MAX_DOCUMENT_BYTES}",
-            text.len()
-        );
-        return Err(vec![Failure::new(ResultCode::LimitExceeded, what)]);
-    }
-    let lines = LineIndex::new(text);
-    let options = ParseOptions {
-        allow_comments: true,
-        allow_trailing_commas: true,
-        allow_loose_object_property_names: false,
-        allow_missing_commas: false,
-        allow_single_quoted_strings: false,
-        allow_hexadecimal_numbers: false,
-        allow_unary_plus_numbers: false,
-        allow_bare_decimal_point_numbers: false,
-        allow_non_finite_numbers: false,
-        allow_extended_string_escapes: false,
-    };
-    let root = match jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &options) {
-        Ok(parsed) => parsed.value,
-        Err(e) => {
-            let place = lines.place(text, e.range().start);
-            let what = format!(
-                "{file}:{place}: {}; allowed is JSON with comments and trailing commas",
-                e.kind()
-            );
-            return Err(vec![Failure::new(ResultCode::SyntaxError, what)]);
-        }
-    };
-    let Some(root) = root else {
-        let what = format!("{file}:1:1: found no value, required is an object");
-        return Err(vec![Failure::new(ResultCode::SyntaxError, what)]);
-    };
-    let place = |path: &str| format!("{file}:{}: ", lines.place(text, locate(&root, path)));
-
-    let mut findings = Findings::default();
-    check_kind(&root, &DOCUMENT, "", &mut findings);
-    if !findings.is_empty() {
-        return Err(findings.into_failures(place));
-    }
-    let value = serde_json::Value::from(root.clone());
-    let mut document: Document = serde_path_to_error::deserialize(value).map_err(|e| {
-        let path = e.path().to_string();
-        let what = format!("{}{path}: {}", place(&path), e.into_inner());
-        vec![Failure::new(ResultCode::InvalidField, what)]
-    })?;
+    let source = Source::parse(text, file, MAX_DOCUMENT_BYTES)?;
+    source.check(&DOCUMENT)?;
+    let mut document: Document = source.deserialize()?;
     // Checked before the sort, so that the paths are those of the text.
     let findings = check_document(&document);
     if !findings.is_empty() {
-        return Err(findings.into_failures(place));
+        return Err(source.failures(findings));
     }
     normalise(&mut document);
     Ok(document)
@@ -274,157 +147,6 @@
     }
 }
 
-/// Offsets of the starts of all lines.
-struct LineIndex(Vec<usize>);
-
-impl LineIndex {
-    fn new(text: &str) -> Self {
-        let starts = text.match_indices('\n').map(|(at, _)| at + 1);
-        Self(std::iter::once(0).chain(starts).collect())
-    }
-
-    /// Returns `line:column`, both from 1, the column in characters.
-    fn place(&self, text: &str, offset: usize) -> String {
-        let line = self.0.partition_point(|&start| start <= offset);
-        let start = self.0[line - 1];
-        let column = text[start..offset].chars().count() + 1;
-        format!("{line}:{column}")
-    }
-}
-
-/// Returns the offset of the field at `path`, or of the nearest enclosing value that is written out.
-fn locate(root: &Value<'_>, path: &str) -> usize {
-    let mut value = root;
-    for part in path.split(['.', '[']).filter(|part| !part.is_empty()) {
-        let next = match (value, part.strip_suffix(']')) {
-            (Value::Array(array), Some(index)) => index
-                .parse()
-                .ok()
-                .and_then(|index: usize| array.elements.get(index)),
-            (Value::Object(object), None) => object.get(part).map(|property| &property.value),
-            _ => None,
-        };
-        match next {
-            Some(next) => value = next,
-            None => break,
-        }
-    }
-    value.start()
-}
-
-fn join(path: &str, name: &str) -> String {
-    if path.is_empty() {
-        name.to_owned()
-    } else {
-        format!("{path}.{name}")
-    }
-}
-
-/// Shortens text of the document for a message, since it may be of any length.
-fn quote(text: &str) -> String {
-    const SHOWN_CHARS: usize = 80;
-    let shown: String = text.chars().take(SHOWN_CHARS).collect();
-    let rest = if shown.len() < text.len() { "..." } else { "" };
-    format!("{shown:?}{rest}")
-}
-
-fn describe(value: &Value<'_>) -> String {
-    match value {
-        Value::StringLit(text) => format!("the text {}", quote(&text.value)),
-        Value::NumberLit(number) => format!("the number {}", quote(number.value).trim_matches('"')),
-        Value::BooleanLit(boolean) => boolean.value.to_string(),
-        Value::Object(_) => "an object".to_owned(),
-        Value::Array(_) => "a list".to_owned(),
-        Value::NullKeyword(_) => "null".to_owned(),
-    }
-}
-
-fn check_kind(value: &Value<'_>, kind: &Kind, path: &str, findings: &mut Findings) {
-    let allowed = match (kind, value) {
-        (Kind::Text, Value::StringLit(_)) | (Kind::Bool, Value::BooleanLit(_)) => return,
-        (Kind::Number(max), Value::NumberLit(number))
-            if number.value.parse::<u64>().is_ok_and(|n| n <= *max) =>
-        {
-            return;
-        }
-        (Kind::List(kind), Value::Array(array)) => {
-            for (index, element) in array.elements.iter().enumerate() {
-                check_kind(element, kind, &format!("{path}[{index}]"), findings);
-            }
-            return;
-        }
-        (Kind::Object(fields), Value::Object(object)) => {
-            check_fields(object, fields, path, findings);
-            return;
-        }
-        (Kind::Text, _) => "a text".to_owned(),
-        (Kind::Bool, _) => "true or false".to_owned(),
-        (Kind::Number(max), _) => format!("a whole number from 0 to {max}"),
-        (Kind::List(_), _) => "a list".to_owned(),
-        (Kind::Object(_), _) => "an object".to_owned(),
-    };
-    let text = format!("found {}, allowed is {allowed}", describe(value));
-    findings.add(ResultCode::InvalidField, path, text);
-}
-
-fn check_fields(
-    object: &jsonc_parser::ast::Object<'_>,
-    fields: &[Field],
-    path: &str,
-    findings: &mut Findings,
-) {
-    let allowed = || {
-        let names: Vec<&str> = fields.iter().map(|field| field.name).collect();
-        names.join(", ")
-    };
-    let mut seen: Vec<&str> = Vec::new();
-    for property in &object.properties {
-        let name = property.name.as_str();
-        let Some(field) = fields.iter().find(|field| field.name == name) else {
-            let text = format!(
-                "found the unknown field {}, allowed are: {}",
-                quote(name),
-                allowed()
-            );
-            // A name with a separator would make the path ambiguous.
-            let plain = name.len() <= MAX_NAME_BYTES && !name.contains(['.', '[', ']']);
-            let path = if plain {
-                join(path, name)
-            } else {
-                path.to_owned()
-            };
-            findings.add(ResultCode::UnknownField, path, text);
-            continue;
-        };
-        let path = join(path, name);
-        if seen.contains(&name) {
-            let text =
-                "found the field more than once in one object, the first is here; allowed is once";
-            findings.add(ResultCode::DuplicateName, path.as_str(), text);
-        }
-        seen.push(name);
-        check_kind(&property.value, &field.kind, &path, findings);
-    }
-    for field in fields.iter().filter(|field| field.required) {
-        if !seen.contains(&field.name) {
-            let text = format!(
-                "the field is missing; required are: {}",
-                required_names(fields)
-            );
-            findings.add(ResultCode::InvalidField, join(path, field.name), text);
-        }
-    }
-}
-
-fn required_names(fields: &[Field]) -> String {
-    let names: Vec<&str> = fields
-        .iter()
-        .filter(|field| field.required)
-        .map(|field| field.name)
-        .collect();
-    names.join(", ")
-}
-
 fn check_document(document: &Document) -> Findings {
     let mut findings = Findings::default();
     check_regions(document, &mut findings);
@@ -465,7 +187,8 @@
     }
 }
 
-fn check_name(path: String, name: &str, findings: &mut Findings) {
+/// Checks a name of the document or of a node's settings.
+pub(crate) fn check_name(path: String, name: &str, findings: &mut Findings) {
     let valid = |byte: u8| {
         byte.is_ascii_lowercase() || byte.is_ascii_digit() || matches!(byte, b'.' | b'_' | b'-')
     };
