Report every fault of a settings file with its place

Names follow the rule of documents, addresses may not repeat or have port 0, and the key and token files are checked before the node starts.

--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -52,8 +52,11 @@
 fn run_node(file: &Path) -> ExitCode {
     let settings = match settings::load(file) {
         Ok(settings) => settings,
-        Err(failure) => return report(&failure, ExitCode::Invalid),
+        Err(failures) => return report(&failures, ExitCode::Invalid),
     };
+    if let Err(failures) = settings::check_secrets(&settings) {
+        return report(&failures, ExitCode::Invalid);
+    }
     match block_on(node::run(settings)) {
         Ok(()) => ExitCode::Success,
         Err(e) => {
@@ -63,6 +66,7 @@
     }
 }
 
+/// Unreadable secrets are a note only, since settings are also checked where no secrets are.
 fn check_settings(file: &Path) -> ExitCode {
     match settings::load(file) {
         Ok(settings) => {
@@ -71,14 +75,19 @@
                 file.display(),
                 settings.id
             );
+            for failure in settings::check_secrets(&settings).err().unwrap_or_default() {
+                eprintln!("note: the node will not start here: {}", failure.text);
+            }
             ExitCode::Success
         }
-        Err(failure) => report(&failure, ExitCode::Invalid),
+        Err(failures) => report(&failures, ExitCode::Invalid),
     }
 }
 
-fn report(failure: &Failure, code: ExitCode) -> ExitCode {
-    eprintln!("sycamorewick: {failure}");
+fn report(failures: &[Failure], code: ExitCode) -> ExitCode {
+    for failure in failures {
+        eprintln!("sycamorewick: {failure}");
+    }
     code
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,19 +1,24 @@
-//! Settings of a node process, a file in JSON with comments. See `docs/configuration.md`.
+//! Settings of a node process, a file in JSON with comments. See `docs/settings.md`.
 
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 
-use jsonc_parser::CollectOptions;
-use jsonc_parser::ParseOptions;
 use serde::Deserialize;
 
+use crate::jsonc::Findings;
+use crate::jsonc::Kind;
+use crate::jsonc::Source;
+use crate::jsonc::optional;
+use crate::jsonc::required;
+use crate::protocol::auth::AuthKey;
 use crate::protocol::name::DomainName;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::RegionName;
 use crate::result_code::Failure;
 use crate::result_code::ResultCode;
+use crate::state::validate::check_name;
 
 /// Form of the log lines.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
@@ -76,36 +81,190 @@
     pub log_level: LogLevel,
 }
 
-/// Reads and checks a settings file.
+/// Largest settings file, bytes.
+pub const MAX_SETTINGS_BYTES: usize = 64 << 10;
+/// Most seeds; a node that starts asks them one after the other.
+pub const MAX_SEEDS: usize = 64;
+
+/// Fields of the file; serde alone would stop at the first failure.
+const SETTINGS: Kind = Kind::Object(&[
+    required("id", Kind::Text),
+    required("region", Kind::Text),
+    required("failure_domain", Kind::Text),
+    required("request_addr", Kind::Address),
+    required("node_addr", Kind::Address),
+    required("operator_addr", Kind::Address),
+    required("gossip_addr", Kind::Address),
+    required("log_addr", Kind::Address),
+    optional("seeds", Kind::List(&Kind::Address)),
+    required("cluster_key_file", Kind::Text),
+    required("operator_token_file", Kind::Text),
+    optional("log_format", Kind::OneOf(&["text", "json"])),
+    optional(
+        "log_level",
+        Kind::OneOf(&["error", "warning", "info", "debug"]),
+    ),
+]);
+
+/// Returns the names of all fields of a settings file.
+#[must_use]
+pub fn field_names() -> Vec<&'static str> {
+    match SETTINGS {
+        Kind::Object(fields) => fields.iter().map(|field| field.name).collect(),
+        _ => Vec::new(),
+    }
+}
+
+/// Reads and checks a settings file. Relative names of the key and token files are resolved
+/// against the directory of the settings file.
 ///
 /// # Errors
-/// [`ResultCode::InvalidSettings`] with the file, the place and what was found there.
-pub fn load(file: &Path) -> Result<Settings, Failure> {
+/// Every failure found, each with file, line, column and field.
+pub fn load(file: &Path) -> Result<Settings, Vec<Failure>> {
     let name = file.display();
     let text = fs::read_to_string(file).map_err(|e| {
-        Failure::new(
-            ResultCode::InvalidSettings,
-            format!("cannot read {name}: {e}"),
-        )
+        let text = format!("cannot read {name}: {e}");
+        vec![Failure::new(ResultCode::InvalidSettings, text)]
     })?;
-    parse(&text, &name.to_string())
+    let mut settings = parse(&text, &name.to_string())?;
+    let dir = file.parent().unwrap_or(Path::new(""));
+    settings.cluster_key_file = dir.join(&settings.cluster_key_file);
+    settings.operator_token_file = dir.join(&settings.operator_token_file);
+    Ok(settings)
 }
 
-/// Checks the text of a settings file.
+/// Checks the text of a settings file; `name` is the file name in failures.
 ///
 /// # Errors
-/// [`ResultCode::InvalidSettings`] with the file, the place and what was found there.
-pub fn parse(text: &str, name: &str) -> Result<Settings, Failure> {
-    let invalid =
-        |found: String| Failure::new(ResultCode::InvalidSettings, format!("{name}: {found}"));
-    let parsed =
-        jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default())
-            .map_err(|e| invalid(e.to_string()))?;
-    let root = parsed
-        .value
-        .ok_or_else(|| invalid("found no value, required is an object".into()))?;
-    let value = serde_json::Value::from(root);
-    let settings: Settings =
-        serde_path_to_error::deserialize(value).map_err(|e| invalid(e.to_string()))?;
-    Ok(settings)
+/// Every failure found, each with file, line, column and field.
+pub fn parse(text: &str, name: &str) -> Result<Settings, Vec<Failure>> {
+    let source = Source::parse(text, name, MAX_SETTINGS_BYTES)?;
+    source.check(&SETTINGS)?;
+    let settings: Settings = source.deserialize()?;
+    let mut findings = Findings::default();
+    check_names(&settings, &mut findings);
+    check_addresses(&settings, &mut findings);
+    check_file_names(&settings, &mut findings);
+    if findings.is_empty() {
+        Ok(settings)
+    } else {
+        Err(source.failures(findings))
+    }
+}
+
+/// Checks that the key file and the token file can be read and are long enough.
+///
+/// It is separate from [`load`], since a settings file is also checked where no secrets are.
+///
+/// # Errors
+/// Every failure found, each with the field and the file.
+pub fn check_secrets(settings: &Settings) -> Result<(), Vec<Failure>> {
+    let mut failures = Vec::new();
+    let mut report = |field: &str, file: &Path, found: &str| {
+        let text = format!("{field}: {}: {found}", file.display());
+        failures.push(Failure::new(ResultCode::InvalidSettings, text));
+    };
+    let file = &settings.cluster_key_file;
+    match fs::read_to_string(file) {
+        Ok(content) => {
+            let mut keys = content.lines().filter(|line| !line.trim().is_empty());
+            let lines = keys.clone().count();
+            if lines == 0 {
+                let found = "found no key, required is one on the first line";
+                report("cluster_key_file", file, found);
+            } else if let Some(e) = keys.find_map(|key| AuthKey::derive(key.as_bytes()).err()) {
+                report("cluster_key_file", file, &e.text);
+            }
+        }
+        Err(e) => report("cluster_key_file", file, &format!("cannot be read: {e}")),
+    }
+    let file = &settings.operator_token_file;
+    match fs::read_to_string(file) {
+        Ok(content) if content.trim().is_empty() => {
+            report("operator_token_file", file, "found an empty token");
+        }
+        Ok(content) if !content.trim().bytes().all(|b| b.is_ascii_graphic()) => {
+            let found =
+                "the token has characters other than visible ASCII, which a header cannot carry";
+            report("operator_token_file", file, found);
+        }
+        Ok(_) => {}
+        Err(e) => report("operator_token_file", file, &format!("cannot be read: {e}")),
+    }
+    if failures.is_empty() {
+        Ok(())
+    } else {
+        Err(failures)
+    }
+}
+
+fn check_names(settings: &Settings, findings: &mut Findings) {
+    let names = [
+        ("id", settings.id.as_str()),
+        ("region", settings.region.as_str()),
+        ("failure_domain", settings.failure_domain.as_str()),
+    ];
+    for (field, name) in names {
+        check_name(field.into(), name, findings);
+    }
+}
+
+fn check_addresses(settings: &Settings, findings: &mut Findings) {
+    // Gossip uses UDP, so that it may have the port of a TCP address.
+    let tcp = [
+        ("request_addr", settings.request_addr),
+        ("node_addr", settings.node_addr),
+        ("operator_addr", settings.operator_addr),
+        ("log_addr", settings.log_addr),
+    ];
+    for (i, (field, addr)) in tcp.iter().enumerate() {
+        if let Some((other, _)) = tcp[..i].iter().find(|(_, other)| other == addr) {
+            let text =
+                format!("found {addr}, which {other} has already; allowed is an own address");
+            findings.add(ResultCode::DuplicateName, *field, text);
+        }
+    }
+    let mut all: Vec<(String, SocketAddr)> =
+        tcp.iter().map(|(f, a)| ((*f).to_owned(), *a)).collect();
+    all.push(("gossip_addr".to_owned(), settings.gossip_addr));
+    for (i, seed) in settings.seeds.iter().enumerate() {
+        all.push((format!("seeds[{i}]"), *seed));
+        if let Some(first) = settings.seeds[..i].iter().position(|other| other == seed) {
+            let text = format!("found {seed}, which seeds[{first}] has already; allowed is once");
+            findings.add(ResultCode::DuplicateName, format!("seeds[{i}]"), text);
+        }
+    }
+    for (field, addr) in &all {
+        if addr.port() == 0 {
+            let text = format!("found port 0 in {addr}, allowed are 1 to 65535");
+            findings.add(ResultCode::InvalidField, field.as_str(), text);
+        }
+        // Others connect to these addresses, so that an address that only means "any interface of
+        // this instance" would not lead them here.
+        if addr.ip().is_unspecified() && !matches!(field.as_str(), "request_addr" | "operator_addr")
+        {
+            let text = format!("found {addr}, allowed is an address that other nodes can reach");
+            findings.add(ResultCode::InvalidField, field.as_str(), text);
+        }
+    }
+    if settings.seeds.len() > MAX_SEEDS {
+        let text = format!(
+            "found {} entries, allowed are 0 to {MAX_SEEDS}",
+            settings.seeds.len()
+        );
+        findings.add(ResultCode::LimitExceeded, "seeds", text);
+    }
+}
+
+fn check_file_names(settings: &Settings, findings: &mut Findings) {
+    let files = [
+        ("cluster_key_file", &settings.cluster_key_file),
+        ("operator_token_file", &settings.operator_token_file),
+    ];
+    for (field, file) in files {
+        if file.as_os_str().is_empty() {
+            let text = "found an empty name, allowed is the name of a file";
+            findings.add(ResultCode::InvalidField, field, text);
+        }
+    }
 }
