--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -9,45 +9,85 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
-/// Handles that are looked up once, since a look-up per call costs a hash of its labels.
-pub struct NodeMetrics {
+macro_rules! handle {
+    (counter) => {
+        Counter
+    };
+    (gauge) => {
+        Gauge
+    };
+    (histogram) => {
+        Histogram
+    };
+}
+
+macro_rules! node_metrics {
+    ($($(#[$doc:meta])* $field:ident: $kind:ident = $name:literal;)*) => {
+        /// Names of all metrics; the table stands in `docs/operators.md`.
+        pub const METRIC_NAMES: &[&str] = &[$($name,)*];
+
+        /// Handles that are looked up once, since a look-up per call costs a hash of its labels.
+        pub struct NodeMetrics {
+            $($(#[$doc])* pub $field: handle!($kind),)*
+            render: PrometheusHandle,
+        }
+
+        impl NodeMetrics {
+            fn register(render: PrometheusHandle) -> Self {
+                Self {
+                    $($field: $kind!($name),)*
+                    render,
+                }
+            }
+        }
+    };
+}
+
+node_metrics! {
     /// Requests of callers.
-    pub calls: Counter,
+    calls: counter = "sycamorewick_calls_total";
     /// Attempts beyond the first.
-    pub retries: Counter,
+    retries: counter = "sycamorewick_retries_total";
     /// Answers that a node made itself because a call did not run.
-    pub refusals: Counter,
+    refusals: counter = "sycamorewick_refusals_total";
     /// Calls whose outcome is unknown.
-    pub unknown_outcomes: Counter,
+    unknown_outcomes: counter = "sycamorewick_unknown_outcomes_total";
     /// Time from the arrival of a caller's request to its answer, seconds.
-    pub call_latency: Histogram,
+    call_latency: histogram = "sycamorewick_call_seconds";
     /// Time of the backend server for a call, seconds.
-    pub backend_latency: Histogram,
+    backend_latency: histogram = "sycamorewick_backend_seconds";
     /// Bytes of gossip datagrams sent, IP and UDP headers included.
-    pub gossip_bytes_sent: Counter,
+    gossip_bytes_sent: counter = "sycamorewick_gossip_sent_bytes_total";
     /// Bytes of gossip datagrams received, IP and UDP headers included.
-    pub gossip_bytes_received: Counter,
+    gossip_bytes_received: counter = "sycamorewick_gossip_received_bytes_total";
     /// Datagrams that failed authentication or decoding.
-    pub gossip_rejected: Counter,
+    gossip_rejected: counter = "sycamorewick_gossip_rejected_total";
     /// Bytes of configuration and state exchanges over HTTP, without headers.
-    pub exchange_bytes: Counter,
+    exchange_bytes: counter = "sycamorewick_exchange_bytes_total";
     /// Bytes read from the log.
-    pub log_bytes: Counter,
+    log_bytes: counter = "sycamorewick_log_bytes_total";
     /// Configuration version in force.
-    pub version: Gauge,
+    version: gauge = "sycamorewick_config_version";
     /// Members that are not dead.
-    pub members: Gauge,
+    members: gauge = "sycamorewick_members";
     /// Rollouts completed as this node saw them.
-    pub rollouts_completed: Counter,
+    rollouts_completed: counter = "sycamorewick_rollouts_completed_total";
     /// Versions taken back as this node saw them.
-    pub rollbacks: Counter,
+    rollbacks: counter = "sycamorewick_rollbacks_total";
     /// Time from the publication to this node's switch, seconds.
-    pub convergence: Histogram,
+    convergence: histogram = "sycamorewick_convergence_seconds";
     /// Violations of invariants.
-    pub violations: Gauge,
+    violations: gauge = "sycamorewick_invariant_violations";
     /// Outcomes that wait for the log.
-    pub outcomes_pending: Gauge,
-    render: PrometheusHandle,
+    outcomes_pending: gauge = "sycamorewick_outcomes_pending";
+    /// Outcomes that were dropped because the log was down for too long.
+    outcomes_dropped: gauge = "sycamorewick_outcomes_dropped";
+    /// Requests to the operator port with a wrong token.
+    operator_auth_failures: gauge = "sycamorewick_operator_auth_failures";
+    /// Log lines that were dropped because the output was too slow.
+    log_lines_dropped: gauge = "sycamorewick_log_lines_dropped";
+    /// Seconds since the log last answered this node, zero while it answers.
+    log_failing: gauge = "sycamorewick_log_failing_seconds";
 }
 
 impl NodeMetrics {
@@ -61,27 +101,7 @@
                 0.000_1, 0.000_2, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.05, 0.2, 1.0, 4.0,
             ])?
             .install_recorder()?;
-        Ok(Self {
-            calls: counter!("sycamorewick_calls_total"),
-            retries: counter!("sycamorewick_retries_total"),
-            refusals: counter!("sycamorewick_refusals_total"),
-            unknown_outcomes: counter!("sycamorewick_unknown_outcomes_total"),
-            call_latency: histogram!("sycamorewick_call_seconds"),
-            backend_latency: histogram!("sycamorewick_backend_seconds"),
-            gossip_bytes_sent: counter!("sycamorewick_gossip_sent_bytes_total"),
-            gossip_bytes_received: counter!("sycamorewick_gossip_received_bytes_total"),
-            gossip_rejected: counter!("sycamorewick_gossip_rejected_total"),
-            exchange_bytes: counter!("sycamorewick_exchange_bytes_total"),
-            log_bytes: counter!("sycamorewick_log_bytes_total"),
-            version: gauge!("sycamorewick_config_version"),
-            members: gauge!("sycamorewick_members"),
-            rollouts_completed: counter!("sycamorewick_rollouts_completed_total"),
-            rollbacks: counter!("sycamorewick_rollbacks_total"),
-            convergence: histogram!("sycamorewick_convergence_seconds"),
-            violations: gauge!("sycamorewick_invariant_violations"),
-            outcomes_pending: gauge!("sycamorewick_outcomes_pending"),
-            render,
-        })
+        Ok(Self::register(render))
     }
 
     /// Returns all metrics in the text format of Prometheus.
--- a/src/transport/log_client.rs
+++ b/src/transport/log_client.rs
@@ -3,8 +3,10 @@
 //! Only this module knows the log's wire format, see `docs/design.md`, section 7. The log has no
 //! conditional append, and an append that failed may have taken effect.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use actix_http::Method;
 use actix_http::StatusCode;
@@ -40,6 +42,8 @@
 pub struct LogClient {
     addr: SocketAddr,
     http: HttpClient,
+    /// Time of the first failure since the last answer.
+    failing_since: Cell<Option<Instant>>,
 }
 
 impl LogClient {
@@ -49,6 +53,7 @@
         Self {
             addr,
             http: HttpClient::new(LOG_CONNECTIONS),
+            failing_since: Cell::new(None),
         }
     }
 
@@ -126,7 +131,26 @@
         })
     }
 
+    /// Returns the time since the first failure if the last request failed.
+    ///
+    /// A node that is no reader and has nothing to append asks the log seldom, so `None` does not
+    /// prove that the log is up.
+    #[must_use]
+    pub fn failing_for(&self) -> Option<Duration> {
+        self.failing_since.get().map(|since| since.elapsed())
+    }
+
     async fn exchange(&self, outgoing: Outgoing) -> Result<HttpAnswer, Failure> {
+        let result = self.send(outgoing).await;
+        if result.is_ok() {
+            self.failing_since.set(None);
+        } else if self.failing_since.get().is_none() {
+            self.failing_since.set(Some(Instant::now()));
+        }
+        result
+    }
+
+    async fn send(&self, outgoing: Outgoing) -> Result<HttpAnswer, Failure> {
         let answer = self
             .http
             .send(self.addr, outgoing)
