Give the operator port history, documents of earlier versions and watching

A publication whose append answer was lost is found by its base in the log, also by a node that took its state from a peer and therefore has no list of recent publications. Every publication ends in an outcome. The head of a request to the operator port is limited to 8 KiB.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`coordination`] and [`state`]; [`node`] joins them in one process.
 
 pub mod coordination;
+pub mod diff;
 pub mod invariant;
 pub mod jsonc;
 pub mod logging;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,17 +6,19 @@
 mod entry;
 mod gossip_loop;
 mod headers;
+mod history;
 mod hop;
 mod keyed;
 mod local_port;
 mod log_writer;
-mod metrics;
+pub mod metrics;
 mod node_port;
 mod operator_port;
 mod peer_client;
 mod publish;
 mod serving;
 mod shutdown;
+mod status;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -94,6 +96,8 @@
     log_client: LogClient,
     stopping: Cell<bool>,
     open_calls: Cell<usize>,
+    /// Requests to the operator port with a wrong token.
+    operator_auth_failures: Cell<u64>,
     state: RefCell<NodeState>,
 }
 
@@ -235,6 +239,7 @@
         log_client: LogClient::new(settings.log_addr),
         stopping: Cell::new(false),
         open_calls: Cell::new(0),
+        operator_auth_failures: Cell::new(0),
         state: RefCell::new(state),
         settings,
     })
--- a/src/node/operator_port.rs
+++ b/src/node/operator_port.rs
@@ -18,20 +18,26 @@
 use serde_json::json;
 
 use crate::invariant;
+use crate::logging;
 use crate::node::Node;
 use crate::node::headers;
+use crate::node::history;
 use crate::node::publish;
+use crate::node::status;
 use crate::protocol::codec;
 use crate::protocol::codec::MAX_MESSAGE_BYTES;
-use crate::protocol::gossip::MemberStatus;
 use crate::protocol::name::ConfigVersion;
 use crate::protocol::record::OUTCOME_STREAM;
 use crate::protocol::record::OutcomeRecord;
+use crate::result_code::Failure;
+use crate::result_code::ResultCode;
 use crate::transport::http_server;
 use crate::transport::http_server::Handler;
 
 /// Outcomes read from the log for one request.
 const OUTCOMES_READ: usize = 256;
+/// Largest head of a request, bytes; the token and a form's cookie need far less.
+const MAX_HEADER_BYTES: usize = 8 << 10;
 
 /// Returns the handler of the operator port.
 pub fn handler(node: &Rc<Node>) -> Handler {
@@ -46,10 +52,16 @@
         (&Method::GET, "/readyz") => return ready(&node),
         _ => {}
     }
+    if headers_too_large(&req) {
+        let line = format!("the headers exceed {MAX_HEADER_BYTES} bytes\n");
+        return text(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, line);
+    }
     if !authorised(&node, &req) {
+        let failures = &node.operator_auth_failures;
+        failures.set(failures.get() + 1);
         return text(
             StatusCode::UNAUTHORIZED,
-            "a bearer token is needed\n".into(),
+            "a bearer token is needed, and the one given is not that of this node\n".into(),
         );
     }
     let body = match http_server::read_body(&mut payload, MAX_MESSAGE_BYTES).await {
@@ -58,12 +70,22 @@
     };
     match (req.method(), req.path()) {
         (&Method::GET, "/metrics") => metrics(&node),
-        (&Method::GET, "/v1/status") => json_answer(&status(&node)),
+        (&Method::GET, "/v1/status") => json_answer(&status::status(&node)),
         (&Method::GET, "/v1/config") => config(&node),
         (&Method::GET, "/v1/outcomes") => outcomes(&node).await,
+        (&Method::GET, "/v1/watch") => watch(&node, &req).await,
+        (&Method::GET, "/v1/history") => publications(&node, &req).await,
+        (&Method::GET, "/v1/document") => document(&node, &req).await,
+        (&Method::GET, "/v1/base") => match publish::base(&node).await {
+            Ok(version) => json_answer(&json!({ "version": version })),
+            Err(failure) => unavailable(&failure),
+        },
         (&Method::GET, "/v1/convergence") => convergence(&node, &req),
         (&Method::POST, "/v1/publish") => publish_document(&node, &body).await,
-        _ => text(StatusCode::NOT_FOUND, "unknown path\n".into()),
+        _ => text(
+            StatusCode::NOT_FOUND,
+            "the operator port has no such path and method\n".into(),
+        ),
     }
 }
 
@@ -76,6 +98,15 @@
     })
 }
 
+fn headers_too_large(req: &Request) -> bool {
+    let bytes: usize = req
+        .headers()
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    bytes + req.path().len() > MAX_HEADER_BYTES
+}
+
 fn ready(node: &Node) -> Response<BoxBody> {
     let now = node.clock.now();
     let mut state = node.state.borrow_mut();
@@ -89,65 +120,25 @@
 }
 
 fn metrics(node: &Node) -> Response<BoxBody> {
-    #[allow(clippy::cast_precision_loss)]
-    node.metrics.violations.set(invariant::violations() as f64);
-    let pending = node.state.borrow().outcomes.pending();
-    node.metrics
-        .outcomes_pending
-        .set(u32::try_from(pending).unwrap_or(u32::MAX));
-    text(StatusCode::OK, node.metrics.render())
-}
-
-fn status(node: &Node) -> serde_json::Value {
+    let count = |number: u64| u32::try_from(number).unwrap_or(u32::MAX);
+    let metrics = &node.metrics;
+    metrics.violations.set(count(invariant::violations()));
     let state = node.state.borrow();
-    let wall = node.clock.wall();
-    let members: Vec<_> = state
-        .gossip
-        .members()
-        .iter()
-        .map(|m| {
-            json!({
-                "id": m.id,
-                "status": format!("{:?}", m.status).to_lowercase(),
-                "region": m.region,
-                "failure_domain": m.domain,
-                "backend": m.backend,
-            })
-        })
-        .collect();
-    let alive = state
-        .gossip
-        .members()
-        .iter()
-        .filter(|m| m.status < MemberStatus::Leaving)
-        .count();
-    let current = state.store.current();
-    let services: Vec<_> = current
-        .iter()
-        .flat_map(|snapshot| &snapshot.versioned().document.services)
-        .map(|service| {
-            let shares = state.rollouts.shares(service.name.as_str(), wall);
-            let shares: Vec<_> = service
-                .versions
-                .iter()
-                .map(|v| json!({ "version": v.name, "share": shares.map(|s| s.of(v.name.as_str())) }))
-                .collect();
-            json!({ "service": service.name, "shares": shares })
-        })
-        .collect();
-    json!({
-        "id": node.settings.id,
-        "version": state.store.version(),
-        "digest": current.map(|s| format!("{:016x}", s.digest())),
-        "ready": state.ready,
-        "alive": alive,
-        "reader": state.gossip.is_reader(),
-        "invariant_violations": invariant::violations(),
-        "outcomes_waiting_for_the_log": state.outcomes.pending(),
-        "services": services,
-        "rollbacks": state.rollouts.rollbacks(),
-        "members": members,
-    })
+    metrics
+        .outcomes_pending
+        .set(count(state.outcomes.pending() as u64));
+    metrics
+        .outcomes_dropped
+        .set(count(state.outcomes.dropped()));
+    metrics
+        .operator_auth_failures
+        .set(count(node.operator_auth_failures.get()));
+    metrics
+        .log_lines_dropped
+        .set(count(logging::dropped_lines()));
+    let failing = node.log_client.failing_for().unwrap_or_default();
+    metrics.log_failing.set(failing.as_secs_f64());
+    text(StatusCode::OK, metrics.render())
 }
 
 fn config(node: &Node) -> Response<BoxBody> {
@@ -185,24 +176,113 @@
     json_answer(&all)
 }
 
+/// Returns the outcomes from an offset of the log on, and those that this node knows itself, so
+/// that a watcher misses none while the log or the node is away.
+async fn watch(node: &Rc<Node>, req: &Request) -> Response<BoxBody> {
+    let from = number(req, "from");
+    let batch = match node.log_client.bounds(OUTCOME_STREAM).await {
+        Ok(bounds) => {
+            let recent = bounds.end.saturating_sub(OUTCOMES_READ as u64);
+            let start = from.unwrap_or(recent).max(bounds.oldest).min(bounds.end);
+            let lost = bounds.oldest.saturating_sub(from.unwrap_or(start));
+            node.log_client
+                .read(OUTCOME_STREAM, start, OUTCOMES_READ, Duration::ZERO)
+                .await
+                .map(|batch| (start, lost, batch))
+        }
+        Err(failure) => Err(failure),
+    };
+    let mut all: Vec<OutcomeRecord> = Vec::new();
+    let (mut next, mut lost, mut more, mut log_error) = (from, 0, false, None);
+    match batch {
+        Ok((start, dropped, batch)) => {
+            let records = &batch.records;
+            let decoded = records.iter().map(|(_, bytes)| codec::decode(bytes));
+            all.extend(decoded.filter_map(Result::ok));
+            let end = records.last().map_or(start, |(offset, _)| offset + 1);
+            more = end < batch.end;
+            next = Some(end);
+            lost = dropped;
+        }
+        Err(failure) => log_error = Some(failure.to_string()),
+    }
+    let mut state = node.state.borrow_mut();
+    for outcome in &all {
+        state.outcomes.learn(outcome.clone());
+    }
+    // Those of the log come first; what only this node knows follows once the log is read.
+    if !more {
+        all.extend(state.outcomes.iter().cloned());
+    }
+    all.sort_by_key(|outcome| outcome.at);
+    json_answer(&json!({
+        "node": node.settings.id,
+        "outcomes": all,
+        "next": next,
+        "more": more,
+        "lost": lost,
+        "log_error": log_error,
+    }))
+}
+
+async fn publications(node: &Rc<Node>, req: &Request) -> Response<BoxBody> {
+    let limit = number(req, "limit")
+        .and_then(|limit| usize::try_from(limit).ok())
+        .unwrap_or(history::MAX_ENTRIES);
+    match history::read(node, None).await {
+        Ok(history) => {
+            let entries = &history.entries;
+            json_answer(&entries[entries.len().saturating_sub(limit)..])
+        }
+        Err(failure) => unavailable(&failure),
+    }
+}
+
+async fn document(node: &Rc<Node>, req: &Request) -> Response<BoxBody> {
+    let Some(version) = number(req, "version") else {
+        return missing_version();
+    };
+    match history::document(node, ConfigVersion(version)).await {
+        Ok(versioned) => json_answer(&versioned),
+        Err(failure) if failure.code == ResultCode::LogTruncated => {
+            text(StatusCode::NOT_FOUND, format!("{failure}\n"))
+        }
+        Err(failure) => unavailable(&failure),
+    }
+}
+
 fn convergence(node: &Node, req: &Request) -> Response<BoxBody> {
-    let query = req.head().uri.query().unwrap_or_default();
-    let version = query
-        .strip_prefix("version=")
-        .and_then(|text| text.parse().ok());
-    match version {
+    match number(req, "version") {
         Some(version) => json_answer(&publish::convergence(node, ConfigVersion(version))),
-        None => text(
-            StatusCode::BAD_REQUEST,
-            "query version=NUMBER is needed\n".into(),
-        ),
+        None => missing_version(),
     }
 }
 
+/// Returns the value of a numeric field of the query.
+fn number(req: &Request, name: &str) -> Option<u64> {
+    let query = req.head().uri.query().unwrap_or_default();
+    let fields = url::form_urlencoded::parse(query.as_bytes());
+    fields
+        .into_iter()
+        .find_map(|(key, value)| (key == name).then(|| value.parse().ok())?)
+}
+
+fn missing_version() -> Response<BoxBody> {
+    let line = "the query version=NUMBER is needed\n";
+    text(StatusCode::BAD_REQUEST, line.into())
+}
+
+fn unavailable(failure: &Failure) -> Response<BoxBody> {
+    text(StatusCode::SERVICE_UNAVAILABLE, format!("{failure}\n"))
+}
+
 async fn publish_document(node: &Rc<Node>, body: &Bytes) -> Response<BoxBody> {
     match serde_json::from_slice(body) {
         Ok(request) => json_answer(&publish::publish(node, request).await),
-        Err(e) => text(StatusCode::BAD_REQUEST, format!("invalid request: {e}\n")),
+        Err(e) => text(
+            StatusCode::BAD_REQUEST,
+            format!("the request is not a publication: {e}\n"),
+        ),
     }
 }
 
--- a/src/node/publish.rs
+++ b/src/node/publish.rs
@@ -9,6 +9,7 @@
 
 use crate::node::Node;
 use crate::node::config_reader;
+use crate::node::history;
 use crate::protocol::codec;
 use crate::protocol::document::Document;
 use crate::protocol::name::ConfigVersion;
@@ -25,6 +26,8 @@
 
 /// Time within which the log's records up to a publication must have been read.
 const CATCH_UP_LIMIT: Duration = Duration::from_secs(5);
+/// Longest name of an author, bytes; it stands in each record and outcome.
+const MAX_AUTHOR_BYTES: usize = 64;
 
 /// A publication as the operator port takes it.
 #[derive(Clone, Debug, Deserialize)]
@@ -71,28 +74,46 @@
     pub published_at: Option<WallMs>,
 }
 
-/// Publishes a document: checks it, appends it once and reads the log up to it.
+/// Publishes a document: checks it, appends it once, reads the log up to it and reports the result
+/// as an outcome.
 pub async fn publish(node: &Rc<Node>, request: PublishRequest) -> PublishAnswer {
-    match try_publish(node, request).await {
+    let id = request.publish_id;
+    let author = request.author.clone();
+    let answer = match try_publish(node, request).await {
         Ok(answer) => answer,
         Err(failure) => PublishAnswer {
             result: "not confirmed",
             version: None,
             code: ResultCode::PublishUnconfirmed.number(),
             text: format!(
-                "the publication may or may not take effect: {failure}; the same command again is safe"
+                "the publication may or may not take effect: {failure}; it is safe to publish again on the same base"
             ),
         },
-    }
+    };
+    let identity = match answer.result {
+        "not confirmed" => format!("publish-not-confirmed/{id}"),
+        _ => format!("publish/{id}"),
+    };
+    let code = ResultCode::from_number(answer.code).unwrap_or(ResultCode::PublishInvalid);
+    node.report(
+        code,
+        identity,
+        format!("publication {id} by {author}"),
+        answer.text.clone(),
+    );
+    answer
 }
 
 async fn try_publish(node: &Rc<Node>, request: PublishRequest) -> Result<PublishAnswer, Failure> {
     let id = request.publish_id;
+    if let Err(failure) = check_author(&request.author) {
+        return Ok(refused(&[failure]));
+    }
     catch_up(node, None).await?;
     if let Some(answer) = known(node, id) {
         return Ok(answer);
     }
-    let publish = {
+    let (publish, stale) = {
         let state = node.state.borrow();
         let publish = Publish {
             publish_id: id,
@@ -101,11 +122,12 @@
             at: node.clock.wall(),
             document: request.document,
         };
-        if let Err(failures) = check_publish(state.fold.current(), &publish) {
-            return Ok(refused(&failures));
-        }
-        publish
+        let failures = check_publish(state.fold.current(), &publish).err();
+        (publish, failures)
     };
+    if let Some(failures) = stale {
+        return refused_or_successor(node, &publish, &failures).await;
+    }
     let record = codec::encode(&ConfigRecord::Publish(publish))?;
     let offset = node.log_client.append(CONFIG_STREAM, record).await?;
     info!(node.log, "publication appended"; "publish_id" => id.to_string(), "offset" => offset);
@@ -118,6 +140,64 @@
     })
 }
 
+fn check_author(author: &str) -> Result<(), Failure> {
+    let printable = !author.chars().any(char::is_control);
+    if printable && (1..=MAX_AUTHOR_BYTES).contains(&author.len()) {
+        return Ok(());
+    }
+    let text = format!(
+        "author: found {} bytes{}, allowed are 1 to {MAX_AUTHOR_BYTES} without control characters",
+        author.len(),
+        if printable {
+            ""
+        } else {
+            " with control characters"
+        }
+    );
+    Err(Failure::new(ResultCode::PublishInvalid, text))
+}
+
+/// A publication whose base is no longer in force was refused, unless it is the one that replaced
+/// this base: then an earlier try was appended and its answer was lost.
+async fn refused_or_successor(
+    node: &Rc<Node>,
+    publish: &Publish,
+    failures: &[Failure],
+) -> Result<PublishAnswer, Failure> {
+    let in_force = node.state.borrow().fold.version();
+    let stale = failures
+        .iter()
+        .any(|failure| failure.code == ResultCode::PublishStale);
+    if !stale || publish.base > in_force {
+        return Ok(refused(failures));
+    }
+    match history::successor(node, publish.base).await {
+        Ok(Some((version, first))) if first.publish_id == publish.publish_id => {
+            Ok(accepted(node, version))
+        }
+        Ok(Some((version, first))) => {
+            let text = format!(
+                "the publication is based on version {}, but version {version} by {} took effect \
+                 after it and {in_force} is in force; compare with it and publish again",
+                publish.base, first.author
+            );
+            Ok(refused(&[Failure::new(ResultCode::PublishStale, text)]))
+        }
+        Ok(None) => Ok(refused(failures)),
+        Err(failure) if failure.code == ResultCode::LogTruncated => Ok(refused(failures)),
+        Err(failure) => Err(failure),
+    }
+}
+
+/// Returns the version in force at the end of the log, on which a new publication is based.
+///
+/// # Errors
+/// If the log does not answer.
+pub async fn base(node: &Rc<Node>) -> Result<ConfigVersion, Failure> {
+    catch_up(node, None).await?;
+    Ok(node.state.borrow().fold.version())
+}
+
 /// Reads the log to its end, or at least beyond `offset`.
 async fn catch_up(node: &Rc<Node>, offset: Option<u64>) -> Result<(), Failure> {
     let limit = node.clock.now() + CATCH_UP_LIMIT;
@@ -140,8 +220,9 @@
 }
 
 fn known(node: &Node, id: PublishId) -> Option<PublishAnswer> {
-    let mut state = node.state.borrow_mut();
+    let state = node.state.borrow();
     let seen: SeenPublish = state.fold.outcome_of(id)?.clone();
+    drop(state);
     let Some(version) = seen.version else {
         return Some(PublishAnswer {
             result: "refused",
@@ -150,6 +231,11 @@
             text: "another publication took effect first; compare with the version in force and publish again".into(),
         });
     };
+    Some(accepted(node, version))
+}
+
+fn accepted(node: &Node, version: ConfigVersion) -> PublishAnswer {
+    let mut state = node.state.borrow_mut();
     if state.convergence.version != version {
         state.convergence = Convergence {
             version,
@@ -157,12 +243,12 @@
             ..Convergence::default()
         };
     }
-    Some(PublishAnswer {
+    PublishAnswer {
         result: "accepted",
         version: Some(version),
         code: ResultCode::PublishAccepted.number(),
         text: format!("version {version} is accepted"),
-    })
+    }
 }
 
 fn refused(failures: &[Failure]) -> PublishAnswer {
