Complete the commands of operators

diff, history, revert, console and completions are new. All of them print JSON on request and colour text by terminal and NO_COLOR. publish fixes its base before the first try, so that a lost answer cannot publish a document twice. watch goes on from the same offset after the node or the log was away.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,8 @@
 //! Definition of the command line; nothing else knows the argument parser.
 
+use std::env;
+use std::fmt::Write as _;
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -8,42 +11,98 @@
 use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
+use clap::builder::RangedU64ValueParser;
 use clap::value_parser;
+use clap_complete::Shell;
 
 use crate::config::Action;
+use crate::config::Color;
 use crate::config::Config;
 use crate::config::OperatorAccess;
+use crate::config::PublishOptions;
+use crate::exit_code::ExitCode;
 
+/// Name of the program.
+const NAME: &str = "sycamorewick";
 /// Default operator address of a node on the same instance.
 const DEFAULT_OPERATOR_ADDR: &str = "127.0.0.1:7403";
 /// Default name of the token file.
 const DEFAULT_TOKEN_FILE: &str = "operator.token";
+/// Author if neither `--author` nor `USER` names one.
+const DEFAULT_AUTHOR: &str = "operator";
+/// Longest time limit, seconds; a day.
+const MAX_TIMEOUT_S: u64 = 86_400;
 
 /// Builds the definition of the command line.
 pub fn build() -> Command {
-    Command::new("sycamorewick")
+    Command::new(NAME)
         .version(env!("CARGO_PKG_VERSION"))
         .about(
             "Distributes configuration across a service mesh and shifts traffic between versions",
         )
+        .after_long_help(exit_codes())
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommand(node_command())
-        .subcommand(
-            Command::new("validate")
-                .about("Check a configuration document without publishing it")
-                .arg(file_arg()),
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .global(true)
+                .action(ArgAction::SetTrue)
+                .help("Print JSON instead of text")
+                .long_help("Print results as JSON on standard output, one object or list a line"),
+        )
+        .arg(
+            Arg::new("color")
+                .long("color")
+                .global(true)
+                .value_name("WHEN")
+                .value_parser(["auto", "always", "never"])
+                .default_value("auto")
+                .help("Colour the text")
+                .long_help(
+                    "Colour the text. With auto it is coloured on a terminal, unless the \
+                     environment variable NO_COLOR is set to a text that is not empty",
+                ),
         )
+        .subcommand(node_command())
+        .subcommand(validate_command())
         .subcommand(publish_command())
+        .subcommand(diff_command())
+        .subcommand(history_command())
+        .subcommand(status_command())
         .subcommand(watch_command())
-        .subcommand(with_access(
-            Command::new("status").about("Show the state of a node and the fleet"),
-        ))
+        .subcommand(revert_command())
+        .subcommand(console_command())
+        .subcommand(completions_command())
+}
+
+/// Writes the completion script of a shell to standard output.
+pub fn write_completions(shell: &str) {
+    if let Ok(shell) = shell.parse::<Shell>() {
+        clap_complete::generate(shell, &mut build(), NAME, &mut io::stdout());
+    }
+}
+
+fn exit_codes() -> String {
+    let mut text = "Exit codes (docs/result-codes.md):\n".to_owned();
+    for (code, meaning) in ExitCode::ALL {
+        let _ = writeln!(text, "  {}  {meaning}", code.number());
+    }
+    text
 }
 
 fn node_command() -> Command {
     Command::new("node")
         .about("Run the node beside a backend server")
+        .long_about(
+            "Run the node beside a backend server until it gets SIGTERM or SIGINT. It then leaves \
+             the fleet, finishes the calls that run and exits with 0.",
+        )
+        .after_long_help(
+            "Examples:\n  sycamorewick node --settings node.jsonc\n  \
+             sycamorewick node --check-settings node.jsonc\n\n\
+             docs/settings.md describes the settings file.",
+        )
         .arg(
             Arg::new("settings")
                 .long("settings")
@@ -62,41 +121,111 @@
         )
 }
 
+fn validate_command() -> Command {
+    Command::new("validate")
+        .about("Check a configuration document without publishing it")
+        .long_about(
+            "Check a configuration document without publishing it. Every fault is printed with \
+             its number, file, line, column and field. No node is asked.",
+        )
+        .after_long_help(
+            "Example:\n  sycamorewick validate mesh.jsonc\n\n\
+             docs/configuration.md describes the document.",
+        )
+        .arg(file_arg())
+}
+
 fn publish_command() -> Command {
-    with_access(Command::new("publish").about("Put a configuration document in force"))
+    with_publish_options(with_access(Command::new("publish")))
+        .about("Put a configuration document in force")
+        .long_about(
+            "Put a configuration document in force. The command checks the document, publishes it \
+             through a node and waits until every node has it in force. It ends with one \
+             sentence: in force, refused and why, or not confirmed and why. If the result is not \
+             confirmed, repeat the command with the --base that it prints: a publication that took \
+             effect is then not published twice.",
+        )
+        .after_long_help(
+            "Examples:\n  sycamorewick publish mesh.jsonc\n  \
+             sycamorewick publish --base 41 --author ana mesh.jsonc\n  \
+             sycamorewick publish --json --no-wait mesh.jsonc",
+        )
         .arg(file_arg())
         .arg(
             Arg::new("base")
                 .long("base")
                 .value_name("VERSION")
                 .value_parser(value_parser!(u64))
-                .help("Version that the document is based on [default: the one in force]"),
+                .help("Version that the document is based on [default: the one in force]")
+                .long_help(
+                    "Version that the document is based on [default: the one in force]. If \
+                     another one is in force, the publication is refused, so that it cannot undo \
+                     a change that its author has not seen",
+                ),
         )
-        .arg(
-            Arg::new("author")
-                .long("author")
-                .value_name("NAME")
-                .default_value("operator")
-                .help("Who publishes"),
+}
+
+fn diff_command() -> Command {
+    with_access(Command::new("diff"))
+        .about("Show what a document would change")
+        .long_about(
+            "Show the differences between the document in force and a file, or between two files. \
+             Lines begin with + (added), - (removed) or ~ (changed).",
         )
+        .after_long_help(
+            "Examples:\n  sycamorewick diff mesh.jsonc\n  sycamorewick diff old.jsonc new.jsonc",
+        )
+        .arg(file_arg())
         .arg(
-            Arg::new("no-wait")
-                .long("no-wait")
-                .action(ArgAction::SetTrue)
-                .help("Return as soon as the publication is accepted"),
+            Arg::new("other")
+                .value_name("NEW")
+                .value_parser(value_parser!(PathBuf))
+                .help("Second document; FILE is then the old one, and no node is asked"),
+        )
+}
+
+fn history_command() -> Command {
+    with_access(Command::new("history"))
+        .about("List the publications in the log")
+        .long_about(
+            "List the publications that the log retains, oldest first: version, author, time and \
+             whether each was accepted, or refused and why.",
         )
+        .after_long_help("Example:\n  sycamorewick history --limit 50")
         .arg(
-            Arg::new("timeout")
-                .long("timeout")
-                .value_name("SECONDS")
-                .value_parser(value_parser!(u64))
-                .default_value("30")
-                .help("Give up waiting after this time"),
+            Arg::new("limit")
+                .long("limit")
+                .value_name("NUMBER")
+                .value_parser(RangedU64ValueParser::<u64>::new().range(1..=1_000))
+                .default_value("20")
+                .help("Number of publications shown, the newest ones"),
+        )
+}
+
+fn status_command() -> Command {
+    with_access(Command::new("status"))
+        .about("Show the state of a node and the fleet")
+        .long_about(
+            "Show the fleet, the version in force, the traffic shares, the rollouts and the recent \
+             outcomes as one node knows them.",
+        )
+        .after_long_help(
+            "Examples:\n  sycamorewick status\n  sycamorewick status --json | jq .services",
         )
 }
 
 fn watch_command() -> Command {
-    with_access(Command::new("watch").about("Print the outcomes of all nodes as they are reported"))
+    with_access(Command::new("watch"))
+        .about("Print the outcomes of all nodes as they are reported")
+        .long_about(
+            "Print the outcomes of all nodes: first the recent ones, then each new one. The \
+             command goes on while the node restarts or the log is down, says so, and shows the \
+             outcomes of that time afterwards.",
+        )
+        .after_long_help(
+            "Examples:\n  sycamorewick watch\n  \
+             sycamorewick watch --until 'rollout completed' --timeout 600",
+        )
         .arg(
             Arg::new("until")
                 .long("until")
@@ -104,11 +233,51 @@
                 .help("Exit with success after the first outcome that contains this text"),
         )
         .arg(
-            Arg::new("timeout")
-                .long("timeout")
-                .value_name("SECONDS")
-                .value_parser(value_parser!(u64))
-                .help("Give up after this time [default: never]"),
+            timeout_arg()
+                .help("Give up after this time [default: never]")
+                .long_help(
+                    "Give up after this time [default: never]. The exit code is then 5 with \
+                     --until, otherwise 0; it is 6 if the node does not answer at the end",
+                ),
+        )
+}
+
+fn revert_command() -> Command {
+    with_publish_options(with_access(Command::new("revert")))
+        .about("Publish the contents of an earlier version again")
+        .long_about(
+            "Publish the contents of an earlier version as a new, higher version. Versions never \
+             go back; a rollout that the earlier version contained begins anew.",
+        )
+        .after_long_help("Example:\n  sycamorewick revert 41")
+        .arg(
+            Arg::new("version")
+                .value_name("VERSION")
+                .value_parser(RangedU64ValueParser::<u64>::new().range(1..))
+                .required(true)
+                .help("Version whose contents are published"),
+        )
+}
+
+fn console_command() -> Command {
+    with_access(Command::new("console"))
+        .about("Print the address of a node's console and how to sign in")
+        .after_long_help("Example:\n  sycamorewick console --operator 127.0.0.1:7403")
+}
+
+fn completions_command() -> Command {
+    Command::new("completions")
+        .about("Print a completion script for a shell")
+        .after_long_help(
+            "Example:\n  sycamorewick completions bash > \
+             ~/.local/share/bash-completion/completions/sycamorewick",
+        )
+        .arg(
+            Arg::new("shell")
+                .value_name("SHELL")
+                .value_parser(["bash", "elvish", "fish", "powershell", "zsh"])
+                .required(true)
+                .help("Shell"),
         )
 }
 
@@ -120,6 +289,34 @@
         .help("Configuration document, JSON with comments")
 }
 
+fn timeout_arg() -> Arg {
+    Arg::new("timeout")
+        .long("timeout")
+        .value_name("SECONDS")
+        .value_parser(RangedU64ValueParser::<u64>::new().range(1..=MAX_TIMEOUT_S))
+}
+
+fn with_publish_options(command: Command) -> Command {
+    command
+        .arg(
+            Arg::new("author")
+                .long("author")
+                .value_name("NAME")
+                .help("Who publishes [default: the user's name]"),
+        )
+        .arg(
+            Arg::new("no-wait")
+                .long("no-wait")
+                .action(ArgAction::SetTrue)
+                .help("Return as soon as the publication is accepted"),
+        )
+        .arg(
+            timeout_arg()
+                .default_value("30")
+                .help("Give up waiting after this time"),
+        )
+}
+
 fn with_access(command: Command) -> Command {
     command
         .arg(
@@ -138,12 +335,6 @@
                 .default_value(DEFAULT_TOKEN_FILE)
                 .help("File with the bearer token of the operator port"),
         )
-        .arg(
-            Arg::new("json")
-                .long("json")
-                .action(ArgAction::SetTrue)
-                .help("Print JSON instead of text"),
-        )
 }
 
 /// Turns parsed arguments into the plain configuration of the run.
@@ -167,12 +358,19 @@
         "publish" => Action::Publish {
             access: access(sub),
             file: path(sub, "file"),
-            base: sub.get_one::<u64>("base").copied(),
-            author: sub.get_one::<String>("author").cloned().unwrap_or_default(),
-            wait: !sub.get_flag("no-wait"),
-            timeout: Duration::from_secs(
-                sub.get_one::<u64>("timeout").copied().unwrap_or_default(),
-            ),
+            options: publish_options(sub, sub.get_one::<u64>("base").copied()),
+        },
+        "diff" => Action::Diff {
+            access: access(sub),
+            file: path(sub, "file"),
+            other: sub.get_one::<PathBuf>("other").cloned(),
+        },
+        "history" => Action::History {
+            access: access(sub),
+            limit: number(sub, "limit"),
+        },
+        "status" => Action::Status {
+            access: access(sub),
         },
         "watch" => Action::Watch {
             access: access(sub),
@@ -182,22 +380,48 @@
                 .copied()
                 .map(Duration::from_secs),
         },
-        "status" => Action::Status {
+        "revert" => Action::Revert {
             access: access(sub),
+            version: number(sub, "version"),
+            options: publish_options(sub, None),
+        },
+        "console" => Action::Console {
+            access: access(sub),
+        },
+        "completions" => Action::Completions {
+            shell: sub.get_one::<String>("shell").cloned().unwrap_or_default(),
         },
         other => unreachable!("undefined subcommand {other}"),
     };
     Config {
         action,
-        json: sub
-            .try_get_one::<bool>("json")
-            .ok()
-            .flatten()
-            .copied()
-            .unwrap_or_default(),
+        json: sub.get_flag("json"),
+        color: match sub.get_one::<String>("color").map(String::as_str) {
+            Some("always") => Color::Always,
+            Some("never") => Color::Never,
+            _ => Color::Auto,
+        },
     }
 }
 
+fn publish_options(matches: &ArgMatches, base: Option<u64>) -> PublishOptions {
+    let given = matches.get_one::<String>("author").cloned();
+    let user = || env::var("USER").ok().filter(|user| !user.is_empty());
+    PublishOptions {
+        base,
+        author: given.or_else(user).unwrap_or_else(|| DEFAULT_AUTHOR.into()),
+        wait: !matches.get_flag("no-wait"),
+        timeout: Duration::from_secs(number(matches, "timeout")),
+    }
+}
+
+fn number(matches: &ArgMatches, name: &str) -> u64 {
+    matches
+        .get_one::<u64>(name)
+        .copied()
+        .expect("the parser requires it or has a default")
+}
+
 fn path(matches: &ArgMatches, name: &str) -> PathBuf {
     matches
         .get_one::<PathBuf>(name)
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,94 +1,105 @@
 //! Runs the subcommands and turns their failures into one plain line on stderr and an exit code.
 
+mod console;
+mod diff;
+mod document_file;
+mod history;
 mod operator_client;
+mod output;
 mod publish;
 mod status;
+mod table;
 mod validate;
 mod watch;
 
 use std::future::Future;
 use std::path::Path;
 
+use serde_json::json;
 use sycamorewick::node;
-use sycamorewick::result_code::Failure;
 use sycamorewick::settings;
 
+use crate::cli;
+use crate::commands::output::Output;
 use crate::config::Action;
 use crate::config::Config;
 use crate::exit_code::ExitCode;
 
 /// Runs what the configuration asks for.
 pub fn run(config: &Config) -> ExitCode {
+    let output = Output::new(config.json, config.color);
     match &config.action {
-        Action::Node { settings } => run_node(settings),
-        Action::CheckSettings { settings } => check_settings(settings),
-        Action::Validate { file } => validate::run(file),
+        Action::Node { settings } => run_node(settings, output),
+        Action::CheckSettings { settings } => check_settings(settings, output),
+        Action::Validate { file } => validate::run(file, output),
         Action::Publish {
             access,
             file,
-            base,
-            author,
-            wait,
-            timeout,
-        } => {
-            let request = publish::Request {
-                file,
-                base: *base,
-                author,
-                wait: *wait,
-                timeout: *timeout,
-            };
-            block_on(publish::run(access, &request, config.json))
-        }
+            options,
+        } => block_on(publish::publish_file(access, file, options, output)),
+        Action::Diff {
+            access,
+            file,
+            other,
+        } => block_on(diff::run(access, file, other.as_deref(), output)),
+        Action::History { access, limit } => block_on(history::run(access, *limit, output)),
+        Action::Status { access } => block_on(status::run(access, output)),
         Action::Watch {
             access,
             until,
             timeout,
-        } => block_on(watch::run(access, until.as_deref(), *timeout, config.json)),
-        Action::Status { access } => block_on(status::run(access, config.json)),
+        } => block_on(watch::run(access, until.as_deref(), *timeout, output)),
+        Action::Revert {
+            access,
+            version,
+            options,
+        } => block_on(publish::revert(access, *version, options, output)),
+        Action::Console { access } => block_on(console::run(access, output)),
+        Action::Completions { shell } => {
+            cli::write_completions(shell);
+            ExitCode::Success
+        }
     }
 }
 
-fn run_node(file: &Path) -> ExitCode {
-    let settings = match settings::load(file) {
+fn run_node(file: &Path, output: Output) -> ExitCode {
+    let checked = settings::load(file).and_then(|settings| {
+        settings::check_secrets(&settings)?;
+        Ok(settings)
+    });
+    let settings = match checked {
         Ok(settings) => settings,
-        Err(failures) => return report(&failures, ExitCode::Invalid),
+        Err(failures) => return output.invalid(&failures, "the node was not started"),
     };
-    if let Err(failures) = settings::check_secrets(&settings) {
-        return report(&failures, ExitCode::Invalid);
-    }
     match block_on(node::run(settings)) {
         Ok(()) => ExitCode::Success,
-        Err(e) => {
-            eprintln!("sycamorewick: {e:#}");
-            ExitCode::GeneralError
-        }
+        Err(e) => output.fail(&format!("{e:#}"), ExitCode::GeneralError),
     }
 }
 
 /// Unreadable secrets are a note only, since settings are also checked where no secrets are.
-fn check_settings(file: &Path) -> ExitCode {
-    match settings::load(file) {
-        Ok(settings) => {
-            println!(
-                "{}: settings of node {} are valid",
-                file.display(),
-                settings.id
-            );
-            for failure in settings::check_secrets(&settings).err().unwrap_or_default() {
-                eprintln!("note: the node will not start here: {}", failure.text);
-            }
-            ExitCode::Success
+fn check_settings(file: &Path, output: Output) -> ExitCode {
+    let settings = match settings::load(file) {
+        Ok(settings) => settings,
+        Err(failures) => {
+            let summary = format!("{} is not valid", file.display());
+            return output.invalid(&failures, &summary);
+        }
+    };
+    let notes: Vec<String> = settings::check_secrets(&settings)
+        .err()
+        .unwrap_or_default()
+        .into_iter()
+        .map(|failure| format!("a node would not start here: {}", failure.text))
+        .collect();
+    if !output.json {
+        for note in &notes {
+            eprintln!("note: {note}");
         }
-        Err(failures) => report(&failures, ExitCode::Invalid),
-    }
-}
-
-fn report(failures: &[Failure], code: ExitCode) -> ExitCode {
-    for failure in failures {
-        eprintln!("sycamorewick: {failure}");
     }
-    code
+    let text = format!("{}: settings of node {}", file.display(), settings.id);
+    let extra = json!({ "notes": notes });
+    output.finish("valid", &text, &extra, ExitCode::Success)
 }
 
 fn block_on<T>(future: impl Future<Output = T>) -> T {
--- a/src/commands/operator_client.rs
+++ b/src/commands/operator_client.rs
@@ -1,5 +1,6 @@
 //! Requests of operator commands to the operator port of a node.
 
+use std::fmt;
 use std::fs;
 use std::time::Duration;
 
@@ -10,14 +11,53 @@
 use actix_http::header::HeaderValue;
 use actix_http::uri::PathAndQuery;
 use bytes::Bytes;
-use eyre::WrapErr;
-use eyre::bail;
 use serde_json::Value;
 use sycamorewick::protocol::codec::MAX_MESSAGE_BYTES;
 use sycamorewick::transport::http_client::HttpClient;
 use sycamorewick::transport::http_client::Outgoing;
 
 use crate::config::OperatorAccess;
+use crate::exit_code::ExitCode;
+
+/// Why a request has no result.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RequestError {
+    /// The token file is unusable or the node does not accept the token; a repetition is useless.
+    Token(String),
+    /// The node does not answer.
+    Unreachable(String),
+    /// The node answers that it cannot say at present, for example since the log is down.
+    Unavailable(String),
+    /// The node refuses the request; a repetition is useless.
+    Refused(String),
+}
+
+impl RequestError {
+    /// Exit code of a command that ends with this error.
+    pub fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Token(_) | Self::Refused(_) => ExitCode::GeneralError,
+            Self::Unreachable(_) => ExitCode::Unreachable,
+            Self::Unavailable(_) => ExitCode::NotConfirmed,
+        }
+    }
+
+    /// Whether the same request may succeed later.
+    pub fn is_temporary(&self) -> bool {
+        matches!(self, Self::Unreachable(_) | Self::Unavailable(_))
+    }
+}
+
+impl fmt::Display for RequestError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Token(text)
+            | Self::Unreachable(text)
+            | Self::Unavailable(text)
+            | Self::Refused(text) => f.write_str(text),
+        }
+    }
+}
 
 /// A client of one node's operator port.
 pub struct OperatorClient {
@@ -28,14 +68,14 @@
 
 impl OperatorClient {
     /// Reads the token file.
-    pub fn new(access: &OperatorAccess) -> eyre::Result<Self> {
+    pub fn new(access: &OperatorAccess) -> Result<Self, RequestError> {
         let file = access.token_file.display();
         let token = fs::read_to_string(&access.token_file)
-            .wrap_err_with(|| format!("cannot read token file {file}"))?;
-        let bearer =
-            HeaderValue::try_from(format!("Bearer {}", token.trim())).wrap_err_with(|| {
-                format!("token file {file} holds characters that a header cannot carry")
-            })?;
+            .map_err(|e| RequestError::Token(format!("cannot read token file {file}: {e}")))?;
+        let bearer = HeaderValue::try_from(format!("Bearer {}", token.trim())).map_err(|_| {
+            let text = format!("token file {file} holds characters that a header cannot carry");
+            RequestError::Token(text)
+        })?;
         Ok(Self {
             access: access.clone(),
             bearer,
@@ -43,42 +83,65 @@
         })
     }
 
-    /// Sends a request and returns status and JSON answer.
-    pub async fn send(
+    /// Gets a JSON answer.
+    pub async fn get(&self, path: &str, timeout: Duration) -> Result<Value, RequestError> {
+        self.send(Method::GET, path, Bytes::new(), timeout).await
+    }
+
+    /// Posts JSON and returns the JSON answer.
+    pub async fn post(
+        &self,
+        path: &str,
+        body: &Value,
+        timeout: Duration,
+    ) -> Result<Value, RequestError> {
+        let body = Bytes::from(body.to_string());
+        self.send(Method::POST, path, body, timeout).await
+    }
+
+    async fn send(
         &self,
         method: Method,
         path: &str,
-        body: Option<&Value>,
+        body: Bytes,
         timeout: Duration,
-    ) -> eyre::Result<(StatusCode, Value)> {
-        let body = body
-            .map(serde_json::to_vec)
-            .transpose()?
-            .unwrap_or_default();
+    ) -> Result<Value, RequestError> {
         let outgoing = Outgoing {
             method,
-            target: PathAndQuery::try_from(path)?,
+            target: PathAndQuery::try_from(path)
+                .map_err(|e| RequestError::Refused(format!("{path} is no path: {e}")))?,
             headers: vec![
                 (AUTHORIZATION, self.bearer.clone()),
                 (CONTENT_TYPE, HeaderValue::from_static("application/json")),
             ],
-            body: Bytes::from(body),
+            body,
             timeout,
             max_answer: MAX_MESSAGE_BYTES,
         };
         let addr = self.access.addr;
-        let answer = match self.http.send(addr, outgoing).await {
-            Ok(answer) => answer,
-            Err(e) => bail!(
-                "the node at {addr} does not answer: {e}; is it running, and is this its operator port?"
-            ),
-        };
-        if answer.status == StatusCode::UNAUTHORIZED {
-            let file = self.access.token_file.display();
-            bail!("the node at {addr} does not accept the token in {file}");
+        let answer = self.http.send(addr, outgoing).await.map_err(|e| {
+            let text = format!(
+                "the node at {addr} does not answer: {e}; is it running, and is this its operator \
+                 port?"
+            );
+            RequestError::Unreachable(text)
+        })?;
+        let sentence = || String::from_utf8_lossy(&answer.body).trim().to_owned();
+        match answer.status {
+            StatusCode::OK => serde_json::from_slice(&answer.body).map_err(|_| {
+                let text = format!("the answer of {addr} is not JSON; is this an operator port?");
+                RequestError::Refused(text)
+            }),
+            StatusCode::UNAUTHORIZED => {
+                let file = self.access.token_file.display();
+                let text = format!("the node at {addr} does not accept the token in {file}");
+                Err(RequestError::Token(text))
+            }
+            status if status.is_server_error() => Err(RequestError::Unavailable(sentence())),
+            status => Err(RequestError::Refused(format!(
+                "the node at {addr} answers {status}: {}",
+                sentence()
+            ))),
         }
-        let value =
-            serde_json::from_slice(&answer.body).wrap_err("the node's answer is not JSON")?;
-        Ok((answer.status, value))
     }
 }
--- a/src/commands/publish.rs
+++ b/src/commands/publish.rs
@@ -1,120 +1,157 @@
-//! `sycamorewick publish`
+//! `sycamorewick publish` and `sycamorewick revert`
 
-use std::fs;
 use std::path::Path;
 use std::time::Duration;
 use std::time::Instant;
 
-use actix_http::Method;
-use eyre::eyre;
 use serde_json::Value;
 use serde_json::json;
 use sycamorewick::protocol::document::Document;
-use sycamorewick::state::validate::parse_document;
+use sycamorewick::protocol::record::VersionedDocument;
 use uuid::Uuid;
 
+use crate::commands::document_file;
 use crate::commands::operator_client::OperatorClient;
+use crate::commands::operator_client::RequestError;
+use crate::commands::output::Output;
 use crate::config::OperatorAccess;
+use crate::config::PublishOptions;
 use crate::exit_code::ExitCode;
 
-/// Time limit of one request; the node answers long polls earlier.
+/// Time limit of one request; the node gives up on the log earlier.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause between two questions for the progress.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
-
-/// What to publish.
-pub struct Request<'a> {
-    /// Document file.
-    pub file: &'a Path,
-    /// Version that it is based on.
-    pub base: Option<u64>,
-    /// Who publishes.
-    pub author: &'a str,
-    /// Whether to wait until it is in force everywhere.
-    pub wait: bool,
-    /// Longest wait.
-    pub timeout: Duration,
-}
+/// Pause between two tries of a publication.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Names of nodes that a sentence lists.
+const SHOWN_NODES: usize = 8;
 
 /// Publishes a document and ends with one sentence on the result.
-pub async fn run(access: &OperatorAccess, request: &Request<'_>, json: bool) -> ExitCode {
-    let document = match load(request.file) {
+pub async fn publish_file(
+    access: &OperatorAccess,
+    file: &Path,
+    options: &PublishOptions,
+    output: Output,
+) -> ExitCode {
+    let document = match document_file::load(file, output) {
         Ok(document) => document,
         Err(code) => return code,
     };
-    match publish(access, request, &document, json).await {
-        Ok(code) => code,
-        Err(e) => {
-            eprintln!("sycamorewick: not confirmed: {e:#}");
-            ExitCode::Unreachable
-        }
+    match OperatorClient::new(access) {
+        Ok(client) => publish(&client, &document, options, output).await,
+        Err(e) => output.fail(&e.to_string(), e.exit_code()),
     }
 }
 
-fn load(file: &Path) -> Result<Document, ExitCode> {
-    let name = file.display().to_string();
-    let text = fs::read_to_string(file).map_err(|e| {
-        eprintln!("sycamorewick: cannot read {name}: {e}");
-        ExitCode::GeneralError
-    })?;
-    parse_document(&text, &name).map_err(|failures| {
-        for failure in &failures {
-            eprintln!("{failure}");
-        }
-        eprintln!(
-            "sycamorewick: {name} has {} errors; nothing was published",
-            failures.len()
-        );
-        ExitCode::Invalid
-    })
+/// Publishes the contents of an earlier version as a new one.
+pub async fn revert(
+    access: &OperatorAccess,
+    version: u64,
+    options: &PublishOptions,
+    output: Output,
+) -> ExitCode {
+    let earlier = async {
+        let client = OperatorClient::new(access)?;
+        let path = format!("/v1/document?version={version}");
+        let answer = client.get(&path, REQUEST_TIMEOUT).await?;
+        let earlier: VersionedDocument = serde_json::from_value(answer)
+            .map_err(|e| RequestError::Refused(format!("the node's answer is no document: {e}")))?;
+        Ok::<_, RequestError>((client, earlier))
+    };
+    match earlier.await {
+        Ok((client, earlier)) => publish(&client, &earlier.document, options, output).await,
+        Err(e) => output.fail(&format!("nothing was published: {e}"), e.exit_code()),
+    }
 }
 
-/// One publish id is used for all tries, so that a try whose answer was lost cannot publish twice.
 async fn publish(
-    access: &OperatorAccess,
-    request: &Request<'_>,
+    client: &OperatorClient,
     document: &Document,
-    json: bool,
-) -> eyre::Result<ExitCode> {
-    let client = OperatorClient::new(access)?;
-    let publish_id = Uuid::now_v7();
+    options: &PublishOptions,
+    output: Output,
+) -> ExitCode {
     let begun = Instant::now();
-    let body = json!({
-        "publish_id": publish_id,
-        "base": request.base,
-        "author": request.author,
-        "document": document,
-    });
-    let answer = loop {
-        match client
-            .send(Method::POST, "/v1/publish", Some(&body), REQUEST_TIMEOUT)
-            .await
-        {
-            Ok((_, answer)) if answer["result"] != "not confirmed" => break answer,
-            Ok((_, answer)) if begun.elapsed() >= request.timeout => break answer,
-            Err(e) if begun.elapsed() >= request.timeout => return Err(e),
-            Ok(_) | Err(_) => actix_rt::time::sleep(POLL_INTERVAL).await,
+    let base = match base(client, options, begun).await {
+        Ok(base) => base,
+        Err(e) => {
+            let text = format!("nothing was published: {e}");
+            return output.finish("not confirmed", &text, &json!({}), e.exit_code());
+        }
+    };
+    let answer = match submit(client, document, base, options, begun).await {
+        Ok(answer) => answer,
+        Err(e) => {
+            let text = format!(
+                "the publication may or may not take effect: {e}; publish again with --base {base}"
+            );
+            return output.finish("not confirmed", &text, &json!({}), e.exit_code());
         }
     };
-    match answer["result"].as_str() {
-        Some("accepted") => {}
-        Some("refused") => return Ok(finish(json, &answer, "refused", ExitCode::Refused)),
+    let text = answer["text"].as_str().unwrap_or_default();
+    let extra = json!({ "version": answer["version"], "code": answer["code"] });
+    let version = match (answer["result"].as_str(), answer["version"].as_u64()) {
+        (Some("accepted"), Some(version)) => version,
+        (Some("refused"), _) => return output.finish("refused", text, &extra, ExitCode::Refused),
         _ => {
-            return Ok(finish(
-                json,
-                &answer,
-                "not confirmed",
-                ExitCode::NotConfirmed,
-            ));
+            let text = format!("{text}, with --base {base}");
+            return output.finish("not confirmed", &text, &extra, ExitCode::NotConfirmed);
+        }
+    };
+    if !options.wait {
+        return output.finish("accepted", text, &extra, ExitCode::Success);
+    }
+    wait_in_force(client, version, begun, options.timeout, output).await
+}
+
+/// Returns the version on which the publication is based.
+///
+/// It is fixed before the first try: a try whose answer was lost may have taken effect, and a later
+/// one that was based on the result would publish the document twice.
+async fn base(
+    client: &OperatorClient,
+    options: &PublishOptions,
+    begun: Instant,
+) -> Result<u64, RequestError> {
+    if let Some(base) = options.base {
+        return Ok(base);
+    }
+    loop {
+        match client.get("/v1/base", REQUEST_TIMEOUT).await {
+            Ok(answer) => {
+                let missing = || RequestError::Refused("the node's answer has no version".into());
+                return answer["version"].as_u64().ok_or_else(missing);
+            }
+            Err(e) if !e.is_temporary() || begun.elapsed() >= options.timeout => return Err(e),
+            Err(_) => actix_rt::time::sleep(RETRY_PAUSE).await,
         }
     }
-    let version = answer["version"]
-        .as_u64()
-        .ok_or_else(|| eyre!("the node's answer has no version"))?;
-    if !request.wait {
-        return Ok(finish(json, &answer, "accepted", ExitCode::Success));
+}
+
+/// Sends the publication until the node says what became of it. All tries have one publish id, by
+/// which the node recognises them.
+async fn submit(
+    client: &OperatorClient,
+    document: &Document,
+    base: u64,
+    options: &PublishOptions,
+    begun: Instant,
+) -> Result<Value, RequestError> {
+    let body = json!({
+        "publish_id": Uuid::now_v7(),
+        "base": base,
+        "author": options.author,
+        "document": document,
+    });
+    loop {
+        let result = client.post("/v1/publish", &body, REQUEST_TIMEOUT).await;
+        let late = begun.elapsed() >= options.timeout;
+        match result {
+            Ok(answer) if answer["result"] != "not confirmed" || late => return Ok(answer),
+            Err(e) if !e.is_temporary() || late => return Err(e),
+            Ok(_) | Err(_) => actix_rt::time::sleep(RETRY_PAUSE).await,
+        }
     }
-    wait_in_force(&client, version, begun, request.timeout, json).await
 }
 
 async fn wait_in_force(
@@ -122,52 +159,58 @@
     version: u64,
     begun: Instant,
     timeout: Duration,
-    json: bool,
-) -> eyre::Result<ExitCode> {
+    output: Output,
+) -> ExitCode {
+    let extra = json!({ "version": version });
+    let path = format!("/v1/convergence?version={version}");
     let mut shown = String::new();
     loop {
-        let path = format!("/v1/convergence?version={version}");
-        let (_, state) = client
-            .send(Method::GET, &path, None, REQUEST_TIMEOUT)
-            .await?;
-        let progress = format!("in force on {} of {} nodes", state["have"], state["total"]);
-        if !json && progress != shown {
+        let state = client.get(&path, REQUEST_TIMEOUT).await;
+        let progress = match &state {
+            Ok(state) if state["everywhere"] == true => {
+                let took = begun.elapsed().as_millis();
+                let text = format!("version {version} is in force everywhere after {took} ms");
+                let extra =
+                    json!({ "version": version, "milliseconds": took, "nodes": state["total"] });
+                return output.finish("in force", &text, &extra, ExitCode::Success);
+            }
+            // No answer of the members has come yet.
+            Ok(state) if state["total"] == 0 => String::new(),
+            Ok(state) => format!("in force on {} of {} nodes", state["have"], state["total"]),
+            Err(e) => format!("progress unknown, {e}"),
+        };
+        if !output.json && !progress.is_empty() && progress != shown {
             eprintln!("version {version}: {progress}");
             shown.clone_from(&progress);
         }
-        if state["everywhere"] == true {
-            let answer = json!({
-                "version": version,
-                "text": format!("version {version} is in force everywhere after {} ms", begun.elapsed().as_millis()),
-            });
-            return Ok(finish(json, &answer, "in force", ExitCode::Success));
-        }
         if begun.elapsed() >= timeout {
-            let text = format!(
-                "version {version} is accepted but {progress}; missing: {}",
-                state["missing"]
-            );
-            let answer = json!({ "version": version, "text": text });
-            return Ok(finish(
-                json,
-                &answer,
-                "not confirmed",
-                ExitCode::NotConfirmed,
-            ));
+            let missing = state.as_ref().map(missing_nodes).unwrap_or_default();
+            let progress = match progress.as_str() {
+                "" => "no node was asked yet",
+                progress => progress,
+            };
+            let text = format!("version {version} is accepted, but {progress}{missing}");
+            return output.finish("not confirmed", &text, &extra, ExitCode::NotConfirmed);
         }
         actix_rt::time::sleep(POLL_INTERVAL).await;
     }
 }
 
-fn finish(json: bool, answer: &Value, result: &str, code: ExitCode) -> ExitCode {
-    let text = answer["text"].as_str().unwrap_or_default();
-    if json {
-        println!(
-            "{}",
-            json!({ "result": result, "version": answer["version"], "text": text })
-        );
-    } else {
-        println!("{result}: {text}");
+fn missing_nodes(state: &Value) -> String {
+    let names: Vec<&str> = state["missing"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter_map(Value::as_str)
+        .collect();
+    if names.is_empty() {
+        return String::new();
     }
-    code
+    let rest = if names.len() > SHOWN_NODES {
+        " and others"
+    } else {
+        ""
+    };
+    let shown = &names[..names.len().min(SHOWN_NODES)];
+    format!("; missing: {}{rest}", shown.join(", "))
 }
--- a/src/commands/status.rs
+++ b/src/commands/status.rs
@@ -2,32 +2,173 @@
 
 use std::time::Duration;
 
-use actix_http::Method;
+use serde_json::Value;
 
 use crate::commands::operator_client::OperatorClient;
+use crate::commands::output::Output;
+use crate::commands::output::Tone;
+use crate::commands::table::Table;
+use crate::commands::table::time_of;
+use crate::commands::watch::line_of;
 use crate::config::OperatorAccess;
 use crate::exit_code::ExitCode;
 
+/// Time limit of the request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Shows the state of a node and of the fleet as that node sees it.
-pub async fn run(access: &OperatorAccess, json: bool) -> ExitCode {
+pub async fn run(access: &OperatorAccess, output: Output) -> ExitCode {
     let answer = match OperatorClient::new(access) {
-        Ok(client) => {
-            client
-                .send(Method::GET, "/v1/status", None, Duration::from_secs(5))
-                .await
-        }
+        Ok(client) => client.get("/v1/status", REQUEST_TIMEOUT).await,
         Err(e) => Err(e),
     };
     match answer {
-        Ok((_, status)) if json => println!("{status}"),
-        Ok((_, status)) => println!(
-            "{}",
-            serde_json::to_string_pretty(&status).unwrap_or_default()
-        ),
-        Err(e) => {
-            eprintln!("sycamorewick: {e:#}");
-            return ExitCode::Unreachable;
-        }
+        Ok(status) if output.json => println!("{status}"),
+        Ok(status) => print(&status, output),
+        Err(e) => return output.fail(&e.to_string(), e.exit_code()),
     }
     ExitCode::Success
 }
+
+fn print(status: &Value, output: Output) {
+    print_node(status, output);
+    print_fleet(status, output);
+    print_services(status, output);
+    print_rollbacks(status, output);
+    println!();
+    println!("{}", output.paint(Tone::Strong, "RECENT OUTCOMES"));
+    let outcomes = list(&status["recent_outcomes"]);
+    if outcomes.is_empty() {
+        println!("none");
+    }
+    for outcome in outcomes {
+        println!("{}", line_of(outcome));
+    }
+}
+
+fn print_node(status: &Value, output: Output) {
+    let ready = if status["ready"] == true {
+        output.paint(Tone::Good, "ready")
+    } else {
+        output.paint(Tone::Caution, "not ready")
+    };
+    let version = match status["version"].as_u64() {
+        Some(0) | None => "no configuration is in force".to_owned(),
+        Some(version) => format!("version {version} is in force"),
+    };
+    println!("node {}: {ready}, {version}", text(&status["id"]));
+    if let Some(seconds) = status["log_failing_s"].as_u64() {
+        let line = format!("the log has not answered this node for {seconds} s");
+        println!("{}", output.paint(Tone::Bad, &line));
+    }
+    let waiting = status["outcomes_waiting_for_the_log"].as_u64();
+    if let Some(waiting) = waiting.filter(|&waiting| waiting > 0) {
+        println!("{waiting} outcomes wait for the log");
+    }
+    let violations = status["invariant_violations"].as_u64();
+    if let Some(violations) = violations.filter(|&violations| violations > 0) {
+        let line = format!("{violations} violations of invariants; report them as a fault");
+        println!("{}", output.paint(Tone::Bad, &line));
+    }
+}
+
+fn print_fleet(status: &Value, output: Output) {
+    let members = list(&status["members"]);
+    println!();
+    println!("{} of {} nodes are alive", status["alive"], members.len());
+    let mut table = Table::new(&[
+        "NODE",
+        "REGION",
+        "FAILURE DOMAIN",
+        "BACKEND SERVER",
+        "STATUS",
+    ]);
+    for member in members {
+        let backend = &member["backend"];
+        let server = if backend.is_null() {
+            "-".to_owned()
+        } else {
+            let up = if backend["up"] == true { "up" } else { "down" };
+            let (service, version) = (text(&backend["service"]), text(&backend["version"]));
+            format!("{service} {version} {up}")
+        };
+        let state = text(&member["status"]);
+        let tone = match state {
+            "alive" => Tone::Good,
+            "dead" => Tone::Bad,
+            _ => Tone::Caution,
+        };
+        table.row(
+            vec![
+                text(&member["id"]).to_owned(),
+                text(&member["region"]).to_owned(),
+                text(&member["failure_domain"]).to_owned(),
+                server,
+                state.to_owned(),
+            ],
+            Some(tone),
+        );
+    }
+    table.print(output);
+}
+
+fn print_services(status: &Value, output: Output) {
+    println!();
+    let mut table = Table::new(&["SERVICE", "SHARES", "ROLLOUT"]);
+    for service in list(&status["services"]) {
+        let shares: Vec<String> = list(&service["shares"])
+            .iter()
+            .map(|share| format!("{} {}%", text(&share["version"]), share["share"]))
+            .collect();
+        let (rollout, tone) = rollout_of(&service["rollout"]);
+        let name = text(&service["service"]).to_owned();
+        table.row(vec![name, shares.join(", "), rollout], tone);
+    }
+    table.print(output);
+}
+
+fn rollout_of(rollout: &Value) -> (String, Option<Tone>) {
+    if rollout.is_null() {
+        return ("-".into(), None);
+    }
+    let phase = text(&rollout["phase"]);
+    let tone = match phase {
+        "complete" => Some(Tone::Good),
+        "taken back" => Some(Tone::Bad),
+        "waiting" => Some(Tone::Caution),
+        _ => None,
+    };
+    let (from, to) = (text(&rollout["from"]), text(&rollout["to"]));
+    let until = time_of(&rollout["finish_by_ms"]);
+    let line = if let Some(step) = rollout["step"].as_u64() {
+        let steps = list(&rollout["steps"]).len();
+        let step = step + 1;
+        format!("{from} to {to}, {phase}, step {step} of {steps}, until {until}")
+    } else {
+        let start = time_of(&rollout["start_ms"]);
+        format!("{from} to {to}, {phase}, {start} until {until}")
+    };
+    (line, tone)
+}
+
+fn print_rollbacks(status: &Value, output: Output) {
+    for rollback in list(&status["rollbacks"]) {
+        let key = &rollback["key"];
+        let line = format!(
+            "{} {} was taken back at {}: {}",
+            text(&key["service"]),
+            text(&key["to"]),
+            time_of(&rollback["at"]),
+            text(&rollback["cause"])
+        );
+        println!("{}", output.paint(Tone::Bad, &line));
+    }
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or("?")
+}
+
+fn list(value: &Value) -> &[Value] {
+    value.as_array().map_or(&[], Vec::as_slice)
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -11,6 +11,19 @@
     pub action: Action,
     /// Whether results are printed as JSON.
     pub json: bool,
+    /// When text is coloured.
+    pub color: Color,
+}
+
+/// When text is coloured.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Color {
+    /// On a terminal, unless `NO_COLOR` is set.
+    Auto,
+    /// Always.
+    Always,
+    /// Never.
+    Never,
 }
 
 /// How an operator command reaches a node.
@@ -22,6 +35,19 @@
     pub token_file: PathBuf,
 }
 
+/// How a document is published.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PublishOptions {
+    /// Version that the document is based on; the one in force if absent.
+    pub base: Option<u64>,
+    /// Who publishes.
+    pub author: String,
+    /// Whether to wait until the version is in force everywhere.
+    pub wait: bool,
+    /// Longest wait.
+    pub timeout: Duration,
+}
+
 /// A subcommand with its arguments.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
@@ -46,14 +72,29 @@
         access: OperatorAccess,
         /// Document file.
         file: PathBuf,
-        /// Version that the document is based on; the one in force if absent.
-        base: Option<u64>,
-        /// Who publishes.
-        author: String,
-        /// Whether to wait until the version is in force everywhere.
-        wait: bool,
-        /// Longest wait.
-        timeout: Duration,
+        /// How to publish.
+        options: PublishOptions,
+    },
+    /// Compare a document with another one or with the one in force.
+    Diff {
+        /// Node to ask.
+        access: OperatorAccess,
+        /// Old document, or the only one.
+        file: PathBuf,
+        /// New document; if absent, `file` is compared with the one in force.
+        other: Option<PathBuf>,
+    },
+    /// List the publications in the log.
+    History {
+        /// Node to ask.
+        access: OperatorAccess,
+        /// Number of publications shown.
+        limit: u64,
+    },
+    /// Show the state of a node.
+    Status {
+        /// Node to ask.
+        access: OperatorAccess,
     },
     /// Print outcomes as they are reported.
     Watch {
@@ -64,9 +105,23 @@
         /// Longest wait.
         timeout: Option<Duration>,
     },
-    /// Show the state of a node.
-    Status {
-        /// Node to ask.
+    /// Publish the contents of an earlier version again.
+    Revert {
+        /// Node to publish through.
         access: OperatorAccess,
+        /// Version whose contents are published.
+        version: u64,
+        /// How to publish.
+        options: PublishOptions,
+    },
+    /// Tell how to open the console.
+    Console {
+        /// Node whose console is meant.
+        access: OperatorAccess,
+    },
+    /// Print a completion script.
+    Completions {
+        /// Name of the shell.
+        shell: String,
     },
 }
--- a/src/exit_code.rs
+++ b/src/exit_code.rs
@@ -21,16 +21,34 @@
     Unreachable,
 }
 
+impl ExitCode {
+    /// All codes with what they mean, in ascending order; the help shows them.
+    pub const ALL: &[(Self, &str)] = &[
+        (Self::Success, "done"),
+        (Self::GeneralError, "failed for another reason"),
+        (Self::Usage, "wrong arguments"),
+        (Self::Invalid, "invalid document or settings file"),
+        (Self::Refused, "publication refused"),
+        (Self::NotConfirmed, "not confirmed in time"),
+        (Self::Unreachable, "no answer from the node"),
+    ];
+
+    /// Returns the number that the process exits with.
+    pub fn number(self) -> u8 {
+        match self {
+            Self::Success => 0,
+            Self::GeneralError => 1,
+            Self::Usage => 2,
+            Self::Invalid => 3,
+            Self::Refused => 4,
+            Self::NotConfirmed => 5,
+            Self::Unreachable => 6,
+        }
+    }
+}
+
 impl From<ExitCode> for process::ExitCode {
     fn from(code: ExitCode) -> Self {
-        Self::from(match code {
-            ExitCode::Success => 0,
-            ExitCode::GeneralError => 1,
-            ExitCode::Usage => 2,
-            ExitCode::Invalid => 3,
-            ExitCode::Refused => 4,
-            ExitCode::NotConfirmed => 5,
-            ExitCode::Unreachable => 6,
-        })
+        Self::from(code.number())
     }
 }
