Report counted failures of a node as outcomes

Invariant violations, dropped log lines and outcomes, wrong operator tokens, rejected messages of nodes and long log outages were visible in metrics at most.

--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of a node, exported on the operator port. See `docs/operators.md`.
 
+use std::cell::Cell;
+
 use metrics::Counter;
 use metrics::Gauge;
 use metrics::Histogram;
@@ -9,10 +11,41 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+/// A counter that the node itself reads too.
+pub struct ReadableCounter {
+    counter: Counter,
+    value: Cell<u64>,
+}
+
+impl ReadableCounter {
+    /// Adds to the counter.
+    pub fn increment(&self, by: u64) {
+        self.counter.increment(by);
+        self.value.set(self.value.get() + by);
+    }
+
+    /// Returns the sum so far.
+    pub fn get(&self) -> u64 {
+        self.value.get()
+    }
+}
+
+macro_rules! readable {
+    ($name:literal) => {
+        ReadableCounter {
+            counter: counter!($name),
+            value: Cell::new(0),
+        }
+    };
+}
+
 macro_rules! handle {
     (counter) => {
         Counter
     };
+    (readable) => {
+        ReadableCounter
+    };
     (gauge) => {
         Gauge
     };
@@ -61,7 +94,7 @@
     /// Bytes of gossip datagrams received, IP and UDP headers included.
     gossip_bytes_received: counter = "sycamorewick_gossip_received_bytes_total";
     /// Datagrams that failed authentication or decoding.
-    gossip_rejected: counter = "sycamorewick_gossip_rejected_total";
+    gossip_rejected: readable = "sycamorewick_gossip_rejected_total";
     /// Bytes of configuration and state exchanges over HTTP, without headers.
     exchange_bytes: counter = "sycamorewick_exchange_bytes_total";
     /// Bytes read from the log.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! One node process: joins transport, coordination and state. See `docs/design.md`, section 7.
 
+mod alerts;
 pub mod backend;
 pub mod clock;
 mod config_reader;
@@ -174,6 +175,7 @@
     gossip_loop::start(&node);
     config_reader::start(&node);
     log_writer::start(&node);
+    alerts::start(&node);
     shutdown::wait_for_signal().await?;
     shutdown::drain(&node, &servers).await;
     info!(log, "node stopped"; "node" => node.settings.id.as_str());
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -47,6 +47,8 @@
     NodeReady = 1009, "node ready";
     /// A node stopped gracefully.
     NodeStopped = 1010, "node stopped";
+    /// The log answers a node again after an outage.
+    LogAnswers = 1011, "log answers again";
 
     /// A publication was based on a version that is no longer in force.
     PublishStale = 2001, "publication based on an old version";
@@ -129,6 +131,8 @@
     VersionNotNewer = 5008, "version not newer";
     /// Two nodes have different configurations under one version.
     DigestMismatch = 5009, "configurations differ under one version";
+    /// A request to the operator port had no token or a wrong one.
+    TokenRefused = 5010, "operator token refused";
 
     /// An invariant of the program does not hold.
     InvariantViolated = 9001, "invariant violated";
@@ -138,6 +142,8 @@
     BindFailed = 9003, "cannot listen";
     /// Log lines were dropped because their queue was full.
     LogLinesDropped = 9004, "log lines dropped";
+    /// Outcomes were dropped because the log did not take them for too long.
+    OutcomesDropped = 9005, "outcomes dropped";
 }
 
 impl ResultCode {
