--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,22 +1,25 @@
 //! One node process: joins transport, coordination and state. See `docs/design.md`, section 7.
 
+mod alerts;
 pub mod backend;
 pub mod clock;
 mod config_reader;
 mod entry;
 mod gossip_loop;
 mod headers;
+mod history;
 mod hop;
 mod keyed;
 mod local_port;
 mod log_writer;
-mod metrics;
+pub mod metrics;
 mod node_port;
 mod operator_port;
 mod peer_client;
 mod publish;
 mod serving;
 mod shutdown;
+mod status;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -94,6 +97,8 @@
     log_client: LogClient,
     stopping: Cell<bool>,
     open_calls: Cell<usize>,
+    /// Requests to the operator port with a wrong token.
+    operator_auth_failures: Cell<u64>,
     state: RefCell<NodeState>,
 }
 
@@ -170,6 +175,7 @@
     gossip_loop::start(&node);
     config_reader::start(&node);
     log_writer::start(&node);
+    alerts::start(&node);
     shutdown::wait_for_signal().await?;
     shutdown::drain(&node, &servers).await;
     info!(log, "node stopped"; "node" => node.settings.id.as_str());
@@ -235,6 +241,7 @@
         log_client: LogClient::new(settings.log_addr),
         stopping: Cell::new(false),
         open_calls: Cell::new(0),
+        operator_auth_failures: Cell::new(0),
         state: RefCell::new(state),
         settings,
     })
