--- a/tests/idempotency.rs
+++ b/tests/idempotency.rs
@@ -14,7 +14,7 @@
 use sycamorewick::coordination::idempotency::CLAIM_TIMEOUT;
 use sycamorewick::coordination::idempotency::Claimant;
 use sycamorewick::coordination::idempotency::Decision;
-use sycamorewick::coordination::idempotency::Departed;
+use sycamorewick::coordination::membership::Departed;
 use sycamorewick::coordination::idempotency::KEY_WINDOW;
 use sycamorewick::coordination::idempotency::KeyReplica;
 use sycamorewick::coordination::idempotency::MAX_ANSWER_BYTES;
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -525,6 +525,7 @@
         route: format!("a-rather-long-route-name-{i}").into(),
         calls: u32::MAX,
         errors: u32::MAX,
+        downstream_failed: u32::MAX,
         latency: [u32::MAX; LATENCY_BUCKETS],
     };
     let report = EvidenceReport {
