Leave the log to the elected readers while a fleet starts

Each starting node read the whole config stream after one second, so 1,300 nodes that start at once would read it 1,300 times; a pause of 200 ms between two batches of 64 records also delayed a node behind a long stream. A batch whose answer exceeded the largest message was never read at all. Starting nodes now read the log only if it is short, if they are elected as readers, or if they find no ready peers for 10 s, and the batch is halved if it is too large.

--- a/src/node/config_reader.rs
+++ b/src/node/config_reader.rs
@@ -34,10 +34,11 @@
 use crate::state::log_fold::checkpoint_due;
 use crate::state::snapshot::ConfigTransfer;
 use crate::state::snapshot::Snapshot;
+use crate::transport::log_client::LogBatch;
 
 /// Wait of one long poll of the log.
 const POLL_WAIT: Duration = Duration::from_secs(10);
-/// Records read at a time.
+/// Records read at a time; fewer if the answer exceeds the largest message.
 const BATCH_RECORDS: usize = 64;
 /// Pause after a failed read of the log, up to twice as long.
 const LOG_RETRY: Duration = Duration::from_millis(500);
@@ -47,9 +48,17 @@
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Period of the attempts to become ready.
 const READY_CHECK: Duration = Duration::from_millis(200);
-/// Time for which a starting node asks its peers only; a herd that starts at once must not read the
-/// whole log 1,300 times.
+/// Time for which a starting node asks its peers only.
 const PEERS_FIRST: Duration = Duration::from_secs(1);
+/// Random addition to [`PEERS_FIRST`], so that 1,300 nodes that start at once do not ask the log for
+/// its bounds in the same moment.
+const PEERS_FIRST_JITTER: Duration = Duration::from_secs(2);
+/// Records that a starting node reads from the log itself. With more records it leaves the log to
+/// the elected readers and waits for them, since 1,300 nodes that start at once must not read the
+/// whole log 1,300 times.
+const FEW_RECORDS: u64 = 8;
+/// Time after which a starting node reads the whole log even so, for the case that it finds no peer.
+const PEERS_ONLY_LIMIT: Duration = Duration::from_secs(10);
 /// Failure domains that a starting node asks at a time.
 const ASKED_DOMAINS: usize = 3;
 
@@ -96,17 +105,17 @@
 }
 
 async fn follow_log(node: &Rc<Node>) {
+    wait_for_peers(node).await;
     loop {
         let (is_reader, ready) = {
             let state = node.state.borrow();
             (state.gossip.is_reader(), state.ready)
         };
-        let starting = !ready && node.clock.now() > PEERS_FIRST;
-        if !is_reader && !starting {
+        if ready && !is_reader {
             actix_rt::time::sleep(ELECTION_CHECK).await;
             continue;
         }
-        let wait = if ready { POLL_WAIT } else { Duration::ZERO };
+        let wait = if ready { POLL_WAIT } else { READY_CHECK };
         if let Err(failure) = read_log(node, wait).await {
             warn!(node.log, "cannot read the log"; "failure" => failure.to_string());
             set_log_reachable(node, false);
@@ -117,12 +126,31 @@
         set_log_reachable(node, true);
         if ready {
             append_checkpoint(node).await;
-        } else {
-            actix_rt::time::sleep(READY_CHECK).await;
         }
     }
 }
 
+/// Returns once a starting node is ready by its peers, is to read the log as an elected reader, or
+/// has to read it because it finds no peers.
+async fn wait_for_peers(node: &Rc<Node>) {
+    let jitter = node.state.borrow_mut().rng.random_range(0.0..1.0);
+    actix_rt::time::sleep(PEERS_FIRST + PEERS_FIRST_JITTER.mul_f64(jitter)).await;
+    while node.clock.now() < PEERS_ONLY_LIMIT {
+        let leads = {
+            let state = node.state.borrow();
+            state.ready || (state.gossip.joined() && state.gossip.is_reader())
+        };
+        if leads {
+            return;
+        }
+        let bounds = node.log_client.bounds(CONFIG_STREAM).await;
+        if bounds.is_ok_and(|bounds| bounds.end.saturating_sub(bounds.oldest) <= FEW_RECORDS) {
+            return;
+        }
+        actix_rt::time::sleep(ELECTION_CHECK).await;
+    }
+}
+
 fn set_log_reachable(node: &Rc<Node>, reachable: bool) {
     let mut state = node.state.borrow_mut();
     if !reachable {
@@ -143,19 +171,7 @@
         resume_fold(&mut state);
         state.fold.next_offset()
     };
-    let batch = match node
-        .log_client
-        .read(CONFIG_STREAM, from, BATCH_RECORDS, wait)
-        .await
-    {
-        Err(failure) if failure.code == ResultCode::LogTruncated => {
-            let oldest = node.log_client.bounds(CONFIG_STREAM).await?.oldest;
-            node.log_client
-                .read(CONFIG_STREAM, oldest, BATCH_RECORDS, Duration::ZERO)
-                .await?
-        }
-        other => other?,
-    };
+    let batch = read_batch(node, from, wait).await?;
     let bytes: usize = batch.records.iter().map(|(_, record)| record.len()).sum();
     node.metrics.log_bytes.increment(bytes as u64);
     let events = node
@@ -175,6 +191,29 @@
     Ok(())
 }
 
+/// Reads records; halves their number as long as the answer exceeds the largest message.
+async fn read_batch(node: &Node, from: u64, wait: Duration) -> Result<LogBatch, Failure> {
+    let (mut from, mut wait, mut records) = (from, wait, BATCH_RECORDS);
+    loop {
+        let failure = match node
+            .log_client
+            .read(CONFIG_STREAM, from, records, wait)
+            .await
+        {
+            Ok(batch) => return Ok(batch),
+            Err(failure) => failure,
+        };
+        match failure.code {
+            ResultCode::LogTruncated => {
+                from = node.log_client.bounds(CONFIG_STREAM).await?.oldest;
+                wait = Duration::ZERO;
+            }
+            ResultCode::MessageTooLarge if records > 1 => records /= 2,
+            _ => return Err(failure),
+        }
+    }
+}
+
 /// A version that came from a peer lets the fold go on behind its record, so that a node that
 /// becomes a reader does not read the whole log.
 fn resume_fold(state: &mut super::NodeState) {
--- a/src/transport/log_client.rs
+++ b/src/transport/log_client.rs
@@ -21,6 +21,7 @@
 use crate::transport::http_client::HttpAnswer;
 use crate::transport::http_client::HttpClient;
 use crate::transport::http_client::Outgoing;
+use crate::transport::http_client::SendFailure;
 
 /// Time limit of an append, and what a read may take beyond its wait.
 pub const LOG_TIMEOUT: Duration = Duration::from_secs(2);
@@ -78,7 +79,8 @@
     /// Reads at most `max` records from offset `from`, waiting up to `wait` for the first one.
     ///
     /// # Errors
-    /// [`ResultCode::LogTruncated`] if `from` is older than the oldest record, otherwise
+    /// [`ResultCode::LogTruncated`] if `from` is older than the oldest record,
+    /// [`ResultCode::MessageTooLarge`] if `max` records exceed the largest message, otherwise
     /// [`ResultCode::LogUnavailable`].
     pub async fn read(
         &self,
@@ -155,7 +157,12 @@
             .http
             .send(self.addr, outgoing)
             .await
-            .map_err(|e| unavailable(&e.to_string()))?;
+            .map_err(|e| match e {
+                SendFailure::TooLarge => {
+                    Failure::new(ResultCode::MessageTooLarge, "the log's answer is too large")
+                }
+                other => unavailable(&other.to_string()),
+            })?;
         match answer.status {
             StatusCode::OK | StatusCode::GONE => Ok(answer),
             status => Err(unavailable(&format!("answered {status}"))),
