--- a/src/coordination/dissemination.rs
+++ b/src/coordination/dissemination.rs
@@ -76,6 +76,11 @@
 pub const DIGEST_PATIENCE: Duration = Duration::from_secs(10);
 /// Time without a peer of the same digest after which a full exchange is made although digests change.
 pub const DISAGREEMENT_LIMIT: Duration = Duration::from_secs(10);
+/// Takes the place of [`DISAGREEMENT_LIMIT`] and [`SYNC_PERIOD`] for [`JOIN_PHASE`] after joining. A node
+/// that joins in a mass restart misses the members that join elsewhere at that moment.
+pub const JOIN_PATIENCE: Duration = Duration::from_secs(3);
+/// See [`JOIN_PATIENCE`].
+pub const JOIN_PHASE: Duration = Duration::from_secs(15);
 /// Shortest time between two full exchanges that a node starts, varied by half.
 pub const SYNC_PERIOD: Duration = Duration::from_secs(10);
 /// Time after which a full exchange counts as failed.
@@ -207,6 +212,7 @@
     remote_pull_at: Option<Duration>,
     check: Option<DigestCheck>,
     agreed_at: Duration,
+    joined_at: Duration,
     next_sync: Duration,
     sync: Option<(SocketAddr, Duration)>,
     syncs_served: usize,
@@ -275,6 +281,7 @@
             remote_pull_at: None,
             check: None,
             agreed_at: Duration::ZERO,
+            joined_at: Duration::ZERO,
             next_sync: Duration::ZERO,
             sync: None,
             syncs_served: 0,
@@ -380,6 +387,7 @@
         let me = self.me().id.clone();
         if state.members.iter().any(|m| m.id != me) && !self.joined {
             self.joined = true;
+            self.joined_at = now;
             self.agreed_at = now;
         }
         let peer = self.sync.take().and_then(|(addr, _)| {
@@ -1112,12 +1120,21 @@
 
     fn start_sync(&mut self, now: Duration, addr: SocketAddr) {
         let jitter = self.membership.rng().random_range(0.5..1.5);
-        self.next_sync = now + SYNC_PERIOD.mul_f64(jitter);
+        let period = if self.joining(now) {
+            JOIN_PATIENCE
+        } else {
+            SYNC_PERIOD
+        };
+        self.next_sync = now + period.mul_f64(jitter);
         self.sync = Some((addr, now));
         self.check = None;
         self.actions.push(GossipAction::Sync { addr });
     }
 
+    fn joining(&self, now: Duration) -> bool {
+        now.saturating_sub(self.joined_at) < JOIN_PHASE
+    }
+
     fn sync_with(&mut self, now: Duration, peer: &NodeId) {
         if self.sync.is_none()
             && now >= self.next_sync
@@ -1137,7 +1154,15 @@
             self.check.take_if(|c| c.peer == *peer);
             return;
         }
-        if returned || now.saturating_sub(self.agreed_at) >= DISAGREEMENT_LIMIT {
+        // Peers of the own region are preferred, as traffic between regions is billed.
+        let remote = self.members()[index].region != self.me().region;
+        let limit = if self.joining(now) {
+            JOIN_PATIENCE
+        } else {
+            DISAGREEMENT_LIMIT
+        };
+        let limit = if remote { limit * 2 } else { limit };
+        if returned || now.saturating_sub(self.agreed_at) >= limit {
             self.sync_with(now, peer);
             return;
         }
@@ -1147,15 +1172,11 @@
             }
             return;
         }
-        // A peer of the own region is preferred, as traffic between regions is billed.
-        let region = &self.me().region;
-        let remote = |id: &NodeId| {
+        let is_remote = |id: &NodeId| {
             let found = self.membership.find(id);
-            found.is_none_or(|i| self.members()[i].region != *region)
-        };
-        let better = |check: &DigestCheck| {
-            !check.asked && remote(&check.peer) && self.members()[index].region == *region
+            found.is_none_or(|i| self.members()[i].region != self.me().region)
         };
+        let better = |check: &DigestCheck| !check.asked && !remote && is_remote(&check.peer);
         if self.check.as_ref().is_none_or(better) {
             self.check = Some(DigestCheck {
                 peer: peer.clone(),
