Keep crash reports from circulating for ever

A fifth crash of one request displaced the first one, so that the first was taken for new when it came again. crash_reports_settle failed before.

--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -145,10 +145,15 @@
         if entry.crashes.iter().any(same) {
             return false;
         }
-        entry.last = entry.last.max(at);
         if entry.crashes.len() == MAX_CRASHES_PER_FINGERPRINT {
-            entry.crashes.remove(0);
+            // Only a later crash says anything new. Replacing any other report would let two nodes
+            // pass the same reports to each other for ever.
+            if at <= entry.last {
+                return false;
+            }
+            entry.crashes.pop();
         }
+        entry.last = entry.last.max(at);
         entry.crashes.push(report.clone());
         true
     }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -74,6 +74,19 @@
     assert!(quarantine.reports(end).is_empty());
 }
 
+/// Guards against nodes that pass the same reports to each other for ever.
+#[test]
+fn crash_reports_settle() {
+    let mut quarantine = Quarantine::new();
+    let nodes = ["a", "b", "c", "d", "e", "f"];
+    let reports = nodes.map(|node| crash(7, node, 1, START));
+    for report in &reports {
+        quarantine.on_report(report, START);
+    }
+    let again = reports.iter().map(|r| quarantine.on_report(r, START));
+    assert!(again.flatten().next().is_none());
+}
+
 /// Guards against a clock that is ahead and extends the quarantine.
 #[test]
 fn crash_future_time() {
