--- a/src/coordination/rollout.rs
+++ b/src/coordination/rollout.rs
@@ -1100,8 +1100,11 @@
         } else {
             PROBE_PAUSE * (1 << u32::from(probes.min(10)))
         };
-        let possible = self.from_slots != Some(0) && probes < MAX_PROBES;
-        if self.probe(step) != Probe::None || !possible || turn.wall < entered.plus(pause) {
+        if self.probe(step) != Probe::None || turn.wall < entered.plus(pause) {
+            return;
+        }
+        if self.from_slots == Some(0) || probes >= MAX_PROBES {
+            self.report_uncompared(turn, step, finding);
             return;
         }
         let next = if finding.rate >= SEVERE_RATE { 2 } else { 1 };
@@ -1110,6 +1113,22 @@
         self.enter(turn, step + next, &why);
     }
 
+    /// Tells the operators of a rise of faults that is not acted on.
+    fn report_uncompared(&mut self, turn: &mut Turn<'_>, step: u8, finding: &Finding) {
+        if turn.now < self.next_stall_report {
+            return;
+        }
+        self.next_stall_report = turn.now + STALL_REPORT_INTERVAL;
+        let slots = self.from_slots.unwrap_or(0);
+        let minute = turn.wall.0 / millis(STALL_REPORT_INTERVAL);
+        let text = format!(
+            "cannot compare with the old version, which has {slots} slots: {}",
+            finding.text
+        );
+        let identity = format!("stalled-{step}-{minute}");
+        self.outcome(turn, ResultCode::RolloutStalled, &identity, text);
+    }
+
     fn end_probe(&mut self, turn: &mut Turn<'_>, progress: &RolloutProgress) {
         let (calls, rest) = match self.probe(progress.step) {
             Probe::None => return,
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -451,6 +451,51 @@
     );
 }
 
+/// Feeds an old backend server with 40 calls/s of 1 s each, which occupy 40 slots, and returns the
+/// shares and the stall that it reports.
+fn busy(new_slots: u32) -> (Vec<u8>, Option<String>) {
+    let route = RouteName::from("r0");
+    let mut node = engine(Some("v1"));
+    node.on_slots("registry", "v2", new_slots);
+    let call = CallSample {
+        service: "registry",
+        version: "v1",
+        route: &route,
+        outcome: CallOutcome::Success,
+        latency: Duration::from_secs(1),
+        downstream: Duration::ZERO,
+        downstream_failed: false,
+        cold: false,
+    };
+    let (mut shares, mut stall) = (Vec::new(), None);
+    for ms in (0..=Scenario::new(0).finish_ms()).step_by(25) {
+        let now = Duration::from_millis(ms);
+        node.record(now, wall(ms), &call);
+        if ms.is_multiple_of(200) {
+            for action in node.tick(now, wall(ms)) {
+                if let RolloutAction::Outcome(outcome) = action
+                    && outcome.code == ResultCode::RolloutStalled.number()
+                    && outcome.text.contains("slots")
+                {
+                    stall = Some(outcome.text);
+                }
+            }
+            shares.push(share(&node, ms));
+        }
+    }
+    shares.dedup();
+    (shares, stall)
+}
+
+/// Guards against a step that overloads the backend servers of the new version.
+#[test]
+fn capacity_limits_steps() {
+    let (shares, stall) = busy(30);
+    assert_eq!(shares, [0, 5, 25, 50, 100], "75 % only by the deadline");
+    assert!(stall.is_some());
+    assert_eq!(busy(60), (vec![0, 5, 25, 50, 75, 100], None));
+}
+
 /// Guards against a rollback for a difference that nobody would notice: 1 % more failures, or half a
 /// bucket more latency.
 #[test]
