Compare latency under like load, and probes without calls from before them

The old version's latency now counts under its highest load only, the first two seconds of a probe do not count, and an alarm is dropped while the old version fails too.

--- a/src/coordination/evidence.rs
+++ b/src/coordination/evidence.rs
@@ -13,8 +13,11 @@
 //! found as fast as one that was there from the start.
 //!
 //! Limits: calls are taken as independent; bursts are covered by [`MAX_BLOCK_EVIDENCE`], the
-//! confirmation time and the least effects only. A fault that only one of several backend servers of the new
-//! version shows is taken to be the server's, so that a version that is bad on one of them is not found.
+//! confirmation time and the least effects only. A fault that only one of several backend servers of the
+//! new version shows is taken to be the server's, so that a version that is bad on one of them is not
+//! found. A node that hears no report of the old version cannot tell a fault of both from one of the new
+//! version; it accuses the new one when more than [`ASSUMED_ERROR_RATE`] of its calls fail, or
+//! clearly more than the old one's before.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -40,6 +43,9 @@
 pub const MIN_RATIO: f64 = 1.5;
 /// A disturbance of the old version counts as shared unless the new version is worse by this factor.
 pub const SHARED_FAULT_RATIO: f64 = 2.0;
+/// The same factor for the calls after an alarm, where the old version's reports lag by up to a second and
+/// still contain calls from before a shared fault.
+pub const CONFIRM_RATIO: f64 = 3.0;
 /// Rise of the old version's rate over its own history that counts as a disturbance.
 pub const DISTURBANCE: f64 = 0.05;
 /// Time for which an alarm must last. Reports of the old version, sent once a second, arrive in it and
@@ -71,6 +77,11 @@
 pub const MIN_BASELINE_CALLS: f64 = 50.0;
 /// Share of calls with failed downstream calls above which the stored baseline accuses nobody.
 pub const MAX_DOWNSTREAM_FAILURES: f64 = 0.05;
+/// Part of its former load that the old version must carry for its latency to count as normal.
+pub const MIN_LOAD_PART: f64 = 0.6;
+/// Ratios of the new version's load to the old one's at which the limit of slow calls rises by half an
+/// octave. A backend server at 60 % of its slots is commonly half as slow again as an idle one.
+pub const LOAD_STEPS: [f64; 3] = [1.5, 3.0, 6.0];
 /// Rise of the call rate over the baseline above which slowness counts as overload.
 pub const MAX_LOAD_RISE: f64 = 1.5;
 /// Routes tracked; further ones count in the sum of all routes only.
@@ -276,12 +287,21 @@
     raised: Duration,
     /// Begin of the time to confirm.
     since: Duration,
-    /// Calls and hits of the new version since then.
+    /// Calls and hits of both versions since then.
     new_calls: f64,
     new_hits: f64,
+    old_calls: f64,
+    old_hits: f64,
 }
 
 impl Alarm {
+    /// Tells whether the old version has had the fault too since the alarm.
+    fn is_shared(&self, normal: f64) -> bool {
+        let old = rate(self.old_hits, self.old_calls);
+        let new = rate(self.new_hits, self.new_calls);
+        old > normal + DISTURBANCE && new < CONFIRM_RATIO * old
+    }
+
     fn new(concurrent: bool, raised: Duration, since: Duration) -> Self {
         Self {
             concurrent,
@@ -289,6 +309,8 @@
             since,
             new_calls: 0.0,
             new_hits: 0.0,
+            old_calls: 0.0,
+            old_hits: 0.0,
         }
     }
 }
@@ -369,6 +391,13 @@
         ((hits + prior * weight) / (calls + weight)).clamp(0.002, 0.95)
     }
 
+    fn add_old(&mut self, calls: f64, hits: f64) {
+        if let Some(alarm) = &mut self.alarm {
+            alarm.old_calls += calls;
+            alarm.old_hits += hits;
+        }
+    }
+
     fn add_new(&mut self, id: u8, calls: f64, hits: f64) {
         if let Some(alarm) = &mut self.alarm {
             alarm.new_calls += calls;
@@ -541,7 +570,8 @@
         let confirmed = lasted >= self.measure.confirm && (heard || lasted >= MAX_CONFIRM_TIME);
         // A burst that is over is no reason to act.
         let lasting = rate(alarm.new_hits, alarm.new_calls) >= window.new_rate() / 2.0;
-        if !confirmed || alarm.new_hits < MIN_CONFIRMING_HITS || !lasting {
+        let shared = alarm.is_shared(self.history_rate());
+        if !confirmed || alarm.new_hits < MIN_CONFIRMING_HITS || !lasting || shared {
             return None;
         }
         match self.effect(&window, open, view) {
@@ -663,8 +693,12 @@
     opened: Duration,
     errors: Detector,
     latency: Detector,
-    /// Latency histogram of the old version, decaying.
+    /// Latency histogram of the old version under its highest load, decaying.
     histogram: [f64; LATENCY_BUCKETS],
+    /// Calls per second of the old version in the blocks of the histogram.
+    histogram_load: f64,
+    /// Calls per second of the new version, decaying.
+    new_load: f64,
     /// Calls per second of both versions while the old one had traffic, decaying.
     normal_load: f64,
     /// Last block with calls of the old version.
@@ -680,6 +714,8 @@
             errors: Detector::new(ERRORS),
             latency: Detector::new(LATENCY),
             histogram: [0.0; LATENCY_BUCKETS],
+            histogram_load: 0.0,
+            new_load: 0.0,
             normal_load: 0.0,
             old_seen: None,
         }
@@ -687,15 +723,18 @@
 
     fn add(&mut self, side: Side, source: u8, tally: &Tally) {
         self.open[side as usize].add(tally);
+        let (calls, errors) = (tally.calls.into(), tally.errors.into());
+        let (timed, slow) = match self.slow_limit() {
+            Some(limit) => slow_calls(tally, limit),
+            None => (0.0, 0.0),
+        };
         if side == Side::Old {
-            return;
-        }
-        if let Some(limit) = self.slow_limit() {
-            let (calls, hits) = slow_calls(tally, limit);
-            self.latency.add_new(source, calls, hits);
+            self.errors.add_old(calls, errors);
+            self.latency.add_old(timed, slow);
+        } else {
+            self.errors.add_new(source, calls, errors);
+            self.latency.add_new(source, timed, slow);
         }
-        self.errors
-            .add_new(source, tally.calls.into(), tally.errors.into());
     }
 
     /// Bucket of the old version's 95th percentile; slower calls are slow.
@@ -705,10 +744,14 @@
             return None;
         }
         let mut sum = 0.0;
-        self.histogram.iter().position(|n| {
+        let limit = self.histogram.iter().position(|n| {
             sum += n;
             sum >= 0.95 * total
-        })
+        })?;
+        // Half an octave for each step of load that the new version carries beyond the old one.
+        let more = self.new_load / self.histogram_load.max(f64::MIN_POSITIVE);
+        let slack = LOAD_STEPS.iter().filter(|step| more > **step).count();
+        Some((limit + slack).min(LATENCY_BUCKETS - 1))
     }
 
     fn error_pair(&self) -> Pair {
@@ -804,9 +847,7 @@
         self.latency.close(slow, latency_view.reference);
         if errors.old_calls > 0.0 {
             self.old_seen = Some(now);
-            for (sum, n) in self.histogram.iter_mut().zip(self.open[0].latency) {
-                *sum = *sum * HISTORY_DECAY + f64::from(n);
-            }
+            self.add_histogram(errors.old_calls / age.as_secs_f64());
             let load = (errors.old_calls + errors.new_calls) / age.as_secs_f64();
             self.normal_load = if self.normal_load == 0.0 {
                 load
@@ -814,10 +855,28 @@
                 0.95 * self.normal_load + 0.05 * load
             };
         }
+        let new_load = errors.new_calls / age.as_secs_f64();
+        self.new_load = 0.8 * self.new_load + 0.2 * new_load;
         self.open = [Tally::default(); 2];
         self.opened = now;
     }
 
+    /// Adds the open block unless the old version carries much less load than before: its latency is then
+    /// no measure for a new version under full load.
+    fn add_histogram(&mut self, load: f64) {
+        if load < MIN_LOAD_PART * self.histogram_load {
+            return;
+        }
+        for (sum, n) in self.histogram.iter_mut().zip(self.open[0].latency) {
+            *sum = *sum * HISTORY_DECAY + f64::from(n);
+        }
+        self.histogram_load = if self.histogram_load == 0.0 {
+            load
+        } else {
+            0.95 * self.histogram_load + 0.05 * load
+        };
+    }
+
     fn finding(&self, detector: &Detector, found: &Judgement, view: View) -> Finding {
         let Judgement {
             window, evidence, ..
--- a/src/coordination/rollout.rs
+++ b/src/coordination/rollout.rs
@@ -149,7 +149,7 @@
 /// Time between two reports.
 pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Silence of a node after which its next report only sets a new starting point.
-pub const MAX_REPORT_GAP: Duration = Duration::from_millis(3_500);
+pub const MAX_REPORT_GAP: Duration = Duration::from_millis(2_500);
 /// Routes in one report: with 32 buckets of up to 5 bytes and a name, five fit a datagram.
 pub const MAX_REPORT_ROUTES: usize = 5;
 /// Shortest time in a step, unless the schedule is too tight; reports of all nodes arrive in it.
@@ -187,6 +187,9 @@
 pub const MILD_PROBE_CALLS: u32 = 2_000;
 /// Shortest probe; covers the spread of the rumor and several reports.
 pub const MIN_PROBE_TIME: Duration = Duration::from_secs(6);
+/// First part of a probe, whose calls do not count: reports still contain calls from before it, when the old
+/// version had none.
+pub const PROBE_SETTLE_TIME: Duration = Duration::from_secs(2);
 /// Longest probe.
 pub const MAX_PROBE_TIME: Duration = Duration::from_mins(1);
 /// Shortest time between two probes, doubled after each.
@@ -276,6 +279,8 @@
     calm_probes: u8,
     /// Rate of failed or slow calls at which this node began a probe.
     probe_rate: f64,
+    /// Step of the last probe whose first part is over.
+    settled: Option<u8>,
     observation: Option<Box<Observation>>,
 }
 
@@ -788,6 +793,7 @@
             reported_held: false,
             calm_probes: 0,
             probe_rate: 0.0,
+            settled: None,
             observation: None,
         }
     }
@@ -1047,7 +1053,7 @@
     }
 
     fn judge(&mut self, turn: &mut Turn<'_>) {
-        let quiet = turn.now < self.quiet_until;
+        let quiet = turn.now < self.quiet_until || !self.settle_probe(turn);
         let Some(observation) = &mut self.observation else {
             return;
         };
@@ -1091,6 +1097,24 @@
         self.outcome(turn, ResultCode::RolledBack, "rolled-back", text);
     }
 
+    /// Begins the evidence of a probe anew after its first part; returns whether that is over.
+    fn settle_probe(&mut self, turn: &Turn<'_>) -> bool {
+        let Some(progress) = &self.progress else {
+            return true;
+        };
+        if self.probe(progress.step) == Probe::None || self.settled == Some(progress.step) {
+            return true;
+        }
+        let over = turn.wall.since(progress.entered_at) >= PROBE_SETTLE_TIME;
+        if over {
+            self.settled = Some(progress.step);
+            if let Some(observation) = &mut self.observation {
+                observation.evidence.restart(turn.now);
+            }
+        }
+        over
+    }
+
     /// Gives the old version traffic again for a short time, so that both can be compared.
     fn begin_probe(&mut self, turn: &mut Turn<'_>, step: u8, finding: &Finding) {
         let probes = (step - self.last_step()) / 3;
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -13,12 +13,18 @@
 use service::run;
 use sycamorewick::coordination::rollout::CallOutcome;
 use sycamorewick::coordination::rollout::CallSample;
+use sycamorewick::coordination::rollout::MAX_REPORT_ROUTES;
 use sycamorewick::coordination::rollout::RolloutAction;
 use sycamorewick::coordination::rollout::RolloutEngine;
+use sycamorewick::protocol::codec::encode_compact;
+use sycamorewick::protocol::gossip::EvidenceReport;
+use sycamorewick::protocol::gossip::LATENCY_BUCKETS;
+use sycamorewick::protocol::gossip::MAX_DATAGRAM_BYTES;
 use sycamorewick::protocol::gossip::Rollback;
 use sycamorewick::protocol::gossip::RollbackCause;
 use sycamorewick::protocol::gossip::RolloutKey;
 use sycamorewick::protocol::gossip::RolloutProgress;
+use sycamorewick::protocol::gossip::RouteEvidence;
 use sycamorewick::protocol::name::ConfigVersion;
 use sycamorewick::protocol::name::RouteName;
 use sycamorewick::protocol::time::WallMs;
@@ -487,6 +493,33 @@
     (shares, stall)
 }
 
+/// Guards against a report that does not fit a datagram together with header and authentication.
+#[test]
+fn report_size() {
+    let name = "a-name-of-twenty-four-ch";
+    let evidence = RouteEvidence {
+        route: name.into(),
+        calls: 1_000_000,
+        errors: 1_000_000,
+        downstream_failed: 1_000_000,
+        latency: [1_000_000; LATENCY_BUCKETS],
+    };
+    let report = EvidenceReport {
+        key: RolloutKey {
+            service: name.into(),
+            to: name.into(),
+            since: ConfigVersion(u64::MAX),
+        },
+        version: name.into(),
+        step: 200,
+        sequence: u64::MAX,
+        crashes: 1_000_000,
+        routes: vec![evidence; MAX_REPORT_ROUTES],
+    };
+    let bytes = encode_compact(&report).unwrap().len();
+    assert!(bytes + 200 <= MAX_DATAGRAM_BYTES, "{bytes} bytes");
+}
+
 /// Guards against a step that overloads the backend servers of the new version.
 #[test]
 fn capacity_limits_steps() {
