--- a/testbed/src/measure/latency.rs
+++ b/testbed/src/measure/latency.rs
@@ -21,9 +21,11 @@
 use crate::caller::CallerReport;
 use crate::fleet::Fleet;
 use crate::fleet::FleetOptions;
+use crate::fleet::NodeProcess;
 use crate::measure::Spread;
 use crate::measure::plot;
 use crate::measure::print_json;
+use crate::measure::process_usage::ProcessUsage;
 use crate::measure::table::Table;
 
 /// Service and host that are called.
@@ -120,6 +122,11 @@
     pub added_pooled: Percentiles,
     /// Answered calls per second through the mesh.
     pub mesh_rate: Spread,
+    /// Processor time of both nodes together for one call, microseconds, control included.
+    pub node_cpu_us_per_call: f64,
+    /// Time for which both nodes together were ready to run and waited for a processor, for one call,
+    /// microseconds. If it is not small, the machine is too busy for the upper percentiles.
+    pub node_waited_us_per_call: f64,
     /// Calls that failed or got a wrong answer, both ways.
     pub failed: u64,
 }
@@ -147,7 +154,7 @@
     entries: Vec<SocketAddr>,
     servers: Vec<BackendHandle>,
     // Dropped after the backend servers, whose nodes then still run.
-    _fleet: Fleet,
+    fleet: Fleet,
 }
 
 impl Bench {
@@ -184,7 +191,7 @@
         Ok(Self {
             entries,
             servers,
-            _fleet: fleet,
+            fleet,
         })
     }
 
@@ -209,6 +216,8 @@
         let mut added: Vec<Percentiles> = Vec::new();
         let mut mesh_rates = Vec::new();
         let mut failed = 0;
+        let mut used = ProcessUsage::default();
+        let mut mesh_calls = 0;
         for mesh in [false, true] {
             self.call(mesh, rate, WARM_UP).await;
         }
@@ -217,7 +226,14 @@
             // The first way changes from round to round, so that a drift of the machine's speed
             // does not favour one of them.
             for mesh in [round % 2 == 1, round % 2 == 0] {
+                let before = self.usage()?;
                 let report = self.call(mesh, rate, duration).await;
+                if mesh {
+                    let after = self.usage()?;
+                    used.cpu += after.cpu.saturating_sub(before.cpu);
+                    used.waited += after.waited.saturating_sub(before.waited);
+                    mesh_calls += report.sent;
+                }
                 let mut one = histogram()?;
                 for sample in report.samples.iter().filter(|s| s.status == 200) {
                     one.saturating_record(sample.latency_us);
@@ -262,9 +278,27 @@
             added_p999_us: spread(|p| p.p999_us),
             added_pooled: mesh.minus(direct),
             mesh_rate: Spread::of(&mesh_rates),
+            node_cpu_us_per_call: per_call_us(used.cpu, mesh_calls),
+            node_waited_us_per_call: per_call_us(used.waited, mesh_calls),
             failed,
         })
     }
+
+    /// Sums the usage of all nodes.
+    fn usage(&self) -> eyre::Result<ProcessUsage> {
+        let mut sum = ProcessUsage::default();
+        for pid in self.fleet.nodes().iter().filter_map(NodeProcess::pid) {
+            let usage = ProcessUsage::read(pid)?;
+            sum.cpu += usage.cpu;
+            sum.waited += usage.waited;
+        }
+        Ok(sum)
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn per_call_us(time: Duration, calls: u64) -> f64 {
+    time.as_secs_f64() * 1e6 / calls.max(1) as f64
 }
 
 fn document(fleet: &FleetOptions) -> eyre::Result<Document> {
@@ -295,6 +329,8 @@
         "added p99.9 us",
         "pooled p99 us",
         "calls/s",
+        "CPU us/call",
+        "waited us/call",
         "failed",
     ]);
     let three = |p: &Percentiles| format!("{:.0}/{:.0}/{:.0}", p.p50_us, p.p99_us, p.p999_us);
@@ -309,6 +345,8 @@
             spread(&r.added_p999_us),
             format!("{:.0}", r.added_pooled.p99_us),
             format!("{:.1}", r.mesh_rate.median),
+            format!("{:.0}", r.node_cpu_us_per_call),
+            format!("{:.0}", r.node_waited_us_per_call),
             r.failed.to_string(),
         ]);
     }
--- a/testbed/src/measure/process_usage.rs
+++ b/testbed/src/measure/process_usage.rs
@@ -8,6 +8,8 @@
 pub struct ProcessUsage {
     /// Time on a processor since the start, all threads.
     pub cpu: Duration,
+    /// Time for which threads were ready to run and waited for a processor, a sign of a busy machine.
+    pub waited: Duration,
     /// Resident memory, KiB.
     pub rss_kib: u64,
 }
@@ -20,14 +22,18 @@
     /// Returns an error if the process is gone.
     pub fn read(pid: u32) -> eyre::Result<Self> {
         let mut cpu = Duration::ZERO;
+        let mut waited = Duration::ZERO;
         for task in fs::read_dir(format!("/proc/{pid}/task"))? {
             let file = task?.path().join("schedstat");
             // A thread may end between the listing and the read.
             let Ok(text) = fs::read_to_string(&file) else {
                 continue;
             };
-            let nanos = text.split_whitespace().next().and_then(|n| n.parse().ok());
-            cpu += Duration::from_nanos(nanos.unwrap_or_default());
+            let mut nanos = text
+                .split_whitespace()
+                .map(|n| Duration::from_nanos(n.parse().unwrap_or_default()));
+            cpu += nanos.next().unwrap_or_default();
+            waited += nanos.next().unwrap_or_default();
         }
         let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
         let rss_kib = status
@@ -36,6 +42,10 @@
             .and_then(|rest| rest.split_whitespace().next())
             .and_then(|kib| kib.parse().ok())
             .ok_or_else(|| eyre::eyre!("status of process {pid} has no VmRSS"))?;
-        Ok(Self { cpu, rss_kib })
+        Ok(Self {
+            cpu,
+            waited,
+            rss_kib,
+        })
     }
 }
