--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -564,6 +564,16 @@
         .await
     }
 
+    /// Returns the log lines of a node, without lines that are no JSON objects.
+    #[must_use]
+    pub fn log_lines(&self, index: usize) -> Vec<Value> {
+        let text = fs::read_to_string(&self.nodes[index].output_file).unwrap_or_default();
+        text.lines()
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .filter(Value::is_object)
+            .collect()
+    }
+
     /// Returns the last lines of a node's output, for the message of a failure.
     #[must_use]
     pub fn output_tail(&self, index: usize, lines: usize) -> String {
--- a/testbed/src/measure/convergence.rs
+++ b/testbed/src/measure/convergence.rs
@@ -25,6 +25,8 @@
 use sycamorewick::protocol::record::ConfigRecord;
 use sycamorewick::protocol::record::Publish;
 use sycamorewick::protocol::time::WallMs;
+use time::OffsetDateTime;
+use time::format_description::well_known::Rfc3339;
 use tokio::sync::Notify;
 use uuid::Uuid;
 
@@ -132,9 +134,11 @@
     pub start_ms: f64,
     /// Time until the publisher had its answer, ms.
     pub accepted_ms: Spread,
-    /// Time from the request of the publisher to the version in force on the last node, as seen by
-    /// asking all nodes, ms.
-    pub observed_ms: Spread,
+    /// Time from the request of the publisher to the version in force on the median node, ms. Taken
+    /// from the nodes' log lines, since asking all nodes again and again slows them down.
+    pub median_node_ms: Spread,
+    /// Time from the request of the publisher to the version in force on the last node, ms.
+    pub last_node_ms: Spread,
     /// Time from the request of the publisher until the node that served it said that the version is
     /// in force everywhere, ms.
     pub confirmed_ms: Spread,
@@ -195,8 +199,11 @@
 
 #[allow(clippy::cast_precision_loss)]
 async fn one_size(options: &ConvergenceOptions, size: usize) -> eyre::Result<SizeResult> {
+    let mut fleet_options = FleetOptions::new(&options.binary, size);
+    // The lines on versions in force have this level.
+    fleet_options.log_level = "info".into();
     let begun = Instant::now();
-    let mut fleet = Fleet::start(FleetOptions::new(&options.binary, size))?;
+    let mut fleet = Fleet::start(fleet_options)?;
     let ready = fleet.wait_ready(LIMIT).await;
     ready.wrap_err_with(|| format!("last output of n1:\n{}", fleet.output_tail(0, 5)))?;
     let start_ms = ms(begun.elapsed());
@@ -241,7 +248,8 @@
         document_bytes,
         start_ms,
         accepted_ms: Spread::of(&published.accepted_ms),
-        observed_ms: Spread::of(&published.observed_ms),
+        median_node_ms: Spread::of(&published.median_node_ms),
+        last_node_ms: Spread::of(&published.last_node_ms),
         confirmed_ms: Spread::of(&published.confirmed_ms),
         idle_bytes_per_s,
         bytes_per_publish,
@@ -374,7 +382,8 @@
 struct Published {
     version: u64,
     accepted_ms: Vec<f64>,
-    observed_ms: Vec<f64>,
+    median_node_ms: Vec<f64>,
+    last_node_ms: Vec<f64>,
     confirmed_ms: Vec<f64>,
     bytes: ControlBytes,
     seconds: f64,
@@ -391,19 +400,15 @@
         // Another node each time, since the node that publishes has the version first.
         let through = revision * 7 % fleet.nodes().len();
         let sent = Instant::now();
+        let sent_wall = OffsetDateTime::now_utc();
         let (version, accepted) = publish(fleet, through, &document).await?;
-        let observed = async {
-            let result = observe(fleet, version).await;
-            result.map(|()| ms(sent.elapsed()))
-        };
-        let confirmed = async {
-            let result = confirm(fleet, through, version).await;
-            result.map(|()| ms(sent.elapsed()))
-        };
-        let (observed, confirmed) = futures_util::future::join(observed, confirmed).await;
+        confirm(fleet, through, version).await?;
+        found.confirmed_ms.push(ms(sent.elapsed()));
+        let times = in_force_times(fleet, version, sent_wall).await?;
+        let times = Spread::of(&times);
         found.accepted_ms.push(accepted);
-        found.observed_ms.push(observed?);
-        found.confirmed_ms.push(confirmed?);
+        found.median_node_ms.push(times.median);
+        found.last_node_ms.push(times.max);
         found.version = version;
         actix_rt::time::sleep(next.saturating_duration_since(Instant::now())).await;
     }
@@ -413,16 +418,39 @@
     Ok(found)
 }
 
-/// Waits until all nodes export this version. The metrics are shorter than the status document,
-/// which lists all members.
-#[allow(clippy::cast_precision_loss)]
-async fn observe(fleet: &Fleet, version: u64) -> eyre::Result<()> {
-    let version = version as f64;
-    let wait = fleet.wait_for_nodes("the new version", LIMIT, |index| async move {
-        let metrics = fleet.metrics(index).await;
-        metrics.is_ok_and(|m| m.get("sycamorewick_config_version") >= version)
-    });
-    wait.await.map(drop)
+/// Reads from the log lines of all nodes how long after `sent` the version came into force, ms. Waits
+/// for the lines, which the nodes write asynchronously.
+async fn in_force_times(
+    fleet: &Fleet,
+    version: u64,
+    sent: OffsetDateTime,
+) -> eyre::Result<Vec<f64>> {
+    let until = Instant::now() + LIMIT;
+    loop {
+        let times: Vec<f64> = (0..fleet.nodes().len())
+            .filter_map(|index| in_force_at(&fleet.log_lines(index), version))
+            .map(|at| (at - sent).as_seconds_f64() * 1e3)
+            .collect();
+        if times.len() == fleet.nodes().len() {
+            return Ok(times);
+        }
+        ensure!(
+            Instant::now() < until,
+            "{} of {} nodes logged version {version} within {LIMIT:?}",
+            times.len(),
+            fleet.nodes().len()
+        );
+        actix_rt::time::sleep(CONFIRM_INTERVAL).await;
+    }
+}
+
+/// Finds when a node put this or a later version in force.
+fn in_force_at(lines: &[Value], version: u64) -> Option<OffsetDateTime> {
+    let line = lines.iter().find(|line| {
+        line["msg"] == "configuration in force"
+            && line["version"].as_u64().is_some_and(|v| v >= version)
+    })?;
+    OffsetDateTime::parse(line["ts"].as_str()?, &Rfc3339).ok()
 }
 
 /// Waits until the node that served the publication says that the version is in force everywhere.
@@ -555,7 +583,8 @@
     let mut table = Table::new(&[
         "nodes",
         "accepted ms",
-        "in force ms (min..max)",
+        "median node ms",
+        "last node ms (min..max)",
         "confirmed ms",
         "polled baseline ms",
         "idle B/s/node",
@@ -572,7 +601,8 @@
         table.row(vec![
             r.nodes.to_string(),
             format!("{:.0}", r.accepted_ms.median),
-            spread(&r.observed_ms),
+            format!("{:.0}", r.median_node_ms.median),
+            spread(&r.last_node_ms),
             format!("{:.0}", r.confirmed_ms.median),
             spread(&r.baseline.last_poller_ms),
             format!("{:.0}", r.idle_bytes_per_s.total()),
@@ -602,7 +632,8 @@
         "nodes",
         "milliseconds",
         &[
-            line("in force on the last node", |r| r.observed_ms.median),
+            line("in force on the last node", |r| r.last_node_ms.median),
+            line("in force on the median node", |r| r.median_node_ms.median),
             line("confirmed by the publishing node", |r| {
                 r.confirmed_ms.median
             }),
