--- a/src/node/publish.rs
+++ b/src/node/publish.rs
@@ -110,8 +110,13 @@
         return Ok(refused(&[failure]));
     }
     catch_up(node, None).await?;
-    if let Some(answer) = known(node, id) {
-        return Ok(answer);
+    match known(node, id) {
+        Some(SeenPublish {
+            version: Some(version),
+            ..
+        }) => return Ok(accepted(node, version)),
+        Some(_) => return Ok(lost(node, request.base).await),
+        None => {}
     }
     let (publish, stale) = {
         let state = node.state.borrow();
@@ -125,6 +130,7 @@
         let failures = check_publish(state.fold.current(), &publish).err();
         (publish, failures)
     };
+    let base = publish.base;
     if let Some(failures) = stale {
         return refused_or_successor(node, &publish, &failures).await;
     }
@@ -132,12 +138,17 @@
     let offset = node.log_client.append(CONFIG_STREAM, record).await?;
     info!(node.log, "publication appended"; "publish_id" => id.to_string(), "offset" => offset);
     catch_up(node, Some(offset)).await?;
-    known(node, id).ok_or_else(|| {
-        Failure::new(
+    match known(node, id) {
+        Some(SeenPublish {
+            version: Some(version),
+            ..
+        }) => Ok(accepted(node, version)),
+        Some(_) => Ok(lost(node, Some(base)).await),
+        None => Err(Failure::new(
             ResultCode::PublishUnconfirmed,
             "the record was not found in the log",
-        )
-    })
+        )),
+    }
 }
 
 fn check_author(author: &str) -> Result<(), Failure> {
@@ -175,20 +186,40 @@
         Ok(Some((version, first))) if first.publish_id == publish.publish_id => {
             Ok(accepted(node, version))
         }
-        Ok(Some((version, first))) => {
-            let text = format!(
-                "the publication is based on version {}, but version {version} by {} took effect \
-                 after it and {in_force} is in force; compare with it and publish again",
-                publish.base, first.author
-            );
-            Ok(refused(&[Failure::new(ResultCode::PublishStale, text)]))
-        }
+        Ok(Some((version, first))) => Ok(lost_to(node, publish.base, version, &first)),
         Ok(None) => Ok(refused(failures)),
         Err(failure) if failure.code == ResultCode::LogTruncated => Ok(refused(failures)),
         Err(failure) => Err(failure),
     }
 }
 
+/// Answer to a publication that the fold refused because another one took effect on its base.
+async fn lost(node: &Rc<Node>, base: Option<ConfigVersion>) -> PublishAnswer {
+    if let Some(base) = base
+        && let Ok(Some((version, first))) = history::successor(node, base).await
+    {
+        return lost_to(node, base, version, &first);
+    }
+    let text = "another publication took effect first; compare with the version in force and \
+                publish again";
+    refused(&[Failure::new(ResultCode::PublishStale, text)])
+}
+
+fn lost_to(
+    node: &Node,
+    base: ConfigVersion,
+    version: ConfigVersion,
+    first: &Publish,
+) -> PublishAnswer {
+    let in_force = node.state.borrow().fold.version();
+    let text = format!(
+        "the publication is based on version {base}, but version {version} by {} took effect after \
+         it and {in_force} is in force; compare with it and publish again",
+        first.author
+    );
+    refused(&[Failure::new(ResultCode::PublishStale, text)])
+}
+
 /// Returns the version in force at the end of the log, on which a new publication is based.
 ///
 /// # Errors
@@ -219,19 +250,10 @@
     }
 }
 
-fn known(node: &Node, id: PublishId) -> Option<PublishAnswer> {
+/// Returns what became of a publication as far as the fold remembers it.
+fn known(node: &Node, id: PublishId) -> Option<SeenPublish> {
     let state = node.state.borrow();
-    let seen: SeenPublish = state.fold.outcome_of(id)?.clone();
-    drop(state);
-    let Some(version) = seen.version else {
-        return Some(PublishAnswer {
-            result: "refused",
-            version: None,
-            code: ResultCode::PublishStale.number(),
-            text: "another publication took effect first; compare with the version in force and publish again".into(),
-        });
-    };
-    Some(accepted(node, version))
+    state.fold.outcome_of(id).cloned()
 }
 
 fn accepted(node: &Node, version: ConfigVersion) -> PublishAnswer {
