--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,497 @@
+//! The commands of operators, each run as a process against real nodes and a stand-in of the log.
+
+use std::fs;
+
+use googletest::prelude::*;
+use serde_json::Value;
+use serde_json::json;
+use sycamorewick::protocol::codec;
+use sycamorewick::protocol::record::CONFIG_STREAM;
+use sycamorewick::protocol::record::ConfigRecord;
+use testbed::log_server::Outage;
+use uuid::Uuid;
+
+#[path = "support/env.rs"]
+mod env;
+
+use env::World;
+
+const COMMANDS: [&str; 10] = [
+    "node",
+    "validate",
+    "publish",
+    "diff",
+    "history",
+    "status",
+    "watch",
+    "revert",
+    "console",
+    "completions",
+];
+
+/// Number of publish records in the log, whether they took effect or not.
+fn publish_records(world: &World) -> usize {
+    let records = world.log.records(CONFIG_STREAM);
+    records
+        .iter()
+        .filter(|(_, bytes)| matches!(codec::decode(bytes), Ok(ConfigRecord::Publish(_))))
+        .count()
+}
+
+fn accepted(world: &World, index: usize) -> Vec<Value> {
+    let history = world.get(index, "/v1/history").expect("the history");
+    let entries = history.as_array().expect("a list").iter();
+    entries
+        .filter(|entry| entry["result"] == "accepted")
+        .cloned()
+        .collect()
+}
+
+/// Guards against a command whose help is missing or too long for a first look.
+#[gtest]
+fn help_short_and_complete() {
+    for name in COMMANDS {
+        let short = env::command(&[name, "-h"]).expect(0).stdout;
+        let long = env::command(&[name, "--help"]).expect(0).stdout;
+        expect_that!(short.lines().count(), le(30), "{name}");
+        expect_that!(long, contains_substring("Example"), "{name}");
+        expect_that!(long, contains_substring("--json"), "{name}");
+        expect_that!(long, contains_substring("--color"), "{name}");
+    }
+}
+
+/// Guards against wrong arguments that look like another failure to a script.
+#[gtest]
+fn arguments_wrong_exit_with_2() {
+    for args in [
+        vec![],
+        vec!["publish"],
+        vec!["revert", "0"],
+        vec!["history", "--limit", "0"],
+        vec!["status", "--operator", "nowhere"],
+        vec!["status", "--color", "blue"],
+        vec!["fly"],
+    ] {
+        let run = env::command(&args);
+        expect_that!(run.code, some(eq(2)), "{args:?}");
+    }
+}
+
+/// Guards against completion scripts that lack a command.
+#[gtest]
+fn completions_contain_all_commands() {
+    for shell in ["bash", "elvish", "fish", "powershell", "zsh"] {
+        let script = env::command(&["completions", shell]).expect(0).stdout;
+        for name in COMMANDS {
+            expect_that!(script, contains_substring(name), "{shell}");
+        }
+    }
+}
+
+/// Guards against a document that `validate` accepts or refuses in another way than the exit code
+/// says, and against faults without a place.
+#[gtest]
+fn validate_plain_and_json() -> googletest::Result<()> {
+    let dir = tempfile::tempdir()?;
+    let good = dir.path().join("good.jsonc").display().to_string();
+    let bad = dir.path().join("bad.jsonc").display().to_string();
+    fs::write(&good, env::document(100).to_string())?;
+    fs::write(
+        &bad,
+        env::document(100)
+            .to_string()
+            .replace("\"share\":0", "\"share\":7"),
+    )?;
+    let run = env::command(&["validate", &good]).expect(0);
+    expect_that!(run.stdout, starts_with("valid: "));
+    let run = env::command(&["validate", "--json", &good]).expect(0);
+    expect_that!(run.json()["services"], eq(&json!(1)));
+    let run = env::command(&["validate", &bad]).expect(3);
+    expect_that!(run.stderr, contains_substring("3005"));
+    expect_that!(run.stderr, contains_substring("bad.jsonc:1:"));
+    expect_that!(run.stdout, eq(""));
+    let run = env::command(&["validate", "--json", &bad]).expect(3);
+    expect_that!(run.json()["failures"][0]["code"], eq(&json!(3005)));
+    env::command(&["validate", "absent.jsonc"]).expect(1);
+    Ok(())
+}
+
+/// Guards against examples that CI and operators cannot check without the secrets of a fleet.
+#[gtest]
+fn check_settings_of_examples_without_secrets() {
+    for name in ["registry", "booth"] {
+        let file = format!("{}/examples/{name}/node.jsonc", env!("CARGO_MANIFEST_DIR"));
+        let run = env::command(&["node", "--check-settings", &file]).expect(0);
+        expect_that!(run.stdout, contains_substring("valid"));
+        expect_that!(run.stderr, contains_substring("cluster_key_file"));
+        let run = env::command(&["node", "--settings", &file]).expect(3);
+        expect_that!(run.stderr, contains_substring("operator_token_file"));
+    }
+}
+
+/// Guards against control characters in files and pipes, and against colours that a user switched
+/// off.
+#[gtest]
+fn color_by_terminal_option_and_no_color() -> googletest::Result<()> {
+    let dir = tempfile::tempdir()?;
+    let file = dir.path().join("d.jsonc").display().to_string();
+    fs::write(&file, env::document(100).to_string())?;
+    let run = |args: &[&str], env: &[(&str, &str)]| {
+        let args: Vec<&str> = ["validate", &file].iter().chain(args).copied().collect();
+        env::start(&args, env).finish().expect(0).stdout
+    };
+    expect_that!(run(&[], &[]), not(contains_substring("\x1b")));
+    expect_that!(
+        run(&["--color", "never"], &[]),
+        not(contains_substring("\x1b"))
+    );
+    expect_that!(
+        run(&["--color", "always"], &[]),
+        contains_substring("\x1b[32m")
+    );
+    // The option is the more explicit wish of the two.
+    let with_both = run(&["--color", "always"], &[("NO_COLOR", "1")]);
+    expect_that!(with_both, contains_substring("\x1b[32m"));
+    Ok(())
+}
+
+/// Guards against a node that is away being taken for an empty fleet, and against retries with a
+/// token that will never be accepted.
+#[gtest]
+fn access_failures_have_their_exit_codes() -> googletest::Result<()> {
+    let world = World::start(1);
+    let addr = world.nodes[0].operator_addr.to_string();
+    let token = world.dir().join("operator.token").display().to_string();
+    let wrong = world.dir().join("wrong.token").display().to_string();
+    fs::write(&wrong, "another-token")?;
+    let document = world.document(100);
+    for command in [
+        vec!["status"],
+        vec!["history"],
+        vec!["publish", &document],
+        vec!["watch"],
+    ] {
+        let with = |addr: &str, token: &str| {
+            let access = ["--operator", addr, "--token-file", token];
+            let args: Vec<&str> = command.iter().copied().chain(access).collect();
+            env::start(&args, &[]).finish()
+        };
+        let run = with(&addr, &wrong).expect(1);
+        let output = run.stdout + &run.stderr;
+        expect_that!(output, contains_substring("does not accept the token"));
+        with(&addr, "absent.token").expect(1);
+    }
+    let closed = testbed::fleet::free_addr().expect("an address").to_string();
+    let run = env::command(&["status", "--operator", &closed, "--token-file", &token]).expect(6);
+    expect_that!(run.stderr, contains_substring("does not answer"));
+    let run = env::command(&[
+        "publish",
+        "--timeout",
+        "1",
+        "--operator",
+        &closed,
+        "--token-file",
+        &token,
+        &document,
+    ])
+    .expect(6);
+    expect_that!(
+        run.stdout,
+        contains_substring("not confirmed: nothing was published")
+    );
+    // The wrong tokens are an outcome.
+    env::wait_for("5010 is reported", || {
+        let outcomes = world.get(0, "/v1/outcomes")?;
+        let found = outcomes.as_array()?.iter().any(|o| o["code"] == 5010);
+        found.then_some(())
+    });
+    Ok(())
+}
+
+/// Guards against a break anywhere on the way of a publication, and against a version that goes back
+/// when an earlier one is published again.
+#[gtest]
+fn publish_diff_history_and_revert() {
+    let world = World::start(3);
+    let run = world.run(0, &["publish", &world.document(100)]).expect(0);
+    expect_that!(
+        run.stdout,
+        contains_regex("^in force: version 1 is in force everywhere after [0-9]+ ms\n$")
+    );
+    let second = world.document(60);
+    let run = world.run(1, &["diff", &second]).expect(0);
+    expect_that!(
+        run.stdout,
+        contains_substring("~ services[orders].versions[v1].share: 100 -> 60")
+    );
+    let run = world
+        .run(1, &["publish", "--json", "--author", "ana", &second])
+        .expect(0);
+    expect_that!(run.json()["result"], eq(&json!("in force")));
+    expect_that!(run.json()["version"], eq(&json!(2)));
+    let run = world.run(2, &["diff", &second]).expect(0);
+    expect_that!(run.stdout, contains_substring("no difference"));
+
+    let run = world.run(1, &["publish", "--base", "1", &second]).expect(4);
+    expect_that!(run.stdout, contains_substring("refused: 2001"));
+    expect_that!(run.stdout, contains_substring("version 2 by ana"));
+
+    let run = world.run(2, &["revert", "--json", "1"]).expect(0);
+    expect_that!(run.json()["version"], eq(&json!(3)));
+    let run = world.run(0, &["diff", &world.document(100)]).expect(0);
+    expect_that!(run.stdout, contains_substring("no difference"));
+    let run = world.run(0, &["revert", "77"]);
+    expect_that!(run.code, some(eq(1)));
+    expect_that!(run.stderr, contains_substring("no version 77"));
+
+    let history = world.run(2, &["history", "--json"]).expect(0).json();
+    let versions: Vec<&Value> = history
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|e| &e["version"])
+        .collect();
+    expect_that!(
+        versions,
+        elements_are![eq(&&json!(1)), eq(&&json!(2)), eq(&&json!(3))]
+    );
+    expect_that!(history[1]["author"], eq(&json!("ana")));
+    let run = world.run(2, &["history", "--limit", "1"]).expect(0);
+    expect_that!(run.stdout.lines().count(), eq(2));
+    expect_that!(run.stdout, contains_substring("accepted"));
+
+    let run = world.run(0, &["status"]).expect(0);
+    expect_that!(run.stdout, contains_substring("version 3 is in force"));
+    expect_that!(run.stdout, contains_substring("3 of 3 nodes are alive"));
+    expect_that!(run.stdout, contains_substring("v1 100%, v2 0%"));
+    let run = world.run(0, &["console"]).expect(0);
+    expect_that!(run.stdout, contains_substring("/console in a browser"));
+    expect_that!(run.stdout, not(contains_substring(env::TOKEN)));
+}
+
+/// Guards against the loss of an operator's change: of two publications on one base exactly one
+/// takes effect, and the other operator is told.
+#[gtest]
+fn publish_two_operators_race_and_one_wins() {
+    let world = World::start(3);
+    world.run(0, &["publish", &world.document(100)]).expect(0);
+    for round in 0..5_u8 {
+        let base = (accepted(&world, 0).last().expect("a version")["version"]).to_string();
+        let (first, second) = (world.document(10 + round), world.document(50 + round));
+        let publish = |index, author, file| {
+            let args = ["publish", "--base", base.as_str(), "--author", author, file];
+            world.spawn(index, &args)
+        };
+        let (ana, ben) = (publish(1, "ana", &first), publish(2, "ben", &second));
+        let runs = [ana.finish(), ben.finish()];
+        let mut codes = runs.each_ref().map(|run| run.code);
+        codes.sort_unstable();
+        expect_that!(codes, eq([Some(0), Some(4)]), "{runs:?}");
+        let loser = runs.iter().find(|run| run.code == Some(4));
+        expect_that!(
+            loser.map_or("", |run| &run.stdout),
+            contains_substring("2001")
+        );
+    }
+    expect_that!(accepted(&world, 0).len(), eq(6));
+}
+
+/// Guards against a document that takes effect twice because the answer to its append was lost.
+#[gtest]
+fn publish_lost_answer_takes_effect_once() {
+    let world = World::start(3);
+    world.run(0, &["publish", &world.document(100)]).expect(0);
+    world.log.lose_answers(1);
+    let run = world
+        .run(1, &["publish", "--json", &world.document(40)])
+        .expect(0);
+    expect_that!(run.json()["version"], eq(&json!(2)));
+    expect_that!(world.log.report().counters.lost_answers, ge(1));
+    expect_that!(accepted(&world, 2).len(), eq(2));
+    expect_that!(publish_records(&world), eq(2));
+}
+
+/// Guards against a second try through a node that took its state from peers and therefore does not
+/// know the recent publications: it must neither publish again nor call the first try refused.
+#[gtest]
+fn publish_repeated_through_restarted_node_takes_effect_once() {
+    let mut world = World::start(3);
+    world.run(0, &["publish", &world.document(100)]).expect(0);
+    let body = json!({
+        "publish_id": Uuid::now_v7(),
+        "base": 1,
+        "author": "ana",
+        "document": env::document(30),
+    });
+    let first = world.post(1, "/v1/publish", &body).expect("an answer");
+    expect_that!(first["result"], eq(&json!("accepted")));
+    world.kill_node(2);
+    world.start_node(2);
+    world.wait_ready(2);
+    let second = world.post(2, "/v1/publish", &body).expect("an answer");
+    expect_that!(second["result"], eq(&json!("accepted")), "{second}");
+    expect_that!(second["version"], eq(&first["version"]));
+    expect_that!(publish_records(&world), eq(2));
+}
+
+/// Guards against a publication that seems to be in force, or seems to be refused, while the log is
+/// down, and against one that appears later although nothing was sent.
+#[gtest]
+fn publish_during_outage_is_not_confirmed() {
+    let world = World::start(3);
+    world.run(0, &["publish", &world.document(100)]).expect(0);
+    for outage in [Outage::Refuse, Outage::Hang] {
+        world.log.set_outage(outage);
+        let args = ["publish", "--timeout", "1", &world.document(20)];
+        let run = world.run(1, &args).expect(5);
+        expect_that!(run.stdout, starts_with("not confirmed: "));
+        expect_that!(run.stdout, contains_substring("2004 log unavailable"));
+        let history = world.run(1, &["history"]).expect(5);
+        expect_that!(history.stderr, contains_substring("2004"));
+    }
+    world.log.set_outage(Outage::Off);
+    let run = world
+        .run(1, &["publish", "--json", &world.document(20)])
+        .expect(0);
+    expect_that!(run.json()["version"], eq(&json!(2)));
+    expect_that!(publish_records(&world), eq(2));
+}
+
+/// Guards against a repeat with the printed base that publishes a document twice after a try that
+/// ended with "not confirmed" and took effect all the same.
+#[gtest]
+fn publish_again_on_printed_base_after_lost_answers() {
+    let world = World::start(3);
+    world.run(0, &["publish", &world.document(100)]).expect(0);
+    world.log.lose_answers(1);
+    let args = ["publish", "--timeout", "1", &world.document(40)];
+    let run = world.run(1, &args).expect(5);
+    expect_that!(run.stdout, contains_substring("--base 1"));
+    let run = world
+        .run(2, &["publish", "--base", "1", &world.document(40)])
+        .expect(4);
+    expect_that!(run.stdout, contains_substring("version 2"));
+    expect_that!(accepted(&world, 0).len(), eq(2));
+}
+
+/// Guards against outcomes that a watcher misses while its node restarts or the log is down.
+#[gtest]
+fn watch_survives_restart_and_outage() {
+    let mut world = World::start(3);
+    let watch = world.spawn(
+        0,
+        &[
+            "watch",
+            "--until",
+            "version 3 is in force",
+            "--timeout",
+            "35",
+        ],
+    );
+    world.run(1, &["publish", &world.document(100)]).expect(0);
+    env::wait_for("the first version is shown", || {
+        watch
+            .stdout()
+            .contains("version 1 is in force")
+            .then_some(())
+    });
+    world.kill_node(0);
+    env::wait_for("the watcher tells of the restart", || {
+        watch.stderr().contains("does not answer").then_some(())
+    });
+    // Node 0 learns of this outcome from the log only.
+    world.run(1, &["publish", "--timeout", "3", &world.document(90)]);
+    world.start_node(0);
+    world.wait_ready(0);
+    env::wait_for("the missed version is shown", || {
+        watch
+            .stdout()
+            .contains("version 2 is accepted")
+            .then_some(())
+    });
+    world.log.set_outage(Outage::Refuse);
+    env::wait_for("the watcher tells of the outage", || {
+        watch
+            .stderr()
+            .contains("2004 log unavailable")
+            .then_some(())
+    });
+    world.log.set_outage(Outage::Off);
+    world.run(1, &["publish", &world.document(80)]).expect(0);
+    let run = watch.finish().expect(0);
+    expect_that!(run.stderr, contains_substring("complete again"));
+    let lines: Vec<&str> = run.stdout.lines().collect();
+    let mut unique = lines.clone();
+    unique.sort_unstable();
+    unique.dedup();
+    expect_that!(unique.len(), eq(lines.len()));
+}
+
+/// Guards against a script that takes silence for success.
+#[gtest]
+fn watch_timeout_exit_codes() {
+    let mut world = World::start(1);
+    world.run(0, &["watch", "--timeout", "1"]).expect(0);
+    let run = world
+        .run(0, &["watch", "--timeout", "1", "--until", "never"])
+        .expect(5);
+    expect_that!(run.stderr, contains_substring("no outcome contained"));
+    world.kill_node(0);
+    world.run(0, &["watch", "--timeout", "1"]).expect(6);
+}
+
+/// Guards against a long log outage that only those who ask get to know.
+#[gtest]
+fn outage_of_the_log_is_an_outcome() {
+    let world = World::start(1);
+    world.log.set_outage(Outage::Refuse);
+    let has = |code: u16| {
+        let outcomes = world.get(0, "/v1/outcomes")?;
+        outcomes
+            .as_array()?
+            .iter()
+            .any(|o| o["code"] == code)
+            .then_some(())
+    };
+    env::wait_for("2004 is reported", || has(2004));
+    world.log.set_outage(Outage::Off);
+    env::wait_for("1011 is reported", || has(1011));
+    env::wait_for("both are in the log", || {
+        let outcomes = world.log.records("outcomes");
+        (outcomes.len() >= 2).then_some(())
+    });
+}
+
+/// Guards against a client that fills the memory of a node through the operator port.
+#[gtest]
+fn operator_port_limits_head_and_body() {
+    let world = World::start(1);
+    let large = format!("x-filler: {}", "x".repeat(9_000));
+    let answer = world.request(0, "GET", "/v1/status", &[env::bearer(), large], "");
+    expect_that!(answer.map(|a| a.status), some(eq(431)));
+    let body = "x".repeat((4 << 20) + 1);
+    let answer = world.request(0, "POST", "/v1/publish", &[env::bearer()], &body);
+    // The node may close the connection before it has read the whole body.
+    if let Some(answer) = answer {
+        expect_that!(answer.status, eq(413));
+    }
+    let answer = world.request(0, "POST", "/v1/publish", &[env::bearer()], "{}");
+    let answer = answer.expect("an answer");
+    expect_that!(answer.status, eq(400));
+    expect_that!(answer.body, contains_substring("not a publication"));
+    expect_that!(world.get(0, "/v1/status").is_some(), eq(true));
+}
+
+/// Guards against an author whose name breaks the lines of tables and logs.
+#[gtest]
+fn publish_author_is_checked() {
+    let world = World::start(1);
+    for author in ["", "a\u{1b}[31m", &"x".repeat(65)] {
+        let run = world
+            .run(0, &["publish", "--author", author, &world.document(100)])
+            .expect(4);
+        expect_that!(run.stdout, contains_substring("author"));
+    }
+    expect_that!(publish_records(&world), eq(0));
+    world.run(0, &["publish", &world.document(100)]).expect(0);
+}
--- /dev/null
+++ b/tests/support/env.rs
@@ -0,0 +1,380 @@
+//! A temporary world for tests of the whole command: a log in this process, real node processes, and
+//! commands that run against them. All traffic is on the loopback interface, and only processes that
+//! the world started are ended.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::fs;
+use std::fs::File;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use tempfile::TempDir;
+use testbed::fleet::free_addr;
+use testbed::log_server::LogHandle;
+use testbed::log_server::LogServer;
+
+/// Bearer token of the operator ports.
+pub const TOKEN: &str = "test-operator-token";
+/// Longest run of a command and longest wait for a condition.
+pub const LIMIT: Duration = Duration::from_secs(40);
+/// Pause between two looks at a condition.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Runs the command without a world.
+pub fn command(args: &[&str]) -> Finished {
+    start(args, &[]).finish()
+}
+
+/// Starts the command with environment variables.
+pub fn start(args: &[&str], env: &[(&str, &str)]) -> Running {
+    let dir = tempfile::tempdir().expect("a directory");
+    let file = |name: &str| File::create(dir.path().join(name)).expect("a file");
+    let child = Command::new(env!("CARGO_BIN_EXE_sycamorewick"))
+        .args(args)
+        .env_remove("NO_COLOR")
+        .envs(env.iter().copied())
+        .stdin(Stdio::null())
+        .stdout(file("stdout"))
+        .stderr(file("stderr"))
+        .spawn()
+        .expect("the command starts");
+    Running { child, dir }
+}
+
+/// A command that runs. Its output goes to files, so that it never waits for the test.
+pub struct Running {
+    child: Child,
+    dir: TempDir,
+}
+
+impl Running {
+    /// What the command has written to standard output so far.
+    pub fn stdout(&self) -> String {
+        fs::read_to_string(self.dir.path().join("stdout")).expect("the output")
+    }
+
+    /// What the command has written to standard error so far.
+    pub fn stderr(&self) -> String {
+        fs::read_to_string(self.dir.path().join("stderr")).expect("the output")
+    }
+
+    /// Waits for the end of the command.
+    pub fn finish(mut self) -> Finished {
+        let until = Instant::now() + LIMIT;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the state of the command") {
+                return Finished {
+                    code: status.code(),
+                    stdout: self.stdout(),
+                    stderr: self.stderr(),
+                };
+            }
+            assert!(
+                Instant::now() < until,
+                "the command did not end within {LIMIT:?}: {}{}",
+                self.stdout(),
+                self.stderr()
+            );
+            thread::sleep(CHECK_INTERVAL);
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A command that has ended.
+#[derive(Debug)]
+pub struct Finished {
+    pub code: Option<i32>,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl Finished {
+    /// Parses standard output as one JSON value.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.stdout)
+            .unwrap_or_else(|e| panic!("{e}: {:?} {:?}", self.stdout, self.stderr))
+    }
+
+    /// Checks the exit code and shows the output if it is another one.
+    pub fn expect(self, code: i32) -> Self {
+        assert_eq!(self.code, Some(code), "{:?} {:?}", self.stdout, self.stderr);
+        self
+    }
+}
+
+/// Waits until `condition` returns a value.
+pub fn wait_for<T>(what: &str, mut condition: impl FnMut() -> Option<T>) -> T {
+    let until = Instant::now() + LIMIT;
+    loop {
+        if let Some(value) = condition() {
+            return value;
+        }
+        assert!(Instant::now() < until, "not within {LIMIT:?}: {what}");
+        thread::sleep(CHECK_INTERVAL);
+    }
+}
+
+/// One node of a world.
+pub struct WorldNode {
+    pub operator_addr: SocketAddr,
+    pub settings_file: PathBuf,
+    output_file: PathBuf,
+    child: Option<Child>,
+}
+
+/// A log and some nodes, each in a failure domain of its own.
+pub struct World {
+    pub log: LogHandle,
+    pub nodes: Vec<WorldNode>,
+    dir: TempDir,
+}
+
+impl World {
+    /// Starts a log and `nodes` nodes, and waits until they are ready and know each other.
+    pub fn start(nodes: usize) -> Self {
+        let dir = tempfile::tempdir().expect("a directory");
+        let log = LogServer::start(free_addr().expect("an address")).expect("the log starts");
+        fs::write(
+            dir.path().join("cluster.key"),
+            "test-cluster-key-0123456789",
+        )
+        .expect("a file");
+        fs::write(dir.path().join("operator.token"), TOKEN).expect("a file");
+        let addrs: Vec<[SocketAddr; 4]> = (0..nodes)
+            .map(|_| std::array::from_fn(|_| free_addr().expect("an address")))
+            .collect();
+        let seeds: Vec<SocketAddr> = addrs.iter().map(|addr| addr[1]).collect();
+        let nodes = addrs.iter().enumerate().map(|(index, addr)| {
+            let settings = json!({
+                "id": format!("n{index}"),
+                "region": "r",
+                "failure_domain": format!("d{index}"),
+                "request_addr": addr[0],
+                "node_addr": addr[1],
+                "operator_addr": addr[2],
+                "gossip_addr": addr[3],
+                "log_addr": log.addr(),
+                "seeds": seeds,
+                "cluster_key_file": "cluster.key",
+                "operator_token_file": "operator.token",
+                "log_level": "info",
+            });
+            let settings_file = dir.path().join(format!("n{index}.jsonc"));
+            fs::write(&settings_file, settings.to_string()).expect("a file");
+            WorldNode {
+                operator_addr: addr[2],
+                settings_file,
+                output_file: dir.path().join(format!("n{index}.log")),
+                child: None,
+            }
+        });
+        let nodes = nodes.collect();
+        let mut world = Self { log, nodes, dir };
+        for index in 0..world.nodes.len() {
+            world.start_node(index);
+        }
+        for index in 0..world.nodes.len() {
+            world.wait_ready(index);
+        }
+        world
+    }
+
+    /// Starts a node that does not run.
+    pub fn start_node(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        assert!(node.child.is_none(), "the node runs already");
+        let output = File::options()
+            .create(true)
+            .append(true)
+            .open(&node.output_file)
+            .expect("a file");
+        let child = Command::new(env!("CARGO_BIN_EXE_sycamorewick"))
+            .args(["node", "--settings"])
+            .arg(&node.settings_file)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone().expect("a file"))
+            .stderr(output)
+            .spawn()
+            .expect("the node starts");
+        node.child = Some(child);
+    }
+
+    /// Kills a node without warning.
+    pub fn kill_node(&mut self, index: usize) {
+        if let Some(mut child) = self.nodes[index].child.take() {
+            child.kill().expect("the node can be killed");
+            child.wait().expect("the node ends");
+        }
+    }
+
+    /// Waits until a node is ready and knows as many nodes as run.
+    pub fn wait_ready(&self, index: usize) {
+        let running = self.nodes.iter().filter(|n| n.child.is_some()).count();
+        wait_for("the node is ready and knows the others", || {
+            let status = self.get(index, "/v1/status")?;
+            let alive = status["alive"]
+                .as_u64()
+                .and_then(|n| usize::try_from(n).ok());
+            (status["ready"] == true && alive >= Some(running)).then_some(())
+        });
+    }
+
+    /// Output of a node, for the message of a failure.
+    pub fn output(&self, index: usize) -> String {
+        fs::read_to_string(&self.nodes[index].output_file).unwrap_or_default()
+    }
+
+    /// Directory of the world.
+    pub fn dir(&self) -> &Path {
+        self.dir.path()
+    }
+
+    /// Writes a document with the given share of `v1`; the rest is that of `v2`.
+    pub fn document(&self, share: u8) -> String {
+        let file = self.dir.path().join(format!("document-{share}.jsonc"));
+        fs::write(&file, document(share).to_string()).expect("a file");
+        file.display().to_string()
+    }
+
+    /// Runs an operator command against a node.
+    pub fn run(&self, index: usize, args: &[&str]) -> Finished {
+        self.spawn(index, args).finish()
+    }
+
+    /// Starts an operator command against a node.
+    pub fn spawn(&self, index: usize, args: &[&str]) -> Running {
+        let addr = self.nodes[index].operator_addr.to_string();
+        let token = self.dir.path().join("operator.token");
+        let token = token.display().to_string();
+        let access = ["--operator", addr.as_str(), "--token-file", token.as_str()];
+        let args: Vec<&str> = args.iter().copied().chain(access).collect();
+        start(&args, &[])
+    }
+
+    /// Gets JSON from the operator port of a node; `None` if there is no such answer.
+    pub fn get(&self, index: usize, path: &str) -> Option<Value> {
+        let answer = self.request(index, "GET", path, &[bearer()], "")?;
+        serde_json::from_str(&answer.body).ok()
+    }
+
+    /// Posts JSON to the operator port of a node and returns the JSON answer.
+    pub fn post(&self, index: usize, path: &str, body: &Value) -> Option<Value> {
+        let answer = self.request(index, "POST", path, &[bearer()], &body.to_string())?;
+        serde_json::from_str(&answer.body).ok()
+    }
+
+    /// Sends a request to the operator port of a node.
+    pub fn request(
+        &self,
+        index: usize,
+        method: &str,
+        path: &str,
+        headers: &[String],
+        body: &str,
+    ) -> Option<Answer> {
+        exchange(self.nodes[index].operator_addr, method, path, headers, body)
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        for node in &mut self.nodes {
+            if let Some(mut child) = node.child.take() {
+                // The process may have ended by itself.
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+/// A document for a world with up to three nodes.
+pub fn document(share: u8) -> Value {
+    json!({
+        "regions": [{ "name": "r", "failure_domains": ["d0", "d1", "d2"] }],
+        "services": [{
+            "name": "orders",
+            "versions": [{ "name": "v1", "share": share }, { "name": "v2", "share": 100 - share }],
+        }],
+        "routes": [
+            { "name": "all", "path_prefix": "/", "service": "orders", "idempotent": true },
+        ],
+    })
+}
+
+/// Header with the token.
+pub fn bearer() -> String {
+    format!("authorization: Bearer {TOKEN}")
+}
+
+/// An HTTP answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Answer {
+    /// Value of a header; its name is given in small letters.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            (key.to_ascii_lowercase() == name).then(|| value.trim())
+        })
+    }
+}
+
+/// Sends one request on a connection of its own.
+pub fn exchange(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[String],
+    body: &str,
+) -> Option<Answer> {
+    let mut stream = TcpStream::connect(addr).ok()?;
+    stream.set_read_timeout(Some(LIMIT)).ok()?;
+    let mut head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: {addr}\r\nconnection: close\r\ncontent-length: {}\r\n",
+        body.len()
+    );
+    for header in headers {
+        head += header;
+        head += "\r\n";
+    }
+    stream
+        .write_all(format!("{head}\r\n{body}").as_bytes())
+        .ok()?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).ok()?;
+    let answer = String::from_utf8(answer).ok()?;
+    let (head, body) = answer.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some(Answer {
+        status,
+        head: head.to_owned(),
+        body: body.to_owned(),
+    })
+}
