Pass responses of up to 16 MiB and clear answered requests from the quarantine

The quarantine table never learned that a request had been answered, so a popular request that ran beside two crashes would have been refused for ten minutes.

--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -207,7 +207,12 @@
         node.state.borrow_mut().running.charge(parent, used);
     }
     match result {
-        CallResult::Answered(answer) => answer_response(answer),
+        CallResult::Answered(answer) => {
+            let mut state = node.state.borrow_mut();
+            state.quarantine.on_answered(call.fingerprint);
+            drop(state);
+            answer_response(answer)
+        }
         CallResult::Failed(code, run) => {
             info!(node.log, "call failed"; "call" => format!("{:016x}", call.call),
                 "route" => call.route.name.as_str(), "code" => code.number(), "run" => run.as_str());
--- a/src/node/hop.rs
+++ b/src/node/hop.rs
@@ -28,7 +28,7 @@
 use crate::protocol::call::CODE_HEADER;
 use crate::protocol::call::DEADLINE_HEADER;
 use crate::protocol::call::LOAD_HEADER;
-use crate::protocol::call::MAX_BODY_BYTES;
+use crate::protocol::call::MAX_RESPONSE_BYTES;
 use crate::protocol::call::ROUTE_HEADER;
 use crate::protocol::call::RUN_HEADER;
 use crate::protocol::call::Run;
@@ -91,7 +91,7 @@
         headers,
         body: req.body,
         timeout: req.timeout,
-        max_answer: MAX_BODY_BYTES,
+        max_answer: MAX_RESPONSE_BYTES,
     };
     let answer = node.peers.send(addr, outgoing).await?;
     if headers::text(&answer.headers, CALL_HEADER).and_then(parse_call) != Some(req.call) {
--- a/src/node/serving.rs
+++ b/src/node/serving.rs
@@ -32,7 +32,7 @@
 use crate::protocol::call::ATTEMPTS_HEADER;
 use crate::protocol::call::CALL_HEADER;
 use crate::protocol::call::DEADLINE_HEADER;
-use crate::protocol::call::MAX_BODY_BYTES;
+use crate::protocol::call::MAX_RESPONSE_BYTES;
 use crate::protocol::call::Run;
 use crate::protocol::gossip::CrashReport;
 use crate::protocol::name::RouteName;
@@ -376,7 +376,7 @@
         headers,
         body: req.body.clone(),
         timeout: req.timeout,
-        max_answer: MAX_BODY_BYTES,
+        max_answer: MAX_RESPONSE_BYTES,
     };
     node.backend_http.send(addr, outgoing).await
 }
@@ -419,6 +419,7 @@
             actix_rt::spawn(async move { probe_crash(&node, crash).await });
         }
         Ok(answer) => {
+            node.state.borrow_mut().quarantine.on_answered(call.hash);
             let failed = answer.status.is_server_error();
             record_sample(
                 node,
--- a/src/protocol/call.rs
+++ b/src/protocol/call.rs
@@ -25,8 +25,11 @@
 /// Caller's key of a non-idempotent call.
 pub const KEY_HEADER: &str = "idempotency-key";
 
-/// Largest request or answer body, bytes.
+/// Largest body of a request, bytes.
 pub const MAX_BODY_BYTES: usize = 1 << 20;
+/// Largest body of a response, bytes. Responses are buffered whole, so that a truncated one becomes
+/// an error; with 10 slots a serving node holds at most 160 MiB of them.
+pub const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Retries of a call tree whose caller set no budget.
 pub const DEFAULT_ATTEMPTS: u8 = 3;
 
