--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -114,6 +114,17 @@
     }
 }
 
+/// In a larger fleet some members join elsewhere at the same moment and are missed by rumors.
+#[test]
+fn join_larger_herd_sees_each_other() {
+    for seed in 0..3 {
+        let mut net = Network::new(80, seed);
+        net.checked = false;
+        let took = net.run_until(SECOND * 10, TICK, checks::settled);
+        assert!(took.is_some(), "seed {seed}");
+    }
+}
+
 /// A death that some node never learns leaves it choosing a dead key replica.
 #[test]
 fn kill_dead_everywhere_and_stays_dead() {
