Keep passing faults out of what counts as normal

A fault of the whole service before or during a rollout raised the old version's normal failure rate and latency, and a sick backend server of the old version raised its rate for good; both hid bad versions. Disturbed blocks stay out of the history for a while, and a backend server that fails much more often than the others no longer stands for its version.

--- a/src/coordination/evidence.rs
+++ b/src/coordination/evidence.rs
@@ -79,11 +79,25 @@
 pub const MAX_DOWNSTREAM_FAILURES: f64 = 0.05;
 /// Part of its former load that the old version must carry for its latency to count as normal.
 pub const MIN_LOAD_PART: f64 = 0.6;
+/// Share of slow calls of the old version above which a block does not count as normal; a passing slowness
+/// would else hide a slow new version for a minute.
+pub const MAX_SLOW_BLOCK: f64 = 0.3;
+/// Disturbed blocks left out of the old version's history in sequence, after which they are normal.
+pub const MAX_SKIPPED_BLOCKS: u32 = 20;
 /// Ratios of the new version's load to the old one's at which the limit of slow calls rises by half an
 /// octave. A backend server at 60 % of its slots is commonly half as slow again as an idle one.
 pub const LOAD_STEPS: [f64; 3] = [1.5, 3.0, 6.0];
 /// Rise of the call rate over the baseline above which slowness counts as overload.
 pub const MAX_LOAD_RISE: f64 = 1.5;
+/// Rise of the failure rate of one backend server of the old version, over `SICK_RATIO` times that of the
+/// others, at which its calls no longer stand for the version.
+pub const SICK_EXCESS: f64 = 0.1;
+/// See [`SICK_EXCESS`].
+pub const SICK_RATIO: f64 = 2.0;
+/// Calls of the backend server and of the others needed for that.
+pub const MIN_SICK_CALLS: f64 = 20.0;
+/// Time for which it must last; a fault of all backend servers arrives with reports up to a second apart.
+pub const SICK_TIME: Duration = Duration::from_secs(5);
 /// Routes tracked; further ones count in the sum of all routes only.
 pub const MAX_ROUTES: usize = 64;
 
@@ -91,6 +105,8 @@
 const HISTORY_DECAY: f64 = 0.99;
 /// Weight of a block in the figures of a single backend server after another block.
 const SOURCE_DECAY: f64 = 0.95;
+/// Calls of a backend server of the old version after which its figures decay by [`SOURCE_DECAY`].
+const OLD_SOURCE_CALLS: f64 = 5.0;
 /// Closed blocks that are kept.
 const KEPT_BLOCKS: usize = 32;
 /// Blocks that tell whether a fault is over.
@@ -356,7 +372,10 @@
     /// Against the stored baseline; void as soon as there are calls of the same time.
     baseline: Cusum,
     blocks: VecDeque<Pair>,
+    /// Calls and hits of the old version, decaying.
     history: (f64, f64),
+    /// Consecutive blocks left out of the history.
+    skipped: u32,
     alarm: Option<Alarm>,
     sources: Vec<Source>,
 }
@@ -380,6 +399,7 @@
             baseline: Cusum::default(),
             blocks: VecDeque::with_capacity(KEPT_BLOCKS),
             history: (0.0, 0.0),
+            skipped: 0,
             alarm: None,
             sources: Vec::new(),
         }
@@ -524,14 +544,26 @@
         }
         self.blocks.push_back(block);
         if block.old_calls > 0.0 {
-            let (calls, hits) = self.history;
-            self.history = (
-                calls * HISTORY_DECAY + block.old_calls,
-                hits * HISTORY_DECAY + block.old_hits,
-            );
+            self.add_history(&block);
         }
     }
 
+    /// Adds a block to the old version's history unless it shows a passing disturbance, which would
+    /// hide a late fault for the whole hold period.
+    fn add_history(&mut self, block: &Pair) {
+        let (calls, hits) = self.history;
+        let disturbed = block.old_rate_lower() > self.history_rate() + DISTURBANCE;
+        if disturbed && calls >= MIN_BASELINE_CALLS && self.skipped < MAX_SKIPPED_BLOCKS {
+            self.skipped += 1;
+            return;
+        }
+        self.skipped = 0;
+        self.history = (
+            calls * HISTORY_DECAY + block.old_calls,
+            hits * HISTORY_DECAY + block.old_hits,
+        );
+    }
+
     fn reset(&mut self) {
         self.concurrent = Cusum::default();
         self.baseline = Cusum::default();
@@ -685,6 +717,16 @@
         + (block.new_calls - block.new_hits) * ((1.0 - new) / (1.0 - limit)).ln()
 }
 
+/// Calls of one backend server of the old version over all routes, decaying.
+#[derive(Clone, Copy, Debug)]
+struct OldSource {
+    id: u8,
+    calls: f64,
+    errors: f64,
+    /// Since when it fails much more often than the others.
+    sick_since: Option<Duration>,
+}
+
 /// Both measures of one route, or of the sum of all routes.
 #[derive(Clone, Debug)]
 struct Track {
@@ -697,6 +739,8 @@
     histogram: [f64; LATENCY_BUCKETS],
     /// Calls per second of the old version in the blocks of the histogram.
     histogram_load: f64,
+    /// Consecutive blocks left out of the histogram.
+    skipped: u32,
     /// Calls per second of the new version, decaying.
     new_load: f64,
     /// Calls per second of both versions while the old one had traffic, decaying.
@@ -715,6 +759,7 @@
             latency: Detector::new(LATENCY),
             histogram: [0.0; LATENCY_BUCKETS],
             histogram_load: 0.0,
+            skipped: 0,
             new_load: 0.0,
             normal_load: 0.0,
             old_seen: None,
@@ -867,6 +912,12 @@
         if load < MIN_LOAD_PART * self.histogram_load {
             return;
         }
+        let slow = self.slow_pair();
+        if slow.old_rate() > MAX_SLOW_BLOCK && self.skipped < MAX_SKIPPED_BLOCKS {
+            self.skipped += 1;
+            return;
+        }
+        self.skipped = 0;
         for (sum, n) in self.histogram.iter_mut().zip(self.open[0].latency) {
             *sum = *sum * HISTORY_DECAY + f64::from(n);
         }
@@ -935,6 +986,7 @@
     /// Sorted by route.
     routes: Vec<Track>,
     old_heard: Option<Duration>,
+    old_sources: Vec<OldSource>,
     step: [Tally; 2],
 }
 
@@ -946,6 +998,7 @@
             total: Track::new(None, now),
             routes: Vec::new(),
             old_heard: None,
+            old_sources: Vec::new(),
             step: [Tally::default(); 2],
         }
     }
@@ -965,6 +1018,9 @@
     /// Adds calls of the backend server with the number `source`.
     pub fn add(&mut self, now: Duration, side: Side, source: u8, route: &RouteName, tally: &Tally) {
         self.step[side as usize].add(tally);
+        if side == Side::Old && self.is_sick(now, source, tally) {
+            return;
+        }
         self.total.add(side, source, tally);
         let found = self
             .routes
@@ -979,6 +1035,36 @@
         }
     }
 
+    /// Tells whether a backend server of the old version is sick. Its calls would make a bad new version look
+    /// normal.
+    fn is_sick(&mut self, now: Duration, id: u8, tally: &Tally) -> bool {
+        let known = self.old_sources.iter().position(|s| s.id == id);
+        let at = known.unwrap_or_else(|| {
+            self.old_sources.push(OldSource {
+                id,
+                calls: 0.0,
+                errors: 0.0,
+                sick_since: None,
+            });
+            self.old_sources.len() - 1
+        });
+        let source = &mut self.old_sources[at];
+        let keep = SOURCE_DECAY.powf(f64::from(tally.calls) / OLD_SOURCE_CALLS);
+        source.calls = source.calls * keep + f64::from(tally.calls);
+        source.errors = source.errors * keep + f64::from(tally.errors);
+        let source = *source;
+        let others = self.old_sources.iter().filter(|s| s.id != id);
+        let (calls, errors) = others.fold((0.0, 0.0), |(calls, errors), s| {
+            (calls + s.calls, errors + s.errors)
+        });
+        let excess = rate(source.errors, source.calls) - SICK_RATIO * rate(errors, calls);
+        let sick =
+            source.calls >= MIN_SICK_CALLS && calls >= MIN_SICK_CALLS && excess > SICK_EXCESS;
+        let since = source.sick_since.filter(|_| sick).or(sick.then_some(now));
+        self.old_sources[at].sick_since = since;
+        since.is_some_and(|since| now.saturating_sub(since) >= SICK_TIME)
+    }
+
     /// Starts the figures of a step anew; the test goes on.
     pub fn begin_step(&mut self) {
         self.step = [Tally::default(); 2];
