testbed: give each call of the rollback measurement a path of its own

All calls shared two paths, so that a crash of the new version quarantined both requests everywhere and the version itself was never judged. Crashed backend servers are started again, as the platform does.

--- a/testbed/src/caller.rs
+++ b/testbed/src/caller.rs
@@ -69,7 +69,7 @@
     pub duration: Duration,
     /// Method.
     pub method: Method,
-    /// Path.
+    /// Path; `{n}` stands for the number of the call, so that calls are different requests.
     pub path: String,
     /// `Host` header; the target's address if absent.
     pub host: Option<String>,
@@ -248,6 +248,12 @@
     key: Option<Uuid>,
 }
 
+impl Call {
+    fn path(&self, pattern: &str) -> String {
+        pattern.replace("{n}", &self.number.to_string())
+    }
+}
+
 /// Sends calls for the duration of the run and waits for the last answer. Must run within an
 /// `actix` system.
 ///
@@ -412,12 +418,10 @@
 /// Makes one call; returns the kind of failure if there is no whole answer.
 async fn exchange(run: &Run, call: &Call, target: SocketAddr) -> Result<Received, &'static str> {
     let options = &run.options;
+    let path = call.path(&options.path);
     let mut req = run
         .client
-        .request(
-            options.method.clone(),
-            format!("http://{target}{}", options.path),
-        )
+        .request(options.method.clone(), format!("http://{target}{path}"))
         .insert_header((NUMBER_HEADER, call.number.to_string()));
     if let Some(host) = &options.host {
         req = req.insert_header(("host", host.as_str()));
@@ -475,6 +479,7 @@
     sample.code.clone_from(&received.code);
     let number = call.number.to_string();
     let answer = serde_json::from_slice::<AnswerBody>(&received.body).ok();
+    let path = call.path(path);
     let path = path.split('?').next().unwrap_or_default();
     let other = |n: &Option<String>| n.as_ref().is_some_and(|n| *n != number);
     match answer {
--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -324,7 +324,14 @@
                 .default_value("10"),
         )
         .arg(option("method", "METHOD", "Method").default_value("GET"))
-        .arg(option("path", "PATH", "Path").default_value("/"))
+        .arg(
+            option(
+                "path",
+                "PATH",
+                "Path; {n} stands for the number of the call",
+            )
+            .default_value("/"),
+        )
         .arg(option("host", "HOST", "Host header"))
         .arg(option("body", "TEXT", "Body").default_value(""))
         .arg(
--- a/testbed/src/measure/rollback.rs
+++ b/testbed/src/measure/rollback.rs
@@ -25,6 +25,7 @@
 use crate::caller;
 use crate::caller::CallerOptions;
 use crate::caller::CallerReport;
+use crate::caller::Count;
 use crate::fleet::Fleet;
 use crate::fleet::FleetOptions;
 use crate::measure::print_json;
@@ -32,10 +33,12 @@
 
 /// Service and host that are called.
 const SERVICE: &str = "registry";
-/// Path that shows faults of one route only.
+/// Path prefix that shows faults of one route only.
 const FAULTY_PATH: &str = "/lookup";
-/// Path of the other half of the calls.
+/// Path prefix of the other half of the calls.
 const OTHER_PATH: &str = "/sheets";
+/// Time after which a crashed backend server is started again, as the platform would do.
+const RESTART_DELAY: Duration = Duration::from_secs(1);
 /// Old and new version.
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Percentages of the new version.
@@ -127,6 +130,8 @@
     pub calls: u64,
     /// Calls without an answer of status 200.
     pub failed: u64,
+    /// Answers by result code of a node, and calls without an answer by kind of failure.
+    pub failures: Vec<Count>,
     /// Answers that are not whole or belong to another call.
     pub wrong: u64,
     /// Calls that the new version ran.
@@ -193,7 +198,9 @@
     let one = |path: &str, seed: u64| {
         let mut call = CallerOptions::new(targets.clone(), rate / 2.0, duration);
         call.host = Some(SERVICE.into());
-        call.path = path.into();
+        // Different paths: a request that crashes two backend servers is refused everywhere, which
+        // would hide whether the version is taken back.
+        call.path = format!("{path}/{{n}}");
         call.seed = seed;
         let go_on = Rc::clone(&go_on);
         caller::run_while(call, move || go_on.get())
@@ -205,6 +212,8 @@
     a.mismatched += b.mismatched;
     a.malformed += b.malformed;
     a.by_status.extend(b.by_status);
+    a.by_code.extend(b.by_code);
+    a.by_failure.extend(b.by_failure);
     a
 }
 
@@ -221,20 +230,34 @@
     spoiled: u64,
 }
 
-fn look(kind: &str, servers: &[BackendHandle]) -> NewVersion {
-    let mut sum = NewVersion::default();
-    for server in servers {
-        let counters = server.report().counters;
-        sum.arrived += counters.arrived;
-        sum.ran += counters.ran;
-        sum.spoiled += match kind {
+impl NewVersion {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            arrived: self.arrived + other.arrived,
+            ran: self.ran + other.ran,
+            spoiled: self.spoiled + other.spoiled,
+        }
+    }
+}
+
+fn look_at(kind: &str, server: &BackendHandle) -> NewVersion {
+    let counters = server.report().counters;
+    NewVersion {
+        arrived: counters.arrived,
+        ran: counters.ran,
+        spoiled: match kind {
             "slow" => counters.finished,
-            "crash" => counters.ran - counters.finished,
+            "crash" => counters.cancelled,
             "shared" => 0,
             _ => counters.errors,
-        };
+        },
     }
-    sum
+}
+
+fn look(kind: &str, servers: &[BackendHandle]) -> NewVersion {
+    servers.iter().fold(NewVersion::default(), |sum, server| {
+        sum.plus(look_at(kind, server))
+    })
 }
 
 fn wall_ms() -> u64 {
@@ -254,7 +277,17 @@
             .collect::<eyre::Result<Vec<BackendHandle>>>()
     };
     let old = start(0, &old_faults)?;
-    let new = start(1, &new_faults)?;
+    let new = start(1, &new_faults)?
+        .into_iter()
+        .enumerate()
+        .map(|(i, handle)| Restarted {
+            node: options.servers + i,
+            options: server(1, i, &new_faults),
+            handle,
+            crashed_at: None,
+            before: NewVersion::default(),
+        })
+        .collect();
     let first_step = wall_ms() + millis(LEAD);
     let document = document(fleet.options(), first_step, window)?;
     let reply = fleet.publish(0, None, &document).await?;
@@ -276,21 +309,57 @@
     let go_on = Rc::new(Cell::new(true));
     let limit = LEAD + window + AFTER_FINISH;
     let calls = call(targets, options.rate, limit, Rc::clone(&go_on));
-    let watch = watch(kind, &fleet, &new, first_step, window, &go_on);
+    let watch = watch(kind, &fleet, new, first_step, window, &go_on);
     let (report, result) = futures_util::future::join(calls, watch).await;
     drop(old);
     let mut result = result;
     result.calls = report.sent + report.not_sent;
     result.failed = result.calls - ok_answers(&report);
     result.wrong = report.mismatched + report.malformed;
+    result.failures = report.by_code;
+    result.failures.extend(report.by_failure);
     Ok(result)
 }
 
+/// A backend server of the new version that is started again after a crash.
+struct Restarted {
+    node: usize,
+    options: BackendOptions,
+    handle: BackendHandle,
+    crashed_at: Option<Instant>,
+    /// Counters of the runs before the last crash.
+    before: NewVersion,
+}
+
+impl Restarted {
+    fn check(&mut self, kind: &str, fleet: &Fleet) {
+        if self.handle.is_running() {
+            return;
+        }
+        let crashed_at = *self.crashed_at.get_or_insert_with(Instant::now);
+        if crashed_at.elapsed() < RESTART_DELAY {
+            return;
+        }
+        let mut options = self.options.clone();
+        options.listen = self.handle.addr();
+        // The port may still be in use for a moment; the next check tries again.
+        if let Ok(handle) = fleet.start_backend(self.node, options) {
+            self.before = self.before.plus(look_at(kind, &self.handle));
+            self.handle = handle;
+            self.crashed_at = None;
+        }
+    }
+
+    fn look(&self, kind: &str) -> NewVersion {
+        self.before.plus(look_at(kind, &self.handle))
+    }
+}
+
 /// Looks at the new version until its rollout has ended, then ends the calls.
 async fn watch(
     kind: &str,
     fleet: &Fleet,
-    new: &[BackendHandle],
+    mut new: Vec<Restarted>,
     first_step: u64,
     window: Duration,
     go_on: &Cell<bool>,
@@ -312,7 +381,11 @@
     loop {
         interval.tick().await;
         let now = Instant::now();
-        let seen = look(kind, new);
+        for server in &mut new {
+            server.check(kind, fleet);
+        }
+        let looks_at = new.iter().map(|server| server.look(kind));
+        let seen = looks_at.fold(NewVersion::default(), NewVersion::plus);
         if seen.arrived > last.arrived {
             last_call = now;
         }
--- a/testbed/tests/caller.rs
+++ b/testbed/tests/caller.rs
@@ -41,6 +41,17 @@
     expect_that!(report.p50_us, gt(0));
 }
 
+/// Guards against calls that are all the same request, which a quarantine would refuse together.
+#[gtest]
+fn path_carries_number() {
+    let server = BackendServer::start(BackendOptions::new("b1", "s", "v1")).unwrap();
+    let mut options = CallerOptions::new(vec![server.addr()], 100.0, Duration::from_millis(200));
+    options.path = "/lookup/{n}?page=1".into();
+    let report = run(options);
+    expect_that!(report.with_status(200), eq(20));
+    expect_that!(report.mismatched, eq(0));
+}
+
 /// Guards against coordinated omission: calls that were due while the server stood still count with
 /// their whole wait.
 #[gtest]
