Add a console of forms to the operator port

It is rendered on the server and needs no scripts. A form carries the version that it is based on; a stale one is refused with what changed since and keeps its input. Forms are bound to the session, and requests from other origins are refused.

--- /dev/null
+++ b/src/node/console/page.rs
@@ -0,0 +1,555 @@
+//! Pages of the console.
+
+use maud::DOCTYPE;
+use maud::Markup;
+use maud::html;
+use serde_json::Value;
+
+use crate::diff::Change;
+use crate::node::Node;
+use crate::node::console::form;
+use crate::node::console::form::Fields;
+use crate::node::console::form::Section;
+use crate::node::history::Entry;
+use crate::node::publish;
+use crate::node::status;
+use crate::protocol::document::Document;
+use crate::protocol::name::ConfigVersion;
+use crate::protocol::record::OutcomeRecord;
+use crate::protocol::time::WallMs;
+use crate::result_code::Failure;
+use crate::result_code::ResultCode;
+
+/// Outcomes on the overview.
+const SHOWN_OUTCOMES: usize = 50;
+/// Rows of the text field for a whole document.
+const DOCUMENT_ROWS: usize = 30;
+
+/// What a form's last use led to.
+pub enum Notice {
+    /// It is valid.
+    Good(String),
+    /// It was refused or not confirmed.
+    Bad(String),
+}
+
+/// A form with everything that is shown around it.
+pub struct FormPage<'a> {
+    /// What it edits.
+    pub section: Section,
+    /// Version in force.
+    pub base: ConfigVersion,
+    /// Identity of the form.
+    pub nonce: String,
+    /// Document in force.
+    pub document: &'a Document,
+    /// Input of the operator.
+    pub fields: &'a Fields,
+    /// Result of the last use.
+    pub notice: Option<Notice>,
+    /// Faults of the input.
+    pub faults: &'a [String],
+    /// Differences of the input from the version in force.
+    pub changes: Option<&'a [Change]>,
+    /// Version that the form was opened on, and what changed since.
+    pub changed_since: Option<(ConfigVersion, &'a Result<Vec<Change>, String>)>,
+    /// Protects the form against other sites.
+    pub token: &'a str,
+}
+
+fn layout(title: &str, token: Option<&str>, content: &Markup) -> Markup {
+    html! {
+        (DOCTYPE)
+        html lang="en" {
+            head {
+                meta charset="utf-8";
+                meta name="viewport" content="width=device-width, initial-scale=1";
+                title { (title) " - sycamorewick" }
+                link rel="stylesheet" href="/console/style.css";
+            }
+            body {
+                @if let Some(token) = token {
+                    nav aria-label="Console" {
+                        ul {
+                            li { a href="/console" { "Overview" } }
+                            li { a href="/console/service" { "New service" } }
+                            li { a href="/console/route" { "New route" } }
+                            li { a href="/console/document" { "Whole document" } }
+                            li { a href="/console/history" { "History" } }
+                            li {
+                                form method="post" action="/console/sign-out" {
+                                    input type="hidden" name="form" value=(token);
+                                    button type="submit" { "Sign out" }
+                                }
+                            }
+                        }
+                    }
+                }
+                main {
+                    h1 { (title) }
+                    (content)
+                }
+            }
+        }
+    }
+}
+
+/// A page with one sentence.
+pub fn failure(text: &str) -> Markup {
+    let content = html! {
+        p .notice .bad role="alert" { (text) }
+        p { a href="/console" { "Back to the overview" } }
+    };
+    layout("Not done", None, &content)
+}
+
+/// The form to sign in.
+pub fn sign_in(fault: Option<&str>) -> Markup {
+    let content = html! {
+        @if let Some(fault) = fault {
+            p .notice .bad role="alert" { (fault) }
+        }
+        form method="post" action="/console/sign-in" {
+            label for="author" { "Your name" }
+            input #author name="author" required maxlength="64" autocomplete="username";
+            p .hint { "Stands in the history of the publications that you make." }
+            label for="token" { "Token" }
+            input #token name="token" type="password" required autocomplete="current-password";
+            p .hint { "The content of the node's operator token file." }
+            div .buttons { button type="submit" { "Sign in" } }
+        }
+    };
+    layout("Sign in", None, &content)
+}
+
+/// State of fleet, services, rollouts and outcomes.
+pub fn overview(node: &Node, published: Option<ConfigVersion>, token: &str) -> Markup {
+    let status = status::status(node);
+    let outcomes = recent_outcomes(node);
+    let convergence = published.map(|version| publish::convergence(node, version));
+    let content = html! {
+        @if let Some(state) = convergence {
+            p .notice role="status" {
+                "Version " (state.version) " is accepted. "
+                @if state.everywhere {
+                    "It is in force on all " (state.total) " nodes."
+                } @else if state.total == 0 {
+                    "The nodes are being asked whether they have it; reload this page."
+                } @else {
+                    "It is in force on " (state.have) " of " (state.total) " nodes; reload this page."
+                }
+            }
+        }
+        (node_section(&status))
+        (service_table(&status, &outcomes))
+        (route_table(node))
+        (rollback_list(&status))
+        (outcome_table(&outcomes))
+        (fleet_table(&status))
+    };
+    layout("Overview", Some(token), &content)
+}
+
+/// Newest first.
+fn recent_outcomes(node: &Node) -> Vec<OutcomeRecord> {
+    let state = node.state.borrow();
+    let mut outcomes: Vec<OutcomeRecord> = state.outcomes.iter().cloned().collect();
+    outcomes.sort_by_key(|outcome| std::cmp::Reverse(outcome.at));
+    outcomes
+}
+
+fn node_section(status: &Value) -> Markup {
+    let number = |name: &str| status[name].as_u64().unwrap_or_default();
+    html! {
+        p {
+            "Node " strong { (text(&status["id"])) }
+            @if status["ready"] == true { " is ready. " } @else { " is not ready. " }
+            @match number("version") {
+                0 => "No configuration is in force. ",
+                version => { "Version " strong { (version) } " is in force. " }
+            }
+            (number("alive")) " of " (list(&status["members"]).len()) " nodes are alive."
+        }
+        @if let Some(seconds) = status["log_failing_s"].as_u64() {
+            p .notice .bad role="alert" {
+                "The log has not answered this node for " (seconds) " s. What is in force stays in \
+                 force; publications are not possible."
+            }
+        }
+        @if number("invariant_violations") > 0 {
+            p .notice .bad role="alert" {
+                (number("invariant_violations")) " violations of invariants; report them as a fault."
+            }
+        }
+        @if number("outcomes_waiting_for_the_log") > 0 {
+            p { (number("outcomes_waiting_for_the_log")) " outcomes wait for the log." }
+        }
+    }
+}
+
+fn service_table(status: &Value, outcomes: &[OutcomeRecord]) -> Markup {
+    html! {
+        table {
+            caption { "Services" }
+            thead { tr {
+                th scope="col" { "Service" }
+                th scope="col" { "Shares now" }
+                th scope="col" { "Rollout" }
+            } }
+            tbody {
+                @for service in list(&status["services"]) {
+                    @let name = text(&service["service"]);
+                    tr {
+                        th scope="row" { a href=(link(Section::Service, name)) { (name) } }
+                        td {
+                            @for (i, share) in list(&service["shares"]).iter().enumerate() {
+                                @if i > 0 { ", " }
+                                (text(&share["version"])) " " (share["share"].as_u64().unwrap_or_default()) "%"
+                            }
+                        }
+                        td { (rollout(name, &service["rollout"], outcomes)) }
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn rollout(service: &str, rollout: &Value, outcomes: &[OutcomeRecord]) -> Markup {
+    if rollout.is_null() {
+        return html! { "none" };
+    }
+    let phase = text(&rollout["phase"]);
+    let class = match phase {
+        "complete" => "good",
+        "taken back" => "bad",
+        _ => "",
+    };
+    let to = text(&rollout["to"]);
+    let subject = format!("{service} {to}");
+    // The newest outcome of the rollout tells whether it still waits.
+    let last = outcomes.iter().find(|outcome| outcome.subject == subject);
+    let stalled = last.filter(|outcome| outcome.code == ResultCode::RolloutStalled.number());
+    html! {
+        (text(&rollout["from"])) " to " (to) ", " span class=(class) { (phase) }
+        @if let Some(step) = rollout["step"].as_u64() {
+            ", step " (step + 1) " of " (list(&rollout["steps"]).len())
+        }
+        ", " (time(&rollout["start_ms"])) " until " (time(&rollout["finish_by_ms"]))
+        @if let Some(stalled) = stalled {
+            br;
+            span .bad { "Stalled: " (stalled.text) }
+        }
+    }
+}
+
+fn route_table(node: &Node) -> Markup {
+    let snapshot = node.snapshot();
+    let routes = snapshot
+        .as_ref()
+        .map_or(&[][..], |s| &s.versioned().document.routes);
+    html! {
+        table {
+            caption { "Routes" }
+            thead { tr {
+                th scope="col" { "Route" }
+                th scope="col" { "Host" }
+                th scope="col" { "Methods" }
+                th scope="col" { "Path prefix" }
+                th scope="col" { "Service" }
+            } }
+            tbody {
+                @for route in routes {
+                    tr {
+                        th scope="row" {
+                            a href=(link(Section::Route, route.name.as_str())) { (route.name) }
+                        }
+                        td { (route.host) }
+                        td { @if route.methods.is_empty() { "all" } @else { (route.methods.join(", ")) } }
+                        td { (route.path_prefix) }
+                        td { (route.service) }
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn rollback_list(status: &Value) -> Markup {
+    let rollbacks = list(&status["rollbacks"]);
+    html! {
+        @if !rollbacks.is_empty() {
+            h2 { "Versions taken back" }
+            ul {
+                @for rollback in rollbacks {
+                    li .bad {
+                        (text(&rollback["key"]["service"])) " " (text(&rollback["key"]["to"]))
+                        " at " (time(&rollback["at"])) ": " (text(&rollback["cause"]))
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn outcome_table(outcomes: &[OutcomeRecord]) -> Markup {
+    html! {
+        table {
+            caption { "Outcomes, newest first" }
+            thead { tr {
+                th scope="col" { "Time (UTC)" }
+                th scope="col" { "Result" }
+                th scope="col" { "Subject" }
+                th scope="col" { "Cause and figures" }
+            } }
+            tbody {
+                @for outcome in outcomes.iter().take(SHOWN_OUTCOMES) {
+                    @let code = ResultCode::from_number(outcome.code);
+                    tr {
+                        td { (form::date_time(outcome.at)) }
+                        td { (outcome.code) " " (code.map_or("unknown code", ResultCode::text)) }
+                        td { (outcome.subject) }
+                        td { (outcome.text) }
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn fleet_table(status: &Value) -> Markup {
+    html! {
+        table {
+            caption { "Fleet" }
+            thead { tr {
+                th scope="col" { "Node" }
+                th scope="col" { "Region" }
+                th scope="col" { "Failure domain" }
+                th scope="col" { "Backend server" }
+                th scope="col" { "Status" }
+            } }
+            tbody {
+                @for member in list(&status["members"]) {
+                    @let backend = &member["backend"];
+                    tr {
+                        th scope="row" { (text(&member["id"])) }
+                        td { (text(&member["region"])) }
+                        td { (text(&member["failure_domain"])) }
+                        td {
+                            @if backend.is_null() { "none" } @else {
+                                (text(&backend["service"])) " " (text(&backend["version"]))
+                                @if backend["up"] == true { " up" } @else { " down" }
+                            }
+                        }
+                        td class=(if member["status"] == "dead" { "bad" } else { "" }) {
+                            (text(&member["status"]))
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Publications in the log.
+pub fn history(entries: &Result<Vec<Entry>, Failure>, token: &str) -> Markup {
+    let content = match entries {
+        Err(failure) => html! { p .notice .bad role="alert" { (failure) } },
+        Ok(entries) => html! {
+            table {
+                caption { "Publications that the log retains, newest first" }
+                thead { tr {
+                    th scope="col" { "Version" }
+                    th scope="col" { "Base" }
+                    th scope="col" { "Time (UTC)" }
+                    th scope="col" { "Author" }
+                    th scope="col" { "Result" }
+                } }
+                tbody {
+                    @for entry in entries.iter().rev() {
+                        tr {
+                            td { @if let Some(version) = entry.version { (version) } @else { "none" } }
+                            td { (entry.base) }
+                            td { (form::date_time(entry.at)) }
+                            td { (entry.author) }
+                            td {
+                                (entry.result)
+                                @if let Some(reason) = &entry.reason { ": " (reason) }
+                            }
+                        }
+                    }
+                }
+            }
+        },
+    };
+    layout("History", Some(token), &content)
+}
+
+impl FormPage<'_> {
+    /// Renders the page.
+    pub fn render(&self) -> Markup {
+        let original = self.fields.get("original");
+        let title = match (self.section, original.is_empty()) {
+            (Section::Service, true) => "New service".to_owned(),
+            (Section::Service, false) => format!("Service {original}"),
+            (Section::Route, true) => "New route".to_owned(),
+            (Section::Route, false) => format!("Route {original}"),
+            (Section::Document, _) => "Whole document".to_owned(),
+        };
+        let content = html! {
+            (self.result())
+            form method="post" action=(self.section.path()) {
+                input type="hidden" name="form" value=(self.token);
+                input type="hidden" name="base" value=(self.base);
+                input type="hidden" name="nonce" value=(self.nonce);
+                input type="hidden" name="original" value=(original);
+                @match self.section {
+                    Section::Service => (self.service()),
+                    Section::Route => (self.route()),
+                    Section::Document => (self.whole()),
+                }
+                p { "Based on version " (self.base) "." }
+                div .buttons {
+                    button type="submit" name="action" value="check" { "Check and show differences" }
+                    button type="submit" name="action" value="publish" { "Publish" }
+                    @if !original.is_empty() {
+                        button type="submit" name="action" value="remove" { "Remove and publish" }
+                    }
+                }
+            }
+        };
+        layout(&title, Some(self.token), &content)
+    }
+
+    fn result(&self) -> Markup {
+        html! {
+            @match &self.notice {
+                Some(Notice::Good(text)) => p .notice role="status" { (text) },
+                Some(Notice::Bad(text)) => p .notice .bad role="alert" { (text) },
+                None => {},
+            }
+            @if !self.faults.is_empty() {
+                ul { @for fault in self.faults { li .bad { (fault) } } }
+            }
+            @if let Some((version, since)) = self.changed_since {
+                h2 { "What changed since version " (version) }
+                @match since {
+                    Ok(changes) => (difference(changes)),
+                    Err(failure) => p { "Not known: " (failure) },
+                }
+            }
+            @if let Some(changes) = self.changes {
+                h2 { "What this form changes in version " (self.base) }
+                (difference(changes))
+            }
+        }
+    }
+
+    fn input(&self, name: &str, label: &str, hint: &str, kind: &str) -> Markup {
+        html! {
+            label for=(name) { (label) }
+            @if kind == "datetime-local" {
+                input id=(name) name=(name) type=(kind) step="0.001" value=(self.fields.get(name));
+            } @else {
+                input id=(name) name=(name) type=(kind) value=(self.fields.get(name));
+            }
+            @if !hint.is_empty() { p .hint { (hint) } }
+        }
+    }
+
+    fn service(&self) -> Markup {
+        html! {
+            (self.input("name", "Name", "", "text"))
+            (self.input("slots", "Slots", "Calls at the same time of a backend server that announces no number; empty for 10.", "text"))
+            (self.input("cold_start_ms", "Cold start, milliseconds", "Latencies in this time after a start are no evidence; empty for 2000.", "text"))
+            fieldset {
+                legend { "Versions and shares" }
+                p .hint { "The shares add up to 100. Empty rows are ignored." }
+                @for (i, (version, share)) in self.fields.version_rows().into_iter().enumerate() {
+                    @let number = i + 1;
+                    label for={ "version-" (number) } { "Version " (number) }
+                    input id={ "version-" (number) } name="version" value=(version);
+                    label for={ "share-" (number) } { "Share of version " (number) ", percent" }
+                    input id={ "share-" (number) } name="share" inputmode="numeric" value=(share);
+                }
+                div .buttons {
+                    button type="submit" name="action" value="rows" { "More rows" }
+                }
+            }
+            fieldset {
+                legend { "Rollout" }
+                p .hint { "Leave all of it empty for no rollout. Times are UTC." }
+                (self.input("from", "From version", "", "text"))
+                (self.input("to", "To version", "Its share above is 0.", "text"))
+                (self.input("start", "Start", "", "datetime-local"))
+                (self.input("finish_by", "Finish by", "", "datetime-local"))
+                (self.input("steps", "Steps, percent", "Ascending, for example 10, 50, 100. The first is at most 10, the last 100.", "text"))
+                (self.input("hold_s", "Hold, seconds", "Time after completion in which a late fault takes the version back; empty for 600.", "text"))
+                (self.input("min_calls", "Calls as evidence", "Calls of the new version that a step needs; empty for 50.", "text"))
+            }
+        }
+    }
+
+    fn route(&self) -> Markup {
+        let chosen = self.fields.get("service");
+        html! {
+            (self.input("name", "Name", "", "text"))
+            (self.input("host", "Host", "Empty or * for any.", "text"))
+            (self.input("methods", "Methods", "For example GET, HEAD; empty for all.", "text"))
+            (self.input("path_prefix", "Path prefix", "Begins with /; the longest match wins.", "text"))
+            label for="service" { "Service" }
+            select #service name="service" {
+                @for service in &self.document.services {
+                    option value=(service.name) selected[service.name.as_str() == chosen] { (service.name) }
+                }
+                @if !chosen.is_empty() && !self.document.services.iter().any(|s| s.name.as_str() == chosen) {
+                    option value=(chosen) selected { (chosen) " (not in force)" }
+                }
+            }
+            label for="idempotent" {
+                input #idempotent type="checkbox" name="idempotent" value="yes" checked[!self.fields.get("idempotent").is_empty()];
+                " A call may run more than once without harm"
+            }
+            (self.input("deadline_ms", "Deadline, milliseconds", "Of a whole call; empty for 2000.", "text"))
+            (self.input("attempt_timeout_ms", "Time limit of an attempt, milliseconds", "Empty for 1000.", "text"))
+        }
+    }
+
+    fn whole(&self) -> Markup {
+        html! {
+            label for="document" { "Document" }
+            p .hint { "JSON with comments and trailing commas. Comments are not kept after publishing." }
+            textarea #document name="document" rows=(DOCUMENT_ROWS) spellcheck="false" {
+                // A line break at the start of a text area is not part of its value.
+                "\n" (self.fields.get("document"))
+            }
+        }
+    }
+}
+
+fn difference(changes: &[Change]) -> Markup {
+    html! {
+        @if changes.is_empty() {
+            p { "No difference." }
+        } @else {
+            ul { @for change in changes { li { code { (change) } } } }
+        }
+    }
+}
+
+fn link(section: Section, name: &str) -> String {
+    let name: String = url::form_urlencoded::byte_serialize(name.as_bytes()).collect();
+    format!("{}?name={name}", section.path())
+}
+
+fn time(value: &Value) -> String {
+    form::date_time(WallMs(value.as_u64().unwrap_or_default()))
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or("?")
+}
+
+fn list(value: &Value) -> &[Value] {
+    value.as_array().map_or(&[], Vec::as_slice)
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 pub mod backend;
 pub mod clock;
 mod config_reader;
+mod console;
 mod entry;
 mod gossip_loop;
 mod headers;
--- a/src/node/operator_port.rs
+++ b/src/node/operator_port.rs
@@ -20,6 +20,7 @@
 use crate::invariant;
 use crate::logging;
 use crate::node::Node;
+use crate::node::console;
 use crate::node::headers;
 use crate::node::history;
 use crate::node::publish;
@@ -56,6 +57,13 @@
         let line = format!("the headers exceed {MAX_HEADER_BYTES} bytes\n");
         return text(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, line);
     }
+    if console::is_console(req.path()) {
+        let limit = console::body_limit(&node, &req);
+        return match http_server::read_body(&mut payload, limit).await {
+            Ok(body) => console::handle(&node, &req, &body).await,
+            Err(failure) => text(StatusCode::PAYLOAD_TOO_LARGE, failure.to_string()),
+        };
+    }
     if !authorised(&node, &req) {
         let failures = &node.operator_auth_failures;
         failures.set(failures.get() + 1);
@@ -153,29 +161,35 @@
 
 /// Returns the outcomes of all nodes: the log's newest ones and those that this node knows.
 async fn outcomes(node: &Rc<Node>) -> Response<BoxBody> {
-    if let Ok(bounds) = node.log_client.bounds(OUTCOME_STREAM).await {
-        let from = bounds
-            .end
-            .saturating_sub(OUTCOMES_READ as u64)
-            .max(bounds.oldest);
-        let read = node
-            .log_client
-            .read(OUTCOME_STREAM, from, OUTCOMES_READ, Duration::ZERO)
-            .await;
-        let records = read.map(|batch| batch.records).unwrap_or_default();
-        let mut state = node.state.borrow_mut();
-        for (_, bytes) in records {
-            if let Ok(outcome) = codec::decode::<OutcomeRecord>(&bytes) {
-                state.outcomes.learn(outcome);
-            }
-        }
-    }
+    learn_outcomes(node).await;
     let state = node.state.borrow();
     let mut all: Vec<&OutcomeRecord> = state.outcomes.iter().collect();
     all.sort_by_key(|outcome| outcome.at);
     json_answer(&all)
 }
 
+/// Takes over the newest outcomes of the log, if it answers.
+pub async fn learn_outcomes(node: &Rc<Node>) {
+    let Ok(bounds) = node.log_client.bounds(OUTCOME_STREAM).await else {
+        return;
+    };
+    let from = bounds
+        .end
+        .saturating_sub(OUTCOMES_READ as u64)
+        .max(bounds.oldest);
+    let read = node
+        .log_client
+        .read(OUTCOME_STREAM, from, OUTCOMES_READ, Duration::ZERO)
+        .await;
+    let records = read.map(|batch| batch.records).unwrap_or_default();
+    let mut state = node.state.borrow_mut();
+    for (_, bytes) in records {
+        if let Ok(outcome) = codec::decode::<OutcomeRecord>(&bytes) {
+            state.outcomes.learn(outcome);
+        }
+    }
+}
+
 /// Returns the outcomes from an offset of the log on, and those that this node knows itself, so
 /// that a watcher misses none while the log or the node is away.
 async fn watch(node: &Rc<Node>, req: &Request) -> Response<BoxBody> {
