Report how far each publication has come without being asked

A query for a version was started again with every question, so that it never lived long enough to report missing nodes, and two publications displaced each other's progress. A stopping node waits up to 2 s for the log to take its last outcomes.

--- a/src/node/alerts.rs
+++ b/src/node/alerts.rs
@@ -19,6 +19,8 @@
 /// Time without an answer of the log after which it is reported; longer than the restart of its
 /// servers, during which nothing is lost.
 const LOG_PATIENCE: Duration = Duration::from_secs(10);
+/// Time after the start within which a node is ready unless something is wrong.
+const READY_PATIENCE: Duration = Duration::from_secs(30);
 /// Rejected messages of other nodes that are reported. A few happen without a fault, for example
 /// when a node is continued after a pause and its peers' messages are too old.
 const MIN_REJECTED: u64 = 20;
@@ -103,6 +105,7 @@
             check_counter(node, counter);
         }
         check_log(node, &mut log_outage.borrow_mut());
+        check_ready(node);
     });
 }
 
@@ -160,3 +163,25 @@
         _ => {}
     }
 }
+
+fn check_ready(node: &Node) {
+    let now = node.clock.now();
+    let (waits, started) = {
+        let mut state = node.state.borrow_mut();
+        if state.ready || now < READY_PATIENCE {
+            return;
+        }
+        let started = state.gossip.me().started_at;
+        (state.readiness.state(now).to_string(), started)
+    };
+    let id = &node.settings.id;
+    node.report(
+        ResultCode::NotReady,
+        format!("not-ready/{id}/{started}"),
+        format!("node {id}"),
+        format!(
+            "the node is not ready {} s after its start and takes no calls: {waits}",
+            READY_PATIENCE.as_secs()
+        ),
+    );
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -124,7 +124,8 @@
     quarantine: Quarantine,
     backend: Backend,
     outcomes: Outcomes,
-    convergence: Convergence,
+    /// Versions whose way to all nodes is followed, oldest first.
+    convergence: Vec<Convergence>,
     key_replica: KeyReplica,
     /// Counts the claims of this process.
     claims: u64,
@@ -226,7 +227,7 @@
         quarantine: Quarantine::new(),
         backend: Backend::default(),
         outcomes: Outcomes::new(),
-        convergence: Convergence::default(),
+        convergence: Vec::new(),
         key_replica,
         claims: 0,
     };
--- a/src/node/publish.rs
+++ b/src/node/publish.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use slog::info;
 
+use crate::coordination::dissemination::VERSION_QUERY_END;
 use crate::node::Node;
 use crate::node::config_reader;
 use crate::node::history;
@@ -26,6 +27,11 @@
 
 /// Time within which the log's records up to a publication must have been read.
 const CATCH_UP_LIMIT: Duration = Duration::from_secs(5);
+/// Versions whose way is followed at a time; 1,100 publications per day are less than one in a
+/// minute.
+const FOLLOWED_VERSIONS: usize = 8;
+/// Names of nodes in an outcome.
+const SHOWN_NODES: usize = 8;
 /// Longest name of an author, bytes; it stands in each record and outcome.
 const MAX_AUTHOR_BYTES: usize = 64;
 
@@ -72,29 +78,41 @@
     /// Wall time of the publication, if this node published it.
     #[serde(skip)]
     pub published_at: Option<WallMs>,
+    /// Start of the last question to the members, monotonic.
+    #[serde(skip)]
+    pub asked_at: Option<Duration>,
 }
 
 /// Publishes a document: checks it, appends it once, reads the log up to it and reports the result
 /// as an outcome.
+///
+/// The work is a task of its own, so that it ends and is reported also if the operator's connection
+/// breaks.
 pub async fn publish(node: &Rc<Node>, request: PublishRequest) -> PublishAnswer {
+    let node = node.clone();
+    let task = actix_rt::spawn(async move { publish_and_report(&node, request).await });
+    task.await.unwrap_or_else(|e| {
+        let text = format!("the task of the publication failed: {e}");
+        not_confirmed(&Failure::new(ResultCode::PublishUnconfirmed, text))
+    })
+}
+
+async fn publish_and_report(node: &Rc<Node>, request: PublishRequest) -> PublishAnswer {
     let id = request.publish_id;
     let author = request.author.clone();
-    let answer = match try_publish(node, request).await {
-        Ok(answer) => answer,
-        Err(failure) => PublishAnswer {
-            result: "not confirmed",
-            version: None,
-            code: ResultCode::PublishUnconfirmed.number(),
-            text: format!(
-                "the publication may or may not take effect: {failure}; it is safe to publish again on the same base"
-            ),
-        },
-    };
+    let result = try_publish(node, request).await;
+    let answer = result.unwrap_or_else(|failure| not_confirmed(&failure));
     let identity = match answer.result {
         "not confirmed" => format!("publish-not-confirmed/{id}"),
         _ => format!("publish/{id}"),
     };
     let code = ResultCode::from_number(answer.code).unwrap_or(ResultCode::PublishInvalid);
+    // A control character in a refused name must not reach a terminal.
+    let author: String = author
+        .chars()
+        .filter(|c| !c.is_control())
+        .take(MAX_AUTHOR_BYTES)
+        .collect();
     node.report(
         code,
         identity,
@@ -104,6 +122,18 @@
     answer
 }
 
+fn not_confirmed(failure: &Failure) -> PublishAnswer {
+    PublishAnswer {
+        result: "not confirmed",
+        version: None,
+        code: ResultCode::PublishUnconfirmed.number(),
+        text: format!(
+            "the publication may or may not take effect: {failure}; it is safe to publish again \
+             on the same base"
+        ),
+    }
+}
+
 async fn try_publish(node: &Rc<Node>, request: PublishRequest) -> Result<PublishAnswer, Failure> {
     let id = request.publish_id;
     if let Err(failure) = check_author(&request.author) {
@@ -257,14 +287,8 @@
 }
 
 fn accepted(node: &Node, version: ConfigVersion) -> PublishAnswer {
-    let mut state = node.state.borrow_mut();
-    if state.convergence.version != version {
-        state.convergence = Convergence {
-            version,
-            published_at: Some(node.clock.wall()),
-            ..Convergence::default()
-        };
-    }
+    let wall = node.clock.wall();
+    ask_members(node, version, Some(wall));
     PublishAnswer {
         result: "accepted",
         version: Some(version),
@@ -286,23 +310,48 @@
     }
 }
 
-/// Returns how far a version has come and asks the members that may lack it.
+/// Returns how far a version has come, and asks the members that may lack it.
 pub fn convergence(node: &Node, version: ConfigVersion) -> Convergence {
+    ask_members(node, version, None);
+    let state = node.state.borrow();
+    let known = state.convergence.iter().find(|c| c.version == version);
+    known.cloned().unwrap_or_default()
+}
+
+/// Starts to ask the members for a version unless that is done already. A query reports its result
+/// when all members have the version, and otherwise at fixed ages, so that a query that is started
+/// again and again would never report what is missing.
+fn ask_members(node: &Node, version: ConfigVersion, published_at: Option<WallMs>) {
     let now = node.clock.now();
     let mut state = node.state.borrow_mut();
-    if state.convergence.version != version {
-        state.convergence = Convergence {
-            version,
-            ..Convergence::default()
-        };
-    }
-    if !state.convergence.everywhere {
+    let state = &mut *state;
+    let list = &mut state.convergence;
+    let at = list
+        .iter()
+        .position(|c| c.version == version)
+        .unwrap_or_else(|| {
+            if list.len() >= FOLLOWED_VERSIONS {
+                list.remove(0);
+            }
+            list.push(Convergence {
+                version,
+                ..Convergence::default()
+            });
+            list.len() - 1
+        });
+    let known = &mut list[at];
+    known.published_at = known.published_at.or(published_at);
+    let running = known
+        .asked_at
+        .is_some_and(|at| now.saturating_sub(at) < VERSION_QUERY_END);
+    if !known.everywhere && !running {
+        known.asked_at = Some(now);
         state.gossip.start_version_query(now, version);
     }
-    state.convergence.clone()
 }
 
-/// Takes over what a version query found.
+/// Takes over what a version query found. Whether a publication is in force everywhere is reported
+/// by the node that served it, also if nobody waits for the answer.
 pub fn on_version_status(
     node: &Node,
     version: ConfigVersion,
@@ -310,34 +359,50 @@
     total: usize,
     missing: &[NodeId],
 ) {
-    let published_at = {
-        let mut state = node.state.borrow_mut();
-        if state.convergence.version != version || state.convergence.everywhere {
-            return;
+    let everywhere = have == total;
+    let mut reports = Vec::new();
+    for known in &mut node.state.borrow_mut().convergence {
+        // A member that has a later version has this one as well.
+        if known.everywhere || !(known.version == version || everywhere && known.version < version)
+        {
+            continue;
         }
-        let published_at = state.convergence.published_at;
-        state.convergence = Convergence {
-            version,
-            have,
-            total,
-            missing: missing.to_vec(),
-            everywhere: have == total,
-            published_at,
-        };
-        published_at
-    };
-    let Some(published_at) = published_at.filter(|_| have == total) else {
-        return;
-    };
-    let taken = node.clock.wall().since(published_at);
-    node.metrics.convergence.record(taken.as_secs_f64());
-    node.report(
-        ResultCode::InForce,
-        format!("in-force/{version}"),
-        format!("configuration version {version}"),
-        format!(
-            "version {version} is in force on all {total} nodes after {} ms",
-            taken.as_millis()
-        ),
-    );
+        known.have = have;
+        known.total = total;
+        known.missing = missing.to_vec();
+        known.everywhere = everywhere;
+        reports.extend(known.published_at.map(|at| (known.version, at)));
+    }
+    for (version, published_at) in reports {
+        let taken = node.clock.wall().since(published_at);
+        let subject = format!("configuration version {version}");
+        if everywhere {
+            node.metrics.convergence.record(taken.as_secs_f64());
+            let text = format!(
+                "version {version} is in force on all {total} nodes after {} ms",
+                taken.as_millis()
+            );
+            let identity = format!("in-force/{version}");
+            node.report(ResultCode::InForce, identity, subject, text);
+        } else {
+            let text = format!(
+                "version {version} is in force on {have} of {total} nodes after {} ms; missing: {}",
+                taken.as_millis(),
+                name_some(missing)
+            );
+            let identity = format!("not-in-force/{version}/{}", taken.as_secs());
+            node.report(ResultCode::NotInForce, identity, subject, text);
+        }
+    }
+}
+
+fn name_some(nodes: &[NodeId]) -> String {
+    let shown: Vec<&str> = nodes.iter().take(SHOWN_NODES).map(NodeId::as_str).collect();
+    let rest = nodes.len().saturating_sub(shown.len());
+    let names = shown.join(", ");
+    if rest > 0 {
+        format!("{names} and {rest} others")
+    } else {
+        names
+    }
 }
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -16,6 +16,8 @@
 const WITHDRAW_TIME: Duration = Duration::from_secs(1);
 /// Longest wait for calls that run.
 const DRAIN_LIMIT: Duration = Duration::from_secs(30);
+/// Longest wait for the log to take the last outcomes; they are also among the log lines.
+const OUTCOME_LIMIT: Duration = Duration::from_secs(2);
 /// Pause between two looks at the calls that run.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 /// Time for the last answers to leave the process after their calls ended.
@@ -47,6 +49,10 @@
     if open_calls(node) > 0 {
         warn!(node.log, "calls still run at the end of the drain"; "calls" => open_calls(node));
     }
+    let limit = node.clock.now() + OUTCOME_LIMIT;
+    while node.state.borrow().outcomes.pending() > 0 && node.clock.now() < limit {
+        actix_rt::time::sleep(DRAIN_CHECK).await;
+    }
     servers.node.stop_accepting();
     actix_rt::time::sleep(FLUSH_TIME).await;
 }
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -60,6 +60,8 @@
     LogUnavailable = 2004, "log unavailable";
     /// The log no longer has the records that were asked for.
     LogTruncated = 2005, "log truncated";
+    /// Some nodes do not have a configuration version in force in time.
+    NotInForce = 2006, "configuration not in force everywhere";
 
     /// The text is not valid JSON with comments.
     SyntaxError = 3001, "syntax error";
