--- a/src/commands/diff.rs
+++ b/src/commands/diff.rs
@@ -15,6 +15,7 @@
 use crate::commands::operator_client::RequestError;
 use crate::commands::output::Output;
 use crate::commands::output::Tone;
+use crate::commands::output::print_line;
 use crate::config::OperatorAccess;
 use crate::exit_code::ExitCode;
 
@@ -54,7 +55,7 @@
     let changes = diff::changes(&old, &new);
     if !output.json {
         for change in &changes {
-            println!("{}", output.paint(tone_of(change), &change.to_string()));
+            print_line(&output.paint(tone_of(change), &change.to_string()));
         }
     }
     let text = match changes.len() {
--- a/src/commands/history.rs
+++ b/src/commands/history.rs
@@ -8,6 +8,7 @@
 use crate::commands::operator_client::OperatorClient;
 use crate::commands::output::Output;
 use crate::commands::output::Tone;
+use crate::commands::output::print_line;
 use crate::commands::table::Table;
 use crate::commands::table::time_of;
 use crate::config::OperatorAccess;
@@ -29,11 +30,11 @@
         Err(e) => return output.fail(&e.to_string(), e.exit_code()),
     };
     if output.json {
-        println!("{}", json!(entries));
+        print_line(&json!(entries).to_string());
         return ExitCode::Success;
     }
     if entries.is_empty() {
-        println!("the log has no publications");
+        print_line("the log has no publications");
         return ExitCode::Success;
     }
     let mut table = Table::new(&["VERSION", "BASE", "TIME (UTC)", "AUTHOR", "RESULT"]);
--- a/src/commands/output.rs
+++ b/src/commands/output.rs
@@ -3,6 +3,7 @@
 use std::env;
 use std::io;
 use std::io::IsTerminal as _;
+use std::io::Write as _;
 
 use serde_json::Value;
 use serde_json::json;
@@ -11,6 +12,12 @@
 use crate::config::Color;
 use crate::exit_code::ExitCode;
 
+/// Prints a line on standard output; returns false if nobody reads it any more, for example since
+/// the output goes to `head`.
+pub fn print_line(line: &str) -> bool {
+    writeln!(io::stdout(), "{line}").is_ok()
+}
+
 /// How serious a piece of text is, for its colour.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Tone {
@@ -66,14 +73,14 @@
             if let (Some(object), Some(extra)) = (object.as_object_mut(), extra.as_object()) {
                 object.extend(extra.clone());
             }
-            println!("{object}");
+            print_line(&object.to_string());
         } else {
             let tone = match code {
                 ExitCode::Success => Tone::Good,
                 ExitCode::NotConfirmed => Tone::Caution,
                 _ => Tone::Bad,
             };
-            println!("{}: {text}", self.paint(tone, result));
+            print_line(&format!("{}: {text}", self.paint(tone, result)));
         }
         code
     }
@@ -81,7 +88,7 @@
     /// Prints why a command failed.
     pub fn fail(self, text: &str, code: ExitCode) -> ExitCode {
         if self.json {
-            println!("{}", json!({ "result": "failed", "text": text }));
+            print_line(&json!({ "result": "failed", "text": text }).to_string());
         } else {
             eprintln!("sycamorewick: {text}");
         }
@@ -95,9 +102,8 @@
                 .iter()
                 .map(|failure| json!({ "code": failure.code.number(), "text": failure.text }))
                 .collect();
-            println!(
-                "{}",
-                json!({ "result": "invalid", "text": summary, "failures": failures })
+            print_line(
+                &json!({ "result": "invalid", "text": summary, "failures": failures }).to_string(),
             );
         } else {
             for failure in failures {
--- a/src/commands/status.rs
+++ b/src/commands/status.rs
@@ -7,6 +7,7 @@
 use crate::commands::operator_client::OperatorClient;
 use crate::commands::output::Output;
 use crate::commands::output::Tone;
+use crate::commands::output::print_line;
 use crate::commands::table::Table;
 use crate::commands::table::time_of;
 use crate::commands::watch::line_of;
@@ -23,7 +24,9 @@
         Err(e) => Err(e),
     };
     match answer {
-        Ok(status) if output.json => println!("{status}"),
+        Ok(status) if output.json => {
+            print_line(&status.to_string());
+        }
         Ok(status) => print(&status, output),
         Err(e) => return output.fail(&e.to_string(), e.exit_code()),
     }
@@ -35,14 +38,14 @@
     print_fleet(status, output);
     print_services(status, output);
     print_rollbacks(status, output);
-    println!();
-    println!("{}", output.paint(Tone::Strong, "RECENT OUTCOMES"));
+    print_line("");
+    print_line(&output.paint(Tone::Strong, "RECENT OUTCOMES"));
     let outcomes = list(&status["recent_outcomes"]);
     if outcomes.is_empty() {
-        println!("none");
+        print_line("none");
     }
     for outcome in outcomes {
-        println!("{}", line_of(outcome));
+        print_line(&line_of(outcome));
     }
 }
 
@@ -56,26 +59,30 @@
         Some(0) | None => "no configuration is in force".to_owned(),
         Some(version) => format!("version {version} is in force"),
     };
-    println!("node {}: {ready}, {version}", text(&status["id"]));
+    print_line(&format!("node {}: {ready}, {version}", text(&status["id"])));
     if let Some(seconds) = status["log_failing_s"].as_u64() {
         let line = format!("the log has not answered this node for {seconds} s");
-        println!("{}", output.paint(Tone::Bad, &line));
+        print_line(&output.paint(Tone::Bad, &line));
     }
     let waiting = status["outcomes_waiting_for_the_log"].as_u64();
     if let Some(waiting) = waiting.filter(|&waiting| waiting > 0) {
-        println!("{waiting} outcomes wait for the log");
+        print_line(&format!("{waiting} outcomes wait for the log"));
     }
     let violations = status["invariant_violations"].as_u64();
     if let Some(violations) = violations.filter(|&violations| violations > 0) {
         let line = format!("{violations} violations of invariants; report them as a fault");
-        println!("{}", output.paint(Tone::Bad, &line));
+        print_line(&output.paint(Tone::Bad, &line));
     }
 }
 
 fn print_fleet(status: &Value, output: Output) {
     let members = list(&status["members"]);
-    println!();
-    println!("{} of {} nodes are alive", status["alive"], members.len());
+    print_line("");
+    print_line(&format!(
+        "{} of {} nodes are alive",
+        status["alive"],
+        members.len()
+    ));
     let mut table = Table::new(&[
         "NODE",
         "REGION",
@@ -113,7 +120,7 @@
 }
 
 fn print_services(status: &Value, output: Output) {
-    println!();
+    print_line("");
     let mut table = Table::new(&["SERVICE", "SHARES", "ROLLOUT"]);
     for service in list(&status["services"]) {
         let shares: Vec<String> = list(&service["shares"])
@@ -161,7 +168,7 @@
             time_of(&rollback["at"]),
             text(&rollback["cause"])
         );
-        println!("{}", output.paint(Tone::Bad, &line));
+        print_line(&output.paint(Tone::Bad, &line));
     }
 }
 
--- a/src/commands/table.rs
+++ b/src/commands/table.rs
@@ -7,6 +7,7 @@
 
 use crate::commands::output::Output;
 use crate::commands::output::Tone;
+use crate::commands::output::print_line;
 
 /// Space between two columns.
 const GAP: &str = "  ";
@@ -51,7 +52,7 @@
                     line += GAP;
                 }
             }
-            println!("{}", line.trim_end());
+            print_line(line.trim_end());
         }
     }
 }
--- a/src/commands/watch.rs
+++ b/src/commands/watch.rs
@@ -9,6 +9,7 @@
 use crate::commands::operator_client::OperatorClient;
 use crate::commands::operator_client::RequestError;
 use crate::commands::output::Output;
+use crate::commands::output::print_line;
 use crate::commands::table::time_of;
 use crate::config::OperatorAccess;
 use crate::exit_code::ExitCode;
@@ -36,6 +37,7 @@
         seen: Vec::new(),
         next: None,
         trouble: None,
+        closed: false,
     };
     loop {
         let path = match watch.next {
@@ -47,7 +49,7 @@
         match &result {
             Ok(answer) => {
                 more = answer["more"] == true;
-                if watch.on_answer(answer) {
+                if watch.on_answer(answer) || watch.closed {
                     return ExitCode::Success;
                 }
             }
@@ -73,6 +75,8 @@
     next: Option<u64>,
     /// What hinders the watch at present; told once.
     trouble: Option<String>,
+    /// Whether nobody reads the output any more.
+    closed: bool,
 }
 
 impl Watch<'_> {
@@ -104,11 +108,12 @@
         };
         self.seen.insert(index, identity.to_owned());
         let line = line_of(outcome);
-        if self.output.json {
-            println!("{outcome}");
+        let shown = if self.output.json {
+            outcome.to_string()
         } else {
-            println!("{line}");
-        }
+            line.clone()
+        };
+        self.closed |= !print_line(&shown);
         self.until.is_some_and(|until| line.contains(until))
     }
 
