Test reports of publications and closed outputs

lose_next_answer waits until no outcome is pending: the lost answer could otherwise be that of an outcome, and the test of the lost publication failed or was void.

--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -301,7 +301,7 @@
 fn publish_lost_answer_takes_effect_once() {
     let world = World::start(3);
     world.run(0, &["publish", &world.document(100)]).expect(0);
-    world.log.lose_answers(1);
+    world.lose_next_answer();
     let run = world
         .run(1, &["publish", "--json", &world.document(40)])
         .expect(0);
@@ -363,7 +363,7 @@
 fn publish_again_on_printed_base_after_lost_answers() {
     let world = World::start(3);
     world.run(0, &["publish", &world.document(100)]).expect(0);
-    world.log.lose_answers(1);
+    world.lose_next_answer();
     let args = ["publish", "--timeout", "1", &world.document(40)];
     let run = world.run(1, &args).expect(5);
     expect_that!(run.stdout, contains_substring("--base 1"));
@@ -495,3 +495,46 @@
     expect_that!(publish_records(&world), eq(0));
     world.run(0, &["publish", &world.document(100)]).expect(0);
 }
+
+/// Guards against a publication of which nobody hears again because its operator did not wait, and
+/// against versions that displace each other's progress.
+#[gtest]
+fn publish_without_waiting_is_reported_in_force() {
+    let world = World::start(3);
+    for share in [90, 80, 70, 60, 50, 40] {
+        let args = ["publish", "--no-wait", "--json", &world.document(share)];
+        let run = world.run(0, &args).expect(0);
+        expect_that!(run.json()["result"], eq(&json!("accepted")));
+    }
+    for version in 1..=6 {
+        let subject = format!("configuration version {version}");
+        env::wait_for("the version is reported in force", || {
+            let outcomes = world.get(1, "/v1/outcomes")?;
+            let mut outcomes = outcomes.as_array()?.iter();
+            let found = outcomes.any(|o| o["code"] == 1001 && o["subject"] == subject.as_str());
+            found.then_some(())
+        });
+    }
+}
+
+/// Guards against a panic when the reader of the output ends first, as `head` does.
+#[gtest]
+fn output_without_reader_does_not_panic() -> googletest::Result<()> {
+    let world = World::start(1);
+    world.run(0, &["publish", &world.document(100)]).expect(0);
+    let addr = world.nodes[0].operator_addr.to_string();
+    let token = world.dir().join("operator.token").display().to_string();
+    for command in ["status", "history", "watch"] {
+        let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_sycamorewick"))
+            .args([command, "--operator", &addr, "--token-file", &token])
+            .stdout(std::process::Stdio::piped())
+            .stderr(std::process::Stdio::piped())
+            .spawn()?;
+        drop(child.stdout.take());
+        let output = child.wait_with_output()?;
+        expect_that!(output.status.code(), some(eq(0)), "{command}");
+        let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
+        expect_that!(stderr, eq(""), "{command}");
+    }
+    Ok(())
+}
--- a/tests/console.rs
+++ b/tests/console.rs
@@ -526,7 +526,7 @@
     let kept = fields_of(&page.body);
     expect_that!(kept, contains(eq(&("slots".to_owned(), "12".to_owned()))));
     world.log.set_outage(Outage::Off);
-    world.log.lose_answers(1);
+    world.lose_next_answer();
     let page = browser.post("/console/service", &kept, "publish");
     expect_that!(page.status, eq(503));
     // The lost append took effect, and the same form is recognised.
--- a/tests/support/env.rs
+++ b/tests/support/env.rs
@@ -240,6 +240,18 @@
         });
     }
 
+    /// Loses the answer to the next append. Outcomes that wait are appended first, so that it is not
+    /// one of theirs.
+    pub fn lose_next_answer(&self) {
+        for index in 0..self.nodes.len() {
+            wait_for("the outcomes are appended", || {
+                let status = self.get(index, "/v1/status")?;
+                (status["outcomes_waiting_for_the_log"] == 0).then_some(())
+            });
+        }
+        self.log.lose_answers(1);
+    }
+
     /// Output of a node, for the message of a failure.
     pub fn output(&self, index: usize) -> String {
         fs::read_to_string(&self.nodes[index].output_file).unwrap_or_default()
