Give each testbed process a loopback address of its own

Cause: free_addr checks a port and releases it before its user binds it. Processes derived their first port from the process id modulo the range, so two test runs on one machine took each other's ports; one of 10 tests failed with "Address already in use" while other test runs were active. Ruled out: a second user within the process, since the counter is shared by all threads. Change: the host part of the address is derived from the process id.

--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -47,8 +47,6 @@
 const FIRST_PORT: u16 = 12_000;
 /// Ports that fleets of one process use in turn.
 const PORT_COUNT: u16 = 18_000;
-/// Distance between the first ports of two processes.
-const PORT_STRIDE: u16 = 97;
 /// Number of nodes that each node has as seeds.
 const SEED_COUNT: usize = 3;
 /// Requests to operator ports at the same time.
@@ -650,12 +648,19 @@
 /// Returns an error if no port is free.
 pub fn free_addr() -> eyre::Result<SocketAddr> {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let process = u16::try_from(std::process::id() % u32::from(PORT_COUNT)).unwrap_or_default();
+    // Each process has a loopback address of its own, so that no other process takes a port between
+    // this check and its use. Process ids have up to 22 bits.
+    let pid = std::process::id();
+    let octet = |bits: u32| u8::try_from(bits).unwrap_or_default();
+    let host = [
+        127,
+        octet(1 + (pid >> 15 & 0x7f)),
+        octet(pid >> 7 & 0xff),
+        octet(1 + (pid & 0x7f)),
+    ];
     for _ in 0..PORT_COUNT {
-        let step = u32::from(NEXT.fetch_add(1, Ordering::Relaxed));
-        let offset = (u32::from(process) * u32::from(PORT_STRIDE) + step) % u32::from(PORT_COUNT);
-        let port = FIRST_PORT + u16::try_from(offset).unwrap_or_default();
-        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        let offset = NEXT.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
+        let addr = SocketAddr::from((host, FIRST_PORT + offset));
         if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
             return Ok(addr);
         }
