Count a planned attempt without a candidate as not run

Cause: CallPlan counts an attempt when it plans it. If no node could be picked for it, the plan was ended with one attempt started and none ended as not run, which violates invariant 6: a debug build ended the node process, a release build answered "unknown" instead of "no". Ruled out: an attempt that really ran; it happens with no backend server in the fleet. Before: each call without a backend server of its service ended the process (no answer). After: 503, code 4002, sw-run "no" for GET and POST, no violation counted (no_backend_is_not_run).

--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -185,7 +185,9 @@
     /// # Panics
     /// In builds with debug assertions, if invariant 6 is violated.
     #[must_use]
-    pub fn no_candidate(&self) -> Next {
+    pub fn no_candidate(&mut self) -> Next {
+        // The attempt that was planned is not made.
+        self.not_run += 1;
         self.fail(ResultCode::NoBackend, Run::No)
     }
 
