Refuse answers that end with their connection

Cause: the body stream of awc ends without an error when the connection ends, whatever the content-length said, so that a cut answer passed as a whole one (invariant 5). Ruled out: the serving hop between nodes; the answer was short already when the serving node read it. Change: the client's streams report their end as an error.

--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -22,6 +22,8 @@
 use awc::error::SendRequestError;
 use bytes::Bytes;
 
+use crate::transport::strict_stream;
+
 /// Time for which an idle connection is reused. Middleboxes lose track of idle connections; a
 /// fresh connection costs about 1 ms.
 pub const IDLE_REUSE: Duration = Duration::from_secs(2);
@@ -179,6 +181,7 @@
 
 fn new_client(max_connections: usize) -> Client {
     let connector = Connector::new()
+        .connector(strict_stream::connector())
         .limit(max_connections)
         .timeout(CONNECT_TIMEOUT)
         .conn_keep_alive(IDLE_REUSE)
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -4,4 +4,5 @@
 pub mod http_client;
 pub mod http_server;
 pub mod log_client;
+pub mod strict_stream;
 pub mod udp;
--- /dev/null
+++ b/src/transport/strict_stream.rs
@@ -0,0 +1,88 @@
+//! TCP stream whose end is an error.
+//!
+//! `awc` takes the end of a connection for the end of the body, so that an answer that was cut would
+//! pass for a shorter whole one (invariant 5). A whole answer ends by its `content-length` or its
+//! last chunk, before the end of the connection is read. An answer without either, as RFC 9112,
+//! section 6.3 allows it, cannot be told from a cut one and becomes an error, too.
+
+use std::io;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use actix_http::Uri;
+use actix_rt::net::ActixStream;
+use actix_rt::net::Ready;
+use actix_rt::net::TcpStream;
+use actix_service::Service;
+use actix_service::ServiceExt;
+use actix_tls::connect::ConnectError;
+use actix_tls::connect::ConnectInfo;
+use actix_tls::connect::Connection;
+use actix_tls::connect::Connector;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+
+/// Stream that reports its end as [`io::ErrorKind::UnexpectedEof`].
+#[derive(Debug)]
+pub struct StrictStream(TcpStream);
+
+/// Returns a service that opens such streams.
+#[must_use]
+pub fn connector()
+-> impl Service<ConnectInfo<Uri>, Response = Connection<Uri, StrictStream>, Error = ConnectError>
++ Clone
++ 'static {
+    Connector::default()
+        .service()
+        .map(|connection: Connection<Uri, TcpStream>| {
+            let (stream, uri) = connection.into_parts();
+            Connection::new(uri, StrictStream(stream))
+        })
+}
+
+impl AsyncRead for StrictStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let had_room = buf.remaining() > 0;
+        ready!(Pin::new(&mut self.0).poll_read(cx, buf))?;
+        if had_room && buf.filled().len() == before {
+            return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for StrictStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for StrictStream {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.0, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.0, cx)
+    }
+}
