Take answers 429 and 503 of a backend server for overload

A backend server that sheds load was counted as failing, and ejected after five such answers, which moves its load to the others when they are full as well. A refused connection now ejects at once, as AttemptEnd::ConnectFailed is meant to.

--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -435,12 +435,16 @@
 
 fn attempt_end(result: AttemptResult) -> AttemptEnd {
     match result {
-        AttemptResult::Refused(ResultCode::Overloaded) => AttemptEnd::Overloaded,
+        // A backend server that sheds load is not broken and must not be ejected for it.
+        AttemptResult::Refused(ResultCode::Overloaded)
+        | AttemptResult::Responded {
+            status: 429 | 503, ..
+        } => AttemptEnd::Overloaded,
         AttemptResult::Refused(_) => AttemptEnd::Refused,
         AttemptResult::Responded { status, .. } if status < 500 => AttemptEnd::Succeeded,
         AttemptResult::TimedOut => AttemptEnd::TimedOut,
-        AttemptResult::ConnectFailed
-        | AttemptResult::Responded { .. }
+        AttemptResult::ConnectFailed => AttemptEnd::ConnectFailed,
+        AttemptResult::Responded { .. }
         | AttemptResult::Unknown(_)
         | AttemptResult::ConnectionDied => AttemptEnd::Failed,
     }
