--- /dev/null
+++ b/tests/process_calls.rs
@@ -0,0 +1,440 @@
+//! Calls through real node processes while nodes, backend servers and connections fail.
+
+mod process_common;
+
+use std::time::Duration;
+
+use actix_http::Method;
+use process_common::Call;
+use process_common::LIMIT;
+use process_common::backend;
+use process_common::backends;
+use process_common::call;
+use process_common::calls_with;
+use process_common::check_invariants;
+use process_common::check_report;
+use process_common::document;
+use process_common::fleet;
+use process_common::forwarder::Forwarder;
+use process_common::publish;
+use process_common::run;
+use process_common::serving;
+use process_common::wait_alive;
+use process_common::wait_for;
+use serde_json::json;
+use testbed::backend_server::BackendServer;
+use testbed::backend_server::Fault;
+use testbed::backend_server::ServiceTime;
+use testbed::caller::CallerOptions;
+use testbed::caller::CallerThread;
+use testbed::caller::Keys;
+use testbed::fleet::Fleet;
+
+fn get_load(fleet: &Fleet, entries: &[usize], rate: f64, secs: u64) -> CallerOptions {
+    let targets = entries.iter().map(|i| fleet.nodes()[*i].request_addr);
+    let mut options = CallerOptions::new(targets.collect(), rate, Duration::from_secs(secs));
+    options.path = "/item".into();
+    options.timeout = Duration::from_secs(20);
+    options
+}
+
+fn post_load(fleet: &Fleet, entries: &[usize], rate: f64, secs: u64) -> CallerOptions {
+    let mut options = get_load(fleet, entries, rate, secs);
+    options.method = Method::POST;
+    options.path = "/order".into();
+    options
+}
+
+/// Guards against calls that are lost silently, a "not run" that is false, and idempotent calls that
+/// are not retried, when a node and a backend server die at once under load.
+#[test]
+fn killed_node_and_backend_under_load() {
+    run(async {
+        let (mut fleet, mut backends, _) = serving(5, &[0, 1, 2, 3]).await?;
+        let reads = CallerThread::start(get_load(&fleet, &[0, 4], 60.0, 6))?;
+        let mut writes = post_load(&fleet, &[0, 4], 40.0, 6);
+        writes.keep_samples = true;
+        let writes = CallerThread::start(writes)?;
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        fleet.kill_node(3)?;
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        backends[2].kill();
+        let (reads, writes) = (reads.join()?, writes.join()?);
+        check_report(&reads)?;
+        check_report(&writes)?;
+        eyre::ensure!(reads.with_status(200) == reads.sent, "{reads:?}");
+        // Each call that ran was dispatched once; only the calls with an unknown outcome may or may
+        // not have run. A call that says "not run" and ran makes the count too high.
+        let ran: u64 = backends.iter().map(|b| b.report().counters.ran).sum();
+        let retries_of_reads = ran.saturating_sub(reads.sent + writes.sent);
+        let (yes, unknown) = (
+            calls_with(&writes.by_run, "yes"),
+            calls_with(&writes.by_run, "unknown"),
+        );
+        println!(
+            "reads {reads:?}\nwrites by run {:?}, ran {ran}",
+            writes.by_run
+        );
+        eyre::ensure!(ran >= reads.sent + yes, "{ran} ran, {yes} said so");
+        eyre::ensure!(retries_of_reads <= 40, "{ran} ran");
+        for sample in &writes.samples {
+            eyre::ensure!(sample.status == 200 || sample.status >= 500, "{sample:?}");
+        }
+        eyre::ensure!(yes + unknown + calls_with(&writes.by_run, "no") == writes.sent);
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against a false "not run": with writes only, the calls that ran are those that say "yes"
+/// and at most those that say "unknown".
+#[test]
+fn not_run_is_true_when_backends_die() {
+    run(async {
+        let (mut fleet, mut backends, _) = serving(4, &[0, 1, 2]).await?;
+        let writes = CallerThread::start(post_load(&fleet, &[0, 3], 60.0, 6))?;
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        backends[1].kill();
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        fleet.kill_node(2)?;
+        let writes = writes.join()?;
+        check_report(&writes)?;
+        let ran: u64 = backends.iter().map(|b| b.report().counters.ran).sum();
+        let yes = calls_with(&writes.by_run, "yes");
+        let unknown = calls_with(&writes.by_run, "unknown");
+        println!("writes by run {:?}, ran {ran}", writes.by_run);
+        eyre::ensure!(yes <= ran && ran <= yes + unknown, "{ran} ran: {writes:?}");
+        eyre::ensure!(writes.with_status(200) == yes);
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against a paused node that keeps receiving calls, that is not taken back, that goes back
+/// in version, or that runs keyed calls again when it continues.
+#[test]
+fn paused_node_is_routed_around() {
+    run(async {
+        let (fleet, backends, version) = serving(4, &[0, 1, 2]).await?;
+        // Keys can be claimed once their creation is later than the start by the clock skew.
+        actix_rt::time::sleep(Duration::from_secs(6)).await;
+        let mut writes = post_load(&fleet, &[0, 1, 3], 30.0, 9);
+        writes.keys = Keys::Fresh { repeated: 0.3 };
+        let writes = CallerThread::start(writes)?;
+        let reads = CallerThread::start(get_load(&fleet, &[0, 1, 3], 30.0, 9))?;
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        fleet.pause_node(2)?;
+        let (paused, others) = (2, [0, 1, 3]);
+        for index in others {
+            wait_for("the paused node is not alive for the others", || async {
+                let status = fleet.status(index).await.unwrap_or_default();
+                status["members"][paused]["status"] != "alive"
+            })
+            .await?;
+        }
+        let newer = publish(&fleet, 0, &document(&fleet))
+            .await
+            .unwrap_or(version);
+        let before = backends[paused].report().counters.ran;
+        actix_rt::time::sleep(Duration::from_secs(2)).await;
+        eyre::ensure!(
+            backends[paused].report().counters.ran == before,
+            "calls ran beside the paused node"
+        );
+        fleet.resume_node(2)?;
+        wait_alive(&fleet, 4).await?;
+        fleet.wait_version(newer, LIMIT).await?;
+        let (reads, writes) = (reads.join()?, writes.join()?);
+        check_report(&reads)?;
+        check_report(&writes)?;
+        eyre::ensure!(reads.with_status(200) == reads.sent, "{reads:?}");
+        println!(
+            "writes by run {:?}, by code {:?}",
+            writes.by_run, writes.by_code
+        );
+        for backend in &backends {
+            let report = backend.report();
+            eyre::ensure!(report.repeated_keys.is_empty(), "{report:?}");
+        }
+        check_invariants(&fleet).await
+    });
+}
+
+/// Keeps a backend server behind a forwarder announced at a node.
+fn announce_forwarder(fleet: &Fleet, index: usize, forwarder: &Forwarder) {
+    let url = format!(
+        "http://{}/.sycamorewick/announce",
+        fleet.nodes()[index].request_addr
+    );
+    let body = json!({ "service": "shop", "version": "v1", "addr": forwarder.addr(), "slots": 10 });
+    actix_rt::spawn(async move {
+        let client = awc::Client::default();
+        loop {
+            let _ = client.post(&url).send_json(&body).await;
+            actix_rt::time::sleep(Duration::from_millis(500)).await;
+        }
+    });
+}
+
+/// Guards against a shortened answer that is taken for a whole one, and against a cut connection
+/// that is used again.
+#[test]
+fn connection_cut_within_an_answer() {
+    run(async {
+        let fleet = fleet(3).await?;
+        let version = publish(&fleet, 0, &document(&fleet)).await?;
+        fleet.wait_version(version, LIMIT).await?;
+        let mut options = backend("b2", "v1");
+        options.answer_bytes = 4_000;
+        let backend = BackendServer::start(options)?;
+        let forwarder = Forwarder::start(backend.addr())?;
+        announce_forwarder(&fleet, 1, &forwarder);
+        let entry = fleet.nodes()[0].request_addr;
+        wait_for("a first answer", || async {
+            call(entry, &Call::get("/a"))
+                .await
+                .is_ok_and(|a| a.status == 200)
+        })
+        .await?;
+        // Inside the headers, and inside the body.
+        for cut in [20, 2_000] {
+            forwarder.cut_after(Some(cut));
+            for request in [Call::get("/a"), Call::post("/b")] {
+                let answer = call(entry, &request).await?;
+                eyre::ensure!(
+                    answer.is_explicit_error(),
+                    "cut at {cut}: {} {} of {} bytes, {} connections",
+                    answer.status,
+                    answer.run,
+                    answer.body.len(),
+                    forwarder.accepted()
+                );
+                eyre::ensure!(answer.served.is_none(), "cut at {cut}: {answer:?}");
+                eyre::ensure!(answer.run != "yes", "cut at {cut}: {answer:?}");
+            }
+            forwarder.cut_after(None);
+            wait_for("whole answers after the cut", || async {
+                call(entry, &Call::get("/a"))
+                    .await
+                    .is_ok_and(|a| a.status == 200 && a.body.len() >= 3_900)
+            })
+            .await?;
+        }
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against calls that wait for ever on connections that have become unresponsive, and against
+/// such connections that are used again: one call finds out for all.
+#[test]
+fn black_holed_connections_are_replaced() {
+    run(async {
+        let fleet = fleet(3).await?;
+        let version = publish(&fleet, 0, &document(&fleet)).await?;
+        fleet.wait_version(version, LIMIT).await?;
+        let backend = BackendServer::start(backend("b2", "v1"))?;
+        let forwarder = Forwarder::start(backend.addr())?;
+        announce_forwarder(&fleet, 1, &forwarder);
+        let entry = fleet.nodes()[0].request_addr;
+        wait_for("a first answer", || async {
+            call(entry, &Call::get("/a"))
+                .await
+                .is_ok_and(|a| a.status == 200)
+        })
+        .await?;
+        // Several connections are idle in the pool when they become unresponsive.
+        let get = Call::get("/a");
+        let calls = (0..8).map(|_| call(entry, &get));
+        for answer in futures_util::future::join_all(calls).await {
+            eyre::ensure!(answer?.status == 200);
+        }
+        forwarder.black_hole();
+        // The first attempt takes one of them and times out; its retry must not take another one.
+        let first = call(entry, &get).await?;
+        eyre::ensure!(first.status == 200, "{} {}", first.status, first.code);
+        let used = forwarder.dropped_bytes();
+        eyre::ensure!(used > 0, "no unresponsive connection was used");
+        for _ in 0..4 {
+            let answer = call(entry, &Call::post("/b")).await?;
+            eyre::ensure!(answer.status == 200, "{answer:?}");
+        }
+        eyre::ensure!(
+            forwarder.dropped_bytes() == used,
+            "{} more bytes were sent on unresponsive connections",
+            forwarder.dropped_bytes() - used
+        );
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against a planned stop that fails calls, that gives new work to its backend server for
+/// more than 2 s, or that ends with an error.
+#[test]
+fn graceful_stop_under_load() {
+    run(async {
+        let (mut fleet, backends, _) = serving(4, &[0, 1, 2]).await?;
+        let reads = CallerThread::start(get_load(&fleet, &[0, 3], 60.0, 7))?;
+        let writes = CallerThread::start(post_load(&fleet, &[0, 3], 40.0, 7))?;
+        actix_rt::time::sleep(Duration::from_secs(2)).await;
+        let signalled = std::time::Instant::now();
+        fleet.request_stop(1)?;
+        actix_rt::time::sleep(Duration::from_secs(2)).await;
+        let at_bound = backends[1].report().counters.arrived;
+        let left = LIMIT.saturating_sub(signalled.elapsed());
+        wait_for("the node ends", || {
+            let ended = fleet.ended(1);
+            async move { !matches!(ended, Ok(None)) || left.is_zero() }
+        })
+        .await
+        .ok();
+        let (reads, writes) = (reads.join()?, writes.join()?);
+        for report in [&reads, &writes] {
+            check_report(report)?;
+            eyre::ensure!(report.with_status(200) == report.sent, "{report:?}");
+        }
+        let after = backends[1].report().counters.arrived;
+        eyre::ensure!(after == at_bound, "{} calls arrived late", after - at_bound);
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against a stop with another exit code than 0 while calls run, and against a stop that does
+/// not wait for them.
+#[test]
+fn graceful_stop_waits_for_running_calls() {
+    run(async {
+        let (mut fleet, mut backends, _) = serving(3, &[1]).await?;
+        backends[0].change(testbed::backend_server::BackendControlChange {
+            service_time: Some(ServiceTime {
+                median_us: 900_000,
+                p99_us: 900_000,
+            }),
+            ..Default::default()
+        });
+        let entry = fleet.nodes()[0].request_addr;
+        let request = Call::post("/slow");
+        let running = actix_rt::spawn(async move { call(entry, &request).await });
+        wait_for("the call runs", || async {
+            backends[0].report().counters.ran == 1
+        })
+        .await?;
+        let status = fleet.stop_node(1, LIMIT).await?;
+        eyre::ensure!(status.code() == Some(0), "{status}");
+        let answer = running.await??;
+        eyre::ensure!(answer.status == 200, "{answer:?}");
+        backends[0].kill();
+        Ok(())
+    });
+}
+
+/// Guards against a backend server that gets new work more than 2 s after it withdrew.
+#[test]
+fn withdrawn_backend_gets_no_new_work() {
+    run(async {
+        let (fleet, mut backends, _) = serving(3, &[0, 1, 2]).await?;
+        let load = CallerThread::start(get_load(&fleet, &[0, 1, 2], 90.0, 6))?;
+        wait_for("the backend server has work", || async {
+            backends[1].report().counters.ran > 10
+        })
+        .await?;
+        let url = format!(
+            "http://{}/.sycamorewick/withdraw",
+            fleet.nodes()[1].request_addr
+        );
+        backends[1].change(testbed::backend_server::BackendControlChange {
+            announce: Some(false),
+            ..Default::default()
+        });
+        // An announcement that was under way when they were switched off arrives before.
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        let res = awc::Client::default().post(url).send().await;
+        eyre::ensure!(res.is_ok_and(|r| r.status().is_success()));
+        actix_rt::time::sleep(Duration::from_secs(2)).await;
+        let at_bound = backends[1].report().counters.arrived;
+        let report = load.join()?;
+        check_report(&report)?;
+        eyre::ensure!(report.with_status(200) == report.sent, "{report:?}");
+        let after = backends[1].report().counters.arrived;
+        eyre::ensure!(after == at_bound, "{} calls arrived late", after - at_bound);
+        backends[1].stop();
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against a cancelled call that keeps its slot, or that runs on at the backend server
+/// because its connection stays open.
+#[test]
+fn cancelled_call_frees_its_slot() {
+    run(async {
+        let fleet = fleet(3).await?;
+        let version = publish(&fleet, 0, &document(&fleet)).await?;
+        fleet.wait_version(version, LIMIT).await?;
+        let mut options = backend("b2", "v1");
+        options.slots = 1;
+        options.faults = vec![Fault {
+            path_prefix: "/hang".into(),
+            hang: true,
+            ..Fault::default()
+        }];
+        let backend = fleet.start_backend(1, options)?;
+        process_common::wait_backends(&fleet, 1).await?;
+        for entry in [0, 1] {
+            let before = backend.report().counters;
+            let url = format!("http://{}/hang", fleet.nodes()[entry].request_addr);
+            let pending = actix_rt::spawn(async move {
+                let client = awc::Client::builder().disable_timeout().finish();
+                let _ = client.post(url).send().await;
+            });
+            wait_for("the call runs", || async {
+                backend.report().counters.ran > before.ran
+            })
+            .await?;
+            let cancelled_at = std::time::Instant::now();
+            pending.abort();
+            wait_for("the call is cancelled at the backend server", || async {
+                backend.report().counters.cancelled > before.cancelled
+            })
+            .await?;
+            println!(
+                "entry {entry}: cancelled after {:?}",
+                cancelled_at.elapsed()
+            );
+            let answer = call(fleet.nodes()[0].request_addr, &Call::post("/b")).await?;
+            eyre::ensure!(answer.status == 200, "{answer:?}");
+        }
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against a refusal without any backend server that does not say "not run".
+#[test]
+fn no_backend_is_not_run() {
+    run(async {
+        let (fleet, _, _) = serving(3, &[]).await?;
+        for request in [Call::get("/a"), Call::post("/b")] {
+            let answer = call(fleet.nodes()[0].request_addr, &request).await?;
+            eyre::ensure!(answer.status == 503 && answer.run == "no", "{answer:?}");
+            eyre::ensure!(answer.code == "4002", "{answer:?}");
+        }
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against restarted backend servers that no node uses again.
+#[test]
+fn backend_comes_back() {
+    run(async {
+        let (fleet, mut first, _) = serving(3, &[1]).await?;
+        let entry = fleet.nodes()[0].request_addr;
+        first[0].kill();
+        let answer = call(entry, &Call::post("/b")).await?;
+        eyre::ensure!(answer.run == "no" && answer.status == 503, "{answer:?}");
+        let second = backends(&fleet, &[1]).await?;
+        wait_for("the new backend server is used", || async {
+            call(entry, &Call::post("/b"))
+                .await
+                .is_ok_and(|a| a.status == 200)
+        })
+        .await?;
+        eyre::ensure!(second[0].report().counters.ran >= 1);
+        check_invariants(&fleet).await
+    });
+}
--- /dev/null
+++ b/tests/process_common/mod.rs
@@ -0,0 +1,308 @@
+//! Parts shared by the tests with real processes.
+
+#![allow(dead_code, reason = "each test file uses some of the parts")]
+
+pub mod forwarder;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_http::Method;
+use bytes::Bytes;
+use serde_json::Value;
+use serde_json::json;
+use sycamorewick::protocol::document::Document;
+use testbed::backend_server::AnswerBody;
+use testbed::backend_server::BackendHandle;
+use testbed::backend_server::BackendOptions;
+use testbed::backend_server::NUMBER_HEADER;
+use testbed::backend_server::ServiceTime;
+use testbed::caller::CallerReport;
+use testbed::fleet::Fleet;
+use testbed::fleet::FleetOptions;
+use testbed::fleet::PublishReply;
+use uuid::Uuid;
+
+/// Bound of every wait; generous, since the speed of the machine is not what the tests check.
+pub const LIMIT: Duration = Duration::from_mins(1);
+/// Time between two checks of a condition.
+const CHECK: Duration = Duration::from_millis(50);
+
+/// Runs a test within an `actix` system.
+pub fn run<F: Future<Output = eyre::Result<()>>>(test: F) {
+    if let Err(e) = actix_rt::System::new().block_on(test) {
+        panic!("{e:#}");
+    }
+}
+
+/// Options of a fleet of the binary under test, in one region of three failure domains.
+pub fn options(nodes: usize) -> FleetOptions {
+    let mut options = FleetOptions::new(env!("CARGO_BIN_EXE_sycamorewick"), nodes);
+    options.regions = 1;
+    options
+}
+
+/// Starts a fleet and waits until it is ready.
+pub async fn fleet(nodes: usize) -> eyre::Result<Fleet> {
+    let fleet = Fleet::start(options(nodes))?;
+    fleet.wait_ready(LIMIT).await?;
+    wait_alive(&fleet, nodes).await?;
+    Ok(fleet)
+}
+
+/// A document with service `shop` whose version `v1` has all traffic: `GET` is idempotent, `POST`
+/// is not.
+pub fn document(fleet: &Fleet) -> Document {
+    document_with(fleet, &Value::Null)
+}
+
+/// The same document with a rollout from `v1` to `v2`.
+pub fn document_with(fleet: &Fleet, rollout: &Value) -> Document {
+    let mut document = json!({
+        "regions": fleet.options().regions_json(),
+        "services": [{
+            "name": "shop",
+            "cold_start_ms": 0,
+            "versions": [{ "name": "v1", "share": 100 }, { "name": "v2", "share": 0 }],
+        }],
+        "routes": [
+            { "name": "browse", "methods": ["GET"], "path_prefix": "/", "service": "shop",
+              "idempotent": true, "deadline_ms": 4000, "attempt_timeout_ms": 1000 },
+            { "name": "buy", "methods": ["POST"], "path_prefix": "/", "service": "shop",
+              "idempotent": false, "deadline_ms": 4000, "attempt_timeout_ms": 1000 },
+        ],
+    });
+    if !rollout.is_null() {
+        document["services"][0]["rollout"] = rollout.clone();
+    }
+    serde_json::from_value(document).expect("a valid document")
+}
+
+/// Publishes a document through a node; returns its version.
+pub async fn publish(fleet: &Fleet, index: usize, document: &Document) -> eyre::Result<u64> {
+    let reply: PublishReply = fleet.publish(index, None, document).await?;
+    reply
+        .version()
+        .ok_or_else(|| eyre::eyre!("not published: {}", reply.body))
+}
+
+/// A backend server that takes a few milliseconds for a call.
+pub fn backend(id: &str, version: &str) -> BackendOptions {
+    let mut options = BackendOptions::new(id, "shop", version);
+    options.service_time = ServiceTime {
+        median_us: 3_000,
+        p99_us: 10_000,
+    };
+    options
+}
+
+/// Starts a backend server of `v1` beside each of the nodes and waits until all nodes know them.
+pub async fn backends(fleet: &Fleet, nodes: &[usize]) -> eyre::Result<Vec<BackendHandle>> {
+    let mut all = Vec::new();
+    for index in nodes {
+        all.push(fleet.start_backend(*index, backend(&format!("b{}", index + 1), "v1"))?);
+    }
+    wait_backends(fleet, nodes.len()).await?;
+    Ok(all)
+}
+
+/// Starts a ready fleet with the document in force and a backend server beside each of `nodes`.
+pub async fn serving(
+    count: usize,
+    nodes: &[usize],
+) -> eyre::Result<(Fleet, Vec<BackendHandle>, u64)> {
+    let fleet = fleet(count).await?;
+    let version = publish(&fleet, 0, &document(&fleet)).await?;
+    fleet.wait_version(version, LIMIT).await?;
+    let backends = backends(&fleet, nodes).await?;
+    Ok((fleet, backends, version))
+}
+
+/// Waits until all running nodes see this number of backend servers that take work.
+pub async fn wait_backends(fleet: &Fleet, count: usize) -> eyre::Result<Duration> {
+    let what = format!("{count} backend servers known");
+    fleet
+        .wait_for_nodes(&what, LIMIT, |index| async move {
+            let Ok(status) = fleet.status(index).await else {
+                return false;
+            };
+            let members = status["members"].as_array().cloned().unwrap_or_default();
+            members
+                .iter()
+                .filter(|m| m["status"] == "alive" && m["backend"]["up"] == true)
+                .count()
+                == count
+        })
+        .await
+}
+
+/// Waits until all running nodes count this number of members as alive.
+pub async fn wait_alive(fleet: &Fleet, count: usize) -> eyre::Result<Duration> {
+    let what = format!("{count} members alive");
+    fleet
+        .wait_for_nodes(&what, LIMIT, |index| async move {
+            alive(fleet, index).await == Some(count)
+        })
+        .await
+}
+
+async fn alive(fleet: &Fleet, index: usize) -> Option<usize> {
+    let status = fleet.status(index).await.ok()?;
+    let members = status["members"].as_array()?;
+    Some(members.iter().filter(|m| m["status"] == "alive").count())
+}
+
+/// Waits until a condition holds.
+pub async fn wait_for<F: Future<Output = bool>>(
+    what: &str,
+    mut condition: impl FnMut() -> F,
+) -> eyre::Result<Duration> {
+    let start = Instant::now();
+    while !condition().await {
+        eyre::ensure!(start.elapsed() < LIMIT, "not within {LIMIT:?}: {what}");
+        actix_rt::time::sleep(CHECK).await;
+    }
+    Ok(start.elapsed())
+}
+
+/// Checks that no running node has found a violated invariant.
+pub async fn check_invariants(fleet: &Fleet) -> eyre::Result<()> {
+    for index in 0..fleet.nodes().len() {
+        if fleet.nodes()[index].pid().is_none() {
+            continue;
+        }
+        let violations = fleet.status(index).await?["invariant_violations"].clone();
+        eyre::ensure!(
+            violations == 0,
+            "node {} counts {violations} violated invariants:\n{}",
+            fleet.nodes()[index].id,
+            fleet.output_tail(index, 20)
+        );
+    }
+    Ok(())
+}
+
+/// Request of a single call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub method: Method,
+    pub path: String,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: Bytes,
+}
+
+impl Call {
+    pub fn get(path: &str) -> Self {
+        Self {
+            method: Method::GET,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    pub fn post(path: &str) -> Self {
+        Self {
+            method: Method::POST,
+            ..Self::get(path)
+        }
+    }
+
+    pub fn key(mut self, key: &str) -> Self {
+        self.headers.push(("idempotency-key", key.into()));
+        self
+    }
+
+    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+}
+
+/// Whole answer to a single call.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub run: String,
+    pub code: String,
+    pub body: Bytes,
+    /// Parsed body of a backend server's answer.
+    pub served: Option<AnswerBody>,
+}
+
+impl Answer {
+    /// Whether the answer says that something failed, and whether the call ran.
+    pub fn is_explicit_error(&self) -> bool {
+        self.status >= 400 && !self.run.is_empty()
+    }
+}
+
+/// Makes a call on a connection of its own; the error says why there is no whole answer.
+pub async fn call(addr: SocketAddr, call: &Call) -> eyre::Result<Answer> {
+    let client = awc::Client::builder()
+        .timeout(Duration::from_secs(20))
+        .disable_redirects()
+        .finish();
+    let number = Uuid::now_v7().to_string();
+    let mut req = client
+        .request(call.method.clone(), format!("http://{addr}{}", call.path))
+        .insert_header((NUMBER_HEADER, number.clone()))
+        .insert_header(("connection", "close"));
+    for (name, value) in &call.headers {
+        req = req.insert_header((*name, value.as_str()));
+    }
+    let sent = req.send_body(call.body.clone()).await;
+    let mut res = sent.map_err(|e| eyre::eyre!("no answer: {e}"))?;
+    let body = res.body().limit(2 << 20).await;
+    let body = body.map_err(|e| eyre::eyre!("answer was cut: {e}"))?;
+    let header = |name: &str| {
+        let value = res.headers().get(name).and_then(|v| v.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let served: Option<AnswerBody> = serde_json::from_slice(&body).ok();
+    let answer = Answer {
+        status: res.status().as_u16(),
+        run: header("sw-run"),
+        code: header("sw-code"),
+        body,
+        served,
+    };
+    // A recorded answer of a keyed call has the number of its first call.
+    let keyed = call
+        .headers
+        .iter()
+        .any(|(name, _)| *name == "idempotency-key");
+    if let Some(served) = &answer.served
+        && !keyed
+    {
+        eyre::ensure!(
+            served.number.as_deref() == Some(number.as_str()),
+            "the answer belongs to another call"
+        );
+    }
+    Ok(answer)
+}
+
+/// Checks that each call got a whole answer of its own, or an explicit error of the node.
+pub fn check_report(report: &CallerReport) -> eyre::Result<()> {
+    eyre::ensure!(report.sent > 0 && report.not_sent == 0, "{report:?}");
+    eyre::ensure!(
+        report.mismatched == 0 && report.malformed == 0,
+        "answers of other calls or incomplete ones: {report:?}"
+    );
+    eyre::ensure!(
+        report.answered == report.sent && report.by_failure.is_empty(),
+        "calls without an answer: {report:?}"
+    );
+    Ok(())
+}
+
+/// Number of calls with one property.
+pub fn calls_with(counts: &[testbed::caller::Count], value: &str) -> u64 {
+    counts
+        .iter()
+        .find(|c| c.value == value)
+        .map_or(0, |c| c.calls)
+}
