testbed: bind again while a starting process holds a copy of the socket

Cause: one of 20 tests of tests/cli.rs ended with 'Address already in use' when the log double bound the address that free_addr had just released. Ruled out: another process (each has a loopback address of its own) and another thread (the port counter is shared). A process that is being started by another thread holds copies of all open sockets until exec, the released one among them. The doubles now try again for up to 2 s.

--- a/testbed/src/http.rs
+++ b/testbed/src/http.rs
@@ -38,6 +38,22 @@
 /// Bytes of a `date` header line that the server adds to each answer.
 const DATE_LINE_BYTES: usize = "date: Thu, 01 Jan 1970 00:00:00 GMT\r\n".len();
 
+/// Attempts to bind an address that is in use, and the pause between them.
+const BIND_ATTEMPTS: u32 = 100;
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// Binds an address. A process that another thread starts holds copies of all sockets until it has
+/// loaded its program, among them the one by which the address was found to be free.
+fn bind(addr: SocketAddr) -> io::Result<std::net::TcpListener> {
+    for _ in 1..BIND_ATTEMPTS {
+        match std::net::TcpListener::bind(addr) {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => std::thread::sleep(BIND_PAUSE),
+            result => return result,
+        }
+    }
+    std::net::TcpListener::bind(addr)
+}
+
 /// A server that runs on its own thread with its own `actix` system until it is stopped or dropped.
 #[derive(Debug)]
 pub struct ServerThread {
@@ -56,7 +72,7 @@
         R: FnOnce(TcpListener) -> F + Send + 'static,
         F: Future<Output = ()> + 'static,
     {
-        let listener = std::net::TcpListener::bind(addr)?;
+        let listener = bind(addr)?;
         listener.set_nonblocking(true)?;
         let addr = listener.local_addr()?;
         let (stop, stopped) = oneshot::channel();
