--- a/testbed/src/caller.rs
+++ b/testbed/src/caller.rs
@@ -130,6 +130,16 @@
     }
 }
 
+/// Adds the counts of another run.
+pub fn merge_counts(counts: &mut Vec<Count>, other: &[Count]) {
+    for add in other {
+        match counts.binary_search_by(|c| c.value.cmp(&add.value)) {
+            Ok(at) => counts[at].calls += add.calls,
+            Err(at) => counts.insert(at, add.clone()),
+        }
+    }
+}
+
 /// One call.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Sample {
