--- a/src/commands/status.rs
+++ b/src/commands/status.rs
@@ -17,6 +17,9 @@
 /// Time limit of the request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Members up to which all are listed.
+const MAX_LISTED_MEMBERS: usize = 50;
+
 /// Shows the state of a node and of the fleet as that node sees it.
 pub async fn run(access: &OperatorAccess, output: Output) -> ExitCode {
     let answer = match OperatorClient::new(access) {
@@ -83,6 +86,13 @@
         status["alive"],
         members.len()
     ));
+    let large = members.len() > MAX_LISTED_MEMBERS;
+    if large {
+        print_domains(members, output);
+        print_line("");
+        print_line("nodes that are not alive, and those whose backend server is down:");
+    }
+    let healthy = |member: &Value| member["status"] == "alive" && member["backend"]["up"] != false;
     let mut table = Table::new(&[
         "NODE",
         "REGION",
@@ -90,7 +100,7 @@
         "BACKEND SERVER",
         "STATUS",
     ]);
-    for member in members {
+    for member in members.iter().filter(|m| !large || !healthy(m)) {
         let backend = &member["backend"];
         let server = if backend.is_null() {
             "-".to_owned()
@@ -119,6 +129,37 @@
     table.print(output);
 }
 
+/// One row for each failure domain.
+fn print_domains(members: &[Value], output: Output) {
+    let mut domains: Vec<(&str, &str)> = members
+        .iter()
+        .map(|member| (text(&member["region"]), text(&member["failure_domain"])))
+        .collect();
+    domains.sort_unstable();
+    domains.dedup();
+    let mut table = Table::new(&["REGION", "FAILURE DOMAIN", "NODES", "SERVERS UP", "ALIVE"]);
+    for (region, domain) in domains {
+        let of_domain = || members.iter().filter(|m| m["failure_domain"] == domain);
+        let total = of_domain().count();
+        let alive = of_domain().filter(|m| m["status"] == "alive").count();
+        let up = of_domain().filter(|m| m["backend"]["up"] == true).count();
+        let tone = if alive == total {
+            Tone::Good
+        } else {
+            Tone::Bad
+        };
+        let cells = vec![
+            region.to_owned(),
+            domain.to_owned(),
+            total.to_string(),
+            up.to_string(),
+            alive.to_string(),
+        ];
+        table.row(cells, Some(tone));
+    }
+    table.print(output);
+}
+
 fn print_services(status: &Value, output: Output) {
     print_line("");
     let mut table = Table::new(&["SERVICE", "SHARES", "ROLLOUT"]);
@@ -155,7 +196,10 @@
         let start = time_of(&rollout["start_ms"]);
         format!("{from} to {to}, {phase}, {start} until {until}")
     };
-    (line, tone)
+    match rollout["stalled"].as_str() {
+        Some(stalled) => (format!("{line}, stalled: {stalled}"), Some(Tone::Caution)),
+        None => (line, tone),
+    }
 }
 
 fn print_rollbacks(status: &Value, output: Output) {
--- a/src/node/console/page.rs
+++ b/src/node/console/page.rs
@@ -22,6 +22,8 @@
 
 /// Outcomes on the overview.
 const SHOWN_OUTCOMES: usize = 50;
+/// Members up to which all are listed.
+const MAX_LISTED_MEMBERS: usize = 50;
 /// Rows of the text field for a whole document.
 const DOCUMENT_ROWS: usize = 30;
 
@@ -141,7 +143,7 @@
             }
         }
         (node_section(&status))
-        (service_table(&status, &outcomes))
+        (service_table(&status))
         (route_table(node))
         (rollback_list(&status))
         (outcome_table(&outcomes))
@@ -187,7 +189,7 @@
     }
 }
 
-fn service_table(status: &Value, outcomes: &[OutcomeRecord]) -> Markup {
+fn service_table(status: &Value) -> Markup {
     html! {
         table {
             caption { "Services" }
@@ -207,7 +209,7 @@
                                 (text(&share["version"])) " " (share["share"].as_u64().unwrap_or_default()) "%"
                             }
                         }
-                        td { (rollout(name, &service["rollout"], outcomes)) }
+                        td { (rollout(&service["rollout"])) }
                     }
                 }
             }
@@ -215,7 +217,7 @@
     }
 }
 
-fn rollout(service: &str, rollout: &Value, outcomes: &[OutcomeRecord]) -> Markup {
+fn rollout(rollout: &Value) -> Markup {
     if rollout.is_null() {
         return html! { "none" };
     }
@@ -226,19 +228,15 @@
         _ => "",
     };
     let to = text(&rollout["to"]);
-    let subject = format!("{service} {to}");
-    // The newest outcome of the rollout tells whether it still waits.
-    let last = outcomes.iter().find(|outcome| outcome.subject == subject);
-    let stalled = last.filter(|outcome| outcome.code == ResultCode::RolloutStalled.number());
     html! {
         (text(&rollout["from"])) " to " (to) ", " span class=(class) { (phase) }
         @if let Some(step) = rollout["step"].as_u64() {
             ", step " (step + 1) " of " (list(&rollout["steps"]).len())
         }
         ", " (time(&rollout["start_ms"])) " until " (time(&rollout["finish_by_ms"]))
-        @if let Some(stalled) = stalled {
+        @if let Some(stalled) = rollout["stalled"].as_str() {
             br;
-            span .bad { "Stalled: " (stalled.text) }
+            span .bad { "Stalled: " (stalled) }
         }
     }
 }
@@ -317,10 +315,19 @@
     }
 }
 
+/// In a large fleet only the members that are not alive, or whose backend server is down, are shown.
 fn fleet_table(status: &Value) -> Markup {
+    let members = list(&status["members"]);
+    let large = members.len() > MAX_LISTED_MEMBERS;
+    let healthy = |member: &Value| member["status"] == "alive" && member["backend"]["up"] != false;
+    let caption = if large {
+        "Nodes that are not alive, and those whose backend server is down"
+    } else {
+        "Fleet"
+    };
     html! {
         table {
-            caption { "Fleet" }
+            caption { (caption) }
             thead { tr {
                 th scope="col" { "Node" }
                 th scope="col" { "Region" }
@@ -329,7 +336,7 @@
                 th scope="col" { "Status" }
             } }
             tbody {
-                @for member in list(&status["members"]) {
+                @for member in members.iter().filter(|m| !large || !healthy(m)) {
                     @let backend = &member["backend"];
                     tr {
                         th scope="row" { (text(&member["id"])) }
--- a/src/node/operator_port.rs
+++ b/src/node/operator_port.rs
@@ -34,9 +34,13 @@
 use crate::result_code::ResultCode;
 use crate::transport::http_server;
 use crate::transport::http_server::Handler;
+use crate::transport::log_client::LogBatch;
 
 /// Outcomes read from the log for one request.
 const OUTCOMES_READ: usize = 256;
+/// Time for which a watcher's request waits for the next outcome; it spares the log a request for
+/// each poll of each watcher.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Largest head of a request, bytes; the token and a form's cookie need far less.
 const MAX_HEADER_BYTES: usize = 8 << 10;
 
@@ -194,18 +198,7 @@
 /// that a watcher misses none while the log or the node is away.
 async fn watch(node: &Rc<Node>, req: &Request) -> Response<BoxBody> {
     let from = number(req, "from");
-    let batch = match node.log_client.bounds(OUTCOME_STREAM).await {
-        Ok(bounds) => {
-            let recent = bounds.end.saturating_sub(OUTCOMES_READ as u64);
-            let start = from.unwrap_or(recent).max(bounds.oldest).min(bounds.end);
-            let lost = bounds.oldest.saturating_sub(from.unwrap_or(start));
-            node.log_client
-                .read(OUTCOME_STREAM, start, OUTCOMES_READ, Duration::ZERO)
-                .await
-                .map(|batch| (start, lost, batch))
-        }
-        Err(failure) => Err(failure),
-    };
+    let batch = read_outcomes(node, from).await;
     let mut all: Vec<OutcomeRecord> = Vec::new();
     let (mut next, mut lost, mut more, mut log_error) = (from, 0, false, None);
     match batch {
@@ -214,6 +207,8 @@
             let decoded = records.iter().map(|(_, bytes)| codec::decode(bytes));
             all.extend(decoded.filter_map(Result::ok));
             let end = records.last().map_or(start, |(offset, _)| offset + 1);
+            // An end before the start is that of a log that was set up anew.
+            let end = end.min(batch.end);
             more = end < batch.end;
             next = Some(end);
             lost = dropped;
@@ -239,6 +234,28 @@
     }))
 }
 
+/// Reads outcomes from an offset on, or the newest ones without it. Returns the offset at which it
+/// began, the number of records that the log dropped before it, and the records.
+async fn read_outcomes(
+    node: &Rc<Node>,
+    from: Option<u64>,
+) -> Result<(u64, u64, LogBatch), Failure> {
+    let log = &node.log_client;
+    if let Some(from) = from {
+        let read = log.read(OUTCOME_STREAM, from, OUTCOMES_READ, WATCH_WAIT);
+        match read.await {
+            Err(failure) if failure.code == ResultCode::LogTruncated => {}
+            other => return other.map(|batch| (from, 0, batch)),
+        }
+    }
+    let bounds = log.bounds(OUTCOME_STREAM).await?;
+    let recent = bounds.end.saturating_sub(OUTCOMES_READ as u64);
+    let start = from.unwrap_or(recent).max(bounds.oldest).min(bounds.end);
+    let lost = bounds.oldest.saturating_sub(from.unwrap_or(start));
+    let read = log.read(OUTCOME_STREAM, start, OUTCOMES_READ, Duration::ZERO);
+    read.await.map(|batch| (start, lost, batch))
+}
+
 async fn publications(node: &Rc<Node>, req: &Request) -> Response<BoxBody> {
     let limit = number(req, "limit")
         .and_then(|limit| usize::try_from(limit).ok())
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -8,8 +8,10 @@
 use crate::node::NodeState;
 use crate::protocol::document::Service;
 use crate::protocol::gossip::MemberStatus;
+use crate::protocol::gossip::RolloutKey;
 use crate::protocol::record::OutcomeRecord;
 use crate::protocol::time::WallMs;
+use crate::result_code::ResultCode;
 
 /// Recent outcomes that the status shows.
 const SHOWN_OUTCOMES: usize = 10;
@@ -74,9 +76,7 @@
         .map(|v| json!({ "version": v.name, "share": shares.map(|s| s.of(v.name.as_str())) }))
         .collect();
     let rollout = service.rollout.as_ref().map(|rollout| {
-        let of_service = |key: &crate::protocol::gossip::RolloutKey| {
-            key.service == service.name && key.to == rollout.to
-        };
+        let of_service = |key: &RolloutKey| key.service == service.name && key.to == rollout.to;
         let progress = state.rollouts.progress().into_iter();
         let progress = progress.filter(|p| of_service(&p.key)).last();
         let taken_back = state
@@ -101,7 +101,16 @@
             "steps": rollout.steps,
             "step": step,
             "phase": phase,
+            "stalled": stalled(state, service.name.as_str(), rollout.to.as_str()),
         })
     });
     json!({ "service": service.name, "shares": shares, "rollout": rollout })
 }
+
+/// Returns what a rollout waits for, if its newest outcome says that it is stalled.
+fn stalled(state: &NodeState, service: &str, to: &str) -> Option<String> {
+    let subject = format!("{service} {to}");
+    let about = state.outcomes.iter().filter(|o| o.subject == subject);
+    let last = about.max_by_key(|outcome| outcome.at)?;
+    (last.code == ResultCode::RolloutStalled.number()).then(|| last.text.clone())
+}
