Call the tick of the key replica

Cause: only claims called it. A time of 3 s without a claim was taken for a pause of the process, after which keys created in the last 5 s may have been claimed before and are not granted. Ruled out: the releases and the member view; the same call is granted within 3 s of another one. Before: a fresh UUIDv7 key after 4 s without keyed calls got 502, code 4007, at two key replicas at least. After: 200 (fresh_keys_work_after_idle_time).

--- a/src/node/keyed.rs
+++ b/src/node/keyed.rs
@@ -25,6 +25,7 @@
 use crate::node::entry;
 use crate::node::entry::CallResult;
 use crate::node::entry::EntryCall;
+use crate::node::every;
 use crate::node::serving::Downstream;
 use crate::node::serving::ServeAnswer;
 use crate::protocol::call::Run;
@@ -46,8 +47,20 @@
 /// Attempts to tell a key replica the end of a call.
 const REPORT_ATTEMPTS: u32 = 4;
 
+/// Period of the expiry of keys. The key replica takes a gap of 3 s between two calls for a pause of
+/// the process.
+const KEY_TICK: Duration = Duration::from_millis(500);
+
 type Replica = Option<(NodeId, SocketAddr)>;
 
+/// Starts to drop expired keys and to detect pauses of this process.
+pub fn start(node: &Rc<Node>) {
+    every(node, KEY_TICK, |node| {
+        let (now, wall) = (node.clock.now(), node.clock.wall());
+        node.state.borrow_mut().key_replica.tick(now, wall);
+    });
+}
+
 /// A keyed call at the entry node, from its claim to its end.
 pub struct KeyedCall {
     node: Rc<Node>,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -176,6 +176,7 @@
     config_reader::start(&node);
     log_writer::start(&node);
     alerts::start(&node);
+    keyed::start(&node);
     shutdown::wait_for_signal().await?;
     shutdown::drain(&node, &servers).await;
     info!(log, "node stopped"; "node" => node.settings.id.as_str());
