Let claims under way finish and repeat releases until acknowledged

Two replies decide on a claim, and the third request was dropped then, which closed its connection on most keyed calls. Claims now run in tasks of their own. Releases and completions were tried four times in 10 s; a key replica that was unreachable longer kept a grant of a call that never ran. They are now repeated until acknowledged, at most for the key window, or until the key replica is dead. Not measured: the number of connections opened per keyed call.

--- a/src/node/keyed.rs
+++ b/src/node/keyed.rs
@@ -10,12 +10,12 @@
 use actix_http::header::CONTENT_TYPE;
 use actix_http::header::HeaderValue;
 use bytes::Bytes;
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use slog::info;
+use tokio::sync::mpsc;
 
 use crate::coordination::idempotency::Claimant;
 use crate::coordination::idempotency::Decision;
+use crate::coordination::idempotency::KEY_WINDOW;
 use crate::coordination::idempotency::MAX_ANSWER_BYTES;
 use crate::coordination::idempotency::REPLICAS;
 use crate::coordination::idempotency::ReplicaView;
@@ -36,17 +36,19 @@
 use crate::protocol::claim::RecordedAnswer;
 use crate::protocol::claim::ReleaseRequest;
 use crate::protocol::codec;
+use crate::protocol::gossip::MemberStatus;
 use crate::protocol::name::NodeId;
 use crate::protocol::time::WallMs;
 use crate::protocol::time::millis;
 use crate::result_code::Failure;
 use crate::result_code::ResultCode;
 
-/// Time limit of a completion or release; both are repeated.
+/// Time limit of a completion or release; both are repeated until they are acknowledged.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Attempts to tell a key replica the end of a call.
-const REPORT_ATTEMPTS: u32 = 4;
-
+/// Pause after a failed completion or release, doubled up to [`MAX_REPORT_PAUSE`].
+const REPORT_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause between two attempts of a completion or release.
+const MAX_REPORT_PAUSE: Duration = Duration::from_secs(10);
 /// Period of the expiry of keys. The key replica takes a gap of 3 s between two calls for a pause of
 /// the process.
 const KEY_TICK: Duration = Duration::from_millis(500);
@@ -154,19 +156,31 @@
         here(node, &request);
         return;
     }
-    let node = node.clone();
+    let (node, to) = (node.clone(), to.clone());
     actix_rt::spawn(async move {
-        for attempt in 1..=REPORT_ATTEMPTS {
+        let until = node.clock.now() + KEY_WINDOW;
+        let mut pause = REPORT_PAUSE;
+        while node.clock.now() < until {
             let told: Result<(), Failure> =
                 node.ask_peer(addr, path, &request, REPORT_TIMEOUT).await;
-            if told.is_ok() {
+            // A process that has ended has lost its keys, too.
+            if told.is_ok() || is_dead(&node, &to) {
                 return;
             }
-            actix_rt::time::sleep(REPORT_TIMEOUT * attempt).await;
+            actix_rt::time::sleep(pause).await;
+            pause = (pause * 2).min(MAX_REPORT_PAUSE);
         }
     });
 }
 
+fn is_dead(node: &Node, id: &NodeId) -> bool {
+    let state = node.state.borrow();
+    let members = state.gossip.members();
+    members
+        .binary_search_by(|member| member.id.cmp(id))
+        .is_ok_and(|at| members[at].status == MemberStatus::Dead)
+}
+
 fn recorded(answer: &ServeAnswer) -> RecordedAnswer {
     let content_type = answer
         .headers
@@ -240,35 +254,39 @@
 }
 
 async fn claim(node: &Rc<Node>, keyed: &mut KeyedCall) -> Decision {
-    let mut replies = FuturesUnordered::new();
+    let (tx, mut rx) = mpsc::unbounded_channel();
     for replica in 0..REPLICAS {
         let request = keyed.claimant.request(replica);
         let target = keyed.replicas[replica].clone();
+        let (Some(request), Some((id, addr))) = (request, target) else {
+            let failure = Failure::new(
+                ResultCode::KeyReplicasUnreachable,
+                "no member in the failure domain",
+            );
+            let _ = tx.send((replica, Err(failure)));
+            continue;
+        };
+        if id == node.settings.id {
+            let _ = tx.send((replica, Ok(decide(node, &request))));
+            continue;
+        }
         let limit = keyed.claimant.timeout_at().saturating_sub(node.clock.now());
-        replies.push(async move {
-            let reply = match (request, target) {
-                (Some(request), Some((id, _))) if id == node.settings.id => {
-                    Ok(decide(node, &request))
-                }
-                (Some(request), Some((_, addr))) => {
-                    node.ask_peer(addr, "/peer/claim", &request, limit).await
-                }
-                _ => Err(Failure::new(
-                    ResultCode::KeyReplicasUnreachable,
-                    "no member in the failure domain",
-                )),
-            };
-            (replica, reply)
+        // A task of its own lets a claim end after the decision, which two replies suffice for;
+        // dropping it would close its connection on every keyed call.
+        let (node, tx) = (node.clone(), tx.clone());
+        actix_rt::spawn(async move {
+            let reply = node.ask_peer(addr, "/peer/claim", &request, limit).await;
+            let _ = tx.send((replica, reply));
         });
     }
-    while let Some((replica, reply)) = replies.next().await {
+    drop(tx);
+    while let Some((replica, reply)) = rx.recv().await {
         let now = node.clock.now();
         let decision = match reply {
             Ok(reply) => keyed.claimant.on_reply(now, replica, reply),
             Err(_) => keyed.claimant.on_unreachable(now, replica),
         };
         if let Some(decision) = decision {
-            // The claims that are still under way go on, so that their grants can be released.
             return decision;
         }
     }
