--- /dev/null
+++ b/tests/process_keys.rs
@@ -0,0 +1,221 @@
+//! Keyed calls on a route that is not idempotent, through real processes.
+
+mod process_common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use process_common::Answer;
+use process_common::Call;
+use process_common::LIMIT;
+use process_common::call;
+use process_common::check_invariants;
+use process_common::run;
+use process_common::serving;
+use process_common::wait_for;
+use testbed::backend_server::BackendControlChange;
+use testbed::backend_server::BackendHandle;
+use testbed::backend_server::ServiceTime;
+use testbed::fleet::Fleet;
+use uuid::Uuid;
+
+fn fresh_key() -> String {
+    Uuid::now_v7().to_string()
+}
+
+fn ran(backends: &[BackendHandle]) -> u64 {
+    backends.iter().map(|b| b.report().counters.ran).sum()
+}
+
+async fn keyed(fleet: &Fleet, entry: usize, key: &str) -> eyre::Result<Answer> {
+    let request = Call::post("/order").key(key).body("one");
+    call(fleet.nodes()[entry].request_addr, &request).await
+}
+
+/// Waits until fresh keys are granted, which takes the clock skew from the start on.
+async fn wait_keys(fleet: &Fleet) -> eyre::Result<Duration> {
+    wait_for("fresh keys are granted", || async {
+        keyed(fleet, 0, &fresh_key())
+            .await
+            .is_ok_and(|a| a.status == 200)
+    })
+    .await
+}
+
+/// Repeats a call until its recorded answer comes; it may be under way to the key replicas.
+async fn wait_recorded(fleet: &Fleet, entry: usize, key: &str) -> eyre::Result<Answer> {
+    let start = Instant::now();
+    loop {
+        let answer = keyed(fleet, entry, key).await?;
+        if answer.status == 200 {
+            return Ok(answer);
+        }
+        eyre::ensure!(start.elapsed() < LIMIT, "not recorded: {answer:?}");
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against a keyed call that runs twice when it is sent at once through two nodes, again
+/// later, and again after its entry node was killed, and against another answer than the recorded
+/// one.
+#[test]
+fn same_key_through_two_nodes_runs_once() {
+    run(async {
+        let (mut fleet, backends, _) = serving(4, &[1, 2, 3]).await?;
+        wait_keys(&fleet).await?;
+        let before = ran(&backends);
+        let keys: Vec<String> = (0..12).map(|_| fresh_key()).collect();
+        let mut recorded = Vec::new();
+        for key in &keys {
+            let both = futures_util::future::join(keyed(&fleet, 0, key), keyed(&fleet, 3, key));
+            let (one, other) = both.await;
+            let answers = [one?, other?];
+            for answer in &answers {
+                eyre::ensure!(
+                    answer.status == 200 || answer.is_explicit_error(),
+                    "{answer:?}"
+                );
+            }
+            let mut bodies = answers.iter().filter(|a| a.status == 200).map(|a| &a.body);
+            let first = bodies.next().cloned();
+            eyre::ensure!(bodies.all(|b| Some(b) == first.as_ref()), "{answers:?}");
+            let later = wait_recorded(&fleet, 1, key).await?;
+            let first = first.unwrap_or_else(|| later.body.clone());
+            eyre::ensure!(later.body == first, "{later:?}");
+            recorded.push(first);
+        }
+        eyre::ensure!(
+            ran(&backends) == before + 12,
+            "{} ran",
+            ran(&backends) - before
+        );
+        fleet.kill_node(0)?;
+        for (key, first) in keys.iter().zip(&recorded) {
+            for entry in [1, 3] {
+                let again = wait_recorded(&fleet, entry, key).await?;
+                eyre::ensure!(again.body == *first, "{again:?}");
+            }
+        }
+        eyre::ensure!(
+            ran(&backends) == before + 12,
+            "{} ran",
+            ran(&backends) - before
+        );
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against a second run of a call whose entry node is killed while it runs.
+#[test]
+fn entry_node_killed_while_keyed_call_runs() {
+    run(async {
+        let (mut fleet, backends, _) = serving(4, &[1, 2]).await?;
+        wait_keys(&fleet).await?;
+        for backend in &backends {
+            backend.change(BackendControlChange {
+                service_time: Some(ServiceTime {
+                    median_us: 700_000,
+                    p99_us: 700_000,
+                }),
+                ..Default::default()
+            });
+        }
+        let before = ran(&backends);
+        let key = fresh_key();
+        let entry = fleet.nodes()[3].request_addr;
+        let request = Call::post("/order").key(&key).body("one");
+        let pending = actix_rt::spawn(async move { call(entry, &request).await });
+        wait_for("the call runs", || async { ran(&backends) > before }).await?;
+        fleet.kill_node(3)?;
+        eyre::ensure!(pending.await?.is_err(), "the killed node answered");
+        for entry in [0, 1, 2, 0, 1, 2] {
+            let answer = keyed(&fleet, entry, &key).await?;
+            println!("{} {} {}", answer.status, answer.run, answer.code);
+            eyre::ensure!(answer.run != "no" && answer.status >= 400, "{answer:?}");
+            actix_rt::time::sleep(Duration::from_millis(400)).await;
+        }
+        eyre::ensure!(
+            ran(&backends) == before + 1,
+            "{} ran",
+            ran(&backends) - before
+        );
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against keys that are unusable after a time without keyed calls, which a key replica must
+/// not take for a pause of its process.
+#[test]
+fn fresh_keys_work_after_idle_time() {
+    run(async {
+        let (fleet, backends, _) = serving(3, &[0, 1]).await?;
+        wait_keys(&fleet).await?;
+        // Longer than the gap that is taken for a pause, 3 s.
+        for _ in 0..2 {
+            actix_rt::time::sleep(Duration::from_secs(4)).await;
+            let before = ran(&backends);
+            let answer = keyed(&fleet, 2, &fresh_key()).await?;
+            eyre::ensure!(answer.status == 200, "{answer:?}");
+            eyre::ensure!(ran(&backends) == before + 1);
+        }
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against opaque keys that are granted by key replicas which cannot know of an earlier run,
+/// and against one key for two requests.
+#[test]
+fn opaque_key_after_start_and_key_of_another_request() {
+    run(async {
+        let (fleet, backends, _) = serving(3, &[0, 1, 2]).await?;
+        for entry in 0..3 {
+            let answer = keyed(&fleet, entry, "opaque-1").await?;
+            eyre::ensure!(
+                answer.code == "4007" && answer.run == "unknown",
+                "{answer:?}"
+            );
+        }
+        eyre::ensure!(ran(&backends) == 0);
+        wait_keys(&fleet).await?;
+        let key = fresh_key();
+        wait_recorded(&fleet, 0, &key).await?;
+        let before = ran(&backends);
+        let other = Call::post("/order").key(&key).body("two");
+        let answer = call(fleet.nodes()[1].request_addr, &other).await?;
+        eyre::ensure!(answer.code == "4012" && answer.run == "no", "{answer:?}");
+        eyre::ensure!(ran(&backends) == before);
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against grants that are kept by a paused key replica, or that are not released: the others
+/// go on, and each key runs at most once.
+#[test]
+fn key_replica_paused_while_keys_are_claimed() {
+    run(async {
+        let (fleet, backends, _) = serving(3, &[0, 1]).await?;
+        wait_keys(&fleet).await?;
+        let before = ran(&backends);
+        fleet.pause_node(2)?;
+        let keys: Vec<String> = (0..6).map(|_| fresh_key()).collect();
+        for key in &keys {
+            let answer = keyed(&fleet, 0, key).await?;
+            eyre::ensure!(answer.status == 200, "{answer:?}");
+        }
+        actix_rt::time::sleep(Duration::from_secs(4)).await;
+        fleet.resume_node(2)?;
+        process_common::wait_alive(&fleet, 3).await?;
+        for key in &keys {
+            for entry in 0..3 {
+                wait_recorded(&fleet, entry, key).await?;
+            }
+        }
+        eyre::ensure!(
+            ran(&backends) == before + 6,
+            "{} ran",
+            ran(&backends) - before
+        );
+        fleet.wait_ready(LIMIT).await?;
+        check_invariants(&fleet).await
+    });
+}
