--- a/tests/process_calls.rs
+++ b/tests/process_calls.rs
@@ -274,17 +274,12 @@
         let reads = CallerThread::start(get_load(&fleet, &[0, 3], 60.0, 7))?;
         let writes = CallerThread::start(post_load(&fleet, &[0, 3], 40.0, 7))?;
         actix_rt::time::sleep(Duration::from_secs(2)).await;
-        let signalled = std::time::Instant::now();
         fleet.request_stop(1)?;
         actix_rt::time::sleep(Duration::from_secs(2)).await;
         let at_bound = backends[1].report().counters.arrived;
-        let left = LIMIT.saturating_sub(signalled.elapsed());
-        wait_for("the node ends", || {
-            let ended = fleet.ended(1);
-            async move { !matches!(ended, Ok(None)) || left.is_zero() }
-        })
-        .await
-        .ok();
+        // A second signal has no effect.
+        let status = fleet.stop_node(1, LIMIT).await?;
+        eyre::ensure!(status.code() == Some(0), "{status}");
         let (reads, writes) = (reads.join()?, writes.join()?);
         for report in [&reads, &writes] {
             check_report(report)?;
--- /dev/null
+++ b/tests/process_config.rs
@@ -0,0 +1,443 @@
+//! Publications, rollouts and starts of real node processes while the log and nodes fail.
+
+mod process_common;
+
+use std::time::Duration;
+
+use actix_http::Method;
+use process_common::Call;
+use process_common::LIMIT;
+use process_common::backend;
+use process_common::call;
+use process_common::check_invariants;
+use process_common::check_report;
+use process_common::document;
+use process_common::document_with;
+use process_common::fleet;
+use process_common::options;
+use process_common::publish;
+use process_common::run;
+use process_common::serving;
+use process_common::wait_alive;
+use process_common::wait_backends;
+use process_common::wait_for;
+use serde_json::Value;
+use serde_json::json;
+use sycamorewick::protocol::codec;
+use sycamorewick::protocol::record::CONFIG_STREAM;
+use sycamorewick::protocol::record::ConfigRecord;
+use sycamorewick::protocol::record::OUTCOME_STREAM;
+use sycamorewick::protocol::record::OutcomeRecord;
+use testbed::backend_server::BackendHandle;
+use testbed::backend_server::Fault;
+use testbed::caller::CallerOptions;
+use testbed::caller::CallerThread;
+use testbed::fleet::Fleet;
+use testbed::log_server::Outage;
+use uuid::Uuid;
+
+fn now_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, sycamorewick::protocol::time::millis)
+}
+
+/// A rollout from `v1` to `v2` that starts at once and has this time to finish.
+fn rollout(seconds: u64) -> Value {
+    let start = now_ms();
+    json!({
+        "from": "v1", "to": "v2", "start_ms": start, "finish_by_ms": start + seconds * 1_000,
+        "steps": [10, 50, 100], "hold_s": 1, "min_calls": 20,
+    })
+}
+
+fn load(fleet: &Fleet, entries: &[usize], secs: u64) -> eyre::Result<CallerThread> {
+    let targets = entries.iter().map(|i| fleet.nodes()[*i].request_addr);
+    let mut options = CallerOptions::new(targets.collect(), 80.0, Duration::from_secs(secs));
+    options.timeout = Duration::from_secs(20);
+    Ok(CallerThread::start(options)?)
+}
+
+/// Adds a backend server of `v2` beside a node.
+fn second_version(fleet: &Fleet, index: usize, error_rate: f64) -> eyre::Result<BackendHandle> {
+    let mut options = backend("new", "v2");
+    options.faults = vec![Fault {
+        error_rate,
+        ..Fault::default()
+    }];
+    fleet.start_backend(index, options)
+}
+
+async fn phase(fleet: &Fleet, index: usize) -> String {
+    let status = fleet.status(index).await.unwrap_or_default();
+    let phase = &status["services"][0]["rollout"]["phase"];
+    phase.as_str().unwrap_or_default().to_owned()
+}
+
+async fn wait_phase(fleet: &Fleet, wanted: &str) -> eyre::Result<Duration> {
+    let what = format!("rollout {wanted}");
+    fleet
+        .wait_for_nodes(&what, LIMIT, |index| async move {
+            phase(fleet, index).await == wanted
+        })
+        .await
+}
+
+/// Waits until an outcome with this code is in the log.
+async fn wait_outcome(fleet: &Fleet, code: u16) -> eyre::Result<OutcomeRecord> {
+    let find = || {
+        let records = fleet.log().records(OUTCOME_STREAM);
+        let outcomes = records
+            .iter()
+            .filter_map(|(_, bytes)| codec::decode::<OutcomeRecord>(bytes).ok());
+        outcomes.into_iter().find(|outcome| outcome.code == code)
+    };
+    wait_for(&format!("outcome {code} in the log"), || async {
+        find().is_some()
+    })
+    .await?;
+    find().ok_or_else(|| eyre::eyre!("no outcome {code}"))
+}
+
+fn publications(fleet: &Fleet) -> Vec<Uuid> {
+    let records = fleet.log().records(CONFIG_STREAM);
+    let publish =
+        records
+            .iter()
+            .filter_map(|(_, bytes)| match codec::decode::<ConfigRecord>(bytes) {
+                Ok(ConfigRecord::Publish(publish)) => Some(publish.publish_id),
+                _ => None,
+            });
+    publish.collect()
+}
+
+async fn publish_as(
+    fleet: &Fleet,
+    index: usize,
+    id: Uuid,
+    base: u64,
+    author: &str,
+) -> eyre::Result<Value> {
+    let mut document = document(fleet);
+    document.services[0].slots = 10 + u32::try_from(author.len()).unwrap_or_default();
+    let body = json!({ "publish_id": id, "base": base, "author": author, "document": document });
+    let (_, body) = fleet
+        .operator(index, Method::POST, "/v1/publish", Some(&body))
+        .await?;
+    Ok(serde_json::from_slice(&body).unwrap_or_default())
+}
+
+async fn digests(fleet: &Fleet) -> eyre::Result<Vec<(Value, Value)>> {
+    let mut all = Vec::new();
+    for index in 0..fleet.nodes().len() {
+        let status = fleet.status(index).await?;
+        all.push((status["version"].clone(), status["digest"].clone()));
+    }
+    all.dedup();
+    Ok(all)
+}
+
+/// Guards against a rollout or traffic that needs the log, a publication that is said to be done
+/// without it, and outcomes that are lost in an outage.
+#[test]
+fn rollout_completes_while_the_log_refuses() {
+    run(async {
+        let (fleet, _backends, _) = serving(4, &[0, 1]).await?;
+        let _new = [
+            second_version(&fleet, 2, 0.0)?,
+            second_version(&fleet, 3, 0.0)?,
+        ];
+        wait_backends(&fleet, 4).await?;
+        let load = load(&fleet, &[0, 1], 24)?;
+        let plan = rollout(20);
+        let finish_by = plan["finish_by_ms"].as_u64().unwrap_or_default();
+        let version = publish(&fleet, 0, &document_with(&fleet, &plan)).await?;
+        fleet.wait_version(version, LIMIT).await?;
+        fleet.log().set_outage(Outage::Refuse);
+        let reply = fleet.publish(1, None, &document(&fleet)).await?;
+        eyre::ensure!(reply.body["result"] == "not confirmed", "{}", reply.body);
+        wait_phase(&fleet, "complete").await?;
+        let late = now_ms().saturating_sub(finish_by);
+        eyre::ensure!(late == 0, "completed {late} ms late");
+        let report = load.join()?;
+        check_report(&report)?;
+        eyre::ensure!(report.with_status(200) == report.sent, "{report:?}");
+        fleet.log().set_outage(Outage::Off);
+        wait_outcome(&fleet, 1003).await?;
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against a rollback that needs the log, or that does not reach it after the outage.
+#[test]
+fn bad_version_taken_back_while_the_log_hangs() {
+    run(async {
+        let (fleet, _backends, _) = serving(4, &[0, 1]).await?;
+        let _new = [
+            second_version(&fleet, 2, 0.5)?,
+            second_version(&fleet, 3, 0.5)?,
+        ];
+        wait_backends(&fleet, 4).await?;
+        let load = load(&fleet, &[0, 1], 14)?;
+        let version = publish(&fleet, 0, &document_with(&fleet, &rollout(30))).await?;
+        fleet.wait_version(version, LIMIT).await?;
+        fleet.log().set_outage(Outage::Hang);
+        wait_phase(&fleet, "taken back").await?;
+        check_report(&load.join()?)?;
+        fleet.log().set_outage(Outage::Off);
+        wait_outcome(&fleet, 1005).await?;
+        wait_for("the rollback is in the log", || async {
+            let records = fleet.log().records(CONFIG_STREAM);
+            let mut decoded = records.iter().map(|(_, bytes)| codec::decode(bytes));
+            decoded.any(|record| matches!(record, Ok(ConfigRecord::Rollback(_))))
+        })
+        .await?;
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against a version that stays bad because a node dies during the rollout, and against a
+/// version that only hangs: the serving nodes must count calls that have no answer.
+#[test]
+fn hanging_version_taken_back_while_a_node_is_killed() {
+    run(async {
+        let (mut fleet, _backends, _) = serving(5, &[0, 1, 4]).await?;
+        let mut new = Vec::new();
+        for index in [2, 3] {
+            let mut options = backend(&format!("new{index}"), "v2");
+            options.faults = vec![Fault {
+                hang: true,
+                ..Fault::default()
+            }];
+            new.push(fleet.start_backend(index, options)?);
+        }
+        wait_backends(&fleet, 5).await?;
+        let load = load(&fleet, &[0, 1], 20)?;
+        let version = publish(&fleet, 0, &document_with(&fleet, &rollout(60))).await?;
+        fleet.wait_version(version, LIMIT).await?;
+        wait_for("the new version has calls", || async {
+            new.iter().any(|b| b.report().counters.ran > 0)
+        })
+        .await?;
+        fleet.kill_node(4)?;
+        let took = wait_phase(&fleet, "taken back").await?;
+        println!("taken back after {took:?}");
+        check_report(&load.join()?)?;
+        wait_outcome(&fleet, 1005).await?;
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against traffic or publications that stop because the log is slow.
+#[test]
+fn slow_log() {
+    run(async {
+        let (fleet, _backends, _) = serving(3, &[0, 1]).await?;
+        fleet.log().set_delay(Duration::from_millis(700));
+        let load = load(&fleet, &[0, 2], 6)?;
+        let version = publish(&fleet, 2, &document(&fleet)).await?;
+        fleet.wait_version(version, LIMIT).await?;
+        let report = load.join()?;
+        check_report(&report)?;
+        eyre::ensure!(report.with_status(200) == report.sent, "{report:?}");
+        wait_outcome(&fleet, 1008).await?;
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against two publications on one base that both take effect, a loser that is not told, and
+/// nodes that disagree.
+#[test]
+fn concurrent_publications_on_one_base() {
+    run(async {
+        let fleet = fleet(4).await?;
+        let mut base = publish(&fleet, 0, &document(&fleet)).await?;
+        fleet.wait_version(base, LIMIT).await?;
+        for _ in 0..5 {
+            let (one, other) = futures_util::future::join(
+                publish_as(&fleet, 0, Uuid::now_v7(), base, "ann"),
+                publish_as(&fleet, 3, Uuid::now_v7(), base, "barbara"),
+            )
+            .await;
+            let answers = [one?, other?];
+            let results = |wanted: &str| answers.iter().filter(|a| a["result"] == wanted).count();
+            eyre::ensure!(
+                results("accepted") == 1 && results("refused") == 1,
+                "{answers:?}"
+            );
+            let won = answers.iter().find_map(|a| a["version"].as_u64());
+            base = won.ok_or_else(|| eyre::eyre!("no version: {answers:?}"))?;
+            fleet.wait_version(base, LIMIT).await?;
+            let digests = digests(&fleet).await?;
+            eyre::ensure!(digests.len() == 1 && digests[0].0 == base, "{digests:?}");
+        }
+        wait_outcome(&fleet, 2001).await?;
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against a publication that takes effect twice because the answer to its append was lost.
+#[test]
+fn lost_append_answer_does_not_publish_twice() {
+    run(async {
+        let fleet = fleet(3).await?;
+        let base = publish(&fleet, 0, &document(&fleet)).await?;
+        fleet.wait_version(base, LIMIT).await?;
+        wait_outcome(&fleet, 1008).await?;
+        let id = Uuid::now_v7();
+        // Appends of outcomes may take a lost answer, too.
+        let mut answers = Vec::new();
+        for entry in [0, 1, 2] {
+            fleet.log().lose_answers(1);
+            let answer = publish_as(&fleet, entry, id, base, "ann").await?;
+            answers.push(answer);
+        }
+        fleet.log().lose_answers(0);
+        let last = publish_as(&fleet, 1, id, base, "ann").await?;
+        eyre::ensure!(last["result"] == "accepted", "{last}, before {answers:?}");
+        let version = last["version"].as_u64().unwrap_or_default();
+        for answer in &answers {
+            let allowed = answer["result"] == "not confirmed" || answer["version"] == version;
+            eyre::ensure!(allowed, "{answers:?}");
+        }
+        fleet.wait_version(version, LIMIT).await?;
+        let digests = digests(&fleet).await?;
+        eyre::ensure!(digests.len() == 1 && digests[0].0 == version, "{digests:?}");
+        println!(
+            "answers {answers:?}, appended {}",
+            publications(&fleet).len()
+        );
+        check_invariants(&fleet).await
+    });
+}
+
+async fn readyz(fleet: &Fleet, index: usize) -> (u16, String) {
+    match fleet.operator(index, Method::GET, "/readyz", None).await {
+        Ok((status, body)) => (
+            status.as_u16(),
+            String::from_utf8_lossy(&body).trim().to_owned(),
+        ),
+        Err(e) => (0, e.to_string()),
+    }
+}
+
+/// Guards against a node that starts without the log and serves an old version: peers of two failure
+/// domains must confirm the version, peers of one do not suffice.
+#[test]
+fn restart_without_the_log() {
+    run(async {
+        // Nodes 0 and 3 are in the first failure domain, 1 in the second, 2 in the third.
+        let mut fleet = fleet(4).await?;
+        let old = publish(&fleet, 0, &document(&fleet)).await?;
+        fleet.wait_version(old, LIMIT).await?;
+        fleet.kill_node(0)?;
+        let version = publish(&fleet, 1, &document(&fleet)).await?;
+        fleet.wait_version(version, LIMIT).await?;
+        fleet.log().set_outage(Outage::Refuse);
+        fleet.start_node(0)?;
+        fleet.wait_ready(LIMIT).await?;
+        let status = fleet.status(0).await?;
+        eyre::ensure!(status["version"] == version, "{status}");
+        let (_, text) = readyz(&fleet, 0).await;
+        eyre::ensure!(text.contains("peers"), "{text}");
+        // Only node 2 is left of the other failure domains.
+        fleet.kill_node(0)?;
+        fleet.kill_node(1)?;
+        fleet.kill_node(3)?;
+        fleet.start_node(0)?;
+        wait_for("the node has the version of its peer", || async {
+            fleet
+                .status(0)
+                .await
+                .is_ok_and(|status| status["version"] == version)
+        })
+        .await?;
+        for _ in 0..10 {
+            let (status, text) = readyz(&fleet, 0).await;
+            eyre::ensure!(status == 503 && text.contains("1 more"), "{status} {text}");
+            let answer = call(fleet.nodes()[0].request_addr, &Call::get("/a")).await?;
+            eyre::ensure!(answer.code == "4015" && answer.run == "no", "{answer:?}");
+            actix_rt::time::sleep(Duration::from_millis(200)).await;
+        }
+        fleet.log().set_outage(Outage::Off);
+        fleet.wait_ready(LIMIT).await?;
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against a configuration or a rollback that is lost when all nodes restart at once, and
+/// against nodes that serve an older version after it.
+#[test]
+fn all_nodes_restart_at_once() {
+    run(async {
+        let (mut fleet, mut servers, _) = serving(5, &[0, 1]).await?;
+        servers.push(second_version(&fleet, 2, 0.6)?);
+        wait_backends(&fleet, 3).await?;
+        let load = load(&fleet, &[0, 1], 12)?;
+        let version = publish(&fleet, 0, &document_with(&fleet, &rollout(60))).await?;
+        fleet.wait_version(version, LIMIT).await?;
+        wait_phase(&fleet, "taken back").await?;
+        check_report(&load.join()?)?;
+        wait_for("the rollback is in the log", || async {
+            let records = fleet.log().records(CONFIG_STREAM);
+            let mut decoded = records.iter().map(|(_, bytes)| codec::decode(bytes));
+            decoded.any(|record| matches!(record, Ok(ConfigRecord::Rollback(_))))
+        })
+        .await?;
+        for index in 0..5 {
+            fleet.kill_node(index)?;
+        }
+        for index in 0..5 {
+            fleet.start_node(index)?;
+        }
+        let took = fleet.wait_ready(LIMIT).await?;
+        println!("all ready after {took:?}");
+        // A ready node has the newest version and its rollbacks at once.
+        for index in 0..5 {
+            let status = fleet.status(index).await?;
+            eyre::ensure!(status["version"] == version, "{status}");
+        }
+        wait_phase(&fleet, "taken back").await?;
+        wait_alive(&fleet, 5).await?;
+        wait_backends(&fleet, 3).await?;
+        let ran = servers[2].report().counters.ran;
+        for entry in 0..5 {
+            for _ in 0..10 {
+                let answer = call(fleet.nodes()[entry].request_addr, &Call::get("/a")).await?;
+                eyre::ensure!(answer.status == 200, "{answer:?}");
+            }
+        }
+        eyre::ensure!(
+            servers[2].report().counters.ran == ran,
+            "the version that was taken back has calls"
+        );
+        let digests = digests(&fleet).await?;
+        eyre::ensure!(digests.len() == 1, "{digests:?}");
+        check_invariants(&fleet).await
+    });
+}
+
+/// Guards against progress of a rollout that a restarted node does not learn: it would route by an
+/// earlier step than the others.
+#[test]
+fn restarted_node_learns_progress() {
+    run(async {
+        let (mut fleet, _backends, _) = serving(4, &[0, 1]).await?;
+        let _new = second_version(&fleet, 2, 0.0)?;
+        wait_backends(&fleet, 3).await?;
+        let load = load(&fleet, &[0, 1], 14)?;
+        let version = publish(&fleet, 0, &document_with(&fleet, &rollout(14))).await?;
+        fleet.wait_version(version, LIMIT).await?;
+        wait_phase(&fleet, "complete").await?;
+        check_report(&load.join()?)?;
+        fleet.kill_node(3)?;
+        fleet.start_node(3)?;
+        fleet.wait_ready(LIMIT).await?;
+        wait_phase(&fleet, "complete").await?;
+        let shares = fleet.status(3).await?["services"][0]["shares"].clone();
+        eyre::ensure!(
+            shares == fleet.status(0).await?["services"][0]["shares"],
+            "{shares}"
+        );
+        check_invariants(&fleet).await
+    });
+}
