--- a/testbed/src/measure/latency.rs
+++ b/testbed/src/measure/latency.rs
@@ -127,6 +127,9 @@
     /// Time for which both nodes together were ready to run and waited for a processor, for one call,
     /// microseconds. If it is not small, the machine is too busy for the upper percentiles.
     pub node_waited_us_per_call: f64,
+    /// 99th percentiles of the caller's own delay in each round, both ways. Percentiles of latencies
+    /// below it say nothing of the mesh.
+    pub late_p99_us: Spread,
     /// Calls that failed or got a wrong answer, both ways.
     pub failed: u64,
 }
@@ -215,6 +218,7 @@
         let mut pooled = [histogram()?, histogram()?];
         let mut added: Vec<Percentiles> = Vec::new();
         let mut mesh_rates = Vec::new();
+        let mut late = Vec::new();
         let mut failed = 0;
         let mut used = ProcessUsage::default();
         let mut mesh_calls = 0;
@@ -244,6 +248,9 @@
                 let ok = report.with_status(200);
                 let wrong = report.mismatched + report.malformed;
                 failed += report.sent + report.not_sent - ok + wrong;
+                late.push(f64::from(
+                    u32::try_from(report.late_p99_us).unwrap_or(u32::MAX),
+                ));
                 if mesh {
                     mesh_rates.push(report.rate);
                 }
@@ -280,6 +287,7 @@
             mesh_rate: Spread::of(&mesh_rates),
             node_cpu_us_per_call: per_call_us(used.cpu, mesh_calls),
             node_waited_us_per_call: per_call_us(used.waited, mesh_calls),
+            late_p99_us: Spread::of(&late),
             failed,
         })
     }
@@ -331,6 +339,7 @@
         "calls/s",
         "CPU us/call",
         "waited us/call",
+        "caller late p99 us",
         "failed",
     ]);
     let three = |p: &Percentiles| format!("{:.0}/{:.0}/{:.0}", p.p50_us, p.p99_us, p.p999_us);
@@ -347,6 +356,7 @@
             format!("{:.1}", r.mesh_rate.median),
             format!("{:.0}", r.node_cpu_us_per_call),
             format!("{:.0}", r.node_waited_us_per_call),
+            spread(&r.late_p99_us),
             r.failed.to_string(),
         ]);
     }
