Do not quarantine requests that are answered elsewhere

Ruled out: clearing the reports at the nodes that answer, which does not reach a node once the second report has arrived. A request that crashes every backend server is never answered.

--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -19,6 +19,12 @@
 /// Largest number of crashes remembered for one fingerprint; further ones only extend the time.
 pub const MAX_CRASHES_PER_FINGERPRINT: usize = 4;
 
+/// Time for which an answer shows that a request is not the cause of crashes. A version that crashes
+/// on any request would otherwise have the popular ones refused everywhere, on the old version too.
+pub const ANSWERED_TIME: Duration = Duration::from_mins(1);
+/// Answered requests that are remembered, 64 KB; a later one displaces one with the same remainder.
+const ANSWERED_SLOTS: usize = 4_096;
+
 /// What the owner of a [`Quarantine`] does after an event.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum QuarantineAction {
@@ -45,10 +51,18 @@
 }
 
 /// Crash reports of the fleet by request.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Quarantine {
     /// Sorted by fingerprint.
     entries: Vec<Entry>,
+    /// Requests answered last and when, by the remainder of their fingerprint.
+    answered: Vec<(u64, WallMs)>,
+}
+
+impl Default for Quarantine {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 /// Returns the hash by which a request is recognised when it is sent again.
@@ -67,13 +81,16 @@
     /// Creates an empty table.
     #[must_use]
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            entries: Vec::new(),
+            answered: vec![(0, WallMs(0)); ANSWERED_SLOTS],
+        }
     }
 
     /// Enters a crash that this node saw at its own backend server.
     pub fn on_crash(&mut self, report: &CrashReport, wall: WallMs) -> Vec<QuarantineAction> {
         let mut actions = Vec::new();
-        if self.insert(report, wall) {
+        if self.insert(report, wall) && !self.was_answered(report.fingerprint, wall) {
             actions.push(QuarantineAction::Spread(report.clone()));
             actions.extend(self.decide(report.fingerprint));
         }
@@ -86,8 +103,10 @@
     }
 
     /// Notes that a request was answered. One that crashed a single backend server is then cleared,
-    /// since the requests that ran beside the cause of a crash are reported together with it.
-    pub fn on_answered(&mut self, fingerprint: u64) {
+    /// since the requests that ran beside the cause of a crash are reported together with it. For
+    /// [`ANSWERED_TIME`] further crashes are not counted against the request.
+    pub fn on_answered(&mut self, fingerprint: u64, wall: WallMs) {
+        self.answered[slot_of(fingerprint)] = (fingerprint, wall);
         if let Ok(at) = self.position(fingerprint)
             && !self.entries[at].quarantined
         {
@@ -122,6 +141,11 @@
         self.entries.retain(|entry| !entry.expired(wall));
     }
 
+    fn was_answered(&self, fingerprint: u64, wall: WallMs) -> bool {
+        let (known, at) = self.answered[slot_of(fingerprint)];
+        known == fingerprint && wall.since(at) < ANSWERED_TIME
+    }
+
     fn position(&self, fingerprint: u64) -> Result<usize, usize> {
         self.entries
             .binary_search_by_key(&fingerprint, |entry| entry.fingerprint)
@@ -200,6 +224,10 @@
     }
 }
 
+fn slot_of(fingerprint: u64) -> usize {
+    usize::try_from(fingerprint % ANSWERED_SLOTS as u64).unwrap_or_default()
+}
+
 impl Entry {
     fn expired(&self, wall: WallMs) -> bool {
         wall.since(self.last) >= QUARANTINE_TIME
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -209,7 +209,9 @@
     match result {
         CallResult::Answered(answer) => {
             let mut state = node.state.borrow_mut();
-            state.quarantine.on_answered(call.fingerprint);
+            state
+                .quarantine
+                .on_answered(call.fingerprint, node.clock.wall());
             drop(state);
             answer_response(answer)
         }
--- a/src/node/serving.rs
+++ b/src/node/serving.rs
@@ -419,7 +419,11 @@
             actix_rt::spawn(async move { probe_crash(&node, crash).await });
         }
         Ok(answer) => {
-            node.state.borrow_mut().quarantine.on_answered(call.hash);
+            let wall = node.clock.wall();
+            node.state
+                .borrow_mut()
+                .quarantine
+                .on_answered(call.hash, wall);
             let failed = answer.status.is_server_error();
             record_sample(
                 node,
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -1,5 +1,6 @@
 //! The quarantine of requests that crash backend servers.
 
+use sycamorewick::coordination::quarantine::ANSWERED_TIME;
 use sycamorewick::coordination::quarantine::MAX_FINGERPRINTS;
 use sycamorewick::coordination::quarantine::QUARANTINE_TIME;
 use sycamorewick::coordination::quarantine::Quarantine;
@@ -102,12 +103,29 @@
 fn crash_answered_clears() {
     let mut quarantine = Quarantine::new();
     quarantine.on_crash(&crash(7, "a", 1, START), START);
-    quarantine.on_answered(7);
+    quarantine.on_answered(7, START);
     assert!(!is_quarantining(
         &quarantine.on_crash(&crash(7, "b", 1, START), START)
     ));
 }
 
+/// Guards against a version that crashes on any request and has popular ones refused everywhere.
+#[test]
+fn crash_of_answered_request_is_not_counted() {
+    let mut quarantine = Quarantine::new();
+    quarantine.on_answered(7, START);
+    let reports = [crash(7, "a", 1, START), crash(7, "b", 1, START)];
+    for report in &reports {
+        assert!(quarantine.on_crash(report, START).is_empty());
+    }
+    assert!(!quarantine.is_quarantined(7, START));
+    // A request that has stopped being answered is the cause after all.
+    let later = START.plus(ANSWERED_TIME);
+    assert!(is_quarantining(
+        &quarantine.on_crash(&crash(7, "c", 1, later), later)
+    ));
+}
+
 /// Guards against a table that grows without limit, and against a flood of single crashes that
 /// displaces a quarantined request.
 #[test]
