--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -1,6 +1,12 @@
 //! The commands of operators, each run as a process against real nodes and a stand-in of the log.
 
 use std::fs;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net::TcpListener;
+use std::thread;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use googletest::prelude::*;
 use serde_json::Value;
@@ -8,6 +14,8 @@
 use sycamorewick::protocol::codec;
 use sycamorewick::protocol::record::CONFIG_STREAM;
 use sycamorewick::protocol::record::ConfigRecord;
+use testbed::backend_server::BackendOptions;
+use testbed::backend_server::BackendServer;
 use testbed::log_server::Outage;
 use uuid::Uuid;
 
@@ -538,3 +546,116 @@
     }
     Ok(())
 }
+
+/// Guards against a history that is empty, wrong or without end once the log has dropped the first
+/// records and holds the state in a checkpoint, and against a watcher who is not told of the gap.
+#[gtest]
+fn history_and_watch_after_retention() {
+    let world = World::start(2);
+    world.log.set_retention(6);
+    for share in 80..92_u8 {
+        world.run(0, &["publish", &world.document(share)]).expect(0);
+    }
+    let history = world.run(1, &["history", "--json"]).expect(0).json();
+    let entries = history.as_array().expect("a list");
+    expect_that!(entries.len(), all!(ge(1), le(6)));
+    let newest = entries.last().expect("an entry");
+    let in_force = world.get(1, "/v1/status").expect("the status")["version"].clone();
+    expect_that!(newest["version"], eq(&in_force));
+    expect_that!(newest["result"], eq(&json!("accepted")));
+    let run = world.run(1, &["revert", "1"]).expect(1);
+    expect_that!(run.stderr, contains_substring("nothing was published"));
+    expect_that!(run.stderr, contains_substring("no longer retained"));
+
+    let answer = world.get(0, "/v1/watch?from=0").expect("an answer");
+    expect_that!(answer["lost"].as_u64(), some(gt(0)));
+    expect_that!(answer["log_error"], eq(&Value::Null));
+}
+
+/// Guards against a rollout that stands still without anybody knowing what it waits for.
+#[gtest]
+fn stalled_rollout_tells_what_it_waits_for() -> googletest::Result<()> {
+    let world = World::start(1);
+    let mut options = BackendOptions::new("b1", "orders", "v1");
+    options.node_addr = Some(world.nodes[0].request_addr);
+    let _backend = BackendServer::start(options)?;
+    env::wait_for("the backend server is known", || {
+        let status = world.get(0, "/v1/status")?;
+        (status["members"][0]["backend"]["up"] == true).then_some(())
+    });
+    let now = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
+    let mut document = env::document(100);
+    document["services"][0]["rollout"] = json!({
+        "from": "v1",
+        "to": "v2",
+        "start_ms": u64::try_from(now)? - 60_000,
+        "finish_by_ms": u64::try_from(now)? + 600_000,
+        "steps": [10, 100],
+    });
+    let file = world.dir().join("rollout.jsonc");
+    fs::write(&file, document.to_string())?;
+    world
+        .run(0, &["publish", &file.display().to_string()])
+        .expect(0);
+    let args = [
+        "watch",
+        "--until",
+        "1006 rollout stalled",
+        "--timeout",
+        "35",
+    ];
+    let run = world.run(0, &args).expect(0);
+    expect_that!(
+        run.stdout,
+        contains_substring("a backend server of the new version")
+    );
+    let run = world.run(0, &["status"]).expect(0);
+    expect_that!(
+        run.stdout,
+        contains_substring("stalled: waits for a backend server of the new version")
+    );
+    Ok(())
+}
+
+/// Guards against a status of the target fleet in which the one dead node cannot be found.
+#[gtest]
+fn status_of_large_fleet_is_summarised() -> googletest::Result<()> {
+    let members: Vec<Value> = (0..1_300)
+        .map(|i| {
+            json!({
+                "id": format!("n{i}"),
+                "status": if i == 777 { "dead" } else { "alive" },
+                "region": format!("r{}", i % 2),
+                "failure_domain": format!("d{}", i % 6),
+                "backend": null,
+            })
+        })
+        .collect();
+    let status =
+        json!({ "id": "n0", "ready": true, "version": 7, "alive": 1299, "members": members });
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let addr = listener.local_addr()?.to_string();
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept()?;
+        let mut head = [0; 4_096];
+        let _ = stream.read(&mut head)?;
+        let body = status.to_string();
+        let length = body.len();
+        write!(
+            stream,
+            "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}"
+        )
+    });
+    let dir = tempfile::tempdir()?;
+    let token = dir.path().join("token").display().to_string();
+    fs::write(&token, env::TOKEN)?;
+    let run = env::command(&["status", "--operator", &addr, "--token-file", &token]).expect(0);
+    server.join().expect("the server ends")?;
+    expect_that!(
+        run.stdout,
+        contains_substring("1299 of 1300 nodes are alive")
+    );
+    expect_that!(run.stdout, contains_substring("n777"));
+    expect_that!(run.stdout.lines().count(), le(30));
+    Ok(())
+}
--- a/tests/support/env.rs
+++ b/tests/support/env.rs
@@ -30,6 +30,8 @@
 pub const TOKEN: &str = "test-operator-token";
 /// Longest run of a command and longest wait for a condition.
 pub const LIMIT: Duration = Duration::from_secs(40);
+/// Attempts to set up a world.
+const PORT_ATTEMPTS: usize = 5;
 /// Pause between two looks at a condition.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -137,6 +139,7 @@
 
 /// One node of a world.
 pub struct WorldNode {
+    pub request_addr: SocketAddr,
     pub operator_addr: SocketAddr,
     pub settings_file: PathBuf,
     output_file: PathBuf,
@@ -152,9 +155,18 @@
 
 impl World {
     /// Starts a log and `nodes` nodes, and waits until they are ready and know each other.
+    ///
+    /// Another process may take a port between the look for it and its use; the world is then set up
+    /// again with other ports.
     pub fn start(nodes: usize) -> Self {
+        (0..PORT_ATTEMPTS)
+            .find_map(|_| Self::try_start(nodes))
+            .expect("free ports for a world")
+    }
+
+    fn try_start(nodes: usize) -> Option<Self> {
         let dir = tempfile::tempdir().expect("a directory");
-        let log = LogServer::start(free_addr().expect("an address")).expect("the log starts");
+        let log = LogServer::start(free_addr().expect("an address")).ok()?;
         fs::write(
             dir.path().join("cluster.key"),
             "test-cluster-key-0123456789",
@@ -183,6 +195,7 @@
             let settings_file = dir.path().join(format!("n{index}.jsonc"));
             fs::write(&settings_file, settings.to_string()).expect("a file");
             WorldNode {
+                request_addr: addr[0],
                 operator_addr: addr[2],
                 settings_file,
                 output_file: dir.path().join(format!("n{index}.log")),
@@ -194,10 +207,35 @@
         for index in 0..world.nodes.len() {
             world.start_node(index);
         }
-        for index in 0..world.nodes.len() {
-            world.wait_ready(index);
+        let ready = (0..world.nodes.len()).all(|index| world.becomes_ready(index));
+        ready.then_some(world)
+    }
+
+    /// Waits until a node is ready; returns false if it could not bind a port.
+    fn becomes_ready(&mut self, index: usize) -> bool {
+        let child = self.nodes[index].child.as_mut().expect("the node runs");
+        let pid = child.id();
+        let until = Instant::now() + LIMIT;
+        loop {
+            let child = self.nodes[index].child.as_mut().expect("the node runs");
+            if let Some(status) = child.try_wait().expect("the state of the node") {
+                let output = self.output(index);
+                assert!(
+                    output.contains("9003"),
+                    "node {index} ended with {status}: {output}"
+                );
+                return false;
+            }
+            if self.is_ready(index) {
+                return true;
+            }
+            assert!(
+                Instant::now() < until,
+                "node {index} (process {pid}) is not ready within {LIMIT:?}: {}",
+                self.output(index)
+            );
+            thread::sleep(CHECK_INTERVAL);
         }
-        world
     }
 
     /// Starts a node that does not run.
@@ -230,16 +268,22 @@
 
     /// Waits until a node is ready and knows as many nodes as run.
     pub fn wait_ready(&self, index: usize) {
-        let running = self.nodes.iter().filter(|n| n.child.is_some()).count();
         wait_for("the node is ready and knows the others", || {
-            let status = self.get(index, "/v1/status")?;
-            let alive = status["alive"]
-                .as_u64()
-                .and_then(|n| usize::try_from(n).ok());
-            (status["ready"] == true && alive >= Some(running)).then_some(())
+            self.is_ready(index).then_some(())
         });
     }
 
+    fn is_ready(&self, index: usize) -> bool {
+        let running = self.nodes.iter().filter(|n| n.child.is_some()).count();
+        let Some(status) = self.get(index, "/v1/status") else {
+            return false;
+        };
+        let alive = status["alive"]
+            .as_u64()
+            .and_then(|n| usize::try_from(n).ok());
+        status["ready"] == true && alive >= Some(running)
+    }
+
     /// Loses the answer to the next append. Outcomes that wait are appended first, so that it is not
     /// one of theirs.
     pub fn lose_next_answer(&self) {
