--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -4,6 +4,7 @@
 use std::io::Read as _;
 use std::io::Write as _;
 use std::net::TcpListener;
+use std::net::UdpSocket;
 use std::thread;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -14,6 +15,9 @@
 use sycamorewick::protocol::codec;
 use sycamorewick::protocol::record::CONFIG_STREAM;
 use sycamorewick::protocol::record::ConfigRecord;
+use sycamorewick::protocol::record::OUTCOME_STREAM;
+use sycamorewick::protocol::record::OutcomeRecord;
+use sycamorewick::protocol::time::WallMs;
 use testbed::backend_server::BackendOptions;
 use testbed::backend_server::BackendServer;
 use testbed::log_server::Outage;
@@ -409,8 +413,26 @@
     });
     // Node 0 learns of this outcome from the log only.
     world.run(1, &["publish", "--timeout", "3", &world.document(90)]);
+    // More than a node reads of the log for a watcher who comes new.
+    for number in 0..600_u64 {
+        let outcome = OutcomeRecord {
+            code: 1002,
+            identity: format!("missed/{number}"),
+            at: WallMs(number),
+            node: "other".into(),
+            subject: "orders v2".into(),
+            text: format!("missed outcome {number};"),
+        };
+        let bytes = codec::encode(&outcome).expect("a record");
+        world.log.append(OUTCOME_STREAM, bytes);
+    }
     world.start_node(0);
     world.wait_ready(0);
+    env::wait_for("all missed outcomes are shown", || {
+        let stdout = watch.stdout();
+        let shown = |number: u64| stdout.contains(&format!("missed outcome {number};"));
+        (0..600).all(shown).then_some(())
+    });
     env::wait_for("the missed version is shown", || {
         watch
             .stdout()
@@ -659,3 +681,22 @@
     expect_that!(run.stdout.lines().count(), le(30));
     Ok(())
 }
+
+/// Guards against a wrong cluster key or clock that shows in a counter only.
+#[gtest]
+fn rejected_datagrams_are_an_outcome() -> googletest::Result<()> {
+    let world = World::start(1);
+    let socket = UdpSocket::bind("127.0.0.1:0")?;
+    let found = env::wait_for("5004 is reported", || {
+        socket.send_to(&[7; 64], world.nodes[0].gossip_addr).ok()?;
+        let outcomes = world.get(0, "/v1/outcomes")?;
+        let mut outcomes = outcomes.as_array()?.iter();
+        outcomes.find(|o| o["code"] == 5004).cloned()
+    });
+    expect_that!(
+        found["text"].as_str(),
+        some(contains_substring("cluster keys"))
+    );
+    expect_that!(found["subject"], eq(&json!("node n0")));
+    Ok(())
+}
--- a/tests/support/env.rs
+++ b/tests/support/env.rs
@@ -141,6 +141,7 @@
 pub struct WorldNode {
     pub request_addr: SocketAddr,
     pub operator_addr: SocketAddr,
+    pub gossip_addr: SocketAddr,
     pub settings_file: PathBuf,
     output_file: PathBuf,
     child: Option<Child>,
@@ -197,6 +198,7 @@
             WorldNode {
                 request_addr: addr[0],
                 operator_addr: addr[2],
+                gossip_addr: addr[3],
                 settings_file,
                 output_file: dir.path().join(format!("n{index}.log")),
                 child: None,
