--- a/src/node/alerts.rs
+++ b/src/node/alerts.rs
@@ -5,10 +5,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::coordination::rollout::STALL_TIME;
 use crate::invariant;
 use crate::logging;
 use crate::node::Node;
+use crate::node::NodeState;
 use crate::node::every;
+use crate::protocol::document::Rollout;
+use crate::protocol::gossip::MemberStatus;
+use crate::protocol::gossip::RolloutKey;
+use crate::protocol::name::ConfigVersion;
+use crate::protocol::name::ServiceName;
+use crate::protocol::name::VersionName;
+use crate::protocol::time::WallMs;
+use crate::protocol::time::millis;
 use crate::result_code::ResultCode;
 
 /// Period of the check.
@@ -106,6 +116,7 @@
         }
         check_log(node, &mut log_outage.borrow_mut());
         check_ready(node);
+        check_unserved_rollouts(node);
     });
 }
 
@@ -185,3 +196,67 @@
         ),
     );
 }
+
+/// Reports rollouts that no node observes, since no backend server of either version is up: the nodes
+/// beside them would report that the rollout is stalled. One node of the fleet does this; if two do
+/// so while their views of the members differ, the outcomes are merged.
+fn check_unserved_rollouts(node: &Node) {
+    let wall = node.clock.wall();
+    let unserved = {
+        let state = node.state.borrow();
+        let members = state.gossip.members();
+        let alive = members.iter().filter(|m| m.status == MemberStatus::Alive);
+        let first = alive.map(|m| &m.id).min();
+        if node.clock.now() < STALL_TIME || first != Some(&node.settings.id) {
+            return;
+        }
+        unserved_rollouts(&state, wall)
+    };
+    for (service, since, rollout) in unserved {
+        let (from, to) = (&rollout.from, &rollout.to);
+        let bucket = wall.0 / millis(REPORT_INTERVAL);
+        node.report(
+            ResultCode::RolloutStalled,
+            format!("rollout/{service}/{to}/{since}/unserved-{bucket}"),
+            format!("{service} {to}"),
+            format!("waits for a backend server of {from} or {to} that is up; there is none"),
+        );
+    }
+}
+
+fn unserved_rollouts(
+    state: &NodeState,
+    wall: WallMs,
+) -> Vec<(ServiceName, ConfigVersion, Rollout)> {
+    let Some(snapshot) = state.store.current() else {
+        return Vec::new();
+    };
+    let (progress, rollbacks) = (state.rollouts.progress(), state.rollouts.rollbacks());
+    let is_up = |service: &ServiceName, version: &VersionName| {
+        let backends = state.gossip.members().iter().filter_map(|m| {
+            let present = m.status < MemberStatus::Leaving;
+            m.backend.as_ref().filter(|b| present && b.up)
+        });
+        backends
+            .into_iter()
+            .any(|b| b.service == *service && b.version == *version)
+    };
+    let services = snapshot.versioned().document.services.iter();
+    services
+        .filter_map(|service| {
+            let rollout = service.rollout.as_ref()?;
+            let name = &service.name;
+            let since = snapshot.since(name.as_str());
+            let same = |key: &RolloutKey| key.service == *name && key.since == since;
+            let last = rollout.steps.len().saturating_sub(1);
+            let ended = progress
+                .iter()
+                .any(|p| same(&p.key) && usize::from(p.step) >= last)
+                || rollbacks.iter().any(|r| same(&r.key));
+            let due = wall >= rollout.start_ms.plus(STALL_TIME);
+            // The members are searched for the few rollouts only that are on.
+            let silent = due && !ended && !is_up(name, &rollout.from) && !is_up(name, &rollout.to);
+            silent.then(|| (name.clone(), since, rollout.clone()))
+        })
+        .collect()
+}
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -594,17 +594,8 @@
     expect_that!(answer["log_error"], eq(&Value::Null));
 }
 
-/// Guards against a rollout that stands still without anybody knowing what it waits for.
-#[gtest]
-fn stalled_rollout_tells_what_it_waits_for() -> googletest::Result<()> {
-    let world = World::start(1);
-    let mut options = BackendOptions::new("b1", "orders", "v1");
-    options.node_addr = Some(world.nodes[0].request_addr);
-    let _backend = BackendServer::start(options)?;
-    env::wait_for("the backend server is known", || {
-        let status = world.get(0, "/v1/status")?;
-        (status["members"][0]["backend"]["up"] == true).then_some(())
-    });
+/// Writes a document with a rollout whose start lies a minute back.
+fn begun_rollout(world: &World) -> googletest::Result<String> {
     let now = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
     let mut document = env::document(100);
     document["services"][0]["rollout"] = json!({
@@ -616,9 +607,22 @@
     });
     let file = world.dir().join("rollout.jsonc");
     fs::write(&file, document.to_string())?;
-    world
-        .run(0, &["publish", &file.display().to_string()])
-        .expect(0);
+    Ok(file.display().to_string())
+}
+
+/// Guards against a rollout that stands still without anybody knowing what it waits for.
+#[gtest]
+fn stalled_rollout_tells_what_it_waits_for() -> googletest::Result<()> {
+    let world = World::start(1);
+    let mut options = BackendOptions::new("b1", "orders", "v1");
+    options.node_addr = Some(world.nodes[0].request_addr);
+    let _backend = BackendServer::start(options)?;
+    env::wait_for("the backend server is known", || {
+        let status = world.get(0, "/v1/status")?;
+        (status["members"][0]["backend"]["up"] == true).then_some(())
+    });
+    let file = begun_rollout(&world)?;
+    world.run(0, &["publish", &file]).expect(0);
     let args = [
         "watch",
         "--until",
@@ -639,6 +643,28 @@
     Ok(())
 }
 
+/// Guards against a rollout that nobody observes and that is therefore silent, since no backend
+/// server of its service is up.
+#[gtest]
+fn rollout_without_any_backend_server_is_reported() -> googletest::Result<()> {
+    let world = World::start(2);
+    let file = begun_rollout(&world)?;
+    world.run(1, &["publish", &file]).expect(0);
+    let args = [
+        "watch",
+        "--until",
+        "1006 rollout stalled",
+        "--timeout",
+        "35",
+    ];
+    let run = world.run(1, &args).expect(0);
+    expect_that!(
+        run.stdout,
+        contains_substring("backend server of v1 or v2 that is up")
+    );
+    Ok(())
+}
+
 /// Guards against a status of the target fleet in which the one dead node cannot be found.
 #[gtest]
 fn status_of_large_fleet_is_summarised() -> googletest::Result<()> {
