Do not quarantine requests that run beside the cause of a crash

Cause: a crash ends all calls on the backend server, and each was reported as a crash of its request. A frequent request is beside most crashes, so two crashes of one bad request quarantined it, too, for 10 min at every node. Quarantine::on_answered was meant to clear such requests but never called. Ruled out: equal fingerprints of the two requests; they have different routes and paths. Calling on_answered alone does not suffice, since nodes that did not answer the request keep its report. Change: the serving node reports a request that it has answered since its last crash only if it is in another crash without an answer in between.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! See `docs/design.md`, section 7.
 
 pub mod admission;
+pub mod answered;
 pub mod balancer;
 pub mod dissemination;
 pub mod evidence;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -37,6 +37,7 @@
 use slog::info;
 
 use crate::coordination::admission::Admission;
+use crate::coordination::answered::Answered;
 use crate::coordination::balancer::Balancer;
 use crate::coordination::dissemination::Gossip;
 use crate::coordination::dissemination::GossipConfig;
@@ -121,6 +122,7 @@
     running: RunningCalls,
     rollouts: RolloutEngine,
     quarantine: Quarantine,
+    answered: Answered,
     backend: Backend,
     outcomes: Outcomes,
     convergence: Convergence,
@@ -224,6 +226,7 @@
         running: RunningCalls::default(),
         rollouts: RolloutEngine::new(id),
         quarantine: Quarantine::new(),
+        answered: Answered::new(),
         backend: Backend::default(),
         outcomes: Outcomes::new(),
         convergence: Convergence::default(),
--- a/src/node/serving.rs
+++ b/src/node/serving.rs
@@ -420,6 +420,10 @@
         }
         Ok(answer) => {
             let failed = answer.status.is_server_error();
+            let mut state = node.state.borrow_mut();
+            state.answered.on_answered(call.hash);
+            state.quarantine.on_answered(call.hash);
+            drop(state);
             record_sample(
                 node,
                 &call.req.service,
@@ -522,6 +526,9 @@
     };
     let mut state = node.state.borrow_mut();
     state.rollouts.record_crash(now, wall, &sample);
+    if !state.answered.is_suspect(crash.hash, crash.backend_start) {
+        return;
+    }
     let actions = state.quarantine.on_crash(&report, wall);
     drop(state);
     node.apply_quarantine(actions);
