Exchange state with a peer before a node becomes ready

Cause: a restarted node that read the log's end before it joined its peers became ready with the newest version, but without members and without the progress of rollouts. Ruled out: a lost exchange; the node had not started one yet (jitter of up to 1 s). Change: a starting node waits for its first exchange, for at most 3 s, so that the first node of a fleet starts, too. Before: a node restarted after a completed rollout was ready with 1 member alive and a share of 0 % of the completed version.

--- a/src/node/config_reader.rs
+++ b/src/node/config_reader.rs
@@ -50,6 +50,9 @@
 /// Time for which a starting node asks its peers only; a herd that starts at once must not read the
 /// whole log 1,300 times.
 const PEERS_FIRST: Duration = Duration::from_secs(1);
+/// Time after which a starting node serves calls without a peer. Until then it waits for a first
+/// exchange of state, since the log tells neither the backend servers nor the progress of rollouts.
+const JOIN_PATIENCE: Duration = Duration::from_secs(3);
 /// Failure domains that a starting node asks at a time.
 const ASKED_DOMAINS: usize = 3;
 
@@ -317,7 +320,7 @@
         let now = node.clock.now();
         let ready = node.state.borrow_mut().readiness.state(now);
         match ready {
-            ReadyState::Ready { .. } => {
+            ReadyState::Ready { .. } if !may_join(node) => {
                 info!(node.log, "node ready"; "state" => ready.to_string());
                 node.state.borrow_mut().ready = true;
                 log_writer::announce_member(node);
@@ -327,7 +330,7 @@
                 info!(node.log, "node not ready"; "state" => text.as_str());
                 shown = text;
             }
-            ReadyState::Waiting(_) => {}
+            _ => {}
         }
         let peers = one_peer_a_domain(node);
         let questions = peers.iter().map(|peer| ask_config(node, peer));
@@ -336,6 +339,11 @@
     }
 }
 
+/// Whether a node that starts may still join others.
+pub fn may_join(node: &Node) -> bool {
+    !node.state.borrow().gossip.joined() && node.clock.now() < JOIN_PATIENCE
+}
+
 fn one_peer_a_domain(node: &Node) -> Vec<Member> {
     let mut state = node.state.borrow_mut();
     let state = &mut *state;
--- a/src/node/operator_port.rs
+++ b/src/node/operator_port.rs
@@ -17,9 +17,11 @@
 use serde::Serialize;
 use serde_json::json;
 
+use crate::coordination::readiness::ReadyState;
 use crate::invariant;
 use crate::logging;
 use crate::node::Node;
+use crate::node::config_reader;
 use crate::node::headers;
 use crate::node::history;
 use crate::node::publish;
@@ -109,14 +111,16 @@
 
 fn ready(node: &Node) -> Response<BoxBody> {
     let now = node.clock.now();
-    let mut state = node.state.borrow_mut();
-    let status = if state.ready {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    };
-    let line = format!("{}\n", state.readiness.state(now));
-    text(status, line)
+    let ready = node.state.borrow().ready;
+    let found = node.state.borrow_mut().readiness.state(now);
+    match found {
+        ReadyState::Ready { .. } if !ready && config_reader::may_join(node) => text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "waits for a first exchange of state with a peer\n".into(),
+        ),
+        found if ready => text(StatusCode::OK, format!("{found}\n")),
+        found => text(StatusCode::SERVICE_UNAVAILABLE, format!("{found}\n")),
+    }
 }
 
 fn metrics(node: &Node) -> Response<BoxBody> {
