Use the new version of an overdue rollout if no old backend server is left

Cause: the progress of a rollout is not in the log. A fleet that restarted as a whole after a rollout began it again, and routed to the old version, whose backend servers were gone. Ruled out: late membership; all nodes knew the two backend servers of the new version. Before: calls got 503, code 4002, for about 3 s and then in part until the rollout was complete again.

--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -31,6 +31,7 @@
 use crate::coordination::retry::Next;
 use crate::coordination::rollout::Shares;
 use crate::node::Node;
+use crate::node::NodeState;
 use crate::node::headers;
 use crate::node::hop;
 use crate::node::keyed;
@@ -50,7 +51,9 @@
 use crate::protocol::call::Run;
 use crate::protocol::document::Route;
 use crate::protocol::name::NodeId;
+use crate::protocol::name::ServiceName;
 use crate::protocol::name::VersionName;
+use crate::protocol::time::WallMs;
 use crate::result_code::ResultCode;
 use crate::transport::http_client::SendFailure;
 use crate::transport::http_server;
@@ -304,7 +307,8 @@
 }
 
 /// Chooses the version by its share in force, then a node. A version in rollout that has no node
-/// left falls back to the old one; the reverse would exceed the share of an unproven version.
+/// left falls back to the old one; the reverse would exceed the share of an unproven version, see
+/// [`is_overdue`] for the exception.
 fn pick(node: &Node, call: &EntryCall, tried: &[NodeId]) -> Option<(Pick, VersionName)> {
     let (now, wall) = (node.clock.now(), node.clock.wall());
     let mut state = node.state.borrow_mut();
@@ -314,7 +318,15 @@
     let point: u8 = state.rng.random_range(0..100);
     let first = shares.pick(point)?.clone();
     let fallback = fallback(shares, &first);
-    for version in std::iter::once(first).chain(fallback) {
+    let last = shares_to(shares).filter(|to| **to != first).cloned();
+    let candidates = [Some(first), fallback, last];
+    for (index, version) in candidates.into_iter().enumerate() {
+        let Some(version) = version else {
+            continue;
+        };
+        if index == 2 && !is_overdue(state, service, wall) {
+            continue;
+        }
         if let Some(pick) = state
             .balancer
             .pick(now, &mut state.rng, service, &version, tried)
@@ -339,6 +351,29 @@
     }
 }
 
+fn shares_to(shares: Shares<'_>) -> Option<&VersionName> {
+    match shares {
+        Shares::Split { to, .. } => Some(to),
+        Shares::Fixed(_) => None,
+    }
+}
+
+/// Whether the time of a service's rollout is over and its version was not taken back. Progress is not
+/// kept in the log, unlike rollbacks, so a fleet that restarts as a whole begins a completed rollout
+/// again, and the old backend servers may be gone.
+fn is_overdue(state: &NodeState, service: &ServiceName, wall: WallMs) -> bool {
+    let Some(snapshot) = state.store.current() else {
+        return false;
+    };
+    let found = snapshot.service(service.as_str());
+    let Some(rollout) = found.and_then(|s| s.rollout.as_ref()) else {
+        return false;
+    };
+    let mut rollbacks = state.rollouts.rollbacks().into_iter();
+    let taken_back = rollbacks.any(|r| r.key.service == *service && r.key.to == rollout.to);
+    wall >= rollout.finish_by_ms && !taken_back
+}
+
 struct Attempt {
     pick: Pick,
     version: VersionName,
