--- a/tests/process_config.rs
+++ b/tests/process_config.rs
@@ -3,6 +3,7 @@
 mod process_common;
 
 use std::time::Duration;
+use std::time::Instant;
 
 use actix_http::Method;
 use process_common::Call;
@@ -363,6 +364,20 @@
     });
 }
 
+/// Returns the status of a node as soon as it is ready.
+async fn first_ready_status(fleet: &Fleet, index: usize) -> eyre::Result<Value> {
+    let start = Instant::now();
+    while start.elapsed() < LIMIT {
+        if let Ok(status) = fleet.status(index).await
+            && status["ready"] == true
+        {
+            return Ok(status);
+        }
+        actix_rt::time::sleep(Duration::from_millis(1)).await;
+    }
+    eyre::bail!("node {index} is not ready within {LIMIT:?}")
+}
+
 /// Guards against a configuration or a rollback that is lost when all nodes restart at once, and
 /// against nodes that serve an older version after it.
 #[test]
@@ -388,12 +403,10 @@
         for index in 0..5 {
             fleet.start_node(index)?;
         }
-        let took = fleet.wait_ready(LIMIT).await?;
-        println!("all ready after {took:?}");
-        // A ready node has the newest version and its rollbacks at once.
-        for index in 0..5 {
-            let status = fleet.status(index).await?;
+        let first_looks = (0..5).map(|index| first_ready_status(&fleet, index));
+        for status in futures_util::future::try_join_all(first_looks).await? {
             eyre::ensure!(status["version"] == version, "{status}");
+            eyre::ensure!(status["rollbacks"][0]["key"]["to"] == "v2", "{status}");
         }
         wait_phase(&fleet, "taken back").await?;
         wait_alive(&fleet, 5).await?;
@@ -428,10 +441,13 @@
         fleet.wait_version(version, LIMIT).await?;
         wait_phase(&fleet, "complete").await?;
         check_report(&load.join()?)?;
-        fleet.kill_node(3)?;
-        fleet.start_node(3)?;
-        fleet.wait_ready(LIMIT).await?;
-        wait_phase(&fleet, "complete").await?;
+        for _ in 0..5 {
+            fleet.kill_node(3)?;
+            fleet.start_node(3)?;
+            let status = first_ready_status(&fleet, 3).await?;
+            let phase = &status["services"][0]["rollout"]["phase"];
+            eyre::ensure!(phase == "complete", "{status}");
+        }
         let shares = fleet.status(3).await?["services"][0]["shares"].clone();
         eyre::ensure!(
             shares == fleet.status(0).await?["services"][0]["shares"],
@@ -440,3 +456,49 @@
         check_invariants(&fleet).await
     });
 }
+
+/// Guards against calls that have no backend server after all nodes restart at once: the progress of
+/// a completed rollout is not in the log, and the old backend servers may be gone.
+#[test]
+fn all_nodes_restart_after_a_rollout() {
+    run(async {
+        let (mut fleet, mut old, _) = serving(4, &[0, 1]).await?;
+        let new = [
+            second_version(&fleet, 2, 0.0)?,
+            second_version(&fleet, 3, 0.0)?,
+        ];
+        wait_backends(&fleet, 4).await?;
+        let load = load(&fleet, &[0, 1], 12)?;
+        let version = publish(&fleet, 0, &document_with(&fleet, &rollout(12))).await?;
+        fleet.wait_version(version, LIMIT).await?;
+        wait_phase(&fleet, "complete").await?;
+        check_report(&load.join()?)?;
+        for server in &mut old {
+            server.stop();
+        }
+        wait_backends(&fleet, 2).await?;
+        for index in 0..4 {
+            fleet.kill_node(index)?;
+        }
+        for index in 0..4 {
+            fleet.start_node(index)?;
+        }
+        fleet.wait_ready(LIMIT).await?;
+        wait_backends(&fleet, 2).await?;
+        let took = wait_for("calls are answered again", || async {
+            call(fleet.nodes()[0].request_addr, &Call::get("/a"))
+                .await
+                .is_ok_and(|a| a.status == 200)
+        })
+        .await?;
+        println!("answered after {took:?}");
+        for entry in 0..4 {
+            for _ in 0..10 {
+                let answer = call(fleet.nodes()[entry].request_addr, &Call::get("/a")).await?;
+                eyre::ensure!(answer.status == 200, "{answer:?}");
+            }
+        }
+        eyre::ensure!(new.iter().all(|b| b.report().counters.ran > 0));
+        check_invariants(&fleet).await
+    });
+}
