Give gossip and the rollouts the same progress and rollbacks

Gossip replaces a rollback by an earlier decision on the same version without reporting it, and both sides drop what belongs to no service of their configuration, at different times. A node could route by another state than it spread. Both are now reconciled after each exchange of state and each configuration. Found by reading; no run showed the difference.

--- a/src/node/config_reader.rs
+++ b/src/node/config_reader.rs
@@ -257,6 +257,7 @@
     let actions = state.gossip.on_new_version(now, version);
     drop(state);
     gossip_loop::apply(node, actions);
+    gossip_loop::reconcile_rollouts(node);
 }
 
 /// Pulls the configuration from a peer that shows a higher version.
--- a/src/node/gossip_loop.rs
+++ b/src/node/gossip_loop.rs
@@ -211,6 +211,35 @@
     let (now, wall) = (node.clock.now(), node.clock.wall());
     let actions = node.state.borrow_mut().gossip.on_sync(now, wall, theirs);
     apply(node, actions);
+    reconcile_rollouts(node);
+}
+
+/// Gives gossip and the rollouts the same progress and rollbacks. Each of them drops what belongs to
+/// no service of its configuration, and gossip does not report a rollback that only replaces a later
+/// decision on the same version.
+pub fn reconcile_rollouts(node: &Rc<Node>) {
+    let (now, wall) = (node.clock.now(), node.clock.wall());
+    let mut state = node.state.borrow_mut();
+    let known = state.gossip.sync_state();
+    for progress in &known.progress {
+        state.rollouts.on_progress(progress.clone());
+    }
+    for rollback in &known.rollbacks {
+        state.rollouts.on_rollback(rollback.clone());
+    }
+    let mut actions = Vec::new();
+    for progress in state.rollouts.progress() {
+        if !known.progress.contains(&progress) {
+            actions.extend(state.gossip.submit_progress(now, wall, progress));
+        }
+    }
+    for rollback in state.rollouts.rollbacks() {
+        if !known.rollbacks.contains(&rollback) {
+            actions.extend(state.gossip.submit_rollback(now, wall, rollback));
+        }
+    }
+    drop(state);
+    apply(node, actions);
 }
 
 fn expire_backend(node: &Rc<Node>) {
