--- a/tests/process_config.rs
+++ b/tests/process_config.rs
@@ -183,6 +183,17 @@
         fleet.log().set_outage(Outage::Hang);
         wait_phase(&fleet, "taken back").await?;
         check_report(&load.join()?)?;
+        // Several serving nodes may decide at the same time; all must keep the same decision.
+        wait_for("the same rollback at all nodes", || async {
+            let mut all = Vec::new();
+            for index in 0..4 {
+                let status = fleet.status(index).await.unwrap_or_default();
+                all.push(status["rollbacks"].clone());
+            }
+            all.dedup();
+            all.len() == 1
+        })
+        .await?;
         fleet.log().set_outage(Outage::Off);
         wait_outcome(&fleet, 1005).await?;
         wait_for("the rollback is in the log", || async {
--- a/tests/process_hostile.rs
+++ b/tests/process_hostile.rs
@@ -8,6 +8,7 @@
 use std::net::TcpStream;
 use std::net::UdpSocket;
 use std::time::Duration;
+use std::time::Instant;
 
 use process_common::Call;
 use process_common::LIMIT;
@@ -27,7 +28,10 @@
 use sycamorewick::protocol::auth;
 use sycamorewick::protocol::auth::AuthKey;
 use sycamorewick::protocol::codec;
+use sycamorewick::protocol::gossip::Header;
+use sycamorewick::protocol::gossip::Message;
 use sycamorewick::protocol::gossip::Packet;
+use sycamorewick::protocol::name::ConfigVersion;
 use sycamorewick::protocol::time::WallMs;
 use testbed::backend_server::BackendControlChange;
 use testbed::backend_server::BackendHandle;
@@ -219,6 +223,51 @@
     });
 }
 
+/// Guards against a datagram of a node that takes effect again when somebody sends a copy of it.
+#[test]
+fn replayed_datagram() {
+    run(async {
+        let mut fleet = fleet(3).await?;
+        let target = fleet.nodes()[0].gossip_addr;
+        let key = AuthKey::derive(&cluster_key(&fleet)?).map_err(|e| eyre::eyre!("{e}"))?;
+        let socket = UdpSocket::bind("127.0.0.1:0")?;
+        let packet = Packet {
+            header: Header {
+                from: "n2".into(),
+                incarnation: 0,
+                version: ConfigVersion::NONE,
+                digest: 0,
+                log_reachable: true,
+            },
+            message: Message::Ping { sequence: 77 },
+            rumors: Vec::new(),
+        };
+        let payload = codec::encode_compact(&packet).map_err(|e| eyre::eyre!("{e}"))?;
+        let datagram = auth::seal(&key, wall(), 11, &payload);
+        socket.send_to(&datagram, target)?;
+        socket.set_nonblocking(true)?;
+        let mut buf = [0; 2_048];
+        let answers = |buf: &mut [u8]| socket.recv_from(buf).is_ok();
+        let mut answered = false;
+        let start = Instant::now();
+        while !answered && start.elapsed() < LIMIT {
+            answered = answers(&mut buf);
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        eyre::ensure!(answered, "the first datagram was not answered");
+        let before = rejected(&fleet, 0).await;
+        for _ in 0..5 {
+            socket.send_to(&datagram, target)?;
+        }
+        wait_for("the copies are counted", || async {
+            rejected(&fleet, 0).await - before >= 5.0
+        })
+        .await?;
+        eyre::ensure!(!answers(&mut buf), "a copy was answered");
+        check_alive(&mut fleet).await
+    });
+}
+
 fn crashed(backends: &[BackendHandle]) -> usize {
     backends.iter().filter(|b| b.has_crashed()).count()
 }
