Keep checked ports from being held by a process that is starting

Cause: a child has copies of its parent's sockets between fork and exec. A port that one thread had checked and released was still in use if another thread started a node at that moment. Ruled out: other test runs, since each process has a loopback address of its own, and repeated ports, since all threads share one counter. Change: ports are not checked while a process is started.

--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -14,6 +14,9 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -62,6 +65,14 @@
 /// Content of the key file that the nodes share.
 const CLUSTER_KEY: &str = "testbed-cluster-key-0123456789abcdef";
 
+/// Held while ports are checked and while a process is started: until its `exec`, a new process has
+/// copies of all sockets, which would keep a port in use after its check.
+static SPAWN_LOCK: Mutex<()> = Mutex::new(());
+
+fn lock_spawn() -> MutexGuard<'static, ()> {
+    SPAWN_LOCK.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Options of a fleet.
 #[derive(Clone, Debug)]
 pub struct FleetOptions {
@@ -315,6 +326,7 @@
             .create(true)
             .append(true)
             .open(&node.output_file)?;
+        let lock = lock_spawn();
         let child = Command::new(&binary)
             .arg("node")
             .arg("--settings")
@@ -324,6 +336,7 @@
             .stderr(output)
             .spawn()
             .wrap_err_with(|| format!("cannot start {}", binary.display()))?;
+        drop(lock);
         node.child = Some(child);
         Ok(())
     }
@@ -648,6 +661,7 @@
 /// Returns an error if no port is free.
 pub fn free_addr() -> eyre::Result<SocketAddr> {
     static NEXT: AtomicU16 = AtomicU16::new(0);
+    let _lock = lock_spawn();
     // Each process has a loopback address of its own, so that no other process takes a port between
     // this check and its use. Process ids have up to 22 bits.
     let pid = std::process::id();
