--- a/src/node/config_reader.rs
+++ b/src/node/config_reader.rs
@@ -59,6 +59,9 @@
 const FEW_RECORDS: u64 = 8;
 /// Time after which a starting node reads the whole log even so, for the case that it finds no peer.
 const PEERS_ONLY_LIMIT: Duration = Duration::from_secs(10);
+/// Time after which a starting node serves calls without a peer. Until then it waits for a first
+/// exchange of state, since the log tells neither the backend servers nor the progress of rollouts.
+const JOIN_PATIENCE: Duration = Duration::from_secs(3);
 /// Failure domains that a starting node asks at a time.
 const ASKED_DOMAINS: usize = 3;
 
@@ -293,6 +296,7 @@
     let actions = state.gossip.on_new_version(now, version);
     drop(state);
     gossip_loop::apply(node, actions);
+    gossip_loop::reconcile_rollouts(node);
 }
 
 /// Pulls the configuration from a peer that shows a higher version.
@@ -356,7 +360,7 @@
         let now = node.clock.now();
         let ready = node.state.borrow_mut().readiness.state(now);
         match ready {
-            ReadyState::Ready { .. } => {
+            ReadyState::Ready { .. } if !may_join(node) => {
                 info!(node.log, "node ready"; "state" => ready.to_string());
                 node.state.borrow_mut().ready = true;
                 log_writer::announce_member(node);
@@ -366,7 +370,7 @@
                 info!(node.log, "node not ready"; "state" => text.as_str());
                 shown = text;
             }
-            ReadyState::Waiting(_) => {}
+            _ => {}
         }
         let peers = one_peer_a_domain(node);
         let questions = peers.iter().map(|peer| ask_config(node, peer));
@@ -375,6 +379,11 @@
     }
 }
 
+/// Whether a node that starts may still join others.
+pub fn may_join(node: &Node) -> bool {
+    !node.state.borrow().gossip.joined() && node.clock.now() < JOIN_PATIENCE
+}
+
 fn one_peer_a_domain(node: &Node) -> Vec<Member> {
     let mut state = node.state.borrow_mut();
     let state = &mut *state;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -38,6 +38,7 @@
 use slog::info;
 
 use crate::coordination::admission::Admission;
+use crate::coordination::answered::Answered;
 use crate::coordination::balancer::Balancer;
 use crate::coordination::dissemination::Gossip;
 use crate::coordination::dissemination::GossipConfig;
@@ -122,6 +123,7 @@
     running: RunningCalls,
     rollouts: RolloutEngine,
     quarantine: Quarantine,
+    answered: Answered,
     backend: Backend,
     outcomes: Outcomes,
     /// Versions whose way to all nodes is followed, oldest first.
@@ -226,6 +228,7 @@
         running: RunningCalls::default(),
         rollouts: RolloutEngine::new(id),
         quarantine: Quarantine::new(),
+        answered: Answered::new(),
         backend: Backend::default(),
         outcomes: Outcomes::new(),
         convergence: Vec::new(),
