Report damaged streams and refused configurations, and a quarantine once

A damaged or truncated config stream and a configuration refused from a peer were log lines only, so that an operator who does not look never learned of them. A quarantined request was reported by every node, 1,300 appends at the target size; now only the nodes beside the crashed backend servers report it, and the identity does not depend on the clock of the reporter.

--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -6,6 +6,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::protocol::gossip::CrashReport;
+use crate::protocol::name::NodeId;
 use crate::protocol::time::WallMs;
 use crate::result_code::ResultCode;
 
@@ -37,6 +38,11 @@
         fingerprint: u64,
         /// Result code of the outcome.
         code: ResultCode,
+        /// Nodes beside the backend servers that crashed. They report the outcome, since 1,300
+        /// reports of the whole fleet would say nothing more.
+        nodes: Vec<NodeId>,
+        /// Wall time of the first crash, equal on all nodes; part of the outcome's identity.
+        since: WallMs,
         /// One sentence with the figures.
         text: String,
     },
@@ -209,16 +215,20 @@
             return None;
         }
         entry.quarantined = true;
-        let nodes: Vec<_> = entry.crashes.iter().map(|c| c.node.as_str()).collect();
+        let nodes: Vec<NodeId> = entry.crashes.iter().map(|c| c.node.clone()).collect();
+        let names: Vec<&str> = nodes.iter().map(NodeId::as_str).collect();
+        let first = entry.crashes.iter().map(|crash| crash.at).min();
         let text = format!(
             "request {fingerprint:016x} crashed {} backend servers beside {}; refused for {} s",
             entry.crashes.len(),
-            nodes.join(", "),
+            names.join(", "),
             QUARANTINE_TIME.as_secs()
         );
         Some(QuarantineAction::Quarantined {
             fingerprint,
             code: ResultCode::Quarantined,
+            nodes,
+            since: first.unwrap_or_default(),
             text,
         })
     }
--- a/src/node/config_reader.rs
+++ b/src/node/config_reader.rs
@@ -259,10 +259,41 @@
             let subject = format!("publication {publish_id}");
             node.report(failure.code, format!("publish/{publish_id}"), subject, text);
         }
-        other => info!(node.log, "log record without effect"; "event" => format!("{other:?}")),
+        FoldEvent::Duplicate { .. } => {
+            info!(node.log, "publication appended again"; "event" => format!("{event:?}"));
+        }
+        FoldEvent::DigestMismatch {
+            offset,
+            ours,
+            theirs,
+        } => {
+            let text = format!(
+                "the checkpoint at offset {offset} has version {} with digest {:016x}, this node has \
+                 version {} with digest {:016x}; nodes of different releases may read the log differently",
+                theirs.0, theirs.1, ours.0, ours.1
+            );
+            report_stream(node, ResultCode::DigestMismatch, offset, text);
+        }
+        FoldEvent::Truncated { needed, oldest } => {
+            let text = format!(
+                "the log has dropped the records from offset {needed} to {oldest} before this node read \
+                 them; it keeps its configuration and looks for a checkpoint"
+            );
+            report_stream(node, ResultCode::LogTruncated, needed, text);
+        }
+        FoldEvent::Undecodable { offset, failure } => {
+            let text = format!("the record at offset {offset} was skipped: {failure}");
+            report_stream(node, ResultCode::MessageMalformed, offset, text);
+        }
     }
 }
 
+/// Reports what is wrong with the stream. Each reader finds the same, so the identity is the same.
+fn report_stream(node: &Node, code: ResultCode, offset: u64, text: String) {
+    let identity = format!("stream/{}/{offset}", code.number());
+    node.report(code, identity, format!("stream {CONFIG_STREAM}"), text);
+}
+
 fn install(node: &Rc<Node>, versioned: VersionedDocument) {
     if versioned.version <= node.state.borrow().store.version() {
         return;
@@ -305,6 +336,7 @@
     actix_rt::spawn(async move {
         if let Err(failure) = ask_config(&node, &peer).await {
             debug!(node.log, "pull failed"; "peer" => peer.id.as_str(), "failure" => failure.to_string());
+            report_refused(&node, &peer, &failure);
             let actions = node
                 .state
                 .borrow_mut()
@@ -315,6 +347,23 @@
     });
 }
 
+/// Reports a configuration that a peer sent and this node refused. A peer that did not answer is no
+/// outcome, since the next one is asked.
+fn report_refused(node: &Node, peer: &Member, failure: &Failure) {
+    if matches!(
+        failure.code,
+        ResultCode::PeerUnreachable | ResultCode::DeltaMismatch
+    ) {
+        return;
+    }
+    let identity = format!("refused/{}/{}", node.settings.id, failure.code.number());
+    let text = format!(
+        "node {} refused the configuration of node {}: {failure}",
+        node.settings.id, peer.id
+    );
+    node.report(failure.code, identity, "configuration".into(), text);
+}
+
 async fn ask_config(node: &Rc<Node>, peer: &Member) -> Result<(), Failure> {
     let answer = ask(node, peer, false).await?;
     let received = node.state.borrow_mut().store.receive(answer.transfer);
--- a/src/node/serving.rs
+++ b/src/node/serving.rs
@@ -212,16 +212,15 @@
                 QuarantineAction::Quarantined {
                     fingerprint,
                     code,
+                    nodes,
+                    since,
                     text,
                 } => {
                     self.state.borrow_mut().rollouts.on_explained(fingerprint);
-                    let subject = format!("request {fingerprint:016x}");
-                    self.report(
-                        code,
-                        format!("quarantine/{fingerprint:016x}/{}", wall.0 / 600_000),
-                        subject,
-                        text,
-                    );
+                    if nodes.contains(&self.settings.id) {
+                        let identity = format!("quarantine/{fingerprint:016x}/{since}");
+                        self.report(code, identity, format!("request {fingerprint:016x}"), text);
+                    }
                 }
             }
         }
--- a/tests/support/service.rs
+++ b/tests/support/service.rs
@@ -471,6 +471,7 @@
                     fingerprint,
                     code,
                     text,
+                    ..
                 } => {
                     self.nodes[node].engine.on_explained(fingerprint);
                     let identity = format!("quarantine/{fingerprint:x}");
