--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -29,6 +29,7 @@
 use testbed::measure::latency::LatencyOptions;
 use testbed::measure::rollback;
 use testbed::measure::rollback::RollbackOptions;
+use testbed::relay;
 
 /// Exit code of a backend server that crashed on purpose.
 const CRASH_EXIT_CODE: u8 = 134;
@@ -44,6 +45,7 @@
         Some(("log", args)) => log(args),
         Some(("backend", args)) => backend(args),
         Some(("caller", args)) => call(args),
+        Some(("relay", args)) => relay(args),
         Some(("measure", args)) => measure(args),
         _ => Ok(ExitCode::FAILURE),
     }
@@ -57,6 +59,7 @@
         .subcommand(log_command())
         .subcommand(backend_command())
         .subcommand(caller_command())
+        .subcommand(relay_command())
         .subcommand(measure_command())
 }
 
@@ -113,6 +116,19 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn relay_command() -> Command {
+    Command::new("relay")
+        .about("Pass requests on without decisions, to compare the nodes with the HTTP libraries alone")
+        .arg(option("listen", "ADDR", "Listen address").value_parser(value_parser!(SocketAddr)).required(true))
+        .arg(option("to", "ADDR", "Next server").value_parser(value_parser!(SocketAddr)).required(true))
+}
+
+fn relay(args: &ArgMatches) -> eyre::Result<ExitCode> {
+    let (listen, to) = (*required(args, "listen")?, *required(args, "to")?);
+    actix_rt::System::new().block_on(relay::run(listen, to))?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn backend_command() -> Command {
     Command::new("backend")
         .about("Run a backend server; faults change with POST /control")
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod http;
 pub mod log_server;
 pub mod measure;
+pub mod relay;
