--- a/src/coordination/dissemination.rs
+++ b/src/coordination/dissemination.rs
@@ -675,6 +675,13 @@
         self.membership.members()
     }
 
+    /// Returns the number of members that are alive or suspected, this node included.
+    #[must_use]
+    pub fn members_in_service(&self) -> usize {
+        let in_service = |m: &&Member| m.status < MemberStatus::Leaving;
+        self.members().iter().filter(in_service).count()
+    }
+
     /// Returns the record of this node.
     #[must_use]
     pub fn me(&self) -> &Member {
--- a/src/node/gossip_loop.rs
+++ b/src/node/gossip_loop.rs
@@ -176,12 +176,7 @@
             .rollouts
             .on_slots(backend.service.as_str(), backend.version.as_str(), slots);
     }
-    let alive = state
-        .gossip
-        .members()
-        .iter()
-        .filter(|m| m.status < MemberStatus::Leaving)
-        .count();
+    let alive = state.gossip.members_in_service();
     node.metrics
         .members
         .set(u32::try_from(alive).unwrap_or(u32::MAX));
--- a/src/node/log_writer.rs
+++ b/src/node/log_writer.rs
@@ -94,18 +94,11 @@
         if node.state.borrow().gossip.joined() {
             return;
         }
-        let Ok(bounds) = node.log_client.bounds(MEMBER_STREAM).await else {
-            continue;
-        };
-        let from = bounds
-            .end
-            .saturating_sub(ANNOUNCEMENTS_READ as u64)
-            .max(bounds.oldest);
-        let read = node
+        let tail = node
             .log_client
-            .read(MEMBER_STREAM, from, ANNOUNCEMENTS_READ, Duration::ZERO)
+            .read_tail(MEMBER_STREAM, ANNOUNCEMENTS_READ)
             .await;
-        let records = read.map(|batch| batch.records).unwrap_or_default();
+        let records = tail.map(|batch| batch.records).unwrap_or_default();
         let seeds: Vec<_> = records
             .iter()
             .filter_map(|(_, bytes)| codec::decode::<Announcement>(bytes).ok())
--- a/src/node/operator_port.rs
+++ b/src/node/operator_port.rs
@@ -178,18 +178,11 @@
 
 /// Takes over the newest outcomes of the log, if it answers.
 pub async fn learn_outcomes(node: &Rc<Node>) {
-    let Ok(bounds) = node.log_client.bounds(OUTCOME_STREAM).await else {
-        return;
-    };
-    let from = bounds
-        .end
-        .saturating_sub(OUTCOMES_READ as u64)
-        .max(bounds.oldest);
-    let read = node
+    let tail = node
         .log_client
-        .read(OUTCOME_STREAM, from, OUTCOMES_READ, Duration::ZERO)
+        .read_tail(OUTCOME_STREAM, OUTCOMES_READ)
         .await;
-    let records = read.map(|batch| batch.records).unwrap_or_default();
+    let records = tail.map(|batch| batch.records).unwrap_or_default();
     let mut state = node.state.borrow_mut();
     for (_, bytes) in records {
         if let Ok(outcome) = codec::decode::<OutcomeRecord>(&bytes) {
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -7,7 +7,6 @@
 use crate::node::Node;
 use crate::node::NodeState;
 use crate::protocol::document::Service;
-use crate::protocol::gossip::MemberStatus;
 use crate::protocol::gossip::RolloutKey;
 use crate::protocol::record::OutcomeRecord;
 use crate::protocol::time::WallMs;
@@ -34,12 +33,7 @@
             })
         })
         .collect();
-    let alive = state
-        .gossip
-        .members()
-        .iter()
-        .filter(|m| m.status < MemberStatus::Leaving)
-        .count();
+    let alive = state.gossip.members_in_service();
     let current = state.store.current();
     let services: Vec<_> = current
         .iter()
--- a/src/transport/log_client.rs
+++ b/src/transport/log_client.rs
@@ -142,6 +142,17 @@
         self.failing_since.get().map(|since| since.elapsed())
     }
 
+    /// Reads the newest records of a stream, at most `max`, oldest first.
+    ///
+    /// # Errors
+    /// [`ResultCode::LogUnavailable`], or [`ResultCode::MessageTooLarge`] if the records exceed the
+    /// largest message.
+    pub async fn read_tail(&self, stream: &str, max: usize) -> Result<LogBatch, Failure> {
+        let bounds = self.bounds(stream).await?;
+        let from = bounds.end.saturating_sub(max as u64).max(bounds.oldest);
+        self.read(stream, from, max, Duration::ZERO).await
+    }
+
     async fn exchange(&self, outgoing: Outgoing) -> Result<HttpAnswer, Failure> {
         let result = self.send(outgoing).await;
         if result.is_ok() {
