--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -294,18 +294,8 @@
         }
         tried.push(attempt.pick.node);
         last = answer;
-        let mut state = node.state.borrow_mut();
-        let state = &mut *state;
-        let others = state
-            .balancer
-            .has_other(&call.route.service, &attempt.version, &tried);
-        next = plan.on_result(
-            node.clock.now(),
-            &mut state.rng,
-            &mut state.bucket,
-            result,
-            others,
-        );
+        let others = has_other(node, call, &attempt.version, &tried);
+        next = plan_next(node, &mut plan, result, others);
         if matches!(next, Next::Try { .. }) {
             node.metrics.retries.increment(1);
             used.retries = used.retries.saturating_add(1);
@@ -313,6 +303,21 @@
     }
 }
 
+/// Whether the version has a node that this call has not tried yet.
+fn has_other(node: &Node, call: &EntryCall, version: &VersionName, tried: &[NodeId]) -> bool {
+    let state = node.state.borrow();
+    state
+        .balancer
+        .has_other(&call.route.service, version, tried)
+}
+
+fn plan_next(node: &Node, plan: &mut CallPlan, result: AttemptResult, others: bool) -> Next {
+    let now = node.clock.now();
+    let mut state = node.state.borrow_mut();
+    let state = &mut *state;
+    plan.on_result(now, &mut state.rng, &mut state.bucket, result, others)
+}
+
 /// Chooses the version by its share in force, then a node. A version in rollout that has no node
 /// left falls back to the old one; the reverse would exceed the share of an unproven version, see
 /// [`is_overdue`] for the exception.
