--- a/src/coordination/idempotency.rs
+++ b/src/coordination/idempotency.rs
@@ -188,6 +188,18 @@
     state: KeyState,
 }
 
+impl KeyRecord {
+    fn held(now: Duration, key: &Arc<str>, fingerprint: u64, claim: &ClaimId) -> Self {
+        Self {
+            key: key.clone(),
+            fingerprint,
+            claim: claim.clone(),
+            claimed_at: now,
+            state: KeyState::Held,
+        }
+    }
+}
+
 impl KeyRecord {
     fn body_len(&self) -> usize {
         match &self.state {
@@ -330,13 +342,7 @@
         }
         self.insert(
             now,
-            KeyRecord {
-                key: request.key.clone(),
-                fingerprint: request.fingerprint,
-                claim: request.claim.clone(),
-                claimed_at: now,
-                state: KeyState::Held,
-            },
+            KeyRecord::held(now, &request.key, request.fingerprint, &request.claim),
         );
         ClaimReply::Granted
     }
@@ -394,13 +400,7 @@
             }
             self.insert(
                 now,
-                KeyRecord {
-                    key: request.key.clone(),
-                    fingerprint: request.fingerprint,
-                    claim: request.claim.clone(),
-                    claimed_at: now,
-                    state: KeyState::Held,
-                },
+                KeyRecord::held(now, &request.key, request.fingerprint, &request.claim),
             )
         };
         let record = &mut self.buckets[bucket].records[index];
