--- a/src/cli.rs
+++ b/src/cli.rs
@@ -65,6 +65,7 @@
                 ),
         )
         .subcommand(node_command())
+        .subcommand(sidecar_command())
         .subcommand(validate_command())
         .subcommand(publish_command())
         .subcommand(diff_command())
@@ -103,22 +104,40 @@
              sycamorewick node --check-settings node.jsonc\n\n\
              docs/settings.md describes the settings file.",
         )
-        .arg(
-            Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .value_parser(value_parser!(PathBuf))
-                .required_unless_present("check-settings")
-                .help("Settings file, JSON with comments"),
+        .args(settings_args())
+}
+
+fn sidecar_command() -> Command {
+    Command::new("sidecar")
+        .about("Run the node beside a backend server on a platform with a store")
+        .long_about(
+            "Run the node beside a backend server on a platform whose store holds the configuration \
+             and the orders of operators. On SIGTERM it takes no new work, finishes the calls that \
+             run and exits with 0; on SIGHUP it reads its settings again.",
         )
-        .arg(
-            Arg::new("check-settings")
-                .long("check-settings")
-                .value_name("FILE")
-                .value_parser(value_parser!(PathBuf))
-                .conflicts_with("settings")
-                .help("Check a settings file and exit"),
+        .after_long_help(
+            "Examples:\n  sycamorewick sidecar --settings sidecar.jsonc\n  \
+             sycamorewick sidecar --check-settings sidecar.jsonc\n\n\
+             docs/settings.md describes the settings file, docs/platform.md the platform.",
         )
+        .args(settings_args())
+}
+
+fn settings_args() -> [Arg; 2] {
+    [
+        Arg::new("settings")
+            .long("settings")
+            .value_name("FILE")
+            .value_parser(value_parser!(PathBuf))
+            .required_unless_present("check-settings")
+            .help("Settings file, JSON with comments"),
+        Arg::new("check-settings")
+            .long("check-settings")
+            .value_name("FILE")
+            .value_parser(value_parser!(PathBuf))
+            .conflicts_with("settings")
+            .help("Check a settings file and exit"),
+    ]
 }
 
 fn validate_command() -> Command {
@@ -352,6 +371,14 @@
                 settings: path(sub, "settings"),
             },
         },
+        "sidecar" => match sub.get_one::<PathBuf>("check-settings") {
+            Some(file) => Action::CheckSidecarSettings {
+                settings: file.clone(),
+            },
+            None => Action::Sidecar {
+                settings: path(sub, "settings"),
+            },
+        },
         "validate" => Action::Validate {
             file: path(sub, "file"),
         },
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -18,6 +18,7 @@
 use serde_json::json;
 use sycamorewick::node;
 use sycamorewick::settings;
+use sycamorewick::sidecar;
 
 use crate::cli;
 use crate::commands::output::Output;
@@ -31,6 +32,8 @@
     match &config.action {
         Action::Node { settings } => run_node(settings, output),
         Action::CheckSettings { settings } => check_settings(settings, output),
+        Action::Sidecar { settings } => run_sidecar(settings, output),
+        Action::CheckSidecarSettings { settings } => check_sidecar_settings(settings, output),
         Action::Validate { file } => validate::run(file, output),
         Action::Publish {
             access,
@@ -77,6 +80,30 @@
     }
 }
 
+fn run_sidecar(file: &Path, output: Output) -> ExitCode {
+    let settings = match sidecar::settings::load(file) {
+        Ok(settings) => settings,
+        Err(failures) => return output.invalid(&failures, "the sidecar was not started"),
+    };
+    match block_on(sidecar::run(file, settings)) {
+        Ok(()) => ExitCode::Success,
+        Err(e) => output.fail(&format!("{e:#}"), ExitCode::GeneralError),
+    }
+}
+
+fn check_sidecar_settings(file: &Path, output: Output) -> ExitCode {
+    match sidecar::settings::load(file) {
+        Ok(settings) => {
+            let text = format!("{}: settings of sidecar {}", file.display(), settings.id);
+            output.finish("valid", &text, &json!({}), ExitCode::Success)
+        }
+        Err(failures) => {
+            let summary = format!("{} is not valid", file.display());
+            output.invalid(&failures, &summary)
+        }
+    }
+}
+
 /// Unreadable secrets are a note only, since settings are also checked where no secrets are.
 fn check_settings(file: &Path, output: Output) -> ExitCode {
     let settings = match settings::load(file) {
--- a/src/config.rs
+++ b/src/config.rs
@@ -56,6 +56,16 @@
         /// Settings file.
         settings: PathBuf,
     },
+    /// Run a node on the users' platform.
+    Sidecar {
+        /// Settings file.
+        settings: PathBuf,
+    },
+    /// Check the settings file of a node on the users' platform.
+    CheckSidecarSettings {
+        /// Settings file.
+        settings: PathBuf,
+    },
     /// Check a settings file.
     CheckSettings {
         /// Settings file.
--- /dev/null
+++ b/src/coordination/placement.rs
@@ -0,0 +1,471 @@
+//! Choice of the serving node for a call on the platform. See `docs/platform.md`, "Placement".
+//!
+//! The node with the least expected time wins: the way there, the wait for a slot, and the run time
+//! by the node's measured speed. Bytes between failure domains and regions are billed, so a longer
+//! way also counts as lost time. Figures lose weight with their age, so that a node that once looked
+//! bad is tried again.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::protocol::fleet::BackendPhase;
+use crate::protocol::fleet::BackendReport;
+use crate::protocol::fleet::FleetEntry;
+use crate::protocol::hop::Load;
+use crate::protocol::hop::Tally;
+use crate::protocol::name::DomainName;
+use crate::protocol::name::NodeId;
+use crate::protocol::name::RegionName;
+use crate::protocol::name::ServiceName;
+use crate::protocol::name::VersionName;
+
+/// Cost of a call to another node of the own failure domain: a second parse and a hop.
+const SAME_DOMAIN_MS: f64 = 2.0;
+/// Cost of a call to another failure domain of the region, whose bytes are billed.
+const OTHER_DOMAIN_MS: f64 = 12.0;
+/// Cost of a call to another region: about 16 ms of way, and bytes at several times the price.
+const OTHER_REGION_MS: f64 = 70.0;
+/// Run time that is assumed before any answer, milliseconds.
+const UNKNOWN_RUN_MS: f64 = 60.0;
+/// Weight of one answer in a node's speed and in the mean run time.
+const SPEED_WEIGHT: f64 = 0.1;
+/// Weight of one result in a node's failure rate.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// Time in which a failure rate halves without results.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
+/// Run times that a certain failure costs; the caller has to start again elsewhere.
+const FAILURE_RUNS: f64 = 8.0;
+/// Age at which a load figure has lost all its weight.
+const LOAD_LIFETIME: Duration = Duration::from_secs(1);
+/// Share of the slots from which backend servers become slower.
+const BUSY_SHARE: f64 = 0.75;
+/// Slowdown of a backend server whose slots are all used, in run times.
+const FULL_SLOWDOWN: f64 = 0.6;
+/// Factor on the run time of a backend server that has just started.
+const COLD_FACTOR: f64 = 2.0;
+/// Random part of a score, so that nodes with the same figures do not choose alike.
+const JITTER: f64 = 0.1;
+/// First pause after a node could not be reached or had no backend server; doubled each time.
+const PAUSE_BASE: Duration = Duration::from_millis(200);
+/// Longest such pause; a node that came back is used again within this time.
+const PAUSE_MAX: Duration = Duration::from_secs(2);
+/// Pause after a refusal for load.
+const OVERLOAD_PAUSE: Duration = Duration::from_millis(20);
+
+/// How an attempt at a node ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptEnd {
+    /// The backend server ran the call; the flag says whether it failed.
+    Ran {
+        /// Status of 500 or higher.
+        failed: bool,
+    },
+    /// Refused for load by the node.
+    Overloaded,
+    /// Refused by the backend server itself.
+    Shed,
+    /// The node has no backend server for the call.
+    NoBackend,
+    /// No connection.
+    Unreachable,
+    /// No complete answer.
+    Broken,
+    /// Abandoned by the caller; says nothing about the node.
+    Cancelled,
+}
+
+/// What the end of an attempt tells about a node.
+#[derive(Clone, Copy, Debug)]
+pub struct Feedback {
+    /// How it ended.
+    pub end: AttemptEnd,
+    /// Time from the start of the attempt.
+    pub latency: Duration,
+    /// Load and results that the node reported with its answer.
+    pub report: Option<(Load, Tally)>,
+}
+
+/// A chosen node.
+#[derive(Clone, Debug)]
+pub struct Pick {
+    /// The node.
+    pub node: NodeId,
+    /// Its address for calls.
+    pub addr: SocketAddr,
+    /// Version of its backend server.
+    pub version: VersionName,
+    /// Expected cost, milliseconds.
+    pub cost_ms: f64,
+    /// Calls that the node is believed to have.
+    pub load: f64,
+    /// Age of the last load report.
+    pub load_age: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Distance {
+    Own,
+    SameDomain,
+    SameRegion,
+    OtherRegion,
+}
+
+impl Distance {
+    fn cost_ms(self) -> f64 {
+        match self {
+            Self::Own => 0.0,
+            Self::SameDomain => SAME_DOMAIN_MS,
+            Self::SameRegion => OTHER_DOMAIN_MS,
+            Self::OtherRegion => OTHER_REGION_MS,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Candidate {
+    entry: FleetEntry,
+    distance: Distance,
+    warm_at: Duration,
+    in_flight: u32,
+    load: Load,
+    load_at: Duration,
+    tally: Tally,
+    /// Run time relative to the mean of its service.
+    speed: f64,
+    failure_rate: f64,
+    failure_at: Duration,
+    pauses: u32,
+    paused_until: Duration,
+}
+
+impl Candidate {
+    fn backend(&self) -> Option<&BackendReport> {
+        let backend = self.entry.backend.as_ref()?;
+        (backend.phase == BackendPhase::Ready).then_some(backend)
+    }
+
+    fn failure_rate(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.failure_at).as_secs_f64();
+        self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
+    }
+
+    fn note_failure(&mut self, now: Duration, failed: bool) {
+        let rate = self.failure_rate(now);
+        self.failure_rate = rate + (f64::from(u8::from(failed)) - rate) * FAILURE_WEIGHT;
+        self.failure_at = now;
+    }
+
+    /// Calls that the node is believed to have besides the next one.
+    fn believed_load(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.load_at).as_secs_f64();
+        let weight = (1.0 - age / LOAD_LIFETIME.as_secs_f64()).max(0.0);
+        let reported = f64::from(self.load.running + self.load.waiting);
+        // The own calls are counted exactly; what is reported beyond them comes from others.
+        let own = f64::from(self.in_flight);
+        own + (reported - own).max(0.0) * weight
+    }
+
+    fn cost_ms(&self, now: Duration, backend: &BackendReport, run_ms: f64) -> f64 {
+        let cold = if self.warm_at > now { COLD_FACTOR } else { 1.0 };
+        let run = run_ms * self.speed * cold;
+        let slots = f64::from(backend.slots);
+        let load = self.believed_load(now);
+        let busy = ((load / slots - BUSY_SHARE) / (1.0 - BUSY_SHARE)).clamp(0.0, 1.0);
+        let wait = (load + 1.0 - slots).max(0.0) * run / slots;
+        let failures = self.failure_rate(now) * FAILURE_RUNS * run_ms;
+        self.distance.cost_ms() + run * (1.0 + FULL_SLOWDOWN * busy) + wait + failures
+    }
+
+    /// A node that failed last is tried by one call at a time.
+    fn is_paused(&self, now: Duration) -> bool {
+        self.paused_until > now || (self.pauses > 0 && self.in_flight > 0)
+    }
+
+    fn pause(&mut self, now: Duration) {
+        let pause = PAUSE_BASE * 2_u32.saturating_pow(self.pauses.min(8));
+        self.paused_until = now + pause.min(PAUSE_MAX);
+        self.pauses += 1;
+    }
+}
+
+#[derive(Debug)]
+struct ServiceRuns {
+    service: ServiceName,
+    mean_ms: f64,
+}
+
+/// What a call needs.
+pub struct Wanted<'a> {
+    /// Service.
+    pub service: &'a ServiceName,
+    /// Nodes that this call has tried.
+    pub tried: &'a [NodeId],
+    /// Whether a backend server of this version, beside this node, may be used.
+    pub permits: &'a dyn Fn(&NodeId, &VersionName) -> bool,
+}
+
+/// Nodes that an entry node can choose from.
+#[derive(Debug)]
+pub struct Placement {
+    node: NodeId,
+    region: RegionName,
+    domain: DomainName,
+    /// Sorted by node.
+    candidates: Vec<Candidate>,
+    /// Sorted by service.
+    runs: Vec<ServiceRuns>,
+}
+
+impl Placement {
+    /// Creates the placement of an entry node that knows no other node.
+    #[must_use]
+    pub fn new(node: NodeId, region: RegionName, domain: DomainName) -> Self {
+        Self {
+            node,
+            region,
+            domain,
+            candidates: Vec::new(),
+            runs: Vec::new(),
+        }
+    }
+
+    /// Takes over what a node says of itself. Returns whether it is news.
+    pub fn on_entry(&mut self, now: Duration, entry: &FleetEntry) -> bool {
+        let warm_at = entry.backend.as_ref().map_or(now, |backend| {
+            now + Duration::from_millis(backend.cold_left_ms)
+        });
+        let distance = self.distance(entry);
+        match self.index(&entry.node) {
+            Ok(index) => {
+                let candidate = &mut self.candidates[index];
+                if candidate.entry == *entry {
+                    return false;
+                }
+                let same = match (&candidate.entry.backend, &entry.backend) {
+                    (Some(old), Some(new)) => old.is_same_incarnation(new),
+                    _ => false,
+                };
+                if !same {
+                    candidate.speed = 1.0;
+                    candidate.failure_rate = 0.0;
+                    candidate.warm_at = warm_at;
+                }
+                candidate.distance = distance;
+                candidate.entry = entry.clone();
+                candidate.pauses = 0;
+                candidate.paused_until = now;
+            }
+            Err(index) => self.candidates.insert(
+                index,
+                Candidate {
+                    entry: entry.clone(),
+                    distance,
+                    warm_at,
+                    in_flight: 0,
+                    load: Load::default(),
+                    load_at: Duration::ZERO,
+                    tally: Tally::default(),
+                    speed: 1.0,
+                    failure_rate: 0.0,
+                    failure_at: now,
+                    pauses: 0,
+                    paused_until: now,
+                },
+            ),
+        }
+        true
+    }
+
+    /// Forgets a node that has left for good.
+    pub fn forget(&mut self, node: &NodeId) {
+        if let Ok(index) = self.index(node) {
+            self.candidates.remove(index);
+        }
+    }
+
+    /// Number of known nodes, this one included.
+    #[must_use]
+    pub fn nodes(&self) -> usize {
+        self.candidates.len().max(1)
+    }
+
+    /// Returns the entries of all known nodes.
+    pub fn entries(&self) -> impl Iterator<Item = &FleetEntry> {
+        self.candidates.iter().map(|candidate| &candidate.entry)
+    }
+
+    /// Chooses the node with the least expected cost. A node that is paused is used only if no other
+    /// one is left.
+    pub fn pick(&self, now: Duration, rng: &mut impl Rng, wanted: &Wanted<'_>) -> Option<Pick> {
+        let run_ms = self.mean_run_ms(wanted.service);
+        let mut best: Option<(bool, f64, &Candidate)> = None;
+        for candidate in &self.candidates {
+            let Some(backend) = candidate.backend() else {
+                continue;
+            };
+            let node = &candidate.entry.node;
+            if backend.service != *wanted.service
+                || wanted.tried.contains(node)
+                || !(wanted.permits)(node, &backend.version)
+            {
+                continue;
+            }
+            let paused = candidate.is_paused(now);
+            let jitter = 1.0 + rng.random_range(0.0..JITTER);
+            let cost = candidate.cost_ms(now, backend, run_ms) * jitter;
+            let better = best.is_none_or(|(best_paused, best_cost, _)| {
+                (paused, cost) < (best_paused, best_cost)
+            });
+            if better {
+                best = Some((paused, cost, candidate));
+            }
+        }
+        let (_, cost_ms, candidate) = best?;
+        Some(Pick {
+            node: candidate.entry.node.clone(),
+            addr: candidate.entry.addr,
+            version: candidate.backend()?.version.clone(),
+            cost_ms,
+            load: candidate.believed_load(now),
+            load_age: now.saturating_sub(candidate.load_at),
+        })
+    }
+
+    /// Whether a backend server of a version that passes the filter takes work.
+    #[must_use]
+    pub fn has_any(&self, service: &ServiceName, of: impl Fn(&VersionName) -> bool) -> bool {
+        let backends = self.candidates.iter().filter_map(Candidate::backend);
+        let mut of_service = backends.filter(|backend| backend.service == *service);
+        of_service.any(|backend| of(&backend.version))
+    }
+
+    /// Takes over the load and results that a node reported.
+    pub fn on_report(&mut self, now: Duration, node: &NodeId, load: Load, tally: Tally) {
+        if let Ok(index) = self.index(node) {
+            let candidate = &mut self.candidates[index];
+            candidate.load = load;
+            candidate.load_at = now;
+            candidate.tally = tally;
+        }
+    }
+
+    /// Counts the start of an attempt.
+    pub fn on_start(&mut self, node: &NodeId) {
+        if let Ok(index) = self.index(node) {
+            self.candidates[index].in_flight += 1;
+        }
+    }
+
+    /// Takes over what the end of an attempt tells about a node.
+    pub fn on_end(&mut self, now: Duration, node: &NodeId, feedback: &Feedback) {
+        let Ok(index) = self.index(node) else {
+            return;
+        };
+        let service = self.candidates[index]
+            .entry
+            .backend
+            .as_ref()
+            .map(|backend| backend.service.clone());
+        let mean_ms = match (&service, feedback.end) {
+            (Some(service), AttemptEnd::Ran { failed: false }) => {
+                Some(self.observe(service, feedback.latency))
+            }
+            _ => None,
+        };
+        if let Some((load, tally)) = feedback.report {
+            self.on_report(now, node, load, tally);
+        }
+        let candidate = &mut self.candidates[index];
+        candidate.in_flight = candidate.in_flight.saturating_sub(1);
+        match feedback.end {
+            AttemptEnd::Ran { failed } => {
+                candidate.pauses = 0;
+                candidate.note_failure(now, failed);
+            }
+            AttemptEnd::Overloaded => candidate.paused_until = now + OVERLOAD_PAUSE,
+            AttemptEnd::Shed | AttemptEnd::Broken => candidate.note_failure(now, true),
+            AttemptEnd::NoBackend | AttemptEnd::Unreachable => candidate.pause(now),
+            AttemptEnd::Cancelled => {}
+        }
+        if let Some(mean_ms) = mean_ms {
+            let relative = (feedback.latency.as_secs_f64() * 1e3 / mean_ms).clamp(0.1, 20.0);
+            candidate.speed += (relative - candidate.speed) * SPEED_WEIGHT;
+        }
+    }
+
+    /// Results of all backend servers of a version together, and their slots.
+    #[must_use]
+    pub fn results(&self, service: &ServiceName, of: impl Fn(&VersionName) -> bool) -> Results {
+        let mut results = Results::default();
+        for candidate in &self.candidates {
+            let Some(backend) = &candidate.entry.backend else {
+                continue;
+            };
+            if backend.service != *service || !of(&backend.version) {
+                continue;
+            }
+            results.tally.runs += candidate.tally.runs;
+            results.tally.failures += candidate.tally.failures;
+            results.tally.latency_percent += candidate.tally.latency_percent;
+            if backend.phase == BackendPhase::Ready {
+                results.slots += backend.slots;
+                results.nodes.push(candidate.entry.node.clone());
+            }
+        }
+        results
+    }
+
+    fn distance(&self, entry: &FleetEntry) -> Distance {
+        if entry.node == self.node {
+            Distance::Own
+        } else if entry.domain == self.domain {
+            Distance::SameDomain
+        } else if entry.region == self.region {
+            Distance::SameRegion
+        } else {
+            Distance::OtherRegion
+        }
+    }
+
+    fn index(&self, node: &NodeId) -> Result<usize, usize> {
+        self.candidates
+            .binary_search_by(|candidate| candidate.entry.node.cmp(node))
+    }
+
+    fn mean_run_ms(&self, service: &ServiceName) -> f64 {
+        self.runs
+            .binary_search_by(|runs| runs.service.cmp(service))
+            .map_or(UNKNOWN_RUN_MS, |index| self.runs[index].mean_ms)
+    }
+
+    fn observe(&mut self, service: &ServiceName, latency: Duration) -> f64 {
+        let took = latency.as_secs_f64() * 1e3;
+        match self.runs.binary_search_by(|runs| runs.service.cmp(service)) {
+            Ok(index) => {
+                let mean = &mut self.runs[index].mean_ms;
+                *mean += (took - *mean) * SPEED_WEIGHT / 4.0;
+                mean.max(1.0)
+            }
+            Err(index) => {
+                let service = service.clone();
+                let mean_ms = took.max(1.0);
+                self.runs.insert(index, ServiceRuns { service, mean_ms });
+                mean_ms
+            }
+        }
+    }
+}
+
+/// Results of the backend servers of one version.
+#[derive(Clone, Debug, Default)]
+pub struct Results {
+    /// Sum of their results.
+    pub tally: Tally,
+    /// Slots of those that take work.
+    pub slots: u32,
+    /// Nodes beside those that take work, sorted.
+    pub nodes: Vec<NodeId>,
+}
--- /dev/null
+++ b/src/coordination/slot_queue.rs
@@ -0,0 +1,242 @@
+//! Order and refusal of calls at the node beside a backend server. See `docs/platform.md`,
+//! "Admission".
+//!
+//! A call waits only if it can still be answered in time, judged by the measured run times of the
+//! calls before it. More urgent routes start first. What can no longer be answered in time is
+//! refused at once, so that its caller can go elsewhere or come back.
+
+use std::time::Duration;
+
+use crate::protocol::hop::Load;
+use crate::protocol::name::RouteName;
+
+/// Weight of one run in the mean run time of its route.
+const RUN_WEIGHT: f64 = 0.1;
+/// Run time that is assumed for a route without runs, as a share of its objective.
+const UNKNOWN_RUN_SHARE: f64 = 0.25;
+/// Shortest wait that is granted, in mean run times. A call whose objective has passed is still
+/// worth an answer, but not a place in a long queue.
+const LATE_WAIT_RUNS: f64 = 0.5;
+/// Shortest time after which a refused caller is asked to come back.
+const MIN_RETURN: Duration = Duration::from_millis(30);
+/// Longest such time; by then the load has changed.
+const MAX_RETURN: Duration = Duration::from_secs(2);
+
+/// Place of a call in the queue.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Ticket(u64);
+
+/// A call that asks for a slot.
+#[derive(Clone, Debug)]
+pub struct Offer {
+    /// Route of the call.
+    pub route: RouteName,
+    /// Rank of the route, 0 is the most urgent.
+    pub priority: u8,
+    /// Latency objective of the route.
+    pub objective: Duration,
+    /// Time at which the objective ends.
+    pub objective_at: Duration,
+    /// Time at which the caller or the route gives up.
+    pub deadline: Duration,
+}
+
+/// Decision on a call that has just arrived.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admit {
+    /// The call starts now.
+    Start,
+    /// The call waits; a later [`Changes`] decides on it, at the latest at this time.
+    Wait(Ticket, Duration),
+    /// The call is refused as not run; room is expected after this time.
+    Refuse(Duration),
+}
+
+/// Decisions on waiting calls.
+#[derive(Debug, Default, Eq, PartialEq)]
+pub struct Changes {
+    /// Calls that start now.
+    pub start: Vec<Ticket>,
+    /// Calls that are refused as not run, with the time after which room is expected.
+    pub refuse: Vec<(Ticket, Duration)>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    priority: u8,
+    ticket: Ticket,
+    expected: Duration,
+    deadline: Duration,
+}
+
+#[derive(Debug)]
+struct RouteRuns {
+    route: RouteName,
+    mean_s: f64,
+}
+
+/// Slots of one backend server and the calls that wait for them.
+#[derive(Debug)]
+pub struct SlotQueue {
+    slots: u32,
+    running: u32,
+    /// Sorted by priority, then by arrival.
+    waiting: Vec<Waiting>,
+    /// Sorted by route.
+    runs: Vec<RouteRuns>,
+    mean_run_s: f64,
+    next_ticket: u64,
+}
+
+impl SlotQueue {
+    /// Creates the queue of a backend server with `slots` slots.
+    #[must_use]
+    pub fn new(slots: u32) -> Self {
+        Self {
+            slots: slots.max(1),
+            running: 0,
+            waiting: Vec::new(),
+            runs: Vec::new(),
+            mean_run_s: 0.0,
+            next_ticket: 0,
+        }
+    }
+
+    /// Takes over the number of slots; further ones are used as calls finish.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots.max(1);
+    }
+
+    /// How busy the backend server is.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            running: self.running,
+            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            slots: self.slots,
+        }
+    }
+
+    /// Decides on a call that has arrived.
+    pub fn offer(&mut self, now: Duration, offer: &Offer) -> Admit {
+        let expected = self.expected(offer);
+        if offer.deadline <= now {
+            return Admit::Refuse(MIN_RETURN);
+        }
+        if self.running < self.slots && self.waiting.is_empty() {
+            self.running += 1;
+            return Admit::Start;
+        }
+        let wait = self.expected_wait(offer.priority);
+        let late = now + Duration::from_secs_f64(self.mean_run_s * LATE_WAIT_RUNS);
+        let start_by = offer.objective_at.saturating_sub(expected).max(late);
+        let last_start = offer.deadline.saturating_sub(expected);
+        if now + wait > start_by.min(last_start) {
+            return Admit::Refuse(return_after(wait));
+        }
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        let index = self
+            .waiting
+            .partition_point(|other| other.priority <= offer.priority);
+        self.waiting.insert(
+            index,
+            Waiting {
+                priority: offer.priority,
+                ticket,
+                expected,
+                deadline: last_start,
+            },
+        );
+        Admit::Wait(ticket, last_start)
+    }
+
+    /// Gives a slot back; `took` is the run time if the call ran to its end.
+    pub fn finish(&mut self, now: Duration, route: &RouteName, took: Option<Duration>) -> Changes {
+        self.running = self.running.saturating_sub(1);
+        if let Some(took) = took {
+            self.observe(route, took);
+        }
+        self.advance(now)
+    }
+
+    /// Takes a waiting call out of the queue.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        self.waiting.retain(|waiting| waiting.ticket != ticket);
+    }
+
+    /// Starts what has a slot and refuses what can no longer be answered in time.
+    pub fn advance(&mut self, now: Duration) -> Changes {
+        let mut changes = Changes::default();
+        let mean = Duration::from_secs_f64(self.mean_run_s);
+        self.waiting.retain(|waiting| {
+            let in_time = waiting.deadline >= now;
+            if !in_time {
+                changes.refuse.push((waiting.ticket, return_after(mean)));
+            }
+            in_time
+        });
+        while self.running < self.slots && !self.waiting.is_empty() {
+            changes.start.push(self.waiting.remove(0).ticket);
+            self.running += 1;
+        }
+        changes
+    }
+
+    /// Refuses all waiting calls, for a backend server that is gone.
+    pub fn refuse_all(&mut self) -> Vec<Ticket> {
+        self.waiting
+            .drain(..)
+            .map(|waiting| waiting.ticket)
+            .collect()
+    }
+
+    /// Time until a call of this priority would start.
+    fn expected_wait(&self, priority: u8) -> Duration {
+        let ahead = self
+            .waiting
+            .iter()
+            .filter(|other| other.priority <= priority);
+        let work: f64 = ahead.map(|other| other.expected.as_secs_f64()).sum();
+        let next_slot = if self.running < self.slots {
+            0.0
+        } else {
+            self.mean_run_s
+        };
+        Duration::from_secs_f64((work + next_slot) / f64::from(self.slots))
+    }
+
+    fn expected(&self, offer: &Offer) -> Duration {
+        match self
+            .runs
+            .binary_search_by(|run| run.route.cmp(&offer.route))
+        {
+            Ok(index) => Duration::from_secs_f64(self.runs[index].mean_s),
+            Err(_) => offer.objective.mul_f64(UNKNOWN_RUN_SHARE),
+        }
+    }
+
+    fn observe(&mut self, route: &RouteName, took: Duration) {
+        let took_s = took.as_secs_f64();
+        let mean = |old: f64| old + (took_s - old) * RUN_WEIGHT;
+        self.mean_run_s = if self.mean_run_s == 0.0 {
+            took_s
+        } else {
+            mean(self.mean_run_s)
+        };
+        match self.runs.binary_search_by(|run| run.route.cmp(route)) {
+            Ok(index) => self.runs[index].mean_s = mean(self.runs[index].mean_s),
+            Err(index) => self.runs.insert(
+                index,
+                RouteRuns {
+                    route: route.clone(),
+                    mean_s: took_s,
+                },
+            ),
+        }
+    }
+}
+
+fn return_after(wait: Duration) -> Duration {
+    wait.clamp(MIN_RETURN, MAX_RETURN)
+}
--- a/src/jsonc.rs
+++ b/src/jsonc.rs
@@ -184,6 +184,8 @@
     Bool,
     /// Whole number from zero to the given one.
     Number(u64),
+    /// Number from zero up, with or without a fraction.
+    Quantity,
     /// List of values of one kind.
     List(&'static Kind),
     /// Object with these fields.
@@ -309,6 +311,14 @@
         {
             return;
         }
+        (Kind::Quantity, Value::NumberLit(number))
+            if number
+                .value
+                .parse::<f64>()
+                .is_ok_and(|n| n.is_finite() && n >= 0.0) =>
+        {
+            return;
+        }
         (Kind::List(kind), Value::Array(array)) => {
             for (index, element) in array.elements.iter().enumerate() {
                 check_kind(element, kind, &format!("{path}[{index}]"), findings);
@@ -324,6 +334,7 @@
         (Kind::Address, _) => "an IP address with port such as 192.0.2.1:7401".to_owned(),
         (Kind::Bool, _) => "true or false".to_owned(),
         (Kind::Number(max), _) => format!("a whole number from 0 to {max}"),
+        (Kind::Quantity, _) => "a number from 0 up".to_owned(),
         (Kind::List(_), _) => "a list".to_owned(),
         (Kind::Object(_), _) => "an object".to_owned(),
     };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,8 +8,11 @@
 pub mod jsonc;
 pub mod logging;
 pub mod node;
+#[path = "../platform/mod.rs"]
+pub mod platform;
 pub mod protocol;
 pub mod result_code;
 pub mod settings;
+pub mod sidecar;
 pub mod state;
 pub mod transport;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,10 +1,19 @@
 //! Structured logging through a bounded queue, so that a slow output never blocks a call.
 
 use std::io;
+use std::io::Write as _;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use slog::Drain;
+use slog::FnValue;
 use slog::Level;
 use slog::Logger;
 use slog::o;
@@ -71,3 +80,87 @@
     let drain = drain.filter_level(level).ignore_res();
     (Logger::root(drain, o!()), LogGuard { _guard: guard })
 }
+
+/// Bytes of log lines that may wait for the output; at 300 bytes a line that is 3,000 lines.
+const BUFFER_BYTES: usize = 1 << 20;
+/// Time between two writes. One write of many lines costs far less than one a line.
+const WRITE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Lines that wait for the output. A line that does not fit is dropped and counted.
+#[derive(Clone, Default)]
+struct LineBuffer(Arc<Mutex<Vec<u8>>>);
+
+impl LineBuffer {
+    fn bytes(&self) -> MutexGuard<'_, Vec<u8>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write_out(&self) {
+        let bytes = std::mem::take(&mut *self.bytes());
+        if io::stdout().write_all(&bytes).is_err() {
+            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Formats a record into the buffer.
+struct BufferDrain(LineBuffer);
+
+impl Drain for BufferDrain {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(
+        &self,
+        record: &slog::Record<'_>,
+        values: &slog::OwnedKVList,
+    ) -> Result<(), slog::Never> {
+        let mut bytes = self.0.bytes();
+        if bytes.len() >= BUFFER_BYTES {
+            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let line = slog_json::Json::new(&mut *bytes)
+            .add_key_value(o!(
+                "ts_ms" => FnValue(|_: &slog::Record<'_>| wall_ms()),
+                "msg" => FnValue(|record: &slog::Record<'_>| record.msg().to_string()),
+                "level" => FnValue(|record: &slog::Record<'_>| record.level().as_short_str()),
+            ))
+            .build();
+        if line.log(record, values).is_err() {
+            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+}
+
+fn wall_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |time| {
+        u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
+/// Writes out what waits when it is dropped.
+pub struct BufferGuard(LineBuffer);
+
+impl Drop for BufferGuard {
+    fn drop(&mut self) {
+        self.0.write_out();
+    }
+}
+
+/// Creates a logger that writes JSON lines to standard output from a thread of its own, so that
+/// neither a slow output nor a line costs the caller a system call.
+pub fn start_buffered() -> (Logger, BufferGuard) {
+    let buffer = LineBuffer::default();
+    let writer = buffer.clone();
+    std::thread::spawn(move || {
+        loop {
+            std::thread::sleep(WRITE_INTERVAL);
+            writer.write_out();
+        }
+    });
+    let drain = BufferDrain(buffer.clone());
+    (Logger::root(drain, o!()), BufferGuard(buffer))
+}
--- a/src/node/console/session.rs
+++ b/src/node/console/session.rs
@@ -8,8 +8,8 @@
 use actix_http::header::ORIGIN;
 use url::form_urlencoded;
 
-use crate::node::headers;
 use crate::protocol::time::WallMs;
+use crate::transport::headers;
 
 /// Name of the cookie.
 pub const COOKIE_NAME: &str = "sw-console";
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -9,7 +9,6 @@
 use actix_http::Payload;
 use actix_http::Request;
 use actix_http::Response;
-use actix_http::StatusCode;
 use actix_http::body::BoxBody;
 use actix_http::header::CONTENT_TYPE;
 use actix_http::header::HeaderName;
@@ -32,7 +31,6 @@
 use crate::coordination::rollout::Shares;
 use crate::node::Node;
 use crate::node::NodeState;
-use crate::node::headers;
 use crate::node::hop;
 use crate::node::keyed;
 use crate::node::keyed::KeyedCall;
@@ -55,9 +53,11 @@
 use crate::protocol::name::VersionName;
 use crate::protocol::time::WallMs;
 use crate::result_code::ResultCode;
+use crate::transport::headers;
 use crate::transport::http_client::SendFailure;
 use crate::transport::http_server;
 use crate::transport::http_server::Handler;
+use crate::transport::http_server::status_of;
 
 /// Longest idempotency key, bytes.
 const MAX_KEY_BYTES: usize = 256;
@@ -525,16 +525,3 @@
     );
     response
 }
-
-fn status_of(code: ResultCode) -> StatusCode {
-    match code {
-        ResultCode::NoRoute => StatusCode::NOT_FOUND,
-        ResultCode::BadRequest => StatusCode::BAD_REQUEST,
-        ResultCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        ResultCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
-        ResultCode::OutcomeUnknown | ResultCode::BrokenAnswer => StatusCode::BAD_GATEWAY,
-        ResultCode::KeyInUse | ResultCode::AnswerNotKept => StatusCode::CONFLICT,
-        ResultCode::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
-    }
-}
--- a/src/node/hop.rs
+++ b/src/node/hop.rs
@@ -18,7 +18,6 @@
 use bytes::Bytes;
 
 use crate::node::Node;
-use crate::node::headers;
 use crate::node::serving;
 use crate::node::serving::ServeAnswer;
 use crate::node::serving::ServeRequest;
@@ -38,6 +37,7 @@
 use crate::protocol::time::millis;
 use crate::result_code::Failure;
 use crate::result_code::ResultCode;
+use crate::transport::headers;
 use crate::transport::http_client::HttpAnswer;
 use crate::transport::http_client::Outgoing;
 use crate::transport::http_client::SendFailure;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,7 +7,6 @@
 mod console;
 mod entry;
 mod gossip_loop;
-mod headers;
 mod history;
 mod hop;
 mod keyed;
--- a/src/node/node_port.rs
+++ b/src/node/node_port.rs
@@ -14,7 +14,6 @@
 use crate::node::Node;
 use crate::node::config_reader;
 use crate::node::gossip_loop;
-use crate::node::headers;
 use crate::node::hop;
 use crate::node::keyed;
 use crate::protocol::auth;
@@ -25,6 +24,7 @@
 use crate::protocol::codec::MAX_MESSAGE_BYTES;
 use crate::result_code::Failure;
 use crate::result_code::ResultCode;
+use crate::transport::headers;
 use crate::transport::http_server;
 use crate::transport::http_server::Handler;
 
--- /dev/null
+++ b/src/sidecar/announcer.rs
@@ -0,0 +1,106 @@
+//! Keeps the node's own entry in the store up to date. See `docs/platform.md`, "Membership".
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use slog::info;
+use slog::warn;
+
+use crate::platform::store::FLEET_TOPIC;
+use crate::platform::store::StoreFailure;
+use crate::protocol::codec;
+use crate::protocol::fleet::FleetEntry;
+use crate::sidecar::Sidecar;
+
+/// Pause after a write that failed. Entries have to be back within 2 s of the store's return.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Starts to announce the node.
+pub fn start(cx: &Rc<Sidecar>) {
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        loop {
+            cx.entry_changed.notified().await;
+            announce(&cx).await;
+        }
+    });
+}
+
+/// The node's entry as it is now.
+pub fn own_entry(cx: &Sidecar) -> FleetEntry {
+    let state = cx.state.borrow();
+    let backend = state.backend.available(cx.clock.now());
+    FleetEntry {
+        node: cx.settings.id.clone(),
+        run: cx.run,
+        addr: cx.settings.node_addr,
+        region: cx.settings.region.clone(),
+        domain: cx.settings.failure_domain.clone(),
+        backend: backend.filter(|_| !cx.stopping.get()).cloned(),
+    }
+}
+
+/// Takes over the own entry and writes it until the store has it.
+async fn announce(cx: &Rc<Sidecar>) {
+    loop {
+        let entry = own_entry(cx);
+        let now = cx.clock.now();
+        {
+            let mut state = cx.state.borrow_mut();
+            state.placement.on_entry(now, &entry);
+            if state
+                .announced
+                .as_ref()
+                .is_some_and(|old| is_equal(old, &entry))
+            {
+                return;
+            }
+        }
+        let value = match codec::encode(&entry) {
+            Ok(value) => value,
+            Err(failure) => {
+                warn!(cx.log, "entry not encoded"; "why" => failure.text);
+                return;
+            }
+        };
+        match cx
+            .store
+            .put(FLEET_TOPIC, entry.node.as_str(), &value, None)
+            .await
+        {
+            Ok(offset) => {
+                info!(cx.log, "announced"; "offset" => offset, "backend" => backend_text(&entry));
+                cx.state.borrow_mut().announced = Some(entry);
+            }
+            Err(failure) => {
+                cx.metrics.store_failures.increment(1);
+                info!(cx.log, "not announced"; "why" => format!("{failure:?}"));
+                if matches!(failure, StoreFailure::Unreadable(_)) {
+                    return;
+                }
+                let factor = cx.state.borrow_mut().rng.random_range(0.5..1.0);
+                actix_rt::time::sleep(RETRY_PAUSE.mul_f64(factor)).await;
+            }
+        }
+    }
+}
+
+/// Whether other nodes know all that matters; the number of the heartbeat does not.
+fn is_equal(old: &FleetEntry, new: &FleetEntry) -> bool {
+    old.run == new.run
+        && match (&old.backend, &new.backend) {
+            (None, None) => true,
+            (Some(old), Some(new)) => !new.changes(old),
+            _ => false,
+        }
+}
+
+fn backend_text(entry: &FleetEntry) -> String {
+    entry.backend.as_ref().map_or("none".into(), |backend| {
+        format!(
+            "{} {} {:?}",
+            backend.instance, backend.version, backend.phase
+        )
+    })
+}
--- /dev/null
+++ b/src/sidecar/heartbeat_port.rs
@@ -0,0 +1,111 @@
+//! Heartbeats and farewells of the backend server beside the node.
+
+use std::rc::Rc;
+
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BoxBody;
+use actix_http::header::CONTENT_TYPE;
+use actix_http::header::HeaderValue;
+use slog::info;
+use slog::warn;
+
+use crate::platform::heartbeat;
+use crate::platform::heartbeat::BackendCall;
+use crate::protocol::fleet::BackendReport;
+use crate::protocol::hop::Tally;
+use crate::result_code::ResultCode;
+use crate::sidecar::Sidecar;
+use crate::sidecar::serving;
+use crate::state::local_backend::Change;
+use crate::transport::http_server;
+use crate::transport::http_server::Handler;
+
+/// Largest heartbeat that is read, bytes; one has about 200.
+const MAX_HEARTBEAT_BYTES: usize = 64 << 10;
+
+/// Returns the handler of the heartbeat port.
+pub fn handler(cx: &Rc<Sidecar>) -> Handler {
+    let cx = cx.clone();
+    Rc::new(move |req| {
+        let cx = cx.clone();
+        Box::pin(async move { handle(&cx, req).await })
+    })
+}
+
+async fn handle(cx: &Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
+    let mut payload = req.take_payload();
+    let body = match http_server::read_body(&mut payload, MAX_HEARTBEAT_BYTES).await {
+        Ok(body) => body,
+        Err(failure) => {
+            warn!(cx.log, "heartbeat not read"; "code" => failure.code.number(), "why" => failure.text);
+            return answer(StatusCode::BAD_REQUEST);
+        }
+    };
+    match heartbeat::read_path(req.path()) {
+        Some(BackendCall::Heartbeat(id)) => match heartbeat::read_body(id, &body) {
+            Ok(report) => {
+                on_heartbeat(cx, report);
+                answer(StatusCode::OK)
+            }
+            Err(why) => {
+                warn!(cx.log, "heartbeat refused"; "instance" => id, "why" => why,
+                    "code" => ResultCode::BadRequest.number());
+                answer(StatusCode::BAD_REQUEST)
+            }
+        },
+        Some(BackendCall::Farewell(id)) => {
+            on_farewell(cx, id);
+            answer(StatusCode::OK)
+        }
+        None => answer(StatusCode::NOT_FOUND),
+    }
+}
+
+fn answer(status: StatusCode) -> Response<BoxBody> {
+    let mut response = Response::with_body(status, BoxBody::new("{}"));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+fn on_heartbeat(cx: &Rc<Sidecar>, report: BackendReport) {
+    let now = cx.clock.now();
+    let text = format!(
+        "{} of {} {}, {:?}, {} slots",
+        report.instance, report.service, report.version, report.phase, report.slots
+    );
+    let (born, sequence, slots) = (report.born, report.sequence, report.slots);
+    let mut state = cx.state.borrow_mut();
+    let before = state.backend.report().cloned();
+    let is_new = |old: &BackendReport| !report.is_same_incarnation(old);
+    let reborn = before.as_ref().is_none_or(is_new);
+    let change = state.backend.on_heartbeat(now, report);
+    if change == Change::Changed {
+        state.queue.set_slots(slots);
+        if reborn {
+            state.tally = Tally::default();
+        }
+    }
+    drop(state);
+    match change {
+        Change::Changed => {
+            info!(cx.log, "backend server changed"; "to" => text, "born" => born, "sequence" => sequence);
+            serving::admit_waiting(cx);
+            cx.entry_changed.notify_one();
+        }
+        Change::Ignored => {
+            info!(cx.log, "heartbeat ignored as late"; "of" => text, "born" => born, "sequence" => sequence);
+        }
+        Change::Refreshed => {}
+    }
+}
+
+fn on_farewell(cx: &Rc<Sidecar>, instance: &str) {
+    let known = cx.state.borrow_mut().backend.on_farewell(instance);
+    info!(cx.log, "farewell of a backend server"; "instance" => instance, "known" => known);
+    if known {
+        cx.entry_changed.notify_one();
+    }
+}
--- /dev/null
+++ b/src/sidecar/hop.rs
@@ -0,0 +1,221 @@
+//! Calls between nodes: the serving side's port and the entry side's client. See
+//! `docs/platform.md`, "Between nodes".
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::HttpMessage;
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BoxBody;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
+use slog::warn;
+
+use crate::platform::requests;
+use crate::protocol::call::MAX_BODY_BYTES;
+use crate::protocol::call::MAX_RESPONSE_BYTES;
+use crate::protocol::call::Run;
+use crate::protocol::hop::END_HEADER;
+use crate::protocol::hop::HOP_HEADER;
+use crate::protocol::hop::HopEnd;
+use crate::protocol::hop::HopHead;
+use crate::protocol::hop::Load;
+use crate::protocol::hop::Tally;
+use crate::result_code::ResultCode;
+use crate::sidecar::Sidecar;
+use crate::sidecar::serving;
+use crate::sidecar::serving::ServeCall;
+use crate::sidecar::serving::ServeEnd;
+use crate::transport::exchange::Exchange;
+use crate::transport::exchange::ExchangeFailure;
+use crate::transport::headers;
+use crate::transport::http_client::HttpAnswer;
+use crate::transport::http_server;
+use crate::transport::http_server::Handler;
+
+/// Idle time after which a connection to another node is not used again.
+const MAX_IDLE: Duration = Duration::from_secs(8);
+/// The same for calls that are not idempotent.
+const MAX_IDLE_NOT_IDEMPOTENT: Duration = Duration::from_secs(2);
+/// Header of a refusal with the time after which room is expected, milliseconds.
+const COME_BACK_HEADER: &str = "sw-come-back-ms";
+
+/// Returns the handler of the port for other nodes.
+pub fn handler(cx: &Rc<Sidecar>) -> Handler {
+    let cx = cx.clone();
+    Rc::new(move |req| {
+        let cx = cx.clone();
+        Box::pin(async move { handle(&cx, req).await })
+    })
+}
+
+async fn handle(cx: &Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
+    let arrived = cx.clock.now();
+    let mut payload = req.take_payload();
+    let head = headers::text(req.headers(), HOP_HEADER).and_then(HopHead::decode);
+    let (Some(head), Some(target)) = (head, req.uri().path_and_query().cloned()) else {
+        warn!(cx.log, "hop refused"; "code" => ResultCode::BadRequest.number(), "path" => req.path());
+        return answer(cx, ServeEnd::refused(ResultCode::BadRequest));
+    };
+    let body = match http_server::read_body(&mut payload, MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(failure) => return answer(cx, ServeEnd::refused(failure.code)),
+    };
+    cx.open_calls.set(cx.open_calls.get() + 1);
+    let _open = OpenCall(cx);
+    let call = ServeCall {
+        head,
+        method: req.method().clone(),
+        target,
+        headers: headers::end_to_end(req.headers(), 3),
+        body,
+        attempt: requests::read_caller(req.headers()).attempt,
+        arrived,
+    };
+    let end = if cx.stopping.get() {
+        ServeEnd::refused(ResultCode::Draining)
+    } else {
+        serving::serve(cx, call).await
+    };
+    answer(cx, end)
+}
+
+/// Counts a call until it ends or is cancelled.
+pub struct OpenCall<'a>(pub &'a Sidecar);
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        self.0.open_calls.set(self.0.open_calls.get() - 1);
+    }
+}
+
+fn answer(cx: &Sidecar, end: ServeEnd) -> Response<BoxBody> {
+    let (load, tally) = serving::report(cx);
+    let (run, arrived, code) = match &end {
+        ServeEnd::Ran(_) => (Run::Yes, true, 0),
+        ServeEnd::Refused { code, arrived, .. } => (Run::No, *arrived, code.number()),
+        ServeEnd::Unknown(code) => (Run::Unknown, true, code.number()),
+    };
+    let mut response = match end {
+        ServeEnd::Ran(answer) => backend_response(answer),
+        ServeEnd::Refused { come_back, .. } => {
+            let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+            let millis = u64::try_from(come_back.as_millis()).unwrap_or(u64::MAX);
+            let name = HeaderName::from_static(COME_BACK_HEADER);
+            response.headers_mut().insert(name, millis.into());
+            response
+        }
+        ServeEnd::Unknown(_) => empty(StatusCode::BAD_GATEWAY),
+    };
+    let end = HopEnd {
+        run,
+        arrived,
+        code,
+        load,
+        tally,
+    };
+    if let Ok(value) = HeaderValue::try_from(end.encode()) {
+        let name = HeaderName::from_static(END_HEADER);
+        response.headers_mut().insert(name, value);
+    }
+    if cx.stopping.get() {
+        http_server::close_after(&mut response);
+    }
+    response
+}
+
+fn empty(status: StatusCode) -> Response<BoxBody> {
+    Response::with_body(status, BoxBody::new(()))
+}
+
+/// Passes an answer of a backend server on.
+pub fn backend_response(answer: HttpAnswer) -> Response<BoxBody> {
+    let mut response = Response::with_body(answer.status, BoxBody::new(answer.body));
+    for (name, value) in &answer.headers {
+        if headers::is_end_to_end(name) {
+            response.headers_mut().append(name.clone(), value.clone());
+        }
+    }
+    response
+}
+
+/// End of an attempt at another node.
+pub struct HopResult {
+    /// How the call ended.
+    pub end: ServeEnd,
+    /// Whether the node could be reached.
+    pub reached: bool,
+    /// What the node reported.
+    pub report: Option<(Load, Tally)>,
+}
+
+/// Sends a call to the node at `addr`.
+pub async fn send(cx: &Sidecar, addr: SocketAddr, call: &ServeCall) -> HopResult {
+    let mut headers = call.headers.clone();
+    if let Ok(value) = HeaderValue::try_from(call.head.encode()) {
+        headers.push((HeaderName::from_static(HOP_HEADER), value));
+    }
+    let max_idle = if call.head.idempotent {
+        MAX_IDLE
+    } else {
+        MAX_IDLE_NOT_IDEMPOTENT
+    };
+    let exchange = Exchange {
+        addr,
+        method: call.method.clone(),
+        target: call.target.clone(),
+        headers,
+        body: call.body.clone(),
+        max_idle,
+        echo: None,
+        max_answer: MAX_RESPONSE_BYTES,
+    };
+    match cx.pool.send(exchange).await {
+        Ok(answer) => read_answer(answer),
+        Err(failure) => {
+            cx.pool.retire(addr);
+            warn!(cx.log, "hop failed"; "to" => addr.to_string(), "why" => failure.to_string(),
+                "attempt" => serving::attempt_text(call.attempt.as_ref()));
+            let reached = !matches!(failure, ExchangeFailure::NotSent(_));
+            let end = if reached {
+                ServeEnd::Unknown(ResultCode::OutcomeUnknown)
+            } else {
+                ServeEnd::refused(ResultCode::PeerUnreachable)
+            };
+            HopResult {
+                end,
+                reached,
+                report: None,
+            }
+        }
+    }
+}
+
+fn read_answer(answer: HttpAnswer) -> HopResult {
+    let Some(end) = answer.header(END_HEADER).and_then(HopEnd::decode) else {
+        return HopResult {
+            end: ServeEnd::Unknown(ResultCode::BrokenAnswer),
+            reached: true,
+            report: None,
+        };
+    };
+    let code = ResultCode::from_number(end.code);
+    let come_back = headers::number(&answer.headers, COME_BACK_HEADER);
+    let result = match end.run {
+        Run::Yes => ServeEnd::Ran(answer),
+        Run::No => ServeEnd::Refused {
+            code: code.unwrap_or(ResultCode::NoBackend),
+            arrived: end.arrived,
+            come_back: come_back.map_or(serving::NO_BACKEND_RETURN, Duration::from_millis),
+        },
+        Run::Unknown => ServeEnd::Unknown(code.unwrap_or(ResultCode::OutcomeUnknown)),
+    };
+    HopResult {
+        end: result,
+        reached: true,
+        report: Some((end.load, end.tally)),
+    }
+}
--- /dev/null
+++ b/src/sidecar/metrics.rs
@@ -0,0 +1,79 @@
+//! Counters and latency histograms of a sidecar; the table stands in `docs/OPERATIONS.md`.
+
+use metrics::Counter;
+use metrics::Gauge;
+use metrics::Histogram;
+use metrics::counter;
+use metrics::gauge;
+use metrics::histogram;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::logging;
+
+/// Bounds of the latency histograms, seconds; from a local call to the longest deadline.
+const LATENCY_BOUNDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 12.0];
+
+/// Handles that are looked up once.
+pub struct SidecarMetrics {
+    /// Requests of callers.
+    pub calls: Counter,
+    /// Calls refused as not run.
+    pub refusals: Counter,
+    /// Calls whose result is unknown.
+    pub unknown_outcomes: Counter,
+    /// Attempts at nodes beyond the first of a call.
+    pub attempts_beyond_first: Counter,
+    /// Arrivals at backend servers beyond the first of a call.
+    pub repeats: Counter,
+    /// Calls refused at the gate of the own backend server.
+    pub gate_refusals: Counter,
+    /// Calls to the platform's store.
+    pub store_failures: Counter,
+    /// Configuration version in force.
+    pub config_version: Gauge,
+    /// Nodes known.
+    pub nodes: Gauge,
+    /// Time from a caller's request to its answer, seconds.
+    pub call_latency: Histogram,
+    /// Time of the own backend server, seconds.
+    pub backend_latency: Histogram,
+    log_lines_dropped: Gauge,
+    render: PrometheusHandle,
+}
+
+impl SidecarMetrics {
+    /// Installs the recorder of the process and registers all metrics.
+    ///
+    /// # Errors
+    /// If the process has a recorder already.
+    pub fn install() -> eyre::Result<Self> {
+        let render = PrometheusBuilder::new()
+            .set_buckets(&LATENCY_BOUNDS)?
+            .install_recorder()?;
+        Ok(Self {
+            calls: counter!("sycamorewick_calls_total"),
+            refusals: counter!("sycamorewick_refusals_total"),
+            unknown_outcomes: counter!("sycamorewick_unknown_outcomes_total"),
+            attempts_beyond_first: counter!("sycamorewick_attempts_beyond_first_total"),
+            repeats: counter!("sycamorewick_repeats_total"),
+            gate_refusals: counter!("sycamorewick_gate_refusals_total"),
+            store_failures: counter!("sycamorewick_store_failures_total"),
+            config_version: gauge!("sycamorewick_config_version"),
+            nodes: gauge!("sycamorewick_nodes"),
+            call_latency: histogram!("sycamorewick_call_seconds"),
+            backend_latency: histogram!("sycamorewick_backend_seconds"),
+            log_lines_dropped: gauge!("sycamorewick_log_lines_dropped"),
+            render,
+        })
+    }
+
+    /// Returns all metrics in the text format of Prometheus.
+    #[must_use]
+    pub fn render(&self) -> String {
+        #[allow(clippy::cast_precision_loss, reason = "a gauge is a float")]
+        self.log_lines_dropped.set(logging::dropped_lines() as f64);
+        self.render.run_upkeep();
+        self.render.render()
+    }
+}
--- /dev/null
+++ b/src/sidecar/mod.rs
@@ -0,0 +1,199 @@
+//! The node on the users' platform: one process beside each backend server, which finds the others,
+//! its configuration and the orders of operators in the platform's store. See `docs/platform.md`.
+
+mod announcer;
+mod entry;
+mod followers;
+mod heartbeat_port;
+mod hop;
+mod metrics;
+mod movers;
+mod serving;
+pub mod settings;
+mod shutdown;
+mod small_ports;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+
+use actix_http::header::HeaderValue;
+use actix_rt::net::TcpListener;
+use eyre::WrapErr;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use slog::Logger;
+use slog::info;
+use tokio::sync::Notify;
+
+use crate::coordination::placement::Placement;
+use crate::coordination::retry_quota::RetryQuota;
+use crate::coordination::slot_queue::SlotQueue;
+use crate::coordination::version_move::Moves;
+use crate::logging;
+use crate::node::clock::Clock;
+use crate::platform::store::Store;
+use crate::protocol::fleet::FleetEntry;
+use crate::protocol::hop::Tally;
+use crate::protocol::name::NodeId;
+use crate::protocol::name::ServiceName;
+use crate::result_code::ResultCode;
+use crate::sidecar::metrics::SidecarMetrics;
+use crate::sidecar::serving::WaitingCalls;
+use crate::sidecar::settings::SidecarSettings;
+use crate::state::local_backend::LocalBackend;
+use crate::state::routing_table::RoutingTable;
+use crate::transport::exchange::ConnectionPool;
+use crate::transport::http_server::HttpServer;
+
+/// Connections of callers, of other nodes, and of the platform that are open at the same time; the
+/// smallest instances allow 4,100 descriptors.
+const MAX_CALLER_CONNECTIONS: usize = 1_800;
+const MAX_NODE_CONNECTIONS: usize = 1_200;
+const MAX_PLATFORM_CONNECTIONS: usize = 64;
+/// Slots before the first heartbeat names their number.
+const INITIAL_SLOTS: u32 = 1;
+
+/// State that decisions read and change.
+struct SidecarState {
+    rng: StdRng,
+    table: Option<Rc<RoutingTable>>,
+    placement: Placement,
+    quota: RetryQuota,
+    queue: SlotQueue,
+    waiting: WaitingCalls,
+    backend: LocalBackend,
+    /// Results of the backend server's current incarnation.
+    tally: Tally,
+    moves: Moves,
+    /// Nodes that take part in the share of a new version, sorted by service.
+    exposed: Vec<(ServiceName, Vec<NodeId>)>,
+    /// Whether the entries of the other nodes were read.
+    fleet_known: bool,
+    /// What was last announced.
+    announced: Option<FleetEntry>,
+}
+
+/// One sidecar process.
+struct Sidecar {
+    settings: SidecarSettings,
+    clock: Clock,
+    log: Logger,
+    metrics: SidecarMetrics,
+    pool: Rc<ConnectionPool>,
+    store: Store,
+    /// Name of the own service for the header that tells where a request began.
+    service_header: HeaderValue,
+    /// Random number of this process.
+    run: u64,
+    stopping: Cell<bool>,
+    open_calls: Cell<usize>,
+    /// Signals that the own entry may have to be announced.
+    entry_changed: Notify,
+    state: RefCell<SidecarState>,
+}
+
+impl Sidecar {
+    fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        !self.stopping.get() && state.table.is_some() && state.fleet_known
+    }
+
+    fn table(&self) -> Option<Rc<RoutingTable>> {
+        self.state.borrow().table.clone()
+    }
+}
+
+/// Runs a sidecar until it is told to stop.
+///
+/// # Errors
+/// If an address cannot be bound.
+pub async fn run(file: &Path, settings: SidecarSettings) -> eyre::Result<()> {
+    let (log, guard) = logging::start_buffered();
+    let cx = Rc::new(open(settings, log.clone())?);
+    let servers = start_servers(&cx).await?;
+    info!(log, "started"; "node" => cx.settings.id.as_str(), "run" => cx.run,
+        "service" => cx.settings.service.as_str(), "failure_domain" => cx.settings.failure_domain.as_str());
+    followers::start(&cx);
+    announcer::start(&cx);
+    movers::start(&cx);
+    shutdown::wait_for_signal(&cx, file).await?;
+    shutdown::drain(&cx, &servers).await;
+    info!(log, "stopped"; "node" => cx.settings.id.as_str(),
+        "open_calls" => cx.open_calls.get(), "log_lines_dropped" => logging::dropped_lines());
+    drop(guard);
+    Ok(())
+}
+
+fn open(settings: SidecarSettings, log: Logger) -> eyre::Result<Sidecar> {
+    let mut rng = StdRng::try_from_rng(&mut rand::rngs::SysRng)?;
+    let run = rng.next_u64();
+    let pool = Rc::new(ConnectionPool::default());
+    let state = SidecarState {
+        rng,
+        table: None,
+        placement: Placement::new(
+            settings.id.clone(),
+            settings.region.clone(),
+            settings.failure_domain.clone(),
+        ),
+        quota: RetryQuota::new(settings.retry_budget()),
+        queue: SlotQueue::new(INITIAL_SLOTS),
+        waiting: WaitingCalls::default(),
+        backend: LocalBackend::new(settings.heartbeat_interval()),
+        tally: Tally::default(),
+        moves: Moves::default(),
+        exposed: Vec::new(),
+        fleet_known: false,
+        announced: None,
+    };
+    Ok(Sidecar {
+        clock: Clock::start(),
+        log,
+        metrics: SidecarMetrics::install()?,
+        store: Store::new(settings.store_addr, pool.clone()),
+        pool,
+        service_header: HeaderValue::from_str(settings.service.as_str())?,
+        run,
+        stopping: Cell::new(false),
+        open_calls: Cell::new(0),
+        entry_changed: Notify::new(),
+        state: RefCell::new(state),
+        settings,
+    })
+}
+
+/// The servers of a sidecar.
+struct Servers {
+    caller: HttpServer,
+    node: HttpServer,
+    _platform: [HttpServer; 3],
+}
+
+async fn start_servers(cx: &Rc<Sidecar>) -> eyre::Result<Servers> {
+    let settings = &cx.settings;
+    let caller = bind(settings.caller_addr).await?;
+    let node = bind(settings.node_addr).await?;
+    let ready = bind(settings.ready_addr).await?;
+    let heartbeat = bind(settings.heartbeat_addr).await?;
+    let metrics = bind(settings.metrics_addr).await?;
+    let small = |listener, handler| HttpServer::start(listener, MAX_PLATFORM_CONNECTIONS, handler);
+    Ok(Servers {
+        caller: HttpServer::start(caller, MAX_CALLER_CONNECTIONS, entry::handler(cx)),
+        node: HttpServer::start(node, MAX_NODE_CONNECTIONS, hop::handler(cx)),
+        _platform: [
+            small(ready, small_ports::ready_handler(cx)),
+            small(heartbeat, heartbeat_port::handler(cx)),
+            small(metrics, small_ports::metrics_handler(cx)),
+        ],
+    })
+}
+
+async fn bind(addr: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .wrap_err_with(|| format!("{}: {addr}", ResultCode::BindFailed))
+}
--- /dev/null
+++ b/src/sidecar/movers.rs
@@ -0,0 +1,158 @@
+//! Judges moves and records their steps and results. See `docs/platform.md`, "Moves".
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::info;
+use slog::warn;
+
+use crate::coordination::placement::Placement;
+use crate::coordination::version_move::MoveAction;
+use crate::coordination::version_move::Moves;
+use crate::platform::config;
+use crate::platform::store::KeyedBatch;
+use crate::platform::store::MOVE_TOPIC;
+use crate::platform::store::RESULT_TOPIC;
+use crate::platform::store::StoreFailure;
+use crate::protocol::codec;
+use crate::protocol::fleet::MoveRecord;
+use crate::protocol::fleet::MoveState;
+use crate::protocol::name::NodeId;
+use crate::protocol::name::ServiceName;
+use crate::sidecar::Sidecar;
+
+/// Time between two looks at moves and at the own backend server.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Starts to judge moves.
+pub fn start(cx: &Rc<Sidecar>) {
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        loop {
+            actix_rt::time::sleep(TICK).await;
+            check_backend(&cx);
+            for action in judge(&cx) {
+                record(&cx, action).await;
+            }
+        }
+    });
+}
+
+/// Announces the backend server again if it fell silent or came back.
+fn check_backend(cx: &Rc<Sidecar>) {
+    let available = cx
+        .state
+        .borrow()
+        .backend
+        .available(cx.clock.now())
+        .is_some();
+    let announced = cx
+        .state
+        .borrow()
+        .announced
+        .as_ref()
+        .is_some_and(|entry| entry.backend.is_some());
+    if available != announced && !cx.stopping.get() {
+        cx.entry_changed.notify_one();
+    }
+}
+
+fn judge(cx: &Rc<Sidecar>) -> Vec<MoveAction> {
+    let now = cx.clock.now();
+    let mut state = cx.state.borrow_mut();
+    let state = &mut *state;
+    if !state.moves.is_active() {
+        return Vec::new();
+    }
+    let (load, tally) = (state.queue.load(), state.tally);
+    state.placement.on_report(now, &cx.settings.id, load, tally);
+    let rank = state
+        .placement
+        .entries()
+        .take_while(|entry| entry.node < cx.settings.id)
+        .count();
+    let placement = &state.placement;
+    let actions = state
+        .moves
+        .tick(now, rank, |service, of| placement.results(service, of));
+    state.exposed = exposed(&state.moves, placement);
+    actions
+}
+
+/// Nodes beside new backend servers that take part in the share of their version.
+fn exposed(moves: &Moves, placement: &Placement) -> Vec<(ServiceName, Vec<NodeId>)> {
+    let plans = moves.plans().into_iter();
+    plans
+        .map(|(service, plan)| {
+            let results = placement.results(&service, |version| *version == plan.target);
+            let mut nodes = results.nodes.clone();
+            nodes.retain(|node| Moves::is_exposed(plan.share, &results.nodes, node));
+            (service, nodes)
+        })
+        .collect()
+}
+
+/// Records a step, or the result for the operator and then the end of the move.
+async fn record(cx: &Rc<Sidecar>, action: MoveAction) {
+    let service = action.order.service.clone();
+    info!(cx.log, "move decided"; "service" => service.as_str(), "target" => action.order.target.as_str(),
+        "state" => format!("{:?}", action.state), "elapsed_ms" => action.elapsed_ms, "why" => &action.why);
+    let written = match write_result(cx, &action).await {
+        Ok(state) => write_progress(cx, &action, state).await,
+        Err(failure) => Err(failure),
+    };
+    if let Err(failure) = written {
+        cx.metrics.store_failures.increment(1);
+        warn!(cx.log, "move not recorded"; "service" => service.as_str(), "why" => format!("{failure:?}"));
+    }
+}
+
+/// Writes what the operator reads, unless the move has ended already; returns the state that stands.
+async fn write_result(cx: &Rc<Sidecar>, action: &MoveAction) -> Result<MoveState, StoreFailure> {
+    let key = config::result_key(&action.order.service);
+    let known = match cx.store.newest(RESULT_TOPIC).await {
+        Err(StoreFailure::Refused(404)) => KeyedBatch::default(),
+        other => other?,
+    };
+    let last = known.records.iter().find(|record| record.key == key);
+    if let Some(end) =
+        last.and_then(|last| config::read_final_result(&action.order, action.offset, &last.value))
+    {
+        return Ok(end);
+    }
+    let is_running = matches!(action.state, MoveState::Step(_));
+    if is_running && last.is_some() && action.state != MoveState::Step(0) {
+        return Ok(action.state);
+    }
+    let value = config::write_result(&action.order, action.offset, action.state);
+    cx.store
+        .put(RESULT_TOPIC, &key, &value, Some(known.end))
+        .await?;
+    info!(cx.log, "result written"; "service" => action.order.service.as_str(), "state" => format!("{:?}", action.state));
+    Ok(action.state)
+}
+
+async fn write_progress(
+    cx: &Rc<Sidecar>,
+    action: &MoveAction,
+    state: MoveState,
+) -> Result<(), StoreFailure> {
+    let service = &action.order.service;
+    let progress = MoveRecord {
+        order: action.offset,
+        state,
+        elapsed_ms: action.elapsed_ms,
+        author: cx.settings.id.clone(),
+    };
+    let value =
+        codec::encode(&progress).map_err(|failure| StoreFailure::Unreadable(failure.text))?;
+    cx.store
+        .put(MOVE_TOPIC, service.as_str(), &value, None)
+        .await?;
+    let now = cx.clock.now();
+    cx.state
+        .borrow_mut()
+        .moves
+        .on_record(now, service, progress);
+    Ok(())
+}
--- /dev/null
+++ b/src/sidecar/settings.rs
@@ -0,0 +1,155 @@
+//! Settings of a sidecar, a file in JSON with comments. See `docs/settings.md`.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::coordination::retry_quota::RetryBudget;
+use crate::jsonc::Findings;
+use crate::jsonc::Kind;
+use crate::jsonc::Source;
+use crate::jsonc::required;
+use crate::protocol::name::DomainName;
+use crate::protocol::name::NodeId;
+use crate::protocol::name::RegionName;
+use crate::protocol::name::ServiceName;
+use crate::result_code::Failure;
+use crate::result_code::ResultCode;
+use crate::settings::MAX_SETTINGS_BYTES;
+
+/// Settings of one sidecar.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SidecarSettings {
+    /// Identity of the node, unique in the fleet.
+    pub id: NodeId,
+    /// Region of the instance.
+    pub region: RegionName,
+    /// Failure domain of the instance.
+    pub failure_domain: DomainName,
+    /// Service of the backend server on the instance.
+    pub service: ServiceName,
+    /// Address of that backend server.
+    pub backend_addr: SocketAddr,
+    /// Address for callers and for the backend server's own calls.
+    pub caller_addr: SocketAddr,
+    /// Address for calls from other nodes.
+    pub node_addr: SocketAddr,
+    /// Address at which the platform asks whether the node takes new work.
+    pub ready_addr: SocketAddr,
+    /// Address for heartbeats of the backend server.
+    pub heartbeat_addr: SocketAddr,
+    /// Address for metrics.
+    pub metrics_addr: SocketAddr,
+    /// Address of the platform's store.
+    pub store_addr: SocketAddr,
+    /// Time between two heartbeats, milliseconds.
+    pub heartbeat_interval_ms: f64,
+    /// Time from SIGTERM until the process is killed, seconds.
+    pub stop_within_s: f64,
+    /// Time after which a backend server that leaves gets no new work, milliseconds.
+    pub drain_within_ms: f64,
+    /// Repeats allowed for each request to a service, for the whole fleet.
+    pub retry_ratio: f64,
+    /// Repeats allowed besides in a window, for the whole fleet.
+    pub retry_slack: f64,
+    /// Window in which repeats are counted, seconds.
+    pub retry_window_s: f64,
+}
+
+const SETTINGS: Kind = Kind::Object(&[
+    required("id", Kind::Text),
+    required("region", Kind::Text),
+    required("failure_domain", Kind::Text),
+    required("service", Kind::Text),
+    required("backend_addr", Kind::Address),
+    required("caller_addr", Kind::Address),
+    required("node_addr", Kind::Address),
+    required("ready_addr", Kind::Address),
+    required("heartbeat_addr", Kind::Address),
+    required("metrics_addr", Kind::Address),
+    required("store_addr", Kind::Address),
+    required("heartbeat_interval_ms", Kind::Quantity),
+    required("stop_within_s", Kind::Quantity),
+    required("drain_within_ms", Kind::Quantity),
+    required("retry_ratio", Kind::Quantity),
+    required("retry_slack", Kind::Quantity),
+    required("retry_window_s", Kind::Quantity),
+]);
+
+/// Returns the names of all fields of a settings file.
+#[must_use]
+pub fn field_names() -> Vec<&'static str> {
+    match SETTINGS {
+        Kind::Object(fields) => fields.iter().map(|field| field.name).collect(),
+        _ => Vec::new(),
+    }
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// Every failure found, each with file, line, column and field.
+pub fn load(file: &Path) -> Result<SidecarSettings, Vec<Failure>> {
+    let name = file.display();
+    let text = fs::read_to_string(file).map_err(|e| {
+        let text = format!("cannot read {name}: {e}");
+        vec![Failure::new(ResultCode::InvalidSettings, text)]
+    })?;
+    parse(&text, &name.to_string())
+}
+
+/// Checks the text of a settings file; `name` is the file name in failures.
+///
+/// # Errors
+/// Every failure found, each with file, line, column and field.
+pub fn parse(text: &str, name: &str) -> Result<SidecarSettings, Vec<Failure>> {
+    let source = Source::parse(text, name, MAX_SETTINGS_BYTES)?;
+    source.check(&SETTINGS)?;
+    let settings: SidecarSettings = source.deserialize()?;
+    let mut findings = Findings::default();
+    let times = [
+        ("heartbeat_interval_ms", settings.heartbeat_interval_ms),
+        ("stop_within_s", settings.stop_within_s),
+        ("drain_within_ms", settings.drain_within_ms),
+        ("retry_window_s", settings.retry_window_s),
+    ];
+    for (field, value) in times {
+        if value == 0.0 {
+            let text = "found 0, allowed is a positive time";
+            findings.add(ResultCode::InvalidField, field, text);
+        }
+    }
+    if findings.is_empty() {
+        Ok(settings)
+    } else {
+        Err(source.failures(findings))
+    }
+}
+
+impl SidecarSettings {
+    /// Time between two heartbeats.
+    #[must_use]
+    pub fn heartbeat_interval(&self) -> Duration {
+        Duration::from_secs_f64(self.heartbeat_interval_ms / 1e3)
+    }
+
+    /// Time from SIGTERM until the process is killed.
+    #[must_use]
+    pub fn stop_within(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_within_s)
+    }
+
+    /// The fleet's budget of repeats.
+    #[must_use]
+    pub fn retry_budget(&self) -> RetryBudget {
+        RetryBudget {
+            ratio: self.retry_ratio,
+            slack: self.retry_slack,
+            window: Duration::from_secs_f64(self.retry_window_s),
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/small_ports.rs
@@ -0,0 +1,33 @@
+//! The platform's question whether the node takes new work, and the metrics.
+
+use std::rc::Rc;
+
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BoxBody;
+
+use crate::platform::requests::READY_PATH;
+use crate::sidecar::Sidecar;
+use crate::transport::http_server::Handler;
+
+/// Returns the handler of the ready port.
+pub fn ready_handler(cx: &Rc<Sidecar>) -> Handler {
+    let cx = cx.clone();
+    Rc::new(move |req| {
+        let status = match req.path() {
+            READY_PATH if cx.is_ready() => StatusCode::OK,
+            READY_PATH => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::NOT_FOUND,
+        };
+        Box::pin(async move { Response::with_body(status, BoxBody::new(())) })
+    })
+}
+
+/// Returns the handler of the metrics port.
+pub fn metrics_handler(cx: &Rc<Sidecar>) -> Handler {
+    let cx = cx.clone();
+    Rc::new(move |_| {
+        let text = cx.metrics.render();
+        Box::pin(async move { Response::with_body(StatusCode::OK, BoxBody::new(text)) })
+    })
+}
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -9,6 +9,7 @@
 use actix_http::Payload;
 use actix_http::Request;
 use actix_http::Response;
+use actix_http::StatusCode;
 use actix_http::body::BoxBody;
 use actix_rt::net::TcpListener;
 use actix_rt::task::JoinHandle;
@@ -166,3 +167,18 @@
         .head_mut()
         .set_connection_type(ConnectionType::Close);
 }
+
+/// Returns the HTTP status of an answer that the node gives itself.
+#[must_use]
+pub fn status_of(code: ResultCode) -> StatusCode {
+    match code {
+        ResultCode::NoRoute => StatusCode::NOT_FOUND,
+        ResultCode::BadRequest => StatusCode::BAD_REQUEST,
+        ResultCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        ResultCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+        ResultCode::OutcomeUnknown | ResultCode::BrokenAnswer => StatusCode::BAD_GATEWAY,
+        ResultCode::KeyInUse | ResultCode::AnswerNotKept => StatusCode::CONFLICT,
+        ResultCode::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,8 @@
 //! Sockets, HTTP servers and clients, and the client of the platform's log.
 //! See `docs/design.md`, section 7.
 
+pub mod exchange;
+pub mod headers;
 pub mod http_client;
 pub mod http_server;
 pub mod log_client;
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,182 @@
+//! Choice of the serving node, under the load patterns that it answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sycamorewick::coordination::placement::AttemptEnd;
+use sycamorewick::coordination::placement::Feedback;
+use sycamorewick::coordination::placement::Placement;
+use sycamorewick::coordination::placement::Wanted;
+use sycamorewick::protocol::fleet::BackendPhase;
+use sycamorewick::protocol::fleet::BackendReport;
+use sycamorewick::protocol::fleet::FleetEntry;
+use sycamorewick::protocol::hop::Load;
+use sycamorewick::protocol::hop::Tally;
+use sycamorewick::protocol::name::NodeId;
+use sycamorewick::protocol::name::ServiceName;
+
+const SLOTS: u32 = 9;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn entry(node: &str, region: &str, domain: &str) -> FleetEntry {
+    let addr: SocketAddr = "127.0.0.1:7401".parse().expect("a valid address");
+    FleetEntry {
+        node: node.into(),
+        run: 1,
+        addr,
+        region: region.into(),
+        domain: domain.into(),
+        backend: Some(BackendReport {
+            instance: node.into(),
+            born: 1,
+            sequence: 1,
+            service: "registry".into(),
+            version: "v1".into(),
+            slots: SLOTS,
+            phase: BackendPhase::Ready,
+            cold_left_ms: 0,
+        }),
+    }
+}
+
+struct Entry {
+    placement: Placement,
+    rng: StdRng,
+    service: ServiceName,
+}
+
+/// Entry node `a` in `accra-a`; `b` in the other failure domain of its region, `c` in another region.
+fn fleet() -> Entry {
+    let mut placement = Placement::new("a".into(), "accra".into(), "accra-a".into());
+    for (node, region, domain) in [
+        ("a", "accra", "accra-a"),
+        ("b", "accra", "accra-b"),
+        ("c", "keta", "keta-a"),
+    ] {
+        placement.on_entry(ms(0), &entry(node, region, domain));
+    }
+    Entry {
+        placement,
+        rng: StdRng::seed_from_u64(1),
+        service: "registry".into(),
+    }
+}
+
+impl Entry {
+    fn pick(&mut self, now: Duration, tried: &[NodeId]) -> Option<String> {
+        let permits = |_: &NodeId, _: &_| true;
+        let wanted = Wanted {
+            service: &self.service,
+            tried,
+            permits: &permits,
+        };
+        let pick = self.placement.pick(now, &mut self.rng, &wanted)?;
+        Some(pick.node.as_str().to_owned())
+    }
+
+    fn end(&mut self, now: Duration, node: &str, end: AttemptEnd) {
+        let feedback = Feedback {
+            end,
+            latency: ms(60),
+            report: None,
+        };
+        let node = NodeId::from(node);
+        self.placement.on_start(&node);
+        self.placement.on_end(now, &node, &feedback);
+    }
+
+    fn load(&mut self, now: Duration, node: &str, running: u32, waiting: u32) {
+        let load = Load {
+            running,
+            waiting,
+            slots: SLOTS,
+        };
+        self.placement
+            .on_report(now, &node.into(), load, Tally::default());
+    }
+}
+
+/// Load: a calm day. Guards against bytes between failure domains without need.
+#[gtest]
+fn pick_calm_stays_local() {
+    let mut entry = fleet();
+    for step in 0..100 {
+        expect_that!(entry.pick(ms(step * 10), &[]), some(eq("a")));
+    }
+}
+
+/// Load: the own backend server is full. Guards against waiting there while the region has room, and
+/// against leaving the region.
+#[gtest]
+fn pick_full_goes_to_region() {
+    let mut entry = fleet();
+    entry.load(ms(100), "a", SLOTS, 3);
+    expect_that!(entry.pick(ms(110), &[]), some(eq("b")));
+}
+
+/// Load: a region is full. Guards against long waits while another region has room.
+#[gtest]
+fn pick_region_full_goes_away() {
+    let mut entry = fleet();
+    entry.load(ms(100), "a", SLOTS, 12);
+    entry.load(ms(100), "b", SLOTS, 12);
+    expect_that!(entry.pick(ms(110), &[]), some(eq("c")));
+}
+
+/// Load: a backend server fails at once, so it looks idle. Guards against it drawing traffic.
+#[gtest]
+fn pick_failing_fast() {
+    let mut entry = fleet();
+    for step in 0..6 {
+        entry.end(ms(step), "a", AttemptEnd::Shed);
+    }
+    expect_that!(entry.pick(ms(10), &[]), some(eq("b")));
+    // It is tried again after some seconds without results.
+    expect_that!(entry.pick(ms(20_000), &[]), some(eq("a")));
+}
+
+/// Load: a node is gone. Guards against more than one call at a time finding that out.
+#[gtest]
+fn pick_unreachable_one_trial() {
+    let mut entry = fleet();
+    entry.end(ms(0), "a", AttemptEnd::Unreachable);
+    expect_that!(entry.pick(ms(10), &[]), some(eq("b")));
+    expect_that!(entry.pick(ms(500), &[]), some(eq("a")));
+    entry.placement.on_start(&"a".into());
+    expect_that!(entry.pick(ms(500), &[]), some(eq("b")));
+}
+
+/// Guards against refusing a call while a node is left, even a paused one.
+#[gtest]
+fn pick_last_resort() {
+    let mut entry = fleet();
+    entry.end(ms(0), "a", AttemptEnd::Unreachable);
+    let tried = ["b".into(), "c".into()];
+    expect_that!(entry.pick(ms(10), &tried), some(eq("a")));
+    let tried = ["a".into(), "b".into(), "c".into()];
+    expect_that!(entry.pick(ms(10), &tried), none());
+}
+
+/// Guards against new work for a backend server that leaves or is gone.
+#[gtest]
+fn pick_without_leaving() {
+    let mut entry = fleet();
+    let mut leaving = own_entry("a");
+    if let Some(backend) = &mut leaving.backend {
+        backend.phase = BackendPhase::Draining;
+    }
+    entry.placement.on_entry(ms(1), &leaving);
+    expect_that!(entry.pick(ms(2), &[]), some(eq("b")));
+    entry.placement.forget(&"b".into());
+    expect_that!(entry.pick(ms(3), &[]), some(eq("c")));
+}
+
+fn own_entry(node: &str) -> FleetEntry {
+    entry(node, "accra", "accra-a")
+}
--- /dev/null
+++ b/tests/routing_table.rs
@@ -0,0 +1,85 @@
+//! Look-up of routes.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use sycamorewick::protocol::mesh::CallerLimits;
+use sycamorewick::protocol::mesh::MeshConfig;
+use sycamorewick::protocol::mesh::MeshRoute;
+use sycamorewick::state::routing_table::RoutingTable;
+use sycamorewick::state::routing_table::choose_service;
+
+fn route(name: &str, host: &str, prefix: &str) -> MeshRoute {
+    MeshRoute {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        idempotent: true,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(250),
+        priority: 2,
+        attempts: 2,
+        targets: vec![("registry".into(), 1)],
+    }
+}
+
+fn table(routes: Vec<MeshRoute>) -> RoutingTable {
+    RoutingTable::new(MeshConfig {
+        version: 1,
+        routes,
+        services: vec!["registry".into()],
+        limits: CallerLimits { body_bytes: 1_024 },
+    })
+}
+
+fn found(table: &RoutingTable, host: &str, path: &str) -> Option<String> {
+    table
+        .find(host, path)
+        .map(|route| route.name.as_str().to_owned())
+}
+
+/// Guards against a shorter prefix hiding a longer one, or a host answering for another.
+#[gtest]
+fn find_longest_prefix() {
+    let table = table(vec![
+        route("root", "a.example", "/"),
+        route("wrecks", "a.example", "/wrecks/"),
+        route("deep", "a.example", "/wrecks/deep/"),
+        route("other", "b.example", "/wrecks/"),
+    ]);
+    expect_that!(
+        found(&table, "a.example", "/wrecks/deep/2f"),
+        some(eq("deep"))
+    );
+    expect_that!(
+        found(&table, "a.example", "/wrecks/deep"),
+        some(eq("wrecks"))
+    );
+    expect_that!(found(&table, "a.example", "/wrecks/"), some(eq("wrecks")));
+    expect_that!(
+        found(&table, "a.example", "/wrecksother/1"),
+        some(eq("root"))
+    );
+    expect_that!(found(&table, "b.example", "/wrecks/1"), some(eq("other")));
+    expect_that!(found(&table, "b.example", "/"), none());
+    expect_that!(found(&table, "c.example", "/wrecks/1"), none());
+}
+
+/// Guards against shares of a split route that differ from its weights.
+#[gtest]
+fn choose_service_by_weight() {
+    let mut split = route("split", "a.example", "/");
+    split.targets = vec![("registry".into(), 90), ("archive".into(), 10)];
+    let archive = (0..1_000)
+        .filter(|point| choose_service(&split, f64::from(*point) / 1_000.0).as_str() == "archive");
+    expect_that!(archive.count(), eq(100));
+}
+
+/// Guards against requests for a service whose weight is zero.
+#[gtest]
+fn choose_service_without_weight() {
+    let mut split = route("split", "a.example", "/");
+    split.targets = vec![("archive".into(), 0), ("registry".into(), 5)];
+    expect_that!(choose_service(&split, 0.0).as_str(), eq("registry"));
+    expect_that!(choose_service(&split, 0.999).as_str(), eq("registry"));
+}
--- /dev/null
+++ b/tests/topic_cursor.rs
@@ -0,0 +1,85 @@
+//! Position of a reader in a topic of the platform's store.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use sycamorewick::coordination::topic_cursor::LONG_WAIT;
+use sycamorewick::coordination::topic_cursor::NextRead;
+use sycamorewick::coordination::topic_cursor::SHORT_WAIT;
+use sycamorewick::coordination::topic_cursor::TopicCursor;
+
+/// Guards against missing a record that the reported end counts but the newest records lack.
+#[gtest]
+fn on_newest_end_ahead_of_records() {
+    let mut cursor = TopicCursor::default();
+    expect_that!(cursor.next(), eq(NextRead::Newest));
+    cursor.on_newest(&[3, 23], 2, 25);
+    expect_that!(cursor.next(), eq(NextRead::From(24)));
+}
+
+/// Guards against skipping a change to a key of an earlier page: pages are no snapshot.
+#[gtest]
+fn on_newest_several_pages() {
+    let mut cursor = TopicCursor::default();
+    cursor.on_newest(&[3, 9, 40], 2, 12);
+    expect_that!(cursor.next(), eq(NextRead::From(10)));
+}
+
+/// Guards against an older record undoing a newer one of its key when records come twice.
+#[gtest]
+fn is_news_older_record() {
+    let mut cursor = TopicCursor::default();
+    expect_true!(cursor.is_news("config", 23));
+    expect_false!(cursor.is_news("config", 23));
+    expect_false!(cursor.is_news("config", 20));
+    expect_true!(cursor.is_news("other", 20));
+    expect_true!(cursor.is_news("config", 24));
+}
+
+/// Guards against asking for expired records for ever if nothing newer exists.
+#[gtest]
+fn on_expired_behind_seen() {
+    let mut cursor = TopicCursor::default();
+    cursor.on_newest(&[3], 1, 25);
+    cursor.on_expired();
+    expect_that!(cursor.next(), eq(NextRead::Newest));
+    cursor.on_newest(&[3, 24], 2, 26);
+    expect_that!(cursor.next(), eq(NextRead::From(25)));
+}
+
+/// Guards against going on from an old position after the topic was cut.
+#[gtest]
+fn on_expired_after_reading() {
+    let mut cursor = TopicCursor::default();
+    cursor.on_newest(&[3], 1, 4);
+    cursor.on_read(9, Duration::ZERO);
+    cursor.on_expired();
+    expect_that!(cursor.next(), eq(NextRead::Newest));
+    cursor.on_newest(&[30], 1, 31);
+    expect_that!(cursor.next(), eq(NextRead::From(31)));
+}
+
+/// Guards against a read that a slow store leaves waiting although its record has come: gprbs-booths
+/// trouble-2 had a node on an old configuration for 11 s.
+#[gtest]
+fn wait_after_change() {
+    let mut cursor = TopicCursor::default();
+    cursor.on_newest(&[3], 1, 4);
+    expect_that!(cursor.wait(), eq(SHORT_WAIT));
+    cursor.on_read(4, SHORT_WAIT);
+    expect_that!(cursor.wait(), eq(LONG_WAIT));
+    cursor.on_read(5, Duration::from_secs(7));
+    expect_that!(cursor.wait(), eq(SHORT_WAIT));
+}
+
+/// Guards against a long wait while the store is slow or after it was away.
+#[gtest]
+fn wait_slow_store() {
+    let mut cursor = TopicCursor::default();
+    cursor.on_newest(&[3], 1, 4);
+    cursor.on_read(4, SHORT_WAIT + Duration::from_millis(250));
+    expect_that!(cursor.wait(), eq(SHORT_WAIT));
+    cursor.on_read(4, SHORT_WAIT);
+    cursor.on_failure();
+    expect_that!(cursor.wait(), eq(SHORT_WAIT));
+}
