Stop only after a quiet time

Ruled out: a call that ran too long.

Change: the farewell goes out with the withdrawal, and the process ends once no call has been open for 0.15 s.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,5 +16,6 @@
 pub mod retry_quota;
 pub mod rollout;
 pub mod slot_queue;
+pub mod stop_plan;
 pub mod topic_cursor;
 pub mod version_move;
--- /dev/null
+++ b/src/coordination/stop_plan.rs
@@ -0,0 +1,65 @@
+//! Order of a graceful stop. See `docs/platform.md`, "Stop".
+
+use std::time::Duration;
+
+/// Time for which a stopping node still takes new connections: the platform asks once a second
+/// whether it is ready and stops sending callers after two misses.
+const WITHDRAW_TIME: Duration = Duration::from_millis(2_600);
+/// Part of the allowed time that is kept for the end of the process.
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Time without an open call before the process ends. Callers with open connections send until they
+/// see an answer that closes theirs, and the last answers have to leave the process.
+const QUIET_TIME: Duration = Duration::from_millis(150);
+
+/// What a stopping node does now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StopStep {
+    /// Serve everything.
+    Serve,
+    /// Take no new connections, serve the open ones.
+    Withdrawn,
+    /// End the process.
+    Exit,
+}
+
+/// Progress of a stop.
+#[derive(Debug)]
+pub struct StopPlan {
+    began: Duration,
+    end: Duration,
+    quiet_since: Option<Duration>,
+}
+
+impl StopPlan {
+    /// Begins a stop that must end `within` from now.
+    #[must_use]
+    pub fn new(now: Duration, within: Duration) -> Self {
+        Self {
+            began: now,
+            end: now + within.saturating_sub(EXIT_MARGIN),
+            quiet_since: None,
+        }
+    }
+
+    /// Returns what to do while `open_calls` calls are open.
+    pub fn step(&mut self, now: Duration, open_calls: usize) -> StopStep {
+        if now >= self.end {
+            return StopStep::Exit;
+        }
+        if open_calls > 0 {
+            self.quiet_since = None;
+        }
+        if now < self.began + WITHDRAW_TIME {
+            return StopStep::Serve;
+        }
+        if open_calls > 0 {
+            return StopStep::Withdrawn;
+        }
+        let quiet_since = *self.quiet_since.get_or_insert(now);
+        if now.saturating_sub(quiet_since) >= QUIET_TIME {
+            StopStep::Exit
+        } else {
+            StopStep::Withdrawn
+        }
+    }
+}
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -169,7 +169,7 @@
 /// The servers of a sidecar.
 struct Servers {
     caller: HttpServer,
-    node: HttpServer,
+    _node: HttpServer,
     _platform: [HttpServer; 3],
 }
 
@@ -183,7 +183,7 @@
     let small = |listener, handler| HttpServer::start(listener, MAX_PLATFORM_CONNECTIONS, handler);
     Ok(Servers {
         caller: HttpServer::start(caller, MAX_CALLER_CONNECTIONS, entry::handler(cx)),
-        node: HttpServer::start(node, MAX_NODE_CONNECTIONS, hop::handler(cx)),
+        _node: HttpServer::start(node, MAX_NODE_CONNECTIONS, hop::handler(cx)),
         _platform: [
             small(ready, small_ports::ready_handler(cx)),
             small(heartbeat, heartbeat_port::handler(cx)),
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -11,20 +11,15 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use crate::coordination::stop_plan::StopPlan;
+use crate::coordination::stop_plan::StopStep;
 use crate::platform::store::FLEET_TOPIC;
 use crate::sidecar::Servers;
 use crate::sidecar::Sidecar;
 use crate::sidecar::settings;
 
-/// Time for which a stopping node still takes new connections: the platform asks once a second
-/// whether it is ready and stops sending callers after two misses.
-const WITHDRAW_TIME: Duration = Duration::from_millis(2_600);
-/// Part of the allowed time that is kept for the end of the process.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Pause between two looks at the open calls.
 const CHECK_PAUSE: Duration = Duration::from_millis(20);
-/// Time for the last answers to leave the process.
-const FLUSH_TIME: Duration = Duration::from_millis(50);
 /// Longest wait for the store to take the farewell.
 const FAREWELL_LIMIT: Duration = Duration::from_millis(500);
 
@@ -63,22 +58,28 @@
 
 /// Withdraws the node and waits for the open calls.
 pub async fn drain(cx: &Rc<Sidecar>, servers: &Servers) {
-    let began = cx.clock.now();
-    let end = began + cx.settings.stop_within().saturating_sub(EXIT_MARGIN);
     info!(cx.log, "stopping"; "open_calls" => cx.open_calls.get());
     cx.stopping.set(true);
     cx.entry_changed.notify_one();
-    actix_rt::time::sleep(WITHDRAW_TIME.min(end.saturating_sub(began))).await;
-    servers.caller.stop_accepting();
-    while cx.open_calls.get() > 0 && cx.clock.now() < end {
+    let mut plan = StopPlan::new(cx.clock.now(), cx.settings.stop_within());
+    let mut withdrawn = false;
+    loop {
+        match plan.step(cx.clock.now(), cx.open_calls.get()) {
+            StopStep::Serve => {}
+            StopStep::Withdrawn if withdrawn => {}
+            StopStep::Withdrawn => {
+                withdrawn = true;
+                servers.caller.stop_accepting();
+                let cx = cx.clone();
+                actix_rt::spawn(async move { say_farewell(&cx).await });
+            }
+            StopStep::Exit => break,
+        }
         actix_rt::time::sleep(CHECK_PAUSE).await;
     }
-    servers.node.stop_accepting();
     if cx.open_calls.get() > 0 {
         warn!(cx.log, "calls still run at the end"; "open_calls" => cx.open_calls.get());
     }
-    say_farewell(cx).await;
-    actix_rt::time::sleep(FLUSH_TIME).await;
 }
 
 /// Removes the node's entry if its backend server has left for good; otherwise the node comes back.
--- /dev/null
+++ b/tests/stop_plan.rs
@@ -0,0 +1,43 @@
+//! Order of a graceful stop.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use sycamorewick::coordination::stop_plan::StopPlan;
+use sycamorewick::coordination::stop_plan::StopStep;
+
+const WITHIN: Duration = Duration::from_secs(6);
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Guards against refusing callers before the platform has stopped sending them.
+#[gtest]
+fn step_serves_first() {
+    let mut plan = StopPlan::new(at(0), WITHIN);
+    expect_that!(plan.step(at(0), 0), eq(StopStep::Serve));
+    expect_that!(plan.step(at(2_400), 0), eq(StopStep::Serve));
+    expect_that!(plan.step(at(2_700), 1), eq(StopStep::Withdrawn));
+}
+
+/// Guards against ending while a call that came on an open connection runs: gprbs-booths
+/// hunt-b88a-3 lost a reservation that arrived between the last call and the exit.
+#[gtest]
+fn step_call_after_quiet() {
+    let mut plan = StopPlan::new(at(0), WITHIN);
+    expect_that!(plan.step(at(3_000), 0), eq(StopStep::Withdrawn));
+    expect_that!(plan.step(at(3_100), 1), eq(StopStep::Withdrawn));
+    expect_that!(plan.step(at(3_400), 1), eq(StopStep::Withdrawn));
+    expect_that!(plan.step(at(3_420), 0), eq(StopStep::Withdrawn));
+    expect_that!(plan.step(at(3_500), 0), eq(StopStep::Withdrawn));
+    expect_that!(plan.step(at(3_600), 0), eq(StopStep::Exit));
+}
+
+/// Guards against being killed: calls that do not end must not hold the process beyond its time.
+#[gtest]
+fn step_ends_in_time() {
+    let mut plan = StopPlan::new(at(0), WITHIN);
+    expect_that!(plan.step(at(5_600), 3), eq(StopStep::Withdrawn));
+    expect_that!(plan.step(at(5_800), 3), eq(StopStep::Exit));
+}
