Serve what can be in time first; offer late calls once more

Change: a call waits only if it can start 1.5 mean runs before its objective; one that no node can serve in time is offered again as accepting to be late and starts behind those in time. Only refusals for load count as offers.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -119,6 +119,8 @@
     pub version: VersionName,
     /// Expected cost, milliseconds.
     pub cost_ms: f64,
+    /// Expected time until the answer, milliseconds.
+    pub time_ms: f64,
     /// Calls that the node is believed to have.
     pub load: f64,
     /// Age of the last load report.
@@ -199,18 +201,21 @@
         own + (reported - own).max(0.0) * weight
     }
 
-    fn cost_ms(&self, now: Duration, backend: &BackendReport, call: &CallCost) -> f64 {
-        let run_ms = call.run_ms;
+    /// Expected time until the answer, milliseconds.
+    fn time_ms(&self, now: Duration, backend: &BackendReport, run_ms: f64) -> f64 {
         let cold = if self.warm_at > now { COLD_FACTOR } else { 1.0 };
         let run = run_ms * self.speed * cold;
         let slots = f64::from(backend.slots);
         let load = self.believed_load(now);
         let busy = ((load / slots - BUSY_SHARE) / (1.0 - BUSY_SHARE)).clamp(0.0, 1.0);
         let wait = (load + 1.0 - slots).max(0.0) * run / slots;
-        let time = self.distance.way_ms() + run * (1.0 + FULL_SLOWDOWN * busy) + wait;
+        self.distance.way_ms() + run * (1.0 + FULL_SLOWDOWN * busy) + wait
+    }
+
+    fn cost_ms(&self, now: Duration, time: f64, call: &CallCost) -> f64 {
         let late = (time - call.objective_ms * LATE_SHARE).max(0.0) * LATE_FACTOR;
         let bytes = self.distance.bytes_share(call.answer_kb) * call.objective_ms;
-        let failures = self.failure_rate(now) * FAILURE_RUNS * run_ms;
+        let failures = self.failure_rate(now) * FAILURE_RUNS * call.run_ms;
         time + late + bytes + failures
     }
 
@@ -360,7 +365,7 @@
             objective_ms: wanted.objective.as_secs_f64() * 1e3,
             answer_kb: self.mean_answer_kb(wanted.route),
         };
-        let mut best: Option<(bool, f64, &Candidate)> = None;
+        let mut best: Option<(bool, f64, f64, &Candidate)> = None;
         for candidate in &self.candidates {
             let Some(backend) = candidate.backend() else {
                 continue;
@@ -374,20 +379,22 @@
             }
             let paused = candidate.is_paused(now);
             let jitter = 1.0 + rng.random_range(0.0..JITTER);
-            let cost = candidate.cost_ms(now, backend, &call) * jitter;
-            let better = best.is_none_or(|(best_paused, best_cost, _)| {
+            let time = candidate.time_ms(now, backend, call.run_ms);
+            let cost = candidate.cost_ms(now, time, &call) * jitter;
+            let better = best.is_none_or(|(best_paused, best_cost, ..)| {
                 (paused, cost) < (best_paused, best_cost)
             });
             if better {
-                best = Some((paused, cost, candidate));
+                best = Some((paused, cost, time, candidate));
             }
         }
-        let (_, cost_ms, candidate) = best?;
+        let (_, cost_ms, time_ms, candidate) = best?;
         Some(Pick {
             node: candidate.entry.node.clone(),
             addr: candidate.entry.addr,
             version: candidate.backend()?.version.clone(),
             cost_ms,
+            time_ms,
             load: candidate.believed_load(now),
             load_age: now.saturating_sub(candidate.load_at),
         })
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -1,9 +1,11 @@
 //! Order and refusal of calls at the node beside a backend server. See `docs/platform.md`,
 //! "Admission".
 //!
-//! A call waits only if it can still be answered in time, judged by the measured run times of the
-//! calls before it. More urgent routes start first. What can no longer be answered in time is
-//! refused at once, so that its caller can go elsewhere or come back.
+//! A call waits only if it can start early enough for its objective, judged by the measured run
+//! times of the calls before it; otherwise it is refused at once, so that it can go elsewhere. A call
+//! that no node can answer in time is offered again as one that accepts to be late. Such calls start
+//! when nothing else waits that can be in time: under overload, slots that go to late calls first
+//! make the others late as well. More urgent routes start first.
 
 use std::time::Duration;
 
@@ -14,9 +16,9 @@
 const RUN_WEIGHT: f64 = 0.1;
 /// Run time that is assumed for a route without runs, as a share of its objective.
 const UNKNOWN_RUN_SHARE: f64 = 0.25;
-/// Shortest wait that is granted, in mean run times. A call whose objective has passed is still
-/// worth an answer, but not a place in a long queue.
-const LATE_WAIT_RUNS: f64 = 0.5;
+/// Run time for which a call must be able to start before its objective ends, in mean run times;
+/// run times spread by about a half.
+const RUN_MARGIN: f64 = 1.5;
 /// Shortest time after which a refused caller is asked to come back.
 const MIN_RETURN: Duration = Duration::from_millis(30);
 /// Longest such time; by then the load has changed.
@@ -39,6 +41,8 @@
     pub objective_at: Duration,
     /// Time at which the caller or the route gives up.
     pub deadline: Duration,
+    /// Whether an answer after the objective is better than none.
+    pub accepts_late: bool,
 }
 
 /// Decision on a call that has just arrived.
@@ -66,7 +70,10 @@
     priority: u8,
     ticket: Ticket,
     expected: Duration,
-    deadline: Duration,
+    /// Last start for an answer within the objective.
+    in_time_by: Duration,
+    /// Last start for an answer at all.
+    last_start: Duration,
 }
 
 #[derive(Debug)]
@@ -127,12 +134,19 @@
             self.running += 1;
             return Admit::Start;
         }
-        let wait = self.expected_wait(offer.priority);
-        let late = now + Duration::from_secs_f64(self.mean_run_s * LATE_WAIT_RUNS);
-        let start_by = offer.objective_at.saturating_sub(expected).max(late);
         let last_start = offer.deadline.saturating_sub(expected);
-        if now + wait > start_by.min(last_start) {
-            return Admit::Refuse(return_after(wait));
+        let in_time_by = offer
+            .objective_at
+            .saturating_sub(expected.mul_f64(RUN_MARGIN))
+            .min(last_start);
+        let is_before =
+            |other: &Waiting| other.priority <= offer.priority && other.in_time_by >= now;
+        if now + self.expected_wait(is_before) > in_time_by {
+            let wait = self.expected_wait(|_| true);
+            let hopeless = now + wait > last_start || wait > offer.objective;
+            if !offer.accepts_late || hopeless {
+                return Admit::Refuse(return_after(wait));
+            }
         }
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
@@ -145,7 +159,8 @@
                 priority: offer.priority,
                 ticket,
                 expected,
-                deadline: last_start,
+                in_time_by,
+                last_start,
             },
         );
         Admit::Wait(ticket, last_start)
@@ -170,14 +185,19 @@
         let mut changes = Changes::default();
         let mean = Duration::from_secs_f64(self.mean_run_s);
         self.waiting.retain(|waiting| {
-            let in_time = waiting.deadline >= now;
-            if !in_time {
+            let hopeful = waiting.last_start >= now;
+            if !hopeful {
                 changes.refuse.push((waiting.ticket, return_after(mean)));
             }
-            in_time
+            hopeful
         });
         while self.running < self.slots && !self.waiting.is_empty() {
-            changes.start.push(self.waiting.remove(0).ticket);
+            let in_time = self
+                .waiting
+                .iter()
+                .position(|waiting| waiting.in_time_by >= now);
+            let next = self.waiting.remove(in_time.unwrap_or(0));
+            changes.start.push(next.ticket);
             self.running += 1;
         }
         changes
@@ -191,12 +211,9 @@
             .collect()
     }
 
-    /// Time until a call of this priority would start.
-    fn expected_wait(&self, priority: u8) -> Duration {
-        let ahead = self
-            .waiting
-            .iter()
-            .filter(|other| other.priority <= priority);
+    /// Time until a call would start behind those that pass the filter.
+    fn expected_wait(&self, is_ahead: impl Fn(&Waiting) -> bool) -> Duration {
+        let ahead = self.waiting.iter().filter(|other| is_ahead(other));
         let work: f64 = ahead.map(|other| other.expected.as_secs_f64()).sum();
         let next_slot = if self.running < self.slots {
             0.0
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -27,6 +27,8 @@
     pub version: VersionName,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Whether an answer after the objective is better than none.
+    pub accepts_late: bool,
     /// Rank of the route, 0 is the most urgent.
     pub priority: u8,
     /// Latency objective of the route.
@@ -40,11 +42,12 @@
     #[must_use]
     pub fn encode(&self) -> String {
         format!(
-            "{};{};{};{};{};{};{}",
+            "{};{};{};{};{};{};{};{}",
             self.route,
             self.service,
             self.version,
             u8::from(self.idempotent),
+            u8::from(self.accepts_late),
             self.priority,
             millis(self.objective),
             millis(self.left)
@@ -60,6 +63,7 @@
             service: fields.next()?.into(),
             version: fields.next()?.into(),
             idempotent: fields.next()? == "1",
+            accepts_late: fields.next()? == "1",
             priority: fields.next()?.parse().ok()?,
             objective: Duration::from_millis(fields.next()?.parse().ok()?),
             left: Duration::from_millis(fields.next()?.parse().ok()?),
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -49,8 +49,11 @@
 const DEADLINE_MARGIN: Duration = Duration::from_millis(60);
 /// Least time for which another attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
-/// Nodes that one call is offered to before its caller is asked to come back.
-const MAX_OFFERS: usize = 4;
+/// Nodes that refuse a call for load before it is offered as one that accepts to be late.
+const MAX_REFUSALS: usize = 3;
+/// Attempts of one call, those at nodes that are gone included; after a loss of many nodes most of
+/// the first choices are.
+const MAX_TRIES: usize = 12;
 /// Random part of the time after which callers are asked to come back, so that they do not return
 /// together.
 const RETURN_SPREAD: f64 = 0.5;
@@ -134,6 +137,7 @@
             service,
             version: "".into(),
             idempotent: route.idempotent,
+            accepts_late: false,
             priority: route.priority,
             objective: route.objective,
             left: patience,
@@ -155,7 +159,14 @@
 /// What is known after the attempts so far.
 #[derive(Default)]
 struct Progress {
+    /// Nodes that are not offered the call again.
     tried: Vec<NodeId>,
+    /// Attempts made.
+    tries: usize,
+    /// Nodes that refused the call for load.
+    refusals: usize,
+    /// Whether the call is offered as one that accepts to be late.
+    accepts_late: bool,
     /// Backend servers that the call arrived at.
     arrivals: u8,
     /// Whether it may have run.
@@ -168,6 +179,22 @@
     failed_answer: Option<HttpAnswer>,
 }
 
+impl Progress {
+    /// Offers the call once more to the nodes that refused it, as one that accepts to be late.
+    /// Returns whether that is new.
+    fn accept_late(&mut self) -> bool {
+        if self.accepts_late {
+            return false;
+        }
+        self.accepts_late = true;
+        self.refusals = 0;
+        if self.arrivals == 0 {
+            self.tried.clear();
+        }
+        true
+    }
+}
+
 async fn run(cx: &Rc<Sidecar>, call: EntryCall) -> Response<BoxBody> {
     let mut progress = Progress::default();
     let time_left = call.deadline.saturating_sub(cx.clock.now()) + DEADLINE_MARGIN;
@@ -191,20 +218,35 @@
 ) -> Option<HttpAnswer> {
     loop {
         let now = cx.clock.now();
-        if call.deadline < now + MIN_ATTEMPT_TIME || progress.tried.len() >= MAX_OFFERS {
+        if call.deadline < now + MIN_ATTEMPT_TIME || progress.tries >= MAX_TRIES {
+            return progress.failed_answer.take();
+        }
+        if progress.refusals >= MAX_REFUSALS && !progress.accept_late() {
             return progress.failed_answer.take();
         }
         if progress.arrivals > 0 && !may_repeat(cx, call, progress, now) {
             return progress.failed_answer.take();
         }
-        let Some(pick) = pick(cx, call, &progress.tried, now) else {
+        let Some(pick) = pick(cx, call, progress, now) else {
+            if progress.refusals > 0 && progress.accept_late() {
+                continue;
+            }
             progress.last = progress.last.or(Some(ResultCode::NoBackend));
             return progress.failed_answer.take();
         };
-        if !progress.tried.is_empty() {
+        // No node is expected to be in time, so that refusals would only cost time.
+        let time_left = call
+            .route
+            .objective
+            .saturating_sub(now.saturating_sub(call.serve.arrived));
+        if !progress.accepts_late && pick.time_ms > time_left.as_secs_f64() * 1e3 {
+            progress.accept_late();
+        }
+        if progress.tries > 0 {
             cx.metrics.attempts_beyond_first.increment(1);
         }
-        let end = make_attempt(cx, call, &pick, now).await;
+        progress.tries += 1;
+        let end = make_attempt(cx, call, &pick, progress.accepts_late, now).await;
         progress.tried.push(pick.node);
         match end {
             ServeEnd::Ran(answer) if answer.status.is_server_error() && call.route.idempotent => {
@@ -219,6 +261,7 @@
                 come_back,
             } => {
                 progress.arrivals += u8::from(arrived);
+                progress.refusals += usize::from(code == ResultCode::Overloaded);
                 progress.last = Some(code);
                 let shortest = progress.come_back.unwrap_or(come_back).min(come_back);
                 progress.come_back = Some(shortest);
@@ -253,14 +296,14 @@
     allowed
 }
 
-fn pick(cx: &Rc<Sidecar>, call: &EntryCall, tried: &[NodeId], now: Duration) -> Option<Pick> {
+fn pick(cx: &Sidecar, call: &EntryCall, progress: &Progress, now: Duration) -> Option<Pick> {
     let (load, tally) = serving::report(cx);
     let mut state = cx.state.borrow_mut();
     state.placement.on_report(now, &cx.settings.id, load, tally);
-    let pick = choose(&mut state, now, call, tried)?;
+    let pick = choose(&mut state, now, call, &progress.tried)?;
     info!(cx.log, "routed"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
         "route" => call.route.name.as_str(), "to" => pick.node.as_str(), "version" => pick.version.as_str(),
-        "try" => tried.len() + 1, "cost_ms" => format!("{:.1}", pick.cost_ms),
+        "try" => progress.tries + 1, "accepts_late" => progress.accepts_late, "cost_ms" => format!("{:.1}", pick.cost_ms),
         "load" => format!("{:.1}", pick.load), "load_age_ms" => millis(pick.load_age));
     Some(pick)
 }
@@ -346,7 +389,13 @@
     }
 }
 
-async fn make_attempt(cx: &Rc<Sidecar>, call: &EntryCall, pick: &Pick, now: Duration) -> ServeEnd {
+async fn make_attempt(
+    cx: &Rc<Sidecar>,
+    call: &EntryCall,
+    pick: &Pick,
+    accepts_late: bool,
+    now: Duration,
+) -> ServeEnd {
     cx.state.borrow_mut().placement.on_start(&pick.node);
     let mut in_flight = InFlight {
         cx,
@@ -359,6 +408,7 @@
     };
     let mut serve = call.serve.clone();
     serve.head.version = pick.version.clone();
+    serve.head.accepts_late = accepts_late;
     // The objective counts from the arrival here, also at the next node.
     let used = now.saturating_sub(call.serve.arrived);
     serve.head.objective = serve.head.objective.saturating_sub(used);
@@ -428,7 +478,7 @@
     info!(cx.log, "call failed"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
         "route" => call.route.name.as_str(), "code" => code.number(), "last" => last.number(),
         "may_have_run" => progress.may_have_run, "arrivals" => progress.arrivals,
-        "offers" => progress.tried.len(), "took_ms" => millis(cx.clock.since(call.serve.arrived)));
+        "tries" => progress.tries, "took_ms" => millis(cx.clock.since(call.serve.arrived)));
     own_answer(cx, status_of(code), code, come_back)
 }
 
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -260,6 +260,7 @@
         objective: call.head.objective,
         objective_at: call.arrived + call.head.objective,
         deadline: call.arrived + call.head.left,
+        accepts_late: call.head.accepts_late,
     };
     let slot = || Slot {
         cx: cx.clone(),
