Breaker beside a backend server that breaks its connections

Ruled out: stale connections, since 195 of 503 broken answers came on new ones.

Change: after three broken answers in a row only single idempotent trials are sent, and a failure costs a call that is not idempotent more in placement.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod answered;
 pub mod balancer;
+pub mod breaker;
 pub mod dissemination;
 pub mod evidence;
 pub mod idempotency;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -56,6 +56,8 @@
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
 /// Run times that a certain failure costs; the caller has to start again elsewhere.
 const FAILURE_RUNS: f64 = 8.0;
+/// The same for a call that is not idempotent, which is lost by most failures.
+const FAILURE_RUNS_NOT_IDEMPOTENT: f64 = 12.0;
 /// Age at which a load figure has lost all its weight.
 const LOAD_LIFETIME: Duration = Duration::from_secs(1);
 /// Share of the slots from which backend servers become slower.
@@ -215,7 +217,7 @@
     fn cost_ms(&self, now: Duration, time: f64, call: &CallCost) -> f64 {
         let late = (time - call.objective_ms * LATE_SHARE).max(0.0) * LATE_FACTOR;
         let bytes = self.distance.bytes_share(call.answer_kb) * call.objective_ms;
-        let failures = self.failure_rate(now) * FAILURE_RUNS * call.run_ms;
+        let failures = self.failure_rate(now) * call.failure_runs * call.run_ms;
         time + late + bytes + failures
     }
 
@@ -248,6 +250,7 @@
     run_ms: f64,
     objective_ms: f64,
     answer_kb: f64,
+    failure_runs: f64,
 }
 
 /// What a call needs.
@@ -258,6 +261,8 @@
     pub route: &'a RouteName,
     /// Latency objective of the route.
     pub objective: Duration,
+    /// Whether the call may run more than once.
+    pub idempotent: bool,
     /// Nodes that this call has tried.
     pub tried: &'a [NodeId],
     /// Whether a backend server of this version, beside this node, may be used.
@@ -364,6 +369,11 @@
             run_ms: self.mean_run_ms(wanted.service),
             objective_ms: wanted.objective.as_secs_f64() * 1e3,
             answer_kb: self.mean_answer_kb(wanted.route),
+            failure_runs: if wanted.idempotent {
+                FAILURE_RUNS
+            } else {
+                FAILURE_RUNS_NOT_IDEMPOTENT
+            },
         };
         let mut best: Option<(bool, f64, f64, &Candidate)> = None;
         for candidate in &self.candidates {
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -148,6 +148,12 @@
                 return Admit::Refuse(return_after(wait));
             }
         }
+        // A caller that has waited that long in vain still has time to come back.
+        let last_start = if offer.accepts_late {
+            last_start.min(now + offer.objective)
+        } else {
+            last_start
+        };
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
         let index = self
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -357,6 +357,7 @@
         service: &call.serve.head.service,
         route: &call.route.name,
         objective: call.route.objective,
+        idempotent: call.route.idempotent,
         tried,
         permits,
     }
--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -11,6 +11,7 @@
 use slog::info;
 use slog::warn;
 
+use crate::coordination::breaker::Breaker;
 use crate::platform::heartbeat;
 use crate::platform::heartbeat::BackendCall;
 use crate::protocol::fleet::BackendReport;
@@ -86,6 +87,7 @@
         state.queue.set_slots(slots);
         if reborn {
             state.tally = Tally::default();
+            state.breaker = Breaker::default();
         }
     }
     drop(state);
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -29,6 +29,7 @@
 use slog::info;
 use tokio::sync::Notify;
 
+use crate::coordination::breaker::Breaker;
 use crate::coordination::placement::Placement;
 use crate::coordination::retry_quota::RetryQuota;
 use crate::coordination::slot_queue::SlotQueue;
@@ -66,6 +67,7 @@
     queue: SlotQueue,
     waiting: WaitingCalls,
     backend: LocalBackend,
+    breaker: Breaker,
     /// Results of the backend server's current incarnation.
     tally: Tally,
     moves: Moves,
@@ -144,6 +146,7 @@
         queue: SlotQueue::new(INITIAL_SLOTS),
         waiting: WaitingCalls::default(),
         backend: LocalBackend::new(settings.heartbeat_interval()),
+        breaker: Breaker::default(),
         tally: Tally::default(),
         moves: Moves::default(),
         exposed: Vec::new(),
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -158,12 +158,17 @@
     cx: Rc<Sidecar>,
     route: RouteName,
     took: Option<Duration>,
+    /// Whether the breaker waits for the end of the call.
+    judged: bool,
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         let now = self.cx.clock.now();
         let mut state = self.cx.state.borrow_mut();
+        if !self.judged {
+            state.breaker.on_cancelled();
+        }
         let changes = state.queue.finish(now, &self.route, self.took);
         drop(state);
         apply(&self.cx, changes);
@@ -206,6 +211,10 @@
         Err(code) => return refuse(cx, &call, ServeEnd::refused(code)),
     };
     let idempotent = call.head.idempotent;
+    let now = cx.clock.now();
+    if !cx.state.borrow_mut().breaker.admit(now, idempotent) {
+        return refuse(cx, &call, ServeEnd::refused(ResultCode::NoBackend));
+    }
     let run = run(cx.clone(), call, backend, slot);
     if idempotent {
         return run.await;
@@ -266,6 +275,7 @@
         cx: cx.clone(),
         route: call.head.route.clone(),
         took: None,
+        judged: false,
     };
     let (rx, ticket, until) = {
         let mut state = cx.state.borrow_mut();
@@ -300,11 +310,26 @@
     if matches!(end, ServeEnd::Ran(_)) {
         slot.took = Some(took);
     }
+    slot.judged = judge(&cx, &end);
     drop(slot);
     count(&cx, &call, &backend, &end, took);
     end
 }
 
+/// Tells the breaker how the call ended. Returns whether the end says anything.
+fn judge(cx: &Sidecar, end: &ServeEnd) -> bool {
+    let whole = match end {
+        ServeEnd::Ran(_) | ServeEnd::Refused { arrived: true, .. } => true,
+        ServeEnd::Unknown(ResultCode::BrokenAnswer) => false,
+        ServeEnd::Unknown(_) | ServeEnd::Refused { .. } => return false,
+    };
+    let now = cx.clock.now();
+    if cx.state.borrow_mut().breaker.on_end(now, whole) {
+        warn!(cx.log, "breaker opened"; "backend" => cx.settings.backend_addr.to_string());
+    }
+    true
+}
+
 /// Sends the call to the backend server; `Err(None)` stands for the end of its time.
 async fn forward(
     cx: &Sidecar,
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -78,6 +78,7 @@
             service: &self.service,
             route: &self.route,
             objective: ms(250),
+            idempotent: true,
             tried,
             permits: &permits,
         };
