One reader of the store a failure domain

Ruled out: longer pauses between reads, which delay a configuration for little.

Change: in a failure domain of four nodes or more, one node reads the store and the others follow its copy over the domain's own links. A view older than 1.25 s is not followed, and whoever finds no fresh reader reads the store itself. The reader waits 0.9 s at most on the operator's topic, so that one that is cut off is found before a configuration has to be in force.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,6 +12,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod readiness;
+pub mod relay;
 pub mod rendezvous;
 pub mod retry;
 pub mod retry_quota;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -362,6 +362,15 @@
         self.candidates.iter().map(|candidate| &candidate.entry)
     }
 
+    /// Nodes of the own failure domain with their addresses, this one included, sorted by node.
+    #[must_use]
+    pub fn domain_nodes(&self) -> Vec<(NodeId, SocketAddr)> {
+        let entries = self.entries().filter(|entry| entry.domain == self.domain);
+        entries
+            .map(|entry| (entry.node.clone(), entry.addr))
+            .collect()
+    }
+
     /// Chooses the node with the least expected cost. A node that is paused is used only if no other
     /// one is left.
     pub fn pick(&self, now: Duration, rng: &mut impl Rng, wanted: &Wanted<'_>) -> Option<Pick> {
--- a/src/coordination/topic_cursor.rs
+++ b/src/coordination/topic_cursor.rs
@@ -83,6 +83,12 @@
         self.from = Some(end);
     }
 
+    /// Takes note of records up to `end` that another node has read.
+    pub fn on_relayed(&mut self, end: u64) {
+        self.from = Some(self.from.map_or(end, |from| from.max(end)));
+        self.settled = false;
+    }
+
     /// Takes note of a read that failed.
     pub fn on_failure(&mut self) {
         self.settled = false;
--- a/src/sidecar/followers.rs
+++ b/src/sidecar/followers.rs
@@ -1,30 +1,38 @@
-//! Follows the topics of the platform's store. See `docs/platform.md`, "Store".
+//! Follows the topics of the platform's store, at the store or at a node of the same failure domain.
+//! See `docs/platform.md`, "Store".
 
+use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::RngExt;
 use slog::info;
 use slog::warn;
+use tokio::sync::Notify;
 
+use crate::coordination::relay::Relay;
+use crate::coordination::relay::Source;
 use crate::coordination::topic_cursor::NextRead;
 use crate::coordination::topic_cursor::TopicCursor;
-use crate::platform::config;
-use crate::platform::config::OperatorKey;
 use crate::platform::store::FLEET_TOPIC;
 use crate::platform::store::KeyedBatch;
 use crate::platform::store::KeyedRecord;
 use crate::platform::store::MOVE_TOPIC;
 use crate::platform::store::OPERATOR_TOPIC;
 use crate::platform::store::StoreFailure;
-use crate::protocol::codec;
-use crate::protocol::fleet::FleetEntry;
-use crate::protocol::fleet::MoveRecord;
-use crate::protocol::name::NodeId;
-use crate::protocol::name::ServiceName;
 use crate::sidecar::Sidecar;
-use crate::state::routing_table::RoutingTable;
+use crate::sidecar::records;
+use crate::sidecar::relay_port;
+use crate::state::mirror::Mirror;
+use crate::state::mirror::MirrorRecord;
 
+/// Topics that a node follows.
+pub const TOPICS: [&str; 3] = [OPERATOR_TOPIC, FLEET_TOPIC, MOVE_TOPIC];
+/// Place of the operator's topic, by which the age of a node's view is measured.
+const OPERATOR: usize = 0;
+/// Place of the fleet's topic.
+const FLEET: usize = 1;
 /// Pause between two reads with records, so that a storm of changes costs few calls. It is well
 /// below the 2 s within which a configuration has to be in force.
 const STORM_PAUSE: Duration = Duration::from_millis(250);
@@ -32,56 +40,115 @@
 const RETRY_BASE: Duration = Duration::from_millis(100);
 /// Longest such pause. Entries have to be back within 2 s of the store's return.
 const RETRY_MAX: Duration = Duration::from_millis(800);
+/// Wait of a reader's read of the operator's topic, and of a follower's question. A reader that is
+/// cut off is found within it, well before a configuration has to be in force.
+pub const FRESH_WAIT: Duration = Duration::from_millis(900);
+/// Age of a view up to which others may follow it: a wait and the way to a store that is well.
+pub const MAX_AGE: Duration = Duration::from_millis(1_250);
+/// Time after a follower's last question for which a node reads as a reader does.
+const FOLLOWED_FOR: Duration = Duration::from_secs(4);
+/// Pause between two looks at a source that is the store.
+const SOURCE_CHECK: Duration = Duration::from_millis(500);
+
+/// What a node has read, and where it reads.
+pub struct Feed {
+    cursors: RefCell<[TopicCursor; 3]>,
+    /// Copies of the topics.
+    pub mirrors: RefCell<[Mirror; 3]>,
+    /// Time at which the view of the operator's topic was last known to be complete.
+    pub confirmed_at: Cell<Option<Duration>>,
+    /// Time of the last question of a follower.
+    pub followed_at: Cell<Option<Duration>>,
+    /// Signals that a record came.
+    pub changed: Notify,
+    relay: RefCell<Relay>,
+    source: RefCell<Source>,
+    source_changed: Notify,
+}
+
+impl Default for Feed {
+    fn default() -> Self {
+        Self {
+            cursors: RefCell::default(),
+            mirrors: RefCell::default(),
+            confirmed_at: Cell::new(None),
+            followed_at: Cell::new(None),
+            changed: Notify::new(),
+            relay: RefCell::default(),
+            source: RefCell::new(Source::Store),
+            source_changed: Notify::new(),
+        }
+    }
+}
+
+impl Feed {
+    /// Offsets from which the topics are missing here; `None` before each of them was read once.
+    fn positions(&self) -> Option<[u64; 3]> {
+        let mirrors = self.mirrors.borrow();
+        let [operator, fleet, moves] = &*mirrors;
+        Some([operator.end()?, fleet.end()?, moves.end()?])
+    }
+
+    fn is_followed(&self, now: Duration) -> bool {
+        let since = self.followed_at.get();
+        since.is_some_and(|since| now.saturating_sub(since) < FOLLOWED_FOR)
+    }
+}
 
 /// Starts to follow all topics.
 pub fn start(cx: &Rc<Sidecar>) {
-    for (topic, apply) in [
-        (OPERATOR_TOPIC, apply_operator as Apply),
-        (FLEET_TOPIC, apply_fleet),
-        (MOVE_TOPIC, apply_moves),
-    ] {
+    for topic in 0..TOPICS.len() {
         let cx = cx.clone();
-        actix_rt::spawn(async move { follow(&cx, topic, apply).await });
+        actix_rt::spawn(async move { follow_store(&cx, topic).await });
     }
+    let cx = cx.clone();
+    actix_rt::spawn(async move { follow_peer(&cx).await });
 }
 
-type Apply = fn(&Rc<Sidecar>, &KeyedRecord);
+/// Applies a record to this process.
+fn apply(cx: &Rc<Sidecar>, topic: usize, record: &KeyedRecord) {
+    match topic {
+        OPERATOR => records::apply_operator(cx, record),
+        FLEET => records::apply_fleet(cx, record),
+        _ => records::apply_moves(cx, record),
+    }
+}
 
-async fn follow(cx: &Rc<Sidecar>, topic: &'static str, apply: Apply) {
-    let mut cursor = TopicCursor::default();
+/// Reads one topic at the store while that is the source.
+async fn follow_store(cx: &Rc<Sidecar>, topic: usize) {
     let mut failures = 0_u32;
     loop {
-        let next = cursor.next();
+        if *cx.feed.source.borrow() != Source::Store {
+            cx.feed.source_changed.notified().await;
+            continue;
+        }
+        let next = cx.feed.cursors.borrow()[topic].next();
         let began = cx.clock.now();
-        let read = match next {
-            NextRead::Newest => read_all(cx, topic).await,
-            NextRead::From(from) => cx.store.read(topic, from, cursor.wait()).await,
+        let read = tokio::select! {
+            read = read_store(cx, topic, next) => read,
+            () = cx.feed.source_changed.notified() => continue,
         };
         match read {
             Ok(batch) => {
                 if failures > 0 {
-                    info!(cx.log, "store answers again"; "topic" => topic, "failures" => failures);
+                    info!(cx.log, "store answers again"; "topic" => TOPICS[topic], "failures" => failures);
                 }
                 failures = 0;
-                let took = cx.clock.since(began);
                 let changed = !batch.records.is_empty();
-                take_over(cx, &mut cursor, next, batch, took, apply);
-                if topic == FLEET_TOPIC {
-                    cx.state.borrow_mut().fleet_known = true;
-                }
+                take_over(cx, topic, next, batch, began);
                 if changed && next != NextRead::Newest {
                     actix_rt::time::sleep(STORM_PAUSE).await;
                 }
             }
             Err(StoreFailure::Expired) => {
-                info!(cx.log, "records expired"; "topic" => topic, "next" => format!("{next:?}"));
-                cursor.on_expired();
+                info!(cx.log, "records expired"; "topic" => TOPICS[topic], "next" => format!("{next:?}"));
+                cx.feed.cursors.borrow_mut()[topic].on_expired();
             }
             Err(failure) => {
                 cx.metrics.store_failures.increment(1);
-                cursor.on_failure();
+                cx.feed.cursors.borrow_mut()[topic].on_failure();
                 if failures == 0 {
-                    warn!(cx.log, "store does not answer"; "topic" => topic, "why" => format!("{failure:?}"));
+                    warn!(cx.log, "store does not answer"; "topic" => TOPICS[topic], "why" => format!("{failure:?}"));
                 }
                 let pause = RETRY_BASE * 2_u32.saturating_pow(failures.min(8));
                 let factor = cx.state.borrow_mut().rng.random_range(0.5..1.0);
@@ -92,149 +159,130 @@
     }
 }
 
-/// Applies the records that are news, in the order of their offsets.
+async fn read_store(
+    cx: &Sidecar,
+    topic: usize,
+    next: NextRead,
+) -> Result<KeyedBatch, StoreFailure> {
+    let from = match next {
+        NextRead::From(from) => from,
+        NextRead::Newest => {
+            return match cx.store.newest(TOPICS[topic]).await {
+                // A topic that nobody has written to does not exist.
+                Err(StoreFailure::Refused(404)) => Ok(KeyedBatch::default()),
+                other => other,
+            };
+        }
+    };
+    let mut wait = cx.feed.cursors.borrow()[topic].wait();
+    if topic == OPERATOR && cx.feed.is_followed(cx.clock.now()) {
+        wait = wait.min(FRESH_WAIT);
+    }
+    cx.store.read(TOPICS[topic], from, wait).await
+}
+
+/// Takes over what the store answered.
 fn take_over(
     cx: &Rc<Sidecar>,
-    cursor: &mut TopicCursor,
+    topic: usize,
     read: NextRead,
     mut batch: KeyedBatch,
-    took: Duration,
-    apply: Apply,
+    began: Duration,
 ) {
-    if read == NextRead::Newest {
-        let offsets: Vec<u64> = batch.records.iter().map(|record| record.offset).collect();
-        cursor.on_newest(&offsets, batch.first_page, batch.end);
-        batch.records.sort_unstable_by_key(|record| record.offset);
-    } else {
-        cursor.on_read(batch.end, took);
-    }
-    for record in &batch.records {
-        if cursor.is_news(&record.key, record.offset) {
-            apply(cx, record);
+    let took = cx.clock.since(began);
+    {
+        let mut cursors = cx.feed.cursors.borrow_mut();
+        if read == NextRead::Newest {
+            let offsets: Vec<u64> = batch.records.iter().map(|record| record.offset).collect();
+            cursors[topic].on_newest(&offsets, batch.first_page, batch.end);
+            batch.records.sort_unstable_by_key(|record| record.offset);
+        } else {
+            cursors[topic].on_read(batch.end, took);
         }
     }
+    let end = match cx.feed.cursors.borrow()[topic].next() {
+        NextRead::From(from) => from,
+        NextRead::Newest => 0,
+    };
+    apply_all(cx, topic, &batch.records, end);
+    if topic == OPERATOR {
+        cx.feed.confirmed_at.set(Some(cx.clock.now()));
+    }
 }
 
-/// A topic that nobody has written to does not exist.
-async fn read_all(cx: &Sidecar, topic: &str) -> Result<KeyedBatch, StoreFailure> {
-    match cx.store.newest(topic).await {
-        Err(StoreFailure::Refused(404)) => Ok(KeyedBatch::default()),
-        other => other,
+/// Applies the records that are news, in the order of their offsets, and keeps them for followers.
+fn apply_all(cx: &Rc<Sidecar>, topic: usize, records: &[KeyedRecord], end: u64) {
+    for record in records {
+        if !cx.feed.cursors.borrow_mut()[topic].is_news(&record.key, record.offset) {
+            continue;
+        }
+        apply(cx, topic, record);
+        cx.feed.mirrors.borrow_mut()[topic].apply(MirrorRecord {
+            key: record.key.as_str().into(),
+            value: record.value.clone(),
+            offset: record.offset,
+        });
+    }
+    cx.feed.mirrors.borrow_mut()[topic].advance(end);
+    if topic == FLEET {
+        cx.state.borrow_mut().fleet_known = true;
+    }
+    if !records.is_empty() {
+        cx.feed.changed.notify_waiters();
     }
 }
 
-fn apply_operator(cx: &Rc<Sidecar>, record: &KeyedRecord) {
-    match config::read_key(&record.key) {
-        Some(OperatorKey::Config) => apply_config(cx, record),
-        Some(OperatorKey::Move(service)) => match config::read_order(&record.value) {
-            Ok(order) => {
-                let text = format!(
-                    "{} to {} within {:?}",
-                    order.service, order.target, order.within
-                );
-                let now = cx.clock.now();
-                let new = cx
-                    .state
-                    .borrow_mut()
-                    .moves
-                    .on_order(now, record.offset, order);
-                info!(cx.log, "order to move"; "order" => text, "offset" => record.offset, "new" => new);
+/// Chooses the source again and again, and follows it while it is a node.
+async fn follow_peer(cx: &Rc<Sidecar>) {
+    loop {
+        let Some(positions) = cx.feed.positions() else {
+            actix_rt::time::sleep(SOURCE_CHECK / 5).await;
+            continue;
+        };
+        let source = choose_source(cx);
+        let Source::Peer(node, addr) = source else {
+            actix_rt::time::sleep(SOURCE_CHECK).await;
+            continue;
+        };
+        match relay_port::ask(cx, addr, positions).await {
+            Ok(answer) => {
+                for (topic, part) in answer.topics.into_iter().enumerate().take(TOPICS.len()) {
+                    let end = part.end;
+                    cx.feed.cursors.borrow_mut()[topic].on_relayed(end);
+                    apply_all(cx, topic, &part.records(), end);
+                }
+                let age = Duration::from_millis(answer.age_ms);
+                let confirmed_at = cx.clock.now().saturating_sub(age);
+                cx.feed.confirmed_at.set(Some(confirmed_at));
             }
             Err(why) => {
-                warn!(cx.log, "order ignored"; "service" => service, "offset" => record.offset, "why" => why);
+                info!(cx.log, "reader passed over"; "reader" => node.as_str(), "why" => why);
+                let now = cx.clock.now();
+                cx.feed.relay.borrow_mut().on_failure(now, &node);
+                // What was missed meanwhile is read without delay.
+                for cursor in cx.feed.cursors.borrow_mut().iter_mut() {
+                    cursor.on_failure();
+                }
             }
-        },
-        None => {
-            info!(cx.log, "record ignored"; "key" => &record.key, "offset" => record.offset);
-        }
-    }
-}
-
-/// Puts a configuration in force unless it is older than the one in force or broken.
-fn apply_config(cx: &Rc<Sidecar>, record: &KeyedRecord) {
-    let config = match config::read_config(&record.value) {
-        Ok(config) => config,
-        Err(why) => {
-            warn!(cx.log, "configuration refused"; "offset" => record.offset, "why" => why);
-            return;
         }
-    };
-    let mut state = cx.state.borrow_mut();
-    let in_force = state.table.as_ref().map_or(0, |table| table.version());
-    if state.table.is_some() && config.version <= in_force {
-        info!(cx.log, "configuration ignored"; "version" => config.version, "in_force" => in_force,
-            "offset" => record.offset);
-        return;
     }
-    let table = RoutingTable::new(config);
-    info!(cx.log, "configuration in force"; "version" => table.version(), "before" => in_force,
-        "routes" => table.routes(), "offset" => record.offset);
-    #[allow(clippy::cast_precision_loss, reason = "a gauge is a float")]
-    cx.metrics.config_version.set(table.version() as f64);
-    state.table = Some(Rc::new(table));
 }
 
-fn apply_fleet(cx: &Rc<Sidecar>, record: &KeyedRecord) {
+fn choose_source(cx: &Rc<Sidecar>) -> Source {
     let now = cx.clock.now();
-    let is_own = record.key == cx.settings.id.as_str();
-    if record.value.is_empty() {
-        if is_own {
-            cx.state.borrow_mut().announced = None;
-            cx.entry_changed.notify_one();
-        } else {
-            cx.state
-                .borrow_mut()
-                .placement
-                .forget(&NodeId::from(&*record.key));
-            info!(cx.log, "node left"; "peer" => &record.key, "offset" => record.offset);
-        }
-        return;
-    }
-    let entry: FleetEntry = match codec::decode(&record.value) {
-        Ok(entry) => entry,
-        Err(failure) => {
-            warn!(cx.log, "entry ignored"; "key" => &record.key, "offset" => record.offset, "why" => failure.text);
-            return;
-        }
-    };
-    if is_own {
-        // A late write of an earlier process must not stand.
-        if entry.run != cx.run {
-            cx.state.borrow_mut().announced = None;
-            cx.entry_changed.notify_one();
-        }
-        return;
-    }
-    if entry.node.as_str() != record.key {
-        warn!(cx.log, "entry ignored"; "key" => &record.key, "offset" => record.offset, "why" => "names another node");
-        return;
-    }
-    let mut state = cx.state.borrow_mut();
-    if state.placement.on_entry(now, &entry) {
-        let backend = entry.backend.as_ref();
-        info!(cx.log, "peer changed"; "peer" => entry.node.as_str(), "offset" => record.offset,
-            "backend" => backend.map_or("none".into(), |b| format!("{} {} {:?}", b.instance, b.version, b.phase)));
-    }
-    #[allow(clippy::cast_precision_loss, reason = "a gauge is a float")]
-    cx.metrics.nodes.set(state.placement.nodes() as f64);
-}
-
-fn apply_moves(cx: &Rc<Sidecar>, record: &KeyedRecord) {
-    let service = ServiceName::from(&*record.key);
-    match codec::decode::<MoveRecord>(&record.value) {
-        Ok(progress) => {
-            let now = cx.clock.now();
-            let text = format!("{:?} by {}", progress.state, progress.author);
-            let new = cx
-                .state
-                .borrow_mut()
-                .moves
-                .on_record(now, &service, progress);
-            info!(cx.log, "move recorded"; "service" => service.as_str(), "state" => text,
-                "offset" => record.offset, "new" => new);
-        }
-        Err(failure) => {
-            warn!(cx.log, "move ignored"; "key" => &record.key, "offset" => record.offset, "why" => failure.text);
-        }
+    let domain = cx.state.borrow().placement.domain_nodes();
+    let source = cx
+        .feed
+        .relay
+        .borrow_mut()
+        .source(now, &cx.settings.id, &domain);
+    if *cx.feed.source.borrow() != source {
+        info!(cx.log, "source of topics changed"; "to" => match &source {
+            Source::Store => "store",
+            Source::Peer(node, _) => node.as_str(),
+        }.to_owned());
+        *cx.feed.source.borrow_mut() = source.clone();
+        cx.feed.source_changed.notify_waiters();
     }
+    source
 }
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -26,6 +26,7 @@
 use crate::protocol::hop::Tally;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
+use crate::sidecar::relay_port;
 use crate::sidecar::serving;
 use crate::sidecar::serving::ServeCall;
 use crate::sidecar::serving::ServeEnd;
@@ -53,6 +54,9 @@
 }
 
 async fn handle(cx: &Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
+    if req.path() == relay_port::FOLLOW_PATH && !req.headers().contains_key(HOP_HEADER) {
+        return relay_port::serve(cx, &req).await;
+    }
     let arrived = cx.clock.now();
     let mut payload = req.take_payload();
     let head = headers::text(req.headers(), HOP_HEADER).and_then(HopHead::decode);
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -8,6 +8,8 @@
 mod hop;
 mod metrics;
 mod movers;
+mod records;
+mod relay_port;
 mod serving;
 pub mod settings;
 mod shutdown;
@@ -42,6 +44,7 @@
 use crate::protocol::name::NodeId;
 use crate::protocol::name::ServiceName;
 use crate::result_code::ResultCode;
+use crate::sidecar::followers::Feed;
 use crate::sidecar::metrics::SidecarMetrics;
 use crate::sidecar::serving::WaitingCalls;
 use crate::sidecar::settings::SidecarSettings;
@@ -93,6 +96,8 @@
     run: u64,
     stopping: Cell<bool>,
     open_calls: Cell<usize>,
+    /// What was read from the store's topics.
+    feed: Feed,
     /// Signals that the own entry may have to be announced.
     entry_changed: Notify,
     state: RefCell<SidecarState>,
@@ -163,6 +168,7 @@
         run,
         stopping: Cell::new(false),
         open_calls: Cell::new(0),
+        feed: Feed::default(),
         entry_changed: Notify::new(),
         state: RefCell::new(state),
         settings,
--- /dev/null
+++ b/src/sidecar/records.rs
@@ -0,0 +1,136 @@
+//! Records of the store's topics, and what they change in this process.
+
+use std::rc::Rc;
+
+use slog::info;
+use slog::warn;
+
+use crate::platform::config;
+use crate::platform::config::OperatorKey;
+use crate::platform::store::KeyedRecord;
+use crate::protocol::codec;
+use crate::protocol::fleet::FleetEntry;
+use crate::protocol::fleet::MoveRecord;
+use crate::protocol::name::NodeId;
+use crate::protocol::name::ServiceName;
+use crate::sidecar::Sidecar;
+use crate::state::routing_table::RoutingTable;
+
+/// Takes over a configuration or an order.
+pub fn apply_operator(cx: &Rc<Sidecar>, record: &KeyedRecord) {
+    match config::read_key(&record.key) {
+        Some(OperatorKey::Config) => apply_config(cx, record),
+        Some(OperatorKey::Move(service)) => match config::read_order(&record.value) {
+            Ok(order) => {
+                let text = format!(
+                    "{} to {} within {:?}",
+                    order.service, order.target, order.within
+                );
+                let now = cx.clock.now();
+                let new = cx
+                    .state
+                    .borrow_mut()
+                    .moves
+                    .on_order(now, record.offset, order);
+                info!(cx.log, "order to move"; "order" => text, "offset" => record.offset, "new" => new);
+            }
+            Err(why) => {
+                warn!(cx.log, "order ignored"; "service" => service, "offset" => record.offset, "why" => why);
+            }
+        },
+        None => {
+            info!(cx.log, "record ignored"; "key" => &record.key, "offset" => record.offset);
+        }
+    }
+}
+
+/// Puts a configuration in force unless it is older than the one in force or broken.
+fn apply_config(cx: &Rc<Sidecar>, record: &KeyedRecord) {
+    let config = match config::read_config(&record.value) {
+        Ok(config) => config,
+        Err(why) => {
+            warn!(cx.log, "configuration refused"; "offset" => record.offset, "why" => why);
+            return;
+        }
+    };
+    let mut state = cx.state.borrow_mut();
+    let in_force = state.table.as_ref().map_or(0, |table| table.version());
+    if state.table.is_some() && config.version <= in_force {
+        info!(cx.log, "configuration ignored"; "version" => config.version, "in_force" => in_force,
+            "offset" => record.offset);
+        return;
+    }
+    let table = RoutingTable::new(config);
+    info!(cx.log, "configuration in force"; "version" => table.version(), "before" => in_force,
+        "routes" => table.routes(), "offset" => record.offset);
+    #[allow(clippy::cast_precision_loss, reason = "a gauge is a float")]
+    cx.metrics.config_version.set(table.version() as f64);
+    state.table = Some(Rc::new(table));
+}
+
+/// Takes over what a node says of itself.
+pub fn apply_fleet(cx: &Rc<Sidecar>, record: &KeyedRecord) {
+    let now = cx.clock.now();
+    let is_own = record.key == cx.settings.id.as_str();
+    if record.value.is_empty() {
+        if is_own {
+            cx.state.borrow_mut().announced = None;
+            cx.entry_changed.notify_one();
+        } else {
+            cx.state
+                .borrow_mut()
+                .placement
+                .forget(&NodeId::from(&*record.key));
+            info!(cx.log, "node left"; "peer" => &record.key, "offset" => record.offset);
+        }
+        return;
+    }
+    let entry: FleetEntry = match codec::decode(&record.value) {
+        Ok(entry) => entry,
+        Err(failure) => {
+            warn!(cx.log, "entry ignored"; "key" => &record.key, "offset" => record.offset, "why" => failure.text);
+            return;
+        }
+    };
+    if is_own {
+        // A late write of an earlier process must not stand.
+        if entry.run != cx.run {
+            cx.state.borrow_mut().announced = None;
+            cx.entry_changed.notify_one();
+        }
+        return;
+    }
+    if entry.node.as_str() != record.key {
+        warn!(cx.log, "entry ignored"; "key" => &record.key, "offset" => record.offset, "why" => "names another node");
+        return;
+    }
+    let mut state = cx.state.borrow_mut();
+    if state.placement.on_entry(now, &entry) {
+        let backend = entry.backend.as_ref();
+        info!(cx.log, "peer changed"; "peer" => entry.node.as_str(), "offset" => record.offset,
+            "backend" => backend.map_or("none".into(), |b| format!("{} {} {:?}", b.instance, b.version, b.phase)));
+    }
+    #[allow(clippy::cast_precision_loss, reason = "a gauge is a float")]
+    cx.metrics.nodes.set(state.placement.nodes() as f64);
+}
+
+/// Takes over the progress of a move.
+pub fn apply_moves(cx: &Rc<Sidecar>, record: &KeyedRecord) {
+    let service = ServiceName::from(&*record.key);
+    match codec::decode::<MoveRecord>(&record.value) {
+        Ok(progress) => {
+            let now = cx.clock.now();
+            let text = format!("{:?} by {}", progress.state, progress.author);
+            let new = cx
+                .state
+                .borrow_mut()
+                .moves
+                .on_record(now, &service, progress);
+            info!(cx.log, "move recorded"; "service" => service.as_str(), "state" => text,
+                "offset" => record.offset, "new" => new);
+        }
+        Err(failure) => {
+            warn!(cx.log, "move ignored"; "key" => &record.key, "offset" => record.offset, "why" => failure.text);
+        }
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod local_backend;
 pub mod log_fold;
+pub mod mirror;
 pub mod outcome;
 pub mod routing_table;
 pub mod snapshot;
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -24,6 +24,7 @@
 use actix_http::h1::Message;
 use actix_http::h1::MessageType;
 use actix_http::header::CONTENT_LENGTH;
+use actix_http::header::HOST;
 use actix_http::header::HeaderName;
 use actix_http::header::HeaderValue;
 use actix_http::header::TRANSFER_ENCODING;
@@ -275,6 +276,11 @@
         for (name, value) in exchange.headers {
             head.headers.append(name, value);
         }
+        if !head.headers.contains_key(HOST)
+            && let Ok(host) = HeaderValue::try_from(exchange.addr.to_string())
+        {
+            head.headers.insert(HOST, host);
+        }
         head.set_connection_type(ConnectionType::KeepAlive);
         let size = BodySize::Sized(exchange.body.len() as u64);
         let message = Message::Item((RequestHeadType::Owned(head), size));
