Fewer calls to the store when all nodes start together

Change: the fleet's topic pauses 0.7 s between changes, moves are read with the first order, the source is chosen again at each change, and waits follow the time within which a configuration has to be in force (new setting).

--- a/src/coordination/version_move.rs
+++ b/src/coordination/version_move.rs
@@ -188,6 +188,12 @@
             .is_ok_and(|index| (index as f64) < exposed)
     }
 
+    /// Whether any order is known.
+    #[must_use]
+    pub fn has_orders(&self) -> bool {
+        !self.moves.is_empty()
+    }
+
     /// Whether any move is under way.
     #[must_use]
     pub fn is_active(&self) -> bool {
--- a/src/sidecar/followers.rs
+++ b/src/sidecar/followers.rs
@@ -33,18 +33,24 @@
 const OPERATOR: usize = 0;
 /// Place of the fleet's topic.
 const FLEET: usize = 1;
+/// Place of the topic of moves.
+const MOVES: usize = 2;
 /// Pause between two reads with records, so that a storm of changes costs few calls. It is well
 /// below the 2 s within which a configuration has to be in force.
 const STORM_PAUSE: Duration = Duration::from_millis(250);
+/// The same for the fleet's topic. When all nodes start together, their entries come over a
+/// heartbeat's interval; a node that is chosen meanwhile although it has gone refuses by itself.
+const FLEET_STORM_PAUSE: Duration = Duration::from_millis(700);
 /// First pause after a read that failed; doubled up to [`RETRY_MAX`].
 const RETRY_BASE: Duration = Duration::from_millis(100);
 /// Longest such pause. Entries have to be back within 2 s of the store's return.
 const RETRY_MAX: Duration = Duration::from_millis(800);
-/// Wait of a reader's read of the operator's topic, and of a follower's question. A reader that is
-/// cut off is found within it, well before a configuration has to be in force.
-pub const FRESH_WAIT: Duration = Duration::from_millis(900);
-/// Age of a view up to which others may follow it: a wait and the way to a store that is well.
-pub const MAX_AGE: Duration = Duration::from_millis(1_250);
+/// Part of the time within which a configuration has to be in force for which a reader waits at the
+/// operator's topic and a follower at a reader. One that is cut off is found within it, and the other
+/// half is left to read the store.
+const FRESH_SHARE: f64 = 0.45;
+/// Time beyond such a wait up to which a view may be followed: the way to a store that is well.
+const AGE_MARGIN: Duration = Duration::from_millis(350);
 /// Time after a follower's last question for which a node reads as a reader does.
 const FOLLOWED_FOR: Duration = Duration::from_secs(4);
 /// Pause between two looks at a source that is the store.
@@ -89,12 +95,27 @@
         Some([operator.end()?, fleet.end()?, moves.end()?])
     }
 
+    /// Takes note that a topic needs no reading yet.
+    fn skip(&self, topic: usize) {
+        self.mirrors.borrow_mut()[topic].advance(0);
+    }
+
     fn is_followed(&self, now: Duration) -> bool {
         let since = self.followed_at.get();
         since.is_some_and(|since| now.saturating_sub(since) < FOLLOWED_FOR)
     }
 }
 
+/// Wait of a reader's read of the operator's topic, and of a follower's question.
+pub fn fresh_wait(cx: &Sidecar) -> Duration {
+    cx.settings.config_within().mul_f64(FRESH_SHARE)
+}
+
+/// Age of a view up to which others may follow it.
+pub fn max_age(cx: &Sidecar) -> Duration {
+    fresh_wait(cx) + AGE_MARGIN
+}
+
 /// Starts to follow all topics.
 pub fn start(cx: &Rc<Sidecar>) {
     for topic in 0..TOPICS.len() {
@@ -117,6 +138,13 @@
 /// Reads one topic at the store while that is the source.
 async fn follow_store(cx: &Rc<Sidecar>, topic: usize) {
     let mut failures = 0_u32;
+    if topic == MOVES {
+        // Without an order there is no move.
+        cx.feed.skip(topic);
+        while !cx.state.borrow().moves.has_orders() {
+            cx.feed.changed.notified().await;
+        }
+    }
     loop {
         if *cx.feed.source.borrow() != Source::Store {
             cx.feed.source_changed.notified().await;
@@ -137,7 +165,12 @@
                 let changed = !batch.records.is_empty();
                 take_over(cx, topic, next, batch, began);
                 if changed && next != NextRead::Newest {
-                    actix_rt::time::sleep(STORM_PAUSE).await;
+                    let pause = if topic == FLEET {
+                        FLEET_STORM_PAUSE
+                    } else {
+                        STORM_PAUSE
+                    };
+                    actix_rt::time::sleep(pause).await;
                 }
             }
             Err(StoreFailure::Expired) => {
@@ -176,7 +209,7 @@
     };
     let mut wait = cx.feed.cursors.borrow()[topic].wait();
     if topic == OPERATOR && cx.feed.is_followed(cx.clock.now()) {
-        wait = wait.min(FRESH_WAIT);
+        wait = wait.min(fresh_wait(cx));
     }
     cx.store.read(TOPICS[topic], from, wait).await
 }
@@ -241,7 +274,8 @@
         };
         let source = choose_source(cx);
         let Source::Peer(node, addr) = source else {
-            actix_rt::time::sleep(SOURCE_CHECK).await;
+            // A change may have brought the nodes that make a reader worthwhile.
+            let _ = actix_rt::time::timeout(SOURCE_CHECK, cx.feed.changed.notified()).await;
             continue;
         };
         match relay_port::ask(cx, addr, positions).await {
--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -23,8 +23,7 @@
 use crate::protocol::codec::MAX_MESSAGE_BYTES;
 use crate::protocol::time::millis;
 use crate::sidecar::Sidecar;
-use crate::sidecar::followers::FRESH_WAIT;
-use crate::sidecar::followers::MAX_AGE;
+use crate::sidecar::followers;
 use crate::state::mirror::Mirror;
 use crate::transport::exchange::Exchange;
 use crate::transport::headers;
@@ -96,11 +95,11 @@
     };
     if !is_news(&cx.feed.mirrors.borrow()) {
         // Either end is fine: the answer is made from what is there then.
-        let _ = actix_rt::time::timeout(FRESH_WAIT, news).await;
+        let _ = actix_rt::time::timeout(followers::fresh_wait(cx), news).await;
     }
     let now = cx.clock.now();
     let age = cx.feed.confirmed_at.get().map(|at| now.saturating_sub(at));
-    let Some(age) = age.filter(|age| *age <= MAX_AGE && !cx.stopping.get()) else {
+    let Some(age) = age.filter(|age| *age <= followers::max_age(cx) && !cx.stopping.get()) else {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     };
     let Some(answer) = answer(cx, from, age) else {
@@ -158,7 +157,7 @@
         echo: None,
         max_answer: MAX_MESSAGE_BYTES,
     };
-    let limit = FRESH_WAIT + ANSWER_MARGIN;
+    let limit = followers::fresh_wait(cx) + ANSWER_MARGIN;
     let answer = match actix_rt::time::timeout(limit, cx.pool.send(exchange)).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(failure)) => return Err(failure.to_string()),
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -48,6 +48,8 @@
     pub store_addr: SocketAddr,
     /// Time between two heartbeats, milliseconds.
     pub heartbeat_interval_ms: f64,
+    /// Time from its acknowledgement until a configuration has to be in force, milliseconds.
+    pub config_within_ms: f64,
     /// Time from SIGTERM until the process is killed, seconds.
     pub stop_within_s: f64,
     /// Time after which a backend server that leaves gets no new work, milliseconds.
@@ -73,6 +75,7 @@
     required("metrics_addr", Kind::Address),
     required("store_addr", Kind::Address),
     required("heartbeat_interval_ms", Kind::Quantity),
+    required("config_within_ms", Kind::Quantity),
     required("stop_within_s", Kind::Quantity),
     required("drain_within_ms", Kind::Quantity),
     required("retry_ratio", Kind::Quantity),
@@ -113,6 +116,7 @@
     let mut findings = Findings::default();
     let times = [
         ("heartbeat_interval_ms", settings.heartbeat_interval_ms),
+        ("config_within_ms", settings.config_within_ms),
         ("stop_within_s", settings.stop_within_s),
         ("drain_within_ms", settings.drain_within_ms),
         ("retry_window_s", settings.retry_window_s),
@@ -137,6 +141,12 @@
         Duration::from_secs_f64(self.heartbeat_interval_ms / 1e3)
     }
 
+    /// Time from its acknowledgement until a configuration has to be in force.
+    #[must_use]
+    pub fn config_within(&self) -> Duration {
+        Duration::from_secs_f64(self.config_within_ms / 1e3)
+    }
+
     /// Time from SIGTERM until the process is killed.
     #[must_use]
     pub fn stop_within(&self) -> Duration {
