Judge speed by route and run time; bring shed callers back at once

Cause: a node's speed was the ratio of all its latencies to the mean of its service, so that a node with more calls of a long route looked slow, and queue time counted twice. A caller whose call a backend server had shed although it had a free slot was sent away for 0.3 s, which made it late. And when everything failed, lookups used up the repeats that claims need.

Change: run times travel with the answer and are compared by route; the wait uses the node's own mean run; shed callers come back after 15 ms; a third of the quota is kept for calls that are not idempotent.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -40,16 +40,16 @@
 const HEADS_KB: f64 = 0.7;
 /// Size that is assumed for the answers of a route without answers, kilobytes.
 const UNKNOWN_ANSWER_KB: f64 = 1.0;
-/// Weight of one answer in the mean size of its route's answers.
-const SIZE_WEIGHT: f64 = 0.05;
 /// Part of the objective from which an expected time counts as late: run times spread.
 const LATE_SHARE: f64 = 0.75;
 /// Factor on the expected time beyond that part.
 const LATE_FACTOR: f64 = 2.0;
 /// Run time that is assumed before any answer, milliseconds.
 const UNKNOWN_RUN_MS: f64 = 60.0;
-/// Weight of one answer in a node's speed and in the mean run time.
+/// Weight of one answer in a node's speed.
 const SPEED_WEIGHT: f64 = 0.1;
+/// Weight of one answer in the means of its route, which change less than a node's speed.
+const MEAN_WEIGHT: f64 = 0.03;
 /// Weight of one result in a node's failure rate.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Time in which a failure rate halves without results.
@@ -102,8 +102,8 @@
 pub struct Feedback {
     /// How it ended.
     pub end: AttemptEnd,
-    /// Time from the start of the attempt.
-    pub latency: Duration,
+    /// Time that the call ran at the backend server.
+    pub run: Duration,
     /// Load and results that the node reported with its answer.
     pub report: Option<(Load, Tally)>,
     /// Size of the answer's body, bytes; zero if there was none.
@@ -210,7 +210,11 @@
         let slots = f64::from(backend.slots);
         let load = self.believed_load(now);
         let busy = ((load / slots - BUSY_SHARE) / (1.0 - BUSY_SHARE)).clamp(0.0, 1.0);
-        let wait = (load + 1.0 - slots).max(0.0) * run / slots;
+        let waiting_run = match self.load.mean_run_ms {
+            0 => run,
+            measured => f64::from(measured),
+        };
+        let wait = (load + 1.0 - slots).max(0.0) * waiting_run / slots;
         self.distance.way_ms() + run * (1.0 + FULL_SLOWDOWN * busy) + wait
     }
 
@@ -233,16 +237,12 @@
     }
 }
 
+/// Means over the answers of all backend servers.
 #[derive(Debug)]
-struct ServiceRuns {
-    service: ServiceName,
-    mean_ms: f64,
-}
-
-#[derive(Debug)]
-struct RouteAnswers {
+struct RouteMeans {
     route: RouteName,
-    mean_kb: f64,
+    run_ms: f64,
+    answer_kb: f64,
 }
 
 /// What the cost of a call depends on besides the node.
@@ -277,10 +277,8 @@
     domain: DomainName,
     /// Sorted by node.
     candidates: Vec<Candidate>,
-    /// Sorted by service.
-    runs: Vec<ServiceRuns>,
     /// Sorted by route.
-    answers: Vec<RouteAnswers>,
+    routes: Vec<RouteMeans>,
 }
 
 impl Placement {
@@ -292,8 +290,7 @@
             region,
             domain,
             candidates: Vec::new(),
-            runs: Vec::new(),
-            answers: Vec::new(),
+            routes: Vec::new(),
         }
     }
 
@@ -374,10 +371,11 @@
     /// Chooses the node with the least expected cost. A node that is paused is used only if no other
     /// one is left.
     pub fn pick(&self, now: Duration, rng: &mut impl Rng, wanted: &Wanted<'_>) -> Option<Pick> {
+        let means = self.means(wanted.route);
         let call = CallCost {
-            run_ms: self.mean_run_ms(wanted.service),
+            run_ms: means.map_or(UNKNOWN_RUN_MS, |means| means.run_ms),
             objective_ms: wanted.objective.as_secs_f64() * 1e3,
-            answer_kb: self.mean_answer_kb(wanted.route),
+            answer_kb: means.map_or(UNKNOWN_ANSWER_KB, |means| means.answer_kb),
             failure_runs: if wanted.idempotent {
                 FAILURE_RUNS
             } else {
@@ -446,23 +444,13 @@
 
     /// Takes over what the end of an attempt tells about a node and about the route.
     pub fn on_end(&mut self, now: Duration, node: &NodeId, route: &RouteName, feedback: &Feedback) {
-        if feedback.end == (AttemptEnd::Ran { failed: false }) {
-            self.observe_answer(route, feedback.bytes);
-        }
+        let mean_ms = match feedback.end {
+            AttemptEnd::Ran { failed: false } => Some(self.observe(route, feedback)),
+            _ => None,
+        };
         let Ok(index) = self.index(node) else {
             return;
         };
-        let service = self.candidates[index]
-            .entry
-            .backend
-            .as_ref()
-            .map(|backend| backend.service.clone());
-        let mean_ms = match (&service, feedback.end) {
-            (Some(service), AttemptEnd::Ran { failed: false }) => {
-                Some(self.observe(service, feedback.latency))
-            }
-            _ => None,
-        };
         if let Some((load, tally)) = feedback.report {
             self.on_report(now, node, load, tally);
         }
@@ -479,7 +467,7 @@
             AttemptEnd::Cancelled => {}
         }
         if let Some(mean_ms) = mean_ms {
-            let relative = (feedback.latency.as_secs_f64() * 1e3 / mean_ms).clamp(0.1, 20.0);
+            let relative = (feedback.run.as_secs_f64() * 1e3 / mean_ms).clamp(0.1, 20.0);
             candidate.speed += (relative - candidate.speed) * SPEED_WEIGHT;
         }
     }
@@ -523,51 +511,34 @@
             .binary_search_by(|candidate| candidate.entry.node.cmp(node))
     }
 
-    fn mean_run_ms(&self, service: &ServiceName) -> f64 {
-        self.runs
-            .binary_search_by(|runs| runs.service.cmp(service))
-            .map_or(UNKNOWN_RUN_MS, |index| self.runs[index].mean_ms)
-    }
-
-    fn mean_answer_kb(&self, route: &RouteName) -> f64 {
-        self.answers
-            .binary_search_by(|answers| answers.route.cmp(route))
-            .map_or(UNKNOWN_ANSWER_KB, |index| self.answers[index].mean_kb)
-    }
-
-    fn observe_answer(&mut self, route: &RouteName, bytes: usize) {
-        let kilobytes = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / 1e3;
-        match self
-            .answers
-            .binary_search_by(|answers| answers.route.cmp(route))
-        {
-            Ok(index) => {
-                let mean = &mut self.answers[index].mean_kb;
-                *mean += (kilobytes - *mean) * SIZE_WEIGHT;
-            }
-            Err(index) => self.answers.insert(
-                index,
-                RouteAnswers {
-                    route: route.clone(),
-                    mean_kb: kilobytes,
-                },
-            ),
-        }
+    fn means(&self, route: &RouteName) -> Option<&RouteMeans> {
+        let index = self.routes.binary_search_by(|means| means.route.cmp(route));
+        Some(&self.routes[index.ok()?])
     }
 
-    fn observe(&mut self, service: &ServiceName, latency: Duration) -> f64 {
-        let took = latency.as_secs_f64() * 1e3;
-        match self.runs.binary_search_by(|runs| runs.service.cmp(service)) {
+    /// Adds an answer to the means of its route and returns the mean run time, milliseconds.
+    fn observe(&mut self, route: &RouteName, feedback: &Feedback) -> f64 {
+        let run_ms = feedback.run.as_secs_f64() * 1e3;
+        let answer_kb = f64::from(u32::try_from(feedback.bytes).unwrap_or(u32::MAX)) / 1e3;
+        match self.routes.binary_search_by(|means| means.route.cmp(route)) {
             Ok(index) => {
-                let mean = &mut self.runs[index].mean_ms;
-                *mean += (took - *mean) * SPEED_WEIGHT / 4.0;
-                mean.max(1.0)
+                let means = &mut self.routes[index];
+                means.run_ms += (run_ms - means.run_ms) * MEAN_WEIGHT;
+                means.answer_kb += (answer_kb - means.answer_kb) * MEAN_WEIGHT;
+                means.run_ms.max(1.0)
             }
             Err(index) => {
-                let service = service.clone();
-                let mean_ms = took.max(1.0);
-                self.runs.insert(index, ServiceRuns { service, mean_ms });
-                mean_ms
+                let run_ms = run_ms.max(1.0);
+                let route = route.clone();
+                self.routes.insert(
+                    index,
+                    RouteMeans {
+                        route,
+                        run_ms,
+                        answer_kb,
+                    },
+                );
+                run_ms
             }
         }
     }
--- a/src/coordination/retry_quota.rs
+++ b/src/coordination/retry_quota.rs
@@ -14,6 +14,10 @@
 /// as repeats there, where this node does not see them.
 const SAFETY: f64 = 0.7;
 
+/// Share of the quota that only urgent calls may use: when everything fails, the others would use it
+/// up before them.
+const URGENT_SHARE: f64 = 0.35;
+
 /// The fleet's budget.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
@@ -61,8 +65,15 @@
         self.part(now, service).requests += 1;
     }
 
-    /// Takes the right to one repeat; `nodes` is the number of nodes that share the budget.
-    pub fn take(&mut self, now: Duration, service: &ServiceName, nodes: usize) -> bool {
+    /// Takes the right to one repeat; `nodes` is the number of nodes that share the budget. Urgent are
+    /// calls whose callers cannot simply send them again.
+    pub fn take(
+        &mut self,
+        now: Duration,
+        service: &ServiceName,
+        nodes: usize,
+        urgent: bool,
+    ) -> bool {
         let current = self.part_number(now);
         let oldest = (current + 1).saturating_sub(PARTS as u64);
         let index = self.index(service);
@@ -74,6 +85,11 @@
         let nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
         let allowed = SAFETY
             * (self.budget.ratio * f64::from(requests) + self.budget.slack / f64::from(nodes));
+        let allowed = if urgent {
+            allowed
+        } else {
+            allowed * (1.0 - URGENT_SHARE)
+        };
         if f64::from(repeats + 1) > allowed {
             return false;
         }
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -121,6 +121,12 @@
             running: self.running,
             waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
             slots: self.slots,
+            #[allow(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "the deadline bounds the run time"
+            )]
+            mean_run_ms: (self.mean_run_s * 1e3) as u32,
         }
     }
 
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -91,6 +91,8 @@
     pub waiting: u32,
     /// Slots of the backend server.
     pub slots: u32,
+    /// Mean run time of its calls, milliseconds; zero before any.
+    pub mean_run_ms: u32,
 }
 
 /// What the serving node tells the entry node with an answer.
@@ -102,6 +104,8 @@
     pub arrived: bool,
     /// Number of the result code if the node made the answer itself, otherwise zero.
     pub code: u16,
+    /// Time that the call ran at the backend server, milliseconds.
+    pub run_ms: u32,
     /// How busy the node is.
     pub load: Load,
     /// Results of its backend server.
@@ -113,13 +117,15 @@
     #[must_use]
     pub fn encode(&self) -> String {
         format!(
-            "{};{};{};{};{};{};{};{};{}",
+            "{};{};{};{};{};{};{};{};{};{};{}",
             self.run.as_str(),
             u8::from(self.arrived),
             self.code,
+            self.run_ms,
             self.load.running,
             self.load.waiting,
             self.load.slots,
+            self.load.mean_run_ms,
             self.tally.runs,
             self.tally.failures,
             self.tally.latency_percent
@@ -134,10 +140,12 @@
             run: Run::from_header(fields.next()?),
             arrived: fields.next()? == "1",
             code: fields.next()?.parse().ok()?,
+            run_ms: fields.next()?.parse().ok()?,
             load: Load {
                 running: fields.next()?.parse().ok()?,
                 waiting: fields.next()?.parse().ok()?,
                 slots: fields.next()?.parse().ok()?,
+                mean_run_ms: fields.next()?.parse().ok()?,
             },
             tally: Tally {
                 runs: fields.next()?.parse().ok()?,
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -249,12 +249,14 @@
         let end = make_attempt(cx, call, &pick, progress.accepts_late, now).await;
         progress.tried.push(pick.node);
         match end {
-            ServeEnd::Ran(answer) if answer.status.is_server_error() && call.route.idempotent => {
+            ServeEnd::Ran { answer, .. }
+                if answer.status.is_server_error() && call.route.idempotent =>
+            {
                 progress.arrivals += 1;
                 progress.may_have_run = true;
                 progress.failed_answer = Some(answer);
             }
-            ServeEnd::Ran(answer) => return Some(answer),
+            ServeEnd::Ran { answer, .. } => return Some(answer),
             ServeEnd::Refused {
                 code,
                 arrived,
@@ -285,7 +287,10 @@
     }
     let mut state = cx.state.borrow_mut();
     let nodes = state.placement.nodes();
-    let allowed = state.quota.take(now, &call.serve.head.service, nodes);
+    let urgent = !call.route.idempotent;
+    let allowed = state
+        .quota
+        .take(now, &call.serve.head.service, nodes, urgent);
     drop(state);
     if allowed {
         cx.metrics.repeats.increment(1);
@@ -367,7 +372,7 @@
 struct InFlight<'a> {
     cx: &'a Sidecar,
     node: &'a NodeId,
-    began: Duration,
+    run: Duration,
     end: AttemptEnd,
     report: Option<(Load, Tally)>,
     route: &'a RouteName,
@@ -379,7 +384,7 @@
         let now = self.cx.clock.now();
         let feedback = Feedback {
             end: self.end,
-            latency: now.saturating_sub(self.began),
+            run: self.run,
             report: self.report,
             bytes: self.bytes,
         };
@@ -401,7 +406,7 @@
     let mut in_flight = InFlight {
         cx,
         node: &pick.node,
-        began: now,
+        run: Duration::ZERO,
         end: AttemptEnd::Cancelled,
         report: None,
         route: &call.route.name,
@@ -427,7 +432,8 @@
     };
     in_flight.end = attempt_end(&result);
     in_flight.report = result.report;
-    if let ServeEnd::Ran(answer) = &result.end {
+    if let ServeEnd::Ran { answer, took } = &result.end {
+        in_flight.run = *took;
         in_flight.bytes = answer.body.len();
     }
     drop(in_flight);
@@ -437,7 +443,7 @@
 fn attempt_end(result: &HopResult) -> AttemptEnd {
     match &result.end {
         _ if !result.reached => AttemptEnd::Unreachable,
-        ServeEnd::Ran(answer) => AttemptEnd::Ran {
+        ServeEnd::Ran { answer, .. } => AttemptEnd::Ran {
             failed: answer.status.is_server_error(),
         },
         ServeEnd::Refused { arrived: true, .. } => AttemptEnd::Shed,
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -99,12 +99,16 @@
 fn answer(cx: &Sidecar, end: ServeEnd) -> Response<BoxBody> {
     let (load, tally) = serving::report(cx);
     let (run, arrived, code) = match &end {
-        ServeEnd::Ran(_) => (Run::Yes, true, 0),
+        ServeEnd::Ran { .. } => (Run::Yes, true, 0),
         ServeEnd::Refused { code, arrived, .. } => (Run::No, *arrived, code.number()),
         ServeEnd::Unknown(code) => (Run::Unknown, true, code.number()),
     };
+    let run_ms = match &end {
+        ServeEnd::Ran { took, .. } => u32::try_from(took.as_millis()).unwrap_or(u32::MAX),
+        _ => 0,
+    };
     let mut response = match end {
-        ServeEnd::Ran(answer) => backend_response(answer),
+        ServeEnd::Ran { answer, .. } => backend_response(answer),
         ServeEnd::Refused { come_back, .. } => {
             let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
             let millis = u64::try_from(come_back.as_millis()).unwrap_or(u64::MAX);
@@ -118,6 +122,7 @@
         run,
         arrived,
         code,
+        run_ms,
         load,
         tally,
     };
@@ -209,7 +214,10 @@
     let code = ResultCode::from_number(end.code);
     let come_back = headers::number(&answer.headers, COME_BACK_HEADER);
     let result = match end.run {
-        Run::Yes => ServeEnd::Ran(answer),
+        Run::Yes => ServeEnd::Ran {
+            answer,
+            took: Duration::from_millis(end.run_ms.into()),
+        },
         Run::No => ServeEnd::Refused {
             code: code.unwrap_or(ResultCode::NoBackend),
             arrived: end.arrived,
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -44,6 +44,10 @@
 /// Time after which a caller is asked to come back if no backend server takes its call.
 pub const NO_BACKEND_RETURN: Duration = Duration::from_millis(300);
 
+/// The same if a backend server refused the call although it had a free slot by the node's count. The
+/// next call may do better, and a caller that returns at once can still be in time.
+const SHED_RETURN: Duration = Duration::from_millis(15);
+
 /// A call for the backend server beside the node.
 #[derive(Clone, Debug)]
 pub struct ServeCall {
@@ -67,7 +71,12 @@
 #[derive(Debug)]
 pub enum ServeEnd {
     /// The backend server ran it and vouches for the answer.
-    Ran(HttpAnswer),
+    Ran {
+        /// Its answer.
+        answer: HttpAnswer,
+        /// Time that it took.
+        took: Duration,
+    },
     /// It did not run and never will.
     Refused {
         /// Why.
@@ -306,8 +315,8 @@
     };
     let took = cx.clock.since(began);
     cx.metrics.backend_latency.record(took);
-    let end = conclude(&cx, &call, &backend, result);
-    if matches!(end, ServeEnd::Ran(_)) {
+    let end = conclude(&cx, &call, &backend, result, took);
+    if matches!(end, ServeEnd::Ran { .. }) {
         slot.took = Some(took);
     }
     slot.judged = judge(&cx, &end);
@@ -319,7 +328,7 @@
 /// Tells the breaker how the call ended. Returns whether the end says anything.
 fn judge(cx: &Sidecar, end: &ServeEnd) -> bool {
     let whole = match end {
-        ServeEnd::Ran(_) | ServeEnd::Refused { arrived: true, .. } => true,
+        ServeEnd::Ran { .. } | ServeEnd::Refused { arrived: true, .. } => true,
         ServeEnd::Unknown(ResultCode::BrokenAnswer) => false,
         ServeEnd::Unknown(_) | ServeEnd::Refused { .. } => return false,
     };
@@ -370,18 +379,19 @@
     call: &ServeCall,
     backend: &BackendReport,
     result: Result<HttpAnswer, Option<ExchangeFailure>>,
+    took: Duration,
 ) -> ServeEnd {
     let attempt = attempt_text(call.attempt.as_ref());
     match result {
         Ok(answer) => match requests::read_answer(answer.status.as_u16(), &answer.headers) {
-            Statement::Ran => ServeEnd::Ran(answer),
+            Statement::Ran => ServeEnd::Ran { answer, took },
             Statement::NotRun => {
                 info!(cx.log, "refused by the backend server"; "attempt" => attempt,
                     "instance" => &*backend.instance, "status" => answer.status.as_u16());
                 ServeEnd::Refused {
                     code: ResultCode::Overloaded,
                     arrived: true,
-                    come_back: NO_BACKEND_RETURN,
+                    come_back: SHED_RETURN,
                 }
             }
             Statement::OtherInstance => {
@@ -421,7 +431,7 @@
 /// count for its latency.
 fn count(cx: &Sidecar, call: &ServeCall, backend: &BackendReport, end: &ServeEnd, took: Duration) {
     let failed = match end {
-        ServeEnd::Ran(answer) => answer.status.is_server_error(),
+        ServeEnd::Ran { answer, .. } => answer.status.is_server_error(),
         ServeEnd::Unknown(_) => true,
         ServeEnd::Refused { .. } => return,
     };
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -89,7 +89,7 @@
     fn end(&mut self, now: Duration, node: &str, end: AttemptEnd) {
         let feedback = Feedback {
             end,
-            latency: ms(60),
+            run: ms(60),
             report: None,
             bytes: 400,
         };
@@ -98,11 +98,24 @@
         self.placement.on_end(now, &node, &self.route, &feedback);
     }
 
+    fn ran(&mut self, now: Duration, node: &str, route: &str, run: Duration) {
+        let feedback = Feedback {
+            end: AttemptEnd::Ran { failed: false },
+            run,
+            report: None,
+            bytes: 400,
+        };
+        let node = NodeId::from(node);
+        self.placement.on_start(&node);
+        self.placement.on_end(now, &node, &route.into(), &feedback);
+    }
+
     fn load(&mut self, now: Duration, node: &str, running: u32, waiting: u32) {
         let load = Load {
             running,
             waiting,
             slots: SLOTS,
+            mean_run_ms: 60,
         };
         self.placement
             .on_report(now, &node.into(), load, Tally::default());
@@ -187,3 +200,29 @@
 fn own_entry(node: &str) -> FleetEntry {
     entry(node, "accra", "accra-a")
 }
+
+/// Load: a service with short and long routes. Guards against taking a node for slow that ran more
+/// calls of the long route.
+#[gtest]
+fn pick_speed_by_route() {
+    let mut entry = fleet();
+    for step in 0..200 {
+        entry.ran(ms(step), "a", "long", ms(450));
+        entry.ran(ms(step), "b", "lookup", ms(60));
+        entry.ran(ms(step), "b", "long", ms(450));
+        entry.ran(ms(step), "a", "long", ms(450));
+    }
+    expect_that!(entry.pick(ms(300), &[]), some(eq("a")));
+}
+
+/// Load: the own backend server turns several times slower. Guards against staying there.
+#[gtest]
+fn pick_slow() {
+    let mut entry = fleet();
+    for step in 0..40 {
+        entry.ran(ms(step), "b", "lookup", ms(60));
+        entry.ran(ms(step), "c", "lookup", ms(60));
+        entry.ran(ms(step), "a", "lookup", ms(360));
+    }
+    expect_that!(entry.pick(ms(300), &[]), some(eq("b")));
+}
--- a/tests/retry_quota.rs
+++ b/tests/retry_quota.rs
@@ -15,7 +15,7 @@
 
 fn taken(quota: &mut RetryQuota, now: Duration, service: &ServiceName, nodes: usize) -> u32 {
     (0..1_000)
-        .map(|_| u32::from(quota.take(now, service, nodes)))
+        .map(|_| u32::from(quota.take(now, service, nodes, true)))
         .sum()
 }
 
@@ -30,7 +30,7 @@
         for call in 0..400_u64 {
             let now = Duration::from_millis(call * 25);
             quota.on_request(now, &service);
-            repeats += u32::from(quota.take(now, &service, 12));
+            repeats += u32::from(quota.take(now, &service, 12, call % 2 == 0));
         }
     }
     // 4,800 requests in one window.
@@ -63,3 +63,13 @@
     let first = taken(&mut quota, now, &"registry".into(), 4);
     expect_that!(taken(&mut quota, now, &"archive".into(), 4), eq(first));
 }
+
+/// Load: lookups fail together with claims. Guards against lookups using up what claims need.
+#[gtest]
+fn take_urgent_share() {
+    let service = ServiceName::from("registry");
+    let mut quota = RetryQuota::new(BUDGET);
+    let now = Duration::from_secs(1);
+    while quota.take(now, &service, 2, false) {}
+    expect_true!(quota.take(now, &service, 2, true));
+}
