Relay: strongest node reads; results only grow; one topic tries a lost store

Ruled out: the store, which answered readers in 4 ms.

Change: a follower whose reader failed reads the store for 2 s; readers are preferred by capacity (new settings); totals by version only grow; while the store is away only the operator's topic tries it.

The missed duty (a good version not complete) is still open.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -237,6 +237,14 @@
     }
 }
 
+/// Results of all backend servers of a version that this node has heard of.
+#[derive(Debug)]
+struct VersionTotal {
+    service: ServiceName,
+    version: VersionName,
+    tally: Tally,
+}
+
 /// Means over the answers of all backend servers.
 #[derive(Debug)]
 struct RouteMeans {
@@ -279,6 +287,8 @@
     candidates: Vec<Candidate>,
     /// Sorted by route.
     routes: Vec<RouteMeans>,
+    /// Sorted by service and version.
+    totals: Vec<VersionTotal>,
 }
 
 impl Placement {
@@ -291,6 +301,7 @@
             domain,
             candidates: Vec::new(),
             routes: Vec::new(),
+            totals: Vec::new(),
         }
     }
 
@@ -359,11 +370,16 @@
         self.candidates.iter().map(|candidate| &candidate.entry)
     }
 
-    /// Nodes of the own failure domain with their addresses, this one included, sorted by node.
+    /// Nodes of the own failure domain with their addresses, this one included; those that can carry
+    /// most come first.
     #[must_use]
     pub fn domain_nodes(&self) -> Vec<(NodeId, SocketAddr)> {
         let entries = self.entries().filter(|entry| entry.domain == self.domain);
-        entries
+        let mut entries: Vec<&FleetEntry> = entries.collect();
+        // The sort is stable, so that nodes with one capacity stay in the order of their names.
+        entries.sort_by_key(|entry| std::cmp::Reverse(entry.capacity));
+        let nodes = entries.into_iter();
+        nodes
             .map(|entry| (entry.node.clone(), entry.addr))
             .collect()
     }
@@ -427,14 +443,41 @@
 
     /// Takes over the load and results that a node reported.
     pub fn on_report(&mut self, now: Duration, node: &NodeId, load: Load, tally: Tally) {
-        if let Ok(index) = self.index(node) {
-            let candidate = &mut self.candidates[index];
-            candidate.load = load;
-            candidate.load_at = now;
-            candidate.tally = tally;
+        let Ok(index) = self.index(node) else {
+            return;
+        };
+        let candidate = &mut self.candidates[index];
+        candidate.load = load;
+        candidate.load_at = now;
+        let added = tally.since(&candidate.tally);
+        candidate.tally = tally;
+        if added.runs == 0 {
+            return;
+        }
+        if let Some(backend) = candidate.entry.backend.clone() {
+            self.add_results(&backend, &added);
         }
     }
 
+    /// Sums are kept by version and only grow: a node that leaves or restarts takes nothing back, which
+    /// would make what is left look slow or failing.
+    fn add_results(&mut self, backend: &BackendReport, added: &Tally) {
+        let key = (&backend.service, &backend.version);
+        let found = self
+            .totals
+            .binary_search_by(|total| (&total.service, &total.version).cmp(&key));
+        let index = found.unwrap_or_else(|index| {
+            let total = VersionTotal {
+                service: backend.service.clone(),
+                version: backend.version.clone(),
+                tally: Tally::default(),
+            };
+            self.totals.insert(index, total);
+            index
+        });
+        self.totals[index].tally.add(added);
+    }
+
     /// Counts the start of an attempt.
     pub fn on_start(&mut self, node: &NodeId) {
         if let Ok(index) = self.index(node) {
@@ -472,10 +515,15 @@
         }
     }
 
-    /// Results of all backend servers of a version together, and their slots.
+    /// Results of all backend servers of some versions together, and the slots of those that take work.
     #[must_use]
     pub fn results(&self, service: &ServiceName, of: impl Fn(&VersionName) -> bool) -> Results {
         let mut results = Results::default();
+        for total in &self.totals {
+            if total.service == *service && of(&total.version) {
+                results.tally.add(&total.tally);
+            }
+        }
         for candidate in &self.candidates {
             let Some(backend) = &candidate.entry.backend else {
                 continue;
@@ -483,9 +531,6 @@
             if backend.service != *service || !of(&backend.version) {
                 continue;
             }
-            results.tally.runs += candidate.tally.runs;
-            results.tally.failures += candidate.tally.failures;
-            results.tally.latency_percent += candidate.tally.latency_percent;
             if backend.phase == BackendPhase::Ready {
                 results.slots += backend.slots;
                 results.nodes.push(candidate.entry.node.clone());
--- a/src/coordination/relay.rs
+++ b/src/coordination/relay.rs
@@ -15,9 +15,13 @@
 /// that reads for itself, which does not pay for fewer.
 const MIN_NODES: usize = 4;
 /// Time for which a node that failed as a reader is passed over.
-const PASS_OVER: Duration = Duration::from_secs(4);
-/// Readers that fail before a node reads the store itself.
-const MAX_FAILED: usize = 2;
+const PASS_OVER: Duration = Duration::from_secs(30);
+/// Time for which a reader that answered, but is behind, is passed over. It may have followed the one
+/// that failed, and reads the store next.
+const PASS_OVER_BEHIND: Duration = Duration::from_secs(3);
+/// Time for which a follower reads the store itself after its reader failed. Another reader that is
+/// gone as well would cost it the time within which a configuration has to be in force.
+const CATCH_UP: Duration = Duration::from_secs(2);
 
 /// Where a node follows topics.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -32,11 +36,12 @@
 #[derive(Debug, Default)]
 pub struct Relay {
     failed: Vec<(NodeId, Duration)>,
+    store_until: Duration,
 }
 
 impl Relay {
-    /// Chooses the source. `domain` holds the nodes of the own failure domain, this one included,
-    /// sorted by node.
+    /// Chooses the source. `domain` holds the nodes of the own failure domain, this one included, the
+    /// preferred reader first: a change of the configuration goes from it to all others at once.
     pub fn source(
         &mut self,
         now: Duration,
@@ -44,7 +49,7 @@
         domain: &[(NodeId, SocketAddr)],
     ) -> Source {
         self.failed.retain(|(_, until)| *until > now);
-        if domain.len() < MIN_NODES || self.failed.len() >= MAX_FAILED {
+        if domain.len() < MIN_NODES || now < self.store_until {
             return Source::Store;
         }
         let has_failed = |node: &NodeId| self.failed.iter().any(|(failed, _)| failed == node);
@@ -54,9 +59,15 @@
         }
     }
 
-    /// Passes over a node that did not answer in time or was behind.
-    pub fn on_failure(&mut self, now: Duration, node: &NodeId) {
+    /// Passes over a node that did not answer in time or, if `is_behind`, has no fresh view.
+    pub fn on_failure(&mut self, now: Duration, node: &NodeId, is_behind: bool) {
+        let pass_over = if is_behind {
+            PASS_OVER_BEHIND
+        } else {
+            PASS_OVER
+        };
         self.failed.retain(|(failed, _)| failed != node);
-        self.failed.push((node.clone(), now + PASS_OVER));
+        self.failed.push((node.clone(), now + pass_over));
+        self.store_until = now + CATCH_UP;
     }
 }
--- a/src/coordination/stop_plan.rs
+++ b/src/coordination/stop_plan.rs
@@ -5,8 +5,9 @@
 /// Time for which a stopping node still takes new connections: the platform asks once a second
 /// whether it is ready and stops sending callers after two misses.
 const WITHDRAW_TIME: Duration = Duration::from_millis(2_600);
-/// Part of the allowed time that is kept for the end of the process.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Part of the allowed time that is kept for the end of the process; the smallest instances have a
+/// tenth of a core.
+const EXIT_MARGIN: Duration = Duration::from_millis(700);
 /// Time without an open call before the process ends. Callers with open connections send until they
 /// see an answer that closes theirs, and the last answers have to leave the process.
 const QUIET_TIME: Duration = Duration::from_millis(150);
--- a/src/coordination/version_move.rs
+++ b/src/coordination/version_move.rs
@@ -38,6 +38,9 @@
 const MAX_SLOWDOWN: f64 = 2.2;
 /// Runs of the old version that make a baseline.
 const MIN_BASELINE_RUNS: u64 = 20;
+/// Highest place in rank that adds to the delay. The nodes before it may all be gone, and a move still
+/// has to end in time; records by several nodes do no harm.
+const MAX_PLACE: u32 = 7;
 /// Time after which the next node in rank does what the one before it should have done.
 const RANK_DELAY: Duration = Duration::from_millis(300);
 
@@ -255,11 +258,11 @@
         if self.verdict.is_some() {
             return;
         }
-        let baseline = increase(&sample.old, &first.old);
+        let baseline = sample.old.since(&first.old);
         let recent = self.recent.front().map_or(first, |oldest| *oldest);
         let finding = [recent, first]
             .iter()
-            .find_map(|since| fault(&increase(&sample.target, &since.target), &baseline));
+            .find_map(|since| fault(&sample.target.since(&since.target), &baseline));
         self.verdict = finding.map(|text| (now, text));
     }
 
@@ -270,7 +273,8 @@
         new: &Results,
         old: &Results,
     ) -> Option<MoveAction> {
-        let delay = RANK_DELAY * u32::try_from(rank).unwrap_or(u32::MAX);
+        let place = MAX_PLACE.min(u32::try_from(rank).unwrap_or(u32::MAX));
+        let delay = RANK_DELAY * place;
         let elapsed = now.saturating_sub(self.started);
         let action = |state, why: String| {
             Some(MoveAction {
@@ -308,14 +312,6 @@
     }
 }
 
-fn increase(now: &Tally, then: &Tally) -> Tally {
-    Tally {
-        runs: now.runs.saturating_sub(then.runs),
-        failures: now.failures.saturating_sub(then.failures),
-        latency_percent: now.latency_percent.saturating_sub(then.latency_percent),
-    }
-}
-
 #[allow(
     clippy::cast_precision_loss,
     reason = "numbers of runs are far below 2^52"
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -86,6 +86,8 @@
     pub region: RegionName,
     /// Failure domain of the instance.
     pub domain: DomainName,
+    /// What the instance can carry for others, in hundredths of a core times Mbit/s.
+    pub capacity: u32,
     /// The backend server beside the node, if it takes work.
     pub backend: Option<BackendReport>,
 }
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -82,6 +82,28 @@
     pub latency_percent: u64,
 }
 
+impl Tally {
+    /// Adds the results of another backend server or time.
+    pub fn add(&mut self, other: &Self) {
+        self.runs += other.runs;
+        self.failures += other.failures;
+        self.latency_percent += other.latency_percent;
+    }
+
+    /// What has come since `earlier`; all of it if the backend server was started anew meanwhile.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        if self.runs < earlier.runs {
+            return *self;
+        }
+        Self {
+            runs: self.runs - earlier.runs,
+            failures: self.failures.saturating_sub(earlier.failures),
+            latency_percent: self.latency_percent.saturating_sub(earlier.latency_percent),
+        }
+    }
+}
+
 /// How busy a serving node is.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
--- a/src/sidecar/announcer.rs
+++ b/src/sidecar/announcer.rs
@@ -37,6 +37,7 @@
         addr: cx.settings.node_addr,
         region: cx.settings.region.clone(),
         domain: cx.settings.failure_domain.clone(),
+        capacity: cx.settings.capacity(),
         backend: backend.filter(|_| !cx.stopping.get()).cloned(),
     }
 }
@@ -81,6 +82,7 @@
                 }
                 let factor = cx.state.borrow_mut().rng.random_range(0.5..1.0);
                 actix_rt::time::sleep(RETRY_PAUSE.mul_f64(factor)).await;
+                cx.feed.store_available().await;
             }
         }
     }
--- a/src/sidecar/followers.rs
+++ b/src/sidecar/followers.rs
@@ -45,6 +45,8 @@
 const RETRY_BASE: Duration = Duration::from_millis(100);
 /// Longest such pause. Entries have to be back within 2 s of the store's return.
 const RETRY_MAX: Duration = Duration::from_millis(800);
+/// Time after which a topic is tried although the operator's topic is not answered.
+const RETRY_ALONE: Duration = Duration::from_millis(1_500);
 /// Part of the time within which a configuration has to be in force for which a reader waits at the
 /// operator's topic and a follower at a reader. One that is cut off is found within it, and the other
 /// half is left to read the store.
@@ -67,6 +69,10 @@
     pub followed_at: Cell<Option<Duration>>,
     /// Signals that a record came.
     pub changed: Notify,
+    /// Whether the last call to the operator's topic was answered.
+    store_answers: Cell<bool>,
+    /// Signals that the store answers again.
+    store_returned: Notify,
     relay: RefCell<Relay>,
     source: RefCell<Source>,
     source_changed: Notify,
@@ -80,6 +86,8 @@
             confirmed_at: Cell::new(None),
             followed_at: Cell::new(None),
             changed: Notify::new(),
+            store_answers: Cell::new(true),
+            store_returned: Notify::new(),
             relay: RefCell::default(),
             source: RefCell::new(Source::Store),
             source_changed: Notify::new(),
@@ -95,6 +103,24 @@
         Some([operator.end()?, fleet.end()?, moves.end()?])
     }
 
+    /// Waits while the store does not answer. Only the reads of the operator's topic try it then, since
+    /// calls in vain are priced as well.
+    pub async fn store_available(&self) {
+        if !self.store_answers.get() {
+            let returned = self.store_returned.notified();
+            // Also tried without a signal, in case a single topic answers.
+            let _ = actix_rt::time::timeout(RETRY_ALONE, returned).await;
+        }
+    }
+
+    fn note_store(&self, answers: bool) {
+        if answers && !self.store_answers.replace(true) {
+            self.store_returned.notify_waiters();
+        } else if !answers {
+            self.store_answers.set(false);
+        }
+    }
+
     /// Takes note that a topic needs no reading yet.
     fn skip(&self, topic: usize) {
         self.mirrors.borrow_mut()[topic].advance(0);
@@ -162,6 +188,7 @@
                     info!(cx.log, "store answers again"; "topic" => TOPICS[topic], "failures" => failures);
                 }
                 failures = 0;
+                cx.feed.note_store(true);
                 let changed = !batch.records.is_empty();
                 take_over(cx, topic, next, batch, began);
                 if changed && next != NextRead::Newest {
@@ -186,7 +213,13 @@
                 let pause = RETRY_BASE * 2_u32.saturating_pow(failures.min(8));
                 let factor = cx.state.borrow_mut().rng.random_range(0.5..1.0);
                 failures += 1;
+                if topic == OPERATOR {
+                    cx.feed.note_store(false);
+                }
                 actix_rt::time::sleep(pause.min(RETRY_MAX).mul_f64(factor)).await;
+                if topic != OPERATOR {
+                    cx.feed.store_available().await;
+                }
             }
         }
     }
@@ -289,10 +322,12 @@
                 let confirmed_at = cx.clock.now().saturating_sub(age);
                 cx.feed.confirmed_at.set(Some(confirmed_at));
             }
-            Err(why) => {
-                info!(cx.log, "reader passed over"; "reader" => node.as_str(), "why" => why);
+            Err(failure) => {
+                info!(cx.log, "reader passed over"; "reader" => node.as_str(), "why" => failure.why);
                 let now = cx.clock.now();
-                cx.feed.relay.borrow_mut().on_failure(now, &node);
+                let mut relay = cx.feed.relay.borrow_mut();
+                relay.on_failure(now, &node, failure.is_behind);
+                drop(relay);
                 // What was missed meanwhile is read without delay.
                 for cursor in cx.feed.cursors.borrow_mut().iter_mut() {
                     cursor.on_failure();
--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -140,13 +140,34 @@
     Response::with_body(status, BoxBody::new(()))
 }
 
+/// Why a reader is of no use.
+pub struct AskFailure {
+    /// Whether it answered that it has no fresh view.
+    pub is_behind: bool,
+    /// What was found.
+    pub why: String,
+}
+
+impl AskFailure {
+    fn lost(why: impl ToString) -> Self {
+        Self {
+            is_behind: false,
+            why: why.to_string(),
+        }
+    }
+}
+
 /// Asks a reader for what is missing here.
 ///
 /// # Errors
-/// A sentence on why the reader is of no use.
-pub async fn ask(cx: &Sidecar, addr: SocketAddr, from: [u64; 3]) -> Result<FollowAnswer, String> {
+/// An [`AskFailure`].
+pub async fn ask(
+    cx: &Sidecar,
+    addr: SocketAddr,
+    from: [u64; 3],
+) -> Result<FollowAnswer, AskFailure> {
     let offsets = from.map(|offset| offset.to_string()).join(",");
-    let offsets = HeaderValue::try_from(offsets).map_err(|e| e.to_string())?;
+    let offsets = HeaderValue::try_from(offsets).map_err(AskFailure::lost)?;
     let exchange = Exchange {
         addr,
         method: Method::GET,
@@ -160,11 +181,14 @@
     let limit = followers::fresh_wait(cx) + ANSWER_MARGIN;
     let answer = match actix_rt::time::timeout(limit, cx.pool.send(exchange)).await {
         Ok(Ok(answer)) => answer,
-        Ok(Err(failure)) => return Err(failure.to_string()),
-        Err(_) => return Err("no answer in time".into()),
+        Ok(Err(failure)) => return Err(AskFailure::lost(failure)),
+        Err(_) => return Err(AskFailure::lost("no answer in time")),
     };
     if answer.status != StatusCode::OK {
-        return Err(format!("status {}", answer.status.as_u16()));
+        return Err(AskFailure {
+            is_behind: answer.status == StatusCode::SERVICE_UNAVAILABLE,
+            why: format!("status {}", answer.status.as_u16()),
+        });
     }
-    codec::decode(&answer.body).map_err(|failure| failure.text)
+    codec::decode(&answer.body).map_err(AskFailure::lost)
 }
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -54,6 +54,10 @@
     pub stop_within_s: f64,
     /// Time after which a backend server that leaves gets no new work, milliseconds.
     pub drain_within_ms: f64,
+    /// Share of a core that the process has.
+    pub cpu_share: f64,
+    /// Bandwidth of the instance's link, Mbit/s.
+    pub link_mbps: f64,
     /// Repeats allowed for each request to a service, for the whole fleet.
     pub retry_ratio: f64,
     /// Repeats allowed besides in a window, for the whole fleet.
@@ -78,6 +82,8 @@
     required("config_within_ms", Kind::Quantity),
     required("stop_within_s", Kind::Quantity),
     required("drain_within_ms", Kind::Quantity),
+    required("cpu_share", Kind::Quantity),
+    required("link_mbps", Kind::Quantity),
     required("retry_ratio", Kind::Quantity),
     required("retry_slack", Kind::Quantity),
     required("retry_window_s", Kind::Quantity),
@@ -153,6 +159,17 @@
         Duration::from_secs_f64(self.stop_within_s)
     }
 
+    /// What the instance can carry for others, in hundredths of a core times Mbit/s.
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a float saturates at the bounds of the integer"
+    )]
+    pub fn capacity(&self) -> u32 {
+        (self.cpu_share * 100.0 * self.link_mbps) as u32
+    }
+
     /// The fleet's budget of repeats.
     #[must_use]
     pub fn retry_budget(&self) -> RetryBudget {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -33,6 +33,7 @@
         addr,
         region: region.into(),
         domain: domain.into(),
+        capacity: 20_000,
         backend: Some(BackendReport {
             instance: node.into(),
             born: 1,
@@ -226,3 +227,44 @@
     }
     expect_that!(entry.pick(ms(300), &[]), some(eq("b")));
 }
+
+/// Guards against results that shrink when a node leaves or restarts: a good version was taken back
+/// since the rest of the old one looked six times faster (ggwra-mesh-grown trouble-3).
+#[gtest]
+fn results_after_nodes_left() {
+    let mut entry = fleet();
+    let tally = |runs| Tally {
+        runs,
+        failures: 1,
+        latency_percent: runs * 30,
+    };
+    let load = Load::default();
+    entry
+        .placement
+        .on_report(ms(0), &"a".into(), load, tally(100));
+    entry
+        .placement
+        .on_report(ms(1), &"b".into(), load, tally(50));
+    entry
+        .placement
+        .on_report(ms(2), &"a".into(), load, tally(120));
+    entry.placement.forget(&"b".into());
+    entry
+        .placement
+        .on_report(ms(3), &"a".into(), load, tally(10));
+    let results = entry.placement.results(&"registry".into(), |_| true);
+    expect_that!(results.tally.runs, eq(180));
+    expect_that!(results.tally.latency_percent, eq(180 * 30));
+}
+
+/// Guards against a node that can carry little relaying for all others of its failure domain.
+#[gtest]
+fn domain_nodes_by_capacity() {
+    let mut entry = fleet();
+    let mut strong = own_entry("z");
+    strong.capacity = 90_000;
+    entry.placement.on_entry(ms(1), &strong);
+    let nodes = entry.placement.domain_nodes();
+    let names: Vec<&str> = nodes.iter().map(|(node, _)| node.as_str()).collect();
+    expect_that!(names, eq(&vec!["z", "a"]));
+}
