--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -41,7 +41,6 @@
 use crate::transport::headers;
 use crate::transport::http_client::HttpAnswer;
 use crate::transport::http_server;
-use crate::transport::http_server::Handler;
 use crate::transport::http_server::status_of;
 
 /// Time by which the entry node waits longer than it tells the serving node, so that an answer at
@@ -60,16 +59,9 @@
 /// Largest body that is read before a configuration names a limit, bytes.
 const DEFAULT_BODY_BYTES: usize = 1 << 20;
 
-/// Returns the handler of the port for callers.
-pub fn handler(cx: &Rc<Sidecar>) -> Handler {
-    let cx = cx.clone();
-    Rc::new(move |req| {
-        let cx = cx.clone();
-        Box::pin(async move { handle(&cx, req).await })
-    })
-}
-
-async fn handle(cx: &Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
+/// Answers a request of a caller.
+pub async fn handle(cx: Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
+    let cx = &cx;
     let arrived = cx.clock.now();
     cx.metrics.calls.increment(1);
     cx.open_calls.set(cx.open_calls.get() + 1);
--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -21,21 +21,13 @@
 use crate::sidecar::serving;
 use crate::state::local_backend::Change;
 use crate::transport::http_server;
-use crate::transport::http_server::Handler;
 
 /// Largest heartbeat that is read, bytes; one has about 200.
 const MAX_HEARTBEAT_BYTES: usize = 64 << 10;
 
-/// Returns the handler of the heartbeat port.
-pub fn handler(cx: &Rc<Sidecar>) -> Handler {
-    let cx = cx.clone();
-    Rc::new(move |req| {
-        let cx = cx.clone();
-        Box::pin(async move { handle(&cx, req).await })
-    })
-}
-
-async fn handle(cx: &Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
+/// Answers a heartbeat or a farewell.
+pub async fn handle(cx: Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
+    let cx = &cx;
     let mut payload = req.take_payload();
     let body = match http_server::read_body(&mut payload, MAX_HEARTBEAT_BYTES).await {
         Ok(body) => body,
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -15,7 +15,6 @@
 use slog::warn;
 
 use crate::platform::requests;
-use crate::protocol::call::MAX_BODY_BYTES;
 use crate::protocol::call::MAX_RESPONSE_BYTES;
 use crate::protocol::call::Run;
 use crate::protocol::hop::END_HEADER;
@@ -35,25 +34,20 @@
 use crate::transport::headers;
 use crate::transport::http_client::HttpAnswer;
 use crate::transport::http_server;
-use crate::transport::http_server::Handler;
 
 /// Idle time after which a connection to another node is not used again.
 const MAX_IDLE: Duration = Duration::from_secs(8);
 /// The same for calls that are not idempotent.
 const MAX_IDLE_NOT_IDEMPOTENT: Duration = Duration::from_secs(2);
+/// Largest body of a call from another node, bytes. The entry node has applied the configuration's
+/// limit, which the serving node may not know yet.
+const MAX_HOP_BODY_BYTES: usize = 64 << 20;
 /// Header of a refusal with the time after which room is expected, milliseconds.
 const COME_BACK_HEADER: &str = "sw-come-back-ms";
 
-/// Returns the handler of the port for other nodes.
-pub fn handler(cx: &Rc<Sidecar>) -> Handler {
-    let cx = cx.clone();
-    Rc::new(move |req| {
-        let cx = cx.clone();
-        Box::pin(async move { handle(&cx, req).await })
-    })
-}
-
-async fn handle(cx: &Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
+/// Answers a call or a question of another node.
+pub async fn handle(cx: Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
+    let cx = &cx;
     if req.path() == relay_port::FOLLOW_PATH && !req.headers().contains_key(HOP_HEADER) {
         return relay_port::serve(cx, &req).await;
     }
@@ -64,7 +58,7 @@
         warn!(cx.log, "hop refused"; "code" => ResultCode::BadRequest.number(), "path" => req.path());
         return answer(cx, ServeEnd::refused(ResultCode::BadRequest));
     };
-    let body = match http_server::read_body(&mut payload, MAX_BODY_BYTES).await {
+    let body = match http_server::read_body(&mut payload, MAX_HOP_BODY_BYTES).await {
         Ok(body) => body,
         Err(failure) => return answer(cx, ServeEnd::refused(failure.code)),
     };
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -21,6 +21,9 @@
 use std::path::Path;
 use std::rc::Rc;
 
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::body::BoxBody;
 use actix_http::header::HeaderValue;
 use actix_rt::net::TcpListener;
 use eyre::WrapErr;
@@ -51,6 +54,7 @@
 use crate::state::local_backend::LocalBackend;
 use crate::state::routing_table::RoutingTable;
 use crate::transport::exchange::ConnectionPool;
+use crate::transport::http_server::Handler;
 use crate::transport::http_server::HttpServer;
 
 /// Connections of callers, of other nodes, and of the platform that are open at the same time; the
@@ -175,6 +179,15 @@
     })
 }
 
+/// Makes the handler of a port out of the function that answers one request.
+fn handler<F>(cx: &Rc<Sidecar>, answer: fn(Rc<Sidecar>, Request) -> F) -> Handler
+where
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    let cx = cx.clone();
+    Rc::new(move |req| Box::pin(answer(cx.clone(), req)))
+}
+
 /// The servers of a sidecar.
 struct Servers {
     caller: HttpServer,
@@ -191,11 +204,11 @@
     let metrics = bind(settings.metrics_addr).await?;
     let small = |listener, handler| HttpServer::start(listener, MAX_PLATFORM_CONNECTIONS, handler);
     Ok(Servers {
-        caller: HttpServer::start(caller, MAX_CALLER_CONNECTIONS, entry::handler(cx)),
-        _node: HttpServer::start(node, MAX_NODE_CONNECTIONS, hop::handler(cx)),
+        caller: HttpServer::start(caller, MAX_CALLER_CONNECTIONS, handler(cx, entry::handle)),
+        _node: HttpServer::start(node, MAX_NODE_CONNECTIONS, handler(cx, hop::handle)),
         _platform: [
             small(ready, small_ports::ready_handler(cx)),
-            small(heartbeat, heartbeat_port::handler(cx)),
+            small(heartbeat, handler(cx, heartbeat_port::handle)),
             small(metrics, small_ports::metrics_handler(cx)),
         ],
     })
