Remove an unused function; count open calls and dropped lines in one place

Found by reading the change again: nothing refused a whole queue, the number of open calls was raised beside each guard that lowers it, and dropped log lines were counted in three places.

--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -215,14 +215,6 @@
         changes
     }
 
-    /// Refuses all waiting calls, for a backend server that is gone.
-    pub fn refuse_all(&mut self) -> Vec<Ticket> {
-        self.waiting
-            .drain(..)
-            .map(|waiting| waiting.ticket)
-            .collect()
-    }
-
     /// Time until a call would start behind those that pass the filter.
     fn expected_wait(&self, is_ahead: impl Fn(&Waiting) -> bool) -> Duration {
         let ahead = self.waiting.iter().filter(|other| is_ahead(other));
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -32,6 +32,10 @@
     DROPPED_LINES.load(Ordering::Relaxed)
 }
 
+fn count_dropped() {
+    DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+}
+
 struct CountingDrain(slog_async::AsyncCore);
 
 impl Drain for CountingDrain {
@@ -44,7 +48,7 @@
         values: &slog::OwnedKVList,
     ) -> Result<(), slog::Never> {
         if self.0.log(record, values).is_err() {
-            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+            count_dropped();
         }
         Ok(())
     }
@@ -98,7 +102,7 @@
     fn write_out(&self) {
         let bytes = std::mem::take(&mut *self.bytes());
         if io::stdout().write_all(&bytes).is_err() {
-            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+            count_dropped();
         }
     }
 }
@@ -117,7 +121,7 @@
     ) -> Result<(), slog::Never> {
         let mut bytes = self.0.bytes();
         if bytes.len() >= BUFFER_BYTES {
-            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+            count_dropped();
             return Ok(());
         }
         let line = slog_json::Json::new(&mut *bytes)
@@ -128,7 +132,7 @@
             ))
             .build();
         if line.log(record, values).is_err() {
-            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+            count_dropped();
         }
         Ok(())
     }
--- a/src/sidecar/announcer.rs
+++ b/src/sidecar/announcer.rs
@@ -28,7 +28,7 @@
 }
 
 /// The node's entry as it is now.
-pub fn own_entry(cx: &Sidecar) -> FleetEntry {
+fn own_entry(cx: &Sidecar) -> FleetEntry {
     let state = cx.state.borrow();
     let backend = state.backend.available(cx.clock.now());
     FleetEntry {
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -64,8 +64,7 @@
     let cx = &cx;
     let arrived = cx.clock.now();
     cx.metrics.calls.increment(1);
-    cx.open_calls.set(cx.open_calls.get() + 1);
-    let _open = OpenCall(cx);
+    let _open = OpenCall::new(cx);
     let mut response = match accept(cx, &mut req, arrived).await {
         Ok(call) => run(cx, call).await,
         Err(code) => {
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -62,8 +62,7 @@
         Ok(body) => body,
         Err(failure) => return answer(cx, ServeEnd::refused(failure.code)),
     };
-    cx.open_calls.set(cx.open_calls.get() + 1);
-    let _open = OpenCall(cx);
+    let _open = OpenCall::new(cx);
     let call = ServeCall {
         head,
         method: req.method().clone(),
@@ -82,7 +81,15 @@
 }
 
 /// Counts a call until it ends or is cancelled.
-pub struct OpenCall<'a>(pub &'a Sidecar);
+pub struct OpenCall<'a>(&'a Sidecar);
+
+impl<'a> OpenCall<'a> {
+    /// Counts a call as open.
+    pub fn new(cx: &'a Sidecar) -> Self {
+        cx.open_calls.set(cx.open_calls.get() + 1);
+        Self(cx)
+    }
+}
 
 impl Drop for OpenCall<'_> {
     fn drop(&mut self) {
