Attempts of a call as a state machine; deliver a ready answer, ask lost nodes last

Cause: the loop in entry.rs could not be tested without network. Entries of machines that were lost for good stayed although their address belonged to another node.

Ruled out: never picking lost nodes while others serve.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod answered;
+pub mod attempts;
 pub mod balancer;
 pub mod breaker;
 pub mod dissemination;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -127,6 +127,8 @@
     pub load: f64,
     /// Age of the last load report.
     pub load_age: Duration,
+    /// Whether the node could not be reached, or had no backend server, when it was last tried.
+    pub is_lost: bool,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -159,6 +161,16 @@
     }
 }
 
+/// Order in which nodes are considered, whatever they cost.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Standing {
+    Free,
+    /// It refused for load a moment ago.
+    Overloaded,
+    /// It could not be reached or had no backend server when it was last tried.
+    Lost,
+}
+
 #[derive(Debug)]
 struct Candidate {
     entry: FleetEntry,
@@ -225,9 +237,16 @@
         time + late + bytes + failures
     }
 
-    /// A node that failed last is tried by one call at a time.
-    fn is_paused(&self, now: Duration) -> bool {
-        self.paused_until > now || (self.pauses > 0 && self.in_flight > 0)
+    /// A node that could not be reached last is tried by one call at a time.
+    fn standing(&self, now: Duration) -> Standing {
+        let is_paused = self.paused_until > now;
+        if self.pauses > 0 && (is_paused || self.in_flight > 0) {
+            Standing::Lost
+        } else if is_paused {
+            Standing::Overloaded
+        } else {
+            Standing::Free
+        }
     }
 
     fn pause(&mut self, now: Duration) {
@@ -307,6 +326,10 @@
 
     /// Takes over what a node says of itself. Returns whether it is news.
     pub fn on_entry(&mut self, now: Duration, entry: &FleetEntry) -> bool {
+        // An address belongs to one node; the one that had it before is gone for good.
+        self.candidates.retain(|candidate| {
+            candidate.entry.addr != entry.addr || candidate.entry.node == entry.node
+        });
         let warm_at = entry.backend.as_ref().map_or(now, |backend| {
             now + Duration::from_millis(backend.cold_left_ms)
         });
@@ -384,8 +407,8 @@
             .collect()
     }
 
-    /// Chooses the node with the least expected cost. A node that is paused is used only if no other
-    /// one is left.
+    /// Chooses the node with the least expected cost. A node that has just refused for load is used
+    /// only if no other one is left, and one that is lost only after those.
     pub fn pick(&self, now: Duration, rng: &mut impl Rng, wanted: &Wanted<'_>) -> Option<Pick> {
         let means = self.means(wanted.route);
         let call = CallCost {
@@ -398,7 +421,7 @@
                 FAILURE_RUNS_NOT_IDEMPOTENT
             },
         };
-        let mut best: Option<(bool, f64, f64, &Candidate)> = None;
+        let mut best: Option<(Standing, f64, f64, &Candidate)> = None;
         for candidate in &self.candidates {
             let Some(backend) = candidate.backend() else {
                 continue;
@@ -410,18 +433,18 @@
             {
                 continue;
             }
-            let paused = candidate.is_paused(now);
+            let standing = candidate.standing(now);
             let jitter = 1.0 + rng.random_range(0.0..JITTER);
             let time = candidate.time_ms(now, backend, call.run_ms);
             let cost = candidate.cost_ms(now, time, &call) * jitter;
-            let better = best.is_none_or(|(best_paused, best_cost, ..)| {
-                (paused, cost) < (best_paused, best_cost)
+            let better = best.is_none_or(|(best_standing, best_cost, ..)| {
+                (standing, cost) < (best_standing, best_cost)
             });
             if better {
-                best = Some((paused, cost, time, candidate));
+                best = Some((standing, cost, time, candidate));
             }
         }
-        let (_, cost_ms, time_ms, candidate) = best?;
+        let (standing, cost_ms, time_ms, candidate) = best?;
         Some(Pick {
             node: candidate.entry.node.clone(),
             addr: candidate.entry.addr,
@@ -430,6 +453,7 @@
             time_ms,
             load: candidate.believed_load(now),
             load_age: now.saturating_sub(candidate.load_at),
+            is_lost: standing == Standing::Lost,
         })
     }
 
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -15,6 +15,13 @@
 use serde_json::json;
 use slog::info;
 
+use crate::coordination::attempts::AttemptFailure;
+use crate::coordination::attempts::Attempts;
+use crate::coordination::attempts::CallTerms;
+use crate::coordination::attempts::Choice;
+use crate::coordination::attempts::Chosen;
+use crate::coordination::attempts::Outcome;
+use crate::coordination::attempts::Step;
 use crate::coordination::placement::AttemptEnd;
 use crate::coordination::placement::Feedback;
 use crate::coordination::placement::Pick;
@@ -46,13 +53,6 @@
 /// Time by which the entry node waits longer than it tells the serving node, so that an answer at
 /// the deadline still arrives.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(60);
-/// Least time for which another attempt is made.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
-/// Nodes that refuse a call for load before it is offered as one that accepts to be late.
-const MAX_REFUSALS: usize = 3;
-/// Attempts of one call, those at nodes that are gone included; after a loss of many nodes most of
-/// the first choices are.
-const MAX_TRIES: usize = 12;
 /// Random part of the time after which callers are asked to come back, so that they do not return
 /// together.
 const RETURN_SPREAD: f64 = 0.5;
@@ -147,135 +147,99 @@
     })
 }
 
-/// What is known after the attempts so far.
-#[derive(Default)]
-struct Progress {
-    /// Nodes that are not offered the call again.
-    tried: Vec<NodeId>,
-    /// Attempts made.
-    tries: usize,
-    /// Nodes that refused the call for load.
-    refusals: usize,
-    /// Whether the call is offered as one that accepts to be late.
-    accepts_late: bool,
-    /// Backend servers that the call arrived at.
-    arrivals: u8,
-    /// Whether it may have run.
-    may_have_run: bool,
-    /// Result code of the last refusal or failure.
-    last: Option<ResultCode>,
-    /// Shortest time after which a node expects room.
-    come_back: Option<Duration>,
-    /// Answer of a backend server that failed.
-    failed_answer: Option<HttpAnswer>,
-}
-
-impl Progress {
-    /// Offers the call once more to the nodes that refused it, as one that accepts to be late.
-    /// Returns whether that is new.
-    fn accept_late(&mut self) -> bool {
-        if self.accepts_late {
-            return false;
-        }
-        self.accepts_late = true;
-        self.refusals = 0;
-        if self.arrivals == 0 {
-            self.tried.clear();
-        }
-        true
-    }
-}
-
 async fn run(cx: &Rc<Sidecar>, call: EntryCall) -> Response<BoxBody> {
-    let mut progress = Progress::default();
+    let mut attempts = Attempts::new(CallTerms {
+        arrived: call.serve.arrived,
+        deadline: call.deadline,
+        objective: call.route.objective,
+        idempotent: call.route.idempotent,
+        attempts: call.route.attempts,
+    });
+    let mut failed_answer = None;
     let time_left = call.deadline.saturating_sub(cx.clock.now()) + DEADLINE_MARGIN;
-    let attempts = attempt_all(cx, &call, &mut progress);
-    match actix_rt::time::timeout(time_left, attempts).await {
-        Ok(Some(answer)) => hop::backend_response(answer),
-        Ok(None) => give_up(cx, &call, &progress),
-        Err(_) => {
-            progress.may_have_run = true;
-            progress.last = Some(ResultCode::DeadlineExceeded);
-            give_up(cx, &call, &progress)
+    let all = attempt_all(cx, &call, &mut attempts, &mut failed_answer);
+    match actix_rt::time::timeout(time_left, all).await {
+        Ok(Some(answer)) => return hop::backend_response(answer),
+        Ok(None) => {}
+        Err(_) => attempts.on_timeout(),
+    }
+    match (attempts.outcome(), failed_answer) {
+        (Outcome::FailedAnswer, Some(answer)) => {
+            log_end(cx, &call, &attempts, None);
+            hop::backend_response(answer)
+        }
+        (Outcome::Refused { code, come_back }, _) => {
+            cx.metrics.refusals.increment(1);
+            log_end(cx, &call, &attempts, Some(code));
+            let come_back = come_back.unwrap_or(serving::NO_BACKEND_RETURN);
+            own_answer(cx, status_of(code), code, Some(come_back))
+        }
+        (Outcome::Unknown(code), _) => {
+            cx.metrics.unknown_outcomes.increment(1);
+            log_end(cx, &call, &attempts, Some(code));
+            own_answer(cx, status_of(code), code, None)
+        }
+        (Outcome::FailedAnswer, None) => {
+            let code = ResultCode::OutcomeUnknown;
+            log_end(cx, &call, &attempts, Some(code));
+            own_answer(cx, status_of(code), code, None)
         }
     }
 }
 
-/// Makes attempts until one is answered or no other one is allowed.
+/// Makes attempts until one is answered or no other one is allowed. `failed_answer` keeps the last
+/// answer of a backend server that failed.
 async fn attempt_all(
     cx: &Rc<Sidecar>,
     call: &EntryCall,
-    progress: &mut Progress,
+    attempts: &mut Attempts,
+    failed_answer: &mut Option<HttpAnswer>,
 ) -> Option<HttpAnswer> {
     loop {
         let now = cx.clock.now();
-        if call.deadline < now + MIN_ATTEMPT_TIME || progress.tries >= MAX_TRIES {
-            return progress.failed_answer.take();
-        }
-        if progress.refusals >= MAX_REFUSALS && !progress.accept_late() {
-            return progress.failed_answer.take();
+        match attempts.next(now) {
+            Step::Offer => {}
+            Step::Repeat if may_repeat(cx, call, attempts, now) => {}
+            Step::Repeat | Step::Stop => return None,
         }
-        if progress.arrivals > 0 && !may_repeat(cx, call, progress, now) {
-            return progress.failed_answer.take();
-        }
-        let Some(pick) = pick(cx, call, progress, now) else {
-            if progress.refusals > 0 && progress.accept_late() {
-                continue;
-            }
-            progress.last = progress.last.or(Some(ResultCode::NoBackend));
-            return progress.failed_answer.take();
+        let pick = pick(cx, call, attempts, now);
+        let chosen = pick.as_ref().map(|pick| Chosen {
+            time_ms: pick.time_ms,
+            is_lost: pick.is_lost,
+        });
+        let pick = match attempts.on_choice(now, chosen) {
+            Choice::Send => pick?,
+            Choice::AskAgain => continue,
+            Choice::Stop => return None,
         };
-        // No node is expected to be in time, so that refusals would only cost time.
-        let time_left = call
-            .route
-            .objective
-            .saturating_sub(now.saturating_sub(call.serve.arrived));
-        if !progress.accepts_late && pick.time_ms > time_left.as_secs_f64() * 1e3 {
-            progress.accept_late();
-        }
-        if progress.tries > 0 {
+        if attempts.tries() > 1 {
             cx.metrics.attempts_beyond_first.increment(1);
         }
-        progress.tries += 1;
-        let end = make_attempt(cx, call, &pick, progress.accepts_late, now).await;
-        progress.tried.push(pick.node);
-        match end {
+        let failure = match make_attempt(cx, call, &pick, attempts.accepts_late(), now).await {
             ServeEnd::Ran { answer, .. }
                 if answer.status.is_server_error() && call.route.idempotent =>
             {
-                progress.arrivals += 1;
-                progress.may_have_run = true;
-                progress.failed_answer = Some(answer);
+                *failed_answer = Some(answer);
+                AttemptFailure::Failed
             }
             ServeEnd::Ran { answer, .. } => return Some(answer),
             ServeEnd::Refused {
                 code,
                 arrived,
                 come_back,
-            } => {
-                progress.arrivals += u8::from(arrived);
-                progress.refusals += usize::from(code == ResultCode::Overloaded);
-                progress.last = Some(code);
-                let shortest = progress.come_back.unwrap_or(come_back).min(come_back);
-                progress.come_back = Some(shortest);
-            }
-            ServeEnd::Unknown(code) => {
-                progress.arrivals += 1;
-                progress.may_have_run = true;
-                progress.last = Some(code);
-                if !call.route.idempotent {
-                    return None;
-                }
-            }
-        }
+            } => AttemptFailure::Refused {
+                code,
+                arrived,
+                come_back,
+            },
+            ServeEnd::Unknown(code) => AttemptFailure::Unknown(code),
+        };
+        attempts.on_failure(&pick.node, failure);
     }
 }
 
-/// Whether a call that arrived at a backend server may go to another one.
-fn may_repeat(cx: &Sidecar, call: &EntryCall, progress: &Progress, now: Duration) -> bool {
-    if progress.arrivals >= call.route.attempts {
-        return false;
-    }
+/// Whether the fleet's budget allows a call that arrived at a backend server to go to another one.
+fn may_repeat(cx: &Sidecar, call: &EntryCall, attempts: &Attempts, now: Duration) -> bool {
     let mut state = cx.state.borrow_mut();
     let nodes = state.placement.nodes();
     let urgent = !call.route.idempotent;
@@ -287,20 +251,20 @@
         cx.metrics.repeats.increment(1);
     } else {
         info!(cx.log, "not repeated"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
-            "code" => ResultCode::RetryBudgetExhausted.number(), "arrivals" => progress.arrivals);
+            "code" => ResultCode::RetryBudgetExhausted.number(), "arrivals" => attempts.arrivals());
     }
     allowed
 }
 
-fn pick(cx: &Sidecar, call: &EntryCall, progress: &Progress, now: Duration) -> Option<Pick> {
+fn pick(cx: &Sidecar, call: &EntryCall, attempts: &Attempts, now: Duration) -> Option<Pick> {
     let (load, tally) = serving::report(cx);
     let mut state = cx.state.borrow_mut();
     state.placement.on_report(now, &cx.settings.id, load, tally);
-    let pick = choose(&mut state, now, call, &progress.tried)?;
+    let pick = choose(&mut state, now, call, attempts.tried())?;
     info!(cx.log, "routed"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
         "route" => call.route.name.as_str(), "to" => pick.node.as_str(), "version" => pick.version.as_str(),
-        "try" => progress.tries + 1, "accepts_late" => progress.accepts_late, "cost_ms" => format!("{:.1}", pick.cost_ms),
-        "load" => format!("{:.1}", pick.load), "load_age_ms" => millis(pick.load_age));
+        "try" => attempts.tries() + 1, "accepts_late" => attempts.accepts_late(), "cost_ms" => format!("{:.1}", pick.cost_ms),
+        "load" => format!("{:.1}", pick.load), "load_age_ms" => millis(pick.load_age), "is_lost" => pick.is_lost);
     Some(pick)
 }
 
@@ -447,37 +411,14 @@
     }
 }
 
-/// Ends a call without an answer of a backend server.
-fn give_up(cx: &Sidecar, call: &EntryCall, progress: &Progress) -> Response<BoxBody> {
-    let last = progress.last.unwrap_or(ResultCode::Overloaded);
-    let (code, come_back) = if progress.may_have_run {
-        cx.metrics.unknown_outcomes.increment(1);
-        let timed_out = last == ResultCode::DeadlineExceeded;
-        (
-            if timed_out {
-                last
-            } else {
-                ResultCode::OutcomeUnknown
-            },
-            None,
-        )
-    } else {
-        cx.metrics.refusals.increment(1);
-        let refusal = if last == ResultCode::DeadlineExceeded {
-            ResultCode::Overloaded
-        } else {
-            last
-        };
-        (
-            refusal,
-            Some(progress.come_back.unwrap_or(serving::NO_BACKEND_RETURN)),
-        )
-    };
+/// Logs how a call ended without an answer that ran well; without a code, the answer of the backend
+/// server that failed is delivered.
+fn log_end(cx: &Sidecar, call: &EntryCall, attempts: &Attempts, code: Option<ResultCode>) {
     info!(cx.log, "call failed"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
-        "route" => call.route.name.as_str(), "code" => code.number(), "last" => last.number(),
-        "may_have_run" => progress.may_have_run, "arrivals" => progress.arrivals,
-        "tries" => progress.tries, "took_ms" => millis(cx.clock.since(call.serve.arrived)));
-    own_answer(cx, status_of(code), code, come_back)
+        "route" => call.route.name.as_str(), "code" => code.map(ResultCode::number),
+        "last" => attempts.last().map(ResultCode::number), "may_have_run" => attempts.may_have_run(),
+        "arrivals" => attempts.arrivals(), "tries" => attempts.tries(),
+        "took_ms" => millis(cx.clock.since(call.serve.arrived)));
 }
 
 fn own_answer(
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -21,16 +21,20 @@
 
 const SLOTS: u32 = 9;
 
+/// Address of the node with a one-letter name.
+fn addr(node: &str) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_400 + u16::from(node.as_bytes()[0])))
+}
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
 fn entry(node: &str, region: &str, domain: &str) -> FleetEntry {
-    let addr: SocketAddr = "127.0.0.1:7401".parse().expect("a valid address");
     FleetEntry {
         node: node.into(),
         run: 1,
-        addr,
+        addr: addr(node),
         region: region.into(),
         domain: domain.into(),
         capacity: 20_000,
@@ -184,6 +188,31 @@
     expect_that!(entry.pick(ms(10), &tried), none());
 }
 
+/// Load: most nodes refuse for load and one is gone. Guards against trying the one that is gone
+/// before those that only had no room a moment ago.
+#[gtest]
+fn pick_overloaded_before_lost() {
+    let mut entry = fleet();
+    entry.end(ms(0), "a", AttemptEnd::Unreachable);
+    entry.end(ms(0), "b", AttemptEnd::Overloaded);
+    entry.end(ms(0), "c", AttemptEnd::Overloaded);
+    expect_that!(entry.pick(ms(10), &[]), some(eq("b")));
+    expect_that!(entry.pick(ms(10), &["b".into()]), some(eq("c")));
+}
+
+/// Guards against calls for a machine that was lost for good and whose address went to another one
+/// (gprbs-booths trouble-3, seed 689314201199).
+#[gtest]
+fn on_entry_address_taken_over() {
+    let mut entry = fleet();
+    let mut heir = own_entry("d");
+    heir.addr = addr("b");
+    entry.placement.on_entry(ms(1), &heir);
+    let entries = entry.placement.entries();
+    let names: Vec<&str> = entries.map(|entry| entry.node.as_str()).collect();
+    expect_that!(names, eq(&vec!["a", "c", "d"]));
+}
+
 /// Guards against new work for a backend server that leaves or is gone.
 #[gtest]
 fn pick_without_leaving() {
