A stopping node refuses calls that may outlast it; fault soak

Ending them with an own answer would be the same loss for their callers.

The soak is a workspace member that starts sidecars, backend servers and the store as processes with proxies between them, and judges by what callers and backend servers saw.

--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,224 @@
+//! Randomized fault soak: real sidecars, backend servers and a store as processes, faults from outside,
+//! judged by what callers and backend servers see. See `docs/soak.md`.
+
+mod caller;
+mod judge;
+mod plan;
+mod proxy;
+mod world;
+
+use std::cell::RefCell;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use clap::Arg;
+use clap::Command;
+use clap::value_parser;
+use testbed::platform::backend::steady_millis;
+
+use crate::caller::CallEnd;
+use crate::caller::CallKind;
+use crate::caller::Calls;
+use crate::judge::Evidence;
+use crate::world::NODES;
+use crate::world::Programs;
+use crate::world::World;
+
+/// Callers of each node.
+const CALLERS: usize = 2;
+/// Time between two probes of a node's configuration.
+const PROBE: Duration = Duration::from_millis(200);
+/// Time after the last fault within which every call is served again.
+const RECOVER: Duration = Duration::from_secs(6);
+/// Time for which that is then watched.
+const WATCH: Duration = Duration::from_millis(1_500);
+/// Violations of one run that are printed.
+const MAX_PRINTED: usize = 12;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("{e:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("N")
+            .value_parser(value_parser!(u64))
+            .default_value(default)
+            .help(help)
+    };
+    Command::new("soak")
+        .about(
+            "Run real sidecars under random faults and judge what callers and backend servers see",
+        )
+        .arg(number("seed", "1", "First seed"))
+        .arg(number(
+            "seeds",
+            "1",
+            "Number of runs, with one seed after the other",
+        ))
+        .arg(number(
+            "seconds",
+            "12",
+            "Time in which faults begin, for each run",
+        ))
+        .arg(
+            Arg::new("programs")
+                .long("programs")
+                .value_name("DIR")
+                .value_parser(value_parser!(PathBuf))
+                .help("Directory of the binaries; that of this program if absent"),
+        )
+}
+
+fn run() -> eyre::Result<bool> {
+    let args = command().get_matches();
+    let number = |name: &str| args.get_one::<u64>(name).copied().unwrap_or(1);
+    let own_dir = std::env::current_exe()?.parent().map(PathBuf::from);
+    let dir = args.get_one::<PathBuf>("programs").cloned().or(own_dir);
+    let dir = dir.unwrap_or_default();
+    let programs = Programs {
+        product: dir.join("sycamorewick"),
+        testbed: dir.join("testbed"),
+    };
+    world::check_program(&programs.product)?;
+    world::check_program(&programs.testbed)?;
+    let length = Duration::from_secs(number("seconds"));
+    let mut passed = true;
+    for seed in number("seed")..number("seed") + number("seeds") {
+        let system = actix_rt::System::new();
+        passed &= system.block_on(run_seed(programs.clone(), seed, length))?;
+    }
+    Ok(passed)
+}
+
+async fn run_seed(programs: Programs, seed: u64, length: Duration) -> eyre::Result<bool> {
+    let began = Instant::now();
+    let world = World::start(programs, seed).await?;
+    let calls = Rc::new(Calls::new("call"));
+    for node in 0..NODES {
+        let addr = world.caller_addr(node);
+        for caller in 0..CALLERS {
+            let seed = seed * 100 + u64::try_from(node * CALLERS + caller)?;
+            actix_rt::spawn(caller::run(calls.clone(), node, addr, seed));
+        }
+        actix_rt::spawn(probe(world.clone(), node));
+    }
+    let reverted_at = Rc::new(RefCell::new(None));
+    actix_rt::spawn(watch_move(world.clone(), reverted_at.clone()));
+    let events = plan::draw(seed, NODES, length);
+    let started = Instant::now();
+    let mut tasks = Vec::new();
+    for (at, event) in &events {
+        actix_rt::time::sleep(at.saturating_sub(started.elapsed())).await;
+        println!("seed {seed} at {} {event:?}", steady_millis());
+        tasks.push(actix_rt::spawn(world.clone().play(*event)));
+    }
+    for task in tasks {
+        task.await?;
+    }
+    world.calm().await;
+    actix_rt::time::sleep(RECOVER).await;
+    let quiet_from = steady_millis();
+    actix_rt::time::sleep(WATCH).await;
+    calls.stopped.set(true);
+    // Calls that are out come to their end.
+    actix_rt::time::sleep(world::ROUTE_LIMIT).await;
+    let records = calls.records.borrow();
+    let outputs: Vec<String> = (0..NODES + world::MOVE_NODES)
+        .map(|node| world.backend_output(node))
+        .collect();
+    let mut wrong = world.violations.borrow().clone();
+    let evidence = Evidence {
+        calls: &records,
+        backends: &outputs,
+        disturbances: &world.disturbances.borrow(),
+        reverted_at: *reverted_at.borrow(),
+    };
+    wrong.extend(judge::judge(&evidence));
+    let quiet = records.iter().filter(|call| call.began >= quiet_from);
+    let unserved = quiet.filter(|call| call.end != CallEnd::Status(200));
+    // A bad version that has not been taken back yet fails calls.
+    if world.moved.get() != Some(true) {
+        wrong.extend(unserved.map(|call| format!("not served after the faults: {call:?}")));
+    }
+    if world.moved.get() == Some(true) && world.move_state().await.as_deref() == Some("complete") {
+        wrong.push("a bad version was called complete".into());
+    }
+    let served = records
+        .iter()
+        .filter(|call| call.end == CallEnd::Status(200));
+    println!(
+        "seed {seed}: {} events, {} calls, {} served, {} violations, {:.0} s",
+        events.len(),
+        records.len(),
+        served.count(),
+        wrong.len(),
+        began.elapsed().as_secs_f64()
+    );
+    for text in wrong.iter().take(MAX_PRINTED) {
+        println!("  seed {seed}: {text}");
+    }
+    if !wrong.is_empty() {
+        println!("  seed {seed}: logs in {}", world.keep_dir().display());
+    }
+    Ok(wrong.is_empty())
+}
+
+/// Asks a node again and again for routes of configurations: what it had in force must not go away
+/// while its process lives.
+async fn probe(world: Rc<World>, node: usize) {
+    let calls = Calls::new(&format!("probe{node}"));
+    let addr = world.caller_addr(node);
+    let (mut seen, mut process) = (0, 0);
+    loop {
+        actix_rt::time::sleep(PROBE).await;
+        let newest = world.config.get();
+        let started = world.started.borrow()[node];
+        if started != process {
+            (seen, process) = (0, started);
+        }
+        for version in [seen, newest] {
+            if version == 0 {
+                continue;
+            }
+            let path = format!("/v{version}/x");
+            let end =
+                caller::call(&calls, node, addr, CallKind::Idempotent, &path, &mut None).await;
+            let is_same = world.started.borrow()[node] == process;
+            match end {
+                CallEnd::Status(404) if version <= seen && is_same => {
+                    let at = steady_millis();
+                    let text = format!("node {node} went back behind version {version} at {at}");
+                    world.violations.borrow_mut().push(text);
+                }
+                CallEnd::Status(200 | 500 | 502 | 504) if is_same => seen = seen.max(version),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Notes when a bad version was taken back.
+async fn watch_move(world: Rc<World>, reverted_at: Rc<RefCell<Option<u64>>>) {
+    loop {
+        actix_rt::time::sleep(PROBE).await;
+        if world.moved.get() == Some(true)
+            && world.move_state().await.as_deref() == Some("reverted")
+        {
+            *reverted_at.borrow_mut() = Some(steady_millis());
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/world.rs
@@ -0,0 +1,520 @@
+//! The processes of one run: store, sidecars and backend servers, with proxies between them.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Command;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use eyre::ensure;
+use rustix::process::Signal;
+use serde_json::json;
+use testbed::fleet::free_addr;
+use testbed::log_server::Outage;
+use testbed::platform::backend::steady_millis;
+use testbed::platform::fleet::SidecarFleet;
+use testbed::platform::fleet::SidecarOptions;
+use testbed::platform::store::OPERATOR_TOPIC;
+use testbed::platform::store::RESULT_TOPIC;
+use testbed::platform::store::StoreChange;
+use testbed::process::ManagedProcess;
+
+use crate::caller::HOST;
+use crate::plan::Event;
+use crate::plan::LinkKind;
+use crate::plan::StoreFault;
+use crate::proxy::LinkFault;
+use crate::proxy::Proxy;
+
+/// Nodes with a backend server of the first version.
+pub const NODES: usize = 8;
+/// Further nodes with one of the second version, which start with a move.
+pub const MOVE_NODES: usize = 2;
+/// Time limit of a route.
+pub const ROUTE_LIMIT: Duration = Duration::from_secs(2);
+/// Version that all backend servers have at first.
+pub const OLD_VERSION: &str = "v1";
+/// Version of a move.
+pub const NEW_VERSION: &str = "v2";
+/// Time within which a move has to be complete.
+const MOVE_WITHIN_S: u64 = 8;
+/// Share of the requests that a bad version fails.
+const BAD_ERROR_RATE: f64 = 0.6;
+/// Longest wait for the start of everything.
+const START_LIMIT: Duration = Duration::from_secs(20);
+/// Time beyond the stated one after which a node that was told to stop is killed.
+const STOP_SLACK: Duration = Duration::from_millis(500);
+/// Time by which the end of a disturbance may come late.
+const END_SLACK: Duration = Duration::from_millis(100);
+/// Time between two checks of a condition.
+const CHECK: Duration = Duration::from_millis(20);
+
+/// What happened to a node or to its backend server, in steady milliseconds.
+#[derive(Clone, Debug)]
+pub struct Disturbance {
+    /// Node.
+    pub node: usize,
+    /// Kind.
+    pub kind: DisturbanceKind,
+    /// Begin.
+    pub from: u64,
+    /// End.
+    pub to: u64,
+}
+
+/// Kind of a [`Disturbance`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DisturbanceKind {
+    /// The node was killed.
+    Killed,
+    /// The node was paused.
+    Paused,
+    /// The backend server was paused, or the link to it had a fault.
+    BackendDisturbed,
+}
+
+/// Paths of the programs.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The `sycamorewick` binary.
+    pub product: PathBuf,
+    /// The `testbed` binary.
+    pub testbed: PathBuf,
+}
+
+struct Backend {
+    process: ManagedProcess,
+    starts: u32,
+    id: String,
+}
+
+/// The processes.
+pub struct World {
+    programs: Programs,
+    fleet: RefCell<SidecarFleet>,
+    backends: RefCell<Vec<Backend>>,
+    /// Kept so that the store lives as long as the world.
+    _store: ManagedProcess,
+    store_addr: SocketAddr,
+    links: Vec<[Proxy; 3]>,
+    /// Version of the last configuration that the store acknowledged.
+    pub config: Cell<u32>,
+    /// What was done.
+    pub disturbances: RefCell<Vec<Disturbance>>,
+    /// Violations that the driver saw.
+    pub violations: RefCell<Vec<String>>,
+    /// Steady milliseconds at which nodes were last started.
+    pub started: RefCell<Vec<u64>>,
+    /// Whether a move was ordered, and whether to a bad version.
+    pub moved: Cell<Option<bool>>,
+    bad: Cell<bool>,
+    client: awc::Client,
+}
+
+impl World {
+    /// Starts everything.
+    ///
+    /// # Errors
+    /// If a process cannot be started, or is not ready in time.
+    pub async fn start(programs: Programs, seed: u64) -> eyre::Result<Rc<Self>> {
+        let mut fleet = SidecarFleet::new(&programs.product)?;
+        let store_addr = free_addr()?;
+        let mut store = ManagedProcess::new("store", fleet.dir().join("store.log"));
+        let mut command = Command::new(&programs.testbed);
+        command.arg("platform-store").arg("--listen");
+        store.start(command.arg(store_addr.to_string()))?;
+        let mut links = Vec::new();
+        let mut backends = Vec::new();
+        for index in 0..NODES + MOVE_NODES {
+            let mut addrs = SidecarFleet::addrs(store_addr)?;
+            addrs.store = free_addr()?;
+            addrs.advertised_node = free_addr()?;
+            addrs.backend_proxy = free_addr()?;
+            let seed = seed * 1_000 + u64::try_from(index)? * 10;
+            links.push([
+                Proxy::start(addrs.store, store_addr, seed).await?,
+                Proxy::start(addrs.advertised_node, addrs.node, seed + 1).await?,
+                Proxy::start(addrs.backend_proxy, addrs.backend, seed + 2).await?,
+            ]);
+            let domain = if index % 2 == 0 { "keta-a" } else { "keta-b" };
+            let options = SidecarOptions::new(&format!("n{index}"), domain, "registry");
+            fleet.add(options, addrs)?;
+            let output = fleet.dir().join(format!("b{index}.out"));
+            backends.push(Backend {
+                process: ManagedProcess::new(&format!("b{index}"), output),
+                starts: 0,
+                id: String::new(),
+            });
+        }
+        let world = Rc::new(Self {
+            programs,
+            fleet: RefCell::new(fleet),
+            backends: RefCell::new(backends),
+            _store: store,
+            store_addr,
+            links,
+            config: Cell::new(0),
+            disturbances: RefCell::default(),
+            violations: RefCell::default(),
+            started: RefCell::new(vec![0; NODES + MOVE_NODES]),
+            moved: Cell::new(None),
+            bad: Cell::new(false),
+            client: awc::Client::builder()
+                .timeout(Duration::from_secs(2))
+                .finish(),
+        });
+        let until = Instant::now() + START_LIMIT;
+        while !world.put_config().await {
+            ensure!(Instant::now() < until, "the store does not answer");
+            actix_rt::time::sleep(CHECK).await;
+        }
+        for index in 0..NODES {
+            world.start_node(index);
+            world.start_backend(index, false);
+        }
+        for index in 0..NODES {
+            while !world.is_serving(index).await {
+                ensure!(Instant::now() < until, "node {index} does not serve");
+                actix_rt::time::sleep(CHECK).await;
+            }
+        }
+        Ok(world)
+    }
+
+    /// Address of a node for callers.
+    #[must_use]
+    pub fn caller_addr(&self, node: usize) -> SocketAddr {
+        self.fleet.borrow().nodes()[node].addrs.caller
+    }
+
+    /// Output of a node's backend servers.
+    #[must_use]
+    pub fn backend_output(&self, node: usize) -> String {
+        self.backends.borrow()[node].process.output()
+    }
+
+    /// Keeps that directory after the run.
+    pub fn keep_dir(&self) -> PathBuf {
+        self.fleet.borrow_mut().keep_dir()
+    }
+
+    async fn is_serving(&self, node: usize) -> bool {
+        let url = format!("http://{}/wrecks/0", self.caller_addr(node));
+        let req = self.client.get(url).insert_header(("host", HOST));
+        let req = req.insert_header((testbed::platform::backend::ATTEMPT_HEADER, "start"));
+        req.send().await.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Writes the next configuration, which has a route for each version so far. Returns whether the
+    /// store took it.
+    pub async fn put_config(&self) -> bool {
+        let version = self.config.get() + 1;
+        let route = |prefix: &str, kind: &str| {
+            json!({ "host": HOST, "prefix": prefix, "kind": kind, "slo-ms": 500, "priority": 1,
+                "timeout-ms": ROUTE_LIMIT.as_millis(), "service": "registry", "attempts": 2 })
+        };
+        let mut routes = serde_json::Map::new();
+        routes.insert("lookup".into(), route("/wrecks/", "safe"));
+        routes.insert("claims".into(), route("/claims/", "unsafe"));
+        for version in 1..=version {
+            let prefix = format!("/v{version}/");
+            routes.insert(format!("v{version}"), route(&prefix, "safe"));
+        }
+        let config = json!({
+            "version": format!("{version:08x}"),
+            "routes": routes,
+            "services": { "registry": { "health-path": "/healthz", "max-conns": 100 } },
+            "limits": { "header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000 },
+        });
+        let put = self.put(OPERATOR_TOPIC, "config", config.to_string()).await;
+        if put {
+            self.config.set(version);
+        }
+        put
+    }
+
+    async fn put(&self, topic: &str, key: &str, value: String) -> bool {
+        let addr = self.store_addr;
+        let url = format!("http://{addr}/control/put?topic={topic}&key={key}");
+        let sent = self.client.post(url).send_body(value).await;
+        sent.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// State of the move, once one was written.
+    pub async fn move_state(&self) -> Option<String> {
+        let addr = self.store_addr;
+        let url = format!("http://{addr}/control/newest?topic={RESULT_TOPIC}&key=rollout/registry");
+        let mut answer = self.client.get(url).send().await.ok()?;
+        let body = answer.body().await.ok()?;
+        let body: serde_json::Value = serde_json::from_slice(&body).ok()?;
+        Some(body["state"].as_str()?.to_owned())
+    }
+
+    async fn change_store(&self, change: &StoreChange) {
+        let url = format!("http://{}/control", self.store_addr);
+        if self.client.post(url).send_json(change).await.is_err() {
+            self.violations
+                .borrow_mut()
+                .push("the store is gone".into());
+        }
+    }
+
+    fn start_node(&self, node: usize) {
+        // A node that another event has started meanwhile runs already.
+        if self.fleet.borrow_mut().start(node).is_ok() {
+            self.started.borrow_mut()[node] = steady_millis();
+        }
+    }
+
+    fn start_backend(&self, node: usize, keep_id: bool) {
+        let fleet = self.fleet.borrow();
+        let addrs = &fleet.nodes()[node].addrs;
+        let backend = &mut self.backends.borrow_mut()[node];
+        backend.starts += 1;
+        if !keep_id || backend.id.is_empty() {
+            backend.id = format!("b{node}-{}", backend.starts);
+        }
+        let is_new = node >= NODES;
+        let version = if is_new { NEW_VERSION } else { OLD_VERSION };
+        let error_rate = if is_new && self.bad.get() {
+            BAD_ERROR_RATE
+        } else {
+            0.0
+        };
+        let mut command = Command::new(&self.programs.testbed);
+        command
+            .arg("platform-backend")
+            .args(["--id", &backend.id, "--version-name", version])
+            .args([
+                "--service",
+                "registry",
+                "--born",
+                &steady_millis().to_string(),
+            ])
+            .args(["--listen", &addrs.backend.to_string()])
+            .args(["--heartbeat", &addrs.heartbeat.to_string()])
+            .args(["--error-rate", &error_rate.to_string()])
+            .args(["--seed", &backend.starts.to_string()]);
+        // A backend server that another event has started meanwhile runs already.
+        let _ = backend.process.start(&mut command);
+    }
+
+    /// Notes a disturbance that begins now and ends after `time`.
+    fn disturb(&self, node: usize, kind: DisturbanceKind, time: Duration) {
+        let from = steady_millis();
+        let time = u64::try_from((time + END_SLACK).as_millis()).unwrap_or(u64::MAX);
+        let to = from.saturating_add(time);
+        let disturbance = Disturbance {
+            node,
+            kind,
+            from,
+            to,
+        };
+        self.disturbances.borrow_mut().push(disturbance);
+    }
+
+    /// Lets an event happen, up to its end.
+    pub async fn play(self: Rc<Self>, event: Event) {
+        match event {
+            Event::StopNode(node) => self.stop_node(node).await,
+            Event::KillNode(node, away) => {
+                self.disturb(node, DisturbanceKind::Killed, Duration::ZERO);
+                let killed = self.fleet.borrow_mut().kill(node);
+                actix_rt::time::sleep(away).await;
+                if killed.is_ok() {
+                    self.start_node(node);
+                }
+            }
+            Event::PauseNode(node, time) => {
+                self.disturb(node, DisturbanceKind::Paused, time);
+                let paused = self.fleet.borrow().signal(node, Signal::STOP).is_ok();
+                actix_rt::time::sleep(time).await;
+                if paused {
+                    // It may have been killed meanwhile.
+                    let _ = self.fleet.borrow().signal(node, Signal::CONT);
+                }
+            }
+            Event::ReloadNode(node) => {
+                // A node that does not run cannot reload.
+                let _ = self.fleet.borrow().signal(node, Signal::HUP);
+            }
+            Event::KillBackend(node, away, keep_id) => {
+                self.disturb(node, DisturbanceKind::BackendDisturbed, away);
+                // The process may have ended by itself after a leave.
+                let _ = self.backends.borrow_mut()[node].process.kill();
+                actix_rt::time::sleep(away).await;
+                self.start_backend(node, keep_id);
+            }
+            Event::StopBackend(node) => self.stop_backend(node).await,
+            Event::PauseBackend(node, time) => {
+                let signal = |signal| {
+                    // It may have ended meanwhile.
+                    let _ = self.backends.borrow()[node].process.signal(signal);
+                };
+                self.disturb(node, DisturbanceKind::BackendDisturbed, time);
+                signal(Signal::STOP);
+                actix_rt::time::sleep(time).await;
+                signal(Signal::CONT);
+            }
+            Event::Link(kind, node, fault, time) => {
+                let link = match kind {
+                    LinkKind::Store => 0,
+                    LinkKind::Node => 1,
+                    LinkKind::Backend => 2,
+                };
+                if kind == LinkKind::Backend {
+                    self.disturb(node, DisturbanceKind::BackendDisturbed, time);
+                }
+                self.links[node][link].set(fault);
+                actix_rt::time::sleep(time).await;
+                self.links[node][link].set(LinkFault::None);
+            }
+            Event::Store(fault, time) => {
+                self.change_store(&store_change(fault)).await;
+                actix_rt::time::sleep(time).await;
+                self.change_store(&well_store()).await;
+            }
+            Event::Config => {
+                self.put_config().await;
+            }
+            Event::Move(bad) => self.order_move(bad).await,
+        }
+    }
+
+    async fn stop_node(&self, node: usize) {
+        // A node that does not run cannot be stopped.
+        let Ok(()) = self.fleet.borrow().signal(node, Signal::TERM) else {
+            return;
+        };
+        let asked = steady_millis();
+        let pid = self.pid(node);
+        let within = Duration::from_secs(self.fleet.borrow().nodes()[node].options.stop_within_s);
+        let until = Instant::now() + within + STOP_SLACK;
+        // Another event may have started it again.
+        while !self.has_ended(node) && self.pid(node) == pid {
+            if Instant::now() > until {
+                let is_disturbed = self.disturbances.borrow().iter().any(|other| {
+                    other.node == node && other.to >= asked && other.kind == DisturbanceKind::Paused
+                });
+                if !is_disturbed {
+                    let text = format!("node {node} was told to stop at {asked} and still runs");
+                    self.violations.borrow_mut().push(text);
+                }
+                // It may end at this moment.
+                let _ = self.fleet.borrow_mut().kill(node);
+                self.disturb(node, DisturbanceKind::Killed, Duration::ZERO);
+                break;
+            }
+            actix_rt::time::sleep(CHECK).await;
+        }
+        self.start_node(node);
+    }
+
+    fn pid(&self, node: usize) -> Option<u32> {
+        self.fleet.borrow().nodes()[node].process.pid()
+    }
+
+    fn has_ended(&self, node: usize) -> bool {
+        !self.fleet.borrow_mut().is_running_now(node)
+    }
+
+    async fn stop_backend(&self, node: usize) {
+        // A backend server that does not run cannot leave.
+        let _ = self.backends.borrow()[node].process.signal(Signal::TERM);
+        let until = Instant::now() + Duration::from_secs(12);
+        while Instant::now() < until {
+            let ended = self.backends.borrow_mut()[node].process.ended();
+            if !matches!(ended, Ok(None)) || !self.backends.borrow()[node].process.is_running() {
+                break;
+            }
+            actix_rt::time::sleep(CHECK).await;
+        }
+        self.start_backend(node, false);
+    }
+
+    async fn order_move(&self, bad: bool) {
+        self.bad.set(bad);
+        for node in NODES..NODES + MOVE_NODES {
+            self.start_node(node);
+            self.start_backend(node, false);
+        }
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        let order =
+            json!({ "service": "registry", "target": NEW_VERSION, "step-s": MOVE_WITHIN_S });
+        let put = self.put(OPERATOR_TOPIC, "rollout/registry", order.to_string());
+        if put.await {
+            self.moved.set(Some(bad));
+        }
+    }
+
+    /// Ends all faults and starts what does not run.
+    pub async fn calm(&self) {
+        for links in &self.links {
+            for link in links {
+                link.set(LinkFault::None);
+            }
+        }
+        self.change_store(&well_store()).await;
+        let nodes = if self.moved.get().is_some() {
+            NODES + MOVE_NODES
+        } else {
+            NODES
+        };
+        for node in 0..nodes {
+            if self.has_ended(node) {
+                self.start_node(node);
+            }
+            let ended = self.backends.borrow_mut()[node].process.ended();
+            let is_running = self.backends.borrow()[node].process.is_running();
+            if ended.is_ok_and(|status| status.is_some()) || !is_running {
+                self.start_backend(node, false);
+            }
+        }
+    }
+}
+
+fn store_change(fault: StoreFault) -> StoreChange {
+    let mut change = StoreChange::default();
+    match fault {
+        StoreFault::Refuse => change.outage = Some(Outage::Refuse),
+        StoreFault::Hang => change.outage = Some(Outage::Hang),
+        StoreFault::Slow => change.delay_ms = Some(300),
+        StoreFault::LoseAnswers => change.lose_answers = Some(5),
+        StoreFault::LateAppends => {
+            change.late_appends = Some(5);
+            change.late_ms = Some(1_500);
+        }
+        StoreFault::MissedWakeups => change.missed_wakeups = Some(2),
+        StoreFault::Expire => change.retention = Some(3),
+    }
+    change
+}
+
+fn well_store() -> StoreChange {
+    StoreChange {
+        outage: Some(Outage::Off),
+        delay_ms: Some(0),
+        lose_answers: Some(0),
+        late_appends: Some(0),
+        missed_wakeups: Some(0),
+        retention: Some(0),
+        ..StoreChange::default()
+    }
+}
+
+/// Whether a program is there.
+///
+/// # Errors
+/// If it is not.
+pub fn check_program(path: &Path) -> eyre::Result<()> {
+    ensure!(
+        path.is_file(),
+        "{} is not a file; build the workspace first",
+        path.display()
+    );
+    Ok(())
+}
--- a/src/coordination/stop_plan.rs
+++ b/src/coordination/stop_plan.rs
@@ -42,6 +42,14 @@
         }
     }
 
+    /// Whether a call that comes now and may take `patience` is served. After the time in which the
+    /// platform still sends callers, one that may run beyond the end of the process is better refused:
+    /// it has not run, and its caller can go elsewhere.
+    #[must_use]
+    pub fn accepts(&self, now: Duration, patience: Duration) -> bool {
+        now < self.began + WITHDRAW_TIME || now + patience <= self.end
+    }
+
     /// Returns what to do while `open_calls` calls are open.
     pub fn step(&mut self, now: Duration, open_calls: usize) -> StopStep {
         if now >= self.end {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -38,6 +38,7 @@
 use crate::coordination::placement::Placement;
 use crate::coordination::retry_quota::RetryQuota;
 use crate::coordination::slot_queue::SlotQueue;
+use crate::coordination::stop_plan::StopPlan;
 use crate::coordination::version_move::Moves;
 use crate::logging;
 use crate::node::clock::Clock;
@@ -99,6 +100,8 @@
     /// Random number of this process.
     run: u64,
     stopping: Cell<bool>,
+    /// Progress of the stop, once the process was told to.
+    stop_plan: RefCell<Option<StopPlan>>,
     open_calls: Cell<usize>,
     /// What was read from the store's topics.
     feed: Feed,
@@ -171,6 +174,7 @@
         service_header: HeaderValue::from_str(settings.service.as_str())?,
         run,
         stopping: Cell::new(false),
+        stop_plan: RefCell::new(None),
         open_calls: Cell::new(0),
         feed: Feed::default(),
         entry_changed: Notify::new(),
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -63,10 +63,17 @@
     // Followers go on to another reader at once.
     cx.feed.view_checked.notify_waiters();
     cx.entry_changed.notify_one();
-    let mut plan = StopPlan::new(cx.clock.now(), cx.settings.stop_within());
+    let plan = StopPlan::new(cx.clock.now(), cx.settings.stop_within());
+    *cx.stop_plan.borrow_mut() = Some(plan);
     let mut withdrawn = false;
     loop {
-        match plan.step(cx.clock.now(), cx.open_calls.get()) {
+        let (now, open_calls) = (cx.clock.now(), cx.open_calls.get());
+        let step = cx
+            .stop_plan
+            .borrow_mut()
+            .as_mut()
+            .map(|plan| plan.step(now, open_calls));
+        match step.unwrap_or(StopStep::Exit) {
             StopStep::Serve => {}
             StopStep::Withdrawn if withdrawn => {}
             StopStep::Withdrawn => {
--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -29,6 +29,9 @@
 use testbed::measure::latency::LatencyOptions;
 use testbed::measure::rollback;
 use testbed::measure::rollback::RollbackOptions;
+use testbed::platform::backend::PlatformBackend;
+use testbed::platform::backend::PlatformBackendOptions;
+use testbed::platform::store::StoreServer;
 use testbed::relay;
 
 /// Exit code of a backend server that crashed on purpose.
@@ -46,6 +49,8 @@
         Some(("backend", args)) => backend(args),
         Some(("caller", args)) => call(args),
         Some(("relay", args)) => relay(args),
+        Some(("platform-store", args)) => platform_store(args),
+        Some(("platform-backend", args)) => platform_backend(args),
         Some(("measure", args)) => measure(args),
         _ => Ok(ExitCode::FAILURE),
     }
@@ -60,6 +65,8 @@
         .subcommand(backend_command())
         .subcommand(caller_command())
         .subcommand(relay_command())
+        .subcommand(platform_store_command())
+        .subcommand(platform_backend_command())
         .subcommand(measure_command())
 }
 
@@ -129,6 +136,81 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn platform_store_command() -> Command {
+    Command::new("platform-store")
+        .about("Run the stand-in for the platform's store; it changes with POST /control")
+        .arg(
+            option("listen", "ADDR", "Listen address")
+                .value_parser(value_parser!(SocketAddr))
+                .required(true),
+        )
+}
+
+fn platform_store(args: &ArgMatches) -> eyre::Result<ExitCode> {
+    let store =
+        StoreServer::start(*required(args, "listen")?).wrap_err("cannot start the store")?;
+    println!("store listens on {}", store.addr());
+    actix_rt::System::new().block_on(wait_for_stop());
+    Ok(ExitCode::SUCCESS)
+}
+
+fn platform_backend_command() -> Command {
+    let addr = |name, help| {
+        option(name, "ADDR", help)
+            .value_parser(value_parser!(SocketAddr))
+            .required(true)
+    };
+    let number = |name, default, help| {
+        option(name, "N", help)
+            .value_parser(value_parser!(u64))
+            .default_value(default)
+    };
+    Command::new("platform-backend")
+        .about("Run the stand-in for a backend server of the platform; SIGTERM makes it leave")
+        .arg(option("id", "ID", "Identity of the incarnation").required(true))
+        .arg(option("service", "NAME", "Service").required(true))
+        .arg(option("version-name", "NAME", "Version of the service").required(true))
+        .arg(addr("listen", "Listen address"))
+        .arg(addr("heartbeat", "Address for heartbeats"))
+        .arg(number("born", "1", "Unix millisecond of the start"))
+        .arg(number("slots", "6", "Requests that run at the same time"))
+        .arg(number("service-ms", "30", "Longest service time"))
+        .arg(number("pad-bytes", "1500", "Size of an answer's filler"))
+        .arg(number("seed", "1", "Seed of service times and errors"))
+        .arg(
+            option(
+                "error-rate",
+                "SHARE",
+                "Share of the requests answered with 500",
+            )
+            .value_parser(value_parser!(f64))
+            .default_value("0"),
+        )
+}
+
+fn platform_backend(args: &ArgMatches) -> eyre::Result<ExitCode> {
+    let size =
+        |name| -> eyre::Result<usize> { Ok(usize::try_from(*required::<u64>(args, name)?)?) };
+    let mut backend = PlatformBackend::start(PlatformBackendOptions {
+        id: required::<String>(args, "id")?.clone(),
+        born: *required(args, "born")?,
+        service: required::<String>(args, "service")?.clone(),
+        version: required::<String>(args, "version-name")?.clone(),
+        listen: *required(args, "listen")?,
+        heartbeat_addr: *required(args, "heartbeat")?,
+        slots: size("slots")?,
+        service_ms: *required(args, "service-ms")?,
+        error_rate: *required(args, "error-rate")?,
+        pad_bytes: size("pad-bytes")?,
+        seed: *required(args, "seed")?,
+    })
+    .wrap_err("cannot start the backend server")?;
+    actix_rt::System::new().block_on(wait_for_stop());
+    backend.request_stop();
+    backend.join();
+    Ok(ExitCode::SUCCESS)
+}
+
 fn backend_command() -> Command {
     Command::new("backend")
         .about("Run a backend server; faults change with POST /control")
--- a/testbed/src/platform/backend.rs
+++ b/testbed/src/platform/backend.rs
@@ -189,6 +189,7 @@
 }
 
 async fn run(shared: Arc<Shared>, listener: TcpListener) {
+    tell("start", &shared.options.id);
     let serving = {
         let shared = shared.clone();
         let handler = move |req| {
--- a/testbed/src/platform/fleet.rs
+++ b/testbed/src/platform/fleet.rs
@@ -210,6 +210,12 @@
         self.nodes[index].process.kill()
     }
 
+    /// Whether a node runs, looking at the process.
+    pub fn is_running_now(&mut self, index: usize) -> bool {
+        matches!(self.nodes[index].process.ended(), Ok(None))
+            && self.nodes[index].process.is_running()
+    }
+
     /// Sends a signal to a running node.
     ///
     /// # Errors
--- a/tests/stop_plan.rs
+++ b/tests/stop_plan.rs
@@ -41,3 +41,19 @@
     expect_that!(plan.step(at(5_200), 3), eq(StopStep::Withdrawn));
     expect_that!(plan.step(at(5_400), 3), eq(StopStep::Exit));
 }
+
+/// Load: a busy node is told to stop while callers go on to use their open connections (gprbs-booths
+/// scale-2, seed 29486330085: up to four calls were cut at the end). Guards against taking a call late
+/// in the stop that may still run when the process has to end.
+#[gtest]
+fn accepts_only_what_ends_in_time() {
+    let plan = StopPlan::new(at(1_000), WITHIN);
+    // The platform still sends callers, and there is nowhere else for them to go.
+    expect_true!(plan.accepts(at(1_000), at(3_000)));
+    expect_true!(plan.accepts(at(3_500), at(3_000)));
+    // The process ends at 6.3 s.
+    expect_false!(plan.accepts(at(3_700), at(3_000)));
+    expect_true!(plan.accepts(at(3_700), at(2_500)));
+    expect_true!(plan.accepts(at(5_000), at(1_200)));
+    expect_false!(plan.accepts(at(5_200), at(1_200)));
+}
