--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -214,7 +214,7 @@
         check(
             record,
             &buf[head_end..head_end + length],
-            header(SEAL_HEADER),
+            header(SEAL_HEADER).as_deref(),
             path,
         );
     }
@@ -230,7 +230,7 @@
 }
 
 /// Checks that an answer is whole, of this attempt, and sealed by the one that made it.
-fn check(record: &mut CallRecord, body: &[u8], found_seal: Option<String>, path: &str) {
+fn check(record: &mut CallRecord, body: &[u8], found_seal: Option<&str>, path: &str) {
     let answer: PlatformAnswer = match serde_json::from_slice(body) {
         Ok(answer) => answer,
         Err(e) => {
@@ -241,7 +241,7 @@
     let own_seal = seal(&answer.instance, &record.attempt);
     if answer.attempt != record.attempt || answer.target != path {
         record.wrong = Some(format!("the answer of {}", answer.attempt));
-    } else if found_seal.as_deref() != Some(own_seal.as_str()) {
+    } else if found_seal != Some(own_seal.as_str()) {
         record.wrong = Some(format!("the seal {found_seal:?}"));
     }
     record.version = Some(answer.version);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -158,6 +158,7 @@
     calls.stopped.set(true);
     // Calls that are out come to their end.
     actix_rt::time::sleep(world::ROUTE_LIMIT).await;
+    let move_state = world.move_state().await;
     let records = calls.records.borrow();
     let outputs: Vec<String> = (0..NODES + world::MOVE_NODES)
         .map(|node| world.backend_output(node))
@@ -176,7 +177,7 @@
     if world.moved.get() != Some(true) {
         wrong.extend(unserved.map(|call| format!("not served after the faults: {call:?}")));
     }
-    if world.moved.get() == Some(true) && world.move_state().await.as_deref() == Some("complete") {
+    if world.moved.get() == Some(true) && move_state.as_deref() == Some("complete") {
         wrong.push("a bad version was called complete".into());
     }
     let served = records
