Large failure domains hand records on in a tree

Cause: one reader hands each configuration to all nodes of its failure domain. A node has twelve followers at most now.

Test: source_fan_out, 220 nodes.

--- a/src/coordination/relay.rs
+++ b/src/coordination/relay.rs
@@ -14,6 +14,9 @@
 /// Nodes of a failure domain from which on they share a reader. A reader looks more often than a node
 /// that reads for itself, which does not pay for fewer.
 const MIN_NODES: usize = 4;
+/// Nodes that follow one node. In a larger failure domain followers are followed in turn: one reader
+/// of 50 nodes took 1.4 s to hand them a configuration of 120 kB.
+const FAN_OUT: usize = 12;
 /// Time for which a node that failed as a reader is passed over.
 const PASS_OVER: Duration = Duration::from_secs(30);
 /// Time for which a reader that answered, but is behind, is passed over. It may have followed the one
@@ -78,8 +81,16 @@
             return Source::Store;
         }
         let has_failed = |node: &NodeId| self.failed.iter().any(|failed| failed.node == *node);
-        match domain.iter().find(|(node, _)| !has_failed(node)) {
-            Some((node, addr)) if node != me => Source::Peer(node.clone(), *addr),
+        // All nodes of the domain know the same order, so that a node only follows one before it.
+        let alive: Vec<_> = domain
+            .iter()
+            .filter(|(node, _)| node == me || !has_failed(node))
+            .collect();
+        match alive.iter().position(|(node, _)| node == me) {
+            Some(own @ 1..) => {
+                let (node, addr) = alive[(own - 1) / FAN_OUT];
+                Source::Peer(node.clone(), *addr)
+            }
             _ => Source::Store,
         }
     }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -61,6 +61,39 @@
     expect_that!(reader(&mut relay, 0, "b", 3), none());
 }
 
+/// Load: failure domains of 220 nodes. Guards against one node that hands a configuration to all
+/// others, and against long chains of followers.
+#[gtest]
+fn source_fan_out() {
+    let addr: SocketAddr = "127.0.0.1:7401".parse().expect("a valid address");
+    let names: Vec<NodeId> = (0..220)
+        .map(|n| format!("n{n:03}").as_str().into())
+        .collect();
+    let domain: Vec<_> = names.iter().map(|name| (name.clone(), addr)).collect();
+    let mut sources = Vec::new();
+    for name in &names {
+        let source = Relay::default().source(Duration::ZERO, name, &domain, None);
+        sources.push(match source {
+            Source::Store => None,
+            Source::Peer(node, _) => names.binary_search(&node).ok(),
+        });
+    }
+    expect_that!(
+        sources.iter().filter(|source| source.is_none()).count(),
+        eq(1)
+    );
+    for own in 0..names.len() {
+        let followers = sources.iter().filter(|source| **source == Some(own));
+        expect_that!(followers.count(), le(12));
+        let (mut at, mut depth) = (own, 0);
+        while let Some(next) = sources[at] {
+            expect_that!(next, lt(at));
+            (at, depth) = (next, depth + 1);
+        }
+        expect_that!(depth, le(3));
+    }
+}
+
 /// Load: a third of the instances are lost at once, readers among them (ggwra-mesh-grown trouble-3).
 /// Guards against trying one dead reader after the other while a configuration comes into force.
 #[gtest]
