Second attempts beside idempotent ones that take long

Cause: callers waited for answers that a backend server had lost, and for backend servers that had just turned slow, up to the limit of the route. An attempt that takes twice its expected time gets another one beside it, if a backend server has free slots and the fleet's budget of repeats allows it. The attempt that loses counts as a run of at least its time, so that slow servers lose their good name.

Ruled out: second attempts when slots are full; they make all others late.

--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -22,6 +22,12 @@
 /// caller waiting for a refusal.
 const MAX_LOST_TRIES: usize = 1;
 
+/// Expected times of an attempt after which a second one is started beside it. Run times of one route
+/// spread by about a half, so that few calls take twice their mean.
+const HEDGE_FACTOR: f64 = 2.0;
+/// Shortest such time; below it the way to another node is what counts.
+const MIN_HEDGE: Duration = Duration::from_millis(40);
+
 /// What bounds the attempts of a call.
 #[derive(Clone, Copy, Debug)]
 pub struct CallTerms {
@@ -55,6 +61,8 @@
     pub time_ms: f64,
     /// Whether it could not be reached, or had no backend server, when it was last tried.
     pub is_lost: bool,
+    /// Whether its backend server is believed to have a free slot.
+    pub has_room: bool,
 }
 
 /// What becomes of the choice of a node.
@@ -225,6 +233,26 @@
         Choice::Send
     }
 
+    /// Returns the time after which a second attempt is started beside one that is expected to take
+    /// `expected_ms`, if the call may arrive at two backend servers.
+    #[must_use]
+    pub fn hedge_after(&self, expected_ms: f64) -> Option<Duration> {
+        let is_allowed = self.terms.idempotent && self.arrivals + 2 <= self.terms.attempts;
+        let expected = Duration::from_secs_f64(expected_ms.max(0.0) / 1e3);
+        is_allowed.then(|| expected.mul_f64(HEDGE_FACTOR).max(MIN_HEDGE))
+    }
+
+    /// Decides whether the chosen node gets a second attempt beside the one that is out. It has to be
+    /// able to answer before the caller gives up, and to have a free slot: under overload second
+    /// attempts make all others late.
+    pub fn on_hedge(&mut self, now: Duration, chosen: Chosen) -> bool {
+        let expected = Duration::from_secs_f64(chosen.time_ms.max(0.0) / 1e3);
+        let is_useful = now + expected <= self.terms.deadline;
+        let is_sent = is_useful && chosen.has_room && !chosen.is_lost && self.tries < MAX_TRIES;
+        self.tries += usize::from(is_sent);
+        is_sent
+    }
+
     /// Takes note of an attempt at `node` that ended without an answer that ran well.
     pub fn on_failure(&mut self, node: &NodeId, failure: AttemptFailure) {
         self.tried.push(node.clone());
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -95,6 +95,8 @@
     Broken,
     /// Abandoned by the caller; says nothing about the node.
     Cancelled,
+    /// Abandoned since a second attempt was answered first; it took at least the run time given.
+    Outrun,
 }
 
 /// What the end of an attempt tells about a node.
@@ -129,6 +131,9 @@
     pub load_age: Duration,
     /// Whether the node could not be reached, or had no backend server, when it was last tried.
     pub is_lost: bool,
+    /// Whether its backend server is believed to have free slots, and not to become slower by one more
+    /// call.
+    pub has_room: bool,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -215,6 +220,11 @@
         own + (reported - own).max(0.0) * weight
     }
 
+    fn has_room(&self, now: Duration) -> bool {
+        let slots = self.backend().map_or(0, |backend| backend.slots);
+        self.believed_load(now) + 1.0 <= f64::from(slots) * BUSY_SHARE
+    }
+
     /// Expected time until the answer, milliseconds.
     fn time_ms(&self, now: Duration, backend: &BackendReport, run_ms: f64) -> f64 {
         let cold = if self.warm_at > now { COLD_FACTOR } else { 1.0 };
@@ -454,6 +464,7 @@
             load: candidate.believed_load(now),
             load_age: now.saturating_sub(candidate.load_at),
             is_lost: standing == Standing::Lost,
+            has_room: candidate.has_room(now),
         })
     }
 
@@ -513,6 +524,7 @@
     pub fn on_end(&mut self, now: Duration, node: &NodeId, route: &RouteName, feedback: &Feedback) {
         let mean_ms = match feedback.end {
             AttemptEnd::Ran { failed: false } => Some(self.observe(route, feedback)),
+            AttemptEnd::Outrun => self.means(route).map(|means| means.run_ms.max(1.0)),
             _ => None,
         };
         let Ok(index) = self.index(node) else {
@@ -531,7 +543,7 @@
             AttemptEnd::Overloaded => candidate.paused_until = now + OVERLOAD_PAUSE,
             AttemptEnd::Shed | AttemptEnd::Broken => candidate.note_failure(now, true),
             AttemptEnd::NoBackend | AttemptEnd::Unreachable => candidate.pause(now),
-            AttemptEnd::Cancelled => {}
+            AttemptEnd::Cancelled | AttemptEnd::Outrun => {}
         }
         if let Some(mean_ms) = mean_ms {
             let relative = (feedback.run.as_secs_f64() * 1e3 / mean_ms).clamp(0.1, 20.0);
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -1,6 +1,8 @@
 //! Requests of callers: route, placement, attempts and the answer. See `docs/platform.md`,
 //! "Request path".
 
+use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +13,8 @@
 use actix_http::body::BoxBody;
 use actix_http::header::CONTENT_TYPE;
 use actix_http::header::HeaderValue;
+use futures_util::future::Either;
+use futures_util::future::select;
 use rand::RngExt;
 use serde_json::json;
 use slog::info;
@@ -208,11 +212,7 @@
             Step::Repeat | Step::Stop => return None,
         }
         let pick = pick(cx, call, attempts, now);
-        let chosen = pick.as_ref().map(|pick| Chosen {
-            time_ms: pick.time_ms,
-            is_lost: pick.is_lost,
-        });
-        let pick = match attempts.on_choice(now, chosen) {
+        let pick = match attempts.on_choice(now, pick.as_ref().map(chosen)) {
             Choice::Send => pick?,
             Choice::AskAgain => continue,
             Choice::Stop => return None,
@@ -220,29 +220,117 @@
         if attempts.tries() > 1 {
             cx.metrics.attempts_beyond_first.increment(1);
         }
-        let failure = match make_attempt(cx, call, &pick, attempts.accepts_late(), now).await {
-            ServeEnd::Ran { answer, .. }
-                if answer.status.is_server_error() && call.route.idempotent =>
-            {
-                *failed_answer = Some(answer);
-                AttemptFailure::Failed
+        for (node, end) in attempt(cx, call, attempts, pick, now).await {
+            let failure = match end {
+                ServeEnd::Ran { answer, .. } if failed(call, &answer) => {
+                    *failed_answer = Some(answer);
+                    AttemptFailure::Failed
+                }
+                ServeEnd::Ran { answer, .. } => return Some(answer),
+                ServeEnd::Refused {
+                    code,
+                    arrived,
+                    come_back,
+                } => AttemptFailure::Refused {
+                    code,
+                    arrived,
+                    come_back,
+                },
+                ServeEnd::Unknown(code) => AttemptFailure::Unknown(code),
+            };
+            attempts.on_failure(&node, failure);
+        }
+    }
+}
+
+fn chosen(pick: &Pick) -> Chosen {
+    Chosen {
+        time_ms: pick.time_ms,
+        is_lost: pick.is_lost,
+        has_room: pick.has_room,
+    }
+}
+
+/// Whether an answer says that the call failed and another backend server may do better.
+fn failed(call: &EntryCall, answer: &HttpAnswer) -> bool {
+    answer.status.is_server_error() && call.route.idempotent
+}
+
+/// Makes an attempt, and a second one beside it if it takes long. Returns their ends; one that is
+/// outrun by the other's answer has none.
+async fn attempt(
+    cx: &Rc<Sidecar>,
+    call: &EntryCall,
+    attempts: &mut Attempts,
+    pick: Pick,
+    now: Duration,
+) -> Vec<(NodeId, ServeEnd)> {
+    let accepts_late = attempts.accepts_late();
+    let outrun = Cell::new(false);
+    let first = make_attempt(cx, call, &pick, accepts_late, now, &outrun);
+    let mut first = pin!(first);
+    if let Some(delay) = attempts.hedge_after(pick.time_ms) {
+        if let Ok(end) = actix_rt::time::timeout(delay, &mut first).await {
+            return vec![(pick.node.clone(), end)];
+        }
+    }
+    let Some(second_pick) = pick_hedge(cx, call, attempts, &pick.node) else {
+        let end = first.await;
+        return vec![(pick.node.clone(), end)];
+    };
+    let now = cx.clock.now();
+    let second = make_attempt(cx, call, &second_pick, accepts_late, now, &outrun);
+    let is_answer =
+        |end: &ServeEnd| matches!(end, ServeEnd::Ran { answer, .. } if !failed(call, answer));
+    match select(first, pin!(second)).await {
+        Either::Left((end, second)) => {
+            if is_answer(&end) {
+                outrun.set(true);
+                return vec![(pick.node.clone(), end)];
             }
-            ServeEnd::Ran { answer, .. } => return Some(answer),
-            ServeEnd::Refused {
-                code,
-                arrived,
-                come_back,
-            } => AttemptFailure::Refused {
-                code,
-                arrived,
-                come_back,
-            },
-            ServeEnd::Unknown(code) => AttemptFailure::Unknown(code),
-        };
-        attempts.on_failure(&pick.node, failure);
+            vec![
+                (pick.node.clone(), end),
+                (second_pick.node.clone(), second.await),
+            ]
+        }
+        Either::Right((end, first)) => {
+            if is_answer(&end) {
+                outrun.set(true);
+                return vec![(second_pick.node.clone(), end)];
+            }
+            vec![
+                (second_pick.node.clone(), end),
+                (pick.node.clone(), first.await),
+            ]
+        }
     }
 }
 
+/// Chooses the node of a second attempt beside the one at `first`, if one is worth it and the fleet's
+/// budget allows it.
+fn pick_hedge(
+    cx: &Sidecar,
+    call: &EntryCall,
+    attempts: &mut Attempts,
+    first: &NodeId,
+) -> Option<Pick> {
+    attempts.hedge_after(0.0)?;
+    let now = cx.clock.now();
+    let mut tried = attempts.tried().to_vec();
+    tried.push(first.clone());
+    let pick = choose(&mut cx.state.borrow_mut(), now, call, &tried)?;
+    if !attempts.on_hedge(now, chosen(&pick)) || !may_repeat(cx, call, attempts, now) {
+        return None;
+    }
+    cx.metrics.attempts_beyond_first.increment(1);
+    info!(cx.log, "second attempt"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
+        "route" => call.route.name.as_str(), "beside" => first.as_str(), "to" => pick.node.as_str(),
+        "after_ms" => millis(now.saturating_sub(call.serve.arrived)),
+        "cost_ms" => format!("{:.1}", pick.cost_ms), "load" => format!("{:.1}", pick.load),
+        "load_age_ms" => millis(pick.load_age));
+    Some(pick)
+}
+
 /// Whether the fleet's budget allows a call that arrived at a backend server to go to another one.
 fn may_repeat(cx: &Sidecar, call: &EntryCall, attempts: &Attempts, now: Duration) -> bool {
     let mut state = cx.state.borrow_mut();
@@ -331,6 +419,9 @@
 /// Tells the placement that an attempt ended, also when the caller cancels it.
 struct InFlight<'a> {
     cx: &'a Sidecar,
+    began: Duration,
+    /// Whether another attempt was answered first.
+    outrun: &'a Cell<bool>,
     node: &'a NodeId,
     run: Duration,
     end: AttemptEnd,
@@ -342,9 +433,15 @@
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
         let now = self.cx.clock.now();
+        let is_outrun = self.end == AttemptEnd::Cancelled && self.outrun.get();
+        let (end, run) = if is_outrun {
+            (AttemptEnd::Outrun, now.saturating_sub(self.began))
+        } else {
+            (self.end, self.run)
+        };
         let feedback = Feedback {
-            end: self.end,
-            run: self.run,
+            end,
+            run,
             report: self.report,
             bytes: self.bytes,
         };
@@ -361,10 +458,13 @@
     pick: &Pick,
     accepts_late: bool,
     now: Duration,
+    outrun: &Cell<bool>,
 ) -> ServeEnd {
     cx.state.borrow_mut().placement.on_start(&pick.node);
     let mut in_flight = InFlight {
         cx,
+        began: now,
+        outrun,
         node: &pick.node,
         run: Duration::ZERO,
         end: AttemptEnd::Cancelled,
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -15,10 +15,12 @@
 const NEAR: Chosen = Chosen {
     time_ms: 60.0,
     is_lost: false,
+    has_room: true,
 };
 const LOST: Chosen = Chosen {
     time_ms: 60.0,
     is_lost: true,
+    has_room: true,
 };
 
 fn ms(millis: u64) -> Duration {
@@ -118,6 +120,7 @@
     let slow = Chosen {
         time_ms: 400.0,
         is_lost: false,
+        has_room: true,
     };
     expect_that!(attempts.on_choice(ms(1_010), Some(slow)), eq(Choice::Send));
     expect_true!(attempts.accepts_late());
@@ -183,3 +186,29 @@
     let come_back = None;
     expect_that!(attempts.outcome(), eq(Outcome::Refused { code, come_back }));
 }
+
+/// Load: some backend servers lose answers or run several times slower. Guards against callers that
+/// wait for them to the end, and against second attempts that calls or routes do not allow.
+#[gtest]
+fn hedge_after_slow_answer() {
+    expect_that!(attempts(true).hedge_after(60.0), some(eq(ms(120))));
+    expect_that!(attempts(true).hedge_after(5.0), some(eq(ms(40))));
+    expect_that!(attempts(false).hedge_after(60.0), none());
+    let mut once_failed = attempts(true);
+    fail(&mut once_failed, ms(1_010), "a", AttemptFailure::Failed);
+    expect_that!(once_failed.hedge_after(60.0), none());
+}
+
+/// Load: the whole service is full. Guards against second attempts that make all others late.
+#[gtest]
+fn on_hedge_overload() {
+    let full = Chosen {
+        has_room: false,
+        ..NEAR
+    };
+    expect_false!(attempts(true).on_hedge(ms(1_200), full));
+    expect_false!(attempts(true).on_hedge(ms(1_200), LOST));
+    expect_true!(attempts(true).on_hedge(ms(1_200), NEAR));
+    // It would answer after the caller has given up.
+    expect_false!(attempts(true).on_hedge(ms(2_950), NEAR));
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -257,6 +257,27 @@
     expect_that!(entry.pick(ms(300), &[]), some(eq("b")));
 }
 
+/// Load: a backend server turns slow, and second attempts answer before it. Guards against a node that
+/// keeps its good name because its slow runs never come to their end.
+#[gtest]
+fn pick_outrun() {
+    let mut entry = fleet();
+    for step in 0..40 {
+        entry.ran(ms(step), "b", "lookup", ms(60));
+        let feedback = Feedback {
+            end: AttemptEnd::Outrun,
+            run: ms(300),
+            report: None,
+            bytes: 0,
+        };
+        entry.placement.on_start(&"a".into());
+        entry
+            .placement
+            .on_end(ms(step), &"a".into(), &entry.route, &feedback);
+    }
+    expect_that!(entry.pick(ms(300), &[]), some(eq("b")));
+}
+
 /// Guards against results that shrink when a node leaves or restarts: a good version was taken back
 /// since the rest of the old one looked six times faster (ggwra-mesh-grown trouble-3).
 #[gtest]
