--- /dev/null
+++ b/src/coordination/rollout/observation.rs
@@ -0,0 +1,206 @@
+//! What one node has seen and heard of the versions of a rollout.
+
+use std::time::Duration;
+
+use crate::coordination::evidence::Evidence;
+use crate::coordination::evidence::Finding;
+use crate::coordination::evidence::MAX_ROUTES;
+use crate::coordination::evidence::Side;
+use crate::coordination::evidence::Tally;
+use crate::coordination::rollout::CRASH_RATIO;
+use crate::coordination::rollout::MAX_REPORT_GAP;
+use crate::coordination::rollout::MAX_REPORTERS;
+use crate::coordination::rollout::MIN_CRASHES;
+use crate::coordination::rollout::OWN_SOURCE;
+use crate::coordination::rollout::entry;
+use crate::protocol::gossip::EvidenceReport;
+use crate::protocol::gossip::RollbackCause;
+use crate::protocol::name::NodeId;
+use crate::protocol::name::RouteName;
+
+/// Figures of another serving node.
+#[derive(Debug)]
+pub(super) struct Reporter {
+    pub(super) node: NodeId,
+    pub(super) side: Side,
+    pub(super) first_sequence: u64,
+    pub(super) last_sequence: u64,
+    pub(super) heard: Duration,
+    pub(super) crashes: u32,
+    /// Sorted by route: sequence of the last figures and the figures.
+    pub(super) routes: Vec<(RouteName, u64, Tally)>,
+}
+
+#[derive(Debug)]
+pub(super) struct PendingCrash {
+    pub(super) backend_start: u64,
+    pub(super) side: Side,
+    pub(super) route: RouteName,
+    pub(super) fingerprints: Vec<u64>,
+    pub(super) due: Duration,
+}
+
+/// Part of a rollout that only serving nodes keep.
+#[derive(Debug)]
+pub(super) struct Observation {
+    pub(super) evidence: Evidence,
+    pub(super) reporters: Vec<Reporter>,
+    /// Figures of the local backend server since the last tick, sorted by route.
+    pub(super) staged: Vec<(RouteName, Tally)>,
+    /// Cumulative figures of the local backend server, sorted by route.
+    pub(super) own: Vec<(RouteName, Tally)>,
+    pub(super) own_side: Option<Side>,
+    pub(super) own_crashes: u32,
+    pub(super) pending: Vec<PendingCrash>,
+    pub(super) next_report: Duration,
+    pub(super) sequence: u64,
+    /// Time of the last event.
+    pub(super) seen: Duration,
+}
+
+impl Observation {
+    pub(super) fn new(now: Duration) -> Self {
+        Self {
+            evidence: Evidence::new(now),
+            reporters: Vec::new(),
+            staged: Vec::new(),
+            own: Vec::new(),
+            own_side: None,
+            own_crashes: 0,
+            pending: Vec::new(),
+            next_report: now,
+            sequence: 0,
+            seen: now,
+        }
+    }
+
+    /// Starts the local figures anew when the backend server was replaced by another version.
+    pub(super) fn own_version(&mut self, side: Side) {
+        if self.own_side != Some(side) {
+            self.own_side = Some(side);
+            self.own.clear();
+            self.staged.clear();
+            self.own_crashes = 0;
+        }
+    }
+
+    pub(super) fn on_report(
+        &mut self,
+        now: Duration,
+        from: &NodeId,
+        side: Side,
+        report: &EvidenceReport,
+    ) {
+        if side == Side::Old {
+            self.evidence.heard_old(now);
+        }
+        let known = self
+            .reporters
+            .iter()
+            .position(|r| r.node == *from && r.side == side);
+        let at = match known {
+            Some(at) => at,
+            None if self.reporters.len() < MAX_REPORTERS => {
+                self.reporters.push(Reporter {
+                    node: from.clone(),
+                    side,
+                    first_sequence: report.sequence,
+                    last_sequence: 0,
+                    heard: now,
+                    crashes: 0,
+                    routes: Vec::new(),
+                });
+                self.reporters.len() - 1
+            }
+            None => return,
+        };
+        let source = u8::try_from(at).unwrap_or(OWN_SOURCE);
+        let reporter = &mut self.reporters[at];
+        // The calls of a longer silence would stand against those of the last second.
+        if now.saturating_sub(reporter.heard) > MAX_REPORT_GAP {
+            reporter.first_sequence = report.sequence;
+        }
+        let first = report.sequence == reporter.first_sequence;
+        reporter.heard = now;
+        if report.sequence >= reporter.last_sequence {
+            reporter.last_sequence = report.sequence;
+            reporter.crashes = report.crashes;
+        }
+        for figures in &report.routes {
+            let tally = Tally::from(figures);
+            let found = reporter
+                .routes
+                .binary_search_by(|(route, ..)| route.cmp(&figures.route));
+            let delta = match found {
+                Ok(at) if report.sequence <= reporter.routes[at].1 => continue,
+                Ok(at) => {
+                    let delta = if first {
+                        Tally::default()
+                    } else {
+                        tally.increase(&reporter.routes[at].2)
+                    };
+                    reporter.routes[at].1 = report.sequence;
+                    reporter.routes[at].2 = tally;
+                    delta
+                }
+                Err(_) if reporter.routes.len() >= MAX_ROUTES => continue,
+                Err(at) => {
+                    let entry = (figures.route.clone(), report.sequence, tally);
+                    reporter.routes.insert(at, entry);
+                    // The first report of a node may cover any time; only what follows is counted.
+                    if first {
+                        continue;
+                    }
+                    tally
+                }
+            };
+            self.evidence.add(now, side, source, &figures.route, &delta);
+        }
+    }
+
+    /// Takes the local figures since the last tick into the evidence.
+    pub(super) fn take_staged(&mut self, now: Duration, side: Side) {
+        if side == Side::Old {
+            self.evidence.heard_old(now);
+        }
+        let (due, pending) = std::mem::take(&mut self.pending)
+            .into_iter()
+            .partition(|crash| crash.due <= now);
+        self.pending = pending;
+        let due: Vec<PendingCrash> = due;
+        for crash in due {
+            if crash.side == side {
+                self.own_crashes += 1;
+                // A crash is one fault, however many calls it ended.
+                let tally = entry(&mut self.staged, &crash.route);
+                tally.calls += 1;
+                tally.errors += 1;
+            }
+        }
+        for (route, tally) in std::mem::take(&mut self.staged) {
+            self.evidence.add(now, side, OWN_SOURCE, &route, &tally);
+            entry(&mut self.own, &route).add(&tally);
+        }
+    }
+
+    pub(super) fn crashes(&self, side: Side) -> u32 {
+        let others = self.reporters.iter().filter(|r| r.side == side);
+        let own = if self.own_side == Some(side) {
+            self.own_crashes
+        } else {
+            0
+        };
+        others.map(|r| r.crashes).sum::<u32>() + own
+    }
+
+    pub(super) fn crash_finding(&self) -> Option<Finding> {
+        let (old, new) = (self.crashes(Side::Old), self.crashes(Side::New));
+        (new >= MIN_CRASHES + CRASH_RATIO * old).then(|| Finding {
+            cause: RollbackCause::Crashes,
+            route: None,
+            text: format!("backend servers of the new version crashed {new} times, those of the old one {old} times"),
+            concurrent: true,
+            rate: 1.0,
+        })
+    }
+}
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -269,10 +269,10 @@
     let outrun = Cell::new(false);
     let first = make_attempt(cx, call, &pick, accepts_late, now, &outrun);
     let mut first = pin!(first);
-    if let Some(delay) = attempts.hedge_after(pick.time_ms) {
-        if let Ok(end) = actix_rt::time::timeout(delay, &mut first).await {
-            return vec![(pick.node.clone(), end)];
-        }
+    if let Some(delay) = attempts.hedge_after(pick.time_ms)
+        && let Ok(end) = actix_rt::time::timeout(delay, &mut first).await
+    {
+        return vec![(pick.node.clone(), end)];
     }
     let Some(second_pick) = pick_hedge(cx, call, attempts, &pick.node) else {
         let end = first.await;
