A node that starts while the store is away learns from its peers

Ruled out: a list of peers in the settings; the platform hands out none.

Test: start_with_peers_only fails without it.

--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -11,6 +11,8 @@
 
 /// Header with the [`HopHead`] of a request.
 pub const HOP_HEADER: &str = "sw-hop";
+/// Header of a call with the address at which its entry node is reached by other nodes.
+pub const ORIGIN_HEADER: &str = "sw-origin";
 /// Header with the [`HopEnd`] of an answer.
 pub const END_HEADER: &str = "sw-end";
 /// Separates the fields of both headers; names of the platform do not have it.
--- a/src/sidecar/announcer.rs
+++ b/src/sidecar/announcer.rs
@@ -36,10 +36,7 @@
     FleetEntry {
         node: cx.settings.id.clone(),
         run: cx.run,
-        addr: cx
-            .settings
-            .advertised_node_addr
-            .unwrap_or(cx.settings.node_addr),
+        addr: cx.settings.reached_at(),
         region: cx.settings.region.clone(),
         domain: cx.settings.failure_domain.clone(),
         capacity: cx.settings.capacity(),
--- a/src/sidecar/followers.rs
+++ b/src/sidecar/followers.rs
@@ -3,6 +3,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,6 +26,8 @@
 use crate::sidecar::Sidecar;
 use crate::sidecar::records;
 use crate::sidecar::relay_port;
+use crate::sidecar::relay_port::FollowAnswer;
+use crate::sidecar::relay_port::Wanted;
 use crate::state::mirror::Mirror;
 use crate::state::mirror::MirrorRecord;
 
@@ -88,6 +91,8 @@
     confirm_now: Notify,
     /// Whether the next read of the operator's topic does not wait.
     without_wait: Cell<bool>,
+    /// Whether another node is being asked for all that it has read.
+    learning: Cell<bool>,
     /// Whether the last call to the operator's topic was answered.
     store_answers: Cell<bool>,
     /// Signals that the store answers again.
@@ -108,6 +113,7 @@
             view_checked: Notify::new(),
             confirm_now: Notify::new(),
             without_wait: Cell::new(false),
+            learning: Cell::new(false),
             store_answers: Cell::new(true),
             store_returned: Notify::new(),
             relay: RefCell::default(),
@@ -373,19 +379,11 @@
         } else {
             fresh_wait(cx)
         };
-        match relay_port::ask(cx, addr, positions, wait).await {
+        match relay_port::ask(cx, addr, positions, Wanted::Fresh(wait)).await {
             Ok(answer) => {
                 cx.feed.relay.borrow_mut().on_answer();
                 cx.feed.note_store(true);
-                for (topic, part) in answer.topics.into_iter().enumerate().take(TOPICS.len()) {
-                    let end = part.end;
-                    cx.feed.cursors.borrow_mut()[topic].on_relayed(end);
-                    apply_all(cx, topic, &part.records(), end);
-                }
-                let age = Duration::from_millis(answer.age_ms);
-                let confirmed_at = cx.clock.now().saturating_sub(age);
-                cx.feed.confirmed_at.set(Some(confirmed_at));
-                cx.feed.view_checked.notify_waiters();
+                take_over_relayed(cx, answer);
             }
             Err(failure) => {
                 info!(cx.log, "reader passed over"; "reader" => node.as_str(), "failure" => format!("{:?}", failure.failure),
@@ -409,6 +407,42 @@
     }
 }
 
+/// Takes over what another node has read.
+fn take_over_relayed(cx: &Rc<Sidecar>, answer: FollowAnswer) {
+    for (topic, part) in answer.topics.into_iter().enumerate().take(TOPICS.len()) {
+        let end = part.end;
+        cx.feed.cursors.borrow_mut()[topic].on_relayed(end);
+        apply_all(cx, topic, &part.records(), end);
+    }
+    let age = Duration::from_millis(answer.age_ms);
+    let confirmed_at = cx.clock.now().saturating_sub(age);
+    cx.feed.confirmed_at.set(Some(confirmed_at));
+    cx.feed.view_checked.notify_waiters();
+}
+
+/// Asks the node at `origin`, which has just sent a call, for all that it has read. A node that starts
+/// while the store is away knows no other node, but others know its address from before.
+pub fn learn_from(cx: &Rc<Sidecar>, origin: SocketAddr) {
+    if cx.feed.learning.replace(true) {
+        return;
+    }
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        match relay_port::ask(&cx, origin, [0; 3], Wanted::Any).await {
+            Ok(answer) if !cx.is_informed() => {
+                info!(cx.log, "learned from a peer"; "peer" => origin.to_string(), "age_ms" => answer.age_ms);
+                take_over_relayed(&cx, answer);
+            }
+            // The store has answered meanwhile.
+            Ok(_) => {}
+            Err(failure) => {
+                info!(cx.log, "not learned from a peer"; "peer" => origin.to_string(), "why" => failure.why);
+            }
+        }
+        cx.feed.learning.set(false);
+    });
+}
+
 fn choose_source(cx: &Rc<Sidecar>) -> Source {
     let now = cx.clock.now();
     let domain = cx.state.borrow().placement.domain_nodes();
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -22,9 +22,11 @@
 use crate::protocol::hop::HopEnd;
 use crate::protocol::hop::HopHead;
 use crate::protocol::hop::Load;
+use crate::protocol::hop::ORIGIN_HEADER;
 use crate::protocol::hop::Tally;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
+use crate::sidecar::followers;
 use crate::sidecar::relay_port;
 use crate::sidecar::serving;
 use crate::sidecar::serving::ServeCall;
@@ -58,6 +60,11 @@
         warn!(cx.log, "hop refused"; "code" => ResultCode::BadRequest.number(), "path" => req.path());
         return answer(cx, ServeEnd::refused(ResultCode::BadRequest));
     };
+    if !cx.is_informed()
+        && let Some(origin) = headers::number(req.headers(), ORIGIN_HEADER)
+    {
+        followers::learn_from(cx, origin);
+    }
     let body = match http_server::read_body(&mut payload, MAX_HOP_BODY_BYTES).await {
         Ok(body) => body,
         Err(failure) => return answer(cx, ServeEnd::refused(failure.code)),
@@ -168,6 +175,7 @@
     if let Ok(value) = HeaderValue::try_from(call.head.encode()) {
         headers.push((HeaderName::from_static(HOP_HEADER), value));
     }
+    headers.push((HeaderName::from_static(ORIGIN_HEADER), cx.origin.clone()));
     let max_idle = if call.head.idempotent {
         MAX_IDLE
     } else {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -97,6 +97,8 @@
     store: Store,
     /// Name of the own service for the header that tells where a request began.
     service_header: HeaderValue,
+    /// Address at which other nodes reach this one, for the header of calls to them.
+    origin: HeaderValue,
     /// Random number of this process.
     run: u64,
     stopping: Cell<bool>,
@@ -112,8 +114,13 @@
 
 impl Sidecar {
     fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.is_informed()
+    }
+
+    /// Whether the node has a configuration and knows the others.
+    fn is_informed(&self) -> bool {
         let state = self.state.borrow();
-        !self.stopping.get() && state.table.is_some() && state.fleet_known
+        state.table.is_some() && state.fleet_known
     }
 
     fn table(&self) -> Option<Rc<RoutingTable>> {
@@ -172,6 +179,7 @@
         pool,
         log,
         service_header: HeaderValue::from_str(settings.service.as_str())?,
+        origin: HeaderValue::try_from(settings.reached_at().to_string())?,
         run,
         stopping: Cell::new(false),
         stop_plan: RefCell::new(None),
--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -34,7 +34,8 @@
 pub const FOLLOW_PATH: &str = "/sw/follow";
 /// Header of the question with the offsets from which the topics are wanted.
 const FROM_HEADER: &str = "sw-from";
-/// Header of the question with the time for which the reader may wait for news, milliseconds.
+/// Header of the question with the time for which the reader may wait for news, milliseconds. Without
+/// it the reader answers at once with what it has.
 const WAIT_HEADER: &str = "sw-wait-ms";
 /// Time beyond its wait after which a question has failed; the way inside a failure domain is short.
 const ANSWER_MARGIN: Duration = Duration::from_millis(350);
@@ -87,12 +88,35 @@
     let Some(from) = from else {
         return empty(StatusCode::BAD_REQUEST);
     };
+    let wait = headers::number(req.headers(), WAIT_HEADER).map(Duration::from_millis);
+    if let Some(wait) = wait {
+        wait_for_news(cx, from, wait).await;
+    }
+    if cx.stopping.get() {
+        return empty(StatusCode::GONE);
+    }
+    // A view that is behind is of no use to a follower.
+    let now = cx.clock.now();
+    let age = match wait {
+        Some(_) => fresh_age(cx, now),
+        None => age(cx, now),
+    };
+    let Some(answer) = age.and_then(|age| answer(cx, from, age)) else {
+        return empty(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    match codec::encode(&answer) {
+        Ok(bytes) => Response::with_body(StatusCode::OK, BoxBody::new(bytes)),
+        Err(_) => empty(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+/// Waits until there is news, until the view was confirmed, or up to `wait`.
+async fn wait_for_news(cx: &Sidecar, from: [u64; 3], wait: Duration) {
     let began = cx.clock.now();
     cx.feed.on_question(began);
-    let wait = headers::number(req.headers(), WAIT_HEADER).map(Duration::from_millis);
     let fresh_wait = followers::fresh_wait(cx);
-    let is_hurried = wait.is_some_and(|wait| wait < fresh_wait);
-    let until = began + wait.unwrap_or(fresh_wait).min(fresh_wait);
+    let is_hurried = wait < fresh_wait;
+    let until = began + wait.min(fresh_wait);
     loop {
         let news = cx.feed.changed.notified();
         let checked = cx.feed.view_checked.notified();
@@ -101,32 +125,23 @@
         let is_confirmed = age.is_some_and(|age| now.saturating_sub(age) > began);
         let is_answer = is_confirmed || (age.is_some() && (has_news(cx, from) || is_hurried));
         if now >= until || cx.stopping.get() || is_answer {
-            break;
+            return;
         }
         let either = select(Box::pin(news), Box::pin(checked));
         // Either end is fine: the answer is made from what is there then.
         let _ = actix_rt::time::timeout(until.saturating_sub(now), either).await;
     }
-    if cx.stopping.get() {
-        return empty(StatusCode::GONE);
-    }
-    // A view that is behind is of no use.
-    let Some(age) = fresh_age(cx, cx.clock.now()) else {
-        return empty(StatusCode::SERVICE_UNAVAILABLE);
-    };
-    let Some(answer) = answer(cx, from, age) else {
-        return empty(StatusCode::SERVICE_UNAVAILABLE);
-    };
-    match codec::encode(&answer) {
-        Ok(bytes) => Response::with_body(StatusCode::OK, BoxBody::new(bytes)),
-        Err(_) => empty(StatusCode::INTERNAL_SERVER_ERROR),
-    }
 }
 
-/// Age of the view of this node, if others may follow it.
+/// Age of the view of this node.
+fn age(cx: &Sidecar, now: Duration) -> Option<Duration> {
+    let confirmed_at = cx.feed.confirmed_at.get();
+    confirmed_at.map(|at| now.saturating_sub(at))
+}
+
+/// The same, if others may follow it.
 fn fresh_age(cx: &Sidecar, now: Duration) -> Option<Duration> {
-    let age = cx.feed.confirmed_at.get().map(|at| now.saturating_sub(at));
-    age.filter(|age| *age <= followers::max_age(cx))
+    age(cx, now).filter(|age| *age <= followers::max_age(cx))
 }
 
 fn has_news(cx: &Sidecar, from: [u64; 3]) -> bool {
@@ -181,7 +196,16 @@
     }
 }
 
-/// Asks a reader for what is missing here; it waits up to `wait` for news.
+/// What a question is for.
+#[derive(Clone, Copy, Debug)]
+pub enum Wanted {
+    /// News; the reader waits up to this time for them, and does not answer with an old view.
+    Fresh(Duration),
+    /// All that the node has, of any age.
+    Any,
+}
+
+/// Asks a reader for what is missing here.
 ///
 /// # Errors
 /// An [`AskFailure`].
@@ -189,24 +213,30 @@
     cx: &Sidecar,
     addr: SocketAddr,
     from: [u64; 3],
-    wait: Duration,
+    wanted: Wanted,
 ) -> Result<FollowAnswer, AskFailure> {
+    let wait = match wanted {
+        Wanted::Fresh(wait) => Some(wait),
+        Wanted::Any => None,
+    };
     let offsets = from.map(|offset| offset.to_string()).join(",");
     let offsets = HeaderValue::try_from(offsets).map_err(AskFailure::lost)?;
+    let mut headers = vec![(HeaderName::from_static(FROM_HEADER), offsets)];
+    if let Some(wait) = wait {
+        let name = HeaderName::from_static(WAIT_HEADER);
+        headers.push((name, millis(wait).into()));
+    }
     let exchange = Exchange {
         addr,
         method: Method::GET,
         target: PathAndQuery::from_static(FOLLOW_PATH),
-        headers: vec![
-            (HeaderName::from_static(FROM_HEADER), offsets),
-            (HeaderName::from_static(WAIT_HEADER), millis(wait).into()),
-        ],
+        headers,
         body: Bytes::new(),
         max_idle: MAX_IDLE,
         echo: None,
         max_answer: MAX_MESSAGE_BYTES,
     };
-    let limit = wait + ANSWER_MARGIN;
+    let limit = wait.unwrap_or_default() + ANSWER_MARGIN;
     let answer = match actix_rt::time::timeout(limit, cx.pool.send(exchange)).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(failure)) => return Err(AskFailure::lost(failure)),
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -161,6 +161,12 @@
         Duration::from_secs_f64(self.stop_within_s)
     }
 
+    /// Address at which other nodes reach this one.
+    #[must_use]
+    pub fn reached_at(&self) -> SocketAddr {
+        self.advertised_node_addr.unwrap_or(self.node_addr)
+    }
+
     /// What the instance can carry for others, in hundredths of a core times Mbit/s.
     #[must_use]
     #[allow(
--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -284,6 +284,37 @@
     });
 }
 
+/// Load: nodes restart one after the other while the store is away for seconds (ggwra-mesh-grown
+/// trouble-3). Guards against callers of a restarted node that are refused until the store returns,
+/// although its peers have the configuration.
+#[gtest]
+fn start_with_peers_only() {
+    run(async {
+        let mut world = World::start(3).await?;
+        world.outage(Outage::Hang);
+        world.fleet.kill(2)?;
+        world.fleet.start(2)?;
+        // Node 0 needs others and tries the one that it has lost.
+        world.backends[0].kill();
+        let until = Instant::now() + Duration::from_secs(8);
+        while !world
+            .call(2, "/wrecks/1")
+            .await
+            .is_ok_and(|reply| reply.status == StatusCode::OK)
+        {
+            eyre::ensure!(Instant::now() < until, "node 2 has no configuration");
+            let _ = world.call(0, "/wrecks/2").await?;
+        }
+        expect_true!(world.fleet.is_ready(2).await);
+        // It follows the store once that is back.
+        world.outage(Outage::Off);
+        let _ = put_config(&world.store, 2);
+        world
+            .wait_for(STATED + LOOK, 2, "/v2/x", StatusCode::OK)
+            .await
+    });
+}
+
 /// Guards against a node that is lost for others when its write was lost, late, or refused.
 #[gtest]
 fn announce_lost_and_late() {
