--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -71,6 +71,8 @@
     Store(StoreFault, Duration),
     /// The configuration changes.
     Config,
+    /// An older configuration or a broken one is written behind the newest.
+    OldConfig(bool),
     /// A service is moved to a version; the flag says whether it is bad.
     Move(bool),
 }
@@ -155,7 +157,8 @@
             Event::Link(kind, node, link_fault(rng), time)
         }
         73..85 => Event::Store(store_fault(rng), time),
-        85..98 => Event::Config,
+        85..94 => Event::Config,
+        94..98 => Event::OldConfig(rng.random_bool(0.5)),
         _ if *moved => Event::Config,
         _ => {
             *moved = true;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -212,27 +212,10 @@
         req.send().await.is_ok_and(|answer| answer.status() == 200)
     }
 
-    /// Writes the next configuration, which has a route for each version so far. Returns whether the
-    /// store took it.
+    /// Writes the next configuration. Returns whether the store took it.
     pub async fn put_config(&self) -> bool {
         let version = self.config.get() + 1;
-        let route = |prefix: &str, kind: &str| {
-            json!({ "host": HOST, "prefix": prefix, "kind": kind, "slo-ms": 500, "priority": 1,
-                "timeout-ms": ROUTE_LIMIT.as_millis(), "service": "registry", "attempts": 2 })
-        };
-        let mut routes = serde_json::Map::new();
-        routes.insert("lookup".into(), route("/wrecks/", "safe"));
-        routes.insert("claims".into(), route("/claims/", "unsafe"));
-        for version in 1..=version {
-            let prefix = format!("/v{version}/");
-            routes.insert(format!("v{version}"), route(&prefix, "safe"));
-        }
-        let config = json!({
-            "version": format!("{version:08x}"),
-            "routes": routes,
-            "services": { "registry": { "health-path": "/healthz", "max-conns": 100 } },
-            "limits": { "header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000 },
-        });
+        let config = config(version);
         let put = self.put(OPERATOR_TOPIC, "config", config.to_string()).await;
         if put {
             self.config.set(version);
@@ -240,6 +223,18 @@
         put
     }
 
+    async fn put_old_config(&self, broken: bool) {
+        let mut text = config(self.config.get().saturating_sub(1).max(1)).to_string();
+        if broken {
+            text.truncate(text.len() / 2);
+        }
+        if !self.put(OPERATOR_TOPIC, "config", text).await {
+            self.violations
+                .borrow_mut()
+                .push("the store is gone".into());
+        }
+    }
+
     async fn put(&self, topic: &str, key: &str, value: String) -> bool {
         let addr = self.store_addr;
         let url = format!("http://{addr}/control/put?topic={topic}&key={key}");
@@ -386,6 +381,7 @@
             Event::Config => {
                 self.put_config().await;
             }
+            Event::OldConfig(broken) => self.put_old_config(broken).await,
             Event::Move(bad) => self.order_move(bad).await,
         }
     }
@@ -482,6 +478,27 @@
     }
 }
 
+/// The configuration of a version, which has a route for each version so far.
+fn config(version: u32) -> serde_json::Value {
+    let route = |prefix: &str, kind: &str| {
+        json!({ "host": HOST, "prefix": prefix, "kind": kind, "slo-ms": 500, "priority": 1,
+            "timeout-ms": ROUTE_LIMIT.as_millis(), "service": "registry", "attempts": 2 })
+    };
+    let mut routes = serde_json::Map::new();
+    routes.insert("lookup".into(), route("/wrecks/", "safe"));
+    routes.insert("claims".into(), route("/claims/", "unsafe"));
+    for version in 1..=version {
+        let prefix = format!("/v{version}/");
+        routes.insert(format!("v{version}"), route(&prefix, "safe"));
+    }
+    json!({
+        "version": format!("{version:08x}"),
+        "routes": routes,
+        "services": { "registry": { "health-path": "/healthz", "max-conns": 100 } },
+        "limits": { "header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000 },
+    })
+}
+
 fn store_change(fault: StoreFault) -> StoreChange {
     let mut change = StoreChange::default();
     match fault {
