Keep the end of an attempt before its second one is waited for

Each end is concluded at once. The denial of a second attempt is no longer logged as a call that was not repeated. Assumed run times are in one place.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -12,6 +12,8 @@
 use rand::Rng;
 use rand::RngExt;
 
+use crate::coordination::slot_queue::COLD_FACTOR;
+use crate::coordination::slot_queue::UNKNOWN_RUN_SHARE;
 use crate::protocol::fleet::BackendPhase;
 use crate::protocol::fleet::BackendReport;
 use crate::protocol::fleet::FleetEntry;
@@ -44,9 +46,6 @@
 const LATE_SHARE: f64 = 0.75;
 /// Factor on the expected time beyond that part.
 const LATE_FACTOR: f64 = 2.0;
-/// Run time that is assumed for a route without answers, as a share of its objective. The routes of the
-/// standard sites take 0.29 to 0.38 of theirs.
-const UNKNOWN_RUN_SHARE: f64 = 0.35;
 /// Answers of a route from which on its run time can be foretold.
 const MIN_ANSWERS: u32 = 20;
 /// Weight of one answer in a node's speed.
@@ -67,8 +66,6 @@
 const BUSY_SHARE: f64 = 0.75;
 /// Slowdown of a backend server whose slots are all used, in run times.
 const FULL_SLOWDOWN: f64 = 0.6;
-/// Factor on the run time of a backend server that has just started.
-const COLD_FACTOR: f64 = 2.0;
 /// Random part of a score, so that nodes with the same figures do not choose alike.
 const JITTER: f64 = 0.1;
 /// First pause after a node could not be reached or had no backend server; doubled each time.
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -16,9 +16,9 @@
 const RUN_WEIGHT: f64 = 0.1;
 /// Run time that is assumed for a route without runs, as a share of its objective. The routes of the
 /// standard sites take 0.29 to 0.38 of theirs.
-const UNKNOWN_RUN_SHARE: f64 = 0.35;
-/// Factor on that time while the backend server is slow after its start, as on the standard sites.
-const COLD_FACTOR: f64 = 2.0;
+pub const UNKNOWN_RUN_SHARE: f64 = 0.35;
+/// Factor on the run time of a backend server that is slow after its start, as on the standard sites.
+pub const COLD_FACTOR: f64 = 2.0;
 /// Run time for which a call must be able to start before its objective or its deadline ends, in mean
 /// run times; run times spread by about a half.
 const RUN_MARGIN: f64 = 1.5;
--- a/src/sidecar/announcer.rs
+++ b/src/sidecar/announcer.rs
@@ -87,7 +87,7 @@
                 let pause = RETRY_BASE * 2_u32.saturating_pow(failures.min(8));
                 failures += 1;
                 actix_rt::time::sleep(pause.min(RETRY_MAX).mul_f64(factor)).await;
-                cx.feed.store_returned().await;
+                cx.feed.wait_for_store().await;
             }
         }
     }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -220,25 +220,9 @@
         if attempts.tries() > 1 {
             cx.metrics.attempts_beyond_first.increment(1);
         }
-        for (node, end) in attempt(cx, call, attempts, pick, now).await {
-            let failure = match end {
-                ServeEnd::Ran { answer, .. } if failed(call, &answer) => {
-                    *failed_answer = Some(answer);
-                    AttemptFailure::Failed
-                }
-                ServeEnd::Ran { answer, .. } => return Some(answer),
-                ServeEnd::Refused {
-                    code,
-                    arrived,
-                    come_back,
-                } => AttemptFailure::Refused {
-                    code,
-                    arrived,
-                    come_back,
-                },
-                ServeEnd::Unknown(code) => AttemptFailure::Unknown(code),
-            };
-            attempts.on_failure(&node, failure);
+        let answer = attempt(cx, call, attempts, failed_answer, &pick, now).await;
+        if answer.is_some() {
+            return answer;
         }
     }
 }
@@ -252,59 +236,85 @@
     }
 }
 
-/// Whether an answer says that the call failed and another backend server may do better.
-fn failed(call: &EntryCall, answer: &HttpAnswer) -> bool {
-    answer.status.is_server_error() && call.route.idempotent
+/// Takes over the end of an attempt. Returns the answer if it ran well, or if no other backend server
+/// may do better.
+fn conclude(
+    call: &EntryCall,
+    attempts: &mut Attempts,
+    failed_answer: &mut Option<HttpAnswer>,
+    node: &NodeId,
+    end: ServeEnd,
+) -> Option<HttpAnswer> {
+    let failure = match end {
+        ServeEnd::Ran { answer, .. } => {
+            if !answer.status.is_server_error() || !call.route.idempotent {
+                return Some(answer);
+            }
+            *failed_answer = Some(answer);
+            AttemptFailure::Failed
+        }
+        ServeEnd::Refused {
+            code,
+            arrived,
+            come_back,
+        } => AttemptFailure::Refused {
+            code,
+            arrived,
+            come_back,
+        },
+        ServeEnd::Unknown(code) => AttemptFailure::Unknown(code),
+    };
+    attempts.on_failure(node, failure);
+    None
 }
 
-/// Makes an attempt, and a second one beside it if it takes long. Returns their ends; one that is
-/// outrun by the other's answer has none.
+/// Makes an attempt, and a second one beside it if it takes long. Returns the answer of the first that
+/// ran well; the other one is cancelled then.
 async fn attempt(
     cx: &Rc<Sidecar>,
     call: &EntryCall,
     attempts: &mut Attempts,
-    pick: Pick,
+    failed_answer: &mut Option<HttpAnswer>,
+    pick: &Pick,
     now: Duration,
-) -> Vec<(NodeId, ServeEnd)> {
+) -> Option<HttpAnswer> {
     let accepts_late = attempts.accepts_late();
     let outrun = Cell::new(false);
-    let first = make_attempt(cx, call, &pick, accepts_late, now, &outrun);
+    let first = make_attempt(cx, call, pick, accepts_late, now, &outrun);
     let mut first = pin!(first);
-    let Some(delay) = attempts.hedge_after(chosen(&pick)) else {
-        let end = first.await;
-        return vec![(pick.node.clone(), end)];
+    let ended = match attempts.hedge_after(chosen(pick)) {
+        Some(delay) => actix_rt::time::timeout(delay, &mut first).await.ok(),
+        None => Some((&mut first).await),
     };
-    if let Ok(end) = actix_rt::time::timeout(delay, &mut first).await {
-        return vec![(pick.node.clone(), end)];
+    if let Some(end) = ended {
+        return conclude(call, attempts, failed_answer, &pick.node, end);
     }
     let Some(second_pick) = pick_hedge(cx, call, attempts, &pick.node) else {
         let end = first.await;
-        return vec![(pick.node.clone(), end)];
+        return conclude(call, attempts, failed_answer, &pick.node, end);
     };
     let now = cx.clock.now();
     let second = make_attempt(cx, call, &second_pick, accepts_late, now, &outrun);
-    let is_answer =
-        |end: &ServeEnd| matches!(end, ServeEnd::Ran { answer, .. } if !failed(call, answer));
+    // What the one that ends first brings is kept before the other one is waited for, whose time may
+    // run out.
     match select(first, pin!(second)).await {
         Either::Left((end, second)) => {
-            if is_answer(&end) {
+            let answer = conclude(call, attempts, failed_answer, &pick.node, end);
+            if answer.is_some() {
                 outrun.set(true);
-                return vec![(pick.node.clone(), end)];
+                return answer;
             }
-            vec![
-                (pick.node.clone(), end),
-                (second_pick.node.clone(), second.await),
-            ]
+            let end = second.await;
+            conclude(call, attempts, failed_answer, &second_pick.node, end)
         }
         Either::Right((end, first)) => {
-            if is_answer(&end) {
+            let answer = conclude(call, attempts, failed_answer, &second_pick.node, end);
+            if answer.is_some() {
                 outrun.set(true);
-                return vec![(second_pick.node.clone(), end)];
+                return answer;
             }
-            vec![
-                (second_pick.node.clone(), end),
-                (pick.node.clone(), first.await),
-            ]
+            let end = first.await;
+            conclude(call, attempts, failed_answer, &pick.node, end)
         }
     }
 }
@@ -321,7 +331,7 @@
     let mut tried = attempts.tried().to_vec();
     tried.push(first.clone());
     let pick = choose(&mut cx.state.borrow_mut(), now, call, &tried)?;
-    if !attempts.on_hedge(now, chosen(&pick)) || !may_repeat(cx, call, attempts, now) {
+    if !attempts.on_hedge(now, chosen(&pick)) || !take_repeat(cx, call, now) {
         return None;
     }
     cx.metrics.attempts_beyond_first.increment(1);
@@ -335,18 +345,24 @@
 
 /// Whether the fleet's budget allows a call that arrived at a backend server to go to another one.
 fn may_repeat(cx: &Sidecar, call: &EntryCall, attempts: &Attempts, now: Duration) -> bool {
+    let allowed = take_repeat(cx, call, now);
+    if !allowed {
+        info!(cx.log, "not repeated"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
+            "code" => ResultCode::RetryBudgetExhausted.number(), "arrivals" => attempts.arrivals());
+    }
+    allowed
+}
+
+/// Takes one arrival beyond the first out of the fleet's budget.
+fn take_repeat(cx: &Sidecar, call: &EntryCall, now: Duration) -> bool {
     let mut state = cx.state.borrow_mut();
     let nodes = state.placement.nodes();
     let urgent = !call.route.idempotent;
     let allowed = state
         .quota
         .take(now, &call.serve.head.service, nodes, urgent);
-    drop(state);
     if allowed {
         cx.metrics.repeats.increment(1);
-    } else {
-        info!(cx.log, "not repeated"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
-            "code" => ResultCode::RetryBudgetExhausted.number(), "arrivals" => attempts.arrivals());
     }
     allowed
 }
--- a/src/sidecar/followers.rs
+++ b/src/sidecar/followers.rs
@@ -131,7 +131,7 @@
     /// Waits while the store does not answer. Only the reads of the operator's topic try it then, since
     /// calls in vain are priced as well. Returns whether it had to wait and the store is back; without
     /// that a try is due all the same, in case a single topic answers.
-    pub async fn store_returned(&self) -> bool {
+    pub async fn wait_for_store(&self) -> bool {
         if self.store_answers.get() {
             return false;
         }
@@ -228,7 +228,7 @@
             }
             continue;
         }
-        if topic != OPERATOR && cx.feed.store_returned().await {
+        if topic != OPERATOR && cx.feed.wait_for_store().await {
             actix_rt::time::sleep(TAKE_OVER_PAUSE).await;
             continue;
         }
