Ask further readers while the store does not answer this node

Cause, found by reading: a node whose store is away and whose reader was behind asked that reader again and again. Three readers are asked in turn now before the preferred one is again.

Test: source_store_away.

--- a/src/coordination/relay.rs
+++ b/src/coordination/relay.rs
@@ -22,6 +22,11 @@
 /// Time for which a reader that answered, but is behind, is passed over. It may have followed the one
 /// that failed, and reads the store next.
 const PASS_OVER_BEHIND: Duration = Duration::from_secs(3);
+/// Readers that are behind at the same time from which on the store counts as away for all.
+const AWAY_READERS: usize = 3;
+/// Time for which a reader that is behind is passed over while the store does not answer this node:
+/// enough to ask that many.
+const AWAY_PASS_OVER: Duration = Duration::from_secs(6);
 /// Time for which a follower reads the store itself after its reader was behind, and longest time for
 /// which it tries to confirm an old view there before it asks another reader.
 const CATCH_UP: Duration = Duration::from_secs(2);
@@ -124,11 +129,23 @@
         }
     }
 
-    /// Takes note that the store does not answer this node either. Readers are behind for the same
-    /// reason then, and the preferred one tells of its return first.
-    pub fn on_store_failure(&mut self) {
-        self.failed
-            .retain(|failed| failed.failure == ReaderFailure::Lost);
+    /// Takes note that the store does not answer this node either. It may answer others, so that the
+    /// next reader is asked; if several are behind it is away for all, and the preferred reader tells of
+    /// its return first.
+    pub fn on_store_failure(&mut self, now: Duration) {
+        let is_behind = |failed: &Failed| failed.failure == ReaderFailure::Behind;
+        if self
+            .failed
+            .iter()
+            .filter(|failed| is_behind(failed))
+            .count()
+            >= AWAY_READERS
+        {
+            self.failed.retain(|failed| !is_behind(failed));
+        }
+        for failed in self.failed.iter_mut().filter(|failed| is_behind(failed)) {
+            failed.until = failed.until.max(now + AWAY_PASS_OVER);
+        }
         self.store_until = Duration::ZERO;
         self.unconfirmed_since = None;
     }
--- a/src/sidecar/followers.rs
+++ b/src/sidecar/followers.rs
@@ -271,7 +271,8 @@
                 failures += 1;
                 if topic == OPERATOR {
                     cx.feed.note_store(false);
-                    cx.feed.relay.borrow_mut().on_store_failure();
+                    let now = cx.clock.now();
+                    cx.feed.relay.borrow_mut().on_store_failure(now);
                     cx.feed.view_checked.notify_waiters();
                 }
                 actix_rt::time::sleep(pause).await;
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -138,19 +138,23 @@
     expect_that!(confirmed, some(eq("b")));
 }
 
-/// Load: the store is away for all (ggwra-mesh-grown trouble-3, resets for 8 s). Guards against every
-/// node trying it several times a second: one try follows each question to the reader.
+/// Load: the store is away for all (ggwra-mesh-grown trouble-3, resets for 8 s), or for some nodes
+/// (trouble-1). Guards against every node trying it several times a second, and against asking only a
+/// reader that is cut off as well: one try follows each question, and three readers are asked in turn.
 #[gtest]
 fn source_store_away() {
     let mut relay = Relay::default();
-    fail(&mut relay, 10, "a", ReaderFailure::Behind, 3);
-    expect_that!(reader(&mut relay, 10, "f", 6), none());
-    relay.on_store_failure();
-    expect_that!(reader(&mut relay, 10, "f", 6), some(eq("a")));
+    let at = Duration::from_secs;
+    for (secs, asked, next) in [(10, "a", "b"), (11, "b", "c"), (12, "c", "a")] {
+        fail(&mut relay, secs, asked, ReaderFailure::Behind, 3);
+        expect_that!(reader(&mut relay, secs, "f", 6), none());
+        relay.on_store_failure(at(secs));
+        expect_that!(reader(&mut relay, secs, "f", 6), some(eq(next)));
+    }
     // A reader that is gone stays passed over.
-    fail(&mut relay, 11, "a", ReaderFailure::Lost, 3);
-    relay.on_store_failure();
-    expect_that!(reader(&mut relay, 11, "f", 6), some(eq("b")));
+    fail(&mut relay, 13, "a", ReaderFailure::Lost, 3);
+    relay.on_store_failure(at(13));
+    expect_that!(reader(&mut relay, 13, "f", 6), some(eq("b")));
 }
 
 /// Guards against a follower that becomes the reader without noticing.
