--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -45,6 +45,8 @@
 const MOVE_WITHIN_S: u64 = 8;
 /// Share of the requests that a bad version fails.
 const BAD_ERROR_RATE: f64 = 0.6;
+/// Time for which an older or broken configuration is the newest one.
+const OLD_CONFIG_TIME: Duration = Duration::from_millis(200);
 /// Longest wait for the start of everything.
 const START_LIMIT: Duration = Duration::from_secs(20);
 /// Time beyond the stated one after which a node that was told to stop is killed.
@@ -233,6 +235,10 @@
                 .borrow_mut()
                 .push("the store is gone".into());
         }
+        // The platform's store takes only valid configurations, so that a node that starts later finds
+        // a valid one as the newest.
+        actix_rt::time::sleep(OLD_CONFIG_TIME).await;
+        self.put_config().await;
     }
 
     async fn put(&self, topic: &str, key: &str, value: String) -> bool {
