Use one piece of code for doubled pauses, empty answers, outages and the ends of attempts

No behaviour changes. The time limit of an append and of a first read was two constants. The two stand-ins waited for the end of an outage each in their own loop. In entry.rs the ends of a call and of two attempts side by side were written out a branch each.

Looked at and left: the three records of a key (store, mirror, relay), which differ in the layer that owns them, and the choice of an idle time by two constants in hop.rs and serving.rs.

--- a/src/coordination/breaker.rs
+++ b/src/coordination/breaker.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::coordination::backoff::doubled;
+
 /// Broken answers in a row that open the breaker.
 const MAX_BROKEN: u32 = 3;
 /// Time for which it stays open at first; doubled each time a trial fails.
@@ -45,8 +47,7 @@
         if self.broken < MAX_BROKEN || now < self.open_until {
             return false;
         }
-        let time = OPEN_BASE * 2_u32.saturating_pow(self.openings.min(8));
-        self.open_until = now + time.min(OPEN_MAX);
+        self.open_until = now + doubled(OPEN_BASE, OPEN_MAX, self.openings);
         self.openings += 1;
         true
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod answered;
 pub mod attempts;
+pub mod backoff;
 pub mod balancer;
 pub mod breaker;
 pub mod dissemination;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 use rand::RngExt;
 
+use crate::coordination::backoff::doubled;
 use crate::coordination::slot_queue::COLD_FACTOR;
 use crate::coordination::slot_queue::UNKNOWN_RUN_SHARE;
 use crate::protocol::fleet::BackendPhase;
@@ -262,8 +263,7 @@
     }
 
     fn pause(&mut self, now: Duration) {
-        let pause = PAUSE_BASE * 2_u32.saturating_pow(self.pauses.min(8));
-        self.paused_until = now + pause.min(PAUSE_MAX);
+        self.paused_until = now + doubled(PAUSE_BASE, PAUSE_MAX, self.pauses);
         self.pauses += 1;
     }
 }
--- a/src/coordination/store_retry.rs
+++ b/src/coordination/store_retry.rs
@@ -6,9 +6,11 @@
 
 use std::time::Duration;
 
-/// Time beyond its wait that a call to a store that has answered last may take. The store answers in
+use crate::coordination::backoff::doubled;
+
+/// Time beyond its wait that a call to a store that has answered last, or an append, may take. The store answers in
 /// 4 ms when it is well and up to 100 times slower when it is not; a configuration has 120 kB.
-const FIRST_LIMIT: Duration = Duration::from_millis(1_500);
+pub const FIRST_LIMIT: Duration = Duration::from_millis(1_500);
 /// The same after a failure.
 const LIMIT: Duration = Duration::from_millis(800);
 /// The same for each third try, in case the store is slower than that.
@@ -32,6 +34,5 @@
 /// and 1, so that nodes do not try together.
 #[must_use]
 pub fn pause(failures: u32, factor: f64) -> Duration {
-    let pause = FIRST_PAUSE * 2_u32.saturating_pow(failures.min(8));
-    pause.min(MAX_PAUSE).mul_f64(factor)
+    doubled(FIRST_PAUSE, MAX_PAUSE, failures).mul_f64(factor)
 }
--- a/src/sidecar/announcer.rs
+++ b/src/sidecar/announcer.rs
@@ -7,6 +7,7 @@
 use slog::info;
 use slog::warn;
 
+use crate::coordination::backoff::doubled;
 use crate::platform::store::FLEET_TOPIC;
 use crate::platform::store::StoreFailure;
 use crate::protocol::codec;
@@ -84,9 +85,9 @@
                     return;
                 }
                 let factor = cx.state.borrow_mut().rng.random_range(0.5..1.0);
-                let pause = RETRY_BASE * 2_u32.saturating_pow(failures.min(8));
+                let pause = doubled(RETRY_BASE, RETRY_MAX, failures);
                 failures += 1;
-                actix_rt::time::sleep(pause.min(RETRY_MAX).mul_f64(factor)).await;
+                actix_rt::time::sleep(pause.mul_f64(factor)).await;
                 cx.feed.wait_for_store().await;
             }
         }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -2,6 +2,7 @@
 //! "Request path".
 
 use std::cell::Cell;
+use std::pin::Pin;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -172,28 +173,24 @@
         Ok(None) => {}
         Err(_) => attempts.on_timeout(),
     }
-    match (attempts.outcome(), failed_answer) {
-        (Outcome::FailedAnswer, Some(answer)) => {
-            log_end(cx, &call, &attempts, None);
-            hop::backend_response(answer)
-        }
-        (Outcome::Refused { code, come_back }, _) => {
+    let outcome = attempts.outcome();
+    if let (Outcome::FailedAnswer, Some(answer)) = (outcome, failed_answer) {
+        log_end(cx, &call, &attempts, None);
+        return hop::backend_response(answer);
+    }
+    let (code, come_back) = match outcome {
+        Outcome::Refused { code, come_back } => {
             cx.metrics.refusals.increment(1);
-            log_end(cx, &call, &attempts, Some(code));
-            let come_back = come_back.unwrap_or(serving::NO_BACKEND_RETURN);
-            own_answer(cx, status_of(code), code, Some(come_back))
+            (code, Some(come_back.unwrap_or(serving::NO_BACKEND_RETURN)))
         }
-        (Outcome::Unknown(code), _) => {
+        Outcome::Unknown(code) => {
             cx.metrics.unknown_outcomes.increment(1);
-            log_end(cx, &call, &attempts, Some(code));
-            own_answer(cx, status_of(code), code, None)
+            (code, None)
         }
-        (Outcome::FailedAnswer, None) => {
-            let code = ResultCode::OutcomeUnknown;
-            log_end(cx, &call, &attempts, Some(code));
-            own_answer(cx, status_of(code), code, None)
-        }
-    }
+        Outcome::FailedAnswer => (ResultCode::OutcomeUnknown, None),
+    };
+    log_end(cx, &call, &attempts, Some(code));
+    own_answer(cx, status_of(code), code, come_back)
 }
 
 /// Makes attempts until one is answered or no other one is allowed. `failed_answer` keeps the last
@@ -294,29 +291,34 @@
         return conclude(call, attempts, failed_answer, &pick.node, end);
     };
     let now = cx.clock.now();
-    let second = make_attempt(cx, call, &second_pick, accepts_late, now, &outrun);
-    // What the one that ends first brings is kept before the other one is waited for, whose time may
-    // run out.
-    match select(first, pin!(second)).await {
+    let second = pin!(make_attempt(
+        cx,
+        call,
+        &second_pick,
+        accepts_late,
+        now,
+        &outrun
+    ));
+    let other: Pin<&mut dyn Future<Output = ServeEnd>>;
+    let (end, node, other_node) = match select(first, second).await {
         Either::Left((end, second)) => {
-            let answer = conclude(call, attempts, failed_answer, &pick.node, end);
-            if answer.is_some() {
-                outrun.set(true);
-                return answer;
-            }
-            let end = second.await;
-            conclude(call, attempts, failed_answer, &second_pick.node, end)
+            other = second;
+            (end, &pick.node, &second_pick.node)
         }
         Either::Right((end, first)) => {
-            let answer = conclude(call, attempts, failed_answer, &second_pick.node, end);
-            if answer.is_some() {
-                outrun.set(true);
-                return answer;
-            }
-            let end = first.await;
-            conclude(call, attempts, failed_answer, &pick.node, end)
+            other = first;
+            (end, &second_pick.node, &pick.node)
         }
+    };
+    // What the one that ends first brings is kept before the other one is waited for, whose time may
+    // run out.
+    let answer = conclude(call, attempts, failed_answer, node, end);
+    if answer.is_some() {
+        outrun.set(true);
+        return answer;
     }
+    let end = other.await;
+    conclude(call, attempts, failed_answer, other_node, end)
 }
 
 /// Chooses the node of a second attempt beside the one at `first`, if one is worth it and the fleet's
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -24,6 +24,7 @@
 use crate::protocol::hop::Load;
 use crate::protocol::hop::ORIGIN_HEADER;
 use crate::protocol::hop::Tally;
+use crate::protocol::time::millis;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
 use crate::sidecar::followers;
@@ -118,13 +119,14 @@
     let mut response = match end {
         ServeEnd::Ran { answer, .. } => backend_response(answer),
         ServeEnd::Refused { come_back, .. } => {
-            let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
-            let millis = u64::try_from(come_back.as_millis()).unwrap_or(u64::MAX);
+            let mut response = http_server::empty(StatusCode::SERVICE_UNAVAILABLE);
             let name = HeaderName::from_static(COME_BACK_HEADER);
-            response.headers_mut().insert(name, millis.into());
+            response
+                .headers_mut()
+                .insert(name, millis(come_back).into());
             response
         }
-        ServeEnd::Unknown(_) => empty(StatusCode::BAD_GATEWAY),
+        ServeEnd::Unknown(_) => http_server::empty(StatusCode::BAD_GATEWAY),
     };
     let end = HopEnd {
         run,
@@ -144,10 +146,6 @@
     response
 }
 
-fn empty(status: StatusCode) -> Response<BoxBody> {
-    Response::with_body(status, BoxBody::new(()))
-}
-
 /// Passes an answer of a backend server on.
 pub fn backend_response(answer: HttpAnswer) -> Response<BoxBody> {
     let mut response = Response::with_body(answer.status, BoxBody::new(answer.body));
--- a/src/sidecar/movers.rs
+++ b/src/sidecar/movers.rs
@@ -7,7 +7,7 @@
 use slog::warn;
 
 use crate::coordination::placement::Placement;
-use crate::coordination::store_retry;
+use crate::coordination::store_retry::FIRST_LIMIT;
 use crate::coordination::version_move::MoveAction;
 use crate::coordination::version_move::Moves;
 use crate::platform::config;
@@ -111,7 +111,7 @@
 /// Writes what the operator reads, unless the move has ended already; returns the state that stands.
 async fn write_result(cx: &Rc<Sidecar>, action: &MoveAction) -> Result<MoveState, StoreFailure> {
     let key = config::result_key(&action.order.service);
-    let known = match cx.store.newest(RESULT_TOPIC, store_retry::limit(0)).await {
+    let known = match cx.store.newest(RESULT_TOPIC, FIRST_LIMIT).await {
         Err(StoreFailure::Refused(404)) => KeyedBatch::default(),
         other => other?,
     };
--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -29,6 +29,7 @@
 use crate::sidecar::followers;
 use crate::transport::exchange::Exchange;
 use crate::transport::headers;
+use crate::transport::http_server;
 
 /// Path of a follower's question.
 pub const FOLLOW_PATH: &str = "/sw/follow";
@@ -86,14 +87,14 @@
 pub async fn serve(cx: &Rc<Sidecar>, req: &Request) -> Response<BoxBody> {
     let from = headers::text(req.headers(), FROM_HEADER).and_then(parse_offsets);
     let Some(from) = from else {
-        return empty(StatusCode::BAD_REQUEST);
+        return http_server::empty(StatusCode::BAD_REQUEST);
     };
     let wait = headers::number(req.headers(), WAIT_HEADER).map(Duration::from_millis);
     if let Some(wait) = wait {
         wait_for_news(cx, from, wait).await;
     }
     if cx.stopping.get() {
-        return empty(StatusCode::GONE);
+        return http_server::empty(StatusCode::GONE);
     }
     // A view that is behind is of no use to a follower.
     let now = cx.clock.now();
@@ -102,11 +103,11 @@
         None => age(cx, now),
     };
     let Some(answer) = age.and_then(|age| answer(cx, from, age)) else {
-        return empty(StatusCode::SERVICE_UNAVAILABLE);
+        return http_server::empty(StatusCode::SERVICE_UNAVAILABLE);
     };
     match codec::encode(&answer) {
         Ok(bytes) => Response::with_body(StatusCode::OK, BoxBody::new(bytes)),
-        Err(_) => empty(StatusCode::INTERNAL_SERVER_ERROR),
+        Err(_) => http_server::empty(StatusCode::INTERNAL_SERVER_ERROR),
     }
 }
 
@@ -175,10 +176,6 @@
     Some([offsets.next()??, offsets.next()??, offsets.next()??])
 }
 
-fn empty(status: StatusCode) -> Response<BoxBody> {
-    Response::with_body(status, BoxBody::new(()))
-}
-
 /// Why a reader is of no use.
 pub struct AskFailure {
     /// How it failed.
--- a/src/sidecar/small_ports.rs
+++ b/src/sidecar/small_ports.rs
@@ -8,6 +8,7 @@
 
 use crate::platform::requests::READY_PATH;
 use crate::sidecar::Sidecar;
+use crate::transport::http_server;
 use crate::transport::http_server::Handler;
 
 /// Returns the handler of the ready port.
@@ -19,7 +20,7 @@
             READY_PATH => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::NOT_FOUND,
         };
-        Box::pin(async move { Response::with_body(status, BoxBody::new(())) })
+        Box::pin(async move { http_server::empty(status) })
     })
 }
 
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -161,6 +161,12 @@
     Ok(whole.freeze())
 }
 
+/// Returns an answer without a body.
+#[must_use]
+pub fn empty(status: StatusCode) -> Response<BoxBody> {
+    Response::with_body(status, BoxBody::new(()))
+}
+
 /// Makes the server close the connection after this answer, for a graceful stop.
 pub fn close_after(response: &mut Response<BoxBody>) {
     response
--- a/testbed/src/log_server.rs
+++ b/testbed/src/log_server.rs
@@ -431,17 +431,21 @@
 
 /// Returns the answer that an outage prescribes, after the outage if it makes requests hang.
 async fn outage(shared: &Shared) -> Option<Response<BoxBody>> {
+    let is_refused = wait_for_outage(&shared.changed, || shared.lock().control.outage).await;
+    is_refused.then(|| http::text(StatusCode::SERVICE_UNAVAILABLE, "log is out of service"))
+}
+
+/// Waits while an outage makes requests hang; `changed` tells that it may be another one. Returns
+/// whether the request is refused then.
+pub async fn wait_for_outage(changed: &Notify, outage: impl Fn() -> Outage) -> bool {
     let mut hung = false;
     loop {
-        let changed = shared.changed.notified();
+        let changed = changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
-        match shared.lock().control.outage {
-            Outage::Off if !hung => return None,
-            Outage::Off | Outage::Refuse => {
-                let res = http::text(StatusCode::SERVICE_UNAVAILABLE, "log is out of service");
-                return Some(res);
-            }
+        match outage() {
+            Outage::Off => return hung,
+            Outage::Refuse => return true,
             Outage::Hang => hung = true,
         }
         changed.await;
--- a/testbed/src/platform/store.rs
+++ b/testbed/src/platform/store.rs
@@ -32,6 +32,7 @@
 use crate::http;
 use crate::http::ServerThread;
 use crate::log_server::Outage;
+use crate::log_server::wait_for_outage;
 
 /// Topic that only operators write.
 pub const OPERATOR_TOPIC: &str = "keyed.op";
@@ -459,16 +460,7 @@
 
 /// Waits while an outage makes calls hang. Returns whether the call is refused.
 async fn outage(shared: &Shared, topic: &str) -> bool {
-    let mut hung = false;
-    loop {
-        let changed = shared.control_changed.notified();
-        match shared.lock().outage(topic) {
-            Outage::Off => return hung,
-            Outage::Refuse => return true,
-            Outage::Hang => hung = true,
-        }
-        changed.await;
-    }
+    wait_for_outage(&shared.control_changed, || shared.lock().outage(topic)).await
 }
 
 async fn append(
