Log the version and the age of the view with a refused request

The line "request refused" now has the version that decided and view_age_ms, the time since the node last knew that it had all records of the operators; "configuration in force" has the age of the view before the record.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -74,7 +74,9 @@
         Err(code) => {
             let attempt = requests::read_client_headers(req.headers()).attempt;
             info!(cx.log, "request refused"; "attempt" => serving::attempt_text(attempt.as_ref()),
-                "code" => code.number(), "path" => req.path());
+                "code" => code.number(), "path" => req.path(),
+                "version" => cx.table().map(|table| table.version()),
+                "view_age_ms" => cx.feed.view_age(cx.clock.now()).map(millis));
             cx.metrics.refusals.increment(1);
             error_response(
                 cx,
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -13,6 +13,7 @@
 use crate::protocol::fleet::MoveRecord;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::ServiceName;
+use crate::protocol::time::millis;
 use crate::sidecar::Sidecar;
 use crate::state::routing_table::RoutingTable;
 
@@ -62,7 +63,8 @@
     }
     let table = RoutingTable::new(config);
     info!(cx.log, "configuration in force"; "version" => table.version(), "before" => in_force,
-        "routes" => table.route_count(), "offset" => record.offset);
+        "routes" => table.route_count(), "offset" => record.offset,
+        "view_age_ms" => cx.feed.view_age(cx.clock.now()).map(millis));
     #[allow(clippy::cast_precision_loss, reason = "a gauge is a float")]
     cx.metrics.config_version.set(table.version() as f64);
     state.table = Some(Rc::new(table));
--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -102,7 +102,7 @@
     let now = cx.clock.now();
     let view_age = match wait {
         Some(_) => fresh_view_age(cx, now),
-        None => view_age(cx, now),
+        None => cx.feed.view_age(now),
     };
     let Some(response) = view_age.and_then(|view_age| follow_response(cx, from, view_age)) else {
         return http_server::empty(StatusCode::SERVICE_UNAVAILABLE);
@@ -137,15 +137,11 @@
     }
 }
 
-/// Returns the age of this node's view.
-fn view_age(cx: &Sidecar, now: Duration) -> Option<Duration> {
-    let confirmed_at = cx.feed.confirmed_at.get();
-    confirmed_at.map(|at| now.saturating_sub(at))
-}
-
 /// Returns the age of this node's view if others may follow it.
 fn fresh_view_age(cx: &Sidecar, now: Duration) -> Option<Duration> {
-    view_age(cx, now).filter(|view_age| *view_age <= topic_follower::max_followed_age(cx))
+    cx.feed
+        .view_age(now)
+        .filter(|view_age| *view_age <= topic_follower::max_followed_age(cx))
 }
 
 fn has_new_records(cx: &Sidecar, from: [u64; 3]) -> bool {
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -131,6 +131,13 @@
         Some([operator.end()?, fleet.end()?, moves.end()?])
     }
 
+    /// Returns the age of the view of the operator's topic: the time since it was last known to be
+    /// complete. `None` before the topic was read.
+    pub fn view_age(&self, now: Duration) -> Option<Duration> {
+        let confirmed_at = self.confirmed_at.get();
+        confirmed_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Waits while the store is unavailable. Only reads of the operator's topic probe it meanwhile, since
     /// failed calls are charged as well. Returns whether it waited until the store was available again.
     /// After a timeout the caller tries its own call, since an outage may affect single topics.
@@ -397,11 +404,7 @@
                 info!(cx.log, "reader skipped"; "reader" => node.as_str(), "failure" => format!("{:?}", failure.failure),
                     "why" => failure.why);
                 let now = cx.clock.now();
-                let view_age = cx
-                    .feed
-                    .confirmed_at
-                    .get()
-                    .map_or(now, |at| now.saturating_sub(at));
+                let view_age = cx.feed.view_age(now).unwrap_or(now);
                 let mut relay = cx.feed.relay.borrow_mut();
                 relay.on_failure(now, &node, failure.failure, view_age, max_failover_age(cx));
                 drop(relay);
