Bound each wait of a long poll by the time a configuration may take

Cause: a long poll that reaches the store while a record is appended is not woken by that record. The reader used a long wait of 25 s after a short one that had ended promptly. That guard looked at the wrong call: the short poll shows that the store was fast before, not that the long one has missed nothing. Class of fault: lost wakeup, with a wait that no requirement bounds. The fleet's and the rollouts' topics had the same wait.

Change: every poll waits at most 0.45 of the time within which a configuration has to be in force (other topics: that time), in every state. A missed record is then read by the next poll, and a poll that an outage has swallowed ends in time. The distinction of long and short waits, and the interruption by the first follower, are no longer needed and go.

tests/topic_cursor.rs: the cases wait_after_change, wait_after_read_without_wait and wait_slow_store demanded the wrong guard (a wait of 25 s after a prompt short one). next_call_wait replaces them and is stricter: no sequence of reads allows a longer wait. The bound on retries stays checked in next_call_after_failure and tests/store_retry.rs.

--- a/src/coordination/topic_cursor.rs
+++ b/src/coordination/topic_cursor.rs
@@ -6,19 +6,16 @@
 //! can report an end that already counts a record which the response does not contain yet, and the
 //! reader would miss that record until the next change. The reader therefore continues after the
 //! highest offset that it received, and detects duplicates by their offset.
+//!
+//! A long poll can miss a record: the store does not wake a poll that arrives while the record is
+//! being appended, and a poll that was waiting when an outage began may never be answered. The reader
+//! cannot detect either, so the caller bounds each wait by the time within which a record has to be
+//! known.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest wait of one long poll. The store allows at most 30 s.
-pub const LONG_WAIT: Duration = Duration::from_secs(25);
-/// Wait of one long poll while the store may be slow. A slow store can miss a record that arrives
-/// while the read request is on its way, and answer the read only when the next record arrives. With
-/// this wait the missed record is still read within the 2 s in which a configuration has to be in
-/// force.
-pub const SHORT_WAIT: Duration = Duration::from_secs(1);
-/// Longest time that a read takes beyond its wait if the store is not slow.
-const PROMPT_MARGIN: Duration = Duration::from_millis(60);
+use crate::coordination::store_retry;
 
 /// The next request of the reader to the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -29,6 +26,17 @@
     From(u64),
 }
 
+/// The next call of the reader to the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReadCall {
+    /// What is read.
+    pub read: NextRead,
+    /// Time for which the store may wait for a record.
+    pub wait: Duration,
+    /// Time beyond the wait after which the call has failed.
+    pub timeout: Duration,
+}
+
 /// Read position in one topic.
 #[derive(Debug, Default)]
 pub struct TopicCursor {
@@ -39,8 +47,8 @@
     reported_end: u64,
     /// Whether the position is the reported end, so that the newest records have to be read again.
     unverified: bool,
-    /// Whether the last read waited for its full time without a record and then returned promptly.
-    long_wait_safe: bool,
+    /// Number of calls that have failed since the last successful one.
+    failures: u32,
     /// Offset of the newest record of each key, sorted by key.
     newest_offsets: Vec<(Arc<str>, u64)>,
 }
@@ -55,16 +63,29 @@
         }
     }
 
-    /// Returns the longest time for which the next read waits for a record.
+    /// Returns the next call to the store. A read after a failure does not wait, so that the end of an
+    /// outage is noticed at once.
     #[must_use]
-    pub fn wait(&self) -> Duration {
-        if self.long_wait_safe {
-            LONG_WAIT
-        } else {
-            SHORT_WAIT
+    pub fn next_call(&self, longest_wait: Duration) -> ReadCall {
+        let read = self.next();
+        let is_long_poll = self.failures == 0 && read != NextRead::Newest;
+        ReadCall {
+            read,
+            wait: if is_long_poll {
+                longest_wait
+            } else {
+                Duration::ZERO
+            },
+            timeout: store_retry::timeout(self.failures),
         }
     }
 
+    /// Returns the number of calls that have failed since the last successful one.
+    #[must_use]
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Handles the newest records. `first_page` is the number of records on the first page, and `end` is
     /// the end offset that the store reported with that page. The pages are not a snapshot: a key of the
     /// first page may change before a later page is read, so reading continues after the first page.
@@ -81,25 +102,26 @@
             after_received.min(end)
         });
         self.unverified = false;
+        self.failures = 0;
     }
 
-    /// Handles a read up to the offset `end` that was allowed to wait for `wait` and ended after
-    /// `elapsed`. A read without a wait does not show whether the store was just writing a record.
-    pub fn on_read(&mut self, end: u64, wait: Duration, elapsed: Duration) {
-        let waited_fully = self.from == Some(end) && wait >= SHORT_WAIT;
-        self.long_wait_safe = waited_fully && elapsed <= wait + PROMPT_MARGIN;
+    /// Handles a read up to the offset `end`.
+    pub fn on_read(&mut self, end: u64) {
         self.from = Some(end);
+        self.failures = 0;
     }
 
     /// Handles records up to the offset `end` that another node relayed.
     pub fn on_relayed(&mut self, end: u64) {
         self.from = Some(self.from.map_or(end, |from| from.max(end)));
-        self.long_wait_safe = false;
     }
 
-    /// Handles a read that failed.
-    pub fn on_failure(&mut self) {
-        self.long_wait_safe = false;
+    /// Handles a call that failed and returns the pause before the next one. `factor` is a random
+    /// number between 0.5 and 1, so that nodes do not retry at the same time.
+    pub fn on_failure(&mut self, factor: f64) -> Duration {
+        let pause = store_retry::pause(self.failures, factor);
+        self.failures += 1;
+        pause
     }
 
     /// Handles the answer of the store that the requested records have expired.
--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -116,7 +116,6 @@
 /// Waits up to `wait` until there are new records or the view was confirmed.
 async fn wait_for_update(cx: &Sidecar, from: [u64; 3], wait: Duration) {
     let began = cx.clock.now();
-    cx.feed.on_follow_request(began);
     let long_poll_wait = topic_follower::long_poll_wait(cx);
     let is_failover = wait < long_poll_wait;
     let until = began + wait.min(long_poll_wait);
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -14,8 +14,8 @@
 use slog::warn;
 use tokio::sync::Notify;
 
-use crate::coordination::store_retry;
 use crate::coordination::topic_cursor::NextRead;
+use crate::coordination::topic_cursor::ReadCall;
 use crate::coordination::topic_cursor::TopicCursor;
 use crate::coordination::topic_source::Source;
 use crate::coordination::topic_source::SourceSelector;
@@ -52,9 +52,9 @@
 const FLEET_START_PAUSE: Duration = Duration::from_secs(2);
 /// Longest wait of a topic for the operator's topic to be readable again; then it is read anyway.
 const INDEPENDENT_RETRY_AFTER: Duration = Duration::from_secs(4);
-/// Long-poll time of a reader at the operator's topic and of a follower at its reader, as a share of
-/// the time within which a configuration has to be in force. A reader that is cut off is detected
-/// within it, which leaves the other half of the time for reading the store.
+/// Long-poll time of the operator's topic at the store and of a follower at its reader, as a share of
+/// the time within which a configuration has to be in force. A record that a poll misses, or a reader
+/// that is cut off, is detected within it, which leaves the other half of the time for reading.
 const LONG_POLL_SHARE: f64 = 0.45;
 /// Long-poll time of a follower after its reader failed, enough for the next reader to confirm its
 /// view at the store.
@@ -62,8 +62,6 @@
 /// Time beyond a long poll up to which a view is fresh enough to be followed, for a round trip to a
 /// healthy store.
 const VIEW_AGE_MARGIN: Duration = Duration::from_millis(350);
-/// Time after the last follow request for which a node keeps polling the store as a reader.
-const FOLLOWER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Pause before the topics other than the operator's are read at the store after a reader failed.
 const STORE_FALLBACK_PAUSE: Duration = Duration::from_millis(500);
 /// Age of the own view up to which another reader is tried instead of the store, as a share of the
@@ -81,8 +79,6 @@
     pub mirrors: RefCell<[Mirror; 3]>,
     /// Time at which the view of the operator's topic was last known to be complete.
     pub confirmed_at: Cell<Option<Duration>>,
-    /// Time of the last follow request of another node.
-    last_follow_request: Cell<Option<Duration>>,
     /// Signals that records were applied.
     pub changed: Notify,
     /// Signals that the view of the operator's topic was found to be complete, or could not be checked.
@@ -108,7 +104,6 @@
             cursors: RefCell::default(),
             mirrors: RefCell::default(),
             confirmed_at: Cell::new(None),
-            last_follow_request: Cell::new(None),
             changed: Notify::new(),
             view_checked: Notify::new(),
             interrupt_poll: Notify::new(),
@@ -163,32 +158,29 @@
         self.mirrors.borrow_mut()[topic].advance(0);
     }
 
-    /// Records a follow request. The first one interrupts the reader's long poll, whose wait is too
-    /// long for followers.
-    pub fn on_follow_request(&self, now: Duration) {
-        if !self.is_followed(now) {
-            self.interrupt_long_poll();
-        }
-        self.last_follow_request.set(Some(now));
-    }
-
     /// Interrupts the long poll of the operator's topic and makes the next read return at once.
     fn interrupt_long_poll(&self) {
         self.skip_wait.set(true);
         self.interrupt_poll.notify_waiters();
     }
-
-    fn is_followed(&self, now: Duration) -> bool {
-        let last = self.last_follow_request.get();
-        last.is_some_and(|last| now.saturating_sub(last) < FOLLOWER_TIMEOUT)
-    }
 }
 
-/// Long-poll time of a reader at the operator's topic, and of a follow request.
+/// Long-poll time of the operator's topic at the store, and of a follow request.
 pub fn long_poll_wait(cx: &Sidecar) -> Duration {
     cx.settings.config_within().mul_f64(LONG_POLL_SHARE)
 }
 
+/// Longest time for which a read of a topic may wait at the store. A poll may miss a record, which is
+/// read only by the next one. Entries of nodes and steps of rollouts may arrive later than a
+/// configuration, which saves calls.
+fn longest_wait(cx: &Sidecar, topic: usize) -> Duration {
+    if topic == OPERATOR {
+        long_poll_wait(cx)
+    } else {
+        cx.settings.config_within()
+    }
+}
+
 /// Largest age of a view that other nodes may follow.
 pub fn max_followed_age(cx: &Sidecar) -> Duration {
     long_poll_wait(cx) + VIEW_AGE_MARGIN
@@ -221,7 +213,6 @@
 
 /// Reads one topic from the store while the store is the source.
 async fn follow_store(cx: &Rc<Sidecar>, topic: usize) {
-    let mut failures = 0_u32;
     if topic == MOVES {
         // Without an order there is no rollout to follow.
         cx.feed.mark_as_read(topic);
@@ -243,22 +234,25 @@
             actix_rt::time::sleep(STORE_FALLBACK_PAUSE).await;
             continue;
         }
-        let next = cx.feed.cursors.borrow()[topic].next();
-        let began = cx.clock.now();
+        let mut call = cx.feed.cursors.borrow()[topic].next_call(longest_wait(cx, topic));
+        if topic == OPERATOR && cx.feed.skip_wait.take() {
+            call.wait = Duration::ZERO;
+        }
+        let next = call.read;
         let read = tokio::select! {
-            read = read_store(cx, topic, next, failures) => read,
+            read = read_store(cx, topic, call) => read,
             () = cx.feed.source_changed.notified() => continue,
             () = cx.feed.interrupt_poll.notified(), if topic == OPERATOR => continue,
         };
         match read {
-            Ok((batch, wait)) => {
+            Ok(batch) => {
+                let failures = cx.feed.cursors.borrow()[topic].failures();
                 if failures > 0 {
                     info!(cx.log, "store available again"; "topic" => TOPICS[topic], "failures" => failures);
                 }
-                failures = 0;
                 cx.feed.set_store_available(true);
                 let changed = !batch.records.is_empty();
-                apply_read(cx, topic, next, batch, wait, began);
+                apply_read(cx, topic, next, batch);
                 let pause = match (topic, next) {
                     (FLEET, NextRead::Newest) => FLEET_START_PAUSE,
                     (FLEET, _) if changed => FLEET_BURST_PAUSE,
@@ -273,13 +267,11 @@
             }
             Err(failure) => {
                 cx.metrics.store_failures.increment(1);
-                cx.feed.cursors.borrow_mut()[topic].on_failure();
-                if failures == 0 {
+                if cx.feed.cursors.borrow()[topic].failures() == 0 {
                     warn!(cx.log, "store unavailable"; "topic" => TOPICS[topic], "why" => format!("{failure:?}"));
                 }
                 let factor = cx.state.borrow_mut().rng.random_range(0.5..1.0);
-                let pause = store_retry::pause(failures, factor);
-                failures += 1;
+                let pause = cx.feed.cursors.borrow_mut()[topic].on_failure(factor);
                 if topic == OPERATOR {
                     cx.feed.set_store_available(false);
                     let now = cx.clock.now();
@@ -292,44 +284,28 @@
     }
 }
 
-/// Reads a topic after `failures` consecutive failures. Returns the records and the long-poll time.
+/// Makes a call to the store.
 async fn read_store(
     cx: &Sidecar,
     topic: usize,
-    next: NextRead,
-    failures: u32,
-) -> Result<(KeyedBatch, Duration), StoreFailure> {
-    let timeout = store_retry::timeout(failures);
-    let from = match next {
-        NextRead::From(from) => from,
-        NextRead::Newest => {
-            return match cx.store.newest(TOPICS[topic], timeout).await {
-                // A topic does not exist before its first record.
-                Err(StoreFailure::Refused(404)) => Ok((KeyedBatch::default(), Duration::ZERO)),
-                other => Ok((other?, Duration::ZERO)),
-            };
+    call: ReadCall,
+) -> Result<KeyedBatch, StoreFailure> {
+    match call.read {
+        NextRead::From(from) => {
+            cx.store
+                .read(TOPICS[topic], from, call.wait, call.timeout)
+                .await
         }
-    };
-    let mut wait = cx.feed.cursors.borrow()[topic].wait();
-    if failures > 0 || (topic == OPERATOR && cx.feed.skip_wait.take()) {
-        wait = Duration::ZERO;
-    } else if topic == OPERATOR && cx.feed.is_followed(cx.clock.now()) {
-        wait = wait.min(long_poll_wait(cx));
+        NextRead::Newest => match cx.store.newest(TOPICS[topic], call.timeout).await {
+            // A topic does not exist before its first record.
+            Err(StoreFailure::Refused(404)) => Ok(KeyedBatch::default()),
+            other => other,
+        },
     }
-    let batch = cx.store.read(TOPICS[topic], from, wait, timeout).await?;
-    Ok((batch, wait))
 }
 
 /// Applies the result of a read from the store.
-fn apply_read(
-    cx: &Rc<Sidecar>,
-    topic: usize,
-    read: NextRead,
-    mut batch: KeyedBatch,
-    wait: Duration,
-    began: Duration,
-) {
-    let read_time = cx.clock.since(began);
+fn apply_read(cx: &Rc<Sidecar>, topic: usize, read: NextRead, mut batch: KeyedBatch) {
     {
         let mut cursors = cx.feed.cursors.borrow_mut();
         if read == NextRead::Newest {
@@ -337,7 +313,7 @@
             cursors[topic].on_newest(&offsets, batch.first_page, batch.end);
             batch.records.sort_unstable_by_key(|record| record.offset);
         } else {
-            cursors[topic].on_read(batch.end, wait, read_time);
+            cursors[topic].on_read(batch.end);
         }
     }
     let end = match cx.feed.cursors.borrow()[topic].next() {
@@ -409,10 +385,6 @@
                 relay.on_failure(now, &node, failure.failure, view_age, max_failover_age(cx));
                 drop(relay);
                 cx.feed.interrupt_long_poll();
-                // Records missed meanwhile are read without a long poll.
-                for cursor in cx.feed.cursors.borrow_mut().iter_mut() {
-                    cursor.on_failure();
-                }
             }
         }
     }
--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -257,6 +257,24 @@
     });
 }
 
+/// Guards against a configuration that a healthy store appends while a long poll arrives there, so that
+/// the poll misses it. The node kept the old configuration until the next change, or for 25 s.
+#[gtest]
+fn config_change_missed_wakeup_healthy_store() {
+    run(async {
+        let mut env = TestFleet::start(1).await?;
+        // By then a node without changes to read uses its longest poll.
+        actix_rt::time::sleep(Duration::from_secs(3)).await;
+        env.store.change(StoreControlChange {
+            missed_wakeups: Some(1),
+            ..StoreControlChange::default()
+        });
+        let _ = put_config(&env.store, 2);
+        let limit = REQUIRED_TIME + POLL_MARGIN;
+        env.wait_for(limit, 0, "/v2/x", StatusCode::OK).await
+    });
+}
+
 /// Guards against a node that responds with 404 before it has a configuration, and against one that
 /// notices the end of an outage late. The store hangs at first, then refuses calls.
 #[gtest]
--- a/tests/topic_cursor.rs
+++ b/tests/topic_cursor.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use sycamorewick::coordination::topic_cursor::LONG_WAIT;
 use sycamorewick::coordination::topic_cursor::NextRead;
-use sycamorewick::coordination::topic_cursor::SHORT_WAIT;
 use sycamorewick::coordination::topic_cursor::TopicCursor;
 
+const WAIT: Duration = Duration::from_millis(900);
+
 /// Guards against missing a record that the reported end offset counts but the response does not
 /// contain.
 #[gtest]
@@ -53,44 +53,42 @@
 fn on_expired_after_reading() {
     let mut cursor = TopicCursor::default();
     cursor.on_newest(&[3], 1, 4);
-    cursor.on_read(9, SHORT_WAIT, Duration::ZERO);
+    cursor.on_read(9);
     cursor.on_expired();
     expect_that!(cursor.next(), eq(NextRead::Newest));
     cursor.on_newest(&[30], 1, 31);
     expect_that!(cursor.next(), eq(NextRead::From(31)));
 }
 
-/// Guards against a long poll that a slow store leaves waiting although a record has arrived, which left
-/// a node on an old configuration for 11 s.
-#[gtest]
-fn wait_after_change() {
-    let mut cursor = TopicCursor::default();
-    cursor.on_newest(&[3], 1, 4);
-    expect_that!(cursor.wait(), eq(SHORT_WAIT));
-    cursor.on_read(4, SHORT_WAIT, SHORT_WAIT);
-    expect_that!(cursor.wait(), eq(LONG_WAIT));
-    cursor.on_read(5, LONG_WAIT, Duration::from_secs(7));
-    expect_that!(cursor.wait(), eq(SHORT_WAIT));
-}
-
-/// Guards against a long wait directly after a read without a wait, while a slow store writes a record,
-/// which left a node on an old configuration for 5 s.
+/// Guards against a long poll that waits longer than the caller allows: a poll may miss a record, which
+/// left nodes on an old configuration for 11 s and for 2.7 s. No earlier read makes a longer wait safe.
 #[gtest]
-fn wait_after_read_without_wait() {
+fn next_call_wait() {
     let mut cursor = TopicCursor::default();
+    expect_that!(cursor.next_call(WAIT).wait, eq(Duration::ZERO));
     cursor.on_newest(&[3], 1, 4);
-    cursor.on_read(4, Duration::ZERO, Duration::from_millis(5));
-    expect_that!(cursor.wait(), eq(SHORT_WAIT));
+    for end in [4, 4, 4, 5, 5] {
+        expect_that!(cursor.next_call(WAIT).wait, eq(WAIT));
+        cursor.on_read(end);
+    }
+    cursor.on_relayed(9);
+    expect_that!(cursor.next_call(WAIT).wait, eq(WAIT));
 }
 
-/// Guards against a long wait while the store is slow or after a read failed.
+/// Guards against a read that waits at a store whose outage has just ended, and against retries whose
+/// timeout and pause together exceed the time within which a configuration has to be in force.
 #[gtest]
-fn wait_slow_store() {
+fn next_call_after_failure() {
     let mut cursor = TopicCursor::default();
     cursor.on_newest(&[3], 1, 4);
-    cursor.on_read(4, SHORT_WAIT, SHORT_WAIT + Duration::from_millis(250));
-    expect_that!(cursor.wait(), eq(SHORT_WAIT));
-    cursor.on_read(4, SHORT_WAIT, SHORT_WAIT);
-    cursor.on_failure();
-    expect_that!(cursor.wait(), eq(SHORT_WAIT));
+    for failures in 1..9 {
+        let pause = cursor.on_failure(1.0);
+        let call = cursor.next_call(WAIT);
+        expect_that!(cursor.failures(), eq(failures));
+        expect_that!(call.wait, eq(Duration::ZERO));
+        expect_that!(call.timeout + pause, le(Duration::from_millis(1_900)));
+    }
+    cursor.on_read(4);
+    expect_that!(cursor.failures(), eq(0));
+    expect_that!(cursor.next_call(WAIT).wait, eq(WAIT));
 }
