Refuse a follower as soon as the view of its reader is too old

Cause: a reader checked the age of its view only at the end of a follower's long poll. A poll that began just after the last confirmation ended with an answer of allowed age, and only the next one, 0.9 of the required time after that confirmation, with a refusal. Class of fault: a bound that holds for each step and not for their sum.

Change: the decision is a state machine of its own, coordination/follow_poll.rs. The reader refuses when its view expires, or 0.15 s after the request if it had expired before, and the follower's own limit follows the age of its view.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -9,6 +9,7 @@
 pub mod breaker;
 pub mod dissemination;
 pub mod evidence;
+pub mod follow_poll;
 pub mod idempotency;
 pub mod membership;
 pub mod placement;
--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -20,6 +20,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::coordination::follow_poll::FollowPoll;
+use crate::coordination::follow_poll::FollowStep;
 use crate::coordination::topic_source::ReaderFailure;
 use crate::platform::store::KeyedRecord;
 use crate::protocol::codec;
@@ -38,8 +40,10 @@
 /// Header of a follow request with the long-poll time, milliseconds. Without it the reader responds at
 /// once with the records that it has.
 const WAIT_HEADER: &str = "sw-wait-ms";
-/// Time beyond the long-poll time after which a follow request has failed. Round trips within a
-/// failure domain are short.
+/// Header of a follow request of a node that cannot read the store either.
+const STORE_AWAY_HEADER: &str = "sw-store-away";
+/// Time beyond the reader's time to answer after which a follow request has failed. Round trips
+/// within a failure domain are short.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(350);
 /// Idle time after which a connection to a reader is not reused.
 const MAX_IDLE: Duration = Duration::from_secs(3);
@@ -85,25 +89,24 @@
 }
 
 /// Handles a follow request. Responds as soon as there are new records or the view was confirmed, at
-/// the latest after the long-poll time.
+/// the latest after the long-poll time, and refuses as soon as the view is too old to be followed.
 pub async fn serve(cx: &Rc<Sidecar>, req: &Request) -> Response<BoxBody> {
     let from = headers::text(req.headers(), FROM_HEADER).and_then(parse_offsets);
     let Some(from) = from else {
         return http_server::empty(StatusCode::BAD_REQUEST);
     };
     let wait = headers::number(req.headers(), WAIT_HEADER).map(Duration::from_millis);
-    if let Some(wait) = wait {
-        wait_for_update(cx, from, wait).await;
-    }
+    let may_respond = match wait {
+        Some(wait) => {
+            let is_store_away = req.headers().contains_key(STORE_AWAY_HEADER);
+            wait_for_update(cx, from, wait, is_store_away).await
+        }
+        None => true,
+    };
     if cx.stopping.get() {
         return http_server::empty(StatusCode::GONE);
     }
-    // An old view would keep a follower behind the store.
-    let now = cx.clock.now();
-    let view_age = match wait {
-        Some(_) => fresh_view_age(cx, now),
-        None => cx.feed.view_age(now),
-    };
+    let view_age = cx.feed.view_age(cx.clock.now()).filter(|_| may_respond);
     let Some(response) = view_age.and_then(|view_age| follow_response(cx, from, view_age)) else {
         return http_server::empty(StatusCode::SERVICE_UNAVAILABLE);
     };
@@ -113,36 +116,40 @@
     }
 }
 
-/// Waits up to `wait` until there are new records or the view was confirmed.
-async fn wait_for_update(cx: &Sidecar, from: [u64; 3], wait: Duration) {
+/// Waits up to `wait` until there are new records or the view was confirmed. Returns whether the view
+/// may be followed.
+async fn wait_for_update(
+    cx: &Sidecar,
+    from: [u64; 3],
+    wait: Duration,
+    is_store_away: bool,
+) -> bool {
     let began = cx.clock.now();
     let long_poll_wait = topic_follower::long_poll_wait(cx);
-    let is_failover = wait < long_poll_wait;
-    let until = began + wait.min(long_poll_wait);
+    let poll = FollowPoll {
+        began,
+        until: began + wait.min(long_poll_wait),
+        is_failover: wait < long_poll_wait,
+        is_store_away,
+        max_view_age: topic_follower::max_followed_age(cx),
+    };
     loop {
         let changed = cx.feed.changed.notified();
         let checked = cx.feed.view_checked.notified();
         let now = cx.clock.now();
-        let view_age = fresh_view_age(cx, now);
-        let is_confirmed = view_age.is_some_and(|view_age| now.saturating_sub(view_age) > began);
-        let can_respond =
-            is_confirmed || (view_age.is_some() && (has_new_records(cx, from) || is_failover));
-        if now >= until || cx.stopping.get() || can_respond {
-            return;
-        }
+        let confirmed_at = cx.feed.confirmed_at.get();
+        let until = match poll.next(now, confirmed_at, has_new_records(cx, from)) {
+            FollowStep::Respond => return true,
+            FollowStep::RefuseAsBehind => return false,
+            FollowStep::Wait(_) if cx.stopping.get() => return false,
+            FollowStep::Wait(until) => until,
+        };
         let either = select(Box::pin(changed), Box::pin(checked));
         // The result does not matter, since the conditions are checked again.
         let _ = actix_rt::time::timeout(until.saturating_sub(now), either).await;
     }
 }
 
-/// Returns the age of this node's view if others may follow it.
-fn fresh_view_age(cx: &Sidecar, now: Duration) -> Option<Duration> {
-    cx.feed
-        .view_age(now)
-        .filter(|view_age| *view_age <= topic_follower::max_followed_age(cx))
-}
-
 fn has_new_records(cx: &Sidecar, from: [u64; 3]) -> bool {
     let mirrors = cx.feed.mirrors.borrow();
     let mut pairs = mirrors.iter().zip(from);
@@ -221,6 +228,11 @@
         let name = HeaderName::from_static(WAIT_HEADER);
         headers.push((name, millis(wait).into()));
     }
+    let is_store_away = !cx.feed.is_store_available();
+    if is_store_away {
+        let name = HeaderName::from_static(STORE_AWAY_HEADER);
+        headers.push((name, HeaderValue::from_static("1")));
+    }
     let exchange = Exchange {
         addr,
         method: Method::GET,
@@ -231,7 +243,14 @@
         echo: None,
         max_response_bytes: MAX_MESSAGE_BYTES,
     };
-    let timeout = wait.unwrap_or_default() + RESPONSE_MARGIN;
+    let answer_limit = wait.map(|wait| {
+        if is_store_away {
+            return wait;
+        }
+        let view_age = cx.feed.view_age(cx.clock.now());
+        FollowPoll::answer_limit(wait, view_age, topic_follower::max_followed_age(cx))
+    });
+    let timeout = answer_limit.unwrap_or_default() + RESPONSE_MARGIN;
     let response = match actix_rt::time::timeout(timeout, cx.pool.send(exchange)).await {
         Ok(Ok(response)) => response,
         Ok(Err(failure)) => return Err(FetchFailure::lost(failure)),
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -14,6 +14,7 @@
 use slog::warn;
 use tokio::sync::Notify;
 
+use crate::coordination::follow_poll::CONFIRMATION_TIME;
 use crate::coordination::topic_cursor::NextRead;
 use crate::coordination::topic_cursor::ReadCall;
 use crate::coordination::topic_cursor::TopicCursor;
@@ -56,9 +57,6 @@
 /// the time within which a configuration has to be in force. A record that a poll misses, or a reader
 /// that is cut off, is detected within it, which leaves the other half of the time for reading.
 const LONG_POLL_SHARE: f64 = 0.45;
-/// Long-poll time of a follower after its reader failed, enough for the next reader to confirm its
-/// view at the store.
-const FAILOVER_WAIT: Duration = Duration::from_millis(150);
 /// Time beyond a long poll up to which a view is fresh enough to be followed, for a round trip to a
 /// healthy store.
 const VIEW_AGE_MARGIN: Duration = Duration::from_millis(350);
@@ -67,7 +65,7 @@
 /// Age of the own view up to which another reader is tried instead of the store, as a share of the
 /// time within which a configuration has to be in force. The rest is left for reading the store.
 const FAILOVER_AGE_SHARE: f64 = 0.75;
-/// Time until a follow request with [`FAILOVER_WAIT`] fails, if the next reader is down as well.
+/// Time until a follow request with [`CONFIRMATION_TIME`] fails, if the next reader is down as well.
 const FAILOVER_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which the source is checked while it is the store.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -145,6 +143,11 @@
         waited.is_ok()
     }
 
+    /// Whether the last read of the operator's topic succeeded, at the store or at a reader.
+    pub fn is_store_available(&self) -> bool {
+        self.store_available.get()
+    }
+
     fn set_store_available(&self, available: bool) {
         if available && !self.store_available.replace(true) {
             self.store_recovered.notify_waiters();
@@ -366,7 +369,7 @@
             continue;
         };
         let wait = if cx.feed.relay.borrow().needs_prompt_answer() {
-            FAILOVER_WAIT
+            CONFIRMATION_TIME
         } else {
             long_poll_wait(cx)
         };
