Keep the limit on requests that a backend server names

Cause: the header Server-Limit was passed on to the caller and read by nobody. Class of fault: a signal that exists only in answers and has no owner.

Ruled out: a share of the limit for each entry node. All requests to a backend server pass the node beside it, so one token bucket there keeps the sum exactly, without agreement.

Change: the node beside the backend server owns the limit (learned from each sealed or refused answer, replaced by the next one, ended by the first answer without it or by another incarnation). SlotQueue starts a call only with a token, includes the wait for it in its expectation, starts waiting calls by urgency as tokens come, and refuses at once what cannot be in time. Nodes report the slots that the limit lets them use, so that placement goes elsewhere first. Entry nodes send the last known limit with their calls, for a node that has just restarted. The header of calls between nodes has a further field at its end; an older build ignores it, and its absence is no error.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,6 +16,7 @@
 pub mod quarantine;
 pub mod readiness;
 pub mod rendezvous;
+pub mod request_limit;
 pub mod retry;
 pub mod retry_quota;
 pub mod rollout;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -22,6 +22,7 @@
 use crate::protocol::fleet::FleetEntry;
 use crate::protocol::hop::BackendTotals;
 use crate::protocol::hop::Load;
+use crate::protocol::hop::RequestRate;
 use crate::protocol::name::DomainName;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::RegionName;
@@ -133,6 +134,8 @@
     pub addr: SocketAddr,
     /// Version of its backend server.
     pub version: VersionName,
+    /// Limit of its backend server, as last reported.
+    pub limit: Option<RequestRate>,
     /// Expected cost in milliseconds.
     pub cost_ms: f64,
     /// Expected time until the response in milliseconds.
@@ -213,6 +216,16 @@
         (backend.phase == BackendPhase::Ready).then_some(backend)
     }
 
+    /// Slots of the backend server that its limit allows to use, by a recent report.
+    fn usable_slots(&self, now: Duration, backend: &BackendReport) -> u32 {
+        let is_recent = now.saturating_sub(self.load_at) < LOAD_LIFETIME;
+        if is_recent && self.load.limit.is_some() {
+            self.load.slots.clamp(1, backend.slots)
+        } else {
+            backend.slots
+        }
+    }
+
     fn failure_rate(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.failure_at).as_secs_f64();
         self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
@@ -236,7 +249,8 @@
     }
 
     fn has_free_slot(&self, now: Duration) -> bool {
-        let slots = self.backend().map_or(0, |backend| backend.slots);
+        let slots = self.backend();
+        let slots = slots.map_or(0, |backend| self.usable_slots(now, backend));
         self.estimated_load(now) + 1.0 <= f64::from(slots) * BUSY_SHARE
     }
 
@@ -248,7 +262,7 @@
             1.0
         };
         let run = run_ms * self.run_time_factor * cold;
-        let slots = f64::from(backend.slots);
+        let slots = f64::from(self.usable_slots(now, backend));
         let load = self.estimated_load(now);
         let busy = ((load / slots - BUSY_SHARE) / (1.0 - BUSY_SHARE)).clamp(0.0, 1.0);
         let waiting_run = match self.load.mean_run_ms {
@@ -377,6 +391,7 @@
                     candidate.run_time_factor = 1.0;
                     candidate.failure_rate = 0.0;
                     candidate.warm_at = warm_at;
+                    candidate.load.limit = None;
                 }
                 candidate.distance = distance;
                 candidate.entry = entry.clone();
@@ -480,10 +495,12 @@
             }
         }
         let (availability, cost_ms, time_ms, candidate) = best?;
+        let backend = candidate.backend()?;
         Some(Pick {
             node: candidate.entry.node.clone(),
             addr: candidate.entry.addr,
-            version: candidate.backend()?.version.clone(),
+            version: backend.version.clone(),
+            limit: candidate.load.limit,
             cost_ms,
             time_ms,
             load: candidate.estimated_load(now),
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -6,10 +6,15 @@
 //! with [`Offer::accepts_late`]. Such calls start only when no waiting call can still meet its
 //! objective: under overload, giving slots to late calls first would make the other calls late as
 //! well. Calls of routes with a higher priority start first.
+//!
+//! If the backend server has named a limit on its requests, a call also needs a token of that limit
+//! (see [`RequestLimit`]), and the expected waits include the time until then.
 
 use std::time::Duration;
 
+use crate::coordination::request_limit::RequestLimit;
 use crate::protocol::hop::Load;
+use crate::protocol::hop::RequestRate;
 use crate::protocol::name::RouteName;
 
 /// Minimum weight of one run in the mean run time of its route; the first runs weigh more.
@@ -100,6 +105,9 @@
     /// Time until which the backend server is slow after its start.
     cold_until: Duration,
     next_ticket: u64,
+    limit: Option<RequestLimit>,
+    /// Whether the backend server has answered since its start, so that its limit is known.
+    has_answered: bool,
 }
 
 impl SlotQueue {
@@ -114,6 +122,8 @@
             mean_run_s: 0.0,
             cold_until: Duration::ZERO,
             next_ticket: 0,
+            limit: None,
+            has_answered: false,
         }
     }
 
@@ -128,21 +138,70 @@
         self.cold_until = cold_until;
         self.runs.clear();
         self.mean_run_s = 0.0;
+        self.limit = None;
+        self.has_answered = false;
+    }
+
+    /// Applies the limit that the backend server named in its last response, or `None` if it named
+    /// none. Returns whether that is a change.
+    pub fn on_limit(&mut self, now: Duration, rate: Option<RequestRate>) -> bool {
+        self.has_answered = true;
+        self.set_limit(now, rate)
+    }
+
+    /// Applies the limit that another node last heard of, until the backend server answers. Returns
+    /// whether that is a change.
+    pub fn on_reported_limit(&mut self, now: Duration, rate: RequestRate) -> bool {
+        !self.has_answered && self.set_limit(now, Some(rate))
     }
 
-    /// Returns the load of the backend server.
+    fn set_limit(&mut self, now: Duration, rate: Option<RequestRate>) -> bool {
+        let changed = self.limit.map(|limit| limit.rate()) != rate;
+        match (&mut self.limit, rate) {
+            (Some(limit), Some(rate)) => limit.set_rate(now, rate),
+            (limit, rate) => *limit = rate.map(|rate| RequestLimit::new(now, rate)),
+        }
+        changed
+    }
+
+    /// Returns the time at which the limit allows a waiting call to start, if only the limit keeps it
+    /// from starting. [`Self::advance`] has to be called then.
+    #[must_use]
+    pub fn next_start_at(&self, now: Duration) -> Option<Duration> {
+        let limit = self.limit.as_ref()?;
+        let is_limited = self.running < self.slots && !self.waiting.is_empty();
+        is_limited.then(|| now + limit.delay(now, 0))
+    }
+
+    /// Returns the load of the backend server. A limit reduces the slots to the mean number of calls
+    /// that run under it (Little's law), so that nodes expect the waits that the limit causes.
     #[must_use]
     pub fn load(&self) -> Load {
+        let (slots, slot_time_s) = match &self.limit {
+            None => (self.slots, self.mean_run_s),
+            Some(limit) => {
+                #[allow(
+                    clippy::cast_possible_truncation,
+                    clippy::cast_sign_loss,
+                    reason = "a float saturates at the bounds of the integer"
+                )]
+                let running = (limit.per_s() * self.mean_run_s) as u32;
+                let slots = running.clamp(1, self.slots);
+                let slot_time_s = f64::from(slots) / limit.per_s();
+                (slots, slot_time_s.max(self.mean_run_s))
+            }
+        };
         Load {
             running: self.running,
             waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
-            slots: self.slots,
+            slots,
             #[allow(
                 clippy::cast_possible_truncation,
                 clippy::cast_sign_loss,
                 reason = "the deadline bounds the run time"
             )]
-            mean_run_ms: (self.mean_run_s * 1e3) as u32,
+            mean_run_ms: (slot_time_s * 1e3) as u32,
+            limit: self.limit.map(|limit| limit.rate()),
         }
     }
 
@@ -152,7 +211,7 @@
         if offer.deadline <= now {
             return Admit::Refuse(MIN_RETRY_DELAY);
         }
-        if self.running < self.slots && self.waiting.is_empty() {
+        if self.waiting.is_empty() && self.running < self.slots && self.take_from_limit(now) {
             self.running += 1;
             return Admit::Start;
         }
@@ -161,8 +220,8 @@
         let in_time_by = offer.objective_at.saturating_sub(run).min(last_start);
         let is_before =
             |other: &Waiting| other.priority <= offer.priority && other.in_time_by >= now;
-        if now + self.expected_wait(expected_run, is_before) > in_time_by {
-            let wait = self.expected_wait(expected_run, |_| true);
+        if now + self.expected_wait(now, expected_run, is_before) > in_time_by {
+            let wait = self.expected_wait(now, expected_run, |_| true);
             let too_late = now + wait > last_start || wait > offer.objective;
             if !offer.accepts_late || too_late {
                 return Admit::Refuse(retry_delay(wait));
@@ -223,7 +282,7 @@
             }
             can_finish
         });
-        while self.running < self.slots && !self.waiting.is_empty() {
+        while self.running < self.slots && !self.waiting.is_empty() && self.take_from_limit(now) {
             let in_time = self
                 .waiting
                 .iter()
@@ -239,17 +298,29 @@
     /// first run has been measured, running calls are assumed to take `expected_run`.
     fn expected_wait(
         &self,
+        now: Duration,
         expected_run: Duration,
         is_ahead: impl Fn(&Waiting) -> bool,
     ) -> Duration {
-        let ahead = self.waiting.iter().filter(|other| is_ahead(other));
-        let work: f64 = ahead.map(|other| other.expected_run.as_secs_f64()).sum();
+        let (mut ahead, mut work) = (0, 0.0);
+        for other in self.waiting.iter().filter(|other| is_ahead(other)) {
+            ahead += 1;
+            work += other.expected_run.as_secs_f64();
+        }
         let next_slot = match self.mean_run_s {
             _ if self.running < self.slots => 0.0,
             0.0 => expected_run.as_secs_f64(),
             mean => mean,
         };
-        Duration::from_secs_f64((work + next_slot) / f64::from(self.slots))
+        let slot_wait = Duration::from_secs_f64((work + next_slot) / f64::from(self.slots));
+        let limit_wait = self.limit.map(|limit| limit.delay(now, ahead));
+        slot_wait.max(limit_wait.unwrap_or_default())
+    }
+
+    /// Takes a request from the limit of the backend server, if it has one. Returns whether the limit
+    /// allows a request now.
+    fn take_from_limit(&mut self, now: Duration) -> bool {
+        self.limit.as_mut().is_none_or(|limit| limit.take(now))
     }
 
     fn expected_run(&self, now: Duration, offer: &Offer) -> Duration {
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -37,6 +37,9 @@
     pub objective: Duration,
     /// Time until the deadline of the caller or the route.
     pub left: Duration,
+    /// Limit of the backend server as the entry node last heard of it. A serving node that has just
+    /// started uses it until the first answer of its backend server.
+    pub limit: Option<RequestRate>,
 }
 
 impl HopRequestHeader {
@@ -44,7 +47,7 @@
     #[must_use]
     pub fn encode(&self) -> String {
         format!(
-            "{};{};{};{};{};{};{};{}",
+            "{};{};{};{};{};{};{};{};{}",
             self.route,
             self.service,
             self.version,
@@ -52,7 +55,8 @@
             u8::from(self.accepts_late),
             self.priority,
             millis(self.objective),
-            millis(self.left)
+            millis(self.left),
+            encode_limit(self.limit)
         )
     }
 
@@ -69,6 +73,7 @@
             priority: fields.next()?.parse().ok()?,
             objective: Duration::from_millis(fields.next()?.parse().ok()?),
             left: Duration::from_millis(fields.next()?.parse().ok()?),
+            limit: decode_limit(fields.next()),
         })
     }
 }
@@ -108,17 +113,51 @@
     }
 }
 
-/// Load of a serving node.
+/// Number of requests a second that a backend server accepts, in thousandths.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct RequestRate(u32);
+
+impl RequestRate {
+    /// Creates a rate; `None` if it is negative or not a number.
+    #[must_use]
+    pub fn from_per_s(per_s: f64) -> Option<Self> {
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a float saturates at the bounds of the integer"
+        )]
+        (per_s >= 0.0).then_some(Self((per_s * 1e3).round() as u32))
+    }
+
+    /// Returns the requests a second.
+    #[must_use]
+    pub fn per_s(self) -> f64 {
+        f64::from(self.0) / 1e3
+    }
+}
+
+fn encode_limit(limit: Option<RequestRate>) -> String {
+    limit.map_or_else(String::new, |limit| limit.0.to_string())
+}
+
+/// Parses a limit. Nodes of earlier builds do not send the field.
+fn decode_limit(field: Option<&str>) -> Option<RequestRate> {
+    field?.parse().ok().map(RequestRate)
+}
+
+/// Load of a serving node and the limit of its backend server.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
     /// Requests that run at the backend server.
     pub running: u32,
     /// Requests that wait for a slot.
     pub waiting: u32,
-    /// Slots of the backend server.
+    /// Slots of the backend server that its limit allows to use.
     pub slots: u32,
-    /// Mean run time of its calls, milliseconds; zero before the first one.
+    /// Mean time for which a call occupies such a slot, milliseconds; zero before the first one.
     pub mean_run_ms: u32,
+    /// Limit that the backend server has named.
+    pub limit: Option<RequestRate>,
 }
 
 /// Information that the serving node sends to the entry node with a response.
@@ -143,7 +182,7 @@
     #[must_use]
     pub fn encode(&self) -> String {
         format!(
-            "{};{};{};{};{};{};{};{};{};{};{}",
+            "{};{};{};{};{};{};{};{};{};{};{};{}",
             self.run.as_str(),
             u8::from(self.arrived),
             self.code,
@@ -154,7 +193,8 @@
             self.load.mean_run_ms,
             self.tally.runs,
             self.tally.failures,
-            self.tally.latency_percent
+            self.tally.latency_percent,
+            encode_limit(self.load.limit)
         )
     }
 
@@ -162,7 +202,7 @@
     #[must_use]
     pub fn decode(text: &str) -> Option<Self> {
         let mut fields = text.split(SEPARATOR);
-        Some(Self {
+        let mut header = Self {
             run: Executed::from_header(fields.next()?),
             arrived: fields.next()? == "1",
             code: fields.next()?.parse().ok()?,
@@ -172,12 +212,15 @@
                 waiting: fields.next()?.parse().ok()?,
                 slots: fields.next()?.parse().ok()?,
                 mean_run_ms: fields.next()?.parse().ok()?,
+                ..Load::default()
             },
             tally: BackendTotals {
                 runs: fields.next()?.parse().ok()?,
                 failures: fields.next()?.parse().ok()?,
                 latency_percent: fields.next()?.parse().ok()?,
             },
-        })
+        };
+        header.load.limit = decode_limit(fields.next());
+        Some(header)
     }
 }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -148,6 +148,7 @@
             priority: route.priority,
             objective: route.objective,
             left: time_limit,
+            limit: None,
         },
         method: req.method().clone(),
         target,
@@ -509,6 +510,7 @@
     };
     let mut serve = call.serve.clone();
     serve.head.version = pick.version.clone();
+    serve.head.limit = pick.limit;
     serve.head.accepts_late = accepts_late;
     // The latency objective counts from the arrival at this node, so the serving node gets what is
     // left of it.
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -32,6 +32,8 @@
     pub store_failures: Counter,
     /// Configuration version in force.
     pub config_version: Gauge,
+    /// Requests a second that the local backend server accepts at most; zero without a limit.
+    pub backend_limit: Gauge,
     /// Number of known nodes.
     pub nodes: Gauge,
     /// Time from a caller's request to its response, seconds.
@@ -60,6 +62,7 @@
             gate_refusals: counter!("sycamorewick_gate_refusals_total"),
             store_failures: counter!("sycamorewick_store_failures_total"),
             config_version: gauge!("sycamorewick_config_version"),
+            backend_limit: gauge!("sycamorewick_backend_limit"),
             nodes: gauge!("sycamorewick_nodes"),
             call_latency: histogram!("sycamorewick_call_seconds"),
             backend_latency: histogram!("sycamorewick_backend_seconds"),
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -105,6 +105,8 @@
     /// Progress of the graceful stop, if one has begun.
     stop_plan: RefCell<Option<StopPlan>>,
     open_calls: Cell<usize>,
+    /// Whether waiting calls are about to be started because the backend server's limit allows it.
+    limited_start_scheduled: Cell<bool>,
     /// Topics of the store.
     feed: Feed,
     /// Signals that the own entry may have to be written.
@@ -184,6 +186,7 @@
         stopping: Cell::new(false),
         stop_plan: RefCell::new(None),
         open_calls: Cell::new(0),
+        limited_start_scheduled: Cell::new(false),
         feed: Feed::default(),
         entry_changed: Notify::new(),
         state: RefCell::new(state),
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use actix_http::Method;
+use actix_http::header::HeaderMap;
 use actix_http::header::HeaderName;
 use actix_http::header::HeaderValue;
 use actix_http::uri::PathAndQuery;
@@ -25,6 +26,7 @@
 use crate::protocol::hop::BackendTotals;
 use crate::protocol::hop::HopRequestHeader;
 use crate::protocol::hop::Load;
+use crate::protocol::hop::RequestRate;
 use crate::protocol::name::RouteName;
 use crate::protocol::time::millis;
 use crate::result_code::ResultCode;
@@ -159,6 +161,24 @@
     apply_queue_changes(cx, changes);
 }
 
+/// Starts waiting calls as soon as the limit of the backend server allows it.
+fn schedule_limited_starts(cx: &Rc<Sidecar>) {
+    let now = cx.clock.now();
+    let Some(at) = cx.state.borrow().queue.next_start_at(now) else {
+        return;
+    };
+    if cx.limited_start_scheduled.replace(true) {
+        return;
+    }
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        actix_rt::time::sleep(at.saturating_sub(now)).await;
+        cx.limited_start_scheduled.set(false);
+        admit_waiting(&cx);
+        schedule_limited_starts(&cx);
+    });
+}
+
 /// Returns the current load and results, which are sent with each response to other nodes.
 pub fn load_report(cx: &Sidecar) -> (Load, BackendTotals) {
     let state = cx.state.borrow();
@@ -200,6 +220,7 @@
         let changes = state.queue.finish(now, &self.route, self.run_time);
         drop(state);
         apply_queue_changes(&self.cx, changes);
+        schedule_limited_starts(&self.cx);
     }
 }
 
@@ -222,6 +243,9 @@
     if let Err(code) = usable_backend(cx, &call.head) {
         return refuse(cx, &call, ServeOutcome::refused(code));
     }
+    if let Some(limit) = call.head.limit {
+        apply_reported_limit(cx, limit);
+    }
     let slot = match admit(cx, &call).await {
         Ok(slot) => slot,
         Err(retry_after) => {
@@ -254,6 +278,43 @@
         .unwrap_or(ServeOutcome::Unknown(ResultCode::OutcomeUnknown))
 }
 
+/// Uses the limit that another node last heard of, if this node has just started.
+fn apply_reported_limit(cx: &Sidecar, limit: RequestRate) {
+    let now = cx.clock.now();
+    let changed = cx.state.borrow_mut().queue.on_reported_limit(now, limit);
+    if changed {
+        info!(cx.log, "limit of the backend server reported by a peer"; "limit_per_s" => limit.per_s());
+    }
+}
+
+/// Applies what the backend server announces in a response. Responses of an earlier incarnation say
+/// nothing about the current one.
+fn apply_notices(cx: &Rc<Sidecar>, backend: &BackendReport, headers: &HeaderMap) {
+    let notices = match requests::read_notices(headers) {
+        Ok(notices) => notices,
+        Err(found) => {
+            warn!(cx.log, "limit of the backend server ignored"; "instance" => &*backend.instance, "found" => found);
+            return;
+        }
+    };
+    let now = cx.clock.now();
+    let mut state = cx.state.borrow_mut();
+    let current = state.backend.report();
+    if !current.is_some_and(|report| report.is_same_incarnation(backend)) {
+        return;
+    }
+    let limit_changed = state.queue.on_limit(now, notices.limit);
+    drop(state);
+    if limit_changed {
+        info!(cx.log, "limit of the backend server changed"; "instance" => &*backend.instance,
+            "limit_per_s" => notices.limit.map(RequestRate::per_s));
+        cx.metrics
+            .backend_limit
+            .set(notices.limit.map_or(0.0, RequestRate::per_s));
+        admit_waiting(cx);
+    }
+}
+
 fn refuse(cx: &Sidecar, call: &ServeCall, outcome: ServeOutcome) -> ServeOutcome {
     cx.metrics.gate_refusals.increment(1);
     let (load, _) = load_report(cx);
@@ -263,7 +324,7 @@
     {
         info!(cx.log, "call refused by admission"; "attempt" => attempt_text(call.attempt.as_ref()),
             "route" => call.head.route.as_str(), "code" => code.number(), "running" => load.running,
-            "waiting" => load.waiting, "slots" => load.slots, "left_ms" => millis(call.head.left),
+            "waiting" => load.waiting, "slots" => load.slots, "limit_per_s" => load.limit.map(RequestRate::per_s), "left_ms" => millis(call.head.left),
             "come_back_ms" => millis(*retry_after));
     }
     outcome
@@ -316,6 +377,7 @@
             Admit::Wait(ticket, until) => (state.waiting.add(ticket), ticket, until),
         }
     };
+    schedule_limited_starts(cx);
     let queue_guard = QueueGuard { cx, ticket };
     let admitted = actix_rt::time::timeout(until.saturating_sub(now), rx).await;
     drop(queue_guard);
@@ -418,8 +480,12 @@
     match result {
         Ok(response) => match requests::read_execution(response.status.as_u16(), &response.headers)
         {
-            Execution::Ran => ServeOutcome::Ran { response, run_time },
+            Execution::Ran => {
+                apply_notices(cx, backend, &response.headers);
+                ServeOutcome::Ran { response, run_time }
+            }
             Execution::NotRun => {
+                apply_notices(cx, backend, &response.headers);
                 info!(cx.log, "call refused by the backend server"; "attempt" => attempt,
                     "instance" => &*backend.instance, "status" => response.status.as_u16());
                 ServeOutcome::Refused {
--- a/testbed/src/platform/backend.rs
+++ b/testbed/src/platform/backend.rs
@@ -36,6 +36,8 @@
 pub const ATTEMPT_HEADER: &str = "x-sycamorewick-attempt-id";
 /// Header that proves which backend server wrote a response and for which attempt, see [`seal`].
 pub const SEAL_HEADER: &str = "x-sycamorewick-response-seal";
+/// Header with the requests a second that the backend server accepts from all nodes together.
+const LIMIT_HEADER: &str = "server-limit";
 /// Header of a response to a request that the backend server has not run.
 const NOT_EXECUTED_HEADER: &str = "x-sycamorewick-not-executed";
 /// Header with the id of the backend server that a request is meant for.
@@ -82,6 +84,13 @@
     pub seed: u64,
 }
 
+/// What a backend server announces in each response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct BackendAnnouncement {
+    /// Requests a second that it accepts from all nodes together.
+    pub limit_per_s: Option<f64>,
+}
+
 /// Body of a response.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PlatformResponseBody {
@@ -120,6 +129,7 @@
     rng: Mutex<StdRng>,
     /// Ids of the attempts that were run, in order.
     runs: Mutex<Vec<String>>,
+    announcement: Mutex<BackendAnnouncement>,
     stop: Notify,
 }
 
@@ -150,6 +160,7 @@
             slots: Semaphore::new(options.slots),
             rng: Mutex::new(StdRng::seed_from_u64(options.seed)),
             runs: Mutex::default(),
+            announcement: Mutex::default(),
             stop: Notify::new(),
             options,
         });
@@ -175,6 +186,11 @@
         lock(&self.shared.runs).clone()
     }
 
+    /// Changes what the backend server announces in the following responses.
+    pub fn announce(&self, announcement: BackendAnnouncement) {
+        *lock(&self.shared.announcement) = announcement;
+    }
+
     /// Starts a graceful stop: the backend server reports that it drains, serves for a while, and
     /// ends.
     pub fn request_stop(&self) {
@@ -317,6 +333,10 @@
     };
     let body = serde_json::to_vec(&content).unwrap_or_default();
     let mut response = Response::build(status);
+    let announcement = *lock(&shared.announcement);
+    if let Some(limit) = announcement.limit_per_s {
+        response.insert_header((LIMIT_HEADER, limit.to_string()));
+    }
     response.insert_header((SEAL_HEADER, seal(&options.id, &attempt)));
     response.insert_header((ATTEMPT_HEADER, attempt));
     response.body(Bytes::from(body)).map_into_boxed_body()
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -15,6 +15,7 @@
 use sycamorewick::protocol::fleet::FleetEntry;
 use sycamorewick::protocol::hop::BackendTotals;
 use sycamorewick::protocol::hop::Load;
+use sycamorewick::protocol::hop::RequestRate;
 use sycamorewick::protocol::name::NodeId;
 use sycamorewick::protocol::name::RouteName;
 use sycamorewick::protocol::name::ServiceName;
@@ -122,6 +123,7 @@
             waiting,
             slots: SLOTS,
             mean_run_ms: 60,
+            ..Load::default()
         };
         self.placement
             .on_report(now, &node.into(), load, BackendTotals::default());
@@ -257,6 +259,28 @@
     expect_that!(entry.pick(ms(300), &[]), some(eq("b")));
 }
 
+/// A backend server that has named a limit must not get calls that wait there for the limit while others
+/// have free slots.
+#[gtest]
+fn pick_limited_backend_server() {
+    let mut entry = fleet();
+    let limit = RequestRate::from_per_s(16.0);
+    let load = Load {
+        running: 1,
+        slots: 1,
+        mean_run_ms: 62,
+        limit,
+        ..Load::default()
+    };
+    entry.ran(ms(0), "a", "lookup", ms(60));
+    expect_that!(entry.pick(ms(100), &[]), some(eq("a")));
+    let report = BackendTotals::default();
+    entry
+        .placement
+        .on_report(ms(100), &"a".into(), load, report);
+    expect_that!(entry.pick(ms(100), &[]), some(eq("b")));
+}
+
 /// When hedged attempts are answered before those on a slow backend server, its runs are cancelled
 /// and never measured to their end. The node must count as slow all the same.
 #[gtest]
--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -2,6 +2,7 @@
 //! store fails.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,6 +13,7 @@
 use serde_json::json;
 use testbed::log_server::Outage;
 use testbed::platform::backend::ATTEMPT_HEADER;
+use testbed::platform::backend::BackendAnnouncement;
 use testbed::platform::backend::PlatformBackend;
 use testbed::platform::backend::PlatformBackendHandle;
 use testbed::platform::backend::PlatformBackendOptions;
@@ -118,25 +120,18 @@
     async fn call(&mut self, index: usize, path: &str) -> eyre::Result<Reply> {
         self.attempts += 1;
         let addr = self.fleet.nodes()[index].addrs.caller;
-        let attempt = format!("t{}", self.attempts);
-        let client = awc::Client::builder()
-            .timeout(Duration::from_secs(5))
-            .finish();
-        let mut response = client
-            .get(format!("http://{addr}{path}"))
-            .insert_header(("host", HOST))
-            .insert_header((ATTEMPT_HEADER, attempt.clone()))
-            .send()
-            .await
-            .map_err(|e| eyre::eyre!("{path}: {e}"))?;
-        let seal = response.headers().get(SEAL_HEADER);
-        let seal = seal.and_then(|value| Some(value.to_str().ok()?.to_owned()));
-        let body = response.body().await?;
-        Ok(Reply {
-            status: response.status(),
-            seal,
-            body,
-        })
+        send_call(addr, format!("t{}", self.attempts), path).await
+    }
+
+    /// Sends calls to a node at the same time and returns the statuses of their responses.
+    async fn call_together(&mut self, index: usize, calls: u64) -> eyre::Result<Vec<StatusCode>> {
+        let addr = self.fleet.nodes()[index].addrs.caller;
+        let first = self.attempts + 1;
+        self.attempts += calls;
+        let attempts = first..first + calls;
+        let sent = attempts.map(|attempt| send_call(addr, format!("t{attempt}"), "/wrecks/1"));
+        let replies = futures_util::future::try_join_all(sent).await?;
+        Ok(replies.iter().map(|reply| reply.status).collect())
     }
 
     /// Waits until a node responds to a path with a status.
@@ -170,6 +165,27 @@
     }
 }
 
+async fn send_call(addr: SocketAddr, attempt: String, path: &str) -> eyre::Result<Reply> {
+    let client = awc::Client::builder()
+        .timeout(Duration::from_secs(5))
+        .finish();
+    let mut response = client
+        .get(format!("http://{addr}{path}"))
+        .insert_header(("host", HOST))
+        .insert_header((ATTEMPT_HEADER, attempt))
+        .send()
+        .await
+        .map_err(|e| eyre::eyre!("{path}: {e}"))?;
+    let seal = response.headers().get(SEAL_HEADER);
+    let seal = seal.and_then(|value| Some(value.to_str().ok()?.to_owned()));
+    let body = response.body().await?;
+    Ok(Reply {
+        status: response.status(),
+        seal,
+        body,
+    })
+}
+
 /// Writes a configuration version with a route that only this version has. Returns its offset.
 fn put_config(store: &StoreHandle, version: u32) -> u64 {
     let route = |prefix: &str| {
@@ -275,6 +291,51 @@
     });
 }
 
+/// Guards against a backend server that gets more requests than the limit that it names: calls of two
+/// entry nodes exceed it, and the node beside it forgets the limit when it is killed and restarted.
+#[gtest]
+fn backend_limit_restarted_node() {
+    const LIMIT_PER_S: f64 = 2.0;
+    run(async {
+        let mut env = TestFleet::start(2).await?;
+        env.backends[1].kill();
+        env.backends[0].announce(BackendAnnouncement {
+            limit_per_s: Some(LIMIT_PER_S),
+        });
+        for index in [0, 1] {
+            env.wait_for(WAIT_LIMIT, index, "/wrecks/1", StatusCode::OK)
+                .await?;
+        }
+        for restarts in 0..2 {
+            if restarts > 0 {
+                env.fleet.kill(0)?;
+                env.fleet.start(0)?;
+                env.wait_for(WAIT_LIMIT, 1, "/wrecks/1", StatusCode::OK)
+                    .await?;
+            }
+            let runs_before = env.backends[0].runs().len();
+            let began = Instant::now();
+            let mut refused = 0;
+            while began.elapsed() < Duration::from_secs(3) {
+                for entry in restarts..2 {
+                    let statuses = env.call_together(entry, 8).await?;
+                    let is_refused = |status: &&_| **status == StatusCode::SERVICE_UNAVAILABLE;
+                    refused += statuses.iter().filter(is_refused).count();
+                }
+            }
+            let runs = u32::try_from(env.backends[0].runs().len() - runs_before)?;
+            let allowed = began.elapsed().as_secs_f64() * LIMIT_PER_S * 1.5 + 5.0;
+            expect_that!(f64::from(runs), le(allowed), "restarts: {restarts}");
+            expect_that!(refused, gt(0));
+        }
+        env.backends[0].announce(BackendAnnouncement::default());
+        env.wait_for(WAIT_LIMIT, 1, "/wrecks/1", StatusCode::OK)
+            .await?;
+        env.wait_for(WAIT_LIMIT, 1, "/wrecks/1", StatusCode::OK)
+            .await
+    });
+}
+
 /// Guards against a node that responds with 404 before it has a configuration, and against one that
 /// notices the end of an outage late. The store hangs at first, then refuses calls.
 #[gtest]
