Send no more calls to a backend server that announces its leave in answers

What callers saw: calls to a backend server that had said in its answers that it leaves were cut when it ended.

Cause: the header Server-Leaving was passed on to the caller and read by nobody; only heartbeats and deregistrations ended the use of a backend server.

Ruled out: an own record in the store for leaving incarnations. The entry without the backend server says the same, and entry nodes have seen the answer themselves.

Change: the node beside the backend server takes no calls for this incarnation from the first such answer on, whatever its heartbeats say, and announces that. Entry nodes remember the incarnation of which they passed on such an answer, since a restarted node does not know of it and announces the backend server as ready.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -9,6 +9,7 @@
 //! again.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -112,9 +113,14 @@
     Superseded,
 }
 
+/// Instance and start time of an incarnation of a backend server.
+pub type Incarnation = (Arc<str>, u64);
+
 /// Measurements from a finished attempt.
 #[derive(Clone, Copy, Debug)]
-pub struct Feedback {
+pub struct Feedback<'a> {
+    /// Incarnation of the backend server that was chosen.
+    pub incarnation: &'a Incarnation,
     /// Result of the attempt.
     pub end: AttemptEnd,
     /// Run time of the call on the backend server.
@@ -134,6 +140,8 @@
     pub addr: SocketAddr,
     /// Version of its backend server.
     pub version: VersionName,
+    /// Incarnation of its backend server.
+    pub incarnation: Incarnation,
     /// Limit of its backend server, as last reported.
     pub limit: Option<RequestRate>,
     /// Expected cost in milliseconds.
@@ -208,12 +216,19 @@
     failure_at: Duration,
     pauses: u32,
     paused_until: Duration,
+    /// Last incarnation of its backend server that has announced in a response that it leaves. A
+    /// restarted node may announce it as ready again.
+    leaving: Option<Incarnation>,
 }
 
 impl Candidate {
     fn backend(&self) -> Option<&BackendReport> {
         let backend = self.entry.backend.as_ref()?;
-        (backend.phase == BackendPhase::Ready).then_some(backend)
+        let is_leaving =
+            |(instance, born): &Incarnation| *instance == backend.instance && *born == backend.born;
+        let is_usable =
+            backend.phase == BackendPhase::Ready && !self.leaving.as_ref().is_some_and(is_leaving);
+        is_usable.then_some(backend)
     }
 
     /// Slots of the backend server that its limit allows to use, by a recent report.
@@ -413,6 +428,7 @@
                     failure_at: now,
                     pauses: 0,
                     paused_until: now,
+                    leaving: None,
                 },
             ),
         }
@@ -500,6 +516,7 @@
             node: candidate.entry.node.clone(),
             addr: candidate.entry.addr,
             version: backend.version.clone(),
+            incarnation: (backend.instance.clone(), backend.born),
             limit: candidate.load.limit,
             cost_ms,
             time_ms,
@@ -570,7 +587,13 @@
     }
 
     /// Updates the figures of the node and of the route from a finished attempt.
-    pub fn on_end(&mut self, now: Duration, node: &NodeId, route: &RouteName, feedback: &Feedback) {
+    pub fn on_end(
+        &mut self,
+        now: Duration,
+        node: &NodeId,
+        route: &RouteName,
+        feedback: &Feedback<'_>,
+    ) {
         let mean_ms = match feedback.end {
             AttemptEnd::Ran { failed: false } => Some(self.record_response(route, feedback)),
             AttemptEnd::Superseded => self.means(route).map(|means| means.run_ms.max(1.0)),
@@ -583,6 +606,9 @@
             self.on_report(now, node, load, tally);
         }
         let candidate = &mut self.candidates[index];
+        if feedback.report.is_some_and(|(load, _)| load.is_leaving) {
+            candidate.leaving = Some(feedback.incarnation.clone());
+        }
         candidate.in_flight = candidate.in_flight.saturating_sub(1);
         match feedback.end {
             AttemptEnd::Ran { failed } => {
@@ -649,7 +675,7 @@
     }
 
     /// Adds a response to the means of its route and returns the mean run time in milliseconds.
-    fn record_response(&mut self, route: &RouteName, feedback: &Feedback) -> f64 {
+    fn record_response(&mut self, route: &RouteName, feedback: &Feedback<'_>) -> f64 {
         let run_ms = feedback.run.as_secs_f64() * 1e3;
         let response_kb = f64::from(u32::try_from(feedback.bytes).unwrap_or(u32::MAX)) / 1e3;
         match self.routes.binary_search_by(|means| means.route.cmp(route)) {
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -145,7 +145,7 @@
     field?.parse().ok().map(RequestRate)
 }
 
-/// Load of a serving node and the limit of its backend server.
+/// Load of a serving node and what its backend server has announced.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
     /// Requests that run at the backend server.
@@ -158,6 +158,8 @@
     pub mean_run_ms: u32,
     /// Limit that the backend server has named.
     pub limit: Option<RequestRate>,
+    /// Whether the backend server has announced that it leaves.
+    pub is_leaving: bool,
 }
 
 /// Information that the serving node sends to the entry node with a response.
@@ -182,7 +184,7 @@
     #[must_use]
     pub fn encode(&self) -> String {
         format!(
-            "{};{};{};{};{};{};{};{};{};{};{};{}",
+            "{};{};{};{};{};{};{};{};{};{};{};{};{}",
             self.run.as_str(),
             u8::from(self.arrived),
             self.code,
@@ -194,7 +196,8 @@
             self.tally.runs,
             self.tally.failures,
             self.tally.latency_percent,
-            encode_limit(self.load.limit)
+            encode_limit(self.load.limit),
+            u8::from(self.load.is_leaving)
         )
     }
 
@@ -221,6 +224,7 @@
             },
         };
         header.load.limit = decode_limit(fields.next());
+        header.load.is_leaving = fields.next() == Some("1");
         Some(header)
     }
 }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -457,7 +457,7 @@
     began: Duration,
     /// Whether another attempt succeeded first.
     superseded: &'a Cell<bool>,
-    node: &'a NodeId,
+    pick: &'a Pick,
     run_time: Duration,
     end: AttemptEnd,
     report: Option<(Load, BackendTotals)>,
@@ -476,6 +476,7 @@
             (self.end, self.run_time)
         };
         let feedback = Feedback {
+            incarnation: &self.pick.incarnation,
             end,
             run: run_time,
             report: self.report,
@@ -484,7 +485,7 @@
         let mut state = self.cx.state.borrow_mut();
         state
             .placement
-            .on_end(now, self.node, self.route, &feedback);
+            .on_end(now, &self.pick.node, self.route, &feedback);
     }
 }
 
@@ -501,7 +502,7 @@
         cx,
         began: now,
         superseded,
-        node: &pick.node,
+        pick,
         run_time: Duration::ZERO,
         end: AttemptEnd::Cancelled,
         report: None,
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -182,7 +182,11 @@
 /// Returns the current load and results, which are sent with each response to other nodes.
 pub fn load_report(cx: &Sidecar) -> (Load, BackendTotals) {
     let state = cx.state.borrow();
-    (state.queue.load(), state.tally)
+    let load = Load {
+        is_leaving: state.backend.is_leaving(),
+        ..state.queue.load()
+    };
+    (load, state.tally)
 }
 
 /// Guard that frees the slot when the call ends or is cancelled.
@@ -304,6 +308,7 @@
         return;
     }
     let limit_changed = state.queue.on_limit(now, notices.limit);
+    let is_leaving = notices.is_leaving && state.backend.on_leaving(backend);
     drop(state);
     if limit_changed {
         info!(cx.log, "limit of the backend server changed"; "instance" => &*backend.instance,
@@ -313,6 +318,10 @@
             .set(notices.limit.map_or(0.0, RequestRate::per_s));
         admit_waiting(cx);
     }
+    if is_leaving {
+        info!(cx.log, "backend server leaves"; "instance" => &*backend.instance);
+        cx.entry_changed.notify_one();
+    }
 }
 
 fn refuse(cx: &Sidecar, call: &ServeCall, outcome: ServeOutcome) -> ServeOutcome {
--- a/src/state/local_backend.rs
+++ b/src/state/local_backend.rs
@@ -32,6 +32,9 @@
     last_heartbeat_at: Duration,
     heartbeat_timeout: Duration,
     is_down: bool,
+    /// Whether the incarnation of the last report has announced in a response that it leaves. Its later
+    /// heartbeats may still report it as ready.
+    is_leaving: bool,
     /// Instance and start time of deregistered incarnations, oldest first.
     deregistered: Vec<(Arc<str>, u64)>,
 }
@@ -45,6 +48,7 @@
             last_heartbeat_at: Duration::ZERO,
             heartbeat_timeout: heartbeat_interval * MISSED_HEARTBEATS,
             is_down: false,
+            is_leaving: false,
             deregistered: Vec::new(),
         }
     }
@@ -67,6 +71,8 @@
                 .report
                 .as_ref()
                 .is_none_or(|old| report.needs_announcement_after(old));
+        let is_same = |old: &BackendReport| old.is_same_incarnation(&report);
+        self.is_leaving &= self.report.as_ref().is_some_and(is_same);
         self.last_heartbeat_at = now;
         self.is_down = false;
         self.report = Some(report);
@@ -89,6 +95,20 @@
         true
     }
 
+    /// Handles a response in which this incarnation of the backend server announces that it leaves.
+    /// Returns whether that is new.
+    pub fn on_leaving(&mut self, incarnation: &BackendReport) -> bool {
+        let current = self.report.as_ref();
+        let is_current = current.is_some_and(|report| report.is_same_incarnation(incarnation));
+        is_current && !std::mem::replace(&mut self.is_leaving, true)
+    }
+
+    /// Whether the backend server has announced in a response that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving && self.report.is_some()
+    }
+
     /// Marks the backend server as down, since it refuses connections or another incarnation uses
     /// its address; the next heartbeat marks it as up again. Returns whether it was up before.
     pub fn mark_down(&mut self) -> bool {
@@ -101,9 +121,10 @@
     #[must_use]
     pub fn available(&self, now: Duration) -> Option<&BackendReport> {
         let is_silent = now.saturating_sub(self.last_heartbeat_at) > self.heartbeat_timeout;
+        let is_stopped = self.is_down || self.is_leaving || is_silent;
         self.report
             .as_ref()
-            .filter(|report| report.phase == BackendPhase::Ready && !self.is_down && !is_silent)
+            .filter(|report| report.phase == BackendPhase::Ready && !is_stopped)
     }
 
     /// Returns the last report, even if the backend server is draining or down.
--- a/testbed/src/platform/backend.rs
+++ b/testbed/src/platform/backend.rs
@@ -38,6 +38,8 @@
 pub const SEAL_HEADER: &str = "x-sycamorewick-response-seal";
 /// Header with the requests a second that the backend server accepts from all nodes together.
 const LIMIT_HEADER: &str = "server-limit";
+/// Header of the responses of a backend server that leaves.
+const LEAVING_HEADER: &str = "server-leaving";
 /// Header of a response to a request that the backend server has not run.
 const NOT_EXECUTED_HEADER: &str = "x-sycamorewick-not-executed";
 /// Header with the id of the backend server that a request is meant for.
@@ -89,6 +91,8 @@
 pub struct BackendAnnouncement {
     /// Requests a second that it accepts from all nodes together.
     pub limit_per_s: Option<f64>,
+    /// Whether it leaves. Its heartbeats do not report this.
+    pub is_leaving: bool,
 }
 
 /// Body of a response.
@@ -337,6 +341,9 @@
     if let Some(limit) = announcement.limit_per_s {
         response.insert_header((LIMIT_HEADER, limit.to_string()));
     }
+    if announcement.is_leaving {
+        response.insert_header((LEAVING_HEADER, "1"));
+    }
     response.insert_header((SEAL_HEADER, seal(&options.id, &attempt)));
     response.insert_header((ATTEMPT_HEADER, attempt));
     response.body(Bytes::from(body)).map_into_boxed_body()
--- a/tests/local_backend.rs
+++ b/tests/local_backend.rs
@@ -130,3 +130,21 @@
     expect_true!(backend.available(at(5)).is_some());
     expect_true!(backend.available(at(7)).is_none());
 }
+
+/// Guards against new requests for a backend server that has announced in a response that it leaves,
+/// although its heartbeats still report it as ready, and against a notice that outlives its incarnation.
+#[gtest]
+fn on_leaving_notice() {
+    let mut backend = LocalBackend::new(INTERVAL);
+    backend.on_heartbeat(at(0), report("i-1", 100, 1));
+    expect_false!(backend.on_leaving(&report("i-0", 90, 1)));
+    expect_true!(backend.available(at(0)).is_some());
+    expect_true!(backend.on_leaving(&report("i-1", 100, 1)));
+    expect_false!(backend.on_leaving(&report("i-1", 100, 1)));
+    backend.on_heartbeat(at(1), report("i-1", 100, 2));
+    expect_true!(backend.available(at(1)).is_none());
+    expect_true!(backend.is_leaving());
+    backend.on_heartbeat(at(2), report("i-2", 200, 1));
+    expect_true!(backend.available(at(2)).is_some());
+    expect_false!(backend.is_leaving());
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -95,6 +95,7 @@
 
     fn end(&mut self, now: Duration, node: &str, end: AttemptEnd) {
         let feedback = Feedback {
+            incarnation: &(node.into(), 1),
             end,
             run: ms(60),
             report: None,
@@ -107,6 +108,7 @@
 
     fn ran(&mut self, now: Duration, node: &str, route: &str, run: Duration) {
         let feedback = Feedback {
+            incarnation: &(node.into(), 1),
             end: AttemptEnd::Ran { failed: false },
             run,
             report: None,
@@ -281,6 +283,38 @@
     expect_that!(entry.pick(ms(100), &[]), some(eq("b")));
 }
 
+/// A node that restarts beside a leaving backend server announces it as ready again. An entry node that
+/// has passed on the server's notice must not send calls there; another incarnation gets calls.
+#[gtest]
+fn pick_leaving_after_node_restart() {
+    let mut entry = fleet();
+    let load = Load {
+        is_leaving: true,
+        ..Load::default()
+    };
+    let feedback = Feedback {
+        incarnation: &("a".into(), 1),
+        end: AttemptEnd::Ran { failed: false },
+        run: ms(60),
+        report: Some((load, BackendTotals::default())),
+        bytes: 400,
+    };
+    entry.placement.on_start(&"a".into());
+    entry
+        .placement
+        .on_end(ms(0), &"a".into(), &entry.route, &feedback);
+    expect_that!(entry.pick(ms(1), &[]), some(eq("b")));
+    let mut restarted = self::entry("a", "accra", "accra-a");
+    restarted.run = 2;
+    entry.placement.on_entry(ms(2_000), &restarted);
+    expect_that!(entry.pick(ms(2_001), &[]), some(eq("b")));
+    if let Some(backend) = &mut restarted.backend {
+        backend.born = 2;
+    }
+    entry.placement.on_entry(ms(3_000), &restarted);
+    expect_that!(entry.pick(ms(3_001), &[]), some(eq("a")));
+}
+
 /// When hedged attempts are answered before those on a slow backend server, its runs are cancelled
 /// and never measured to their end. The node must count as slow all the same.
 #[gtest]
@@ -289,6 +323,7 @@
     for step in 0..40 {
         entry.ran(ms(step), "b", "lookup", ms(60));
         let feedback = Feedback {
+            incarnation: &("a".into(), 1),
             end: AttemptEnd::Superseded,
             run: ms(300),
             report: None,
--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -301,6 +301,7 @@
         env.backends[1].kill();
         env.backends[0].announce(BackendAnnouncement {
             limit_per_s: Some(LIMIT_PER_S),
+            is_leaving: false,
         });
         for index in [0, 1] {
             env.wait_for(WAIT_LIMIT, index, "/wrecks/1", StatusCode::OK)
@@ -336,6 +337,40 @@
     });
 }
 
+/// Guards against requests for a backend server that announces in its responses that it leaves, while its
+/// heartbeats report it as ready, also after a restart of the node beside it.
+#[gtest]
+fn backend_leaving_restarted_node() {
+    run(async {
+        let mut env = TestFleet::start(2).await?;
+        env.backends[1].kill();
+        env.backends[0].announce(BackendAnnouncement {
+            limit_per_s: None,
+            is_leaving: true,
+        });
+        env.wait_for(WAIT_LIMIT, 1, "/wrecks/1", StatusCode::OK)
+            .await?;
+        let runs = env.backends[0].runs().len();
+        for restarts in 0..2 {
+            if restarts > 0 {
+                env.fleet.kill(0)?;
+                env.fleet.start(0)?;
+                env.fleet.wait_ready(WAIT_LIMIT).await?;
+                // The restarted node hears of its backend server by a heartbeat.
+                actix_rt::time::sleep(Duration::from_secs(1)).await;
+            }
+            let began = Instant::now();
+            while began.elapsed() < Duration::from_secs(1) {
+                let status = env.call(1, "/wrecks/1").await?.status;
+                expect_that!(status, eq(StatusCode::SERVICE_UNAVAILABLE));
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+            }
+            expect_that!(env.backends[0].runs().len(), eq(runs));
+        }
+        Ok(())
+    });
+}
+
 /// Guards against a node that responds with 404 before it has a configuration, and against one that
 /// notices the end of an outage late. The store hangs at first, then refuses calls.
 #[gtest]
