Do not take a reader for lost that answers within its time

Cause: a follower with an old view gave its reader less time to answer than it had asked the reader to wait. A reader that has confirmed its view just before the request has nothing to tell and answers at the end of the wait, so it was excluded for 30 s, and its followers read the store.

Change: the follower asks for no longer wait than its view allows, and gives the reader that wait and the round trip. Whether the last reader was lost is said in a header of its own instead of by a short wait. A node of the previous build takes a short wait for that case and answers at once, which costs some repeated requests until its next confirmation.

--- a/src/coordination/follow_poll.rs
+++ b/src/coordination/follow_poll.rs
@@ -69,15 +69,15 @@
         }
     }
 
-    /// Returns the time after which a follower whose own view has this age gives a reader up that does
-    /// not answer, without the time for the round trip.
+    /// Returns the wait that a follower whose own view has this age asks for. The follower's view would be
+    /// too old at the end of a longer one, and the reader may have been lost meanwhile.
     #[must_use]
-    pub fn answer_limit(
-        wait: Duration,
+    pub fn requested_wait(
+        long_poll: Duration,
         view_age: Option<Duration>,
         max_view_age: Duration,
     ) -> Duration {
         let left = max_view_age.saturating_sub(view_age.unwrap_or_default());
-        wait.min(left.max(CONFIRMATION_TIME))
+        long_poll.min(left.max(CONFIRMATION_TIME))
     }
 }
--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -20,6 +20,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::coordination::follow_poll::CONFIRMATION_TIME;
 use crate::coordination::follow_poll::FollowPoll;
 use crate::coordination::follow_poll::FollowStep;
 use crate::coordination::topic_source::ReaderFailure;
@@ -40,9 +41,11 @@
 /// Header of a follow request with the long-poll time, milliseconds. Without it the reader responds at
 /// once with the records that it has.
 const WAIT_HEADER: &str = "sw-wait-ms";
+/// Header of a follow request of a node whose last reader was lost.
+const FAILOVER_HEADER: &str = "sw-failover";
 /// Header of a follow request of a node that cannot read the store either.
 const STORE_AWAY_HEADER: &str = "sw-store-away";
-/// Time beyond the reader's time to answer after which a follow request has failed. Round trips
+/// Time beyond the long-poll time after which a follow request has failed. Round trips
 /// within a failure domain are short.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(350);
 /// Idle time after which a connection to a reader is not reused.
@@ -98,8 +101,15 @@
     let wait = headers::number(req.headers(), WAIT_HEADER).map(Duration::from_millis);
     let may_respond = match wait {
         Some(wait) => {
-            let is_store_away = req.headers().contains_key(STORE_AWAY_HEADER);
-            wait_for_update(cx, from, wait, is_store_away).await
+            let began = cx.clock.now();
+            let poll = FollowPoll {
+                began,
+                until: began + wait.min(topic_follower::long_poll_wait(cx)),
+                is_failover: req.headers().contains_key(FAILOVER_HEADER),
+                is_store_away: req.headers().contains_key(STORE_AWAY_HEADER),
+                max_view_age: topic_follower::max_followed_age(cx),
+            };
+            wait_for_update(cx, from, &poll).await
         }
         None => true,
     };
@@ -116,23 +126,8 @@
     }
 }
 
-/// Waits up to `wait` until there are new records or the view was confirmed. Returns whether the view
-/// may be followed.
-async fn wait_for_update(
-    cx: &Sidecar,
-    from: [u64; 3],
-    wait: Duration,
-    is_store_away: bool,
-) -> bool {
-    let began = cx.clock.now();
-    let long_poll_wait = topic_follower::long_poll_wait(cx);
-    let poll = FollowPoll {
-        began,
-        until: began + wait.min(long_poll_wait),
-        is_failover: wait < long_poll_wait,
-        is_store_away,
-        max_view_age: topic_follower::max_followed_age(cx),
-    };
+/// Waits until the reader can answer a follow request. Returns whether its view may be followed.
+async fn wait_for_update(cx: &Sidecar, from: [u64; 3], poll: &FollowPoll) -> bool {
     loop {
         let changed = cx.feed.changed.notified();
         let checked = cx.feed.view_checked.notified();
@@ -201,8 +196,10 @@
 /// Purpose of a follow request.
 #[derive(Clone, Copy, Debug)]
 pub enum FetchMode {
-    /// Long poll of this time for new records; the reader does not respond with an old view.
-    Updates(Duration),
+    /// Long poll for new records; the reader does not respond with an old view.
+    Updates,
+    /// The same after the last reader was lost: the reader responds as soon as its view is confirmed.
+    Failover,
     /// All records that the node has, of any age.
     Everything,
 }
@@ -217,9 +214,17 @@
     from: [u64; 3],
     mode: FetchMode,
 ) -> Result<FollowResponse, FetchFailure> {
+    let is_store_away = !cx.feed.is_store_available();
+    let view_age = cx.feed.view_age(cx.clock.now());
     let wait = match mode {
-        FetchMode::Updates(wait) => Some(wait),
         FetchMode::Everything => None,
+        FetchMode::Failover => Some(CONFIRMATION_TIME),
+        FetchMode::Updates if is_store_away => Some(topic_follower::long_poll_wait(cx)),
+        FetchMode::Updates => Some(FollowPoll::requested_wait(
+            topic_follower::long_poll_wait(cx),
+            view_age,
+            topic_follower::max_followed_age(cx),
+        )),
     };
     let offsets = from.map(|offset| offset.to_string()).join(",");
     let offsets = HeaderValue::try_from(offsets).map_err(FetchFailure::lost)?;
@@ -228,10 +233,15 @@
         let name = HeaderName::from_static(WAIT_HEADER);
         headers.push((name, millis(wait).into()));
     }
-    let is_store_away = !cx.feed.is_store_available();
-    if is_store_away {
-        let name = HeaderName::from_static(STORE_AWAY_HEADER);
+    let mut add_flag = |name| {
+        let name = HeaderName::from_static(name);
         headers.push((name, HeaderValue::from_static("1")));
+    };
+    if is_store_away {
+        add_flag(STORE_AWAY_HEADER);
+    }
+    if matches!(mode, FetchMode::Failover) {
+        add_flag(FAILOVER_HEADER);
     }
     let exchange = Exchange {
         addr,
@@ -243,14 +253,7 @@
         echo: None,
         max_response_bytes: MAX_MESSAGE_BYTES,
     };
-    let answer_limit = wait.map(|wait| {
-        if is_store_away {
-            return wait;
-        }
-        let view_age = cx.feed.view_age(cx.clock.now());
-        FollowPoll::answer_limit(wait, view_age, topic_follower::max_followed_age(cx))
-    });
-    let timeout = answer_limit.unwrap_or_default() + RESPONSE_MARGIN;
+    let timeout = wait.unwrap_or_default() + RESPONSE_MARGIN;
     let response = match actix_rt::time::timeout(timeout, cx.pool.send(exchange)).await {
         Ok(Ok(response)) => response,
         Ok(Err(failure)) => return Err(FetchFailure::lost(failure)),
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -14,7 +14,6 @@
 use slog::warn;
 use tokio::sync::Notify;
 
-use crate::coordination::follow_poll::CONFIRMATION_TIME;
 use crate::coordination::topic_cursor::NextRead;
 use crate::coordination::topic_cursor::ReadCall;
 use crate::coordination::topic_cursor::TopicCursor;
@@ -65,7 +64,7 @@
 /// Age of the own view up to which another reader is tried instead of the store, as a share of the
 /// time within which a configuration has to be in force. The rest is left for reading the store.
 const FAILOVER_AGE_SHARE: f64 = 0.75;
-/// Time until a follow request with [`CONFIRMATION_TIME`] fails, if the next reader is down as well.
+/// Time until a follow request after a failure fails as well, if the next reader is down, too.
 const FAILOVER_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which the source is checked while it is the store.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -368,12 +367,12 @@
             let _ = actix_rt::time::timeout(SOURCE_CHECK_INTERVAL, either).await;
             continue;
         };
-        let wait = if cx.feed.relay.borrow().needs_prompt_answer() {
-            CONFIRMATION_TIME
+        let mode = if cx.feed.relay.borrow().needs_prompt_answer() {
+            FetchMode::Failover
         } else {
-            long_poll_wait(cx)
+            FetchMode::Updates
         };
-        match relay_port::fetch(cx, addr, positions, FetchMode::Updates(wait)).await {
+        match relay_port::fetch(cx, addr, positions, mode).await {
             Ok(response) => {
                 cx.feed.relay.borrow_mut().on_answer();
                 cx.feed.set_store_available(true);
--- a/tests/follow_poll.rs
+++ b/tests/follow_poll.rs
@@ -79,6 +79,30 @@
     }
 }
 
+/// Guards against a follower that takes a reader for lost which answers within the time that it was asked
+/// for: the reader may have confirmed its view since its last answer, and then waits for news.
+#[gtest]
+fn requested_wait_reader_confirmed_meanwhile() {
+    let at = ms(10_000);
+    for view_age in [0, 400, 900, 1_350, 1_600, 5_000] {
+        let wait = FollowPoll::requested_wait(WAIT, Some(ms(view_age)), MAX_VIEW_AGE);
+        expect_that!(wait, all![ge(CONFIRMATION_TIME), le(WAIT)]);
+        let follow = FollowPoll {
+            until: at + wait,
+            ..poll(at)
+        };
+        let confirmed = Some(at.saturating_sub(ms(1)));
+        expect_that!(
+            follow.next(at, confirmed, false),
+            eq(FollowStep::Wait(at + wait))
+        );
+        expect_that!(
+            follow.next(at + wait, confirmed, false),
+            eq(FollowStep::Respond)
+        );
+    }
+}
+
 /// Guards against followers that try the store again after 0.15 s while it is away for all nodes. It took
 /// 1,000 further calls to the store on a day with an outage of 8 s.
 #[gtest]
@@ -116,12 +140,12 @@
         // The follower asks again as soon as it has an answer, at any time of the reader's cycle.
         let mut began = confirmed.saturating_sub(ms(rng.random_range(0..1_350)));
         let left_at = loop {
-            let limit = FollowPoll::answer_limit(
-                WAIT,
-                Some(began.saturating_sub(view_age_at)),
-                MAX_VIEW_AGE,
-            );
-            let follow = poll(began);
+            let view_age = began.saturating_sub(view_age_at);
+            let wait = FollowPoll::requested_wait(WAIT, Some(view_age), MAX_VIEW_AGE);
+            let follow = FollowPoll {
+                until: began + wait,
+                ..poll(began)
+            };
             let mut now = began.max(confirmed);
             let step = loop {
                 match follow.next(now, Some(confirmed), false) {
@@ -130,8 +154,8 @@
                 }
             };
             let answered = silent_from.is_none_or(|from| now < from);
-            if !answered || now > began + limit + ms(350) {
-                break began + limit + ms(350);
+            if !answered || now > began + wait + ms(350) {
+                break began + wait + ms(350);
             }
             if step == FollowStep::RefuseAsBehind {
                 break now;
