Do not take a repeated refusal for the answer of a request that runs

It could happen here in two cases, both shown by tests that failed before: * The repetition has no attempt id. An answer without one was accepted on any connection (send_repeated_refusal: the request was reported as refused). * The repetition has the same id: a call that a backend server refused may come back to it for a late answer, on the same kept connection (send_after_refusal_of_same_request: 503 instead of the answer). A repetition with the id of another request was skipped before.

Cause: the connection pool relied on the id alone to tell answers apart.

Change: a connection never carries the same attempt twice (it remembers hashes of its last 32 ids; values themselves would pin read buffers), and an answer without an id counts as broken on a connection that was used before. So each id on a connection names one request.

Ruled out: closing each connection after a refusal; under overload a new connection holds a slot of a full backend server.

--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -1,11 +1,13 @@
 //! HTTP/1.1 client with connection pooling and explicit control over each connection. See
 //! `docs/platform.md`, "Connections".
 //!
-//! It uses the codec of `actix-http` and adds three rules: a response to another request is skipped, a
-//! response without a length is complete only if its connection is closed without an error (RFC 9112,
-//! section 6.3), and a connection with unexpected bytes is closed.
+//! It uses the codec of `actix-http` and adds four rules: a response to another request is skipped, a
+//! request is not sent again on a connection that has carried it, a response without a length is complete
+//! only if its connection is closed without an error (RFC 9112, section 6.3), and a connection with
+//! unexpected bytes is closed.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
@@ -38,6 +40,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::transport::http_client::HttpResponse;
 
@@ -54,6 +57,9 @@
 const MAX_IDLE_CONNECTIONS: usize = 32;
 /// Responses to other requests that are skipped on one connection before it is closed.
 const MAX_SKIPPED_RESPONSES: usize = 4;
+/// Requests that are remembered for each connection, so that none is sent there again. A request comes
+/// back to the same peer within its deadline, if at all.
+const MAX_RECENT_IDS: usize = 32;
 /// Initial size of a read buffer, bytes; most responses fit.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
@@ -73,7 +79,8 @@
     /// Longest idle time of a connection that is reused.
     pub max_idle: Duration,
     /// Header that the response repeats. A response with another value belongs to another request and
-    /// is skipped; one without the header is accepted.
+    /// is skipped. One without the header is accepted as the first response on a connection; a later one
+    /// could be a repetition and counts as broken.
     pub echo: Option<(&'a HeaderName, &'a HeaderValue)>,
     /// Largest body of the response, bytes.
     pub max_response_bytes: usize,
@@ -110,6 +117,28 @@
 struct IdleConnection {
     stream: TcpStream,
     since: Instant,
+    recent_ids: RecentIds,
+}
+
+/// Hashes of the ids of the last requests on a connection. A peer may write a response once more, which
+/// could not be told from the response to the same request if that was sent there again.
+#[derive(Default)]
+struct RecentIds(VecDeque<u64>);
+
+impl RecentIds {
+    fn contains(&self, id: Option<u64>) -> bool {
+        id.is_some_and(|id| self.0.contains(&id))
+    }
+
+    fn add(&mut self, id: Option<u64>) {
+        let Some(id) = id else {
+            return;
+        };
+        if self.0.len() >= MAX_RECENT_IDS {
+            self.0.pop_front();
+        }
+        self.0.push_back(id);
+    }
 }
 
 struct AddressPool {
@@ -132,10 +161,15 @@
     /// An [`ExchangeFailure`], which tells whether the peer may have received the request.
     pub async fn send(&self, exchange: Exchange<'_>) -> Result<HttpResponse, ExchangeFailure> {
         let addr = exchange.addr;
-        let (mut connection, reused) = match self.take_idle(addr, exchange.max_idle) {
-            Some(stream) => (Connection::new(stream), true),
-            None => (Connection::new(connect(addr).await?), false),
+        let id = exchange.echo.map(|(_, id)| xxh3_64(id.as_bytes()));
+        let idle = self.take_idle(addr, exchange.max_idle, id);
+        let reused = idle.is_some();
+        let (stream, recent_ids) = match idle {
+            Some(idle) => (idle.stream, idle.recent_ids),
+            None => (connect(addr).await?, RecentIds::default()),
         };
+        let mut connection = Connection::new(stream, recent_ids);
+        connection.recent_ids.add(id);
         let broken = |e: io::Error| ExchangeFailure::Broken {
             text: e.to_string(),
             reused,
@@ -153,11 +187,19 @@
                         broken(e)
                     }
                 })?;
-            if matches_echo(&response, echo) {
-                if connection.is_reusable() {
-                    self.put_idle(addr, connection.stream);
+            match compare_echo(&response, echo) {
+                Echo::Missing if reused => {
+                    return Err(broken(io::Error::other(
+                        "the response does not name its request",
+                    )));
+                }
+                Echo::Matches | Echo::Missing => {
+                    if connection.is_reusable() {
+                        self.put_idle(addr, connection);
+                    }
+                    return Ok(response);
                 }
-                return Ok(response);
+                Echo::Differs => {}
             }
         }
         Err(broken(io::Error::other(
@@ -173,27 +215,37 @@
         }
     }
 
-    fn take_idle(&self, addr: SocketAddr, max_idle: Duration) -> Option<TcpStream> {
+    /// Takes an idle connection that has not carried the request with this id yet.
+    fn take_idle(
+        &self,
+        addr: SocketAddr,
+        max_idle: Duration,
+        id: Option<u64>,
+    ) -> Option<IdleConnection> {
         let mut pools = self.pools.borrow_mut();
         let index = pools.binary_search_by_key(&addr, |pool| pool.addr).ok()?;
         let idle = &mut pools[index].idle;
         let expired = idle.partition_point(|entry| entry.since.elapsed() > max_idle);
         idle.drain(..expired);
-        while let Some(entry) = idle.pop() {
+        loop {
+            let index = idle
+                .iter()
+                .rposition(|entry| !entry.recent_ids.contains(id))?;
+            let entry = idle.remove(index);
             // A readable idle connection was closed by the peer or has bytes that belong to no request.
             let usable = matches!(entry.stream.try_read(&mut [0]),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock);
             if usable {
-                return Some(entry.stream);
+                return Some(entry);
             }
         }
-        None
     }
 
-    fn put_idle(&self, addr: SocketAddr, stream: TcpStream) {
+    fn put_idle(&self, addr: SocketAddr, connection: Connection) {
         let entry = IdleConnection {
-            stream,
+            stream: connection.stream,
             since: Instant::now(),
+            recent_ids: connection.recent_ids,
         };
         let mut pools = self.pools.borrow_mut();
         match pools.binary_search_by_key(&addr, |pool| pool.addr) {
@@ -238,14 +290,22 @@
     socket.set_tcp_user_timeout(Some(DEAD_PEER_TIMEOUT))
 }
 
-fn matches_echo(response: &HttpResponse, echo: Option<(&HeaderName, &HeaderValue)>) -> bool {
+/// Whether a response names the request that it belongs to.
+enum Echo {
+    Matches,
+    Differs,
+    Missing,
+}
+
+fn compare_echo(response: &HttpResponse, echo: Option<(&HeaderName, &HeaderValue)>) -> Echo {
     let Some((name, expected)) = echo else {
-        return true;
+        return Echo::Matches;
     };
-    response
-        .headers
-        .get(name)
-        .is_none_or(|found| found == expected)
+    match response.headers.get(name) {
+        None => Echo::Missing,
+        Some(found) if found == expected => Echo::Matches,
+        Some(_) => Echo::Differs,
+    }
 }
 
 /// How the end of a response's body is determined.
@@ -260,15 +320,17 @@
     buf: BytesMut,
     codec: Option<ClientCodec>,
     keep_alive: bool,
+    recent_ids: RecentIds,
 }
 
 impl Connection {
-    fn new(stream: TcpStream) -> Self {
+    fn new(stream: TcpStream, recent_ids: RecentIds) -> Self {
         Self {
             stream,
             buf: BytesMut::with_capacity(READ_BUFFER_BYTES),
             codec: Some(ClientCodec::default()),
             keep_alive: true,
+            recent_ids,
         }
     }
 
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -154,6 +154,72 @@
     });
 }
 
+/// Guards against a response whose head was cut and that is passed on as an empty or short one with status
+/// 200, framed as whole.
+#[gtest]
+fn send_truncated_head() {
+    let heads = [
+        "HTTP/1.1 200",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nx-id: a\r\n",
+        "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 9",
+        "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 9\r\n\r",
+        "HTTP/1.1 200 OK\r\nx-id: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\ncut\r\n0\r\n",
+    ];
+    run(async {
+        for head in heads {
+            let addr = peer(vec![vec![head]]);
+            let result = send(&ConnectionPool::default(), addr, "a").await;
+            expect_that!(
+                result.err(),
+                some(matches_pattern!(ExchangeFailure::Broken { .. })),
+                "{head:?}"
+            );
+        }
+    });
+}
+
+/// Guards against the refusal of an earlier request that a peer writes once more on a kept connection: the
+/// request that runs there was reported as not run. Without an id it could belong to any request.
+#[gtest]
+fn send_repeated_refusal() {
+    run(async {
+        let first = "HTTP/1.1 503 Busy\r\nx-id: a\r\ncontent-length: 0\r\n\r\n";
+        let repeated = "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n";
+        let addr = peer(vec![vec![first, repeated]]);
+        let pool = ConnectionPool::default();
+        let refused = send(&pool, addr, "a").await.expect("an answer");
+        expect_that!(refused.status.as_u16(), eq(503));
+        let result = send(&pool, addr, "b").await;
+        expect_that!(
+            result.err(),
+            some(matches_pattern!(ExchangeFailure::Broken {
+                reused: eq(&true),
+                ..
+            }))
+        );
+    });
+}
+
+/// Guards against a repeated refusal of the same attempt, which comes back to a backend server that had
+/// refused it: the id does not tell the two apart, so they use different connections.
+#[gtest]
+fn send_after_refusal_of_same_request() {
+    run(async {
+        let refusal = "HTTP/1.1 503 Busy\r\nx-id: a\r\ncontent-length: 0\r\n\r\n";
+        let other = "HTTP/1.1 200 OK\r\nx-id: b\r\ncontent-length: 5\r\n\r\nother";
+        let answer = "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 3\r\n\r\nran";
+        let addr = peer(vec![vec![refusal, other, refusal], vec![answer]]);
+        let pool = ConnectionPool::default();
+        let mut statuses = Vec::new();
+        for id in ["a", "b", "a"] {
+            let response = send(&pool, addr, id).await.expect("an answer");
+            statuses.push(response.status.as_u16());
+        }
+        expect_that!(statuses, elements_are![eq(&503), eq(&200), eq(&200)]);
+    });
+}
+
 /// Guards against reporting a request as not sent that was written to a connection.
 #[gtest]
 fn send_closed_without_response() {
