Bound responses whose bytes never end

What callers would see: a node that reads on until the deadline at the full speed of its processor, and a node that is killed for its memory, with all calls on it, when several bodies without end arrive at once (9 of 16 MiB on an instance with 160 MB).

Cause: the codec bounds one head and one size line, not the number of informational responses before a head nor the extensions of chunks, and the limit of one body says nothing about their sum.

Change: a head with the informational responses before it has 128 KiB, the framing of a chunked body is bounded in proportion to the body, and the bodies that all connections of a pool receive have 32 MiB together. What exceeds this fails as a broken or too large answer, and the connection is closed.

Evidence: tests/exchange.rs send_endless_response failed before for "100 Continue" and for a chunk extension without end (50 MB read, then stopped by the test; the five other forms ended before); send_endless_responses_together saw 74 MB buffered without the common bound.

--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -1,16 +1,18 @@
 //! HTTP/1.1 client with connection pooling and explicit control over each connection. See
 //! `docs/platform.md`, "Connections".
 //!
-//! It uses the codec of `actix-http` and adds four rules: a response to another request is skipped, a
+//! It uses the codec of `actix-http` and adds five rules: a response to another request is skipped, a
 //! request is not sent again on a connection that has carried it, a response without a length is complete
-//! only if its connection is closed without an error (RFC 9112, section 6.3), and a connection with
-//! unexpected bytes is closed.
+//! only if its connection is closed without an error (RFC 9112, section 6.3), a connection with
+//! unexpected bytes is closed, and a response of any form ends within a bounded number of bytes.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -60,6 +62,15 @@
 /// Requests that are remembered for each connection, so that none is sent there again. A request comes
 /// back to the same peer within its deadline, if at all.
 const MAX_RECENT_IDS: usize = 32;
+/// Largest head of a response, with the informational responses before it, bytes.
+const MAX_HEAD_BYTES: usize = 128 << 10;
+/// Bytes of the framing of a chunked body that are accepted for any body.
+const FRAMING_BYTES: usize = 64 << 10;
+/// Bytes of the framing for each byte of a chunked body: a chunk of one byte has five.
+const FRAMING_BYTES_PER_BYTE: usize = 5;
+/// Bytes of response bodies that all connections of a pool may buffer together. The smallest instances
+/// have 160 MB, and a buffer may have twice the size of its content.
+pub const MAX_BUFFERED_BYTES: usize = 32 << 20;
 /// Initial size of a read buffer, bytes; most responses fit.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
@@ -150,6 +161,40 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     pools: RefCell<Vec<AddressPool>>,
+    /// Bytes of the bodies that are being received.
+    buffered: Rc<Cell<usize>>,
+}
+
+/// Bytes that the body of one response occupies, counted for all connections of a pool.
+struct BufferedBody {
+    total: Rc<Cell<usize>>,
+    bytes: usize,
+}
+
+impl BufferedBody {
+    fn new(total: Rc<Cell<usize>>) -> Self {
+        Self { total, bytes: 0 }
+    }
+
+    /// Sets the size of the body.
+    ///
+    /// # Errors
+    /// If all bodies together exceed [`MAX_BUFFERED_BYTES`], or this one exceeds `max_bytes`.
+    fn set(&mut self, bytes: usize, max_bytes: usize) -> io::Result<()> {
+        let total = self.total.get() - self.bytes + bytes;
+        self.total.set(total);
+        self.bytes = bytes;
+        if bytes > max_bytes || total > MAX_BUFFERED_BYTES {
+            return Err(io::ErrorKind::FileTooLarge.into());
+        }
+        Ok(())
+    }
+}
+
+impl Drop for BufferedBody {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.bytes);
+    }
 }
 
 impl ConnectionPool {
@@ -168,7 +213,7 @@
             Some(idle) => (idle.stream, idle.recent_ids),
             None => (connect(addr).await?, RecentIds::default()),
         };
-        let mut connection = Connection::new(stream, recent_ids);
+        let mut connection = Connection::new(stream, recent_ids, self.buffered.clone());
         connection.recent_ids.add(id);
         let broken = |e: io::Error| ExchangeFailure::Broken {
             text: e.to_string(),
@@ -207,6 +252,12 @@
         )))
     }
 
+    /// Returns the bytes of the bodies that are being received.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffered.get()
+    }
+
     /// Closes the idle connections to a peer, for example because one of them has failed.
     pub fn close_idle(&self, addr: SocketAddr) {
         let mut pools = self.pools.borrow_mut();
@@ -321,16 +372,22 @@
     codec: Option<ClientCodec>,
     keep_alive: bool,
     recent_ids: RecentIds,
+    /// Bytes received since the current part of a response began.
+    received: usize,
+    /// Bytes of all bodies that the pool's connections are receiving.
+    buffered: Rc<Cell<usize>>,
 }
 
 impl Connection {
-    fn new(stream: TcpStream, recent_ids: RecentIds) -> Self {
+    fn new(stream: TcpStream, recent_ids: RecentIds, buffered: Rc<Cell<usize>>) -> Self {
         Self {
             stream,
             buf: BytesMut::with_capacity(READ_BUFFER_BYTES),
             codec: Some(ClientCodec::default()),
             keep_alive: true,
             recent_ids,
+            received: 0,
+            buffered,
         }
     }
 
@@ -396,12 +453,16 @@
     }
 
     async fn read_head(&mut self) -> io::Result<ResponseHead> {
+        self.received = self.buf.len();
         loop {
             let codec = self.codec.get_or_insert_default();
             let decoded = codec.decode(&mut self.buf).map_err(io::Error::other)?;
             match decoded {
                 Some(head) if head.status.is_informational() => {}
                 Some(head) => return Ok(head),
+                None if self.received > MAX_HEAD_BYTES => {
+                    return Err(io::Error::other("the head of the response is too large"));
+                }
                 None => self.fill().await?,
             }
         }
@@ -410,16 +471,22 @@
     async fn read_delimited(&mut self, codec: ClientCodec, max_bytes: usize) -> io::Result<Bytes> {
         let mut codec = codec.into_payload_codec();
         let mut body = BytesMut::new();
+        let mut buffered = BufferedBody::new(self.buffered.clone());
+        self.received = self.buf.len();
         loop {
             match codec.decode(&mut self.buf).map_err(io::Error::other)? {
                 Some(Some(chunk)) => {
-                    if body.len() + chunk.len() > max_bytes {
-                        return Err(io::ErrorKind::FileTooLarge.into());
-                    }
+                    buffered.set(body.len() + chunk.len(), max_bytes)?;
                     body.extend_from_slice(&chunk);
                 }
                 Some(None) => break,
-                None => self.fill().await?,
+                None => {
+                    let framing = self.received.saturating_sub(body.len() + self.buf.len());
+                    if framing > FRAMING_BYTES + FRAMING_BYTES_PER_BYTE * body.len() {
+                        return Err(io::Error::other("the framing of the body is too large"));
+                    }
+                    self.fill().await?;
+                }
             }
         }
         self.codec = Some(codec.into_message_codec());
@@ -429,18 +496,19 @@
     /// Reads until the peer closes the connection. A reset is a read error and does not complete the body.
     async fn read_until_close(&mut self, max_bytes: usize) -> io::Result<Bytes> {
         self.keep_alive = false;
+        let mut buffered = BufferedBody::new(self.buffered.clone());
         while self.stream.read_buf(&mut self.buf).await? > 0 {
-            if self.buf.len() > max_bytes {
-                return Err(io::ErrorKind::FileTooLarge.into());
-            }
+            buffered.set(self.buf.len(), max_bytes)?;
         }
         Ok(self.buf.split().freeze())
     }
 
     async fn fill(&mut self) -> io::Result<()> {
-        if self.stream.read_buf(&mut self.buf).await? == 0 {
+        let received = self.stream.read_buf(&mut self.buf).await?;
+        if received == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
+        self.received += received;
         Ok(())
     }
 
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -5,6 +5,9 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::pin::pin;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
 use std::thread;
 use std::time::Duration;
 
@@ -13,16 +16,23 @@
 use actix_http::header::HeaderValue;
 use actix_http::uri::PathAndQuery;
 use bytes::Bytes;
+use futures_util::future::Either;
+use futures_util::future::select;
 use googletest::prelude::*;
 use socket2::SockRef;
 use sycamorewick::transport::exchange::ConnectionPool;
 use sycamorewick::transport::exchange::Exchange;
 use sycamorewick::transport::exchange::ExchangeFailure;
+use sycamorewick::transport::exchange::MAX_BUFFERED_BYTES;
 use sycamorewick::transport::exchange::enable_dead_peer_detection;
 use sycamorewick::transport::http_client::HttpResponse;
 
 const ID: HeaderName = HeaderName::from_static("x-id");
 
+/// Bytes that an endless response may have before the exchange fails. The socket buffers of the loopback
+/// interface take most of them.
+const MAX_ENDLESS_BYTES: usize = 48 << 20;
+
 /// Starts a peer that serves each connection with one list of responses, one for each request. `RESET`
 /// at the end of a response resets the connection.
 fn peer(connections: Vec<Vec<&'static str>>) -> SocketAddr {
@@ -59,6 +69,42 @@
     }
 }
 
+/// Starts a peer that answers one request with `begin` and then `repeated` without end, until the
+/// connection is closed. Returns the number of bytes that it could send.
+fn endless_peer(begin: &'static str, repeated: &'static str) -> (SocketAddr, Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        let Ok((mut stream, _)) = listener.accept() else {
+            return;
+        };
+        let _ = stream.read(&mut [0; 4_096]);
+        let block = repeated.repeat(512);
+        let mut sent = 0;
+        let mut written = stream.write_all(begin.as_bytes());
+        while written.is_ok() && sent <= MAX_ENDLESS_BYTES {
+            sent += block.len();
+            written = stream.write_all(block.as_bytes());
+        }
+        let _ = tx.send(sent);
+    });
+    (addr, rx)
+}
+
+fn get<'a>(addr: SocketAddr) -> Exchange<'a> {
+    Exchange {
+        addr,
+        method: Method::GET,
+        target: PathAndQuery::from_static("/wrecks/1"),
+        headers: Vec::new(),
+        body: Bytes::new(),
+        max_idle: Duration::from_secs(5),
+        echo: None,
+        max_response_bytes: 1_024,
+    }
+}
+
 async fn send(
     pool: &ConnectionPool,
     addr: SocketAddr,
@@ -66,14 +112,9 @@
 ) -> std::result::Result<HttpResponse, ExchangeFailure> {
     let id = HeaderValue::from_static(id);
     let exchange = Exchange {
-        addr,
-        method: Method::GET,
-        target: PathAndQuery::from_static("/wrecks/1"),
         headers: vec![(ID, id.clone())],
-        body: Bytes::new(),
-        max_idle: Duration::from_secs(5),
         echo: Some((&ID, &id)),
-        max_response_bytes: 1_024,
+        ..get(addr)
     };
     let response = pool.send(exchange);
     let limit = Duration::from_secs(10);
@@ -220,6 +261,80 @@
     });
 }
 
+/// Guards against a peer that sends bytes without end, in the head or in the body: the exchange must fail
+/// with bounded memory instead of reading on.
+#[gtest]
+fn send_endless_response() {
+    let streams = [
+        ("HTTP/1.1 200 OK\r\n", "x-more: 1\r\n"),
+        ("HTTP/1.1 200 OK\r\nx-long: ", "aaaaaaaaaaaaaaaa"),
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("", "no response in this protocol "),
+        ("HTTP/1.1 200 OK\r\nx-id: a\r\n\r\n", "body without an end "),
+        (
+            "HTTP/1.1 200 OK\r\nx-id: a\r\ntransfer-encoding: chunked\r\n\r\n",
+            "4\r\nmore\r\n",
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nx-id: a\r\ntransfer-encoding: chunked\r\n\r\n4;",
+            "extension",
+        ),
+    ];
+    run(async {
+        for (begin, repeated) in streams {
+            let (addr, sent) = endless_peer(begin, repeated);
+            let result = send(&ConnectionPool::default(), addr, "a").await;
+            expect_true!(result.is_err(), "{begin:?} {repeated:?}");
+            let sent = sent.recv().expect("the number of bytes");
+            expect_that!(sent, le(MAX_ENDLESS_BYTES), "{begin:?} {repeated:?}");
+        }
+    });
+}
+
+/// Guards against a process that is killed for its memory because several responses without an end are
+/// received at the same time, each below the limit of one response.
+#[gtest]
+fn send_endless_responses_together() {
+    run(async {
+        let pool = ConnectionPool::default();
+        let begin = "HTTP/1.1 200 OK\r\nx-id: a\r\n\r\n";
+        let sent = (0..8).map(|_| {
+            let (addr, _) = endless_peer(begin, "body without an end ");
+            let id = HeaderValue::from_static("a");
+            let pool = &pool;
+            async move {
+                let exchange = Exchange {
+                    echo: Some((&ID, &id)),
+                    max_response_bytes: 16 << 20,
+                    ..get(addr)
+                };
+                pool.send(exchange).await
+            }
+        });
+        let mut peak = 0;
+        let sample = async {
+            loop {
+                peak = pool.buffered_bytes().max(peak);
+                tokio::task::yield_now().await;
+            }
+        };
+        let all = futures_util::future::join_all(sent);
+        let results = match select(pin!(all), pin!(sample)).await {
+            Either::Left((results, _)) => results,
+            Either::Right(_) => Vec::new(),
+        };
+        expect_that!(results.len(), eq(8));
+        expect_true!(results.iter().all(std::result::Result::is_err));
+        expect_that!(peak, le(MAX_BUFFERED_BYTES));
+        expect_that!(pool.buffered_bytes(), eq(0));
+        // What was counted for them is free again.
+        let whole = peer(vec![vec![
+            "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 5\r\n\r\nwhole",
+        ]]);
+        expect_true!(send(&pool, whole, "a").await.is_ok());
+    });
+}
+
 /// Guards against reporting a request as not sent that was written to a connection.
 #[gtest]
 fn send_closed_without_response() {
