--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -202,7 +202,7 @@
             )]
             mean_run_ms: (slot_time_s * 1e3) as u32,
             limit: self.limit.map(|limit| limit.rate()),
-            is_leaving: false,
+            ..Load::default()
         }
     }
 
--- a/src/coordination/topic_source.rs
+++ b/src/coordination/topic_source.rs
@@ -11,8 +11,8 @@
 
 use crate::protocol::name::NodeId;
 
-/// Smallest number of nodes in a failure domain that share a reader. A reader calls the store more
-/// often than a node that reads only for itself, so a shared reader saves no calls for fewer nodes.
+/// Smallest number of nodes in a failure domain that share a reader. Followers learn of changes later if
+/// their reader fails, which the few calls that fewer nodes would save do not outweigh.
 const MIN_NODES: usize = 4;
 /// Maximum number of nodes that follow one node. In a larger failure domain the followers relay to
 /// further followers, since one reader took 1.4 s to send a configuration of 120 kB to 50 nodes.
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -308,14 +308,14 @@
         return;
     }
     let limit_changed = state.queue.on_limit(now, notices.limit);
+    // Also without a change, since the previous limit may be that of an earlier incarnation.
+    let limit_per_s = notices.limit.map_or(0.0, RequestRate::per_s);
+    cx.metrics.backend_limit.set(limit_per_s);
     let is_leaving = notices.is_leaving && state.backend.on_leaving(backend);
     drop(state);
     if limit_changed {
         info!(cx.log, "limit of the backend server changed"; "instance" => &*backend.instance,
             "limit_per_s" => notices.limit.map(RequestRate::per_s));
-        cx.metrics
-            .backend_limit
-            .set(notices.limit.map_or(0.0, RequestRate::per_s));
         admit_waiting(cx);
     }
     if is_leaving {
