--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -9,7 +9,6 @@
 //! again.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -21,6 +20,7 @@
 use crate::protocol::fleet::BackendPhase;
 use crate::protocol::fleet::BackendReport;
 use crate::protocol::fleet::FleetEntry;
+use crate::protocol::fleet::Incarnation;
 use crate::protocol::hop::BackendTotals;
 use crate::protocol::hop::Load;
 use crate::protocol::hop::RequestRate;
@@ -113,9 +113,6 @@
     Superseded,
 }
 
-/// Instance and start time of an incarnation of a backend server.
-pub type Incarnation = (Arc<str>, u64);
-
 /// Measurements from a finished attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct Feedback<'a> {
@@ -224,11 +221,11 @@
 impl Candidate {
     fn backend(&self) -> Option<&BackendReport> {
         let backend = self.entry.backend.as_ref()?;
-        let is_leaving =
-            |(instance, born): &Incarnation| *instance == backend.instance && *born == backend.born;
-        let is_usable =
-            backend.phase == BackendPhase::Ready && !self.leaving.as_ref().is_some_and(is_leaving);
-        is_usable.then_some(backend)
+        let is_leaving = self
+            .leaving
+            .as_ref()
+            .is_some_and(|left| backend.is_of(left));
+        (backend.phase == BackendPhase::Ready && !is_leaving).then_some(backend)
     }
 
     /// Slots of the backend server that its limit allows to use, by a recent report.
@@ -516,7 +513,7 @@
             node: candidate.entry.node.clone(),
             addr: candidate.entry.addr,
             version: backend.version.clone(),
-            incarnation: (backend.instance.clone(), backend.born),
+            incarnation: backend.incarnation(),
             limit: candidate.load.limit,
             cost_ms,
             time_ms,
--- a/src/coordination/request_limit.rs
+++ b/src/coordination/request_limit.rs
@@ -61,10 +61,8 @@
     /// Returns the time from `now` until the limit allows a request behind `ahead` other ones.
     #[must_use]
     pub fn delay(&self, now: Duration, ahead: usize) -> Duration {
-        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
-        let tokens = (self.tokens + elapsed * self.per_s()).min(self.capacity());
         #[allow(clippy::cast_precision_loss, reason = "queues are short")]
-        let missing = (ahead as f64 + 1.0 - tokens).max(0.0);
+        let missing = (ahead as f64 + 1.0 - self.tokens_at(now)).max(0.0);
         Duration::from_secs_f64(missing / self.per_s())
     }
 
@@ -78,9 +76,13 @@
         (self.per_s() * BURST.as_secs_f64()).max(1.0)
     }
 
-    fn refill(&mut self, now: Duration) {
+    fn tokens_at(&self, now: Duration) -> f64 {
         let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.tokens = (self.tokens + elapsed * self.per_s()).min(self.capacity());
+        (self.tokens + elapsed * self.per_s()).min(self.capacity())
+    }
+
+    fn refill(&mut self, now: Duration) {
+        self.tokens = self.tokens_at(now);
         self.updated_at = now;
     }
 }
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -22,6 +22,9 @@
     Draining,
 }
 
+/// Instance and start time of an incarnation of a backend server.
+pub type Incarnation = (Arc<str>, u64);
+
 /// State that a backend server reports in a heartbeat.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BackendReport {
@@ -56,6 +59,18 @@
         }
     }
 
+    /// Returns the incarnation of the backend server.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        (self.instance.clone(), self.born)
+    }
+
+    /// Returns whether the report is from this incarnation of the backend server.
+    #[must_use]
+    pub fn is_of(&self, (instance, born): &Incarnation) -> bool {
+        self.instance == *instance && self.born == *born
+    }
+
     /// Returns whether both reports are from the same incarnation of the backend server.
     #[must_use]
     pub fn is_same_incarnation(&self, other: &Self) -> bool {
--- a/src/state/local_backend.rs
+++ b/src/state/local_backend.rs
@@ -1,11 +1,11 @@
 //! State of the local backend server of a node, which runs on the same instance. See
 //! `docs/platform.md`, "Membership".
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::protocol::fleet::BackendPhase;
 use crate::protocol::fleet::BackendReport;
+use crate::protocol::fleet::Incarnation;
 
 /// Number of heartbeat intervals without a heartbeat after which the backend server counts as
 /// unavailable. A crash is detected sooner, by a refused connection.
@@ -35,8 +35,8 @@
     /// Whether the incarnation of the last report has announced in a response that it leaves. Its later
     /// heartbeats may still report it as ready.
     is_leaving: bool,
-    /// Instance and start time of deregistered incarnations, oldest first.
-    deregistered: Vec<(Arc<str>, u64)>,
+    /// Deregistered incarnations, oldest first.
+    deregistered: Vec<Incarnation>,
 }
 
 impl LocalBackend {
@@ -55,10 +55,7 @@
 
     /// Applies a heartbeat.
     pub fn on_heartbeat(&mut self, now: Duration, report: BackendReport) -> HeartbeatEffect {
-        let is_sender = |(instance, born): &(Arc<str>, u64)| {
-            *instance == report.instance && *born == report.born
-        };
-        if self.deregistered.iter().any(is_sender) {
+        if self.deregistered.iter().any(|left| report.is_of(left)) {
             return HeartbeatEffect::Ignored;
         }
         if let Some(current) = &self.report
@@ -91,7 +88,7 @@
         if self.deregistered.len() >= MAX_DEREGISTERED {
             self.deregistered.remove(0);
         }
-        self.deregistered.push((report.instance, report.born));
+        self.deregistered.push(report.incarnation());
         true
     }
 
