Read routes of kind upload and of unknown kinds as running at most once

Any later kind would have had the same effect on all other routes.

Ruled out: ignoring only the unknown route. Its callers would get 404, which they do not retry, although the route is allowed.

Change: a kind other than safe means that a request runs at most once; kinds that this version does not know are logged with each configuration.

--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -7,6 +7,7 @@
 
 use crate::platform::config;
 use crate::platform::config::OperatorKey;
+use crate::platform::config::ParsedConfig;
 use crate::platform::store::KeyedRecord;
 use crate::protocol::codec;
 use crate::protocol::fleet::FleetEntry;
@@ -47,13 +48,20 @@
 
 /// Puts a configuration in force, unless it is invalid or not newer than the one in force.
 fn apply_config(cx: &Rc<Sidecar>, record: &KeyedRecord) {
-    let config = match config::read_config(&record.value) {
-        Ok(config) => config,
+    let ParsedConfig {
+        config,
+        unknown_kinds,
+    } = match config::read_config(&record.value) {
+        Ok(parsed) => parsed,
         Err(why) => {
             warn!(cx.log, "configuration refused"; "offset" => record.offset, "why" => why);
             return;
         }
     };
+    if !unknown_kinds.is_empty() {
+        warn!(cx.log, "routes of unknown kinds run requests at most once"; "version" => config.version,
+            "offset" => record.offset, "kinds" => unknown_kinds.join(", "));
+    }
     let mut state = cx.state.borrow_mut();
     let in_force = state.table.as_ref().map_or(0, |table| table.version());
     if state.table.is_some() && config.version <= in_force {
