--- a/src/state/routing_table.rs
+++ b/src/state/routing_table.rs
@@ -73,8 +73,8 @@
 /// 0 to 1, usually a random one.
 #[must_use]
 pub fn choose_service(route: &MeshRoute, point: f64) -> &ServiceName {
-    let total: u32 = route.targets.iter().map(|(_, weight)| weight).sum();
-    let mut remaining = point * f64::from(total);
+    let weights = route.targets.iter().map(|(_, weight)| f64::from(*weight));
+    let mut remaining = point * weights.sum::<f64>();
     for (service, weight) in &route.targets {
         if remaining < f64::from(*weight) {
             return service;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -15,6 +15,7 @@
 use sycamorewick::protocol::fleet::BackendPhase;
 use sycamorewick::protocol::fleet::MoveState;
 use sycamorewick::protocol::mesh::MoveOrder;
+use sycamorewick::state::routing_table;
 
 const CONFIG: &str = r#"{"version":"0000000c","routes":{
     "r-claims":{"host":"a.example","prefix":"/claims/","kind":"unsafe","timeout-ms":1200,"slo-ms":300,"priority":1,"service":"registry","attempts":2},
@@ -83,6 +84,68 @@
     }
 }
 
+/// Guards against a process that ends because a number of a configuration or order is beyond the range
+/// of a duration or of a sum of weights.
+#[gtest]
+fn read_config_numbers_out_of_range() {
+    let arrived = Duration::from_secs(3_600);
+    for (found, number) in [
+        (r#""timeout-ms":1200"#, r#""timeout-ms":1e300"#),
+        (r#""slo-ms":300"#, r#""slo-ms":1e300"#),
+        (r#""weight":90"#, r#""weight":1e300"#),
+    ] {
+        let text = CONFIG.replacen(found, number, 1);
+        let config = config::read_config(text.as_bytes()).expect(number).config;
+        for route in &config.routes {
+            expect_true!(arrived.checked_add(route.timeout).is_some(), "{number}");
+            expect_true!(arrived.checked_add(route.objective).is_some(), "{number}");
+            let service = routing_table::choose_service(route, 0.5);
+            expect_false!(service.as_str().is_empty(), "{number}");
+        }
+    }
+    let lookup = CONFIG.replacen(r#""weight":10"#, r#""weight":1e300"#, 1);
+    let lookup = lookup.replacen(r#""weight":90"#, r#""weight":1e300"#, 1);
+    let config = config::read_config(lookup.as_bytes())
+        .expect("weights")
+        .config;
+    let services =
+        [0.2, 0.8].map(|at| routing_table::choose_service(&config.routes[1], at).as_str());
+    expect_that!(services, eq(["registry", "archive"]));
+    let body = br#"{"service":"registry","target":"v2","step-s":1e300}"#;
+    let order = config::read_order(body).expect("an order");
+    expect_true!(arrived.checked_add(order.within).is_some());
+}
+
+/// Guards against a process that ends, or that stops reading, because of one record of another writer:
+/// nested deeply, with a number out of range, or with fields of another type.
+#[gtest]
+fn read_hostile_records() {
+    for depth in [10, 1_000, 100_000] {
+        let nested = format!("{}{}", "[".repeat(depth), "]".repeat(depth));
+        let skipped = CONFIG.replacen(
+            r#""health-path""#,
+            &format!(r#""odd":{nested},"health-path""#),
+            1,
+        );
+        let config = config::read_config(skipped.as_bytes());
+        expect_that!(config.is_ok(), eq(depth < 100), "depth {depth}");
+        expect_true!(config::read_config(nested.as_bytes()).is_err());
+        expect_true!(config::read_order(nested.as_bytes()).is_err());
+        expect_true!(heartbeat::read_body("i-1", nested.as_bytes()).is_err());
+    }
+    for number in [
+        "1e400",
+        "-1",
+        "18446744073709551616",
+        "99999999999999999999",
+    ] {
+        let body = format!(
+            r#"{{"born":{number},"info":{{"service":"a","version":"v1","slots":{number}}},"status":{{"state":"ready","seq":1}}}}"#
+        );
+        expect_true!(heartbeat::read_body("i-1", body.as_bytes()).is_err());
+    }
+}
+
 /// Guards against treating another record as a configuration.
 #[gtest]
 fn read_key_kinds() {
