Announce large bodies between nodes, and receive few at once

Calls of running requests (600 ms) came too late, 7,293 runs of the catalogue ended with 500, callers repeated them, and the fleet did not come back; configurations were late at the same nodes.

Ruled out: processor (0.0118 cores in the mean, 0.0232 at most), slots (queues are full only later), the store.

Change: a body of 16 KiB or more is announced (expect: 100-continue) and is received only when the call would not be refused and one of a few transfers is free; waiting transfers form a SlotQueue. Placement counts request bodies as bytes and the reported wait of transfers as time. A response that arrives before the body was sent is delivered at once; the write of a long body blocked it before (send_response_before_body_was_read).

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -49,6 +49,8 @@
 /// Size of the request and of the response headers, which is added to the response body, in
 /// kilobytes.
 const OVERHEAD_KB: f64 = 0.7;
+/// Size of a request body from which on the node receives it in turn with others, in kilobytes.
+const LARGE_BODY_KB: f64 = 16.0;
 /// Assumed response size of a route without measurements, in kilobytes.
 const UNKNOWN_RESPONSE_KB: f64 = 1.0;
 /// Fraction of the objective above which an expected time counts as late; it is below 1 because run
@@ -249,10 +251,15 @@
         self.failure_at = now;
     }
 
+    /// Weight of the reported load, which decreases with its age.
+    fn load_weight(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.load_at).as_secs_f64();
+        (1.0 - age / LOAD_LIFETIME.as_secs_f64()).max(0.0)
+    }
+
     /// Estimated number of running and waiting calls on the node.
     fn estimated_load(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.load_at).as_secs_f64();
-        let weight = (1.0 - age / LOAD_LIFETIME.as_secs_f64()).max(0.0);
+        let weight = self.load_weight(now);
         let reported = f64::from(self.load.running + self.load.waiting);
         // The calls of this entry node are counted exactly; the excess in the report comes from
         // others.
@@ -267,13 +274,13 @@
     }
 
     /// Expected time until the response in milliseconds.
-    fn time_ms(&self, now: Duration, backend: &BackendReport, run_ms: f64) -> f64 {
+    fn time_ms(&self, now: Duration, backend: &BackendReport, call: &CallCost) -> f64 {
         let cold = if self.warm_at > now {
             COLD_START_FACTOR
         } else {
             1.0
         };
-        let run = run_ms * self.run_time_factor * cold;
+        let run = call.run_ms * self.run_time_factor * cold;
         let slots = f64::from(self.usable_slots(now, backend));
         let load = self.estimated_load(now);
         let busy = ((load / slots - BUSY_SHARE) / (1.0 - BUSY_SHARE)).clamp(0.0, 1.0);
@@ -282,12 +289,20 @@
             measured => f64::from(measured),
         };
         let wait = (load + 1.0 - slots).max(0.0) * waiting_run / slots;
-        self.distance.hop_ms() + run * (1.0 + FULL_LOAD_SLOWDOWN * busy) + wait
+        let transfer = if call.request_kb < LARGE_BODY_KB || self.distance == Distance::Local {
+            0.0
+        } else {
+            f64::from(self.load.transfer_wait_ms) * self.load_weight(now)
+        };
+        self.distance.hop_ms() + transfer + run * (1.0 + FULL_LOAD_SLOWDOWN * busy) + wait
     }
 
     fn cost_ms(&self, now: Duration, time_ms: f64, call: &CallCost) -> f64 {
         let late = (time_ms - call.objective_ms * LATE_SHARE).max(0.0) * LATE_FACTOR;
-        let bytes = self.distance.bytes_share(call.response_kb) * call.objective_ms;
+        let bytes = self
+            .distance
+            .bytes_share(call.request_kb + call.response_kb)
+            * call.objective_ms;
         let failures = self.failure_rate(now) * call.failure_cost_runs * call.run_ms;
         time_ms + late + bytes + failures
     }
@@ -331,6 +346,8 @@
 struct CallCost {
     run_ms: f64,
     objective_ms: f64,
+    /// Size of the request body, and the expected one of the response body.
+    request_kb: f64,
     response_kb: f64,
     failure_cost_runs: f64,
 }
@@ -345,6 +362,8 @@
     pub objective: Duration,
     /// Whether the call may run more than once.
     pub idempotent: bool,
+    /// Size of its body in bytes.
+    pub request_bytes: usize,
     /// Nodes that this call has tried already.
     pub tried: &'a [NodeId],
     /// Whether the backend server of this node, which has this version, may be used.
@@ -477,6 +496,7 @@
         let call = CallCost {
             run_ms: means.map_or(objective_ms * ASSUMED_RUN_SHARE, |means| means.run_ms),
             objective_ms,
+            request_kb: kilobytes(request.request_bytes),
             response_kb: means.map_or(UNKNOWN_RESPONSE_KB, |means| means.response_kb),
             failure_cost_runs: if request.idempotent {
                 FAILURE_COST_RUNS
@@ -498,7 +518,7 @@
             }
             let availability = candidate.availability(now);
             let jitter = 1.0 + rng.random_range(0.0..JITTER);
-            let time = candidate.time_ms(now, backend, call.run_ms);
+            let time = candidate.time_ms(now, backend, &call);
             let cost = candidate.cost_ms(now, time, &call) * jitter;
             let better = best.is_none_or(|(best_availability, best_cost, ..)| {
                 (availability, cost) < (best_availability, best_cost)
@@ -674,7 +694,7 @@
     /// Adds a response to the means of its route and returns the mean run time in milliseconds.
     fn record_response(&mut self, route: &RouteName, feedback: &Feedback<'_>) -> f64 {
         let run_ms = feedback.run.as_secs_f64() * 1e3;
-        let response_kb = f64::from(u32::try_from(feedback.bytes).unwrap_or(u32::MAX)) / 1e3;
+        let response_kb = kilobytes(feedback.bytes);
         match self.routes.binary_search_by(|means| means.route.cmp(route)) {
             Ok(index) => {
                 let means = &mut self.routes[index];
@@ -702,6 +722,10 @@
     }
 }
 
+fn kilobytes(bytes: usize) -> f64 {
+    f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / 1e3
+}
+
 /// Results of the backend servers of some versions.
 #[derive(Clone, Debug, Default)]
 pub struct Results {
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -206,9 +206,58 @@
         }
     }
 
+    /// Returns the time after which a slot is expected to be free, if the call would be refused now.
+    #[must_use]
+    pub fn would_refuse(&self, now: Duration, offer: &Offer) -> Option<Duration> {
+        if offer.deadline <= now {
+            return Some(MIN_RETRY_DELAY);
+        }
+        let has_free_slot = self.waiting.is_empty() && self.running < self.slots;
+        if has_free_slot {
+            return None;
+        }
+        self.refusal(now, offer, self.expected_run(now, offer))
+    }
+
+    /// Returns the retry delay of a call that has to wait, if it cannot start early enough.
+    fn refusal(&self, now: Duration, offer: &Offer, expected_run: Duration) -> Option<Duration> {
+        let (in_time_by, last_start) = latest_starts(offer, expected_run);
+        let is_before =
+            |other: &Waiting| other.priority <= offer.priority && other.in_time_by >= now;
+        if now + self.expected_wait(now, expected_run, is_before) <= in_time_by {
+            return None;
+        }
+        let wait = self.expected_wait(now, expected_run, |_| true);
+        let too_late = now + wait > last_start || wait > offer.objective;
+        (!offer.accepts_late || too_late).then(|| retry_delay(wait))
+    }
+
+    /// Expected time until a new call starts, in the order of arrival.
+    #[must_use]
+    pub fn backlog(&self, now: Duration) -> Duration {
+        if self.waiting.is_empty() && self.running < self.slots {
+            return Duration::ZERO;
+        }
+        self.expected_wait(now, Duration::ZERO, |_| true)
+    }
+
+    /// Expected run time of a call; assumed if none of its route has been measured.
+    #[must_use]
+    pub fn expected_run(&self, now: Duration, offer: &Offer) -> Duration {
+        match self
+            .runs
+            .binary_search_by(|run| run.route.cmp(&offer.route))
+        {
+            Ok(index) => Duration::from_secs_f64(self.runs[index].mean_s),
+            Err(_) if now < self.cold_until => offer
+                .objective
+                .mul_f64(ASSUMED_RUN_SHARE * COLD_START_FACTOR),
+            Err(_) => offer.objective.mul_f64(ASSUMED_RUN_SHARE),
+        }
+    }
+
     /// Decides whether a call that has arrived starts, waits or is refused.
     pub fn offer(&mut self, now: Duration, offer: &Offer) -> Admit {
-        let expected_run = self.expected_run(now, offer);
         if offer.deadline <= now {
             return Admit::Refuse(MIN_RETRY_DELAY);
         }
@@ -216,18 +265,11 @@
             self.running += 1;
             return Admit::Start;
         }
-        let run = expected_run.mul_f64(RUN_MARGIN);
-        let last_start = offer.deadline.saturating_sub(run);
-        let in_time_by = offer.objective_at.saturating_sub(run).min(last_start);
-        let is_before =
-            |other: &Waiting| other.priority <= offer.priority && other.in_time_by >= now;
-        if now + self.expected_wait(now, expected_run, is_before) > in_time_by {
-            let wait = self.expected_wait(now, expected_run, |_| true);
-            let too_late = now + wait > last_start || wait > offer.objective;
-            if !offer.accepts_late || too_late {
-                return Admit::Refuse(retry_delay(wait));
-            }
+        let expected_run = self.expected_run(now, offer);
+        if let Some(retry_after) = self.refusal(now, offer, expected_run) {
+            return Admit::Refuse(retry_after);
         }
+        let (in_time_by, last_start) = latest_starts(offer, expected_run);
         // The wait is bounded by the objective, so that a refused caller still has time to retry.
         let last_start = if offer.accepts_late {
             last_start.min(now + offer.objective)
@@ -324,19 +366,6 @@
         self.limit.as_mut().is_none_or(|limit| limit.take(now))
     }
 
-    fn expected_run(&self, now: Duration, offer: &Offer) -> Duration {
-        match self
-            .runs
-            .binary_search_by(|run| run.route.cmp(&offer.route))
-        {
-            Ok(index) => Duration::from_secs_f64(self.runs[index].mean_s),
-            Err(_) if now < self.cold_until => offer
-                .objective
-                .mul_f64(ASSUMED_RUN_SHARE * COLD_START_FACTOR),
-            Err(_) => offer.objective.mul_f64(ASSUMED_RUN_SHARE),
-        }
-    }
-
     fn record_run(&mut self, route: &RouteName, run_time: Duration) {
         let run_time_s = run_time.as_secs_f64();
         self.mean_run_s = if self.mean_run_s == 0.0 {
@@ -363,6 +392,14 @@
     }
 }
 
+/// Returns the latest starts of a call for a response within its objective and before its deadline.
+fn latest_starts(offer: &Offer, expected_run: Duration) -> (Duration, Duration) {
+    let run = expected_run.mul_f64(RUN_MARGIN);
+    let last_start = offer.deadline.saturating_sub(run);
+    let in_time_by = offer.objective_at.saturating_sub(run).min(last_start);
+    (in_time_by, last_start)
+}
+
 fn retry_delay(wait: Duration) -> Duration {
     wait.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
 }
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -160,6 +160,8 @@
     pub limit: Option<RequestRate>,
     /// Whether the backend server has announced that it leaves.
     pub is_leaving: bool,
+    /// Expected time until the node can receive a large body, milliseconds.
+    pub transfer_wait_ms: u32,
 }
 
 /// Information that the serving node sends to the entry node with a response.
@@ -184,7 +186,7 @@
     #[must_use]
     pub fn encode(&self) -> String {
         format!(
-            "{};{};{};{};{};{};{};{};{};{};{};{};{}",
+            "{};{};{};{};{};{};{};{};{};{};{};{};{};{}",
             self.run.as_str(),
             u8::from(self.arrived),
             self.code,
@@ -197,7 +199,8 @@
             self.tally.failures,
             self.tally.latency_percent,
             encode_limit(self.load.limit),
-            u8::from(self.load.is_leaving)
+            u8::from(self.load.is_leaving),
+            self.load.transfer_wait_ms
         )
     }
 
@@ -225,6 +228,9 @@
         };
         header.load.limit = decode_limit(fields.next());
         header.load.is_leaving = fields.next() == Some("1");
+        // Nodes of earlier builds do not send the field.
+        let transfer_wait_ms = fields.next().and_then(|field| field.parse().ok());
+        header.load.transfer_wait_ms = transfer_wait_ms.unwrap_or_default();
         Some(header)
     }
 }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -446,6 +446,7 @@
         route: &call.route.name,
         objective: call.route.objective,
         idempotent: call.route.idempotent,
+        request_bytes: call.serve.body.len(),
         tried,
         is_allowed: permits,
     }
--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -19,7 +19,6 @@
 use crate::protocol::hop::BackendTotals;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
-use crate::sidecar::serving;
 use crate::state::local_backend::HeartbeatEffect;
 use crate::transport::http_server;
 
@@ -78,9 +77,13 @@
     let restarted = before.as_ref().is_none_or(is_new);
     let change = state.backend.on_heartbeat(now, report);
     if change == HeartbeatEffect::Changed {
-        state.queue.set_slots(slots);
+        cx.slots.with(|queue| {
+            queue.set_slots(slots);
+            if restarted {
+                queue.on_start(now + cold_left);
+            }
+        });
         if restarted {
-            state.queue.on_start(now + cold_left);
             state.tally = BackendTotals::default();
             state.breaker = Breaker::default();
         }
@@ -89,7 +92,7 @@
     match change {
         HeartbeatEffect::Changed => {
             info!(cx.log, "backend server changed"; "to" => text, "born" => born, "sequence" => sequence);
-            serving::admit_waiting(cx);
+            cx.slots.advance();
             cx.entry_changed.notify_one();
         }
         HeartbeatEffect::Ignored => {
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -27,6 +27,7 @@
 use crate::protocol::time::millis;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
+use crate::sidecar::body_gate::Transfer;
 use crate::sidecar::relay_port;
 use crate::sidecar::serving;
 use crate::sidecar::serving::ServeCall;
@@ -45,6 +46,9 @@
 /// Largest body of a call from another node, bytes. The entry node has already applied the limit of
 /// the configuration, which the serving node may not have yet.
 const MAX_HOP_BODY_BYTES: usize = 64 << 20;
+/// Smallest body that is announced before it is sent, bytes. Below, the round trip costs more than the
+/// body of a refused call.
+pub const MIN_EXPECT_BYTES: usize = 16 << 10;
 /// Header of a refusal with the time after which the caller should retry, milliseconds.
 const RETRY_AFTER_HEADER: &str = "sw-come-back-ms";
 
@@ -54,10 +58,14 @@
     if req.path() == relay_port::FOLLOW_PATH && !req.headers().contains_key(HOP_REQUEST_HEADER) {
         return relay_port::serve(cx, &req).await;
     }
-    let arrived = cx.clock.now();
+    let _open = OpenCall::new(cx);
+    let transfer = req.extensions_mut().remove::<Transfer>();
+    let arrived = transfer
+        .as_ref()
+        .map_or_else(|| cx.clock.now(), |transfer| transfer.arrived);
     let mut payload = req.take_payload();
     let head = headers::text(req.headers(), HOP_REQUEST_HEADER).and_then(HopRequestHeader::decode);
-    let (Some(head), Some(target)) = (head, req.uri().path_and_query().cloned()) else {
+    let (Some(mut head), Some(target)) = (head, req.uri().path_and_query().cloned()) else {
         warn!(cx.log, "call from a node refused"; "code" => ResultCode::BadRequest.number(), "path" => req.path());
         return call_response(cx, ServeOutcome::refused(ResultCode::BadRequest));
     };
@@ -70,7 +78,13 @@
         Ok(body) => body,
         Err(failure) => return call_response(cx, ServeOutcome::refused(failure.code)),
     };
-    let _open = OpenCall::new(cx);
+    if let Some(transfer) = transfer {
+        transfer.finish();
+    }
+    let Some(time_limit) = time_limit(cx, &head) else {
+        return call_response(cx, ServeOutcome::refused(ResultCode::Draining));
+    };
+    head.left = time_limit;
     let call = ServeCall {
         head,
         method: req.method().clone(),
@@ -80,14 +94,30 @@
         attempt: requests::read_client_headers(req.headers()).attempt,
         arrived,
     };
-    let outcome = if cx.stopping.get() {
-        ServeOutcome::refused(ResultCode::Draining)
-    } else {
-        serving::serve(cx, call).await
-    };
+    let outcome = serving::serve(cx, call).await;
     call_response(cx, outcome)
 }
 
+/// Returns the time limit of a call of another node, or `None` if the node is stopping and refuses it.
+pub fn time_limit(cx: &Sidecar, head: &HopRequestHeader) -> Option<Duration> {
+    (!cx.stopping.get()).then_some(head.left)
+}
+
+/// Refuses a call whose body has not been received. The connection is closed, since the body may still
+/// be sent.
+pub fn refuse_unread(
+    cx: &Sidecar,
+    req: &Request,
+    head: &HopRequestHeader,
+    outcome: ServeOutcome,
+) -> Response<BoxBody> {
+    let attempt = requests::read_client_headers(req.headers()).attempt;
+    serving::on_refusal(cx, attempt.as_ref(), head, &outcome);
+    let mut response = call_response(cx, outcome);
+    http_server::close_after(&mut response);
+    response
+}
+
 /// Guard that counts a call as open until it ends or is cancelled.
 pub struct OpenCall<'a>(&'a Sidecar);
 
@@ -189,6 +219,7 @@
         body: call.body.clone(),
         max_idle,
         echo: None,
+        expect_continue: call.body.len() >= MIN_EXPECT_BYTES,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
     match cx.pool.send(exchange).await {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -1,7 +1,9 @@
 //! Sidecar process of a backend server. It reads the other nodes, its configuration and the orders of
 //! operators from the platform's store. See `docs/platform.md`.
 
+pub mod admission;
 mod announcer;
+mod body_gate;
 mod entry;
 mod heartbeat_port;
 mod hop;
@@ -37,7 +39,6 @@
 use crate::coordination::breaker::Breaker;
 use crate::coordination::placement::Placement;
 use crate::coordination::retry_quota::RetryQuota;
-use crate::coordination::slot_queue::SlotQueue;
 use crate::coordination::stop_plan::StopPlan;
 use crate::coordination::version_move::Moves;
 use crate::logging;
@@ -48,8 +49,8 @@
 use crate::protocol::name::NodeId;
 use crate::protocol::name::ServiceName;
 use crate::result_code::ResultCode;
+use crate::sidecar::admission::AdmissionQueue;
 use crate::sidecar::metrics::SidecarMetrics;
-use crate::sidecar::serving::WaitingCalls;
 use crate::sidecar::settings::SidecarSettings;
 use crate::sidecar::topic_follower::Feed;
 use crate::state::local_backend::LocalBackend;
@@ -72,8 +73,6 @@
     table: Option<Rc<RoutingTable>>,
     placement: Placement,
     quota: RetryQuota,
-    queue: SlotQueue,
-    waiting: WaitingCalls,
     backend: LocalBackend,
     breaker: Breaker,
     /// Results of the backend server's current incarnation.
@@ -105,8 +104,10 @@
     /// Progress of the graceful stop, if one has begun.
     stop_plan: RefCell<Option<StopPlan>>,
     open_calls: Cell<usize>,
-    /// Whether waiting calls are about to be started because the backend server's limit allows it.
-    limited_start_scheduled: Cell<bool>,
+    /// Slots of the backend server.
+    slots: Rc<AdmissionQueue>,
+    /// Transfers of large bodies from other nodes.
+    transfers: Rc<AdmissionQueue>,
     /// Topics of the store.
     feed: Feed,
     /// Signals that the own entry may have to be written.
@@ -164,8 +165,6 @@
             settings.failure_domain.clone(),
         ),
         quota: RetryQuota::new(settings.retry_budget()),
-        queue: SlotQueue::new(INITIAL_SLOTS),
-        waiting: WaitingCalls::default(),
         backend: LocalBackend::new(settings.heartbeat_interval()),
         breaker: Breaker::default(),
         tally: BackendTotals::default(),
@@ -174,8 +173,9 @@
         fleet_read: false,
         written_entry: None,
     };
+    let clock = Clock::start();
     Ok(Sidecar {
-        clock: Clock::start(),
+        clock,
         metrics: SidecarMetrics::install()?,
         store: Store::new(settings.store_addr, pool.clone(), log.clone()),
         pool,
@@ -186,7 +186,8 @@
         stopping: Cell::new(false),
         stop_plan: RefCell::new(None),
         open_calls: Cell::new(0),
-        limited_start_scheduled: Cell::new(false),
+        slots: AdmissionQueue::new(clock, INITIAL_SLOTS),
+        transfers: AdmissionQueue::new(clock, body_gate::max_transfers(settings.link_mbps)),
         feed: Feed::default(),
         entry_changed: Notify::new(),
         state: RefCell::new(state),
@@ -221,7 +222,12 @@
         |listener, handler| HttpServer::start(listener, MAX_PLATFORM_CONNECTIONS, handler);
     Ok(Servers {
         caller: HttpServer::start(caller, MAX_CALLER_CONNECTIONS, handler(cx, entry::handle)),
-        _node: HttpServer::start(node, MAX_NODE_CONNECTIONS, handler(cx, hop::handle)),
+        _node: HttpServer::start_with_gate(
+            node,
+            MAX_NODE_CONNECTIONS,
+            handler(cx, hop::handle),
+            body_gate::gate(cx),
+        ),
         _platform: [
             start_platform_server(ready, status_ports::ready_handler(cx)),
             start_platform_server(heartbeat, handler(cx, heartbeat_port::handle)),
--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -251,6 +251,7 @@
         body: Bytes::new(),
         max_idle: MAX_IDLE,
         echo: None,
+        expect_continue: false,
         max_response_bytes: MAX_MESSAGE_BYTES,
     };
     let timeout = wait.unwrap_or_default() + RESPONSE_MARGIN;
--- a/src/sidecar/rollouts.rs
+++ b/src/sidecar/rollouts.rs
@@ -66,7 +66,7 @@
     if !state.moves.is_active() {
         return Vec::new();
     }
-    let (load, tally) = (state.queue.load(), state.tally);
+    let (load, tally) = (cx.slots.with(|queue| queue.load()), state.tally);
     state.placement.on_report(now, &cx.settings.id, load, tally);
     let rank = state
         .placement
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -12,12 +12,8 @@
 use bytes::Bytes;
 use slog::info;
 use slog::warn;
-use tokio::sync::oneshot;
 
-use crate::coordination::slot_queue::Admit;
-use crate::coordination::slot_queue::Changes;
 use crate::coordination::slot_queue::Offer;
-use crate::coordination::slot_queue::Ticket;
 use crate::coordination::version_move::cancelled_percent;
 use crate::platform::requests;
 use crate::platform::requests::Execution;
@@ -27,11 +23,11 @@
 use crate::protocol::hop::HopRequestHeader;
 use crate::protocol::hop::Load;
 use crate::protocol::hop::RequestRate;
-use crate::protocol::name::RouteName;
 use crate::protocol::time::millis;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
 use crate::sidecar::SidecarState;
+use crate::sidecar::admission::Admitted;
 use crate::transport::exchange::Exchange;
 use crate::transport::exchange::ExchangeFailure;
 use crate::transport::http_client::HttpResponse;
@@ -104,97 +100,35 @@
             retry_after: NO_BACKEND_RETRY_AFTER,
         }
     }
-}
-
-/// Calls that wait for a slot, sorted by ticket.
-#[derive(Default)]
-pub struct WaitingCalls(Vec<(Ticket, oneshot::Sender<Result<(), Duration>>)>);
-
-impl WaitingCalls {
-    fn add(&mut self, ticket: Ticket) -> oneshot::Receiver<Result<(), Duration>> {
-        let (tx, rx) = oneshot::channel();
-        // Tickets ascend, so the list stays sorted.
-        self.0.push((ticket, tx));
-        rx
-    }
-
-    fn take(&mut self, ticket: Ticket) -> Option<oneshot::Sender<Result<(), Duration>>> {
-        let index = self.0.binary_search_by_key(&ticket, |(other, _)| *other);
-        Some(self.0.remove(index.ok()?).1)
-    }
-}
 
-/// Notifies waiting calls of the queue's decisions.
-fn apply_queue_changes(cx: &Sidecar, changes: Changes) {
-    let mut state = cx.state.borrow_mut();
-    for (ticket, retry_after) in changes.refuse {
-        if let Some(tx) = state.waiting.take(ticket) {
-            // The receiver is gone if the caller has cancelled the call.
-            let _ = tx.send(Err(retry_after));
+    /// Returns a refusal because of load.
+    #[must_use]
+    pub fn overloaded(retry_after: Duration) -> Self {
+        Self::Refused {
+            code: ResultCode::Overloaded,
+            arrived: false,
+            retry_after,
         }
     }
-    let mut abandoned = 0_u32;
-    for ticket in changes.start {
-        let started = state
-            .waiting
-            .take(ticket)
-            .is_some_and(|tx| tx.send(Ok(())).is_ok());
-        abandoned += u32::from(!started);
-    }
-    drop(state);
-    // The slots of started calls that were cancelled meanwhile are freed again.
-    for _ in 0..abandoned {
-        let now = cx.clock.now();
-        let changes = cx
-            .state
-            .borrow_mut()
-            .queue
-            .finish(now, &RouteName::from(""), None);
-        apply_queue_changes(cx, changes);
-    }
-}
-
-/// Starts waiting calls after a change of the number of slots.
-pub fn admit_waiting(cx: &Sidecar) {
-    let now = cx.clock.now();
-    let changes = cx.state.borrow_mut().queue.advance(now);
-    apply_queue_changes(cx, changes);
-}
-
-/// Starts waiting calls as soon as the limit of the backend server allows it.
-fn schedule_limited_starts(cx: &Rc<Sidecar>) {
-    let now = cx.clock.now();
-    let Some(at) = cx.state.borrow().queue.next_start_at(now) else {
-        return;
-    };
-    if cx.limited_start_scheduled.replace(true) {
-        return;
-    }
-    let cx = cx.clone();
-    actix_rt::spawn(async move {
-        actix_rt::time::sleep(at.saturating_sub(now)).await;
-        cx.limited_start_scheduled.set(false);
-        admit_waiting(&cx);
-        schedule_limited_starts(&cx);
-    });
 }
 
 /// Returns the current load and results, which are sent with each response to other nodes.
 pub fn load_report(cx: &Sidecar) -> (Load, BackendTotals) {
     let state = cx.state.borrow();
+    let now = cx.clock.now();
+    let transfer_wait = cx.transfers.with(|queue| queue.backlog(now));
     let load = Load {
         is_leaving: state.backend.is_leaving(),
-        ..state.queue.load()
+        transfer_wait_ms: u32::try_from(transfer_wait.as_millis()).unwrap_or(u32::MAX),
+        ..cx.slots.with(|queue| queue.load())
     };
     (load, state.tally)
 }
 
-/// Guard that frees the slot when the call ends or is cancelled.
+/// Slot of a call, with what the end of the call, or its cancellation, reports.
 struct SlotGuard {
     cx: Rc<Sidecar>,
-    route: RouteName,
-    /// Run time, if the backend server ran the call.
-    run_time: Option<Duration>,
+    admitted: Admitted,
     /// Whether the result was reported to the circuit breaker.
     reported_to_breaker: bool,
     /// The call while it runs at the backend server.
@@ -221,24 +155,6 @@
                 add_run(&mut state, &running.backend, percent, false);
             }
         }
-        let changes = state.queue.finish(now, &self.route, self.run_time);
-        drop(state);
-        apply_queue_changes(&self.cx, changes);
-        schedule_limited_starts(&self.cx);
-    }
-}
-
-/// Guard that removes a waiting call from the queue when it is cancelled.
-struct QueueGuard<'a> {
-    cx: &'a Rc<Sidecar>,
-    ticket: Ticket,
-}
-
-impl Drop for QueueGuard<'_> {
-    fn drop(&mut self) {
-        let mut state = self.cx.state.borrow_mut();
-        state.queue.cancel(self.ticket);
-        state.waiting.take(self.ticket);
     }
 }
 
@@ -253,12 +169,7 @@
     let slot = match admit(cx, &call).await {
         Ok(slot) => slot,
         Err(retry_after) => {
-            let outcome = ServeOutcome::Refused {
-                code: ResultCode::Overloaded,
-                arrived: false,
-                retry_after,
-            };
-            return refuse(cx, &call, outcome);
+            return refuse(cx, &call, ServeOutcome::overloaded(retry_after));
         }
     };
     // The backend server may have stopped while the call waited.
@@ -285,7 +196,7 @@
 /// Uses the limit that another node last heard of, if this node has just started.
 fn apply_reported_limit(cx: &Sidecar, limit: RequestRate) {
     let now = cx.clock.now();
-    let changed = cx.state.borrow_mut().queue.on_reported_limit(now, limit);
+    let changed = cx.slots.with(|queue| queue.on_reported_limit(now, limit));
     if changed {
         info!(cx.log, "limit of the backend server reported by a peer"; "limit_per_s" => limit.per_s());
     }
@@ -307,7 +218,7 @@
     if !current.is_some_and(|report| report.is_same_incarnation(backend)) {
         return;
     }
-    let limit_changed = state.queue.on_limit(now, notices.limit);
+    let limit_changed = cx.slots.with(|queue| queue.on_limit(now, notices.limit));
     // Also without a change, since the previous limit may be that of an earlier incarnation.
     let limit_per_s = notices.limit.map_or(0.0, RequestRate::per_s);
     cx.metrics.backend_limit.set(limit_per_s);
@@ -316,7 +227,7 @@
     if limit_changed {
         info!(cx.log, "limit of the backend server changed"; "instance" => &*backend.instance,
             "limit_per_s" => notices.limit.map(RequestRate::per_s));
-        admit_waiting(cx);
+        cx.slots.advance();
     }
     if is_leaving {
         info!(cx.log, "backend server leaves"; "instance" => &*backend.instance);
@@ -325,18 +236,28 @@
 }
 
 fn refuse(cx: &Sidecar, call: &ServeCall, outcome: ServeOutcome) -> ServeOutcome {
+    on_refusal(cx, call.attempt.as_ref(), &call.head, &outcome);
+    outcome
+}
+
+/// Counts and logs a call that the admission refuses.
+pub fn on_refusal(
+    cx: &Sidecar,
+    attempt: Option<&HeaderValue>,
+    head: &HopRequestHeader,
+    outcome: &ServeOutcome,
+) {
     cx.metrics.gate_refusals.increment(1);
     let (load, _) = load_report(cx);
     if let ServeOutcome::Refused {
         code, retry_after, ..
-    } = &outcome
+    } = outcome
     {
-        info!(cx.log, "call refused by admission"; "attempt" => attempt_text(call.attempt.as_ref()),
-            "route" => call.head.route.as_str(), "code" => code.number(), "running" => load.running,
-            "waiting" => load.waiting, "slots" => load.slots, "limit_per_s" => load.limit.map(RequestRate::per_s), "left_ms" => millis(call.head.left),
-            "come_back_ms" => millis(*retry_after));
+        info!(cx.log, "call refused by admission"; "attempt" => attempt_text(attempt),
+            "route" => head.route.as_str(), "code" => code.number(), "running" => load.running,
+            "waiting" => load.waiting, "slots" => load.slots, "limit_per_s" => load.limit.map(RequestRate::per_s), "left_ms" => millis(head.left),
+            "transfer_wait_ms" => load.transfer_wait_ms, "come_back_ms" => millis(*retry_after));
     }
-    outcome
 }
 
 /// Returns the id of a client's attempt for the log.
@@ -347,7 +268,7 @@
 }
 
 /// Returns the local backend server if it can run the call.
-fn usable_backend(cx: &Sidecar, head: &HopRequestHeader) -> Result<BackendReport, ResultCode> {
+pub fn usable_backend(cx: &Sidecar, head: &HopRequestHeader) -> Result<BackendReport, ResultCode> {
     let state = cx.state.borrow();
     let backend = state.backend.available(cx.clock.now());
     let backend = backend.ok_or(ResultCode::NoBackend)?;
@@ -361,40 +282,27 @@
     Ok(backend.clone())
 }
 
+/// Returns the request of a call for a slot.
+pub fn slot_offer(head: &HopRequestHeader, arrived: Duration) -> Offer {
+    Offer {
+        route: head.route.clone(),
+        priority: head.priority,
+        objective: head.objective,
+        objective_at: arrived + head.objective,
+        deadline: arrived + head.left,
+        accepts_late: head.accepts_late,
+    }
+}
+
 async fn admit(cx: &Rc<Sidecar>, call: &ServeCall) -> Result<SlotGuard, Duration> {
-    let now = cx.clock.now();
-    let offer = Offer {
-        route: call.head.route.clone(),
-        priority: call.head.priority,
-        objective: call.head.objective,
-        objective_at: call.arrived + call.head.objective,
-        deadline: call.arrived + call.head.left,
-        accepts_late: call.head.accepts_late,
-    };
-    let slot = || SlotGuard {
+    let offer = slot_offer(&call.head, call.arrived);
+    let admitted = cx.slots.admit(&offer).await?;
+    Ok(SlotGuard {
         cx: cx.clone(),
-        route: call.head.route.clone(),
-        run_time: None,
+        admitted,
         reported_to_breaker: false,
         running: None,
-    };
-    let (rx, ticket, until) = {
-        let mut state = cx.state.borrow_mut();
-        match state.queue.offer(now, &offer) {
-            Admit::Start => return Ok(slot()),
-            Admit::Refuse(retry_after) => return Err(retry_after),
-            Admit::Wait(ticket, until) => (state.waiting.add(ticket), ticket, until),
-        }
-    };
-    schedule_limited_starts(cx);
-    let queue_guard = QueueGuard { cx, ticket };
-    let admitted = actix_rt::time::timeout(until.saturating_sub(now), rx).await;
-    drop(queue_guard);
-    match admitted {
-        Ok(Ok(Ok(()))) => Ok(slot()),
-        Ok(Ok(Err(retry_after))) => Err(retry_after),
-        Ok(Err(_)) | Err(_) => Err(NO_BACKEND_RETRY_AFTER),
-    }
+    })
 }
 
 async fn run(
@@ -421,7 +329,7 @@
     cx.metrics.backend_latency.record(run_time);
     let outcome = interpret_result(&cx, &call, &backend, result, run_time);
     if matches!(outcome, ServeOutcome::Ran { .. }) {
-        slot.run_time = Some(run_time);
+        slot.admitted.run_time = Some(run_time);
     }
     slot.reported_to_breaker = report_to_breaker(&cx, &outcome);
     drop(slot);
@@ -468,6 +376,7 @@
             .attempt
             .as_ref()
             .map(|id| (requests::attempt_header(), id)),
+        expect_continue: false,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
     match cx.pool.send(exchange(max_idle)).await {
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -28,12 +28,14 @@
 use actix_http::h1::Message;
 use actix_http::h1::MessageType;
 use actix_http::header::CONTENT_LENGTH;
+use actix_http::header::EXPECT;
 use actix_http::header::HOST;
 use actix_http::header::HeaderName;
 use actix_http::header::HeaderValue;
 use actix_http::header::TRANSFER_ENCODING;
 use actix_http::uri::PathAndQuery;
 use actix_rt::net::TcpStream;
+use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
 use socket2::SockRef;
@@ -93,6 +95,8 @@
     /// is skipped. One without the header is accepted as the first response on a connection; a later one
     /// could be a repetition and counts as broken.
     pub echo: Option<(&'a HeaderName, &'a HeaderValue)>,
+    /// Whether the body is sent only after the peer has asked for it (RFC 9110, section 10.1.1).
+    pub expect_continue: bool,
     /// Largest body of the response, bytes.
     pub max_response_bytes: usize,
 }
@@ -220,8 +224,9 @@
             reused,
         };
         let (echo, max_response_bytes) = (exchange.echo, exchange.max_response_bytes);
-        connection.write_request(exchange, reused).await?;
+        connection.write_request(exchange).await?;
         for _ in 0..=MAX_SKIPPED_RESPONSES {
+            connection.write_unsent().await.map_err(broken)?;
             let response = connection
                 .read_response(max_response_bytes)
                 .await
@@ -372,6 +377,10 @@
     codec: Option<ClientCodec>,
     keep_alive: bool,
     recent_ids: RecentIds,
+    /// Part of the request that has not been written.
+    unsent: Bytes,
+    /// Head of a response that arrived before the request was written.
+    early_head: Option<ResponseHead>,
     /// Bytes received since the current part of a response began.
     received: usize,
     /// Bytes of all bodies that the pool's connections are receiving.
@@ -386,17 +395,16 @@
             codec: Some(ClientCodec::default()),
             keep_alive: true,
             recent_ids,
+            unsent: Bytes::new(),
+            early_head: None,
             received: 0,
             buffered,
         }
     }
 
-    /// Writes head and body together. If the first write fails, nothing was sent.
-    async fn write_request(
-        &mut self,
-        exchange: Exchange<'_>,
-        reused: bool,
-    ) -> Result<(), ExchangeFailure> {
+    /// Writes the first part of a request: head and body together, or the head alone if the peer has to
+    /// ask for the body. If this fails, nothing was sent that the peer could run.
+    async fn write_request(&mut self, exchange: Exchange<'_>) -> Result<(), ExchangeFailure> {
         let mut head = RequestHead::default();
         head.method = exchange.method;
         head.uri = Uri::from(exchange.target);
@@ -408,6 +416,10 @@
         {
             head.headers.insert(HOST, host);
         }
+        if exchange.expect_continue {
+            let value = HeaderValue::from_static("100-continue");
+            head.headers.insert(EXPECT, value);
+        }
         head.set_connection_type(ConnectionType::KeepAlive);
         let size = BodySize::Sized(exchange.body.len() as u64);
         let message = Message::Item((RequestHeadType::Owned(head), size));
@@ -415,22 +427,87 @@
         let mut out = BytesMut::with_capacity(1_024 + exchange.body.len());
         let codec = self.codec.get_or_insert_default();
         codec.encode(message, &mut out).map_err(not_sent)?;
+        if exchange.expect_continue {
+            self.stream.write_all(&out).await.map_err(not_sent)?;
+            self.unsent = exchange.body;
+            return self.wait_for_continue().await.map_err(not_sent);
+        }
         out.extend_from_slice(&exchange.body);
         let first = self.stream.write(&out).await.map_err(not_sent)?;
-        // A peer may respond before it has read a long body, and close the connection; the response is
-        // read nevertheless.
-        let rest = self.stream.write_all(&out[first..]).await;
-        match rest {
-            Ok(()) => Ok(()),
-            Err(_) if self.stream.try_read_buf(&mut self.buf).is_ok_and(|n| n > 0) => {
-                self.keep_alive = false;
-                Ok(())
+        self.unsent = out.freeze().split_off(first);
+        Ok(())
+    }
+
+    /// Waits until the peer asks for the body, or responds without it.
+    async fn wait_for_continue(&mut self) -> io::Result<()> {
+        loop {
+            match self.decode_head()? {
+                Some(head) if head.status == StatusCode::CONTINUE => return Ok(()),
+                Some(head) if head.status.is_informational() => {}
+                Some(head) => {
+                    self.early_head = Some(head);
+                    return Ok(());
+                }
+                None => self.fill().await?,
+            }
+        }
+    }
+
+    /// Writes the rest of the request, until a response arrives. A peer may respond before it has read
+    /// a long body; the rest is then not sent, and the connection is not used again.
+    async fn write_unsent(&mut self) -> io::Result<()> {
+        while self.early_head.is_none() && !self.unsent.is_empty() {
+            let (reader, mut writer) = self.stream.split();
+            let is_readable = tokio::select! {
+                written = writer.write(&self.unsent) => match written {
+                    Ok(count) => {
+                        self.unsent.advance(count);
+                        false
+                    }
+                    // The response may have arrived before the peer closed the connection.
+                    Err(e) if matches!(reader.try_read_buf(&mut self.buf), Ok(0) | Err(_)) => {
+                        return Err(e);
+                    }
+                    Err(_) => {
+                        self.early_head = Some(self.read_head().await?);
+                        return Ok(());
+                    }
+                },
+                readable = reader.readable() => {
+                    readable?;
+                    true
+                }
+            };
+            if is_readable {
+                self.read_early_head()?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads the available bytes and decodes the head of a response, if it is complete.
+    fn read_early_head(&mut self) -> io::Result<()> {
+        match self.stream.try_read_buf(&mut self.buf) {
+            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(_) => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+        while let Some(head) = self.decode_head()? {
+            if !head.status.is_informational() {
+                self.early_head = Some(head);
+                return Ok(());
             }
-            Err(e) => Err(ExchangeFailure::Broken {
-                text: e.to_string(),
-                reused,
-            }),
         }
+        if self.buf.len() > MAX_HEAD_BYTES {
+            return Err(io::Error::other("the head of the response is too large"));
+        }
+        Ok(())
+    }
+
+    fn decode_head(&mut self) -> io::Result<Option<ResponseHead>> {
+        let codec = self.codec.get_or_insert_default();
+        codec.decode(&mut self.buf).map_err(io::Error::other)
     }
 
     async fn read_response(&mut self, max_response_bytes: usize) -> io::Result<HttpResponse> {
@@ -453,11 +530,12 @@
     }
 
     async fn read_head(&mut self) -> io::Result<ResponseHead> {
+        if let Some(head) = self.early_head.take() {
+            return Ok(head);
+        }
         self.received = self.buf.len();
         loop {
-            let codec = self.codec.get_or_insert_default();
-            let decoded = codec.decode(&mut self.buf).map_err(io::Error::other)?;
-            match decoded {
+            match self.decode_head()? {
                 Some(head) if head.status.is_informational() => {}
                 Some(head) => return Ok(head),
                 None if self.received > MAX_HEAD_BYTES => {
@@ -513,7 +591,7 @@
     }
 
     fn is_reusable(&self) -> bool {
-        self.keep_alive && self.buf.is_empty()
+        self.keep_alive && self.buf.is_empty() && self.unsent.is_empty()
     }
 }
 
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -36,6 +36,10 @@
 /// Handles one request.
 pub type Handler = Rc<dyn Fn(Request) -> LocalBoxFuture<'static, Response<BoxBody>>>;
 
+/// Decides whether the body of a request with `expect: 100-continue` may be sent (RFC 9110, section
+/// 10.1.1). The error is the final response.
+pub type Gate = Rc<dyn Fn(Request) -> LocalBoxFuture<'static, Result<Request, Response<BoxBody>>>>;
+
 /// A running server. Dropping it closes the listening socket.
 pub struct HttpServer {
     accept_loop: JoinHandle<()>,
@@ -49,11 +53,24 @@
     /// the file descriptors and memory that open calls need.
     #[must_use]
     pub fn start(listener: TcpListener, max_connections: usize, handler: Handler) -> Self {
+        let gate: Gate = Rc::new(|req| Box::pin(async { Ok(req) }));
+        Self::start_with_gate(listener, max_connections, handler, gate)
+    }
+
+    /// Like [`Self::start`]; `gate` decides on bodies that are announced before they are sent.
+    #[must_use]
+    pub fn start_with_gate(
+        listener: TcpListener,
+        max_connections: usize,
+        handler: Handler,
+        gate: Gate,
+    ) -> Self {
         let connections = Rc::new(Cell::new(0));
         let accept_loop = actix_rt::spawn(accept(
             listener,
             max_connections,
             handler,
+            gate,
             connections.clone(),
         ));
         Self {
@@ -92,6 +109,7 @@
     listener: TcpListener,
     max_connections: usize,
     handler: Handler,
+    gate: Gate,
     connections: Rc<Cell<usize>>,
 ) {
     let factory = HttpService::build()
@@ -100,6 +118,7 @@
         .client_disconnect_timeout(Duration::from_secs(1))
         .h1_allow_half_closed(false)
         .tcp_nodelay(true)
+        .expect(fn_service(move |req: Request| gate(req)))
         .h1(fn_service(move |req: Request| {
             let response = handler(req);
             async move { Ok::<_, std::convert::Infallible>(response.await) }
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -10,6 +10,7 @@
 use std::sync::mpsc::Receiver;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use actix_http::Method;
 use actix_http::header::HeaderName;
@@ -101,6 +102,7 @@
         body: Bytes::new(),
         max_idle: Duration::from_secs(5),
         echo: None,
+        expect_continue: false,
         max_response_bytes: 1_024,
     }
 }
@@ -305,6 +307,7 @@
             async move {
                 let exchange = Exchange {
                     echo: Some((&ID, &id)),
+                    expect_continue: false,
                     max_response_bytes: 16 << 20,
                     ..get(addr)
                 };
@@ -392,3 +395,120 @@
         );
     });
 }
+
+/// Starts a peer that answers a request as soon as it has read the head, and returns how many bytes of
+/// the body arrived until the connection was closed.
+fn peer_without_body(response: &'static str) -> (SocketAddr, Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        let Ok((mut stream, _)) = listener.accept() else {
+            return;
+        };
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            if stream.read(&mut byte).unwrap_or_default() == 0 {
+                return;
+            }
+            head.push(byte[0]);
+        }
+        let _ = stream.write_all(response.as_bytes());
+        // The answer has to be delivered although the rest of the body is not read for a while.
+        thread::sleep(Duration::from_millis(500));
+        let mut received = 0;
+        let mut buf = vec![0; 64 << 10];
+        while let Ok(count @ 1..) = stream.read(&mut buf) {
+            received += count;
+        }
+        let _ = tx.send(received);
+    });
+    (addr, rx)
+}
+
+const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 2\r\n\r\nno";
+
+/// A body that the peer refuses must not be sent: on a narrow link it delays all other calls.
+#[gtest]
+fn send_announced_body_refused() {
+    let (addr, received) = peer_without_body(REFUSAL);
+    let response = run(async {
+        let exchange = Exchange {
+            body: vec![1; 60_000].into(),
+            expect_continue: true,
+            ..get(addr)
+        };
+        ConnectionPool::default().send(exchange).await
+    });
+    expect_that!(
+        response.map(|response| response.status.as_u16()),
+        ok(eq(&503))
+    );
+    expect_that!(received.recv_timeout(Duration::from_secs(10)), ok(eq(0)));
+}
+
+/// A body that the peer asks for arrives completely, and the connection is used again.
+#[gtest]
+fn send_announced_body_accepted() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let peer = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut bodies = Vec::new();
+        for _ in 0..2 {
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                let mut byte = [0];
+                stream.read_exact(&mut byte).expect("the head");
+                head.push(byte[0]);
+            }
+            let _ = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+            let mut body = vec![0; 60_000];
+            stream.read_exact(&mut body).expect("the body");
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+            bodies.push(body);
+        }
+        bodies
+    });
+    run(async {
+        let pool = ConnectionPool::default();
+        for byte in [1, 2] {
+            let exchange = Exchange {
+                body: vec![byte; 60_000].into(),
+                expect_continue: true,
+                ..get(addr)
+            };
+            let response = pool.send(exchange).await.expect("a response");
+            expect_that!(response.status.as_u16(), eq(200));
+        }
+    });
+    let bodies = peer.join().expect("the peer");
+    expect_true!(bodies[0] == vec![1; 60_000] && bodies[1] == vec![2; 60_000]);
+}
+
+/// An answer that comes before the peer has read the body must be delivered at once, and the rest of the
+/// body must not end up in front of the next request.
+#[gtest]
+fn send_response_before_body_was_read() {
+    let (addr, received) = peer_without_body(REFUSAL);
+    let began = Instant::now();
+    let response = run(async {
+        let exchange = Exchange {
+            body: vec![1; 32 << 20].into(),
+            ..get(addr)
+        };
+        let pool = ConnectionPool::default();
+        let response = pool.send(exchange).await;
+        expect_that!(began.elapsed(), lt(Duration::from_millis(450)));
+        response
+    });
+    expect_that!(
+        response.map(|response| response.status.as_u16()),
+        ok(eq(&503))
+    );
+    expect_that!(
+        received.recv_timeout(Duration::from_secs(10)),
+        ok(lt(32 << 20))
+    );
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -57,6 +57,8 @@
     rng: StdRng,
     service: ServiceName,
     route: RouteName,
+    /// Size of the bodies of its calls.
+    request_bytes: usize,
 }
 
 /// Returns entry node `a` in `accra-a`, with `b` in another failure domain of the region and `c` in
@@ -75,6 +77,7 @@
         rng: StdRng::seed_from_u64(1),
         service: "registry".into(),
         route: "lookup".into(),
+        request_bytes: 0,
     }
 }
 
@@ -86,6 +89,7 @@
             route: &self.route,
             objective: ms(250),
             idempotent: true,
+            request_bytes: self.request_bytes,
             tried,
             is_allowed: &is_allowed,
         };
@@ -377,3 +381,60 @@
     let names: Vec<&str> = nodes.iter().map(|(node, _)| node.as_str()).collect();
     expect_that!(names, eq(&vec!["z", "a"]));
 }
+
+/// Head-of-line blocking on a narrow link: a large body must not go to a node that is still receiving
+/// others, while small calls may.
+#[gtest]
+fn pick_large_body_avoids_busy_link() {
+    let mut fleet = fleet();
+    let d = entry("d", "accra", "accra-b");
+    fleet.placement.on_entry(ms(0), &d);
+    fleet.placement.forget(&NodeId::from("a"));
+    let load = Load {
+        slots: SLOTS,
+        mean_run_ms: 60,
+        transfer_wait_ms: 150,
+        ..Load::default()
+    };
+    for at in [100, 200, 300] {
+        for node in ["b", "d"] {
+            fleet.ran(ms(at), node, "lookup", ms(60));
+        }
+    }
+    fleet
+        .placement
+        .on_report(ms(300), &NodeId::from("b"), load, BackendTotals::default());
+    let picks = |fleet: &mut EntryNode| -> Vec<String> {
+        let picks = (0..20).filter_map(|_| fleet.pick(ms(310), &[]));
+        picks.collect()
+    };
+    expect_that!(picks(&mut fleet), contains(eq("b")));
+    fleet.request_bytes = 60_000;
+    expect_that!(picks(&mut fleet), each(eq("d")));
+}
+
+/// The body of a request is billed like that of a response: an upload must not leave its failure domain
+/// as long as it can be in time there.
+#[gtest]
+fn pick_large_body_stays_in_failure_domain() {
+    let mut fleet = fleet();
+    fleet
+        .placement
+        .on_entry(ms(0), &entry("d", "accra", "accra-a"));
+    fleet.placement.forget(&NodeId::from("a"));
+    fleet.placement.forget(&NodeId::from("c"));
+    // About 100 ms more in the own failure domain, which is still within the objective.
+    let load = Load {
+        running: SLOTS + 9,
+        slots: SLOTS,
+        mean_run_ms: 60,
+        ..Load::default()
+    };
+    fleet.ran(ms(100), "d", "lookup", ms(60));
+    fleet
+        .placement
+        .on_report(ms(300), &NodeId::from("d"), load, BackendTotals::default());
+    expect_that!(fleet.pick(ms(300), &[]), some(eq("b")));
+    fleet.request_bytes = 60_000;
+    expect_that!(fleet.pick(ms(300), &[]), some(eq("d")));
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -88,7 +88,7 @@
 /// of a duration or of a sum of weights.
 #[gtest]
 fn read_config_numbers_out_of_range() {
-    let arrived = Duration::from_secs(3_600);
+    let arrived = Duration::from_hours(1);
     for (found, number) in [
         (r#""timeout-ms":1200"#, r#""timeout-ms":1e300"#),
         (r#""slo-ms":300"#, r#""slo-ms":1e300"#),
