--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -234,7 +234,7 @@
     fn usable_slots(&self, now: Duration, backend: &BackendReport) -> u32 {
         let is_recent = now.saturating_sub(self.load_at) < LOAD_LIFETIME;
         if is_recent && self.load.limit.is_some() {
-            self.load.slots.clamp(1, backend.slots)
+            self.load.slots.clamp(1, backend.slots.max(1))
         } else {
             backend.slots
         }
@@ -260,7 +260,7 @@
     /// Estimated number of running and waiting calls on the node.
     fn estimated_load(&self, now: Duration) -> f64 {
         let weight = self.load_weight(now);
-        let reported = f64::from(self.load.running + self.load.waiting);
+        let reported = f64::from(self.load.running) + f64::from(self.load.waiting);
         // The calls of this entry node are counted exactly; the excess in the report comes from
         // others.
         let own = f64::from(self.in_flight);
@@ -662,7 +662,7 @@
                 continue;
             }
             if backend.phase == BackendPhase::Ready {
-                results.slots += backend.slots;
+                results.slots = results.slots.saturating_add(backend.slots);
                 results.nodes.push(candidate.entry.node.clone());
             }
         }
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -107,6 +107,26 @@
     pub backend: Option<BackendReport>,
 }
 
+impl FleetEntry {
+    /// Returns what makes the entry unusable, if anything. Another program may write to the topic, and an
+    /// entry that decodes may still name no node that can be called.
+    #[must_use]
+    pub fn defect(&self) -> Option<&'static str> {
+        if self.addr.port() == 0 || self.addr.ip().is_unspecified() {
+            return Some("the address cannot be called");
+        }
+        if self.node.as_str().is_empty() {
+            return Some("the name of the node is empty");
+        }
+        let backend = self.backend.as_ref()?;
+        if backend.slots == 0 {
+            return Some("the backend server has no slots");
+        }
+        let is_unnamed = backend.instance.is_empty() || backend.service.as_str().is_empty();
+        is_unnamed.then_some("the backend server or its service has no name")
+    }
+}
+
 /// Progress of a rollout.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum MoveState {
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -110,8 +110,13 @@
         }
         return;
     }
-    if entry.node.as_str() != record.key {
-        warn!(cx.log, "node entry ignored"; "key" => &record.key, "offset" => record.offset, "why" => "the entry names another node");
+    let defect = if entry.node.as_str() == record.key {
+        entry.defect()
+    } else {
+        Some("the entry names another node")
+    };
+    if let Some(why) = defect {
+        warn!(cx.log, "node entry ignored"; "key" => &record.key, "offset" => record.offset, "why" => why);
         return;
     }
     let mut state = cx.state.borrow_mut();
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -382,6 +382,58 @@
     expect_that!(names, eq(&vec!["z", "a"]));
 }
 
+/// An entry of another writer may decode and still name no node that can be called.
+#[gtest]
+fn defect_of_entries() {
+    let valid = entry("b", "accra", "accra-b");
+    expect_that!(valid.defect(), none());
+    let mut no_backend = valid.clone();
+    no_backend.backend = None;
+    expect_that!(no_backend.defect(), none());
+    let mut no_port = valid.clone();
+    no_port.addr.set_port(0);
+    expect_that!(no_port.defect(), some(anything()));
+    let mut no_name = valid.clone();
+    no_name.node = "".into();
+    expect_that!(no_name.defect(), some(anything()));
+    for change in [
+        |backend: &mut BackendReport| backend.slots = 0,
+        |backend: &mut BackendReport| backend.instance = "".into(),
+        |backend: &mut BackendReport| backend.service = "".into(),
+    ] {
+        let mut entry = valid.clone();
+        entry.backend.iter_mut().for_each(change);
+        expect_that!(entry.defect(), some(anything()));
+    }
+}
+
+/// A backend server that reports no slots, or more than can be counted, must not end the process that
+/// chooses between backend servers with a limit.
+#[gtest]
+fn pick_with_slots_out_of_range() {
+    let mut fleet = fleet();
+    for (node, slots) in [("b", 0), ("c", u32::MAX)] {
+        let mut odd = entry(node, "accra", "accra-b");
+        odd.backend
+            .iter_mut()
+            .for_each(|backend| backend.slots = slots);
+        fleet.placement.on_entry(ms(0), &odd);
+        let load = Load {
+            running: u32::MAX,
+            waiting: u32::MAX,
+            slots: u32::MAX,
+            limit: RequestRate::from_per_s(5.0),
+            ..Load::default()
+        };
+        fleet
+            .placement
+            .on_report(ms(100), &NodeId::from(node), load, BackendTotals::default());
+    }
+    expect_that!(fleet.pick(ms(150), &[]), some(eq("a")));
+    let results = fleet.placement.results(&fleet.service, |_| true);
+    expect_that!(results.slots, eq(u32::MAX));
+}
+
 /// Head-of-line blocking on a narrow link: a large body must not go to a node that is still receiving
 /// others, while small calls may.
 #[gtest]
--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -11,6 +11,10 @@
 use googletest::prelude::*;
 use rustix::process::Signal;
 use serde_json::json;
+use sycamorewick::protocol::codec;
+use sycamorewick::protocol::fleet::BackendPhase;
+use sycamorewick::protocol::fleet::BackendReport;
+use sycamorewick::protocol::fleet::FleetEntry;
 use testbed::log_server::Outage;
 use testbed::platform::backend::ATTEMPT_HEADER;
 use testbed::platform::backend::BackendAnnouncement;
@@ -611,3 +615,102 @@
         Ok(())
     });
 }
+
+/// Topic with the entries of the nodes.
+const FLEET_TOPIC: &str = "keyed.sidecars";
+
+/// Writes records that another program could leave in the topics: nested deeply, with numbers out of
+/// range, with unusable addresses, unreadable, and under keys that do not fit into a query.
+fn put_hostile_records(store: &StoreHandle) -> eyre::Result<()> {
+    let mut nested = vec![0x91; 100_000];
+    nested.push(0);
+    let mut nested_field = vec![0x81, 0xa3, b'o', b'd', b'd'];
+    nested_field.extend(&nested);
+    let entry = |node: &str, addr: SocketAddr, slots: u32| FleetEntry {
+        node: node.into(),
+        run: u64::MAX,
+        addr,
+        region: "keta".into(),
+        domain: "keta-a".into(),
+        capacity: u32::MAX,
+        backend: Some(BackendReport {
+            instance: "odd".into(),
+            born: u64::MAX,
+            sequence: u64::MAX,
+            service: "registry".into(),
+            version: "v1".into(),
+            slots,
+            phase: BackendPhase::Ready,
+            cold_left_ms: u64::MAX,
+        }),
+    };
+    let no_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let no_slots = testbed::fleet::free_addr()?;
+    let encode = |entry: &FleetEntry| {
+        codec::encode(entry).map_err(|failure| eyre::eyre!("{}", failure.text))
+    };
+    let records = [
+        ("odd-nested", nested.clone()),
+        ("odd-field", nested_field),
+        ("odd-port", encode(&entry("odd-port", no_port, 4))?),
+        ("odd-slots", encode(&entry("odd-slots", no_slots, 0))?),
+        (
+            "odd-json",
+            br#"{"addr":"127.0.0.1:70000","slots":1e400}"#.to_vec(),
+        ),
+        ("odd-text", vec![0xff; 4_096]),
+    ];
+    for (key, value) in records {
+        store.put(FLEET_TOPIC, key, &value);
+        store.put("keyed.moves", key, &value);
+        store.put(OPERATOR_TOPIC, &format!("rollout/{key}"), &value);
+    }
+    // More keys than a page of newest records has.
+    for number in 0..520 {
+        store.put(FLEET_TOPIC, &format!("odd key & #{number} %zz"), &[0xc1]);
+    }
+    let order = br#"{"service":"other","target":"v2","step-s":1e300}"#;
+    store.put(OPERATOR_TOPIC, "rollout/other", order);
+    store.put(OPERATOR_TOPIC, "config", &vec![b'['; 100_000]);
+    Ok(())
+}
+
+/// Guards against processes that end, or that stop following the store, because of one odd record of
+/// another writer: other operators saw machines end again and again.
+#[gtest]
+fn read_hostile_records() {
+    run(async {
+        let mut env = TestFleet::start(2).await?;
+        put_hostile_records(&env.store)?;
+        let _ = put_config(&env.store, 7);
+        for index in 0..2 {
+            env.wait_for(REQUIRED_TIME + POLL_MARGIN, index, "/v7/x", StatusCode::OK)
+                .await?;
+        }
+        // A process that starts reads all records from the beginning.
+        env.fleet.signal(1, Signal::TERM)?;
+        let stopped = Instant::now() + WAIT_LIMIT;
+        while env.fleet.is_running_now(1) {
+            eyre::ensure!(Instant::now() < stopped, "the node does not stop");
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        env.fleet.start(1)?;
+        env.wait_for(WAIT_LIMIT, 1, "/v7/x", StatusCode::OK).await?;
+        let _ = put_config(&env.store, 8);
+        for index in 0..2 {
+            env.wait_for(REQUIRED_TIME + POLL_MARGIN, index, "/v8/x", StatusCode::OK)
+                .await?;
+            expect_true!(env.fleet.is_running_now(index));
+            // Calls go only to nodes that can be called.
+            for _ in 0..20 {
+                expect_that!(
+                    env.call(index, "/wrecks/1").await?.status,
+                    eq(StatusCode::OK)
+                );
+            }
+        }
+        expect_that!(env.fleet.log_lines(0, "node entry ignored").len(), ge(6));
+        expect_that!(env.fleet.log_lines(1, "store unavailable").len(), eq(0));
+        Ok(())
+    });
+}
