Recognise callers that come back late, and let calls that can be in time go first

Cause: a caller counts its objective from its first try, a node from each try.

Ruled out: the order within the queue, which already prefers calls in time; a returning call counts as one.

Change: the entry node learns per route how much time callers have left, marks calls of callers that have spent an objective before this try, and the serving node starts them when nothing waits that can be in time. They are refused at once when the surplus of such calls has lasted longer than they may wait.

--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -43,6 +43,8 @@
     pub idempotent: bool,
     /// Maximum number of backend servers that the call may arrive at.
     pub attempts: u8,
+    /// Whether the caller has spent the objective before this try, so that any response is late.
+    pub is_overdue: bool,
 }
 
 /// Next action for a call.
@@ -143,7 +145,7 @@
             refusals: 0,
             load_refusals: 0,
             unreachable_tries: 0,
-            accepts_late: false,
+            accepts_late: limits.is_overdue,
             arrivals: 0,
             may_have_run: false,
             has_failure_response: false,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub mod backoff;
 pub mod balancer;
 pub mod breaker;
+pub mod caller_age;
 pub mod dissemination;
 pub mod evidence;
 pub mod follow_poll;
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -5,7 +5,8 @@
 //! it can be sent to another node. If no node can meet the objective, the call is offered again
 //! with [`Offer::accepts_late`]. Such calls start only when no waiting call can still meet its
 //! objective: under overload, giving slots to late calls first would make the other calls late as
-//! well. Calls of routes with a higher priority start first.
+//! well. Calls of routes with a higher priority start first. Calls whose caller has spent the objective
+//! before this try (see [`crate::coordination::caller_age`]) are late from the start.
 //!
 //! If the backend server has named a limit on its requests, a call also needs a token of that limit
 //! (see [`RequestLimit`]), and the expected waits include the time until then.
@@ -105,6 +106,8 @@
     /// Time until which the backend server is slow after its start.
     cold_until: Duration,
     next_ticket: u64,
+    /// Last time at which a slot was free for a call that cannot be in time.
+    spare_at: Duration,
     limit: Option<RequestLimit>,
     /// Whether the backend server has answered since its start, so that its limit is known.
     has_answered: bool,
@@ -122,6 +125,7 @@
             mean_run_s: 0.0,
             cold_until: Duration::ZERO,
             next_ticket: 0,
+            spare_at: Duration::ZERO,
             limit: None,
             has_answered: false,
         }
@@ -228,6 +232,9 @@
             return None;
         }
         let wait = self.expected_wait(now, expected_run, |_| true);
+        // Calls that can be in time go first. Their surplus is expected to last as long as it has
+        // lasted, so that calls do not wait in vain.
+        let wait = wait.max(self.surplus_age(now));
         let too_late = now + wait > last_start || wait > offer.objective;
         (!offer.accepts_late || too_late).then(|| retry_delay(wait))
     }
@@ -263,6 +270,7 @@
         }
         if self.waiting.is_empty() && self.running < self.slots && self.take_from_limit(now) {
             self.running += 1;
+            self.spare_at = now;
             return Admit::Start;
         }
         let expected_run = self.expected_run(now, offer);
@@ -330,6 +338,9 @@
                 .waiting
                 .iter()
                 .position(|waiting| waiting.in_time_by >= now);
+            if in_time.is_none() {
+                self.spare_at = now;
+            }
             let next = self.waiting.remove(in_time.unwrap_or(0));
             changes.start.push(next.ticket);
             self.running += 1;
@@ -337,6 +348,16 @@
         changes
     }
 
+    /// Time for which all slots have gone to calls that can be in time, while more of them wait.
+    fn surplus_age(&self, now: Duration) -> Duration {
+        let has_in_time = self.waiting.iter().any(|waiting| waiting.in_time_by >= now);
+        if has_in_time {
+            now.saturating_sub(self.spare_at)
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Expected time until a call starts behind the waiting calls that pass the filter. Until the
     /// first run has been measured, running calls are assumed to take `expected_run`.
     fn expected_wait(
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -37,6 +37,9 @@
     pub objective: Duration,
     /// Time until the deadline of the caller or the route.
     pub left: Duration,
+    /// Whether the caller has spent its latency objective before this try, so that other calls that can
+    /// still be in time go first.
+    pub is_overdue: bool,
     /// Limit of the backend server as the entry node last heard of it. A serving node that has just
     /// started uses it until the first answer of its backend server.
     pub limit: Option<RequestRate>,
@@ -47,7 +50,7 @@
     #[must_use]
     pub fn encode(&self) -> String {
         format!(
-            "{};{};{};{};{};{};{};{};{}",
+            "{};{};{};{};{};{};{};{};{};{}",
             self.route,
             self.service,
             self.version,
@@ -56,7 +59,8 @@
             self.priority,
             millis(self.objective),
             millis(self.left),
-            encode_limit(self.limit)
+            encode_limit(self.limit),
+            u8::from(self.is_overdue)
         )
     }
 
@@ -74,6 +78,8 @@
             objective: Duration::from_millis(fields.next()?.parse().ok()?),
             left: Duration::from_millis(fields.next()?.parse().ok()?),
             limit: decode_limit(fields.next()),
+            // Nodes of earlier builds do not send the field.
+            is_overdue: fields.next() == Some("1"),
         })
     }
 }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -131,12 +131,17 @@
     let mut forwarded_headers = headers::end_to_end(req.headers(), 5);
     forwarded_headers.retain(|(name, _)| !requests::is_set_by_node(name));
     forwarded_headers.push(requests::caller_header(&cx.service_header));
-    let service = {
+    let (service, is_overdue) = {
         let mut state = cx.state.borrow_mut();
+        let is_overdue = caller.time_left.is_some_and(|left| {
+            state
+                .caller_ages
+                .is_overdue(&route.name, left, route.objective)
+        });
         let point = state.rng.random_range(0.0..1.0);
         let service = routing_table::choose_service(&route, point).clone();
         state.quota.on_request(arrived, &service);
-        service
+        (service, is_overdue)
     };
     let serve = ServeCall {
         head: HopRequestHeader {
@@ -148,6 +153,7 @@
             priority: route.priority,
             objective: route.objective,
             left: time_limit,
+            is_overdue,
             limit: None,
         },
         method: req.method().clone(),
@@ -171,6 +177,7 @@
         objective: call.route.objective,
         idempotent: call.route.idempotent,
         attempts: call.route.max_attempts,
+        is_overdue: call.serve.head.is_overdue,
     });
     let mut failed_response = None;
     let time_left = call.deadline.saturating_sub(cx.clock.now()) + DEADLINE_MARGIN;
@@ -387,8 +394,8 @@
     let pick = choose(&mut state, now, call, attempts.tried())?;
     info!(cx.log, "call routed"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
         "route" => call.route.name.as_str(), "to" => pick.node.as_str(), "version" => pick.version.as_str(),
-        "try" => attempts.tries() + 1, "accepts_late" => attempts.accepts_late(), "cost_ms" => format!("{:.1}", pick.cost_ms),
-        "load" => format!("{:.1}", pick.load), "load_age_ms" => millis(pick.load_age), "is_lost" => pick.is_unreachable);
+        "try" => attempts.tries() + 1, "accepts_late" => attempts.accepts_late(), "is_overdue" => call.serve.head.is_overdue,
+        "cost_ms" => format!("{:.1}", pick.cost_ms), "load" => format!("{:.1}", pick.load), "load_age_ms" => millis(pick.load_age), "is_lost" => pick.is_unreachable);
     Some(pick)
 }
 
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -37,6 +37,7 @@
 use tokio::sync::Notify;
 
 use crate::coordination::breaker::Breaker;
+use crate::coordination::caller_age::CallerAges;
 use crate::coordination::placement::Placement;
 use crate::coordination::retry_quota::RetryQuota;
 use crate::coordination::stop_plan::StopPlan;
@@ -73,6 +74,7 @@
     table: Option<Rc<RoutingTable>>,
     placement: Placement,
     quota: RetryQuota,
+    caller_ages: CallerAges,
     backend: LocalBackend,
     breaker: Breaker,
     /// Results of the backend server's current incarnation.
@@ -165,6 +167,7 @@
             settings.failure_domain.clone(),
         ),
         quota: RetryQuota::new(settings.retry_budget()),
+        caller_ages: CallerAges::default(),
         backend: LocalBackend::new(settings.heartbeat_interval()),
         breaker: Breaker::default(),
         tally: BackendTotals::default(),
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -75,6 +75,7 @@
         "view_age_ms" => cx.feed.view_age(cx.clock.now()).map(millis));
     #[allow(clippy::cast_precision_loss, reason = "a gauge is a float")]
     cx.metrics.config_version.set(table.version() as f64);
+    state.caller_ages.retain(&table.route_names());
     state.table = Some(Rc::new(table));
 }
 
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -284,11 +284,16 @@
 
 /// Returns the request of a call for a slot.
 pub fn slot_offer(head: &HopRequestHeader, arrived: Duration) -> Offer {
+    let objective_at = if head.is_overdue {
+        arrived
+    } else {
+        arrived + head.objective
+    };
     Offer {
         route: head.route.clone(),
         priority: head.priority,
         objective: head.objective,
-        objective_at: arrived + head.objective,
+        objective_at,
         deadline: arrived + head.left,
         accepts_late: head.accepts_late,
     }
--- a/src/state/routing_table.rs
+++ b/src/state/routing_table.rs
@@ -5,6 +5,7 @@
 use crate::protocol::mesh::CallerLimits;
 use crate::protocol::mesh::MeshConfig;
 use crate::protocol::mesh::MeshRoute;
+use crate::protocol::name::RouteName;
 use crate::protocol::name::ServiceName;
 
 /// The routes of one configuration. A new configuration gets a new table.
@@ -47,6 +48,15 @@
         self.routes.len()
     }
 
+    /// Returns the names of all routes, sorted.
+    #[must_use]
+    pub fn route_names(&self) -> Vec<RouteName> {
+        let names = self.routes.iter().map(|route| route.name.clone());
+        let mut names: Vec<RouteName> = names.collect();
+        names.sort_unstable();
+        names
+    }
+
     /// Returns the route of the host with the longest matching path prefix. Prefixes end with a
     /// slash, so only prefixes of the path that end with a slash are looked up.
     #[must_use]
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -36,6 +36,7 @@
         objective: ms(250),
         idempotent,
         attempts: 2,
+        is_overdue: false,
     })
 }
 
--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -661,17 +661,17 @@
         ("odd-text", vec![0xff; 4_096]),
     ];
     for (key, value) in records {
-        store.put(FLEET_TOPIC, key, &value);
-        store.put("keyed.moves", key, &value);
-        store.put(OPERATOR_TOPIC, &format!("rollout/{key}"), &value);
+        let _ = store.put(FLEET_TOPIC, key, &value);
+        let _ = store.put("keyed.moves", key, &value);
+        let _ = store.put(OPERATOR_TOPIC, &format!("rollout/{key}"), &value);
     }
     // More keys than a page of newest records has.
     for number in 0..520 {
-        store.put(FLEET_TOPIC, &format!("odd key & #{number} %zz"), &[0xc1]);
+        let _ = store.put(FLEET_TOPIC, &format!("odd key & #{number} %zz"), &[0xc1]);
     }
     let order = br#"{"service":"other","target":"v2","step-s":1e300}"#;
-    store.put(OPERATOR_TOPIC, "rollout/other", order);
-    store.put(OPERATOR_TOPIC, "config", &vec![b'['; 100_000]);
+    let _ = store.put(OPERATOR_TOPIC, "rollout/other", order);
+    let _ = store.put(OPERATOR_TOPIC, "config", &vec![b'['; 100_000]);
     Ok(())
 }
 
