Count nodes without a recent report with the mean load of their service

Cause: an entry node of a large fleet calls most nodes seldom.

Ruled out: run times that grow with the number of running calls.

Change: as a report ages it is replaced by the mean load of the service's backend servers, an average over all reports.

Seen failing: pick_without_report_expects_mean_load needs the mean, since the distant node was chosen before.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -75,6 +75,10 @@
 const FAILURE_COST_RUNS_NOT_IDEMPOTENT: f64 = 12.0;
 /// Age at which a load report no longer counts.
 const LOAD_LIFETIME: Duration = Duration::from_secs(1);
+/// Weight of one report in the mean load of a service.
+const SERVICE_LOAD_WEIGHT: f64 = 0.05;
+/// Largest load that counts in that mean, as a share of the slots; a queue is a few times as long.
+const MAX_LOAD_SHARE: f64 = 4.0;
 /// Fraction of used slots above which backend servers become slower.
 const BUSY_SHARE: f64 = 0.75;
 /// Additional run time of a backend server whose slots are all used, in mean run times.
@@ -257,20 +261,24 @@
         (1.0 - age / LOAD_LIFETIME.as_secs_f64()).max(0.0)
     }
 
-    /// Estimated number of running and waiting calls on the node.
-    fn estimated_load(&self, now: Duration) -> f64 {
+    /// Estimated number of running and waiting calls on the node. As its report ages, the mean load of
+    /// the service counts: in a large fleet most reports are old, and nodes that look idle for want of a
+    /// report would get the calls of all entry nodes.
+    fn estimated_load(&self, now: Duration, service_load: f64) -> f64 {
         let weight = self.load_weight(now);
         let reported = f64::from(self.load.running) + f64::from(self.load.waiting);
-        // The calls of this entry node are counted exactly; the excess in the report comes from
-        // others.
+        let slots = self.backend().map_or(0, |backend| backend.slots);
+        let usual = service_load * f64::from(slots);
+        // The calls of this entry node are counted exactly; the excess comes from others.
         let own = f64::from(self.in_flight);
-        own + (reported - own).max(0.0) * weight
+        let expected = reported * weight + usual * (1.0 - weight);
+        own + (expected - own).max(0.0)
     }
 
-    fn has_free_slot(&self, now: Duration) -> bool {
+    fn has_free_slot(&self, now: Duration, service_load: f64) -> bool {
         let slots = self.backend();
         let slots = slots.map_or(0, |backend| self.usable_slots(now, backend));
-        self.estimated_load(now) + 1.0 <= f64::from(slots) * BUSY_SHARE
+        self.estimated_load(now, service_load) + 1.0 <= f64::from(slots) * BUSY_SHARE
     }
 
     /// Expected time until the response in milliseconds.
@@ -282,7 +290,7 @@
         };
         let run = call.run_ms * self.run_time_factor * cold;
         let slots = f64::from(self.usable_slots(now, backend));
-        let load = self.estimated_load(now);
+        let load = self.estimated_load(now, call.service_load);
         let busy = ((load / slots - BUSY_SHARE) / (1.0 - BUSY_SHARE)).clamp(0.0, 1.0);
         let waiting_run = match self.load.mean_run_ms {
             0 => run,
@@ -350,6 +358,8 @@
     request_kb: f64,
     response_kb: f64,
     failure_cost_runs: f64,
+    /// Mean load of the service's backend servers, as a share of their slots.
+    service_load: f64,
 }
 
 /// Requirements of a call on the chosen node.
@@ -382,6 +392,8 @@
     routes: Vec<RouteMeans>,
     /// Sorted by service and version.
     totals: Vec<VersionTotal>,
+    /// Mean load by service, as a share of the slots. Sorted by service.
+    service_loads: Vec<(ServiceName, f64)>,
 }
 
 impl Placement {
@@ -395,6 +407,7 @@
             candidates: Vec::new(),
             routes: Vec::new(),
             totals: Vec::new(),
+            service_loads: Vec::new(),
         }
     }
 
@@ -503,6 +516,7 @@
             } else {
                 FAILURE_COST_RUNS_NOT_IDEMPOTENT
             },
+            service_load: self.service_load(request.service),
         };
         let mut best: Option<(Availability, f64, f64, &Candidate)> = None;
         for candidate in &self.candidates {
@@ -537,10 +551,10 @@
             limit: candidate.load.limit,
             cost_ms,
             time_ms,
-            load: candidate.estimated_load(now),
+            load: candidate.estimated_load(now, call.service_load),
             load_age: now.saturating_sub(candidate.load_at),
             is_unreachable: availability == Availability::Unreachable,
-            has_free_slot: candidate.has_free_slot(now),
+            has_free_slot: candidate.has_free_slot(now, call.service_load),
             is_predictable: candidate.warm_at <= now
                 && means.is_some_and(|means| means.responses >= MIN_RESPONSES),
         })
@@ -567,6 +581,13 @@
         let candidate = &mut self.candidates[index];
         candidate.load = load;
         candidate.load_at = now;
+        if let Some(backend) = &candidate.entry.backend {
+            let calls = f64::from(load.running) + f64::from(load.waiting);
+            let share = (calls / f64::from(backend.slots.max(1))).min(MAX_LOAD_SHARE);
+            let service = backend.service.clone();
+            self.record_service_load(&service, share);
+        }
+        let candidate = &mut self.candidates[index];
         let added = tally.since(&candidate.tally);
         candidate.tally = tally;
         if added.runs == 0 {
@@ -577,6 +598,23 @@
         }
     }
 
+    fn service_load(&self, service: &ServiceName) -> f64 {
+        let loads = &self.service_loads;
+        let found = loads.binary_search_by(|(known, _)| known.cmp(service));
+        found.map_or(0.0, |index| loads[index].1)
+    }
+
+    fn record_service_load(&mut self, service: &ServiceName, share: f64) {
+        let loads = &mut self.service_loads;
+        match loads.binary_search_by(|(known, _)| known.cmp(service)) {
+            Ok(index) => {
+                let mean = &mut loads[index].1;
+                *mean += (share - *mean) * SERVICE_LOAD_WEIGHT;
+            }
+            Err(index) => loads.insert(index, (service.clone(), share * SERVICE_LOAD_WEIGHT)),
+        }
+    }
+
     /// Totals are kept per version and only grow. If the results of a node that leaves or restarts
     /// were subtracted, the remaining ones could look slow or failing.
     fn add_results(&mut self, backend: &BackendReport, added: &BackendTotals) {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -490,3 +490,45 @@
     fleet.request_bytes = 60_000;
     expect_that!(fleet.pick(ms(300), &[]), some(eq("d")));
 }
+
+/// Herd behaviour in a large fleet: a node without a recent report must not look idle while all others of
+/// its service are full, or the calls of all entry nodes go there.
+#[gtest]
+fn pick_without_report_expects_mean_load() {
+    let mut fleet = fleet();
+    fleet.placement.forget(&NodeId::from("a"));
+    let load = Load {
+        running: SLOTS,
+        waiting: 6,
+        slots: SLOTS,
+        mean_run_ms: 60,
+        ..Load::default()
+    };
+    for number in 0..200 {
+        let now = ms(10 * number);
+        fleet
+            .placement
+            .on_report(now, &NodeId::from("b"), load, BackendTotals::default());
+    }
+    // `b` waits for 40 ms in its region; `c` is 20 ms away and was never heard of.
+    expect_that!(fleet.pick(ms(2_000), &[]), some(eq("b")));
+    // In a fleet that is not busy the distant node is not avoided.
+    let idle = Load {
+        slots: SLOTS,
+        mean_run_ms: 60,
+        ..Load::default()
+    };
+    for number in 0..200 {
+        let now = ms(2_000 + 10 * number);
+        fleet
+            .placement
+            .on_report(now, &NodeId::from("c"), idle, BackendTotals::default());
+    }
+    fleet.placement.on_report(
+        ms(5_000),
+        &NodeId::from("b"),
+        load,
+        BackendTotals::default(),
+    );
+    expect_that!(fleet.pick(ms(5_000), &[]), some(eq("c")));
+}
