Refuse a call whose run cannot end before its deadline

A call that had waited for 1.86 s of its 2 s was refused at its last start and sent to another node with 0.14 s left for a run of 0.185 s: 504, with a run that was thrown away.

Ruled out: the bound of the wait, which leaves time for a run at the first node.

Change: from the second try on a call is refused as not run if the best node is expected to respond after the deadline, once the run times of the route are known.

Seen failing: on_choice_with_too_little_time_left (Send in place of Stop).

--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -229,6 +229,12 @@
             }
             self.unreachable_tries += 1;
         }
+        // The run would be thrown away at the deadline, so the caller is told that the call has not run.
+        let left_ms = self.limits.deadline.saturating_sub(now).as_secs_f64() * 1e3;
+        if self.tries > 0 && chosen.is_predictable && chosen.time_ms > left_ms {
+            self.last = self.last.or(Some(ResultCode::Overloaded));
+            return Choice::Stop;
+        }
         let elapsed = now.saturating_sub(self.limits.arrived);
         let remaining = self.limits.objective.saturating_sub(elapsed);
         // Even the best node is not expected to meet the objective, so refusals would only add
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -252,3 +252,29 @@
     // The response would arrive after the deadline.
     expect_false!(attempts(true).on_hedge(ms(2_950), NEAR));
 }
+
+/// A call that waited until its last start must not be sent to another node for a run that cannot end
+/// before the deadline: the caller got 504 for a run that was thrown away, instead of "not run".
+#[gtest]
+fn on_choice_with_too_little_time_left() {
+    let chosen = ChosenNode {
+        time_ms: 185.0,
+        ..NEAR
+    };
+    let mut call = attempts(false);
+    expect_that!(call.on_choice(ms(1_000), Some(chosen)), eq(Choice::Send));
+    call.on_failure(&"a".into(), refused(ResultCode::Overloaded, false, 300));
+    expect_that!(call.next(ms(2_860)), eq(NextStep::Offer));
+    expect_that!(call.on_choice(ms(2_860), Some(chosen)), eq(Choice::Stop));
+    let expected = Outcome::Refused {
+        code: ResultCode::Overloaded,
+        retry_after: Some(ms(300)),
+    };
+    expect_that!(call.outcome(), eq(expected));
+    // A node whose run times are not known yet is tried.
+    let unknown = ChosenNode {
+        is_predictable: false,
+        ..chosen
+    };
+    expect_that!(call.on_choice(ms(2_860), Some(unknown)), eq(Choice::Send));
+}
