--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -103,6 +103,19 @@
     }
 
     fn add_backend(&mut self, index: usize, error_rate: f64) -> eyre::Result<()> {
+        self.start_backend(index, error_rate, Duration::from_millis(10))
+    }
+
+    fn add_slow_backend(&mut self, index: usize, service_time: Duration) -> eyre::Result<()> {
+        self.start_backend(index, 0.0, service_time)
+    }
+
+    fn start_backend(
+        &mut self,
+        index: usize,
+        error_rate: f64,
+        service_time: Duration,
+    ) -> eyre::Result<()> {
         let addrs = &self.fleet.nodes()[index].addrs;
         self.backends
             .push(PlatformBackend::start(PlatformBackendOptions {
@@ -113,7 +126,7 @@
                 listen: addrs.backend,
                 heartbeat_addr: addrs.heartbeat,
                 slots: 4,
-                service_ms: 10,
+                service_ms: u64::try_from(service_time.as_millis())?,
                 error_rate,
                 pad_bytes: 400,
                 seed: 1,
@@ -616,6 +629,91 @@
     });
 }
 
+/// In a calm planned stop every request that a node has read must be answered, also if it comes late in
+/// the time that the node has left, and a refused one must not have run: other operators saw requests
+/// passed on and then cut.
+#[gtest]
+fn stop_answers_late_requests() {
+    run(async {
+        let mut env = TestFleet::new(2)?;
+        let config = json!({
+            "version": "00000002",
+            "routes": { "claims": { "host": HOST, "prefix": "/claims/", "kind": "unsafe", "timeout-ms": 3000,
+                "slo-ms": 2000, "priority": 1, "service": "registry", "attempts": 1 } },
+            "services": { "registry": { "health-path": "/healthz", "max-conns": 100 } },
+            "limits": { "header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000 },
+        });
+        let _ = env
+            .store
+            .put(OPERATOR_TOPIC, "config", config.to_string().as_bytes());
+        for index in 0..2 {
+            env.fleet.start(index)?;
+            env.add_slow_backend(index, Duration::from_millis(900))?;
+        }
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        for index in 0..2 {
+            env.wait_for(WAIT_LIMIT, index, "/claims/1", StatusCode::OK)
+                .await?;
+            env.wait_peers(index, 1).await?;
+        }
+        let first = env.attempts + 1;
+        env.fleet.signal(0, Signal::TERM)?;
+        let mut sent = Vec::new();
+        while env.fleet.is_running_now(0) {
+            env.attempts += 1;
+            let addr = env.fleet.nodes()[0].addrs.caller;
+            let attempt = format!("t{}", env.attempts);
+            let call =
+                actix_rt::spawn(async move { (attempt.clone(), send_claim(addr, &attempt).await) });
+            sent.push(call);
+            eyre::ensure!(sent.len() < 200, "the node does not stop");
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+        let runs: Vec<String> = env
+            .backends
+            .iter()
+            .flat_map(PlatformBackendHandle::runs)
+            .collect();
+        let mut answered = 0;
+        for call in sent {
+            let (attempt, status) = call.await?;
+            let ran = runs.iter().filter(|run| **run == attempt).count();
+            match status? {
+                // The connection was refused, or closed before the request was read.
+                None => expect_that!(ran, eq(0), "{attempt}"),
+                Some(StatusCode::OK) => expect_that!(ran, eq(1), "{attempt}"),
+                Some(status) => {
+                    expect_that!(status, eq(StatusCode::SERVICE_UNAVAILABLE), "{attempt}");
+                    expect_that!(ran, eq(0), "{attempt}");
+                }
+            }
+            answered += 1;
+        }
+        // Calls were sent for the 2.6 s in which callers are still served.
+        expect_that!(answered, gt(40));
+        expect_that!(env.attempts, gt(first + 40));
+        Ok(())
+    });
+}
+
+/// Sends a claim. Returns its status, or nothing if no connection could be opened.
+async fn send_claim(addr: SocketAddr, attempt: &str) -> eyre::Result<Option<StatusCode>> {
+    let client = awc::Client::builder()
+        .timeout(Duration::from_secs(8))
+        .finish();
+    let sent = client
+        .post(format!("http://{addr}/claims/2"))
+        .insert_header(("host", HOST))
+        .insert_header((ATTEMPT_HEADER, attempt))
+        .send_body("claim")
+        .await;
+    match sent {
+        Ok(response) => Ok(Some(response.status())),
+        Err(awc::error::SendRequestError::Connect(_)) => Ok(None),
+        Err(e) => Err(eyre::eyre!("{attempt}: {e}")),
+    }
+}
+
 /// Topic with the entries of the nodes.
 const FLEET_TOPIC: &str = "keyed.sidecars";
 
