Remember a leave over a restart of the node beside the backend server

A restarted node that got one of a deregistered backend server announced it as ready for six seconds.

Ruled out: the phase in a heartbeat (a draining backend server says so again within a heartbeat interval), and the store, whose entry named no incarnation once it had left.

Change: the entry of a node names the last incarnation that left, with the sequence number. A new process reads it before it writes its own entry, and ignores reports from before.

Limit: a leave that was acknowledged while the store was away, by a node that is killed before it could write, is not remembered.

--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -105,6 +105,19 @@
     pub capacity: u32,
     /// The local backend server, if it accepts new requests.
     pub backend: Option<BackendReport>,
+    /// The last incarnation of the local backend server that has left, so that a restarted process of
+    /// the node does not take a late heartbeat of it for a new one.
+    #[serde(default)]
+    pub left: Option<LeftBackend>,
+}
+
+/// An incarnation of a backend server whose leave its node has acknowledged.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeftBackend {
+    /// Instance and start time.
+    pub incarnation: Incarnation,
+    /// Sequence number of the report with which it left; the largest number if it has deregistered.
+    pub sequence: u64,
 }
 
 impl FleetEntry {
--- a/src/sidecar/announcer.rs
+++ b/src/sidecar/announcer.rs
@@ -20,12 +20,19 @@
 /// store.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_600);
 
+/// Interval at which a new process checks whether the fleet's topic has been read.
+const FLEET_READ_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Starts writing the node's entry whenever it changes.
 pub fn start(cx: &Rc<Sidecar>) {
     let cx = cx.clone();
     actix_rt::spawn(async move {
         loop {
             cx.entry_changed.notified().await;
+            // The entry of an earlier process of this node has to be read before it is overwritten.
+            while !cx.state.borrow().fleet_read {
+                actix_rt::time::sleep(FLEET_READ_CHECK_INTERVAL).await;
+            }
             announce(&cx).await;
         }
     });
@@ -43,6 +50,7 @@
         domain: cx.settings.failure_domain.clone(),
         capacity: cx.settings.capacity(),
         backend: backend.filter(|_| !cx.stopping.get()).cloned(),
+        left: state.backend.left().cloned(),
     }
 }
 
@@ -98,6 +106,7 @@
 /// Whether two entries are equal apart from the sequence number of the heartbeat.
 fn is_equal(old: &FleetEntry, new: &FleetEntry) -> bool {
     old.run == new.run
+        && old.left == new.left
         && match (&old.backend, &new.backend) {
             (None, None) => true,
             (Some(old), Some(new)) => !new.needs_announcement_after(old),
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -106,7 +106,15 @@
     if is_own {
         // A late write of an earlier process of this node is overwritten.
         if entry.run != cx.run {
-            cx.state.borrow_mut().written_entry = None;
+            let mut state = cx.state.borrow_mut();
+            state.written_entry = None;
+            if let Some(left) = entry.left {
+                let text = format!("{} of {}", left.incarnation.0, left.incarnation.1);
+                let is_current = state.backend.on_earlier_leave(left);
+                info!(cx.log, "leave acknowledged by an earlier process"; "instance" => text,
+                    "current" => is_current, "offset" => record.offset);
+            }
+            drop(state);
             cx.entry_changed.notify_one();
         }
         return;
--- a/src/state/local_backend.rs
+++ b/src/state/local_backend.rs
@@ -6,6 +6,7 @@
 use crate::protocol::fleet::BackendPhase;
 use crate::protocol::fleet::BackendReport;
 use crate::protocol::fleet::Incarnation;
+use crate::protocol::fleet::LeftBackend;
 
 /// Number of heartbeat intervals without a heartbeat after which the backend server counts as
 /// unavailable. A crash is detected sooner, by a refused connection.
@@ -37,6 +38,8 @@
     is_leaving: bool,
     /// Deregistered incarnations, oldest first.
     deregistered: Vec<Incarnation>,
+    /// Last incarnation that has left, as acknowledged by this process or by an earlier one of the node.
+    left: Option<LeftBackend>,
 }
 
 impl LocalBackend {
@@ -50,12 +53,14 @@
             is_down: false,
             is_leaving: false,
             deregistered: Vec::new(),
+            left: None,
         }
     }
 
     /// Applies a heartbeat.
     pub fn on_heartbeat(&mut self, now: Duration, report: BackendReport) -> HeartbeatEffect {
-        if self.deregistered.iter().any(|left| report.is_of(left)) {
+        if self.deregistered.iter().any(|left| report.is_of(left)) || self.is_before_leave(&report)
+        {
             return HeartbeatEffect::Ignored;
         }
         if let Some(current) = &self.report
@@ -70,6 +75,12 @@
                 .is_none_or(|old| report.needs_announcement_after(old));
         let is_same = |old: &BackendReport| old.is_same_incarnation(&report);
         self.is_leaving &= self.report.as_ref().is_some_and(is_same);
+        if report.phase == BackendPhase::Draining {
+            self.left = Some(LeftBackend {
+                incarnation: report.incarnation(),
+                sequence: report.sequence,
+            });
+        }
         self.last_heartbeat_at = now;
         self.is_down = false;
         self.report = Some(report);
@@ -89,9 +100,45 @@
             self.deregistered.remove(0);
         }
         self.deregistered.push(report.incarnation());
+        self.left = Some(LeftBackend {
+            incarnation: report.incarnation(),
+            sequence: u64::MAX,
+        });
         true
     }
 
+    /// Returns the last incarnation that has left, which a later process of this node has to know.
+    #[must_use]
+    pub fn left(&self) -> Option<&LeftBackend> {
+        self.left.as_ref()
+    }
+
+    /// Applies a leave that an earlier process of this node has acknowledged. Returns whether the current
+    /// report is from before it.
+    pub fn on_earlier_leave(&mut self, left: LeftBackend) -> bool {
+        if self.left.is_some() {
+            return false;
+        }
+        self.left = Some(left);
+        let is_outdated = self
+            .report
+            .as_ref()
+            .is_some_and(|report| self.is_before_leave(report));
+        if is_outdated {
+            self.report = None;
+        }
+        is_outdated
+    }
+
+    /// Whether a report was sent before its backend server left, although it arrives later.
+    fn is_before_leave(&self, report: &BackendReport) -> bool {
+        self.left.as_ref().is_some_and(|left| {
+            report.is_of(&left.incarnation)
+                && report.phase == BackendPhase::Ready
+                && report.sequence <= left.sequence
+        })
+    }
+
     /// Handles a response in which this incarnation of the backend server announces that it leaves.
     /// Returns whether that is new.
     pub fn on_leaving(&mut self, incarnation: &BackendReport) -> bool {
--- a/tests/local_backend.rs
+++ b/tests/local_backend.rs
@@ -148,3 +148,33 @@
     expect_true!(backend.available(at(2)).is_some());
     expect_false!(backend.is_leaving());
 }
+
+/// After a restart of its node a backend server that had left must not come back by a late heartbeat
+/// from before its leave: its node had acknowledged the leave, and only the earlier process knew.
+#[gtest]
+fn on_heartbeat_after_leave_before_restart() {
+    for deregisters in [false, true] {
+        let mut earlier = LocalBackend::new(INTERVAL);
+        earlier.on_heartbeat(at(0), report("i-1", 100, 7));
+        if deregisters {
+            earlier.on_deregister("i-1");
+        } else {
+            earlier.on_heartbeat(at(1), draining(report("i-1", 100, 9)));
+        }
+        let left = earlier.left().cloned();
+        // The heartbeat may arrive before or after the new process has read the entry.
+        for is_first in [false, true] {
+            let mut backend = LocalBackend::new(INTERVAL);
+            if is_first {
+                backend.on_heartbeat(at(2), report("i-1", 100, 8));
+            }
+            let outdated = backend.on_earlier_leave(left.clone().expect("the leave"));
+            expect_that!(outdated, eq(is_first));
+            backend.on_heartbeat(at(3), report("i-1", 100, 8));
+            expect_true!(backend.available(at(3)).is_none());
+            // A new incarnation is used, also under the same identity.
+            backend.on_heartbeat(at(4), report("i-1", 200, 1));
+            expect_true!(backend.available(at(4)).is_some());
+        }
+    }
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -49,6 +49,7 @@
             phase: BackendPhase::Ready,
             cold_left_ms: 0,
         }),
+        left: None,
     }
 }
 
--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -388,6 +388,43 @@
     });
 }
 
+/// Guards against a backend server that has deregistered and is used again after a restart of the node
+/// beside it, because a heartbeat from before arrives late.
+#[gtest]
+fn backend_left_restarted_node() {
+    run(async {
+        let mut env = TestFleet::start(2).await?;
+        env.backends[1].kill();
+        let addr = env.fleet.nodes()[0].addrs.heartbeat;
+        let client = awc::Client::default();
+        let url = |call: &str| format!("http://{addr}/sycamorewick/Instances.{call}/b0");
+        let acknowledged = client.post(url("Deregister")).send().await;
+        let acknowledged = acknowledged.map_err(|e| eyre::eyre!("{e}"))?;
+        expect_that!(acknowledged.status(), eq(StatusCode::OK));
+        let until = Instant::now() + WAIT_LIMIT;
+        let entry = || -> Option<FleetEntry> {
+            let value = env.store.newest(FLEET_TOPIC, "n0")?;
+            codec::decode(&value).ok()
+        };
+        while entry().is_none_or(|entry| entry.backend.is_some()) {
+            eyre::ensure!(Instant::now() < until, "the entry is not written");
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        let runs = env.backends[0].runs().len();
+        env.fleet.kill(0)?;
+        env.fleet.start(0)?;
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        // The backend server still serves, and sends heartbeats as if it had not deregistered.
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        for _ in 0..20 {
+            let status = env.call(0, "/wrecks/1").await?.status;
+            expect_that!(status, eq(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        expect_that!(env.backends[0].runs().len(), eq(runs));
+        Ok(())
+    });
+}
+
 /// Guards against a node that responds with 404 before it has a configuration, and against one that
 /// notices the end of an outage late. The store hangs at first, then refuses calls.
 #[gtest]
@@ -741,6 +778,7 @@
             phase: BackendPhase::Ready,
             cold_left_ms: u64::MAX,
         }),
+        left: None,
     };
     let no_port = SocketAddr::from(([127, 0, 0, 1], 0));
     let no_slots = testbed::fleet::free_addr()?;
