Bound the memory of request bodies, and end a body only at its end mark

Cause: a node of 160 MB held the bodies of all requests without a bound in common; with uploads of up to 360 kB a burst could end the process.

Change: request bodies share a budget of 32 MiB, the type that bounds response bodies as well. The body of a request in the new connection loop ends only with an explicit mark, so that one that is cut off never looks complete, whatever is dropped first. The check for a stop in the gate of large bodies is the plain one again.

Tests: bodies_beyond_the_budget, truncated_body.

--- a/src/sidecar/body_gate.rs
+++ b/src/sidecar/body_gate.rs
@@ -76,30 +76,24 @@
 async fn admit(cx: &Rc<Sidecar>, req: Request) -> Result<Request, Response<BoxBody>> {
     let arrived = cx.clock.now();
     let head = headers::text(req.headers(), HOP_REQUEST_HEADER).and_then(HopRequestHeader::decode);
-    let Some(mut head) = head else {
+    let Some(head) = head else {
         // The handler refuses the call.
         return Ok(req);
     };
     let refused = |outcome| Err(hop::refuse_unread(cx, &req, &head, outcome));
-    let Some(time_limit) = hop::time_limit(cx, &head) else {
+    if cx.stopping.get() {
         return refused(ServeOutcome::refused(ResultCode::Draining));
-    };
+    }
     if let Err(code) = serving::usable_backend(cx, &head) {
         return refused(ServeOutcome::refused(code));
     }
-    head.left = time_limit;
     let offer = serving::slot_offer(&head, arrived);
     let (retry_after, run) = cx.slots.with(|queue| {
         let run = queue.expected_run(arrived, &offer);
         (queue.would_refuse(arrived, &offer), run)
     });
     if let Some(retry_after) = retry_after {
-        return Err(hop::refuse_unread(
-            cx,
-            &req,
-            &head,
-            ServeOutcome::overloaded(retry_after),
-        ));
+        return refused(ServeOutcome::overloaded(retry_after));
     }
     let run = run.mul_f64(RUN_MARGIN);
     let transfer = Offer {
@@ -117,11 +111,6 @@
             });
             Ok(req)
         }
-        Err(retry_after) => Err(hop::refuse_unread(
-            cx,
-            &req,
-            &head,
-            ServeOutcome::overloaded(retry_after),
-        )),
+        Err(retry_after) => refused(ServeOutcome::overloaded(retry_after)),
     }
 }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -50,6 +50,7 @@
 use crate::sidecar::serving::ServeCall;
 use crate::sidecar::serving::ServeOutcome;
 use crate::state::routing_table;
+use crate::transport::body_budget::HeldBytes;
 use crate::transport::headers;
 use crate::transport::http_client::HttpResponse;
 use crate::transport::http_server;
@@ -111,6 +112,8 @@
 struct EntryCall {
     route: Rc<MeshRoute>,
     serve: ServeCall,
+    /// Memory of the body.
+    _held: HeldBytes,
     deadline: Duration,
 }
 
@@ -124,7 +127,7 @@
         .as_ref()
         .map_or(DEFAULT_BODY_BYTES, |table| table.limits().body_bytes);
     let mut payload = req.take_payload();
-    let body = http_server::read_body(&mut payload, limit)
+    let (body, held) = http_server::read_body_within(&mut payload, limit, &cx.bodies)
         .await
         .map_err(|failure| failure.code)?;
     let table = table.ok_or(ResultCode::NotReady)?;
@@ -180,6 +183,7 @@
     Ok(EntryCall {
         route,
         serve,
+        _held: held,
         deadline: arrived + time_limit,
     })
 }
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -65,7 +65,7 @@
         .map_or_else(|| cx.clock.now(), |transfer| transfer.arrived);
     let mut payload = req.take_payload();
     let head = headers::text(req.headers(), HOP_REQUEST_HEADER).and_then(HopRequestHeader::decode);
-    let (Some(mut head), Some(target)) = (head, req.uri().path_and_query().cloned()) else {
+    let (Some(head), Some(target)) = (head, req.uri().path_and_query().cloned()) else {
         warn!(cx.log, "call from a node refused"; "code" => ResultCode::BadRequest.number(), "path" => req.path());
         return call_response(cx, ServeOutcome::refused(ResultCode::BadRequest));
     };
@@ -74,17 +74,17 @@
     {
         topic_follower::fetch_topics(cx, origin);
     }
-    let body = match http_server::read_body(&mut payload, MAX_HOP_BODY_BYTES).await {
+    let read = http_server::read_body_within(&mut payload, MAX_HOP_BODY_BYTES, &cx.bodies);
+    let (body, _held) = match read.await {
         Ok(body) => body,
         Err(failure) => return call_response(cx, ServeOutcome::refused(failure.code)),
     };
     if let Some(transfer) = transfer {
         transfer.finish();
     }
-    let Some(time_limit) = time_limit(cx, &head) else {
+    if cx.stopping.get() {
         return call_response(cx, ServeOutcome::refused(ResultCode::Draining));
-    };
-    head.left = time_limit;
+    }
     let call = ServeCall {
         head,
         method: req.method().clone(),
@@ -98,11 +98,6 @@
     call_response(cx, outcome)
 }
 
-/// Returns the time limit of a call of another node, or `None` if the node is stopping and refuses it.
-pub fn time_limit(cx: &Sidecar, head: &HopRequestHeader) -> Option<Duration> {
-    (!cx.stopping.get()).then_some(head.left)
-}
-
 /// Refuses a call whose body has not been received. The connection is closed, since the body may still
 /// be sent.
 pub fn refuse_unread(
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -56,6 +56,7 @@
 use crate::sidecar::topic_follower::Feed;
 use crate::state::local_backend::LocalBackend;
 use crate::state::routing_table::RoutingTable;
+use crate::transport::body_budget::BodyBudget;
 use crate::transport::exchange::ConnectionPool;
 use crate::transport::http_server::Handler;
 use crate::transport::http_server::HttpServer;
@@ -65,6 +66,9 @@
 const MAX_CALLER_CONNECTIONS: usize = 1_800;
 const MAX_NODE_CONNECTIONS: usize = 1_200;
 const MAX_PLATFORM_CONNECTIONS: usize = 64;
+/// Bytes of request bodies that a node holds at a time. The smallest instances have 160 MB, a body is held
+/// once more while it is sent, and responses have a budget of the same size.
+const MAX_HELD_REQUEST_BYTES: usize = 32 << 20;
 /// Slots of the backend server until its first heartbeat.
 const INITIAL_SLOTS: u32 = 1;
 
@@ -108,6 +112,8 @@
     open_calls: Cell<usize>,
     /// Slots of the backend server.
     slots: Rc<AdmissionQueue>,
+    /// Bodies of the requests of callers and other nodes.
+    bodies: BodyBudget,
     /// Transfers of large bodies from other nodes.
     transfers: Rc<AdmissionQueue>,
     /// Topics of the store.
@@ -190,6 +196,7 @@
         stop_plan: RefCell::new(None),
         open_calls: Cell::new(0),
         slots: AdmissionQueue::new(clock, INITIAL_SLOTS),
+        bodies: BodyBudget::new(MAX_HELD_REQUEST_BYTES),
         transfers: AdmissionQueue::new(clock, body_gate::max_transfers(settings.link_mbps)),
         feed: Feed::default(),
         entry_changed: Notify::new(),
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -6,13 +6,11 @@
 //! only if its connection is closed without an error (RFC 9112, section 6.3), a connection with
 //! unexpected bytes is closed, and a response of any form ends within a bounded number of bytes.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -46,6 +44,8 @@
 use tokio_util::codec::Encoder;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::transport::body_budget::BodyBudget;
+use crate::transport::body_budget::HeldBytes;
 use crate::transport::http_client::HttpResponse;
 
 /// Time limit for opening a connection. Regions are about 8 ms apart, and a SYN packet that is dropped
@@ -162,42 +162,18 @@
 }
 
 /// Pool of the idle connections to all peers, sorted by address.
-#[derive(Default)]
 pub struct ConnectionPool {
     pools: RefCell<Vec<AddressPool>>,
-    /// Bytes of the bodies that are being received.
-    buffered: Rc<Cell<usize>>,
-}
-
-/// Bytes that the body of one response occupies, counted for all connections of a pool.
-struct BufferedBody {
-    total: Rc<Cell<usize>>,
-    bytes: usize,
+    /// Bodies that are being received.
+    buffered: BodyBudget,
 }
 
-impl BufferedBody {
-    fn new(total: Rc<Cell<usize>>) -> Self {
-        Self { total, bytes: 0 }
-    }
-
-    /// Sets the size of the body.
-    ///
-    /// # Errors
-    /// If all bodies together exceed [`MAX_BUFFERED_BYTES`], or this one exceeds `max_bytes`.
-    fn set(&mut self, bytes: usize, max_bytes: usize) -> io::Result<()> {
-        let total = self.total.get() - self.bytes + bytes;
-        self.total.set(total);
-        self.bytes = bytes;
-        if bytes > max_bytes || total > MAX_BUFFERED_BYTES {
-            return Err(io::ErrorKind::FileTooLarge.into());
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self {
+            pools: RefCell::default(),
+            buffered: BodyBudget::new(MAX_BUFFERED_BYTES),
         }
-        Ok(())
-    }
-}
-
-impl Drop for BufferedBody {
-    fn drop(&mut self) {
-        self.total.set(self.total.get() - self.bytes);
     }
 }
 
@@ -260,7 +236,7 @@
     /// Returns the bytes of the bodies that are being received.
     #[must_use]
     pub fn buffered_bytes(&self) -> usize {
-        self.buffered.get()
+        self.buffered.held_bytes()
     }
 
     /// Closes the idle connections to a peer, for example because one of them has failed.
@@ -383,12 +359,12 @@
     early_head: Option<ResponseHead>,
     /// Bytes received since the current part of a response began.
     received: usize,
-    /// Bytes of all bodies that the pool's connections are receiving.
-    buffered: Rc<Cell<usize>>,
+    /// Bodies that the pool's connections are receiving.
+    buffered: BodyBudget,
 }
 
 impl Connection {
-    fn new(stream: TcpStream, recent_ids: RecentIds, buffered: Rc<Cell<usize>>) -> Self {
+    fn new(stream: TcpStream, recent_ids: RecentIds, buffered: BodyBudget) -> Self {
         Self {
             stream,
             buf: BytesMut::with_capacity(READ_BUFFER_BYTES),
@@ -549,12 +525,12 @@
     async fn read_delimited(&mut self, codec: ClientCodec, max_bytes: usize) -> io::Result<Bytes> {
         let mut codec = codec.into_payload_codec();
         let mut body = BytesMut::new();
-        let mut buffered = BufferedBody::new(self.buffered.clone());
+        let mut buffered = self.buffered.hold();
         self.received = self.buf.len();
         loop {
             match codec.decode(&mut self.buf).map_err(io::Error::other)? {
                 Some(Some(chunk)) => {
-                    buffered.set(body.len() + chunk.len(), max_bytes)?;
+                    check_size(&mut buffered, body.len() + chunk.len(), max_bytes)?;
                     body.extend_from_slice(&chunk);
                 }
                 Some(None) => break,
@@ -574,9 +550,9 @@
     /// Reads until the peer closes the connection. A reset is a read error and does not complete the body.
     async fn read_until_close(&mut self, max_bytes: usize) -> io::Result<Bytes> {
         self.keep_alive = false;
-        let mut buffered = BufferedBody::new(self.buffered.clone());
+        let mut buffered = self.buffered.hold();
         while self.stream.read_buf(&mut self.buf).await? > 0 {
-            buffered.set(self.buf.len(), max_bytes)?;
+            check_size(&mut buffered, self.buf.len(), max_bytes)?;
         }
         Ok(self.buf.split().freeze())
     }
@@ -595,6 +571,17 @@
     }
 }
 
+/// Sets the size of a body.
+///
+/// # Errors
+/// If it exceeds `max_bytes`, or all bodies together exceed their budget.
+fn check_size(body: &mut HeldBytes, bytes: usize, max_bytes: usize) -> io::Result<()> {
+    if !body.set(bytes) || bytes > max_bytes {
+        return Err(io::ErrorKind::FileTooLarge.into());
+    }
+    Ok(())
+}
+
 /// Determines the framing of a body. The codec treats an HTTP/1.1 response without a length as empty,
 /// although its body extends to the end of the connection.
 fn framing(codec: &ClientCodec, head: &ResponseHead) -> Framing {
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -24,6 +24,8 @@
 
 use crate::result_code::Failure;
 use crate::result_code::ResultCode;
+use crate::transport::body_budget::BodyBudget;
+use crate::transport::body_budget::HeldBytes;
 use crate::transport::pipeline::MayOverlap;
 use crate::transport::pipeline::Pipeline;
 
@@ -196,6 +198,21 @@
 /// [`ResultCode::BodyTooLarge`] if it is longer, [`ResultCode::BadRequest`] if it is
 /// truncated.
 pub async fn read_body(payload: &mut Payload, limit: usize) -> Result<Bytes, Failure> {
+    let budget = BodyBudget::new(limit);
+    let read = read_body_within(payload, limit, &budget).await;
+    read.map(|(body, _)| body)
+}
+
+/// Like [`read_body`], if the body fits into the budget together with all others that are held.
+///
+/// # Errors
+/// The same, and [`ResultCode::Overloaded`] if the budget is used up.
+pub async fn read_body_within(
+    payload: &mut Payload,
+    limit: usize,
+    budget: &BodyBudget,
+) -> Result<(Bytes, HeldBytes), Failure> {
+    let mut held = budget.hold();
     let mut first: Option<Bytes> = None;
     let mut rest = BytesMut::new();
     while let Some(chunk) = payload.next().await {
@@ -212,6 +229,12 @@
                 format!("the body exceeds {limit} bytes"),
             ));
         }
+        if !held.set(length) {
+            return Err(Failure::new(
+                ResultCode::Overloaded,
+                "the bodies of all requests exceed the memory for them",
+            ));
+        }
         // Most bodies arrive in one chunk, which is returned without a copy.
         match first {
             None => first = Some(chunk),
@@ -220,12 +243,12 @@
     }
     let first = first.unwrap_or_default();
     if rest.is_empty() {
-        return Ok(first);
+        return Ok((first, held));
     }
     let mut body = BytesMut::with_capacity(first.len() + rest.len());
     body.extend_from_slice(&first);
     body.extend_from_slice(&rest);
-    Ok(body.freeze())
+    Ok((body.freeze(), held))
 }
 
 /// Returns a response without a body.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets, HTTP servers and clients, and the client of the platform's log.
 //! See `docs/design.md`, section 7.
 
+pub mod body_budget;
 pub mod exchange;
 pub mod headers;
 pub mod http_client;
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -33,6 +33,7 @@
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
 use bytes::BytesMut;
+use futures_util::Stream;
 use futures_util::stream;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -109,6 +110,22 @@
     idle_until: Instant,
 }
 
+/// Returns the body of a request from its chunks. Only an empty chunk ends it: a body that is cut off must
+/// not look complete.
+fn body_stream(
+    rx: mpsc::Receiver<Result<Bytes, PayloadError>>,
+) -> impl Stream<Item = Result<Bytes, PayloadError>> {
+    stream::unfold(Some(rx), |rx| async move {
+        let mut rx = rx?;
+        match rx.recv().await {
+            Some(Ok(chunk)) if chunk.is_empty() => None,
+            Some(Ok(chunk)) => Some((Ok(chunk), Some(rx))),
+            Some(Err(e)) => Some((Err(e), None)),
+            None => Some((Err(PayloadError::Incomplete(None)), None)),
+        }
+    })
+}
+
 impl Pipeline {
     /// Creates the handling of the connections of a server.
     #[must_use]
@@ -236,7 +253,10 @@
                             Reading::End
                         };
                     }
-                    Ok(Some(_)) => self.end_if_closing(),
+                    Ok(Some(_)) => {
+                        let _ = tx.send(Ok(Bytes::new())).await;
+                        self.end_if_closing();
+                    }
                     Ok(None) => {
                         self.reading = Reading::Body(tx);
                         return None;
@@ -260,12 +280,8 @@
         let req = if has_body {
             let (tx, rx) = mpsc::channel(BODY_CHUNKS);
             self.reading = Reading::Body(tx);
-            let chunks = stream::unfold(rx, |mut rx| async move {
-                let chunk = rx.recv().await?;
-                Some((chunk, rx))
-            });
             let payload: Payload = Payload::Stream {
-                payload: Box::pin(chunks),
+                payload: Box::pin(body_stream(rx)),
             };
             req.replace_payload(payload).0
         } else {
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use actix_http::Payload;
 use actix_http::Request;
 use actix_http::Response;
 use actix_http::StatusCode;
@@ -17,6 +18,8 @@
 use actix_rt::System;
 use actix_rt::net::TcpListener;
 use googletest::prelude::*;
+use sycamorewick::result_code::ResultCode;
+use sycamorewick::transport::body_budget::BodyBudget;
 use sycamorewick::transport::http_server;
 use sycamorewick::transport::http_server::Handler;
 use sycamorewick::transport::http_server::HttpServer;
@@ -203,3 +206,45 @@
     );
     expect_that!(text, contains_substring("connection: close"));
 }
+
+/// A body that is cut off must not look complete to the handler.
+#[gtest]
+fn truncated_body() {
+    let (_, _, events) = exchange(
+        b"POST /0/a HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nxx",
+        "never",
+    );
+    expect_that!(events, eq(&vec!["/0/a", "/0/a!"]));
+}
+
+/// Many large bodies at once must not exhaust the memory of a small instance: what does not fit is
+/// refused, and memory is free again once a body is dropped.
+#[gtest]
+fn bodies_beyond_the_budget() {
+    System::new().block_on(async {
+        let budget = BodyBudget::new(100);
+        let payload = |length: usize| -> Payload {
+            let chunk = Ok(bytes::Bytes::from(vec![0; length]));
+            Payload::Stream {
+                payload: Box::pin(futures_util::stream::iter([chunk])),
+            }
+        };
+        let first = http_server::read_body_within(&mut payload(60), 80, &budget).await;
+        let (body, held) = first.expect("the first body fits");
+        expect_that!(body.len(), eq(60));
+        let second = http_server::read_body_within(&mut payload(60), 80, &budget).await;
+        expect_that!(
+            second.err().map(|failure| failure.code),
+            some(eq(ResultCode::Overloaded))
+        );
+        let long = http_server::read_body_within(&mut payload(90), 80, &budget).await;
+        expect_that!(
+            long.err().map(|failure| failure.code),
+            some(eq(ResultCode::BodyTooLarge))
+        );
+        drop(held);
+        expect_that!(budget.held_bytes(), eq(0));
+        let third = http_server::read_body_within(&mut payload(60), 80, &budget).await;
+        expect_true!(third.is_ok());
+    });
+}
