Give a follow response that has begun time to arrive

Ruled out: a reader that was behind (its view was 1.6 s old at most), the store.

Change: once the head of a response has arrived, it has a quarter of the required time more. A reader that is lost sends no head and is left as early as before.

--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -215,6 +215,7 @@
         max_idle,
         echo: None,
         expect_continue: call.body.len() >= MIN_EXPECT_BYTES,
+        responding: None,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
     match cx.pool.send(exchange).await {
--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -1,8 +1,10 @@
 //! Serves the topics that this node has read to followers, nodes of the same failure domain, and
 //! fetches topics from other nodes. See `docs/platform.md`, "Store".
 
+use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -48,6 +50,9 @@
 /// Time beyond the long-poll time after which a follow request has failed. Round trips
 /// within a failure domain are short.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(350);
+/// Further time for a response that has begun, as a share of the time within which a configuration has to
+/// be in force: 350 kB take 0.3 s on a link of 10 Mbit/s without other traffic.
+const TRANSFER_SHARE: f64 = 0.25;
 /// Idle time after which a connection to a reader is not reused.
 const MAX_IDLE: Duration = Duration::from_secs(3);
 
@@ -243,6 +248,7 @@
     if matches!(mode, FetchMode::Failover) {
         add_flag(FAILOVER_HEADER);
     }
+    let responding = Cell::new(false);
     let exchange = Exchange {
         addr,
         method: Method::GET,
@@ -252,10 +258,17 @@
         max_idle: MAX_IDLE,
         echo: None,
         expect_continue: false,
+        responding: Some(&responding),
         max_response_bytes: MAX_MESSAGE_BYTES,
     };
     let timeout = wait.unwrap_or_default() + RESPONSE_MARGIN;
-    let response = match actix_rt::time::timeout(timeout, cx.pool.send(exchange)).await {
+    let mut sent = pin!(cx.pool.send(exchange));
+    let mut result = actix_rt::time::timeout(timeout, &mut sent).await;
+    if result.is_err() && responding.get() {
+        let transfer_time = cx.settings.config_within().mul_f64(TRANSFER_SHARE);
+        result = actix_rt::time::timeout(transfer_time, sent).await;
+    }
+    let response = match result {
         Ok(Ok(response)) => response,
         Ok(Err(failure)) => return Err(FetchFailure::lost(failure)),
         Err(_) => return Err(FetchFailure::lost("no response in time")),
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -382,6 +382,7 @@
             .as_ref()
             .map(|id| (requests::attempt_header(), id)),
         expect_continue: false,
+        responding: None,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
     match cx.pool.send(exchange(max_idle)).await {
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -6,6 +6,7 @@
 //! only if its connection is closed without an error (RFC 9112, section 6.3), a connection with
 //! unexpected bytes is closed, and a response of any form ends within a bounded number of bytes.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::fmt;
@@ -97,6 +98,9 @@
     pub echo: Option<(&'a HeaderName, &'a HeaderValue)>,
     /// Whether the body is sent only after the peer has asked for it (RFC 9110, section 10.1.1).
     pub expect_continue: bool,
+    /// Set once the head of a response has arrived, so that a caller can tell a slow response from a lost
+    /// peer.
+    pub responding: Option<&'a Cell<bool>>,
     /// Largest body of the response, bytes.
     pub max_response_bytes: usize,
 }
@@ -200,11 +204,12 @@
             reused,
         };
         let (echo, max_response_bytes) = (exchange.echo, exchange.max_response_bytes);
+        let responding = exchange.responding;
         connection.write_request(exchange).await?;
         for _ in 0..=MAX_SKIPPED_RESPONSES {
             connection.write_unsent().await.map_err(broken)?;
             let response = connection
-                .read_response(max_response_bytes)
+                .read_response(max_response_bytes, responding)
                 .await
                 .map_err(|e| {
                     if e.kind() == io::ErrorKind::FileTooLarge {
@@ -486,8 +491,15 @@
         codec.decode(&mut self.buf).map_err(io::Error::other)
     }
 
-    async fn read_response(&mut self, max_response_bytes: usize) -> io::Result<HttpResponse> {
+    async fn read_response(
+        &mut self,
+        max_response_bytes: usize,
+        responding: Option<&Cell<bool>>,
+    ) -> io::Result<HttpResponse> {
         let head = self.read_head().await?;
+        if let Some(responding) = responding {
+            responding.set(true);
+        }
         let codec = self.codec.take().unwrap_or_default();
         self.keep_alive &= codec.keep_alive();
         let body = match framing(&codec, &head) {
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -1,5 +1,6 @@
 //! HTTP exchanges over pooled connections with faulty peers on the loopback interface.
 
+use std::cell::Cell;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -103,6 +104,7 @@
         max_idle: Duration::from_secs(5),
         echo: None,
         expect_continue: false,
+        responding: None,
         max_response_bytes: 1_024,
     }
 }
@@ -308,6 +310,7 @@
                 let exchange = Exchange {
                     echo: Some((&ID, &id)),
                     expect_continue: false,
+                    responding: None,
                     max_response_bytes: 16 << 20,
                     ..get(addr)
                 };
@@ -512,3 +515,38 @@
         ok(lt(32 << 20))
     );
 }
+
+/// A peer that is sending a long response on a slow link must be told from one that is lost: a follower
+/// took its reader for lost while a configuration was on its way, and read it once more elsewhere.
+#[gtest]
+fn send_tells_that_response_has_begun() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n";
+    for (begin, expected) in [(head, true), ("", false)] {
+        let addr = stalled_peer(begin);
+        let responding = Cell::new(false);
+        run(async {
+            let exchange = Exchange {
+                responding: Some(&responding),
+                ..get(addr)
+            };
+            let pool = ConnectionPool::default();
+            let sent = pool.send(exchange);
+            let limit = Duration::from_millis(300);
+            expect_true!(actix_rt::time::timeout(limit, sent).await.is_err());
+        });
+        expect_that!(responding.get(), eq(expected));
+    }
+}
+
+/// Starts a peer that answers a request with `begin` and nothing more.
+fn stalled_peer(begin: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        if let Ok((mut stream, _)) = listener.accept() {
+            let _ = stream.write_all(begin.as_bytes());
+            thread::sleep(Duration::from_secs(1));
+        }
+    });
+    addr
+}
