Remember a deregistration of a backend server that is not known yet

By the code: a process that had been killed at 21 s and started anew had heard no heartbeat yet when the deregistration came, so it remembered nothing, and a heartbeat from before (sequence 22) arrived 3.4 s later.

Ruled out: the leave that an earlier process had acknowledged (the entry of the node names it), another incarnation (same start time).

Change: the start time is read from a deregistration if it is there. One of an unknown incarnation is remembered, without a start time by its identity for 15 s, in which only first heartbeats of a new incarnation count. A late deregistration of an earlier incarnation no longer ends the current one.

Seen failing: on_deregister_unknown without the two rules.

--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -49,7 +49,7 @@
             }
         },
         Some(BackendCall::Deregister(id)) => {
-            on_deregister(cx, id);
+            on_deregister(cx, id, heartbeat::read_deregistration(&body));
             json_response(StatusCode::OK)
         }
         None => json_response(StatusCode::NOT_FOUND),
@@ -102,10 +102,14 @@
     }
 }
 
-fn on_deregister(cx: &Rc<Sidecar>, instance: &str) {
-    let was_current = cx.state.borrow_mut().backend.on_deregister(instance);
-    info!(cx.log, "backend server deregistered"; "instance" => instance, "known" => was_current);
-    if was_current {
-        cx.entry_changed.notify_one();
-    }
+fn on_deregister(cx: &Rc<Sidecar>, instance: &str, born: Option<u64>) {
+    let now = cx.clock.now();
+    let was_current = cx
+        .state
+        .borrow_mut()
+        .backend
+        .on_deregister(now, instance, born);
+    info!(cx.log, "backend server deregistered"; "instance" => instance, "born" => born, "known" => was_current);
+    // The entry names the incarnation that left, also if this process did not know it.
+    cx.entry_changed.notify_one();
 }
--- a/src/state/local_backend.rs
+++ b/src/state/local_backend.rs
@@ -1,6 +1,7 @@
 //! State of the local backend server of a node, which runs on the same instance. See
 //! `docs/platform.md`, "Membership".
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::protocol::fleet::BackendPhase;
@@ -15,6 +16,11 @@
 /// ignored.
 const MAX_DEREGISTERED: usize = 16;
 
+/// Time for which heartbeats from before a deregistration may still arrive.
+const LATE_HEARTBEAT_TIME: Duration = Duration::from_secs(15);
+/// Sequence number up to which a heartbeat counts as one of the first of its incarnation.
+const MAX_FIRST_SEQUENCE: u64 = 2;
+
 /// Effect of a heartbeat.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum HeartbeatEffect {
@@ -38,6 +44,8 @@
     is_leaving: bool,
     /// Deregistered incarnations, oldest first.
     deregistered: Vec<Incarnation>,
+    /// Instance that deregistered without being known or naming its start, and when.
+    unknown_left: Option<(Arc<str>, Duration)>,
     /// Last incarnation that has left, as acknowledged by this process or by an earlier one of the node.
     left: Option<LeftBackend>,
 }
@@ -53,13 +61,16 @@
             is_down: false,
             is_leaving: false,
             deregistered: Vec::new(),
+            unknown_left: None,
             left: None,
         }
     }
 
     /// Applies a heartbeat.
     pub fn on_heartbeat(&mut self, now: Duration, report: BackendReport) -> HeartbeatEffect {
-        if self.deregistered.iter().any(|left| report.is_of(left)) || self.is_before_leave(&report)
+        if self.deregistered.iter().any(|left| report.is_of(left))
+            || self.is_before_leave(&report)
+            || self.is_of_unknown_left(now, &report)
         {
             return HeartbeatEffect::Ignored;
         }
@@ -91,20 +102,40 @@
         }
     }
 
-    /// Applies a deregistration. Returns whether it is from the current backend server.
-    pub fn on_deregister(&mut self, instance: &str) -> bool {
-        let Some(report) = self.report.take_if(|report| &*report.instance == instance) else {
-            return false;
+    /// Applies a deregistration, with the start time of its incarnation if it names one. Returns whether it
+    /// is from the current backend server.
+    pub fn on_deregister(&mut self, now: Duration, instance: &str, born: Option<u64>) -> bool {
+        let is_current = |report: &mut BackendReport| {
+            &*report.instance == instance && born.is_none_or(|born| report.born == born)
+        };
+        let report = self.report.take_if(is_current);
+        let incarnation = match (&report, born) {
+            (Some(report), _) => report.incarnation(),
+            (None, Some(born)) => (instance.into(), born),
+            (None, None) => {
+                self.unknown_left = Some((instance.into(), now));
+                return false;
+            }
         };
         if self.deregistered.len() >= MAX_DEREGISTERED {
             self.deregistered.remove(0);
         }
-        self.deregistered.push(report.incarnation());
+        self.deregistered.push(incarnation.clone());
         self.left = Some(LeftBackend {
-            incarnation: report.incarnation(),
+            incarnation,
             sequence: u64::MAX,
         });
-        true
+        report.is_some()
+    }
+
+    /// Whether a report is a late one of a backend server that deregistered at a process that did not know
+    /// it. The sequence numbers of a new incarnation start anew.
+    fn is_of_unknown_left(&self, now: Duration, report: &BackendReport) -> bool {
+        self.unknown_left.as_ref().is_some_and(|(instance, at)| {
+            report.instance == *instance
+                && report.sequence > MAX_FIRST_SEQUENCE
+                && now.saturating_sub(*at) < LATE_HEARTBEAT_TIME
+        })
     }
 
     /// Returns the last incarnation that has left, which a later process of this node has to know.
--- a/tests/local_backend.rs
+++ b/tests/local_backend.rs
@@ -86,7 +86,7 @@
 fn on_deregister_then_heartbeat() {
     let mut backend = LocalBackend::new(INTERVAL);
     backend.on_heartbeat(at(0), report("i-1", 100, 1));
-    expect_true!(backend.on_deregister("i-1"));
+    expect_true!(backend.on_deregister(at(1), "i-1", None));
     expect_that!(
         backend.on_heartbeat(at(1), report("i-1", 100, 2)),
         eq(HeartbeatEffect::Ignored)
@@ -103,7 +103,7 @@
 fn on_deregister_of_other_instance() {
     let mut backend = LocalBackend::new(INTERVAL);
     backend.on_heartbeat(at(0), report("i-2", 200, 1));
-    expect_false!(backend.on_deregister("i-1"));
+    expect_false!(backend.on_deregister(at(1), "i-1", None));
     expect_true!(backend.available(at(0)).is_some());
 }
 
@@ -157,7 +157,7 @@
         let mut earlier = LocalBackend::new(INTERVAL);
         earlier.on_heartbeat(at(0), report("i-1", 100, 7));
         if deregisters {
-            earlier.on_deregister("i-1");
+            earlier.on_deregister(at(1), "i-1", None);
         } else {
             earlier.on_heartbeat(at(1), draining(report("i-1", 100, 9)));
         }
@@ -178,3 +178,34 @@
         }
     }
 }
+
+/// A backend server may deregister at a process that has just started and does not know it yet. A late
+/// heartbeat must not bring it back: it ran a request 3.4 s after its node had acknowledged the leave.
+#[gtest]
+fn on_deregister_unknown() {
+    for born in [Some(100), None] {
+        let mut backend = LocalBackend::new(INTERVAL);
+        expect_false!(backend.on_deregister(at(0), "i-1", born));
+        let effect = backend.on_heartbeat(at(3), report("i-1", 100, 22));
+        expect_that!(effect, eq(HeartbeatEffect::Ignored), "{born:?}");
+        expect_true!(backend.available(at(3)).is_none());
+        // A new incarnation is used, under another identity or under the same one.
+        backend.on_heartbeat(at(4), report("i-1", 200, 1));
+        expect_true!(backend.available(at(4)).is_some(), "{born:?}");
+        let mut backend = LocalBackend::new(INTERVAL);
+        backend.on_deregister(at(0), "i-1", born);
+        backend.on_heartbeat(at(1), report("i-2", 300, 9));
+        expect_true!(backend.available(at(1)).is_some(), "{born:?}");
+    }
+}
+
+/// A late deregistration of an earlier incarnation must not end the current one under the same identity.
+#[gtest]
+fn on_deregister_of_earlier_incarnation() {
+    let mut backend = LocalBackend::new(INTERVAL);
+    backend.on_heartbeat(at(0), report("i-1", 200, 1));
+    expect_false!(backend.on_deregister(at(1), "i-1", Some(100)));
+    expect_true!(backend.available(at(1)).is_some());
+    expect_true!(backend.on_deregister(at(2), "i-1", Some(200)));
+    expect_true!(backend.available(at(2)).is_none());
+}
