One margin for runs, one retry delay, one reader of request heads

Found while reading the change once more: the gate of large bodies had its own copy of the margin of the slot queue, the admission queue its own copy of the retry delay of a call without a decision, and two test peers the same loop. schedule_limited_starts is called by its queue only. No behaviour changes.

--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -27,7 +27,7 @@
 pub const COLD_START_FACTOR: f64 = 2.0;
 /// Time before its objective or deadline by which a call must start, in mean run times; run times
 /// vary by about 50 %.
-const RUN_MARGIN: f64 = 1.5;
+pub const RUN_MARGIN: f64 = 1.5;
 /// Shortest retry delay that a refusal asks for.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(30);
 /// Longest retry delay that a refusal asks for; by then the load has changed.
--- a/src/sidecar/admission.rs
+++ b/src/sidecar/admission.rs
@@ -14,9 +14,7 @@
 use crate::coordination::slot_queue::Ticket;
 use crate::node::clock::Clock;
 use crate::protocol::name::RouteName;
-
-/// Retry delay of a call whose wait ended without a decision of the queue.
-const RETRY_AFTER: Duration = Duration::from_millis(300);
+use crate::sidecar::serving::NO_BACKEND_RETRY_AFTER;
 
 /// A waiting call: its ticket, its route, and the channel for the decision.
 type Waiting = (
@@ -117,7 +115,8 @@
         drop(guard);
         match admitted {
             Ok(Ok(decision)) => decision,
-            Ok(Err(_)) | Err(_) => Err(RETRY_AFTER),
+            // The wait ended without a decision of the queue.
+            Ok(Err(_)) | Err(_) => Err(NO_BACKEND_RETRY_AFTER),
         }
     }
 
@@ -155,7 +154,7 @@
     }
 
     /// Starts waiting calls as soon as the limit of the backend server allows it.
-    pub fn schedule_limited_starts(self: &Rc<Self>) {
+    fn schedule_limited_starts(self: &Rc<Self>) {
         let now = self.clock.now();
         let Some(at) = self.queue.borrow().next_start_at(now) else {
             return;
--- a/src/sidecar/body_gate.rs
+++ b/src/sidecar/body_gate.rs
@@ -14,6 +14,7 @@
 use actix_http::body::BoxBody;
 
 use crate::coordination::slot_queue::Offer;
+use crate::coordination::slot_queue::RUN_MARGIN;
 use crate::node::clock::Clock;
 use crate::protocol::hop::HOP_REQUEST_HEADER;
 use crate::protocol::hop::HopRequestHeader;
@@ -32,8 +33,6 @@
 const WINDOW_BYTES: f64 = 65_536.0;
 /// Smallest number of transfers at once, so that the link is used while one of them starts.
 const MIN_TRANSFERS: u32 = 2;
-/// Time for the run that is left after the transfer, in expected runs; run times vary by about 50 %.
-const RUN_MARGIN: f64 = 1.5;
 
 /// Returns the number of large bodies that a node receives at once over a link of this speed.
 #[must_use]
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -29,6 +29,7 @@
 use actix_http::error::PayloadError;
 use actix_http::h1::Codec;
 use actix_http::h1::Message;
+use actix_http::h1::MessageType;
 use actix_rt::net::TcpStream;
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
@@ -276,7 +277,7 @@
         let (method, version) = (req.method().clone(), req.version());
         let closes = req.head().connection_type() != ConnectionType::KeepAlive;
         self.expects_continue = req.head().expect();
-        let has_body = self.codec.message_type() != actix_http::h1::MessageType::None;
+        let has_body = self.codec.message_type() != MessageType::None;
         let req = if has_body {
             let (tx, rx) = mpsc::channel(BODY_CHUNKS);
             self.reading = Reading::Body(tx);
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -1,6 +1,7 @@
 //! HTTP exchanges over pooled connections with faulty peers on the loopback interface.
 
 use std::cell::Cell;
+use std::io;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -399,6 +400,17 @@
     });
 }
 
+/// Reads the head of a request and nothing of its body.
+fn read_head(stream: &mut TcpStream) -> io::Result<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte)?;
+        head.push(byte[0]);
+    }
+    Ok(())
+}
+
 /// Starts a peer that answers a request as soon as it has read the head, and returns how many bytes of
 /// the body arrived until the connection was closed.
 fn peer_without_body(response: &'static str) -> (SocketAddr, Receiver<usize>) {
@@ -409,13 +421,8 @@
         let Ok((mut stream, _)) = listener.accept() else {
             return;
         };
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            let mut byte = [0];
-            if stream.read(&mut byte).unwrap_or_default() == 0 {
-                return;
-            }
-            head.push(byte[0]);
+        if read_head(&mut stream).is_err() {
+            return;
         }
         let _ = stream.write_all(response.as_bytes());
         // The answer has to be delivered although the rest of the body is not read for a while.
@@ -460,12 +467,7 @@
         let (mut stream, _) = listener.accept().expect("a connection");
         let mut bodies = Vec::new();
         for _ in 0..2 {
-            let mut head = Vec::new();
-            while !head.ends_with(b"\r\n\r\n") {
-                let mut byte = [0];
-                stream.read_exact(&mut byte).expect("the head");
-                head.push(byte[0]);
-            }
+            read_head(&mut stream).expect("the head");
             let _ = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
             let mut body = vec![0; 60_000];
             stream.read_exact(&mut body).expect("the body");
