Share the fleet of sidecar processes between test files

The fleet, its calls and its configurations move to tests/sidecar_common, unchanged, so that further files can use them.

--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -1,16 +1,23 @@
 //! Sidecar processes with simulated platform services: configuration, membership and calls while the
 //! store fails.
 
-use std::future::Future;
+mod sidecar_common;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use actix_http::StatusCode;
-use bytes::Bytes;
 use googletest::prelude::*;
 use rustix::process::Signal;
 use serde_json::json;
+use sidecar_common::HOST;
+use sidecar_common::POLL_MARGIN;
+use sidecar_common::REQUIRED_TIME;
+use sidecar_common::TestFleet;
+use sidecar_common::WAIT_LIMIT;
+use sidecar_common::put_config;
+use sidecar_common::run;
 use sycamorewick::protocol::codec;
 use sycamorewick::protocol::fleet::BackendPhase;
 use sycamorewick::protocol::fleet::BackendReport;
@@ -18,211 +25,14 @@
 use testbed::log_server::Outage;
 use testbed::platform::backend::ATTEMPT_HEADER;
 use testbed::platform::backend::BackendAnnouncement;
-use testbed::platform::backend::PlatformBackend;
 use testbed::platform::backend::PlatformBackendHandle;
-use testbed::platform::backend::PlatformBackendOptions;
 use testbed::platform::backend::PlatformResponseBody;
-use testbed::platform::backend::SEAL_HEADER;
 use testbed::platform::backend::seal;
 use testbed::platform::fleet::SidecarFleet;
 use testbed::platform::fleet::SidecarOptions;
 use testbed::platform::store::OPERATOR_TOPIC;
 use testbed::platform::store::StoreControlChange;
 use testbed::platform::store::StoreHandle;
-use testbed::platform::store::StoreServer;
-
-/// Time limit for conditions without a required time.
-const WAIT_LIMIT: Duration = Duration::from_secs(30);
-/// Required time from the end of an outage of the store until an entry is written, and from the
-/// acknowledgement of a configuration until it is in force.
-const REQUIRED_TIME: Duration = Duration::from_secs(2);
-/// Time allowed beyond a required one for the calls that check a condition.
-const POLL_MARGIN: Duration = Duration::from_millis(400);
-const HOST: &str = "a.example";
-
-/// A store, sidecars and their backend servers.
-struct TestFleet {
-    store: StoreHandle,
-    fleet: SidecarFleet,
-    backends: Vec<PlatformBackendHandle>,
-    attempts: u64,
-}
-
-struct Reply {
-    status: StatusCode,
-    seal: Option<String>,
-    body: Bytes,
-}
-
-impl TestFleet {
-    /// Prepares nodes of one failure domain, with version 1 of the configuration in the store.
-    fn new(nodes: usize) -> eyre::Result<Self> {
-        let store = StoreServer::start(testbed::fleet::free_addr()?)?;
-        put_config(&store, 1);
-        let mut fleet = SidecarFleet::new(env!("CARGO_BIN_EXE_sycamorewick"))?;
-        for index in 0..nodes {
-            let options = SidecarOptions::new(&format!("n{index}"), "keta-a", "registry");
-            fleet.add(options, SidecarFleet::free_addrs(store.addr())?)?;
-        }
-        Ok(Self {
-            store,
-            fleet,
-            backends: Vec::new(),
-            attempts: 0,
-        })
-    }
-
-    /// Starts all nodes with backend servers and waits until each node can serve.
-    async fn start(nodes: usize) -> eyre::Result<Self> {
-        let mut env = Self::new(nodes)?;
-        for index in 0..nodes {
-            env.fleet.start(index)?;
-            env.add_backend(index, 0.0)?;
-        }
-        env.fleet.wait_ready(WAIT_LIMIT).await?;
-        for index in 0..nodes {
-            env.wait_for(WAIT_LIMIT, index, "/wrecks/1", StatusCode::OK)
-                .await?;
-            env.wait_peers(index, nodes - 1).await?;
-        }
-        Ok(env)
-    }
-
-    /// Waits until a node knows the backend servers of `peers` other nodes.
-    async fn wait_peers(&self, index: usize, peers: usize) -> eyre::Result<()> {
-        let until = Instant::now() + WAIT_LIMIT;
-        loop {
-            let lines = self.fleet.log_lines(index, "peer changed");
-            let ready = lines.iter().filter(|line| line["backend"] != "none");
-            if ready.count() >= peers {
-                return Ok(());
-            }
-            eyre::ensure!(Instant::now() < until, "node {index} knows {lines:?}");
-            actix_rt::time::sleep(Duration::from_millis(20)).await;
-        }
-    }
-
-    fn add_backend(&mut self, index: usize, error_rate: f64) -> eyre::Result<()> {
-        self.start_backend(index, error_rate, Duration::from_millis(10))
-    }
-
-    fn add_slow_backend(&mut self, index: usize, service_time: Duration) -> eyre::Result<()> {
-        self.start_backend(index, 0.0, service_time)
-    }
-
-    fn start_backend(
-        &mut self,
-        index: usize,
-        error_rate: f64,
-        service_time: Duration,
-    ) -> eyre::Result<()> {
-        let addrs = &self.fleet.nodes()[index].addrs;
-        self.backends
-            .push(PlatformBackend::start(PlatformBackendOptions {
-                id: format!("b{}", self.backends.len()),
-                born: 1 + u64::try_from(self.backends.len())?,
-                service: "registry".into(),
-                version: "v1".into(),
-                listen: addrs.backend,
-                heartbeat_addr: addrs.heartbeat,
-                slots: 4,
-                service_ms: u64::try_from(service_time.as_millis())?,
-                error_rate,
-                pad_bytes: 400,
-                seed: 1,
-            })?);
-        Ok(())
-    }
-
-    async fn call(&mut self, index: usize, path: &str) -> eyre::Result<Reply> {
-        self.attempts += 1;
-        let addr = self.fleet.nodes()[index].addrs.caller;
-        send_call(addr, format!("t{}", self.attempts), path).await
-    }
-
-    /// Sends calls to a node at the same time and returns the statuses of their responses.
-    async fn call_together(&mut self, index: usize, calls: u64) -> eyre::Result<Vec<StatusCode>> {
-        let addr = self.fleet.nodes()[index].addrs.caller;
-        let first = self.attempts + 1;
-        self.attempts += calls;
-        let attempts = first..first + calls;
-        let sent = attempts.map(|attempt| send_call(addr, format!("t{attempt}"), "/wrecks/1"));
-        let replies = futures_util::future::try_join_all(sent).await?;
-        Ok(replies.iter().map(|reply| reply.status).collect())
-    }
-
-    /// Waits until a node responds to a path with a status.
-    async fn wait_for(
-        &mut self,
-        limit: Duration,
-        index: usize,
-        path: &str,
-        status: StatusCode,
-    ) -> eyre::Result<()> {
-        let until = Instant::now() + limit;
-        loop {
-            let found = self.call(index, path).await.map(|reply| reply.status);
-            if found.as_ref().is_ok_and(|found| *found == status) {
-                return Ok(());
-            }
-            eyre::ensure!(
-                Instant::now() < until,
-                "node {index} responds with {found:?} to {path}, expected {status}: {}",
-                self.fleet.nodes()[index].process.output()
-            );
-            actix_rt::time::sleep(Duration::from_millis(20)).await;
-        }
-    }
-
-    fn outage(&self, outage: Outage) {
-        self.store.change(StoreControlChange {
-            outage: Some(outage),
-            ..StoreControlChange::default()
-        });
-    }
-}
-
-async fn send_call(addr: SocketAddr, attempt: String, path: &str) -> eyre::Result<Reply> {
-    let client = awc::Client::builder()
-        .timeout(Duration::from_secs(5))
-        .finish();
-    let mut response = client
-        .get(format!("http://{addr}{path}"))
-        .insert_header(("host", HOST))
-        .insert_header((ATTEMPT_HEADER, attempt))
-        .send()
-        .await
-        .map_err(|e| eyre::eyre!("{path}: {e}"))?;
-    let seal = response.headers().get(SEAL_HEADER);
-    let seal = seal.and_then(|value| Some(value.to_str().ok()?.to_owned()));
-    let body = response.body().await?;
-    Ok(Reply {
-        status: response.status(),
-        seal,
-        body,
-    })
-}
-
-/// Writes a configuration version with a route that only this version has. Returns its offset.
-fn put_config(store: &StoreHandle, version: u32) -> u64 {
-    let route = |prefix: &str| {
-        json!({ "host": HOST, "prefix": prefix, "kind": "safe", "timeout-ms": 3000, "slo-ms": 500,
-            "priority": 1, "service": "registry", "attempts": 2 })
-    };
-    let config = json!({
-        "version": format!("{version:08x}"),
-        "routes": { "lookup": route("/wrecks/"), "own": route(&format!("/v{version}/")) },
-        "services": { "registry": { "health-path": "/healthz", "max-conns": 100 } },
-        "limits": { "header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000 },
-    });
-    store.put(OPERATOR_TOPIC, "config", config.to_string().as_bytes())
-}
-
-fn run<F: Future<Output = eyre::Result<()>>>(test: F) {
-    if let Err(e) = actix_rt::System::new().block_on(test) {
-        panic!("{e:#}");
-    }
-}
 
 /// Guards against a response that belongs to another request, is truncated, or lacks the seal of its
 /// backend server.
