--- a/testbed/src/platform/backend.rs
+++ b/testbed/src/platform/backend.rs
@@ -3,9 +3,11 @@
 //! It sends heartbeats to the sidecar beside it, adds a seal header to its responses, and prints a
 //! line for each request that it runs, so that the runs can be counted even after it was killed.
 
+use std::future;
 use std::io;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -18,6 +20,7 @@
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
 use bytes::Bytes;
+use futures_util::future::select;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -134,6 +137,9 @@
     /// Ids of the attempts that were run, in order.
     runs: Mutex<Vec<String>>,
     announcement: Mutex<BackendAnnouncement>,
+    /// Path of the requests that end the backend server as soon as it runs one.
+    crash_path: Mutex<Option<String>>,
+    crashed: Notify,
     stop: Notify,
 }
 
@@ -165,6 +171,8 @@
             rng: Mutex::new(StdRng::seed_from_u64(options.seed)),
             runs: Mutex::default(),
             announcement: Mutex::default(),
+            crash_path: Mutex::default(),
+            crashed: Notify::new(),
             stop: Notify::new(),
             options,
         });
@@ -195,6 +203,17 @@
         *lock(&self.shared.announcement) = announcement;
     }
 
+    /// Makes the backend server crash as soon as it runs a request with this path.
+    pub fn crash_on(&self, path: &str) {
+        *lock(&self.shared.crash_path) = Some(path.to_owned());
+    }
+
+    /// Whether the backend server still runs.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        self.server.is_running()
+    }
+
     /// Starts a graceful stop: the backend server reports that it drains, serves for a while, and
     /// ends.
     pub fn request_stop(&self) {
@@ -214,6 +233,11 @@
 
 async fn run(shared: Arc<Shared>, listener: TcpListener) {
     print_event("start", &shared.options.id);
+    let crashed = shared.crashed.notified();
+    select(pin!(crashed), pin!(serve(shared.clone(), listener))).await;
+}
+
+async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let serving = {
         let shared = shared.clone();
         let handler = move |req| {
@@ -317,6 +341,11 @@
     };
     lock(&shared.runs).push(attempt.clone());
     print_event("run", &attempt);
+    if lock(&shared.crash_path).as_deref() == Some(req.path()) {
+        print_event("crash", &options.id);
+        shared.crashed.notify_one();
+        future::pending::<()>().await;
+    }
     actix_rt::time::sleep(service_time).await;
     drop(slot);
     let status = if failed {
