Detect crashes of the local backend server and log the requests that ran

A broken connection looked the same whether the backend server had broken off one response or had ended, and the log named the attempt, which differs for each repetition.

After a broken call the node opens a connection, which it keeps for the next call. If it is refused, and the backend server has not left, the node logs the hashes of the broken calls and counts the crash. A hash covers caller, method, route, path and body. No decision depends on it yet.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,6 +8,7 @@
 pub mod balancer;
 pub mod breaker;
 pub mod caller_age;
+pub mod crash_watch;
 pub mod dissemination;
 pub mod evidence;
 pub mod follow_poll;
--- a/src/coordination/quarantine.rs
+++ b/src/coordination/quarantine.rs
@@ -76,8 +76,14 @@
 /// Returns the hash that identifies repetitions of a request.
 #[must_use]
 pub fn fingerprint(method: &str, route: &str, path: &str, body: &[u8]) -> u64 {
+    hash_parts(&[method.as_bytes(), route.as_bytes(), path.as_bytes(), body])
+}
+
+/// Returns a hash of several byte strings.
+#[must_use]
+pub fn hash_parts(parts: &[&[u8]]) -> u64 {
     let mut hasher = Xxh3::new();
-    for part in [method.as_bytes(), route.as_bytes(), path.as_bytes(), body] {
+    for part in parts {
         // The length prefix separates the parts, so that moving a byte between them changes the
         // hash.
         hasher.update(&(part.len() as u64).to_le_bytes());
@@ -126,9 +132,15 @@
     /// Whether the request is refused at `wall`.
     #[must_use]
     pub fn is_quarantined(&self, fingerprint: u64, wall: WallMs) -> bool {
-        self.position(fingerprint).is_ok_and(|index| {
-            self.entries[index].quarantined && !self.entries[index].is_expired(wall)
-        })
+        self.refused_for(fingerprint, wall).is_some()
+    }
+
+    /// Returns the time for which the request is still refused at `wall`.
+    #[must_use]
+    pub fn refused_for(&self, fingerprint: u64, wall: WallMs) -> Option<Duration> {
+        let entry = &self.entries[self.position(fingerprint).ok()?];
+        let is_refused = entry.quarantined && !entry.is_expired(wall);
+        is_refused.then(|| QUARANTINE_TIME.saturating_sub(wall.since(entry.last_crash)))
     }
 
     /// Whether crashes with this request are attributed to the request and not to the version.
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -30,6 +30,8 @@
     pub gate_refusals: Counter,
     /// Failed calls to the platform's store.
     pub store_failures: Counter,
+    /// Crashes of the local backend server.
+    pub backend_crashes: Counter,
     /// Configuration version in force.
     pub config_version: Gauge,
     /// Requests a second that the local backend server accepts at most; zero without a limit.
@@ -61,6 +63,7 @@
             retries: counter!("sycamorewick_repeats_total"),
             gate_refusals: counter!("sycamorewick_gate_refusals_total"),
             store_failures: counter!("sycamorewick_store_failures_total"),
+            backend_crashes: counter!("sycamorewick_backend_crashes_total"),
             config_version: gauge!("sycamorewick_config_version"),
             backend_limit: gauge!("sycamorewick_backend_limit"),
             nodes: gauge!("sycamorewick_nodes"),
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 mod announcer;
 mod body_gate;
+mod crashes;
 mod entry;
 mod heartbeat_port;
 mod hop;
@@ -38,6 +39,7 @@
 
 use crate::coordination::breaker::Breaker;
 use crate::coordination::caller_age::CallerAges;
+use crate::coordination::crash_watch::CrashWatch;
 use crate::coordination::placement::Placement;
 use crate::coordination::retry_quota::RetryQuota;
 use crate::coordination::stop_plan::StopPlan;
@@ -81,6 +83,7 @@
     caller_ages: CallerAges,
     backend: LocalBackend,
     breaker: Breaker,
+    crash_watch: CrashWatch,
     /// Results of the backend server's current incarnation.
     tally: BackendTotals,
     moves: Moves,
@@ -176,6 +179,7 @@
         caller_ages: CallerAges::default(),
         backend: LocalBackend::new(settings.heartbeat_interval()),
         breaker: Breaker::default(),
+        crash_watch: CrashWatch::default(),
         tally: BackendTotals::default(),
         moves: Moves::default(),
         exposed: Vec::new(),
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -28,6 +28,7 @@
 use crate::sidecar::Sidecar;
 use crate::sidecar::SidecarState;
 use crate::sidecar::admission::Admitted;
+use crate::sidecar::crashes;
 use crate::transport::exchange::Exchange;
 use crate::transport::exchange::ExchangeFailure;
 use crate::transport::http_client::HttpResponse;
@@ -332,6 +333,10 @@
     slot.running = None;
     let run_time = cx.clock.since(began);
     cx.metrics.backend_latency.record(run_time);
+    let fingerprint = crashes::fingerprint(&call);
+    if let Err(Some(ExchangeFailure::Broken { .. })) = result {
+        crashes::on_broken_call(&cx, &backend, fingerprint);
+    }
     let outcome = interpret_result(&cx, &call, &backend, result, run_time);
     if matches!(outcome, ServeOutcome::Ran { .. }) {
         slot.admitted.run_time = Some(run_time);
@@ -441,13 +446,14 @@
                 ),
             };
             warn!(cx.log, "no complete response from the backend server"; "attempt" => attempt, "instance" => &*backend.instance,
-                "code" => code.number(), "why" => why);
+                "code" => code.number(), "why" => why, "request" => crashes::text(crashes::fingerprint(call)));
             ServeOutcome::Unknown(code)
         }
     }
 }
 
-fn mark_backend_down(cx: &Rc<Sidecar>, why: &str) {
+/// Marks the backend server as down, until its next heartbeat.
+pub fn mark_backend_down(cx: &Rc<Sidecar>, why: &str) {
     if cx.state.borrow_mut().backend.mark_down() {
         warn!(cx.log, "backend server down"; "why" => why);
         cx.entry_changed.notify_one();
--- a/src/state/local_backend.rs
+++ b/src/state/local_backend.rs
@@ -192,6 +192,22 @@
         was_up
     }
 
+    /// Whether the backend server is marked as down.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        self.is_down
+    }
+
+    /// Whether an incarnation has announced that it leaves, or has deregistered.
+    #[must_use]
+    pub fn has_left(&self, incarnation: &Incarnation) -> bool {
+        let is_leaving = |report: &BackendReport| self.is_leaving && report.is_of(incarnation);
+        let is_left = |left: &LeftBackend| left.incarnation == *incarnation;
+        self.report.as_ref().is_some_and(is_leaving)
+            || self.left.as_ref().is_some_and(is_left)
+            || self.deregistered.contains(incarnation)
+    }
+
     /// Returns the last report of the backend server if it accepts new requests.
     #[must_use]
     pub fn available(&self, now: Duration) -> Option<&BackendReport> {
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -238,6 +238,17 @@
         )))
     }
 
+    /// Opens a connection and keeps it for the next request.
+    ///
+    /// # Errors
+    /// If the peer refuses the connection, or does not accept it within [`CONNECT_TIMEOUT`].
+    pub async fn open(&self, addr: SocketAddr) -> io::Result<()> {
+        let stream = open_stream(addr).await?;
+        let connection = Connection::new(stream, RecentIds::default(), self.buffered.clone());
+        self.put_idle(addr, connection);
+        Ok(())
+    }
+
     /// Returns the bytes of the bodies that are being received.
     #[must_use]
     pub fn buffered_bytes(&self) -> usize {
@@ -302,13 +313,15 @@
 }
 
 async fn connect(addr: SocketAddr) -> Result<TcpStream, ExchangeFailure> {
-    let not_sent = |text: String| ExchangeFailure::NotSent(text);
-    let stream = match actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return Err(not_sent(e.to_string())),
-        Err(_) => return Err(not_sent("connect timed out".into())),
-    };
-    enable_dead_peer_detection(&stream).map_err(|e| not_sent(e.to_string()))?;
+    let stream = open_stream(addr).await;
+    stream.map_err(|e| ExchangeFailure::NotSent(e.to_string()))
+}
+
+async fn open_stream(addr: SocketAddr) -> io::Result<TcpStream> {
+    let connected = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+    let timed_out = |_| io::Error::new(io::ErrorKind::TimedOut, "connect timed out");
+    let stream = connected.map_err(timed_out)??;
+    enable_dead_peer_detection(&stream)?;
     Ok(stream)
 }
 
--- a/tests/process_crashing_request.rs
+++ b/tests/process_crashing_request.rs
@@ -10,6 +10,7 @@
 use sidecar_common::TestFleet;
 use sidecar_common::WAIT_LIMIT;
 use sidecar_common::run;
+use testbed::platform::backend::PlatformBackendHandle;
 
 const CRASHING_PATH: &str = "/wrecks/crash";
 const NODES: usize = 4;
@@ -82,7 +83,7 @@
     /// Number of runs of the crashing request.
     fn runs(&self) -> usize {
         let backends = self.env.backends.iter();
-        let runs = backends.flat_map(|backend| backend.runs());
+        let runs = backends.flat_map(PlatformBackendHandle::runs);
         runs.filter(|run| self.crashing.contains(run)).count()
     }
 }
@@ -95,16 +96,15 @@
         let mut fleet = CrashingFleet::start().await?;
         let mut known_at = None;
         let mut runs_before = 0;
-        let mut frequent_refused = 0;
         let until = Instant::now() + OBSERVED;
         let mut node = 0;
-        loop {
+        let frequent_refused = loop {
             node = (node + 1) % NODES;
             fleet.send_crashing(node).await?;
             // A frequent request runs beside the crashing one and is no cause of the crashes.
             let frequent = fleet.env.call_together((node + 1) % NODES, 3).await?;
             let is_ok = |status: &&StatusCode| **status == StatusCode::OK;
-            frequent_refused = 3 - frequent.iter().filter(is_ok).count();
+            let refused = 3 - frequent.iter().filter(is_ok).count();
             fleet.restart_ended()?;
             let now = Instant::now();
             if known_at.is_none() && fleet.crashes >= KNOWN_CRASHES {
@@ -116,10 +116,10 @@
             // A fleet that stops the request earlier never sees the third crash.
             let end = known_at.map_or(until, |at| at + CONTACT);
             if now >= end || fleet.runs() > runs_before + 4 * MAX_LATE_RUNS {
-                break;
+                break refused;
             }
             actix_rt::time::sleep(Duration::from_millis(100)).await;
-        }
+        };
         expect_that!(fleet.runs() - runs_before, le(MAX_LATE_RUNS));
         expect_that!(frequent_refused, eq(0), "frequent requests are served");
         let status = fleet.send_crashing(node).await?;
