Refuse requests that crash backend servers on every sidecar

Cause: coordination/quarantine.rs was reached only from src/node/, and the platform runs src/sidecar/. Ruled out: that nodes learn late, and that a restart loses the memory; there was none.

The node beside a crashed backend server names crash and suspect requests in its entry, in the record in which it withdraws the backend server. All nodes follow the entries, and a process that starts reads them before it serves. Answers exempt frequent requests that ran beside the cause.

--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -130,6 +130,9 @@
     arrivals: u8,
     may_have_run: bool,
     has_failure_response: bool,
+    /// Time for which the call is refused since it crashes backend servers. It is not offered to other
+    /// nodes, which may not know this yet.
+    quarantined_for: Option<Duration>,
     last: Option<ResultCode>,
     retry_after: Option<Duration>,
 }
@@ -149,6 +152,7 @@
             arrivals: 0,
             may_have_run: false,
             has_failure_response: false,
+            quarantined_for: None,
             last: None,
             retry_after: None,
         }
@@ -194,6 +198,7 @@
     pub fn next(&mut self, now: Duration) -> NextStep {
         let unsafe_to_retry = self.may_have_run && !self.limits.idempotent;
         if unsafe_to_retry
+            || self.quarantined_for.is_some()
             || self.limits.deadline < now + MIN_ATTEMPT_TIME
             || self.tries >= MAX_TRIES
             || self.arrivals >= self.limits.attempts
@@ -296,6 +301,9 @@
                 }
                 let shortest = self.retry_after.unwrap_or(retry_after).min(retry_after);
                 self.retry_after = Some(shortest);
+                if code == ResultCode::RequestQuarantined {
+                    self.on_quarantined(retry_after);
+                }
             }
             AttemptFailure::Unknown(code) => {
                 self.arrivals += 1;
@@ -305,6 +313,11 @@
         }
     }
 
+    /// Handles a call that crashes backend servers, so that it is refused for a time.
+    pub fn on_quarantined(&mut self, refused_for: Duration) {
+        self.quarantined_for = Some(refused_for);
+    }
+
     /// Handles the deadline of the call passing during an attempt.
     pub fn on_timeout(&mut self) {
         self.may_have_run = true;
@@ -317,6 +330,12 @@
         if self.has_failure_response {
             return Outcome::FailureResponse;
         }
+        if let (Some(refused_for), false) = (self.quarantined_for, self.may_have_run) {
+            return Outcome::Refused {
+                code: ResultCode::RequestQuarantined,
+                retry_after: Some(refused_for),
+            };
+        }
         let last = self.last.unwrap_or(ResultCode::Overloaded);
         let timed_out = last == ResultCode::DeadlineExceeded;
         if self.may_have_run && timed_out {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -9,6 +9,7 @@
 pub mod breaker;
 pub mod caller_age;
 pub mod crash_watch;
+pub mod crashing_requests;
 pub mod dissemination;
 pub mod evidence;
 pub mod follow_poll;
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -109,6 +109,18 @@
     /// the node does not take a late heartbeat of it for a new one.
     #[serde(default)]
     pub left: Option<LeftBackend>,
+    /// Crashes of the local backend server, oldest first.
+    #[serde(default)]
+    pub crashes: Vec<RequestCrash>,
+}
+
+/// A request that was running when a backend server crashed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RequestCrash {
+    /// Hash that repetitions of the request share.
+    pub fingerprint: u64,
+    /// Hash of the incarnation that crashed.
+    pub backend_start: u64,
 }
 
 /// An incarnation of a backend server whose leave its node has acknowledged.
--- a/src/sidecar/announcer.rs
+++ b/src/sidecar/announcer.rs
@@ -51,6 +51,7 @@
         capacity: cx.settings.capacity(),
         backend: backend.filter(|_| !cx.stopping.get()).cloned(),
         left: state.backend.left().cloned(),
+        crashes: state.crashing.reported(cx.clock.now()),
     }
 }
 
@@ -107,6 +108,7 @@
 fn is_equal(old: &FleetEntry, new: &FleetEntry) -> bool {
     old.run == new.run
         && old.left == new.left
+        && old.crashes == new.crashes
         && match (&old.backend, &new.backend) {
             (None, None) => true,
             (Some(old), Some(new)) => !new.needs_announcement_after(old),
--- a/src/sidecar/crashes.rs
+++ b/src/sidecar/crashes.rs
@@ -1,5 +1,5 @@
-//! Detects crashes of the local backend server. See `docs/platform.md`, "Requests that crash backend
-//! servers".
+//! Detects crashes of the local backend server, and refuses requests that cause them. See
+//! `docs/platform.md`, "Requests that crash backend servers".
 
 use std::io;
 use std::rc::Rc;
@@ -11,6 +11,7 @@
 use crate::platform::requests;
 use crate::protocol::fleet::BackendReport;
 use crate::protocol::fleet::Incarnation;
+use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
 use crate::sidecar::serving;
 use crate::sidecar::serving::ServeCall;
@@ -74,7 +75,37 @@
     let texts = fingerprints.iter().map(|fingerprint| text(*fingerprint));
     warn!(cx.log, "backend server crashed"; "instance" => &*incarnation.0, "born" => incarnation.1,
         "requests" => texts.collect::<Vec<_>>().join(" "));
+    let now = cx.clock.now();
+    let mut state = cx.state.borrow_mut();
+    let node = &cx.settings.id;
+    let quarantined = state
+        .crashing
+        .on_crash(now, node, incarnation, fingerprints);
+    drop(state);
+    log_quarantined(cx, &quarantined);
     serving::mark_backend_down(cx, "it has crashed");
+    cx.entry_changed.notify_one();
+}
+
+/// Logs the requests that are refused from now on.
+pub fn log_quarantined(cx: &Sidecar, quarantined: &[String]) {
+    for text in quarantined {
+        cx.metrics.quarantined_requests.increment(1);
+        warn!(cx.log, "request quarantined"; "why" => text, "code" => ResultCode::Quarantined.number());
+    }
+}
+
+/// Records that a backend server has answered a call.
+pub fn on_answered(cx: &Sidecar, fingerprint: u64) {
+    let now = cx.clock.now();
+    let mut state = cx.state.borrow_mut();
+    state.crashing.on_answered(now, fingerprint);
+}
+
+/// Returns the time for which a call is refused because it crashes backend servers, if it is.
+pub fn refused_for(cx: &Sidecar, fingerprint: u64) -> Option<Duration> {
+    let now = cx.clock.now();
+    cx.state.borrow().crashing.refused_for(now, fingerprint)
 }
 
 /// Returns a fingerprint for the log.
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -43,6 +43,7 @@
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
 use crate::sidecar::SidecarState;
+use crate::sidecar::crashes;
 use crate::sidecar::hop;
 use crate::sidecar::hop::HopResult;
 use crate::sidecar::hop::OpenCall;
@@ -115,6 +116,8 @@
     /// Memory of the body.
     _held: HeldBytes,
     deadline: Duration,
+    /// Hash that repetitions of the request share.
+    fingerprint: u64,
 }
 
 async fn route_request(
@@ -182,6 +185,7 @@
     };
     Ok(EntryCall {
         route,
+        fingerprint: crashes::fingerprint(&serve),
         serve,
         _held: held,
         deadline: arrived + time_limit,
@@ -238,6 +242,10 @@
 ) -> Option<HttpResponse> {
     loop {
         let now = cx.clock.now();
+        if let Some(refused_for) = crashes::refused_for(cx, call.fingerprint) {
+            attempts.on_quarantined(refused_for);
+            return None;
+        }
         match attempts.next(now) {
             NextStep::Offer => {}
             NextStep::Retry if may_retry(cx, call, attempts, now) => {}
@@ -560,6 +568,7 @@
     if let ServeOutcome::Ran { response, run_time } = &result.outcome {
         in_flight.run_time = *run_time;
         in_flight.bytes = response.body.len();
+        crashes::on_answered(cx, call.fingerprint);
     }
     drop(in_flight);
     result.outcome
@@ -587,7 +596,7 @@
     info!(cx.log, "call failed"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
         "route" => call.route.name.as_str(), "code" => code.map(ResultCode::number),
         "last" => attempts.last().map(ResultCode::number), "may_have_run" => attempts.may_have_run(),
-        "arrivals" => attempts.arrivals(), "tries" => attempts.tries(),
+        "arrivals" => attempts.arrivals(), "tries" => attempts.tries(), "request" => crashes::text(call.fingerprint),
         "took_ms" => millis(cx.clock.since(call.serve.arrived)));
 }
 
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -32,6 +32,8 @@
     pub store_failures: Counter,
     /// Crashes of the local backend server.
     pub backend_crashes: Counter,
+    /// Requests that are refused since they crash backend servers.
+    pub quarantined_requests: Counter,
     /// Configuration version in force.
     pub config_version: Gauge,
     /// Requests a second that the local backend server accepts at most; zero without a limit.
@@ -64,6 +66,7 @@
             gate_refusals: counter!("sycamorewick_gate_refusals_total"),
             store_failures: counter!("sycamorewick_store_failures_total"),
             backend_crashes: counter!("sycamorewick_backend_crashes_total"),
+            quarantined_requests: counter!("sycamorewick_quarantined_requests_total"),
             config_version: gauge!("sycamorewick_config_version"),
             backend_limit: gauge!("sycamorewick_backend_limit"),
             nodes: gauge!("sycamorewick_nodes"),
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -40,6 +40,7 @@
 use crate::coordination::breaker::Breaker;
 use crate::coordination::caller_age::CallerAges;
 use crate::coordination::crash_watch::CrashWatch;
+use crate::coordination::crashing_requests::CrashingRequests;
 use crate::coordination::placement::Placement;
 use crate::coordination::retry_quota::RetryQuota;
 use crate::coordination::stop_plan::StopPlan;
@@ -84,6 +85,7 @@
     backend: LocalBackend,
     breaker: Breaker,
     crash_watch: CrashWatch,
+    crashing: CrashingRequests,
     /// Results of the backend server's current incarnation.
     tally: BackendTotals,
     moves: Moves,
@@ -180,6 +182,7 @@
         backend: LocalBackend::new(settings.heartbeat_interval()),
         breaker: Breaker::default(),
         crash_watch: CrashWatch::default(),
+        crashing: CrashingRequests::default(),
         tally: BackendTotals::default(),
         moves: Moves::default(),
         exposed: Vec::new(),
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -16,6 +16,7 @@
 use crate::protocol::name::ServiceName;
 use crate::protocol::time::millis;
 use crate::sidecar::Sidecar;
+use crate::sidecar::crashes;
 use crate::state::routing_table::RoutingTable;
 
 /// Applies a record of the operator's topic: a configuration or an order to roll out a version.
@@ -106,8 +107,13 @@
     if is_own {
         // A late write of an earlier process of this node is overwritten.
         if entry.run != cx.run {
+            let now = cx.clock.now();
             let mut state = cx.state.borrow_mut();
             state.written_entry = None;
+            let quarantined = state
+                .crashing
+                .on_earlier_entry(now, &cx.settings.id, &entry.crashes);
+            crashes::log_quarantined(cx, &quarantined);
             if let Some(left) = entry.left {
                 let text = format!("{} of {}", left.incarnation.0, left.incarnation.1);
                 let is_current = state.backend.on_earlier_leave(left);
@@ -129,6 +135,8 @@
         return;
     }
     let mut state = cx.state.borrow_mut();
+    let quarantined = state.crashing.on_entry(now, &entry.node, &entry.crashes);
+    crashes::log_quarantined(cx, &quarantined);
     if state.placement.on_entry(now, &entry) {
         let backend = entry.backend.as_ref();
         info!(cx.log, "peer changed"; "peer" => entry.node.as_str(), "offset" => record.offset,
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -102,6 +102,16 @@
         }
     }
 
+    /// Returns a refusal of a call that crashes backend servers.
+    #[must_use]
+    pub fn quarantined(refused_for: Duration) -> Self {
+        Self::Refused {
+            code: ResultCode::RequestQuarantined,
+            arrived: false,
+            retry_after: refused_for,
+        }
+    }
+
     /// Returns a refusal because of load.
     #[must_use]
     pub fn overloaded(retry_after: Duration) -> Self {
@@ -164,6 +174,10 @@
     if let Err(code) = usable_backend(cx, &call.head) {
         return refuse(cx, &call, ServeOutcome::refused(code));
     }
+    let fingerprint = crashes::fingerprint(&call);
+    if let Some(refused_for) = crashes::refused_for(cx, fingerprint) {
+        return refuse(cx, &call, ServeOutcome::quarantined(refused_for));
+    }
     if let Some(limit) = call.head.limit {
         apply_reported_limit(cx, limit);
     }
@@ -178,12 +192,15 @@
         Ok(backend) => backend,
         Err(code) => return refuse(cx, &call, ServeOutcome::refused(code)),
     };
+    if let Some(refused_for) = crashes::refused_for(cx, fingerprint) {
+        return refuse(cx, &call, ServeOutcome::quarantined(refused_for));
+    }
     let idempotent = call.head.idempotent;
     let now = cx.clock.now();
     if !cx.state.borrow_mut().breaker.admit(now, idempotent) {
         return refuse(cx, &call, ServeOutcome::refused(ResultCode::NoBackend));
     }
-    let run = run(cx.clone(), call, backend, slot);
+    let run = run(cx.clone(), call, backend, slot, fingerprint);
     if idempotent {
         return run.await;
     }
@@ -316,6 +333,7 @@
     call: ServeCall,
     backend: BackendReport,
     mut slot: SlotGuard,
+    fingerprint: u64,
 ) -> ServeOutcome {
     let began = cx.clock.now();
     let waited = began.saturating_sub(call.arrived);
@@ -333,12 +351,12 @@
     slot.running = None;
     let run_time = cx.clock.since(began);
     cx.metrics.backend_latency.record(run_time);
-    let fingerprint = crashes::fingerprint(&call);
     if let Err(Some(ExchangeFailure::Broken { .. })) = result {
         crashes::on_broken_call(&cx, &backend, fingerprint);
     }
     let outcome = interpret_result(&cx, &call, &backend, result, run_time);
     if matches!(outcome, ServeOutcome::Ran { .. }) {
+        crashes::on_answered(&cx, fingerprint);
         slot.admitted.run_time = Some(run_time);
     }
     slot.reported_to_breaker = report_to_breaker(&cx, &outcome);
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -278,3 +278,29 @@
     };
     expect_that!(call.on_choice(ms(2_860), Some(unknown)), eq(Choice::Send));
 }
+
+/// Guards against a call that one node refuses since it crashes backend servers and that is offered to
+/// nodes which do not know this yet.
+#[gtest]
+fn on_failure_quarantined() {
+    let now = ms(1_000);
+    let quarantined = refused(ResultCode::RequestQuarantined, false, 60_000);
+    let mut call = attempts(true);
+    fail(&mut call, now, "a", overloaded(20));
+    fail(&mut call, now, "b", quarantined);
+    expect_that!(call.next(now), eq(NextStep::Stop));
+    let code = ResultCode::RequestQuarantined;
+    let retry_after = Some(ms(60_000));
+    expect_that!(call.outcome(), eq(Outcome::Refused { code, retry_after }));
+    // A call that may have run is not reported as not run.
+    let mut call = attempts(true);
+    fail(
+        &mut call,
+        now,
+        "a",
+        AttemptFailure::Unknown(ResultCode::InvalidResponse),
+    );
+    fail(&mut call, now, "b", quarantined);
+    let unknown = Outcome::Unknown(ResultCode::OutcomeUnknown);
+    expect_that!(call.outcome(), eq(unknown));
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -50,6 +50,7 @@
             cold_left_ms: 0,
         }),
         left: None,
+        crashes: Vec::new(),
     }
 }
 
--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -589,6 +589,7 @@
             cold_left_ms: u64::MAX,
         }),
         left: None,
+        crashes: Vec::new(),
     };
     let no_port = SocketAddr::from(([127, 0, 0, 1], 0));
     let no_slots = testbed::fleet::free_addr()?;
