Show what a store that goes back to an earlier state does to a fleet

The stand-in of the store takes a copy, goes back to it, and names the era in all its answers; a read from an offset that it does not have gets 410.

--- a/testbed/src/platform/store.rs
+++ b/testbed/src/platform/store.rs
@@ -19,6 +19,8 @@
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Buf;
@@ -38,6 +40,8 @@
 pub const OPERATOR_TOPIC: &str = "keyed.op";
 /// Topic with the results of rollouts.
 pub const RESULT_TOPIC: &str = "keyed.status";
+/// Header with a number that rises by one each time the store goes back to a copy.
+const ERA_HEADER: &str = "store-era";
 /// Largest request body, bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
 /// Longest wait of a long-polling read.
@@ -67,6 +71,13 @@
     pub retention: Option<usize>,
     /// Number of following appends that do not wake waiting reads.
     pub missed_wakeups: Option<u32>,
+    /// Keeps a copy of all records.
+    #[serde(default)]
+    pub take_copy: bool,
+    /// Goes back to the copy that was taken last: what was appended since is lost, and its offsets are
+    /// given out again.
+    #[serde(default)]
+    pub restore_copy: bool,
     /// Calls per second; calls above the limit get status 429. Zero for no limit.
     pub calls_per_s: Option<u32>,
 }
@@ -92,7 +103,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Record {
     key: String,
     value: Bytes,
@@ -100,7 +111,7 @@
     raw: Bytes,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Topic {
     name: String,
     first: u64,
@@ -166,6 +177,9 @@
     calls: StoreCalls,
     /// Sorted by name.
     topics: Vec<Topic>,
+    copy: Vec<Topic>,
+    /// Number of times that the store went back to its copy.
+    restores: u64,
     window_began: Option<Instant>,
     window_calls: u32,
 }
@@ -244,7 +258,23 @@
         control.retention = change.retention.or(control.retention);
         control.missed_wakeups = change.missed_wakeups.or(control.missed_wakeups);
         control.calls_per_s = change.calls_per_s.or(control.calls_per_s);
+        let State {
+            topics,
+            copy,
+            restores,
+            ..
+        } = &mut *state;
+        if change.take_copy {
+            copy.clone_from(topics);
+        }
+        if change.restore_copy {
+            topics.clone_from(copy);
+            *restores += 1;
+        }
         drop(state);
+        if change.restore_copy {
+            self.appended.notify_waiters();
+        }
         self.control_changed.notify_waiters();
     }
 
@@ -363,6 +393,22 @@
         of_key.map(|record| record.value.clone()).collect()
     }
 
+    /// Keeps a copy of all records.
+    pub fn take_copy(&self) {
+        self.change(StoreControlChange {
+            take_copy: true,
+            ..StoreControlChange::default()
+        });
+    }
+
+    /// Goes back to the copy that was taken last.
+    pub fn restore_copy(&self) {
+        self.change(StoreControlChange {
+            restore_copy: true,
+            ..StoreControlChange::default()
+        });
+    }
+
     /// Number of calls since the start.
     #[must_use]
     pub fn calls(&self) -> StoreCalls {
@@ -393,7 +439,7 @@
         }
         state.count_call()
     };
-    let response = if is_within_rate {
+    let mut response = if is_within_rate {
         let delay = shared.lock().control.delay_ms.unwrap_or(0);
         if delay > 0 {
             actix_rt::time::sleep(Duration::from_millis(delay)).await;
@@ -414,9 +460,13 @@
     } else {
         http::text(StatusCode::TOO_MANY_REQUESTS, "the rate limit is exceeded")
     };
+    let mut state = shared.lock();
     if response.status().as_u16() >= 400 {
-        shared.lock().calls.refused += 1;
+        state.calls.refused += 1;
     }
+    let era = HeaderValue::from(1 + state.restores);
+    let name = HeaderName::from_static(ERA_HEADER);
+    response.headers_mut().insert(name, era);
     response
 }
 
@@ -532,7 +582,7 @@
         {
             let mut state = shared.lock();
             let topic = state.topic_or_new(topic);
-            if from < topic.first {
+            if from < topic.first || from > topic.end() {
                 let first = json!({ "first-offset": topic.first });
                 return http::json(StatusCode::GONE, &first);
             }
--- a/tests/sidecar_common/mod.rs
+++ b/tests/sidecar_common/mod.rs
@@ -96,16 +96,22 @@
     }
 
     pub fn add_backend(&mut self, index: usize, error_rate: f64) -> eyre::Result<()> {
-        self.start_backend(index, error_rate, Duration::from_millis(10))
+        self.start_backend(index, "v1", error_rate, Duration::from_millis(10))
+    }
+
+    /// Starts a backend server of a version.
+    pub fn add_version(&mut self, index: usize, version: &str) -> eyre::Result<()> {
+        self.start_backend(index, version, 0.0, Duration::from_millis(10))
     }
 
     pub fn add_slow_backend(&mut self, index: usize, service_time: Duration) -> eyre::Result<()> {
-        self.start_backend(index, 0.0, service_time)
+        self.start_backend(index, "v1", 0.0, service_time)
     }
 
     pub fn start_backend(
         &mut self,
         index: usize,
+        version: &str,
         error_rate: f64,
         service_time: Duration,
     ) -> eyre::Result<()> {
@@ -115,7 +121,7 @@
                 id: format!("b{}", self.backends.len()),
                 born: 1 + u64::try_from(self.backends.len())?,
                 service: "registry".into(),
-                version: "v1".into(),
+                version: version.into(),
                 listen: addrs.backend,
                 heartbeat_addr: addrs.heartbeat,
                 slots: 4,
