--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -334,6 +334,8 @@
 fn apply_all(cx: &Rc<Sidecar>, topic: usize, records: &[KeyedRecord], end: u64) {
     for record in records {
         if !cx.feed.cursors.borrow_mut()[topic].update_if_newer(&record.key, record.offset) {
+            info!(cx.log, "record skipped"; "topic" => TOPICS[topic], "key" => &record.key, "offset" => record.offset,
+                "why" => "not newer than the last one of its key");
             continue;
         }
         apply(cx, topic, record);
