Follow the store's topics anew when it goes back to an earlier state

Cause: read positions, the offset by which a record counts as newer than the last one of its key, the copies for followers and followers' requests were kept over the outage, although offsets are given out again. Class of fault: a position in somebody else's history that does not name the history. Ruled out: a node that goes back to the configuration of the copy (restore_keeps_configuration passed before).

The era in the store's answers is read (coordination/store_history.rs).

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -25,6 +25,7 @@
 pub mod rollout;
 pub mod slot_queue;
 pub mod stop_plan;
+pub mod store_history;
 pub mod store_retry;
 pub mod topic_cursor;
 pub mod topic_source;
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -30,6 +30,8 @@
     pub gate_refusals: Counter,
     /// Failed calls to the platform's store.
     pub store_failures: Counter,
+    /// Times that the platform's store has gone back to an earlier state.
+    pub store_restores: Counter,
     /// Crashes of the local backend server.
     pub backend_crashes: Counter,
     /// Requests that are refused since they crash backend servers.
@@ -65,6 +67,7 @@
             retries: counter!("sycamorewick_repeats_total"),
             gate_refusals: counter!("sycamorewick_gate_refusals_total"),
             store_failures: counter!("sycamorewick_store_failures_total"),
+            store_restores: counter!("sycamorewick_store_restores_total"),
             backend_crashes: counter!("sycamorewick_backend_crashes_total"),
             quarantined_requests: counter!("sycamorewick_quarantined_requests_total"),
             config_version: gauge!("sycamorewick_config_version"),
--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -40,6 +40,8 @@
 pub const FOLLOW_PATH: &str = "/sw/follow";
 /// Header of a follow request with the offsets from which the topics are requested.
 const FROM_HEADER: &str = "sw-from";
+/// Header of a follow request with the era of these offsets.
+const ERA_HEADER: &str = "sw-era";
 /// Header of a follow request with the long-poll time, milliseconds. Without it the reader responds at
 /// once with the records that it has.
 const WAIT_HEADER: &str = "sw-wait-ms";
@@ -63,6 +65,9 @@
     pub age_ms: u64,
     /// Records of each topic.
     pub topics: Vec<TopicRecords>,
+    /// Era of the offsets.
+    #[serde(default)]
+    pub era: Option<u64>,
 }
 
 /// Records of one topic.
@@ -96,13 +101,39 @@
     }
 }
 
+/// Offsets from which a follower requests the topics.
+struct FollowerPosition {
+    offsets: [u64; 3],
+    /// Era of the offsets.
+    era: Option<u64>,
+}
+
+impl FollowerPosition {
+    /// Returns the offsets from which this node has to send the topics: all of them if the follower's
+    /// offsets are of another era.
+    fn in_era(&self, era: Option<u64>) -> [u64; 3] {
+        if self.era.is_none() || self.era == era {
+            self.offsets
+        } else {
+            [0; 3]
+        }
+    }
+}
+
 /// Handles a follow request. Responds as soon as there are new records or the view was confirmed, at
 /// the latest after the long-poll time, and refuses as soon as the view is too old to be followed.
 pub async fn serve(cx: &Rc<Sidecar>, req: &Request) -> Response<BoxBody> {
     let from = headers::text(req.headers(), FROM_HEADER).and_then(parse_offsets);
-    let Some(from) = from else {
+    let Some(offsets) = from else {
         return http_server::empty(StatusCode::BAD_REQUEST);
     };
+    let era = headers::number(req.headers(), ERA_HEADER);
+    let from = FollowerPosition { offsets, era };
+    if era > cx.feed.era() {
+        // The store has gone back, which this node learns from the store itself.
+        cx.feed.interrupt_long_poll();
+        return http_server::empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
     let wait = headers::number(req.headers(), WAIT_HEADER).map(Duration::from_millis);
     let may_respond = match wait {
         Some(wait) => {
@@ -114,7 +145,7 @@
                 is_store_away: req.headers().contains_key(STORE_AWAY_HEADER),
                 max_view_age: topic_follower::max_followed_age(cx),
             };
-            wait_for_update(cx, from, &poll).await
+            wait_for_update(cx, &from, &poll).await
         }
         None => true,
     };
@@ -122,7 +153,7 @@
         return http_server::empty(StatusCode::GONE);
     }
     let view_age = cx.feed.view_age(cx.clock.now()).filter(|_| may_respond);
-    let Some(response) = view_age.and_then(|view_age| follow_response(cx, from, view_age)) else {
+    let Some(response) = view_age.and_then(|view_age| follow_response(cx, &from, view_age)) else {
         return http_server::empty(StatusCode::SERVICE_UNAVAILABLE);
     };
     match codec::encode(&response) {
@@ -132,13 +163,21 @@
 }
 
 /// Waits until the reader can answer a follow request. Returns whether its view may be followed.
-async fn wait_for_update(cx: &Sidecar, from: [u64; 3], poll: &FollowPoll) -> bool {
+async fn wait_for_update(cx: &Sidecar, from: &FollowerPosition, poll: &FollowPoll) -> bool {
     loop {
         let changed = cx.feed.changed.notified();
         let checked = cx.feed.view_checked.notified();
         let now = cx.clock.now();
         let confirmed_at = cx.feed.confirmed_at.get();
-        let until = match poll.next(now, confirmed_at, has_new_records(cx, from)) {
+        let step = if cx.feed.is_complete() {
+            poll.next(now, confirmed_at, has_new_records(cx, from))
+        } else if now < poll.until {
+            // The topics are being read anew.
+            FollowStep::Wait(poll.until)
+        } else {
+            FollowStep::RefuseAsBehind
+        };
+        let until = match step {
             FollowStep::Respond => return true,
             FollowStep::RefuseAsBehind => return false,
             FollowStep::Wait(_) if cx.stopping.get() => return false,
@@ -150,16 +189,21 @@
     }
 }
 
-fn has_new_records(cx: &Sidecar, from: [u64; 3]) -> bool {
+fn has_new_records(cx: &Sidecar, from: &FollowerPosition) -> bool {
     let mirrors = cx.feed.mirrors.borrow();
-    let mut pairs = mirrors.iter().zip(from);
+    let mut pairs = mirrors.iter().zip(from.in_era(cx.feed.era()));
     pairs.any(|(mirror, from)| !mirror.records_from(from).is_empty())
 }
 
-fn follow_response(cx: &Sidecar, from: [u64; 3], view_age: Duration) -> Option<FollowResponse> {
+fn follow_response(
+    cx: &Sidecar,
+    from: &FollowerPosition,
+    view_age: Duration,
+) -> Option<FollowResponse> {
+    let era = cx.feed.era();
     let mirrors = cx.feed.mirrors.borrow();
     let mut topics = Vec::with_capacity(mirrors.len());
-    for (mirror, from) in mirrors.iter().zip(from) {
+    for (mirror, from) in mirrors.iter().zip(from.in_era(era)) {
         let records = mirror.records_from(from).iter();
         topics.push(TopicRecords {
             end: mirror.end()?,
@@ -173,7 +217,11 @@
         });
     }
     let age_ms = millis(view_age);
-    Some(FollowResponse { age_ms, topics })
+    Some(FollowResponse {
+        age_ms,
+        topics,
+        era,
+    })
 }
 
 fn parse_offsets(text: &str) -> Option<[u64; 3]> {
@@ -190,6 +238,14 @@
 }
 
 impl FetchFailure {
+    /// The reader's view is too old.
+    pub fn behind(why: String) -> Self {
+        Self {
+            failure: ReaderFailure::Behind,
+            why,
+        }
+    }
+
     fn lost(why: impl fmt::Display) -> Self {
         Self {
             failure: ReaderFailure::Lost,
@@ -238,6 +294,9 @@
         let name = HeaderName::from_static(WAIT_HEADER);
         headers.push((name, millis(wait).into()));
     }
+    if let Some(era) = cx.feed.era() {
+        headers.push((HeaderName::from_static(ERA_HEADER), era.into()));
+    }
     let mut add_flag = |name| {
         let name = HeaderName::from_static(name);
         headers.push((name, HeaderValue::from_static("1")));
--- a/src/sidecar/rollouts.rs
+++ b/src/sidecar/rollouts.rs
@@ -115,7 +115,10 @@
 async fn write_result(cx: &Rc<Sidecar>, action: &MoveAction) -> Result<MoveState, StoreFailure> {
     let key = config::result_key(&action.order.service);
     let results = match cx.store.newest(RESULT_TOPIC, FIRST_TIMEOUT).await {
-        Err(StoreFailure::Refused(404)) => KeyedBatch::default(),
+        Err(StoreFailure::Refused(404)) => KeyedBatch {
+            era: cx.store.era(),
+            ..KeyedBatch::default()
+        },
         other => other?,
     };
     let last = results.records.iter().find(|record| record.key == key);
@@ -130,7 +133,7 @@
     }
     let value = config::write_result(&action.order, action.offset, action.state);
     cx.store
-        .put(RESULT_TOPIC, &key, &value, Some(results.end))
+        .put(RESULT_TOPIC, &key, &value, Some(results.topic_end()))
         .await?;
     info!(cx.log, "rollout result written"; "service" => action.order.service.as_str(), "state" => format!("{:?}", action.state));
     Ok(action.state)
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -25,9 +25,11 @@
 use crate::platform::store::MOVE_TOPIC;
 use crate::platform::store::OPERATOR_TOPIC;
 use crate::platform::store::StoreFailure;
+use crate::protocol::name::NodeId;
 use crate::sidecar::Sidecar;
 use crate::sidecar::records;
 use crate::sidecar::relay_port;
+use crate::sidecar::relay_port::FetchFailure;
 use crate::sidecar::relay_port::FetchMode;
 use crate::sidecar::relay_port::FollowResponse;
 use crate::state::mirror::Mirror;
@@ -76,6 +78,12 @@
     pub mirrors: RefCell<[Mirror; 3]>,
     /// Time at which the view of the operator's topic was last known to be complete.
     pub confirmed_at: Cell<Option<Duration>>,
+    /// Era that the read positions and the local copies belong to.
+    followed_era: Cell<Option<u64>>,
+    /// Whether every topic has been read once.
+    is_started: Cell<bool>,
+    /// Signals that the store has gone back, so that reads begin anew.
+    restored: Notify,
     /// Signals that records were applied.
     pub changed: Notify,
     /// Signals that the view of the operator's topic was found to be complete, or could not be checked.
@@ -101,6 +109,9 @@
             cursors: RefCell::default(),
             mirrors: RefCell::default(),
             confirmed_at: Cell::new(None),
+            followed_era: Cell::new(None),
+            is_started: Cell::new(false),
+            restored: Notify::new(),
             changed: Notify::new(),
             view_checked: Notify::new(),
             interrupt_poll: Notify::new(),
@@ -118,9 +129,22 @@
 impl Feed {
     /// Returns the offset of the next record of each topic, or `None` until every topic was read once.
     fn positions(&self) -> Option<[u64; 3]> {
+        self.is_started
+            .set(self.is_started.get() || self.is_complete());
         let mirrors = self.mirrors.borrow();
-        let [operator, fleet, moves] = &*mirrors;
-        Some([operator.end()?, fleet.end()?, moves.end()?])
+        let ends = mirrors.each_ref().map(|mirror| mirror.end().unwrap_or(0));
+        self.is_started.get().then_some(ends)
+    }
+
+    /// Whether every topic has been read, in the current era.
+    pub fn is_complete(&self) -> bool {
+        let mirrors = self.mirrors.borrow();
+        mirrors.iter().all(|mirror| mirror.end().is_some())
+    }
+
+    /// Returns the era that the read positions and the local copies belong to.
+    pub fn era(&self) -> Option<u64> {
+        self.followed_era.get()
     }
 
     /// Returns the age of the view of the operator's topic: the time since it was last known to be
@@ -161,7 +185,7 @@
     }
 
     /// Interrupts the long poll of the operator's topic and makes the next read return at once.
-    fn interrupt_long_poll(&self) {
+    pub fn interrupt_long_poll(&self) {
         self.skip_wait.set(true);
         self.interrupt_poll.notify_waiters();
     }
@@ -204,6 +228,24 @@
     actix_rt::spawn(async move { follow_peer(&cx).await });
 }
 
+/// Begins to follow all topics anew if the store has gone back to an earlier state. What the topics said
+/// before stays in force until their records of the new era replace it.
+pub fn sync_history(cx: &Rc<Sidecar>) {
+    let era = cx.store.era();
+    let followed = cx.feed.followed_era.replace(era);
+    if followed.is_none() || followed == era {
+        return;
+    }
+    warn!(cx.log, "store went back"; "era" => era, "before" => followed);
+    cx.metrics.store_restores.increment(1);
+    *cx.feed.cursors.borrow_mut() = Default::default();
+    *cx.feed.mirrors.borrow_mut() = Default::default();
+    if !cx.state.borrow().moves.has_orders() {
+        cx.feed.mark_as_read(MOVES);
+    }
+    cx.feed.restored.notify_waiters();
+}
+
 /// Applies a record to this process.
 fn apply(cx: &Rc<Sidecar>, topic: usize, record: &KeyedRecord) {
     match topic {
@@ -241,11 +283,18 @@
             call.wait = Duration::ZERO;
         }
         let next = call.read;
+        let era = cx.feed.era();
         let read = tokio::select! {
             read = read_store(cx, topic, call) => read,
+            () = cx.feed.restored.notified() => continue,
             () = cx.feed.source_changed.notified() => continue,
             () = cx.feed.interrupt_poll.notified(), if topic == OPERATOR => continue,
         };
+        sync_history(cx);
+        if era.is_some() && era != cx.feed.era() {
+            // The offset of the read belongs to an earlier era.
+            continue;
+        }
         match read {
             Ok(batch) => {
                 let failures = cx.feed.cursors.borrow()[topic].failures();
@@ -254,9 +303,10 @@
                 }
                 cx.feed.set_store_available(true);
                 let changed = !batch.records.is_empty();
+                let is_start = !cx.state.borrow().fleet_read;
                 apply_read(cx, topic, next, batch);
                 let pause = match (topic, next) {
-                    (FLEET, NextRead::Newest) => FLEET_START_PAUSE,
+                    (FLEET, NextRead::Newest) if is_start => FLEET_START_PAUSE,
                     (FLEET, _) if changed => FLEET_BURST_PAUSE,
                     (_, NextRead::From(_)) if changed => BURST_PAUSE,
                     _ => continue,
@@ -345,11 +395,12 @@
             offset: record.offset,
         });
     }
+    let is_first = cx.feed.mirrors.borrow()[topic].end().is_none();
     cx.feed.mirrors.borrow_mut()[topic].advance(end);
     if topic == FLEET {
         cx.state.borrow_mut().fleet_read = true;
     }
-    if !records.is_empty() {
+    if is_first || !records.is_empty() {
         cx.feed.changed.notify_waiters();
     }
 }
@@ -357,6 +408,7 @@
 /// Selects the source repeatedly, and follows it while it is another node.
 async fn follow_peer(cx: &Rc<Sidecar>) {
     loop {
+        sync_history(cx);
         let Some(positions) = cx.feed.positions() else {
             actix_rt::time::sleep(SOURCE_CHECK_INTERVAL / 5).await;
             continue;
@@ -375,27 +427,42 @@
             FetchMode::Updates
         };
         match relay_port::fetch(cx, addr, positions, mode).await {
+            Ok(response) if is_outdated(cx, &response) => {
+                let why = format!("it follows era {:?}", response.era);
+                on_reader_failure(cx, &node, &FetchFailure::behind(why));
+            }
             Ok(response) => {
                 cx.feed.relay.borrow_mut().on_answer();
                 cx.feed.set_store_available(true);
                 apply_relayed(cx, response);
             }
-            Err(failure) => {
-                info!(cx.log, "reader skipped"; "reader" => node.as_str(), "failure" => format!("{:?}", failure.failure),
-                    "why" => failure.why);
-                let now = cx.clock.now();
-                let view_age = cx.feed.view_age(now).unwrap_or(now);
-                let mut relay = cx.feed.relay.borrow_mut();
-                relay.on_failure(now, &node, failure.failure, view_age, max_failover_age(cx));
-                drop(relay);
-                cx.feed.interrupt_long_poll();
-            }
+            Err(failure) => on_reader_failure(cx, &node, &failure),
         }
     }
 }
 
+/// Whether a reader has not noticed yet that the store has gone back.
+fn is_outdated(cx: &Sidecar, response: &FollowResponse) -> bool {
+    response.era.is_some() && response.era < cx.store.era()
+}
+
+fn on_reader_failure(cx: &Sidecar, node: &NodeId, failure: &FetchFailure) {
+    info!(cx.log, "reader skipped"; "reader" => node.as_str(), "failure" => format!("{:?}", failure.failure),
+        "why" => &failure.why);
+    let now = cx.clock.now();
+    let view_age = cx.feed.view_age(now).unwrap_or(now);
+    let mut relay = cx.feed.relay.borrow_mut();
+    relay.on_failure(now, node, failure.failure, view_age, max_failover_age(cx));
+    drop(relay);
+    cx.feed.interrupt_long_poll();
+}
+
 /// Applies the topics received from another node.
 fn apply_relayed(cx: &Rc<Sidecar>, response: FollowResponse) {
+    if let Some(era) = response.era {
+        cx.store.observe_era(era);
+        sync_history(cx);
+    }
     for (topic, part) in response.topics.into_iter().enumerate().take(TOPICS.len()) {
         let end = part.end;
         cx.feed.cursors.borrow_mut()[topic].on_relayed(end);
@@ -416,7 +483,7 @@
     let cx = cx.clone();
     actix_rt::spawn(async move {
         match relay_port::fetch(&cx, origin, [0; 3], FetchMode::Everything).await {
-            Ok(response) if !cx.is_synchronized() => {
+            Ok(response) if !cx.is_synchronized() && !is_outdated(&cx, &response) => {
                 info!(cx.log, "topics fetched from a peer"; "peer" => origin.to_string(), "age_ms" => response.age_ms);
                 apply_relayed(&cx, response);
             }
