Write lost entries again when the store goes back, and ignore older ones

Cause: a node takes an acknowledged entry for written for good, and its peers take what they read last for the newest. Class of fault: a confirmed write that is not confirmed any more. Ruled out: writing all entries again after each restore, which would cost a call a node.

An entry carries a number that its process raises with each write. In a new era a node compares its record with the last one that it wrote, and writes it again if it is missing. Entries with a lower number of the same process are ignored, also of nodes that have left; so is a write that the store executes late.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -94,6 +94,10 @@
 /// Pause after a node refused a call because of load.
 const OVERLOAD_PAUSE: Duration = Duration::from_millis(20);
 
+/// Nodes that have left of which the last entry is remembered. The store goes back by seconds, in which few
+/// nodes leave.
+const MAX_DEPARTED_NODES: usize = 64;
+
 /// Result of an attempt on a node.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptEnd {
@@ -394,6 +398,16 @@
     totals: Vec<VersionTotal>,
     /// Mean load by service, as a share of the slots. Sorted by service.
     service_loads: Vec<(ServiceName, f64)>,
+    /// Last entries of nodes that have left, oldest first.
+    departed: Vec<DepartedNode>,
+}
+
+/// Last entry of a node that has left the fleet.
+#[derive(Debug)]
+struct DepartedNode {
+    node: NodeId,
+    run: u64,
+    revision: u64,
 }
 
 impl Placement {
@@ -408,9 +422,26 @@
             routes: Vec::new(),
             totals: Vec::new(),
             service_loads: Vec::new(),
+            departed: Vec::new(),
         }
     }
 
+    /// Whether an entry is older than what is known of its node. The platform's store shows such an entry
+    /// after it has gone back to an earlier state, or if it executes a write late.
+    #[must_use]
+    pub fn is_outdated(&self, entry: &FleetEntry) -> bool {
+        let known = self.index(&entry.node).ok();
+        let known = known.map(|index| &self.candidates[index].entry);
+        let is_later =
+            |known: &FleetEntry| known.run == entry.run && known.revision > entry.revision;
+        let has_left = |departed: &DepartedNode| {
+            departed.node == entry.node
+                && departed.run == entry.run
+                && departed.revision >= entry.revision
+        };
+        known.is_some_and(is_later) || self.departed.iter().any(has_left)
+    }
+
     /// Updates a node from its fleet entry. Returns whether the entry is new or has changed.
     pub fn on_entry(&mut self, now: Duration, entry: &FleetEntry) -> bool {
         // An address belongs to one node, so the previous node with this address no longer exists.
@@ -466,9 +497,18 @@
 
     /// Removes a node that has left the fleet.
     pub fn forget(&mut self, node: &NodeId) {
-        if let Ok(index) = self.index(node) {
-            self.candidates.remove(index);
+        let Ok(index) = self.index(node) else {
+            return;
+        };
+        let entry = self.candidates.remove(index).entry;
+        if self.departed.len() >= MAX_DEPARTED_NODES {
+            self.departed.remove(0);
         }
+        self.departed.push(DepartedNode {
+            node: entry.node,
+            run: entry.run,
+            revision: entry.revision,
+        });
     }
 
     /// Number of known nodes, including this one.
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -95,6 +95,10 @@
     pub node: NodeId,
     /// Random number of the node's process, to detect late writes of an earlier process.
     pub run: u64,
+    /// Number of the entry within this process. An entry with a lower one is older, wherever it is read: the
+    /// store may execute a write late, or go back to an earlier state.
+    #[serde(default)]
+    pub revision: u64,
     /// Address for calls from other nodes.
     pub addr: SocketAddr,
     /// Region of the instance.
--- a/src/sidecar/announcer.rs
+++ b/src/sidecar/announcer.rs
@@ -13,6 +13,7 @@
 use crate::protocol::codec;
 use crate::protocol::fleet::FleetEntry;
 use crate::sidecar::Sidecar;
+use crate::sidecar::topic_follower;
 
 /// Pause after the first failed write; doubled up to [`MAX_RETRY_PAUSE`].
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(400);
@@ -45,6 +46,7 @@
     FleetEntry {
         node: cx.settings.id.clone(),
         run: cx.run,
+        revision: state.entry_revision,
         addr: cx.settings.advertised_addr(),
         region: cx.settings.region.clone(),
         domain: cx.settings.failure_domain.clone(),
@@ -59,7 +61,7 @@
 async fn announce(cx: &Rc<Sidecar>) {
     let mut failures = 0_u32;
     loop {
-        let entry = own_entry(cx);
+        let mut entry = own_entry(cx);
         let now = cx.clock.now();
         {
             let mut state = cx.state.borrow_mut();
@@ -71,6 +73,8 @@
             {
                 return;
             }
+            state.entry_revision += 1;
+            entry.revision = state.entry_revision;
         }
         let value = match codec::encode(&entry) {
             Ok(value) => value,
@@ -79,11 +83,10 @@
                 return;
             }
         };
-        match cx
-            .store
-            .put(FLEET_TOPIC, entry.node.as_str(), &value, None)
-            .await
-        {
+        let written = cx.store.put(FLEET_TOPIC, entry.node.as_str(), &value, None);
+        let written = written.await;
+        topic_follower::sync_history(cx);
+        match written {
             Ok(offset) => {
                 info!(cx.log, "node entry written"; "offset" => offset, "backend" => backend_text(&entry));
                 cx.state.borrow_mut().written_entry = Some(entry);
@@ -104,6 +107,23 @@
     }
 }
 
+/// Writes the own entry again unless the store has it, after the store has gone back to an earlier state.
+/// `stored` is the value of its record.
+pub fn verify_stored_entry(cx: &Sidecar, stored: Option<&[u8]>) {
+    let stored = stored.and_then(|value| codec::decode::<FleetEntry>(value).ok());
+    let mut state = cx.state.borrow_mut();
+    let is_stored = |written: &FleetEntry| {
+        stored
+            .is_some_and(|stored| stored.run == written.run && stored.revision == written.revision)
+    };
+    if state.written_entry.as_ref().is_none_or(is_stored) {
+        return;
+    }
+    info!(cx.log, "node entry lost"; "revision" => state.entry_revision);
+    state.written_entry = None;
+    cx.entry_changed.notify_one();
+}
+
 /// Whether two entries are equal apart from the sequence number of the heartbeat.
 fn is_equal(old: &FleetEntry, new: &FleetEntry) -> bool {
     old.run == new.run
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -95,6 +95,8 @@
     fleet_read: bool,
     /// Own entry as last written to the store.
     written_entry: Option<FleetEntry>,
+    /// Number of the last own entry that was sent to the store.
+    entry_revision: u64,
 }
 
 /// One sidecar process.
@@ -188,6 +190,7 @@
         exposed: Vec::new(),
         fleet_read: false,
         written_entry: None,
+        entry_revision: 0,
     };
     let clock = Clock::start();
     Ok(Sidecar {
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -135,6 +135,10 @@
         return;
     }
     let mut state = cx.state.borrow_mut();
+    if state.placement.is_outdated(&entry) {
+        info!(cx.log, "node entry ignored"; "key" => &record.key, "offset" => record.offset, "why" => "a later one is known");
+        return;
+    }
     let quarantined = state.crashing.on_entry(now, &entry.node, &entry.crashes);
     crashes::log_quarantined(cx, &quarantined);
     if state.placement.on_entry(now, &entry) {
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -27,6 +27,7 @@
 use crate::platform::store::StoreFailure;
 use crate::protocol::name::NodeId;
 use crate::sidecar::Sidecar;
+use crate::sidecar::announcer;
 use crate::sidecar::records;
 use crate::sidecar::relay_port;
 use crate::sidecar::relay_port::FetchFailure;
@@ -82,6 +83,8 @@
     followed_era: Cell<Option<u64>>,
     /// Whether every topic has been read once.
     is_started: Cell<bool>,
+    /// Whether the store may have lost the own entry when it went back.
+    own_entry_unverified: Cell<bool>,
     /// Signals that the store has gone back, so that reads begin anew.
     restored: Notify,
     /// Signals that records were applied.
@@ -111,6 +114,7 @@
             confirmed_at: Cell::new(None),
             followed_era: Cell::new(None),
             is_started: Cell::new(false),
+            own_entry_unverified: Cell::new(false),
             restored: Notify::new(),
             changed: Notify::new(),
             view_checked: Notify::new(),
@@ -243,6 +247,7 @@
     if !cx.state.borrow().moves.has_orders() {
         cx.feed.mark_as_read(MOVES);
     }
+    cx.feed.own_entry_unverified.set(true);
     cx.feed.restored.notify_waiters();
 }
 
@@ -399,6 +404,11 @@
     cx.feed.mirrors.borrow_mut()[topic].advance(end);
     if topic == FLEET {
         cx.state.borrow_mut().fleet_read = true;
+        if cx.feed.own_entry_unverified.take() {
+            let mirrors = cx.feed.mirrors.borrow();
+            let stored = mirrors[FLEET].value(cx.settings.id.as_str());
+            announcer::verify_stored_entry(cx, stored);
+        }
     }
     if is_first || !records.is_empty() {
         cx.feed.changed.notify_waiters();
--- a/src/state/mirror.rs
+++ b/src/state/mirror.rs
@@ -49,6 +49,13 @@
         self.is_initialised.then_some(self.end)
     }
 
+    /// Returns the newest value of a key.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<&[u8]> {
+        let found = self.records.iter().find(|record| &*record.key == key);
+        found.map(|record| &*record.value)
+    }
+
     /// Returns the records from an offset on.
     #[must_use]
     pub fn records_from(&self, from: u64) -> &[MirrorRecord] {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -35,6 +35,7 @@
     FleetEntry {
         node: node.into(),
         run: 1,
+        revision: 1,
         addr: addr(node),
         region: region.into(),
         domain: domain.into(),
@@ -534,3 +535,25 @@
     );
     expect_that!(fleet.pick(ms(5_000), &[]), some(eq("c")));
 }
+
+/// Guards against a node or backend server that is used again because the store shows an older entry: it has
+/// gone back to an earlier state, or has executed a write late.
+#[gtest]
+fn is_outdated_older_entry() {
+    let mut env = fleet();
+    let entry_of = |run, revision| FleetEntry {
+        run,
+        revision,
+        ..entry("b", "accra", "accra-b")
+    };
+    env.placement.on_entry(ms(0), &entry_of(1, 5));
+    expect_true!(env.placement.is_outdated(&entry_of(1, 4)));
+    expect_false!(env.placement.is_outdated(&entry_of(1, 5)));
+    expect_false!(env.placement.is_outdated(&entry_of(1, 6)));
+    // Entries of different processes cannot be compared; the living one writes its entry again.
+    expect_false!(env.placement.is_outdated(&entry_of(2, 1)));
+    env.placement.forget(&"b".into());
+    expect_true!(env.placement.is_outdated(&entry_of(1, 5)));
+    expect_false!(env.placement.is_outdated(&entry_of(1, 6)));
+    expect_false!(env.placement.is_outdated(&entry_of(2, 1)));
+}
--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -574,6 +574,7 @@
     let entry = |node: &str, addr: SocketAddr, slots: u32| FleetEntry {
         node: node.into(),
         run: u64::MAX,
+        revision: u64::MAX,
         addr,
         region: "keta".into(),
         domain: "keta-a".into(),
--- a/tests/process_store_restore.rs
+++ b/tests/process_store_restore.rs
@@ -157,19 +157,26 @@
             is_current(&env)
         })
         .await?;
+        let ready_lines = |env: &TestFleet| {
+            let lines = env.fleet.log_lines(1, "peer changed");
+            let is_ready = |line: &&serde_json::Value| line["backend"] == "b0 v1 Ready";
+            (lines.iter().filter(is_ready).count(), lines.last().cloned())
+        };
+        wait_until("node 1 does not know of the leave", WAIT_LIMIT, || {
+            ready_lines(&env)
+                .1
+                .is_some_and(|last| last["backend"] == "none")
+        })
+        .await?;
+        let before = ready_lines(&env).0;
         restore(&env).await;
         let limit = REQUIRED_TIME + POLL_MARGIN;
         wait_until("the entries are not written again", limit, || {
             is_current(&env)
         })
         .await?;
-        let lines = env.fleet.log_lines(1, "peer changed");
-        let last = lines.last().map(|line| line["backend"].clone());
-        expect_that!(
-            last,
-            some(eq(&json!("none"))),
-            "node 1 uses the left one again"
-        );
+        let after = ready_lines(&env).0;
+        expect_that!(after, eq(before), "node 1 uses the left one again");
         env.fleet.kill(0)?;
         env.fleet.start(0)?;
         env.wait_for(WAIT_LIMIT, 0, "/wrecks/1", StatusCode::OK)
