Carry rollouts over a store that goes back to an earlier state

Cause: orders, steps and results are joined by the offset of the order. Class of fault: identity by a position in a history that can be replaced. Ruled out: naming the era in the records, since a process that starts later cannot tell in which era a record was written.

In a new era a move waits for its order to be read again, takes over its offset, and is recorded once more unless the store has kept the records. For 10 s the same order is the same move, and an order that was replaced before has no effect. The result of an earlier order no longer hides that the running one has none.

Five tests in tests/version_move.rs cover offsets that fall, stay and rise, kept records, older, repeated and running orders.

--- a/src/coordination/version_move.rs
+++ b/src/coordination/version_move.rs
@@ -47,6 +47,15 @@
 /// Time after which the next node in rank order writes a record that the previous one should have written.
 const RANK_DELAY: Duration = Duration::from_millis(300);
 
+/// Time after the store has gone back to an earlier state within which operators write their lost orders
+/// again. The same order within it is not a new one.
+const REWRITE_TIME: Duration = Duration::from_secs(10);
+/// Time from the first read of an order in a new era until its move is recorded again, within which its
+/// records in the store have been read.
+const VERIFY_TIME: Duration = Duration::from_secs(1);
+/// Replaced orders that are remembered, so that the store can show them again without effect.
+const MAX_REPLACED_ORDERS: usize = 16;
+
 /// Fraction of the objective from which a cancelled run counts towards the latency of its version. Second
 /// attempts cancel slow runs; without those, a slow version would look fast.
 const MIN_CANCELLED_FRACTION: f64 = 0.5;
@@ -105,6 +114,12 @@
 struct Move {
     order: MoveOrder,
     offset: u64,
+    /// Whether the order was read in the current era of the store, so that its offset is valid.
+    is_confirmed: bool,
+    /// Time from which the state is recorded again unless the store has it.
+    unverified_since: Option<Duration>,
+    /// Time until which the same order counts as this one, written again.
+    rewritten_until: Duration,
     started: Duration,
     state: Option<MoveState>,
     /// Fault that this node found in the new version, and when.
@@ -119,24 +134,43 @@
 #[derive(Debug, Default)]
 pub struct Moves {
     /// Sorted by service.
-    moves: Vec<Move>,
+    current: Vec<Move>,
     /// Records read before their order.
     early_records: Vec<(ServiceName, MoveRecord)>,
+    /// Orders that later ones have replaced, oldest first.
+    replaced: Vec<MoveOrder>,
 }
 
 impl Moves {
     /// Applies an order. Returns whether it is new.
     pub fn on_order(&mut self, now: Duration, offset: u64, order: MoveOrder) -> bool {
         let found = self.index(&order.service);
-        if let Ok(index) = found
-            && self.moves[index].offset >= offset
-        {
-            return false;
+        if let Ok(index) = found {
+            let entry = &mut self.current[index];
+            if entry.is_confirmed && entry.offset >= offset {
+                return false;
+            }
+            let is_same = entry.order == order;
+            if is_same && (!entry.is_confirmed || now < entry.rewritten_until) {
+                entry.confirm(now, offset);
+                self.apply_early_records(now, &order.service);
+                return false;
+            }
+            if !entry.is_confirmed && self.replaced.contains(&order) {
+                return false;
+            }
+            if self.replaced.len() >= MAX_REPLACED_ORDERS {
+                self.replaced.remove(0);
+            }
+            self.replaced.push(entry.order.clone());
         }
         let service = order.service.clone();
         let entry = Move {
             order,
             offset,
+            is_confirmed: true,
+            unverified_since: None,
+            rewritten_until: Duration::ZERO,
             started: now,
             state: None,
             detected_fault: None,
@@ -144,19 +178,33 @@
             recent: VecDeque::new(),
         };
         match found {
-            Ok(index) => self.moves[index] = entry,
-            Err(index) => self.moves.insert(index, entry),
+            Ok(index) => self.current[index] = entry,
+            Err(index) => self.current.insert(index, entry),
         }
+        self.apply_early_records(now, &service);
+        true
+    }
+
+    /// Handles the store going back to an earlier state: orders may get other offsets, and records may be
+    /// lost. The moves go on as before.
+    pub fn on_store_restored(&mut self, now: Duration) {
+        self.early_records.clear();
+        for entry in &mut self.current {
+            entry.is_confirmed = false;
+            entry.rewritten_until = now + REWRITE_TIME;
+        }
+    }
+
+    fn apply_early_records(&mut self, now: Duration, service: &ServiceName) {
         let (records, rest) = self
             .early_records
             .drain(..)
-            .partition(|(name, _)| *name == service);
+            .partition(|(name, _)| name == service);
         self.early_records = rest;
         let records: Vec<(ServiceName, MoveRecord)> = records;
         for (service, record) in records {
             self.on_record(now, &service, record);
         }
-        true
     }
 
     /// Applies progress recorded by a node. Returns whether it changed the state.
@@ -166,14 +214,23 @@
             self.early_records.push((service.clone(), record));
             return false;
         };
-        let entry = &mut self.moves[index];
-        if record.order > entry.offset {
+        let entry = &mut self.current[index];
+        if !entry.is_confirmed || record.order > entry.offset {
+            self.early_records.retain(|(name, _)| name != service);
             self.early_records.push((service.clone(), record));
             return false;
         }
-        if record.order < entry.offset || !is_later(entry.state, record.state) {
+        if record.order < entry.offset {
             return false;
         }
+        if !is_later(entry.state, record.state) {
+            let is_final = !matches!(record.state, MoveState::Step(_));
+            if is_final || entry.state == Some(record.state) {
+                entry.unverified_since = None;
+            }
+            return false;
+        }
+        entry.unverified_since = None;
         entry.state = Some(record.state);
         entry.recent.clear();
         // A restarted node learns the age of the order from the record.
@@ -185,7 +242,7 @@
     /// Returns how the requests of a service use its new version; `None` if they may use any version.
     #[must_use]
     pub fn plan(&self, service: &ServiceName) -> Option<VersionPlan> {
-        let entry = &self.moves[self.index(service).ok()?];
+        let entry = &self.current[self.index(service).ok()?];
         let faulty = entry.detected_fault.is_some() && entry.state != Some(MoveState::Complete);
         let (share, banned) = match entry.state {
             Some(MoveState::Reverted) => (0.0, true),
@@ -204,7 +261,7 @@
     /// Returns the plans of all services that have one, sorted by service.
     #[must_use]
     pub fn plans(&self) -> Vec<(ServiceName, VersionPlan)> {
-        let services = self.moves.iter().map(|entry| entry.order.service.clone());
+        let services = self.current.iter().map(|entry| entry.order.service.clone());
         services
             .filter_map(|service| self.plan(&service).map(|plan| (service, plan)))
             .collect()
@@ -225,13 +282,13 @@
     /// Returns whether any order is known.
     #[must_use]
     pub fn has_orders(&self) -> bool {
-        !self.moves.is_empty()
+        !self.current.is_empty()
     }
 
     /// Returns whether any move is in progress.
     #[must_use]
     pub fn is_active(&self) -> bool {
-        self.moves.iter().any(Move::is_active)
+        self.current.iter().any(Move::is_active)
     }
 
     /// Evaluates the new versions and returns the records that this node has to write. `rank` is the
@@ -244,18 +301,20 @@
         results: impl Fn(&ServiceName, &dyn Fn(&VersionName) -> bool) -> Results,
     ) -> Vec<MoveAction> {
         let mut actions = Vec::new();
-        for entry in self.moves.iter_mut().filter(|entry| entry.is_active()) {
+        for entry in self.current.iter_mut().filter(|entry| entry.is_active()) {
             let target = entry.order.target.clone();
             let new = results(&entry.order.service, &|version| *version == target);
             let old = results(&entry.order.service, &|version| *version != target);
-            entry.evaluate(now, &new, &old);
+            if !entry.has_ended() {
+                entry.evaluate(now, &new, &old);
+            }
             actions.extend(entry.next_action(now, rank, &new, &old));
         }
         actions
     }
 
     fn index(&self, service: &ServiceName) -> Result<usize, usize> {
-        self.moves
+        self.current
             .binary_search_by(|entry| entry.order.service.cmp(service))
     }
 }
@@ -270,8 +329,21 @@
 }
 
 impl Move {
+    fn has_ended(&self) -> bool {
+        !matches!(self.state, None | Some(MoveState::Step(_)))
+    }
+
     fn is_active(&self) -> bool {
-        matches!(self.state, None | Some(MoveState::Step(_)))
+        !self.has_ended() || self.unverified_since.is_some()
+    }
+
+    /// Handles a read of the order in the current era.
+    fn confirm(&mut self, now: Duration, offset: u64) {
+        self.is_confirmed = true;
+        self.offset = offset;
+        if self.state.is_some() {
+            self.unverified_since = Some(now);
+        }
     }
 
     fn evaluate(&mut self, now: Duration, new: &Results, old: &Results) {
@@ -317,6 +389,14 @@
                 why,
             })
         };
+        if !self.is_confirmed {
+            // The order has no offset that a record could name.
+            return None;
+        }
+        if let (Some(state), Some(since)) = (self.state, self.unverified_since) {
+            let due = now >= since + VERIFY_TIME + delay;
+            return due.then(|| action(state, "the store has lost the record".to_owned()))?;
+        }
         if let Some((at, text)) = &self.detected_fault {
             let due = now >= *at + delay;
             return due.then(|| action(MoveState::Reverted, text.clone()))?;
--- a/src/sidecar/rollouts.rs
+++ b/src/sidecar/rollouts.rs
@@ -13,6 +13,7 @@
 use crate::coordination::version_move::Moves;
 use crate::platform::config;
 use crate::platform::store::KeyedBatch;
+use crate::platform::store::KeyedRecord;
 use crate::platform::store::MOVE_TOPIC;
 use crate::platform::store::RESULT_TOPIC;
 use crate::platform::store::StoreFailure;
@@ -22,6 +23,7 @@
 use crate::protocol::name::NodeId;
 use crate::protocol::name::ServiceName;
 use crate::sidecar::Sidecar;
+use crate::sidecar::topic_follower;
 
 /// Interval at which rollouts and the local backend server are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -104,6 +106,7 @@
         Ok(state) => write_progress(cx, &action, state).await,
         Err(failure) => Err(failure),
     };
+    topic_follower::sync_history(cx);
     if let Err(failure) = written {
         cx.metrics.store_failures.increment(1);
         warn!(cx.log, "rollout step not recorded"; "service" => service.as_str(), "why" => format!("{failure:?}"));
@@ -128,7 +131,9 @@
         return Ok(end);
     }
     let is_running = matches!(action.state, MoveState::Step(_));
-    if is_running && last.is_some() && action.state != MoveState::Step(0) {
+    let is_own =
+        |last: &KeyedRecord| config::is_result_of(&action.order, action.offset, &last.value);
+    if is_running && last.is_some_and(is_own) {
         return Ok(action.state);
     }
     let value = config::write_result(&action.order, action.offset, action.state);
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -247,6 +247,8 @@
     if !cx.state.borrow().moves.has_orders() {
         cx.feed.mark_as_read(MOVES);
     }
+    let now = cx.clock.now();
+    cx.state.borrow_mut().moves.on_store_restored(now);
     cx.feed.own_entry_unverified.set(true);
     cx.feed.restored.notify_waiters();
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -175,6 +175,16 @@
     expect_that!(config::read_final_result(&order, 4, &running), none());
 }
 
+/// Guards against the result of an earlier order that hides that the running one has none.
+#[gtest]
+fn is_result_of_order() {
+    let order = order();
+    let running = config::write_result(&order, 4, MoveState::Step(2));
+    expect_true!(config::is_result_of(&order, 4, &running));
+    expect_false!(config::is_result_of(&order, 9, &running));
+    expect_false!(config::is_result_of(&order, 4, b"{"));
+}
+
 /// Guards against accepting a heartbeat with a missing or invalid field.
 #[gtest]
 fn read_body_of_heartbeat() {
--- a/tests/version_move.rs
+++ b/tests/version_move.rs
@@ -263,3 +263,133 @@
     // A run that the caller cancels early is no sign of a slow version.
     expect_that!(percent(200), none());
 }
+
+fn order_of(target: &str) -> MoveOrder {
+    MoveOrder {
+        service: "registry".into(),
+        target: target.into(),
+        within: WITHIN,
+    }
+}
+
+/// Moves the simulation on until the move is complete.
+fn completed() -> MoveSimulation {
+    let mut simulation = MoveSimulation::new();
+    while simulation.advance(100.0, 0.0, 30) != Some(MoveState::Complete) {}
+    simulation
+}
+
+/// Ticks for some seconds and returns what the node records.
+fn recorded(simulation: &mut MoveSimulation) -> Vec<(u64, MoveState)> {
+    let mut recorded = Vec::new();
+    for _ in 0..20 {
+        simulation.now += Duration::from_millis(250);
+        for action in simulation.tick(0) {
+            let record = MoveRecord {
+                order: action.offset,
+                state: action.state,
+                elapsed_ms: action.elapsed_ms,
+                author: "a".into(),
+            };
+            simulation
+                .moves
+                .on_record(simulation.now, &"registry".into(), record);
+            recorded.push((action.offset, action.state));
+        }
+    }
+    recorded
+}
+
+/// Guards against a completed move that begins anew, or is no longer recorded, after the store has lost its
+/// order and the operator has written it again at another offset, higher or lower.
+#[gtest]
+fn on_store_restored_order_written_again() {
+    for offset in [ORDER - 2, ORDER, ORDER + 3] {
+        let mut simulation = completed();
+        simulation.moves.on_store_restored(simulation.now);
+        // Nothing can be recorded while the order has no offset in the new era.
+        expect_that!(recorded(&mut simulation), is_empty());
+        let new = simulation
+            .moves
+            .on_order(simulation.now, offset, order_of("v2"));
+        expect_false!(new);
+        expect_that!(simulation.share(), eq(1.0));
+        let once = [(offset, MoveState::Complete)];
+        expect_that!(recorded(&mut simulation), eq(&once));
+    }
+}
+
+/// Guards against records that are written again although the store has kept them.
+#[gtest]
+fn on_store_restored_records_kept() {
+    let complete = |order| MoveRecord {
+        order,
+        state: MoveState::Complete,
+        elapsed_ms: 1,
+        author: "b".into(),
+    };
+    for is_record_first in [false, true] {
+        let mut simulation = completed();
+        let service = ServiceName::from("registry");
+        let now = simulation.now;
+        simulation.moves.on_store_restored(now);
+        if is_record_first {
+            simulation.moves.on_record(now, &service, complete(ORDER));
+        }
+        simulation.moves.on_order(now, ORDER, order_of("v2"));
+        if !is_record_first {
+            simulation.moves.on_record(now, &service, complete(ORDER));
+        }
+        expect_that!(recorded(&mut simulation), is_empty());
+        expect_that!(simulation.share(), eq(1.0));
+    }
+}
+
+/// Guards against an order of the store's copy that takes the place of the later one, before the operator
+/// has written that again, and against a later order that is not taken for a new one.
+#[gtest]
+fn on_store_restored_older_order() {
+    let mut simulation = completed();
+    let now = simulation.now;
+    simulation.moves.on_order(now, ORDER + 2, order_of("v3"));
+    simulation.moves.on_store_restored(now);
+    expect_false!(simulation.moves.on_order(now, ORDER, order_of("v2")));
+    let plan = simulation.moves.plan(&"registry".into());
+    expect_that!(plan.map(|plan| plan.target), some(eq(&"v3".into())));
+    expect_false!(simulation.moves.on_order(now, ORDER + 1, order_of("v3")));
+    expect_true!(simulation.moves.on_order(now, ORDER + 2, order_of("v4")));
+}
+
+/// Guards against the same order, given again long after the store has gone back, that has no effect.
+#[gtest]
+fn on_store_restored_order_repeated_later() {
+    let mut simulation = completed();
+    simulation.moves.on_store_restored(simulation.now);
+    let mut order = |offset, after| {
+        let at = simulation.now + Duration::from_secs(after);
+        simulation.moves.on_order(at, offset, order_of("v2"))
+    };
+    expect_false!(order(ORDER, 1));
+    // The operator writes all of its orders again.
+    expect_false!(order(ORDER + 1, 2));
+    expect_true!(order(ORDER + 2, 60));
+}
+
+/// Guards against a faulty version that is no longer banned, or of which the revert is not recorded, when the
+/// store goes back in the midst of its move.
+#[gtest]
+fn on_store_restored_running_move() {
+    let mut simulation = MoveSimulation::new();
+    while simulation.advance(100.0, 0.0, 30) != Some(MoveState::Step(0)) {}
+    simulation.moves.on_store_restored(simulation.now);
+    simulation.new.runs += 20;
+    simulation.new.failures += 10;
+    expect_that!(recorded(&mut simulation), is_empty());
+    let plan = simulation.moves.plan(&"registry".into());
+    expect_true!(plan.is_some_and(|plan| plan.banned));
+    simulation
+        .moves
+        .on_order(simulation.now, ORDER + 1, order_of("v2"));
+    let last = recorded(&mut simulation).pop();
+    expect_that!(last, some(eq((ORDER + 1, MoveState::Reverted))));
+}
