--- /dev/null
+++ b/tests/store_client.rs
@@ -0,0 +1,88 @@
+//! Client of the platform's store, while the store goes back to an earlier state.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+use sycamorewick::platform::store::Store;
+use sycamorewick::platform::store::StoreFailure;
+use sycamorewick::transport::exchange::ConnectionPool;
+use testbed::platform::store::StoreControlChange;
+use testbed::platform::store::StoreHandle;
+use testbed::platform::store::StoreServer;
+
+const TOPIC: &str = "keyed.status";
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+fn start() -> eyre::Result<(StoreHandle, Store)> {
+    let server = StoreServer::start(testbed::fleet::free_addr()?)?;
+    let log = Logger::root(Discard, o!());
+    let client = Store::new(server.addr(), Rc::new(ConnectionPool::default()), log);
+    Ok((server, client))
+}
+
+fn run<F: Future<Output = eyre::Result<()>>>(test: F) {
+    if let Err(e) = actix_rt::System::new().block_on(test) {
+        panic!("{e:#}");
+    }
+}
+
+/// Guards against a conditional write that succeeds since the topic ends at the same offset again, with other
+/// records before it.
+#[gtest]
+fn put_condition_of_earlier_era() {
+    run(async {
+        let (server, client) = start()?;
+        server.take_copy();
+        let _ = server.put(TOPIC, "a", b"1");
+        let Ok(read) = client.newest(TOPIC, TIMEOUT).await else {
+            eyre::bail!("the topic cannot be read");
+        };
+        server.restore_copy();
+        let _ = server.put(TOPIC, "a", b"2");
+        // The client learns of the new era by the answer to the write.
+        let end = Some(read.topic_end());
+        let written = client.put(TOPIC, "a", b"3", end).await;
+        expect_that!(written, err(eq(&StoreFailure::Outdated)));
+        // Once it knows, it does not send the write.
+        let appends = server.calls().appends;
+        let written = client.put(TOPIC, "a", b"4", end).await;
+        expect_that!(written, err(eq(&StoreFailure::Outdated)));
+        expect_that!(server.calls().appends, eq(appends));
+        let Ok(read) = client.newest(TOPIC, TIMEOUT).await else {
+            eyre::bail!("the topic cannot be read");
+        };
+        let written = client.put(TOPIC, "a", b"5", Some(read.topic_end())).await;
+        expect_that!(written, ok(anything()));
+        Ok(())
+    });
+}
+
+/// Guards against pages of the newest records that are of different eras.
+#[gtest]
+fn newest_pages_of_two_eras() {
+    run(async {
+        let (server, client) = start()?;
+        for number in 0..520 {
+            let _ = server.put(TOPIC, &format!("key {number:03}"), b"1");
+        }
+        server.take_copy();
+        server.change(StoreControlChange {
+            delay_ms: Some(1_000),
+            ..StoreControlChange::default()
+        });
+        let restore = async {
+            // The answer to the first page has been sent, and that to the second one is delayed.
+            while server.calls().newest < 2 {
+                actix_rt::time::sleep(Duration::from_millis(5)).await;
+            }
+            server.restore_copy();
+        };
+        let (read, ()) = tokio::join!(client.newest(TOPIC, TIMEOUT), restore);
+        expect_that!(read, err(eq(&StoreFailure::Outdated)));
+        Ok(())
+    });
+}
