--- a/tests/process_store_restore.rs
+++ b/tests/process_store_restore.rs
@@ -8,6 +8,7 @@
 
 use actix_http::StatusCode;
 use googletest::prelude::*;
+use rustix::process::Signal;
 use serde_json::json;
 use sidecar_common::POLL_MARGIN;
 use sidecar_common::REQUIRED_TIME;
@@ -114,6 +115,39 @@
     });
 }
 
+/// Guards against nodes that follow different eras: the reader and a follower are killed while the store is
+/// away and start in the new era, another follower is suspended in the former one.
+#[gtest]
+fn restore_while_nodes_restart() {
+    run(async {
+        const NODES: usize = 5;
+        let mut env = TestFleet::start(NODES).await?;
+        actix_rt::time::sleep(Duration::from_secs(3)).await;
+        env.store.take_copy();
+        for version in 2..4 {
+            let _ = put_config(&env.store, version);
+            wait_for_all(&mut env, NODES, &format!("/v{version}/x")).await?;
+        }
+        env.fleet.signal(2, Signal::STOP)?;
+        env.outage(Outage::Refuse);
+        for index in [0, 3] {
+            env.fleet.kill(index)?;
+            env.fleet.start(index)?;
+        }
+        actix_rt::time::sleep(AWAY).await;
+        env.store.restore_copy();
+        env.outage(Outage::Off);
+        actix_rt::time::sleep(AWAY).await;
+        let _ = put_config(&env.store, 3);
+        let _ = put_config(&env.store, 4);
+        env.fleet.signal(2, Signal::CONT)?;
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        wait_for_all(&mut env, NODES, "/v4/x").await?;
+        let _ = put_config(&env.store, 5);
+        wait_for_all(&mut env, NODES, "/v5/x").await
+    });
+}
+
 /// Guards against a configuration that goes back to the one of the store's copy while the operator has not
 /// written the newest one again.
 #[gtest]
