Do not write the entry of a stopping node again after its removal

What callers saw: a node that had left for good stayed in the list of nodes, so that its failure domain could choose it as the reader to follow, and waited for it.

Cause: a node that reads the removal of its entry takes it for a deletion by somebody else, and writes it again while its last calls run. It now ends its writes with the removal.

stop_removes_entry failed before: the last record of the node has 148 bytes.

--- a/src/sidecar/announcer.rs
+++ b/src/sidecar/announcer.rs
@@ -60,7 +60,7 @@
 /// Applies the own entry locally and writes it until the store has acknowledged it.
 async fn announce(cx: &Rc<Sidecar>) {
     let mut failures = 0_u32;
-    loop {
+    while !cx.entry_removed.get() {
         let mut entry = own_entry(cx);
         let now = cx.clock.now();
         {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -125,6 +125,8 @@
     transfers: Rc<AdmissionQueue>,
     /// Topics of the store.
     feed: Feed,
+    /// Whether the own entry has been removed in a planned stop.
+    entry_removed: Cell<bool>,
     /// Signals that the own entry may have to be written.
     entry_changed: Notify,
     state: RefCell<SidecarState>,
@@ -209,6 +211,7 @@
         bodies: BodyBudget::new(MAX_HELD_REQUEST_BYTES),
         transfers: AdmissionQueue::new(clock, body_gate::max_transfers(settings.link_mbps)),
         feed: Feed::default(),
+        entry_removed: Cell::new(false),
         entry_changed: Notify::new(),
         state: RefCell::new(state),
         settings,
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -98,6 +98,7 @@
     if cx.state.borrow().backend.report().is_some() {
         return;
     }
+    cx.entry_removed.set(true);
     let put = cx
         .store
         .put(FLEET_TOPIC, cx.settings.id.as_str(), &[], None);
--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -543,6 +543,29 @@
     });
 }
 
+/// Guards against a node that writes its entry again after it has removed it in a planned stop: its peers take
+/// it for a node that can be followed.
+#[gtest]
+fn stop_removes_entry() {
+    run(async {
+        let mut env = TestFleet::start(2).await?;
+        env.backends[0].request_stop();
+        env.backends[0].join();
+        env.fleet.signal(0, Signal::TERM)?;
+        let until = Instant::now() + WAIT_LIMIT;
+        while env.fleet.is_running_now(0) {
+            eyre::ensure!(Instant::now() < until, "the node does not stop");
+            // Open calls keep the node running after it has removed its entry.
+            let addr = env.fleet.nodes()[0].addrs.caller;
+            let _ = send_claim(addr, "t0").await;
+        }
+        expect_that!(env.fleet.log_lines(0, "node entry removed").len(), eq(1));
+        let last = env.store.history(FLEET_TOPIC, "n0").pop();
+        expect_that!(last.map(|value| value.len()), some(eq(0)));
+        Ok(())
+    });
+}
+
 /// Sends a claim. Returns its status, or nothing if no connection could be opened.
 async fn send_claim(addr: SocketAddr, attempt: &str) -> eyre::Result<Option<StatusCode>> {
     let client = awc::Client::builder()
