End a call that two backend servers have broken off

A run without a valid response from its backend server counts; a lost node does not, since it says nothing about the call. Refused as a wider rule: one further attempt after any unknown result, which would give up calls whose nodes are killed together.

next_broken_runs fails without the change (the next step is a retry).

--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -20,6 +20,9 @@
 /// Maximum number of attempts of one call, including those on unreachable nodes. After a loss of
 /// many nodes, most of the first choices are unreachable.
 const MAX_TRIES: usize = 12;
+/// Backend servers that may break off one call. The call may be the cause, and a further attempt would end
+/// one more of them.
+const MAX_BROKEN_RUNS: u8 = 2;
 /// Attempts on unreachable nodes after others refused because of load. One attempt suffices to
 /// detect a recovered node; more would delay the refusal to the caller.
 const MAX_UNREACHABLE_TRIES: usize = 1;
@@ -128,6 +131,8 @@
     unreachable_tries: usize,
     accepts_late: bool,
     arrivals: u8,
+    /// Runs that ended without a valid response.
+    broken_runs: u8,
     may_have_run: bool,
     has_failure_response: bool,
     /// Time for which the call is refused since it crashes backend servers. It is not offered to other
@@ -150,6 +155,7 @@
             unreachable_tries: 0,
             accepts_late: limits.is_overdue,
             arrivals: 0,
+            broken_runs: 0,
             may_have_run: false,
             has_failure_response: false,
             quarantined_for: None,
@@ -202,6 +208,7 @@
             || self.limits.deadline < now + MIN_ATTEMPT_TIME
             || self.tries >= MAX_TRIES
             || self.arrivals >= self.limits.attempts
+            || self.broken_runs >= MAX_BROKEN_RUNS
         {
             return NextStep::Stop;
         }
@@ -307,6 +314,7 @@
             }
             AttemptFailure::Unknown(code) => {
                 self.arrivals += 1;
+                self.broken_runs += u8::from(code == ResultCode::InvalidResponse);
                 self.may_have_run = true;
                 self.last = Some(code);
             }
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -30,12 +30,16 @@
 }
 
 fn attempts(idempotent: bool) -> Attempts {
+    attempts_of_route(idempotent, 2)
+}
+
+fn attempts_of_route(idempotent: bool, attempts: u8) -> Attempts {
     Attempts::new(CallLimits {
         arrived: ms(1_000),
         deadline: ms(3_000),
         objective: ms(250),
         idempotent,
-        attempts: 2,
+        attempts,
         is_overdue: false,
     })
 }
@@ -279,6 +283,24 @@
     expect_that!(call.on_choice(ms(2_860), Some(unknown)), eq(Choice::Send));
 }
 
+/// Guards against a call that ends one backend server after the other within the attempts of its route.
+#[gtest]
+fn next_broken_runs() {
+    let now = ms(1_000);
+    let broken = AttemptFailure::Unknown(ResultCode::InvalidResponse);
+    let mut call = attempts_of_route(true, 4);
+    fail(&mut call, now, "a", broken);
+    fail(&mut call, now, "b", broken);
+    expect_that!(call.next(now), eq(NextStep::Stop));
+    // A node that is lost says nothing about the call.
+    let lost = AttemptFailure::Unknown(ResultCode::OutcomeUnknown);
+    let mut call = attempts_of_route(true, 4);
+    for node in ["a", "b", "c"] {
+        fail(&mut call, now, node, lost);
+    }
+    expect_that!(call.next(now), eq(NextStep::Retry));
+}
+
 /// Guards against a call that one node refuses since it crashes backend servers and that is offered to
 /// nodes which do not know this yet.
 #[gtest]
