Begin no rollout in the first seconds of a process

What callers could see: a process that starts after the store has gone back finds an order without the result that the store has lost, begins the rollout with its first step at once, and sends calls to a version that has been taken back, until another node has written the result again, a second later.

For its first 3 s a process begins no move; steps of a move that it finds recorded are not delayed. Ruled out: a shorter time until lost results are written again, since the topics have to be read first.

--- a/src/coordination/version_move.rs
+++ b/src/coordination/version_move.rs
@@ -53,6 +53,9 @@
 /// Time from the first read of an order in a new era until its move is recorded again, within which its
 /// records in the store have been read.
 const VERIFY_TIME: Duration = Duration::from_secs(1);
+/// Time after the start of a process in which it begins no move. Its order may be an old one of which the
+/// store has lost the result, and the other nodes need [`VERIFY_TIME`] to write that again.
+const STARTUP_TIME: Duration = Duration::from_secs(3);
 /// Replaced orders that are remembered, so that the store can show them again without effect.
 const MAX_REPLACED_ORDERS: usize = 16;
 
@@ -291,7 +294,8 @@
         self.current.iter().any(Move::is_active)
     }
 
-    /// Evaluates the new versions and returns the records that this node has to write. `rank` is the
+    /// Evaluates the new versions and returns the records that this node has to write. Times count from the
+    /// start of the process. `rank` is the
     /// position of the node among all nodes; `results` returns the results of the versions that pass its
     /// filter.
     pub fn tick(
@@ -402,6 +406,7 @@
             return due.then(|| action(MoveState::Reverted, text.clone()))?;
         }
         let (next, at) = match self.state {
+            None if now < STARTUP_TIME => return None,
             None => (MoveState::Step(0), 0.0),
             Some(MoveState::Step(step)) => match STEPS.get(usize::from(step) + 1) {
                 Some((at, _)) => (MoveState::Step(step + 1), *at),
