Let the store of the soak go back to a copy

In about half of the runs the store goes back once or twice, in the midst of the other faults. The times are drawn from a generator of their own, so that the events of kept seeds stay as they were.

--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -45,6 +45,8 @@
 const MOVE_TIME_LIMIT_S: u64 = 8;
 /// Share of the requests that a bad version answers with an error.
 const BAD_ERROR_RATE: f64 = 0.6;
+/// Time without service before the store goes back to its copy.
+const RESTORE_DURATION: Duration = Duration::from_millis(400);
 /// Time for which an older or truncated configuration is the newest one in the store.
 const OLD_CONFIG_DURATION: Duration = Duration::from_millis(200);
 /// Timeout of the start of all processes.
@@ -116,6 +118,7 @@
     /// `Some` after a move was ordered; true if it is to a bad version.
     pub move_to_bad_version: Cell<Option<bool>>,
     is_new_version_bad: Cell<bool>,
+    is_restoring: Cell<bool>,
     client: awc::Client,
 }
 
@@ -168,6 +171,7 @@
             node_started_ms: RefCell::new(vec![0; NODES + NEW_VERSION_NODES]),
             move_to_bad_version: Cell::new(None),
             is_new_version_bad: Cell::new(false),
+            is_restoring: Cell::new(false),
             client: awc::Client::builder()
                 .timeout(Duration::from_secs(2))
                 .finish(),
@@ -381,6 +385,7 @@
                 actix_rt::time::sleep(duration).await;
                 self.links[node][link].set_fault(LinkFault::None);
             }
+            Event::StoreFault(StoreFault::GoBack, copy_age) => self.restore_store(copy_age).await,
             Event::StoreFault(fault, duration) => {
                 self.change_store(&store_change(fault)).await;
                 actix_rt::time::sleep(duration).await;
@@ -394,6 +399,33 @@
         }
     }
 
+    /// Lets the store go back to a copy of a given age. Restores do not overlap, since the store keeps one
+    /// copy.
+    async fn restore_store(&self, copy_age: Duration) {
+        if self.is_restoring.replace(true) {
+            return;
+        }
+        let take_copy = StoreControlChange {
+            take_copy: true,
+            ..StoreControlChange::default()
+        };
+        self.change_store(&take_copy).await;
+        actix_rt::time::sleep(copy_age).await;
+        self.change_store(&store_change(StoreFault::Refuse)).await;
+        actix_rt::time::sleep(RESTORE_DURATION).await;
+        self.change_store(&StoreControlChange {
+            restore_copy: true,
+            ..healthy_store()
+        })
+        .await;
+        if self.move_to_bad_version.get().is_some() {
+            self.put_order().await;
+        }
+        let config = config(self.config_version.get());
+        self.put(OPERATOR_TOPIC, "config", config.to_string()).await;
+        self.is_restoring.set(false);
+    }
+
     async fn stop_node(&self, node: usize) {
         // Fails if the node does not run.
         let Ok(()) = self.fleet.borrow().signal(node, Signal::TERM) else {
@@ -455,14 +487,18 @@
             self.start_backend(node, false);
         }
         actix_rt::time::sleep(Duration::from_secs(1)).await;
-        let order =
-            json!({ "service": "registry", "target": NEW_VERSION, "step-s": MOVE_TIME_LIMIT_S });
-        let put = self.put(OPERATOR_TOPIC, "rollout/registry", order.to_string());
-        if put.await {
+        if self.put_order().await {
             self.move_to_bad_version.set(Some(bad));
         }
     }
 
+    async fn put_order(&self) -> bool {
+        let order =
+            json!({ "service": "registry", "target": NEW_VERSION, "step-s": MOVE_TIME_LIMIT_S });
+        self.put(OPERATOR_TOPIC, "rollout/registry", order.to_string())
+            .await
+    }
+
     /// Ends all faults and starts the processes that do not run.
     pub async fn clear_faults(&self) {
         for links in &self.links {
@@ -524,6 +560,7 @@
         }
         StoreFault::MissedWakeups => change.missed_wakeups = Some(2),
         StoreFault::ExpireEarly => change.retention = Some(3),
+        StoreFault::GoBack => change.restore_copy = true,
     }
     change
 }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -47,6 +47,9 @@
     MissedWakeups,
     /// Records expire early.
     ExpireEarly,
+    /// The store goes back to the copy that it took at the begin of the fault, after a moment without
+    /// service. The operator writes its newest records again.
+    GoBack,
 }
 
 /// One event of a run.
@@ -135,9 +138,26 @@
         }
         at += Duration::from_millis(rng.random_range(50..=MAX_GAP_MS));
     }
+    events.extend(draw_restores(seed, length));
+    events.sort_by_key(|(at, _)| *at);
     events
 }
 
+/// Draws the times at which the store goes back, in about half of the runs. They have a generator of their
+/// own, so that the other events of a seed stay as they were.
+fn draw_restores(seed: u64, length: Duration) -> Vec<(Duration, Event)> {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(32));
+    let restores = rng
+        .random_range(0..=2_u32)
+        .saturating_sub(rng.random_range(0..=1));
+    let draw = |_| {
+        let at = length.mul_f64(rng.random_range(0.0..0.8));
+        let copy_age = draw_duration(&mut rng, MAX_FAULT_DURATION);
+        (at, Event::StoreFault(StoreFault::GoBack, copy_age))
+    };
+    (0..restores).map(draw).collect()
+}
+
 fn draw_event(rng: &mut StdRng, nodes: usize, moved: &mut bool) -> Event {
     let node = rng.random_range(0..nodes);
     let duration = draw_duration(rng, MAX_FAULT_DURATION);
