Record a fault of a version after 0.7 s at most

Cause, by the code: a node of rank 7 or above waits 2.1 s before it records a fault, so that the nodes before it can do so. These see other results and may see no fault; the last step of a move of 10 s takes 1.6 s, and a completed move is final. The ranks are 0.1 s apart for a fault now. Ruled out: no wait at all, with which all nodes would read and write the result at once.

--- a/src/coordination/version_move.rs
+++ b/src/coordination/version_move.rs
@@ -46,6 +46,9 @@
 const MAX_DELAY_RANK: u32 = 7;
 /// Time after which the next node in rank order writes a record that the previous one should have written.
 const RANK_DELAY: Duration = Duration::from_millis(300);
+/// [`RANK_DELAY`] for a fault. Nodes see different results, and one that sees no fault may complete the move
+/// in the meantime.
+const FAULT_RANK_DELAY: Duration = Duration::from_millis(100);
 
 /// Time after the store has gone back to an earlier state within which operators write their lost orders
 /// again. The same order within it is not a new one.
@@ -402,7 +405,7 @@
             return due.then(|| action(state, "the store has lost the record".to_owned()))?;
         }
         if let Some((at, text)) = &self.detected_fault {
-            let due = now >= *at + delay;
+            let due = now >= *at + FAULT_RANK_DELAY * delay_rank;
             return due.then(|| action(MoveState::Reverted, text.clone()))?;
         }
         let (next, at) = match self.state {
--- a/tests/version_move.rs
+++ b/tests/version_move.rs
@@ -200,6 +200,23 @@
     expect_that!(simulation.tick(1).len(), eq(1));
 }
 
+/// Guards against a faulty version that is completed by a node which sees no fault, while the node that has
+/// found it waits for those of lower rank: the last steps of a move of 10 s take 1.6 s.
+#[gtest]
+fn tick_fault_found_by_high_rank() {
+    let mut simulation = MoveSimulation::ordered_at(Duration::from_secs(10));
+    expect_true!(simulation.record(MoveState::Step(3)));
+    expect_that!(simulation.tick(7).len(), eq(0));
+    simulation.new.runs += 20;
+    simulation.new.failures += 10;
+    let found_at = simulation.now;
+    while simulation.tick(90).is_empty() {
+        simulation.now += Duration::from_millis(250);
+    }
+    let waited = simulation.now.saturating_sub(found_at);
+    expect_that!(waited, le(Duration::from_secs(1)));
+}
+
 /// Guards against a process that starts after the store has gone back, finds an order without its result, and
 /// sends calls to a version that has been taken back.
 #[gtest]
