Do not take a node for lost that refuses a crashing request

What callers could see: an entry node that does not know yet that a request crashes backend servers offers it to a node that does, and then avoids this healthy node like one without a backend server, for 0.2 s and more.

crashing_request_refused_by_serving_node, with the store away, failed before: the next call is routed to the node as a lost one.

--- a/src/coordination/version_move.rs
+++ b/src/coordination/version_move.rs
@@ -297,10 +297,9 @@
         self.current.iter().any(Move::is_active)
     }
 
-    /// Evaluates the new versions and returns the records that this node has to write. Times count from the
-    /// start of the process. `rank` is the
-    /// position of the node among all nodes; `results` returns the results of the versions that pass its
-    /// filter.
+    /// Evaluates the new versions and returns the records that this node has to write. `now` counts from the
+    /// start of the process. `rank` is the position of the node among all nodes; `results` returns the
+    /// results of the versions that pass its filter.
     pub fn tick(
         &mut self,
         now: Duration,
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -585,6 +585,11 @@
             code: ResultCode::Overloaded,
             ..
         } => AttemptEnd::Overloaded,
+        // The call is the reason, not the node.
+        ServeOutcome::Refused {
+            code: ResultCode::RequestQuarantined,
+            ..
+        } => AttemptEnd::Cancelled,
         ServeOutcome::Refused { .. } => AttemptEnd::NoBackend,
         ServeOutcome::Unknown(_) => AttemptEnd::Incomplete,
     }
--- a/tests/process_crashing_request.rs
+++ b/tests/process_crashing_request.rs
@@ -10,6 +10,7 @@
 use sidecar_common::TestFleet;
 use sidecar_common::WAIT_LIMIT;
 use sidecar_common::run;
+use testbed::log_server::Outage;
 use testbed::platform::backend::PlatformBackendHandle;
 
 const CRASHING_PATH: &str = "/wrecks/crash";
@@ -169,3 +170,42 @@
         Ok(())
     });
 }
+
+/// Guards against an entry node that takes the serving node for lost since that refuses a crashing request.
+/// The store is away, so that only the serving node knows the crashes.
+#[gtest]
+fn crashing_request_refused_by_serving_node() {
+    run(async {
+        let mut env = TestFleet::start(2).await?;
+        env.backends[1].kill();
+        env.outage(Outage::Refuse);
+        let mut backend = 0;
+        for _ in 0..2 {
+            env.backends[backend].crash_on(CRASHING_PATH);
+            let reply = env.call(0, CRASHING_PATH).await?;
+            expect_that!(reply.status, not(eq(StatusCode::OK)));
+            while env.backends[backend].is_running() {
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+            }
+            actix_rt::time::sleep(RESTART_DELAY).await;
+            backend = env.backends.len();
+            env.add_backend(0, 0.0)?;
+            env.wait_for(WAIT_LIMIT, 0, "/wrecks/1", StatusCode::OK)
+                .await?;
+        }
+        env.wait_for(WAIT_LIMIT, 1, "/wrecks/1", StatusCode::OK)
+            .await?;
+        let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+        expect_that!(env.call(1, CRASHING_PATH).await?.status, eq(unavailable));
+        let last = env.call(1, "/wrecks/2").await?;
+        expect_that!(last.status, eq(StatusCode::OK));
+        let attempt = format!("t{}", env.attempts);
+        // Lines are written with a delay.
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        let lines = env.fleet.log_lines(1, "call routed");
+        let mut routed = lines.iter().filter(|line| line["attempt"] == *attempt);
+        let is_lost = routed.next().map(|line| line["is_lost"] == true);
+        expect_that!(is_lost, some(eq(false)));
+        Ok(())
+    });
+}
