--- a/src/sidecar/crashes.rs
+++ b/src/sidecar/crashes.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use slog::info;
 use slog::warn;
 
 use crate::coordination::quarantine::hash_parts;
@@ -66,6 +67,11 @@
     }
     // The connection is kept for the next call.
     let opened = cx.pool.open(cx.settings.backend_addr).await;
+    let outcome = match &opened {
+        Ok(()) => "accepted".to_owned(),
+        Err(e) => e.to_string(),
+    };
+    info!(cx.log, "backend server checked after a broken call"; "instance" => &*incarnation.0, "connection" => outcome);
     let is_refused = opened.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused);
     (is_refused || !is_current(cx)) && !has_left(cx)
 }
