Name the era of a result in the records of a rollout

Causes: the result is written before the progress; if the store goes back in between, the progress of the new era was taken as proof of a result that is lost. A node that had found a fault waited for a second to verify its step before it recorded the fault again, while others completed the rollout. A node that alone knew a lost end kept it against the end that the others had recorded since.

A progress record names the era in which the result was there, and only one of the current era ends the verification; an action whose era has passed is dropped before its write. Ends and faults are recorded without that wait. An end that is not verified gives way to one of the current era.

A result that the store has lost and that no running node knows may be replaced by another one.

--- a/src/coordination/version_move.rs
+++ b/src/coordination/version_move.rs
@@ -99,6 +99,8 @@
     pub order: MoveOrder,
     /// Offset of the order.
     pub offset: u64,
+    /// Era of the offset.
+    pub era: Option<u64>,
     /// State to record.
     pub state: MoveState,
     /// Time since the order, milliseconds.
@@ -145,6 +147,8 @@
     early_records: Vec<(ServiceName, MoveRecord)>,
     /// Orders that later ones have replaced, oldest first.
     replaced: Vec<MoveOrder>,
+    /// Current era of the store.
+    era: Option<u64>,
 }
 
 impl Moves {
@@ -191,9 +195,15 @@
         true
     }
 
+    /// Sets the era of the store that the process finds at its start.
+    pub fn on_first_era(&mut self, era: Option<u64>) {
+        self.era = era;
+    }
+
     /// Handles the store going back to an earlier state: orders may get other offsets, and records may be
     /// lost. The moves go on as before.
-    pub fn on_store_restored(&mut self, now: Duration) {
+    pub fn on_store_restored(&mut self, now: Duration, era: Option<u64>) {
+        self.era = era;
         self.early_records.clear();
         for entry in &mut self.current {
             entry.is_confirmed = false;
@@ -229,14 +239,24 @@
         if record.order < entry.offset {
             return false;
         }
-        if !is_later(entry.state, record.state) {
-            let is_final = !matches!(record.state, MoveState::Step(_));
-            if is_final || entry.state == Some(record.state) {
-                entry.unverified_since = None;
+        let is_current = record.era >= self.era;
+        // An end that the store has lost gives way to the one that other nodes have recorded since.
+        let replaces_end = is_current
+            && entry.unverified_since.is_some()
+            && is_final(record.state)
+            && entry.state != Some(record.state);
+        let is_new = is_later(entry.state, record.state) || replaces_end;
+        if !is_current {
+            // The record is from before the store went back, and its result may be lost.
+            if is_new {
+                entry.unverified_since = Some(now);
             }
+        } else if is_new || is_final(record.state) || entry.state == Some(record.state) {
+            entry.unverified_since = None;
+        }
+        if !is_new {
             return false;
         }
-        entry.unverified_since = None;
         entry.state = Some(record.state);
         entry.recent.clear();
         // A restarted node learns the age of the order from the record.
@@ -307,6 +327,7 @@
         results: impl Fn(&ServiceName, &dyn Fn(&VersionName) -> bool) -> Results,
     ) -> Vec<MoveAction> {
         let mut actions = Vec::new();
+        let era = self.era;
         for entry in self.current.iter_mut().filter(|entry| entry.is_active()) {
             let target = entry.order.target.clone();
             let new = results(&entry.order.service, &|version| *version == target);
@@ -314,7 +335,8 @@
             if !entry.has_ended() {
                 entry.evaluate(now, &new, &old);
             }
-            actions.extend(entry.next_action(now, rank, &new, &old));
+            let action = entry.next_action(now, rank, &new, &old);
+            actions.extend(action.map(|action| MoveAction { era, ..action }));
         }
         actions
     }
@@ -325,6 +347,10 @@
     }
 }
 
+fn is_final(state: MoveState) -> bool {
+    matches!(state, MoveState::Complete | MoveState::Reverted)
+}
+
 /// Returns whether `new` may follow `old`. `Complete` and `Reverted` are final.
 fn is_later(old: Option<MoveState>, new: MoveState) -> bool {
     match (old, new) {
@@ -336,7 +362,7 @@
 
 impl Move {
     fn has_ended(&self) -> bool {
-        !matches!(self.state, None | Some(MoveState::Step(_)))
+        self.state.is_some_and(is_final)
     }
 
     fn is_active(&self) -> bool {
@@ -390,6 +416,7 @@
             Some(MoveAction {
                 order: self.order.clone(),
                 offset: self.offset,
+                era: None,
                 state,
                 elapsed_ms: millis(elapsed),
                 why,
@@ -399,14 +426,21 @@
             // The order has no offset that a record could name.
             return None;
         }
+        let fault_delay = FAULT_RANK_DELAY * delay_rank;
+        if let (Some((at, text)), false) = (&self.detected_fault, self.has_ended()) {
+            let due = now >= *at + fault_delay;
+            return due.then(|| action(MoveState::Reverted, text.clone()))?;
+        }
         if let (Some(state), Some(since)) = (self.state, self.unverified_since) {
-            let due = now >= since + VERIFY_TIME + delay;
+            // An end is recorded before other nodes go on with the steps that they know.
+            let wait = if is_final(state) {
+                fault_delay
+            } else {
+                VERIFY_TIME + delay
+            };
+            let due = now >= since + wait;
             return due.then(|| action(state, "the store has lost the record".to_owned()))?;
         }
-        if let Some((at, text)) = &self.detected_fault {
-            let due = now >= *at + FAULT_RANK_DELAY * delay_rank;
-            return due.then(|| action(MoveState::Reverted, text.clone()))?;
-        }
         let (next, at) = match self.state {
             None if now < STARTUP_TIME => return None,
             None => (MoveState::Step(0), 0.0),
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -179,4 +179,8 @@
     pub elapsed_ms: u64,
     /// Node that wrote the record.
     pub author: NodeId,
+    /// Era of the store in which the result for the operator was there. The store may have gone back since
+    /// then, and lost it.
+    #[serde(default)]
+    pub era: Option<u64>,
 }
--- a/src/sidecar/rollouts.rs
+++ b/src/sidecar/rollouts.rs
@@ -124,6 +124,9 @@
         },
         other => other?,
     };
+    if results.era != action.era {
+        return Err(StoreFailure::Outdated);
+    }
     let last = results.records.iter().find(|record| record.key == key);
     if let Some(end) =
         last.and_then(|last| config::read_final_result(&action.order, action.offset, &last.value))
@@ -155,6 +158,7 @@
         state,
         elapsed_ms: action.elapsed_ms,
         author: cx.settings.id.clone(),
+        era: action.era,
     };
     let value =
         codec::encode(&progress).map_err(|failure| StoreFailure::Unreadable(failure.text))?;
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -237,7 +237,11 @@
 pub fn sync_history(cx: &Rc<Sidecar>) {
     let era = cx.store.era();
     let followed = cx.feed.followed_era.replace(era);
-    if followed.is_none() || followed == era {
+    if followed == era {
+        return;
+    }
+    if followed.is_none() {
+        cx.state.borrow_mut().moves.on_first_era(era);
         return;
     }
     warn!(cx.log, "store went back"; "era" => era, "before" => followed);
@@ -248,7 +252,7 @@
         cx.feed.mark_as_read(MOVES);
     }
     let now = cx.clock.now();
-    cx.state.borrow_mut().moves.on_store_restored(now);
+    cx.state.borrow_mut().moves.on_store_restored(now, era);
     cx.feed.own_entry_unverified.set(true);
     cx.feed.restored.notify_waiters();
 }
--- a/tests/version_move.rs
+++ b/tests/version_move.rs
@@ -68,6 +68,7 @@
             state,
             elapsed_ms: u64::try_from(self.now.as_millis()).expect("a short time"),
             author: "a".into(),
+            era: None,
         };
         self.moves
             .on_record(self.now, &ServiceName::from("registry"), record)
@@ -262,6 +263,7 @@
         state: MoveState::Step(2),
         elapsed_ms: 9_000,
         author: "a".into(),
+        era: None,
     };
     moves.on_record(Duration::ZERO, &"registry".into(), record);
     let order = MoveOrder {
@@ -329,6 +331,7 @@
                 state: action.state,
                 elapsed_ms: action.elapsed_ms,
                 author: "a".into(),
+                era: action.era,
             };
             simulation
                 .moves
@@ -345,7 +348,7 @@
 fn on_store_restored_order_written_again() {
     for offset in [ORDER - 2, ORDER, ORDER + 3] {
         let mut simulation = completed();
-        simulation.moves.on_store_restored(simulation.now);
+        simulation.moves.on_store_restored(simulation.now, Some(2));
         // Nothing can be recorded while the order has no offset in the new era.
         expect_that!(recorded(&mut simulation), is_empty());
         let new = simulation
@@ -366,12 +369,13 @@
         state: MoveState::Complete,
         elapsed_ms: 1,
         author: "b".into(),
+        era: Some(2),
     };
     for is_record_first in [false, true] {
         let mut simulation = completed();
         let service = ServiceName::from("registry");
         let now = simulation.now;
-        simulation.moves.on_store_restored(now);
+        simulation.moves.on_store_restored(now, Some(2));
         if is_record_first {
             simulation.moves.on_record(now, &service, complete(ORDER));
         }
@@ -384,6 +388,51 @@
     }
 }
 
+/// Guards against a node that was suspended while the others, who had not read the lost end of a move, ended
+/// it otherwise: it would go on to ban the only version that is left.
+#[gtest]
+fn on_store_restored_other_end() {
+    let mut simulation = MoveSimulation::new();
+    let service = ServiceName::from("registry");
+    simulation.record(MoveState::Reverted);
+    let now = simulation.now;
+    simulation.moves.on_store_restored(now, Some(2));
+    simulation.moves.on_order(now, ORDER, order_of("v2"));
+    let mut complete = |era| {
+        let record = MoveRecord {
+            order: ORDER,
+            state: MoveState::Complete,
+            elapsed_ms: 1,
+            author: "b".into(),
+            era,
+        };
+        simulation.moves.on_record(now, &service, record)
+    };
+    expect_false!(complete(Some(1)));
+    expect_true!(complete(Some(2)));
+    expect_that!(recorded(&mut simulation), is_empty());
+    expect_that!(simulation.share(), eq(1.0));
+}
+
+/// Guards against a result that is lost although its progress, written a moment later, is not.
+#[gtest]
+fn on_store_restored_progress_of_earlier_era() {
+    let mut simulation = completed();
+    let now = simulation.now;
+    simulation.moves.on_store_restored(now, Some(2));
+    simulation.moves.on_order(now, ORDER, order_of("v2"));
+    let record = MoveRecord {
+        order: ORDER,
+        state: MoveState::Complete,
+        elapsed_ms: 1,
+        author: "a".into(),
+        era: Some(1),
+    };
+    simulation.moves.on_record(now, &"registry".into(), record);
+    let once = [(ORDER, MoveState::Complete)];
+    expect_that!(recorded(&mut simulation), eq(&once));
+}
+
 /// Guards against an order of the store's copy that takes the place of the later one, before the operator
 /// has written that again, and against a later order that is not taken for a new one.
 #[gtest]
@@ -391,7 +440,7 @@
     let mut simulation = completed();
     let now = simulation.now;
     simulation.moves.on_order(now, ORDER + 2, order_of("v3"));
-    simulation.moves.on_store_restored(now);
+    simulation.moves.on_store_restored(now, Some(2));
     expect_false!(simulation.moves.on_order(now, ORDER, order_of("v2")));
     let plan = simulation.moves.plan(&"registry".into());
     expect_that!(plan.map(|plan| plan.target), some(eq(&"v3".into())));
@@ -403,7 +452,7 @@
 #[gtest]
 fn on_store_restored_order_repeated_later() {
     let mut simulation = completed();
-    simulation.moves.on_store_restored(simulation.now);
+    simulation.moves.on_store_restored(simulation.now, Some(2));
     let mut order = |offset, after| {
         let at = simulation.now + Duration::from_secs(after);
         simulation.moves.on_order(at, offset, order_of("v2"))
@@ -420,7 +469,7 @@
 fn on_store_restored_running_move() {
     let mut simulation = MoveSimulation::new();
     while simulation.advance(100.0, 0.0, 30) != Some(MoveState::Step(0)) {}
-    simulation.moves.on_store_restored(simulation.now);
+    simulation.moves.on_store_restored(simulation.now, Some(2));
     simulation.new.runs += 20;
     simulation.new.failures += 10;
     expect_that!(recorded(&mut simulation), is_empty());
