--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -1,10 +1,13 @@
 //! The cases. Each plays a small deployment and returns the exit code.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+use crate::http::free_addr;
+use crate::proxy::Proxy;
 use crate::world::{CONTACT, DRAIN, Record, Upstream, Work, World, post, unix_ms};
 
 const HELD: i32 = 0;
@@ -38,6 +41,7 @@
     let log = record.clone();
     let code = match case {
         "lost-answers" => lost_answers(World::new(record)),
+        "cut-uploads" => cut_uploads(World::new(record)),
         "foreign-service" => foreign_service(World::new(record)),
         "leave-and-kill" => leave_and_kill(World::new(record)),
         "heartbeat-without-born" => heartbeat_without_born(World::new(record)),
@@ -203,7 +207,7 @@
 }
 
 /// An upstream deregisters and goes on serving. A heartbeat of another writer, without `born`, comes with
-/// the id of that upstream.
+/// the id of that upstream. No case of its own, see REPORT.md.
 fn heartbeat_without_born(mut world: World) -> i32 {
     let Some(upstreams) = start(&mut world, LOOKUP) else {
         return NOT_RUN;
@@ -282,3 +286,79 @@
     ));
     if served * 4 < sent { BROKEN } else { HELD }
 }
+
+const UPLOAD: Route = ("claim", "/claims/", "unsafe", "registry", 1500, 800, 1);
+/// Size of an upload, bytes.
+const UPLOAD_BYTES: usize = 200_000;
+/// Bandwidth of the links of both machines, the smallest of the grown site.
+const LINK_MBPS: f64 = 10.0;
+const UPLOAD_CLIENTS: usize = 6;
+
+/// All processes are killed and started again. Then the machine at which uploads arrive is cut off for five
+/// seconds.
+fn cut_uploads(mut world: World) -> i32 {
+    world.claim = vec![b'c'; UPLOAD_BYTES];
+    world.put_config(1, &[UPLOAD]);
+    let store = world.store.addr;
+    let node = free_addr();
+    let entry = world.add_node_behind(ZONES[0], "archive", store, node, node, LINK_MBPS);
+    let (node, advertised) = (free_addr(), free_addr());
+    let serving = world.add_node_behind(ZONES[1], "registry", store, node, advertised, LINK_MBPS);
+    let proxy = Proxy::start(advertised, node, LINK_MBPS);
+    for index in [entry, serving] {
+        world.start_node(index);
+    }
+    let work = || Work {
+        time: Duration::from_millis(78),
+        body_bytes: 400,
+    };
+    let _archive = Upstream::start(&world, entry, "i-7f3a91c0", "archive", ZONES[0], work());
+    let _registry = Upstream::start(&world, serving, "i-7f3a91c1", "registry", ZONES[1], work());
+    if !world.wait_ready(START_LIMIT) {
+        return NOT_RUN;
+    }
+    sleep(CONTACT.as_secs_f64() + 1.0);
+    if !send(&world, entry, UPLOAD) {
+        return NOT_RUN;
+    }
+    kill_and_restart_all(&mut world);
+    if !world.wait_ready(START_LIMIT) {
+        return NOT_RUN;
+    }
+    let back = world.record.now();
+    sleep(CONTACT.as_secs_f64());
+    let is_over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..UPLOAD_CLIENTS {
+            scope.spawn(|| {
+                while !is_over.load(Ordering::Relaxed) {
+                    send(&world, entry, UPLOAD);
+                    sleep(0.1);
+                }
+            });
+        }
+        sleep(3.0);
+        if world.trouble {
+            proxy.cut();
+            world.record.line("link between the machines: cut");
+        }
+        sleep(5.0);
+        if world.trouble {
+            proxy.heal();
+            world.record.line("link between the machines: whole again");
+        }
+        is_over.store(true, Ordering::Relaxed);
+    });
+    thread::sleep((back + RECOVER).saturating_sub(world.record.now()));
+    let until = world.record.now() + Duration::from_secs(15);
+    let (mut sent, mut served) = (0, 0);
+    while world.record.now() < until {
+        sent += 1;
+        served += u32::from(send(&world, entry, UPLOAD));
+        sleep(0.1);
+    }
+    world.record.line(format!(
+        "{served} of {sent} uploads were served later than 15 s after the processes were back"
+    ));
+    if served * 4 < sent { BROKEN } else { HELD }
+}
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,6 +3,7 @@
 
 mod cases;
 mod http;
+mod proxy;
 mod store;
 mod world;
 
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -60,6 +60,8 @@
     pub dir: PathBuf,
     pub store: Store,
     pub nodes: Vec<Node>,
+    /// Body of the requests of `unsafe` routes.
+    pub claim: Vec<u8>,
     attempts: AtomicU64,
 }
 
@@ -100,22 +102,37 @@
             dir,
             store,
             nodes: Vec::new(),
+            claim: b"claim".to_vec(),
             attempts: AtomicU64::new(0),
         }
     }
 
     /// Prepares a node. `store` is the address at which it reaches the store.
     pub fn add_node(&mut self, zone: &str, service: &str, store: SocketAddr) -> usize {
+        let node = free_addr();
+        self.add_node_behind(zone, service, store, node, node, 1000.0)
+    }
+
+    /// Prepares a node that listens at `node` for other nodes, and is reached by them at `advertised`.
+    pub fn add_node_behind(
+        &mut self,
+        zone: &str,
+        service: &str,
+        store: SocketAddr,
+        node: SocketAddr,
+        advertised: SocketAddr,
+        link_mbps: f64,
+    ) -> usize {
         let index = self.nodes.len();
         let id = format!("side-{zone}-{index}");
-        let [caller, node, ready, control, backend, metrics] = [(); 6].map(|()| free_addr());
+        let [caller, ready, control, backend, metrics] = [(); 5].map(|()| free_addr());
         let region = zone.rsplit_once('-').map_or(zone, |(region, _)| region);
         let settings = self.dir.join(format!("{id}.jsonc"));
         let text = format!(
             r#"{{ "id": "{id}", "region": "{region}", "failure_domain": "{zone}", "service": "{service}",
-  "backend_addr": "{backend}", "caller_addr": "{caller}", "node_addr": "{node}", "advertised_node_addr": "{node}",
+  "backend_addr": "{backend}", "caller_addr": "{caller}", "node_addr": "{node}", "advertised_node_addr": "{advertised}",
   "ready_addr": "{ready}", "heartbeat_addr": "{control}", "metrics_addr": "{metrics}", "store_addr": "{store}",
-  "heartbeat_interval_ms": 1500, "config_within_ms": 2000, "stop_within_s": 6, "cpu_share": 0.2, "link_mbps": 1000.0,
+  "heartbeat_interval_ms": 1500, "config_within_ms": 2000, "stop_within_s": 6, "cpu_share": 0.2, "link_mbps": {link_mbps:.1},
   "retry_ratio": 0.2, "retry_slack": 56, "retry_window_s": 10 }}"#
         );
         fs::write(&settings, text).expect("settings");
@@ -244,14 +261,18 @@
             ("x-sycamorewick-deadline-ms", deadline.as_str()),
         ];
         let sent = self.record.now();
-        let body: &[u8] = if method == "POST" { b"claim" } else { b"" };
+        let body = if method == "POST" {
+            self.claim.clone()
+        } else {
+            Vec::new()
+        };
         let timeout = Duration::from_millis(u64::from(deadline_ms) + 1000);
         let response = call(
             self.nodes[index].caller,
             method,
             path,
             &headers,
-            body,
+            &body,
             timeout,
         );
         let text = match &response {
