--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -42,6 +42,7 @@
     let code = match case {
         "lost-answers" => lost_answers(World::new(record)),
         "cut-uploads" => cut_uploads(World::new(record)),
+        "stop-half-sent" => stop_half_sent(World::new(record)),
         "foreign-service" => foreign_service(World::new(record)),
         "leave-and-kill" => leave_and_kill(World::new(record)),
         "heartbeat-without-born" => heartbeat_without_born(World::new(record)),
@@ -295,7 +296,7 @@
 const UPLOAD_CLIENTS: usize = 6;
 
 /// All processes are killed and started again. Then the machine at which uploads arrive is cut off for five
-/// seconds.
+/// seconds. No case of its own, see REPORT.md.
 fn cut_uploads(mut world: World) -> i32 {
     world.claim = vec![b'c'; UPLOAD_BYTES];
     world.put_config(1, &[UPLOAD]);
@@ -362,3 +363,68 @@
     ));
     if served * 4 < sent { BROKEN } else { HELD }
 }
+
+const SHEET: Route = ("sheet", "/sheets/", "safe", "archive", 2500, 1200, 2);
+/// Size of a sheet, bytes.
+const SHEET_BYTES: usize = 8_000_000;
+/// Speed at which a client reads, Mbit/s.
+const CLIENT_MBPS: f64 = 30.0;
+/// Times after SIGTERM at which clients send requests, seconds. The platform asks once a second whether the
+/// node is ready, and sends it no new work after the second miss.
+const SENT_AT: [f64; 4] = [0.4, 0.9, 1.4, 1.9];
+
+/// A node is stopped and started again on its own while clients read large answers.
+fn stop_half_sent(mut world: World) -> i32 {
+    world.put_config(1, &[SHEET]);
+    let store = world.store.addr;
+    for (index, service) in ["registry", "archive"].iter().enumerate() {
+        world.add_node(ZONES[index], service, store);
+        world.start_node(index);
+    }
+    let work = |body_bytes| Work {
+        time: Duration::from_millis(150),
+        body_bytes,
+    };
+    let _registry = Upstream::start(&world, 0, "i-7f3a91c0", "registry", ZONES[0], work(400));
+    let _archive = Upstream::start(
+        &world,
+        1,
+        "i-7f3a91c1",
+        "archive",
+        ZONES[1],
+        work(SHEET_BYTES),
+    );
+    if !world.wait_ready(START_LIMIT) {
+        return NOT_RUN;
+    }
+    sleep(CONTACT.as_secs_f64() + 1.0);
+    if !world.slow_client(0, "/sheets/17", CLIENT_MBPS, 5000) {
+        return NOT_RUN;
+    }
+    if world.trouble {
+        world.terminate_node(0);
+    }
+    let whole = thread::scope(|scope| {
+        let clients: Vec<_> = SENT_AT
+            .iter()
+            .map(|at| {
+                let world = &world;
+                scope.spawn(move || {
+                    sleep(*at);
+                    world.slow_client(0, "/sheets/17", CLIENT_MBPS, 5000)
+                })
+            })
+            .collect();
+        clients
+            .into_iter()
+            .filter_map(|client| client.join().ok())
+            .filter(|is_whole| *is_whole)
+            .count()
+    });
+    let lost = SENT_AT.len() - whole;
+    world.record.line(format!(
+        "{lost} of {} requests ended without a complete answer",
+        SENT_AT.len()
+    ));
+    if lost > 0 { BROKEN } else { HELD }
+}
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -137,6 +137,14 @@
     })
 }
 
+/// Reads the head of a response. Returns the status line and the length of the body.
+pub fn read_response_head(r: &mut impl BufRead) -> io::Result<(String, usize)> {
+    let line = read_line(r)?;
+    let headers = read_headers(r)?;
+    let length = find(&headers, "content-length").and_then(|v| v.parse().ok());
+    Ok((line, length.ok_or_else(|| io::Error::other("no length"))?))
+}
+
 pub fn write_response(w: &mut impl Write, response: &Response) -> io::Result<()> {
     let mut out = format!(
         "HTTP/1.1 {} X\r\ncontent-length: {}\r\n",
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::io::Write;
-use std::net::SocketAddr;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{Response, call, free_addr, serve};
+use crate::http::{Response, call, free_addr, read_response_head, request_bytes, serve};
 use crate::store::Store;
 
 pub const HOST: &str = "ficu95.example";
@@ -183,6 +183,18 @@
         }
     }
 
+    /// Sends SIGTERM to the process of a node.
+    pub fn terminate_node(&self, index: usize) {
+        let node = &self.nodes[index];
+        if let Some(child) = &node.child {
+            let _ = Command::new("kill")
+                .args(["-TERM", &child.id().to_string()])
+                .status();
+            self.record
+                .line(format!("platform: SIGTERM to {}", node.id));
+        }
+    }
+
     pub fn is_ready(&self, index: usize) -> bool {
         let addr = self.nodes[index].ready;
         call(
@@ -245,6 +257,50 @@
         )
     }
 
+    /// Sends a request of a client that reads the answer at the speed of its link. Returns whether the
+    /// request was answered: with the whole of what the node announced.
+    pub fn slow_client(&self, index: usize, path: &str, mbps: f64, deadline_ms: u32) -> bool {
+        let attempt = self.attempt();
+        let deadline = deadline_ms.to_string();
+        let headers = [
+            ("host", HOST),
+            ("x-sycamorewick-attempt-id", attempt.as_str()),
+            ("x-sycamorewick-deadline-ms", deadline.as_str()),
+        ];
+        let sent = self.record.now();
+        let read = || -> std::io::Result<(String, usize, usize)> {
+            let mut stream = TcpStream::connect(self.nodes[index].caller)?;
+            stream.write_all(&request_bytes("GET", path, &headers, b""))?;
+            let mut reader = BufReader::new(stream);
+            let (status, length) = read_response_head(&mut reader)?;
+            let mut received = 0;
+            let mut buf = vec![0; 16 << 10];
+            while received < length {
+                let count = reader.read(&mut buf).unwrap_or(0);
+                if count == 0 {
+                    break;
+                }
+                received += count;
+                thread::sleep(Duration::from_secs_f64(count as f64 * 8.0 / (mbps * 1e6)));
+            }
+            Ok((status, received, length))
+        };
+        let result = read();
+        let text = match &result {
+            Ok((status, received, length)) => {
+                format!("{status}, {received} of {length} bytes of the body")
+            }
+            Err(e) => format!("no answer: {e}"),
+        };
+        self.record.line(format!(
+            "client: GET {path} {attempt} sent to {} at {:.3}, ended after {:.3} s: {text}",
+            self.nodes[index].id,
+            sent.as_secs_f64(),
+            (self.record.now() - sent).as_secs_f64()
+        ));
+        result.is_ok_and(|(_, received, length)| received == length)
+    }
+
     /// Sends a request of a client and records it with its answer. Returns status and attempt.
     pub fn client(
         &self,
