--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases. Each plays a small deployment and returns the exit code.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -63,10 +64,20 @@
 
 /// Starts two nodes with an upstream each, and waits until they are ready and in touch.
 fn start(world: &mut World, route: Route) -> Option<Vec<Arc<Upstream>>> {
+    let store = world.store.addr;
+    start_with_store(world, route, store)
+}
+
+/// The same; the first node reaches the store at `store`.
+fn start_with_store(
+    world: &mut World,
+    route: Route,
+    store: SocketAddr,
+) -> Option<Vec<Arc<Upstream>>> {
     world.put_config(1, &[route]);
     let mut upstreams = Vec::new();
     for (index, zone) in ZONES.iter().enumerate() {
-        let store = world.store.addr;
+        let store = if index == 0 { store } else { world.store.addr };
         world.add_node(zone, "registry", store);
         world.start_node(index);
         let work = Work {
@@ -168,10 +179,13 @@
     recovery(&world, LOOKUP)
 }
 
-/// An upstream deregisters and goes on serving. All processes are killed as soon as that is acknowledged,
-/// and started again. A heartbeat that the upstream had sent before it left arrives seconds late.
+/// An upstream deregisters and goes on serving, while the store turns its node away. The process of the node
+/// is killed and started again. A heartbeat that the upstream had sent before it left arrives seconds late.
 fn leave_and_kill(mut world: World) -> i32 {
-    let Some(upstreams) = start(&mut world, LOOKUP) else {
+    let is_turned_away = Arc::new(AtomicBool::new(false));
+    let store = free_addr();
+    world.store.listen(store, is_turned_away.clone());
+    let Some(upstreams) = start_with_store(&mut world, LOOKUP, store) else {
         return NOT_RUN;
     };
     let leaving = &upstreams[0];
@@ -182,20 +196,33 @@
         "Heartbeat of {} (ready, seq {seq}): sent, arrives late",
         leaving.id
     ));
-    sleep(0.3);
+    if world.trouble {
+        is_turned_away.store(true, Ordering::Relaxed);
+        world
+            .record
+            .line("store: turns the first machine away with 503, and serves the other one");
+    }
+    sleep(0.5);
     if !leaving.deregister() {
         return NOT_RUN;
     }
     let acknowledged = world.record.now();
+    sleep(0.5);
     let mut back = acknowledged;
     if world.trouble {
-        kill_and_restart_all(&mut world);
+        world.kill_node(0);
+        sleep(1.0);
+        world.start_node(0);
+        sleep(0.3);
+        is_turned_away.store(false, Ordering::Relaxed);
+        world.record.line("store: serves both machines");
         if !world.wait_ready(START_LIMIT) {
             return NOT_RUN;
         }
         back = world.record.now();
+        world.record.line("both nodes are ready");
     }
-    let lateness = Duration::from_millis(3800);
+    let lateness = Duration::from_millis(4000);
     thread::sleep((sent + lateness).saturating_sub(world.record.now()));
     leaving.send(
         "Heartbeat",
@@ -203,7 +230,7 @@
         &format!("ready, seq {seq}, {} ms late", lateness.as_millis()),
     );
     traffic(&world, LOOKUP, 5.5);
-    // Only what was sent once the machines were in touch again counts.
+    // Only what was sent once the machine and the store were calm for long enough counts.
     late_runs(&world, leaving, acknowledged, back + CONTACT)
 }
 
