Refuse heartbeats that are not from the node's backend server

Callers saw: after one heartbeat of a service that no configuration names, every call to the node's service got 503 for as long as the process ran (0 of 488 served on, later than 15 s after the processes were back).

Cause: `on_heartbeat` took each readable report as one of the local backend server. The foreign one had a later start, so it replaced the real one, and each heartbeat of the real one was ignored from then on as that of an earlier incarnation.

Ruled out: placement and the entries of other nodes. The log of the node has `backend server changed` to the foreign service, then `outdated heartbeat ignored` for each real one.

Change: a report is asked first whether it concerns this node. `ReportFilter` compares its service with that of the settings. It also compares the address, once a heartbeat has named the one of the settings; a backend server behind a translation of addresses never does, so then any address is accepted. What is refused gets 400 and the line `heartbeat refused`. A heartbeat without a readable address is unreadable.

--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -15,6 +15,7 @@
 use crate::coordination::breaker::Breaker;
 use crate::platform::heartbeat;
 use crate::platform::heartbeat::BackendCall;
+use crate::platform::heartbeat::Heartbeat;
 use crate::protocol::fleet::BackendReport;
 use crate::protocol::hop::BackendTotals;
 use crate::result_code::ResultCode;
@@ -37,7 +38,7 @@
         }
     };
     match heartbeat::read_path(req.path()) {
-        Some(BackendCall::Heartbeat(id)) => match heartbeat::read_body(id, &body) {
+        Some(BackendCall::Heartbeat(id)) => match read_heartbeat(cx, id, &body) {
             Ok(report) => {
                 on_heartbeat(cx, report);
                 json_response(StatusCode::OK)
@@ -56,6 +57,17 @@
     }
 }
 
+/// Reads a heartbeat.
+///
+/// # Errors
+/// Why it is unreadable, or not from the backend server of this node.
+fn read_heartbeat(cx: &Sidecar, id: &str, body: &[u8]) -> Result<BackendReport, String> {
+    let Heartbeat { addr, report } = heartbeat::read_body(id, body)?;
+    let mut state = cx.state.borrow_mut();
+    state.report_filter.accept(&report.service, addr)?;
+    Ok(report)
+}
+
 fn json_response(status: StatusCode) -> Response<BoxBody> {
     let mut response = Response::with_body(status, BoxBody::new("{}"));
     let json = HeaderValue::from_static("application/json");
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -58,6 +58,7 @@
 use crate::sidecar::settings::SidecarSettings;
 use crate::sidecar::topic_follower::Feed;
 use crate::state::local_backend::LocalBackend;
+use crate::state::report_filter::ReportFilter;
 use crate::state::routing_table::RoutingTable;
 use crate::transport::body_budget::BodyBudget;
 use crate::transport::exchange::ConnectionPool;
@@ -83,6 +84,7 @@
     quota: RetryQuota,
     caller_ages: CallerAges,
     backend: LocalBackend,
+    report_filter: ReportFilter,
     breaker: Breaker,
     crash_watch: CrashWatch,
     crashing: CrashingRequests,
@@ -184,6 +186,7 @@
         quota: RetryQuota::new(settings.retry_budget()),
         caller_ages: CallerAges::default(),
         backend: LocalBackend::new(settings.heartbeat_interval()),
+        report_filter: ReportFilter::new(settings.service.clone(), settings.backend_addr),
         breaker: Breaker::default(),
         crash_watch: CrashWatch::default(),
         crashing: CrashingRequests::default(),
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -6,6 +6,7 @@
 pub mod log_fold;
 pub mod mirror;
 pub mod outcome;
+pub mod report_filter;
 pub mod routing_table;
 pub mod snapshot;
 pub mod validate;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,5 +1,6 @@
 //! Adapter to the platform: names and formats.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
@@ -189,7 +190,9 @@
 #[gtest]
 fn read_body_of_heartbeat() {
     let body = r#"{"address":"10.0.0.9:80","born":1700000000000,"info":{"service":"registry","version":"v1","zone":"a","slots":12},"status":{"state":"draining","seq":4,"cold-left-ms":250}}"#;
-    let report = heartbeat::read_body("i-1", body.as_bytes()).expect("a valid heartbeat");
+    let read = heartbeat::read_body("i-1", body.as_bytes()).expect("a valid heartbeat");
+    expect_that!(read.addr, eq(SocketAddr::from(([10, 0, 0, 9], 80))));
+    let report = read.report;
     expect_that!(report.phase, eq(BackendPhase::Draining));
     expect_that!(report.born, eq(1_700_000_000_000));
     expect_that!(report.cold_left_ms, eq(250));
@@ -198,6 +201,11 @@
         (r#""state":"draining""#, r#""state":"gone""#),
         (r#""seq":4"#, r#""sequence":4"#),
         (r#""service":"registry","#, ""),
+        (r#""address":"10.0.0.9:80","#, ""),
+        (
+            r#""address":"10.0.0.9:80""#,
+            r#""address":"10.0.0.9:70000""#,
+        ),
         (r#""slots":12"#, r#""slots":0"#),
     ] {
         let text = body.replacen(found, invalid, 1);
