Refuse heartbeats that do not name their start, if the backend server does

Cause: the start time has a default of 0, so such a heartbeat was one of another incarnation than the one that left. At a node without a report it was taken as well.

Ruled out: refusing every heartbeat without a start. The platform's own examples have none, and a backend server that never names it has to be used.

Change: once the node knows of an incarnation that names its start, as the current one or as one that left, a heartbeat without one gets 400 and changes nothing.

--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -38,11 +38,8 @@
         }
     };
     match heartbeat::read_path(req.path()) {
-        Some(BackendCall::Heartbeat(id)) => match read_heartbeat(cx, id, &body) {
-            Ok(report) => {
-                on_heartbeat(cx, report);
-                json_response(StatusCode::OK)
-            }
+        Some(BackendCall::Heartbeat(id)) => match on_heartbeat(cx, id, &body) {
+            Ok(()) => json_response(StatusCode::OK),
             Err(why) => {
                 warn!(cx.log, "heartbeat refused"; "instance" => id, "why" => why,
                     "code" => ResultCode::BadRequest.number());
@@ -75,7 +72,12 @@
     response
 }
 
-fn on_heartbeat(cx: &Rc<Sidecar>, report: BackendReport) {
+/// Applies a heartbeat.
+///
+/// # Errors
+/// Why it names no backend server of this node.
+fn on_heartbeat(cx: &Rc<Sidecar>, id: &str, body: &[u8]) -> Result<(), String> {
+    let report = read_heartbeat(cx, id, body)?;
     let now = cx.clock.now();
     let text = format!(
         "{} of {} {}, {:?}, {} slots",
@@ -110,8 +112,10 @@
         HeartbeatEffect::Ignored => {
             info!(cx.log, "outdated heartbeat ignored"; "of" => text, "born" => born, "sequence" => sequence);
         }
+        HeartbeatEffect::Refused => return Err("it does not name its start".to_owned()),
         HeartbeatEffect::Refreshed => {}
     }
+    Ok(())
 }
 
 fn on_deregister(cx: &Rc<Sidecar>, instance: &str, born: Option<u64>) {
--- a/src/state/local_backend.rs
+++ b/src/state/local_backend.rs
@@ -16,6 +16,9 @@
 /// ignored.
 const MAX_DEREGISTERED: usize = 16;
 
+/// Start time of a report that names none.
+const UNKNOWN_START: u64 = 0;
+
 /// Time for which heartbeats from before a deregistration may still arrive.
 const LATE_HEARTBEAT_TIME: Duration = Duration::from_secs(15);
 /// Sequence number up to which a heartbeat counts as one of the first of its incarnation.
@@ -26,6 +29,9 @@
 pub enum HeartbeatEffect {
     /// The heartbeat is late or from an incarnation that has deregistered.
     Ignored,
+    /// The heartbeat does not name the start of its backend server, although the one of this node does, so
+    /// it may be from another program.
+    Refused,
     /// The heartbeat changes nothing that other nodes must be told.
     Refreshed,
     /// Other nodes must be told of the change.
@@ -68,6 +74,9 @@
 
     /// Applies a heartbeat.
     pub fn on_heartbeat(&mut self, now: Duration, report: BackendReport) -> HeartbeatEffect {
+        if self.is_of_unknown_start(&report) {
+            return HeartbeatEffect::Refused;
+        }
         if self.deregistered.iter().any(|left| report.is_of(left))
             || self.is_before_leave(&report)
             || self.is_of_unknown_left(now, &report)
@@ -128,6 +137,15 @@
         report.is_some()
     }
 
+    /// Whether a report does not name its start, although the backend server of this node does. It cannot be
+    /// told which incarnation it means.
+    fn is_of_unknown_start(&self, report: &BackendReport) -> bool {
+        let current = self.report.iter().map(|current| current.born);
+        let left = self.left.iter().map(|left| left.incarnation.1);
+        let mut known = current.chain(left);
+        report.born == UNKNOWN_START && known.any(|born| born != UNKNOWN_START)
+    }
+
     /// Whether a report is a late one of a backend server that deregistered at a process that did not know
     /// it. The sequence numbers of a new incarnation start anew.
     fn is_of_unknown_left(&self, now: Duration, report: &BackendReport) -> bool {
--- a/tests/local_backend.rs
+++ b/tests/local_backend.rs
@@ -209,3 +209,26 @@
     expect_true!(backend.on_deregister(at(2), "i-1", Some(200)));
     expect_true!(backend.available(at(2)).is_none());
 }
+
+/// Guards against a heartbeat that does not name its start and brings back a backend server that has left,
+/// or replaces the current one. A backend server that never names it is used all the same.
+#[gtest]
+fn on_heartbeat_without_start() {
+    let mut backend = LocalBackend::new(INTERVAL);
+    backend.on_heartbeat(at(0), report("i-1", 100, 1));
+    for instance in ["i-1", "i-2"] {
+        let effect = backend.on_heartbeat(at(1), report(instance, 0, 9));
+        expect_that!(effect, eq(HeartbeatEffect::Refused), "{instance}");
+    }
+    expect_true!(backend.available(at(1)).is_some());
+    backend.on_deregister(at(2), "i-1", Some(100));
+    let effect = backend.on_heartbeat(at(3), report("i-1", 0, 9));
+    expect_that!(effect, eq(HeartbeatEffect::Refused));
+    expect_true!(backend.available(at(3)).is_none());
+    let mut backend = LocalBackend::new(INTERVAL);
+    backend.on_heartbeat(at(0), report("i-3", 0, 1));
+    expect_true!(backend.available(at(0)).is_some());
+    backend.on_deregister(at(1), "i-3", None);
+    backend.on_heartbeat(at(2), report("i-3", 0, 2));
+    expect_true!(backend.available(at(2)).is_none());
+}
--- a/tests/process_backend_reports.rs
+++ b/tests/process_backend_reports.rs
@@ -79,3 +79,27 @@
         Ok(())
     });
 }
+
+/// Guards against a heartbeat that does not name its start: it replaced the local backend server, and brought
+/// one back that had left.
+#[gtest]
+fn heartbeat_without_start() {
+    run(async {
+        let mut env = TestFleet::start(2).await?;
+        for id in ["b0", "stranger"] {
+            let body = heartbeat(&env, 0, "registry", None, 900).to_string();
+            let status = post(&env, 0, &format!("Heartbeat/{id}"), body).await?;
+            expect_that!(status, eq(StatusCode::BAD_REQUEST), "{id}");
+        }
+        expect_served(&mut env, 2, "heartbeats without a start").await?;
+        let body = json!({ "born": 1 }).to_string();
+        let status = post(&env, 0, "Deregister/b0", body).await?;
+        expect_that!(status, eq(StatusCode::OK));
+        let runs = env.backends[0].runs().len();
+        let body = heartbeat(&env, 0, "registry", None, 900).to_string();
+        post(&env, 0, "Heartbeat/b0", body).await?;
+        expect_served(&mut env, 2, "the leave of a backend server").await?;
+        expect_that!(env.backends[0].runs().len(), eq(runs));
+        Ok(())
+    });
+}
