Let a backend server replace a false report of a later start once that has lapsed

Each heartbeat of the real one was ignored as outdated, also after the false one had lapsed.

Cause: the newest report is compared by start and sequence number only; nothing ended its claim.

Ruled out: a bound on `born` by the time of day. Clocks jump, and no decision reads them.

Change: once the current report is silent for four intervals, or another incarnation has been found at its address, any report replaces it that is not from before an acknowledged leave. A wrong choice costs little: requests name the incarnation that they are for, and any other one refuses them unrun.

Tests: `on_heartbeat_after_false_report` and `on_heartbeat_after_mark_down_of_other_incarnation`; both fail with the mechanism removed, which is the code before.

--- a/src/state/local_backend.rs
+++ b/src/state/local_backend.rs
@@ -85,6 +85,7 @@
         }
         if let Some(current) = &self.report
             && !report.replaces(current)
+            && !self.has_lapsed(now, &report)
         {
             return HeartbeatEffect::Ignored;
         }
@@ -137,6 +138,17 @@
         report.is_some()
     }
 
+    /// Whether another report may replace the current one although that is newer. A report that came from
+    /// another program, or whose backend server has ended unnoticed, would otherwise stay for good.
+    fn has_lapsed(&self, now: Duration, report: &BackendReport) -> bool {
+        let is_other = |current: &BackendReport| !current.is_same_incarnation(report);
+        self.is_silent(now) || (self.is_down && self.report.as_ref().is_some_and(is_other))
+    }
+
+    fn is_silent(&self, now: Duration) -> bool {
+        now.saturating_sub(self.last_heartbeat_at) > self.heartbeat_timeout
+    }
+
     /// Whether a report does not name its start, although the backend server of this node does. It cannot be
     /// told which incarnation it means.
     fn is_of_unknown_start(&self, report: &BackendReport) -> bool {
@@ -229,8 +241,7 @@
     /// Returns the last report of the backend server if it accepts new requests.
     #[must_use]
     pub fn available(&self, now: Duration) -> Option<&BackendReport> {
-        let is_silent = now.saturating_sub(self.last_heartbeat_at) > self.heartbeat_timeout;
-        let is_stopped = self.is_down || self.is_leaving || is_silent;
+        let is_stopped = self.is_down || self.is_leaving || self.is_silent(now);
         self.report
             .as_ref()
             .filter(|report| report.phase == BackendPhase::Ready && !is_stopped)
--- a/tests/local_backend.rs
+++ b/tests/local_backend.rs
@@ -232,3 +232,39 @@
     backend.on_heartbeat(at(2), report("i-3", 0, 2));
     expect_true!(backend.available(at(2)).is_none());
 }
+
+/// Guards against a report that ends the use of the backend server for good: its start or its sequence
+/// number is higher than any that follows, and nobody sends it again.
+#[gtest]
+fn on_heartbeat_after_false_report() {
+    for false_report in [report("i-9", u64::MAX, 1), report("i-1", 100, u64::MAX)] {
+        let mut backend = LocalBackend::new(INTERVAL);
+        backend.on_heartbeat(at(0), report("i-1", 100, 1));
+        backend.on_heartbeat(at(1), false_report.clone());
+        let late = backend.on_heartbeat(at(2), report("i-1", 100, 2));
+        expect_that!(late, eq(HeartbeatEffect::Ignored));
+        backend.on_heartbeat(at(8), report("i-1", 100, 3));
+        let available = backend.available(at(8));
+        let instance = available.map(|report| report.instance.clone());
+        expect_that!(instance.as_deref(), some(eq("i-1")), "{false_report:?}");
+        // The backend server goes on as before.
+        let next = backend.on_heartbeat(at(9), report("i-1", 100, 4));
+        expect_that!(next, eq(HeartbeatEffect::Refreshed));
+    }
+}
+
+/// Guards against a false report that stays until it is silent, although the backend server has refused a
+/// request for its instance.
+#[gtest]
+fn on_heartbeat_after_mark_down_of_other_incarnation() {
+    let mut backend = LocalBackend::new(INTERVAL);
+    backend.on_heartbeat(at(0), report("i-1", 100, 1));
+    backend.on_heartbeat(at(1), report("i-9", 900, 1));
+    backend.mark_down();
+    backend.on_heartbeat(at(2), report("i-1", 100, 2));
+    expect_true!(backend.available(at(2)).is_some());
+    // A late heartbeat of the incarnation that is down says nothing new.
+    backend.mark_down();
+    backend.on_heartbeat(at(3), report("i-1", 100, 2));
+    expect_true!(backend.available(at(3)).is_none());
+}
