Keep acknowledged leaves when unknown backend servers deregister

Callers saw requests at a backend server whose leave was acknowledged, after its node had been killed and started again.

Cause: a deregistration names no service, so one of an unknown backend server is remembered as well: it may have come before the first heartbeat. It took the only place in the node's entry, and one of 16 in the process, from the leave of the local backend server. A process that had acknowledged any leave before it read its entry ignored the one in there.

Ruled out: ignoring unknown deregistrations.

Change: one list of leaves in place of three fields. Those of unknown backend servers give way first; the entry names up to four (`earlier_left`, left out if empty). Leaves of an earlier process are added to the own ones. The leave of an incarnation that is not current is remembered, too, since the current one may lapse.

Tests: `deregistration_of_strangers` (a sidecar that is killed and started again; on it served calls by the backend server that had left), `on_deregister_many_unknown`, `on_earlier_leave_after_own`, `on_heartbeat_after_leave_and_lapse`.

--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -113,6 +113,9 @@
     /// the node does not take a late heartbeat of it for a new one.
     #[serde(default)]
     pub left: Option<LeftBackend>,
+    /// Those that left before it, oldest first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub earlier_left: Vec<LeftBackend>,
     /// Crashes of the local backend server, oldest first.
     #[serde(default)]
     pub crashes: Vec<RequestCrash>,
@@ -132,11 +135,27 @@
 pub struct LeftBackend {
     /// Instance and start time.
     pub incarnation: Incarnation,
-    /// Sequence number of the report with which it left; the largest number if it has deregistered.
+    /// Sequence number of the report with which it left, or [`Self::DEREGISTERED`].
     pub sequence: u64,
 }
 
+impl LeftBackend {
+    /// Sequence number of an incarnation that has deregistered.
+    pub const DEREGISTERED: u64 = u64::MAX;
+
+    /// Whether the incarnation has deregistered, so that it cannot become ready again.
+    #[must_use]
+    pub fn has_deregistered(&self) -> bool {
+        self.sequence == Self::DEREGISTERED
+    }
+}
+
 impl FleetEntry {
+    /// Returns the incarnations of the local backend server that have left, oldest first.
+    pub fn leaves(&self) -> impl Iterator<Item = &LeftBackend> {
+        self.earlier_left.iter().chain(&self.left)
+    }
+
     /// Returns what makes the entry unusable, if anything. Another program may write to the topic, and an
     /// entry that decodes may still name no node that can be called.
     #[must_use]
--- a/src/sidecar/announcer.rs
+++ b/src/sidecar/announcer.rs
@@ -43,6 +43,7 @@
 fn own_entry(cx: &Sidecar) -> FleetEntry {
     let state = cx.state.borrow();
     let backend = state.backend.available(cx.clock.now());
+    let mut leaves = state.backend.reported_leaves();
     FleetEntry {
         node: cx.settings.id.clone(),
         run: cx.run,
@@ -52,7 +53,8 @@
         domain: cx.settings.failure_domain.clone(),
         capacity: cx.settings.capacity(),
         backend: backend.filter(|_| !cx.stopping.get()).cloned(),
-        left: state.backend.left().cloned(),
+        left: leaves.pop(),
+        earlier_left: leaves,
         crashes: state.crashing.reported(cx.clock.now()),
     }
 }
@@ -127,7 +129,7 @@
 /// Whether two entries are equal apart from the sequence number of the heartbeat.
 fn is_equal(old: &FleetEntry, new: &FleetEntry) -> bool {
     old.run == new.run
-        && old.left == new.left
+        && old.leaves().eq(new.leaves())
         && old.crashes == new.crashes
         && match (&old.backend, &new.backend) {
             (None, None) => true,
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -114,9 +114,9 @@
                 .crashing
                 .on_earlier_entry(now, &cx.settings.id, &entry.crashes);
             crashes::log_quarantined(cx, &quarantined);
-            if let Some(left) = entry.left {
+            for left in entry.leaves() {
                 let text = format!("{} of {}", left.incarnation.0, left.incarnation.1);
-                let is_current = state.backend.on_earlier_leave(left);
+                let is_current = state.backend.on_earlier_leave(left.clone());
                 info!(cx.log, "leave acknowledged by an earlier process"; "instance" => text,
                     "current" => is_current, "offset" => record.offset);
             }
--- a/src/state/local_backend.rs
+++ b/src/state/local_backend.rs
@@ -12,10 +12,10 @@
 /// Number of heartbeat intervals without a heartbeat after which the backend server counts as
 /// unavailable. A crash is detected sooner, by a refused connection.
 const MISSED_HEARTBEATS: u32 = 4;
-/// Number of deregistered incarnations that are remembered, so that their late heartbeats are
-/// ignored.
-const MAX_DEREGISTERED: usize = 16;
-
+/// Leaves that are remembered, so that late heartbeats from before them are ignored.
+const MAX_LEAVES: usize = 16;
+/// Leaves that a node names in its entry for its next process. Each takes some 50 bytes.
+const MAX_REPORTED_LEAVES: usize = 4;
 /// Start time of a report that names none.
 const UNKNOWN_START: u64 = 0;
 
@@ -48,12 +48,19 @@
     /// Whether the incarnation of the last report has announced in a response that it leaves. Its later
     /// heartbeats may still report it as ready.
     is_leaving: bool,
-    /// Deregistered incarnations, oldest first.
-    deregistered: Vec<Incarnation>,
-    /// Instance that deregistered without being known or naming its start, and when.
-    unknown_left: Option<(Arc<str>, Duration)>,
-    /// Last incarnation that has left, as acknowledged by this process or by an earlier one of the node.
-    left: Option<LeftBackend>,
+    /// Leaves that this process or an earlier one of the node has acknowledged, oldest first.
+    leaves: Vec<Leave>,
+    /// Instances that deregistered without being known or naming their start, and when.
+    unknown_left: Vec<(Arc<str>, Duration)>,
+}
+
+/// A leave of a backend server.
+#[derive(Debug)]
+struct Leave {
+    left: LeftBackend,
+    /// Whether it was the backend server of this node. Otherwise it may be any, since a deregistration
+    /// names no service, and is forgotten first.
+    is_known: bool,
 }
 
 impl LocalBackend {
@@ -66,9 +73,8 @@
             heartbeat_timeout: heartbeat_interval * MISSED_HEARTBEATS,
             is_down: false,
             is_leaving: false,
-            deregistered: Vec::new(),
-            unknown_left: None,
-            left: None,
+            leaves: Vec::new(),
+            unknown_left: Vec::new(),
         }
     }
 
@@ -77,12 +83,21 @@
         if self.is_of_unknown_start(&report) {
             return HeartbeatEffect::Refused;
         }
-        if self.deregistered.iter().any(|left| report.is_of(left))
-            || self.is_before_leave(&report)
-            || self.is_of_unknown_left(now, &report)
-        {
+        if self.is_before_leave(&report) || self.is_of_unknown_left(now, &report) {
             return HeartbeatEffect::Ignored;
         }
+        if report.phase == BackendPhase::Draining {
+            // Also if the report is late: it is acknowledged, and the current one may lapse.
+            let is_known = self
+                .report
+                .as_ref()
+                .is_some_and(|r| r.is_same_incarnation(&report));
+            let left = LeftBackend {
+                incarnation: report.incarnation(),
+                sequence: report.sequence,
+            };
+            self.add_leave(left, is_known);
+        }
         if let Some(current) = &self.report
             && !report.replaces(current)
             && !self.has_lapsed(now, &report)
@@ -96,12 +111,6 @@
                 .is_none_or(|old| report.needs_announcement_after(old));
         let is_same = |old: &BackendReport| old.is_same_incarnation(&report);
         self.is_leaving &= self.report.as_ref().is_some_and(is_same);
-        if report.phase == BackendPhase::Draining {
-            self.left = Some(LeftBackend {
-                incarnation: report.incarnation(),
-                sequence: report.sequence,
-            });
-        }
         self.last_heartbeat_at = now;
         self.is_down = false;
         self.report = Some(report);
@@ -123,21 +132,42 @@
             (Some(report), _) => report.incarnation(),
             (None, Some(born)) => (instance.into(), born),
             (None, None) => {
-                self.unknown_left = Some((instance.into(), now));
+                if self.unknown_left.len() >= MAX_LEAVES {
+                    self.unknown_left.remove(0);
+                }
+                self.unknown_left.push((instance.into(), now));
                 return false;
             }
         };
-        if self.deregistered.len() >= MAX_DEREGISTERED {
-            self.deregistered.remove(0);
-        }
-        self.deregistered.push(incarnation.clone());
-        self.left = Some(LeftBackend {
+        let left = LeftBackend {
             incarnation,
-            sequence: u64::MAX,
-        });
+            sequence: LeftBackend::DEREGISTERED,
+        };
+        self.add_leave(left, report.is_some());
         report.is_some()
     }
 
+    /// Remembers a leave. An earlier one of the same incarnation is replaced.
+    fn add_leave(&mut self, left: LeftBackend, is_known: bool) {
+        let is_same = |leave: &Leave| leave.left.incarnation == left.incarnation;
+        let earlier = self.leaves.iter().position(is_same);
+        let earlier = earlier.map(|index| self.leaves.remove(index));
+        let leave = Leave {
+            is_known: is_known || earlier.as_ref().is_some_and(|leave| leave.is_known),
+            left: LeftBackend {
+                sequence: earlier.map_or(left.sequence, |leave| {
+                    leave.left.sequence.max(left.sequence)
+                }),
+                ..left
+            },
+        };
+        if self.leaves.len() >= MAX_LEAVES {
+            let unknown = self.leaves.iter().position(|leave| !leave.is_known);
+            self.leaves.remove(unknown.unwrap_or(0));
+        }
+        self.leaves.push(leave);
+    }
+
     /// Whether another report may replace the current one although that is newer. A report that came from
     /// another program, or whose backend server has ended unnoticed, would otherwise stay for good.
     fn has_lapsed(&self, now: Duration, report: &BackendReport) -> bool {
@@ -153,34 +183,39 @@
     /// told which incarnation it means.
     fn is_of_unknown_start(&self, report: &BackendReport) -> bool {
         let current = self.report.iter().map(|current| current.born);
-        let left = self.left.iter().map(|left| left.incarnation.1);
-        let mut known = current.chain(left);
-        report.born == UNKNOWN_START && known.any(|born| born != UNKNOWN_START)
+        let leaves = self.leaves.iter().map(|leave| leave.left.incarnation.1);
+        report.born == UNKNOWN_START && current.chain(leaves).any(|born| born != UNKNOWN_START)
     }
 
     /// Whether a report is a late one of a backend server that deregistered at a process that did not know
     /// it. The sequence numbers of a new incarnation start anew.
     fn is_of_unknown_left(&self, now: Duration, report: &BackendReport) -> bool {
-        self.unknown_left.as_ref().is_some_and(|(instance, at)| {
+        self.unknown_left.iter().any(|(instance, at)| {
             report.instance == *instance
                 && report.sequence > MAX_FIRST_SEQUENCE
                 && now.saturating_sub(*at) < LATE_HEARTBEAT_TIME
         })
     }
 
-    /// Returns the last incarnation that has left, which a later process of this node has to know.
+    /// Returns the leaves that a later process of this node has to know, oldest first. Those of backend
+    /// servers that this node did not know give way first.
     #[must_use]
-    pub fn left(&self) -> Option<&LeftBackend> {
-        self.left.as_ref()
+    pub fn reported_leaves(&self) -> Vec<LeftBackend> {
+        let mut surplus = self.leaves.len().saturating_sub(MAX_REPORTED_LEAVES);
+        let mut reported: Vec<&Leave> = self.leaves.iter().collect();
+        reported.retain(|leave| {
+            let is_kept = leave.is_known || surplus == 0;
+            surplus -= usize::from(!is_kept);
+            is_kept
+        });
+        let newest = reported.into_iter().skip(surplus);
+        newest.map(|leave| leave.left.clone()).collect()
     }
 
     /// Applies a leave that an earlier process of this node has acknowledged. Returns whether the current
     /// report is from before it.
     pub fn on_earlier_leave(&mut self, left: LeftBackend) -> bool {
-        if self.left.is_some() {
-            return false;
-        }
-        self.left = Some(left);
+        self.add_leave(left, true);
         let is_outdated = self
             .report
             .as_ref()
@@ -191,12 +226,13 @@
         is_outdated
     }
 
-    /// Whether a report was sent before its backend server left, although it arrives later.
+    /// Whether a report was sent before its backend server left, although it arrives later. After a
+    /// deregistration all reports of the incarnation were.
     fn is_before_leave(&self, report: &BackendReport) -> bool {
-        self.left.as_ref().is_some_and(|left| {
+        self.leaves.iter().any(|Leave { left, .. }| {
             report.is_of(&left.incarnation)
-                && report.phase == BackendPhase::Ready
-                && report.sequence <= left.sequence
+                && (left.has_deregistered()
+                    || report.phase == BackendPhase::Ready && report.sequence <= left.sequence)
         })
     }
 
@@ -232,10 +268,8 @@
     #[must_use]
     pub fn has_left(&self, incarnation: &Incarnation) -> bool {
         let is_leaving = |report: &BackendReport| self.is_leaving && report.is_of(incarnation);
-        let is_left = |left: &LeftBackend| left.incarnation == *incarnation;
-        self.report.as_ref().is_some_and(is_leaving)
-            || self.left.as_ref().is_some_and(is_left)
-            || self.deregistered.contains(incarnation)
+        let is_left = |leave: &Leave| leave.left.incarnation == *incarnation;
+        self.report.as_ref().is_some_and(is_leaving) || self.leaves.iter().any(is_left)
     }
 
     /// Returns the last report of the backend server if it accepts new requests.
--- a/tests/local_backend.rs
+++ b/tests/local_backend.rs
@@ -161,14 +161,14 @@
         } else {
             earlier.on_heartbeat(at(1), draining(report("i-1", 100, 9)));
         }
-        let left = earlier.left().cloned();
+        let leaves = earlier.reported_leaves();
         // The heartbeat may arrive before or after the new process has read the entry.
         for is_first in [false, true] {
             let mut backend = LocalBackend::new(INTERVAL);
             if is_first {
                 backend.on_heartbeat(at(2), report("i-1", 100, 8));
             }
-            let outdated = backend.on_earlier_leave(left.clone().expect("the leave"));
+            let outdated = backend.on_earlier_leave(leaves.first().expect("the leave").clone());
             expect_that!(outdated, eq(is_first));
             backend.on_heartbeat(at(3), report("i-1", 100, 8));
             expect_true!(backend.available(at(3)).is_none());
@@ -268,3 +268,66 @@
     backend.on_heartbeat(at(3), report("i-1", 100, 2));
     expect_true!(backend.available(at(3)).is_none());
 }
+
+/// Guards against a backend server that left and is used again, because another incarnation that replaced
+/// it has lapsed.
+#[gtest]
+fn on_heartbeat_after_leave_and_lapse() {
+    let mut backend = LocalBackend::new(INTERVAL);
+    backend.on_heartbeat(at(0), report("i-1", 100, 1));
+    backend.on_heartbeat(at(1), draining(report("i-1", 100, 3)));
+    backend.on_heartbeat(at(2), report("i-2", 200, 1));
+    // The leave of an incarnation that is not current is acknowledged as well.
+    backend.on_heartbeat(at(2), draining(report("i-0", 50, 9)));
+    backend.on_heartbeat(at(20), report("i-1", 100, 2));
+    backend.on_heartbeat(at(20), report("i-0", 50, 8));
+    expect_true!(backend.available(at(20)).is_none());
+}
+
+/// Guards against deregistrations of unknown backend servers that make a node forget a leave that it has
+/// acknowledged, or its next process not learn of it.
+#[gtest]
+fn on_deregister_many_unknown() {
+    let mut backend = LocalBackend::new(INTERVAL);
+    backend.on_heartbeat(at(0), report("i-1", 100, 7));
+    backend.on_deregister(at(1), "i-1", None);
+    backend.on_deregister(at(1), "i-5", None);
+    for number in 0..50 {
+        backend.on_deregister(at(2), &format!("x-{number}"), Some(number + 1));
+    }
+    backend.on_deregister(at(2), "i-6", None);
+    let reported = backend.reported_leaves();
+    expect_that!(reported.len(), le(4));
+    expect_true!(
+        reported
+            .iter()
+            .any(|left| left.incarnation == ("i-1".into(), 100))
+    );
+    let mut next = LocalBackend::new(INTERVAL);
+    for left in reported {
+        next.on_earlier_leave(left);
+    }
+    for backend in [&mut backend, &mut next] {
+        backend.on_heartbeat(at(3), report("i-1", 100, 6));
+        expect_true!(backend.available(at(3)).is_none());
+    }
+    backend.on_heartbeat(at(3), report("i-5", 300, 9));
+    expect_true!(backend.available(at(3)).is_none());
+}
+
+/// Guards against a process that forgets the leave that an earlier one has acknowledged, because it has
+/// acknowledged another one before it reads the entry.
+#[gtest]
+fn on_earlier_leave_after_own() {
+    let mut earlier = LocalBackend::new(INTERVAL);
+    earlier.on_heartbeat(at(0), report("i-1", 100, 7));
+    earlier.on_deregister(at(1), "i-1", None);
+    let mut backend = LocalBackend::new(INTERVAL);
+    backend.on_deregister(at(2), "i-0", Some(50));
+    for left in earlier.reported_leaves() {
+        backend.on_earlier_leave(left);
+    }
+    backend.on_heartbeat(at(3), report("i-1", 100, 6));
+    expect_true!(backend.available(at(3)).is_none());
+    expect_that!(backend.reported_leaves().len(), eq(2));
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -51,6 +51,7 @@
             cold_left_ms: 0,
         }),
         left: None,
+        earlier_left: Vec::new(),
         crashes: Vec::new(),
     }
 }
--- a/tests/process_backend_reports.rs
+++ b/tests/process_backend_reports.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 use serde_json::json;
 use sidecar_common::TestFleet;
+use sidecar_common::WAIT_LIMIT;
 use sidecar_common::run;
 
 /// Start time that is later than that of every backend server of the tests.
@@ -103,3 +104,33 @@
         Ok(())
     });
 }
+
+/// Guards against deregistrations of unknown backend servers that displace the leave of the local one: the
+/// next process of the node used it again.
+#[gtest]
+fn deregistration_of_strangers() {
+    run(async {
+        let mut env = TestFleet::start(1).await?;
+        let status = post(&env, 0, "Deregister/b0", r#"{"born":1}"#.into()).await?;
+        expect_that!(status, eq(StatusCode::OK));
+        for number in 2..32 {
+            let body = json!({ "born": number }).to_string();
+            post(&env, 0, &format!("Deregister/stranger-{number}"), body).await?;
+        }
+        // The entry with the last of them is written by then.
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        let runs = env.backends[0].runs().len();
+        env.fleet.kill(0)?;
+        env.fleet.start(0)?;
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        // The backend server still serves, and sends heartbeats as if it had not deregistered.
+        let until = Instant::now() + OBSERVED_TIME;
+        while Instant::now() < until {
+            let status = env.call(0, "/wrecks/1").await?.status;
+            expect_that!(status, eq(StatusCode::SERVICE_UNAVAILABLE));
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        expect_that!(env.backends[0].runs().len(), eq(runs));
+        Ok(())
+    });
+}
--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -613,6 +613,7 @@
             cold_left_ms: u64::MAX,
         }),
         left: None,
+        earlier_left: Vec::new(),
         crashes: Vec::new(),
     };
     let no_port = SocketAddr::from(([127, 0, 0, 1], 0));
