Refuse deregistrations with an unreadable body

Change: an empty body, or one without the field, names no start as before; what cannot be read gets 400.

Tests: `deregistration_unreadable` (on it got 200, and the next call 503), `read_deregistration_bodies`.

--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -37,20 +37,18 @@
             return json_response(StatusCode::BAD_REQUEST);
         }
     };
-    match heartbeat::read_path(req.path()) {
-        Some(BackendCall::Heartbeat(id)) => match on_heartbeat(cx, id, &body) {
-            Ok(()) => json_response(StatusCode::OK),
-            Err(why) => {
-                warn!(cx.log, "heartbeat refused"; "instance" => id, "why" => why,
-                    "code" => ResultCode::BadRequest.number());
-                json_response(StatusCode::BAD_REQUEST)
-            }
-        },
-        Some(BackendCall::Deregister(id)) => {
-            on_deregister(cx, id, heartbeat::read_deregistration(&body));
-            json_response(StatusCode::OK)
+    let (id, handled) = match heartbeat::read_path(req.path()) {
+        Some(BackendCall::Heartbeat(id)) => (id, on_heartbeat(cx, id, &body)),
+        Some(BackendCall::Deregister(id)) => (id, on_deregister(cx, id, &body)),
+        None => return json_response(StatusCode::NOT_FOUND),
+    };
+    match handled {
+        Ok(()) => json_response(StatusCode::OK),
+        Err(why) => {
+            warn!(cx.log, "heartbeat refused"; "instance" => id, "why" => why,
+                "code" => ResultCode::BadRequest.number());
+            json_response(StatusCode::BAD_REQUEST)
         }
-        None => json_response(StatusCode::NOT_FOUND),
     }
 }
 
@@ -118,7 +116,12 @@
     Ok(())
 }
 
-fn on_deregister(cx: &Rc<Sidecar>, instance: &str, born: Option<u64>) {
+/// Applies a deregistration.
+///
+/// # Errors
+/// Why its body is unreadable.
+fn on_deregister(cx: &Rc<Sidecar>, instance: &str, body: &[u8]) -> Result<(), String> {
+    let born = heartbeat::read_deregistration(body)?;
     let now = cx.clock.now();
     let was_current = cx
         .state
@@ -128,4 +131,5 @@
     info!(cx.log, "backend server deregistered"; "instance" => instance, "born" => born, "known" => was_current);
     // The entry names the incarnation that left, also if this process did not know it.
     cx.entry_changed.notify_one();
+    Ok(())
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -218,6 +218,25 @@
     expect_that!(heartbeat::read_body("", body.as_bytes()).is_err(), eq(true));
 }
 
+/// Guards against a deregistration with an unreadable body that ends the current backend server.
+#[gtest]
+fn read_deregistration_bodies() {
+    let read = |body: &str| heartbeat::read_deregistration(body.as_bytes());
+    expect_that!(read(""), eq(&Ok(None)));
+    expect_that!(read("{}"), eq(&Ok(None)));
+    let named = r#"{"born":1700000000000}"#;
+    expect_that!(read(named), eq(&Ok(Some(1_700_000_000_000))));
+    for body in [
+        r#"{"born":"now"}"#,
+        r#"{"born":-1}"#,
+        r#"{"born":null}"#,
+        "{",
+        "\u{0}",
+    ] {
+        expect_true!(read(body).is_err(), "{body:?}");
+    }
+}
+
 /// Guards against treating a deregistration as a heartbeat.
 #[gtest]
 fn read_path_calls() {
--- a/tests/process_backend_reports.rs
+++ b/tests/process_backend_reports.rs
@@ -105,6 +105,19 @@
     });
 }
 
+/// Guards against a deregistration with an unreadable body that ends the use of the local backend server.
+#[gtest]
+fn deregistration_unreadable() {
+    run(async {
+        let mut env = TestFleet::start(1).await?;
+        for body in [r#"{"born":"now"}"#, r#"{"born":null}"#, "{"] {
+            let status = post(&env, 0, "Deregister/b0", body.into()).await?;
+            expect_that!(status, eq(StatusCode::BAD_REQUEST), "{body}");
+        }
+        expect_served(&mut env, 1, "unreadable deregistrations").await
+    });
+}
+
 /// Guards against deregistrations of unknown backend servers that displace the leave of the local one: the
 /// next process of the node used it again.
 #[gtest]
