Write the node's entry again if its newest record in the store is not the last one

Seen: a record that another program writes under a node's key in the fleet's topic hides the node from every node that starts later, and a write that got no answer and takes effect after a later one hides what that says, a leave among it. Nobody wrote the entry again: the node ignored what it could not decode, and took each entry of its own run for its last one.

Change: a node that reads an unreadable record, or an entry with another name, under its own key writes its entry again. So does one that reads an entry of its own process with a lower number at a higher offset than the last one it wrote (`node entry replaced by an earlier one`). In the same way an unreadable record in the place of a rollout's state is replaced by the state that the nodes know.

Not covered: the time until the node reads the record, some 0.7 s. A process that is killed within it leaves the earlier entry.

--- a/src/coordination/version_move.rs
+++ b/src/coordination/version_move.rs
@@ -265,6 +265,15 @@
         true
     }
 
+    /// Handles an unreadable record in the place of that of a service. The state is recorded again, since a
+    /// process that starts would not know of it.
+    pub fn on_unreadable_record(&mut self, now: Duration, service: &ServiceName) {
+        if let Ok(index) = self.index(service) {
+            let entry = &mut self.current[index];
+            entry.unverified_since = entry.state.map(|_| now);
+        }
+    }
+
     /// Returns how the requests of a service use its new version; `None` if they may use any version.
     #[must_use]
     pub fn plan(&self, service: &ServiceName) -> Option<VersionPlan> {
--- a/src/sidecar/announcer.rs
+++ b/src/sidecar/announcer.rs
@@ -24,6 +24,14 @@
 /// Interval at which a new process checks whether the fleet's topic has been read.
 const FLEET_READ_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Own entry as the store has acknowledged it.
+pub struct WrittenEntry {
+    /// The entry.
+    pub entry: FleetEntry,
+    /// Its offset.
+    pub offset: u64,
+}
+
 /// Starts writing the node's entry whenever it changes.
 pub fn start(cx: &Rc<Sidecar>) {
     let cx = cx.clone();
@@ -68,11 +76,8 @@
         {
             let mut state = cx.state.borrow_mut();
             state.placement.on_entry(now, &entry);
-            if state
-                .written_entry
-                .as_ref()
-                .is_some_and(|old| is_equal(old, &entry))
-            {
+            let is_written = |written: &WrittenEntry| is_equal(&written.entry, &entry);
+            if state.written.as_ref().is_some_and(is_written) {
                 return;
             }
             state.entry_revision += 1;
@@ -91,7 +96,7 @@
         match written {
             Ok(offset) => {
                 info!(cx.log, "node entry written"; "offset" => offset, "backend" => backend_text(&entry));
-                cx.state.borrow_mut().written_entry = Some(entry);
+                cx.state.borrow_mut().written = Some(WrittenEntry { entry, offset });
             }
             Err(failure) => {
                 cx.metrics.store_failures.increment(1);
@@ -109,21 +114,41 @@
     }
 }
 
+/// Writes the own entry again, since the store may not have the last one.
+pub fn write_again(cx: &Sidecar) {
+    cx.state.borrow_mut().written = None;
+    cx.entry_changed.notify_one();
+}
+
+/// Handles an own entry of this process that the store has. A write without an answer may take effect after
+/// a later one, and hide what that says.
+pub fn on_stored(cx: &Sidecar, stored: &FleetEntry, offset: u64) {
+    let state = cx.state.borrow();
+    let is_late = state
+        .written
+        .as_ref()
+        .is_some_and(|written| offset > written.offset && stored.revision < written.entry.revision);
+    drop(state);
+    if is_late {
+        info!(cx.log, "node entry replaced by an earlier one"; "offset" => offset, "revision" => stored.revision);
+        write_again(cx);
+    }
+}
+
 /// Writes the own entry again unless the store has it, after the store has gone back to an earlier state.
 /// `stored` is the value of its record.
 pub fn verify_stored_entry(cx: &Sidecar, stored: Option<&[u8]>) {
     let stored = stored.and_then(|value| codec::decode::<FleetEntry>(value).ok());
-    let mut state = cx.state.borrow_mut();
-    let is_stored = |written: &FleetEntry| {
-        stored
-            .is_some_and(|stored| stored.run == written.run && stored.revision == written.revision)
+    let state = cx.state.borrow();
+    let is_stored = |WrittenEntry { entry, .. }: &WrittenEntry| {
+        stored.is_some_and(|stored| stored.run == entry.run && stored.revision == entry.revision)
     };
-    if state.written_entry.as_ref().is_none_or(is_stored) {
+    if state.written.as_ref().is_none_or(is_stored) {
         return;
     }
     info!(cx.log, "node entry lost"; "revision" => state.entry_revision);
-    state.written_entry = None;
-    cx.entry_changed.notify_one();
+    drop(state);
+    write_again(cx);
 }
 
 /// Whether two entries are equal apart from the sequence number of the heartbeat.
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -48,12 +48,12 @@
 use crate::logging;
 use crate::node::clock::Clock;
 use crate::platform::store::Store;
-use crate::protocol::fleet::FleetEntry;
 use crate::protocol::hop::BackendTotals;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::ServiceName;
 use crate::result_code::ResultCode;
 use crate::sidecar::admission::AdmissionQueue;
+use crate::sidecar::announcer::WrittenEntry;
 use crate::sidecar::metrics::SidecarMetrics;
 use crate::sidecar::settings::SidecarSettings;
 use crate::sidecar::topic_follower::Feed;
@@ -96,7 +96,7 @@
     /// Whether the entries of the other nodes have been read.
     fleet_read: bool,
     /// Own entry as last written to the store.
-    written_entry: Option<FleetEntry>,
+    written: Option<WrittenEntry>,
     /// Number of the last own entry that was sent to the store.
     entry_revision: u64,
 }
@@ -194,7 +194,7 @@
         moves: Moves::default(),
         exposed: Vec::new(),
         fleet_read: false,
-        written_entry: None,
+        written: None,
         entry_revision: 0,
     };
     let clock = Clock::start();
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -16,6 +16,7 @@
 use crate::protocol::name::ServiceName;
 use crate::protocol::time::millis;
 use crate::sidecar::Sidecar;
+use crate::sidecar::announcer;
 use crate::sidecar::crashes;
 use crate::state::routing_table::RoutingTable;
 
@@ -86,8 +87,7 @@
     let is_own = record.key == cx.settings.id.as_str();
     if record.value.is_empty() {
         if is_own {
-            cx.state.borrow_mut().written_entry = None;
-            cx.entry_changed.notify_one();
+            announcer::write_again(cx);
         } else {
             cx.state
                 .borrow_mut()
@@ -97,41 +97,25 @@
         }
         return;
     }
-    let entry: FleetEntry = match codec::decode(&record.value) {
+    let decoded = codec::decode::<FleetEntry>(&record.value).map_err(|failure| failure.text);
+    let checked = decoded.and_then(|entry| match entry.defect() {
+        _ if entry.node.as_str() != record.key => Err("the entry names another node".to_owned()),
+        Some(why) => Err(why.to_owned()),
+        None => Ok(entry),
+    });
+    let entry = match checked {
         Ok(entry) => entry,
-        Err(failure) => {
-            warn!(cx.log, "node entry ignored"; "key" => &record.key, "offset" => record.offset, "why" => failure.text);
+        Err(why) => {
+            warn!(cx.log, "node entry ignored"; "key" => &record.key, "offset" => record.offset, "why" => why);
+            if is_own {
+                // Nodes that start later would not know of this one.
+                announcer::write_again(cx);
+            }
             return;
         }
     };
     if is_own {
-        // A late write of an earlier process of this node is overwritten.
-        if entry.run != cx.run {
-            let now = cx.clock.now();
-            let mut state = cx.state.borrow_mut();
-            state.written_entry = None;
-            let quarantined = state
-                .crashing
-                .on_earlier_entry(now, &cx.settings.id, &entry.crashes);
-            crashes::log_quarantined(cx, &quarantined);
-            for left in entry.leaves() {
-                let text = format!("{} of {}", left.incarnation.0, left.incarnation.1);
-                let is_current = state.backend.on_earlier_leave(left.clone());
-                info!(cx.log, "leave acknowledged by an earlier process"; "instance" => text,
-                    "current" => is_current, "offset" => record.offset);
-            }
-            drop(state);
-            cx.entry_changed.notify_one();
-        }
-        return;
-    }
-    let defect = if entry.node.as_str() == record.key {
-        entry.defect()
-    } else {
-        Some("the entry names another node")
-    };
-    if let Some(why) = defect {
-        warn!(cx.log, "node entry ignored"; "key" => &record.key, "offset" => record.offset, "why" => why);
+        apply_own_entry(cx, &entry, record.offset);
         return;
     }
     let mut state = cx.state.borrow_mut();
@@ -150,6 +134,29 @@
     cx.metrics.nodes.set(state.placement.nodes() as f64);
 }
 
+/// Applies an entry of this node that the store has.
+fn apply_own_entry(cx: &Rc<Sidecar>, entry: &FleetEntry, offset: u64) {
+    if entry.run == cx.run {
+        announcer::on_stored(cx, entry, offset);
+        return;
+    }
+    let now = cx.clock.now();
+    let mut state = cx.state.borrow_mut();
+    let quarantined = state
+        .crashing
+        .on_earlier_entry(now, &cx.settings.id, &entry.crashes);
+    crashes::log_quarantined(cx, &quarantined);
+    for left in entry.leaves() {
+        let text = format!("{} of {}", left.incarnation.0, left.incarnation.1);
+        let is_current = state.backend.on_earlier_leave(left.clone());
+        info!(cx.log, "leave acknowledged by an earlier process"; "instance" => text,
+            "current" => is_current, "offset" => offset);
+    }
+    drop(state);
+    // A late write of an earlier process of this node is overwritten.
+    announcer::write_again(cx);
+}
+
 /// Applies the progress of a rollout.
 pub fn apply_moves(cx: &Rc<Sidecar>, record: &KeyedRecord) {
     let service = ServiceName::from(&*record.key);
@@ -167,6 +174,9 @@
         }
         Err(failure) => {
             warn!(cx.log, "rollout progress ignored"; "key" => &record.key, "offset" => record.offset, "why" => failure.text);
+            let now = cx.clock.now();
+            let mut state = cx.state.borrow_mut();
+            state.moves.on_unreadable_record(now, &service);
         }
     }
 }
--- a/src/sidecar/rollouts.rs
+++ b/src/sidecar/rollouts.rs
@@ -53,9 +53,9 @@
     let was_available = cx
         .state
         .borrow()
-        .written_entry
+        .written
         .as_ref()
-        .is_some_and(|entry| entry.backend.is_some());
+        .is_some_and(|written| written.entry.backend.is_some());
     if available != was_available && !cx.stopping.get() {
         cx.entry_changed.notify_one();
     }
--- /dev/null
+++ b/tests/process_odd_records.rs
@@ -0,0 +1,117 @@
+//! Records of other programs, and records that the store executes late, in the topics of real sidecar
+//! processes.
+
+mod sidecar_common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_http::StatusCode;
+use bytes::Bytes;
+use googletest::prelude::*;
+use serde_json::json;
+use sidecar_common::TestFleet;
+use sidecar_common::WAIT_LIMIT;
+use sidecar_common::run;
+use sycamorewick::protocol::codec;
+use sycamorewick::protocol::fleet::FleetEntry;
+use testbed::platform::store::StoreControlChange;
+use testbed::platform::store::StoreHandle;
+
+const FLEET_TOPIC: &str = "keyed.sidecars";
+
+/// Returns the newest entry of a node in the store, if it is readable.
+fn stored_entry(store: &StoreHandle, node: &str) -> Option<FleetEntry> {
+    codec::decode(&store.newest(FLEET_TOPIC, node)?).ok()
+}
+
+/// Waits until the newest entry of a node in the store meets a condition.
+async fn wait_entry(
+    env: &TestFleet,
+    node: &str,
+    what: &str,
+    is_met: impl Fn(&FleetEntry) -> bool,
+) -> eyre::Result<FleetEntry> {
+    let until = Instant::now() + WAIT_LIMIT;
+    loop {
+        let entry = stored_entry(&env.store, node);
+        if let Some(entry) = entry.filter(&is_met) {
+            return Ok(entry);
+        }
+        eyre::ensure!(Instant::now() < until, "{node}: {what}");
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against a node that stays unknown to all that start later, because another program has written a
+/// record in the place of its entry.
+#[gtest]
+fn entry_replaced_by_another_writer() {
+    run(async {
+        let env = TestFleet::start(1).await?;
+        let own = wait_entry(&env, "n0", "no entry", |entry| entry.backend.is_some()).await?;
+        let renamed = FleetEntry {
+            node: "n9".into(),
+            ..own
+        };
+        let renamed = codec::encode(&renamed).map_err(|e| eyre::eyre!("{e}"))?;
+        for value in [b"\xc1odd".to_vec(), vec![b'['; 10_000], renamed, Vec::new()] {
+            let _ = env.store.put(FLEET_TOPIC, "n0", &value);
+            wait_entry(&env, "n0", "not written again", |entry| {
+                entry.node.as_str() == "n0" && entry.backend.is_some()
+            })
+            .await?;
+        }
+        Ok(())
+    });
+}
+
+/// Guards against a leave that is lost because the store executes an earlier write of the entry, which had no
+/// answer, after the one with the leave.
+#[gtest]
+fn entry_replaced_by_late_write() {
+    run(async {
+        let env = TestFleet::start(1).await?;
+        wait_entry(&env, "n0", "no entry", |entry| entry.backend.is_some()).await?;
+        env.store.change(StoreControlChange {
+            late_appends: Some(1),
+            late_ms: Some(2_500),
+            ..StoreControlChange::default()
+        });
+        let addrs = &env.fleet.nodes()[0].addrs;
+        let url = |call: &str| {
+            format!(
+                "http://{}/sycamorewick/Instances.{call}/b0",
+                addrs.heartbeat
+            )
+        };
+        let client = awc::Client::default();
+        // The entry names the slots, so that this is written.
+        let body = json!({
+            "address": addrs.backend,
+            "born": 1,
+            "info": { "service": "registry", "version": "v1", "zone": "keta-a", "slots": 7 },
+            "status": { "state": "ready", "seq": 1_000, "cold-left-ms": 0 },
+        });
+        let sent = client.post(url("Heartbeat")).send_json(&body).await;
+        sent.map_err(|e| eyre::eyre!("{e}"))?;
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        let sent = client.post(url("Deregister")).send().await;
+        sent.map_err(|e| eyre::eyre!("{e}"))?;
+        let is_late = |value: &Bytes| {
+            let entry = codec::decode::<FleetEntry>(value).ok();
+            let backend = entry.and_then(|entry| entry.backend);
+            backend.is_some_and(|backend| backend.slots == 7)
+        };
+        let until = Instant::now() + WAIT_LIMIT;
+        while !env.store.history(FLEET_TOPIC, "n0").iter().any(is_late) {
+            eyre::ensure!(Instant::now() < until, "the late write has no effect");
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        wait_entry(&env, "n0", "the leave is lost", |entry| {
+            entry.left.is_some() && entry.backend.is_none()
+        })
+        .await?;
+        Ok(())
+    });
+}
--- a/tests/version_move.rs
+++ b/tests/version_move.rs
@@ -481,3 +481,21 @@
     let last = recorded(&mut simulation).pop();
     expect_that!(last, some(eq((ORDER + 1, MoveState::Reverted))));
 }
+
+/// Guards against a state of a rollout that a process which starts later does not learn, because another
+/// program has written a record in its place.
+#[gtest]
+fn on_unreadable_record_written_again() {
+    let mut simulation = completed();
+    let now = simulation.now;
+    simulation
+        .moves
+        .on_unreadable_record(now, &"registry".into());
+    let once = [(ORDER, MoveState::Complete)];
+    expect_that!(recorded(&mut simulation), eq(&once));
+    // A service without a rollout has no state to write.
+    simulation
+        .moves
+        .on_unreadable_record(now, &"harbour".into());
+    expect_that!(recorded(&mut simulation), is_empty());
+}
