Answer an entry of another name with the node's own address

Callers saw: after an entry of a name that no node has, with the address of a node, no other node sent calls to that one, until its entry changed the next time.

Cause: an address belongs to one node, so the earlier node with it is forgotten. That is right if another machine has taken over the address; a node that is still there had no way to say so. It forgot itself as well.

Change: a node that reads its address under another name writes its entry again, once for each process of the other name, and never forgets itself.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -444,9 +444,11 @@
 
     /// Updates a node from its fleet entry. Returns whether the entry is new or has changed.
     pub fn on_entry(&mut self, now: Duration, entry: &FleetEntry) -> bool {
-        // An address belongs to one node, so the previous node with this address no longer exists.
+        // An address belongs to one node, so the previous node with this address no longer exists, unless
+        // it is this one.
         self.candidates.retain(|candidate| {
-            candidate.entry.addr != entry.addr || candidate.entry.node == entry.node
+            let node = &candidate.entry.node;
+            candidate.entry.addr != entry.addr || *node == entry.node || *node == self.node
         });
         let warm_at = entry.backend.as_ref().map_or(now, |backend| {
             now + Duration::from_millis(backend.cold_left_ms)
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -97,6 +97,8 @@
     fleet_read: bool,
     /// Own entry as last written to the store.
     written: Option<WrittenEntry>,
+    /// Last process of another node whose entry named the address of this one.
+    contested_by: Option<(NodeId, u64)>,
     /// Number of the last own entry that was sent to the store.
     entry_revision: u64,
 }
@@ -195,6 +197,7 @@
         exposed: Vec::new(),
         fleet_read: false,
         written: None,
+        contested_by: None,
         entry_revision: 0,
     };
     let clock = Clock::start();
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -132,6 +132,16 @@
     }
     #[allow(clippy::cast_precision_loss, reason = "a gauge is a float")]
     cx.metrics.nodes.set(state.placement.nodes() as f64);
+    // The other nodes forget a node whose address another one names, so this one says that it is there:
+    // once, since two nodes with the same address would answer each other for ever.
+    let process = (entry.node, entry.run);
+    if entry.addr == cx.settings.advertised_addr() && state.contested_by.as_ref() != Some(&process)
+    {
+        warn!(cx.log, "address named by another node"; "peer" => process.0.as_str(), "offset" => record.offset);
+        state.contested_by = Some(process);
+        drop(state);
+        announcer::write_again(cx);
+    }
 }
 
 /// Applies an entry of this node that the store has.
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -558,3 +558,15 @@
     expect_false!(env.placement.is_outdated(&entry_of(1, 6)));
     expect_false!(env.placement.is_outdated(&entry_of(2, 1)));
 }
+
+/// Guards against a node that no longer uses its own backend server, because an entry of another name has
+/// its address.
+#[gtest]
+fn on_entry_with_own_address() {
+    let mut fleet = fleet();
+    let mut stranger = entry("x", "accra", "accra-a");
+    stranger.addr = addr("a");
+    fleet.placement.on_entry(ms(0), &stranger);
+    let nodes = fleet.placement.entries().map(|entry| entry.node.as_str());
+    expect_true!(nodes.collect::<Vec<_>>().contains(&"a"));
+}
--- a/tests/process_odd_records.rs
+++ b/tests/process_odd_records.rs
@@ -66,6 +66,32 @@
     });
 }
 
+/// Guards against a node that no other one uses any more, because an entry of another name has its address.
+#[gtest]
+fn entry_with_address_of_another_node() {
+    run(async {
+        let mut env = TestFleet::start(2).await?;
+        let own = wait_entry(&env, "n0", "no entry", |entry| entry.backend.is_some()).await?;
+        env.backends[1].kill();
+        env.wait_for(WAIT_LIMIT, 1, "/wrecks/1", StatusCode::OK)
+            .await?;
+        let before = own.revision;
+        let stranger = FleetEntry {
+            node: "n9".into(),
+            backend: None,
+            ..own
+        };
+        let stranger = codec::encode(&stranger).map_err(|e| eyre::eyre!("{e}"))?;
+        let _ = env.store.put(FLEET_TOPIC, "n9", &stranger);
+        wait_entry(&env, "n0", "not written again", |entry| {
+            entry.revision > before
+        })
+        .await?;
+        env.wait_for(WAIT_LIMIT, 1, "/wrecks/1", StatusCode::OK)
+            .await
+    });
+}
+
 /// Guards against a leave that is lost because the store executes an earlier write of the entry, which had no
 /// answer, after the one with the leave.
 #[gtest]
