Acknowledge a leave only once the store has it

Cause: the port answered 200 as soon as the leave stood in the memory of the process. The entry in the store, the only thing that outlasts the process, was written afterwards, or not at all while the store turned the node away. A process that was killed in between read an entry without the leave, and a late heartbeat brought the upstream back.

Ruled out: keeping the leave at other nodes. All processes may be killed at once, so that only the store counts. And holding back the answer alone: a store that turns some nodes away for 9 s would cost their upstreams the acknowledgement, and too few acknowledgements fail as well.

A draining backend server is stored once, with the sequence number of its first such report. A leave of an unknown backend server that does not name its start is stored as well.

Tests in `process_leaves`, each failing on: all nodes killed right after the acknowledgement, a store that turns one node away, and a store that is away for all (503, not used meanwhile, acknowledged within 4 s of its return). `last_leave_of_instance`.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -524,6 +524,16 @@
         self.candidates.iter().map(|candidate| &candidate.entry)
     }
 
+    /// Addresses of the other nodes, without those that could not be reached when they were last tried.
+    #[must_use]
+    pub fn reachable_peers(&self) -> Vec<SocketAddr> {
+        let peers = self
+            .candidates
+            .iter()
+            .filter(|candidate| candidate.entry.node != self.node && candidate.pauses == 0);
+        peers.map(|candidate| candidate.entry.addr).collect()
+    }
+
     /// Nodes of this failure domain with their addresses, including this one, by descending
     /// capacity.
     #[must_use]
--- a/src/sidecar/announcer.rs
+++ b/src/sidecar/announcer.rs
@@ -47,6 +47,19 @@
     });
 }
 
+/// Whether the entry of an earlier process of this node has been read, so that it may be overwritten.
+pub fn may_write(cx: &Sidecar) -> bool {
+    cx.state.borrow().fleet_read && !cx.entry_removed.get()
+}
+
+/// Waits after a failed call, longer after each one.
+async fn pause_after_failure(cx: &Sidecar, failures: u32) {
+    let factor = cx.state.borrow_mut().rng.random_range(0.5..1.0);
+    let pause = exponential_delay(FIRST_RETRY_PAUSE, MAX_RETRY_PAUSE, failures);
+    actix_rt::time::sleep(pause.mul_f64(factor)).await;
+    cx.feed.wait_for_store().await;
+}
+
 /// Returns the node's current entry.
 fn own_entry(cx: &Sidecar) -> FleetEntry {
     let state = cx.state.borrow();
@@ -67,11 +80,33 @@
     }
 }
 
+/// Returns the node's current entry with the number of its next write.
+pub fn next_entry(cx: &Sidecar) -> FleetEntry {
+    cx.state.borrow_mut().entry_revision += 1;
+    own_entry(cx)
+}
+
+/// Handles an own entry that the store has acknowledged. Another node may have written a later one meanwhile.
+pub fn on_written(cx: &Sidecar, written: WrittenEntry) {
+    let mut state = cx.state.borrow_mut();
+    let revision = written.entry.revision;
+    if state
+        .written
+        .as_ref()
+        .is_none_or(|last| last.entry.revision < revision)
+    {
+        state.written = Some(written);
+    }
+    drop(state);
+    cx.entry_write_failed.set(false);
+    cx.entry_tried.notify_waiters();
+}
+
 /// Applies the own entry locally and writes it until the store has acknowledged it.
 async fn announce(cx: &Rc<Sidecar>) {
     let mut failures = 0_u32;
     while !cx.entry_removed.get() {
-        let mut entry = own_entry(cx);
+        let entry = own_entry(cx);
         let now = cx.clock.now();
         {
             let mut state = cx.state.borrow_mut();
@@ -80,9 +115,8 @@
             if state.written.as_ref().is_some_and(is_written) {
                 return;
             }
-            state.entry_revision += 1;
-            entry.revision = state.entry_revision;
         }
+        let entry = next_entry(cx);
         let value = match codec::encode(&entry) {
             Ok(value) => value,
             Err(failure) => {
@@ -96,19 +130,19 @@
         match written {
             Ok(offset) => {
                 info!(cx.log, "node entry written"; "offset" => offset, "backend" => backend_text(&entry));
-                cx.state.borrow_mut().written = Some(WrittenEntry { entry, offset });
+                on_written(cx, WrittenEntry { entry, offset });
             }
             Err(failure) => {
                 cx.metrics.store_failures.increment(1);
                 info!(cx.log, "node entry not written"; "why" => format!("{failure:?}"));
+                cx.entry_write_failed.set(true);
+                cx.entry_tried.notify_waiters();
                 if matches!(failure, StoreFailure::Unreadable(_)) {
                     return;
                 }
-                let factor = cx.state.borrow_mut().rng.random_range(0.5..1.0);
-                let pause = exponential_delay(FIRST_RETRY_PAUSE, MAX_RETRY_PAUSE, failures);
+                pause_after_failure(cx, failures).await;
                 failures += 1;
-                actix_rt::time::sleep(pause.mul_f64(factor)).await;
-                cx.feed.wait_for_store().await;
+                cx.entry_write_failed.set(false);
             }
         }
     }
--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -16,16 +16,26 @@
 use crate::platform::heartbeat;
 use crate::platform::heartbeat::BackendCall;
 use crate::platform::heartbeat::Heartbeat;
+use crate::protocol::fleet::BackendPhase;
 use crate::protocol::fleet::BackendReport;
 use crate::protocol::hop::BackendTotals;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
+use crate::sidecar::leaves;
 use crate::state::local_backend::HeartbeatEffect;
 use crate::transport::http_server;
 
 /// Largest accepted heartbeat, bytes; one has about 200.
 const MAX_HEARTBEAT_BYTES: usize = 64 << 10;
 
+/// What a call of the backend server reports.
+enum Report {
+    /// It accepts new requests.
+    Ready,
+    /// It leaves.
+    Leave,
+}
+
 /// Handles a heartbeat or a deregistration.
 pub async fn handle(cx: Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
     let cx = &cx;
@@ -43,7 +53,10 @@
         None => return json_response(StatusCode::NOT_FOUND),
     };
     match handled {
-        Ok(()) => json_response(StatusCode::OK),
+        Ok(Report::Leave) if !leaves::store_leave(cx, id).await => {
+            json_response(StatusCode::SERVICE_UNAVAILABLE)
+        }
+        Ok(_) => json_response(StatusCode::OK),
         Err(why) => {
             warn!(cx.log, "heartbeat refused"; "instance" => id, "why" => why,
                 "code" => ResultCode::BadRequest.number());
@@ -74,13 +87,17 @@
 ///
 /// # Errors
 /// Why it names no backend server of this node.
-fn on_heartbeat(cx: &Rc<Sidecar>, id: &str, body: &[u8]) -> Result<(), String> {
+fn on_heartbeat(cx: &Rc<Sidecar>, id: &str, body: &[u8]) -> Result<Report, String> {
     let report = read_heartbeat(cx, id, body)?;
     let now = cx.clock.now();
     let text = format!(
         "{} of {} {}, {:?}, {} slots",
         report.instance, report.service, report.version, report.phase, report.slots
     );
+    let reported = match report.phase {
+        BackendPhase::Ready => Report::Ready,
+        BackendPhase::Draining => Report::Leave,
+    };
     let (born, sequence, slots) = (report.born, report.sequence, report.slots);
     let cold_left = Duration::from_millis(report.cold_left_ms);
     let mut state = cx.state.borrow_mut();
@@ -113,14 +130,14 @@
         HeartbeatEffect::Refused => return Err("it does not name its start".to_owned()),
         HeartbeatEffect::Refreshed => {}
     }
-    Ok(())
+    Ok(reported)
 }
 
 /// Applies a deregistration.
 ///
 /// # Errors
 /// Why its body is unreadable.
-fn on_deregister(cx: &Rc<Sidecar>, instance: &str, body: &[u8]) -> Result<(), String> {
+fn on_deregister(cx: &Rc<Sidecar>, instance: &str, body: &[u8]) -> Result<Report, String> {
     let born = heartbeat::read_deregistration(body)?;
     let now = cx.clock.now();
     let was_current = cx
@@ -131,5 +148,5 @@
     info!(cx.log, "backend server deregistered"; "instance" => instance, "born" => born, "known" => was_current);
     // The entry names the incarnation that left, also if this process did not know it.
     cx.entry_changed.notify_one();
-    Ok(())
+    Ok(Report::Leave)
 }
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -28,6 +28,7 @@
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
 use crate::sidecar::body_gate::Transfer;
+use crate::sidecar::leaves;
 use crate::sidecar::relay_port;
 use crate::sidecar::serving;
 use crate::sidecar::serving::ServeCall;
@@ -52,11 +53,15 @@
 /// Header of a refusal with the time after which the caller should retry, milliseconds.
 const RETRY_AFTER_HEADER: &str = "sw-come-back-ms";
 
-/// Handles a call or a follow request of another node.
+/// Handles a call, a follow request or an entry of another node.
 pub async fn handle(cx: Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
     let cx = &cx;
-    if req.path() == relay_port::FOLLOW_PATH && !req.headers().contains_key(HOP_REQUEST_HEADER) {
-        return relay_port::serve(cx, &req).await;
+    if !req.headers().contains_key(HOP_REQUEST_HEADER) {
+        match req.path() {
+            relay_port::FOLLOW_PATH => return relay_port::serve(cx, &req).await,
+            leaves::ENTRY_PATH => return leaves::serve(cx, &mut req).await,
+            _ => {}
+        }
     }
     let _open = OpenCall::new(cx);
     let transfer = req.extensions_mut().remove::<Transfer>();
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -8,6 +8,7 @@
 mod entry;
 mod heartbeat_port;
 mod hop;
+mod leaves;
 mod metrics;
 mod records;
 mod relay_port;
@@ -133,6 +134,10 @@
     entry_removed: Cell<bool>,
     /// Signals that the own entry may have to be written.
     entry_changed: Notify,
+    /// Signals that a write of the own entry has succeeded or failed.
+    entry_tried: Notify,
+    /// Whether the last write of the own entry has failed and is not repeated yet.
+    entry_write_failed: Cell<bool>,
     state: RefCell<SidecarState>,
 }
 
@@ -219,6 +224,8 @@
         feed: Feed::default(),
         entry_removed: Cell::new(false),
         entry_changed: Notify::new(),
+        entry_tried: Notify::new(),
+        entry_write_failed: Cell::new(false),
         state: RefCell::new(state),
         settings,
     })
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -158,7 +158,7 @@
     crashes::log_quarantined(cx, &quarantined);
     for left in entry.leaves() {
         let text = format!("{} of {}", left.incarnation.0, left.incarnation.1);
-        let is_current = state.backend.on_earlier_leave(left.clone());
+        let is_current = state.backend.on_earlier_leave(now, left.clone());
         info!(cx.log, "leave acknowledged by an earlier process"; "instance" => text,
             "current" => is_current, "offset" => offset);
     }
--- a/src/state/local_backend.rs
+++ b/src/state/local_backend.rs
@@ -86,12 +86,12 @@
         if self.is_before_leave(&report) || self.is_of_unknown_left(now, &report) {
             return HeartbeatEffect::Ignored;
         }
-        if report.phase == BackendPhase::Draining {
+        let current = self.report.as_ref();
+        let current = current.filter(|current| current.is_same_incarnation(&report));
+        let drains = current.is_some_and(|current| current.phase == BackendPhase::Draining);
+        if report.phase == BackendPhase::Draining && !drains {
             // Also if the report is late: it is acknowledged, and the current one may lapse.
-            let is_known = self
-                .report
-                .as_ref()
-                .is_some_and(|r| r.is_same_incarnation(&report));
+            let is_known = current.is_some();
             let left = LeftBackend {
                 incarnation: report.incarnation(),
                 sequence: report.sequence,
@@ -132,11 +132,8 @@
             (Some(report), _) => report.incarnation(),
             (None, Some(born)) => (instance.into(), born),
             (None, None) => {
-                if self.unknown_left.len() >= MAX_LEAVES {
-                    self.unknown_left.remove(0);
-                }
-                self.unknown_left.push((instance.into(), now));
-                return false;
+                self.add_unknown_left(now, instance.into());
+                (instance.into(), UNKNOWN_START)
             }
         };
         let left = LeftBackend {
@@ -147,6 +144,13 @@
         report.is_some()
     }
 
+    fn add_unknown_left(&mut self, now: Duration, instance: Arc<str>) {
+        if self.unknown_left.len() >= MAX_LEAVES {
+            self.unknown_left.remove(0);
+        }
+        self.unknown_left.push((instance, now));
+    }
+
     /// Remembers a leave. An earlier one of the same incarnation is replaced.
     fn add_leave(&mut self, left: LeftBackend, is_known: bool) {
         let is_same = |leave: &Leave| leave.left.incarnation == left.incarnation;
@@ -212,9 +216,19 @@
         newest.map(|leave| leave.left.clone()).collect()
     }
 
+    /// Returns the last leave of an instance.
+    #[must_use]
+    pub fn last_leave(&self, instance: &str) -> Option<&LeftBackend> {
+        let leaves = self.leaves.iter().map(|leave| &leave.left);
+        leaves.rev().find(|left| &*left.incarnation.0 == instance)
+    }
+
     /// Applies a leave that an earlier process of this node has acknowledged. Returns whether the current
     /// report is from before it.
-    pub fn on_earlier_leave(&mut self, left: LeftBackend) -> bool {
+    pub fn on_earlier_leave(&mut self, now: Duration, left: LeftBackend) -> bool {
+        if left.incarnation.1 == UNKNOWN_START {
+            self.add_unknown_left(now, left.incarnation.0.clone());
+        }
         self.add_leave(left, true);
         let is_outdated = self
             .report
--- a/tests/local_backend.rs
+++ b/tests/local_backend.rs
@@ -168,7 +168,8 @@
             if is_first {
                 backend.on_heartbeat(at(2), report("i-1", 100, 8));
             }
-            let outdated = backend.on_earlier_leave(leaves.first().expect("the leave").clone());
+            let outdated =
+                backend.on_earlier_leave(at(2), leaves.first().expect("the leave").clone());
             expect_that!(outdated, eq(is_first));
             backend.on_heartbeat(at(3), report("i-1", 100, 8));
             expect_true!(backend.available(at(3)).is_none());
@@ -305,7 +306,7 @@
     );
     let mut next = LocalBackend::new(INTERVAL);
     for left in reported {
-        next.on_earlier_leave(left);
+        next.on_earlier_leave(at(3), left);
     }
     for backend in [&mut backend, &mut next] {
         backend.on_heartbeat(at(3), report("i-1", 100, 6));
@@ -325,9 +326,36 @@
     let mut backend = LocalBackend::new(INTERVAL);
     backend.on_deregister(at(2), "i-0", Some(50));
     for left in earlier.reported_leaves() {
-        backend.on_earlier_leave(left);
+        backend.on_earlier_leave(at(2), left);
     }
     backend.on_heartbeat(at(3), report("i-1", 100, 6));
     expect_true!(backend.available(at(3)).is_none());
     expect_that!(backend.reported_leaves().len(), eq(2));
 }
+
+/// Guards against a leave that is stored anew with each heartbeat of a backend server that drains, and against
+/// one that a process forgets since it did not know the backend server and the leave names no start.
+#[gtest]
+fn last_leave_of_instance() {
+    let mut backend = LocalBackend::new(INTERVAL);
+    expect_that!(backend.last_leave("i-1"), none());
+    backend.on_heartbeat(at(0), report("i-1", 100, 1));
+    for sequence in 2..5 {
+        backend.on_heartbeat(at(sequence), draining(report("i-1", 100, sequence)));
+        let left = backend.last_leave("i-1").expect("the leave");
+        expect_that!(left.sequence, eq(2));
+    }
+    // It may become ready again, and leave later.
+    backend.on_heartbeat(at(5), report("i-1", 100, 5));
+    expect_true!(backend.available(at(5)).is_some());
+    backend.on_heartbeat(at(6), draining(report("i-1", 100, 6)));
+    let sequence = backend.last_leave("i-1").map(|left| left.sequence);
+    expect_that!(sequence, some(eq(6)));
+    let mut restarted = LocalBackend::new(INTERVAL);
+    restarted.on_deregister(at(7), "i-7", None);
+    let leaves = restarted.reported_leaves();
+    let mut next = LocalBackend::new(INTERVAL);
+    next.on_earlier_leave(at(8), leaves.first().expect("the leave").clone());
+    next.on_heartbeat(at(9), report("i-7", 700, 12));
+    expect_true!(next.available(at(9)).is_none());
+}
--- a/tests/process_common/forwarder.rs
+++ b/tests/process_common/forwarder.rs
@@ -1,5 +1,5 @@
-//! TCP forwarder that closes connections in the middle of a response, or drops bytes without closing
-//! them.
+//! TCP forwarder that closes connections at once or in the middle of a response, or drops bytes without
+//! closing them.
 
 use std::io::Read;
 use std::io::Write;
@@ -8,6 +8,7 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -25,6 +26,8 @@
     first_forwarding: AtomicU64,
     accepted: AtomicU64,
     dropped_bytes: AtomicUsize,
+    /// Whether connections are closed before their bytes are forwarded.
+    turns_away: AtomicBool,
 }
 
 /// A running forwarder. Its threads run until the test process exits.
@@ -45,6 +48,7 @@
             first_forwarding: AtomicU64::new(0),
             accepted: AtomicU64::new(0),
             dropped_bytes: AtomicUsize::new(0),
+            turns_away: AtomicBool::new(false),
         });
         let accept_shared = shared.clone();
         thread::spawn(move || accept(&listener, &accept_shared));
@@ -67,6 +71,11 @@
         self.shared.first_forwarding.store(next, Ordering::SeqCst);
     }
 
+    /// Closes all connections without forwarding anything, or forwards new ones again.
+    pub fn turn_away(&self, turns_away: bool) {
+        self.shared.turns_away.store(turns_away, Ordering::SeqCst);
+    }
+
     /// Number of connections accepted so far.
     pub fn accepted(&self) -> u64 {
         self.shared.accepted.load(Ordering::SeqCst)
@@ -81,6 +90,9 @@
 fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
     for client in listener.incoming().flatten() {
         let number = shared.accepted.fetch_add(1, Ordering::SeqCst);
+        if shared.turns_away.load(Ordering::SeqCst) {
+            continue;
+        }
         let Ok(server) = TcpStream::connect(shared.target) else {
             continue;
         };
@@ -103,6 +115,9 @@
             Ok(0) | Err(_) => break,
             Ok(length) => length,
         };
+        if shared.turns_away.load(Ordering::SeqCst) {
+            break;
+        }
         if number < shared.first_forwarding.load(Ordering::SeqCst) {
             shared.dropped_bytes.fetch_add(length, Ordering::SeqCst);
             continue;
--- /dev/null
+++ b/tests/process_leaves.rs
@@ -0,0 +1,165 @@
+//! Leaves of backend servers that real sidecar processes acknowledge, while the store fails or processes are
+//! killed.
+
+#[allow(
+    dead_code,
+    reason = "only connections that are turned away are used here"
+)]
+#[path = "process_common/forwarder.rs"]
+mod forwarder;
+mod sidecar_common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_http::StatusCode;
+use forwarder::Forwarder;
+use googletest::prelude::*;
+use serde_json::json;
+use sidecar_common::TestFleet;
+use sidecar_common::WAIT_LIMIT;
+use sidecar_common::run;
+use testbed::log_server::Outage;
+use testbed::platform::fleet::SidecarFleet;
+use testbed::platform::fleet::SidecarOptions;
+use testbed::platform::store::StoreControlChange;
+
+/// Time for which a backend server waits for an acknowledgement.
+const ACKNOWLEDGED_WITHIN: Duration = Duration::from_secs(1);
+
+/// How a backend server says that it leaves.
+#[derive(Clone, Copy, Debug)]
+enum Leave {
+    Deregister,
+    Drain,
+}
+
+/// Reports that backend server `b0` leaves. Returns the status of the response; `None` without one in time.
+async fn leave(env: &TestFleet, how: Leave) -> Option<StatusCode> {
+    let addrs = &env.fleet.nodes()[0].addrs;
+    let (call, body) = match how {
+        Leave::Deregister => ("Deregister", json!({ "born": 1 })),
+        Leave::Drain => (
+            "Heartbeat",
+            json!({
+                "address": addrs.backend,
+                "born": 1,
+                "info": { "service": "registry", "version": "v1", "zone": "keta-a", "slots": 4 },
+                "status": { "state": "draining", "seq": 1_000, "cold-left-ms": 0 },
+            }),
+        ),
+    };
+    let client = awc::Client::builder().timeout(ACKNOWLEDGED_WITHIN).finish();
+    let url = format!(
+        "http://{}/sycamorewick/Instances.{call}/b0",
+        addrs.heartbeat
+    );
+    let sent = client.post(url).send_json(&body).await;
+    Some(sent.ok()?.status())
+}
+
+/// Checks that node 0 uses no backend server while it ignores two heartbeats of `b0`, which still serves and
+/// sends them as if it had not left.
+async fn expect_unused(env: &mut TestFleet) -> eyre::Result<()> {
+    let runs = env.backends[0].runs().len();
+    let ignored = |env: &TestFleet| env.fleet.log_lines(0, "outdated heartbeat ignored").len();
+    let before = ignored(env);
+    let until = Instant::now() + WAIT_LIMIT;
+    while ignored(env) < before + 2 {
+        let status = env.call(0, "/wrecks/1").await?.status;
+        eyre::ensure!(
+            status == StatusCode::SERVICE_UNAVAILABLE,
+            "{status} after the leave"
+        );
+        eyre::ensure!(Instant::now() < until, "no heartbeat is ignored");
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    expect_that!(env.backends[0].runs().len(), eq(runs));
+    Ok(())
+}
+
+/// Guards against an acknowledged leave that is forgotten, since all processes are killed right after the
+/// acknowledgement. The store takes some time for each call.
+#[gtest]
+fn leave_then_all_killed() {
+    for how in [Leave::Deregister, Leave::Drain] {
+        run(async {
+            let mut env = TestFleet::start(2).await?;
+            env.backends[1].kill();
+            env.store.change(StoreControlChange {
+                delay_ms: Some(100),
+                ..StoreControlChange::default()
+            });
+            expect_that!(leave(&env, how).await, some(eq(StatusCode::OK)), "{how:?}");
+            for index in 0..2 {
+                env.fleet.kill(index)?;
+            }
+            for index in 0..2 {
+                env.fleet.start(index)?;
+            }
+            env.fleet.wait_ready(WAIT_LIMIT).await?;
+            expect_unused(&mut env).await
+        });
+    }
+}
+
+/// Guards against a leave that is acknowledged while the store turns the node away, and forgotten when its
+/// process is killed (review/4); and against one that is not acknowledged although another node reaches the
+/// store.
+#[gtest]
+fn leave_while_store_turns_node_away() {
+    run(async {
+        let mut env = TestFleet::new(0)?;
+        let path = Forwarder::start(env.store.addr())?;
+        for (index, store) in [path.addr(), env.store.addr()].into_iter().enumerate() {
+            let options = SidecarOptions::new(&format!("n{index}"), "keta-a", "registry");
+            env.fleet.add(options, SidecarFleet::free_addrs(store)?)?;
+            env.fleet.start(index)?;
+            env.add_backend(index, 0.0)?;
+        }
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        env.wait_peers(0, 1).await?;
+        env.backends[1].kill();
+        env.wait_for(WAIT_LIMIT, 1, "/wrecks/1", StatusCode::OK)
+            .await?;
+        path.turn_away(true);
+        expect_that!(
+            leave(&env, Leave::Deregister).await,
+            some(eq(StatusCode::OK))
+        );
+        env.fleet.kill(0)?;
+        env.fleet.start(0)?;
+        path.turn_away(false);
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        expect_unused(&mut env).await
+    });
+}
+
+/// Guards against a leave that is acknowledged while nobody can store it, and against one that is not
+/// acknowledged soon after the store is back. Meanwhile the node does not use the backend server.
+#[gtest]
+fn leave_while_store_is_away() {
+    for outage in [Outage::Refuse, Outage::Hang] {
+        run(async {
+            let mut env = TestFleet::start(2).await?;
+            env.backends[1].kill();
+            env.outage(outage);
+            let answered = leave(&env, Leave::Deregister).await;
+            expect_that!(
+                answered,
+                some(eq(StatusCode::SERVICE_UNAVAILABLE)),
+                "{outage:?}"
+            );
+            expect_unused(&mut env).await?;
+            env.outage(Outage::Off);
+            let until = Instant::now() + Duration::from_secs(4);
+            while leave(&env, Leave::Deregister).await != Some(StatusCode::OK) {
+                eyre::ensure!(Instant::now() < until, "{outage:?}: not acknowledged");
+            }
+            env.fleet.kill(0)?;
+            env.fleet.start(0)?;
+            env.fleet.wait_ready(WAIT_LIMIT).await?;
+            expect_unused(&mut env).await
+        });
+    }
+}
