Read the result of a rollout at the start of a process, before its version is used

Operators read `reverted`, and after all nodes were killed the version that was taken back got requests again.

Cause: the operator's result is written first, since its condition decides between two nodes, and the step for the other nodes after it. If all processes end in between, the next ones know the step only and go on with its share.

Ruled out: writing the step first. Two nodes may decide differently, and the others would follow the one whose result is refused.

An end is applied, and recorded for the others by rank. A process that runs when the order comes makes no further call.

Tests: `rollout_end_known_to_operator_only` (two sidecars; on the version that was taken back ran requests and `Reverted` was not recorded), `on_result_read_at_start`.

--- a/src/coordination/version_move.rs
+++ b/src/coordination/version_move.rs
@@ -129,6 +129,9 @@
     /// Time until which the same order counts as this one, written again.
     rewritten_until: Duration,
     started: Duration,
+    /// Whether the operator may have been told an end that is not recorded for other nodes: its writer may
+    /// have ended between both writes, and with it all nodes that knew.
+    is_end_unknown: bool,
     state: Option<MoveState>,
     /// Fault that this node found in the new version, and when.
     detected_fault: Option<(Duration, String)>,
@@ -182,6 +185,7 @@
             unverified_since: None,
             rewritten_until: Duration::ZERO,
             started: now,
+            is_end_unknown: now < STARTUP_TIME,
             state: None,
             detected_fault: None,
             first: None,
@@ -274,6 +278,34 @@
         }
     }
 
+    /// Returns the orders whose result has to be read before their version is used, with their offsets.
+    #[must_use]
+    pub fn unread_results(&self) -> Vec<(MoveOrder, u64)> {
+        let unread = self
+            .current
+            .iter()
+            .filter(|entry| entry.is_confirmed && entry.is_end_unknown && !entry.has_ended());
+        unread
+            .map(|entry| (entry.order.clone(), entry.offset))
+            .collect()
+    }
+
+    /// Handles the result of an order that operators read, as the store has it in the current era; `None` if
+    /// it has not ended.
+    pub fn on_result(&mut self, now: Duration, offset: u64, end: Option<MoveState>) {
+        let found = self.current.iter_mut().find(|entry| entry.offset == offset);
+        let Some(entry) = found.filter(|entry| entry.is_confirmed) else {
+            return;
+        };
+        entry.is_end_unknown = false;
+        if end.is_some() && !entry.has_ended() {
+            entry.state = end;
+            entry.recent.clear();
+            // The other nodes may not know of it.
+            entry.unverified_since = Some(now);
+        }
+    }
+
     /// Returns how the requests of a service use its new version; `None` if they may use any version.
     #[must_use]
     pub fn plan(&self, service: &ServiceName) -> Option<VersionPlan> {
@@ -282,6 +314,7 @@
         let (share, banned) = match entry.state {
             Some(MoveState::Reverted) => (0.0, true),
             _ if faulty => (0.0, true),
+            Some(MoveState::Step(_)) if entry.is_end_unknown => (0.0, false),
             Some(MoveState::Complete) => (1.0, false),
             Some(MoveState::Step(step)) => (STEPS[usize::from(step).min(STEPS.len() - 1)].1, false),
             None => (0.0, false),
--- a/src/sidecar/rollouts.rs
+++ b/src/sidecar/rollouts.rs
@@ -35,6 +35,7 @@
         loop {
             actix_rt::time::sleep(CHECK_INTERVAL).await;
             check_backend(&cx);
+            apply_unread_results(&cx).await;
             for action in evaluate_moves(&cx) {
                 record(&cx, action).await;
             }
@@ -61,6 +62,35 @@
     }
 }
 
+/// Reads the results of the orders that an earlier process may have ended without recording it for the other
+/// nodes. Until then their versions are not used.
+async fn apply_unread_results(cx: &Rc<Sidecar>) {
+    let unread = cx.state.borrow().moves.unread_results();
+    if unread.is_empty() || !cx.feed.is_store_available() {
+        return;
+    }
+    let results = read_results(cx).await;
+    topic_follower::sync_history(cx);
+    let results = match results {
+        Ok(results) if results.era == cx.feed.era() => results,
+        Ok(_) => return,
+        Err(failure) => {
+            cx.metrics.store_failures.increment(1);
+            info!(cx.log, "rollout results not read"; "why" => format!("{failure:?}"));
+            return;
+        }
+    };
+    let now = cx.clock.now();
+    for (order, offset) in unread {
+        let key = config::result_key(&order.service);
+        let last = results.records.iter().find(|record| record.key == key);
+        let end = last.and_then(|last| config::read_final_result(&order, offset, &last.value));
+        cx.state.borrow_mut().moves.on_result(now, offset, end);
+        info!(cx.log, "rollout result read"; "service" => order.service.as_str(),
+            "target" => order.target.as_str(), "end" => end.map(|end| format!("{end:?}")));
+    }
+}
+
 fn evaluate_moves(cx: &Rc<Sidecar>) -> Vec<MoveAction> {
     let now = cx.clock.now();
     let mut state = cx.state.borrow_mut();
@@ -117,13 +147,7 @@
 /// is in force.
 async fn write_result(cx: &Rc<Sidecar>, action: &MoveAction) -> Result<MoveState, StoreFailure> {
     let key = config::result_key(&action.order.service);
-    let results = match cx.store.newest(RESULT_TOPIC, FIRST_TIMEOUT).await {
-        Err(StoreFailure::Refused(404)) => KeyedBatch {
-            era: cx.store.era(),
-            ..KeyedBatch::default()
-        },
-        other => other?,
-    };
+    let results = read_results(cx).await?;
     if results.era != action.era {
         return Err(StoreFailure::Outdated);
     }
@@ -147,6 +171,17 @@
     Ok(action.state)
 }
 
+async fn read_results(cx: &Sidecar) -> Result<KeyedBatch, StoreFailure> {
+    match cx.store.newest(RESULT_TOPIC, FIRST_TIMEOUT).await {
+        // The topic does not exist before its first record.
+        Err(StoreFailure::Refused(404)) => Ok(KeyedBatch {
+            era: cx.store.era(),
+            ..KeyedBatch::default()
+        }),
+        other => other,
+    }
+}
+
 async fn write_progress(
     cx: &Rc<Sidecar>,
     action: &MoveAction,
--- a/tests/process_odd_records.rs
+++ b/tests/process_odd_records.rs
@@ -13,12 +13,19 @@
 use sidecar_common::TestFleet;
 use sidecar_common::WAIT_LIMIT;
 use sidecar_common::run;
+use sycamorewick::platform::config;
 use sycamorewick::protocol::codec;
 use sycamorewick::protocol::fleet::FleetEntry;
+use sycamorewick::protocol::fleet::MoveRecord;
+use sycamorewick::protocol::fleet::MoveState;
+use sycamorewick::protocol::mesh::MoveOrder;
+use testbed::platform::store::OPERATOR_TOPIC;
+use testbed::platform::store::RESULT_TOPIC;
 use testbed::platform::store::StoreControlChange;
 use testbed::platform::store::StoreHandle;
 
 const FLEET_TOPIC: &str = "keyed.sidecars";
+const MOVE_TOPIC: &str = "keyed.moves";
 
 /// Returns the newest entry of a node in the store, if it is readable.
 fn stored_entry(store: &StoreHandle, node: &str) -> Option<FleetEntry> {
@@ -141,3 +148,54 @@
         Ok(())
     });
 }
+
+/// Guards against a version that was taken back and gets requests again: all nodes were killed after the
+/// operator's result was written, and before it was recorded for the nodes.
+#[gtest]
+fn rollout_end_known_to_operator_only() {
+    run(async {
+        let mut env = TestFleet::new(2)?;
+        let order = MoveOrder {
+            service: "registry".into(),
+            target: "v2".into(),
+            within: Duration::from_secs(20),
+        };
+        let text = json!({ "service": "registry", "target": "v2", "step-s": 20 }).to_string();
+        let offset = env
+            .store
+            .put(OPERATOR_TOPIC, "rollout/registry", text.as_bytes());
+        let result = config::write_result(&order, offset, MoveState::Reverted);
+        let key = config::result_key(&order.service);
+        let _ = env.store.put(RESULT_TOPIC, &key, &result);
+        let step = MoveRecord {
+            order: offset,
+            state: MoveState::Step(3),
+            elapsed_ms: 9_000,
+            author: "n0".into(),
+            era: None,
+        };
+        let step = codec::encode(&step).map_err(|e| eyre::eyre!("{e}"))?;
+        let _ = env.store.put(MOVE_TOPIC, "registry", &step);
+        for (index, version) in ["v1", "v2"].into_iter().enumerate() {
+            env.fleet.start(index)?;
+            env.add_version(index, version)?;
+        }
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        let recorded = |env: &TestFleet| {
+            let value = env.store.newest(MOVE_TOPIC, "registry");
+            let record = value.and_then(|value| codec::decode::<MoveRecord>(&value).ok());
+            record.map(|record| record.state)
+        };
+        let until = Instant::now() + WAIT_LIMIT;
+        let mut calls = 0;
+        while calls < 100 || recorded(&env) != Some(MoveState::Reverted) {
+            eyre::ensure!(Instant::now() < until, "{:?} is recorded", recorded(&env));
+            let _ = env.call(calls % 2, "/wrecks/1").await?;
+            calls += 1;
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        expect_that!(env.backends[0].runs().len(), gt(0));
+        expect_that!(env.backends[1].runs().len(), eq(0));
+        Ok(())
+    });
+}
--- a/tests/version_move.rs
+++ b/tests/version_move.rs
@@ -41,6 +41,8 @@
             within: WITHIN,
         };
         moves.on_order(now, ORDER, order);
+        // A process that starts reads whether the rollout has ended.
+        moves.on_result(now, ORDER, None);
         Self {
             moves,
             now,
@@ -272,6 +274,7 @@
         within: WITHIN,
     };
     moves.on_order(Duration::from_millis(1), ORDER, order);
+    moves.on_result(Duration::from_millis(2), ORDER, None);
     let plan = moves.plan(&"registry".into()).expect("the order is known");
     expect_that!(plan.share, eq(0.6));
 }
@@ -499,3 +502,42 @@
         .on_unreadable_record(now, &"harbour".into());
     expect_that!(recorded(&mut simulation), is_empty());
 }
+
+/// Guards against a version that was taken back and gets requests again, because the nodes were killed after
+/// the operator's result was written and before it was recorded for them.
+#[gtest]
+fn on_result_read_at_start() {
+    let service = ServiceName::from("registry");
+    for end in [None, Some(MoveState::Reverted), Some(MoveState::Complete)] {
+        let mut moves = Moves::default();
+        let order = MoveOrder {
+            service: service.clone(),
+            target: "v2".into(),
+            within: WITHIN,
+        };
+        moves.on_order(Duration::from_millis(10), ORDER, order);
+        let step = MoveRecord {
+            order: ORDER,
+            state: MoveState::Step(3),
+            elapsed_ms: 9_000,
+            author: "a".into(),
+            era: None,
+        };
+        moves.on_record(Duration::from_millis(20), &service, step);
+        let share = |moves: &Moves| moves.plan(&service).map(|plan| plan.share);
+        expect_that!(share(&moves), some(eq(0.0)));
+        expect_that!(moves.unread_results().len(), eq(1));
+        moves.on_result(Duration::from_millis(30), ORDER, end);
+        expect_that!(moves.unread_results().len(), eq(0));
+        let is_reverted = end == Some(MoveState::Reverted);
+        let expected = if is_reverted { 0.0 } else { 1.0 };
+        expect_that!(share(&moves), some(eq(expected)), "{end:?}");
+        let banned = moves.plan(&service).is_some_and(|plan| plan.banned);
+        expect_that!(banned, eq(is_reverted));
+        // The end is recorded for the other nodes, which may not know it either.
+        let tick =
+            |moves: &mut Moves| moves.tick(Duration::from_millis(40), 0, |_, _| Results::default());
+        let recorded = tick(&mut moves).first().map(|action| action.state);
+        expect_that!(recorded, eq(end));
+    }
+}
--- a/tests/version_move_random.rs
+++ b/tests/version_move_random.rs
@@ -159,6 +159,12 @@
             self.moves.on_order(now, offset, order());
             self.read.0 = Some(offset);
         }
+        for (_, offset) in self.moves.unread_results() {
+            let last = store.topics.results.last().copied();
+            let end = last.filter(|(order, state)| *order == offset && is_final(*state));
+            self.moves
+                .on_result(now, offset, end.map(|(_, state)| state));
+        }
         // Only the newest record of the service is kept.
         if self.read.1 < store.topics.progress.len()
             && let Some(record) = store.topics.progress.last()
