Share the memory for responses among peers, and bound informational responses

Callers of healthy backend servers would see 502.

Seen by tests: (1) a faulty peer that sends 4 MB of each of eight responses and stops there holds the whole pool of 32 MiB until the deadline; meanwhile each other response fails as too large, of 5 bytes or of 1 MB. (2) While a body is announced, informational responses without end are read until the deadline.

Ruled out: memory without bound. Heads, bodies, framing and their sum are bounded (`send_endless_response`, `send_endless_responses_together`).

Change: the responses of one address may have half of the pool, and the first 64 KiB of each response do not count, so that small ones always fit. That part is bounded by the calls in flight: some 10 at a backend server without end, and those of other nodes end. The bytes before the request for a body are bounded like a head.

Tests: `send_beside_held_responses` and `send_announced_body_endless_informational`, which fail on the code before.

--- a/src/transport/body_budget.rs
+++ b/src/transport/body_budget.rs
@@ -8,13 +8,15 @@
 pub struct BodyBudget {
     held: Rc<Cell<usize>>,
     max_bytes: usize,
+    /// Bytes of each body that are not counted.
+    uncounted_bytes: usize,
 }
 
 /// Bytes that one body occupies. They are free again when it is dropped.
 #[derive(Debug)]
 pub struct HeldBytes {
     budget: BodyBudget,
-    bytes: usize,
+    counted: usize,
 }
 
 impl BodyBudget {
@@ -24,6 +26,17 @@
         Self {
             held: Rc::default(),
             max_bytes,
+            uncounted_bytes: 0,
+        }
+    }
+
+    /// Leaves the first bytes of each body uncounted, so that a few large bodies do not keep small ones out.
+    /// The number of bodies needs a bound of its own.
+    #[must_use]
+    pub fn with_uncounted_bytes(self, uncounted_bytes: usize) -> Self {
+        Self {
+            uncounted_bytes,
+            ..self
         }
     }
 
@@ -32,11 +45,11 @@
     pub fn hold(&self) -> HeldBytes {
         HeldBytes {
             budget: self.clone(),
-            bytes: 0,
+            counted: 0,
         }
     }
 
-    /// Returns the bytes of all bodies.
+    /// Returns the counted bytes of all bodies.
     #[must_use]
     pub fn held_bytes(&self) -> usize {
         self.held.get()
@@ -46,10 +59,11 @@
 impl HeldBytes {
     /// Sets the size of the body. Returns whether all bodies together fit into the budget.
     pub fn set(&mut self, bytes: usize) -> bool {
-        let held = self.budget.held.get() - self.bytes + bytes;
+        let counted = bytes.saturating_sub(self.budget.uncounted_bytes);
+        let held = self.budget.held.get() - self.counted + counted;
         self.budget.held.set(held);
-        self.bytes = bytes;
-        held <= self.budget.max_bytes
+        self.counted = counted;
+        counted == 0 || held <= self.budget.max_bytes
     }
 }
 
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -74,6 +74,12 @@
 /// Bytes of response bodies that all connections of a pool may buffer together. The smallest instances
 /// have 160 MB, and a buffer may have twice the size of its content.
 pub const MAX_BUFFERED_BYTES: usize = 32 << 20;
+/// Part of [`MAX_BUFFERED_BYTES`] that the responses of one address may have, so that a faulty peer leaves room
+/// for the others. The largest response fits.
+const MAX_BUFFERED_BYTES_PER_ADDRESS: usize = MAX_BUFFERED_BYTES / 2;
+/// Bytes of each response that do not count there. A peer that answers many requests at the same time without
+/// end takes this for each of them; a backend server has some 10 slots.
+const UNCOUNTED_RESPONSE_BYTES: usize = 64 << 10;
 /// Initial size of a read buffer, bytes; most responses fit.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
@@ -163,6 +169,19 @@
 struct AddressPool {
     addr: SocketAddr,
     idle: Vec<IdleConnection>,
+    /// Bodies that are being received from the address.
+    buffered: BodyBudget,
+}
+
+impl AddressPool {
+    fn new(addr: SocketAddr) -> Self {
+        let buffered = BodyBudget::new(MAX_BUFFERED_BYTES_PER_ADDRESS);
+        Self {
+            addr,
+            idle: Vec::new(),
+            buffered: buffered.with_uncounted_bytes(UNCOUNTED_RESPONSE_BYTES),
+        }
+    }
 }
 
 /// Pool of the idle connections to all peers, sorted by address.
@@ -176,7 +195,8 @@
     fn default() -> Self {
         Self {
             pools: RefCell::default(),
-            buffered: BodyBudget::new(MAX_BUFFERED_BYTES),
+            buffered: BodyBudget::new(MAX_BUFFERED_BYTES)
+                .with_uncounted_bytes(UNCOUNTED_RESPONSE_BYTES),
         }
     }
 }
@@ -197,7 +217,7 @@
             Some(idle) => (idle.stream, idle.recent_ids),
             None => (connect(addr).await?, RecentIds::default()),
         };
-        let mut connection = Connection::new(stream, recent_ids, self.buffered.clone());
+        let mut connection = Connection::new(stream, recent_ids, self.budgets(addr));
         connection.recent_ids.add(id);
         let broken = |e: io::Error| ExchangeFailure::Broken {
             text: e.to_string(),
@@ -244,7 +264,7 @@
     /// If the peer refuses the connection, or does not accept it within [`CONNECT_TIMEOUT`].
     pub async fn open(&self, addr: SocketAddr) -> io::Result<()> {
         let stream = open_stream(addr).await?;
-        let connection = Connection::new(stream, RecentIds::default(), self.buffered.clone());
+        let connection = Connection::new(stream, RecentIds::default(), self.budgets(addr));
         self.put_idle(addr, connection);
         Ok(())
     }
@@ -255,11 +275,23 @@
         self.buffered.held_bytes()
     }
 
+    /// Returns the budgets that a body received from an address has to fit into.
+    fn budgets(&self, addr: SocketAddr) -> [BodyBudget; 2] {
+        let mut pools = self.pools.borrow_mut();
+        let of_address = address_pool(&mut pools, addr).buffered.clone();
+        [of_address, self.buffered.clone()]
+    }
+
     /// Closes the idle connections to a peer, for example because one of them has failed.
     pub fn close_idle(&self, addr: SocketAddr) {
         let mut pools = self.pools.borrow_mut();
         if let Ok(index) = pools.binary_search_by_key(&addr, |pool| pool.addr) {
-            pools.remove(index);
+            if pools[index].buffered.held_bytes() == 0 {
+                pools.remove(index);
+            } else {
+                // Bodies that are being received go on to count.
+                pools[index].idle.clear();
+            }
         }
     }
 
@@ -296,22 +328,24 @@
             recent_ids: connection.recent_ids,
         };
         let mut pools = self.pools.borrow_mut();
-        match pools.binary_search_by_key(&addr, |pool| pool.addr) {
-            Ok(index) if pools[index].idle.len() < MAX_IDLE_CONNECTIONS => {
-                pools[index].idle.push(entry);
-            }
-            Ok(_) => {}
-            Err(index) => pools.insert(
-                index,
-                AddressPool {
-                    addr,
-                    idle: vec![entry],
-                },
-            ),
+        let idle = &mut address_pool(&mut pools, addr).idle;
+        if idle.len() < MAX_IDLE_CONNECTIONS {
+            idle.push(entry);
         }
     }
 }
 
+/// Returns the pool of an address, and adds it if there is none.
+fn address_pool(pools: &mut Vec<AddressPool>, addr: SocketAddr) -> &mut AddressPool {
+    let index = pools
+        .binary_search_by_key(&addr, |pool| pool.addr)
+        .unwrap_or_else(|index| {
+            pools.insert(index, AddressPool::new(addr));
+            index
+        });
+    &mut pools[index]
+}
+
 async fn connect(addr: SocketAddr) -> Result<TcpStream, ExchangeFailure> {
     let stream = open_stream(addr).await;
     stream.map_err(|e| ExchangeFailure::NotSent(e.to_string()))
@@ -377,12 +411,12 @@
     early_head: Option<ResponseHead>,
     /// Bytes received since the current part of a response began.
     received: usize,
-    /// Bodies that the pool's connections are receiving.
-    buffered: BodyBudget,
+    /// Bodies that are being received from the address, and by all connections of the pool.
+    budgets: [BodyBudget; 2],
 }
 
 impl Connection {
-    fn new(stream: TcpStream, recent_ids: RecentIds, buffered: BodyBudget) -> Self {
+    fn new(stream: TcpStream, recent_ids: RecentIds, budgets: [BodyBudget; 2]) -> Self {
         Self {
             stream,
             buf: BytesMut::with_capacity(READ_BUFFER_BYTES),
@@ -392,7 +426,7 @@
             unsent: Bytes::new(),
             early_head: None,
             received: 0,
-            buffered,
+            budgets,
         }
     }
 
@@ -434,6 +468,7 @@
 
     /// Waits until the peer asks for the body, or responds without it.
     async fn wait_for_continue(&mut self) -> io::Result<()> {
+        self.received = 0;
         loop {
             match self.decode_head()? {
                 Some(head) if head.status == StatusCode::CONTINUE => return Ok(()),
@@ -442,11 +477,25 @@
                     self.early_head = Some(head);
                     return Ok(());
                 }
-                None => self.fill().await?,
+                None => {
+                    self.check_head_size()?;
+                    self.fill().await?;
+                }
             }
         }
     }
 
+    /// Checks the bytes received since a response began.
+    ///
+    /// # Errors
+    /// If its head, with the informational responses before it, is too large.
+    fn check_head_size(&self) -> io::Result<()> {
+        if self.received > MAX_HEAD_BYTES {
+            return Err(io::Error::other("the head of the response is too large"));
+        }
+        Ok(())
+    }
+
     /// Writes the rest of the request, until a response arrives. A peer may respond before it has read
     /// a long body; the rest is then not sent, and the connection is not used again.
     async fn write_unsent(&mut self) -> io::Result<()> {
@@ -483,7 +532,7 @@
     fn read_early_head(&mut self) -> io::Result<()> {
         match self.stream.try_read_buf(&mut self.buf) {
             Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-            Ok(_) => {}
+            Ok(received) => self.received += received,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             Err(e) => return Err(e),
         }
@@ -493,10 +542,7 @@
                 return Ok(());
             }
         }
-        if self.buf.len() > MAX_HEAD_BYTES {
-            return Err(io::Error::other("the head of the response is too large"));
-        }
-        Ok(())
+        self.check_head_size()
     }
 
     fn decode_head(&mut self) -> io::Result<Option<ResponseHead>> {
@@ -539,10 +585,10 @@
             match self.decode_head()? {
                 Some(head) if head.status.is_informational() => {}
                 Some(head) => return Ok(head),
-                None if self.received > MAX_HEAD_BYTES => {
-                    return Err(io::Error::other("the head of the response is too large"));
+                None => {
+                    self.check_head_size()?;
+                    self.fill().await?;
                 }
-                None => self.fill().await?,
             }
         }
     }
@@ -550,12 +596,12 @@
     async fn read_delimited(&mut self, codec: ClientCodec, max_bytes: usize) -> io::Result<Bytes> {
         let mut codec = codec.into_payload_codec();
         let mut body = BytesMut::new();
-        let mut buffered = self.buffered.hold();
+        let mut held = self.budgets.each_ref().map(BodyBudget::hold);
         self.received = self.buf.len();
         loop {
             match codec.decode(&mut self.buf).map_err(io::Error::other)? {
                 Some(Some(chunk)) => {
-                    check_size(&mut buffered, body.len() + chunk.len(), max_bytes)?;
+                    check_size(&mut held, body.len() + chunk.len(), max_bytes)?;
                     body.extend_from_slice(&chunk);
                 }
                 Some(None) => break,
@@ -575,9 +621,9 @@
     /// Reads until the peer closes the connection. A reset is a read error and does not complete the body.
     async fn read_until_close(&mut self, max_bytes: usize) -> io::Result<Bytes> {
         self.keep_alive = false;
-        let mut buffered = self.buffered.hold();
+        let mut held = self.budgets.each_ref().map(BodyBudget::hold);
         while self.stream.read_buf(&mut self.buf).await? > 0 {
-            check_size(&mut buffered, self.buf.len(), max_bytes)?;
+            check_size(&mut held, self.buf.len(), max_bytes)?;
         }
         Ok(self.buf.split().freeze())
     }
@@ -599,9 +645,10 @@
 /// Sets the size of a body.
 ///
 /// # Errors
-/// If it exceeds `max_bytes`, or all bodies together exceed their budget.
-fn check_size(body: &mut HeldBytes, bytes: usize, max_bytes: usize) -> io::Result<()> {
-    if !body.set(bytes) || bytes > max_bytes {
+/// If it exceeds `max_bytes`, or all bodies together exceed one of their budgets.
+fn check_size(body: &mut [HeldBytes], bytes: usize, max_bytes: usize) -> io::Result<()> {
+    let fits = body.iter_mut().all(|held| held.set(bytes));
+    if !fits || bytes > max_bytes {
         return Err(io::ErrorKind::FileTooLarge.into());
     }
     Ok(())
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -342,6 +342,96 @@
     });
 }
 
+/// Guards against an endless stream of informational responses to an announced body, which kept the node busy
+/// until the deadline.
+#[gtest]
+fn send_announced_body_endless_informational() {
+    let (addr, sent) = endless_peer("", "HTTP/1.1 102 Processing\r\n\r\n");
+    let result = run(async {
+        let exchange = Exchange {
+            body: vec![1; 60_000].into(),
+            expect_continue: true,
+            ..get(addr)
+        };
+        let pool = ConnectionPool::default();
+        let sent = pool.send(exchange);
+        actix_rt::time::timeout(Duration::from_secs(10), sent).await
+    });
+    expect_that!(result, ok(err(anything())));
+    let sent = sent.recv().expect("the number of bytes");
+    expect_that!(sent, le(MAX_ENDLESS_BYTES));
+}
+
+/// Starts a peer that answers each request with `bytes` of a body, and then sends nothing more.
+fn holding_peer(bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut stream = stream;
+                let _ = read_head(&mut stream);
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n");
+                let _ = stream.write_all(&vec![b'x'; bytes]);
+                let _ = stream.read(&mut [0]);
+            });
+        }
+    });
+    addr
+}
+
+/// Guards against a faulty peer whose unfinished responses take all the memory for responses, so that those of
+/// other peers fail, small ones and large ones.
+#[gtest]
+fn send_beside_held_responses() {
+    const HELD_BYTES: usize = 4 << 20;
+    run(async {
+        let pool = ConnectionPool::default();
+        let faulty = holding_peer(HELD_BYTES);
+        let large = |addr| Exchange {
+            max_response_bytes: 16 << 20,
+            ..get(addr)
+        };
+        let held = (0..12).map(|_| pool.send(large(faulty)));
+        let held = futures_util::future::join_all(held);
+        let others = async {
+            // The faulty peer has what it may have by then.
+            while pool.buffered_bytes() < 3 * HELD_BYTES {
+                actix_rt::time::sleep(Duration::from_millis(10)).await;
+            }
+            actix_rt::time::sleep(Duration::from_millis(200)).await;
+            expect_that!(pool.buffered_bytes(), le(MAX_BUFFERED_BYTES));
+            let whole = peer(vec![vec![
+                "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole",
+            ]]);
+            expect_that!(pool.send(get(whole)).await, ok(anything()));
+            let addr = sized_peer(1 << 20);
+            let response = pool.send(large(addr)).await;
+            let length = response.map(|response| response.body.len());
+            expect_that!(length, ok(eq(&(1 << 20))));
+        };
+        let limit = Duration::from_secs(20);
+        let (held, others) = (pin!(held), pin!(others));
+        let done = actix_rt::time::timeout(limit, select(held, others)).await;
+        expect_true!(matches!(done, Ok(Either::Right(_))));
+    });
+}
+
+/// Starts a peer that answers one request with a body of `bytes`.
+fn sized_peer(bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        if let Ok((mut stream, _)) = listener.accept() {
+            let _ = read_head(&mut stream);
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {bytes}\r\n\r\n");
+            let _ = stream.write_all(head.as_bytes());
+            let _ = stream.write_all(&vec![b'x'; bytes]);
+        }
+    });
+    addr
+}
+
 /// Guards against reporting a request as not sent that was written to a connection.
 #[gtest]
 fn send_closed_without_response() {
