--- a/tests/store_client.rs
+++ b/tests/store_client.rs
@@ -1,9 +1,18 @@
 //! Client of the platform's store, while the store goes back to an earlier state.
 
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::rc::Rc;
+use std::thread;
 use std::time::Duration;
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use googletest::prelude::*;
+use serde_json::json;
 use slog::Discard;
 use slog::Logger;
 use slog::o;
@@ -86,3 +95,56 @@
         Ok(())
     });
 }
+
+/// Starts a store that answers each request for newest records with a page that is not the last one. The
+/// keys are all the same, or count up.
+fn endless_store(counts: bool) -> eyre::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let addr = listener.local_addr()?;
+    thread::spawn(move || {
+        let mut number = 0;
+        for stream in listener.incoming().flatten() {
+            let Ok(mut writer) = stream.try_clone() else {
+                continue;
+            };
+            for line in BufReader::new(stream)
+                .lines()
+                .map_while(std::result::Result::ok)
+            {
+                if !line.is_empty() {
+                    continue;
+                }
+                number += u64::from(counts);
+                let value = STANDARD.encode(vec![0; 512 << 10]);
+                let page = json!({
+                    "items": [{ "key": format!("{number:09}"), "value": value, "offset": number }],
+                    "has-more": true,
+                    "end-offset": number + 1,
+                });
+                let body = page.to_string();
+                let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+                if writer.write_all((head + &body).as_bytes()).is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    Ok(addr)
+}
+
+/// Guards against a store whose pages do not end: the node asked for one after the other and kept them all.
+#[gtest]
+fn newest_endless_pages() {
+    for counts in [false, true] {
+        run(async {
+            let log = Logger::root(Discard, o!());
+            let pool = Rc::new(ConnectionPool::default());
+            let client = Store::new(endless_store(counts)?, pool, log);
+            let read = client.newest(TOPIC, TIMEOUT);
+            let read = actix_rt::time::timeout(TIMEOUT, read).await;
+            let is_unreadable = matches!(read, Ok(Err(StoreFailure::Unreadable(_))));
+            expect_true!(is_unreadable, "keys count up: {counts}");
+            Ok(())
+        });
+    }
+}
