--- a/src/sidecar/leaves.rs
+++ b/src/sidecar/leaves.rs
@@ -166,7 +166,7 @@
         responding: None,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
-    let response = actix_rt::time::timeout(PEER_TIMEOUT, cx.pool.send(exchange))
+    let response = actix_rt::time::timeout(PEER_TIMEOUT, cx.control_pool.send(exchange))
         .await
         .map_err(|_| format!("{addr}: no response in time"))?
         .map_err(|failure| format!("{addr}: {failure}"))?;
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -111,6 +111,9 @@
     log: Logger,
     metrics: SidecarMetrics,
     pool: Rc<ConnectionPool>,
+    /// Connections to the store and, for its topics, to other nodes. Responses to calls do not take their
+    /// memory.
+    control_pool: Rc<ConnectionPool>,
     store: Store,
     /// Name of the own service, for the header with the service that sent a request.
     service_header: HeaderValue,
@@ -181,7 +184,7 @@
 fn new_sidecar(settings: SidecarSettings, log: Logger) -> eyre::Result<Sidecar> {
     let mut rng = StdRng::try_from_rng(&mut rand::rngs::SysRng)?;
     let run = rng.next_u64();
-    let pool = Rc::new(ConnectionPool::default());
+    let control_pool = Rc::new(ConnectionPool::default());
     let state = SidecarState {
         rng,
         table: None,
@@ -209,8 +212,9 @@
     Ok(Sidecar {
         clock,
         metrics: SidecarMetrics::install()?,
-        store: Store::new(settings.store_addr, pool.clone(), log.clone()),
-        pool,
+        store: Store::new(settings.store_addr, control_pool.clone(), log.clone()),
+        pool: Rc::new(ConnectionPool::default()),
+        control_pool,
         log,
         service_header: HeaderValue::from_str(settings.service.as_str())?,
         origin: HeaderValue::try_from(settings.advertised_addr().to_string())?,
--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -321,7 +321,7 @@
         max_response_bytes: MAX_MESSAGE_BYTES,
     };
     let timeout = wait.unwrap_or_default() + RESPONSE_MARGIN;
-    let mut sent = pin!(cx.pool.send(exchange));
+    let mut sent = pin!(cx.control_pool.send(exchange));
     let mut result = actix_rt::time::timeout(timeout, &mut sent).await;
     if result.is_err() && responding.get() {
         let transfer_time = cx.settings.config_within().mul_f64(TRANSFER_SHARE);
