Try a backend server with any call if its service has no idempotent ones

Callers saw: a service whose routes are all `unsafe` is refused for as long as the processes run, after its upstreams have lost some answers for 4 s.

Cause: the open breaker admits only an idempotent call as a probe, and such a service sends none.

Ruled out: a health check as the probe. It tells nothing about answers that are lost, and each one is a request that waits for a slot.

Change: from 1 s after an idempotent call would have been admitted, any call is a probe. A backend server that has not recovered costs one call in 3 s; one that has is used again within 3 s.

Test: `admit_without_idempotent_calls`; before, nothing was served after the recovery.

--- a/src/coordination/breaker.rs
+++ b/src/coordination/breaker.rs
@@ -15,6 +15,9 @@
 const OPEN_BASE: Duration = Duration::from_millis(300);
 /// Upper bound of that time; a recovered backend server is used again within it.
 const OPEN_MAX: Duration = Duration::from_secs(2);
+/// Time from the end of that time after which any call is a probe. A service may have no idempotent calls,
+/// and each call that is not idempotent is lost if the backend server has not recovered.
+const ANY_PROBE_AFTER: Duration = Duration::from_secs(1);
 
 /// Circuit breaker of one backend server.
 #[derive(Debug, Default)]
@@ -26,13 +29,18 @@
 }
 
 impl Breaker {
-    /// Returns whether a call may be sent now. A half-open breaker admits one idempotent call at a
-    /// time as a probe.
+    /// Returns whether a call may be sent now. A half-open breaker admits one call at a time as a probe, at
+    /// first only an idempotent one.
     pub fn admit(&mut self, now: Duration, idempotent: bool) -> bool {
         if self.consecutive_failures < FAILURE_THRESHOLD {
             return true;
         }
-        let admitted = idempotent && now >= self.open_until && !self.probe_in_flight;
+        let probe_from = if idempotent {
+            self.open_until
+        } else {
+            self.open_until + ANY_PROBE_AFTER
+        };
+        let admitted = now >= probe_from && !self.probe_in_flight;
         self.probe_in_flight |= admitted;
         admitted
     }
--- a/tests/breaker.rs
+++ b/tests/breaker.rs
@@ -64,3 +64,27 @@
         breaker.on_end(ms(step), step % 3 == 0);
     }
 }
+
+/// Guards against a service that is refused for good after some lost answers, since none of its calls is
+/// idempotent. A backend server that has not recovered costs it one call in three seconds.
+#[gtest]
+fn admit_without_idempotent_calls() {
+    let mut breaker = Breaker::default();
+    let recovers_at = ms(20_000);
+    let mut lost = 0;
+    let mut served_from = None;
+    for step in 0..3_000_u64 {
+        let now = ms(step * 10);
+        if !breaker.admit(now, false) {
+            continue;
+        }
+        let is_complete = now >= recovers_at;
+        breaker.on_end(now, is_complete);
+        lost += u32::from(!is_complete);
+        if is_complete {
+            served_from = served_from.or(Some(now));
+        }
+    }
+    expect_that!(lost, le(12));
+    expect_that!(served_from, some(le(recovers_at + ms(3_000))));
+}
