Ask for a start only where the backend server itself names one

Found while reading the diff, on: a backend server that never names its start was refused for good once another program had deregistered with one, or sent one heartbeat with one.

Change: a heartbeat without a start is refused if the current report names one and is not silent, or if the last leave of the same instance does.

Test: `on_heartbeat_without_start_after_stranger`, which failed before.

--- a/src/state/local_backend.rs
+++ b/src/state/local_backend.rs
@@ -80,7 +80,7 @@
 
     /// Applies a heartbeat.
     pub fn on_heartbeat(&mut self, now: Duration, report: BackendReport) -> HeartbeatEffect {
-        if self.is_of_unknown_start(&report) {
+        if self.is_of_unknown_start(now, &report) {
             return HeartbeatEffect::Refused;
         }
         if self.is_before_leave(&report) || self.is_of_unknown_left(now, &report) {
@@ -183,12 +183,14 @@
         now.saturating_sub(self.last_heartbeat_at) > self.heartbeat_timeout
     }
 
-    /// Whether a report does not name its start, although the backend server of this node does. It cannot be
-    /// told which incarnation it means.
-    fn is_of_unknown_start(&self, report: &BackendReport) -> bool {
-        let current = self.report.iter().map(|current| current.born);
-        let leaves = self.leaves.iter().map(|leave| leave.left.incarnation.1);
-        report.born == UNKNOWN_START && current.chain(leaves).any(|born| born != UNKNOWN_START)
+    /// Whether a report does not name its start, although the backend server of this node does, or the last
+    /// one of the same instance. It cannot be told which incarnation it means.
+    fn is_of_unknown_start(&self, now: Duration, report: &BackendReport) -> bool {
+        let current = self.report.as_ref().filter(|_| !self.is_silent(now));
+        let of_current = current.is_some_and(|current| current.born != UNKNOWN_START);
+        let last = self.last_leave(&report.instance);
+        let of_instance = last.is_some_and(|left| left.incarnation.1 != UNKNOWN_START);
+        report.born == UNKNOWN_START && (of_current || of_instance)
     }
 
     /// Whether a report is a late one of a backend server that deregistered at a process that did not know
--- a/tests/local_backend.rs
+++ b/tests/local_backend.rs
@@ -359,3 +359,18 @@
     next.on_heartbeat(at(9), report("i-7", 700, 12));
     expect_true!(next.available(at(9)).is_none());
 }
+
+/// Guards against a backend server that never names its start and is refused for good, because another program
+/// has named one: in a deregistration, or in a heartbeat that is silent since.
+#[gtest]
+fn on_heartbeat_without_start_after_stranger() {
+    let mut backend = LocalBackend::new(INTERVAL);
+    backend.on_heartbeat(at(0), report("i-1", 0, 1));
+    backend.on_deregister(at(1), "x", Some(700));
+    let effect = backend.on_heartbeat(at(1), report("i-1", 0, 2));
+    expect_that!(effect, eq(HeartbeatEffect::Refreshed));
+    backend.on_heartbeat(at(2), report("x-2", 900, 1));
+    backend.on_heartbeat(at(9), report("i-1", 0, 3));
+    let instance = backend.available(at(9)).map(|r| r.instance.clone());
+    expect_that!(instance.as_deref(), some(eq("i-1")));
+}
