Drop an era that the store does not confirm

Cause: a follow response names the era of its reader, and the node takes it over if it is a later one. With an era above the store's own, each answer of the store counts as late from then on, so that the node never again learns a configuration or writes its entry.

Ruled out: taking eras from the store only. Followers learn from their reader that the store has gone back.

Change: calls to the store are numbered. An era that only another node has named is dropped once the store answers a call that was sent later with a lower one; the topics are then read anew.

Test: `observe_report_of_wrong_era`, which fails with the mechanism removed. The randomised reads over eras are as before.

--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -476,7 +476,7 @@
 /// Applies the topics received from another node.
 fn apply_relayed(cx: &Rc<Sidecar>, response: FollowResponse) {
     if let Some(era) = response.era {
-        cx.store.observe_era(era);
+        cx.store.observe_reported_era(era);
         sync_history(cx);
     }
     for (topic, part) in response.topics.into_iter().enumerate().take(TOPICS.len()) {
--- a/tests/store_history.rs
+++ b/tests/store_history.rs
@@ -213,7 +213,7 @@
             break;
         }
         readers[topic].next_at = now;
-        let check = era.map(|era| history.observe(era));
+        let check = era.map(|era| history.observe_answer(era, 0));
         if resets {
             if check == Some(HistoryCheck::Restored) {
                 for reader in &mut readers {
@@ -291,10 +291,32 @@
 #[gtest]
 fn observe_late_answer() {
     let mut history = StoreHistory::default();
-    expect_that!(history.observe(3), eq(HistoryCheck::Current));
-    expect_that!(history.observe(4), eq(HistoryCheck::Restored));
-    expect_that!(history.observe(3), eq(HistoryCheck::Outdated));
-    expect_that!(history.observe(4), eq(HistoryCheck::Current));
-    expect_that!(history.observe(9), eq(HistoryCheck::Restored));
+    expect_that!(history.observe_answer(3, 0), eq(HistoryCheck::Current));
+    expect_that!(history.observe_answer(4, 0), eq(HistoryCheck::Restored));
+    expect_that!(history.observe_answer(3, 0), eq(HistoryCheck::Outdated));
+    expect_that!(history.observe_answer(4, 0), eq(HistoryCheck::Current));
+    expect_that!(history.observe_answer(9, 0), eq(HistoryCheck::Restored));
     expect_that!(history.era(), some(eq(9)));
 }
+
+/// Guards against a node that takes all answers of the store for outdated, because another node has named an
+/// era that the store does not have. An answer to a call from before the report may be late and says nothing.
+#[gtest]
+fn observe_report_of_wrong_era() {
+    for known in [None, Some(3)] {
+        let mut history = StoreHistory::default();
+        if let Some(known) = known {
+            history.observe_answer(known, 0);
+        }
+        history.observe_report(u64::MAX, 8);
+        expect_that!(history.observe_answer(3, 7), eq(HistoryCheck::Outdated));
+        expect_that!(history.observe_answer(3, 8), eq(HistoryCheck::Restored));
+        expect_that!(history.era(), some(eq(3)));
+        expect_that!(history.observe_answer(3, 9), eq(HistoryCheck::Current));
+        // A report that the store confirms holds.
+        expect_that!(history.observe_report(4, 10), eq(HistoryCheck::Restored));
+        expect_that!(history.observe_answer(4, 10), eq(HistoryCheck::Current));
+        expect_that!(history.observe_answer(3, 11), eq(HistoryCheck::Outdated));
+        expect_that!(history.observe_report(3, 12), eq(HistoryCheck::Outdated));
+    }
+}
