Start the nodes of rollout_end_known_to_operator_only with entries of earlier processes

Cause: the test. It wrote the order and the result as if all processes had been killed, but not their entries. The second node asks for the entries before the first one has written any, is told that the topic does not exist, and knows no other version than its own until it asks again, 0.25 s later. A version that was taken back is used where there is no other, as docs/platform.md says.

Ruled out, by the log of a run that failed: a version used before the result is read (`rollout result read` comes in time), and a record that is read late.

Change: the nodes run, write their entries and are killed, as in the case that the test guards against, and are started again with the order and the result. What is expected stays as it is; the first call now comes when both versions are known.

--- a/tests/process_odd_records.rs
+++ b/tests/process_odd_records.rs
@@ -155,6 +155,17 @@
 fn rollout_end_known_to_operator_only() {
     run(async {
         let mut env = TestFleet::new(2)?;
+        for (index, version) in ["v1", "v2"].into_iter().enumerate() {
+            env.fleet.start(index)?;
+            env.add_version(index, version)?;
+        }
+        // The earlier processes leave their entries, which tell the later ones of the current version.
+        for node in ["n0", "n1"] {
+            wait_entry(&env, node, "no entry", |entry| entry.backend.is_some()).await?;
+        }
+        for index in 0..2 {
+            env.fleet.kill(index)?;
+        }
         let order = MoveOrder {
             service: "registry".into(),
             target: "v2".into(),
@@ -176,9 +187,8 @@
         };
         let step = codec::encode(&step).map_err(|e| eyre::eyre!("{e}"))?;
         let _ = env.store.put(MOVE_TOPIC, "registry", &step);
-        for (index, version) in ["v1", "v2"].into_iter().enumerate() {
+        for index in 0..2 {
             env.fleet.start(index)?;
-            env.add_version(index, version)?;
         }
         env.fleet.wait_ready(WAIT_LIMIT).await?;
         let recorded = |env: &TestFleet| {
