Read a body until the deadline of its call

Cause: a place at the gate of large bodies is freed by the end of the body only, and the body was read without a time limit. A cut closes no connection.

Ruled out: keep-alive probes of TCP, which take longer than a call, and which a peer passes that is alive but sends nothing.

Change: a body is read until the deadline of its call; then the call is refused as not run, and the connection is closed.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -55,6 +55,7 @@
 use crate::transport::headers;
 use crate::transport::http_client::HttpResponse;
 use crate::transport::http_server;
+use crate::transport::http_server::BODY_TIMEOUT;
 use crate::transport::http_server::status_of;
 use crate::transport::pipeline::MayOverlap;
 
@@ -130,18 +131,25 @@
         .as_ref()
         .map_or(DEFAULT_BODY_BYTES, |table| table.limits().body_bytes);
     let mut payload = req.take_payload();
-    let (body, held) = http_server::read_body_within(&mut payload, limit, &cx.bodies)
+    let caller = requests::read_client_headers(req.headers());
+    let route = table.as_ref().map(|table| {
+        let route = table.find(headers::host(req.headers()), req.path());
+        route.cloned().ok_or(ResultCode::NoRoute)
+    });
+    let route = route.unwrap_or(Err(ResultCode::NotReady));
+    let timeout = route
+        .as_ref()
+        .map_or(BODY_TIMEOUT, |route| route.timeout)
+        .min(caller.time_left.unwrap_or(Duration::MAX));
+    let (body, held) = http_server::read_body_within(&mut payload, limit, &cx.bodies, timeout)
         .await
         .map_err(|failure| failure.code)?;
-    let table = table.ok_or(ResultCode::NotReady)?;
-    let route = table.find(headers::host(req.headers()), req.path());
-    let route = route.ok_or(ResultCode::NoRoute)?.clone();
+    let route = route?;
     let target = req
         .uri()
         .path_and_query()
         .ok_or(ResultCode::BadRequest)?
         .clone();
-    let caller = requests::read_client_headers(req.headers());
     let time_limit = caller.time_left.unwrap_or(Duration::MAX).min(route.timeout);
     let time_limit = match &*cx.stop_plan.borrow() {
         Some(plan) => plan.call_time_limit(arrived, time_limit),
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -79,10 +79,19 @@
     {
         topic_follower::fetch_topics(cx, origin);
     }
-    let read = http_server::read_body_within(&mut payload, MAX_HOP_BODY_BYTES, &cx.bodies);
+    // Later, nobody waits for the response, and the connection may be cut without being closed.
+    let time_left = (arrived + head.left).saturating_sub(cx.clock.now());
+    let read =
+        http_server::read_body_within(&mut payload, MAX_HOP_BODY_BYTES, &cx.bodies, time_left);
     let (body, _held) = match read.await {
         Ok(body) => body,
-        Err(failure) => return call_response(cx, ServeOutcome::refused(failure.code)),
+        Err(failure) => {
+            warn!(cx.log, "body of a call not read"; "code" => failure.code.number(), "why" => &failure.text,
+                "route" => head.route.as_str());
+            let mut response = call_response(cx, ServeOutcome::refused(failure.code));
+            http_server::close_after(&mut response);
+            return response;
+        }
     };
     if let Some(transfer) = transfer {
         transfer.finish();
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -38,6 +38,9 @@
 /// Time limit for a client to send the head of its request.
 pub const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time limit for a client to send the body of a request that has no deadline of its own.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Handles one request.
 pub type Handler = Rc<dyn Fn(Request) -> LocalBoxFuture<'static, Response<BoxBody>>>;
 
@@ -196,14 +199,18 @@
 ///
 /// # Errors
 /// [`ResultCode::BodyTooLarge`] if it is longer, [`ResultCode::BadRequest`] if it is
-/// truncated.
+/// truncated, [`ResultCode::DeadlineExceeded`] if it is not complete after [`BODY_TIMEOUT`].
 pub async fn read_body(payload: &mut Payload, limit: usize) -> Result<Bytes, Failure> {
     let budget = BodyBudget::new(limit);
-    let read = read_body_within(payload, limit, &budget).await;
+    let read = read_body_within(payload, limit, &budget, BODY_TIMEOUT).await;
     read.map(|(body, _)| body)
 }
 
-/// Like [`read_body`], if the body fits into the budget together with all others that are held.
+/// Like [`read_body`], if the body fits into the budget together with all others that are held, and is
+/// complete after `time_limit`.
+///
+/// The peer may be gone without closing its connection, so a body needs a bound in time: what is held for
+/// it would be lost for good.
 ///
 /// # Errors
 /// The same, and [`ResultCode::Overloaded`] if the budget is used up.
@@ -211,6 +218,19 @@
     payload: &mut Payload,
     limit: usize,
     budget: &BodyBudget,
+    time_limit: Duration,
+) -> Result<(Bytes, HeldBytes), Failure> {
+    let read = actix_rt::time::timeout(time_limit, read_chunks(payload, limit, budget));
+    read.await.unwrap_or_else(|_| {
+        let text = format!("the body is incomplete after {} ms", time_limit.as_millis());
+        Err(Failure::new(ResultCode::DeadlineExceeded, text))
+    })
+}
+
+async fn read_chunks(
+    payload: &mut Payload,
+    limit: usize,
+    budget: &BodyBudget,
 ) -> Result<(Bytes, HeldBytes), Failure> {
     let mut held = budget.hold();
     let mut first: Option<Bytes> = None;
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -17,10 +17,14 @@
 use actix_http::body::BoxBody;
 use actix_rt::System;
 use actix_rt::net::TcpListener;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
 use googletest::prelude::*;
 use sycamorewick::result_code::ResultCode;
 use sycamorewick::transport::body_budget::BodyBudget;
 use sycamorewick::transport::http_server;
+use sycamorewick::transport::http_server::BODY_TIMEOUT;
 use sycamorewick::transport::http_server::Handler;
 use sycamorewick::transport::http_server::HttpServer;
 
@@ -217,6 +221,24 @@
     expect_that!(events, eq(&vec!["/0/a", "/0/a!"]));
 }
 
+/// Guards against memory for a body that is held for good, because its client is gone without closing the
+/// connection.
+#[gtest]
+fn body_without_an_end() {
+    System::new().block_on(async {
+        let budget = BodyBudget::new(100);
+        let begin = stream::iter([Ok(Bytes::from_static(b"begin"))]);
+        let mut payload: Payload = Payload::Stream {
+            payload: Box::pin(begin.chain(stream::pending())),
+        };
+        let limit = Duration::from_millis(50);
+        let read = http_server::read_body_within(&mut payload, 80, &budget, limit).await;
+        let code = read.err().map(|failure| failure.code);
+        expect_that!(code, some(eq(ResultCode::DeadlineExceeded)));
+        expect_that!(budget.held_bytes(), eq(0));
+    });
+}
+
 /// Many large bodies at once must not exhaust the memory of a small instance: what does not fit is
 /// refused, and memory is free again once a body is dropped.
 #[gtest]
@@ -229,22 +251,25 @@
                 payload: Box::pin(futures_util::stream::iter([chunk])),
             }
         };
-        let first = http_server::read_body_within(&mut payload(60), 80, &budget).await;
+        let first =
+            http_server::read_body_within(&mut payload(60), 80, &budget, BODY_TIMEOUT).await;
         let (body, held) = first.expect("the first body fits");
         expect_that!(body.len(), eq(60));
-        let second = http_server::read_body_within(&mut payload(60), 80, &budget).await;
+        let second =
+            http_server::read_body_within(&mut payload(60), 80, &budget, BODY_TIMEOUT).await;
         expect_that!(
             second.err().map(|failure| failure.code),
             some(eq(ResultCode::Overloaded))
         );
-        let long = http_server::read_body_within(&mut payload(90), 80, &budget).await;
+        let long = http_server::read_body_within(&mut payload(90), 80, &budget, BODY_TIMEOUT).await;
         expect_that!(
             long.err().map(|failure| failure.code),
             some(eq(ResultCode::BodyTooLarge))
         );
         drop(held);
         expect_that!(budget.held_bytes(), eq(0));
-        let third = http_server::read_body_within(&mut payload(60), 80, &budget).await;
+        let third =
+            http_server::read_body_within(&mut payload(60), 80, &budget, BODY_TIMEOUT).await;
         expect_true!(third.is_ok());
     });
 }
