Count a call as open until its answer is sent

Cause: a call counted as open until its handler returned, and the process ends after 0.15 s without an open call.

Ruled out: a longer time without open calls, since no fixed time fits a body of any size.

Change: a server counts the answers that the kernel has not taken: on the port of callers from the start of a request, on the others between a write and the flush after it. An answer that closes its connection counts until the peer closes it too, 1 s at most. The stop waits for them up to the same end as before. Related: answers between nodes, and the node of the other mode (`src/node`).

--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -44,12 +44,12 @@
     node.drain_admission();
     servers.request.stop_accepting();
     let deadline = node.clock.now() + DRAIN_TIMEOUT;
-    while open_calls(node) > 0 && node.clock.now() < deadline {
+    while open_calls(node, servers) > 0 && node.clock.now() < deadline {
         actix_rt::time::sleep(DRAIN_CHECK_PERIOD).await;
     }
-    if open_calls(node) > 0 {
+    if open_calls(node, servers) > 0 {
         warn!(node.log, "calls are still running after the drain timeout";
-            "calls" => open_calls(node));
+            "calls" => open_calls(node, servers));
     }
     let deadline = node.clock.now() + OUTCOME_APPEND_TIMEOUT;
     while node.state.borrow().outcomes.pending() > 0 && node.clock.now() < deadline {
@@ -59,7 +59,8 @@
     actix_rt::time::sleep(RESPONSE_FLUSH_PERIOD).await;
 }
 
-fn open_calls(node: &Node) -> usize {
+fn open_calls(node: &Node, servers: &Servers) -> usize {
+    let unsent = servers.request.unsent_responses() + servers.node.unsent_responses();
     let serving = node.state.borrow().admission.load();
-    node.open_calls.get() + usize::try_from(serving).unwrap_or(usize::MAX)
+    node.open_calls.get() + unsent + usize::try_from(serving).unwrap_or(usize::MAX)
 }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -247,7 +247,7 @@
 /// HTTP servers of a sidecar.
 struct Servers {
     caller: HttpServer,
-    _node: HttpServer,
+    node: HttpServer,
     _platform: [HttpServer; 3],
 }
 
@@ -267,7 +267,7 @@
             handler(cx, entry::handle),
             entry::may_overlap(cx),
         ),
-        _node: HttpServer::start_with_gate(
+        node: HttpServer::start_with_gate(
             node,
             MAX_NODE_CONNECTIONS,
             handler(cx, hop::handle),
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -68,7 +68,9 @@
     *cx.stop_plan.borrow_mut() = Some(plan);
     let mut withdrawn = false;
     loop {
-        let (now, open_calls) = (cx.clock.now(), cx.open_calls.get());
+        // A call is open until its response is sent.
+        let unsent = servers.caller.unsent_responses() + servers.node.unsent_responses();
+        let (now, open_calls) = (cx.clock.now(), cx.open_calls.get() + unsent);
         let step = cx
             .stop_plan
             .borrow_mut()
@@ -87,8 +89,10 @@
         }
         actix_rt::time::sleep(CHECK_INTERVAL).await;
     }
-    if cx.open_calls.get() > 0 {
-        warn!(cx.log, "calls still run at the end of the drain"; "open_calls" => cx.open_calls.get());
+    let unsent = servers.caller.unsent_responses() + servers.node.unsent_responses();
+    if cx.open_calls.get() + unsent > 0 {
+        warn!(cx.log, "calls still run at the end of the drain"; "open_calls" => cx.open_calls.get(),
+            "unsent_responses" => unsent);
     }
 }
 
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -28,6 +28,8 @@
 use crate::transport::body_budget::HeldBytes;
 use crate::transport::pipeline::MayOverlap;
 use crate::transport::pipeline::Pipeline;
+use crate::transport::unsent::CountedStream;
+use crate::transport::unsent::UnsentCount;
 
 /// Pause after a failed accept, for example because the process has no file descriptors left.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -52,6 +54,7 @@
 pub struct HttpServer {
     accept_loop: JoinHandle<()>,
     connections: Rc<Cell<usize>>,
+    unsent: UnsentCount,
 }
 
 impl HttpServer {
@@ -74,16 +77,19 @@
         gate: Gate,
     ) -> Self {
         let connections = Rc::new(Cell::new(0));
+        let unsent = UnsentCount::default();
         let accept_loop = actix_rt::spawn(accept(
             listener,
             max_connections,
             handler,
             gate,
             connections.clone(),
+            unsent.clone(),
         ));
         Self {
             accept_loop,
             connections,
+            unsent,
         }
     }
 
@@ -96,7 +102,8 @@
         may_overlap: MayOverlap,
     ) -> Self {
         let connections = Rc::new(Cell::new(0));
-        let pipeline = Pipeline::new(handler, may_overlap);
+        let unsent = UnsentCount::default();
+        let pipeline = Pipeline::new(handler, may_overlap, unsent.clone());
         let counted = connections.clone();
         let accept_loop = actix_rt::spawn(async move {
             accept_each(listener, max_connections, counted, |stream, guard| {
@@ -112,6 +119,7 @@
         Self {
             accept_loop,
             connections,
+            unsent,
         }
     }
 
@@ -121,6 +129,12 @@
         self.connections.get()
     }
 
+    /// Returns the number of responses that are not sent completely.
+    #[must_use]
+    pub fn unsent_responses(&self) -> usize {
+        self.unsent.get()
+    }
+
     /// Closes the listening socket; open connections stay open.
     pub fn stop_accepting(&self) {
         self.accept_loop.abort();
@@ -147,6 +161,7 @@
     handler: Handler,
     gate: Gate,
     connections: Rc<Cell<usize>>,
+    unsent: UnsentCount,
 ) {
     let factory = HttpService::build()
         .keep_alive(KEEP_ALIVE)
@@ -158,13 +173,13 @@
         .h1(fn_service(move |req: Request| {
             let response = handler(req);
             async move { Ok::<_, std::convert::Infallible>(response.await) }
-        }))
-        .tcp();
+        }));
     let Ok(service) = factory.new_service(()).await else {
         return;
     };
     accept_each(listener, max_connections, connections, |stream, guard| {
-        let connection = service.call(stream);
+        let peer_addr = stream.peer_addr().ok();
+        let connection = service.call((CountedStream::new(stream, unsent.clone()), peer_addr));
         actix_rt::spawn(async move {
             // Connection errors are ignored, since each call reports its own result.
             let _ = connection.await;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -10,3 +10,4 @@
 pub mod pipeline;
 pub mod strict_stream;
 pub mod udp;
+pub mod unsent;
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -46,6 +46,8 @@
 use crate::transport::http_server::HEAD_TIMEOUT;
 use crate::transport::http_server::Handler;
 use crate::transport::http_server::KEEP_ALIVE;
+use crate::transport::unsent::Unsent;
+use crate::transport::unsent::UnsentCount;
 
 /// Requests of one connection that run at the same time.
 const MAX_OPEN_REQUESTS: usize = 16;
@@ -71,6 +73,7 @@
     config: ServiceConfig,
     handler: Handler,
     may_overlap: MayOverlap,
+    unsent: UnsentCount,
 }
 
 /// A request that has started, until its response is written.
@@ -79,6 +82,8 @@
     method: Method,
     version: Version,
     closes: bool,
+    /// Counts the request until its response is sent.
+    unsent: Option<Unsent>,
 }
 
 impl Drop for OpenRequest {
@@ -109,6 +114,9 @@
     expects_continue: bool,
     /// Time at which the connection ends unless it is used.
     idle_until: Instant,
+    /// Counts the last response until the client has closed the connection, which it does when it has
+    /// received it.
+    last_unsent: Option<Unsent>,
 }
 
 /// Returns the body of a request from its chunks. Only an empty chunk ends it: a body that is cut off must
@@ -130,12 +138,13 @@
 impl Pipeline {
     /// Creates the handling of the connections of a server.
     #[must_use]
-    pub fn new(handler: Handler, may_overlap: MayOverlap) -> Self {
+    pub fn new(handler: Handler, may_overlap: MayOverlap, unsent: UnsentCount) -> Self {
         let config = ServiceConfigBuilder::new().keep_alive(KeepAlive::Timeout(KEEP_ALIVE));
         Self {
             config: config.build(),
             handler,
             may_overlap,
+            unsent,
         }
     }
 
@@ -154,6 +163,7 @@
             open: VecDeque::new(),
             expects_continue: false,
             idle_until: Instant::now() + KEEP_ALIVE,
+            last_unsent: None,
         };
         while connection.step().await? {}
         connection.linger().await
@@ -295,6 +305,7 @@
             method,
             version,
             closes,
+            unsent: Some(self.pipeline.unsent.begin()),
         });
         if !has_body {
             self.end_if_closing();
@@ -323,12 +334,13 @@
             method: Method::GET,
             version: Version::HTTP_11,
             closes: true,
+            unsent: Some(self.pipeline.unsent.begin()),
         });
     }
 
     /// Writes the response to the oldest open request.
     async fn write_response(&mut self, response: Response<BoxBody>) -> io::Result<()> {
-        let Some(request) = self.open.pop_front() else {
+        let Some(mut request) = self.open.pop_front() else {
             return Ok(());
         };
         let is_last = self.open.is_empty();
@@ -351,7 +363,11 @@
         };
         let out = self.encode(&request, response, end).await?;
         self.idle_until = Instant::now() + KEEP_ALIVE;
-        self.stream.write_all(&out).await
+        self.stream.write_all(&out).await?;
+        if matches!(end, ConnectionType::Close) {
+            self.last_unsent = request.unsent.take();
+        }
+        Ok(())
     }
 
     /// Encodes a response. The codec keeps what the response depends on from the request that it decoded
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 connections with pipelined requests.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::io::Read;
 use std::io::Write;
@@ -29,6 +30,9 @@
 use sycamorewick::transport::http_server::HttpServer;
 
 /// Events of the handlers: a path when its request starts, and with `!` when it is cancelled.
+/// Size of a response that does not fit into the buffers of the kernel, bytes.
+const LARGE_RESPONSE: usize = 64 << 20;
+
 type Events = Rc<RefCell<Vec<String>>>;
 
 /// Records that a handler was dropped before it responded.
@@ -221,6 +225,53 @@
     expect_that!(events, eq(&vec!["/0/a", "/0/a!"]));
 }
 
+/// Guards against a stop that cuts off a response: its handler has ended, but the client has not taken all of
+/// it yet.
+#[gtest]
+fn unsent_responses_until_taken() {
+    for is_pipelined in [false, true] {
+        System::new().block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let addr = listener.local_addr().expect("an address");
+            let has_ended = Rc::new(Cell::new(false));
+            let ended = has_ended.clone();
+            let handler: Handler = Rc::new(move |_| {
+                ended.set(true);
+                let body = Bytes::from(vec![b'x'; LARGE_RESPONSE]);
+                Box::pin(async { Response::with_body(StatusCode::OK, BoxBody::new(body)) })
+            });
+            let server = if is_pipelined {
+                HttpServer::start_pipelined(listener, 10, handler, Rc::new(|_| true))
+            } else {
+                HttpServer::start(listener, 10, handler)
+            };
+            expect_that!(server.unsent_responses(), eq(0));
+            let mut stream = TcpStream::connect(addr).expect("a connection");
+            stream
+                .write_all(b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n")
+                .expect("the server reads");
+            while !has_ended.get() {
+                actix_rt::time::sleep(Duration::from_millis(5)).await;
+            }
+            actix_rt::time::sleep(Duration::from_millis(100)).await;
+            expect_that!(server.unsent_responses(), eq(1));
+            let reader = thread::spawn(move || {
+                let mut taken = vec![0; LARGE_RESPONSE];
+                stream.read_exact(&mut taken).expect("the whole response");
+                stream
+            });
+            while server.unsent_responses() > 0 && !reader.is_finished() {
+                actix_rt::time::sleep(Duration::from_millis(5)).await;
+            }
+            let stream = reader.join().expect("the reader");
+            // The connection stays open, with nothing to send.
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+            expect_that!(server.unsent_responses(), eq(0));
+            drop(stream);
+        });
+    }
+}
+
 /// Guards against memory for a body that is held for good, because its client is gone without closing the
 /// connection.
 #[gtest]
--- a/tests/sidecar_common/mod.rs
+++ b/tests/sidecar_common/mod.rs
@@ -114,6 +114,18 @@
         version: &str,
         error_rate: f64,
         service_time: Duration,
+    ) -> eyre::Result<()> {
+        self.start_backend_of_size(index, version, error_rate, service_time, 400)
+    }
+
+    /// Starts a backend server whose responses have bodies of a bit more than `pad_bytes`.
+    pub fn start_backend_of_size(
+        &mut self,
+        index: usize,
+        version: &str,
+        error_rate: f64,
+        service_time: Duration,
+        pad_bytes: usize,
     ) -> eyre::Result<()> {
         let addrs = &self.fleet.nodes()[index].addrs;
         self.backends
@@ -127,7 +139,7 @@
                 slots: 4,
                 service_ms: u64::try_from(service_time.as_millis())?,
                 error_rate,
-                pad_bytes: 400,
+                pad_bytes,
                 seed: 1,
             })?);
         Ok(())
