Judge a new version by route

Cause: the results of all routes were one sum, in which the fault is 1 in 100, and the evidence of the whole move was held to the same 8 in 100 as that of 3 s.

Change: while a rollout runs, each answer carries the results of two routes, its own and one other by turns. Each route is compared with its own results at the old version by a ratio of likelihoods over the whole move. While a route is suspect the share does not grow, for 0.12 of the move's time at most.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -23,6 +23,7 @@
 pub mod retry;
 pub mod retry_quota;
 pub mod rollout;
+pub mod route_evidence;
 pub mod slot_queue;
 pub mod stop_plan;
 pub mod store_history;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -24,6 +24,7 @@
 use crate::protocol::hop::BackendTotals;
 use crate::protocol::hop::Load;
 use crate::protocol::hop::RequestRate;
+use crate::protocol::hop::RouteTotals;
 use crate::protocol::name::DomainName;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::RegionName;
@@ -217,6 +218,7 @@
     load: Load,
     load_at: Duration,
     tally: BackendTotals,
+    routes: RouteTotals,
     /// EWMA of the run time relative to the mean of the route.
     run_time_factor: f64,
     failure_rate: f64,
@@ -343,6 +345,7 @@
     service: ServiceName,
     version: VersionName,
     tally: BackendTotals,
+    routes: RouteTotals,
 }
 
 /// Mean run time and response size of a route over all backend servers.
@@ -485,6 +488,7 @@
                     load: Load::default(),
                     load_at: Duration::ZERO,
                     tally: BackendTotals::default(),
+                    routes: RouteTotals::default(),
                     run_time_factor: 1.0,
                     failure_rate: 0.0,
                     failure_at: now,
@@ -646,7 +650,35 @@
             return;
         }
         if let Some(backend) = candidate.entry.backend.clone() {
-            self.add_results(&backend, &added);
+            self.version_total(&backend).tally.add(&added);
+        }
+    }
+
+    /// Applies the results for a route that a node reported.
+    pub fn on_route_tally(&mut self, node: &NodeId, route: &RouteName, tally: BackendTotals) {
+        let Ok(index) = self.index(node) else {
+            return;
+        };
+        let candidate = &mut self.candidates[index];
+        let Some(known) = candidate.routes.entry(route) else {
+            return;
+        };
+        let added = tally.since(known);
+        *known = tally;
+        if let Some(backend) = candidate.entry.backend.clone()
+            && let Some(sum) = self.version_total(&backend).routes.entry(route)
+        {
+            sum.add(&added);
+        }
+    }
+
+    /// Forgets the results by route, which are counted while a rollout runs.
+    pub fn clear_route_tallies(&mut self) {
+        for candidate in &mut self.candidates {
+            candidate.routes = RouteTotals::default();
+        }
+        for total in &mut self.totals {
+            total.routes = RouteTotals::default();
         }
     }
 
@@ -669,7 +701,7 @@
 
     /// Totals are kept per version and only grow. If the results of a node that leaves or restarts
     /// were subtracted, the remaining ones could look slow or failing.
-    fn add_results(&mut self, backend: &BackendReport, added: &BackendTotals) {
+    fn version_total(&mut self, backend: &BackendReport) -> &mut VersionTotal {
         let key = (&backend.service, &backend.version);
         let found = self
             .totals
@@ -679,11 +711,12 @@
                 service: backend.service.clone(),
                 version: backend.version.clone(),
                 tally: BackendTotals::default(),
+                routes: RouteTotals::default(),
             };
             self.totals.insert(index, total);
             index
         });
-        self.totals[index].tally.add(added);
+        &mut self.totals[index]
     }
 
     /// Counts the start of an attempt.
@@ -742,6 +775,7 @@
         for total in &self.totals {
             if total.service == *service && of(&total.version) {
                 results.tally.add(&total.tally);
+                results.routes.add(&total.routes);
             }
         }
         for candidate in &self.candidates {
@@ -821,6 +855,8 @@
 pub struct Results {
     /// Sum of their results.
     pub tally: BackendTotals,
+    /// Sum of their results by route.
+    pub routes: RouteTotals,
     /// Total slots of the backend servers that accept calls.
     pub slots: u32,
     /// Nodes of the backend servers that accept calls, sorted.
--- a/src/coordination/version_move.rs
+++ b/src/coordination/version_move.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::coordination::placement::Results;
+use crate::coordination::route_evidence::RouteEvidence;
 use crate::protocol::fleet::MoveRecord;
 use crate::protocol::fleet::MoveState;
 use crate::protocol::hop::BackendTotals;
@@ -24,6 +25,8 @@
 const STEPS: [(f64, f64); 4] = [(0.0, 0.08), (0.40, 0.30), (0.52, 0.60), (0.64, 1.0)];
 /// Fraction of the move's time at which it completes. The rest covers a slow store.
 const COMPLETE_AT: f64 = 0.80;
+/// Fraction of the move's time by which a step is delayed at most while a route is suspect.
+const MAX_SUSPENSE: f64 = 0.12;
 /// Ratio of the new version's slots to the old one's below which the share does not grow: the old backend
 /// servers are stopped after the move.
 const MIN_SLOT_RATIO: f64 = 0.5;
@@ -137,6 +140,8 @@
     detected_fault: Option<(Duration, String)>,
     /// Results at the first tick of the move.
     first: Option<Sample>,
+    /// Evidence by route since then.
+    routes: RouteEvidence,
     /// Results within [`EVIDENCE_WINDOW`].
     recent: VecDeque<Sample>,
 }
@@ -189,6 +194,7 @@
             state: None,
             detected_fault: None,
             first: None,
+            routes: RouteEvidence::default(),
             recent: VecDeque::new(),
         };
         match found {
@@ -438,9 +444,11 @@
         }
         let baseline = sample.old.since(&first.old);
         let recent = self.recent.front().map_or(first, |oldest| *oldest);
+        let of_route = self.routes.update(&new.routes, &old.routes);
         let finding = [recent, first]
             .iter()
-            .find_map(|since| find_fault(&sample.target.since(&since.target), &baseline));
+            .find_map(|since| find_fault(&sample.target.since(&since.target), &baseline))
+            .or(of_route);
         self.detected_fault = finding.map(|text| (now, text));
     }
 
@@ -495,6 +503,9 @@
         if elapsed < self.order.within.mul_f64(at) + delay {
             return None;
         }
+        if self.routes.is_suspect() && elapsed < self.order.within.mul_f64(at + MAX_SUSPENSE) {
+            return None;
+        }
         let has_slots = f64::from(new.slots) >= MIN_SLOT_RATIO * f64::from(old.slots);
         if next != MoveState::Step(0) && (new.slots == 0 || !has_slots) {
             return None;
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -1,6 +1,7 @@
 //! Headers of a call between two nodes: one for the request, one for the response. See
 //! `docs/platform.md`, "Between nodes".
 
+use std::fmt::Write;
 use std::time::Duration;
 
 use crate::protocol::call::Executed;
@@ -17,6 +18,8 @@
 pub const HOP_RESPONSE_HEADER: &str = "sw-end";
 /// Separates the fields of both headers; names on the platform do not contain it.
 const SEPARATOR: char = ';';
+/// Routes of one service whose results are kept apart.
+const MAX_ROUTES: usize = 128;
 
 /// Information about a call that the entry node sends to the serving node.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -119,6 +122,58 @@
     }
 }
 
+/// Results by route, sorted. Routes have their own objectives and faults, so that a sum over all of them
+/// says little about one.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RouteTotals(Vec<(RouteName, BackendTotals)>);
+
+impl RouteTotals {
+    /// Returns the results of a route.
+    #[must_use]
+    pub fn get(&self, route: &RouteName) -> BackendTotals {
+        let found = self.0.binary_search_by(|(known, _)| known.cmp(route));
+        found.map_or_else(|_| BackendTotals::default(), |index| self.0[index].1)
+    }
+
+    /// Returns the results of a route to change them; `None` if there are too many routes already.
+    pub fn entry(&mut self, route: &RouteName) -> Option<&mut BackendTotals> {
+        let index = match self.0.binary_search_by(|(known, _)| known.cmp(route)) {
+            Ok(index) => index,
+            Err(_) if self.0.len() >= MAX_ROUTES => return None,
+            Err(index) => {
+                let first = (route.clone(), BackendTotals::default());
+                self.0.insert(index, first);
+                index
+            }
+        };
+        Some(&mut self.0[index].1)
+    }
+
+    /// Returns the results of a route and of another one, by turns the others all get their turn.
+    #[must_use]
+    pub fn extract(&self, route: &RouteName, turn: usize) -> Self {
+        let other = turn % self.0.len().max(1);
+        let is_chosen = |index: usize, known: &RouteName| index == other || known == route;
+        let chosen = self.0.iter().enumerate();
+        let chosen = chosen.filter(|(index, (known, _))| is_chosen(*index, known));
+        Self(chosen.map(|(_, entry)| entry.clone()).collect())
+    }
+
+    /// Adds the results of other backend servers.
+    pub fn add(&mut self, other: &Self) {
+        for (route, tally) in &other.0 {
+            if let Some(sum) = self.entry(route) {
+                sum.add(tally);
+            }
+        }
+    }
+
+    /// Returns the routes and their results.
+    pub fn iter(&self) -> impl Iterator<Item = &(RouteName, BackendTotals)> {
+        self.0.iter()
+    }
+}
+
 /// Number of requests a second that a backend server accepts, in thousandths.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct RequestRate(u32);
@@ -171,7 +226,7 @@
 }
 
 /// Information that the serving node sends to the entry node with a response.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct HopResponseHeader {
     /// Whether the call was executed.
     pub run: Executed,
@@ -185,14 +240,28 @@
     pub load: Load,
     /// Cumulative results of its backend server.
     pub tally: BackendTotals,
+    /// Cumulative results of its backend server for some routes, while a rollout runs.
+    pub route_tallies: RouteTotals,
 }
 
 impl HopResponseHeader {
     /// Returns the header value.
     #[must_use]
     pub fn encode(&self) -> String {
+        let mut route_tallies = String::new();
+        for (route, tally) in self.route_tallies.iter() {
+            let BackendTotals {
+                runs,
+                failures,
+                latency_percent,
+            } = tally;
+            let _ = write!(
+                route_tallies,
+                ";{route};{runs};{failures};{latency_percent}"
+            );
+        }
         format!(
-            "{};{};{};{};{};{};{};{};{};{};{};{};{};{}",
+            "{};{};{};{};{};{};{};{};{};{};{};{};{};{}{}",
             self.run.as_str(),
             u8::from(self.arrived),
             self.code,
@@ -206,7 +275,8 @@
             self.tally.latency_percent,
             encode_limit(self.load.limit),
             u8::from(self.load.is_leaving),
-            self.load.transfer_wait_ms
+            self.load.transfer_wait_ms,
+            route_tallies
         )
     }
 
@@ -231,12 +301,28 @@
                 failures: fields.next()?.parse().ok()?,
                 latency_percent: fields.next()?.parse().ok()?,
             },
+            route_tallies: RouteTotals::default(),
         };
         header.load.limit = decode_limit(fields.next());
         header.load.is_leaving = fields.next() == Some("1");
         // Nodes of earlier builds do not send the field.
         let transfer_wait_ms = fields.next().and_then(|field| field.parse().ok());
         header.load.transfer_wait_ms = transfer_wait_ms.unwrap_or_default();
+        while let Some(route) = fields.next() {
+            let mut number = || fields.next().and_then(|field| field.parse().ok());
+            let (Some(runs), Some(failures), Some(latency_percent)) =
+                (number(), number(), number())
+            else {
+                break;
+            };
+            if let Some(tally) = header.route_tallies.entry(&route.into()) {
+                *tally = BackendTotals {
+                    runs,
+                    failures,
+                    latency_percent,
+                };
+            }
+        }
         Some(header)
     }
 }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -35,6 +35,7 @@
 use crate::protocol::hop::BackendTotals;
 use crate::protocol::hop::HopRequestHeader;
 use crate::protocol::hop::Load;
+use crate::protocol::hop::RouteTotals;
 use crate::protocol::mesh::MeshRoute;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::RouteName;
@@ -567,12 +568,18 @@
             outcome,
             reached: true,
             report: Some(serving::load_report(cx)),
+            // Added before each evaluation of the rollouts.
+            route_tallies: RouteTotals::default(),
         }
     } else {
         hop::send(cx, pick.addr, &serve).await
     };
     in_flight.end = attempt_end(&result);
     in_flight.report = result.report;
+    for (route, tally) in result.route_tallies.iter() {
+        let placement = &mut cx.state.borrow_mut().placement;
+        placement.on_route_tally(&pick.node, route, *tally);
+    }
     if let ServeOutcome::Ran { response, run_time } = &result.outcome {
         in_flight.run_time = *run_time;
         in_flight.bytes = response.body.len();
--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -19,6 +19,7 @@
 use crate::protocol::fleet::BackendPhase;
 use crate::protocol::fleet::BackendReport;
 use crate::protocol::hop::BackendTotals;
+use crate::protocol::hop::RouteTotals;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
 use crate::sidecar::leaves;
@@ -114,6 +115,7 @@
         });
         if restarted {
             state.tally = BackendTotals::default();
+            state.route_tallies = RouteTotals::default();
             state.breaker = Breaker::default();
         }
     }
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -24,6 +24,8 @@
 use crate::protocol::hop::HopResponseHeader;
 use crate::protocol::hop::Load;
 use crate::protocol::hop::ORIGIN_HEADER;
+use crate::protocol::hop::RouteTotals;
+use crate::protocol::name::RouteName;
 use crate::protocol::time::millis;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
@@ -72,7 +74,7 @@
     let head = headers::text(req.headers(), HOP_REQUEST_HEADER).and_then(HopRequestHeader::decode);
     let (Some(head), Some(target)) = (head, req.uri().path_and_query().cloned()) else {
         warn!(cx.log, "call from a node refused"; "code" => ResultCode::BadRequest.number(), "path" => req.path());
-        return call_response(cx, ServeOutcome::refused(ResultCode::BadRequest));
+        return call_response(cx, None, ServeOutcome::refused(ResultCode::BadRequest));
     };
     if !cx.is_synchronized()
         && let Some(origin) = headers::number(req.headers(), ORIGIN_HEADER)
@@ -88,7 +90,8 @@
         Err(failure) => {
             warn!(cx.log, "body of a call not read"; "code" => failure.code.number(), "why" => &failure.text,
                 "route" => head.route.as_str());
-            let mut response = call_response(cx, ServeOutcome::refused(failure.code));
+            let outcome = ServeOutcome::refused(failure.code);
+            let mut response = call_response(cx, Some(&head.route), outcome);
             http_server::close_after(&mut response);
             return response;
         }
@@ -97,8 +100,10 @@
         transfer.finish();
     }
     if cx.stopping.get() {
-        return call_response(cx, ServeOutcome::refused(ResultCode::Draining));
+        let outcome = ServeOutcome::refused(ResultCode::Draining);
+        return call_response(cx, Some(&head.route), outcome);
     }
+    let route = head.route.clone();
     let call = ServeCall {
         head,
         method: req.method().clone(),
@@ -109,7 +114,7 @@
         arrived,
     };
     let outcome = serving::serve(cx, call).await;
-    call_response(cx, outcome)
+    call_response(cx, Some(&route), outcome)
 }
 
 /// Refuses a call whose body has not been received. The connection is closed, since the body may still
@@ -122,7 +127,7 @@
 ) -> Response<BoxBody> {
     let attempt = requests::read_client_headers(req.headers()).attempt;
     serving::on_refusal(cx, attempt.as_ref(), head, &outcome);
-    let mut response = call_response(cx, outcome);
+    let mut response = call_response(cx, Some(&head.route), outcome);
     http_server::close_after(&mut response);
     response
 }
@@ -144,7 +149,11 @@
     }
 }
 
-fn call_response(cx: &Sidecar, outcome: ServeOutcome) -> Response<BoxBody> {
+fn call_response(
+    cx: &Sidecar,
+    route: Option<&RouteName>,
+    outcome: ServeOutcome,
+) -> Response<BoxBody> {
     let (load, tally) = serving::load_report(cx);
     let (run, arrived, code) = match &outcome {
         ServeOutcome::Ran { .. } => (Executed::Yes, true, 0),
@@ -176,6 +185,9 @@
         run_ms,
         load,
         tally,
+        route_tallies: route.map_or_else(RouteTotals::default, |route| {
+            serving::route_report(cx, route)
+        }),
     };
     if let Ok(value) = HeaderValue::try_from(end.encode()) {
         let name = HeaderName::from_static(HOP_RESPONSE_HEADER);
@@ -206,6 +218,8 @@
     pub reached: bool,
     /// Load and results that the node reported.
     pub report: Option<(Load, BackendTotals)>,
+    /// Results by route that the node reported.
+    pub route_tallies: RouteTotals,
 }
 
 /// Sends a call to the node at `addr`.
@@ -248,6 +262,7 @@
                 outcome,
                 reached,
                 report: None,
+                route_tallies: RouteTotals::default(),
             }
         }
     }
@@ -262,6 +277,7 @@
             outcome: ServeOutcome::Unknown(ResultCode::InvalidResponse),
             reached: true,
             report: None,
+            route_tallies: RouteTotals::default(),
         };
     };
     let code = ResultCode::from_number(end.code);
@@ -282,5 +298,6 @@
         outcome,
         reached: true,
         report: Some((end.load, end.tally)),
+        route_tallies: end.route_tallies,
     }
 }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -50,6 +50,7 @@
 use crate::node::clock::Clock;
 use crate::platform::store::Store;
 use crate::protocol::hop::BackendTotals;
+use crate::protocol::hop::RouteTotals;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::ServiceName;
 use crate::result_code::ResultCode;
@@ -91,6 +92,10 @@
     crashing: CrashingRequests,
     /// Results of the backend server's current incarnation.
     tally: BackendTotals,
+    /// The same by route, while a rollout runs.
+    route_tallies: RouteTotals,
+    /// Number of the last response with results by route.
+    route_turn: usize,
     moves: Moves,
     /// Nodes that receive the traffic share of a new version, sorted by service.
     exposed: Vec<(ServiceName, Vec<NodeId>)>,
@@ -201,6 +206,8 @@
         crash_watch: CrashWatch::default(),
         crashing: CrashingRequests::default(),
         tally: BackendTotals::default(),
+        route_tallies: RouteTotals::default(),
+        route_turn: 0,
         moves: Moves::default(),
         exposed: Vec::new(),
         fleet_read: false,
--- a/src/sidecar/rollouts.rs
+++ b/src/sidecar/rollouts.rs
@@ -20,6 +20,7 @@
 use crate::protocol::codec;
 use crate::protocol::fleet::MoveRecord;
 use crate::protocol::fleet::MoveState;
+use crate::protocol::hop::RouteTotals;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::ServiceName;
 use crate::sidecar::Sidecar;
@@ -96,10 +97,17 @@
     let mut state = cx.state.borrow_mut();
     let state = &mut *state;
     if !state.moves.is_active() {
+        state.route_tallies = RouteTotals::default();
+        state.placement.clear_route_tallies();
         return Vec::new();
     }
     let (load, tally) = (cx.slots.with(|queue| queue.load()), state.tally);
     state.placement.on_report(now, &cx.settings.id, load, tally);
+    for (route, tally) in state.route_tallies.iter() {
+        state
+            .placement
+            .on_route_tally(&cx.settings.id, route, *tally);
+    }
     let rank = state
         .placement
         .entries()
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -23,6 +23,8 @@
 use crate::protocol::hop::HopRequestHeader;
 use crate::protocol::hop::Load;
 use crate::protocol::hop::RequestRate;
+use crate::protocol::hop::RouteTotals;
+use crate::protocol::name::RouteName;
 use crate::protocol::time::millis;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
@@ -136,6 +138,17 @@
     (load, state.tally)
 }
 
+/// Returns the results of a call's route and of one other, by turns, which are sent with its response while a
+/// rollout runs. So nodes whose callers do not use a route learn of its faults as well.
+pub fn route_report(cx: &Sidecar, route: &RouteName) -> RouteTotals {
+    let state = &mut *cx.state.borrow_mut();
+    if !state.moves.is_active() {
+        return RouteTotals::default();
+    }
+    state.route_turn = state.route_turn.wrapping_add(1);
+    state.route_tallies.extract(route, state.route_turn)
+}
+
 /// Slot of a call, with what the end of the call, or its cancellation, reports.
 struct SlotGuard {
     cx: Rc<Sidecar>,
@@ -150,6 +163,7 @@
 struct RunningCall {
     began: Duration,
     objective: Duration,
+    route: RouteName,
     backend: BackendReport,
 }
 
@@ -163,7 +177,7 @@
         if let Some(running) = self.running.take() {
             let elapsed = now.saturating_sub(running.began);
             if let Some(percent) = cancelled_percent(elapsed, running.objective) {
-                add_run(&mut state, &running.backend, percent, false);
+                add_run(&mut state, &running.backend, &running.route, percent, false);
             }
         }
     }
@@ -341,6 +355,7 @@
     slot.running = Some(RunningCall {
         began,
         objective: call.head.objective,
+        route: call.head.route.clone(),
         backend: backend.clone(),
     });
     let sent = forward(&cx, &call, &backend, left);
@@ -499,20 +514,35 @@
         reason = "the deadline bounds the latency"
     )]
     let percent = (run_time.as_secs_f64() / objective * 100.0) as u64;
-    add_run(&mut cx.state.borrow_mut(), backend, percent, failed);
+    let mut state = cx.state.borrow_mut();
+    add_run(&mut state, backend, &call.head.route, percent, failed);
 }
 
 /// Adds a run to the tally if the backend server is still the incarnation that ran it.
-fn add_run(state: &mut SidecarState, backend: &BackendReport, percent: u64, failed: bool) {
+fn add_run(
+    state: &mut SidecarState,
+    backend: &BackendReport,
+    route: &RouteName,
+    percent: u64,
+    failed: bool,
+) {
     let current = state.backend.report();
     if current.is_none_or(|report| !report.is_same_incarnation(backend)) {
         return;
     }
     let is_cold = current.is_some_and(|report| report.cold_left_ms > 0);
-    let tally = &mut state.tally;
-    if !is_cold || failed {
-        tally.runs += 1;
-        tally.failures += u64::from(failed);
-        tally.latency_percent += percent;
+    if is_cold && !failed {
+        return;
+    }
+    let run = BackendTotals {
+        runs: 1,
+        failures: u64::from(failed),
+        latency_percent: percent,
+    };
+    state.tally.add(&run);
+    if state.moves.is_active()
+        && let Some(tally) = state.route_tallies.entry(route)
+    {
+        tally.add(&run);
     }
 }
--- /dev/null
+++ b/tests/hop_headers.rs
@@ -0,0 +1,81 @@
+//! Headers of calls between nodes.
+
+use googletest::prelude::*;
+use sycamorewick::protocol::call::Executed;
+use sycamorewick::protocol::hop::BackendTotals;
+use sycamorewick::protocol::hop::HopResponseHeader;
+use sycamorewick::protocol::hop::Load;
+use sycamorewick::protocol::hop::RouteTotals;
+
+fn totals(runs: u64, failures: u64) -> BackendTotals {
+    BackendTotals {
+        runs,
+        failures,
+        latency_percent: 40 * runs,
+    }
+}
+
+fn routes(of: &[(&str, BackendTotals)]) -> RouteTotals {
+    let mut routes = RouteTotals::default();
+    for (route, tally) in of {
+        if let Some(sum) = routes.entry(&(*route).into()) {
+            sum.add(tally);
+        }
+    }
+    routes
+}
+
+fn header(route_tallies: RouteTotals) -> HopResponseHeader {
+    HopResponseHeader {
+        run: Executed::Yes,
+        arrived: true,
+        code: 0,
+        run_ms: 12,
+        load: Load {
+            slots: 4,
+            ..Load::default()
+        },
+        tally: totals(90, 3),
+        route_tallies,
+    }
+}
+
+/// Guards against results by route that are lost between nodes, or that make the header unreadable for a node
+/// of an earlier build, which reads the fields before them only.
+#[gtest]
+fn response_header_with_routes() {
+    let sent = header(routes(&[
+        ("claims", totals(30, 3)),
+        ("lookup", totals(60, 0)),
+    ]));
+    expect_that!(HopResponseHeader::decode(&sent.encode()), some(eq(&sent)));
+    let plain = header(RouteTotals::default());
+    expect_that!(HopResponseHeader::decode(&plain.encode()), some(eq(&plain)));
+    expect_that!(sent.encode(), starts_with(plain.encode()));
+    for cut in [";claims", ";claims;30", ";claims;30;x;1"] {
+        let text = format!("{}{cut}", plain.encode());
+        expect_that!(HopResponseHeader::decode(&text), some(eq(&plain)));
+    }
+}
+
+/// Guards against routes of which a node never learns, since its own callers do not use them.
+#[gtest]
+fn extract_takes_turns() {
+    let all = routes(&[
+        ("claims", totals(30, 3)),
+        ("lookup", totals(60, 0)),
+        ("search", totals(9, 0)),
+    ]);
+    let mut known = RouteTotals::default();
+    for turn in 0..3 {
+        let part = all.extract(&"lookup".into(), turn);
+        expect_that!(part.iter().count(), le(2));
+        expect_that!(part.get(&"lookup".into()), eq(totals(60, 0)));
+        for (route, tally) in part.iter() {
+            if let Some(known) = known.entry(route) {
+                *known = *tally;
+            }
+        }
+    }
+    expect_that!(known, eq(&all));
+}
--- a/tests/version_move.rs
+++ b/tests/version_move.rs
@@ -59,7 +59,7 @@
             Results {
                 tally: if is_new { new } else { old },
                 slots: if is_new { new_slots } else { 54 },
-                nodes: Vec::new(),
+                ..Results::default()
             }
         })
     }
--- a/tests/version_move_random.rs
+++ b/tests/version_move_random.rs
@@ -191,7 +191,7 @@
                         old
                     },
                     slots: SLOTS,
-                    nodes: Vec::new(),
+                    ..Results::default()
                 });
                 let Some(action) = actions.into_iter().next() else {
                     return;
