--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -70,18 +70,7 @@
             prometheus: PrometheusHandle,
         }
 
-        /// Sums up the observations of all histograms at an interval. They are kept one by one until then, and
-/// nobody may ever ask for the metrics.
-pub fn start_upkeep(prometheus: PrometheusHandle) {
-    actix_rt::spawn(async move {
-        loop {
-            actix_rt::time::sleep(UPKEEP_INTERVAL).await;
-            prometheus.run_upkeep();
-        }
-    });
-}
-
-impl NodeMetrics {
+        impl NodeMetrics {
             fn register(prometheus: PrometheusHandle) -> Self {
                 Self {
                     $($field: $kind!($name),)*
@@ -139,6 +128,17 @@
     log_failing: gauge = "sycamorewick_log_failing_seconds";
 }
 
+/// Sums up the observations of all histograms at an interval. They are kept one by one until then, and
+/// nobody may ever ask for the metrics.
+pub fn start_upkeep(prometheus: PrometheusHandle) {
+    actix_rt::spawn(async move {
+        loop {
+            actix_rt::time::sleep(UPKEEP_INTERVAL).await;
+            prometheus.run_upkeep();
+        }
+    });
+}
+
 impl NodeMetrics {
     /// Installs the recorder of the process and registers all metrics.
     ///
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -149,7 +149,7 @@
         Some(&mut self.0[index].1)
     }
 
-    /// Returns the results of a route and of another one, by turns the others all get their turn.
+    /// Returns the results of a route and of one other, which changes with `turn`.
     #[must_use]
     pub fn extract(&self, route: &RouteName, turn: usize) -> Self {
         let other = turn % self.0.len().max(1);
