--- a/src/coordination/route_evidence.rs
+++ b/src/coordination/route_evidence.rs
@@ -24,7 +24,8 @@
 /// Minimum runs for a comparison of latencies.
 const MIN_LATENCY_RUNS: u64 = 40;
 const MIN_BASELINE_RUNS: u64 = 100;
-/// Ratio of the mean latency to that of the old version above which a route is faulty.
+/// Ratio of the mean latency to that of the old version above which a version is faulty. A good version that
+/// takes most of the traffic on fewer slots may take up to twice as long.
 const MAX_SLOWDOWN: f64 = 3.0;
 
 /// Evidence of one move against the new version, by route.
@@ -43,14 +44,6 @@
     is_suspect: bool,
 }
 
-#[allow(
-    clippy::cast_precision_loss,
-    reason = "numbers of runs are far below 2^52"
-)]
-fn rate(tally: &BackendTotals) -> f64 {
-    tally.failures as f64 / tally.runs.max(1) as f64
-}
-
 /// Returns the logarithm of the likelihood ratio of two failure rates to one, or zero if the new rate is not
 /// that of a faulty route. Failures are rare, so that their number counts as Poisson distributed.
 #[allow(
@@ -58,7 +51,7 @@
     reason = "numbers of runs are far below 2^52"
 )]
 fn ln_ratio(new: &BackendTotals, old: &BackendTotals, min_failures: u64) -> f64 {
-    let is_higher = rate(new) > MIN_FAULTY_RATE.max(MIN_RATIO * rate(old));
+    let is_higher = new.failure_rate() > MIN_FAULTY_RATE.max(MIN_RATIO * old.failure_rate());
     if new.failures < min_failures || !is_higher {
         return 0.0;
     }
@@ -66,7 +59,7 @@
     both.add(old);
     let term = |tally: &BackendTotals| match tally.failures {
         0 => 0.0,
-        failures => failures as f64 * (rate(tally) / rate(&both)).ln(),
+        failures => failures as f64 * (tally.failure_rate() / both.failure_rate()).ln(),
     };
     term(new) + term(old)
 }
@@ -107,14 +100,10 @@
     reason = "numbers of runs are far below 2^52"
 )]
 fn looks_sound(late: &BackendTotals, baseline: &BackendTotals) -> bool {
-    let expected = late.runs as f64 * rate(baseline).max(MIN_FAULTY_RATE);
+    let expected = late.runs as f64 * baseline.failure_rate().max(MIN_FAULTY_RATE);
     (late.failures as f64) < expected
 }
 
-#[allow(
-    clippy::cast_precision_loss,
-    reason = "numbers of runs are far below 2^52"
-)]
 fn find_fault(
     all: &BackendTotals,
     late: &BackendTotals,
@@ -123,19 +112,29 @@
     let is_faulty = ln_ratio(all, baseline, MIN_FAILURES) > THRESHOLD
         || ln_ratio(late, baseline, MIN_FAILURES) > LATE_THRESHOLD;
     if is_faulty {
-        return Some(format!(
-            "{} of {} runs failed, {} of {} of the old version",
-            all.failures, all.runs, baseline.failures, baseline.runs
-        ));
+        return Some(describe_failures(all, baseline));
     }
-    let mean = |tally: &BackendTotals| tally.latency_percent as f64 / tally.runs.max(1) as f64;
-    let slowdown = mean(all) / mean(baseline).max(1.0);
     let is_comparable = all.runs >= MIN_LATENCY_RUNS && baseline.runs >= MIN_BASELINE_RUNS;
-    let is_slow = is_comparable && slowdown > MAX_SLOWDOWN;
-    is_slow.then(|| {
+    find_slowdown(all, baseline).filter(|_| is_comparable)
+}
+
+/// Describes the failures of a new version beside those of the old one.
+#[must_use]
+pub fn describe_failures(new: &BackendTotals, old: &BackendTotals) -> String {
+    format!(
+        "{} of {} runs failed, {} of {} of the old version",
+        new.failures, new.runs, old.failures, old.runs
+    )
+}
+
+/// Describes by how much a new version is slower than the old one, if it is faulty for that.
+#[must_use]
+pub fn find_slowdown(new: &BackendTotals, old: &BackendTotals) -> Option<String> {
+    let slowdown = new.mean_latency_percent() / old.mean_latency_percent().max(1.0);
+    (slowdown > MAX_SLOWDOWN).then(|| {
         format!(
             "mean latency of {} runs is {slowdown:.1} times that of the old version",
-            all.runs
+            new.runs
         )
     })
 }
--- a/src/coordination/version_move.rs
+++ b/src/coordination/version_move.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::coordination::placement::Results;
+use crate::coordination::route_evidence;
 use crate::coordination::route_evidence::RouteEvidence;
 use crate::protocol::fleet::MoveRecord;
 use crate::protocol::fleet::MoveState;
@@ -39,9 +40,6 @@
 const MAX_FAILURE_RATE: f64 = 0.08;
 /// Minimum runs of the new version for a comparison of latencies.
 const MIN_LATENCY_RUNS: u64 = 10;
-/// Ratio of the mean latency to that of the old version above which a version is reverted. A good
-/// version that takes most of the traffic on fewer slots may take up to twice as long.
-const MAX_SLOWDOWN: f64 = 3.0;
 /// Minimum runs of the old version for a baseline of its latency.
 const MIN_BASELINE_RUNS: u64 = 20;
 /// Highest rank that adds to the delay. The nodes of lower rank may all be down, and a move still has to
@@ -192,9 +190,8 @@
         }
         let service = order.service.clone();
         // The operator wants the version all the same.
-        let is_target =
-            |ban: &(ServiceName, VersionName)| ban.0 == service && ban.1 == order.target;
-        self.banned.retain(|ban| !is_target(ban));
+        self.banned
+            .retain(|(of, version)| (of, version) != (&service, &order.target));
         let entry = Move {
             order,
             offset,
@@ -343,13 +340,13 @@
     #[must_use]
     pub fn plan(&self, service: &ServiceName) -> Option<VersionPlan> {
         let entry = &self.current[self.index(service).ok()?];
-        let (share, banned) = match entry.state {
-            Some(MoveState::Reverted) => (0.0, true),
-            _ if entry.is_taken_back() => (0.0, true),
-            Some(MoveState::Step(_)) if entry.is_end_unknown => (0.0, false),
-            Some(MoveState::Complete) => (1.0, false),
-            Some(MoveState::Step(step)) => (STEPS[usize::from(step).min(STEPS.len() - 1)].1, false),
-            None => (0.0, false),
+        let banned = entry.is_taken_back();
+        let share = match entry.state {
+            _ if banned => 0.0,
+            Some(MoveState::Step(_)) if entry.is_end_unknown => 0.0,
+            Some(MoveState::Complete) => 1.0,
+            Some(MoveState::Step(step)) => STEPS[usize::from(step).min(STEPS.len() - 1)].1,
+            Some(MoveState::Reverted) | None => 0.0,
         };
         Some(VersionPlan {
             target: entry.order.target.clone(),
@@ -551,27 +548,11 @@
 }
 
 /// Compares the results of both versions and describes the fault of the new one, if any.
-#[allow(
-    clippy::cast_precision_loss,
-    reason = "numbers of runs are far below 2^52"
-)]
 fn find_fault(new: &BackendTotals, old: &BackendTotals) -> Option<String> {
-    let rate = |tally: &BackendTotals| tally.failures as f64 / tally.runs.max(1) as f64;
-    let mean = |tally: &BackendTotals| tally.latency_percent as f64 / tally.runs.max(1) as f64;
-    let (failure_rate, old_rate) = (rate(new), rate(old));
-    if new.failures >= MIN_FAILURES && failure_rate > MAX_FAILURE_RATE.max(3.0 * old_rate) {
-        return Some(format!(
-            "{} of {} runs failed, {} of {} of the old version",
-            new.failures, new.runs, old.failures, old.runs
-        ));
-    }
-    let comparable = new.runs >= MIN_LATENCY_RUNS && old.runs >= MIN_BASELINE_RUNS;
-    let slowdown = mean(new) / mean(old).max(1.0);
-    if comparable && slowdown > MAX_SLOWDOWN {
-        return Some(format!(
-            "mean latency of {} runs is {slowdown:.1} times that of the old version",
-            new.runs
-        ));
+    let max_rate = MAX_FAILURE_RATE.max(3.0 * old.failure_rate());
+    if new.failures >= MIN_FAILURES && new.failure_rate() > max_rate {
+        return Some(route_evidence::describe_failures(new, old));
     }
-    None
+    let is_comparable = new.runs >= MIN_LATENCY_RUNS && old.runs >= MIN_BASELINE_RUNS;
+    route_evidence::find_slowdown(new, old).filter(|_| is_comparable)
 }
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -107,6 +107,26 @@
         self.latency_percent += other.latency_percent;
     }
 
+    /// Returns the part of the runs that failed.
+    #[must_use]
+    #[allow(
+        clippy::cast_precision_loss,
+        reason = "numbers of runs are far below 2^52"
+    )]
+    pub fn failure_rate(&self) -> f64 {
+        self.failures as f64 / self.runs.max(1) as f64
+    }
+
+    /// Returns the mean latency in percent of the objective.
+    #[must_use]
+    #[allow(
+        clippy::cast_precision_loss,
+        reason = "numbers of runs are far below 2^52"
+    )]
+    pub fn mean_latency_percent(&self) -> f64 {
+        self.latency_percent as f64 / self.runs.max(1) as f64
+    }
+
     /// Returns the results since `earlier`, or all results if the backend server has restarted since
     /// then.
     #[must_use]
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -133,16 +133,18 @@
         .map_or(DEFAULT_BODY_BYTES, |table| table.limits().body_bytes);
     let mut payload = req.take_payload();
     let caller = requests::read_client_headers(req.headers());
-    let route = table.as_ref().map(|table| {
-        let route = table.find(headers::host(req.headers()), req.path());
-        route.cloned().ok_or(ResultCode::NoRoute)
-    });
-    let route = route.unwrap_or(Err(ResultCode::NotReady));
-    let timeout = route
+    let route = table
+        .as_ref()
+        .ok_or(ResultCode::NotReady)
+        .and_then(|table| {
+            let route = table.find(headers::host(req.headers()), req.path());
+            route.cloned().ok_or(ResultCode::NoRoute)
+        });
+    let time_limit = route
         .as_ref()
         .map_or(BODY_TIMEOUT, |route| route.timeout)
         .min(caller.time_left.unwrap_or(Duration::MAX));
-    let (body, held) = http_server::read_body_within(&mut payload, limit, &cx.bodies, timeout)
+    let (body, held) = http_server::read_body_within(&mut payload, limit, &cx.bodies, time_limit)
         .await
         .map_err(|failure| failure.code)?;
     let route = route?;
@@ -151,7 +153,6 @@
         .path_and_query()
         .ok_or(ResultCode::BadRequest)?
         .clone();
-    let time_limit = caller.time_left.unwrap_or(Duration::MAX).min(route.timeout);
     let time_limit = match &*cx.stop_plan.borrow() {
         Some(plan) => plan.call_time_limit(arrived, time_limit),
         None => Some(time_limit),
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -91,9 +91,7 @@
             warn!(cx.log, "body of a call not read"; "code" => failure.code.number(), "why" => &failure.text,
                 "route" => head.route.as_str());
             let outcome = ServeOutcome::refused(failure.code);
-            let mut response = call_response(cx, Some(&head.route), outcome);
-            http_server::close_after(&mut response);
-            return response;
+            return unread_response(cx, &head, outcome);
         }
     };
     if let Some(transfer) = transfer {
@@ -127,6 +125,15 @@
 ) -> Response<BoxBody> {
     let attempt = requests::read_client_headers(req.headers()).attempt;
     serving::on_refusal(cx, attempt.as_ref(), head, &outcome);
+    unread_response(cx, head, outcome)
+}
+
+/// Returns the response to a call whose body has not been read to its end. It closes the connection.
+fn unread_response(
+    cx: &Sidecar,
+    head: &HopRequestHeader,
+    outcome: ServeOutcome,
+) -> Response<BoxBody> {
     let mut response = call_response(cx, Some(&head.route), outcome);
     http_server::close_after(&mut response);
     response
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -258,6 +258,13 @@
     _platform: [HttpServer; 3],
 }
 
+impl Servers {
+    /// Returns the number of answers to callers and other nodes that are not sent completely.
+    fn unsent_responses(&self) -> usize {
+        self.caller.unsent_responses() + self.node.unsent_responses()
+    }
+}
+
 async fn start_servers(cx: &Rc<Sidecar>) -> eyre::Result<Servers> {
     let settings = &cx.settings;
     let caller = bind(settings.caller_addr).await?;
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -69,8 +69,8 @@
     let mut withdrawn = false;
     loop {
         // A call is open until its response is sent.
-        let unsent = servers.caller.unsent_responses() + servers.node.unsent_responses();
-        let (now, open_calls) = (cx.clock.now(), cx.open_calls.get() + unsent);
+        let open_calls = cx.open_calls.get() + servers.unsent_responses();
+        let now = cx.clock.now();
         let step = cx
             .stop_plan
             .borrow_mut()
@@ -89,7 +89,7 @@
         }
         actix_rt::time::sleep(CHECK_INTERVAL).await;
     }
-    let unsent = servers.caller.unsent_responses() + servers.node.unsent_responses();
+    let unsent = servers.unsent_responses();
     if cx.open_calls.get() + unsent > 0 {
         warn!(cx.log, "calls still run at the end of the drain"; "open_calls" => cx.open_calls.get(),
             "unsent_responses" => unsent);
--- a/tests/process_metrics.rs
+++ b/tests/process_metrics.rs
@@ -3,11 +3,11 @@
 mod sidecar_common;
 
 use std::env;
-use std::fs;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::process;
 use std::thread;
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 use sidecar_common::TestFleet;
 use sidecar_common::run;
 use sycamorewick::sidecar::metrics::SidecarMetrics;
+use testbed::measure::process_usage::ProcessUsage;
 
 /// Requests whose observations are recorded in one step, the steps, and the pause after each. Without upkeep
 /// the second half of the steps takes 16 MB.
@@ -31,11 +32,8 @@
 const PIPELINED: usize = 16;
 
 /// Memory of a process, kB.
-fn memory_kb(pid: &str) -> eyre::Result<i64> {
-    let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let field = line.and_then(|line| line.split_whitespace().nth(1));
-    Ok(field.unwrap_or_default().parse()?)
+fn memory_kb(pid: u32) -> eyre::Result<i64> {
+    Ok(i64::try_from(ProcessUsage::read(pid)?.rss_kib)?)
 }
 
 /// Guards against observations that are kept one by one until somebody fetches the metrics, some 25 bytes a
@@ -51,7 +49,7 @@
                 metrics.backend_latency.record(0.01);
             }
             actix_rt::time::sleep(STEP_PAUSE).await;
-            memory.push(memory_kb("self").expect("the own status"));
+            memory.push(memory_kb(process::id()).expect("the own status"));
         }
         memory
     });
@@ -89,15 +87,15 @@
         let fleet = TestFleet::start(1).await?;
         let node = &fleet.fleet.nodes()[0];
         let addr = node.addrs.caller;
-        let pid = node.process.pid().unwrap_or_default().to_string();
+        let pid = node.process.pid().unwrap_or_default();
         thread::spawn(move || send_requests(addr, requests / 10))
             .join()
             .expect("the client")?;
-        let first = memory_kb(&pid)?;
+        let first = memory_kb(pid)?;
         thread::spawn(move || send_requests(addr, requests))
             .join()
             .expect("the client")?;
-        let last = memory_kb(&pid)?;
+        let last = memory_kb(pid)?;
         println!("{requests} requests: {first} kB after a tenth, {last} kB at the end");
         expect_that!(last - first, le(MAX_GROWTH_KB));
         Ok(())
--- a/tests/version_move_routes.rs
+++ b/tests/version_move_routes.rs
@@ -12,7 +12,6 @@
 use sycamorewick::protocol::fleet::MoveState;
 use sycamorewick::protocol::hop::BackendTotals;
 use sycamorewick::protocol::mesh::MoveOrder;
-use sycamorewick::protocol::name::RouteName;
 use sycamorewick::protocol::name::ServiceName;
 use sycamorewick::protocol::name::VersionName;
 
@@ -30,44 +29,24 @@
     ("export", 0.05),
 ];
 
-/// Results of both versions, as the node knows them.
-#[derive(Default)]
-struct Version {
-    tally: BackendTotals,
-    routes: Vec<(RouteName, BackendTotals)>,
-}
-
-impl Version {
-    fn run(&mut self, route: &str, failed: bool, latency_percent: u64) {
-        let run = BackendTotals {
-            runs: 1,
-            failures: u64::from(failed),
-            latency_percent,
-        };
-        self.tally.add(&run);
-        let index = self
-            .routes
-            .iter()
-            .position(|(known, _)| known.as_str() == route);
-        let index = index.unwrap_or_else(|| {
-            self.routes.push((route.into(), BackendTotals::default()));
-            self.routes.len() - 1
-        });
-        self.routes[index].1.add(&run);
+/// Results of a version before its first run.
+fn no_results() -> Results {
+    Results {
+        slots: 54,
+        ..Results::default()
     }
+}
 
-    fn results(&self) -> Results {
-        let mut results = Results {
-            tally: self.tally,
-            slots: 54,
-            ..Results::default()
-        };
-        for (route, tally) in &self.routes {
-            if let Some(sum) = results.routes.entry(route) {
-                sum.add(tally);
-            }
-        }
-        results
+/// Adds a run to the results of a version, as the node knows them.
+fn add_run(results: &mut Results, route: &str, failed: bool, latency_percent: u64) {
+    let run = BackendTotals {
+        runs: 1,
+        failures: u64::from(failed),
+        latency_percent,
+    };
+    results.tally.add(&run);
+    if let Some(sum) = results.routes.entry(&route.into()) {
+        sum.add(&run);
     }
 }
 
@@ -89,7 +68,7 @@
         within: WITHIN,
     };
     moves.on_order(START, ORDER, order);
-    let (mut old, mut new) = (Version::default(), Version::default());
+    let (mut old, mut new) = (no_results(), no_results());
     let (mut now, mut all, mut exposed) = (START, 0, 0);
     let mut end = None;
     while now < START + WITHIN && end.is_none() {
@@ -108,13 +87,13 @@
             let failed = rng.random_range(0.0..1.0) < rate;
             let latency = rng.random_range(10..60) * if is_affected { slowdown } else { 1 };
             let version = if is_new { &mut new } else { &mut old };
-            version.run(route, failed, latency);
+            add_run(version, route, failed, latency);
             all += 1;
             exposed += u32::from(is_new);
         }
         let actions = moves.tick(now, 0, |_, of| {
             let is_new = of(&VersionName::from("v2"));
-            if is_new { new.results() } else { old.results() }
+            if is_new { new.clone() } else { old.clone() }
         });
         for action in actions {
             let record = MoveRecord {
