--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -29,10 +29,10 @@
 use sycamorewick::transport::http_server::Handler;
 use sycamorewick::transport::http_server::HttpServer;
 
-/// Events of the handlers: a path when its request starts, and with `!` when it is cancelled.
 /// Size of a response that does not fit into the buffers of the kernel, bytes.
 const LARGE_RESPONSE: usize = 64 << 20;
 
+/// Events of the handlers: a path when its request starts, and with `!` when it is cancelled.
 type Events = Rc<RefCell<Vec<String>>>;
 
 /// Records that a handler was dropped before it responded.
