Use no version of a rollout before its result is read, even if no other is known

A restarted node writes its entry without a backend server until the next heartbeat, and the other nodes read that. A node then knows the version that was taken back only, and used it as the only one that is left until it had read the result, up to 0.25 s later. The traces of two of these runs show `node entry written` with backend none, `call routed` to v2, and `rollout result read` after it.

Ruled out by the same traces: an order, a step or a result that is read late or not applied, and calls before the node is ready.

Change: the version is kept unused until the result is read, even if no other one is known. If the result can't be read in the first 3 s of the process, the only version that is left is used: a service must not stay refused for as long as the store is away.

--- a/src/coordination/version_move.rs
+++ b/src/coordination/version_move.rs
@@ -93,6 +93,8 @@
     pub share: f64,
     /// Whether it must not be used even if no other version is available.
     pub banned: bool,
+    /// Whether it may have been taken back, which is being read. It is not used until then either.
+    pub awaits_result: bool,
 }
 
 /// Record for the owner of the [`Moves`] to write.
@@ -135,6 +137,8 @@
     /// Whether the operator may have been told an end that is not recorded for other nodes: its writer may
     /// have ended between both writes, and with it all nodes that knew.
     is_end_unknown: bool,
+    /// Whether the version is kept unused until the end is known, even if no other version is available.
+    awaits_result: bool,
     state: Option<MoveState>,
     /// Fault that this node found in the new version, and when.
     detected_fault: Option<(Duration, String)>,
@@ -200,6 +204,7 @@
             rewritten_until: Duration::ZERO,
             started: now,
             is_end_unknown: now < STARTUP_TIME,
+            awaits_result: now < STARTUP_TIME,
             state: None,
             detected_fault: None,
             first: None,
@@ -328,6 +333,7 @@
             return;
         };
         entry.is_end_unknown = false;
+        entry.awaits_result = false;
         if end.is_some() && !entry.has_ended() {
             entry.state = end;
             entry.recent.clear();
@@ -352,6 +358,7 @@
             target: entry.order.target.clone(),
             share,
             banned,
+            awaits_result: entry.awaits_result && !entry.has_ended(),
         })
     }
 
@@ -406,6 +413,8 @@
             if !entry.has_ended() {
                 entry.evaluate(now, &new, &old);
             }
+            // While the store is away, the only version that is left is better than none.
+            entry.awaits_result &= now < STARTUP_TIME;
             let action = entry.next_action(now, rank, &new, &old);
             actions.extend(action.map(|action| MoveAction { era, ..action }));
         }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -468,9 +468,10 @@
         [Some(&new), Some(&old)]
     } else {
         // The new version gets traffic beyond its share only if no node runs the old version.
+        let is_only_one = !plan.banned && !plan.awaits_result && !has_old;
         [
             Some(&old),
-            (!plan.banned && !has_old).then_some(&any_new as Permits<'_>),
+            is_only_one.then_some(&any_new as Permits<'_>),
         ]
     };
     preferences.into_iter().flatten().find_map(|permits| {
--- a/tests/process_odd_records.rs
+++ b/tests/process_odd_records.rs
@@ -150,7 +150,8 @@
 }
 
 /// Guards against a version that was taken back and gets requests again: all nodes were killed after the
-/// operator's result was written, and before it was recorded for the nodes.
+/// operator's result was written, and before it was recorded for the nodes. The entries of the restarted nodes
+/// name no backend server at first, so that one may know no other version.
 #[gtest]
 fn rollout_end_known_to_operator_only() {
     run(async {
@@ -205,7 +206,14 @@
             actix_rt::time::sleep(Duration::from_millis(10)).await;
         }
         expect_that!(env.backends[0].runs().len(), gt(0));
-        expect_that!(env.backends[1].runs().len(), eq(0));
+        let output = |index: usize| env.fleet.nodes()[index].process.output();
+        expect_that!(
+            env.backends[1].runs().len(),
+            eq(0),
+            "{}\n{}",
+            output(0),
+            output(1)
+        );
         Ok(())
     });
 }
--- a/tests/version_move.rs
+++ b/tests/version_move.rs
@@ -525,9 +525,13 @@
         };
         moves.on_record(Duration::from_millis(20), &service, step);
         let share = |moves: &Moves| moves.plan(&service).map(|plan| plan.share);
+        let awaits_result =
+            |moves: &Moves| moves.plan(&service).is_some_and(|plan| plan.awaits_result);
         expect_that!(share(&moves), some(eq(0.0)));
+        expect_true!(awaits_result(&moves));
         expect_that!(moves.unread_results().len(), eq(1));
         moves.on_result(Duration::from_millis(30), ORDER, end);
+        expect_false!(awaits_result(&moves));
         expect_that!(moves.unread_results().len(), eq(0));
         let is_reverted = end == Some(MoveState::Reverted);
         let expected = if is_reverted { 0.0 } else { 1.0 };
@@ -567,3 +571,25 @@
     moves.on_order(Duration::from_secs(7), ORDER + 3, order("v2"));
     expect_false!(is_banned(moves));
 }
+
+/// Guards against a service that is refused for as long as the store is away, because the result of a rollout
+/// that ran before the start of the process can't be read.
+#[gtest]
+fn plan_result_not_readable() {
+    let service = ServiceName::from("registry");
+    let mut moves = Moves::default();
+    let order = MoveOrder {
+        service: service.clone(),
+        target: "v2".into(),
+        within: WITHIN,
+    };
+    moves.on_order(Duration::from_millis(10), ORDER, order);
+    let mut awaits_result_at = |millis| {
+        let now = Duration::from_millis(millis);
+        let _ = moves.tick(now, 0, |_, _| Results::default());
+        moves.plan(&service).is_some_and(|plan| plan.awaits_result)
+    };
+    expect_true!(awaits_result_at(100));
+    expect_true!(awaits_result_at(2_900));
+    expect_false!(awaits_result_at(3_100));
+}
