Let a fault wait for lost ends of rollouts to be written again

Cause: in a new era an end is written again by rank, up to 0.7 s after the order was read, and a fault was recorded at once.

Decided: who knows an acknowledged end goes first, then who has found a fault, then who goes on with a step. A fault waits 1 s from the first read of the order in the new era, a step (again, or the next one) 2 s instead of 1 s. The faulty version is banned at its finder at once, as before.

Ruled out: the fault's wait alone. Its trace: the store acknowledged `Complete` to a node, went back before the node had recorded that for the others, and the node recorded it in the new era; all followed it. So the nodes kept what the operator was told, and the simulation was wrong: it took the end for one that nobody knew, since it asked only what a node had read in a record. It now counts a node that is about to record an acknowledged end. That makes the check of contradicting results stricter in these plays, and the version that completed may be used, as after any other completed move.

--- a/src/coordination/version_move.rs
+++ b/src/coordination/version_move.rs
@@ -54,9 +54,12 @@
 /// Time after the store has gone back to an earlier state within which operators write their lost orders
 /// again. The same order within it is not a new one.
 const REWRITE_TIME: Duration = Duration::from_secs(10);
-/// Time from the first read of an order in a new era until its move is recorded again, within which its
-/// records in the store have been read.
-const VERIFY_TIME: Duration = Duration::from_secs(1);
+/// Time from the first read of an order in a new era until a fault is recorded, within which an end that the
+/// store has lost has been written again by the nodes that know it.
+const END_REWRITE_TIME: Duration = Duration::from_secs(1);
+/// Time from the first read of an order in a new era until its move is recorded again or goes on, within which
+/// its records in the store have been read and lost ends and faults have been recorded.
+const VERIFY_TIME: Duration = Duration::from_secs(2);
 /// Time after the start of a process in which it begins no move. Its order may be an old one of which the
 /// store has lost the result, and the other nodes need [`VERIFY_TIME`] to write that again.
 const STARTUP_TIME: Duration = Duration::from_secs(3);
@@ -129,6 +132,8 @@
     offset: u64,
     /// Whether the order was read in the current era of the store, so that its offset is valid.
     is_confirmed: bool,
+    /// Time at which the order was read in the current era, if the move began in an earlier one.
+    confirmed_at: Option<Duration>,
     /// Time from which the state is recorded again unless the store has it.
     unverified_since: Option<Duration>,
     /// Time until which the same order counts as this one, written again.
@@ -200,6 +205,7 @@
             order,
             offset,
             is_confirmed: true,
+            confirmed_at: None,
             unverified_since: None,
             rewritten_until: Duration::ZERO,
             started: now,
@@ -458,6 +464,7 @@
     /// Handles a read of the order in the current era.
     fn confirm(&mut self, now: Duration, offset: u64) {
         self.is_confirmed = true;
+        self.confirmed_at = Some(now);
         self.offset = offset;
         if self.state.is_some() {
             self.unverified_since = Some(now);
@@ -516,7 +523,8 @@
         }
         let fault_delay = FAULT_RANK_DELAY * delay_rank;
         if let (Some((at, text)), false) = (&self.detected_fault, self.has_ended()) {
-            let due = now >= *at + fault_delay;
+            let rewritten = self.confirmed_at.map(|at| at + END_REWRITE_TIME);
+            let due = now >= rewritten.unwrap_or_default().max(*at) + fault_delay;
             return due.then(|| action(MoveState::Reverted, text.clone()))?;
         }
         if let (Some(state), Some(since)) = (self.state, self.unverified_since) {
@@ -538,7 +546,10 @@
             },
             Some(_) => return None,
         };
-        if elapsed < self.order.within.mul_f64(at) + delay {
+        let is_verified = self
+            .confirmed_at
+            .is_none_or(|at| now >= at + VERIFY_TIME + delay);
+        if elapsed < self.order.within.mul_f64(at) + delay || !is_verified {
             return None;
         }
         if self.routes.is_suspect() && elapsed < self.order.within.mul_f64(at + MAX_SUSPENSE) {
--- a/tests/version_move.rs
+++ b/tests/version_move.rs
@@ -485,6 +485,48 @@
     expect_that!(last, some(eq((ORDER + 1, MoveState::Reverted))));
 }
 
+/// Guards against a fault that is recorded before the nodes that know of a completed rollout have written its
+/// lost result again, and against a node without the fault that goes on before the fault is recorded.
+#[gtest]
+fn on_store_restored_fault_waits_for_lost_end() {
+    let mut faulty = MoveSimulation::new();
+    faulty.record(MoveState::Step(3));
+    faulty.now += WITHIN;
+    faulty.moves.on_store_restored(faulty.now, Some(2));
+    faulty.moves.on_order(faulty.now, ORDER, order_of("v2"));
+    let restored = faulty.now;
+    expect_that!(faulty.tick(0), is_empty());
+    faulty.new.runs += 20;
+    faulty.new.failures += 10;
+    faulty.now = restored + Duration::from_millis(900);
+    expect_that!(faulty.tick(0), is_empty());
+    expect_that!(faulty.share(), eq(0.0));
+    faulty.now = restored + Duration::from_millis(1_750);
+    let state = faulty.tick(7).first().map(|action| action.state);
+    expect_that!(state, some(eq(MoveState::Reverted)));
+
+    let mut sound = MoveSimulation::new();
+    sound.record(MoveState::Step(3));
+    sound.now += WITHIN;
+    sound.moves.on_store_restored(sound.now, Some(2));
+    sound.moves.on_order(sound.now, ORDER, order_of("v2"));
+    sound.now += Duration::from_millis(1_950);
+    expect_that!(sound.tick(0), is_empty());
+    // Another node records the step again.
+    let record = MoveRecord {
+        order: ORDER,
+        state: MoveState::Step(3),
+        elapsed_ms: 1,
+        author: "b".into(),
+        era: Some(2),
+    };
+    sound.moves.on_record(sound.now, &"registry".into(), record);
+    expect_that!(sound.tick(0), is_empty());
+    sound.now += Duration::from_millis(100);
+    let state = sound.tick(0).first().map(|action| action.state);
+    expect_that!(state, some(eq(MoveState::Complete)));
+}
+
 /// Guards against a state of a rollout that a process which starts later does not learn, because another
 /// program has written a record in its place.
 #[gtest]
--- a/tests/version_move_random.rs
+++ b/tests/version_move_random.rs
@@ -82,7 +82,7 @@
             .results
             .iter()
             .any(|(_, state)| is_final(*state));
-        let is_known = |node: &Node| now >= node.suspended_until && node.read_end == end;
+        let is_known = |node: &Node| now >= node.suspended_until && node.known_end() == end;
         if !is_kept && !nodes.iter().any(is_known) {
             self.finals.clear();
         }
@@ -143,6 +143,16 @@
         is_later
     }
 
+    /// Returns the end of the move that the node has read, or that the store has acknowledged to it and that it
+    /// is about to record.
+    fn known_end(&self) -> Option<MoveState> {
+        let acknowledged = match &self.writing {
+            Some(Writing::Result(_, state)) if is_final(*state) => Some(*state),
+            _ => None,
+        };
+        self.read_end.or(acknowledged)
+    }
+
     fn on_record(&mut self, now: Duration, record: MoveRecord) {
         let state = record.state;
         if self.moves.on_record(now, &service(), record) && is_final(state) {
