--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -469,10 +469,7 @@
     } else {
         // The new version gets traffic beyond its share only if no node runs the old version.
         let is_only_one = !plan.banned && !plan.awaits_result && !has_old;
-        [
-            Some(&old),
-            is_only_one.then_some(&any_new as Permits<'_>),
-        ]
+        [Some(&old), is_only_one.then_some(&any_new as Permits<'_>)]
     };
     preferences.into_iter().flatten().find_map(|permits| {
         let request = pick_request(call, tried, permits);
