--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,6 +2,7 @@
 //! See `docs/design.md`, section 7.
 
 pub mod body_budget;
+pub mod cut_response;
 pub mod exchange;
 pub mod headers;
 pub mod http_client;
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -145,6 +145,32 @@
     });
 }
 
+/// Guards against an answer with the status, headers or body of another one: a late copy of an earlier response is
+/// cut off at any byte, the real response follows, and then a copy of that, cut off as well.
+#[gtest]
+fn send_after_cut_copy() {
+    const FIRST: &str =
+        "HTTP/1.1 503 Busy\r\nx-seal: a\r\nx-id: a\r\nserver: s\r\ncontent-length: 4\r\n\r\nbusy";
+    const REAL: &str =
+        "HTTP/1.1 200 OK\r\nx-seal: b\r\nx-id: b\r\nserver: s\r\ncontent-length: 3\r\n\r\nnew";
+    run(async {
+        for cut in 1..FIRST.len() {
+            let (copy, again) = (&FIRST[..cut], &REAL[..REAL.len() - 1]);
+            let second: &'static str = format!("{copy}{REAL}{again}{REAL}").leak();
+            let addr = peer(vec![vec![FIRST, second]]);
+            let pool = ConnectionPool::default();
+            send(&pool, addr, "a").await.expect("an answer");
+            let Ok(response) = send(&pool, addr, "b").await else {
+                continue;
+            };
+            let seal = response.headers.get("x-seal").expect("a seal");
+            expect_that!(response.status.as_u16(), eq(200), "cut at {cut}");
+            expect_that!(seal.as_bytes(), eq(b"b"), "cut at {cut}");
+            expect_that!(&response.body[..], eq(b"new"), "cut at {cut}");
+        }
+    });
+}
+
 /// Guards against reusing a connection on which an unexpected response arrived.
 #[gtest]
 fn send_after_extra_response() {
