Play strangers' messages, an unsafe service, uploads and silent connections in the soak

* Messages of other programs come to all nodes, and a heartbeat from before a leave comes after it.
* Two further nodes have a service without idempotent routes, whose answers are lost at times; uploads go from node to node.
* After the last fault each workload has to be served, and the memory of no node may have grown by over 32 MiB.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -35,6 +35,34 @@
     NonIdempotent,
 }
 
+/// What a caller calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Workload {
+    /// Idempotent and other routes of the service that has most nodes.
+    Mixed,
+    /// Route of a service that has no idempotent one.
+    UnsafeService,
+    /// Large bodies, which run at most once.
+    Upload,
+}
+
+impl Workload {
+    /// All workloads.
+    pub const ALL: [Self; 3] = [Self::Mixed, Self::UnsafeService, Self::Upload];
+
+    fn draw_call(self, rng: &mut StdRng) -> (CallKind, String) {
+        match self {
+            Self::Mixed if rng.random_bool(0.4) => (CallKind::NonIdempotent, "/claims/new".into()),
+            Self::Mixed => {
+                let path = format!("/wrecks/{}", rng.random_range(0..50));
+                (CallKind::Idempotent, path)
+            }
+            Self::UnsafeService => (CallKind::NonIdempotent, "/moorings/new".into()),
+            Self::Upload => (CallKind::NonIdempotent, format!("{UPLOAD_PREFIX}new")),
+        }
+    }
+}
+
 /// How a call ended for its caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CallOutcome {
@@ -59,6 +87,8 @@
     pub node: usize,
     /// Kind of the call.
     pub kind: CallKind,
+    /// Workload of the caller.
+    pub workload: Workload,
     /// Start of the call, milliseconds of the monotonic clock.
     pub started_ms: u64,
     /// End of the call, milliseconds of the monotonic clock.
@@ -76,6 +106,7 @@
     /// Records in the order in which the calls ended.
     pub records: RefCell<Vec<CallRecord>>,
     prefix: String,
+    workload: Workload,
     number: Cell<u64>,
     /// Whether the callers stop after their current call.
     pub stopped: Cell<bool>,
@@ -84,10 +115,11 @@
 impl CallLog {
     /// Creates an empty list of calls; the attempt ids begin with `prefix`.
     #[must_use]
-    pub fn new(prefix: &str) -> Self {
+    pub fn new(prefix: &str, workload: Workload) -> Self {
         Self {
             records: RefCell::default(),
             prefix: prefix.into(),
+            workload,
             number: Cell::new(0),
             stopped: Cell::new(false),
         }
@@ -96,21 +128,17 @@
 
 /// Host that all routes match.
 pub const HOST: &str = "a.example";
+/// Prefix of the route for large bodies.
+pub const UPLOAD_PREFIX: &str = "/sheets/";
+/// Size of the body of an upload, which is above that from which nodes announce bodies to each other.
+const UPLOAD_BYTES: usize = 40 << 10;
 
 /// Calls one node until `calls.stopped` is set.
 pub async fn run(calls: Rc<CallLog>, node: usize, addr: SocketAddr, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut stream = None;
     while !calls.stopped.get() {
-        let kind = if rng.random_bool(0.4) {
-            CallKind::NonIdempotent
-        } else {
-            CallKind::Idempotent
-        };
-        let path = match kind {
-            CallKind::Idempotent => format!("/wrecks/{}", rng.random_range(0..50)),
-            CallKind::NonIdempotent => "/claims/new".to_owned(),
-        };
+        let (kind, path) = calls.workload.draw_call(&mut rng);
         call(&calls, node, addr, kind, &path, &mut stream).await;
         let pause = Duration::from_millis(rng.random_range(0..=MAX_PAUSE_MS));
         actix_rt::time::sleep(pause).await;
@@ -132,6 +160,7 @@
         attempt,
         node,
         kind,
+        workload: calls.workload,
         started_ms: monotonic_millis(),
         ended_ms: 0,
         outcome: CallOutcome::TimedOut,
@@ -163,8 +192,11 @@
         },
     };
     let (method, body) = match record.kind {
-        CallKind::Idempotent => ("GET", ""),
-        CallKind::NonIdempotent => ("POST", "claim"),
+        CallKind::Idempotent => ("GET", String::new()),
+        CallKind::NonIdempotent if record.workload == Workload::Upload => {
+            ("POST", "s".repeat(UPLOAD_BYTES))
+        }
+        CallKind::NonIdempotent => ("POST", "claim".into()),
     };
     let request = format!(
         "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\n{ATTEMPT_HEADER}: {}\r\ncontent-length: {}\r\n\r\n{body}",
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
@@ -15,6 +16,7 @@
 use serde_json::json;
 use testbed::fleet::free_addr;
 use testbed::log_server::Outage;
+use testbed::measure::process_usage::ProcessUsage;
 use testbed::platform::backend::monotonic_millis;
 use testbed::platform::fleet::SidecarFleet;
 use testbed::platform::fleet::SidecarOptions;
@@ -24,17 +26,34 @@
 use testbed::process::ManagedProcess;
 
 use crate::caller::HOST;
+use crate::caller::UPLOAD_PREFIX;
 use crate::plan::Event;
 use crate::plan::LinkKind;
 use crate::plan::Load;
 use crate::plan::StoreFault;
+use crate::plan::StrayMessage;
 use crate::proxy::LinkFault;
 use crate::proxy::Proxy;
+use crate::stray;
+use crate::stray::Sent;
+use crate::stray::Target;
 
 /// Number of nodes with a backend server of the old version.
 pub const NODES: usize = 8;
 /// Number of further nodes, with a backend server of the new version. They start when a move is ordered.
 pub const NEW_VERSION_NODES: usize = 2;
+/// Number of further nodes beside backend servers of [`UNSAFE_SERVICE`].
+pub const UNSAFE_SERVICE_NODES: usize = 2;
+/// Number of all nodes.
+pub const ALL_NODES: usize = NODES + NEW_VERSION_NODES + UNSAFE_SERVICE_NODES;
+/// Service without idempotent routes.
+const UNSAFE_SERVICE: &str = "harbour";
+/// Service of all other routes.
+const SERVICE: &str = "registry";
+/// Time from the begin of a leave until a heartbeat from before it arrives.
+const LATE_HEARTBEAT_DELAY: Duration = Duration::from_millis(350);
+/// Maximum delay of data on connections that become silent, so that bodies are on their way then.
+const MAX_SLOW_DELAY: Duration = Duration::from_millis(300);
 /// Timeout of a route.
 pub const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Version of the backend servers before a move.
@@ -136,7 +155,7 @@
         store.start(command.arg(store_addr.to_string()))?;
         let mut links = Vec::new();
         let mut backends = Vec::new();
-        for index in 0..NODES + NEW_VERSION_NODES {
+        for index in 0..ALL_NODES {
             let mut addrs = SidecarFleet::free_addrs(store_addr)?;
             addrs.store = free_addr()?;
             addrs.advertised_node = free_addr()?;
@@ -148,7 +167,7 @@
                 Proxy::start(addrs.backend_proxy, addrs.backend, seed + 2).await?,
             ]);
             let domain = if index % 2 == 0 { "keta-a" } else { "keta-b" };
-            let options = SidecarOptions::new(&format!("n{index}"), domain, "registry");
+            let options = SidecarOptions::new(&format!("n{index}"), domain, service_of(index));
             fleet.add(options, addrs)?;
             let output = fleet.dir().join(format!("b{index}.out"));
             backends.push(Backend {
@@ -168,7 +187,7 @@
             config_version: Cell::new(0),
             faults: RefCell::default(),
             violations: RefCell::default(),
-            node_started_ms: RefCell::new(vec![0; NODES + NEW_VERSION_NODES]),
+            node_started_ms: RefCell::new(vec![0; ALL_NODES]),
             move_to_bad_version: Cell::new(None),
             is_new_version_bad: Cell::new(false),
             is_restoring: Cell::new(false),
@@ -181,11 +200,11 @@
             ensure!(Instant::now() < until, "store does not answer");
             actix_rt::time::sleep(CHECK_INTERVAL).await;
         }
-        for index in 0..NODES {
+        for index in (0..NODES).chain(unsafe_service_nodes()) {
             cluster.start_node(index);
             cluster.start_backend(index, false);
         }
-        for index in 0..NODES {
+        for index in (0..NODES).chain(unsafe_service_nodes()) {
             while !cluster.is_serving(index).await {
                 ensure!(Instant::now() < until, "node {index} does not serve");
                 actix_rt::time::sleep(CHECK_INTERVAL).await;
@@ -288,7 +307,7 @@
         if !keep_id || backend.id.is_empty() {
             backend.id = format!("b{node}-{}", backend.starts);
         }
-        let is_new = node >= NODES;
+        let is_new = (NODES..NODES + NEW_VERSION_NODES).contains(&node);
         let version = if is_new { NEW_VERSION } else { OLD_VERSION };
         let error_rate = if is_new && self.is_new_version_bad.get() {
             BAD_ERROR_RATE
@@ -299,12 +318,8 @@
         command
             .arg("platform-backend")
             .args(["--id", &backend.id, "--version-name", version])
-            .args([
-                "--service",
-                "registry",
-                "--born",
-                &monotonic_millis().to_string(),
-            ])
+            .args(["--service", service_of(node)])
+            .args(["--born", &monotonic_millis().to_string()])
             .args(["--listen", &addrs.backend.to_string()])
             .args(["--heartbeat", &addrs.heartbeat.to_string()])
             .args(["--error-rate", &error_rate.to_string()])
@@ -373,11 +388,7 @@
                 signal(Signal::CONT);
             }
             Event::LinkFault(kind, node, fault, duration) => {
-                let link = match kind {
-                    LinkKind::Store => 0,
-                    LinkKind::Node => 1,
-                    LinkKind::Backend => 2,
-                };
+                let link = link_index(kind);
                 if kind == LinkKind::Backend {
                     self.record_fault(node, FaultKind::BackendFault, duration);
                 }
@@ -396,6 +407,32 @@
             }
             Event::PutOldConfig(truncated) => self.put_old_config(truncated).await,
             Event::OrderMove(bad) => self.order_move(bad).await,
+            Event::StrayMessage(message) => {
+                for node in (0..NODES).chain(unsafe_service_nodes()) {
+                    self.send_stray(node, message).await;
+                }
+            }
+            Event::LateHeartbeat(node) => {
+                let late = async {
+                    actix_rt::time::sleep(LATE_HEARTBEAT_DELAY).await;
+                    let message = StrayMessage::HeartbeatWithoutStart;
+                    self.send_stray(node, message).await;
+                };
+                tokio::join!(self.stop_backend(node), late);
+            }
+            Event::ServiceFault(fault, duration) => {
+                for node in unsafe_service_nodes() {
+                    self.record_fault(node, FaultKind::BackendFault, duration);
+                }
+                let index = link_index(LinkKind::Backend);
+                let links = unsafe_service_nodes().map(|node| &self.links[node][index]);
+                set_faults(links, fault, duration).await;
+            }
+            Event::SilenceConnections(kind, duration) => {
+                let links = self.links.iter().map(|links| &links[link_index(kind)]);
+                set_faults(links.clone(), LinkFault::Delay(MAX_SLOW_DELAY), duration).await;
+                links.for_each(Proxy::silence_connections);
+            }
         }
     }
 
@@ -426,6 +463,40 @@
         self.is_restoring.set(false);
     }
 
+    /// Sends a message of another program to a node. Nothing is expected of the answer.
+    async fn send_stray(&self, node: usize, message: StrayMessage) {
+        let (id, addrs) = {
+            let fleet = self.fleet.borrow();
+            let id = self.backends.borrow()[node].id.clone();
+            (id, fleet.nodes()[node].addrs.clone())
+        };
+        let target = Target {
+            id: &id,
+            addr: addrs.backend,
+            service: service_of(node),
+            version: OLD_VERSION,
+        };
+        match stray::build(message, &target) {
+            Sent::Request(path, body) => {
+                let url = format!("http://{}/sycamorewick/{path}", addrs.heartbeat);
+                let req = self.client.post(url);
+                let _ = req.content_type("application/json").send_body(body).await;
+            }
+            Sent::Record(value) => {
+                self.put(stray::FLEET_TOPIC, &format!("n{node}"), value)
+                    .await;
+            }
+        }
+    }
+
+    /// Returns the process ids and the resident memory of the running nodes, in KiB.
+    #[must_use]
+    pub fn memory(&self) -> Vec<(u32, u64)> {
+        let pids = (0..ALL_NODES).filter_map(|node| self.pid(node));
+        let usages = pids.filter_map(|pid| Some((pid, ProcessUsage::read(pid).ok()?.rss_kib)));
+        usages.collect()
+    }
+
     async fn stop_node(&self, node: usize) {
         // Fails if the node does not run.
         let Ok(()) = self.fleet.borrow().signal(node, Signal::TERM) else {
@@ -494,7 +565,7 @@
 
     async fn put_order(&self) -> bool {
         let order =
-            json!({ "service": "registry", "target": NEW_VERSION, "step-s": MOVE_TIME_LIMIT_S });
+            json!({ "service": SERVICE, "target": NEW_VERSION, "step-s": MOVE_TIME_LIMIT_S });
         self.put(OPERATOR_TOPIC, "rollout/registry", order.to_string())
             .await
     }
@@ -512,7 +583,7 @@
         } else {
             NODES
         };
-        for node in 0..nodes {
+        for node in (0..nodes).chain(unsafe_service_nodes()) {
             if self.has_ended(node) {
                 self.start_node(node);
             }
@@ -525,16 +596,54 @@
     }
 }
 
+/// Returns the nodes beside backend servers of the service without idempotent routes.
+#[must_use]
+pub fn unsafe_service_nodes() -> Range<usize> {
+    NODES + NEW_VERSION_NODES..ALL_NODES
+}
+
+fn service_of(node: usize) -> &'static str {
+    if unsafe_service_nodes().contains(&node) {
+        UNSAFE_SERVICE
+    } else {
+        SERVICE
+    }
+}
+
+/// Returns the position of a connection among those of a node.
+fn link_index(kind: LinkKind) -> usize {
+    match kind {
+        LinkKind::Store => 0,
+        LinkKind::Node => 1,
+        LinkKind::Backend => 2,
+    }
+}
+
+/// Injects a fault into connections at the same time, and ends it.
+async fn set_faults<'a>(
+    links: impl Iterator<Item = &'a Proxy> + Clone,
+    fault: LinkFault,
+    duration: Duration,
+) {
+    links.clone().for_each(|link| link.set_fault(fault));
+    actix_rt::time::sleep(duration).await;
+    links.for_each(|link| link.set_fault(LinkFault::None));
+}
+
 /// Returns the configuration of a version. It has one route for each version so far, which shows callers
 /// that the version is in force.
 fn config(version: u32) -> serde_json::Value {
-    let route = |prefix: &str, kind: &str| {
+    let route_to = |service: &str, prefix: &str, kind: &str| {
         json!({ "host": HOST, "prefix": prefix, "kind": kind, "slo-ms": 500, "priority": 1,
-            "timeout-ms": ROUTE_TIMEOUT.as_millis(), "service": "registry", "attempts": 2 })
+            "timeout-ms": ROUTE_TIMEOUT.as_millis(), "service": service, "attempts": 2 })
     };
+    let route = |prefix: &str, kind: &str| route_to(SERVICE, prefix, kind);
     let mut routes = serde_json::Map::new();
     routes.insert("lookup".into(), route("/wrecks/", "safe"));
     routes.insert("claims".into(), route("/claims/", "unsafe"));
+    routes.insert("sheets".into(), route(UPLOAD_PREFIX, "upload"));
+    let moorings = route_to(UNSAFE_SERVICE, "/moorings/", "unsafe");
+    routes.insert("moorings".into(), moorings);
     for version in 1..=version {
         let prefix = format!("/v{version}/");
         routes.insert(format!("v{version}"), route(&prefix, "safe"));
@@ -542,7 +651,10 @@
     json!({
         "version": format!("{version:08x}"),
         "routes": routes,
-        "services": { "registry": { "health-path": "/healthz", "max-conns": 100 } },
+        "services": {
+            SERVICE: { "health-path": "/healthz", "max-conns": 100 },
+            UNSAFE_SERVICE: { "health-path": "/healthz", "max-conns": 100 },
+        },
         "limits": { "header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000 },
     })
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod cluster;
 pub mod plan;
 pub mod proxy;
+pub mod stray;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -16,13 +16,17 @@
 use soak::caller::CallKind;
 use soak::caller::CallLog;
 use soak::caller::CallOutcome;
+use soak::caller::CallRecord;
+use soak::caller::Workload;
 use soak::checker;
 use soak::checker::Observations;
 use soak::cluster;
+use soak::cluster::ALL_NODES;
 use soak::cluster::Cluster;
 use soak::cluster::NODES;
 use soak::cluster::Programs;
 use soak::plan;
+use soak::plan::Load;
 use testbed::platform::backend::monotonic_millis;
 
 /// Seeds and lengths of runs that failed before, with their causes.
@@ -33,6 +37,11 @@
 const RECOVERY_PERIOD: Duration = Duration::from_secs(6);
 /// Time after the recovery period in which every call must be served.
 const WATCH_PERIOD: Duration = Duration::from_millis(1_500);
+/// Largest time from the start of the faults to the first reading of the nodes' memory.
+const MAX_WARM_UP: Duration = Duration::from_mins(1);
+/// Growth of a process from the first reading to the end above which it counts as unbounded. A node has
+/// 32 MB for control.
+const MAX_GROWTH_KIB: u64 = 32 << 10;
 /// Maximum number of violations that are printed for a run.
 const MAX_PRINTED_VIOLATIONS: usize = 12;
 
@@ -128,19 +137,24 @@
     let began = Instant::now();
     let load = plan::draw_load(seed);
     let cluster = Cluster::start(programs, seed, load).await?;
-    let calls = Rc::new(CallLog::new("call"));
+    let logs =
+        Workload::ALL.map(|workload| Rc::new(CallLog::new(&format!("{workload:?}"), workload)));
     for node in 0..NODES {
-        let addr = cluster.caller_addr(node);
-        for caller in 0..load.callers {
-            let seed = seed * 100 + u64::try_from(node * load.callers + caller)?;
-            actix_rt::spawn(caller::run(calls.clone(), node, addr, seed));
-        }
+        let callers = load.callers;
+        start_callers(&cluster, &logs[0], node, callers, seed * 100);
         actix_rt::spawn(probe_config(cluster.clone(), node));
     }
+    for node in cluster::unsafe_service_nodes() {
+        // These nodes have no backend server for uploads, so that the bodies go from node to node.
+        start_callers(&cluster, &logs[2], node, 1, seed);
+        start_callers(&cluster, &logs[1], node - NODES, 1, seed);
+    }
     let rolled_back_at = Rc::new(RefCell::new(None));
     actix_rt::spawn(watch_move(cluster.clone(), rolled_back_at.clone()));
     let events = plan::draw(seed, NODES, length);
     let started = Instant::now();
+    let memory = Rc::new(RefCell::new(Vec::new()));
+    actix_rt::spawn(read_memory(cluster.clone(), length / 2, memory.clone()));
     let mut tasks = Vec::new();
     for (at, event) in &events {
         actix_rt::time::sleep(at.saturating_sub(started.elapsed())).await;
@@ -154,12 +168,14 @@
     actix_rt::time::sleep(RECOVERY_PERIOD).await;
     let watch_start = monotonic_millis();
     actix_rt::time::sleep(WATCH_PERIOD).await;
-    calls.stopped.set(true);
+    for log in &logs {
+        log.stopped.set(true);
+    }
     // Calls in progress end within the timeout of their route.
     actix_rt::time::sleep(cluster::ROUTE_TIMEOUT).await;
     let move_state = cluster.move_state().await;
-    let records = calls.records.borrow();
-    let outputs: Vec<String> = (0..NODES + cluster::NEW_VERSION_NODES)
+    let records: Vec<CallRecord> = logs.iter().flat_map(|log| log.records.take()).collect();
+    let outputs: Vec<String> = (0..ALL_NODES)
         .map(|node| cluster.backend_output(node))
         .collect();
     let mut violations = cluster.violations.borrow().clone();
@@ -170,18 +186,12 @@
         rolled_back_at: *rolled_back_at.borrow(),
     };
     violations.extend(checker::check_run(&observations));
-    let watched = records.iter().filter(|call| call.started_ms >= watch_start);
-    let unserved = watched.filter(|call| match call.outcome {
-        CallOutcome::Status(200) => false,
-        CallOutcome::Status(503) => load.is_light(),
-        _ => true,
-    });
     // A bad version that has not been rolled back yet fails calls.
     if cluster.move_to_bad_version.get() != Some(true) {
-        violations.extend(
-            unserved.map(|call| format!("call was not served after the faults ended: {call:?}")),
-        );
+        let watched = records.iter().filter(|call| call.started_ms >= watch_start);
+        violations.extend(find_unserved(&watched.collect::<Vec<_>>(), load));
     }
+    violations.extend(find_growth(&memory.borrow(), &cluster.memory()));
     if cluster.move_to_bad_version.get() == Some(true) && move_state.as_deref() == Some("complete")
     {
         violations.push("move to a bad version was completed".into());
@@ -209,10 +219,61 @@
     Ok(violations.is_empty())
 }
 
+fn start_callers(cluster: &Cluster, log: &Rc<CallLog>, node: usize, callers: usize, seed: u64) {
+    let addr = cluster.caller_addr(node);
+    for caller in 0..callers {
+        let caller = u64::try_from(node * callers + caller).unwrap_or_default();
+        actix_rt::spawn(caller::run(log.clone(), node, addr, seed + caller));
+    }
+}
+
+/// Returns the violations of the calls that started after the recovery period.
+fn find_unserved(watched: &[&CallRecord], load: Load) -> Vec<String> {
+    let is_served = |call: &&&CallRecord| call.outcome == CallOutcome::Status(200);
+    let mut violations = Vec::new();
+    for workload in Workload::ALL {
+        let calls = watched.iter().filter(|call| call.workload == workload);
+        // The callers of the service without idempotent routes never fill its slots.
+        let is_light = load.is_light() || workload == Workload::UnsafeService;
+        let unserved = calls.clone().filter(|call| match call.outcome {
+            CallOutcome::Status(200) => false,
+            CallOutcome::Status(503) => is_light,
+            _ => true,
+        });
+        violations.extend(
+            unserved.map(|call| format!("call was not served after the faults ended: {call:?}")),
+        );
+        if calls.filter(is_served).count() == 0 {
+            violations.push(format!(
+                "{workload:?}: nothing was served after the faults ended"
+            ));
+        }
+    }
+    violations
+}
+
+/// Returns the processes that have grown beyond the bound since the first reading. Each has a process id and
+/// its resident memory in KiB.
+fn find_growth(first: &[(u32, u64)], last: &[(u32, u64)]) -> Vec<String> {
+    let first_of = |pid| first.iter().find(|(other, _)| *other == pid);
+    let grown = last.iter().filter_map(|(pid, now)| {
+        let (_, before) = first_of(*pid)?;
+        let has_grown = *now > before + MAX_GROWTH_KIB;
+        has_grown.then(|| format!("process {pid} has grown from {before} to {now} KiB"))
+    });
+    grown.collect()
+}
+
+/// Reads the memory of the nodes once, `after` the start or after [`MAX_WARM_UP`], if that is shorter.
+async fn read_memory(cluster: Rc<Cluster>, after: Duration, memory: Rc<RefCell<Vec<(u32, u64)>>>) {
+    actix_rt::time::sleep(after.min(MAX_WARM_UP)).await;
+    *memory.borrow_mut() = cluster.memory();
+}
+
 /// Calls the routes that configuration versions added, at an interval. A node must not revert to an older
 /// configuration while its process lives.
 async fn probe_config(cluster: Rc<Cluster>, node: usize) {
-    let calls = CallLog::new(&format!("probe{node}"));
+    let calls = CallLog::new(&format!("probe{node}"), Workload::Mixed);
     let addr = cluster.caller_addr(node);
     let (mut seen, mut process_start) = (0, 0);
     loop {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -52,6 +52,23 @@
     GoBack,
 }
 
+/// Message of another program that comes to all nodes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StrayMessage {
+    /// Heartbeat of a service that is not the node's.
+    HeartbeatOfOtherService,
+    /// Heartbeat of a backend server at another address.
+    HeartbeatOfOtherAddress,
+    /// Heartbeat of the node's backend server that does not name its start.
+    HeartbeatWithoutStart,
+    /// Deregistration of an unknown backend server.
+    UnknownDeregistration,
+    /// Deregistration of the node's backend server with an unreadable start.
+    UnreadableDeregistration,
+    /// Unreadable record in the place of the node's entry.
+    UnreadableEntry,
+}
+
 /// One event of a run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Event {
@@ -79,6 +96,14 @@
     PutOldConfig(bool),
     /// The service is moved to the new version; the flag says whether that version is bad.
     OrderMove(bool),
+    /// Another program sends a message to all nodes.
+    StrayMessage(StrayMessage),
+    /// A backend server leaves, and a heartbeat from before that, without its start, comes late.
+    LateHeartbeat(usize),
+    /// The connections to all backend servers of the service without idempotent routes have a fault.
+    ServiceFault(LinkFault, Duration),
+    /// All open connections of a kind become slow and then silent for good. New ones work.
+    SilenceConnections(LinkKind, Duration),
 }
 
 /// Load of a run.
@@ -139,6 +164,7 @@
         at += Duration::from_millis(rng.random_range(50..=MAX_GAP_MS));
     }
     events.extend(draw_restores(seed, length));
+    events.extend(draw_stray_events(seed, nodes, length));
     events.sort_by_key(|(at, _)| *at);
     events
 }
@@ -158,6 +184,30 @@
     (0..restores).map(draw).collect()
 }
 
+/// Draws messages of other programs and faults of a whole service or of all connections of a kind. They have a
+/// generator of their own as well.
+fn draw_stray_events(seed: u64, nodes: usize, length: Duration) -> Vec<(Duration, Event)> {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(16));
+    let count = rng.random_range(1..=6);
+    let draw = |_| {
+        let at = length.mul_f64(rng.random_range(0.1..0.95));
+        let duration = draw_duration(&mut rng, MAX_FAULT_DURATION);
+        let event = match rng.random_range(0..10) {
+            0 => Event::StrayMessage(StrayMessage::HeartbeatOfOtherService),
+            1 => Event::StrayMessage(StrayMessage::HeartbeatOfOtherAddress),
+            2 => Event::StrayMessage(StrayMessage::HeartbeatWithoutStart),
+            3 => Event::StrayMessage(StrayMessage::UnknownDeregistration),
+            4 => Event::StrayMessage(StrayMessage::UnreadableDeregistration),
+            5 => Event::StrayMessage(StrayMessage::UnreadableEntry),
+            6 | 7 => Event::LateHeartbeat(rng.random_range(0..nodes)),
+            8 => Event::ServiceFault(LinkFault::DropResponses, duration),
+            _ => Event::SilenceConnections(draw_link_kind(&mut rng), duration / 2),
+        };
+        (at, event)
+    };
+    (0..count).map(draw).collect()
+}
+
 fn draw_event(rng: &mut StdRng, nodes: usize, moved: &mut bool) -> Event {
     let node = rng.random_range(0..nodes);
     let duration = draw_duration(rng, MAX_FAULT_DURATION);
@@ -170,11 +220,7 @@
         36..44 => Event::StopBackend(node),
         44..49 => Event::PauseBackend(node, duration),
         49..73 => {
-            let kind = match rng.random_range(0..3) {
-                0 => LinkKind::Store,
-                1 => LinkKind::Node,
-                _ => LinkKind::Backend,
-            };
+            let kind = draw_link_kind(rng);
             Event::LinkFault(kind, node, draw_link_fault(rng), duration)
         }
         73..85 => Event::StoreFault(draw_store_fault(rng), duration),
@@ -188,6 +234,14 @@
     }
 }
 
+fn draw_link_kind(rng: &mut StdRng) -> LinkKind {
+    match rng.random_range(0..3) {
+        0 => LinkKind::Store,
+        1 => LinkKind::Node,
+        _ => LinkKind::Backend,
+    }
+}
+
 fn draw_link_fault(rng: &mut StdRng) -> LinkFault {
     match rng.random_range(0..5) {
         0 => LinkFault::Delay(draw_duration(rng, Duration::from_millis(400))),
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -38,6 +38,8 @@
 struct Link {
     to: SocketAddr,
     fault: Cell<LinkFault>,
+    /// How often the open connections were silenced.
+    silenced: Cell<u32>,
     changed: Notify,
     rng: RefCell<StdRng>,
 }
@@ -56,6 +58,7 @@
         let link = Rc::new(Link {
             to,
             fault: Cell::new(LinkFault::None),
+            silenced: Cell::new(0),
             changed: Notify::new(),
             rng: RefCell::new(StdRng::seed_from_u64(seed)),
         });
@@ -73,6 +76,13 @@
         self.0.fault.set(fault);
         self.0.changed.notify_waiters();
     }
+
+    /// Makes the open connections silent for good: neither data nor their end is forwarded any more. New
+    /// connections work.
+    pub fn silence_connections(&self) {
+        self.0.silenced.set(self.0.silenced.get() + 1);
+        self.0.changed.notify_waiters();
+    }
 }
 
 async fn handle_connection(link: Rc<Link>, client: TcpStream) {
@@ -119,7 +129,12 @@
     drop_fault: LinkFault,
 ) {
     let mut buf = vec![0; 16 << 10];
+    let silenced_before = link.silenced.get();
     loop {
+        if link.silenced.get() != silenced_before {
+            // Both halves stay open, so that neither side notices.
+            return std::future::pending().await;
+        }
         let read = tokio::select! {
             read = from.read(&mut buf) => read,
             () = link.changed.notified() => {
@@ -131,6 +146,9 @@
                 continue;
             }
         };
+        if link.silenced.get() != silenced_before {
+            continue;
+        }
         let Ok(size @ 1..) = read else {
             // The connection ended or was reset; dropping the write half passes that on.
             return;
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -4,6 +4,7 @@
 use soak::caller::CallKind;
 use soak::caller::CallOutcome;
 use soak::caller::CallRecord;
+use soak::caller::Workload;
 use soak::checker::Observations;
 use soak::checker::check_run;
 use soak::cluster::FaultInterval;
@@ -14,6 +15,7 @@
         attempt: "call-1".into(),
         node: 0,
         kind,
+        workload: Workload::Mixed,
         started_ms: 1_000,
         ended_ms: 1_040,
         outcome,
