A known failure: a leave is forgotten by a process that restarts while the store is away

A leave is acknowledged and stored; the store is away for all from then on; the process is killed and starts again. It learns the topics from another node that has not read the leave, takes heartbeats from before it, and 160 requests reach the backend server in 6 s.

--- a/tests/process_leaves.rs
+++ b/tests/process_leaves.rs
@@ -27,6 +27,9 @@
 /// Time for which a backend server waits for an acknowledgement.
 const ACKNOWLEDGED_WITHIN: Duration = Duration::from_secs(1);
 
+/// Time for which the store is away, several heartbeat intervals.
+const WITHOUT_STORE: Duration = Duration::from_secs(6);
+
 /// How a backend server says that it leaves.
 #[derive(Clone, Copy, Debug)]
 enum Leave {
@@ -163,3 +166,34 @@
         });
     }
 }
+
+/// Guards against an acknowledged leave that is forgotten, because the process is killed and starts again while
+/// the store is away: the other node has not read the leave, and is the only source.
+#[gtest]
+fn leave_then_restart_without_store() {
+    run(async {
+        let mut env = TestFleet::start(2).await?;
+        env.store.change(StoreControlChange {
+            missed_wakeups: Some(10),
+            ..StoreControlChange::default()
+        });
+        expect_that!(
+            leave(&env, Leave::Deregister).await,
+            some(eq(StatusCode::OK))
+        );
+        env.outage(Outage::Refuse);
+        env.fleet.kill(0)?;
+        env.backends[1].kill();
+        let runs = env.backends[0].runs().len();
+        env.fleet.start(0)?;
+        let until = Instant::now() + WITHOUT_STORE;
+        while Instant::now() < until {
+            let _ = env.call(1, "/wrecks/1").await?;
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        expect_that!(env.backends[0].runs().len(), eq(runs));
+        env.outage(Outage::Off);
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        expect_unused(&mut env).await
+    });
+}
