Check in the soak that each workload is served after moves to bad versions too

A run with a move to a bad version was not searched for calls that are not served, since the version fails some of them.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -186,11 +186,13 @@
         rolled_back_at: *rolled_back_at.borrow(),
     };
     violations.extend(checker::check_run(&observations));
+    let watched = records.iter().filter(|call| call.started_ms >= watch_start);
+    let watched: Vec<&CallRecord> = watched.collect();
     // A bad version that has not been rolled back yet fails calls.
     if cluster.move_to_bad_version.get() != Some(true) {
-        let watched = records.iter().filter(|call| call.started_ms >= watch_start);
-        violations.extend(find_unserved(&watched.collect::<Vec<_>>(), load));
+        violations.extend(find_unserved_calls(&watched, load));
     }
+    violations.extend(find_unserved_workloads(&watched));
     violations.extend(find_growth(&memory.borrow(), &cluster.memory()));
     if cluster.move_to_bad_version.get() == Some(true) && move_state.as_deref() == Some("complete")
     {
@@ -227,29 +229,30 @@
     }
 }
 
-/// Returns the violations of the calls that started after the recovery period.
-fn find_unserved(watched: &[&CallRecord], load: Load) -> Vec<String> {
-    let is_served = |call: &&&CallRecord| call.outcome == CallOutcome::Status(200);
-    let mut violations = Vec::new();
-    for workload in Workload::ALL {
-        let calls = watched.iter().filter(|call| call.workload == workload);
+/// Returns the calls that started after the recovery period and were not served, but for those that were
+/// refused because of the load.
+fn find_unserved_calls(watched: &[&CallRecord], load: Load) -> Vec<String> {
+    let unserved = watched.iter().filter(|call| match call.outcome {
+        CallOutcome::Status(200) => false,
         // The callers of the service without idempotent routes never fill its slots.
-        let is_light = load.is_light() || workload == Workload::UnsafeService;
-        let unserved = calls.clone().filter(|call| match call.outcome {
-            CallOutcome::Status(200) => false,
-            CallOutcome::Status(503) => is_light,
-            _ => true,
-        });
-        violations.extend(
-            unserved.map(|call| format!("call was not served after the faults ended: {call:?}")),
-        );
-        if calls.filter(is_served).count() == 0 {
-            violations.push(format!(
-                "{workload:?}: nothing was served after the faults ended"
-            ));
-        }
-    }
-    violations
+        CallOutcome::Status(503) => load.is_light() || call.workload == Workload::UnsafeService,
+        _ => true,
+    });
+    unserved
+        .map(|call| format!("call was not served after the faults ended: {call:?}"))
+        .collect()
+}
+
+/// Returns the workloads of which no call that started after the recovery period was served.
+fn find_unserved_workloads(watched: &[&CallRecord]) -> Vec<String> {
+    let is_served = |workload: &Workload| {
+        let mut calls = watched.iter().filter(|call| call.workload == *workload);
+        calls.any(|call| call.outcome == CallOutcome::Status(200))
+    };
+    let unserved = Workload::ALL.iter().filter(|workload| !is_served(workload));
+    unserved
+        .map(|workload| format!("{workload:?}: nothing was served after the faults ended"))
+        .collect()
 }
 
 /// Returns the processes that have grown beyond the bound since the first reading. Each has a process id and
