Test the liveness and memory checks of the soak

They move to the checker, beside the other ones. Delays before connections to backend servers fall silent count as faults of these, like those of a single connection: a request that they hold back may arrive after a leave.

--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -5,10 +5,12 @@
 use crate::caller::CallKind;
 use crate::caller::CallOutcome;
 use crate::caller::CallRecord;
+use crate::caller::Workload;
 use crate::cluster::FaultInterval;
 use crate::cluster::FaultKind;
 use crate::cluster::NEW_VERSION;
 use crate::cluster::ROUTE_TIMEOUT;
+use crate::plan::Load;
 
 /// Time that a node may hold a call beyond the timeout of its route, by the platform's rules.
 const ROUTE_TIMEOUT_SLACK: Duration = Duration::from_millis(250);
@@ -20,6 +22,9 @@
 const ROLLBACK_SLACK_MS: u64 = 2_000;
 /// Maximum number of attempts of an idempotent call, as the routes are configured.
 const MAX_ATTEMPTS: usize = 2;
+/// Growth of a process from the first reading to the end above which it counts as unbounded. A node has
+/// 32 MB for control.
+const MAX_GROWTH_KIB: u64 = 32 << 10;
 
 /// A line of a backend server's output: an event, its time in milliseconds and its subject.
 struct BackendLine<'a> {
@@ -162,3 +167,44 @@
         }
     }
 }
+
+/// Returns the calls that started after the recovery period and were not served, but for those that were
+/// refused because of the load.
+#[must_use]
+pub fn find_unserved_calls(watched: &[&CallRecord], load: Load) -> Vec<String> {
+    let unserved = watched.iter().filter(|call| match call.outcome {
+        CallOutcome::Status(200) => false,
+        // The callers of the service without idempotent routes never fill its slots.
+        CallOutcome::Status(503) => load.is_light() || call.workload == Workload::UnsafeService,
+        _ => true,
+    });
+    unserved
+        .map(|call| format!("call was not served after the faults ended: {call:?}"))
+        .collect()
+}
+
+/// Returns the workloads of which no call that started after the recovery period was served.
+#[must_use]
+pub fn find_unserved_workloads(watched: &[&CallRecord]) -> Vec<String> {
+    let is_served = |workload: &Workload| {
+        let mut calls = watched.iter().filter(|call| call.workload == *workload);
+        calls.any(|call| call.outcome == CallOutcome::Status(200))
+    };
+    let unserved = Workload::ALL.iter().filter(|workload| !is_served(workload));
+    unserved
+        .map(|workload| format!("{workload:?}: nothing was served after the faults ended"))
+        .collect()
+}
+
+/// Returns the processes that have grown beyond the bound since the first reading. Each has a process id and
+/// its resident memory in KiB.
+#[must_use]
+pub fn find_growth(first: &[(u32, u64)], last: &[(u32, u64)]) -> Vec<String> {
+    let first_of = |pid| first.iter().find(|(other, _)| *other == pid);
+    let grown = last.iter().filter_map(|(pid, now)| {
+        let (_, before) = first_of(*pid)?;
+        let has_grown = *now > before + MAX_GROWTH_KIB;
+        has_grown.then(|| format!("process {pid} has grown from {before} to {now} KiB"))
+    });
+    grown.collect()
+}
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -429,6 +429,11 @@
                 set_faults(links, fault, duration).await;
             }
             Event::SilenceConnections(kind, duration) => {
+                if kind == LinkKind::Backend {
+                    for node in 0..ALL_NODES {
+                        self.record_fault(node, FaultKind::BackendFault, duration);
+                    }
+                }
                 let links = self.links.iter().map(|links| &links[link_index(kind)]);
                 set_faults(links.clone(), LinkFault::Delay(MAX_SLOW_DELAY), duration).await;
                 links.for_each(Proxy::silence_connections);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -26,7 +26,6 @@
 use soak::cluster::NODES;
 use soak::cluster::Programs;
 use soak::plan;
-use soak::plan::Load;
 use testbed::platform::backend::monotonic_millis;
 
 /// Seeds and lengths of runs that failed before, with their causes.
@@ -39,9 +38,6 @@
 const WATCH_PERIOD: Duration = Duration::from_millis(1_500);
 /// Largest time from the start of the faults to the first reading of the nodes' memory.
 const MAX_WARM_UP: Duration = Duration::from_mins(1);
-/// Growth of a process from the first reading to the end above which it counts as unbounded. A node has
-/// 32 MB for control.
-const MAX_GROWTH_KIB: u64 = 32 << 10;
 /// Maximum number of violations that are printed for a run.
 const MAX_PRINTED_VIOLATIONS: usize = 12;
 
@@ -190,10 +186,10 @@
     let watched: Vec<&CallRecord> = watched.collect();
     // A bad version that has not been rolled back yet fails calls.
     if cluster.move_to_bad_version.get() != Some(true) {
-        violations.extend(find_unserved_calls(&watched, load));
+        violations.extend(checker::find_unserved_calls(&watched, load));
     }
-    violations.extend(find_unserved_workloads(&watched));
-    violations.extend(find_growth(&memory.borrow(), &cluster.memory()));
+    violations.extend(checker::find_unserved_workloads(&watched));
+    violations.extend(checker::find_growth(&memory.borrow(), &cluster.memory()));
     if cluster.move_to_bad_version.get() == Some(true) && move_state.as_deref() == Some("complete")
     {
         violations.push("move to a bad version was completed".into());
@@ -229,44 +225,6 @@
     }
 }
 
-/// Returns the calls that started after the recovery period and were not served, but for those that were
-/// refused because of the load.
-fn find_unserved_calls(watched: &[&CallRecord], load: Load) -> Vec<String> {
-    let unserved = watched.iter().filter(|call| match call.outcome {
-        CallOutcome::Status(200) => false,
-        // The callers of the service without idempotent routes never fill its slots.
-        CallOutcome::Status(503) => load.is_light() || call.workload == Workload::UnsafeService,
-        _ => true,
-    });
-    unserved
-        .map(|call| format!("call was not served after the faults ended: {call:?}"))
-        .collect()
-}
-
-/// Returns the workloads of which no call that started after the recovery period was served.
-fn find_unserved_workloads(watched: &[&CallRecord]) -> Vec<String> {
-    let is_served = |workload: &Workload| {
-        let mut calls = watched.iter().filter(|call| call.workload == *workload);
-        calls.any(|call| call.outcome == CallOutcome::Status(200))
-    };
-    let unserved = Workload::ALL.iter().filter(|workload| !is_served(workload));
-    unserved
-        .map(|workload| format!("{workload:?}: nothing was served after the faults ended"))
-        .collect()
-}
-
-/// Returns the processes that have grown beyond the bound since the first reading. Each has a process id and
-/// its resident memory in KiB.
-fn find_growth(first: &[(u32, u64)], last: &[(u32, u64)]) -> Vec<String> {
-    let first_of = |pid| first.iter().find(|(other, _)| *other == pid);
-    let grown = last.iter().filter_map(|(pid, now)| {
-        let (_, before) = first_of(*pid)?;
-        let has_grown = *now > before + MAX_GROWTH_KIB;
-        has_grown.then(|| format!("process {pid} has grown from {before} to {now} KiB"))
-    });
-    grown.collect()
-}
-
 /// Reads the memory of the nodes once, `after` the start or after [`MAX_WARM_UP`], if that is shorter.
 async fn read_memory(cluster: Rc<Cluster>, after: Duration, memory: Rc<RefCell<Vec<(u32, u64)>>>) {
     actix_rt::time::sleep(after.min(MAX_WARM_UP)).await;
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -7,8 +7,12 @@
 use soak::caller::Workload;
 use soak::checker::Observations;
 use soak::checker::check_run;
+use soak::checker::find_growth;
+use soak::checker::find_unserved_calls;
+use soak::checker::find_unserved_workloads;
 use soak::cluster::FaultInterval;
 use soak::cluster::FaultKind;
+use soak::plan::Load;
 
 fn call(kind: CallKind, outcome: CallOutcome) -> CallRecord {
     CallRecord {
@@ -143,3 +147,41 @@
     (fault[0].from, fault[0].to) = (1_700, 2_250);
     expect_that!(find_violations(served(), &[late], &fault).len(), eq(0));
 }
+
+/// Guards against a route that is refused for good and that the soak does not notice, because the others are
+/// served or because refusals are allowed under load.
+#[gtest]
+fn find_unserved_each_workload() {
+    let load = |callers| Load {
+        callers,
+        slots: 2,
+        service_ms: 20,
+    };
+    let of = |workload, status| CallRecord {
+        workload,
+        ..call(CallKind::NonIdempotent, CallOutcome::Status(status))
+    };
+    let served = Workload::ALL.map(|workload| of(workload, 200));
+    let refused = Workload::ALL.map(|workload| of(workload, 503));
+    let all: Vec<&CallRecord> = served.iter().collect();
+    expect_that!(find_unserved_calls(&all, load(1)), is_empty());
+    expect_that!(find_unserved_workloads(&all), is_empty());
+    for (index, refused) in refused.iter().enumerate() {
+        let mut calls = all.clone();
+        calls[index] = refused;
+        expect_that!(find_unserved_workloads(&calls), len(eq(1)));
+        expect_that!(find_unserved_calls(&calls, load(1)), len(eq(1)));
+        let is_unsafe_service = refused.workload == Workload::UnsafeService;
+        let under_load = find_unserved_calls(&calls, load(8));
+        expect_that!(under_load.len(), eq(usize::from(is_unsafe_service)));
+    }
+    expect_that!(find_unserved_workloads(&[]), len(eq(3)));
+}
+
+/// Guards against a process that grows without bound unnoticed, and against reports of restarted ones.
+#[gtest]
+fn find_growth_of_same_process() {
+    let first = [(1, 10_000), (2, 10_000)];
+    let last = [(1, 40_000), (2, 43_000), (3, 90_000)];
+    expect_that!(find_growth(&first, &last), len(eq(1)));
+}
