--- a/tests/version_move.rs
+++ b/tests/version_move.rs
@@ -620,12 +620,7 @@
 fn plan_result_not_readable() {
     let service = ServiceName::from("registry");
     let mut moves = Moves::default();
-    let order = MoveOrder {
-        service: service.clone(),
-        target: "v2".into(),
-        within: WITHIN,
-    };
-    moves.on_order(Duration::from_millis(10), ORDER, order);
+    moves.on_order(Duration::from_millis(10), ORDER, order_of("v2"));
     let mut awaits_result_at = |millis| {
         let now = Duration::from_millis(millis);
         let _ = moves.tick(now, 0, |_, _| Results::default());
