Decode homes, tenants, cold limits and evacuations, and carry tenants between nodes

Nothing uses the new fields yet: without them the headers between nodes and all decisions are as before.

--- /dev/null
+++ b/src/coordination/room/mod.rs
@@ -0,0 +1,1 @@
+//! Bounds on what a backend server or a process takes at a time.
--- /dev/null
+++ b/src/coordination/tenants/mod.rs
@@ -0,0 +1,1 @@
+//! Decisions about tenants: credentials, quotas, and the shares of those who compete for the same backend servers.
--- /dev/null
+++ b/src/coordination/zones/mod.rs
@@ -0,0 +1,1 @@
+//! Decisions about regions and failure domains: where a call may be served, and when leaving a failure domain pays.
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -7,6 +7,7 @@
 use crate::protocol::call::Executed;
 use crate::protocol::name::RouteName;
 use crate::protocol::name::ServiceName;
+use crate::protocol::name::TenantName;
 use crate::protocol::name::VersionName;
 use crate::protocol::time::millis;
 
@@ -46,14 +47,21 @@
     /// Limit of the backend server as the entry node last heard of it. A serving node that has just
     /// started uses it until the first answer of its backend server.
     pub limit: Option<RequestRate>,
+    /// Tenant whose credential the entry node has found valid.
+    pub tenant: Option<TenantName>,
+    /// Priority of the tenant, which goes before that of the route; 0 is the highest.
+    pub tenant_priority: u8,
 }
 
 impl HopRequestHeader {
     /// Returns the header value.
     #[must_use]
     pub fn encode(&self) -> String {
+        let tenant = self.tenant.as_ref().map_or_else(String::new, |tenant| {
+            format!(";{tenant};{}", self.tenant_priority)
+        });
         format!(
-            "{};{};{};{};{};{};{};{};{};{}",
+            "{};{};{};{};{};{};{};{};{};{}{tenant}",
             self.route,
             self.service,
             self.version,
@@ -81,8 +89,13 @@
             objective: Duration::from_millis(fields.next()?.parse().ok()?),
             left: Duration::from_millis(fields.next()?.parse().ok()?),
             limit: decode_limit(fields.next()),
-            // Nodes of earlier builds do not send the field.
+            // Nodes of earlier builds do not send the fields from here on.
             is_overdue: fields.next() == Some("1"),
+            tenant: fields.next().map(TenantName::from),
+            tenant_priority: fields
+                .next()
+                .and_then(|field| field.parse().ok())
+                .unwrap_or(0),
         })
     }
 }
@@ -226,6 +239,22 @@
     field?.parse().ok().map(RequestRate)
 }
 
+/// Encodes the wait for a large body and, if the backend server reports it, the time that work takes.
+fn encode_waits(load: &Load) -> String {
+    match load.work_time_percent {
+        None => load.transfer_wait_ms.to_string(),
+        Some(percent) => format!("{},{percent}", load.transfer_wait_ms),
+    }
+}
+
+/// Parses what [`encode_waits`] returns. Nodes of earlier builds do not send the field.
+fn decode_waits(load: &mut Load, field: Option<&str>) {
+    let mut parts = field.unwrap_or_default().split(',');
+    let mut next = || parts.next().and_then(|part| part.parse().ok());
+    load.transfer_wait_ms = next().unwrap_or_default();
+    load.work_time_percent = next();
+}
+
 /// Load of a serving node and what its backend server has announced.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
@@ -243,6 +272,9 @@
     pub is_leaving: bool,
     /// Expected time until the node can receive a large body, milliseconds.
     pub transfer_wait_ms: u32,
+    /// Time that work takes on the instance of the backend server at this moment, in percent of the usual
+    /// time; `None` if the backend server does not report it.
+    pub work_time_percent: Option<u32>,
 }
 
 /// Information that the serving node sends to the entry node with a response.
@@ -295,7 +327,7 @@
             self.tally.latency_percent,
             encode_limit(self.load.limit),
             u8::from(self.load.is_leaving),
-            self.load.transfer_wait_ms,
+            encode_waits(&self.load),
             route_tallies
         )
     }
@@ -325,9 +357,7 @@
         };
         header.load.limit = decode_limit(fields.next());
         header.load.is_leaving = fields.next() == Some("1");
-        // Nodes of earlier builds do not send the field.
-        let transfer_wait_ms = fields.next().and_then(|field| field.parse().ok());
-        header.load.transfer_wait_ms = transfer_wait_ms.unwrap_or_default();
+        decode_waits(&mut header.load, fields.next());
         while let Some(route) = fields.next() {
             let mut number = || fields.next().and_then(|field| field.parse().ok());
             let (Some(runs), Some(failures), Some(latency_percent)) =
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -1,11 +1,15 @@
 //! The configuration and the rollouts that operators order, as nodes use them. See
 //! `docs/platform.md`, "Configuration".
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::protocol::hop::RequestRate;
+use crate::protocol::name::RegionName;
 use crate::protocol::name::RouteName;
 use crate::protocol::name::ServiceName;
+use crate::protocol::name::TenantName;
 use crate::protocol::name::VersionName;
 
 /// One complete configuration.
@@ -15,10 +19,75 @@
     pub version: u64,
     /// Routes.
     pub routes: Vec<MeshRoute>,
-    /// Services that routes may have as targets, sorted.
-    pub services: Vec<ServiceName>,
+    /// Services that routes may have as targets, sorted by name.
+    pub services: Vec<MeshService>,
     /// Limits for callers.
     pub limits: CallerLimits,
+    /// Tenants, sorted by name. Without any, requests need no credential.
+    pub tenants: Vec<Tenant>,
+}
+
+/// A service of the configuration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MeshService {
+    /// Name.
+    pub name: ServiceName,
+    /// Path at which its backend servers report their health.
+    pub health_path: Option<Arc<str>>,
+    /// How its backend servers have to be treated while they are cold; `None` if they bear any load.
+    pub cold: Option<ColdLimit>,
+}
+
+/// Limit on the requests to a backend server that is cold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ColdLimit {
+    /// Time for which a backend server is cold after its start.
+    pub lasts: Duration,
+    /// Requests that it tolerates meanwhile, from all nodes together.
+    pub rate: RequestRate,
+}
+
+/// A tenant of the configuration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Tenant {
+    /// Name.
+    pub name: TenantName,
+    /// Hashes of its credentials, sorted.
+    pub keys: Vec<KeyHash>,
+    /// Priority, which goes before that of the route; 0 is the highest.
+    pub priority: u8,
+    /// Quota over all nodes together; `None` if it has no limit.
+    pub quota: Option<Quota>,
+    /// Regions that may serve it, sorted; empty if all may.
+    pub homes: Vec<RegionName>,
+}
+
+/// Quota of a tenant.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Quota {
+    /// Requests a second.
+    pub rate: RequestRate,
+    /// Requests that it may send at once beyond the rate.
+    pub burst: u32,
+}
+
+/// Hash of a credential. The credential itself is not kept, so that it cannot get into logs or messages, and
+/// the time of a lookup depends on the hash only.
+#[derive(Clone, Copy, Eq, Ord, PartialEq, PartialOrd)]
+pub struct KeyHash([u8; 32]);
+
+impl KeyHash {
+    /// Returns the hash of a credential (BLAKE3).
+    #[must_use]
+    pub fn of(credential: &[u8]) -> Self {
+        Self(*blake3::hash(credential).as_bytes())
+    }
+}
+
+impl fmt::Debug for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyHash")
+    }
 }
 
 /// A route of the configuration.
@@ -42,13 +111,35 @@
     pub max_attempts: u8,
     /// Target services with their weights; never empty.
     pub targets: Vec<(ServiceName, u32)>,
+    /// Whether requests need no credential, although there are tenants.
+    pub is_public: bool,
+    /// Regions that may serve it, sorted; empty if all may.
+    pub homes: Vec<RegionName>,
 }
 
 /// Limits for requests of callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerLimits {
+    /// Maximum size of a request head, bytes.
+    pub header_bytes: usize,
     /// Maximum size of a body, bytes.
     pub body_bytes: usize,
+    /// Maximum time for the head of a request.
+    pub header_time: Duration,
+    /// Time for which a connection may be idle.
+    pub idle_time: Duration,
+}
+
+impl Default for CallerLimits {
+    /// The limits until a configuration sets them.
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 << 10,
+            body_bytes: 1 << 20,
+            header_time: Duration::from_secs(5),
+            idle_time: Duration::from_secs(30),
+        }
+    }
 }
 
 /// An operator's order to roll out a version of a service.
--- a/src/protocol/name.rs
+++ b/src/protocol/name.rs
@@ -71,6 +71,10 @@
     /// Names a route of the configuration document.
     RouteName
 }
+name_type! {
+    /// Names a tenant, a customer of the services with credentials of its own.
+    TenantName
+}
 name_type! {
     /// Names a region.
     RegionName
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -114,6 +114,16 @@
     NotReady = 4015, "node not ready";
     /// The request is malformed.
     BadRequest = 4016, "bad request";
+    /// The request has no credential, or one that belongs to no tenant.
+    CredentialUnknown = 4017, "credential unknown";
+    /// No backend server in the home regions of the route or tenant may be used.
+    OutsideHome = 4018, "outside the home regions";
+    /// The quota of the tenant is used up.
+    QuotaExceeded = 4019, "quota exceeded";
+    /// The failure domain of the backend server is evacuated.
+    DomainEvacuated = 4020, "failure domain evacuated";
+    /// The memory that clients may use is taken.
+    ClientLimit = 4021, "limit of clients";
 
     /// A message between nodes could not be encoded.
     EncodeFailed = 5001, "encoding failed";
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -65,8 +65,6 @@
 const DEADLINE_MARGIN: Duration = Duration::from_millis(60);
 /// Largest random share added to `retry-after`, so that refused callers do not retry at the same time.
 const RETRY_AFTER_JITTER: f64 = 0.5;
-/// Limit for request bodies until a configuration sets one, bytes.
-const DEFAULT_BODY_BYTES: usize = 1 << 20;
 
 /// Handles a request of a caller.
 pub async fn handle(cx: Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
@@ -128,9 +126,8 @@
     arrived: Duration,
 ) -> Result<EntryCall, ResultCode> {
     let table = cx.table();
-    let limit = table
-        .as_ref()
-        .map_or(DEFAULT_BODY_BYTES, |table| table.limits().body_bytes);
+    let limits = table.as_ref().map(|table| table.limits());
+    let limit = limits.unwrap_or_default().body_bytes;
     let mut payload = req.take_payload();
     let caller = requests::read_client_headers(req.headers());
     let route = table
@@ -185,6 +182,8 @@
             left: time_limit,
             is_overdue,
             limit: None,
+            tenant: None,
+            tenant_priority: 0,
         },
         method: req.method().clone(),
         target,
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -42,7 +42,8 @@
                 warn!(cx.log, "rollout order ignored"; "service" => service, "offset" => record.offset, "why" => why);
             }
         },
-        None => {
+        // Handled with homes and evacuations.
+        Some(OperatorKey::Evacuation(_)) | None => {
             info!(cx.log, "record ignored"; "key" => &record.key, "offset" => record.offset);
         }
     }
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -68,8 +68,83 @@
     pub retry_slack: f64,
     /// Window over which retries are counted, seconds.
     pub retry_window_s: f64,
+    /// Failure domains with their regions, so that names in a configuration can be checked.
+    #[serde(default)]
+    pub domains: Vec<DomainRegion>,
+    /// Whether requests with a credential are refused while credentials may have been revoked unnoticed.
+    #[serde(default)]
+    pub strict_revoke: bool,
+    /// Age of the view of the configuration from which on that is assumed, milliseconds.
+    #[serde(default = "default_revoke_within_ms")]
+    pub revoke_within_ms: f64,
+    /// Window over which quotas are counted, seconds.
+    #[serde(default = "default_quota_window_s")]
+    pub quota_window_s: f64,
+    /// Requests allowed beyond a quota, as a share of it.
+    #[serde(default = "default_quota_excess")]
+    pub quota_excess: f64,
+    /// Requests allowed beyond that in a window.
+    #[serde(default = "default_quota_slack")]
+    pub quota_slack: f64,
+    /// Requests allowed to a cold backend server in a second, as a factor on the rate that it tolerates.
+    #[serde(default = "default_cold_excess")]
+    pub cold_excess: f64,
+    /// Requests allowed beyond that.
+    #[serde(default)]
+    pub cold_slack: f64,
+    /// Memory of the instance, MB.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
+    /// File descriptors that the process may open.
+    #[serde(default = "default_max_open_files")]
+    pub max_open_files: u32,
+}
+
+/// A failure domain and its region.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DomainRegion {
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Its region.
+    pub region: RegionName,
+}
+
+fn default_revoke_within_ms() -> f64 {
+    5_000.0
+}
+
+fn default_quota_window_s() -> f64 {
+    5.0
+}
+
+fn default_quota_excess() -> f64 {
+    0.1
+}
+
+fn default_quota_slack() -> f64 {
+    20.0
+}
+
+fn default_cold_excess() -> f64 {
+    1.0
+}
+
+/// Memory of the smallest instances.
+fn default_memory_mb() -> f64 {
+    160.0
+}
+
+/// File descriptors of the smallest instances.
+fn default_max_open_files() -> u32 {
+    4_100
 }
 
+const DOMAIN_REGION: Schema = Schema::Object(&[
+    required("domain", Schema::String),
+    required("region", Schema::String),
+]);
+
 const SETTINGS: Schema = Schema::Object(&[
     required("id", Schema::String),
     required("region", Schema::String),
@@ -91,6 +166,16 @@
     required("retry_ratio", Schema::Number),
     required("retry_slack", Schema::Number),
     required("retry_window_s", Schema::Number),
+    optional("domains", Schema::List(&DOMAIN_REGION)),
+    optional("strict_revoke", Schema::Bool),
+    optional("revoke_within_ms", Schema::Number),
+    optional("quota_window_s", Schema::Number),
+    optional("quota_excess", Schema::Number),
+    optional("quota_slack", Schema::Number),
+    optional("cold_excess", Schema::Number),
+    optional("cold_slack", Schema::Number),
+    optional("memory_mb", Schema::Number),
+    optional("max_open_files", Schema::Integer(u32::MAX as u64)),
 ]);
 
 /// Returns the names of all fields of a settings file.
@@ -129,6 +214,8 @@
         ("config_within_ms", settings.config_within_ms),
         ("stop_within_s", settings.stop_within_s),
         ("retry_window_s", settings.retry_window_s),
+        ("revoke_within_ms", settings.revoke_within_ms),
+        ("quota_window_s", settings.quota_window_s),
     ];
     for (field, value) in times {
         if value == 0.0 {
--- a/src/state/routing_table.rs
+++ b/src/state/routing_table.rs
@@ -5,6 +5,8 @@
 use crate::protocol::mesh::CallerLimits;
 use crate::protocol::mesh::MeshConfig;
 use crate::protocol::mesh::MeshRoute;
+use crate::protocol::mesh::MeshService;
+use crate::protocol::mesh::Tenant;
 use crate::protocol::name::RouteName;
 use crate::protocol::name::ServiceName;
 
@@ -15,6 +17,12 @@
     limits: CallerLimits,
     /// Routes, sorted by host and prefix.
     routes: Vec<Rc<MeshRoute>>,
+    /// The same, sorted by name.
+    routes_by_name: Vec<Rc<MeshRoute>>,
+    /// Services, sorted by name.
+    services: Vec<MeshService>,
+    /// Tenants, sorted by name.
+    tenants: Vec<Tenant>,
 }
 
 impl RoutingTable {
@@ -23,10 +31,15 @@
     pub fn new(config: MeshConfig) -> Self {
         let mut routes: Vec<Rc<MeshRoute>> = config.routes.into_iter().map(Rc::new).collect();
         routes.sort_unstable_by(|a, b| key(a).cmp(&key(b)));
+        let mut routes_by_name = routes.clone();
+        routes_by_name.sort_unstable_by(|a, b| a.name.cmp(&b.name));
         Self {
             version: config.version,
             limits: config.limits,
             routes,
+            routes_by_name,
+            services: config.services,
+            tenants: config.tenants,
         }
     }
 
@@ -51,10 +64,30 @@
     /// Returns the names of all routes, sorted.
     #[must_use]
     pub fn route_names(&self) -> Vec<RouteName> {
-        let names = self.routes.iter().map(|route| route.name.clone());
-        let mut names: Vec<RouteName> = names.collect();
-        names.sort_unstable();
-        names
+        let routes = self.routes_by_name.iter();
+        routes.map(|route| route.name.clone()).collect()
+    }
+
+    /// Returns the route of this name.
+    #[must_use]
+    pub fn route(&self, name: &RouteName) -> Option<&Rc<MeshRoute>> {
+        let routes = &self.routes_by_name;
+        let index = routes.binary_search_by(|route| route.name.cmp(name));
+        Some(&routes[index.ok()?])
+    }
+
+    /// Returns the service of this name.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&MeshService> {
+        let services = &self.services;
+        let index = services.binary_search_by(|service| service.name.cmp(name));
+        Some(&services[index.ok()?])
+    }
+
+    /// Returns all tenants, sorted by name. Without any, requests need no credential.
+    #[must_use]
+    pub fn tenants(&self) -> &[Tenant] {
+        &self.tenants
     }
 
     /// Returns the route of the host with the longest matching path prefix. Prefixes end with a
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -310,6 +310,8 @@
         ResultCode::OutcomeUnknown | ResultCode::InvalidResponse => StatusCode::BAD_GATEWAY,
         ResultCode::KeyInUse | ResultCode::ResponseNotStored => StatusCode::CONFLICT,
         ResultCode::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
+        ResultCode::CredentialUnknown => StatusCode::UNAUTHORIZED,
+        ResultCode::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/tests/process_stalled_bodies.rs
+++ b/tests/process_stalled_bodies.rs
@@ -42,6 +42,8 @@
         left: TIME_LEFT,
         is_overdue: false,
         limit: None,
+        tenant: None,
+        tenant_priority: 0,
     };
     let mut stream = TcpStream::connect(addr)?;
     stream.set_read_timeout(Some(TIME_LEFT))?;
--- a/tests/routing_table.rs
+++ b/tests/routing_table.rs
@@ -20,6 +20,8 @@
         priority: 2,
         max_attempts: 2,
         targets: vec![("registry".into(), 1)],
+        is_public: false,
+        homes: Vec::new(),
     }
 }
 
@@ -27,8 +29,12 @@
     RoutingTable::new(MeshConfig {
         version: 1,
         routes,
-        services: vec!["registry".into()],
-        limits: CallerLimits { body_bytes: 1_024 },
+        services: Vec::new(),
+        limits: CallerLimits {
+            body_bytes: 1_024,
+            ..CallerLimits::default()
+        },
+        tenants: Vec::new(),
     })
 }
 
