Bound the starts at a cold backend server in the slot queue

A cold backend server crashes at a rate that it bears when it is warm. The queue of the node beside it now has a token bucket beside the limit that a backend server names, and counts the starts of the last second, so that the rule holds in any second, also when a report comes late or the process restarts.

The bound has no effect until a caller sets it.

--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -9,11 +9,13 @@
 //! before this try (see [`crate::coordination::caller_age`]) are late from the start.
 //!
 //! If the backend server has named a limit on its requests, a call also needs a token of that limit
-//! (see [`RequestLimit`]), and the expected waits include the time until then.
+//! (see [`RequestLimit`]), and the expected waits include the time until then. The same holds for the bound of a
+//! backend server that is cold (see [`ColdStart`]).
 
 use std::time::Duration;
 
 use crate::coordination::request_limit::RequestLimit;
+use crate::coordination::room::cold_start::ColdStart;
 use crate::protocol::hop::Load;
 use crate::protocol::hop::RequestRate;
 use crate::protocol::name::RouteName;
@@ -109,6 +111,7 @@
     /// Last time at which a slot was free for a call that cannot be in time.
     spare_at: Duration,
     limit: Option<RequestLimit>,
+    cold_start: ColdStart,
     /// Whether the backend server has answered since its start, so that its limit is known.
     has_answered: bool,
 }
@@ -127,6 +130,7 @@
             next_ticket: 0,
             spare_at: Duration::ZERO,
             limit: None,
+            cold_start: ColdStart::default(),
             has_answered: false,
         }
     }
@@ -144,6 +148,19 @@
         self.mean_run_s = 0.0;
         self.limit = None;
         self.has_answered = false;
+        self.cold_start.on_start();
+    }
+
+    /// Returns the cold state of the backend server.
+    #[must_use]
+    pub fn cold_start(&self) -> &ColdStart {
+        &self.cold_start
+    }
+
+    /// Returns the cold state of the backend server to change it. Waiting calls are not started; see
+    /// [`Self::advance`].
+    pub fn cold_start_mut(&mut self) -> &mut ColdStart {
+        &mut self.cold_start
     }
 
     /// Applies the limit that the backend server named in its last response, or `None` if it named
@@ -168,30 +185,46 @@
         changed
     }
 
-    /// Returns the time at which the limit allows a waiting call to start, if only the limit keeps it
-    /// from starting. [`Self::advance`] has to be called then.
+    /// Returns the time at which the limit, or the bound of a cold backend server, allows a waiting call to
+    /// start, if only these keep it from starting. [`Self::advance`] has to be called then.
     #[must_use]
     pub fn next_start_at(&self, now: Duration) -> Option<Duration> {
-        let limit = self.limit.as_ref()?;
-        let is_limited = self.running < self.slots && !self.waiting.is_empty();
-        is_limited.then(|| now + limit.delay(now, 0))
+        let is_limited = self.limit.is_some() || self.cold_start.per_s(now).is_some();
+        if !is_limited || self.running >= self.slots {
+            return None;
+        }
+        let (_, next) = self.next_waiting(now)?;
+        Some(now.saturating_add(self.rate_delay(now, 0, next.priority)))
     }
 
     /// Returns the load of the backend server. A limit reduces the slots to the mean number of calls
     /// that run under it (Little's law), so that nodes expect the waits that the limit causes.
     #[must_use]
     pub fn load(&self) -> Load {
-        let (slots, slot_time_s) = match &self.limit {
+        self.load_under(self.limit.map(|limit| limit.per_s()))
+    }
+
+    /// Returns the load like [`Self::load`], also reduced by the bound of a cold backend server.
+    #[must_use]
+    pub fn load_at(&self, now: Duration) -> Load {
+        let limit_per_s = self.limit.map(|limit| limit.per_s());
+        let cold_per_s = self.cold_start.per_s(now);
+        let rates = limit_per_s.into_iter().chain(cold_per_s);
+        self.load_under(rates.reduce(f64::min))
+    }
+
+    fn load_under(&self, per_s: Option<f64>) -> Load {
+        let (slots, slot_time_s) = match per_s {
             None => (self.slots, self.mean_run_s),
-            Some(limit) => {
+            Some(per_s) => {
                 #[allow(
                     clippy::cast_possible_truncation,
                     clippy::cast_sign_loss,
                     reason = "a float saturates at the bounds of the integer"
                 )]
-                let running = (limit.per_s() * self.mean_run_s) as u32;
+                let running = (per_s * self.mean_run_s) as u32;
                 let slots = running.clamp(1, self.slots);
-                let slot_time_s = f64::from(slots) / limit.per_s();
+                let slot_time_s = f64::from(slots) / per_s;
                 (slots, slot_time_s.max(self.mean_run_s))
             }
         };
@@ -216,8 +249,8 @@
         if offer.deadline <= now {
             return Some(MIN_RETRY_DELAY);
         }
-        let has_free_slot = self.waiting.is_empty() && self.running < self.slots;
-        if has_free_slot {
+        let has_free_slot = self.is_next(now, offer) && self.running < self.slots;
+        if has_free_slot && self.cold_start.allows(now, offer.priority) {
             return None;
         }
         self.refusal(now, offer, self.expected_run(now, offer))
@@ -228,24 +261,27 @@
         let (in_time_by, last_start) = latest_starts(offer, expected_run);
         let is_before =
             |other: &Waiting| other.priority <= offer.priority && other.in_time_by >= now;
-        if now + self.expected_wait(now, expected_run, is_before) <= in_time_by {
+        if now.saturating_add(self.expected_wait(now, expected_run, offer.priority, is_before))
+            <= in_time_by
+        {
             return None;
         }
-        let wait = self.expected_wait(now, expected_run, |_| true);
+        let wait = self.expected_wait(now, expected_run, offer.priority, |_| true);
         // Calls that can be in time go first. Their surplus is expected to last as long as it has
         // lasted, so that calls do not wait in vain.
         let wait = wait.max(self.surplus_age(now));
-        let too_late = now + wait > last_start || wait > offer.objective;
+        let too_late = now.saturating_add(wait) > last_start || wait > offer.objective;
         (!offer.accepts_late || too_late).then(|| retry_delay(wait))
     }
 
     /// Expected time until a new call starts, in the order of arrival.
     #[must_use]
     pub fn backlog(&self, now: Duration) -> Duration {
-        if self.waiting.is_empty() && self.running < self.slots {
+        let has_free_slot = self.waiting.is_empty() && self.running < self.slots;
+        if has_free_slot && self.cold_start.allows(now, u8::MAX) {
             return Duration::ZERO;
         }
-        self.expected_wait(now, Duration::ZERO, |_| true)
+        self.expected_wait(now, Duration::ZERO, u8::MAX, |_| true)
     }
 
     /// Expected run time of a call; assumed if none of its route has been measured.
@@ -268,7 +304,9 @@
         if offer.deadline <= now {
             return Admit::Refuse(MIN_RETRY_DELAY);
         }
-        if self.waiting.is_empty() && self.running < self.slots && self.take_from_limit(now) {
+        self.cold_start.on_offer(now, offer.priority);
+        let has_free_slot = self.is_next(now, offer) && self.running < self.slots;
+        if has_free_slot && self.take_from_rates(now, offer.priority) {
             self.running += 1;
             self.spare_at = now;
             return Admit::Start;
@@ -326,28 +364,48 @@
     pub fn advance(&mut self, now: Duration) -> Changes {
         let mut changes = Changes::default();
         let mean = Duration::from_secs_f64(self.mean_run_s);
+        let cold_start = &self.cold_start;
         self.waiting.retain(|waiting| {
             let can_finish = waiting.last_start >= now;
             if !can_finish {
-                changes.refuse.push((waiting.ticket, retry_delay(mean)));
+                let wait = mean.max(cold_start.delay(now, 0, waiting.priority));
+                changes.refuse.push((waiting.ticket, retry_delay(wait)));
             }
             can_finish
         });
-        while self.running < self.slots && !self.waiting.is_empty() && self.take_from_limit(now) {
-            let in_time = self
-                .waiting
-                .iter()
-                .position(|waiting| waiting.in_time_by >= now);
-            if in_time.is_none() {
+        while self.running < self.slots
+            && let Some((index, next)) = self.next_waiting(now)
+        {
+            let (ticket, priority) = (next.ticket, next.priority);
+            let is_in_time = next.in_time_by >= now;
+            if !self.take_from_rates(now, priority) {
+                break;
+            }
+            if !is_in_time {
                 self.spare_at = now;
             }
-            let next = self.waiting.remove(in_time.unwrap_or(0));
-            changes.start.push(next.ticket);
+            self.waiting.remove(index);
+            changes.start.push(ticket);
             self.running += 1;
         }
         changes
     }
 
+    /// Whether no waiting call goes before a new one. Less urgent calls may wait beside free slots for requests
+    /// that a cold backend server tolerates, while some are kept for urgent ones.
+    fn is_next(&self, now: Duration, offer: &Offer) -> bool {
+        let is_cold = self.cold_start.per_s(now).is_some();
+        let first = self.waiting.first();
+        first.is_none_or(|first| is_cold && first.priority > offer.priority)
+    }
+
+    /// Returns the waiting call that starts next, with its index.
+    fn next_waiting(&self, now: Duration) -> Option<(usize, &Waiting)> {
+        let mut calls = self.waiting.iter().enumerate();
+        let in_time = calls.find(|(_, waiting)| waiting.in_time_by >= now);
+        in_time.or_else(|| Some((0, self.waiting.first()?)))
+    }
+
     /// Time for which all slots have gone to calls that can be in time, while more of them wait.
     fn surplus_age(&self, now: Duration) -> Duration {
         let has_in_time = self.waiting.iter().any(|waiting| waiting.in_time_by >= now);
@@ -358,12 +416,13 @@
         }
     }
 
-    /// Expected time until a call starts behind the waiting calls that pass the filter. Until the
+    /// Expected time until a call of a priority starts behind the waiting calls that pass the filter. Until the
     /// first run has been measured, running calls are assumed to take `expected_run`.
     fn expected_wait(
         &self,
         now: Duration,
         expected_run: Duration,
+        priority: u8,
         is_ahead: impl Fn(&Waiting) -> bool,
     ) -> Duration {
         let (mut ahead, mut work) = (0, 0.0);
@@ -377,14 +436,26 @@
             mean => mean,
         };
         let slot_wait = Duration::from_secs_f64((work + next_slot) / f64::from(self.slots));
-        let limit_wait = self.limit.map(|limit| limit.delay(now, ahead));
-        slot_wait.max(limit_wait.unwrap_or_default())
+        slot_wait.max(self.rate_delay(now, ahead, priority))
     }
 
-    /// Takes a request from the limit of the backend server, if it has one. Returns whether the limit
-    /// allows a request now.
-    fn take_from_limit(&mut self, now: Duration) -> bool {
-        self.limit.as_mut().is_none_or(|limit| limit.take(now))
+    /// Returns the time until the limit and the bound of a cold backend server allow a request behind `ahead`
+    /// other ones.
+    fn rate_delay(&self, now: Duration, ahead: usize, priority: u8) -> Duration {
+        let limit_delay = self.limit.map(|limit| limit.delay(now, ahead));
+        let cold_delay = self.cold_start.delay(now, ahead, priority);
+        cold_delay.max(limit_delay.unwrap_or_default())
+    }
+
+    /// Takes a request from the limit of the backend server, if it has one, and from the bound while it is
+    /// cold. Returns whether both allow a request now.
+    fn take_from_rates(&mut self, now: Duration, priority: u8) -> bool {
+        let allowed = self.cold_start.allows(now, priority)
+            && self.limit.as_mut().is_none_or(|limit| limit.take(now));
+        if allowed {
+            self.cold_start.take(now);
+        }
+        allowed
     }
 
     fn record_run(&mut self, route: &RouteName, run_time: Duration) {
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use sycamorewick::coordination::room::cold_start::ColdBound;
 use sycamorewick::coordination::slot_queue::Admit;
 use sycamorewick::coordination::slot_queue::Offer;
 use sycamorewick::coordination::slot_queue::SlotQueue;
 use sycamorewick::coordination::slot_queue::Ticket;
+use sycamorewick::protocol::hop::RequestRate;
 use sycamorewick::protocol::name::RouteName;
 
 const LOOKUP: &str = "lookup";
@@ -232,3 +234,30 @@
     expect_that!(changes.start.len(), eq(0));
     expect_that!(changes.refuse.len(), eq(1));
 }
+
+/// A cold backend server may name a limit as well. The stricter of the two binds, and a call that one of them
+/// holds back must not use up a request of the other.
+#[gtest]
+fn offer_limit_while_cold() {
+    let rate = |per_s| RequestRate::from_per_s(per_s).expect("a rate");
+    let mut queue = queue();
+    let cold = queue.cold_start_mut();
+    cold.set_bound(ms(0), Some(ColdBound::new(rate(4.0), 1.5, 2.0)));
+    cold.on_report(ms(0), ms(60_000));
+    queue.on_limit(ms(1_000), Some(rate(2.0)));
+    let patient = |now| Offer {
+        accepts_late: true,
+        ..offer(ms(now), 2)
+    };
+    // The bound has saved one request by now, and the limit begins with one.
+    expect_that!(queue.offer(ms(1_000), &patient(1_000)), eq(Admit::Start));
+    let refused = queue.offer(ms(1_000), &patient(1_000));
+    expect_that!(refused, eq(Admit::Refuse(ms(500))));
+    expect_that!(queue.offer(ms(1_500), &patient(1_500)), eq(Admit::Start));
+    queue.finish(ms(1_560), &RouteName::from(LOOKUP), Some(ms(60)));
+    queue.on_limit(ms(1_560), None);
+    // The bound lets four a second start.
+    let waiting = queue.offer(ms(1_560), &patient(1_560));
+    expect_that!(waiting, matches_pattern!(Admit::Wait(_, _)));
+    expect_that!(queue.next_start_at(ms(1_560)), some(eq(ms(1_750))));
+}
