Let the stand-in for backend servers be cold, silent and slow at times

Tests of cold backend servers need its heartbeats and health path to report a cold state, and the arrivals while it is cold. The load header with the time that work takes is for the work time figure of placement.

--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -223,6 +223,7 @@
         error_rate: *required(args, "error-rate")?,
         pad_bytes: size("pad-bytes")?,
         seed: *required(args, "seed")?,
+        cold_ms: 0,
     })
     .wrap_err("cannot start the backend server")?;
     actix_rt::System::new().block_on(wait_for_stop());
--- a/testbed/src/platform/backend.rs
+++ b/testbed/src/platform/backend.rs
@@ -13,6 +13,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use actix_http::HttpMessage;
 use actix_http::Request;
@@ -47,6 +48,16 @@
 const NOT_EXECUTED_HEADER: &str = "x-sycamorewick-not-executed";
 /// Header with the id of the backend server that a request is meant for.
 const EXPECTED_HEADER: &str = "x-sycamorewick-expect-instance";
+/// Header with the running and waiting requests, the slots, and the time that work takes, in percent.
+const LOAD_HEADER: &str = "x-sycamorewick-upstream-load";
+/// Header of a health response with the time for which the backend server stays cold, milliseconds.
+const COLD_HEADER: &str = "x-sycamorewick-cold-ms";
+/// Header of a health response with the id of the backend server.
+const INSTANCE_HEADER: &str = "x-sycamorewick-instance";
+/// Path at which the backend server reports its health.
+pub const HEALTH_PATH: &str = "/healthz";
+/// Run time of a cold backend server, relative to that of a warm one.
+const COLD_SLOWDOWN: u32 = 2;
 /// Interval between heartbeats.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout of a heartbeat.
@@ -87,6 +98,8 @@
     pub pad_bytes: usize,
     /// Seed of the service times and errors.
     pub seed: u64,
+    /// Time after its start for which it is cold, milliseconds.
+    pub cold_ms: u64,
 }
 
 /// What a backend server announces in each response.
@@ -141,6 +154,29 @@
     crash_path: Mutex<Option<String>>,
     crashed: Notify,
     stop: Notify,
+    /// Time until which it is cold.
+    cold_until: Mutex<Instant>,
+    /// Times at which requests arrived while it was cold.
+    cold_arrivals: Mutex<Vec<Instant>>,
+    /// Time that work takes, in percent of the usual time; `None` if responses have no load header.
+    work_time_percent: Mutex<Option<u32>>,
+    /// Whether no heartbeats are sent.
+    is_silent: Mutex<bool>,
+    /// Requests of the health path.
+    health_requests: Mutex<usize>,
+}
+
+impl Shared {
+    fn cold_left(&self) -> Duration {
+        lock(&self.cold_until).saturating_duration_since(Instant::now())
+    }
+
+    /// Value of the load header. The numbers of requests are not counted.
+    fn load_text(&self) -> Option<String> {
+        let percent = *lock(&self.work_time_percent);
+        let slots = self.options.slots;
+        percent.map(|percent| format!("0,0,{slots},{percent}"))
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -174,6 +210,11 @@
             crash_path: Mutex::default(),
             crashed: Notify::new(),
             stop: Notify::new(),
+            cold_until: Mutex::new(Instant::now() + Duration::from_millis(options.cold_ms)),
+            cold_arrivals: Mutex::default(),
+            work_time_percent: Mutex::default(),
+            is_silent: Mutex::default(),
+            health_requests: Mutex::default(),
             options,
         });
         let server = {
@@ -208,6 +249,34 @@
         *lock(&self.shared.crash_path) = Some(path.to_owned());
     }
 
+    /// Makes the backend server cold for a time from now on, or warm if that is zero.
+    pub fn set_cold(&self, time: Duration) {
+        *lock(&self.shared.cold_until) = Instant::now() + time;
+    }
+
+    /// Times at which requests arrived while the backend server was cold, in order. Requests of the health path and
+    /// requests that were meant for another incarnation are left out.
+    #[must_use]
+    pub fn cold_arrivals(&self) -> Vec<Instant> {
+        lock(&self.shared.cold_arrivals).clone()
+    }
+
+    /// Changes the time that work takes according to the following responses, in percent of the usual time.
+    pub fn set_work_time(&self, percent: Option<u32>) {
+        *lock(&self.shared.work_time_percent) = percent;
+    }
+
+    /// Stops or resumes the heartbeats, while requests are served.
+    pub fn set_silent(&self, is_silent: bool) {
+        *lock(&self.shared.is_silent) = is_silent;
+    }
+
+    /// Number of requests of the health path.
+    #[must_use]
+    pub fn health_requests(&self) -> usize {
+        *lock(&self.shared.health_requests)
+    }
+
     /// Whether the backend server still runs.
     #[must_use]
     pub fn is_running(&self) -> bool {
@@ -249,8 +318,11 @@
     let client = awc::Client::builder().timeout(HEARTBEAT_TIMEOUT).finish();
     let mut sequence = 0;
     loop {
-        heartbeat(&shared, &client, sequence, "ready").await;
-        sequence += 1;
+        let is_silent = *lock(&shared.is_silent);
+        if !is_silent {
+            heartbeat(&shared, &client, sequence, "ready").await;
+            sequence += 1;
+        }
         let stop = shared.stop.notified();
         if actix_rt::time::timeout(HEARTBEAT_INTERVAL, stop)
             .await
@@ -284,6 +356,7 @@
 
 async fn heartbeat(shared: &Shared, client: &awc::Client, sequence: u64, state: &str) -> bool {
     let options = &shared.options;
+    let cold_left_ms = u64::try_from(shared.cold_left().as_millis()).unwrap_or(u64::MAX);
     let body = json!({
         "address": options.listen,
         "born": options.born,
@@ -293,7 +366,7 @@
             "zone": "any",
             "slots": options.slots,
         },
-        "status": { "state": state, "seq": sequence, "cold-left-ms": 0 },
+        "status": { "state": state, "seq": sequence, "cold-left-ms": cold_left_ms },
     });
     let path = format!("Instances.Heartbeat/{}", options.id);
     post(shared, client, &path, &body).await
@@ -306,6 +379,18 @@
     sent.is_ok_and(|response| response.status().is_success())
 }
 
+fn health_response(shared: &Shared) -> Response<BoxBody> {
+    *lock(&shared.health_requests) += 1;
+    let mut response = Response::build(StatusCode::OK);
+    let cold_left_ms = shared.cold_left().as_millis().to_string();
+    response.insert_header((COLD_HEADER, cold_left_ms));
+    response.insert_header((INSTANCE_HEADER, shared.options.id.as_str()));
+    if let Some(load) = shared.load_text() {
+        response.insert_header((LOAD_HEADER, load));
+    }
+    response.finish().map_into_boxed_body()
+}
+
 fn not_run_response(status: StatusCode, attempt: &str) -> Response<BoxBody> {
     let mut response = Response::build(status);
     response.insert_header((ATTEMPT_HEADER, attempt));
@@ -315,6 +400,9 @@
 
 async fn handle_request(shared: &Shared, mut req: Request) -> Response<BoxBody> {
     let options = &shared.options;
+    if req.path() == HEALTH_PATH {
+        return health_response(shared);
+    }
     let Ok(body) = http::read_body(&mut req, MAX_BODY_BYTES).await else {
         return http::text(
             StatusCode::BAD_REQUEST,
@@ -328,12 +416,18 @@
     if header(EXPECTED_HEADER).is_some_and(|expected| expected != options.id) {
         return not_run_response(StatusCode::MISDIRECTED_REQUEST, &attempt);
     }
+    let slowdown = if shared.cold_left().is_zero() {
+        1
+    } else {
+        lock(&shared.cold_arrivals).push(Instant::now());
+        COLD_SLOWDOWN
+    };
     let (service_time, failed) = {
         let mut rng = lock(&shared.rng);
         let longest = options.service_ms.max(1);
         let service_millis = rng.random_range(longest.div_ceil(10)..=longest);
         let failed = rng.random_range(0.0..1.0) < options.error_rate;
-        (Duration::from_millis(service_millis), failed)
+        (Duration::from_millis(service_millis) * slowdown, failed)
     };
     let longest_wait = Duration::from_millis(options.service_ms) * MAX_WAIT_SERVICE_TIMES;
     let Ok(slot) = actix_rt::time::timeout(longest_wait, shared.slots.acquire()).await else {
@@ -373,6 +467,9 @@
     if announcement.is_leaving {
         response.insert_header((LEAVING_HEADER, "1"));
     }
+    if let Some(load) = shared.load_text() {
+        response.insert_header((LOAD_HEADER, load));
+    }
     response.insert_header((SEAL_HEADER, seal(&options.id, &attempt)));
     response.insert_header((ATTEMPT_HEADER, attempt));
     response.body(Bytes::from(body)).map_into_boxed_body()
--- a/testbed/src/platform/fleet.rs
+++ b/testbed/src/platform/fleet.rs
@@ -58,6 +58,9 @@
     pub config_within_ms: u64,
     /// Time from SIGTERM to SIGKILL, seconds.
     pub stop_within_s: u64,
+    /// Requests allowed to a cold backend server in a second: a factor on the rate that it tolerates, and a number
+    /// beyond that.
+    pub cold_excess_and_slack: (f64, f64),
 }
 
 impl SidecarOptions {
@@ -70,6 +73,7 @@
             service: service.into(),
             config_within_ms: 2_000,
             stop_within_s: 5,
+            cold_excess_and_slack: (1.0, 0.0),
         }
     }
 }
@@ -159,6 +163,8 @@
             "retry_ratio": 0.2,
             "retry_slack": 30,
             "retry_window_s": 10,
+            "cold_excess": options.cold_excess_and_slack.0,
+            "cold_slack": options.cold_excess_and_slack.1,
         });
         fs::write(&settings_file, serde_json::to_vec_pretty(&settings)?)?;
         let output = self.dir.path().join(format!("{}.log", options.id));
--- a/tests/sidecar_common/mod.rs
+++ b/tests/sidecar_common/mod.rs
@@ -141,6 +141,7 @@
                 error_rate,
                 pad_bytes,
                 seed: 1,
+                cold_ms: 0,
             })?);
         Ok(())
     }
