Count only the usable slots of a backend server without a limit of its own

A node beside a cold backend server reports the slots that its bound lets it use, without a limit that the backend server named. Entry nodes used the reported slots only together with such a limit, and would have sent calls to all slots.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -240,10 +240,12 @@
         (backend.phase == BackendPhase::Ready && !is_leaving).then_some(backend)
     }
 
-    /// Slots of the backend server that its limit allows to use, by a recent report.
+    /// Slots of the backend server that its limit, or the bound while it is cold, allows to use, by a recent
+    /// report.
     fn usable_slots(&self, now: Duration, backend: &BackendReport) -> u32 {
         let is_recent = now.saturating_sub(self.load_at) < LOAD_LIFETIME;
-        if is_recent && self.load.limit.is_some() {
+        let is_bounded = self.load.limit.is_some() || (1..backend.slots).contains(&self.load.slots);
+        if is_recent && is_bounded {
             self.load.slots.clamp(1, backend.slots.max(1))
         } else {
             backend.slots
@@ -472,6 +474,7 @@
                     candidate.failure_rate = 0.0;
                     candidate.warm_at = warm_at;
                     candidate.load.limit = None;
+                    candidate.load.slots = 0;
                 }
                 candidate.distance = distance;
                 candidate.entry = entry.clone();
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -291,6 +291,27 @@
     expect_that!(entry.pick(ms(100), &[]), some(eq("b")));
 }
 
+/// A backend server that is cold may use one slot of nine. The entry node must not wait for the eight others,
+/// and must use them again once they are reported.
+#[gtest]
+fn pick_cold_backend_server() {
+    let mut entry = fleet();
+    let mut report = |now, slots| {
+        let load = Load {
+            running: 1,
+            slots,
+            mean_run_ms: 77,
+            ..Load::default()
+        };
+        entry
+            .placement
+            .on_report(now, &"a".into(), load, BackendTotals::default());
+        entry.pick(now, &[])
+    };
+    expect_that!(report(ms(100), 1), some(eq("b")));
+    expect_that!(report(ms(200), SLOTS), some(eq("a")));
+}
+
 /// A node that restarts beside a leaving backend server announces it as ready again. An entry node that
 /// has passed on the server's notice must not send calls there; another incarnation gets calls.
 #[gtest]
