Keep the bound of cold backend servers in the sidecar

The node takes cold-per-s from the configuration and the cold state from each heartbeat, also from one that changes nothing else, since a backend server can become cold again without a restart. A new process, and one whose backend server refused a connection, assumes a cold state until a report. Where a heartbeat would come too late (broken connections, runs of twice the usual length, missing heartbeats) the health path is probed, at most twice a second.

--- a/src/coordination/room/cold_start.rs
+++ b/src/coordination/room/cold_start.rs
@@ -44,6 +44,8 @@
 const USUAL_WEIGHT: f64 = 0.02;
 /// Runs of a route after which its usual run time is known.
 const MIN_USUAL_RUNS: u32 = 20;
+/// Routes of which run times are kept. Peers choose the names of routes, so their number is bounded.
+const MAX_ROUTES: usize = 128;
 /// Token counts this close to one count as one, since they are computed from rounded times.
 const ROUNDING: f64 = 1e-6;
 
@@ -133,6 +135,16 @@
     Warm,
 }
 
+impl Heat {
+    fn is_cold(self, now: Duration) -> bool {
+        match self {
+            Self::Unknown => true,
+            Self::Cold(until) => now < until,
+            Self::Warm => false,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct UsualRun {
     route: RouteName,
@@ -201,17 +213,18 @@
     }
 
     /// Applies a report of the backend server that has just arrived; it replaces all earlier ones. Returns
-    /// whether the backend server counts as warm from now on and did not before, or the reverse.
+    /// whether it says something else than what was known before.
     pub fn on_report(&mut self, now: Duration, cold_left: Duration) -> bool {
         self.refill(now);
-        let was_cold = self.is_cold(now);
+        let known = |heat: Heat| (heat != Heat::Unknown).then(|| heat.is_cold(now));
+        let before = known(self.heat);
         self.reported_at = Some(now);
         self.heat = match self.heat {
             _ if !cold_left.is_zero() => Heat::Cold(now.saturating_add(cold_left)),
             Heat::Cold(until) => Heat::Cold(until.min(now)),
             Heat::Unknown | Heat::Warm => Heat::Warm,
         };
-        self.is_cold(now) != was_cold
+        known(self.heat) != before
     }
 
     /// Handles the loss of the backend server. It counts as cold until its next report.
@@ -229,11 +242,7 @@
     /// Whether the backend server counts as cold.
     #[must_use]
     pub fn is_cold(&self, now: Duration) -> bool {
-        match self.heat {
-            Heat::Unknown => true,
-            Heat::Cold(until) => now < until,
-            Heat::Warm => false,
-        }
+        self.heat.is_cold(now)
     }
 
     /// Returns the age of the last report.
@@ -316,6 +325,7 @@
         let run_time_s = run_time.as_secs_f64();
         let index = match self.usual.binary_search_by(|run| run.route.cmp(route)) {
             Ok(index) => index,
+            Err(_) if self.usual.len() >= MAX_ROUTES => return false,
             Err(index) => {
                 let first = UsualRun {
                     route: route.clone(),
--- a/src/sidecar/admission.rs
+++ b/src/sidecar/admission.rs
@@ -88,6 +88,7 @@
     pub fn advance(self: &Rc<Self>) {
         let changes = self.queue.borrow_mut().advance(self.clock.now());
         self.apply(changes);
+        self.schedule_limited_starts();
     }
 
     /// Waits for a slot.
@@ -167,7 +168,6 @@
             actix_rt::time::sleep(at.saturating_sub(now)).await;
             admission.start_scheduled.set(false);
             admission.advance();
-            admission.schedule_limited_starts();
         });
     }
 }
--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -13,6 +13,7 @@
 use slog::warn;
 
 use crate::coordination::breaker::Breaker;
+use crate::coordination::room::cold_start::ProbeReason;
 use crate::platform::heartbeat;
 use crate::platform::heartbeat::BackendCall;
 use crate::platform::heartbeat::Heartbeat;
@@ -22,6 +23,7 @@
 use crate::protocol::hop::RouteTotals;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
+use crate::sidecar::health_probe;
 use crate::sidecar::leaves;
 use crate::state::local_backend::HeartbeatEffect;
 use crate::transport::http_server;
@@ -105,6 +107,7 @@
     let before = state.backend.report().cloned();
     let is_new = |old: &BackendReport| !report.is_same_incarnation(old);
     let restarted = before.as_ref().is_none_or(is_new);
+    let was_down = state.backend.is_down();
     let change = state.backend.on_heartbeat(now, report);
     if change == HeartbeatEffect::Changed {
         cx.slots.with(|queue| {
@@ -120,6 +123,16 @@
         }
     }
     drop(state);
+    if matches!(
+        change,
+        HeartbeatEffect::Changed | HeartbeatEffect::Refreshed
+    ) {
+        health_probe::on_report(cx, cold_left, "heartbeat");
+        if was_down && !restarted {
+            // The heartbeat may be from before the backend server started anew.
+            health_probe::consider(cx, ProbeReason::ConnectionBack);
+        }
+    }
     match change {
         HeartbeatEffect::Changed => {
             info!(cx.log, "backend server changed"; "to" => text, "born" => born, "sequence" => sequence);
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -41,6 +41,10 @@
     pub config_version: Gauge,
     /// Requests a second that the local backend server accepts at most; zero without a limit.
     pub backend_limit: Gauge,
+    /// Requests a second that the local backend server may get since it is cold; zero while it is not.
+    pub backend_cold_bound: Gauge,
+    /// Probes of the health path of the local backend server.
+    pub health_probes: Counter,
     /// Number of known nodes.
     pub nodes: Gauge,
     /// Time from a caller's request to its response, seconds.
@@ -74,6 +78,8 @@
             quarantined_requests: counter!("sycamorewick_quarantined_requests_total"),
             config_version: gauge!("sycamorewick_config_version"),
             backend_limit: gauge!("sycamorewick_backend_limit"),
+            backend_cold_bound: gauge!("sycamorewick_backend_cold_bound"),
+            health_probes: counter!("sycamorewick_health_probes_total"),
             nodes: gauge!("sycamorewick_nodes"),
             call_latency: histogram!("sycamorewick_call_seconds"),
             backend_latency: histogram!("sycamorewick_backend_seconds"),
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -6,6 +6,7 @@
 mod body_gate;
 mod crashes;
 mod entry;
+mod health_probe;
 mod heartbeat_port;
 mod hop;
 mod leaves;
@@ -172,6 +173,7 @@
 pub async fn run(file: &Path, settings: SidecarSettings) -> eyre::Result<()> {
     let (log, guard) = logging::start_buffered();
     let cx = Rc::new(new_sidecar(settings, log.clone())?);
+    health_probe::apply_bound(&cx);
     let servers = start_servers(&cx).await?;
     info!(log, "node started"; "node" => cx.settings.id.as_str(), "run" => cx.run,
         "service" => cx.settings.service.as_str(), "failure_domain" => cx.settings.failure_domain.as_str());
--- a/src/sidecar/rollouts.rs
+++ b/src/sidecar/rollouts.rs
@@ -101,7 +101,7 @@
         state.placement.clear_route_tallies();
         return Vec::new();
     }
-    let (load, tally) = (cx.slots.with(|queue| queue.load()), state.tally);
+    let (load, tally) = (cx.slots.with(|queue| queue.load_at(now)), state.tally);
     state.placement.on_report(now, &cx.settings.id, load, tally);
     for (route, tally) in state.route_tallies.iter() {
         state
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -13,7 +13,9 @@
 use slog::info;
 use slog::warn;
 
+use crate::coordination::room::cold_start::ProbeReason;
 use crate::coordination::slot_queue::Offer;
+use crate::coordination::slot_queue::SlotQueue;
 use crate::coordination::version_move::cancelled_percent;
 use crate::platform::requests;
 use crate::platform::requests::Execution;
@@ -31,6 +33,7 @@
 use crate::sidecar::SidecarState;
 use crate::sidecar::admission::Admitted;
 use crate::sidecar::crashes;
+use crate::sidecar::health_probe;
 use crate::transport::exchange::Exchange;
 use crate::transport::exchange::ExchangeFailure;
 use crate::transport::http_client::HttpResponse;
@@ -133,7 +136,7 @@
     let load = Load {
         is_leaving: state.backend.is_leaving(),
         transfer_wait_ms: u32::try_from(transfer_wait.as_millis()).unwrap_or(u32::MAX),
-        ..cx.slots.with(|queue| queue.load())
+        ..cx.slots.with(|queue| queue.load_at(now))
     };
     (load, state.tally)
 }
@@ -195,6 +198,7 @@
     if let Some(limit) = call.head.limit {
         apply_reported_limit(cx, limit);
     }
+    health_probe::on_call(cx);
     let slot = match admit(cx, &call).await {
         Ok(slot) => slot,
         Err(retry_after) => {
@@ -281,6 +285,12 @@
 ) {
     cx.metrics.gate_refusals.increment(1);
     let (load, _) = load_report(cx);
+    let now = cx.clock.now();
+    let cold = |queue: &mut SlotQueue| {
+        let cold = queue.cold_start();
+        (cold.per_s(now), cold.report_age(now))
+    };
+    let (cold_per_s, cold_report_age) = cx.slots.with(cold);
     if let ServeOutcome::Refused {
         code, retry_after, ..
     } = outcome
@@ -288,6 +298,7 @@
         info!(cx.log, "call refused by admission"; "attempt" => attempt_text(attempt),
             "route" => head.route.as_str(), "code" => code.number(), "running" => load.running,
             "waiting" => load.waiting, "slots" => load.slots, "limit_per_s" => load.limit.map(RequestRate::per_s), "left_ms" => millis(head.left),
+            "cold_per_s" => cold_per_s, "cold_report_age_ms" => cold_report_age.map(millis),
             "transfer_wait_ms" => load.transfer_wait_ms, "come_back_ms" => millis(*retry_after));
     }
 }
@@ -368,11 +379,13 @@
     cx.metrics.backend_latency.record(run_time);
     if let Err(Some(ExchangeFailure::Broken { .. })) = result {
         crashes::on_broken_call(&cx, &backend, fingerprint);
+        health_probe::consider(&cx, ProbeReason::ConnectionBack);
     }
     let outcome = interpret_result(&cx, &call, &backend, result, run_time);
     if matches!(outcome, ServeOutcome::Ran { .. }) {
         crashes::on_answered(&cx, fingerprint);
         slot.admitted.run_time = Some(run_time);
+        health_probe::on_run(&cx, &call.head.route, run_time);
     }
     slot.reported_to_breaker = report_to_breaker(&cx, &outcome);
     drop(slot);
@@ -488,6 +501,8 @@
 /// Marks the backend server as down, until its next heartbeat.
 pub fn mark_backend_down(cx: &Rc<Sidecar>, why: &str) {
     if cx.state.borrow_mut().backend.mark_down() {
+        let now = cx.clock.now();
+        cx.slots.with(|queue| queue.cold_start_mut().on_lost(now));
         warn!(cx.log, "backend server down"; "why" => why);
         cx.entry_changed.notify_one();
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -301,3 +301,20 @@
     let (_, value) = requests::retry_after(Duration::from_millis(45));
     expect_that!(value.to_str().ok(), some(eq("0.045")));
 }
+
+/// Guards against a health response that makes a cold backend server look warm since its header is unreadable, and
+/// against a value out of range.
+#[gtest]
+fn read_health_of_responses() {
+    let cold_left =
+        |text| requests::read_health(&headers(&[("x-sycamorewick-cold-ms", text)])).cold_left;
+    expect_that!(cold_left("0"), some(eq(Duration::ZERO)));
+    expect_that!(cold_left("1200"), some(eq(Duration::from_millis(1_200))));
+    expect_that!(cold_left("0.4"), some(eq(Duration::from_millis(1))));
+    for text in ["", "-1", "NaN", "inf", "soon"] {
+        expect_that!(cold_left(text), none(), "{text}");
+    }
+    expect_that!(cold_left("1e300"), some(anything()));
+    let named = requests::read_health(&headers(&[("x-sycamorewick-instance", "b7")]));
+    expect_that!(named.instance, some(eq("b7")));
+}
