Scale expected run times by the time of work that backend servers report

On some deployments about one instance in seven is 2.5 times slower for some 600 ms at a time, which no mean of run times follows. Responses of such backend servers say how long work takes at the moment. The serving node passes the figure on with its load, and placement multiplies the expected run time by it, with a weight that falls to zero within 600 ms. Run time factors and means of routes are learned from run times divided by the figure.

The slot queue does not use it.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -5,7 +5,8 @@
 //! Time beyond the latency objective is weighted higher. Traffic between failure domains and
 //! regions is billed, so it adds a fraction of the objective in proportion to the measured response
 //! size of the route; a call that meets its objective locally therefore stays in its failure
-//! domain. Load figures and failure rates decay with age, so that a node with poor figures is tried
+//! domain. The run time is also scaled by the time that work takes on the node's instance at this moment, if
+//! that is reported; the factor of the node is learned without it. Load figures and failure rates decay with age, so that a node with poor figures is tried
 //! again.
 
 use std::net::SocketAddr;
@@ -76,6 +77,12 @@
 const FAILURE_COST_RUNS_NOT_IDEMPOTENT: f64 = 12.0;
 /// Age at which a load report no longer counts.
 const LOAD_LIFETIME: Duration = Duration::from_secs(1);
+/// Age at which a reported time of work no longer counts. Instances are slow for some 600 ms at a time, so that one
+/// that was slow when it reported is still slow with a probability that falls evenly to zero by then.
+pub const WORK_TIME_LIFETIME: Duration = Duration::from_millis(600);
+/// Bounds of the time of work that is used, in percent of the usual time, so that a wrong figure does not
+/// decide alone.
+const WORK_TIME_BOUNDS: (u32, u32) = (50, 400);
 /// Weight of one report in the mean load of a service.
 const SERVICE_LOAD_WEIGHT: f64 = 0.05;
 /// Largest load that counts in that mean, as a share of the slots; a queue is a few times as long.
@@ -160,6 +167,8 @@
     pub load: f64,
     /// Age of the last load report.
     pub load_age: Duration,
+    /// Expected time of work on the instance at this moment, relative to the usual one.
+    pub work_time: f64,
     /// Whether the node was unreachable or had no backend server when it was last tried.
     pub is_unreachable: bool,
     /// Whether its backend server probably has free slots and does not become slower with one more
@@ -169,6 +178,16 @@
     pub is_predictable: bool,
 }
 
+/// Returns the expected time of work relative to the usual one, if it was reported in percent some time ago. A
+/// report that is older than [`WORK_TIME_LIFETIME`] says nothing.
+#[must_use]
+pub fn work_time_factor(percent: Option<u32>, age: Duration) -> f64 {
+    let (least, most) = WORK_TIME_BOUNDS;
+    let reported = f64::from(percent.unwrap_or(100).clamp(least, most)) / 100.0;
+    let weight = (1.0 - age.as_secs_f64() / WORK_TIME_LIFETIME.as_secs_f64()).max(0.0);
+    1.0 + (reported - 1.0) * weight
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Distance {
     Local,
@@ -289,6 +308,12 @@
         self.estimated_load(now, service_load) + 1.0 <= f64::from(slots) * BUSY_SHARE
     }
 
+    /// Expected time of work on the node's instance relative to the usual one.
+    fn work_time(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.load_at);
+        work_time_factor(self.load.work_time_percent, age)
+    }
+
     /// Expected time until the response in milliseconds.
     fn time_ms(&self, now: Duration, backend: &BackendReport, call: &CallCost) -> f64 {
         let cold = if self.warm_at > now {
@@ -296,7 +321,7 @@
         } else {
             1.0
         };
-        let run = call.run_ms * self.run_time_factor * cold;
+        let run = call.run_ms * self.run_time_factor * cold * self.work_time(now);
         let slots = f64::from(self.usable_slots(now, backend));
         let load = self.estimated_load(now, call.service_load);
         let busy = ((load / slots - BUSY_SHARE) / (1.0 - BUSY_SHARE)).clamp(0.0, 1.0);
@@ -475,6 +500,7 @@
                     candidate.warm_at = warm_at;
                     candidate.load.limit = None;
                     candidate.load.slots = 0;
+                    candidate.load.work_time_percent = None;
                 }
                 candidate.distance = distance;
                 candidate.entry = entry.clone();
@@ -612,6 +638,7 @@
             time_ms,
             load: candidate.estimated_load(now, call.service_load),
             load_age: now.saturating_sub(candidate.load_at),
+            work_time: candidate.work_time(now),
             is_unreachable: availability == Availability::Unreachable,
             has_free_slot: candidate.has_free_slot(now, call.service_load),
             is_predictable: candidate.warm_at <= now
@@ -737,8 +764,18 @@
         route: &RouteName,
         feedback: &Feedback<'_>,
     ) {
+        // What the instance was slower than usual is not learned: the report says so for each call.
+        let work_time = match feedback.report {
+            Some((load, _)) => work_time_factor(load.work_time_percent, Duration::ZERO),
+            None => self
+                .index(node)
+                .map_or(1.0, |index| self.candidates[index].work_time(now)),
+        };
+        let run_ms = feedback.run.as_secs_f64() * 1e3 / work_time;
         let mean_ms = match feedback.end {
-            AttemptEnd::Ran { failed: false } => Some(self.record_response(route, feedback)),
+            AttemptEnd::Ran { failed: false } => {
+                Some(self.record_response(route, run_ms, feedback.bytes))
+            }
             AttemptEnd::Superseded => self.means(route).map(|means| means.run_ms.max(1.0)),
             _ => None,
         };
@@ -764,7 +801,7 @@
             AttemptEnd::Cancelled | AttemptEnd::Superseded => {}
         }
         if let Some(mean_ms) = mean_ms {
-            let relative = (feedback.run.as_secs_f64() * 1e3 / mean_ms).clamp(0.1, 20.0);
+            let relative = (run_ms / mean_ms).clamp(0.1, 20.0);
             candidate.run_time_factor +=
                 (relative - candidate.run_time_factor) * RUN_TIME_FACTOR_WEIGHT;
         }
@@ -819,9 +856,8 @@
     }
 
     /// Adds a response to the means of its route and returns the mean run time in milliseconds.
-    fn record_response(&mut self, route: &RouteName, feedback: &Feedback<'_>) -> f64 {
-        let run_ms = feedback.run.as_secs_f64() * 1e3;
-        let response_kb = kilobytes(feedback.bytes);
+    fn record_response(&mut self, route: &RouteName, run_ms: f64, bytes: usize) -> f64 {
+        let response_kb = kilobytes(bytes);
         match self.routes.binary_search_by(|means| means.route.cmp(route)) {
             Ok(index) => {
                 let means = &mut self.routes[index];
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -430,7 +430,8 @@
     info!(cx.log, "call routed"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
         "route" => call.route.name.as_str(), "to" => pick.node.as_str(), "version" => pick.version.as_str(),
         "try" => attempts.tries() + 1, "accepts_late" => attempts.accepts_late(), "is_overdue" => call.serve.head.is_overdue,
-        "cost_ms" => format!("{:.1}", pick.cost_ms), "load" => format!("{:.1}", pick.load), "load_age_ms" => millis(pick.load_age), "is_lost" => pick.is_unreachable);
+        "cost_ms" => format!("{:.1}", pick.cost_ms), "load" => format!("{:.1}", pick.load), "load_age_ms" => millis(pick.load_age), "is_lost" => pick.is_unreachable,
+        "work_time" => format!("{:.2}", pick.work_time));
     Some(pick)
 }
 
--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -120,6 +120,7 @@
             state.tally = BackendTotals::default();
             state.route_tallies = RouteTotals::default();
             state.breaker = Breaker::default();
+            state.work_time = None;
         }
     }
     drop(state);
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -25,6 +25,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_http::Request;
 use actix_http::Response;
@@ -97,6 +98,9 @@
     route_tallies: RouteTotals,
     /// Number of the last response with results by route.
     route_turn: usize,
+    /// Time that work takes on the instance of the backend server, in percent of the usual time, and when that was
+    /// reported.
+    work_time: Option<(u32, Duration)>,
     moves: Moves,
     /// Nodes that receive the traffic share of a new version, sorted by service.
     exposed: Vec<(ServiceName, Vec<NodeId>)>,
@@ -210,6 +214,7 @@
         tally: BackendTotals::default(),
         route_tallies: RouteTotals::default(),
         route_turn: 0,
+        work_time: None,
         moves: Moves::default(),
         exposed: Vec::new(),
         fleet_read: false,
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -13,6 +13,8 @@
 use slog::info;
 use slog::warn;
 
+use crate::coordination::placement::WORK_TIME_LIFETIME;
+use crate::coordination::placement::work_time_factor;
 use crate::coordination::room::cold_start::ProbeReason;
 use crate::coordination::slot_queue::Offer;
 use crate::coordination::slot_queue::SlotQueue;
@@ -136,11 +138,29 @@
     let load = Load {
         is_leaving: state.backend.is_leaving(),
         transfer_wait_ms: u32::try_from(transfer_wait.as_millis()).unwrap_or(u32::MAX),
+        work_time_percent: work_time_percent(&state, now),
         ..cx.slots.with(|queue| queue.load_at(now))
     };
     (load, state.tally)
 }
 
+/// Returns the time that work is expected to take on the instance of the backend server now; `None` if it has not
+/// been reported of late. Other nodes take the figure for a new one, so it is weighted with its age before.
+fn work_time_percent(state: &SidecarState, now: Duration) -> Option<u32> {
+    let (percent, reported_at) = state.work_time?;
+    let age = now.saturating_sub(reported_at);
+    if age >= WORK_TIME_LIFETIME {
+        return None;
+    }
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the factor is bounded"
+    )]
+    let percent = (work_time_factor(Some(percent), age) * 100.0).round() as u32;
+    Some(percent)
+}
+
 /// Returns the results of a call's route and of one other, by turns, which are sent with its response while a
 /// rollout runs. So nodes whose callers do not use a route learn of its faults as well.
 pub fn route_report(cx: &Sidecar, route: &RouteName) -> RouteTotals {
@@ -258,6 +278,9 @@
     // Also without a change, since the previous limit may be that of an earlier incarnation.
     let limit_per_s = notices.limit.map_or(0.0, RequestRate::per_s);
     cx.metrics.backend_limit.set(limit_per_s);
+    if let Some(percent) = requests::read_work_time(headers) {
+        state.work_time = Some((percent, now));
+    }
     let is_leaving = notices.is_leaving && state.backend.on_leaving(backend);
     drop(state);
     if limit_changed {
@@ -385,7 +408,9 @@
     if matches!(outcome, ServeOutcome::Ran { .. }) {
         crashes::on_answered(&cx, fingerprint);
         slot.admitted.run_time = Some(run_time);
-        health_probe::on_run(&cx, &call.head.route, run_time);
+        let work_time = work_time_percent(&cx.state.borrow(), cx.clock.now());
+        let usual = run_time.div_f64(work_time_factor(work_time, Duration::ZERO));
+        health_probe::on_run(&cx, &call.head.route, usual);
     }
     slot.reported_to_breaker = report_to_breaker(&cx, &outcome);
     drop(slot);
--- a/tests/hop_headers.rs
+++ b/tests/hop_headers.rs
@@ -58,6 +58,23 @@
     }
 }
 
+/// Guards against a time of work that is lost between nodes, and against a header that differs from that of earlier
+/// builds although no time of work is reported.
+#[gtest]
+fn response_header_with_work_time() {
+    let mut sent = header(routes(&[("claims", totals(30, 3))]));
+    sent.load.transfer_wait_ms = 15;
+    let without = sent.encode();
+    expect_that!(without, contains_substring(";15;claims;"));
+    expect_that!(HopResponseHeader::decode(&without), some(eq(&sent)));
+    sent.load.work_time_percent = Some(250);
+    expect_that!(HopResponseHeader::decode(&sent.encode()), some(eq(&sent)));
+    // A node that cannot read the figure reads the rest.
+    let unreadable = sent.encode().replace(",250", ",x");
+    sent.load.work_time_percent = None;
+    expect_that!(HopResponseHeader::decode(&unreadable), some(eq(&sent)));
+}
+
 /// Guards against routes of which a node never learns, since its own callers do not use them.
 #[gtest]
 fn extract_takes_turns() {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -312,6 +312,140 @@
     expect_that!(report(ms(200), SLOTS), some(eq("a")));
 }
 
+fn load_with_work_time(percent: Option<u32>) -> Load {
+    Load {
+        running: 1,
+        slots: SLOTS,
+        mean_run_ms: 60,
+        work_time_percent: percent,
+        ..Load::default()
+    }
+}
+
+/// An instance that is 2.5 times slower for some 600 ms must not get calls meanwhile that others serve sooner, and
+/// an old report of it must not keep calls away.
+#[gtest]
+fn pick_slow_at_this_moment() {
+    let mut entry = fleet();
+    let slow = load_with_work_time(Some(250));
+    let results = BackendTotals::default();
+    entry
+        .placement
+        .on_report(ms(1_000), &"a".into(), slow, results);
+    expect_that!(entry.pick(ms(1_010), &[]), some(eq("b")));
+    expect_that!(entry.pick(ms(1_600), &[]), some(eq("a")));
+    let usual = load_with_work_time(Some(100));
+    entry
+        .placement
+        .on_report(ms(1_020), &"a".into(), usual, results);
+    expect_that!(entry.pick(ms(1_030), &[]), some(eq("a")));
+    let wrong = load_with_work_time(Some(u32::MAX));
+    for node in ["a", "b", "c"] {
+        entry
+            .placement
+            .on_report(ms(2_000), &node.into(), wrong, results);
+    }
+    expect_that!(entry.pick(ms(2_010), &[]), some(eq("a")));
+}
+
+/// A node of which many runs fell into slow moments must not look slow for good: the time of work would count
+/// twice. Without the figure it does.
+#[gtest]
+fn on_end_run_time_without_work_time() {
+    for (percent, expected) in [(Some(250), "a"), (None, "b")] {
+        let mut entry = fleet();
+        for step in 0..60 {
+            entry.ran(ms(step * 10), "b", "lookup", ms(60));
+            let report = (load_with_work_time(percent), BackendTotals::default());
+            let feedback = Feedback {
+                incarnation: &("a".into(), 1),
+                end: AttemptEnd::Ran { failed: false },
+                run: ms(150),
+                report: Some(report),
+                bytes: 400,
+            };
+            let node = NodeId::from("a");
+            entry.placement.on_start(&node);
+            entry
+                .placement
+                .on_end(ms(step * 10), &node, &entry.route, &feedback);
+        }
+        let usual = percent.map(|_| 100);
+        let report = load_with_work_time(usual);
+        entry
+            .placement
+            .on_report(ms(700), &"a".into(), report, BackendTotals::default());
+        expect_that!(entry.pick(ms(710), &[]), some(eq(expected)));
+    }
+}
+
+/// Runs calls at three nodes of which each is 2.5 times slower for 600 ms in 4.2 s, and returns their mean run time
+/// in milliseconds. Reports come with each answer.
+fn mean_run_at_changing_speed(is_reported: bool, seed: u64) -> f64 {
+    let mut entry = fleet();
+    let nodes = ["a", "d", "e"];
+    for node in ["d", "e"] {
+        let added = self::entry(node, "accra", "accra-a");
+        entry.placement.on_entry(ms(0), &added);
+    }
+    entry.rng = StdRng::seed_from_u64(seed);
+    let phase_of = |node: &str| nodes.iter().position(|other| *other == node);
+    let is_slow = |node: &str, now: u64| {
+        let phase = u64::try_from(phase_of(node).unwrap_or(0)).unwrap_or(0);
+        (now + phase * 1_400 + seed * 131) % 4_200 < 600
+    };
+    let mut running: Vec<(u64, String, u64)> = Vec::new();
+    let (mut runs, mut sum) = (0_u32, 0_u32);
+    for now in 0..40_000 {
+        while let Some(index) = running.iter().position(|(end, ..)| *end <= now) {
+            let (_, node, run) = running.remove(index);
+            let percent = if is_slow(&node, now) { 250 } else { 100 };
+            let load = Load {
+                running: u32::try_from(
+                    running
+                        .iter()
+                        .filter(|(_, other, _)| *other == node)
+                        .count(),
+                )
+                .unwrap_or(0),
+                ..load_with_work_time(is_reported.then_some(percent))
+            };
+            let feedback = Feedback {
+                incarnation: &(node.as_str().into(), 1),
+                end: AttemptEnd::Ran { failed: false },
+                run: ms(run),
+                report: Some((load, BackendTotals::default())),
+                bytes: 400,
+            };
+            let id = NodeId::from(node.as_str());
+            entry
+                .placement
+                .on_end(ms(now), &id, &entry.route, &feedback);
+        }
+        if now % 15 == 0
+            && let Some(node) = entry.pick(ms(now), &[])
+        {
+            let run = if is_slow(&node, now) { 150 } else { 60 };
+            (runs, sum) = (runs + 1, sum + u32::try_from(run).unwrap_or(0));
+            entry.placement.on_start(&node.as_str().into());
+            running.push((now + run, node, run));
+        }
+    }
+    f64::from(sum) / f64::from(runs)
+}
+
+/// Instances whose speed changes faster than run times are learned must get fewer calls while they are slow.
+#[gtest]
+fn pick_changing_speed() {
+    for seed in 0..5 {
+        let without = mean_run_at_changing_speed(false, seed);
+        let with = mean_run_at_changing_speed(true, seed);
+        // An even distribution would have 60 ms + 90 ms / 7.
+        expect_that!(with, lt(without - 2.0), "seed {seed}");
+        expect_that!(with, lt(68.0), "seed {seed}, {without} without");
+    }
+}
+
 /// A node that restarts beside a leaving backend server announces it as ready again. An entry node that
 /// has passed on the server's notice must not send calls there; another incarnation gets calls.
 #[gtest]
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -318,3 +318,17 @@
     let named = requests::read_health(&headers(&[("x-sycamorewick-instance", "b7")]));
     expect_that!(named.instance, some(eq("b7")));
 }
+
+/// Guards against a figure that is read from another place of the load header, and against one that is made up where
+/// a backend server reports none.
+#[gtest]
+fn read_work_time_of_responses() {
+    let work_time =
+        |text| requests::read_work_time(&headers(&[("x-sycamorewick-upstream-load", text)]));
+    expect_that!(work_time("3,0,6,250"), some(eq(250)));
+    expect_that!(work_time("3, 0, 6, 100"), some(eq(100)));
+    for text in ["3,0,6", "3,0,6,", "3,0,6,0", "3,0,6,-5", "3,0,6,fast", ""] {
+        expect_that!(work_time(text), none(), "{text}");
+    }
+    expect_that!(requests::read_work_time(&headers(&[])), none());
+}
--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -686,3 +686,36 @@
         Ok(())
     });
 }
+
+/// Guards against a time of work that a backend server reports and that does not reach the placement of its own node
+/// and of other ones.
+#[gtest]
+fn work_time_reaches_placement() {
+    run(async {
+        let mut env = TestFleet::start(2).await?;
+        let reaches = |env: &TestFleet, index: usize| {
+            let lines = env.fleet.log_lines(index, "call routed");
+            let is_slow = |line: &serde_json::Value| {
+                let factor = line["work_time"]
+                    .as_str()
+                    .and_then(|text| text.parse().ok());
+                line["to"] == "n0" && factor.is_some_and(|factor: f64| factor > 1.1)
+            };
+            lines.iter().any(is_slow)
+        };
+        for index in 0..2 {
+            expect_false!(reaches(&env, index));
+        }
+        // A figure below 100 would be preferred, and one far above would keep the calls of the other node away.
+        env.backends[0].set_work_time(Some(140));
+        let until = Instant::now() + WAIT_LIMIT;
+        while !(reaches(&env, 0) && reaches(&env, 1)) {
+            eyre::ensure!(Instant::now() < until, "the figure does not arrive");
+            for index in 0..2 {
+                // Calls of the other node come to the backend server while several run at its own one.
+                env.call_together(index, 8).await?;
+            }
+        }
+        Ok(())
+    });
+}
