--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -301,3 +301,34 @@
     let (_, value) = requests::retry_after(Duration::from_millis(45));
     expect_that!(value.to_str().ok(), some(eq("0.045")));
 }
+
+/// Guards against a health response that makes a cold backend server look warm since its header is unreadable, and
+/// against a value out of range.
+#[gtest]
+fn read_health_of_responses() {
+    let cold_left =
+        |text| requests::read_health(&headers(&[("x-sycamorewick-cold-ms", text)])).cold_left;
+    expect_that!(cold_left("0"), some(eq(Duration::ZERO)));
+    expect_that!(cold_left("1200"), some(eq(Duration::from_millis(1_200))));
+    expect_that!(cold_left("0.4"), some(eq(Duration::from_millis(1))));
+    for text in ["", "-1", "NaN", "inf", "soon"] {
+        expect_that!(cold_left(text), none(), "{text}");
+    }
+    expect_that!(cold_left("1e300"), some(anything()));
+    let named = requests::read_health(&headers(&[("x-sycamorewick-instance", "b7")]));
+    expect_that!(named.instance, some(eq("b7")));
+}
+
+/// Guards against a figure that is read from another place of the load header, and against one that is made up where
+/// a backend server reports none.
+#[gtest]
+fn read_work_time_of_responses() {
+    let work_time =
+        |text| requests::read_work_time(&headers(&[("x-sycamorewick-upstream-load", text)]));
+    expect_that!(work_time("3,0,6,250"), some(eq(250)));
+    expect_that!(work_time("3, 0, 6, 100"), some(eq(100)));
+    for text in ["3,0,6", "3,0,6,", "3,0,6,0", "3,0,6,-5", "3,0,6,fast", ""] {
+        expect_that!(work_time(text), none(), "{text}");
+    }
+    expect_that!(requests::read_work_time(&headers(&[])), none());
+}
