Let only a share of the calls leave a failure domain, on spare capacity of the other one

All entry nodes of a failure domain saw the same reports, left together and came back together, and the overflow of two short domains crossed.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -18,6 +18,9 @@
 use crate::coordination::backoff::exponential_delay;
 use crate::coordination::slot_queue::ASSUMED_RUN_SHARE;
 use crate::coordination::slot_queue::COLD_START_FACTOR;
+use crate::coordination::zones::spill::SpillCosts;
+use crate::coordination::zones::spill::SpillEnd;
+use crate::coordination::zones::spill::SpillShares;
 use crate::protocol::fleet::BackendPhase;
 use crate::protocol::fleet::BackendReport;
 use crate::protocol::fleet::FleetEntry;
@@ -102,6 +105,10 @@
 /// Pause after a node refused a call because of load.
 const OVERLOAD_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time for which a refusal because of load counts as one of the node's failure domain. The retries of a call
+/// follow at once.
+const REFUSAL_MEMORY: Duration = Duration::from_millis(250);
+
 /// Nodes that have left of which the last entry is remembered. The store goes back by seconds, in which few
 /// nodes leave.
 const MAX_DEPARTED_NODES: usize = 64;
@@ -176,6 +183,12 @@
     pub has_free_slot: bool,
     /// Whether enough measurements exist to tell that a response is slow.
     pub is_predictable: bool,
+    /// Whether the call leaves its failure domain although that has a node which may serve it.
+    pub is_spillover: bool,
+    /// Share of the calls that may leave for the failure domain of the node, if the call does.
+    pub spill_share: f64,
+    /// Failure domain of the node.
+    pub domain: DomainName,
 }
 
 /// Returns the expected time of work relative to the usual one, if it was reported in percent some time ago. A
@@ -244,6 +257,8 @@
     failure_at: Duration,
     pauses: u32,
     paused_until: Duration,
+    /// Time of its last refusal of a call because of load.
+    refused_at: Option<Duration>,
     /// Last incarnation of its backend server that has announced in a response that it leaves. A
     /// restarted node may announce it as ready again.
     leaving: Option<Incarnation>,
@@ -348,6 +363,15 @@
         time_ms + late + bytes + failures
     }
 
+    fn is_in_domain(&self) -> bool {
+        matches!(self.distance, Distance::Local | Distance::SameDomain)
+    }
+
+    fn has_refused(&self, now: Duration) -> bool {
+        let refused_at = self.refused_at;
+        refused_at.is_some_and(|at| now.saturating_sub(at) < REFUSAL_MEMORY)
+    }
+
     /// A node that was unreachable when it was last tried gets one call at a time.
     fn availability(&self, now: Duration) -> Availability {
         let is_paused = self.paused_until > now;
@@ -396,6 +420,80 @@
     service_load: f64,
 }
 
+/// A node that a call may be sent to, with its cost.
+struct Choice<'a> {
+    availability: Availability,
+    cost_ms: f64,
+    time_ms: f64,
+    candidate: &'a Candidate,
+}
+
+impl Choice<'_> {
+    fn is_before(&self, other: &Self) -> bool {
+        (self.availability, self.cost_ms) < (other.availability, other.cost_ms)
+    }
+}
+
+/// Nodes that a call may be sent to.
+struct Choices<'a> {
+    /// The best one of each failure domain.
+    best_of_domains: Vec<Choice<'a>>,
+    /// Whether the own failure domain has a node that may serve the call, or that has just refused it.
+    can_stay: bool,
+    /// Whether a node of another failure domain has been tried.
+    has_left: bool,
+}
+
+fn choices<'a>(
+    candidates: &'a [Candidate],
+    now: Duration,
+    rng: &mut impl Rng,
+    request: &PickRequest<'_>,
+    call: &CallCost,
+) -> Choices<'a> {
+    let mut found = Choices {
+        best_of_domains: Vec::new(),
+        can_stay: false,
+        has_left: false,
+    };
+    for candidate in candidates {
+        let Some(backend) = candidate.backend() else {
+            continue;
+        };
+        let node = &candidate.entry.node;
+        if backend.service != *request.service || !(request.is_allowed)(node, &backend.version) {
+            continue;
+        }
+        let availability = candidate.availability(now);
+        let is_tried = request.tried.contains(node);
+        if candidate.is_in_domain() {
+            found.can_stay |= availability != Availability::Unreachable
+                && (!is_tried || candidate.has_refused(now));
+        } else {
+            found.has_left |= is_tried;
+        }
+        if is_tried {
+            continue;
+        }
+        let jitter = 1.0 + rng.random_range(0.0..JITTER);
+        let time_ms = candidate.time_ms(now, backend, call);
+        let choice = Choice {
+            availability,
+            cost_ms: candidate.cost_ms(now, time_ms, call) * jitter,
+            time_ms,
+            candidate,
+        };
+        let mut known = found.best_of_domains.iter_mut();
+        let domain = &candidate.entry.domain;
+        match known.find(|best| best.candidate.entry.domain == *domain) {
+            Some(best) if choice.is_before(best) => *best = choice,
+            Some(_) => {}
+            None => found.best_of_domains.push(choice),
+        }
+    }
+    found
+}
+
 /// Requirements of a call on the chosen node.
 pub struct PickRequest<'a> {
     /// Service of the call.
@@ -430,6 +528,7 @@
     service_loads: Vec<(ServiceName, f64)>,
     /// Last entries of nodes that have left, oldest first.
     departed: Vec<DepartedNode>,
+    spill: SpillShares,
 }
 
 /// Last entry of a node that has left the fleet.
@@ -453,6 +552,7 @@
             totals: Vec::new(),
             service_loads: Vec::new(),
             departed: Vec::new(),
+            spill: SpillShares::default(),
         }
     }
 
@@ -523,6 +623,7 @@
                     failure_at: now,
                     pauses: 0,
                     paused_until: now,
+                    refused_at: None,
                     leaving: None,
                 },
             ),
@@ -582,14 +683,16 @@
     }
 
     /// Chooses the node with the lowest expected cost. A node that has just refused a call because
-    /// of load is used only if no other one is left, and an unreachable node only after those.
+    /// of load is used only if no other one is left, and an unreachable node only after those. While the own
+    /// failure domain can serve the call, only a share of the calls leaves it (see [`SpillShares`]).
     pub fn pick(
-        &self,
+        &mut self,
         now: Duration,
         rng: &mut impl Rng,
         request: &PickRequest<'_>,
     ) -> Option<Pick> {
         let means = self.means(request.route);
+        let is_route_known = means.is_some_and(|means| means.responses >= MIN_RESPONSES);
         let objective_ms = request.objective.as_secs_f64() * 1e3;
         let call = CallCost {
             run_ms: means.map_or(objective_ms * ASSUMED_RUN_SHARE, |means| means.run_ms),
@@ -603,30 +706,53 @@
             },
             service_load: self.service_load(request.service),
         };
-        let mut best: Option<(Availability, f64, f64, &Candidate)> = None;
-        for candidate in &self.candidates {
-            let Some(backend) = candidate.backend() else {
-                continue;
-            };
-            let node = &candidate.entry.node;
-            if backend.service != *request.service
-                || request.tried.contains(node)
-                || !(request.is_allowed)(node, &backend.version)
-            {
-                continue;
-            }
-            let availability = candidate.availability(now);
-            let jitter = 1.0 + rng.random_range(0.0..JITTER);
-            let time = candidate.time_ms(now, backend, &call);
-            let cost = candidate.cost_ms(now, time, &call) * jitter;
-            let better = best.is_none_or(|(best_availability, best_cost, ..)| {
-                (availability, cost) < (best_availability, best_cost)
+        let Choices {
+            best_of_domains,
+            can_stay,
+            has_left,
+        } = choices(&self.candidates, now, rng, request, &call);
+        let best_of = |of: &dyn Fn(&Choice<'_>) -> bool| {
+            let choices = best_of_domains.iter().filter(|choice| of(choice));
+            choices.reduce(|best, choice| if choice.is_before(best) { choice } else { best })
+        };
+        let mut spill_share = 0.0;
+        let (chosen, is_spillover) = if can_stay {
+            let is_home = |choice: &Choice<'_>| choice.candidate.is_in_domain();
+            let home = best_of(&|choice| {
+                is_home(choice) && choice.availability != Availability::Unreachable
+            });
+            let away = best_of(&|choice| {
+                !is_home(choice) && choice.availability == Availability::Available
             });
-            if better {
-                best = Some((availability, cost, time, candidate));
+            for choice in &best_of_domains {
+                if is_home(choice) || choice.availability != Availability::Available {
+                    continue;
+                }
+                let costs = SpillCosts {
+                    home_ms: home.map(|home| home.cost_ms),
+                    away_ms: choice.cost_ms,
+                    away_time_ms: choice.time_ms,
+                    objective_ms,
+                    is_refusal_expected: home
+                        .is_none_or(|home| home.availability != Availability::Available),
+                };
+                let domain = &choice.candidate.entry.domain;
+                let share = self.spill.on_costs(now, request.service, domain, &costs);
+                if away.is_some_and(|away| away.candidate.entry.domain == *domain) {
+                    spill_share = share;
+                }
             }
-        }
-        let (availability, cost_ms, time_ms, candidate) = best?;
+            // A call that another failure domain has refused stays.
+            let away = away.filter(|away| {
+                !has_left
+                    && home.is_none_or(|home| away.is_before(home))
+                    && rng.random_range(0.0..1.0) < spill_share
+            });
+            (away.or(home)?, away.is_some())
+        } else {
+            (best_of(&|_| true)?, false)
+        };
+        let candidate = chosen.candidate;
         let backend = candidate.backend()?;
         Some(Pick {
             node: candidate.entry.node.clone(),
@@ -634,18 +760,52 @@
             version: backend.version.clone(),
             incarnation: backend.incarnation(),
             limit: candidate.load.limit,
-            cost_ms,
-            time_ms,
+            cost_ms: chosen.cost_ms,
+            time_ms: chosen.time_ms,
             load: candidate.estimated_load(now, call.service_load),
             load_age: now.saturating_sub(candidate.load_at),
             work_time: candidate.work_time(now),
-            is_unreachable: availability == Availability::Unreachable,
+            is_unreachable: chosen.availability == Availability::Unreachable,
             has_free_slot: candidate.has_free_slot(now, call.service_load),
-            is_predictable: candidate.warm_at <= now
-                && means.is_some_and(|means| means.responses >= MIN_RESPONSES),
+            is_predictable: candidate.warm_at <= now && is_route_known,
+            is_spillover,
+            spill_share,
+            domain: candidate.entry.domain.clone(),
         })
     }
 
+    /// Returns the shares of calls that may leave the own failure domain.
+    pub fn spill_mut(&mut self) -> &mut SpillShares {
+        &mut self.spill
+    }
+
+    /// Updates the share of calls that may leave from a finished spillover attempt. `elapsed` is the time of the
+    /// whole exchange.
+    pub fn on_spillover_end(
+        &mut self,
+        now: Duration,
+        service: &ServiceName,
+        pick: &Pick,
+        feedback: &Feedback<'_>,
+        elapsed: Duration,
+        request_bytes: usize,
+    ) {
+        let end = match feedback.end {
+            AttemptEnd::Ran { .. } => SpillEnd::Accepted {
+                path_ms: elapsed.saturating_sub(feedback.run).as_secs_f64() * 1e3,
+                kilobytes: kilobytes(request_bytes + feedback.bytes) + OVERHEAD_KB,
+            },
+            AttemptEnd::Overloaded | AttemptEnd::Shed => SpillEnd::Refused,
+            AttemptEnd::Unreachable | AttemptEnd::Incomplete => SpillEnd::Unreachable,
+            // One node without a backend server says nothing of the others.
+            AttemptEnd::NoBackend | AttemptEnd::Cancelled | AttemptEnd::Superseded => {
+                SpillEnd::Cancelled
+            }
+        };
+        self.spill
+            .on_end(now, service, &pick.domain, &pick.node, end);
+    }
+
     /// Whether a backend server of the service, with a version that passes the filter, accepts
     /// calls.
     #[must_use]
@@ -795,7 +955,10 @@
                 candidate.pauses = 0;
                 candidate.record_result(now, failed);
             }
-            AttemptEnd::Overloaded => candidate.paused_until = now + OVERLOAD_PAUSE,
+            AttemptEnd::Overloaded => {
+                candidate.paused_until = now + OVERLOAD_PAUSE;
+                candidate.refused_at = Some(now);
+            }
             AttemptEnd::Shed | AttemptEnd::Incomplete => candidate.record_result(now, true),
             AttemptEnd::NoBackend | AttemptEnd::Unreachable => candidate.pause(now),
             AttemptEnd::Cancelled | AttemptEnd::Superseded => {}
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -34,6 +34,9 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(30);
 /// Longest retry delay that a refusal asks for; by then the load has changed.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Part of the usable slots that may be in use after the start of a spillover call. The others are left to calls of
+/// the own failure domain, and backend servers become slower beyond it.
+const SPILLOVER_SLOT_SHARE: f64 = 0.75;
 
 /// Identifies a waiting call.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -54,6 +57,9 @@
     pub deadline: Duration,
     /// Whether the caller accepts a response after the objective.
     pub accepts_late: bool,
+    /// Whether the call comes from another failure domain that could serve it. Such a call starts at once, on
+    /// spare capacity, or is refused.
+    pub is_spillover: bool,
 }
 
 /// Admission decision on a call that has just arrived.
@@ -249,6 +255,9 @@
         if offer.deadline <= now {
             return Some(MIN_RETRY_DELAY);
         }
+        if let Some(wait) = self.spillover_refusal(now, offer) {
+            return Some(wait);
+        }
         let has_free_slot = self.is_next(now, offer) && self.running < self.slots;
         if has_free_slot && self.cold_start.allows(now, offer.priority) {
             return None;
@@ -304,6 +313,9 @@
         if offer.deadline <= now {
             return Admit::Refuse(MIN_RETRY_DELAY);
         }
+        if let Some(wait) = self.spillover_refusal(now, offer) {
+            return Admit::Refuse(wait);
+        }
         self.cold_start.on_offer(now, offer.priority);
         let has_free_slot = self.is_next(now, offer) && self.running < self.slots;
         if has_free_slot && self.take_from_rates(now, offer.priority) {
@@ -391,6 +403,15 @@
         changes
     }
 
+    /// Returns the retry delay of a spillover call that would take capacity which the own failure domain needs.
+    fn spillover_refusal(&self, now: Duration, offer: &Offer) -> Option<Duration> {
+        let usable = f64::from(self.load_at(now).slots) * SPILLOVER_SLOT_SHARE;
+        let has_spare = self.waiting.is_empty()
+            && f64::from(self.running + 1) <= usable
+            && self.rate_delay(now, 0, offer.priority).is_zero();
+        (offer.is_spillover && !has_spare).then(|| retry_delay(self.backlog(now)))
+    }
+
     /// Whether no waiting call goes before a new one. Less urgent calls may wait beside free slots for requests
     /// that a cold backend server tolerates, while some are kept for urgent ones.
     fn is_next(&self, now: Duration, offer: &Offer) -> bool {
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -51,17 +51,24 @@
     pub tenant: Option<TenantName>,
     /// Priority of the tenant, which goes before that of the route; 0 is the highest.
     pub tenant_priority: u8,
+    /// Whether the call has left its failure domain although that could serve it; it may only use spare
+    /// capacity.
+    pub is_spillover: bool,
 }
 
 impl HopRequestHeader {
     /// Returns the header value.
     #[must_use]
     pub fn encode(&self) -> String {
-        let tenant = self.tenant.as_ref().map_or_else(String::new, |tenant| {
-            format!(";{tenant};{}", self.tenant_priority)
-        });
+        let tenant = match &self.tenant {
+            Some(tenant) => format!(";{tenant};{}", self.tenant_priority),
+            // Keeps the place of the fields before `is_spillover`.
+            None if self.is_spillover => format!(";;{}", self.tenant_priority),
+            None => String::new(),
+        };
+        let spillover = if self.is_spillover { ";1" } else { "" };
         format!(
-            "{};{};{};{};{};{};{};{};{};{}{tenant}",
+            "{};{};{};{};{};{};{};{};{};{}{tenant}{spillover}",
             self.route,
             self.service,
             self.version,
@@ -91,11 +98,15 @@
             limit: decode_limit(fields.next()),
             // Nodes of earlier builds do not send the fields from here on.
             is_overdue: fields.next() == Some("1"),
-            tenant: fields.next().map(TenantName::from),
+            tenant: fields
+                .next()
+                .filter(|tenant| !tenant.is_empty())
+                .map(TenantName::from),
             tenant_priority: fields
                 .next()
                 .and_then(|field| field.parse().ok())
                 .unwrap_or(0),
+            is_spillover: fields.next() == Some("1"),
         })
     }
 }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -39,6 +39,7 @@
 use crate::protocol::mesh::MeshRoute;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::RouteName;
+use crate::protocol::name::ServiceName;
 use crate::protocol::name::VersionName;
 use crate::protocol::time::millis;
 use crate::result_code::ResultCode;
@@ -184,6 +185,7 @@
             limit: None,
             tenant: None,
             tenant_priority: 0,
+            is_spillover: false,
         },
         method: req.method().clone(),
         target,
@@ -431,7 +433,8 @@
         "route" => call.route.name.as_str(), "to" => pick.node.as_str(), "version" => pick.version.as_str(),
         "try" => attempts.tries() + 1, "accepts_late" => attempts.accepts_late(), "is_overdue" => call.serve.head.is_overdue,
         "cost_ms" => format!("{:.1}", pick.cost_ms), "load" => format!("{:.1}", pick.load), "load_age_ms" => millis(pick.load_age), "is_lost" => pick.is_unreachable,
-        "work_time" => format!("{:.2}", pick.work_time));
+        "work_time" => format!("{:.2}", pick.work_time),
+        "is_spillover" => pick.is_spillover, "share" => format!("{:.2}", pick.spill_share));
     Some(pick)
 }
 
@@ -504,6 +507,8 @@
     end: AttemptEnd,
     report: Option<(Load, BackendTotals)>,
     route: &'a RouteName,
+    service: &'a ServiceName,
+    request_bytes: usize,
     /// Size of the response body.
     bytes: usize,
 }
@@ -525,6 +530,22 @@
             bytes: self.bytes,
         };
         let mut state = self.cx.state.borrow_mut();
+        if self.pick.is_spillover {
+            let elapsed = now.saturating_sub(self.began);
+            state.placement.on_spillover_end(
+                now,
+                self.service,
+                self.pick,
+                &feedback,
+                elapsed,
+                self.request_bytes,
+            );
+            match end {
+                AttemptEnd::Ran { .. } => self.cx.metrics.spillover_accepted.increment(1),
+                AttemptEnd::Overloaded => self.cx.metrics.spillover_refused.increment(1),
+                _ => {}
+            }
+        }
         state
             .placement
             .on_end(now, &self.pick.node, self.route, &feedback);
@@ -540,6 +561,13 @@
     superseded: &Cell<bool>,
 ) -> ServeOutcome {
     cx.state.borrow_mut().placement.on_start(&pick.node);
+    if pick.is_spillover {
+        let service = &call.serve.head.service;
+        let mut state = cx.state.borrow_mut();
+        let shares = state.placement.spill_mut();
+        shares.on_start(now, service, &pick.domain);
+        cx.metrics.spillover_sent.increment(1);
+    }
     let mut in_flight = InFlight {
         cx,
         began: now,
@@ -549,12 +577,15 @@
         end: AttemptEnd::Cancelled,
         report: None,
         route: &call.route.name,
+        service: &call.serve.head.service,
+        request_bytes: call.serve.body.len(),
         bytes: 0,
     };
     let mut serve = call.serve.clone();
     serve.head.version = pick.version.clone();
     serve.head.limit = pick.limit;
     serve.head.accepts_late = accepts_late;
+    serve.head.is_spillover = pick.is_spillover;
     // The latency objective counts from the arrival at this node, so the serving node gets what is
     // left of it.
     let used = now.saturating_sub(call.serve.arrived);
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -29,6 +29,12 @@
     pub retries: Counter,
     /// Calls refused by the admission of the local backend server.
     pub gate_refusals: Counter,
+    /// Calls that have left their failure domain although it could serve them.
+    pub spillover_sent: Counter,
+    /// Such calls that the other failure domain accepted.
+    pub spillover_accepted: Counter,
+    /// Such calls that the other failure domain refused because of load.
+    pub spillover_refused: Counter,
     /// Failed calls to the platform's store.
     pub store_failures: Counter,
     /// Times that the platform's store has gone back to an earlier state.
@@ -72,6 +78,9 @@
             attempts_beyond_first: counter!("sycamorewick_attempts_beyond_first_total"),
             retries: counter!("sycamorewick_repeats_total"),
             gate_refusals: counter!("sycamorewick_gate_refusals_total"),
+            spillover_sent: counter!("sycamorewick_spillover_sent_total"),
+            spillover_accepted: counter!("sycamorewick_spillover_accepted_total"),
+            spillover_refused: counter!("sycamorewick_spillover_refused_total"),
             store_failures: counter!("sycamorewick_store_failures_total"),
             store_restores: counter!("sycamorewick_store_restores_total"),
             backend_crashes: counter!("sycamorewick_backend_crashes_total"),
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -362,6 +362,7 @@
         objective_at,
         deadline: arrived + head.left,
         accepts_late: head.accepts_late,
+        is_spillover: head.is_spillover,
     }
 }
 
--- a/tests/admission_queue.rs
+++ b/tests/admission_queue.rs
@@ -18,6 +18,7 @@
         objective_at: clock.now() + objective * 10,
         deadline: clock.now() + objective * 20,
         accepts_late: false,
+        is_spillover: false,
     }
 }
 
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -48,6 +48,7 @@
         objective_at: now + ms(500),
         deadline: now + ms(2_000),
         accepts_late: priority % 2 == 1,
+        is_spillover: false,
     }
 }
 
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -127,6 +127,7 @@
             objective_at: if is_overdue { now } else { now + OBJECTIVE },
             deadline: request.deadline,
             accepts_late: is_overdue,
+            is_spillover: false,
         };
         let mut admit = self.queue.offer(now, &offer);
         if matches!(admit, Admit::Refuse(_)) && !offer.accepts_late {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -86,7 +86,13 @@
 }
 
 impl EntryNode {
+    /// Lets every call leave for which another failure domain is cheaper, so that the choice shows the costs. The
+    /// share that grows to that is tested in `zones_spill.rs`.
     fn pick(&mut self, now: Duration, tried: &[NodeId]) -> Option<String> {
+        for domain in ["accra-b", "keta-a"] {
+            let shares = self.placement.spill_mut();
+            shares.set_share(now, &self.service, &domain.into(), 1.0);
+        }
         let is_allowed = |_: &NodeId, _: &_| true;
         let request = PickRequest {
             service: &self.service,
--- a/tests/process_stalled_bodies.rs
+++ b/tests/process_stalled_bodies.rs
@@ -44,6 +44,7 @@
         limit: None,
         tenant: None,
         tenant_priority: 0,
+        is_spillover: false,
     };
     let mut stream = TcpStream::connect(addr)?;
     stream.set_read_timeout(Some(TIME_LEFT))?;
--- a/tests/request_limit.rs
+++ b/tests/request_limit.rs
@@ -33,6 +33,7 @@
         objective_at: now + ms(250),
         deadline: now + ms(1_000),
         accepts_late: priority % 2 == 1,
+        is_spillover: false,
     }
 }
 
--- /dev/null
+++ b/tests/zones_spill.rs
@@ -0,0 +1,516 @@
+//! Spillover between failure domains under load patterns. Placement, shares and slot queues are the real ones; the
+//! model adds callers, run times, paths and a link between the domains, in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sycamorewick::coordination::placement::AttemptEnd;
+use sycamorewick::coordination::placement::Feedback;
+use sycamorewick::coordination::placement::Pick;
+use sycamorewick::coordination::placement::PickRequest;
+use sycamorewick::coordination::placement::Placement;
+use sycamorewick::coordination::slot_queue::Admit;
+use sycamorewick::coordination::slot_queue::Offer;
+use sycamorewick::coordination::slot_queue::SlotQueue;
+use sycamorewick::coordination::slot_queue::Ticket;
+use sycamorewick::coordination::zones::spill::SpillCosts;
+use sycamorewick::coordination::zones::spill::SpillEnd;
+use sycamorewick::coordination::zones::spill::SpillShares;
+use sycamorewick::protocol::fleet::BackendPhase;
+use sycamorewick::protocol::fleet::BackendReport;
+use sycamorewick::protocol::fleet::FleetEntry;
+use sycamorewick::protocol::hop::BackendTotals;
+use sycamorewick::protocol::hop::Load;
+use sycamorewick::protocol::name::NodeId;
+use sycamorewick::protocol::name::RouteName;
+
+const SERVICE: &str = "registry";
+const DOMAINS: [&str; 2] = ["accra-a", "keta-a"];
+const NODES_PER_DOMAIN: usize = 4;
+/// A domain of four serves 400 calls a second at a run time of 60 ms.
+const SLOTS: u32 = 6;
+const RUN_MS: u64 = 60;
+const OBJECTIVE: Duration = Duration::from_millis(250);
+const DEADLINE: Duration = Duration::from_secs(1);
+/// One way between the domains, milliseconds.
+const PATH_MS: u64 = 8;
+const RESPONSE_BYTES: u32 = 2_000;
+/// Interval of the counts, milliseconds.
+const WINDOW_MS: u64 = 500;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+struct Call {
+    origin: usize,
+    arrived: Duration,
+    tried: Vec<NodeId>,
+    accepts_late: bool,
+    tries: u32,
+    sent: Duration,
+    pick: Option<Pick>,
+    began: Duration,
+    run: Duration,
+    report: Load,
+    end: AttemptEnd,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    New(usize),
+    Arrive(usize),
+    Done(usize),
+    Answer(usize),
+    Advance,
+}
+
+/// Counts of the callers of one domain in one window.
+#[derive(Clone, Copy, Default)]
+struct Counts {
+    calls: u32,
+    in_time: u32,
+    sent_away: u32,
+    ran_away: u32,
+    response_ms: u64,
+}
+
+struct Model {
+    rng: StdRng,
+    now: Duration,
+    events: BinaryHeap<Reverse<(Duration, usize, Event)>>,
+    next_event: usize,
+    calls: Vec<Call>,
+    entries: Vec<Placement>,
+    queues: Vec<SlotQueue>,
+    waiting: Vec<(usize, Ticket, usize)>,
+    /// Calls a second at each node of a domain, by window.
+    demand: Box<dyn Fn(usize, Duration) -> f64>,
+    /// Factor of the run times in a domain.
+    slowness: [f64; 2],
+    /// Bytes per millisecond between the domains, and when each direction is free again.
+    link: f64,
+    link_free: [Duration; 2],
+    /// Sends each call to the least cost, and treats it like the target's own.
+    by_least_cost: bool,
+    counts: [Vec<Counts>; 2],
+}
+
+fn domain_of(node: usize) -> usize {
+    node / NODES_PER_DOMAIN
+}
+
+fn name(node: usize) -> NodeId {
+    format!("n{node}").as_str().into()
+}
+
+fn model(seed: u64, backends: [usize; 2]) -> Model {
+    let count = DOMAINS.len() * NODES_PER_DOMAIN;
+    let fleet: Vec<FleetEntry> = (0..count)
+        .map(|node| {
+            let domain = domain_of(node);
+            let backend = BackendReport {
+                instance: name(node).as_str().into(),
+                born: 1,
+                sequence: 1,
+                service: SERVICE.into(),
+                version: "v1".into(),
+                slots: SLOTS,
+                phase: BackendPhase::Ready,
+                cold_left_ms: 0,
+            };
+            let port = 7_000 + u16::try_from(node).unwrap_or(0);
+            FleetEntry {
+                node: name(node),
+                run: 1,
+                revision: 1,
+                addr: SocketAddr::from(([127, 0, 0, 1], port)),
+                region: DOMAINS[domain][..4].into(),
+                domain: DOMAINS[domain].into(),
+                capacity: 20_000,
+                backend: (node % NODES_PER_DOMAIN < backends[domain]).then_some(backend),
+                left: None,
+                earlier_left: Vec::new(),
+                crashes: Vec::new(),
+            }
+        })
+        .collect();
+    let placement = |node: usize| {
+        let entry = &fleet[node];
+        let (region, domain) = (entry.region.clone(), entry.domain.clone());
+        let mut placement = Placement::new(entry.node.clone(), region, domain);
+        for entry in &fleet {
+            placement.on_entry(ms(0), entry);
+        }
+        placement
+    };
+    let mut model = Model {
+        rng: StdRng::seed_from_u64(seed),
+        now: ms(0),
+        events: BinaryHeap::new(),
+        next_event: 0,
+        calls: Vec::new(),
+        entries: (0..count).map(placement).collect(),
+        queues: (0..count).map(|_| SlotQueue::new(SLOTS)).collect(),
+        waiting: Vec::new(),
+        demand: Box::new(|_, _| 40.0),
+        slowness: [1.0; 2],
+        link: 1e6,
+        link_free: [ms(0); 2],
+        by_least_cost: false,
+        counts: [Vec::new(), Vec::new()],
+    };
+    (0..count).for_each(|node| model.at(ms(0), Event::New(node)));
+    model.at(ms(0), Event::Advance);
+    model
+}
+
+impl Model {
+    fn at(&mut self, at: Duration, event: Event) {
+        self.next_event += 1;
+        self.events.push(Reverse((at, self.next_event, event)));
+    }
+
+    fn count(&mut self, domain: usize, arrived: Duration) -> &mut Counts {
+        let window = usize::try_from(arrived.as_millis()).unwrap_or(0) / WINDOW_MS as usize;
+        let counts = &mut self.counts[domain];
+        if counts.len() <= window {
+            counts.resize(window + 1, Counts::default());
+        }
+        &mut counts[window]
+    }
+
+    fn run(&mut self, until_ms: u64) {
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > ms(until_ms) {
+                self.at(at, event);
+                return;
+            }
+            self.now = at;
+            match event {
+                Event::New(node) => self.on_new(node),
+                Event::Arrive(id) => self.on_arrive(id),
+                Event::Done(id) => self.on_done(id),
+                Event::Answer(id) => self.on_answer(id),
+                Event::Advance => {
+                    for node in 0..self.queues.len() {
+                        let changes = self.queues[node].advance(at);
+                        self.apply(node, &changes.start, &changes.refuse);
+                    }
+                    self.at(at + ms(5), Event::Advance);
+                }
+            }
+        }
+    }
+
+    fn on_new(&mut self, origin: usize) {
+        let per_s = (self.demand)(domain_of(origin), self.now);
+        let gap = -self.rng.random_range(1e-6_f64..1.0).ln() / per_s;
+        self.at(self.now + Duration::from_secs_f64(gap), Event::New(origin));
+        self.count(domain_of(origin), self.now).calls += 1;
+        self.calls.push(Call {
+            origin,
+            arrived: self.now,
+            tried: Vec::new(),
+            accepts_late: false,
+            tries: 0,
+            sent: self.now,
+            pick: None,
+            began: self.now,
+            run: ms(0),
+            report: Load::default(),
+            end: AttemptEnd::Cancelled,
+        });
+        self.send(self.calls.len() - 1);
+    }
+
+    fn send(&mut self, id: usize) {
+        let call = &mut self.calls[id];
+        let (origin, now) = (call.origin, self.now);
+        let used = now.saturating_sub(call.arrived);
+        call.tries += 1;
+        if call.tries > 8 || used >= DEADLINE {
+            return;
+        }
+        let entry = &mut self.entries[origin];
+        let own = self.queues[origin].load_at(now);
+        entry.on_report(now, &name(origin), own, BackendTotals::default());
+        if self.by_least_cost {
+            for domain in DOMAINS {
+                let shares = entry.spill_mut();
+                shares.set_share(now, &SERVICE.into(), &domain.into(), 1.0);
+            }
+        }
+        let request = PickRequest {
+            service: &SERVICE.into(),
+            route: &"lookup".into(),
+            objective: OBJECTIVE,
+            idempotent: true,
+            request_bytes: 0,
+            tried: &call.tried,
+            is_allowed: &|_, _| true,
+        };
+        let Some(pick) = entry.pick(now, &mut self.rng, &request) else {
+            if !call.accepts_late {
+                call.accepts_late = true;
+                call.tried.clear();
+                self.send(id);
+            }
+            return;
+        };
+        entry.on_start(&pick.node);
+        if pick.is_spillover && !self.by_least_cost {
+            let shares = entry.spill_mut();
+            shares.on_start(now, &SERVICE.into(), &pick.domain);
+        }
+        call.sent = now;
+        let arrived = call.arrived;
+        let target = self.index_of(&pick.node);
+        self.calls[id].pick = Some(pick);
+        if domain_of(target) != domain_of(origin) {
+            self.count(domain_of(origin), arrived).sent_away += 1;
+        }
+        let at = self.deliver(origin, target, 500.0);
+        self.at(at, Event::Arrive(id));
+    }
+
+    fn index_of(&self, node: &NodeId) -> usize {
+        let mut names = (0..self.queues.len()).map(name);
+        names.position(|other| other == *node).expect("a node")
+    }
+
+    fn target_of(&self, id: usize) -> usize {
+        let pick = self.calls[id].pick.as_ref().expect("a pick");
+        self.index_of(&pick.node)
+    }
+
+    /// Returns when a message arrives. All messages between the domains share the link.
+    fn deliver(&mut self, from: usize, to: usize, bytes: f64) -> Duration {
+        if from == to {
+            return self.now;
+        }
+        if domain_of(from) == domain_of(to) {
+            return self.now + ms(1);
+        }
+        let free = &mut self.link_free[domain_of(from)];
+        *free = (*free).max(self.now) + Duration::from_secs_f64(bytes / self.link / 1e3);
+        *free + ms(PATH_MS)
+    }
+
+    fn on_arrive(&mut self, id: usize) {
+        let (now, node) = (self.now, self.target_of(id));
+        let call = &self.calls[id];
+        let used = call.sent.saturating_sub(call.arrived);
+        let offer = Offer {
+            route: "lookup".into(),
+            priority: 1,
+            objective: OBJECTIVE.saturating_sub(used),
+            objective_at: now + OBJECTIVE.saturating_sub(used),
+            deadline: now + DEADLINE.saturating_sub(used),
+            accepts_late: call.accepts_late,
+            is_spillover: !self.by_least_cost
+                && call.pick.as_ref().is_some_and(|pick| pick.is_spillover),
+        };
+        match self.queues[node].offer(now, &offer) {
+            Admit::Start => self.start(id),
+            Admit::Refuse(_) => self.answer(id, AttemptEnd::Overloaded),
+            Admit::Wait(ticket, _) => self.waiting.push((node, ticket, id)),
+        }
+    }
+
+    fn apply(&mut self, node: usize, start: &[Ticket], refuse: &[(Ticket, Duration)]) {
+        let mut take = |ticket: Ticket| {
+            let waiting = self.waiting.iter();
+            let index = waiting
+                .clone()
+                .position(|entry| (entry.0, entry.1) == (node, ticket));
+            self.waiting.swap_remove(index.expect("a waiting call")).2
+        };
+        let started: Vec<usize> = start.iter().map(|ticket| take(*ticket)).collect();
+        let refused: Vec<usize> = refuse.iter().map(|(ticket, _)| take(*ticket)).collect();
+        started.into_iter().for_each(|id| self.start(id));
+        let refused = refused.into_iter();
+        refused.for_each(|id| self.answer(id, AttemptEnd::Overloaded));
+    }
+
+    fn start(&mut self, id: usize) {
+        let factor = self.slowness[domain_of(self.target_of(id))];
+        let run = self.rng.random_range(RUN_MS / 2..RUN_MS * 3 / 2);
+        self.calls[id].run = ms(run).mul_f64(factor);
+        self.calls[id].began = self.now;
+        self.at(self.now + self.calls[id].run, Event::Done(id));
+    }
+
+    fn on_done(&mut self, id: usize) {
+        let (node, run) = (self.target_of(id), self.calls[id].run);
+        let route = RouteName::from("lookup");
+        let changes = self.queues[node].finish(self.now, &route, Some(run));
+        self.apply(node, &changes.start, &changes.refuse);
+        self.answer(id, AttemptEnd::Ran { failed: false });
+    }
+
+    fn answer(&mut self, id: usize, end: AttemptEnd) {
+        let (node, origin) = (self.target_of(id), self.calls[id].origin);
+        self.calls[id].end = end;
+        self.calls[id].report = self.queues[node].load_at(self.now);
+        let ran = matches!(end, AttemptEnd::Ran { .. });
+        let bytes = if ran {
+            f64::from(RESPONSE_BYTES)
+        } else {
+            200.0
+        };
+        let at = self.deliver(node, origin, bytes);
+        self.at(at, Event::Answer(id));
+    }
+
+    fn on_answer(&mut self, id: usize) {
+        let now = self.now;
+        let call = &mut self.calls[id];
+        let (origin, arrived) = (call.origin, call.arrived);
+        let pick = call.pick.take().expect("a pick");
+        let ran = matches!(call.end, AttemptEnd::Ran { .. });
+        let feedback = Feedback {
+            incarnation: &pick.incarnation,
+            end: call.end,
+            run: if ran { call.run } else { ms(0) },
+            report: Some((call.report, BackendTotals::default())),
+            bytes: if ran { RESPONSE_BYTES as usize } else { 0 },
+        };
+        let elapsed = now.saturating_sub(call.sent);
+        let entry = &mut self.entries[origin];
+        if pick.is_spillover && !self.by_least_cost {
+            entry.on_spillover_end(now, &SERVICE.into(), &pick, &feedback, elapsed, 0);
+        }
+        entry.on_end(now, &pick.node, &"lookup".into(), &feedback);
+        if !ran {
+            call.tried.push(pick.node);
+            self.send(id);
+            return;
+        }
+        let domain = domain_of(origin);
+        let is_away = pick.domain.as_str() != DOMAINS[domain];
+        let took = now.saturating_sub(arrived);
+        let counts = self.count(domain, arrived);
+        counts.in_time += u32::from(took <= OBJECTIVE);
+        counts.ran_away += u32::from(is_away);
+        counts.response_ms += u64::try_from(took.as_millis()).unwrap_or(0);
+    }
+
+    /// Sums the counts of a domain over a time in seconds.
+    fn sum(&self, domain: usize, seconds: std::ops::Range<usize>) -> Counts {
+        let windows = seconds.start * 2..seconds.end * 2;
+        let mut sum = Counts::default();
+        for counts in &self.counts[domain][windows] {
+            sum.calls += counts.calls;
+            sum.in_time += counts.in_time;
+            sum.sent_away += counts.sent_away;
+            sum.ran_away += counts.ran_away;
+            sum.response_ms += counts.response_ms;
+        }
+        sum
+    }
+}
+
+impl Counts {
+    fn in_time_share(&self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.calls.max(1))
+    }
+
+    fn away_share(&self) -> f64 {
+        f64::from(self.sent_away) / f64::from(self.calls.max(1))
+    }
+}
+
+/// Runs a pattern for 10 s, once with shares and once by least cost, and prints the figures of both.
+fn both(label: &str, seed: u64, setup: impl Fn(u64) -> Model) -> [Model; 2] {
+    [false, true].map(|by_least_cost| {
+        let mut model = setup(seed);
+        model.by_least_cost = by_least_cost;
+        model.run(11_000);
+        for domain in 0..2 {
+            let sum = model.sum(domain, 1..10);
+            let shares = model.counts[domain][2..20].iter().map(Counts::away_share);
+            let shares: Vec<String> = shares.map(|share| format!("{share:.2}")).collect();
+            println!(
+                "{label} seed {seed} least_cost {by_least_cost} domain {domain}: in time {:.3}, sent away {:.3}, ran away {:.3}, mean {} ms, windows {}",
+                sum.in_time_share(),
+                sum.away_share(),
+                f64::from(sum.ran_away) / f64::from(sum.calls.max(1)),
+                sum.response_ms / u64::from(sum.calls.max(1)),
+                shares.join(" ")
+            );
+        }
+        model
+    })
+}
+
+const SEEDS: std::ops::Range<u64> = 0..3;
+
+/// One domain has a quarter of its backend servers.
+fn one_short(seed: u64) -> Model {
+    let mut model = model(seed, [1, 4]);
+    model.demand = Box::new(|domain, _| if domain == 0 { 50.0 } else { 40.0 });
+    model
+}
+
+/// Guards against callers that are refused at home while another domain has spare slots, and against calls that
+/// take the slots which the other domain's own callers need.
+#[gtest]
+fn spill_one_domain_short() {
+    for seed in SEEDS {
+        let [with, _] = both("one short", seed, one_short);
+    }
+}
+
+#[gtest]
+fn spill_all_short() {
+    for seed in SEEDS {
+        let [with, _] = both("all short", seed, |seed| {
+            let mut model = model(seed, [4, 4]);
+            model.demand = Box::new(|_, _| 150.0);
+            model
+        });
+    }
+}
+
+#[gtest]
+fn spill_slow_backend_servers() {
+    for seed in SEEDS {
+        let [with, _] = both("slow", seed, |seed| {
+            let mut model = model(seed, [4, 4]);
+            model.slowness = [3.0, 1.0];
+            model
+        });
+    }
+}
+
+#[gtest]
+fn spill_saturated_link() {
+    for seed in SEEDS {
+        let [with, _] = both("link", seed, |seed| {
+            let mut model = one_short(seed);
+            model.link = 100.0;
+            model
+        });
+    }
+}
+
+#[gtest]
+fn spill_moving_demand() {
+    for seed in SEEDS {
+        let [with, _] = both("moving", seed, |seed| {
+            let mut model = model(seed, [4, 4]);
+            model.demand = Box::new(|domain, now| {
+                let is_here = (now >= ms(5_000)) == (domain == 1);
+                if is_here { 130.0 } else { 30.0 }
+            });
+            model
+        });
+    }
+}
