Refuse spillover calls only if calls of the own failure domain wait often

A fixed margin of two slots of six refused a third of the calls that a domain with 65% of its slots in use could have served. A path that was slow once is filled up carefully.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -108,6 +108,10 @@
 /// Time for which a refusal because of load counts as one of the node's failure domain. The retries of a call
 /// follow at once.
 const REFUSAL_MEMORY: Duration = Duration::from_millis(250);
+/// Time for which a node whose report shows no spare slot is not sent spillover calls; a run takes about as long.
+const SPARE_LIFETIME: Duration = Duration::from_millis(60);
+/// Nodes of other failure domains that a spillover call may try if its own one is expected to refuse it.
+const MAX_SPILLOVER_TRIES: usize = 2;
 
 /// Nodes that have left of which the last entry is remembered. The store goes back by seconds, in which few
 /// nodes leave.
@@ -363,6 +367,14 @@
         time_ms + late + bytes + failures
     }
 
+    /// Whether the node has just reported that it has no spare slot for a call of another failure domain.
+    fn refuses_spillover(&self, now: Duration, backend: &BackendReport) -> bool {
+        let slots = f64::from(self.usable_slots(now, backend));
+        let busy = f64::from(self.load.running.max(self.in_flight)) + 1.0;
+        let is_recent = now.saturating_sub(self.load_at) < SPARE_LIFETIME;
+        is_recent && (self.load.waiting > 0 || busy > slots)
+    }
+
     fn is_in_domain(&self) -> bool {
         matches!(self.distance, Distance::Local | Distance::SameDomain)
     }
@@ -425,12 +437,15 @@
     availability: Availability,
     cost_ms: f64,
     time_ms: f64,
+    /// Whether the node is expected to refuse the call if it comes from another failure domain.
+    is_full: bool,
     candidate: &'a Candidate,
 }
 
 impl Choice<'_> {
     fn is_before(&self, other: &Self) -> bool {
-        (self.availability, self.cost_ms) < (other.availability, other.cost_ms)
+        let key = |choice: &Self| (choice.availability, choice.is_full, choice.cost_ms);
+        key(self) < key(other)
     }
 }
 
@@ -440,8 +455,8 @@
     best_of_domains: Vec<Choice<'a>>,
     /// Whether the own failure domain has a node that may serve the call, or that has just refused it.
     can_stay: bool,
-    /// Whether a node of another failure domain has been tried.
-    has_left: bool,
+    /// Nodes of other failure domains that have been tried.
+    tried_away: usize,
 }
 
 fn choices<'a>(
@@ -454,7 +469,7 @@
     let mut found = Choices {
         best_of_domains: Vec::new(),
         can_stay: false,
-        has_left: false,
+        tried_away: 0,
     };
     for candidate in candidates {
         let Some(backend) = candidate.backend() else {
@@ -470,7 +485,7 @@
             found.can_stay |= availability != Availability::Unreachable
                 && (!is_tried || candidate.has_refused(now));
         } else {
-            found.has_left |= is_tried;
+            found.tried_away += usize::from(is_tried);
         }
         if is_tried {
             continue;
@@ -481,6 +496,7 @@
             availability,
             cost_ms: candidate.cost_ms(now, time_ms, call) * jitter,
             time_ms,
+            is_full: !candidate.is_in_domain() && candidate.refuses_spillover(now, backend),
             candidate,
         };
         let mut known = found.best_of_domains.iter_mut();
@@ -709,7 +725,7 @@
         let Choices {
             best_of_domains,
             can_stay,
-            has_left,
+            tried_away,
         } = choices(&self.candidates, now, rng, request, &call);
         let best_of = |of: &dyn Fn(&Choice<'_>) -> bool| {
             let choices = best_of_domains.iter().filter(|choice| of(choice));
@@ -722,8 +738,12 @@
                 is_home(choice) && choice.availability != Availability::Unreachable
             });
             let away = best_of(&|choice| {
-                !is_home(choice) && choice.availability == Availability::Available
+                !is_home(choice)
+                    && choice.availability == Availability::Available
+                    && !choice.is_full
             });
+            let is_refusal_expected =
+                home.is_none_or(|home| home.availability != Availability::Available);
             for choice in &best_of_domains {
                 if is_home(choice) || choice.availability != Availability::Available {
                     continue;
@@ -733,8 +753,7 @@
                     away_ms: choice.cost_ms,
                     away_time_ms: choice.time_ms,
                     objective_ms,
-                    is_refusal_expected: home
-                        .is_none_or(|home| home.availability != Availability::Available),
+                    is_refusal_expected,
                 };
                 let domain = &choice.candidate.entry.domain;
                 let share = self.spill.on_costs(now, request.service, domain, &costs);
@@ -742,9 +761,14 @@
                     spill_share = share;
                 }
             }
-            // A call that another failure domain has refused stays.
+            // A call that another failure domain has refused stays, if it may be served.
+            let tries = if is_refusal_expected {
+                MAX_SPILLOVER_TRIES
+            } else {
+                1
+            };
             let away = away.filter(|away| {
-                !has_left
+                tried_away < tries
                     && home.is_none_or(|home| away.is_before(home))
                     && rng.random_range(0.0..1.0) < spill_share
             });
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -34,9 +34,16 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(30);
 /// Longest retry delay that a refusal asks for; by then the load has changed.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
-/// Part of the usable slots that may be in use after the start of a spillover call. The others are left to calls of
-/// the own failure domain, and backend servers become slower beyond it.
+/// Part of the usable slots that spillover calls may always fill. The others only while calls of the own failure
+/// domain seldom wait: a fixed margin of two slots of six refused calls that the domain could have served.
 const SPILLOVER_SLOT_SHARE: f64 = 0.75;
+/// Time after a call of the own failure domain had to wait for which spillover calls keep that margin.
+const SPILLOVER_PAUSE: Duration = Duration::from_millis(250);
+/// Part of the own failure domain's calls that may wait without that. With two thirds of all slots in use, about one
+/// in seven does.
+const TOLERATED_WAITS: f64 = 0.3;
+/// Weight of one call in that part.
+const WAIT_WEIGHT: f64 = 0.1;
 
 /// Identifies a waiting call.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -116,6 +123,10 @@
     next_ticket: u64,
     /// Last time at which a slot was free for a call that cannot be in time.
     spare_at: Duration,
+    /// Last time at which a call of the own failure domain could not start at once.
+    waited_at: Option<Duration>,
+    /// Mean part of the calls of the own failure domain that could not.
+    waits: f64,
     limit: Option<RequestLimit>,
     cold_start: ColdStart,
     /// Whether the backend server has answered since its start, so that its limit is known.
@@ -135,6 +146,8 @@
             cold_until: Duration::ZERO,
             next_ticket: 0,
             spare_at: Duration::ZERO,
+            waited_at: None,
+            waits: 0.0,
             limit: None,
             cold_start: ColdStart::default(),
             has_answered: false,
@@ -321,8 +334,13 @@
         if has_free_slot && self.take_from_rates(now, offer.priority) {
             self.running += 1;
             self.spare_at = now;
+            if !offer.is_spillover {
+                self.waits -= self.waits * WAIT_WEIGHT;
+            }
             return Admit::Start;
         }
+        self.waited_at = Some(now);
+        self.waits += (1.0 - self.waits) * WAIT_WEIGHT;
         let expected_run = self.expected_run(now, offer);
         if let Some(retry_after) = self.refusal(now, offer, expected_run) {
             return Admit::Refuse(retry_after);
@@ -405,7 +423,10 @@
 
     /// Returns the retry delay of a spillover call that would take capacity which the own failure domain needs.
     fn spillover_refusal(&self, now: Duration, offer: &Offer) -> Option<Duration> {
-        let usable = f64::from(self.load_at(now).slots) * SPILLOVER_SLOT_SHARE;
+        let has_waited = |at| now.saturating_sub(at) < SPILLOVER_PAUSE;
+        let is_short = self.waits > TOLERATED_WAITS && self.waited_at.is_some_and(has_waited);
+        let share = if is_short { SPILLOVER_SLOT_SHARE } else { 1.0 };
+        let usable = f64::from(self.load_at(now).slots) * share;
         let has_spare = self.waiting.is_empty()
             && f64::from(self.running + 1) <= usable
             && self.rate_delay(now, 0, offer.priority).is_zero();
--- a/src/coordination/zones/spill.rs
+++ b/src/coordination/zones/spill.rs
@@ -15,7 +15,7 @@
 /// Share while nothing is known of the target, so that the first calls probe it.
 const PROBE_SHARE: f64 = 0.1;
 /// Least share while the target refuses calls or its path is slow; the calls that leave show when that ends.
-const MIN_SHARE: f64 = 0.02;
+const MIN_SHARE: f64 = 0.005;
 /// Largest share before the target has accepted a call.
 const UNPROVEN_SHARE: f64 = 0.3;
 /// Largest growth of the share in a second. A share of 1 is reached in half a second, so that callers in a burst of
@@ -32,6 +32,16 @@
 const ADVANTAGE_WEIGHT: f64 = 0.2;
 /// Longest time between two calls that counts; a node without calls learns nothing meanwhile.
 const MAX_STEP: Duration = Duration::from_millis(100);
+/// Growth of the share in a second beyond the value to which a slow path has last reduced it, so that the share stays
+/// near what the path carries.
+const CAUTIOUS_GROWTH_PER_S: f64 = 0.1;
+/// Time without a slow answer after which that value no longer counts.
+const CAUTION: Duration = Duration::from_secs(5);
+/// Weight of one result in the mean part of refused calls.
+const REFUSED_WEIGHT: f64 = 0.2;
+/// Part of refused calls up to which the share does not shrink. A target with spare slots refuses some calls, since
+/// entry nodes know its load only from its answers.
+const TOLERATED_REFUSED: f64 = 0.3;
 /// Factor on the share after a refusal or on a slow path.
 const SHRINK_FACTOR: f64 = 0.7;
 /// Time after which the share shrinks again; results in between are of calls that were sent before.
@@ -40,8 +50,8 @@
 const HOLD_BASE: Duration = Duration::from_millis(100);
 /// Longest time without growth, and the time for which no call is sent to a target that cannot be reached.
 const HOLD_MAX: Duration = Duration::from_secs(2);
-/// Time that a path may take beyond twice its usual time until it counts as slow, milliseconds.
-const SLOW_PATH_MS: f64 = 15.0;
+/// Time that a path may take beyond one and a half times its usual time until it counts as slow, milliseconds.
+const SLOW_PATH_MS: f64 = 10.0;
 /// Weight of one answer in the mean excess of the path's time.
 const EXCESS_WEIGHT: f64 = 0.2;
 /// Time constant with which the usual time of a path follows a longer one.
@@ -94,6 +104,10 @@
     advantage: f64,
     updated_at: Duration,
     has_accepted: bool,
+    /// Mean part of the calls that the target refuses.
+    refused: f64,
+    /// Share to which a slow path has last reduced it, and the time of that.
+    carried: (f64, Duration),
     /// Refusals and other bad results since the last good one.
     refusals: u32,
     shrunk_at: Duration,
@@ -129,6 +143,8 @@
             advantage: 0.0,
             updated_at: now,
             has_accepted: false,
+            refused: 0.0,
+            carried: (1.0, Duration::ZERO),
             refusals: 0,
             shrunk_at: Duration::ZERO,
             hold_until: Duration::ZERO,
@@ -175,7 +191,14 @@
             } else {
                 UNPROVEN_SHARE
             };
-            let grown = (self.share + rate * GROWTH_PER_S * step_s).min(most);
+            let (carried, reduced_at) = self.carried;
+            let is_cautious = self.share >= carried && now.saturating_sub(reduced_at) < CAUTION;
+            let growth_per_s = if is_cautious {
+                CAUTIOUS_GROWTH_PER_S
+            } else {
+                GROWTH_PER_S
+            };
+            let grown = (self.share + rate * growth_per_s * step_s).min(most);
             self.share = grown.max(self.share);
         }
         // A path on which nothing is sent shows nothing; what was measured holds for about a second.
@@ -233,12 +256,13 @@
         } else {
             *usual += (path_ms - *usual) * (age_s / PATH_MEMORY_S).min(1.0);
         }
-        let is_slow = path_ms > *usual * 2.0 + SLOW_PATH_MS;
+        let is_slow = path_ms > *usual * 1.5 + SLOW_PATH_MS;
         self.excess_ms += (path_ms - *usual - self.excess_ms) * EXCESS_WEIGHT;
         if is_slow {
             // A path that is slow has accepted the call, so its pause does not grow.
             self.refusals = 0;
             self.shrink(now);
+            self.carried = (self.share, now);
         } else {
             self.refusals /= 2;
         }
@@ -308,11 +332,15 @@
             SpillEnd::Accepted { path_ms, kilobytes } => {
                 target.has_accepted = true;
                 target.lost = None;
+                target.refused -= target.refused * REFUSED_WEIGHT;
                 target.on_path(now, path_ms, kilobytes);
             }
             SpillEnd::Refused => {
                 target.lost = None;
-                target.shrink(now);
+                target.refused += (1.0 - target.refused) * REFUSED_WEIGHT;
+                if target.refused > TOLERATED_REFUSED {
+                    target.shrink(now);
+                }
             }
             SpillEnd::Unreachable => target.on_lost(now, node),
             SpillEnd::Cancelled => {}
