--- a/tests/hop_headers.rs
+++ b/tests/hop_headers.rs
@@ -1,8 +1,11 @@
 //! Headers of calls between nodes.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use sycamorewick::protocol::call::Executed;
 use sycamorewick::protocol::hop::BackendTotals;
+use sycamorewick::protocol::hop::HopRequestHeader;
 use sycamorewick::protocol::hop::HopResponseHeader;
 use sycamorewick::protocol::hop::Load;
 use sycamorewick::protocol::hop::RouteTotals;
@@ -96,3 +99,40 @@
     }
     expect_that!(known, eq(&all));
 }
+
+fn request_header(tenant: Option<&str>, is_spillover: bool) -> HopRequestHeader {
+    HopRequestHeader {
+        route: "lookup".into(),
+        service: "registry".into(),
+        version: "v1".into(),
+        idempotent: true,
+        accepts_late: false,
+        priority: 2,
+        objective: Duration::from_millis(250),
+        left: Duration::from_millis(900),
+        is_overdue: false,
+        limit: None,
+        tenant: tenant.map(Into::into),
+        tenant_priority: u8::from(tenant.is_some()),
+        is_spillover,
+    }
+}
+
+/// Guards against a spillover call that takes capacity like any other because the flag is lost, or that loses its
+/// tenant or gets one, and against a header that differs from that of earlier builds for other calls.
+#[gtest]
+fn request_header_with_spillover() {
+    for tenant in [None, Some("acme")] {
+        let plain = request_header(tenant, false);
+        let spillover = request_header(tenant, true);
+        for sent in [&plain, &spillover] {
+            expect_that!(HopRequestHeader::decode(&sent.encode()), some(eq(sent)));
+        }
+        expect_that!(spillover.encode(), starts_with(plain.encode()));
+    }
+    let plain = "lookup;registry;v1;1;0;2;250;900;;0";
+    expect_that!(request_header(None, false).encode(), eq(plain));
+    // An earlier build sends nothing after these fields.
+    let earlier = HopRequestHeader::decode(plain);
+    expect_that!(earlier, some(eq(&request_header(None, false))));
+}
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -262,3 +262,69 @@
     expect_that!(waiting, matches_pattern!(Admit::Wait(_, _)));
     expect_that!(queue.next_start_at(ms(1_560)), some(eq(ms(1_750))));
 }
+
+fn spillover(now: Duration) -> Offer {
+    Offer {
+        is_spillover: true,
+        accepts_late: true,
+        ..offer(now, 0)
+    }
+}
+
+/// A call that another failure domain could serve must start at once or be refused at once, however urgent it is.
+#[gtest]
+fn offer_spillover_never_waits() {
+    let mut queue = SlotQueue::new(6);
+    let now = ms(100);
+    for _ in 0..6 {
+        expect_that!(queue.offer(now, &spillover(now)), eq(Admit::Start));
+    }
+    expect_that!(queue.would_refuse(now, &spillover(now)), some(anything()));
+    let refused = queue.offer(now, &spillover(now));
+    expect_that!(refused, matches_pattern!(Admit::Refuse(ge(ms(30)))));
+    expect_that!(queue.load().waiting, eq(0));
+    expect_that!(queue.load().running, eq(6));
+}
+
+/// A failure domain whose own calls wait must not give its slots to the overflow of others.
+#[gtest]
+fn offer_spillover_keeps_margin() {
+    let mut queue = SlotQueue::new(6);
+    let route = RouteName::from(LOOKUP);
+    for _ in 0..6 {
+        let _ = queue.offer(ms(100), &offer(ms(100), 1));
+    }
+    for _ in 0..8 {
+        let _ = queue.offer(ms(100), &offer(ms(100), 1));
+    }
+    let waiting = queue.load().waiting;
+    expect_that!(waiting, gt(0));
+    // Not even if a slot is free, while others wait.
+    let changes = queue.finish(ms(160), &route, Some(ms(60)));
+    expect_that!(changes.start.len(), eq(1));
+    for step in 0..u64::from(waiting) + 1 {
+        queue.finish(ms(170 + step), &route, Some(ms(60)));
+    }
+    // Four of six slots, and then five once no call has waited for some time.
+    while queue.load().running > 3 {
+        queue.finish(ms(190), &route, Some(ms(60)));
+    }
+    while queue.load().running < 3 {
+        let _ = queue.offer(ms(190), &offer(ms(190), 1));
+    }
+    expect_that!(queue.offer(ms(190), &spillover(ms(190))), eq(Admit::Start));
+    let refused = queue.offer(ms(191), &spillover(ms(191)));
+    expect_that!(refused, matches_pattern!(Admit::Refuse(anything())));
+    expect_that!(queue.offer(ms(500), &spillover(ms(500))), eq(Admit::Start));
+}
+
+/// A cold backend server, or one with a limit, must not spend the requests that it tolerates on other domains.
+#[gtest]
+fn offer_spillover_under_limit() {
+    let mut queue = SlotQueue::new(6);
+    queue.on_limit(ms(0), RequestRate::from_per_s(1.0));
+    expect_that!(queue.load().slots, eq(1));
+    expect_that!(queue.offer(ms(10), &offer(ms(10), 1)), eq(Admit::Start));
+    let refused = queue.offer(ms(10), &spillover(ms(10)));
+    expect_that!(refused, matches_pattern!(Admit::Refuse(anything())));
+}
--- a/tests/zones_spill.rs
+++ b/tests/zones_spill.rs
@@ -465,42 +465,105 @@
 fn spill_one_domain_short() {
     for seed in SEEDS {
         let [with, _] = both("one short", seed, one_short);
+        expect_that!(with.sum(0, 1..10).in_time_share(), gt(0.95), "seed {seed}");
+        expect_that!(with.sum(1, 1..10).in_time_share(), gt(0.99), "seed {seed}");
+        // Help comes within a second.
+        expect_that!(with.sum(0, 1..2).in_time_share(), gt(0.8), "seed {seed}");
     }
 }
 
+/// Guards against a domain that loses its own calls because it takes in more than its spare slots: 280 calls a second
+/// of its own, of 400, and as many callers in a domain that serves 100.
+#[gtest]
+fn spill_target_nearly_full() {
+    for seed in SEEDS {
+        let [with, least_cost] = both("nearly full", seed, |seed| {
+            let mut model = model(seed, [1, 4]);
+            model.demand = Box::new(|_, _| 70.0);
+            model
+        });
+        let own = with.sum(1, 1..10).in_time_share();
+        expect_that!(own, gt(0.97), "seed {seed}");
+        let before = least_cost.sum(1, 1..10).in_time_share();
+        expect_that!(own, gt(before), "seed {seed}");
+        expect_that!(with.sum(1, 1..10).ran_away, eq(0), "seed {seed}");
+    }
+}
+
+/// Guards against domains that are both short and exchange their overflow: the same calls are served, and the traffic
+/// is billed.
 #[gtest]
 fn spill_all_short() {
     for seed in SEEDS {
-        let [with, _] = both("all short", seed, |seed| {
+        let [with, least_cost] = both("all short", seed, |seed| {
             let mut model = model(seed, [4, 4]);
             model.demand = Box::new(|_, _| 150.0);
             model
         });
+        for domain in 0..2 {
+            let sum = with.sum(domain, 1..10);
+            expect_that!(sum.away_share(), lt(0.05), "seed {seed}");
+            expect_that!(sum.ran_away, lt(sum.calls / 200), "seed {seed}");
+            let before = least_cost.sum(domain, 1..10).in_time_share();
+            let in_time = sum.in_time_share();
+            expect_that!(in_time, gt(before - 0.03), "seed {seed}");
+        }
     }
 }
 
+/// Guards against callers that stay with the slow backend servers of their domain.
 #[gtest]
 fn spill_slow_backend_servers() {
     for seed in SEEDS {
-        let [with, _] = both("slow", seed, |seed| {
-            let mut model = model(seed, [4, 4]);
-            model.slowness = [3.0, 1.0];
-            model
-        });
+        let slow = |slowness: f64, is_alone: bool| {
+            move |seed: u64| {
+                let mut model = model(seed, [4, if is_alone { 0 } else { 4 }]);
+                model.slowness = [slowness, 1.0];
+                model.demand = Box::new(move |domain, _| match domain {
+                    1 if is_alone => 0.001,
+                    _ => 40.0,
+                });
+                model
+            }
+        };
+        let [with, _] = both("slow", seed, slow(3.0, false));
+        let mut alone = slow(3.0, true)(seed);
+        alone.run(11_000);
+        let in_time = with.sum(0, 1..10).in_time_share();
+        expect_that!(in_time, gt(0.9), "seed {seed}");
+        let without = alone.sum(0, 1..10).in_time_share();
+        expect_that!(in_time, gt(without + 0.2), "seed {seed}");
+        expect_that!(with.sum(1, 1..10).in_time_share(), gt(0.99), "seed {seed}");
     }
 }
 
+/// Guards against a link that fills: the response times of all calls that cross it grow without bound. The link
+/// carries 50 responses a second, a quarter of the calls.
 #[gtest]
 fn spill_saturated_link() {
     for seed in SEEDS {
-        let [with, _] = both("link", seed, |seed| {
+        let [with, least_cost] = both("link", seed, |seed| {
             let mut model = one_short(seed);
             model.link = 100.0;
             model
         });
+        let sum = with.sum(0, 2..10);
+        expect_that!(sum.ran_away, lt(sum.calls * 24 / 100), "seed {seed}");
+        expect_that!(sum.ran_away, gt(sum.calls * 10 / 100), "seed {seed}");
+        expect_that!(sum.in_time_share(), gt(0.6), "seed {seed}");
+        let before = least_cost.sum(0, 2..10);
+        expect_that!(
+            sum.in_time_share(),
+            gt(before.in_time_share()),
+            "seed {seed}"
+        );
+        let mean_ms = |sum: Counts| sum.response_ms / u64::from(sum.calls.max(1));
+        expect_that!(mean_ms(sum), lt(mean_ms(before)), "seed {seed}");
+        expect_that!(mean_ms(sum), lt(250), "seed {seed}");
     }
 }
 
+/// Guards against help that comes too late for callers, and calls that still leave after the cause is over.
 #[gtest]
 fn spill_moving_demand() {
     for seed in SEEDS {
@@ -512,5 +575,160 @@
             });
             model
         });
+        expect_that!(with.sum(0, 1..5).in_time_share(), gt(0.95), "seed {seed}");
+        expect_that!(with.sum(1, 5..6).in_time_share(), gt(0.9), "seed {seed}");
+        expect_that!(with.sum(1, 6..10).in_time_share(), gt(0.95), "seed {seed}");
+        expect_that!(with.sum(0, 6..10).sent_away, eq(0), "seed {seed}");
+    }
+}
+
+/// Guards against a domain whose calls leave and come back together while its load is constant.
+#[gtest]
+fn spill_constant_load_no_swing() {
+    for seed in SEEDS {
+        let [with, _] = both("no swing", seed, |seed| {
+            let mut model = model(seed, [2, 4]);
+            model.demand = Box::new(|domain, _| if domain == 0 { 70.0 } else { 30.0 });
+            model
+        });
+        let windows = with.counts[0][4..20].iter().map(Counts::away_share);
+        let windows: Vec<f64> = windows.collect();
+        let least = windows.iter().copied().fold(1.0, f64::min);
+        let most = windows.iter().copied().fold(0.0, f64::max);
+        // Chance alone varies the share of 140 calls by about 0.1 each way.
+        expect_that!(most - least, lt(0.4), "seed {seed}: {windows:?}");
+        expect_that!(least, gt(0.05), "seed {seed}");
+    }
+}
+
+/// Guards against a small difference that sends calls to another domain, and against any effect with spare capacity.
+#[gtest]
+fn spill_light_load_stays() {
+    for seed in SEEDS {
+        let [with, _] = both("light", seed, |seed| model(seed, [4, 4]));
+        for domain in 0..2 {
+            let sum = with.sum(domain, 0..10);
+            expect_that!(sum.sent_away, eq(0), "seed {seed}");
+            expect_that!(sum.in_time_share(), gt(0.99), "seed {seed}");
+        }
     }
 }
+
+const AWAY: &str = "keta-a";
+
+/// Compares calls every 10 ms for some time, of which half would be cheaper elsewhere if leaving pays.
+fn compare(shares: &mut SpillShares, from_ms: u64, until_ms: u64, home_ms: f64) -> f64 {
+    let costs = SpillCosts {
+        home_ms: Some(home_ms),
+        away_ms: 100.0,
+        away_time_ms: 90.0,
+        objective_ms: 250.0,
+        is_refusal_expected: false,
+    };
+    let mut share = 0.0;
+    for now in (from_ms..until_ms).step_by(10) {
+        share = shares.on_costs(ms(now), &SERVICE.into(), &AWAY.into(), &costs);
+    }
+    share
+}
+
+fn end(shares: &mut SpillShares, now: u64, node: usize, end: SpillEnd) {
+    let (service, domain) = (SERVICE.into(), AWAY.into());
+    shares.on_start(ms(now), &service, &domain);
+    shares.on_end(ms(now), &service, &domain, &name(node), end);
+}
+
+const ACCEPTED: SpillEnd = SpillEnd::Accepted {
+    path_ms: 20.0,
+    kilobytes: 2.0,
+};
+
+/// A burst of 3 s must get help, and the share must be small again about a second after the cause is over.
+#[gtest]
+fn on_costs_grows_and_decays() {
+    let mut shares = SpillShares::default();
+    expect_that!(compare(&mut shares, 0, 10, 90.0), le(0.1));
+    // Nothing has been accepted yet.
+    expect_that!(
+        compare(&mut shares, 10, 1_000, 300.0),
+        all![ge(0.25), le(0.3)]
+    );
+    end(&mut shares, 1_000, 4, ACCEPTED);
+    expect_that!(compare(&mut shares, 1_000, 1_600, 300.0), ge(0.99));
+    expect_that!(compare(&mut shares, 1_600, 2_700, 60.0), le(0.15));
+}
+
+/// A target that refuses all calls must get hardly any, and help must come back when it accepts again.
+#[gtest]
+fn on_end_refused() {
+    let mut shares = SpillShares::default();
+    shares.set_share(ms(0), &SERVICE.into(), &AWAY.into(), 1.0);
+    for step in 0..40 {
+        compare(&mut shares, step * 50, step * 50 + 50, 300.0);
+        end(&mut shares, step * 50 + 50, 4, SpillEnd::Refused);
+    }
+    let share = shares.share(ms(2_000), &SERVICE.into(), &AWAY.into());
+    expect_that!(share, lt(0.02));
+    for step in 80..160 {
+        compare(&mut shares, step * 50, step * 50 + 50, 300.0);
+        end(&mut shares, step * 50 + 50, 4, ACCEPTED);
+    }
+    let share = shares.share(ms(8_000), &SERVICE.into(), &AWAY.into());
+    expect_that!(share, gt(0.9));
+}
+
+/// No call may wait for a response from behind a cut link, while one lost node must not end all help.
+#[gtest]
+fn on_end_unreachable() {
+    let mut shares = SpillShares::default();
+    let (service, domain) = (SERVICE.into(), AWAY.into());
+    shares.set_share(ms(0), &service, &domain, 1.0);
+    end(&mut shares, 10, 4, SpillEnd::Unreachable);
+    end(&mut shares, 20, 4, SpillEnd::Unreachable);
+    expect_that!(shares.share(ms(30), &service, &domain), gt(0.5));
+    end(&mut shares, 30, 5, SpillEnd::Unreachable);
+    expect_that!(shares.share(ms(40), &service, &domain), eq(0.0));
+    expect_that!(compare(&mut shares, 40, 2_000, 300.0), eq(0.0));
+    expect_that!(compare(&mut shares, 2_000, 2_100, 300.0), gt(0.0));
+}
+
+/// A link that drops everything gives no answer at all. Calls that are under way must not be joined by others.
+#[gtest]
+fn share_without_answers() {
+    let mut shares = SpillShares::default();
+    let (service, domain) = (SERVICE.into(), AWAY.into());
+    shares.set_share(ms(0), &service, &domain, 1.0);
+    compare(&mut shares, 0, 50, 300.0);
+    shares.on_start(ms(50), &service, &domain);
+    expect_that!(shares.share(ms(200), &service, &domain), gt(0.9));
+    expect_that!(shares.share(ms(400), &service, &domain), eq(0.0));
+    shares.on_end(ms(450), &service, &domain, &name(4), ACCEPTED);
+    expect_that!(shares.share(ms(450), &service, &domain), gt(0.9));
+}
+
+fn pick(placement: &mut Placement, now: Duration, is_allowed: impl Fn(&NodeId) -> bool) -> Pick {
+    let request = PickRequest {
+        service: &SERVICE.into(),
+        route: &"lookup".into(),
+        objective: OBJECTIVE,
+        idempotent: true,
+        request_bytes: 0,
+        tried: &[],
+        is_allowed: &|node, _| is_allowed(node),
+    };
+    let mut rng = StdRng::seed_from_u64(1);
+    placement.pick(now, &mut rng, &request).expect("a node")
+}
+
+/// A call that may not be served at home, for instance because of home regions or an evacuation, must not be refused
+/// for want of spare capacity elsewhere.
+#[gtest]
+fn pick_without_node_at_home() {
+    let mut model = model(0, [4, 4]);
+    let away = pick(&mut model.entries[0], ms(0), |node| *node >= name(4));
+    expect_that!(away.domain.as_str(), eq(AWAY));
+    expect_false!(away.is_spillover);
+    let home = pick(&mut model.entries[0], ms(0), |_| true);
+    expect_that!(home.domain.as_str(), eq(DOMAINS[0]));
+    expect_false!(home.is_spillover);
+}
