--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -39,9 +39,8 @@
 const SPILLOVER_SLOT_SHARE: f64 = 0.75;
 /// Time after a call of the own failure domain had to wait for which spillover calls keep that margin.
 const SPILLOVER_PAUSE: Duration = Duration::from_millis(250);
-/// Part of the own failure domain's calls that may wait without that. With two thirds of all slots in use, about one
-/// in seven does.
-const TOLERATED_WAITS: f64 = 0.3;
+/// Part of the own failure domain's calls that may wait without that; a few wait long before slots are short.
+const TOLERATED_WAITS: f64 = 0.5;
 /// Weight of one call in that part.
 const WAIT_WEIGHT: f64 = 0.1;
 
--- a/src/coordination/zones/spill.rs
+++ b/src/coordination/zones/spill.rs
@@ -25,9 +25,11 @@
 const DECAY_PER_S: f64 = 2.5;
 /// Part of the objective by which leaving has to be cheaper, so that the share does not grow by chance.
 const MARGIN: f64 = 0.04;
-/// Advantage beyond the margin, as a part of the objective, at which the share changes at its largest rate. Below,
-/// it changes in proportion, so that it settles where leaving barely pays.
-const FULL_RATE_ADVANTAGE: f64 = 0.2;
+/// Advantage beyond the margin, as a part of the objective, at which the share grows at its largest rate. Below, it
+/// grows in proportion, so that it settles where leaving barely pays.
+const FULL_GROWTH_ADVANTAGE: f64 = 0.4;
+/// The same for a disadvantage and the decay.
+const FULL_DECAY_ADVANTAGE: f64 = 0.2;
 /// Weight of one call in the mean advantage.
 const ADVANTAGE_WEIGHT: f64 = 0.2;
 /// Longest time between two calls that counts; a node without calls learns nothing meanwhile.
@@ -40,8 +42,8 @@
 /// Weight of one result in the mean part of refused calls.
 const REFUSED_WEIGHT: f64 = 0.2;
 /// Part of refused calls up to which the share does not shrink. A target with spare slots refuses some calls, since
-/// entry nodes know its load only from its answers.
-const TOLERATED_REFUSED: f64 = 0.3;
+/// entry nodes know its load only from its answers, and a refusal costs no more than the way there and back.
+const TOLERATED_REFUSED: f64 = 0.7;
 /// Factor on the share after a refusal or on a slow path.
 const SHRINK_FACTOR: f64 = 0.7;
 /// Time after which the share shrinks again; results in between are of calls that were sent before.
@@ -175,12 +177,18 @@
         let home_ms = costs.home_ms.unwrap_or(costs.away_ms + costs.objective_ms);
         let gain = (home_ms - costs.away_ms - self.excess_ms) / costs.objective_ms.max(1.0);
         let gain = if costs.is_refusal_expected {
-            gain.max(MARGIN + FULL_RATE_ADVANTAGE)
+            gain.max(MARGIN + FULL_GROWTH_ADVANTAGE)
         } else {
             gain
         };
         self.advantage += (gain.clamp(-1.0, 1.0) - self.advantage) * ADVANTAGE_WEIGHT;
-        let rate = ((self.advantage - MARGIN) / FULL_RATE_ADVANTAGE).clamp(-1.0, 1.0);
+        let beyond = self.advantage - MARGIN;
+        let full = if beyond < 0.0 {
+            FULL_DECAY_ADVANTAGE
+        } else {
+            FULL_GROWTH_ADVANTAGE
+        };
+        let rate = (beyond / full).clamp(-1.0, 1.0);
         if rate < 0.0 {
             // An expected probe costs little, so the share stays where the next shortage needs it.
             let decayed = self.share * (rate * DECAY_PER_S * step_s).exp();
