Bound the usual time of a path, and grow slowly beyond what a slow path carried

A node that started while the path was full took that for usual. Nodes that are expected to refuse spillover calls are avoided only for these.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -159,6 +159,10 @@
 
 /// A chosen node.
 #[derive(Clone, Debug)]
+#[allow(
+    clippy::struct_excessive_bools,
+    reason = "independent facts about the choice"
+)]
 pub struct Pick {
     /// The node.
     pub node: NodeId,
@@ -466,37 +470,41 @@
     request: &PickRequest<'_>,
     call: &CallCost,
 ) -> Choices<'a> {
+    let usable: Vec<(&Candidate, &BackendReport)> = candidates
+        .iter()
+        .filter_map(|candidate| Some((candidate, candidate.backend()?)))
+        .filter(|(candidate, backend)| {
+            backend.service == *request.service
+                && (request.is_allowed)(&candidate.entry.node, &backend.version)
+        })
+        .collect();
+    let is_tried = |candidate: &Candidate| request.tried.contains(&candidate.entry.node);
+    let may_serve = |candidate: &Candidate| {
+        candidate.is_in_domain()
+            && candidate.availability(now) != Availability::Unreachable
+            && (!is_tried(candidate) || candidate.has_refused(now))
+    };
+    let away = usable
+        .iter()
+        .filter(|(candidate, _)| !candidate.is_in_domain());
     let mut found = Choices {
         best_of_domains: Vec::new(),
-        can_stay: false,
-        tried_away: 0,
+        can_stay: usable.iter().any(|(candidate, _)| may_serve(candidate)),
+        tried_away: away.filter(|(candidate, _)| is_tried(candidate)).count(),
     };
-    for candidate in candidates {
-        let Some(backend) = candidate.backend() else {
-            continue;
-        };
-        let node = &candidate.entry.node;
-        if backend.service != *request.service || !(request.is_allowed)(node, &backend.version) {
-            continue;
-        }
-        let availability = candidate.availability(now);
-        let is_tried = request.tried.contains(node);
-        if candidate.is_in_domain() {
-            found.can_stay |= availability != Availability::Unreachable
-                && (!is_tried || candidate.has_refused(now));
-        } else {
-            found.tried_away += usize::from(is_tried);
-        }
-        if is_tried {
+    for (candidate, backend) in usable {
+        if is_tried(candidate) {
             continue;
         }
         let jitter = 1.0 + rng.random_range(0.0..JITTER);
         let time_ms = candidate.time_ms(now, backend, call);
         let choice = Choice {
-            availability,
+            availability: candidate.availability(now),
             cost_ms: candidate.cost_ms(now, time_ms, call) * jitter,
             time_ms,
-            is_full: !candidate.is_in_domain() && candidate.refuses_spillover(now, backend),
+            is_full: found.can_stay
+                && !candidate.is_in_domain()
+                && candidate.refuses_spillover(now, backend),
             candidate,
         };
         let mut known = found.best_of_domains.iter_mut();
@@ -761,6 +769,8 @@
                     spill_share = share;
                 }
             }
+            // An unreachable node is used if no other one is left.
+            let last_resort = best_of(&is_home).filter(|_| away.is_none());
             // A call that another failure domain has refused stays, if it may be served.
             let tries = if is_refusal_expected {
                 MAX_SPILLOVER_TRIES
@@ -772,7 +782,8 @@
                     && home.is_none_or(|home| away.is_before(home))
                     && rng.random_range(0.0..1.0) < spill_share
             });
-            (away.or(home)?, away.is_some())
+            let chosen = away.or(home).or(last_resort)?;
+            (chosen, away.is_some())
         } else {
             (best_of(&|_| true)?, false)
         };
@@ -814,8 +825,13 @@
         elapsed: Duration,
         request_bytes: usize,
     ) {
+        let index = self.index(&pick.node).ok();
+        let hop_ms = index.map_or(OTHER_REGION_MS, |index| {
+            self.candidates[index].distance.hop_ms()
+        });
         let end = match feedback.end {
             AttemptEnd::Ran { .. } => SpillEnd::Accepted {
+                hop_ms,
                 path_ms: elapsed.saturating_sub(feedback.run).as_secs_f64() * 1e3,
                 kilobytes: kilobytes(request_bytes + feedback.bytes) + OVERHEAD_KB,
             },
--- a/src/coordination/zones/spill.rs
+++ b/src/coordination/zones/spill.rs
@@ -34,9 +34,9 @@
 const ADVANTAGE_WEIGHT: f64 = 0.2;
 /// Longest time between two calls that counts; a node without calls learns nothing meanwhile.
 const MAX_STEP: Duration = Duration::from_millis(100);
-/// Growth of the share in a second beyond the value to which a slow path has last reduced it, so that the share stays
-/// near what the path carries.
-const CAUTIOUS_GROWTH_PER_S: f64 = 0.1;
+/// Growth of the share in a second beyond the value to which a slow path has last reduced it, relative to the share,
+/// so that it stays near what the path carries, however small that is.
+const CAUTIOUS_GROWTH_PER_S: f64 = 1.5;
 /// Time without a slow answer after which that value no longer counts.
 const CAUTION: Duration = Duration::from_secs(5);
 /// Weight of one result in the mean part of refused calls.
@@ -58,6 +58,10 @@
 const EXCESS_WEIGHT: f64 = 0.2;
 /// Time constant with which the usual time of a path follows a longer one.
 const PATH_MEMORY_S: f64 = 60.0;
+/// Bounds of the usual path time, in hops and in milliseconds for a kilobyte, about a link of 10 Mbit/s. A node that
+/// starts while the path is full would take that for usual.
+const MAX_USUAL_HOPS: f64 = 1.5;
+const MAX_USUAL_MS_PER_KB: f64 = 1.0;
 /// Time without any answer, beyond twice the expected time, after which no further call is sent.
 const MAX_SILENCE: Duration = Duration::from_millis(150);
 /// Classes of sizes, by powers of four of a kilobyte, whose path times are kept apart.
@@ -87,6 +91,8 @@
         path_ms: f64,
         /// Size of the request and of the response.
         kilobytes: f64,
+        /// Time for a small message there and back on an idle path, milliseconds.
+        hop_ms: f64,
     },
     /// The target refused the call because of load.
     Refused,
@@ -202,7 +208,7 @@
             let (carried, reduced_at) = self.carried;
             let is_cautious = self.share >= carried && now.saturating_sub(reduced_at) < CAUTION;
             let growth_per_s = if is_cautious {
-                CAUTIOUS_GROWTH_PER_S
+                CAUTIOUS_GROWTH_PER_S * self.share
             } else {
                 GROWTH_PER_S
             };
@@ -250,7 +256,7 @@
         }
     }
 
-    fn on_path(&mut self, now: Duration, path_ms: f64, kilobytes: f64) {
+    fn on_path(&mut self, now: Duration, path_ms: f64, kilobytes: f64, hop_ms: f64) {
         let class = (kilobytes.max(1.0).log2() / 2.0).floor();
         let classes = 0..SIZE_CLASSES - 1;
         let class = classes.fold(0, |found, index| {
@@ -264,6 +270,7 @@
         } else {
             *usual += (path_ms - *usual) * (age_s / PATH_MEMORY_S).min(1.0);
         }
+        *usual = usual.min(hop_ms * MAX_USUAL_HOPS + kilobytes * MAX_USUAL_MS_PER_KB);
         let is_slow = path_ms > *usual * 1.5 + SLOW_PATH_MS;
         self.excess_ms += (path_ms - *usual - self.excess_ms) * EXCESS_WEIGHT;
         if is_slow {
@@ -271,6 +278,9 @@
             self.refusals = 0;
             self.shrink(now);
             self.carried = (self.share, now);
+            // The calls that were sent before show for as long that the path is slow.
+            let drain = Duration::from_secs_f64(path_ms.max(0.0) / 1e3) * 2;
+            self.hold_until = self.hold_until.max(now + drain);
         } else {
             self.refusals /= 2;
         }
@@ -337,11 +347,15 @@
             target.heard_at = now;
         }
         match end {
-            SpillEnd::Accepted { path_ms, kilobytes } => {
+            SpillEnd::Accepted {
+                path_ms,
+                kilobytes,
+                hop_ms,
+            } => {
                 target.has_accepted = true;
                 target.lost = None;
                 target.refused -= target.refused * REFUSED_WEIGHT;
-                target.on_path(now, path_ms, kilobytes);
+                target.on_path(now, path_ms, kilobytes, hop_ms);
             }
             SpillEnd::Refused => {
                 target.lost = None;
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -24,6 +24,10 @@
 
 /// Information about a call that the entry node sends to the serving node.
 #[derive(Clone, Debug, Eq, PartialEq)]
+#[allow(
+    clippy::struct_excessive_bools,
+    reason = "independent facts about the call"
+)]
 pub struct HopRequestHeader {
     /// Route that the entry node chose.
     pub route: RouteName,
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -302,7 +302,7 @@
     // Not even if a slot is free, while others wait.
     let changes = queue.finish(ms(160), &route, Some(ms(60)));
     expect_that!(changes.start.len(), eq(1));
-    for step in 0..u64::from(waiting) + 1 {
+    for step in 0..=u64::from(waiting) {
         queue.finish(ms(170 + step), &route, Some(ms(60)));
     }
     // Four of six slots, and then five once no call has waited for some time.
--- a/tests/zones_spill.rs
+++ b/tests/zones_spill.rs
@@ -42,7 +42,7 @@
 const PATH_MS: u64 = 8;
 const RESPONSE_BYTES: u32 = 2_000;
 /// Interval of the counts, milliseconds.
-const WINDOW_MS: u64 = 500;
+const WINDOW_MS: u128 = 500;
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -178,7 +178,7 @@
     }
 
     fn count(&mut self, domain: usize, arrived: Duration) -> &mut Counts {
-        let window = usize::try_from(arrived.as_millis()).unwrap_or(0) / WINDOW_MS as usize;
+        let window = usize::try_from(arrived.as_millis() / WINDOW_MS).unwrap_or(0);
         let counts = &mut self.counts[domain];
         if counts.len() <= window {
             counts.resize(window + 1, Counts::default());
@@ -334,9 +334,12 @@
         };
         let started: Vec<usize> = start.iter().map(|ticket| take(*ticket)).collect();
         let refused: Vec<usize> = refuse.iter().map(|(ticket, _)| take(*ticket)).collect();
-        started.into_iter().for_each(|id| self.start(id));
-        let refused = refused.into_iter();
-        refused.for_each(|id| self.answer(id, AttemptEnd::Overloaded));
+        for id in started {
+            self.start(id);
+        }
+        for id in refused {
+            self.answer(id, AttemptEnd::Overloaded);
+        }
     }
 
     fn start(&mut self, id: usize) {
@@ -641,6 +644,7 @@
 const ACCEPTED: SpillEnd = SpillEnd::Accepted {
     path_ms: 20.0,
     kilobytes: 2.0,
+    hop_ms: 20.0,
 };
 
 /// A burst of 3 s must get help, and the share must be small again about a second after the cause is over.
@@ -732,3 +736,36 @@
     expect_that!(home.domain.as_str(), eq(DOMAINS[0]));
     expect_false!(home.is_spillover);
 }
+
+/// Without another failure domain nothing may change: a call must not be refused while an untried node is left, even
+/// an unreachable one.
+#[gtest]
+fn pick_single_domain_last_resort() {
+    let mut model = model(0, [4, 4]);
+    let placement = &mut model.entries[0];
+    let incarnation = ("n0".into(), 1);
+    let feedback = |end| Feedback {
+        incarnation: &incarnation,
+        end,
+        run: ms(0),
+        report: None,
+        bytes: 0,
+    };
+    let route = RouteName::from("lookup");
+    placement.on_end(ms(0), &name(0), &route, &feedback(AttemptEnd::Overloaded));
+    placement.on_end(ms(0), &name(1), &route, &feedback(AttemptEnd::Unreachable));
+    let request = PickRequest {
+        service: &SERVICE.into(),
+        route: &route,
+        objective: OBJECTIVE,
+        idempotent: true,
+        request_bytes: 0,
+        tried: &[name(0)],
+        is_allowed: &|node, _| *node <= name(1),
+    };
+    let mut rng = StdRng::seed_from_u64(1);
+    let pick = placement.pick(ms(1), &mut rng, &request);
+    let pick = pick.expect("the unreachable node");
+    expect_that!(pick.node, eq(&name(1)));
+    expect_false!(pick.is_spillover);
+}
