--- a/tests/zones_spill.rs
+++ b/tests/zones_spill.rs
@@ -97,7 +97,8 @@
     /// Bytes per millisecond between the domains, and when each direction is free again.
     link: f64,
     link_free: [Duration; 2],
-    /// Sends each call to the least cost, and treats it like the target's own.
+    /// Sends each call to the least cost, and treats it like the target's own. This comes close to the behaviour
+    /// without shares.
     by_least_cost: bool,
     counts: [Vec<Counts>; 2],
 }
