Serve calls only in their home regions

The entry node leaves out nodes outside the home regions for every attempt, by the configuration that the call was routed with and by the one in force. The serving node checks its own region by its own configuration on arrival, after the queue, and before it asks for an announced body, since the entry node may have an older configuration. A configuration with a home region that the settings do not list is refused whole.

--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -326,6 +326,12 @@
         self.quarantined_for = Some(refused_for);
     }
 
+    /// Handles that no node may serve the call, for the reason that the code names. A call that some node has
+    /// refused keeps that reason.
+    pub fn on_excluded(&mut self, code: ResultCode) {
+        self.last = self.last.or(Some(code));
+    }
+
     /// Handles the deadline of the call passing during an attempt.
     pub fn on_timeout(&mut self) {
         self.may_have_run = true;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -17,6 +17,7 @@
 use crate::coordination::backoff::exponential_delay;
 use crate::coordination::slot_queue::ASSUMED_RUN_SHARE;
 use crate::coordination::slot_queue::COLD_START_FACTOR;
+use crate::coordination::zones::homes::AllowedRegions;
 use crate::protocol::fleet::BackendPhase;
 use crate::protocol::fleet::BackendReport;
 use crate::protocol::fleet::FleetEntry;
@@ -31,6 +32,7 @@
 use crate::protocol::name::RouteName;
 use crate::protocol::name::ServiceName;
 use crate::protocol::name::VersionName;
+use crate::result_code::ResultCode;
 
 /// Time for a hop to another node of the same failure domain: parsing the request a second time and
 /// the network round trip.
@@ -385,6 +387,8 @@
     pub tried: &'a [NodeId],
     /// Whether the backend server of this node, which has this version, may be used.
     pub is_allowed: &'a dyn Fn(&NodeId, &VersionName) -> bool,
+    /// Regions that may serve the call.
+    pub regions: &'a AllowedRegions,
 }
 
 /// Chooses serving nodes for the calls of one entry node.
@@ -582,6 +586,7 @@
             let node = &candidate.entry.node;
             if backend.service != *request.service
                 || request.tried.contains(node)
+                || !request.regions.allows(&candidate.entry.region)
                 || !(request.is_allowed)(node, &backend.version)
             {
                 continue;
@@ -616,17 +621,41 @@
         })
     }
 
-    /// Whether a backend server of the service, with a version that passes the filter, accepts
-    /// calls.
+    /// Whether a backend server of the service in these regions, with a version that passes the filter,
+    /// accepts calls.
     #[must_use]
     pub fn has_backend_server(
         &self,
         service: &ServiceName,
+        regions: &AllowedRegions,
         of: impl Fn(&VersionName) -> bool,
     ) -> bool {
-        let backends = self.candidates.iter().filter_map(Candidate::backend);
-        let mut of_service = backends.filter(|backend| backend.service == *service);
-        of_service.any(|backend| of(&backend.version))
+        let mut entries = self.ready_entries(service, regions);
+        entries.any(|(_, backend)| of(&backend.version))
+    }
+
+    /// Returns the nodes in these regions whose backend servers of the service accept calls.
+    fn ready_entries<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        regions: &'a AllowedRegions,
+    ) -> impl Iterator<Item = (&'a FleetEntry, &'a BackendReport)> {
+        let ready = self
+            .candidates
+            .iter()
+            .filter_map(|candidate| Some((&candidate.entry, candidate.backend()?)));
+        ready.filter(move |(entry, backend)| {
+            backend.service == *service && regions.allows(&entry.region)
+        })
+    }
+
+    /// Returns the reason why no backend server of the service may serve a call, if home regions are that
+    /// reason.
+    #[must_use]
+    pub fn exclusion(&self, service: &ServiceName, regions: &AllowedRegions) -> Option<ResultCode> {
+        let is_restricted = *regions != AllowedRegions::Any;
+        let mut ready = self.ready_entries(service, regions);
+        (is_restricted && ready.next().is_none()).then_some(ResultCode::OutsideHome)
     }
 
     /// Applies the load and results that a node reported.
--- a/src/coordination/zones/mod.rs
+++ b/src/coordination/zones/mod.rs
@@ -1,1 +1,3 @@
 //! Decisions about regions and failure domains: where a call may be served, and when leaving a failure domain pays.
+
+pub mod homes;
--- a/src/sidecar/body_gate.rs
+++ b/src/sidecar/body_gate.rs
@@ -23,6 +23,7 @@
 use crate::sidecar::admission::Admitted;
 use crate::sidecar::hop;
 use crate::sidecar::serving;
+use crate::sidecar::serving::NO_TENANT_HOMES;
 use crate::sidecar::serving::ServeOutcome;
 use crate::transport::headers;
 use crate::transport::http_server::Gate;
@@ -102,6 +103,11 @@
     };
     match cx.transfers.admit(&transfer).await {
         Ok(admitted) => {
+            // The home regions of the call may have changed while it waited, and its body must not be sent
+            // to a node outside.
+            if let Err(code) = serving::check_location(cx, &head, NO_TENANT_HOMES) {
+                return refused(ServeOutcome::refused(code));
+            }
             req.extensions_mut().insert(Transfer {
                 arrived,
                 clock: cx.clock,
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -31,6 +31,8 @@
 use crate::coordination::placement::Feedback;
 use crate::coordination::placement::Pick;
 use crate::coordination::placement::PickRequest;
+use crate::coordination::zones::homes;
+use crate::coordination::zones::homes::AllowedRegions;
 use crate::platform::requests;
 use crate::protocol::hop::BackendTotals;
 use crate::protocol::hop::HopRequestHeader;
@@ -38,6 +40,7 @@
 use crate::protocol::hop::RouteTotals;
 use crate::protocol::mesh::MeshRoute;
 use crate::protocol::name::NodeId;
+use crate::protocol::name::RegionName;
 use crate::protocol::name::RouteName;
 use crate::protocol::name::VersionName;
 use crate::protocol::time::millis;
@@ -49,6 +52,7 @@
 use crate::sidecar::hop::HopResult;
 use crate::sidecar::hop::OpenCall;
 use crate::sidecar::serving;
+use crate::sidecar::serving::NO_TENANT_HOMES;
 use crate::sidecar::serving::ServeCall;
 use crate::sidecar::serving::ServeOutcome;
 use crate::state::routing_table;
@@ -111,6 +115,7 @@
 
 /// A routed request of a caller.
 struct EntryCall {
+    /// Route in the configuration that was in force when the call arrived.
     route: Rc<MeshRoute>,
     serve: ServeCall,
     /// Memory of the body.
@@ -261,6 +266,9 @@
             NextStep::Retry | NextStep::Stop => return None,
         }
         let pick = pick(cx, call, attempts, now);
+        if pick.is_none() {
+            check_exclusion(cx, call, attempts, now);
+        }
         let pick = match attempts.on_choice(now, pick.as_ref().map(chosen)) {
             Choice::Send => pick?,
             Choice::OfferAgain => continue,
@@ -276,6 +284,37 @@
     }
 }
 
+/// Returns the regions that may serve a call: those of the configuration that it was routed with, and of the one
+/// in force. The latter counts for each attempt, so that a change binds calls in flight as well.
+fn regions_for(
+    state: &SidecarState,
+    call: &EntryCall,
+    tenant_homes: &[RegionName],
+) -> AllowedRegions {
+    let routed = homes::allowed_regions(&call.route.homes, tenant_homes);
+    let current = state.table.as_ref();
+    let current = current.and_then(|table| table.route(&call.route.name));
+    match current {
+        Some(route) if !Rc::ptr_eq(route, &call.route) => routed.restricted_to(&route.homes),
+        _ => routed,
+    }
+}
+
+/// Records the reason why a call has no node, if home regions exclude all.
+fn check_exclusion(cx: &Sidecar, call: &EntryCall, attempts: &mut Attempts, now: Duration) {
+    let state = cx.state.borrow();
+    let regions = regions_for(&state, call, NO_TENANT_HOMES);
+    let service = &call.serve.head.service;
+    let Some(code) = state.placement.exclusion(service, &regions) else {
+        return;
+    };
+    attempts.on_excluded(code);
+    info!(cx.log, "no node may serve the call"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
+        "route" => call.route.name.as_str(), "code" => code.number(), "regions" => format!("{regions:?}"),
+        "version" => state.table.as_ref().map(|table| table.version()),
+        "view_age_ms" => cx.feed.view_age(now).map(millis));
+}
+
 fn chosen(pick: &Pick) -> ChosenNode {
     ChosenNode {
         time_ms: pick.time_ms,
@@ -445,9 +484,10 @@
     tried: &[NodeId],
 ) -> Option<Pick> {
     let service = &call.serve.head.service;
+    let regions = regions_for(state, call, NO_TENANT_HOMES);
     let Some(plan) = state.moves.plan(service) else {
         let permits = |_: &NodeId, _: &_| true;
-        let request = pick_request(call, tried, &permits);
+        let request = pick_request(call, tried, &regions, &permits);
         return state.placement.pick(now, &mut state.rng, &request);
     };
     let exposed = state
@@ -462,7 +502,9 @@
     let is_old = |version: &_| version != target && !moves.is_banned(service, version);
     let old = |_: &NodeId, version: &_| is_old(version);
     let any_new = |_: &NodeId, version: &_| version == target;
-    let has_old = state.placement.has_backend_server(service, is_old);
+    let has_old = state
+        .placement
+        .has_backend_server(service, &regions, is_old);
     let preferences: [Option<Permits<'_>>; 2] = if wants_target {
         [Some(&new), Some(&old)]
     } else {
@@ -471,7 +513,7 @@
         [Some(&old), is_only_one.then_some(&any_new as Permits<'_>)]
     };
     preferences.into_iter().flatten().find_map(|permits| {
-        let request = pick_request(call, tried, permits);
+        let request = pick_request(call, tried, &regions, permits);
         state.placement.pick(now, &mut state.rng, &request)
     })
 }
@@ -479,6 +521,7 @@
 fn pick_request<'a>(
     call: &'a EntryCall,
     tried: &'a [NodeId],
+    regions: &'a AllowedRegions,
     permits: Permits<'a>,
 ) -> PickRequest<'a> {
     PickRequest {
@@ -489,6 +532,7 @@
         request_bytes: call.serve.body.len(),
         tried,
         is_allowed: permits,
+        regions,
     }
 }
 
@@ -600,7 +644,7 @@
         } => AttemptEnd::Overloaded,
         // The call is the reason, not the node.
         ServeOutcome::Refused {
-            code: ResultCode::RequestQuarantined,
+            code: ResultCode::RequestQuarantined | ResultCode::OutsideHome,
             ..
         } => AttemptEnd::Cancelled,
         ServeOutcome::Refused { .. } => AttemptEnd::NoBackend,
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -5,6 +5,7 @@
 use slog::info;
 use slog::warn;
 
+use crate::coordination::zones::homes;
 use crate::platform::config;
 use crate::platform::config::OperatorKey;
 use crate::platform::config::ParsedConfig;
@@ -13,6 +14,7 @@
 use crate::protocol::fleet::FleetEntry;
 use crate::protocol::fleet::MoveRecord;
 use crate::protocol::name::NodeId;
+use crate::protocol::name::RegionName;
 use crate::protocol::name::ServiceName;
 use crate::protocol::time::millis;
 use crate::sidecar::Sidecar;
@@ -61,6 +63,14 @@
             return;
         }
     };
+    let domains = &cx.settings.domains;
+    let is_known = |region: &RegionName| {
+        domains.is_empty() || domains.iter().any(|domain| domain.region == *region)
+    };
+    if let Some(why) = homes::unknown_home(&config, is_known) {
+        warn!(cx.log, "configuration refused"; "version" => config.version, "offset" => record.offset, "why" => why);
+        return;
+    }
     if !unknown_kinds.is_empty() {
         warn!(cx.log, "routes of unknown kinds run requests at most once"; "version" => config.version,
             "offset" => record.offset, "kinds" => unknown_kinds.join(", "));
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -15,6 +15,7 @@
 
 use crate::coordination::slot_queue::Offer;
 use crate::coordination::version_move::cancelled_percent;
+use crate::coordination::zones::homes;
 use crate::platform::requests;
 use crate::platform::requests::Execution;
 use crate::protocol::call::MAX_RESPONSE_BYTES;
@@ -24,6 +25,7 @@
 use crate::protocol::hop::Load;
 use crate::protocol::hop::RequestRate;
 use crate::protocol::hop::RouteTotals;
+use crate::protocol::name::RegionName;
 use crate::protocol::name::RouteName;
 use crate::protocol::time::millis;
 use crate::result_code::ResultCode;
@@ -44,6 +46,8 @@
 /// Time that the node waits beyond the deadline it sends to the backend server, so that a response
 /// sent at the deadline still arrives.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
+/// Home regions of the tenant of a call, as long as calls have no tenants.
+pub const NO_TENANT_HOMES: &[RegionName] = &[];
 /// `retry-after` time if no backend server accepts the call.
 pub const NO_BACKEND_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -299,8 +303,29 @@
         .unwrap_or("none")
 }
 
+/// Checks by this node's own view that its backend server may serve a call where it stands, so that an entry
+/// node with an older configuration does no harm. The homes of the call's tenant are added to it.
+///
+/// # Errors
+/// The reason why it may not.
+pub fn check_location(
+    cx: &Sidecar,
+    head: &HopRequestHeader,
+    tenant_homes: &[RegionName],
+) -> Result<(), ResultCode> {
+    let state = cx.state.borrow();
+    let table = state.table.as_ref();
+    let route = table.and_then(|table| table.route(&head.route));
+    let route_homes = route.map_or(&[][..], |route| &route.homes);
+    if !homes::allowed_regions(route_homes, tenant_homes).allows(&cx.settings.region) {
+        return Err(ResultCode::OutsideHome);
+    }
+    Ok(())
+}
+
 /// Returns the local backend server if it can run the call.
 pub fn usable_backend(cx: &Sidecar, head: &HopRequestHeader) -> Result<BackendReport, ResultCode> {
+    check_location(cx, head, NO_TENANT_HOMES)?;
     let state = cx.state.borrow();
     let backend = state.backend.available(cx.clock.now());
     let backend = backend.ok_or(ResultCode::NoBackend)?;
