Send no requests to evacuated failure domains

The operator's records evacuate/DOMAIN are kept as a set beside the configuration. Entry nodes leave out nodes in these failure domains, and a serving node there refuses calls on arrival, after the queue and before an announced body. A record without a value ends an evacuation. A complete reading that no longer shows the key ends it as well, also after the store went back; running nodes read the newest records every 10 s during an evacuation, since they would not notice otherwise. Readers tell their followers which keys were dropped.

--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -138,6 +138,8 @@
     /// Time for which the call is refused since it crashes backend servers. It is not offered to other
     /// nodes, which may not know this yet.
     quarantined_for: Option<Duration>,
+    /// Last refusal by a node because of where it stands.
+    location_refusal: Option<(NodeId, ResultCode)>,
     last: Option<ResultCode>,
     retry_after: Option<Duration>,
 }
@@ -159,6 +161,7 @@
             may_have_run: false,
             has_failure_response: false,
             quarantined_for: None,
+            location_refusal: None,
             last: None,
             retry_after: None,
         }
@@ -308,8 +311,12 @@
                 }
                 let shortest = self.retry_after.unwrap_or(retry_after).min(retry_after);
                 self.retry_after = Some(shortest);
-                if code == ResultCode::RequestQuarantined {
-                    self.on_quarantined(retry_after);
+                match code {
+                    ResultCode::RequestQuarantined => self.on_quarantined(retry_after),
+                    ResultCode::OutsideHome | ResultCode::DomainEvacuated => {
+                        self.location_refusal = Some((node.clone(), code));
+                    }
+                    _ => {}
                 }
             }
             AttemptFailure::Unknown(code) => {
@@ -332,6 +339,16 @@
         self.last = self.last.or(Some(code));
     }
 
+    /// Returns the node that has refused the call because of where it stands, with its reason, once.
+    pub fn take_location_refusal(&mut self) -> Option<(NodeId, ResultCode)> {
+        self.location_refusal.take()
+    }
+
+    /// Handles that further nodes would refuse the call like the one that has just refused it.
+    pub fn on_refused_alike(&mut self, nodes: &[NodeId]) {
+        self.tried.extend_from_slice(nodes);
+    }
+
     /// Handles the deadline of the call passing during an attempt.
     pub fn on_timeout(&mut self) {
         self.may_have_run = true;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -17,6 +17,7 @@
 use crate::coordination::backoff::exponential_delay;
 use crate::coordination::slot_queue::ASSUMED_RUN_SHARE;
 use crate::coordination::slot_queue::COLD_START_FACTOR;
+use crate::coordination::zones::evacuation::Evacuations;
 use crate::coordination::zones::homes::AllowedRegions;
 use crate::protocol::fleet::BackendPhase;
 use crate::protocol::fleet::BackendReport;
@@ -389,6 +390,8 @@
     pub is_allowed: &'a dyn Fn(&NodeId, &VersionName) -> bool,
     /// Regions that may serve the call.
     pub regions: &'a AllowedRegions,
+    /// Failure domains whose backend servers get no requests.
+    pub evacuations: &'a Evacuations,
 }
 
 /// Chooses serving nodes for the calls of one entry node.
@@ -587,6 +590,7 @@
             if backend.service != *request.service
                 || request.tried.contains(node)
                 || !request.regions.allows(&candidate.entry.region)
+                || request.evacuations.contains(&candidate.entry.domain)
                 || !(request.is_allowed)(node, &backend.version)
             {
                 continue;
@@ -649,13 +653,47 @@
         })
     }
 
-    /// Returns the reason why no backend server of the service may serve a call, if home regions are that
-    /// reason.
+    /// Returns the reason why no backend server of the service may serve a call, if home regions or evacuations
+    /// are that reason.
     #[must_use]
-    pub fn exclusion(&self, service: &ServiceName, regions: &AllowedRegions) -> Option<ResultCode> {
-        let is_restricted = *regions != AllowedRegions::Any;
-        let mut ready = self.ready_entries(service, regions);
-        (is_restricted && ready.next().is_none()).then_some(ResultCode::OutsideHome)
+    pub fn exclusion(
+        &self,
+        service: &ServiceName,
+        regions: &AllowedRegions,
+        evacuations: &Evacuations,
+    ) -> Option<ResultCode> {
+        let mut ready = self.ready_entries(service, regions).peekable();
+        if ready.peek().is_none() {
+            let is_restricted = *regions != AllowedRegions::Any;
+            return is_restricted.then_some(ResultCode::OutsideHome);
+        }
+        ready
+            .all(|(entry, _)| evacuations.contains(&entry.domain))
+            .then_some(ResultCode::DomainEvacuated)
+    }
+
+    /// Returns the failure domain of a node.
+    #[must_use]
+    pub fn domain_of(&self, node: &NodeId) -> Option<&DomainName> {
+        let index = self.index(node).ok()?;
+        Some(&self.candidates[index].entry.domain)
+    }
+
+    /// Returns the nodes that would refuse a call for the same reason as this node, as far as it is where the
+    /// node stands.
+    #[must_use]
+    pub fn nodes_refusing_as(&self, node: &NodeId, reason: ResultCode) -> Vec<NodeId> {
+        let Ok(index) = self.index(node) else {
+            return Vec::new();
+        };
+        let refusing = &self.candidates[index].entry;
+        let is_alike = |entry: &&FleetEntry| match reason {
+            ResultCode::OutsideHome => entry.region == refusing.region,
+            ResultCode::DomainEvacuated => entry.domain == refusing.domain,
+            _ => false,
+        };
+        let alike = self.entries().filter(is_alike);
+        alike.map(|entry| entry.node.clone()).collect()
     }
 
     /// Applies the load and results that a node reported.
--- a/src/coordination/topic_cursor.rs
+++ b/src/coordination/topic_cursor.rs
@@ -47,6 +47,8 @@
     reported_end: u64,
     /// Whether the position is the reported end, so that the newest records have to be read again.
     unverified: bool,
+    /// Whether the newest records are read once more, without a change of the position.
+    rechecks: bool,
     /// Number of calls that have failed since the last successful one.
     failures: u32,
     /// Offset of the newest record of each key, sorted by key.
@@ -58,7 +60,7 @@
     #[must_use]
     pub fn next(&self) -> NextRead {
         match self.from {
-            Some(from) if !self.unverified => NextRead::From(from),
+            Some(from) if !self.unverified && !self.rechecks => NextRead::From(from),
             _ => NextRead::Newest,
         }
     }
@@ -86,10 +88,25 @@
         self.failures
     }
 
+    /// Makes the next call read the newest record of each key once more. Reading goes on at the same position.
+    pub fn recheck(&mut self) {
+        self.rechecks = self.from.is_some();
+    }
+
+    /// Whether the next call reads the newest records only to check them.
+    #[must_use]
+    pub fn is_rechecking(&self) -> bool {
+        self.rechecks
+    }
+
     /// Handles the newest records. `first_page` is the number of records on the first page, and `end` is
     /// the end offset that the store reported with that page. The pages are not a snapshot: a key of the
     /// first page may change before a later page is read, so reading continues after the first page.
     pub fn on_newest(&mut self, offsets: &[u64], first_page: usize, end: u64) {
+        self.failures = 0;
+        if std::mem::take(&mut self.rechecks) {
+            return;
+        }
         let after_received = offsets[..first_page.min(offsets.len())]
             .iter()
             .max()
@@ -102,7 +119,6 @@
             after_received.min(end)
         });
         self.unverified = false;
-        self.failures = 0;
     }
 
     /// Handles a read up to the offset `end`.
--- a/src/sidecar/body_gate.rs
+++ b/src/sidecar/body_gate.rs
@@ -104,7 +104,7 @@
     match cx.transfers.admit(&transfer).await {
         Ok(admitted) => {
             // The home regions of the call may have changed while it waited, and its body must not be sent
-            // to a node outside.
+            // to a node outside. The failure domain may have been evacuated.
             if let Err(code) = serving::check_location(cx, &head, NO_TENANT_HOMES) {
                 return refused(ServeOutcome::refused(code));
             }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -31,6 +31,7 @@
 use crate::coordination::placement::Feedback;
 use crate::coordination::placement::Pick;
 use crate::coordination::placement::PickRequest;
+use crate::coordination::zones::evacuation::Evacuations;
 use crate::coordination::zones::homes;
 use crate::coordination::zones::homes::AllowedRegions;
 use crate::platform::requests;
@@ -281,6 +282,12 @@
         if response.is_some() {
             return response;
         }
+        if let Some((node, reason)) = attempts.take_location_refusal() {
+            // The node has a newer view than this one, which concerns its neighbours as well.
+            let state = cx.state.borrow();
+            let alike = state.placement.nodes_refusing_as(&node, reason);
+            attempts.on_refused_alike(&alike);
+        }
     }
 }
 
@@ -300,17 +307,19 @@
     }
 }
 
-/// Records the reason why a call has no node, if home regions exclude all.
+/// Records the reason why a call has no node, if home regions or evacuations exclude all.
 fn check_exclusion(cx: &Sidecar, call: &EntryCall, attempts: &mut Attempts, now: Duration) {
     let state = cx.state.borrow();
     let regions = regions_for(&state, call, NO_TENANT_HOMES);
     let service = &call.serve.head.service;
-    let Some(code) = state.placement.exclusion(service, &regions) else {
+    let evacuations = &state.evacuations;
+    let Some(code) = state.placement.exclusion(service, &regions, evacuations) else {
         return;
     };
     attempts.on_excluded(code);
     info!(cx.log, "no node may serve the call"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
         "route" => call.route.name.as_str(), "code" => code.number(), "regions" => format!("{regions:?}"),
+        "evacuated" => evacuations.count(),
         "version" => state.table.as_ref().map(|table| table.version()),
         "view_age_ms" => cx.feed.view_age(now).map(millis));
 }
@@ -487,7 +496,7 @@
     let regions = regions_for(state, call, NO_TENANT_HOMES);
     let Some(plan) = state.moves.plan(service) else {
         let permits = |_: &NodeId, _: &_| true;
-        let request = pick_request(call, tried, &regions, &permits);
+        let request = pick_request(call, tried, &regions, &state.evacuations, &permits);
         return state.placement.pick(now, &mut state.rng, &request);
     };
     let exposed = state
@@ -513,7 +522,7 @@
         [Some(&old), is_only_one.then_some(&any_new as Permits<'_>)]
     };
     preferences.into_iter().flatten().find_map(|permits| {
-        let request = pick_request(call, tried, &regions, permits);
+        let request = pick_request(call, tried, &regions, &state.evacuations, permits);
         state.placement.pick(now, &mut state.rng, &request)
     })
 }
@@ -522,6 +531,7 @@
     call: &'a EntryCall,
     tried: &'a [NodeId],
     regions: &'a AllowedRegions,
+    evacuations: &'a Evacuations,
     permits: Permits<'a>,
 ) -> PickRequest<'a> {
     PickRequest {
@@ -533,6 +543,7 @@
         tried,
         is_allowed: permits,
         regions,
+        evacuations,
     }
 }
 
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -43,6 +43,8 @@
     pub backend_limit: Gauge,
     /// Number of known nodes.
     pub nodes: Gauge,
+    /// Number of evacuated failure domains.
+    pub evacuated_domains: Gauge,
     /// Time from a caller's request to its response, seconds.
     pub call_latency: Histogram,
     /// Response time of the local backend server, seconds.
@@ -75,6 +77,7 @@
             config_version: gauge!("sycamorewick_config_version"),
             backend_limit: gauge!("sycamorewick_backend_limit"),
             nodes: gauge!("sycamorewick_nodes"),
+            evacuated_domains: gauge!("sycamorewick_evacuated_domains"),
             call_latency: histogram!("sycamorewick_call_seconds"),
             backend_latency: histogram!("sycamorewick_backend_seconds"),
             log_lines_dropped: gauge!("sycamorewick_log_lines_dropped"),
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -46,6 +46,7 @@
 use crate::coordination::retry_quota::RetryQuota;
 use crate::coordination::stop_plan::StopPlan;
 use crate::coordination::version_move::Moves;
+use crate::coordination::zones::evacuation::Evacuations;
 use crate::logging;
 use crate::node::clock::Clock;
 use crate::platform::store::Store;
@@ -99,6 +100,7 @@
     moves: Moves,
     /// Nodes that receive the traffic share of a new version, sorted by service.
     exposed: Vec<(ServiceName, Vec<NodeId>)>,
+    evacuations: Evacuations,
     /// Whether the entries of the other nodes have been read.
     fleet_read: bool,
     /// Own entry as last written to the store.
@@ -210,6 +212,7 @@
         route_turn: 0,
         moves: Moves::default(),
         exposed: Vec::new(),
+        evacuations: Evacuations::default(),
         fleet_read: false,
         written: None,
         contested_by: None,
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -5,6 +5,8 @@
 use slog::info;
 use slog::warn;
 
+use crate::coordination::zones::evacuation::Evacuation;
+use crate::coordination::zones::evacuation::Reading;
 use crate::coordination::zones::homes;
 use crate::platform::config;
 use crate::platform::config::OperatorKey;
@@ -13,6 +15,7 @@
 use crate::protocol::codec;
 use crate::protocol::fleet::FleetEntry;
 use crate::protocol::fleet::MoveRecord;
+use crate::protocol::name::DomainName;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::RegionName;
 use crate::protocol::name::ServiceName;
@@ -44,13 +47,117 @@
                 warn!(cx.log, "rollout order ignored"; "service" => service, "offset" => record.offset, "why" => why);
             }
         },
-        // Handled with homes and evacuations.
-        Some(OperatorKey::Evacuation(_)) | None => {
+        Some(OperatorKey::Evacuation(domain)) => apply_evacuation(cx, &domain.into(), record),
+        None => {
             info!(cx.log, "record ignored"; "key" => &record.key, "offset" => record.offset);
         }
     }
 }
 
+/// Begins the evacuation of a failure domain, or ends it if the record has no value. Any other value counts as an
+/// evacuation, which does less harm than requests to servers that are about to be switched off.
+fn apply_evacuation(cx: &Rc<Sidecar>, domain: &DomainName, record: &KeyedRecord) {
+    let is_evacuated = !record.value.is_empty();
+    let domains = &cx.settings.domains;
+    if !domains.is_empty() && domains.iter().all(|known| known.domain != *domain) {
+        warn!(cx.log, "evacuation ignored"; "domain" => domain.as_str(), "offset" => record.offset,
+            "why" => "the failure domain is not in the settings' domains");
+        return;
+    }
+    let now = cx.clock.now();
+    let mut state = cx.state.borrow_mut();
+    let changed = state
+        .evacuations
+        .on_record(now, domain, record.offset, is_evacuated);
+    drop(state);
+    if changed {
+        let offset = Some(record.offset);
+        log_evacuation(cx, domain, is_evacuated, offset, "record of the operator");
+    }
+}
+
+/// What a reading of a topic shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadingKind {
+    /// The records after those that were read before.
+    Changes,
+    /// The newest record of each key, after which reading begins.
+    Complete,
+    /// The newest record of each key, once more.
+    Recheck,
+}
+
+/// Ends the evacuations that a reading of the operator's topic shows as gone. Returns the keys of their records,
+/// with the offsets.
+pub fn finish_operator_reading(
+    cx: &Rc<Sidecar>,
+    kind: ReadingKind,
+    records: &[KeyedRecord],
+    end: u64,
+) -> Vec<(String, u64)> {
+    let with_value = records.iter().filter(|record| !record.value.is_empty());
+    let shown = with_value.filter_map(|record| match config::read_key(&record.key) {
+        Some(OperatorKey::Evacuation(domain)) => Some((domain.into(), record.offset)),
+        _ => None,
+    });
+    let shown: Vec<(DomainName, u64)> = shown.collect();
+    let now = cx.clock.now();
+    let mut state = cx.state.borrow_mut();
+    let evacuations = &mut state.evacuations;
+    let ended = match kind {
+        ReadingKind::Recheck => evacuations.on_recheck(now, &shown),
+        ReadingKind::Changes | ReadingKind::Complete => evacuations.on_reading(&Reading {
+            is_complete: kind == ReadingKind::Complete,
+            end,
+            shown: &shown,
+        }),
+    };
+    drop(state);
+    let mut dropped = Vec::new();
+    for Evacuation { domain, offset, .. } in ended {
+        log_evacuation(cx, &domain, false, offset, "the store no longer has it");
+        dropped.extend(offset.map(|offset| (config::evacuation_key(&domain), offset)));
+    }
+    dropped
+}
+
+/// Ends the evacuation whose key the store has dropped, as another node has found.
+pub fn apply_dropped(cx: &Rc<Sidecar>, key: &str, offset: u64) {
+    let Some(OperatorKey::Evacuation(domain)) = config::read_key(key) else {
+        return;
+    };
+    let domain = domain.into();
+    if cx
+        .state
+        .borrow_mut()
+        .evacuations
+        .on_dropped(&domain, offset)
+    {
+        let why = "another node found that the store no longer has it";
+        log_evacuation(cx, &domain, false, Some(offset), why);
+    }
+}
+
+fn log_evacuation(
+    cx: &Sidecar,
+    domain: &DomainName,
+    is_evacuated: bool,
+    offset: Option<u64>,
+    why: &str,
+) {
+    let count = cx.state.borrow().evacuations.count();
+    #[allow(clippy::cast_precision_loss, reason = "a gauge is a float")]
+    cx.metrics.evacuated_domains.set(count as f64);
+    let view_age_ms = cx.feed.view_age(cx.clock.now()).map(millis);
+    if is_evacuated {
+        info!(cx.log, "failure domain evacuated"; "domain" => domain.as_str(), "offset" => offset, "why" => why,
+            "evacuated" => count, "view_age_ms" => view_age_ms);
+    } else {
+        info!(cx.log, "evacuation ended"; "domain" => domain.as_str(), "offset" => offset, "why" => why,
+            "evacuated" => count, "view_age_ms" => view_age_ms);
+    }
+}
+
 /// Puts a configuration in force, unless it is invalid or not newer than the one in force.
 fn apply_config(cx: &Rc<Sidecar>, record: &KeyedRecord) {
     let ParsedConfig {
--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -68,6 +68,18 @@
     /// Era of the offsets.
     #[serde(default)]
     pub era: Option<u64>,
+    /// Keys of the operator's topic that the store has dropped without a record.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub dropped: Vec<DroppedKey>,
+}
+
+/// A key whose record the store has dropped.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct DroppedKey {
+    /// Key.
+    pub key: String,
+    /// Offset of the record.
+    pub offset: u64,
 }
 
 /// Records of one topic.
@@ -221,6 +233,7 @@
         age_ms,
         topics,
         era,
+        dropped: cx.feed.dropped_keys.borrow().clone(),
     })
 }
 
--- a/src/sidecar/rollouts.rs
+++ b/src/sidecar/rollouts.rs
@@ -11,6 +11,7 @@
 use crate::coordination::store_retry::FIRST_TIMEOUT;
 use crate::coordination::version_move::MoveAction;
 use crate::coordination::version_move::Moves;
+use crate::coordination::zones::evacuation::Evacuations;
 use crate::platform::config;
 use crate::platform::store::KeyedBatch;
 use crate::platform::store::KeyedRecord;
@@ -117,16 +118,25 @@
     let actions = state.moves.tick(now, rank, |service, version_filter| {
         placement.results(service, version_filter)
     });
-    state.exposed = exposed(&state.moves, placement);
+    state.exposed = exposed(&state.moves, placement, &state.evacuations);
     actions
 }
 
 /// Returns for each service the nodes with the new version that receive its share of the traffic.
-fn exposed(moves: &Moves, placement: &Placement) -> Vec<(ServiceName, Vec<NodeId>)> {
+fn exposed(
+    moves: &Moves,
+    placement: &Placement,
+    evacuations: &Evacuations,
+) -> Vec<(ServiceName, Vec<NodeId>)> {
+    let is_evacuated = |node: &NodeId| {
+        let domain = placement.domain_of(node);
+        domain.is_some_and(|domain| evacuations.contains(domain))
+    };
     let plans = moves.plans().into_iter();
     plans
         .map(|(service, plan)| {
-            let results = placement.results(&service, |version| *version == plan.target);
+            let mut results = placement.results(&service, |version| *version == plan.target);
+            results.nodes.retain(|node| !is_evacuated(node));
             let mut nodes = results.nodes.clone();
             nodes.retain(|node| Moves::is_exposed(plan.share, &results.nodes, node));
             (service, nodes)
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -320,6 +320,9 @@
     if !homes::allowed_regions(route_homes, tenant_homes).allows(&cx.settings.region) {
         return Err(ResultCode::OutsideHome);
     }
+    if state.evacuations.contains(&cx.settings.failure_domain) {
+        return Err(ResultCode::DomainEvacuated);
+    }
     Ok(())
 }
 
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -19,6 +19,7 @@
 use crate::coordination::topic_cursor::TopicCursor;
 use crate::coordination::topic_source::Source;
 use crate::coordination::topic_source::SourceSelector;
+use crate::coordination::zones::evacuation::RECHECK_INTERVAL;
 use crate::platform::store::FLEET_TOPIC;
 use crate::platform::store::KeyedBatch;
 use crate::platform::store::KeyedRecord;
@@ -29,7 +30,9 @@
 use crate::sidecar::Sidecar;
 use crate::sidecar::announcer;
 use crate::sidecar::records;
+use crate::sidecar::records::ReadingKind;
 use crate::sidecar::relay_port;
+use crate::sidecar::relay_port::DroppedKey;
 use crate::sidecar::relay_port::FetchFailure;
 use crate::sidecar::relay_port::FetchMode;
 use crate::sidecar::relay_port::FollowResponse;
@@ -71,6 +74,8 @@
 const FAILOVER_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which the source is checked while it is the store.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Dropped keys that are remembered for followers. There are about as many failure domains at most.
+const MAX_DROPPED_KEYS: usize = 16;
 
 /// Read positions, local copies and the source of the topics.
 pub struct Feed {
@@ -79,6 +84,10 @@
     pub mirrors: RefCell<[Mirror; 3]>,
     /// Time at which the view of the operator's topic was last known to be complete.
     pub confirmed_at: Cell<Option<Duration>>,
+    /// Time at which the newest records of the operator's topic were last read.
+    operator_listed_at: Cell<Duration>,
+    /// Keys of the operator's topic that the store has dropped in this era, oldest first.
+    pub dropped_keys: RefCell<Vec<DroppedKey>>,
     /// Era that the read positions and the local copies belong to.
     followed_era: Cell<Option<u64>>,
     /// Whether every topic has been read once.
@@ -112,6 +121,8 @@
             cursors: RefCell::default(),
             mirrors: RefCell::default(),
             confirmed_at: Cell::new(None),
+            operator_listed_at: Cell::default(),
+            dropped_keys: RefCell::default(),
             followed_era: Cell::new(None),
             is_started: Cell::new(false),
             own_entry_unverified: Cell::new(false),
@@ -146,6 +157,18 @@
         mirrors.iter().all(|mirror| mirror.end().is_some())
     }
 
+    /// Records that the store has dropped the record of a key of the operator's topic without a later one, so that
+    /// followers learn of it. A later record of the key stays.
+    fn add_dropped(&self, key: String, offset: u64) {
+        self.mirrors.borrow_mut()[OPERATOR].forget(&key, offset);
+        let mut dropped = self.dropped_keys.borrow_mut();
+        dropped.retain(|other| other.key != key);
+        if dropped.len() >= MAX_DROPPED_KEYS {
+            dropped.remove(0);
+        }
+        dropped.push(DroppedKey { key, offset });
+    }
+
     /// Returns the era that the read positions and the local copies belong to.
     pub fn era(&self) -> Option<u64> {
         self.followed_era.get()
@@ -253,6 +276,8 @@
     }
     let now = cx.clock.now();
     cx.state.borrow_mut().moves.on_store_restored(now, era);
+    cx.state.borrow_mut().evacuations.on_new_era();
+    cx.feed.dropped_keys.borrow_mut().clear();
     cx.feed.own_entry_unverified.set(true);
     cx.feed.restored.notify_waiters();
 }
@@ -289,6 +314,9 @@
             actix_rt::time::sleep(STORE_FALLBACK_PAUSE).await;
             continue;
         }
+        if topic == OPERATOR && is_recheck_due(cx) {
+            cx.feed.cursors.borrow_mut()[topic].recheck();
+        }
         let mut call = cx.feed.cursors.borrow()[topic].next_call(longest_wait(cx, topic));
         if topic == OPERATOR && cx.feed.skip_wait.take() {
             call.wait = Duration::ZERO;
@@ -347,6 +375,13 @@
     }
 }
 
+/// Whether the newest records of the operator's topic have to be read again, since the store may have dropped the
+/// key of an evacuation.
+fn is_recheck_due(cx: &Sidecar) -> bool {
+    let has_evacuations = cx.state.borrow().evacuations.count() > 0;
+    has_evacuations && cx.clock.since(cx.feed.operator_listed_at.get()) >= RECHECK_INTERVAL
+}
+
 /// Makes a call to the store.
 async fn read_store(
     cx: &Sidecar,
@@ -369,8 +404,16 @@
 
 /// Applies the result of a read from the store.
 fn apply_read(cx: &Rc<Sidecar>, topic: usize, read: NextRead, mut batch: KeyedBatch) {
+    let mut kind = ReadingKind::Changes;
     {
         let mut cursors = cx.feed.cursors.borrow_mut();
+        if read == NextRead::Newest {
+            kind = if cursors[topic].is_rechecking() {
+                ReadingKind::Recheck
+            } else {
+                ReadingKind::Complete
+            };
+        }
         if read == NextRead::Newest {
             let offsets: Vec<u64> = batch.records.iter().map(|record| record.offset).collect();
             cursors[topic].on_newest(&offsets, batch.first_page, batch.end);
@@ -385,6 +428,7 @@
     };
     apply_all(cx, topic, &batch.records, end);
     if topic == OPERATOR {
+        finish_operator_reading(cx, kind, &batch.records, end);
         cx.feed.confirmed_at.set(Some(cx.clock.now()));
         cx.feed.view_checked.notify_waiters();
     }
@@ -421,6 +465,17 @@
     }
 }
 
+/// Handles the end of a reading of the operator's topic. Keys that the store has dropped are removed from the copy
+/// for followers.
+fn finish_operator_reading(cx: &Rc<Sidecar>, kind: ReadingKind, records: &[KeyedRecord], end: u64) {
+    if kind != ReadingKind::Changes {
+        cx.feed.operator_listed_at.set(cx.clock.now());
+    }
+    for (key, offset) in records::finish_operator_reading(cx, kind, records, end) {
+        cx.feed.add_dropped(key, offset);
+    }
+}
+
 /// Selects the source repeatedly, and follows it while it is another node.
 async fn follow_peer(cx: &Rc<Sidecar>) {
     loop {
@@ -481,8 +536,23 @@
     }
     for (topic, part) in response.topics.into_iter().enumerate().take(TOPICS.len()) {
         let end = part.end;
+        // Without a copy of its own this node has asked for the whole topic.
+        let is_complete = cx.feed.mirrors.borrow()[topic].end().is_none();
+        let kind = if is_complete {
+            ReadingKind::Complete
+        } else {
+            ReadingKind::Changes
+        };
+        let records = part.records();
         cx.feed.cursors.borrow_mut()[topic].on_relayed(end);
-        apply_all(cx, topic, &part.records(), end);
+        apply_all(cx, topic, &records, end);
+        if topic == OPERATOR {
+            finish_operator_reading(cx, kind, &records, end);
+        }
+    }
+    for DroppedKey { key, offset } in response.dropped {
+        records::apply_dropped(cx, &key, offset);
+        cx.feed.add_dropped(key, offset);
     }
     let age = Duration::from_millis(response.age_ms);
     let confirmed_at = cx.clock.now().saturating_sub(age);
--- a/src/state/mirror.rs
+++ b/src/state/mirror.rs
@@ -37,6 +37,12 @@
         self.records.insert(index, record);
     }
 
+    /// Removes the record of a key at this offset or before it, which the store no longer has.
+    pub fn forget(&mut self, key: &str, offset: u64) {
+        self.records
+            .retain(|record| &*record.key != key || record.offset > offset);
+    }
+
     /// Marks all records before `end` as seen.
     pub fn advance(&mut self, end: u64) {
         self.end = self.end.max(end);
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -10,6 +10,7 @@
 use sycamorewick::coordination::placement::Feedback;
 use sycamorewick::coordination::placement::PickRequest;
 use sycamorewick::coordination::placement::Placement;
+use sycamorewick::coordination::zones::evacuation::Evacuations;
 use sycamorewick::coordination::zones::homes::AllowedRegions;
 use sycamorewick::protocol::fleet::BackendPhase;
 use sycamorewick::protocol::fleet::BackendReport;
@@ -98,6 +99,7 @@
             tried,
             is_allowed: &is_allowed,
             regions: &AllowedRegions::Any,
+            evacuations: &Evacuations::default(),
         };
         let pick = self.placement.pick(now, &mut self.rng, &request)?;
         Some(pick.node.as_str().to_owned())
--- a/tests/topic_cursor.rs
+++ b/tests/topic_cursor.rs
@@ -92,3 +92,18 @@
     expect_that!(cursor.failures(), eq(0));
     expect_that!(cursor.next_call(WAIT).wait, eq(WAIT));
 }
+
+/// Guards against a check of the newest records that reads expired or known records again.
+#[gtest]
+fn recheck_keeps_position() {
+    let mut cursor = TopicCursor::default();
+    cursor.recheck();
+    expect_false!(cursor.is_rechecking());
+    cursor.on_newest(&[1, 3], 2, 4);
+    cursor.on_read(9);
+    cursor.recheck();
+    expect_that!(cursor.next(), eq(NextRead::Newest));
+    cursor.on_newest(&[1, 3], 2, 12);
+    expect_false!(cursor.is_rechecking());
+    expect_that!(cursor.next(), eq(NextRead::From(9)));
+}
--- a/tests/zones_homes.rs
+++ b/tests/zones_homes.rs
@@ -15,6 +15,7 @@
 use sycamorewick::coordination::placement::Feedback;
 use sycamorewick::coordination::placement::PickRequest;
 use sycamorewick::coordination::placement::Placement;
+use sycamorewick::coordination::zones::evacuation::Evacuations;
 use sycamorewick::coordination::zones::homes;
 use sycamorewick::coordination::zones::homes::AllowedRegions;
 use sycamorewick::coordination::zones::homes::allowed_regions;
@@ -81,6 +82,7 @@
         tried,
         is_allowed: &|_: &NodeId, _: &_| true,
         regions,
+        evacuations: &Evacuations::default(),
     };
     let pick = placement.pick(NOW, &mut StdRng::seed_from_u64(1), &request)?;
     Some(pick.node)
@@ -148,12 +150,22 @@
         placement.on_end(NOW, &node.into(), &"lookup".into(), &feedback);
     }
     let service = ServiceName::from("registry");
+    let evacuations = Evacuations::default();
     let outside = some(eq(ResultCode::OutsideHome));
-    expect_that!(placement.exclusion(&service, &AllowedRegions::Any), none());
-    expect_that!(placement.exclusion(&service, &only(&["accra"])), none());
-    expect_that!(placement.exclusion(&service, &only(&["volta"])), outside);
     expect_that!(
-        placement.exclusion(&service, &only(&[])),
+        placement.exclusion(&service, &AllowedRegions::Any, &evacuations),
+        none()
+    );
+    expect_that!(
+        placement.exclusion(&service, &only(&["accra"]), &evacuations),
+        none()
+    );
+    expect_that!(
+        placement.exclusion(&service, &only(&["volta"]), &evacuations),
+        outside
+    );
+    expect_that!(
+        placement.exclusion(&service, &only(&[]), &evacuations),
         some(eq(ResultCode::OutsideHome))
     );
 }
