Test home regions and evacuations with sidecar processes

The stand-in of the platform lists failure domains in the settings of a node, and its store can drop a key without a record. The forwarder counts the bytes that it is sent, which shows that no body reaches a node outside.

--- a/testbed/src/platform/fleet.rs
+++ b/testbed/src/platform/fleet.rs
@@ -58,6 +58,13 @@
     pub config_within_ms: u64,
     /// Time from SIGTERM to SIGKILL, seconds.
     pub stop_within_s: u64,
+    /// Failure domains that the settings list, named like [`Self::domain`]; none if it is empty.
+    pub known_domains: Vec<String>,
+}
+
+/// Returns the region of a failure domain.
+fn region_of(domain: &str) -> &str {
+    domain.split('-').next().unwrap_or_default()
 }
 
 impl SidecarOptions {
@@ -70,6 +77,7 @@
             service: service.into(),
             config_within_ms: 2_000,
             stop_within_s: 5,
+            known_domains: Vec::new(),
         }
     }
 }
@@ -137,10 +145,14 @@
     /// If its settings cannot be written.
     pub fn add(&mut self, options: SidecarOptions, addrs: SidecarAddrs) -> eyre::Result<usize> {
         let settings_file = self.dir.path().join(format!("{}.jsonc", options.id));
-        let region = options.domain.split('-').next().unwrap_or_default();
+        let domains = options.known_domains.iter();
+        let domains: Vec<_> = domains
+            .map(|domain| json!({ "domain": domain, "region": region_of(domain) }))
+            .collect();
         let settings = json!({
             "id": options.id,
-            "region": region,
+            "region": region_of(&options.domain),
+            "domains": domains,
             "failure_domain": options.domain,
             "service": options.service,
             "backend_addr": addrs.backend_proxy,
--- a/testbed/src/platform/store.rs
+++ b/testbed/src/platform/store.rs
@@ -374,6 +374,18 @@
         )
     }
 
+    /// Drops a key without a record, as a store does that has removed the records of the key and what marked its
+    /// end.
+    pub fn drop_key(&self, topic: &str, key: &str) {
+        let mut state = self.shared.lock();
+        let topic = state.topic_or_new(topic);
+        topic.newest.retain(|(other, ..)| other != key);
+        for record in topic.records.iter_mut().filter(|record| record.key == key) {
+            record.raw = Bytes::new();
+            record.value = Bytes::new();
+        }
+    }
+
     /// Newest value of a key.
     #[must_use]
     pub fn newest(&self, topic: &str, key: &str) -> Option<Bytes> {
--- a/tests/process_common/forwarder.rs
+++ b/tests/process_common/forwarder.rs
@@ -26,6 +26,7 @@
     first_forwarding: AtomicU64,
     accepted: AtomicU64,
     dropped_bytes: AtomicUsize,
+    request_bytes: AtomicUsize,
     /// Whether connections are closed before their bytes are forwarded.
     turns_away: AtomicBool,
 }
@@ -48,6 +49,7 @@
             first_forwarding: AtomicU64::new(0),
             accepted: AtomicU64::new(0),
             dropped_bytes: AtomicUsize::new(0),
+            request_bytes: AtomicUsize::new(0),
             turns_away: AtomicBool::new(false),
         });
         let accept_shared = shared.clone();
@@ -81,6 +83,11 @@
         self.shared.accepted.load(Ordering::SeqCst)
     }
 
+    /// Number of bytes that clients have sent so far.
+    pub fn request_bytes(&self) -> usize {
+        self.shared.request_bytes.load(Ordering::SeqCst)
+    }
+
     /// Number of bytes dropped since `black_hole` was called.
     pub fn dropped_bytes(&self) -> usize {
         self.shared.dropped_bytes.load(Ordering::SeqCst)
@@ -115,6 +122,9 @@
             Ok(0) | Err(_) => break,
             Ok(length) => length,
         };
+        if !is_response {
+            shared.request_bytes.fetch_add(length, Ordering::SeqCst);
+        }
         if shared.turns_away.load(Ordering::SeqCst) {
             break;
         }
