Hold heartbeats until the leaves of earlier processes are known

A process that starts while the store is away learns the topics from another node, which may not have read the last leave that an earlier process of its node has acknowledged. It used late heartbeats from before the leave, and sent 160 requests to the backend server in 6 s.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -13,6 +13,7 @@
 pub mod dissemination;
 pub mod evidence;
 pub mod follow_poll;
+pub mod heartbeat_hold;
 pub mod idempotency;
 pub mod membership;
 pub mod placement;
--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -22,6 +22,7 @@
 use crate::protocol::hop::RouteTotals;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
+use crate::sidecar::health_check;
 use crate::sidecar::leaves;
 use crate::state::local_backend::HeartbeatEffect;
 use crate::transport::http_server;
@@ -90,6 +91,31 @@
 /// Why it names no backend server of this node.
 fn on_heartbeat(cx: &Rc<Sidecar>, id: &str, body: &[u8]) -> Result<Report, String> {
     let report = read_heartbeat(cx, id, body)?;
+    match health_check::hold_heartbeat(cx, report) {
+        Some(report) => apply_report(cx, report),
+        // It is told like a heartbeat that is used: the next one says the same again.
+        None => Ok(Report::Ready),
+    }
+}
+
+/// Applies a heartbeat that was held.
+pub fn apply_released(cx: &Rc<Sidecar>, report: Option<BackendReport>) {
+    let Some(report) = report else {
+        return;
+    };
+    let instance = report.instance.clone();
+    info!(cx.log, "held heartbeat used"; "instance" => &*instance);
+    if let Err(why) = apply_report(cx, report) {
+        warn!(cx.log, "heartbeat refused"; "instance" => &*instance, "why" => why,
+            "code" => ResultCode::BadRequest.number());
+    }
+}
+
+/// Applies what a heartbeat reports.
+///
+/// # Errors
+/// Why it names no backend server of this node.
+fn apply_report(cx: &Rc<Sidecar>, report: BackendReport) -> Result<Report, String> {
     let now = cx.clock.now();
     let text = format!(
         "{} of {} {}, {:?}, {} slots",
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -6,6 +6,7 @@
 mod body_gate;
 mod crashes;
 mod entry;
+mod health_check;
 mod heartbeat_port;
 mod hop;
 mod leaves;
@@ -42,6 +43,7 @@
 use crate::coordination::caller_age::CallerAges;
 use crate::coordination::crash_watch::CrashWatch;
 use crate::coordination::crashing_requests::CrashingRequests;
+use crate::coordination::heartbeat_hold::HeartbeatHold;
 use crate::coordination::placement::Placement;
 use crate::coordination::retry_quota::RetryQuota;
 use crate::coordination::stop_plan::StopPlan;
@@ -87,6 +89,7 @@
     quota: RetryQuota,
     caller_ages: CallerAges,
     backend: LocalBackend,
+    heartbeat_hold: HeartbeatHold,
     report_filter: ReportFilter,
     breaker: Breaker,
     crash_watch: CrashWatch,
@@ -203,6 +206,7 @@
         quota: RetryQuota::new(settings.retry_budget()),
         caller_ages: CallerAges::default(),
         backend: LocalBackend::new(settings.heartbeat_interval()),
+        heartbeat_hold: HeartbeatHold::default(),
         report_filter: ReportFilter::new(settings.service.clone(), settings.backend_addr),
         breaker: Breaker::default(),
         crash_watch: CrashWatch::default(),
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -29,6 +29,7 @@
 use crate::protocol::name::NodeId;
 use crate::sidecar::Sidecar;
 use crate::sidecar::announcer;
+use crate::sidecar::health_check;
 use crate::sidecar::records;
 use crate::sidecar::records::ReadingKind;
 use crate::sidecar::relay_port;
@@ -427,6 +428,9 @@
         NextRead::Newest => 0,
     };
     apply_all(cx, topic, &batch.records, end);
+    if topic == FLEET {
+        health_check::on_entry_read(cx);
+    }
     if topic == OPERATOR {
         finish_operator_reading(cx, kind, &batch.records, end);
         cx.feed.confirmed_at.set(Some(cx.clock.now()));
@@ -506,6 +510,11 @@
                 cx.feed.relay.borrow_mut().on_answer();
                 cx.feed.set_store_available(true);
                 apply_relayed(cx, response);
+                // The reader has read the fleet's topic since this process began, and so after the last write of
+                // an earlier process of this node.
+                if cx.clock.now() >= longest_wait(cx, FLEET) + max_followed_age(cx) {
+                    health_check::on_entry_read(cx);
+                }
             }
             Err(failure) => on_reader_failure(cx, &node, &failure),
         }
--- a/testbed/src/platform/backend.rs
+++ b/testbed/src/platform/backend.rs
@@ -12,6 +12,9 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use actix_http::HttpMessage;
@@ -43,6 +46,10 @@
 const LIMIT_HEADER: &str = "server-limit";
 /// Header of the responses of a backend server that leaves.
 const LEAVING_HEADER: &str = "server-leaving";
+/// Path at which a backend server reports its health.
+const HEALTH_PATH: &str = "/healthz";
+/// Header of a health report with the id of the backend server.
+const INSTANCE_HEADER: &str = "x-sycamorewick-instance";
 /// Header of a response to a request that the backend server has not run.
 const NOT_EXECUTED_HEADER: &str = "x-sycamorewick-not-executed";
 /// Header with the id of the backend server that a request is meant for.
@@ -137,6 +144,10 @@
     /// Ids of the attempts that were run, in order.
     runs: Mutex<Vec<String>>,
     announcement: Mutex<BackendAnnouncement>,
+    /// Whether there is a health path.
+    reports_health: AtomicBool,
+    is_draining: AtomicBool,
+    health_checks: AtomicU64,
     /// Path of the requests that end the backend server as soon as it runs one.
     crash_path: Mutex<Option<String>>,
     crashed: Notify,
@@ -171,6 +182,9 @@
             rng: Mutex::new(StdRng::seed_from_u64(options.seed)),
             runs: Mutex::default(),
             announcement: Mutex::default(),
+            reports_health: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
+            health_checks: AtomicU64::new(0),
             crash_path: Mutex::default(),
             crashed: Notify::new(),
             stop: Notify::new(),
@@ -203,6 +217,18 @@
         *lock(&self.shared.announcement) = announcement;
     }
 
+    /// Makes the backend server report its health at its health path. Otherwise a request of it is answered like one
+    /// that is not an attempt of a caller.
+    pub fn report_health(&self) {
+        self.shared.reports_health.store(true, Ordering::SeqCst);
+    }
+
+    /// Number of health reports so far.
+    #[must_use]
+    pub fn health_checks(&self) -> u64 {
+        self.shared.health_checks.load(Ordering::SeqCst)
+    }
+
     /// Makes the backend server crash as soon as it runs a request with this path.
     pub fn crash_on(&self, path: &str) {
         *lock(&self.shared.crash_path) = Some(path.to_owned());
@@ -264,6 +290,7 @@
 }
 
 async fn drain_and_deregister(shared: &Shared, client: &awc::Client, mut sequence: u64) {
+    shared.is_draining.store(true, Ordering::SeqCst);
     let drain = async {
         while !heartbeat(shared, client, sequence, "draining").await {
             sequence += 1;
@@ -313,7 +340,25 @@
     response.finish().map_into_boxed_body()
 }
 
+/// Reports health: 200 only while the backend server does not leave.
+fn health_response(shared: &Shared) -> Response<BoxBody> {
+    shared.health_checks.fetch_add(1, Ordering::SeqCst);
+    let is_leaving =
+        shared.is_draining.load(Ordering::SeqCst) || lock(&shared.announcement).is_leaving;
+    let status = if is_leaving {
+        StatusCode::SERVICE_UNAVAILABLE
+    } else {
+        StatusCode::OK
+    };
+    let mut response = Response::build(status);
+    response.insert_header((INSTANCE_HEADER, shared.options.id.clone()));
+    response.finish().map_into_boxed_body()
+}
+
 async fn handle_request(shared: &Shared, mut req: Request) -> Response<BoxBody> {
+    if req.path() == HEALTH_PATH && shared.reports_health.load(Ordering::SeqCst) {
+        return health_response(shared);
+    }
     let options = &shared.options;
     let Ok(body) = http::read_body(&mut req, MAX_BODY_BYTES).await else {
         return http::text(
--- a/tests/process_leaves.rs
+++ b/tests/process_leaves.rs
@@ -20,6 +20,7 @@
 use sidecar_common::WAIT_LIMIT;
 use sidecar_common::run;
 use testbed::log_server::Outage;
+use testbed::platform::backend::BackendAnnouncement;
 use testbed::platform::fleet::SidecarFleet;
 use testbed::platform::fleet::SidecarOptions;
 use testbed::platform::store::StoreControlChange;
@@ -197,3 +198,39 @@
         expect_unused(&mut env).await
     });
 }
+
+/// Guards against a backend server that is not used until the store is back, although its health path confirms that
+/// it has not left, and against a health check for each heartbeat; and against one that is used although its health
+/// path says that it leaves, while its heartbeats do not. The process was killed and starts while the store is away.
+#[gtest]
+fn restart_without_store_health_checked() {
+    for is_leaving in [false, true] {
+        run(async {
+            let mut env = TestFleet::start(2).await?;
+            env.backends[1].kill();
+            env.backends[0].report_health();
+            env.backends[0].announce(BackendAnnouncement {
+                limit_per_s: None,
+                is_leaving,
+            });
+            env.outage(Outage::Refuse);
+            env.fleet.kill(0)?;
+            let runs = env.backends[0].runs().len();
+            env.fleet.start(0)?;
+            let until = Instant::now() + WITHOUT_STORE;
+            while Instant::now() < until {
+                let _ = env.call(1, "/wrecks/1").await?;
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+            }
+            let checks = env.backends[0].health_checks();
+            if is_leaving {
+                expect_that!(env.backends[0].runs().len(), eq(runs));
+                expect_that!(checks, gt(0));
+            } else {
+                expect_that!(env.backends[0].runs().len(), gt(runs));
+                expect_that!(checks, eq(1));
+            }
+            Ok(())
+        });
+    }
+}
