Count refusals by home regions and evacuations, and test changes in flight

Operators see in two counters why calls are refused. The tests show that a second attempt follows the home regions of both configurations, and that a process learns evacuations from a peer while the store is away.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -317,6 +317,7 @@
         return;
     };
     attempts.on_excluded(code);
+    cx.metrics.count_location_refusal(code);
     info!(cx.log, "no node may serve the call"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
         "route" => call.route.name.as_str(), "code" => code.number(), "regions" => format!("{regions:?}"),
         "evacuated" => evacuations.count(),
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -11,6 +11,7 @@
 
 use crate::logging;
 use crate::node::metrics::start_upkeep;
+use crate::result_code::ResultCode;
 
 /// Bucket bounds of the latency histograms, seconds, from a local call to the longest deadline.
 const LATENCY_BOUNDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 12.0];
@@ -43,6 +44,10 @@
     pub backend_limit: Gauge,
     /// Number of known nodes.
     pub nodes: Gauge,
+    /// Calls refused because of their home regions, by the entry node or the serving node.
+    pub home_refusals: Counter,
+    /// Calls refused because of an evacuation, by the entry node or the serving node.
+    pub evacuation_refusals: Counter,
     /// Number of evacuated failure domains.
     pub evacuated_domains: Gauge,
     /// Time from a caller's request to its response, seconds.
@@ -77,6 +82,8 @@
             config_version: gauge!("sycamorewick_config_version"),
             backend_limit: gauge!("sycamorewick_backend_limit"),
             nodes: gauge!("sycamorewick_nodes"),
+            home_refusals: counter!("sycamorewick_home_refusals_total"),
+            evacuation_refusals: counter!("sycamorewick_evacuation_refusals_total"),
             evacuated_domains: gauge!("sycamorewick_evacuated_domains"),
             call_latency: histogram!("sycamorewick_call_seconds"),
             backend_latency: histogram!("sycamorewick_backend_seconds"),
@@ -85,6 +92,15 @@
         })
     }
 
+    /// Counts a call that is refused because of the places where it may be served.
+    pub fn count_location_refusal(&self, code: ResultCode) {
+        match code {
+            ResultCode::OutsideHome => self.home_refusals.increment(1),
+            ResultCode::DomainEvacuated => self.evacuation_refusals.increment(1),
+            _ => {}
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -289,6 +289,7 @@
         code, retry_after, ..
     } = outcome
     {
+        cx.metrics.count_location_refusal(*code);
         info!(cx.log, "call refused by admission"; "attempt" => attempt_text(attempt),
             "route" => head.route.as_str(), "code" => code.number(), "running" => load.running,
             "waiting" => load.waiting, "slots" => load.slots, "limit_per_s" => load.limit.map(RequestRate::per_s), "left_ms" => millis(head.left),
--- a/tests/process_zones.rs
+++ b/tests/process_zones.rs
@@ -23,6 +23,7 @@
 use sidecar_common::TestFleet;
 use sidecar_common::WAIT_LIMIT;
 use sidecar_common::run;
+use sidecar_common::send_call;
 use sycamorewick::protocol::hop::HOP_REQUEST_HEADER;
 use sycamorewick::protocol::hop::HopRequestHeader;
 use sycamorewick::result_code::ResultCode;
@@ -381,3 +382,94 @@
         Ok(())
     });
 }
+
+/// Guards against a call in flight that follows only the newest configuration: its second attempt goes to a region
+/// that was no home region when the call arrived, or to one that has become the only one since.
+#[gtest]
+fn home_regions_change_in_flight() {
+    /// Longest run; the stand-in takes a tenth of it at least, in which the configuration has to be in force.
+    const RUN_TIME: Duration = Duration::from_millis(2_900);
+    const MAX_TRIES: usize = 5;
+    run(async {
+        let mut env = TestFleet::new(0)?;
+        let mut version = 2;
+        put_config(&env.store, version, &["keta"]);
+        for (index, domain) in ["keta-a", "accra-a"].into_iter().enumerate() {
+            let options = SidecarOptions::new(&format!("n{index}"), domain, "registry");
+            let addrs = SidecarFleet::free_addrs(env.store.addr())?;
+            env.fleet.add(options, addrs)?;
+            env.fleet.start(index)?;
+        }
+        env.start_backend(0, "v1", 1.0, RUN_TIME)?;
+        env.add_backend(1, 0.0)?;
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        env.wait_peers(0, 1).await?;
+        env.wait_for(WAIT_LIMIT, 0, "/home/1", StatusCode::INTERNAL_SERVER_ERROR)
+            .await?;
+        for homes in [&[][..], &["accra"]] {
+            let mut was_in_time = false;
+            for _ in 0..MAX_TRIES {
+                version += 1;
+                put_config(&env.store, version, &["keta"]);
+                env.wait_for(WAIT_LIMIT, 0, &format!("/v{version}/1"), StatusCode::OK)
+                    .await?;
+                let runs = [0, 1].map(|index| env.backends[index].runs().len());
+                let addr = env.fleet.nodes()[0].addrs.caller;
+                let call = send_call(addr, format!("f{version}"), "/home/1");
+                let call = actix_rt::spawn(call);
+                while env.backends[0].runs().len() == runs[0] {
+                    actix_rt::time::sleep(Duration::from_millis(2)).await;
+                }
+                version += 1;
+                put_config(&env.store, version, homes);
+                let in_force = || {
+                    let lines = env.fleet.log_lines(0, "configuration in force");
+                    lines.iter().any(|line| line["version"] == version)
+                };
+                while !in_force() && !call.is_finished() {
+                    actix_rt::time::sleep(Duration::from_millis(2)).await;
+                }
+                was_in_time = !call.is_finished();
+                let status = call.await??.status;
+                expect_that!(status, eq(StatusCode::INTERNAL_SERVER_ERROR));
+                expect_that!(env.backends[0].runs().len(), eq(runs[0] + 1));
+                if was_in_time {
+                    let of_call = env.backends[1].runs();
+                    expect_false!(of_call.contains(&format!("f{version}")));
+                    expect_false!(of_call.contains(&format!("f{}", version - 1)));
+                    break;
+                }
+            }
+            eyre::ensure!(was_in_time, "no configuration was in force during a call");
+        }
+        Ok(())
+    });
+}
+
+/// Guards against a process that starts while the store is away and does not know the evacuations, although the peer
+/// from which it learns the topics does.
+#[gtest]
+fn evacuation_learned_from_peer() {
+    run(async {
+        let (mut env, _outside) = start(&DOMAINS).await?;
+        evacuate(&env.store, "accra-a");
+        for index in 0..DOMAINS.len() {
+            wait_logged(&env, index, "failure domain evacuated", 1, EVACUATED_WITHIN).await?;
+        }
+        env.outage(Outage::Refuse);
+        env.fleet.kill(0)?;
+        env.fleet.start(0)?;
+        // Node 1 has no backend server now, so it calls node 0, which learns the topics from it.
+        env.backends[1].kill();
+        let runs = env.backends[OUTSIDE].runs().len();
+        let until = Instant::now() + WAIT_LIMIT;
+        while !env.fleet.is_ready(0).await {
+            eyre::ensure!(Instant::now() < until, "node 0 has not learned the topics");
+            let _ = env.call(1, "/wrecks/1").await?;
+        }
+        let _ = env.call(0, "/wrecks/1").await?;
+        expect_that!(env.backends[OUTSIDE].runs().len(), eq(runs));
+        // The log of the killed process is in the same file.
+        wait_logged(&env, 0, "failure domain evacuated", 2, WAIT_LIMIT).await
+    });
+}
