--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -18,6 +18,8 @@
 use crate::coordination::backoff::exponential_delay;
 use crate::coordination::slot_queue::ASSUMED_RUN_SHARE;
 use crate::coordination::slot_queue::COLD_START_FACTOR;
+use crate::coordination::zones::evacuation::Evacuations;
+use crate::coordination::zones::homes::AllowedRegions;
 use crate::protocol::fleet::BackendPhase;
 use crate::protocol::fleet::BackendReport;
 use crate::protocol::fleet::FleetEntry;
@@ -32,6 +34,7 @@
 use crate::protocol::name::RouteName;
 use crate::protocol::name::ServiceName;
 use crate::protocol::name::VersionName;
+use crate::result_code::ResultCode;
 
 /// Time for a hop to another node of the same failure domain: parsing the request a second time and
 /// the network round trip.
@@ -412,6 +415,10 @@
     pub tried: &'a [NodeId],
     /// Whether the backend server of this node, which has this version, may be used.
     pub is_allowed: &'a dyn Fn(&NodeId, &VersionName) -> bool,
+    /// Regions that may serve the call.
+    pub regions: &'a AllowedRegions,
+    /// Failure domains whose backend servers get no requests.
+    pub evacuations: &'a Evacuations,
 }
 
 /// Chooses serving nodes for the calls of one entry node.
@@ -611,6 +618,8 @@
             let node = &candidate.entry.node;
             if backend.service != *request.service
                 || request.tried.contains(node)
+                || !request.regions.allows(&candidate.entry.region)
+                || request.evacuations.contains(&candidate.entry.domain)
                 || !(request.is_allowed)(node, &backend.version)
             {
                 continue;
@@ -646,17 +655,75 @@
         })
     }
 
-    /// Whether a backend server of the service, with a version that passes the filter, accepts
-    /// calls.
+    /// Whether a backend server of the service in these regions, with a version that passes the filter,
+    /// accepts calls.
     #[must_use]
     pub fn has_backend_server(
         &self,
         service: &ServiceName,
+        regions: &AllowedRegions,
         of: impl Fn(&VersionName) -> bool,
     ) -> bool {
-        let backends = self.candidates.iter().filter_map(Candidate::backend);
-        let mut of_service = backends.filter(|backend| backend.service == *service);
-        of_service.any(|backend| of(&backend.version))
+        let mut entries = self.ready_entries(service, regions);
+        entries.any(|(_, backend)| of(&backend.version))
+    }
+
+    /// Returns the nodes in these regions whose backend servers of the service accept calls.
+    fn ready_entries<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        regions: &'a AllowedRegions,
+    ) -> impl Iterator<Item = (&'a FleetEntry, &'a BackendReport)> {
+        let ready = self
+            .candidates
+            .iter()
+            .filter_map(|candidate| Some((&candidate.entry, candidate.backend()?)));
+        ready.filter(move |(entry, backend)| {
+            backend.service == *service && regions.allows(&entry.region)
+        })
+    }
+
+    /// Returns the reason why no backend server of the service may serve a call, if home regions or evacuations
+    /// are that reason.
+    #[must_use]
+    pub fn exclusion(
+        &self,
+        service: &ServiceName,
+        regions: &AllowedRegions,
+        evacuations: &Evacuations,
+    ) -> Option<ResultCode> {
+        let mut ready = self.ready_entries(service, regions).peekable();
+        if ready.peek().is_none() {
+            let is_restricted = *regions != AllowedRegions::Any;
+            return is_restricted.then_some(ResultCode::OutsideHome);
+        }
+        ready
+            .all(|(entry, _)| evacuations.contains(&entry.domain))
+            .then_some(ResultCode::DomainEvacuated)
+    }
+
+    /// Returns the failure domain of a node.
+    #[must_use]
+    pub fn domain_of(&self, node: &NodeId) -> Option<&DomainName> {
+        let index = self.index(node).ok()?;
+        Some(&self.candidates[index].entry.domain)
+    }
+
+    /// Returns the nodes that would refuse a call for the same reason as this node, as far as it is where the
+    /// node stands.
+    #[must_use]
+    pub fn nodes_refusing_as(&self, node: &NodeId, reason: ResultCode) -> Vec<NodeId> {
+        let Ok(index) = self.index(node) else {
+            return Vec::new();
+        };
+        let refusing = &self.candidates[index].entry;
+        let is_alike = |entry: &&FleetEntry| match reason {
+            ResultCode::OutsideHome => entry.region == refusing.region,
+            ResultCode::DomainEvacuated => entry.domain == refusing.domain,
+            _ => false,
+        };
+        let alike = self.entries().filter(is_alike);
+        alike.map(|entry| entry.node.clone()).collect()
     }
 
     /// Applies the load and results that a node reported.
--- a/src/sidecar/health_probe.rs
+++ b/src/sidecar/health_probe.rs
@@ -18,6 +18,7 @@
 use crate::protocol::time::millis;
 use crate::sidecar::Sidecar;
 use crate::transport::exchange::Exchange;
+use crate::transport::http_client::HttpResponse;
 
 /// Time limit of a probe. A heartbeat is due soon after.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -106,7 +107,8 @@
     actix_rt::spawn(async move { probe(&cx, path, reason).await });
 }
 
-fn health_path(cx: &Sidecar) -> Option<PathAndQuery> {
+/// Returns the health path of the own service, if the configuration in force names one.
+pub fn health_path(cx: &Sidecar) -> Option<PathAndQuery> {
     let table = cx.table()?;
     let path = table
         .service(&cx.settings.service)?
@@ -115,8 +117,11 @@
     path.parse().ok()
 }
 
-async fn probe(cx: &Rc<Sidecar>, path: PathAndQuery, reason: ProbeReason) {
-    let began = cx.clock.now();
+/// Requests the health path of the local backend server.
+///
+/// # Errors
+/// Why there is no response.
+pub async fn request(cx: &Sidecar, path: PathAndQuery) -> Result<HttpResponse, String> {
     let exchange = Exchange {
         addr: cx.settings.backend_addr,
         method: Method::GET,
@@ -129,21 +134,28 @@
         responding: None,
         max_response_bytes: MAX_HEALTH_BYTES,
     };
-    let sent = actix_rt::time::timeout(PROBE_TIMEOUT, cx.pool.send(exchange)).await;
+    actix_rt::time::timeout(PROBE_TIMEOUT, cx.pool.send(exchange))
+        .await
+        .map_err(|_| "no response in time".to_owned())?
+        .map_err(|failure| failure.to_string())
+}
+
+async fn probe(cx: &Rc<Sidecar>, path: PathAndQuery, reason: ProbeReason) {
+    let began = cx.clock.now();
+    let response = request(cx, path).await;
     let took_ms = millis(cx.clock.since(began));
     let reason = reason.as_str();
-    let failure = match sent {
-        Ok(Ok(response)) => {
+    match response {
+        Ok(response) => {
             let health = requests::read_health(&response.headers);
             info!(cx.log, "health path probed"; "reason" => reason, "status" => response.status.as_u16(),
                 "cold_left_ms" => health.cold_left.map(millis), "took_ms" => took_ms);
             apply(cx, &health);
-            return;
         }
-        Ok(Err(failure)) => failure.to_string(),
-        Err(_) => "no response in time".to_owned(),
-    };
-    warn!(cx.log, "health path not probed"; "reason" => reason, "why" => failure, "took_ms" => took_ms);
+        Err(why) => {
+            warn!(cx.log, "health path not probed"; "reason" => reason, "why" => why, "took_ms" => took_ms);
+        }
+    }
 }
 
 /// Applies a health response. One of another incarnation says nothing about the current one, and what the node
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -6,6 +6,7 @@
 mod body_gate;
 mod crashes;
 mod entry;
+mod health_check;
 mod health_probe;
 mod heartbeat_port;
 mod hop;
@@ -44,10 +45,12 @@
 use crate::coordination::caller_age::CallerAges;
 use crate::coordination::crash_watch::CrashWatch;
 use crate::coordination::crashing_requests::CrashingRequests;
+use crate::coordination::heartbeat_hold::HeartbeatHold;
 use crate::coordination::placement::Placement;
 use crate::coordination::retry_quota::RetryQuota;
 use crate::coordination::stop_plan::StopPlan;
 use crate::coordination::version_move::Moves;
+use crate::coordination::zones::evacuation::Evacuations;
 use crate::logging;
 use crate::node::clock::Clock;
 use crate::platform::store::Store;
@@ -88,6 +91,7 @@
     quota: RetryQuota,
     caller_ages: CallerAges,
     backend: LocalBackend,
+    heartbeat_hold: HeartbeatHold,
     report_filter: ReportFilter,
     breaker: Breaker,
     crash_watch: CrashWatch,
@@ -104,6 +108,7 @@
     moves: Moves,
     /// Nodes that receive the traffic share of a new version, sorted by service.
     exposed: Vec<(ServiceName, Vec<NodeId>)>,
+    evacuations: Evacuations,
     /// Whether the entries of the other nodes have been read.
     fleet_read: bool,
     /// Own entry as last written to the store.
@@ -207,6 +212,7 @@
         quota: RetryQuota::new(settings.retry_budget()),
         caller_ages: CallerAges::default(),
         backend: LocalBackend::new(settings.heartbeat_interval()),
+        heartbeat_hold: HeartbeatHold::default(),
         report_filter: ReportFilter::new(settings.service.clone(), settings.backend_addr),
         breaker: Breaker::default(),
         crash_watch: CrashWatch::default(),
@@ -217,6 +223,7 @@
         work_time: None,
         moves: Moves::default(),
         exposed: Vec::new(),
+        evacuations: Evacuations::default(),
         fleet_read: false,
         written: None,
         contested_by: None,
--- a/testbed/src/platform/backend.rs
+++ b/testbed/src/platform/backend.rs
@@ -12,6 +12,9 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -150,6 +153,10 @@
     /// Ids of the attempts that were run, in order.
     runs: Mutex<Vec<String>>,
     announcement: Mutex<BackendAnnouncement>,
+    /// Whether there is a health path.
+    reports_health: AtomicBool,
+    is_draining: AtomicBool,
+    health_checks: AtomicU64,
     /// Path of the requests that end the backend server as soon as it runs one.
     crash_path: Mutex<Option<String>>,
     crashed: Notify,
@@ -162,8 +169,6 @@
     work_time_percent: Mutex<Option<u32>>,
     /// Whether no heartbeats are sent.
     is_silent: Mutex<bool>,
-    /// Requests of the health path.
-    health_requests: Mutex<usize>,
 }
 
 impl Shared {
@@ -207,6 +212,9 @@
             rng: Mutex::new(StdRng::seed_from_u64(options.seed)),
             runs: Mutex::default(),
             announcement: Mutex::default(),
+            reports_health: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
+            health_checks: AtomicU64::new(0),
             crash_path: Mutex::default(),
             crashed: Notify::new(),
             stop: Notify::new(),
@@ -214,7 +222,6 @@
             cold_arrivals: Mutex::default(),
             work_time_percent: Mutex::default(),
             is_silent: Mutex::default(),
-            health_requests: Mutex::default(),
             options,
         });
         let server = {
@@ -244,6 +251,18 @@
         *lock(&self.shared.announcement) = announcement;
     }
 
+    /// Makes the backend server report its health at its health path. Otherwise a request of it is answered like one
+    /// that is not an attempt of a caller.
+    pub fn report_health(&self) {
+        self.shared.reports_health.store(true, Ordering::SeqCst);
+    }
+
+    /// Number of health reports so far.
+    #[must_use]
+    pub fn health_checks(&self) -> u64 {
+        self.shared.health_checks.load(Ordering::SeqCst)
+    }
+
     /// Makes the backend server crash as soon as it runs a request with this path.
     pub fn crash_on(&self, path: &str) {
         *lock(&self.shared.crash_path) = Some(path.to_owned());
@@ -271,12 +290,6 @@
         *lock(&self.shared.is_silent) = is_silent;
     }
 
-    /// Number of requests of the health path.
-    #[must_use]
-    pub fn health_requests(&self) -> usize {
-        *lock(&self.shared.health_requests)
-    }
-
     /// Whether the backend server still runs.
     #[must_use]
     pub fn is_running(&self) -> bool {
@@ -336,6 +349,7 @@
 }
 
 async fn drain_and_deregister(shared: &Shared, client: &awc::Client, mut sequence: u64) {
+    shared.is_draining.store(true, Ordering::SeqCst);
     let drain = async {
         while !heartbeat(shared, client, sequence, "draining").await {
             sequence += 1;
@@ -379,9 +393,17 @@
     sent.is_ok_and(|response| response.status().is_success())
 }
 
+/// Reports health: 200 only while the backend server does not leave.
 fn health_response(shared: &Shared) -> Response<BoxBody> {
-    *lock(&shared.health_requests) += 1;
-    let mut response = Response::build(StatusCode::OK);
+    shared.health_checks.fetch_add(1, Ordering::SeqCst);
+    let is_leaving =
+        shared.is_draining.load(Ordering::SeqCst) || lock(&shared.announcement).is_leaving;
+    let status = if is_leaving {
+        StatusCode::SERVICE_UNAVAILABLE
+    } else {
+        StatusCode::OK
+    };
+    let mut response = Response::build(status);
     let cold_left_ms = shared.cold_left().as_millis().to_string();
     response.insert_header((COLD_HEADER, cold_left_ms));
     response.insert_header((INSTANCE_HEADER, shared.options.id.as_str()));
@@ -399,10 +421,10 @@
 }
 
 async fn handle_request(shared: &Shared, mut req: Request) -> Response<BoxBody> {
-    let options = &shared.options;
-    if req.path() == HEALTH_PATH {
+    if req.path() == HEALTH_PATH && shared.reports_health.load(Ordering::SeqCst) {
         return health_response(shared);
     }
+    let options = &shared.options;
     let Ok(body) = http::read_body(&mut req, MAX_BODY_BYTES).await else {
         return http::text(
             StatusCode::BAD_REQUEST,
--- a/testbed/src/platform/fleet.rs
+++ b/testbed/src/platform/fleet.rs
@@ -61,6 +61,13 @@
     /// Requests allowed to a cold backend server in a second: a factor on the rate that it tolerates, and a number
     /// beyond that.
     pub cold_excess_and_slack: (f64, f64),
+    /// Failure domains that the settings list, named like [`Self::domain`]; none if it is empty.
+    pub known_domains: Vec<String>,
+}
+
+/// Returns the region of a failure domain.
+fn region_of(domain: &str) -> &str {
+    domain.split('-').next().unwrap_or_default()
 }
 
 impl SidecarOptions {
@@ -74,6 +81,7 @@
             config_within_ms: 2_000,
             stop_within_s: 5,
             cold_excess_and_slack: (1.0, 0.0),
+            known_domains: Vec::new(),
         }
     }
 }
@@ -141,10 +149,14 @@
     /// If its settings cannot be written.
     pub fn add(&mut self, options: SidecarOptions, addrs: SidecarAddrs) -> eyre::Result<usize> {
         let settings_file = self.dir.path().join(format!("{}.jsonc", options.id));
-        let region = options.domain.split('-').next().unwrap_or_default();
+        let domains = options.known_domains.iter();
+        let domains: Vec<_> = domains
+            .map(|domain| json!({ "domain": domain, "region": region_of(domain) }))
+            .collect();
         let settings = json!({
             "id": options.id,
-            "region": region,
+            "region": region_of(&options.domain),
+            "domains": domains,
             "failure_domain": options.domain,
             "service": options.service,
             "backend_addr": addrs.backend_proxy,
