Carry the priority of calls without a tenant between nodes

A call without a tenant has the priority of the most urgent tenant, which the header carried for calls with a tenant only. A serving node would have read 0, which goes before all tenants if the most urgent one has 1. An empty name means no tenant, so that later fields can follow. Without tenants the header is as before.

--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -49,7 +49,8 @@
     pub limit: Option<RequestRate>,
     /// Tenant whose credential the entry node has found valid.
     pub tenant: Option<TenantName>,
-    /// Priority of the tenant, which goes before that of the route; 0 is the highest.
+    /// Priority of the tenant, which goes before that of the route; 0 is the highest. A call without a tenant
+    /// has that of the most urgent tenant.
     pub tenant_priority: u8,
 }
 
@@ -57,9 +58,12 @@
     /// Returns the header value.
     #[must_use]
     pub fn encode(&self) -> String {
-        let tenant = self.tenant.as_ref().map_or_else(String::new, |tenant| {
-            format!(";{tenant};{}", self.tenant_priority)
-        });
+        let tenant = match &self.tenant {
+            Some(tenant) => format!(";{tenant};{}", self.tenant_priority),
+            // Without tenants in the configuration the header is that of earlier builds.
+            None if self.tenant_priority == 0 => String::new(),
+            None => format!(";;{}", self.tenant_priority),
+        };
         format!(
             "{};{};{};{};{};{};{};{};{};{}{tenant}",
             self.route,
@@ -91,7 +95,10 @@
             limit: decode_limit(fields.next()),
             // Nodes of earlier builds do not send the fields from here on.
             is_overdue: fields.next() == Some("1"),
-            tenant: fields.next().map(TenantName::from),
+            tenant: fields
+                .next()
+                .filter(|field| !field.is_empty())
+                .map(TenantName::from),
             tenant_priority: fields
                 .next()
                 .and_then(|field| field.parse().ok())
--- a/tests/hop_headers.rs
+++ b/tests/hop_headers.rs
@@ -1,8 +1,11 @@
 //! Headers of calls between nodes.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use sycamorewick::protocol::call::Executed;
 use sycamorewick::protocol::hop::BackendTotals;
+use sycamorewick::protocol::hop::HopRequestHeader;
 use sycamorewick::protocol::hop::HopResponseHeader;
 use sycamorewick::protocol::hop::Load;
 use sycamorewick::protocol::hop::RouteTotals;
@@ -79,3 +82,35 @@
     }
     expect_that!(known, eq(&all));
 }
+
+/// Guards against a tenant that is lost between nodes, a call without a tenant that loses its priority, and a
+/// header that differs from that of earlier builds although there are no tenants.
+#[gtest]
+fn request_header_with_tenant() {
+    let head = |tenant: Option<&str>, tenant_priority| HopRequestHeader {
+        route: "lookup".into(),
+        service: "registry".into(),
+        version: "v1".into(),
+        idempotent: true,
+        accepts_late: false,
+        priority: 1,
+        objective: Duration::from_millis(250),
+        left: Duration::from_secs(1),
+        is_overdue: false,
+        limit: None,
+        tenant: tenant.map(Into::into),
+        tenant_priority,
+    };
+    let plain = head(None, 0);
+    expect_that!(plain.encode(), eq("lookup;registry;v1;1;0;1;250;1000;;0"));
+    for sent in [
+        plain.clone(),
+        head(None, 2),
+        head(Some("acme"), 0),
+        head(Some("acme corp."), 3),
+    ] {
+        let text = sent.encode();
+        expect_that!(HopRequestHeader::decode(&text), some(eq(&sent)), "{text}");
+        expect_that!(text, starts_with(plain.encode()));
+    }
+}
