Judge the credential of each request and attempt

With tenants in the configuration a request is served only with the key of one of them, except on public routes. The entry node judges it before it reads the body, and before each attempt by the configuration in force then, so that a revoked key is refused also for calls under way. The key itself is removed at once; only its hash stays, at the entry node. The serving node names the tenant to the backend server from the header between nodes, and drops what nodes of earlier builds forward.

--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -138,6 +138,8 @@
     /// Time for which the call is refused since it crashes backend servers. It is not offered to other
     /// nodes, which may not know this yet.
     quarantined_for: Option<Duration>,
+    /// Reason for which the entry node itself refuses the call from now on.
+    denied: Option<ResultCode>,
     last: Option<ResultCode>,
     retry_after: Option<Duration>,
 }
@@ -159,6 +161,7 @@
             may_have_run: false,
             has_failure_response: false,
             quarantined_for: None,
+            denied: None,
             last: None,
             retry_after: None,
         }
@@ -205,6 +208,7 @@
         let unsafe_to_retry = self.may_have_run && !self.limits.idempotent;
         if unsafe_to_retry
             || self.quarantined_for.is_some()
+            || self.denied.is_some()
             || self.limits.deadline < now + MIN_ATTEMPT_TIME
             || self.tries >= MAX_TRIES
             || self.arrivals >= self.limits.attempts
@@ -326,6 +330,12 @@
         self.quarantined_for = Some(refused_for);
     }
 
+    /// Handles a call that the entry node itself refuses from now on, for example since its credential has been
+    /// revoked. No further attempt is made.
+    pub fn on_denied(&mut self, code: ResultCode) {
+        self.denied = Some(code);
+    }
+
     /// Handles the deadline of the call passing during an attempt.
     pub fn on_timeout(&mut self) {
         self.may_have_run = true;
@@ -344,6 +354,12 @@
                 retry_after: Some(refused_for),
             };
         }
+        if let (Some(code), false) = (self.denied, self.may_have_run) {
+            return Outcome::Refused {
+                code,
+                retry_after: None,
+            };
+        }
         let last = self.last.unwrap_or(ResultCode::Overloaded);
         let timed_out = last == ResultCode::DeadlineExceeded;
         if self.may_have_run && timed_out {
--- a/src/coordination/tenants/mod.rs
+++ b/src/coordination/tenants/mod.rs
@@ -1,1 +1,3 @@
 //! Decisions about tenants: credentials, quotas, and the shares of those who compete for the same backend servers.
+
+pub mod credentials;
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -31,11 +31,13 @@
 use crate::coordination::placement::Feedback;
 use crate::coordination::placement::Pick;
 use crate::coordination::placement::PickRequest;
+use crate::coordination::tenants::credentials::CallTenant;
 use crate::platform::requests;
 use crate::protocol::hop::BackendTotals;
 use crate::protocol::hop::HopRequestHeader;
 use crate::protocol::hop::Load;
 use crate::protocol::hop::RouteTotals;
+use crate::protocol::mesh::KeyHash;
 use crate::protocol::mesh::MeshRoute;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::RouteName;
@@ -51,6 +53,7 @@
 use crate::sidecar::serving;
 use crate::sidecar::serving::ServeCall;
 use crate::sidecar::serving::ServeOutcome;
+use crate::sidecar::tenants;
 use crate::state::routing_table;
 use crate::transport::body_budget::HeldBytes;
 use crate::transport::headers;
@@ -118,6 +121,8 @@
     deadline: Duration,
     /// Hash that repetitions of the request share.
     fingerprint: u64,
+    /// Hash of the credential, which stays at this node.
+    credential: Option<KeyHash>,
 }
 
 async fn route_request(
@@ -137,6 +142,11 @@
             let route = table.find(headers::host(req.headers()), req.path());
             route.cloned().ok_or(ResultCode::NoRoute)
         });
+    let credential = requests::credential(req.headers());
+    if let Ok(route) = &route {
+        // Without the body, which may be large. The connection is closed if the rest of it still arrives.
+        tenants::authorize(cx, route, credential)?;
+    }
     let time_limit = route
         .as_ref()
         .map_or(BODY_TIMEOUT, |route| route.timeout)
@@ -182,6 +192,7 @@
             left: time_limit,
             is_overdue,
             limit: None,
+            // Set for each attempt, by the configuration in force then.
             tenant: None,
             tenant_priority: 0,
         },
@@ -195,6 +206,7 @@
     Ok(EntryCall {
         route,
         fingerprint: crashes::fingerprint(&serve),
+        credential,
         serve,
         _held: held,
         deadline: arrived + time_limit,
@@ -255,6 +267,9 @@
             attempts.on_quarantined(refused_for);
             return None;
         }
+        let Some(tenant) = authorize(cx, call, attempts) else {
+            return None;
+        };
         match attempts.next(now) {
             NextStep::Offer => {}
             NextStep::Retry if may_retry(cx, call, attempts, now) => {}
@@ -269,13 +284,34 @@
         if attempts.tries() > 1 {
             cx.metrics.attempts_beyond_first.increment(1);
         }
-        let response = attempt_with_hedge(cx, call, attempts, failed_response, &pick, now).await;
+        let planned = Planned { pick, tenant };
+        let response = attempt_with_hedge(cx, call, attempts, failed_response, &planned, now).await;
         if response.is_some() {
             return response;
         }
     }
 }
 
+/// An attempt that is about to be made.
+struct Planned {
+    pick: Pick,
+    tenant: CallTenant,
+}
+
+/// Judges the credential of a call again, by the configuration in force. `None` if no attempt may be made.
+fn authorize(cx: &Sidecar, call: &EntryCall, attempts: &mut Attempts) -> Option<CallTenant> {
+    match tenants::authorize(cx, &call.route, call.credential) {
+        Ok(tenant) => Some(tenant),
+        Err(code) => {
+            info!(cx.log, "no attempt with the credential of the call"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
+                "route" => call.route.name.as_str(), "code" => code.number(), "version" => cx.table().map(|table| table.version()),
+                "view_age_ms" => cx.feed.view_age(cx.clock.now()).map(millis), "tries" => attempts.tries());
+            attempts.on_denied(code);
+            None
+        }
+    }
+}
+
 fn chosen(pick: &Pick) -> ChosenNode {
     ChosenNode {
         time_ms: pick.time_ms,
@@ -324,12 +360,13 @@
     call: &EntryCall,
     attempts: &mut Attempts,
     failed_response: &mut Option<HttpResponse>,
-    pick: &Pick,
+    planned: &Planned,
     now: Duration,
 ) -> Option<HttpResponse> {
+    let pick = &planned.pick;
     let accepts_late = attempts.accepts_late();
     let superseded = Cell::new(false);
-    let first = make_attempt(cx, call, pick, accepts_late, now, &superseded);
+    let first = make_attempt(cx, call, planned, accepts_late, now, &superseded);
     let mut first = pin!(first);
     let ended = match attempts.hedge_after(chosen(pick)) {
         Some(delay) => actix_rt::time::timeout(delay, &mut first).await.ok(),
@@ -338,15 +375,16 @@
     if let Some(outcome) = ended {
         return record_attempt(call, attempts, failed_response, &pick.node, outcome);
     }
-    let Some(second_pick) = pick_hedge(cx, call, attempts, &pick.node) else {
+    let Some(second_planned) = plan_hedge(cx, call, attempts, &pick.node) else {
         let outcome = first.await;
         return record_attempt(call, attempts, failed_response, &pick.node, outcome);
     };
+    let second_pick = &second_planned.pick;
     let now = cx.clock.now();
     let second = pin!(make_attempt(
         cx,
         call,
-        &second_pick,
+        &second_planned,
         accepts_late,
         now,
         &superseded
@@ -375,13 +413,14 @@
 
 /// Selects a node for a hedged attempt besides the one at `first`, if a hedge is likely to help and
 /// the fleet's retry budget allows it.
-fn pick_hedge(
+fn plan_hedge(
     cx: &Sidecar,
     call: &EntryCall,
     attempts: &mut Attempts,
     first: &NodeId,
-) -> Option<Pick> {
+) -> Option<Planned> {
     let now = cx.clock.now();
+    let tenant = authorize(cx, call, attempts)?;
     let mut tried = attempts.tried().to_vec();
     tried.push(first.clone());
     let pick = choose(&mut cx.state.borrow_mut(), now, call, &tried)?;
@@ -394,7 +433,7 @@
         "after_ms" => millis(now.saturating_sub(call.serve.arrived)),
         "cost_ms" => format!("{:.1}", pick.cost_ms), "load" => format!("{:.1}", pick.load),
         "load_age_ms" => millis(pick.load_age));
-    Some(pick)
+    Some(Planned { pick, tenant })
 }
 
 /// Whether the fleet's retry budget allows sending a call that has reached a backend server to
@@ -533,11 +572,12 @@
 async fn make_attempt(
     cx: &Rc<Sidecar>,
     call: &EntryCall,
-    pick: &Pick,
+    planned: &Planned,
     accepts_late: bool,
     now: Duration,
     superseded: &Cell<bool>,
 ) -> ServeOutcome {
+    let pick = &planned.pick;
     cx.state.borrow_mut().placement.on_start(&pick.node);
     let mut in_flight = InFlight {
         cx,
@@ -554,6 +594,8 @@
     serve.head.version = pick.version.clone();
     serve.head.limit = pick.limit;
     serve.head.accepts_late = accepts_late;
+    serve.head.tenant.clone_from(&planned.tenant.name);
+    serve.head.tenant_priority = planned.tenant.priority;
     // The latency objective counts from the arrival at this node, so the serving node gets what is
     // left of it.
     let used = now.saturating_sub(call.serve.arrived);
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -102,11 +102,13 @@
         return call_response(cx, Some(&head.route), outcome);
     }
     let route = head.route.clone();
+    let mut forwarded = headers::end_to_end(req.headers(), 4);
+    forwarded.retain(|(name, _)| !requests::is_of_tenant(name));
     let call = ServeCall {
         head,
         method: req.method().clone(),
         target,
-        headers: headers::end_to_end(req.headers(), 3),
+        headers: forwarded,
         body,
         attempt: requests::read_client_headers(req.headers()).attempt,
         arrived,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -17,6 +17,7 @@
 pub mod settings;
 mod shutdown;
 mod status_ports;
+mod tenants;
 mod topic_follower;
 
 use std::cell::Cell;
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -60,7 +60,7 @@
     pub method: Method,
     /// Path and query.
     pub target: PathAndQuery,
-    /// Headers to forward.
+    /// Headers to forward; without those of the tenant, so that no log line can have a credential.
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// Whole body.
     pub body: Bytes,
@@ -402,6 +402,7 @@
     left: Duration,
 ) -> Result<HttpResponse, Option<ExchangeFailure>> {
     let mut headers = call.headers.clone();
+    headers.extend(call.head.tenant.as_ref().and_then(requests::tenant_header));
     headers.extend(requests::backend_headers(left, &backend.instance));
     let max_idle = if call.head.idempotent {
         MAX_IDLE
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -243,6 +243,14 @@
         Duration::from_secs_f64(self.config_within_ms / 1e3)
     }
 
+    /// Age of the view of the configuration from which on requests with a credential are refused; `None` if
+    /// they are accepted at any age.
+    #[must_use]
+    pub fn revoke_within(&self) -> Option<Duration> {
+        let limit = Duration::from_secs_f64(self.revoke_within_ms / 1e3);
+        self.strict_revoke.then_some(limit)
+    }
+
     /// Time from SIGTERM until the process is killed.
     #[must_use]
     pub fn stop_within(&self) -> Duration {
--- /dev/null
+++ b/src/sidecar/tenants.rs
@@ -0,0 +1,31 @@
+//! Tenants of calls: credentials at the entry node, weights at the serving node. See
+//! `docs/design/tenants.md`.
+
+use crate::coordination::tenants::credentials::CallTenant;
+use crate::coordination::tenants::credentials::ViewLimits;
+use crate::protocol::mesh::KeyHash;
+use crate::protocol::mesh::MeshRoute;
+use crate::result_code::ResultCode;
+use crate::sidecar::Sidecar;
+
+/// Returns the tenant of a call by its credential and the configuration in force. The route is looked up
+/// again by its name, since it may have become public, or no longer be, since the call arrived.
+///
+/// # Errors
+/// The reason why the call is refused.
+pub fn authorize(
+    cx: &Sidecar,
+    route: &MeshRoute,
+    credential: Option<KeyHash>,
+) -> Result<CallTenant, ResultCode> {
+    let table = cx.table().ok_or(ResultCode::NotReady)?;
+    let current = table.route(&route.name).map(|route| route.is_public);
+    let is_public = current.unwrap_or(route.is_public);
+    let view_age = cx.feed.view_age(cx.clock.now());
+    let limits = ViewLimits {
+        config_within: cx.settings.config_within(),
+        revoke_within: cx.settings.revoke_within(),
+    };
+    let credentials = table.credentials();
+    credentials.tenant(credentials.judge(is_public, credential, view_age, &limits))
+}
--- a/src/state/routing_table.rs
+++ b/src/state/routing_table.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use crate::coordination::tenants::credentials::Credentials;
 use crate::protocol::mesh::CallerLimits;
 use crate::protocol::mesh::MeshConfig;
 use crate::protocol::mesh::MeshRoute;
@@ -9,6 +10,7 @@
 use crate::protocol::mesh::Tenant;
 use crate::protocol::name::RouteName;
 use crate::protocol::name::ServiceName;
+use crate::protocol::name::TenantName;
 
 /// The routes of one configuration. A new configuration gets a new table.
 #[derive(Debug)]
@@ -23,6 +25,7 @@
     services: Vec<MeshService>,
     /// Tenants, sorted by name.
     tenants: Vec<Tenant>,
+    credentials: Credentials,
 }
 
 impl RoutingTable {
@@ -39,6 +42,7 @@
             routes,
             routes_by_name,
             services: config.services,
+            credentials: Credentials::new(&config.tenants),
             tenants: config.tenants,
         }
     }
@@ -90,6 +94,20 @@
         &self.tenants
     }
 
+    /// Returns the tenant of this name.
+    #[must_use]
+    pub fn tenant(&self, name: &TenantName) -> Option<&Tenant> {
+        let tenants = &self.tenants;
+        let index = tenants.binary_search_by(|tenant| tenant.name.cmp(name));
+        Some(&tenants[index.ok()?])
+    }
+
+    /// Returns the credentials of the tenants.
+    #[must_use]
+    pub fn credentials(&self) -> &Credentials {
+        &self.credentials
+    }
+
     /// Returns the route of the host with the longest matching path prefix. Prefixes end with a
     /// slash, so only prefixes of the path that end with a slash are looked up.
     #[must_use]
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -326,3 +326,28 @@
     let unknown = Outcome::Unknown(ResultCode::OutcomeUnknown);
     expect_that!(call.outcome(), eq(unknown));
 }
+
+/// Guards against a further attempt of a call whose credential was revoked, and against a response that says
+/// that it has not run although it may have.
+#[gtest]
+fn on_denied_before_and_after_run() {
+    for (failure, is_refused) in [
+        (overloaded(100), true),
+        (refused(ResultCode::Overloaded, true, 100), true),
+        (AttemptFailure::Unknown(ResultCode::OutcomeUnknown), false),
+    ] {
+        let mut call = attempts(true);
+        fail(&mut call, ms(1_000), "a", failure);
+        call.on_denied(ResultCode::CredentialUnknown);
+        expect_that!(call.next(ms(1_100)), eq(NextStep::Stop));
+        let denied = Outcome::Refused {
+            code: ResultCode::CredentialUnknown,
+            retry_after: None,
+        };
+        expect_that!(call.outcome() == denied, eq(is_refused), "{failure:?}");
+    }
+    let mut call = attempts(true);
+    fail(&mut call, ms(1_000), "a", AttemptFailure::Failed);
+    call.on_denied(ResultCode::CredentialUnknown);
+    expect_that!(call.outcome(), eq(Outcome::FailureResponse));
+}
--- a/tests/routing_table.rs
+++ b/tests/routing_table.rs
@@ -3,9 +3,14 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use sycamorewick::coordination::tenants::credentials::Verdict;
+use sycamorewick::coordination::tenants::credentials::ViewLimits;
 use sycamorewick::protocol::mesh::CallerLimits;
+use sycamorewick::protocol::mesh::KeyHash;
 use sycamorewick::protocol::mesh::MeshConfig;
 use sycamorewick::protocol::mesh::MeshRoute;
+use sycamorewick::protocol::mesh::Tenant;
+use sycamorewick::protocol::name::TenantName;
 use sycamorewick::state::routing_table::RoutingTable;
 use sycamorewick::state::routing_table::choose_service;
 
@@ -89,3 +94,44 @@
     expect_that!(choose_service(&split, 0.0).as_str(), eq("registry"));
     expect_that!(choose_service(&split, 0.999).as_str(), eq("registry"));
 }
+
+/// Guards against credentials of an earlier configuration that are still accepted after a new one is in
+/// force, and against those of a new one that are not.
+#[gtest]
+fn credentials_of_configuration() {
+    let with_key = |text: &str| {
+        RoutingTable::new(MeshConfig {
+            version: 1,
+            routes: Vec::new(),
+            services: Vec::new(),
+            limits: CallerLimits::default(),
+            tenants: vec![Tenant {
+                name: "acme".into(),
+                keys: vec![KeyHash::of(text.as_bytes())],
+                priority: 1,
+                quota: None,
+                homes: Vec::new(),
+            }],
+        })
+    };
+    let limits = ViewLimits {
+        config_within: Duration::from_secs(3),
+        revoke_within: None,
+    };
+    let acme = TenantName::from("acme");
+    for (in_force, verdict) in [
+        ("key-a", Verdict::Valid(&acme, 1)),
+        ("key-b", Verdict::Unknown),
+    ] {
+        let table = with_key(in_force);
+        let key = Some(KeyHash::of(b"key-a"));
+        let credentials = table.credentials();
+        let judged = credentials.judge(false, key, Some(Duration::ZERO), &limits);
+        expect_that!(judged, eq(verdict));
+        expect_that!(
+            table.tenant(&acme).map(|tenant| tenant.priority),
+            some(eq(1))
+        );
+        expect_that!(table.tenant(&"birch".into()), none());
+    }
+}
