Refuse configurations with shared keys, and quote no key in an error

A key of two tenants would count for whichever is found first. The decoder quotes the values that it does not expect, and its errors are logged, so the fields of tenants are decoded one by one with errors of their own. Names that the header between nodes cannot carry are refused, since each call of such a tenant to another node would fail.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -313,3 +313,84 @@
     let both = requests::credential(&sent);
     expect_that!(both, some(eq(KeyHash::of(b"key-a, key-b"))));
 }
+
+const TENANTS: &str = r#""tenants":{"birch":{"api-keys":["key-c"],"per-s":4.5,"burst":2,"home-regions":["keta"]},
+    "acme":{"api-keys":["key-b","key-a","key-a"],"priority":3}},"limits""#;
+
+/// Guards against tenants in an order that later lookups cannot use, and against a key that is kept itself.
+#[gtest]
+fn read_config_tenants() {
+    let text = CONFIG.replacen(r#""limits""#, TENANTS, 1);
+    let config = config::read_config(text.as_bytes()).expect("a valid configuration");
+    let tenants = config.config.tenants;
+    let names: Vec<&str> = tenants.iter().map(|tenant| tenant.name.as_str()).collect();
+    expect_that!(names, elements_are![eq(&"acme"), eq(&"birch")]);
+    expect_that!(tenants[0].priority, eq(3));
+    expect_that!(tenants[0].keys.len(), eq(2));
+    expect_that!(tenants[0].quota, none());
+    expect_that!(tenants[1].keys, elements_are![eq(&KeyHash::of(b"key-c"))]);
+    expect_that!(tenants[1].quota.map(|quota| quota.burst), some(eq(2)));
+    expect_that!(format!("{tenants:?}"), not(contains_substring("key-")));
+}
+
+/// Guards against a key that counts for whichever of two tenants is found first, and against an error text
+/// with the key, which is logged.
+#[gtest]
+fn read_config_shared_key() {
+    let text = CONFIG.replacen(r#""limits""#, TENANTS, 1);
+    let text = text.replacen("key-c", "key-b", 1);
+    let error = config::read_config(text.as_bytes()).expect_err("a shared key");
+    expect_that!(error, contains_substring("acme"));
+    expect_that!(error, contains_substring("birch"));
+    expect_that!(error, not(contains_substring("key-b")));
+}
+
+/// Guards against an error text that quotes a key because it stands where something else is expected: the
+/// text is logged.
+#[gtest]
+fn read_config_misplaced_key() {
+    for invalid in [
+        r#""tenants":"SECRET""#,
+        r#""tenants":["SECRET"]"#,
+        r#""tenants":{"acme":"SECRET"}"#,
+        r#""tenants":{"acme":["SECRET"]}"#,
+        r#""tenants":{"acme":{"api-keys":"SECRET"}}"#,
+        r#""tenants":{"acme":{"api-keys":{"SECRET":1}}}"#,
+        r#""tenants":{"acme":{"api-keys":["SECRET",1]}}"#,
+        r#""tenants":{"acme":{"priority":"SECRET"}}"#,
+        r#""tenants":{"acme":{"per-s":"SECRET"}}"#,
+        r#""tenants":{"acme":{"home-regions":"SECRET"}}"#,
+    ] {
+        let text = CONFIG.replacen(r#""limits""#, &format!(r#"{invalid},"limits""#), 1);
+        let error = config::read_config(text.as_bytes()).expect_err(invalid);
+        expect_that!(error, not(contains_substring("SECRET")), "{invalid}");
+        expect_that!(error, contains_substring("tenant"), "{invalid}");
+    }
+}
+
+/// Guards against a name of a tenant that makes the header between nodes unreadable, so that each of its
+/// calls to another node fails.
+#[gtest]
+fn read_config_tenant_names() {
+    for (name, is_valid) in [
+        ("acme", true),
+        ("acme corp.", true),
+        ("", false),
+        ("a;b", false),
+        ("a\\nb", false),
+        ("caf\u{e9}", false),
+        (" acme", false),
+    ] {
+        let tenants = format!(r#""tenants":{{"{name}":{{}}}},"limits""#);
+        let text = CONFIG.replacen(r#""limits""#, &tenants, 1);
+        let read = config::read_config(text.as_bytes());
+        expect_that!(read.is_ok(), eq(is_valid), "{name}");
+    }
+}
+
+/// Guards against retry times rounded to whole seconds, which are too late for most callers.
+#[gtest]
+fn retry_after_fraction() {
+    let (_, value) = requests::retry_after(Duration::from_millis(45));
+    expect_that!(value.to_str().ok(), some(eq("0.045")));
+}
