--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -267,9 +267,7 @@
             attempts.on_quarantined(refused_for);
             return None;
         }
-        let Some(tenant) = authorize(cx, call, attempts) else {
-            return None;
-        };
+        let tenant = authorize(cx, call, attempts)?;
         match attempts.next(now) {
             NextStep::Offer => {}
             NextStep::Retry if may_retry(cx, call, attempts, now) => {}
--- a/tests/tenants_credentials.rs
+++ b/tests/tenants_credentials.rs
@@ -22,12 +22,12 @@
     revoke_within: Some(Duration::from_secs(5)),
 };
 
-fn key(text: &str) -> Option<KeyHash> {
-    Some(KeyHash::of(text.as_bytes()))
+fn key(text: &str) -> KeyHash {
+    KeyHash::of(text.as_bytes())
 }
 
 fn tenant(name: &str, priority: u8, keys: &[&str]) -> Tenant {
-    let mut keys: Vec<KeyHash> = keys.iter().filter_map(|text| key(text)).collect();
+    let mut keys: Vec<KeyHash> = keys.iter().map(|text| key(text)).collect();
     keys.sort_unstable();
     Tenant {
         name: name.into(),
@@ -61,7 +61,7 @@
         ("key-", Verdict::Unknown),
         ("acme", Verdict::Unknown),
     ] {
-        let verdict = credentials.judge(false, key(text), FRESH, &LIMITS);
+        let verdict = credentials.judge(false, Some(key(text)), FRESH, &LIMITS);
         expect_that!(verdict, eq(found), "{text}");
     }
     let without = credentials.judge(false, None, FRESH, &LIMITS);
@@ -73,7 +73,7 @@
 fn judge_without_tenants() {
     let credentials = Credentials::new(&[]);
     for view_age in [FRESH, None, Some(Duration::from_mins(1))] {
-        for presented in [None, key("key-a")] {
+        for presented in [None, Some(key("key-a"))] {
             let verdict = credentials.judge(false, presented, view_age, &STRICT);
             expect_that!(verdict, eq(Verdict::NoTenants));
         }
@@ -93,7 +93,7 @@
 #[gtest]
 fn judge_public_route() {
     let credentials = credentials();
-    for presented in [None, key("key-a"), key("key-d")] {
+    for presented in [None, Some(key("key-a")), Some(key("key-d"))] {
         for view_age in [FRESH, None] {
             let verdict = credentials.judge(true, presented, view_age, &STRICT);
             expect_that!(verdict, eq(Verdict::Public));
@@ -108,13 +108,16 @@
     let judge = |presented, view_age| credentials.judge(false, presented, view_age, &LIMITS);
     let at_limit = Some(Duration::from_secs(3));
     let beyond = Some(Duration::from_millis(3_001));
-    expect_that!(judge(key("key-d"), at_limit), eq(Verdict::Unknown));
-    expect_that!(judge(key("key-d"), beyond), eq(Verdict::CannotJudge));
-    expect_that!(judge(key("key-d"), None), eq(Verdict::CannotJudge));
+    expect_that!(judge(Some(key("key-d")), at_limit), eq(Verdict::Unknown));
+    expect_that!(judge(Some(key("key-d")), beyond), eq(Verdict::CannotJudge));
+    expect_that!(judge(Some(key("key-d")), None), eq(Verdict::CannotJudge));
     // No configuration makes a request valid that carries no key.
     expect_that!(judge(None, beyond), eq(Verdict::Unknown));
     let acme = TenantName::from("acme");
-    expect_that!(judge(key("key-a"), None), eq(Verdict::Valid(&acme, 2)));
+    expect_that!(
+        judge(Some(key("key-a")), None),
+        eq(Verdict::Valid(&acme, 2))
+    );
 }
 
 /// Guards against a node that accepts a credential although it may have been revoked long ago, where the
@@ -126,10 +129,19 @@
     let acme = TenantName::from("acme");
     let at_limit = Some(Duration::from_secs(5));
     let beyond = Some(Duration::from_millis(5_001));
-    expect_that!(judge(key("key-a"), at_limit), eq(Verdict::Valid(&acme, 2)));
+    expect_that!(
+        judge(Some(key("key-a")), at_limit),
+        eq(Verdict::Valid(&acme, 2))
+    );
     for view_age in [beyond, None] {
-        expect_that!(judge(key("key-a"), view_age), eq(Verdict::CannotJudge));
-        expect_that!(judge(key("key-d"), view_age), eq(Verdict::CannotJudge));
+        expect_that!(
+            judge(Some(key("key-a")), view_age),
+            eq(Verdict::CannotJudge)
+        );
+        expect_that!(
+            judge(Some(key("key-d")), view_age),
+            eq(Verdict::CannotJudge)
+        );
         expect_that!(judge(None, view_age), eq(Verdict::Unknown));
     }
 }
