Test credentials with real sidecar processes

Covers keys that are unknown, missing, doubled, moved and revoked, on open connections, with pipelined requests and with a body that is incomplete while its key is revoked; a peer of an earlier build; the store away; a configuration with a shared key. Each test searches logs, metrics and what backend servers got for the keys. The stand-in of a backend server records the headers that it gets where a test asks for it.

--- a/testbed/src/platform/backend.rs
+++ b/testbed/src/platform/backend.rs
@@ -139,10 +139,15 @@
     announcement: Mutex<BackendAnnouncement>,
     /// Path of the requests that end the backend server as soon as it runs one.
     crash_path: Mutex<Option<String>>,
+    /// Headers of the requests that were run, by their attempts, once they are recorded.
+    headers: Mutex<Option<Vec<RecordedHeaders>>>,
     crashed: Notify,
     stop: Notify,
 }
 
+/// Id of an attempt with the names and values of all headers of its request.
+pub type RecordedHeaders = (String, Vec<(String, String)>);
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -172,6 +177,7 @@
             runs: Mutex::default(),
             announcement: Mutex::default(),
             crash_path: Mutex::default(),
+            headers: Mutex::default(),
             crashed: Notify::new(),
             stop: Notify::new(),
             options,
@@ -208,6 +214,17 @@
         *lock(&self.shared.crash_path) = Some(path.to_owned());
     }
 
+    /// Records the headers of the requests that are run from now on.
+    pub fn record_headers(&self) {
+        lock(&self.shared.headers).get_or_insert_default();
+    }
+
+    /// Headers of the requests that were run since [`Self::record_headers`], in order.
+    #[must_use]
+    pub fn recorded_headers(&self) -> Vec<RecordedHeaders> {
+        lock(&self.shared.headers).clone().unwrap_or_default()
+    }
+
     /// Whether the backend server still runs.
     #[must_use]
     pub fn is_running(&self) -> bool {
@@ -340,6 +357,13 @@
         return not_run_response(StatusCode::SERVICE_UNAVAILABLE, &attempt);
     };
     lock(&shared.runs).push(attempt.clone());
+    if let Some(recorded) = &mut *lock(&shared.headers) {
+        let headers = req.headers().iter().map(|(name, value)| {
+            let value = String::from_utf8_lossy(value.as_bytes());
+            (name.to_string(), value.into_owned())
+        });
+        recorded.push((attempt.clone(), headers.collect()));
+    }
     print_event("run", &attempt);
     if lock(&shared.crash_path).as_deref() == Some(req.path()) {
         print_event("crash", &options.id);
--- /dev/null
+++ b/tests/process_tenants.rs
@@ -0,0 +1,462 @@
+//! Credentials of tenants at real sidecar processes.
+
+mod sidecar_common;
+
+use std::fs;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
+
+use googletest::prelude::*;
+use serde_json::Value;
+use serde_json::json;
+use sidecar_common::HOST;
+use sidecar_common::POLL_MARGIN;
+use sidecar_common::REQUIRED_TIME;
+use sidecar_common::TestFleet;
+use sidecar_common::WAIT_LIMIT;
+use sidecar_common::run;
+use sycamorewick::protocol::hop::HOP_REQUEST_HEADER;
+use sycamorewick::protocol::hop::HopRequestHeader;
+use testbed::log_server::Outage;
+use testbed::platform::backend::ATTEMPT_HEADER;
+use testbed::platform::store::OPERATOR_TOPIC;
+use testbed::platform::store::StoreHandle;
+
+const CREDENTIAL_HEADER: &str = "x-sycamorewick-credential";
+const TENANT_HEADER: &str = "x-sycamorewick-tenant";
+const ACME_KEY: &str = "key-of-acme-51f0";
+const BIRCH_KEY: &str = "key-of-birch-93aa";
+const UNKNOWN_KEY: &str = "key-of-nobody-20c7";
+const KEYS: [&str; 3] = [ACME_KEY, BIRCH_KEY, UNKNOWN_KEY];
+/// Size of a body that a node must not read before it refuses its request, bytes.
+const LARGE_BODY_BYTES: usize = 60_000;
+
+/// Writes a configuration with a public route `/open/` and these tenants.
+fn put_tenants(store: &StoreHandle, version: u32, tenants: &Value) {
+    let route = |prefix: &str, is_public: bool, kind: &str| {
+        json!({ "host": HOST, "prefix": prefix, "kind": kind, "timeout-ms": 3000, "slo-ms": 500,
+            "priority": 1, "service": "registry", "attempts": 2, "public": is_public })
+    };
+    let config = json!({
+        "version": format!("{version:08x}"),
+        "routes": {
+            "lookup": route("/wrecks/", false, "safe"),
+            "claims": route("/claims/", false, "unsafe"),
+            "open": route("/open/", true, "safe"),
+            "own": route(&format!("/v{version}/"), true, "safe"),
+        },
+        "services": { "registry": { "health-path": "/healthz", "max-conns": 100 } },
+        "limits": { "header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000 },
+        "tenants": tenants,
+    });
+    store.put(OPERATOR_TOPIC, "config", config.to_string().as_bytes());
+}
+
+fn both_tenants() -> Value {
+    json!({ "acme": { "api-keys": [ACME_KEY], "priority": 1 }, "birch": { "api-keys": [BIRCH_KEY] } })
+}
+
+/// Waits until all nodes use a configuration of [`put_tenants`].
+async fn wait_version(env: &mut TestFleet, version: u32) -> eyre::Result<()> {
+    for index in 0..env.fleet.nodes().len() {
+        let path = format!("/v{version}/x");
+        let limit = REQUIRED_TIME + POLL_MARGIN;
+        let ok = actix_http::StatusCode::OK;
+        env.wait_for(limit, index, &path, ok).await?;
+    }
+    Ok(())
+}
+
+async fn start(nodes: usize) -> eyre::Result<TestFleet> {
+    let mut env = TestFleet::start(nodes).await?;
+    put_tenants(&env.store, 2, &both_tenants());
+    wait_version(&mut env, 2).await?;
+    for backend in &env.backends {
+        backend.record_headers();
+    }
+    Ok(env)
+}
+
+/// A connection on which a test writes requests itself.
+struct Client {
+    stream: TcpStream,
+    received: Vec<u8>,
+}
+
+impl Client {
+    fn connect(addr: SocketAddr) -> eyre::Result<Self> {
+        let stream = TcpStream::connect(addr)?;
+        stream.set_read_timeout(Some(WAIT_LIMIT))?;
+        Ok(Self {
+            stream,
+            received: Vec::new(),
+        })
+    }
+
+    fn send(&mut self, path: &str, attempt: &str, headers: &[(&str, &str)]) -> eyre::Result<()> {
+        self.send_head("GET", path, attempt, headers)
+    }
+
+    fn send_head(
+        &mut self,
+        method: &str,
+        path: &str,
+        attempt: &str,
+        headers: &[(&str, &str)],
+    ) -> eyre::Result<()> {
+        let mut text =
+            format!("{method} {path} HTTP/1.1\r\nhost: {HOST}\r\n{ATTEMPT_HEADER}: {attempt}\r\n");
+        for (name, value) in headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        text.push_str("\r\n");
+        self.stream.write_all(text.as_bytes())?;
+        Ok(())
+    }
+
+    /// Reads the next response and returns its status and its whole text.
+    fn receive(&mut self) -> eyre::Result<(u16, String)> {
+        loop {
+            if let Some(end) = find(&self.received, b"\r\n\r\n") {
+                let head = String::from_utf8_lossy(&self.received[..end]).to_ascii_lowercase();
+                let length = head.split("content-length: ").nth(1);
+                let length = length.and_then(|rest| rest.split("\r\n").next());
+                let length: usize = length.unwrap_or("0").parse()?;
+                let end = end + 4 + length;
+                if self.received.len() >= end {
+                    let response: Vec<u8> = self.received.drain(..end).collect();
+                    let text = String::from_utf8_lossy(&response).into_owned();
+                    let status = text.split(' ').nth(1).unwrap_or_default().parse()?;
+                    return Ok((status, text));
+                }
+            }
+            let mut buf = [0; 16 << 10];
+            let length = self.stream.read(&mut buf)?;
+            eyre::ensure!(length > 0, "the connection is closed");
+            self.received.extend_from_slice(&buf[..length]);
+        }
+    }
+}
+
+fn find(text: &[u8], part: &[u8]) -> Option<usize> {
+    text.windows(part.len()).position(|window| window == part)
+}
+
+fn get(
+    env: &TestFleet,
+    index: usize,
+    path: &str,
+    attempt: &str,
+    headers: &[(&str, &str)],
+) -> eyre::Result<(u16, String)> {
+    let mut client = Client::connect(env.fleet.nodes()[index].addrs.caller)?;
+    client.send(path, attempt, headers)?;
+    client.receive()
+}
+
+/// Returns the values of a header with which a backend server got an attempt, if one did.
+fn received(env: &TestFleet, attempt: &str, header: &str) -> Option<Vec<String>> {
+    let recorded = env.backends.iter().flat_map(|b| b.recorded_headers());
+    let mut of_attempt = recorded.filter(|(id, _)| id == attempt);
+    let (_, headers) = of_attempt.next()?;
+    let values = headers.into_iter().filter(|(name, _)| name == header);
+    Some(values.map(|(_, value)| value).collect())
+}
+
+fn has_run(env: &TestFleet, attempt: &str) -> bool {
+    let ran = |id: &String| id == attempt;
+    env.backends.iter().any(|b| b.runs().iter().any(ran))
+}
+
+/// Fails if a key is in the log or the metrics of a node, or reached a backend server.
+async fn check_no_key_leaks(env: &TestFleet) -> eyre::Result<()> {
+    for node in env.fleet.nodes() {
+        let url = format!("http://{}/metrics", node.addrs.metrics);
+        let response = awc::Client::default().get(url).send().await;
+        let metrics = response.map_err(|e| eyre::eyre!("{e}"))?.body().await?;
+        let metrics = String::from_utf8_lossy(&metrics).into_owned();
+        for key in KEYS {
+            expect_that!(node.process.output(), not(contains_substring(key)));
+            expect_that!(metrics, not(contains_substring(key)));
+        }
+    }
+    for (attempt, headers) in env.backends.iter().flat_map(|b| b.recorded_headers()) {
+        for (name, value) in headers {
+            expect_that!(name.as_str(), not(eq(CREDENTIAL_HEADER)), "{attempt}");
+            let is_key = KEYS.iter().any(|key| value.contains(key));
+            expect_false!(is_key, "{attempt}: {name}");
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a request that runs without a valid key, that counts as one of another tenant, or whose key
+/// is forwarded to a peer or a backend server, or logged. One of the two nodes has no backend server, so all
+/// of its calls go through the other one.
+#[gtest]
+fn credentials_of_two_nodes() {
+    run(async {
+        let mut env = start(2).await?;
+        env.backends[1].kill();
+        let ok = actix_http::StatusCode::OK;
+        env.wait_for(WAIT_LIMIT, 1, "/open/1", ok).await?;
+        let lookup = "/wrecks/1";
+        for index in 0..2 {
+            for call in 0..20 {
+                let id = |kind: &str| format!("{kind}-{index}-{call}");
+                let spoofed = (TENANT_HEADER, "birch");
+                let valid = [(CREDENTIAL_HEADER, ACME_KEY), spoofed];
+                let (status, _) = get(&env, index, lookup, &id("valid"), &valid)?;
+                expect_that!(status, eq(200));
+                let tenants = received(&env, &id("valid"), TENANT_HEADER);
+                expect_that!(tenants, some(elements_are![eq("acme")]));
+
+                let unknown = [(CREDENTIAL_HEADER, UNKNOWN_KEY), spoofed];
+                let (status, text) = get(&env, index, lookup, &id("unknown"), &unknown)?;
+                expect_that!(status, eq(401));
+                expect_that!(text, contains_substring("4017"));
+                expect_that!(text, not(contains_substring(UNKNOWN_KEY)));
+                let (status, _) = get(&env, index, lookup, &id("missing"), &[spoofed])?;
+                expect_that!(status, eq(401));
+                let two = [valid[0], (CREDENTIAL_HEADER, BIRCH_KEY)];
+                let (status, _) = get(&env, index, lookup, &id("two"), &two)?;
+                expect_that!(status, eq(401));
+                for refused in ["unknown", "missing", "two"] {
+                    expect_false!(has_run(&env, &id(refused)), "{refused}");
+                }
+
+                let (status, _) = get(&env, index, "/open/1", &id("open"), &unknown)?;
+                expect_that!(status, eq(200));
+                let tenants = received(&env, &id("open"), TENANT_HEADER);
+                expect_that!(tenants, some(is_empty()));
+            }
+        }
+        check_no_key_leaks(&env).await
+    });
+}
+
+/// Guards against a revoked key that is still accepted on a connection that was open before, by requests that
+/// were pipelined behind each other, and against a moved key that still counts for its former tenant.
+#[gtest]
+fn key_revoked_on_open_connection() {
+    run(async {
+        let mut env = start(2).await?;
+        let addr = env.fleet.nodes()[0].addrs.caller;
+        let mut client = Client::connect(addr)?;
+        let acme = [(CREDENTIAL_HEADER, ACME_KEY)];
+        client.send("/wrecks/1", "before", &acme)?;
+        expect_that!(client.receive()?.0, eq(200));
+        let moved =
+            json!({ "birch": { "api-keys": [BIRCH_KEY] }, "cedar": { "api-keys": [ACME_KEY] } });
+        put_tenants(&env.store, 3, &moved);
+        wait_version(&mut env, 3).await?;
+        client.send("/wrecks/1", "moved", &acme)?;
+        expect_that!(client.receive()?.0, eq(200));
+        let tenants = received(&env, "moved", TENANT_HEADER);
+        expect_that!(tenants, some(elements_are![eq("cedar")]));
+        put_tenants(
+            &env.store,
+            4,
+            &json!({ "birch": { "api-keys": [BIRCH_KEY] } }),
+        );
+        wait_version(&mut env, 4).await?;
+        let birch = [(CREDENTIAL_HEADER, BIRCH_KEY)];
+        for number in 0..6 {
+            let headers = if number % 2 == 0 { &acme } else { &birch };
+            client.send("/wrecks/1", &format!("piped-{number}"), headers)?;
+        }
+        for number in 0..6 {
+            let (status, text) = client.receive()?;
+            let expected = if number % 2 == 0 { 401 } else { 200 };
+            expect_that!(status, eq(expected), "{number}: {text}");
+            let ran = has_run(&env, &format!("piped-{number}"));
+            expect_that!(ran, eq(expected == 200));
+        }
+        check_no_key_leaks(&env).await
+    });
+}
+
+/// Guards against a call that runs although its key was revoked after the call had arrived. Its key is valid
+/// when its head is read, and revoked before its body is complete.
+#[gtest]
+fn key_revoked_before_attempt() {
+    run(async {
+        let mut env = start(1).await?;
+        let addr = env.fleet.nodes()[0].addrs.caller;
+        let mut client = Client::connect(addr)?;
+        let headers = [(CREDENTIAL_HEADER, ACME_KEY), ("content-length", "8")];
+        client.send_head("POST", "/claims/1", "late-body", &headers)?;
+        client.stream.write_all(b"part")?;
+        put_tenants(
+            &env.store,
+            3,
+            &json!({ "birch": { "api-keys": [BIRCH_KEY] } }),
+        );
+        wait_version(&mut env, 3).await?;
+        client.stream.write_all(b"rest")?;
+        expect_that!(client.receive()?.0, eq(401));
+        expect_false!(has_run(&env, "late-body"));
+        check_no_key_leaks(&env).await
+    });
+}
+
+/// Guards against a node that reads a large body before it refuses its request, and against a connection on
+/// which the rest of the body is read as the next request.
+#[gtest]
+fn refused_before_body() {
+    run(async {
+        let env = start(1).await?;
+        let addr = env.fleet.nodes()[0].addrs.caller;
+        let unknown = (CREDENTIAL_HEADER, UNKNOWN_KEY);
+        let length = LARGE_BODY_BYTES.to_string();
+        let mut client = Client::connect(addr)?;
+        let headers = [unknown, ("content-length", length.as_str())];
+        client.send_head("POST", "/claims/1", "unread", &headers)?;
+        let (status, text) = client.receive()?;
+        expect_that!(status, eq(401));
+        expect_that!(text, contains_substring("connection: close"));
+        // A body that looks like a request of another client.
+        let body =
+            format!("GET /open/1 HTTP/1.1\r\nhost: {HOST}\r\n{ATTEMPT_HEADER}: smuggled\r\n\r\n");
+        let _ = client.stream.write_all(body.as_bytes());
+        let mut rest = Vec::new();
+        let _ = client.stream.read_to_end(&mut rest);
+        expect_that!(String::from_utf8_lossy(&rest), eq(""));
+        expect_false!(has_run(&env, "smuggled"));
+
+        // A body that came with its head may keep the connection, whose next request is answered.
+        let mut client = Client::connect(addr)?;
+        let head = format!(
+            "POST /claims/1 HTTP/1.1\r\nhost: {HOST}\r\n{CREDENTIAL_HEADER}: {UNKNOWN_KEY}\r\n\
+             {ATTEMPT_HEADER}: whole\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        client.stream.write_all(head.as_bytes())?;
+        expect_that!(client.receive()?.0, eq(401));
+        if client.send("/open/1", "next", &[]).is_ok()
+            && let Ok((status, _)) = client.receive()
+        {
+            expect_that!(status, eq(200));
+            expect_true!(has_run(&env, "next"));
+        }
+        for attempt in ["unread", "whole", "smuggled"] {
+            expect_false!(has_run(&env, attempt), "{attempt}");
+        }
+        check_no_key_leaks(&env).await
+    });
+}
+
+/// Guards against a node that trusts a tenant, or passes on a key, that a node of an earlier build has
+/// forwarded from a client.
+#[gtest]
+fn headers_from_peer_of_earlier_build() {
+    run(async {
+        let env = start(1).await?;
+        let head = HopRequestHeader {
+            route: "lookup".into(),
+            service: "registry".into(),
+            version: "v1".into(),
+            idempotent: true,
+            accepts_late: true,
+            priority: 1,
+            objective: Duration::from_secs(1),
+            left: Duration::from_secs(2),
+            is_overdue: false,
+            limit: None,
+            tenant: None,
+            tenant_priority: 0,
+        };
+        let head = head.encode();
+        let headers = [
+            (HOP_REQUEST_HEADER, head.as_str()),
+            (TENANT_HEADER, "birch"),
+            (CREDENTIAL_HEADER, ACME_KEY),
+        ];
+        let mut client = Client::connect(env.fleet.nodes()[0].addrs.node)?;
+        client.send("/wrecks/1", "peer", &headers)?;
+        expect_that!(client.receive()?.0, eq(200));
+        let tenants = received(&env, "peer", TENANT_HEADER);
+        expect_that!(tenants, some(is_empty()));
+        check_no_key_leaks(&env).await
+    });
+}
+
+/// Guards against 401 for a key that may be new while the store is away, against known keys that are refused
+/// then, and against known keys that are accepted for good where the settings forbid this.
+#[gtest]
+fn store_away() {
+    run(async {
+        let mut env = TestFleet::new(2)?;
+        let file = env.fleet.dir().join("n1.jsonc");
+        let mut settings: Value = serde_json::from_slice(&fs::read(&file)?)?;
+        settings["strict_revoke"] = json!(true);
+        settings["revoke_within_ms"] = json!(3_000);
+        fs::write(&file, settings.to_string())?;
+        put_tenants(&env.store, 2, &both_tenants());
+        for index in 0..2 {
+            env.fleet.start(index)?;
+            env.add_backend(index, 0.0)?;
+        }
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        let ok = actix_http::StatusCode::OK;
+        for index in 0..2 {
+            env.wait_for(WAIT_LIMIT, index, "/v2/x", ok).await?;
+        }
+        let acme = [(CREDENTIAL_HEADER, ACME_KEY)];
+        let unknown = [(CREDENTIAL_HEADER, UNKNOWN_KEY)];
+        for index in 0..2 {
+            expect_that!(get(&env, index, "/wrecks/1", "a", &acme)?.0, eq(200));
+            expect_that!(get(&env, index, "/wrecks/1", "b", &unknown)?.0, eq(401));
+        }
+        env.outage(Outage::Refuse);
+        let until = Instant::now() + WAIT_LIMIT;
+        for index in 0..2 {
+            while get(&env, index, "/wrecks/1", "c", &unknown)?.0 != 503 {
+                eyre::ensure!(Instant::now() < until, "node {index} still answers 401");
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        while get(&env, 1, "/wrecks/1", "d", &acme)?.0 != 503 {
+            eyre::ensure!(Instant::now() < until, "the strict node accepts the key");
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+        expect_that!(get(&env, 0, "/wrecks/1", "e", &acme)?.0, eq(200));
+        for index in 0..2 {
+            expect_that!(get(&env, index, "/wrecks/1", "f", &[])?.0, eq(401));
+            expect_that!(get(&env, index, "/open/1", "g", &acme)?.0, eq(200));
+        }
+        check_no_key_leaks(&env).await
+    });
+}
+
+/// Guards against a configuration that is in force in part, or whose refusal quotes a key in the log: two
+/// tenants have the same key.
+#[gtest]
+fn configuration_with_shared_key() {
+    run(async {
+        let env = start(1).await?;
+        let shared =
+            json!({ "acme": { "api-keys": [ACME_KEY] }, "dahlia": { "api-keys": [ACME_KEY] } });
+        put_tenants(&env.store, 3, &shared);
+        let until = Instant::now() + WAIT_LIMIT;
+        let why = loop {
+            let lines = env.fleet.log_lines(0, "configuration refused");
+            if let Some(line) = lines.first() {
+                break line["why"].as_str().unwrap_or_default().to_owned();
+            }
+            eyre::ensure!(Instant::now() < until, "the configuration is not refused");
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        };
+        expect_that!(
+            why,
+            all![contains_substring("acme"), contains_substring("dahlia")]
+        );
+        let birch = [(CREDENTIAL_HEADER, BIRCH_KEY)];
+        expect_that!(get(&env, 0, "/wrecks/1", "kept", &birch)?.0, eq(200));
+        check_no_key_leaks(&env).await
+    });
+}
