--- a/tests/process_tenants.rs
+++ b/tests/process_tenants.rs
@@ -23,6 +23,7 @@
 use sycamorewick::protocol::hop::HopRequestHeader;
 use testbed::log_server::Outage;
 use testbed::platform::backend::ATTEMPT_HEADER;
+use testbed::platform::backend::PlatformBackendHandle;
 use testbed::platform::store::OPERATOR_TOPIC;
 use testbed::platform::store::StoreHandle;
 
@@ -53,7 +54,7 @@
         "limits": { "header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000 },
         "tenants": tenants,
     });
-    store.put(OPERATOR_TOPIC, "config", config.to_string().as_bytes());
+    let _ = store.put(OPERATOR_TOPIC, "config", config.to_string().as_bytes());
 }
 
 fn both_tenants() -> Value {
@@ -108,13 +109,16 @@
         attempt: &str,
         headers: &[(&str, &str)],
     ) -> eyre::Result<()> {
-        let mut text =
-            format!("{method} {path} HTTP/1.1\r\nhost: {HOST}\r\n{ATTEMPT_HEADER}: {attempt}\r\n");
+        let mut text = Vec::new();
+        write!(
+            text,
+            "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\n{ATTEMPT_HEADER}: {attempt}\r\n"
+        )?;
         for (name, value) in headers {
-            text.push_str(&format!("{name}: {value}\r\n"));
+            write!(text, "{name}: {value}\r\n")?;
         }
-        text.push_str("\r\n");
-        self.stream.write_all(text.as_bytes())?;
+        text.extend_from_slice(b"\r\n");
+        self.stream.write_all(&text)?;
         Ok(())
     }
 
@@ -160,7 +164,10 @@
 
 /// Returns the values of a header with which a backend server got an attempt, if one did.
 fn received(env: &TestFleet, attempt: &str, header: &str) -> Option<Vec<String>> {
-    let recorded = env.backends.iter().flat_map(|b| b.recorded_headers());
+    let recorded = env
+        .backends
+        .iter()
+        .flat_map(PlatformBackendHandle::recorded_headers);
     let mut of_attempt = recorded.filter(|(id, _)| id == attempt);
     let (_, headers) = of_attempt.next()?;
     let values = headers.into_iter().filter(|(name, _)| name == header);
@@ -184,7 +191,11 @@
             expect_that!(metrics, not(contains_substring(key)));
         }
     }
-    for (attempt, headers) in env.backends.iter().flat_map(|b| b.recorded_headers()) {
+    for (attempt, headers) in env
+        .backends
+        .iter()
+        .flat_map(PlatformBackendHandle::recorded_headers)
+    {
         for (name, value) in headers {
             expect_that!(name.as_str(), not(eq(CREDENTIAL_HEADER)), "{attempt}");
             let is_key = KEYS.iter().any(|key| value.contains(key));
