Order the queue of a backend server by the tenant's priority first

A call of an urgent tenant goes before those of other tenants whatever the priorities of their routes are. Without tenants all have the same one, and the order is as before.

--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -5,7 +5,7 @@
 //! it can be sent to another node. If no node can meet the objective, the call is offered again
 //! with [`Offer::accepts_late`]. Such calls start only when no waiting call can still meet its
 //! objective: under overload, giving slots to late calls first would make the other calls late as
-//! well. Calls of routes with a higher priority start first. Calls whose caller has spent the objective
+//! well. Calls of tenants, then of routes, with a higher priority start first. Calls whose caller has spent the objective
 //! before this try (see [`crate::coordination::caller_age`]) are late from the start.
 //!
 //! If the backend server has named a limit on its requests, a call also needs a token of that limit
@@ -42,6 +42,8 @@
 pub struct Offer {
     /// Route of the call.
     pub route: RouteName,
+    /// Priority of the tenant, which goes before that of the route; 0 is the highest.
+    pub tenant_priority: u8,
     /// Priority of the route; 0 is the highest.
     pub priority: u8,
     /// Latency objective of the route.
@@ -54,6 +56,15 @@
     pub accepts_late: bool,
 }
 
+/// Rank of a call: the priority of its tenant, then that of its route. Calls of a lower number start first.
+type Rank = (u8, u8);
+
+impl Offer {
+    fn rank(&self) -> Rank {
+        (self.tenant_priority, self.priority)
+    }
+}
+
 /// Admission decision on a call that has just arrived.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admit {
@@ -77,7 +88,7 @@
 
 #[derive(Debug)]
 struct Waiting {
-    priority: u8,
+    rank: Rank,
     ticket: Ticket,
     expected_run: Duration,
     /// Latest start for a response within the objective.
@@ -98,7 +109,7 @@
 pub struct SlotQueue {
     slots: u32,
     running: u32,
-    /// Sorted by priority, then by arrival.
+    /// Sorted by rank, then by arrival.
     waiting: Vec<Waiting>,
     /// Sorted by route.
     runs: Vec<RouteRuns>,
@@ -226,8 +237,7 @@
     /// Returns the retry delay of a call that has to wait, if it cannot start early enough.
     fn refusal(&self, now: Duration, offer: &Offer, expected_run: Duration) -> Option<Duration> {
         let (in_time_by, last_start) = latest_starts(offer, expected_run);
-        let is_before =
-            |other: &Waiting| other.priority <= offer.priority && other.in_time_by >= now;
+        let is_before = |other: &Waiting| other.rank <= offer.rank() && other.in_time_by >= now;
         if now + self.expected_wait(now, expected_run, is_before) <= in_time_by {
             return None;
         }
@@ -288,11 +298,11 @@
         self.next_ticket += 1;
         let index = self
             .waiting
-            .partition_point(|other| other.priority <= offer.priority);
+            .partition_point(|other| other.rank <= offer.rank());
         self.waiting.insert(
             index,
             Waiting {
-                priority: offer.priority,
+                rank: offer.rank(),
                 ticket,
                 expected_run,
                 in_time_by,
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -323,6 +323,7 @@
     };
     Offer {
         route: head.route.clone(),
+        tenant_priority: head.tenant_priority,
         priority: head.priority,
         objective: head.objective,
         objective_at,
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -18,6 +18,7 @@
 fn offer(now: Duration, priority: u8) -> Offer {
     Offer {
         route: LOOKUP.into(),
+        tenant_priority: 0,
         priority,
         objective: ms(250),
         objective_at: now + ms(250),
@@ -90,6 +91,29 @@
     expect_that!(next.start, elements_are![eq(&lookup)]);
 }
 
+/// Under overload by tenants of low priority, calls of an urgent tenant must not wait behind them, whatever the
+/// priorities of the routes are.
+#[gtest]
+fn offer_tenant_priority_first() {
+    let mut queue = queue();
+    let now = ms(1_000);
+    let offer_of = |tenant_priority, priority| Offer {
+        tenant_priority,
+        ..offer(now, priority)
+    };
+    for _ in 0..2 {
+        expect_that!(queue.offer(now, &offer_of(3, 0)), eq(Admit::Start));
+    }
+    let last = ticket(queue.offer(now, &offer_of(3, 0)));
+    let second = ticket(queue.offer(now, &offer_of(1, 2)));
+    let first = ticket(queue.offer(now, &offer_of(1, 1)));
+    for (step, expected) in [first, second, last].into_iter().enumerate() {
+        let at = ms(1_030) + ms(30) * u32::try_from(step).unwrap_or_default();
+        let next = queue.finish(at, &RouteName::from(LOOKUP), Some(ms(60)));
+        expect_that!(next.start, elements_are![eq(&expected)]);
+    }
+}
+
 /// A call that calls of higher priority have delayed until it can no longer be answered must be
 /// refused before its deadline.
 #[gtest]
