Share a backend server among tenants by their weights

Calls of one rank start by start-time fair queueing, and the wait that decides on a call is that in this order. So a tenant that fills the queue, retries at once or opens many connections does not keep out the others; its own last calls are refused as soon as others go before them. Calls without a tenant, such as those of running requests, go before the others of their rank. Without tenants in the offers the order and the decisions are as before. Calls count the same whatever they take, since the weights are requests a second.

--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -8,15 +8,24 @@
 //! well. Calls of tenants, then of routes, with a higher priority start first. Calls whose caller has spent the objective
 //! before this try (see [`crate::coordination::caller_age`]) are late from the start.
 //!
+//! Calls of tenants that have the same rank start in the order of their fair shares (see [`FairShare`]), those
+//! without a tenant, such as the calls that running requests make, before them. The wait that decides on a call
+//! is that in this order, so a tenant that fills the queue does not keep out the others. Instead, its own last
+//! calls are refused as soon as others go before them (see [`SlotQueue::refuse_overtaken`]).
+//!
 //! If the backend server has named a limit on its requests, a call also needs a token of that limit
 //! (see [`RequestLimit`]), and the expected waits include the time until then.
 
 use std::time::Duration;
 
 use crate::coordination::request_limit::RequestLimit;
+use crate::coordination::tenants::fair_share::FairShare;
+use crate::coordination::tenants::fair_share::Rank;
+use crate::coordination::tenants::fair_share::TenantShare;
 use crate::protocol::hop::Load;
 use crate::protocol::hop::RequestRate;
 use crate::protocol::name::RouteName;
+use crate::protocol::name::TenantName;
 
 /// Minimum weight of one run in the mean run time of its route; the first runs weigh more.
 const RUN_WEIGHT: f64 = 0.1;
@@ -42,6 +51,8 @@
 pub struct Offer {
     /// Route of the call.
     pub route: RouteName,
+    /// Tenant of the call; `None` for a call without one.
+    pub tenant: Option<TenantShare>,
     /// Priority of the tenant, which goes before that of the route; 0 is the highest.
     pub tenant_priority: u8,
     /// Priority of the route; 0 is the highest.
@@ -56,9 +67,6 @@
     pub accepts_late: bool,
 }
 
-/// Rank of a call: the priority of its tenant, then that of its route. Calls of a lower number start first.
-type Rank = (u8, u8);
-
 impl Offer {
     fn rank(&self) -> Rank {
         (self.tenant_priority, self.priority)
@@ -89,12 +97,32 @@
 #[derive(Debug)]
 struct Waiting {
     rank: Rank,
+    tenant: Option<TenantShare>,
     ticket: Ticket,
     expected_run: Duration,
     /// Latest start for a response within the objective.
     in_time_by: Duration,
     /// Latest start for a response before the deadline.
     last_start: Duration,
+    accepts_late: bool,
+}
+
+impl Waiting {
+    fn can_be_in_time(&self, now: Duration) -> bool {
+        self.in_time_by >= now
+    }
+}
+
+/// Virtual time of calls without a tenant, which start before the others of their rank.
+const NO_TENANT_TIME: f64 = f64::NEG_INFINITY;
+
+/// Virtual times at which the waiting calls start; empty if none of them has a tenant.
+struct StartTimes(Vec<f64>);
+
+impl StartTimes {
+    fn of(&self, index: usize) -> f64 {
+        self.0.get(index).copied().unwrap_or(NO_TENANT_TIME)
+    }
 }
 
 #[derive(Debug)]
@@ -111,6 +139,7 @@
     running: u32,
     /// Sorted by rank, then by arrival.
     waiting: Vec<Waiting>,
+    shares: FairShare,
     /// Sorted by route.
     runs: Vec<RouteRuns>,
     mean_run_s: f64,
@@ -132,6 +161,7 @@
             slots: slots.max(1),
             running: 0,
             waiting: Vec::new(),
+            shares: FairShare::default(),
             runs: Vec::new(),
             mean_run_s: 0.0,
             cold_until: Duration::ZERO,
@@ -237,11 +267,23 @@
     /// Returns the retry delay of a call that has to wait, if it cannot start early enough.
     fn refusal(&self, now: Duration, offer: &Offer, expected_run: Duration) -> Option<Duration> {
         let (in_time_by, last_start) = latest_starts(offer, expected_run);
-        let is_before = |other: &Waiting| other.rank <= offer.rank() && other.in_time_by >= now;
+        let rank = offer.rank();
+        let order = self.start_times(now);
+        let own = self.start_time_behind(now, offer, true);
+        let is_before = |index: usize, other: &Waiting| {
+            let goes_first = other.rank < rank || (other.rank == rank && order.of(index) <= own);
+            goes_first && other.can_be_in_time(now)
+        };
         if now + self.expected_wait(now, expected_run, is_before) <= in_time_by {
             return None;
         }
-        let wait = self.expected_wait(now, expected_run, |_| true);
+        // Of the calls that cannot be in time either, those of the same rank that are behind by their shares do
+        // not count.
+        let own = self.start_time_behind(now, offer, false);
+        let is_before = |index: usize, other: &Waiting| {
+            other.rank != rank || other.can_be_in_time(now) || order.of(index) <= own
+        };
+        let wait = self.expected_wait(now, expected_run, is_before);
         // Calls that can be in time go first. Their surplus is expected to last as long as it has
         // lasted, so that calls do not wait in vain.
         let wait = wait.max(self.surplus_age(now));
@@ -255,7 +297,7 @@
         if self.waiting.is_empty() && self.running < self.slots {
             return Duration::ZERO;
         }
-        self.expected_wait(now, Duration::ZERO, |_| true)
+        self.expected_wait(now, Duration::ZERO, |_, _| true)
     }
 
     /// Expected run time of a call; assumed if none of its route has been measured.
@@ -281,6 +323,9 @@
         if self.waiting.is_empty() && self.running < self.slots && self.take_from_limit(now) {
             self.running += 1;
             self.spare_at = now;
+            if let Some(tenant) = &offer.tenant {
+                self.shares.on_start(offer.rank(), tenant);
+            }
             return Admit::Start;
         }
         let expected_run = self.expected_run(now, offer);
@@ -303,10 +348,12 @@
             index,
             Waiting {
                 rank: offer.rank(),
+                tenant: offer.tenant.clone(),
                 ticket,
                 expected_run,
                 in_time_by,
                 last_start,
+                accepts_late: offer.accepts_late,
             },
         );
         Admit::Wait(ticket, last_start)
@@ -347,20 +394,134 @@
             let in_time = self
                 .waiting
                 .iter()
-                .position(|waiting| waiting.in_time_by >= now);
+                .position(|waiting| waiting.can_be_in_time(now));
             if in_time.is_none() {
                 self.spare_at = now;
             }
-            let next = self.waiting.remove(in_time.unwrap_or(0));
+            let next = self.first_by_share(now, in_time.unwrap_or(0));
+            let next = self.waiting.remove(next);
+            if let Some(tenant) = &next.tenant {
+                self.shares.on_start(next.rank, tenant);
+            }
             changes.start.push(next.ticket);
             self.running += 1;
         }
         changes
     }
 
+    /// Refuses the waiting calls of tenants that the call with this ticket goes before by its share, and that are
+    /// not expected to be in time any more. They would wait in vain for their last start. Without tenants no call
+    /// is refused. Has to be called after [`Self::offer`] has let a call wait.
+    pub fn refuse_overtaken(&mut self, now: Duration, ticket: Ticket) -> Changes {
+        let mut changes = Changes::default();
+        if !self.has_tenants() {
+            return changes;
+        }
+        let order = self.start_times(now);
+        let mut in_order: Vec<usize> = (0..self.waiting.len()).collect();
+        in_order.retain(|index| self.waiting[*index].can_be_in_time(now));
+        in_order.sort_by(|a, b| {
+            let ranks = self.waiting[*a].rank.cmp(&self.waiting[*b].rank);
+            ranks.then(order.of(*a).total_cmp(&order.of(*b)))
+        });
+        let (mut ahead, mut work, mut is_behind) = (0, 0.0, false);
+        for index in in_order {
+            let waiting = &self.waiting[index];
+            let wait = self.wait_behind(now, waiting.expected_run, ahead, work);
+            let is_late = now + wait > waiting.in_time_by;
+            if is_behind && is_late && waiting.tenant.is_some() && !waiting.accepts_late {
+                changes.refuse.push((waiting.ticket, retry_delay(wait)));
+                continue;
+            }
+            is_behind |= waiting.ticket == ticket;
+            ahead += 1;
+            work += waiting.expected_run.as_secs_f64();
+        }
+        let refused = &changes.refuse;
+        self.waiting
+            .retain(|waiting| refused.iter().all(|(ticket, _)| *ticket != waiting.ticket));
+        changes
+    }
+
+    fn has_tenants(&self) -> bool {
+        self.waiting.iter().any(|waiting| waiting.tenant.is_some())
+    }
+
+    /// Returns the call that starts next, of those that have the rank of the call at `first` and can be in time
+    /// like it.
+    fn first_by_share(&self, now: Duration, first: usize) -> usize {
+        if !self.has_tenants() {
+            return first;
+        }
+        let rank = self.waiting[first].rank;
+        let in_time = self.waiting[first].can_be_in_time(now);
+        let is_candidate =
+            |other: &Waiting| other.rank == rank && other.can_be_in_time(now) == in_time;
+        let candidates = self.waiting.iter().enumerate().skip(first);
+        let candidates = candidates.filter(|(_, other)| is_candidate(other));
+        // The first one of equal times is that which arrived first.
+        let times = candidates.map(|(index, other)| (index, self.start_time(other, 0)));
+        let next = times.min_by(|a, b| a.1.total_cmp(&b.1));
+        next.map_or(first, |(index, _)| index)
+    }
+
+    /// Returns the virtual time at which a waiting call starts behind `ahead` other ones of its tenant.
+    fn start_time(&self, waiting: &Waiting, ahead: u32) -> f64 {
+        let tenant = waiting.tenant.as_ref();
+        tenant.map_or(NO_TENANT_TIME, |tenant| {
+            self.shares.start_time(waiting.rank, tenant, ahead)
+        })
+    }
+
+    /// Returns the virtual time at which a new call starts behind those of its tenant that can be in time, or
+    /// behind those that cannot.
+    fn start_time_behind(&self, now: Duration, offer: &Offer, in_time: bool) -> f64 {
+        let Some(tenant) = &offer.tenant else {
+            return NO_TENANT_TIME;
+        };
+        let rank = offer.rank();
+        let is_ahead = |other: &&Waiting| {
+            let is_same = other.tenant.as_ref().map(|of| &of.name) == Some(&tenant.name);
+            is_same && other.rank == rank && other.can_be_in_time(now) == in_time
+        };
+        let ahead = self.waiting.iter().filter(is_ahead).count();
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        self.shares.start_time(rank, tenant, ahead)
+    }
+
+    /// Returns the virtual times at which the waiting calls start.
+    fn start_times(&self, now: Duration) -> StartTimes {
+        if !self.has_tenants() {
+            return StartTimes(Vec::new());
+        }
+        // Numbers of calls so far, sorted by what they are counted by.
+        let mut counts: Vec<((Rank, bool, &TenantName), u32)> = Vec::new();
+        let mut times = Vec::with_capacity(self.waiting.len());
+        for waiting in &self.waiting {
+            let Some(tenant) = &waiting.tenant else {
+                times.push(NO_TENANT_TIME);
+                continue;
+            };
+            let of = (waiting.rank, waiting.can_be_in_time(now), &tenant.name);
+            let index = match counts.binary_search_by(|(known, _)| known.cmp(&of)) {
+                Ok(index) => index,
+                Err(index) => {
+                    counts.insert(index, (of, 0));
+                    index
+                }
+            };
+            times.push(self.start_time(waiting, counts[index].1));
+            counts[index].1 += 1;
+        }
+        StartTimes(times)
+    }
+
     /// Time for which all slots have gone to calls that can be in time, while more of them wait.
     fn surplus_age(&self, now: Duration) -> Duration {
-        let has_in_time = self.waiting.iter().any(|waiting| waiting.in_time_by >= now);
+        let has_in_time = self
+            .waiting
+            .iter()
+            .any(|waiting| waiting.can_be_in_time(now));
         if has_in_time {
             now.saturating_sub(self.spare_at)
         } else {
@@ -374,13 +535,26 @@
         &self,
         now: Duration,
         expected_run: Duration,
-        is_ahead: impl Fn(&Waiting) -> bool,
+        is_ahead: impl Fn(usize, &Waiting) -> bool,
     ) -> Duration {
         let (mut ahead, mut work) = (0, 0.0);
-        for other in self.waiting.iter().filter(|other| is_ahead(other)) {
-            ahead += 1;
-            work += other.expected_run.as_secs_f64();
+        for (index, other) in self.waiting.iter().enumerate() {
+            if is_ahead(index, other) {
+                ahead += 1;
+                work += other.expected_run.as_secs_f64();
+            }
         }
+        self.wait_behind(now, expected_run, ahead, work)
+    }
+
+    /// Expected time until a call starts behind `ahead` calls that take `work` seconds together.
+    fn wait_behind(
+        &self,
+        now: Duration,
+        expected_run: Duration,
+        ahead: usize,
+        work: f64,
+    ) -> Duration {
         let next_slot = match self.mean_run_s {
             _ if self.running < self.slots => 0.0,
             0.0 => expected_run.as_secs_f64(),
--- a/src/sidecar/admission.rs
+++ b/src/sidecar/admission.rs
@@ -106,6 +106,8 @@
         // Tickets ascend, so the list stays sorted.
         let waiting = (ticket, offer.route.clone(), tx);
         self.waiting.borrow_mut().push(waiting);
+        let overtaken = self.queue.borrow_mut().refuse_overtaken(now, ticket);
+        self.apply(overtaken);
         self.schedule_limited_starts();
         let guard = WaitGuard {
             admission: self,
--- a/src/sidecar/body_gate.rs
+++ b/src/sidecar/body_gate.rs
@@ -86,7 +86,7 @@
     if let Err(code) = serving::usable_backend(cx, &head) {
         return refused(ServeOutcome::refused(code));
     }
-    let offer = serving::slot_offer(&head, arrived);
+    let offer = serving::slot_offer(cx, &head, arrived);
     let (retry_after, run) = cx.slots.with(|queue| {
         let run = queue.expected_run(arrived, &offer);
         (queue.would_refuse(arrived, &offer), run)
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -31,6 +31,7 @@
 use crate::sidecar::SidecarState;
 use crate::sidecar::admission::Admitted;
 use crate::sidecar::crashes;
+use crate::sidecar::tenants;
 use crate::transport::exchange::Exchange;
 use crate::transport::exchange::ExchangeFailure;
 use crate::transport::http_client::HttpResponse;
@@ -315,7 +316,7 @@
 }
 
 /// Returns the request of a call for a slot.
-pub fn slot_offer(head: &HopRequestHeader, arrived: Duration) -> Offer {
+pub fn slot_offer(cx: &Sidecar, head: &HopRequestHeader, arrived: Duration) -> Offer {
     let objective_at = if head.is_overdue {
         arrived
     } else {
@@ -323,6 +324,7 @@
     };
     Offer {
         route: head.route.clone(),
+        tenant: tenants::share(cx, head.tenant.as_ref()),
         tenant_priority: head.tenant_priority,
         priority: head.priority,
         objective: head.objective,
@@ -333,7 +335,7 @@
 }
 
 async fn admit(cx: &Rc<Sidecar>, call: &ServeCall) -> Result<SlotGuard, Duration> {
-    let offer = slot_offer(&call.head, call.arrived);
+    let offer = slot_offer(cx, &call.head, call.arrived);
     let admitted = cx.slots.admit(&offer).await?;
     Ok(SlotGuard {
         cx: cx.clone(),
--- a/src/sidecar/tenants.rs
+++ b/src/sidecar/tenants.rs
@@ -3,8 +3,11 @@
 
 use crate::coordination::tenants::credentials::CallTenant;
 use crate::coordination::tenants::credentials::ViewLimits;
+use crate::coordination::tenants::fair_share::DEFAULT_WEIGHT;
+use crate::coordination::tenants::fair_share::TenantShare;
 use crate::protocol::mesh::KeyHash;
 use crate::protocol::mesh::MeshRoute;
+use crate::protocol::name::TenantName;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
 
@@ -29,3 +32,13 @@
     let credentials = table.credentials();
     credentials.tenant(credentials.judge(is_public, credential, view_age, &limits))
 }
+
+/// Returns the share of a tenant at this node, by its own configuration.
+pub fn share(cx: &Sidecar, tenant: Option<&TenantName>) -> Option<TenantShare> {
+    let name = tenant?.clone();
+    let table = cx.table();
+    let known = table.as_ref().and_then(|table| table.tenant(&name));
+    let quota = known.and_then(|tenant| tenant.quota);
+    let weight = quota.map_or(DEFAULT_WEIGHT, |quota| quota.rate.per_s());
+    Some(TenantShare { name, weight })
+}
--- a/tests/admission_queue.rs
+++ b/tests/admission_queue.rs
@@ -13,6 +13,7 @@
     let objective = Duration::from_secs(5);
     Offer {
         route: "lookup".into(),
+        tenant: None,
         tenant_priority: 0,
         priority: 1,
         objective,
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -122,6 +122,7 @@
         let is_overdue = self.ages.is_overdue(&self.route, left, OBJECTIVE);
         let mut offer = Offer {
             route: self.route.clone(),
+            tenant: None,
             tenant_priority: 0,
             priority: 2,
             objective: OBJECTIVE,
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -18,6 +18,7 @@
 fn offer(now: Duration, priority: u8) -> Offer {
     Offer {
         route: LOOKUP.into(),
+        tenant: None,
         tenant_priority: 0,
         priority,
         objective: ms(250),
