--- a/src/coordination/tenants/fair_share.rs
+++ b/src/coordination/tenants/fair_share.rs
@@ -93,20 +93,19 @@
 
     fn entry(&mut self, rank: Rank) -> &mut RankShares {
         let found = self.ranks.binary_search_by_key(&rank, |of| of.rank);
-        let index = match found {
-            Ok(index) => index,
-            Err(_) => {
-                self.make_room();
-                let index = self.ranks.partition_point(|of| of.rank < rank);
-                let shares = RankShares {
-                    rank,
-                    virtual_time: 0.0,
-                    tenants: Vec::new(),
-                    last_used: 0,
-                };
-                self.ranks.insert(index, shares);
-                index
-            }
+        let index = if let Ok(index) = found {
+            index
+        } else {
+            self.make_room();
+            let index = self.ranks.partition_point(|of| of.rank < rank);
+            let shares = RankShares {
+                rank,
+                virtual_time: 0.0,
+                tenants: Vec::new(),
+                last_used: 0,
+            };
+            self.ranks.insert(index, shares);
+            index
         };
         &mut self.ranks[index]
     }
