--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -140,6 +140,8 @@
     quarantined_for: Option<Duration>,
     /// Last refusal by a node because of where it stands.
     location_refusal: Option<(NodeId, ResultCode)>,
+    /// Reason for which the entry node itself refuses the call from now on.
+    denied: Option<ResultCode>,
     last: Option<ResultCode>,
     retry_after: Option<Duration>,
 }
@@ -162,6 +164,7 @@
             has_failure_response: false,
             quarantined_for: None,
             location_refusal: None,
+            denied: None,
             last: None,
             retry_after: None,
         }
@@ -208,6 +211,7 @@
         let unsafe_to_retry = self.may_have_run && !self.limits.idempotent;
         if unsafe_to_retry
             || self.quarantined_for.is_some()
+            || self.denied.is_some()
             || self.limits.deadline < now + MIN_ATTEMPT_TIME
             || self.tries >= MAX_TRIES
             || self.arrivals >= self.limits.attempts
@@ -349,6 +353,12 @@
         self.tried.extend_from_slice(nodes);
     }
 
+    /// Handles a call that the entry node itself refuses from now on, for example since its credential has been
+    /// revoked. No further attempt is made.
+    pub fn on_denied(&mut self, code: ResultCode) {
+        self.denied = Some(code);
+    }
+
     /// Handles the deadline of the call passing during an attempt.
     pub fn on_timeout(&mut self) {
         self.may_have_run = true;
@@ -367,6 +377,12 @@
                 retry_after: Some(refused_for),
             };
         }
+        if let (Some(code), false) = (self.denied, self.may_have_run) {
+            return Outcome::Refused {
+                code,
+                retry_after: None,
+            };
+        }
         let last = self.last.unwrap_or(ResultCode::Overloaded);
         let timed_out = last == ResultCode::DeadlineExceeded;
         if self.may_have_run && timed_out {
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -5,9 +5,14 @@
 //! it can be sent to another node. If no node can meet the objective, the call is offered again
 //! with [`Offer::accepts_late`]. Such calls start only when no waiting call can still meet its
 //! objective: under overload, giving slots to late calls first would make the other calls late as
-//! well. Calls of routes with a higher priority start first. Calls whose caller has spent the objective
+//! well. Calls of tenants, then of routes, with a higher priority start first. Calls whose caller has spent the objective
 //! before this try (see [`crate::coordination::caller_age`]) are late from the start.
 //!
+//! Calls of tenants that have the same rank start in the order of their fair shares (see [`FairShare`]), those
+//! without a tenant, such as the calls that running requests make, before them. The wait that decides on a call
+//! is that in this order, so a tenant that fills the queue does not keep out the others. Instead, its own last
+//! calls are refused as soon as others go before them (see [`SlotQueue::refuse_overtaken`]).
+//!
 //! If the backend server has named a limit on its requests, a call also needs a token of that limit
 //! (see [`RequestLimit`]), and the expected waits include the time until then. The same holds for the bound of a
 //! backend server that is cold (see [`ColdStart`]).
@@ -16,9 +21,14 @@
 
 use crate::coordination::request_limit::RequestLimit;
 use crate::coordination::room::cold_start::ColdStart;
+use crate::coordination::tenants::fair_share::FairShare;
+use crate::coordination::tenants::fair_share::LOWEST_RANK;
+use crate::coordination::tenants::fair_share::Rank;
+use crate::coordination::tenants::fair_share::TenantShare;
 use crate::protocol::hop::Load;
 use crate::protocol::hop::RequestRate;
 use crate::protocol::name::RouteName;
+use crate::protocol::name::TenantName;
 
 /// Minimum weight of one run in the mean run time of its route; the first runs weigh more.
 const RUN_WEIGHT: f64 = 0.1;
@@ -44,6 +54,10 @@
 pub struct Offer {
     /// Route of the call.
     pub route: RouteName,
+    /// Tenant of the call; `None` for a call without one.
+    pub tenant: Option<TenantShare>,
+    /// Priority of the tenant, which goes before that of the route; 0 is the highest.
+    pub tenant_priority: u8,
     /// Priority of the route; 0 is the highest.
     pub priority: u8,
     /// Latency objective of the route.
@@ -56,6 +70,12 @@
     pub accepts_late: bool,
 }
 
+impl Offer {
+    fn rank(&self) -> Rank {
+        (self.tenant_priority, self.priority)
+    }
+}
+
 /// Admission decision on a call that has just arrived.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admit {
@@ -79,13 +99,33 @@
 
 #[derive(Debug)]
 struct Waiting {
-    priority: u8,
+    rank: Rank,
+    tenant: Option<TenantShare>,
     ticket: Ticket,
     expected_run: Duration,
     /// Latest start for a response within the objective.
     in_time_by: Duration,
     /// Latest start for a response before the deadline.
     last_start: Duration,
+    accepts_late: bool,
+}
+
+impl Waiting {
+    fn can_be_in_time(&self, now: Duration) -> bool {
+        self.in_time_by >= now
+    }
+}
+
+/// Virtual time of calls without a tenant, which start before the others of their rank.
+const NO_TENANT_TIME: f64 = f64::NEG_INFINITY;
+
+/// Virtual times at which the waiting calls start; empty if none of them has a tenant.
+struct StartTimes(Vec<f64>);
+
+impl StartTimes {
+    fn of(&self, index: usize) -> f64 {
+        self.0.get(index).copied().unwrap_or(NO_TENANT_TIME)
+    }
 }
 
 #[derive(Debug)]
@@ -100,8 +140,9 @@
 pub struct SlotQueue {
     slots: u32,
     running: u32,
-    /// Sorted by priority, then by arrival.
+    /// Sorted by rank, then by arrival.
     waiting: Vec<Waiting>,
+    shares: FairShare,
     /// Sorted by route.
     runs: Vec<RouteRuns>,
     mean_run_s: f64,
@@ -124,6 +165,7 @@
             slots: slots.max(1),
             running: 0,
             waiting: Vec::new(),
+            shares: FairShare::default(),
             runs: Vec::new(),
             mean_run_s: 0.0,
             cold_until: Duration::ZERO,
@@ -194,7 +236,7 @@
             return None;
         }
         let (_, next) = self.next_waiting(now)?;
-        Some(now.saturating_add(self.rate_delay(now, 0, next.priority)))
+        Some(now.saturating_add(self.rate_delay(now, 0, next.rank)))
     }
 
     /// Returns the load of the backend server. A limit reduces the slots to the mean number of calls
@@ -250,7 +292,7 @@
             return Some(MIN_RETRY_DELAY);
         }
         let has_free_slot = self.is_next(now, offer) && self.running < self.slots;
-        if has_free_slot && self.cold_start.allows(now, offer.priority) {
+        if has_free_slot && self.cold_start.allows(now, offer.rank()) {
             return None;
         }
         self.refusal(now, offer, self.expected_run(now, offer))
@@ -259,14 +301,24 @@
     /// Returns the retry delay of a call that has to wait, if it cannot start early enough.
     fn refusal(&self, now: Duration, offer: &Offer, expected_run: Duration) -> Option<Duration> {
         let (in_time_by, last_start) = latest_starts(offer, expected_run);
-        let is_before =
-            |other: &Waiting| other.priority <= offer.priority && other.in_time_by >= now;
-        if now.saturating_add(self.expected_wait(now, expected_run, offer.priority, is_before))
-            <= in_time_by
-        {
+        let rank = offer.rank();
+        let order = self.start_times(now);
+        let own = self.start_time_behind(now, offer, true);
+        let is_before = |index: usize, other: &Waiting| {
+            let goes_first = other.rank < rank || (other.rank == rank && order.of(index) <= own);
+            goes_first && other.can_be_in_time(now)
+        };
+        let wait = self.expected_wait(now, expected_run, rank, is_before);
+        if now.saturating_add(wait) <= in_time_by {
             return None;
         }
-        let wait = self.expected_wait(now, expected_run, offer.priority, |_| true);
+        // Of the calls that cannot be in time either, those of the same rank that are behind by their shares do
+        // not count.
+        let own = self.start_time_behind(now, offer, false);
+        let is_before = |index: usize, other: &Waiting| {
+            other.rank != rank || other.can_be_in_time(now) || order.of(index) <= own
+        };
+        let wait = self.expected_wait(now, expected_run, rank, is_before);
         // Calls that can be in time go first. Their surplus is expected to last as long as it has
         // lasted, so that calls do not wait in vain.
         let wait = wait.max(self.surplus_age(now));
@@ -278,10 +330,10 @@
     #[must_use]
     pub fn backlog(&self, now: Duration) -> Duration {
         let has_free_slot = self.waiting.is_empty() && self.running < self.slots;
-        if has_free_slot && self.cold_start.allows(now, u8::MAX) {
+        if has_free_slot && self.cold_start.allows(now, LOWEST_RANK) {
             return Duration::ZERO;
         }
-        self.expected_wait(now, Duration::ZERO, u8::MAX, |_| true)
+        self.expected_wait(now, Duration::ZERO, LOWEST_RANK, |_, _| true)
     }
 
     /// Expected run time of a call; assumed if none of its route has been measured.
@@ -304,11 +356,14 @@
         if offer.deadline <= now {
             return Admit::Refuse(MIN_RETRY_DELAY);
         }
-        self.cold_start.on_offer(now, offer.priority);
+        self.cold_start.on_offer(now, offer.rank());
         let has_free_slot = self.is_next(now, offer) && self.running < self.slots;
-        if has_free_slot && self.take_from_rates(now, offer.priority) {
+        if has_free_slot && self.take_from_rates(now, offer.rank()) {
             self.running += 1;
             self.spare_at = now;
+            if let Some(tenant) = &offer.tenant {
+                self.shares.on_start(offer.rank(), tenant);
+            }
             return Admit::Start;
         }
         let expected_run = self.expected_run(now, offer);
@@ -326,15 +381,17 @@
         self.next_ticket += 1;
         let index = self
             .waiting
-            .partition_point(|other| other.priority <= offer.priority);
+            .partition_point(|other| other.rank <= offer.rank());
         self.waiting.insert(
             index,
             Waiting {
-                priority: offer.priority,
+                rank: offer.rank(),
+                tenant: offer.tenant.clone(),
                 ticket,
                 expected_run,
                 in_time_by,
                 last_start,
+                accepts_late: offer.accepts_late,
             },
         );
         Admit::Wait(ticket, last_start)
@@ -368,7 +425,7 @@
         self.waiting.retain(|waiting| {
             let can_finish = waiting.last_start >= now;
             if !can_finish {
-                let wait = mean.max(cold_start.delay(now, 0, waiting.priority));
+                let wait = mean.max(cold_start.delay(now, 0, waiting.rank));
                 changes.refuse.push((waiting.ticket, retry_delay(wait)));
             }
             can_finish
@@ -376,16 +433,19 @@
         while self.running < self.slots
             && let Some((index, next)) = self.next_waiting(now)
         {
-            let (ticket, priority) = (next.ticket, next.priority);
-            let is_in_time = next.in_time_by >= now;
-            if !self.take_from_rates(now, priority) {
+            let rank = next.rank;
+            let is_in_time = next.can_be_in_time(now);
+            if !self.take_from_rates(now, rank) {
                 break;
             }
             if !is_in_time {
                 self.spare_at = now;
             }
-            self.waiting.remove(index);
-            changes.start.push(ticket);
+            let next = self.waiting.remove(index);
+            if let Some(tenant) = &next.tenant {
+                self.shares.on_start(next.rank, tenant);
+            }
+            changes.start.push(next.ticket);
             self.running += 1;
         }
         changes
@@ -396,19 +456,131 @@
     fn is_next(&self, now: Duration, offer: &Offer) -> bool {
         let is_cold = self.cold_start.per_s(now).is_some();
         let first = self.waiting.first();
-        first.is_none_or(|first| is_cold && first.priority > offer.priority)
+        first.is_none_or(|first| is_cold && first.rank > offer.rank())
     }
 
     /// Returns the waiting call that starts next, with its index.
     fn next_waiting(&self, now: Duration) -> Option<(usize, &Waiting)> {
-        let mut calls = self.waiting.iter().enumerate();
-        let in_time = calls.find(|(_, waiting)| waiting.in_time_by >= now);
-        in_time.or_else(|| Some((0, self.waiting.first()?)))
+        let mut calls = self.waiting.iter();
+        let in_time = calls.position(|waiting| waiting.can_be_in_time(now));
+        self.waiting.first()?;
+        let next = self.first_by_share(now, in_time.unwrap_or(0));
+        Some((next, &self.waiting[next]))
+    }
+
+    /// Refuses the waiting calls of tenants that the call with this ticket goes before by its share, and that are
+    /// not expected to be in time any more. They would wait in vain for their last start. Without tenants no call
+    /// is refused. Has to be called after [`Self::offer`] has let a call wait.
+    pub fn refuse_overtaken(&mut self, now: Duration, ticket: Ticket) -> Changes {
+        let mut changes = Changes::default();
+        if !self.has_tenants() {
+            return changes;
+        }
+        let order = self.start_times(now);
+        let mut in_order: Vec<usize> = (0..self.waiting.len()).collect();
+        in_order.retain(|index| self.waiting[*index].can_be_in_time(now));
+        in_order.sort_by(|a, b| {
+            let ranks = self.waiting[*a].rank.cmp(&self.waiting[*b].rank);
+            ranks.then(order.of(*a).total_cmp(&order.of(*b)))
+        });
+        let (mut ahead, mut work, mut is_behind) = (0, 0.0, false);
+        for index in in_order {
+            let waiting = &self.waiting[index];
+            let wait = self.wait_behind(now, waiting.expected_run, waiting.rank, ahead, work);
+            let is_late = now + wait > waiting.in_time_by;
+            if is_behind && is_late && waiting.tenant.is_some() && !waiting.accepts_late {
+                changes.refuse.push((waiting.ticket, retry_delay(wait)));
+                continue;
+            }
+            is_behind |= waiting.ticket == ticket;
+            ahead += 1;
+            work += waiting.expected_run.as_secs_f64();
+        }
+        let refused = &changes.refuse;
+        self.waiting
+            .retain(|waiting| refused.iter().all(|(ticket, _)| *ticket != waiting.ticket));
+        changes
+    }
+
+    fn has_tenants(&self) -> bool {
+        self.waiting.iter().any(|waiting| waiting.tenant.is_some())
+    }
+
+    /// Returns the call that starts next, of those that have the rank of the call at `first` and can be in time
+    /// like it.
+    fn first_by_share(&self, now: Duration, first: usize) -> usize {
+        if !self.has_tenants() {
+            return first;
+        }
+        let rank = self.waiting[first].rank;
+        let in_time = self.waiting[first].can_be_in_time(now);
+        let is_candidate =
+            |other: &Waiting| other.rank == rank && other.can_be_in_time(now) == in_time;
+        let candidates = self.waiting.iter().enumerate().skip(first);
+        let candidates = candidates.filter(|(_, other)| is_candidate(other));
+        // The first one of equal times is that which arrived first.
+        let times = candidates.map(|(index, other)| (index, self.start_time(other, 0)));
+        let next = times.min_by(|a, b| a.1.total_cmp(&b.1));
+        next.map_or(first, |(index, _)| index)
+    }
+
+    /// Returns the virtual time at which a waiting call starts behind `ahead` other ones of its tenant.
+    fn start_time(&self, waiting: &Waiting, ahead: u32) -> f64 {
+        let tenant = waiting.tenant.as_ref();
+        tenant.map_or(NO_TENANT_TIME, |tenant| {
+            self.shares.start_time(waiting.rank, tenant, ahead)
+        })
+    }
+
+    /// Returns the virtual time at which a new call starts behind those of its tenant that can be in time, or
+    /// behind those that cannot.
+    fn start_time_behind(&self, now: Duration, offer: &Offer, in_time: bool) -> f64 {
+        let Some(tenant) = &offer.tenant else {
+            return NO_TENANT_TIME;
+        };
+        let rank = offer.rank();
+        let is_ahead = |other: &&Waiting| {
+            let is_same = other.tenant.as_ref().map(|of| &of.name) == Some(&tenant.name);
+            is_same && other.rank == rank && other.can_be_in_time(now) == in_time
+        };
+        let ahead = self.waiting.iter().filter(is_ahead).count();
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        self.shares.start_time(rank, tenant, ahead)
+    }
+
+    /// Returns the virtual times at which the waiting calls start.
+    fn start_times(&self, now: Duration) -> StartTimes {
+        if !self.has_tenants() {
+            return StartTimes(Vec::new());
+        }
+        // Numbers of calls so far, sorted by what they are counted by.
+        let mut counts: Vec<((Rank, bool, &TenantName), u32)> = Vec::new();
+        let mut times = Vec::with_capacity(self.waiting.len());
+        for waiting in &self.waiting {
+            let Some(tenant) = &waiting.tenant else {
+                times.push(NO_TENANT_TIME);
+                continue;
+            };
+            let of = (waiting.rank, waiting.can_be_in_time(now), &tenant.name);
+            let index = match counts.binary_search_by(|(known, _)| known.cmp(&of)) {
+                Ok(index) => index,
+                Err(index) => {
+                    counts.insert(index, (of, 0));
+                    index
+                }
+            };
+            times.push(self.start_time(waiting, counts[index].1));
+            counts[index].1 += 1;
+        }
+        StartTimes(times)
     }
 
     /// Time for which all slots have gone to calls that can be in time, while more of them wait.
     fn surplus_age(&self, now: Duration) -> Duration {
-        let has_in_time = self.waiting.iter().any(|waiting| waiting.in_time_by >= now);
+        let has_in_time = self
+            .waiting
+            .iter()
+            .any(|waiting| waiting.can_be_in_time(now));
         if has_in_time {
             now.saturating_sub(self.spare_at)
         } else {
@@ -416,41 +588,55 @@
         }
     }
 
-    /// Expected time until a call of a priority starts behind the waiting calls that pass the filter. Until the
+    /// Expected time until a call of a rank starts behind the waiting calls that pass the filter. Until the
     /// first run has been measured, running calls are assumed to take `expected_run`.
     fn expected_wait(
         &self,
         now: Duration,
         expected_run: Duration,
-        priority: u8,
-        is_ahead: impl Fn(&Waiting) -> bool,
+        rank: Rank,
+        is_ahead: impl Fn(usize, &Waiting) -> bool,
     ) -> Duration {
         let (mut ahead, mut work) = (0, 0.0);
-        for other in self.waiting.iter().filter(|other| is_ahead(other)) {
-            ahead += 1;
-            work += other.expected_run.as_secs_f64();
+        for (index, other) in self.waiting.iter().enumerate() {
+            if is_ahead(index, other) {
+                ahead += 1;
+                work += other.expected_run.as_secs_f64();
+            }
         }
+        self.wait_behind(now, expected_run, rank, ahead, work)
+    }
+
+    /// Expected time until a call starts behind `ahead` calls that take `work` seconds together.
+    fn wait_behind(
+        &self,
+        now: Duration,
+        expected_run: Duration,
+        rank: Rank,
+        ahead: usize,
+        work: f64,
+    ) -> Duration {
         let next_slot = match self.mean_run_s {
             _ if self.running < self.slots => 0.0,
             0.0 => expected_run.as_secs_f64(),
             mean => mean,
         };
         let slot_wait = Duration::from_secs_f64((work + next_slot) / f64::from(self.slots));
-        slot_wait.max(self.rate_delay(now, ahead, priority))
+        slot_wait.max(self.rate_delay(now, ahead, rank))
     }
 
     /// Returns the time until the limit and the bound of a cold backend server allow a request behind `ahead`
     /// other ones.
-    fn rate_delay(&self, now: Duration, ahead: usize, priority: u8) -> Duration {
+    fn rate_delay(&self, now: Duration, ahead: usize, rank: Rank) -> Duration {
         let limit_delay = self.limit.map(|limit| limit.delay(now, ahead));
-        let cold_delay = self.cold_start.delay(now, ahead, priority);
+        let cold_delay = self.cold_start.delay(now, ahead, rank);
         cold_delay.max(limit_delay.unwrap_or_default())
     }
 
     /// Takes a request from the limit of the backend server, if it has one, and from the bound while it is
     /// cold. Returns whether both allow a request now.
-    fn take_from_rates(&mut self, now: Duration, priority: u8) -> bool {
-        let allowed = self.cold_start.allows(now, priority)
+    fn take_from_rates(&mut self, now: Duration, rank: Rank) -> bool {
+        let allowed = self.cold_start.allows(now, rank)
             && self.limit.as_mut().is_none_or(|limit| limit.take(now));
         if allowed {
             self.cold_start.take(now);
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -31,6 +31,7 @@
 use crate::coordination::placement::Feedback;
 use crate::coordination::placement::Pick;
 use crate::coordination::placement::PickRequest;
+use crate::coordination::tenants::credentials::CallTenant;
 use crate::coordination::zones::evacuation::Evacuations;
 use crate::coordination::zones::homes;
 use crate::coordination::zones::homes::AllowedRegions;
@@ -39,9 +40,9 @@
 use crate::protocol::hop::HopRequestHeader;
 use crate::protocol::hop::Load;
 use crate::protocol::hop::RouteTotals;
+use crate::protocol::mesh::KeyHash;
 use crate::protocol::mesh::MeshRoute;
 use crate::protocol::name::NodeId;
-use crate::protocol::name::RegionName;
 use crate::protocol::name::RouteName;
 use crate::protocol::name::VersionName;
 use crate::protocol::time::millis;
@@ -53,9 +54,9 @@
 use crate::sidecar::hop::HopResult;
 use crate::sidecar::hop::OpenCall;
 use crate::sidecar::serving;
-use crate::sidecar::serving::NO_TENANT_HOMES;
 use crate::sidecar::serving::ServeCall;
 use crate::sidecar::serving::ServeOutcome;
+use crate::sidecar::tenants;
 use crate::state::routing_table;
 use crate::transport::body_budget::HeldBytes;
 use crate::transport::headers;
@@ -124,6 +125,8 @@
     deadline: Duration,
     /// Hash that repetitions of the request share.
     fingerprint: u64,
+    /// Hash of the credential, which stays at this node.
+    credential: Option<KeyHash>,
 }
 
 async fn route_request(
@@ -143,6 +146,12 @@
             let route = table.find(headers::host(req.headers()), req.path());
             route.cloned().ok_or(ResultCode::NoRoute)
         });
+    let credential = requests::credential(req.headers());
+    let tenant = match &route {
+        // Without the body, which may be large. The connection is closed if the rest of it still arrives.
+        Ok(route) => Some(tenants::authorize(cx, route, credential)?),
+        Err(_) => None,
+    };
     let time_limit = route
         .as_ref()
         .map_or(BODY_TIMEOUT, |route| route.timeout)
@@ -188,8 +197,9 @@
             left: time_limit,
             is_overdue,
             limit: None,
-            tenant: None,
-            tenant_priority: 0,
+            // Set again for each attempt, by the configuration in force then.
+            tenant_priority: tenant.as_ref().map_or(0, |tenant| tenant.priority),
+            tenant: tenant.and_then(|tenant| tenant.name),
         },
         method: req.method().clone(),
         target,
@@ -201,6 +211,7 @@
     Ok(EntryCall {
         route,
         fingerprint: crashes::fingerprint(&serve),
+        credential,
         serve,
         _held: held,
         deadline: arrived + time_limit,
@@ -261,14 +272,15 @@
             attempts.on_quarantined(refused_for);
             return None;
         }
+        let tenant = authorize(cx, call, attempts)?;
         match attempts.next(now) {
             NextStep::Offer => {}
             NextStep::Retry if may_retry(cx, call, attempts, now) => {}
             NextStep::Retry | NextStep::Stop => return None,
         }
-        let pick = pick(cx, call, attempts, now);
+        let pick = pick(cx, call, &tenant, attempts, now);
         if pick.is_none() {
-            check_exclusion(cx, call, attempts, now);
+            check_exclusion(cx, call, &tenant, attempts, now);
         }
         let pick = match attempts.on_choice(now, pick.as_ref().map(chosen)) {
             Choice::Send => pick?,
@@ -278,7 +290,8 @@
         if attempts.tries() > 1 {
             cx.metrics.attempts_beyond_first.increment(1);
         }
-        let response = attempt_with_hedge(cx, call, attempts, failed_response, &pick, now).await;
+        let planned = Planned { pick, tenant };
+        let response = attempt_with_hedge(cx, call, attempts, failed_response, &planned, now).await;
         if response.is_some() {
             return response;
         }
@@ -293,14 +306,11 @@
 
 /// Returns the regions that may serve a call: those of the configuration that it was routed with, and of the one
 /// in force. The latter counts for each attempt, so that a change binds calls in flight as well.
-fn regions_for(
-    state: &SidecarState,
-    call: &EntryCall,
-    tenant_homes: &[RegionName],
-) -> AllowedRegions {
+fn regions_for(state: &SidecarState, call: &EntryCall, tenant: &CallTenant) -> AllowedRegions {
+    let table = state.table.as_ref();
+    let tenant_homes = tenants::homes(table, tenant.name.as_ref());
     let routed = homes::allowed_regions(&call.route.homes, tenant_homes);
-    let current = state.table.as_ref();
-    let current = current.and_then(|table| table.route(&call.route.name));
+    let current = table.and_then(|table| table.route(&call.route.name));
     match current {
         Some(route) if !Rc::ptr_eq(route, &call.route) => routed.restricted_to(&route.homes),
         _ => routed,
@@ -308,9 +318,15 @@
 }
 
 /// Records the reason why a call has no node, if home regions or evacuations exclude all.
-fn check_exclusion(cx: &Sidecar, call: &EntryCall, attempts: &mut Attempts, now: Duration) {
+fn check_exclusion(
+    cx: &Sidecar,
+    call: &EntryCall,
+    tenant: &CallTenant,
+    attempts: &mut Attempts,
+    now: Duration,
+) {
     let state = cx.state.borrow();
-    let regions = regions_for(&state, call, NO_TENANT_HOMES);
+    let regions = regions_for(&state, call, tenant);
     let service = &call.serve.head.service;
     let evacuations = &state.evacuations;
     let Some(code) = state.placement.exclusion(service, &regions, evacuations) else {
@@ -325,6 +341,26 @@
         "view_age_ms" => cx.feed.view_age(now).map(millis));
 }
 
+/// An attempt that is about to be made.
+struct Planned {
+    pick: Pick,
+    tenant: CallTenant,
+}
+
+/// Judges the credential of a call again, by the configuration in force. `None` if no attempt may be made.
+fn authorize(cx: &Sidecar, call: &EntryCall, attempts: &mut Attempts) -> Option<CallTenant> {
+    match tenants::authorize(cx, &call.route, call.credential) {
+        Ok(tenant) => Some(tenant),
+        Err(code) => {
+            info!(cx.log, "no attempt with the credential of the call"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
+                "route" => call.route.name.as_str(), "code" => code.number(), "version" => cx.table().map(|table| table.version()),
+                "view_age_ms" => cx.feed.view_age(cx.clock.now()).map(millis), "tries" => attempts.tries());
+            attempts.on_denied(code);
+            None
+        }
+    }
+}
+
 fn chosen(pick: &Pick) -> ChosenNode {
     ChosenNode {
         time_ms: pick.time_ms,
@@ -373,12 +409,13 @@
     call: &EntryCall,
     attempts: &mut Attempts,
     failed_response: &mut Option<HttpResponse>,
-    pick: &Pick,
+    planned: &Planned,
     now: Duration,
 ) -> Option<HttpResponse> {
+    let pick = &planned.pick;
     let accepts_late = attempts.accepts_late();
     let superseded = Cell::new(false);
-    let first = make_attempt(cx, call, pick, accepts_late, now, &superseded);
+    let first = make_attempt(cx, call, planned, accepts_late, now, &superseded);
     let mut first = pin!(first);
     let ended = match attempts.hedge_after(chosen(pick)) {
         Some(delay) => actix_rt::time::timeout(delay, &mut first).await.ok(),
@@ -387,15 +424,16 @@
     if let Some(outcome) = ended {
         return record_attempt(call, attempts, failed_response, &pick.node, outcome);
     }
-    let Some(second_pick) = pick_hedge(cx, call, attempts, &pick.node) else {
+    let Some(second_planned) = plan_hedge(cx, call, attempts, &pick.node) else {
         let outcome = first.await;
         return record_attempt(call, attempts, failed_response, &pick.node, outcome);
     };
+    let second_pick = &second_planned.pick;
     let now = cx.clock.now();
     let second = pin!(make_attempt(
         cx,
         call,
-        &second_pick,
+        &second_planned,
         accepts_late,
         now,
         &superseded
@@ -424,16 +462,17 @@
 
 /// Selects a node for a hedged attempt besides the one at `first`, if a hedge is likely to help and
 /// the fleet's retry budget allows it.
-fn pick_hedge(
+fn plan_hedge(
     cx: &Sidecar,
     call: &EntryCall,
     attempts: &mut Attempts,
     first: &NodeId,
-) -> Option<Pick> {
+) -> Option<Planned> {
     let now = cx.clock.now();
+    let tenant = authorize(cx, call, attempts)?;
     let mut tried = attempts.tried().to_vec();
     tried.push(first.clone());
-    let pick = choose(&mut cx.state.borrow_mut(), now, call, &tried)?;
+    let pick = choose(&mut cx.state.borrow_mut(), now, call, &tenant, &tried)?;
     if !attempts.on_hedge(now, chosen(&pick)) || !spend_retry_budget(cx, call, now) {
         return None;
     }
@@ -443,7 +482,7 @@
         "after_ms" => millis(now.saturating_sub(call.serve.arrived)),
         "cost_ms" => format!("{:.1}", pick.cost_ms), "load" => format!("{:.1}", pick.load),
         "load_age_ms" => millis(pick.load_age));
-    Some(pick)
+    Some(Planned { pick, tenant })
 }
 
 /// Whether the fleet's retry budget allows sending a call that has reached a backend server to
@@ -471,11 +510,17 @@
     allowed
 }
 
-fn pick(cx: &Sidecar, call: &EntryCall, attempts: &Attempts, now: Duration) -> Option<Pick> {
+fn pick(
+    cx: &Sidecar,
+    call: &EntryCall,
+    tenant: &CallTenant,
+    attempts: &Attempts,
+    now: Duration,
+) -> Option<Pick> {
     let (load, tally) = serving::load_report(cx);
     let mut state = cx.state.borrow_mut();
     state.placement.on_report(now, &cx.settings.id, load, tally);
-    let pick = choose(&mut state, now, call, attempts.tried())?;
+    let pick = choose(&mut state, now, call, tenant, attempts.tried())?;
     info!(cx.log, "call routed"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
         "route" => call.route.name.as_str(), "to" => pick.node.as_str(), "version" => pick.version.as_str(),
         "try" => attempts.tries() + 1, "accepts_late" => attempts.accepts_late(), "is_overdue" => call.serve.head.is_overdue,
@@ -492,10 +537,11 @@
     state: &mut SidecarState,
     now: Duration,
     call: &EntryCall,
+    tenant: &CallTenant,
     tried: &[NodeId],
 ) -> Option<Pick> {
     let service = &call.serve.head.service;
-    let regions = regions_for(state, call, NO_TENANT_HOMES);
+    let regions = regions_for(state, call, tenant);
     let Some(plan) = state.moves.plan(service) else {
         let permits = |_: &NodeId, _: &_| true;
         let request = pick_request(call, tried, &regions, &state.evacuations, &permits);
@@ -590,11 +636,12 @@
 async fn make_attempt(
     cx: &Rc<Sidecar>,
     call: &EntryCall,
-    pick: &Pick,
+    planned: &Planned,
     accepts_late: bool,
     now: Duration,
     superseded: &Cell<bool>,
 ) -> ServeOutcome {
+    let pick = &planned.pick;
     cx.state.borrow_mut().placement.on_start(&pick.node);
     let mut in_flight = InFlight {
         cx,
@@ -611,6 +658,8 @@
     serve.head.version = pick.version.clone();
     serve.head.limit = pick.limit;
     serve.head.accepts_late = accepts_late;
+    serve.head.tenant.clone_from(&planned.tenant.name);
+    serve.head.tenant_priority = planned.tenant.priority;
     // The latency objective counts from the arrival at this node, so the serving node gets what is
     // left of it.
     let used = now.saturating_sub(call.serve.arrived);
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -29,7 +29,6 @@
 use crate::protocol::hop::Load;
 use crate::protocol::hop::RequestRate;
 use crate::protocol::hop::RouteTotals;
-use crate::protocol::name::RegionName;
 use crate::protocol::name::RouteName;
 use crate::protocol::time::millis;
 use crate::result_code::ResultCode;
@@ -38,6 +37,7 @@
 use crate::sidecar::admission::Admitted;
 use crate::sidecar::crashes;
 use crate::sidecar::health_probe;
+use crate::sidecar::tenants;
 use crate::transport::exchange::Exchange;
 use crate::transport::exchange::ExchangeFailure;
 use crate::transport::http_client::HttpResponse;
@@ -51,8 +51,6 @@
 /// Time that the node waits beyond the deadline it sends to the backend server, so that a response
 /// sent at the deadline still arrives.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
-/// Home regions of the tenant of a call, as long as calls have no tenants.
-pub const NO_TENANT_HOMES: &[RegionName] = &[];
 /// `retry-after` time if no backend server accepts the call.
 pub const NO_BACKEND_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -69,7 +67,7 @@
     pub method: Method,
     /// Path and query.
     pub target: PathAndQuery,
-    /// Headers to forward.
+    /// Headers to forward; without those of the tenant, so that no log line can have a credential.
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// Whole body.
     pub body: Bytes,
@@ -339,19 +337,16 @@
 }
 
 /// Checks by this node's own view that its backend server may serve a call where it stands, so that an entry
-/// node with an older configuration does no harm. The homes of the call's tenant are added to it.
+/// node with an older configuration does no harm.
 ///
 /// # Errors
 /// The reason why it may not.
-pub fn check_location(
-    cx: &Sidecar,
-    head: &HopRequestHeader,
-    tenant_homes: &[RegionName],
-) -> Result<(), ResultCode> {
+pub fn check_location(cx: &Sidecar, head: &HopRequestHeader) -> Result<(), ResultCode> {
     let state = cx.state.borrow();
     let table = state.table.as_ref();
     let route = table.and_then(|table| table.route(&head.route));
     let route_homes = route.map_or(&[][..], |route| &route.homes);
+    let tenant_homes = tenants::homes(table, head.tenant.as_ref());
     if !homes::allowed_regions(route_homes, tenant_homes).allows(&cx.settings.region) {
         return Err(ResultCode::OutsideHome);
     }
@@ -363,7 +358,7 @@
 
 /// Returns the local backend server if it can run the call.
 pub fn usable_backend(cx: &Sidecar, head: &HopRequestHeader) -> Result<BackendReport, ResultCode> {
-    check_location(cx, head, NO_TENANT_HOMES)?;
+    check_location(cx, head)?;
     let state = cx.state.borrow();
     let backend = state.backend.available(cx.clock.now());
     let backend = backend.ok_or(ResultCode::NoBackend)?;
@@ -378,7 +373,7 @@
 }
 
 /// Returns the request of a call for a slot.
-pub fn slot_offer(head: &HopRequestHeader, arrived: Duration) -> Offer {
+pub fn slot_offer(cx: &Sidecar, head: &HopRequestHeader, arrived: Duration) -> Offer {
     let objective_at = if head.is_overdue {
         arrived
     } else {
@@ -386,6 +381,8 @@
     };
     Offer {
         route: head.route.clone(),
+        tenant: tenants::share(cx, head.tenant.as_ref()),
+        tenant_priority: head.tenant_priority,
         priority: head.priority,
         objective: head.objective,
         objective_at,
@@ -395,7 +392,7 @@
 }
 
 async fn admit(cx: &Rc<Sidecar>, call: &ServeCall) -> Result<SlotGuard, Duration> {
-    let offer = slot_offer(&call.head, call.arrived);
+    let offer = slot_offer(cx, &call.head, call.arrived);
     let admitted = cx.slots.admit(&offer).await?;
     Ok(SlotGuard {
         cx: cx.clone(),
@@ -469,6 +466,7 @@
     left: Duration,
 ) -> Result<HttpResponse, Option<ExchangeFailure>> {
     let mut headers = call.headers.clone();
+    headers.extend(call.head.tenant.as_ref().and_then(requests::tenant_header));
     headers.extend(requests::backend_headers(left, &backend.instance));
     let max_idle = if call.head.idempotent {
         MAX_IDLE
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -43,6 +43,8 @@
 fn offer(now: Duration, priority: u8) -> Offer {
     Offer {
         route: ROUTE.into(),
+        tenant: None,
+        tenant_priority: 0,
         priority,
         objective: ms(500),
         objective_at: now + ms(500),
@@ -327,7 +329,7 @@
     }
     expect_true!(queue.cold_start_mut().on_report(ms(1_500), ms(5_000)));
     // The last 16 starts, which fill a window of the bound, are at 1,340 ms and later.
-    let delay = queue.cold_start().delay(ms(1_500), 0, 0);
+    let delay = queue.cold_start().delay(ms(1_500), 0, (0, 0));
     expect_that!(delay, eq(ms(840)));
 }
 
