--- a/src/coordination/tenants/mod.rs
+++ b/src/coordination/tenants/mod.rs
@@ -1,1 +1,4 @@
 //! Decisions about tenants: credentials, quotas, and the shares of those who compete for the same backend servers.
+
+pub mod quota;
+pub mod usage;
--- /dev/null
+++ b/src/coordination/tenants/quota.rs
@@ -0,0 +1,481 @@
+//! Limiter of the requests of tenants with a quota, at each entry node. See `docs/design/quotas.md`.
+//!
+//! All nodes together behave like one token bucket. The collector of the failure domain keeps its level
+//! (`usage.rs`). A node may use its share of that level, by its part of the fleet's demand, until the next
+//! totals. While the level is high, it may admit a few requests beyond its share, since most nodes get a
+//! request of a small tenant less than once a window and have no share to speak of.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::coordination::tenants::usage::DemandWindow;
+use crate::protocol::mesh::Quota;
+use crate::protocol::mesh::Tenant;
+use crate::protocol::name::TenantName;
+use crate::protocol::usage::TenantCount;
+use crate::protocol::usage::UsageTotals;
+
+/// Time between two reports of a node.
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(320);
+/// Time between two reports during a surge.
+pub const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Age of the totals up to which requests beyond the share are admitted.
+pub const EXTRA_AGE: Duration = Duration::from_secs(1);
+/// Age of the totals from which on the share shrinks to an equal one.
+pub const STALE_AGE: Duration = Duration::from_secs(2);
+/// Age at which it is the equal one.
+const EQUAL_AGE: Duration = Duration::from_secs(3);
+/// Age from which on it shrinks further, until [`LOST_AGE`], to a part of what is tolerated beyond the quota.
+const LAST_EQUAL_AGE: Duration = Duration::from_secs(4);
+/// Age from which on other nodes may use the share of a node, which they cannot tell from a dead one.
+pub const LOST_AGE: Duration = Duration::from_secs(5);
+/// Part of the tolerance that nodes without totals use, all together.
+const LOST_TOLERANCE: f64 = 0.5;
+/// Time without a report after which a node is idle.
+const IDLE_TIME: Duration = Duration::from_secs(1);
+/// Part of the tolerance that is added to the bucket, so that random peaks of small tenants are admitted.
+/// The rest covers what nodes admit before they know of each other.
+const SIZE_TOLERANCE: f64 = 0.3;
+/// Part of the demand that is counted as evenly distributed over the nodes.
+const EVEN_DEMAND: f64 = 0.25;
+/// Level, as a share of the bucket, from which on requests beyond the share are admitted.
+const EXTRA_LEVEL: f64 = 0.25;
+/// Requests beyond the share until the next totals, as a share of the level; at least one.
+const EXTRA_SHARE: f64 = 0.125;
+/// Requests beyond the share from which on the next report is brought forward.
+const SURGE_EXTRAS: u32 = 2;
+/// Level, as a share of the bucket, below which one such request brings the next report forward.
+const SURGE_LEVEL: f64 = 0.6;
+/// Shortest time after which a refused caller should retry.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
+
+/// How many requests beyond a quota are tolerated, and over which window that is counted.
+#[derive(Clone, Copy, Debug)]
+pub struct QuotaBounds {
+    /// Window.
+    pub window: Duration,
+    /// Requests beyond the quota, as a share of it.
+    pub excess: f64,
+    /// Requests beyond that.
+    pub slack: f64,
+}
+
+impl QuotaBounds {
+    /// Largest number of requests in a window.
+    #[must_use]
+    pub fn limit(&self, quota: Quota) -> f64 {
+        self.within_quota(quota) * (1.0 + self.excess) + self.slack
+    }
+
+    /// Size of the fleet's bucket.
+    #[must_use]
+    pub fn size(&self, quota: Quota) -> f64 {
+        let tolerance = self.limit(quota) - self.within_quota(quota);
+        f64::from(quota.burst) + SIZE_TOLERANCE * tolerance
+    }
+
+    /// Part of the quota that all nodes without totals together use.
+    fn lost_factor(&self, quota: Quota) -> f64 {
+        let within = self.within_quota(quota);
+        (LOST_TOLERANCE * (self.limit(quota) - within) / within).min(1.0)
+    }
+
+    /// Largest number of requests in a window without what is tolerated beyond the quota.
+    pub(super) fn within_quota(&self, quota: Quota) -> f64 {
+        quota.rate.per_s() * self.window.as_secs_f64() + f64::from(quota.burst)
+    }
+}
+
+/// Decision on a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum QuotaDecision {
+    /// The tenant has no quota.
+    Unlimited,
+    /// The request is admitted and counted.
+    Admitted,
+    /// The request is refused.
+    Refused(QuotaRefusal),
+}
+
+/// Refusal of a request, with the inputs of the decision.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaRefusal {
+    /// Time after which a token is expected.
+    pub retry_after: Duration,
+    /// Part of the quota that this node may use.
+    pub share: f64,
+    /// Tokens of this node.
+    pub tokens: f64,
+    /// Level of the fleet's bucket.
+    pub level: f64,
+    /// Age of the totals, if there are any.
+    pub totals_age: Option<Duration>,
+}
+
+#[derive(Debug)]
+struct TenantBucket {
+    tenant: TenantName,
+    quota: Quota,
+    size: f64,
+    /// Part of the equal share that nodes without totals use.
+    lost_factor: f64,
+    /// Admitted requests since the start of the process, less those that ended as not run.
+    admitted: i64,
+    /// The same as a collector last acknowledged it.
+    acknowledged: i64,
+    demand: DemandWindow,
+    reported_demand: u32,
+    /// Level of the fleet's bucket, and the time from which on it is extrapolated.
+    level: f64,
+    level_at: Duration,
+    is_level_known: bool,
+    /// Part of the quota that this node may use.
+    share: f64,
+    tokens: f64,
+    tokens_at: Duration,
+    /// Tokens needed for the next request, from 0 to 1. On average over all nodes, the requests that are
+    /// admitted at once are then as many as the tokens, although each node has a fraction of one.
+    threshold: f64,
+    /// Requests admitted beyond the share since the last totals.
+    extras: u32,
+}
+
+/// Limiter of one node.
+#[derive(Debug)]
+pub struct QuotaLimiter {
+    bounds: QuotaBounds,
+    nodes: usize,
+    /// Sorted by tenant.
+    buckets: Vec<TenantBucket>,
+    totals_at: Option<Duration>,
+    covered: f64,
+    acknowledged_by: u64,
+    since: u64,
+    last_report_at: Option<Duration>,
+    /// Whether requests have arrived since the last totals, so that these should be newer.
+    awaits_totals: bool,
+    /// Whether the next report has to contain all tenants with a demand.
+    is_full_report_due: bool,
+}
+
+impl QuotaLimiter {
+    /// Creates a limiter without tenants.
+    #[must_use]
+    pub fn new(bounds: QuotaBounds) -> Self {
+        Self {
+            bounds,
+            nodes: 1,
+            buckets: Vec::new(),
+            totals_at: None,
+            covered: 1.0,
+            acknowledged_by: 0,
+            since: 0,
+            last_report_at: None,
+            awaits_totals: true,
+            is_full_report_due: true,
+        }
+    }
+
+    /// Applies the tenants of a configuration, sorted by name. Counts of tenants that stay are kept.
+    pub fn set_tenants(&mut self, now: Duration, tenants: &[Tenant], rng: &mut impl Rng) {
+        let mut before = std::mem::take(&mut self.buckets);
+        for tenant in tenants {
+            let Some(quota) = tenant.quota else {
+                continue;
+            };
+            let size = self.bounds.size(quota);
+            let lost_factor = self.bounds.lost_factor(quota);
+            let known = before.binary_search_by(|bucket| bucket.tenant.cmp(&tenant.name));
+            let bucket = if let Ok(index) = known {
+                let mut bucket = before.remove(index);
+                bucket.tokens = bucket.tokens.min(size * bucket.share);
+                bucket.level = bucket.level.min(size);
+                TenantBucket {
+                    quota,
+                    size,
+                    lost_factor,
+                    ..bucket
+                }
+            } else {
+                let share = 1.0 / as_f64(self.nodes);
+                TenantBucket {
+                    tenant: tenant.name.clone(),
+                    quota,
+                    size,
+                    lost_factor,
+                    admitted: 0,
+                    acknowledged: 0,
+                    demand: DemandWindow::default(),
+                    reported_demand: 0,
+                    level: size,
+                    level_at: now,
+                    is_level_known: false,
+                    share,
+                    tokens: size * share,
+                    tokens_at: now,
+                    threshold: rng.random_range(0.0..1.0),
+                    extras: 0,
+                }
+            };
+            self.buckets.push(bucket);
+        }
+    }
+
+    /// Applies the number of nodes of the fleet.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.nodes = nodes.max(1);
+    }
+
+    /// Whether any tenant has a quota.
+    #[must_use]
+    pub fn has_quotas(&self) -> bool {
+        !self.buckets.is_empty()
+    }
+
+    /// Returns the age of the totals.
+    #[must_use]
+    pub fn totals_age(&self, now: Duration) -> Option<Duration> {
+        self.totals_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Decides on a request of a tenant.
+    pub fn admit(
+        &mut self,
+        now: Duration,
+        tenant: &TenantName,
+        rng: &mut impl Rng,
+    ) -> QuotaDecision {
+        let Ok(index) = self.index(tenant) else {
+            return QuotaDecision::Unlimited;
+        };
+        // Totals of a node without requests are old because there was no reason to ask for newer ones.
+        let is_recent = match self.totals_age(now) {
+            Some(age) => age <= EXTRA_AGE || !self.awaits_totals,
+            None => false,
+        };
+        self.awaits_totals = true;
+        let (nodes, shrunk) = (as_f64(self.nodes), self.shrunk(now));
+        let (covered, totals_age) = (self.covered, self.totals_age(now));
+        let bucket = &mut self.buckets[index];
+        bucket.demand.count(now);
+        let rate = bucket.refill(now, nodes, shrunk, covered);
+        if bucket.tokens >= bucket.threshold {
+            bucket.tokens -= 1.0;
+            bucket.threshold = rng.random_range(0.0..1.0);
+            bucket.admitted += 1;
+            return QuotaDecision::Admitted;
+        }
+        let level = bucket.level_now(now, covered);
+        let extra_level = EXTRA_LEVEL * bucket.size * covered;
+        let max_extras = (level * EXTRA_SHARE).max(1.0);
+        let has_extra = f64::from(bucket.extras) + 1.0 <= max_extras;
+        if is_recent && bucket.is_level_known && level >= extra_level && has_extra {
+            bucket.extras += 1;
+            bucket.admitted += 1;
+            return QuotaDecision::Admitted;
+        }
+        let mut wait_s = (bucket.threshold - bucket.tokens) / rate.max(f64::MIN_POSITIVE);
+        if is_recent {
+            let fleet_rate = bucket.quota.rate.per_s() * covered;
+            let until_level = (extra_level - level) / fleet_rate.max(f64::MIN_POSITIVE);
+            let until_totals = if has_extra {
+                0.0
+            } else {
+                REPORT_INTERVAL.as_secs_f64()
+            };
+            wait_s = wait_s.min(until_level.max(until_totals));
+        }
+        let longest = self.bounds.window.as_secs_f64();
+        QuotaDecision::Refused(QuotaRefusal {
+            retry_after: Duration::from_secs_f64(wait_s.clamp(0.0, longest)).max(MIN_RETRY_AFTER),
+            share: rate / bucket.quota.rate.per_s(),
+            tokens: bucket.tokens,
+            level,
+            totals_age,
+        })
+    }
+
+    /// Gives back the token of an admitted request that ended as not run.
+    pub fn give_back(&mut self, tenant: &TenantName) {
+        if let Ok(index) = self.index(tenant) {
+            let bucket = &mut self.buckets[index];
+            bucket.admitted -= 1;
+            bucket.tokens += 1.0;
+        }
+    }
+
+    /// Whether a collector has answered within the last second.
+    #[must_use]
+    pub fn has_recent_totals(&self, now: Duration) -> bool {
+        self.totals_age(now).is_some_and(|age| age <= EXTRA_AGE)
+    }
+
+    /// Whether the node does not report, since it has no requests of tenants with a quota.
+    #[must_use]
+    pub fn is_idle(&self, now: Duration) -> bool {
+        self.last_report_at
+            .is_none_or(|at| now.saturating_sub(at) > IDLE_TIME)
+    }
+
+    /// Whether a report is due.
+    #[must_use]
+    pub fn is_report_due(&self, now: Duration) -> bool {
+        let Some(last) = self.last_report_at else {
+            return self.has_quotas();
+        };
+        let elapsed = now.saturating_sub(last);
+        let is_surge = |bucket: &TenantBucket| {
+            let is_low = bucket.level < SURGE_LEVEL * bucket.size * self.covered;
+            bucket.extras >= if is_low { 1 } else { SURGE_EXTRAS }
+        };
+        let is_changed = |bucket: &TenantBucket| {
+            bucket.admitted != bucket.acknowledged
+                || bucket.reported_demand > 0
+                || bucket.demand.sum(now) > 0
+        };
+        let is_any = |is: &dyn Fn(&TenantBucket) -> bool| self.buckets.iter().any(is);
+        elapsed >= REPORT_INTERVAL
+            && self.has_quotas()
+            && (self.totals_at.is_none() || is_any(&is_changed))
+            || elapsed >= MIN_REPORT_INTERVAL && is_any(&is_surge)
+    }
+
+    /// Returns the counts for a report to a collector, the process that acknowledged the last one and the
+    /// number of the last totals. `is_new_collector` tells whether the report goes to another node than the
+    /// last one.
+    pub fn report(
+        &mut self,
+        now: Duration,
+        is_new_collector: bool,
+    ) -> (Vec<TenantCount>, u64, u64) {
+        self.last_report_at = Some(now);
+        let is_full = is_new_collector || self.is_full_report_due;
+        let counts = self.buckets.iter().filter_map(|bucket| {
+            let demand = bucket.demand.sum(now);
+            let is_changed =
+                bucket.admitted != bucket.acknowledged || demand != bucket.reported_demand;
+            #[allow(
+                clippy::cast_possible_truncation,
+                reason = "the precision of a float of 32 bits suffices for a level"
+            )]
+            let level = (is_full && bucket.is_level_known)
+                // Without the refill since then, which is likely to have been used.
+                .then_some(bucket.level as f32);
+            (is_changed || is_full && (demand > 0 || level.is_some())).then(|| TenantCount {
+                tenant: bucket.tenant.clone(),
+                acknowledged: bucket.acknowledged,
+                admitted: bucket.admitted,
+                demand,
+                level,
+            })
+        });
+        (counts.collect(), self.acknowledged_by, self.since)
+    }
+
+    /// Applies the response to a report with these counts.
+    pub fn on_totals(&mut self, now: Duration, counts: &[TenantCount], totals: &UsageTotals) {
+        // A collector that does not know this node has only the counts that have changed.
+        self.is_full_report_due = totals.run != self.acknowledged_by;
+        self.acknowledged_by = totals.run;
+        self.since = totals.sequence;
+        self.totals_at = Some(now);
+        self.awaits_totals = false;
+        self.covered = f64::from(totals.covered).clamp(0.0, 1.0);
+        for count in counts {
+            if let Ok(index) = self.index(&count.tenant) {
+                let bucket = &mut self.buckets[index];
+                bucket.acknowledged = count.admitted;
+                bucket.reported_demand = count.demand;
+            }
+        }
+        let covered_nodes = (as_f64(self.nodes) * self.covered).max(1.0);
+        let covered = self.covered;
+        for bucket in &mut self.buckets {
+            let known = &totals.totals;
+            let total = known.binary_search_by(|total| total.tenant.cmp(&bucket.tenant));
+            let demand = if let Ok(index) = total {
+                bucket.level = f64::from(known[index].level);
+                bucket.is_level_known = true;
+                Some(known[index].demand)
+            } else {
+                bucket.level = bucket.level_now(now, covered);
+                None
+            };
+            bucket.level_at = now;
+            bucket.on_totals(now, demand, covered_nodes);
+        }
+    }
+
+    /// How far the share has shrunk since the totals are old: to the equal share at 1, to a part of the
+    /// tolerance at 2.
+    fn shrunk(&self, now: Duration) -> f64 {
+        let Some(age) = self.totals_age(now) else {
+            // A new process begins at the equal share.
+            return 1.0;
+        };
+        if !self.awaits_totals {
+            return 0.0;
+        }
+        let part = |from: Duration, to: Duration| {
+            let over = age.saturating_sub(from).as_secs_f64();
+            (over / (to - from).as_secs_f64()).min(1.0)
+        };
+        part(STALE_AGE, EQUAL_AGE) + part(LAST_EQUAL_AGE, LOST_AGE)
+    }
+
+    fn index(&self, tenant: &TenantName) -> Result<usize, usize> {
+        self.buckets
+            .binary_search_by(|bucket| bucket.tenant.cmp(tenant))
+    }
+}
+
+impl TenantBucket {
+    /// Adds the tokens since the last request. Returns the rate at which they are added.
+    fn refill(&mut self, now: Duration, nodes: f64, shrunk: f64, covered: f64) -> f64 {
+        let equal = 1.0 / nodes;
+        let to_equal = shrunk.min(1.0);
+        let mut share = self.share * covered;
+        share += (equal - share) * to_equal;
+        share *= 1.0 - (1.0 - self.lost_factor) * (shrunk - to_equal);
+        let rate = self.quota.rate.per_s() * share;
+        let elapsed = now.saturating_sub(self.tokens_at).as_secs_f64();
+        self.tokens = (self.tokens + rate * elapsed).min(self.size * share);
+        self.tokens_at = now;
+        rate
+    }
+
+    fn level_now(&self, now: Duration, covered: f64) -> f64 {
+        let elapsed = now.saturating_sub(self.level_at).as_secs_f64();
+        let added = self.quota.rate.per_s() * covered * elapsed;
+        // A level above the size is that of a larger part of the fleet and shrinks at the collector.
+        (self.level + added).min((self.size * covered).max(self.level))
+    }
+
+    fn on_totals(&mut self, now: Duration, fleet_demand: Option<u32>, nodes: f64) {
+        if let Some(fleet_demand) = fleet_demand {
+            let own = f64::from(self.reported_demand);
+            let fleet = f64::from(fleet_demand).max(own);
+            self.share = if fleet > 0.0 {
+                (own + EVEN_DEMAND * fleet / nodes) / (fleet * (1.0 + EVEN_DEMAND))
+            } else {
+                1.0 / nodes
+            };
+        }
+        #[allow(
+            clippy::cast_precision_loss,
+            reason = "requests within one report interval"
+        )]
+        let unreported = (self.admitted - self.acknowledged) as f64;
+        self.tokens = self.level * self.share - unreported;
+        self.tokens_at = now;
+        let unreported = u32::try_from(self.admitted - self.acknowledged).unwrap_or(0);
+        self.extras = self.extras.min(unreported);
+    }
+}
+
+#[allow(clippy::cast_precision_loss, reason = "a number of nodes")]
+fn as_f64(nodes: usize) -> f64 {
+    nodes as f64
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -12,3 +12,4 @@
 pub mod name;
 pub mod record;
 pub mod time;
+pub mod usage;
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -51,6 +51,7 @@
 use crate::sidecar::serving;
 use crate::sidecar::serving::ServeCall;
 use crate::sidecar::serving::ServeOutcome;
+use crate::sidecar::usage_port;
 use crate::state::routing_table;
 use crate::transport::body_budget::HeldBytes;
 use crate::transport::headers;
@@ -73,7 +74,14 @@
     cx.metrics.calls.increment(1);
     let _open = OpenCall::new(cx);
     let mut response = match route_request(cx, &mut req, arrived).await {
-        Ok(call) => run_call(cx, call).await,
+        Ok(call) => match take_token(cx, &call) {
+            Ok(()) => run_call(cx, call).await,
+            Err(retry_after) => {
+                cx.metrics.refusals.increment(1);
+                let code = ResultCode::QuotaExceeded;
+                error_response(cx, status_of(code), code, Some(retry_after))
+            }
+        },
         Err(code) => {
             let attempt = requests::read_client_headers(req.headers()).attempt;
             info!(cx.log, "request refused"; "attempt" => serving::attempt_text(attempt.as_ref()),
@@ -201,6 +209,18 @@
     })
 }
 
+/// Takes a token from the quota of the call's tenant, if it has one.
+///
+/// # Errors
+/// The time after which a token is expected.
+fn take_token(cx: &Sidecar, call: &EntryCall) -> Result<(), Duration> {
+    let Some(tenant) = &call.serve.head.tenant else {
+        return Ok(());
+    };
+    let attempt = serving::attempt_text(call.serve.attempt.as_ref());
+    usage_port::admit(cx, tenant, attempt)
+}
+
 async fn run_call(cx: &Rc<Sidecar>, call: EntryCall) -> Response<BoxBody> {
     let mut attempts = Attempts::new(CallLimits {
         arrived: call.serve.arrived,
@@ -226,6 +246,9 @@
     let (code, retry_after) = match outcome {
         Outcome::Refused { code, retry_after } => {
             cx.metrics.refusals.increment(1);
+            if let Some(tenant) = &call.serve.head.tenant {
+                usage_port::give_back(cx, tenant);
+            }
             (
                 code,
                 Some(retry_after.unwrap_or(serving::NO_BACKEND_RETRY_AFTER)),
@@ -628,13 +651,21 @@
     let mut response = Response::with_body(status, BoxBody::new(body.to_string()));
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
-    if let (StatusCode::SERVICE_UNAVAILABLE, Some(retry_after)) = (status, retry_after) {
-        let spread = cx
-            .state
-            .borrow_mut()
-            .rng
-            .random_range(0.0..RETRY_AFTER_JITTER);
-        let (name, value) = requests::retry_after(retry_after.mul_f64(1.0 + spread));
+    let retry_after = match (status, retry_after) {
+        (StatusCode::SERVICE_UNAVAILABLE, Some(retry_after)) => {
+            let spread = cx
+                .state
+                .borrow_mut()
+                .rng
+                .random_range(0.0..RETRY_AFTER_JITTER);
+            Some(retry_after.mul_f64(1.0 + spread))
+        }
+        // The time of a quota is exact.
+        (StatusCode::TOO_MANY_REQUESTS, retry_after) => retry_after,
+        _ => None,
+    };
+    if let Some(retry_after) = retry_after {
+        let (name, value) = requests::retry_after(retry_after);
         response.headers_mut().insert(name, value);
     }
     response
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -36,6 +36,7 @@
 use crate::sidecar::serving::ServeCall;
 use crate::sidecar::serving::ServeOutcome;
 use crate::sidecar::topic_follower;
+use crate::sidecar::usage_port;
 use crate::transport::exchange::Exchange;
 use crate::transport::exchange::ExchangeFailure;
 use crate::transport::headers;
@@ -62,6 +63,7 @@
         match req.path() {
             relay_port::FOLLOW_PATH => return relay_port::serve(cx, &req).await,
             leaves::ENTRY_PATH => return leaves::serve(cx, &mut req).await,
+            usage_port::USAGE_PATH => return usage_port::serve(cx, &mut req).await,
             _ => {}
         }
     }
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -37,6 +37,12 @@
     pub backend_crashes: Counter,
     /// Requests that are refused since they crash backend servers.
     pub quarantined_requests: Counter,
+    /// Requests of tenants with a quota that were admitted.
+    pub quota_admitted: Counter,
+    /// Requests refused since the quota of their tenant is used up.
+    pub quota_refused: Counter,
+    /// Age of the fleet's totals of requests with a quota, seconds.
+    pub quota_totals_age: Gauge,
     /// Configuration version in force.
     pub config_version: Gauge,
     /// Requests a second that the local backend server accepts at most; zero without a limit.
@@ -72,6 +78,9 @@
             store_restores: counter!("sycamorewick_store_restores_total"),
             backend_crashes: counter!("sycamorewick_backend_crashes_total"),
             quarantined_requests: counter!("sycamorewick_quarantined_requests_total"),
+            quota_admitted: counter!("sycamorewick_quota_admitted_total"),
+            quota_refused: counter!("sycamorewick_quota_refused_total"),
+            quota_totals_age: gauge!("sycamorewick_quota_totals_age_seconds"),
             config_version: gauge!("sycamorewick_config_version"),
             backend_limit: gauge!("sycamorewick_backend_limit"),
             nodes: gauge!("sycamorewick_nodes"),
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -18,6 +18,7 @@
 mod shutdown;
 mod status_ports;
 mod topic_follower;
+mod usage_port;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -59,6 +60,7 @@
 use crate::sidecar::metrics::SidecarMetrics;
 use crate::sidecar::settings::SidecarSettings;
 use crate::sidecar::topic_follower::Feed;
+use crate::sidecar::usage_port::Quotas;
 use crate::state::local_backend::LocalBackend;
 use crate::state::report_filter::ReportFilter;
 use crate::state::routing_table::RoutingTable;
@@ -146,6 +148,8 @@
     entry_tried: Notify,
     /// Whether the last write of the own entry has failed and is not repeated yet.
     entry_write_failed: Cell<bool>,
+    /// Quotas of tenants.
+    quotas: Quotas,
     state: RefCell<SidecarState>,
 }
 
@@ -178,6 +182,7 @@
     topic_follower::start(&cx);
     announcer::start(&cx);
     rollouts::start(&cx);
+    usage_port::start(&cx);
     shutdown::wait_for_signal(&cx, file).await?;
     shutdown::drain(&cx, &servers).await;
     info!(log, "node stopped"; "node" => cx.settings.id.as_str(),
@@ -237,6 +242,7 @@
         entry_changed: Notify::new(),
         entry_tried: Notify::new(),
         entry_write_failed: Cell::new(false),
+        quotas: Quotas::new(&settings, run),
         state: RefCell::new(state),
         settings,
     })
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -18,6 +18,7 @@
 use crate::sidecar::Sidecar;
 use crate::sidecar::announcer;
 use crate::sidecar::crashes;
+use crate::sidecar::usage_port;
 use crate::state::routing_table::RoutingTable;
 
 /// Applies a record of the operator's topic: a configuration or an order to roll out a version.
@@ -80,6 +81,7 @@
     cx.metrics.config_version.set(table.version() as f64);
     state.caller_ages.retain(&table.route_names());
     state.table = Some(Rc::new(table));
+    usage_port::on_config(cx);
 }
 
 /// Applies the entry of a node.
