--- a/src/coordination/tenants/quota.rs
+++ b/src/coordination/tenants/quota.rs
@@ -419,7 +419,7 @@
         }
         let part = |from: Duration, to: Duration| {
             let over = age.saturating_sub(from).as_secs_f64();
-            (over / (to - from).as_secs_f64()).min(1.0)
+            (over / to.saturating_sub(from).as_secs_f64()).min(1.0)
         };
         part(STALE_AGE, EQUAL_AGE) + part(LAST_EQUAL_AGE, LOST_AGE)
     }
--- a/tests/tenants_quota.rs
+++ b/tests/tenants_quota.rs
@@ -188,7 +188,7 @@
             }
         });
         let nodes = nodes.collect();
-        let seen = tenants.iter().map(|tenant| {
+        let all_seen = tenants.iter().map(|tenant| {
             let quota = tenant.quota.unwrap();
             Seen {
                 quota,
@@ -205,7 +205,7 @@
             messages: BinaryHeap::new(),
             bodies: Vec::new(),
             cut: |_, _| false,
-            seen: seen.collect(),
+            seen: all_seen.collect(),
             tenants,
         }
     }
@@ -697,3 +697,67 @@
         expect_that!(worst, le(1.0), "seed {seed}, tenant {tenant}");
     }
 }
+
+/// Creates a limiter of a fleet of one node, with a quota of 10 requests a second and a burst of 4.
+fn single_limiter(rng: &mut StdRng) -> QuotaLimiter {
+    let tenant = Tenant {
+        quota: Some(Quota {
+            rate: RequestRate::from_per_s(10.0).unwrap(),
+            burst: 4,
+        }),
+        ..tenants(1.0).remove(0)
+    };
+    let mut limiter = QuotaLimiter::new(BOUNDS);
+    limiter.set_tenants(Duration::ZERO, &[tenant], rng);
+    limiter
+}
+
+/// A caller that comes back after the time of its refusal must be admitted, and not much earlier.
+#[gtest]
+fn admit_after_retry_after() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut limiter = single_limiter(&mut rng);
+    let mut now = Duration::from_secs(1);
+    for _ in 0..30 {
+        let wait = loop {
+            match limiter.admit(now, &name_of(0), &mut rng) {
+                QuotaDecision::Refused(refusal) => break refusal.retry_after,
+                decision => expect_that!(decision, eq(QuotaDecision::Admitted)),
+            }
+        };
+        expect_that!(wait, le(Duration::from_millis(210)));
+        let early = limiter.admit(now + wait.mul_f64(0.9), &name_of(0), &mut rng);
+        expect_that!(early, matches_pattern!(QuotaDecision::Refused(_)));
+        now += wait + Duration::from_millis(1);
+        let in_time = limiter.admit(now, &name_of(0), &mut rng);
+        expect_that!(in_time, eq(QuotaDecision::Admitted));
+    }
+}
+
+/// A call that ended as not run must not count against the quota.
+#[gtest]
+fn give_back_not_run() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut limiter = single_limiter(&mut rng);
+    let now = Duration::from_secs(1);
+    for _ in 0..100 {
+        let decision = limiter.admit(now, &name_of(0), &mut rng);
+        expect_that!(decision, eq(QuotaDecision::Admitted));
+        limiter.give_back(&name_of(0));
+    }
+    let (counts, ..) = limiter.report(now, true);
+    expect_that!(counts[0].admitted, eq(0));
+}
+
+/// A tenant without a quota must not be limited, and must not cause reports.
+#[gtest]
+fn admit_without_quota() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut limiter = QuotaLimiter::new(BOUNDS);
+    let now = Duration::from_secs(1);
+    for _ in 0..1_000 {
+        let decision = limiter.admit(now, &name_of(0), &mut rng);
+        expect_that!(decision, eq(QuotaDecision::Unlimited));
+    }
+    expect_false!(limiter.is_report_due(now));
+}
