--- a/tests/tenants_quota.rs
+++ b/tests/tenants_quota.rs
@@ -674,6 +674,29 @@
     run_pattern(14, &hot, kill, |_, _| {});
 }
 
+/// The same when the dead are the first of the list of each failure domain, so that a new collector is found
+/// after ten time limits only.
+#[gtest]
+fn admit_first_nodes_killed() {
+    const KILLED: usize = NODES * 6 / 10;
+    let kill = || vec![(1_000, Change::Kill((0..KILLED).collect()))];
+    let to_survivors = Pattern {
+        rate: usual_rate,
+        node: |at, _, rng| {
+            let first = if at < 1.0 { 0 } else { KILLED };
+            rng.random_range(first..NODES)
+        },
+    };
+    run_pattern(14, &to_survivors, kill, |fleet, seed| {
+        expect_that!(fleet.refused_share(), lt(0.05), "seed {seed}");
+    });
+    let hot = Pattern {
+        rate: |_, t| usual(t) * 3.0,
+        ..to_survivors
+    };
+    run_pattern(14, &hot, kill, |_, _| {});
+}
+
 /// A node that resumes after a pause has old totals that look fresh, since its clock stood still.
 #[gtest]
 fn admit_paused_node() {
