--- a/src/coordination/tenants/mod.rs
+++ b/src/coordination/tenants/mod.rs
@@ -2,3 +2,5 @@
 
 pub mod credentials;
 pub mod fair_share;
+pub mod quota;
+pub mod usage;
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -25,6 +25,7 @@
 use crate::sidecar::announcer;
 use crate::sidecar::crashes;
 use crate::sidecar::health_probe;
+use crate::sidecar::usage_port;
 use crate::state::routing_table::RoutingTable;
 
 /// Applies a record of the operator's topic: a configuration or an order to roll out a version.
@@ -206,6 +207,7 @@
     state.table = Some(Rc::new(table));
     drop(state);
     health_probe::apply_bound(cx);
+    usage_port::on_config(cx);
 }
 
 /// Applies the entry of a node.
