--- a/testbed/src/platform/backend.rs
+++ b/testbed/src/platform/backend.rs
@@ -55,8 +55,8 @@
 const DRAIN_TIME: Duration = Duration::from_millis(800);
 /// Longest time that a graceful stop takes, also without an acknowledgement.
 const MAX_DRAIN_TIME: Duration = Duration::from_secs(4);
-/// Largest request body, bytes.
-const MAX_BODY_BYTES: usize = 1 << 20;
+/// Largest request body, bytes: the limit of most deployments.
+const MAX_BODY_BYTES: usize = 64 << 20;
 /// Longest wait for a slot, as a multiple of the longest service time; a request that would wait
 /// longer is refused.
 const MAX_WAIT_SERVICE_TIMES: u32 = 2;
--- a/testbed/src/platform/fleet.rs
+++ b/testbed/src/platform/fleet.rs
@@ -58,6 +58,10 @@
     pub config_within_ms: u64,
     /// Time from SIGTERM to SIGKILL, seconds.
     pub stop_within_s: u64,
+    /// Memory of the instance, MB; `None` leaves the setting out.
+    pub memory_mb: Option<u32>,
+    /// File descriptors that the process may open; `None` leaves the setting out.
+    pub max_open_files: Option<u32>,
 }
 
 impl SidecarOptions {
@@ -70,6 +74,8 @@
             service: service.into(),
             config_within_ms: 2_000,
             stop_within_s: 5,
+            memory_mb: None,
+            max_open_files: None,
         }
     }
 }
@@ -138,7 +144,7 @@
     pub fn add(&mut self, options: SidecarOptions, addrs: SidecarAddrs) -> eyre::Result<usize> {
         let settings_file = self.dir.path().join(format!("{}.jsonc", options.id));
         let region = options.domain.split('-').next().unwrap_or_default();
-        let settings = json!({
+        let mut settings = json!({
             "id": options.id,
             "region": region,
             "failure_domain": options.domain,
@@ -160,6 +166,12 @@
             "retry_slack": 30,
             "retry_window_s": 10,
         });
+        if let Some(memory_mb) = options.memory_mb {
+            settings["memory_mb"] = memory_mb.into();
+        }
+        if let Some(max_open_files) = options.max_open_files {
+            settings["max_open_files"] = max_open_files.into();
+        }
         fs::write(&settings_file, serde_json::to_vec_pretty(&settings)?)?;
         let output = self.dir.path().join(format!("{}.log", options.id));
         self.nodes.push(SidecarNode {
