Count all that clients hold in one account, and decode heads with any number of fields

Clients decide how many requests, bodies and unread responses a process holds. transport/client_memory.rs counts them for the process, a connection and an address, with a size from memory_mb. All ports of a sidecar use it, with the times and the size of heads from the configuration. A body with an announced length is received into one buffer, and sent without a copy.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -12,6 +12,7 @@
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
+use actix_http::header::CONTENT_LENGTH;
 use actix_http::header::CONTENT_TYPE;
 use actix_http::header::HeaderValue;
 use futures_util::future::Either;
@@ -59,6 +60,7 @@
 use crate::transport::http_server::BODY_TIMEOUT;
 use crate::transport::http_server::status_of;
 use crate::transport::pipeline::MayOverlap;
+use crate::transport::pipeline::TakeWithin;
 
 /// Time that the entry node waits beyond the deadline it sends to the serving node, so that a
 /// response sent at the deadline still arrives.
@@ -73,7 +75,12 @@
     cx.metrics.calls.increment(1);
     let _open = OpenCall::new(cx);
     let mut response = match route_request(cx, &mut req, arrived).await {
-        Ok(call) => run_call(cx, call).await,
+        Ok(call) => {
+            let take_within = TakeWithin(call.route.timeout);
+            let mut response = run_call(cx, call).await;
+            response.extensions_mut().insert(take_within);
+            response
+        }
         Err(code) => {
             let attempt = requests::read_client_headers(req.headers()).attempt;
             info!(cx.log, "request refused"; "attempt" => serving::attempt_text(attempt.as_ref()),
@@ -141,9 +148,11 @@
         .as_ref()
         .map_or(BODY_TIMEOUT, |route| route.timeout)
         .min(caller.time_left.unwrap_or(Duration::MAX));
-    let (body, held) = http_server::read_body_within(&mut payload, limit, &cx.bodies, time_limit)
-        .await
-        .map_err(|failure| failure.code)?;
+    let length = headers::number(req.headers(), CONTENT_LENGTH.as_str());
+    let (body, held) =
+        http_server::read_sized_body(&mut payload, length, limit, &cx.bodies, time_limit)
+            .await
+            .map_err(|failure| failure.code)?;
     let route = route?;
     let target = req
         .uri()
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -10,6 +10,7 @@
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
+use actix_http::header::CONTENT_LENGTH;
 use actix_http::header::HeaderName;
 use actix_http::header::HeaderValue;
 use slog::warn;
@@ -83,8 +84,9 @@
     }
     // Later, nobody waits for the response, and the connection may be cut without being closed.
     let time_left = (arrived + head.left).saturating_sub(cx.clock.now());
-    let read =
-        http_server::read_body_within(&mut payload, MAX_HOP_BODY_BYTES, &cx.bodies, time_left);
+    let length = headers::number(req.headers(), CONTENT_LENGTH.as_str());
+    let (limit, bodies) = (MAX_HOP_BODY_BYTES, &cx.bodies);
+    let read = http_server::read_sized_body(&mut payload, length, limit, bodies, time_left);
     let (body, _held) = match read.await {
         Ok(body) => body,
         Err(failure) => {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -51,6 +51,7 @@
 use crate::platform::store::Store;
 use crate::protocol::hop::BackendTotals;
 use crate::protocol::hop::RouteTotals;
+use crate::protocol::mesh::CallerLimits;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::ServiceName;
 use crate::result_code::ResultCode;
@@ -63,18 +64,27 @@
 use crate::state::report_filter::ReportFilter;
 use crate::state::routing_table::RoutingTable;
 use crate::transport::body_budget::BodyBudget;
+use crate::transport::client_memory;
+use crate::transport::client_memory::ClientMemory;
 use crate::transport::exchange::ConnectionPool;
 use crate::transport::http_server::Handler;
 use crate::transport::http_server::HttpServer;
+use crate::transport::http_server::KEEP_ALIVE;
+use crate::transport::pipeline::CurrentLimits;
+use crate::transport::pipeline::PipelineOptions;
 
 /// Largest numbers of open connections of callers, of other nodes and of the platform. The smallest
 /// instances allow 4,100 file descriptors.
 const MAX_CALLER_CONNECTIONS: usize = 1_800;
 const MAX_NODE_CONNECTIONS: usize = 1_200;
 const MAX_PLATFORM_CONNECTIONS: usize = 64;
-/// Bytes of request bodies that a node holds at a time. The smallest instances have 160 MB, a body is held
-/// once more while it is sent, and responses have a budget of the same size.
-const MAX_HELD_REQUEST_BYTES: usize = 32 << 20;
+/// Parts of the file descriptors that make these numbers smaller on an instance that allows fewer, so that the
+/// connections to backend servers and other nodes always have some.
+const CALLER_PARTS: f64 = 0.44;
+const NODE_PARTS: f64 = 0.29;
+const PLATFORM_PARTS: f64 = 0.02;
+/// Bytes of the headers that nodes add to the head of a call.
+const HOP_HEADER_BYTES: usize = 16 << 10;
 /// Slots of the backend server until its first heartbeat.
 const INITIAL_SLOTS: u32 = 1;
 
@@ -132,6 +142,8 @@
     open_calls: Cell<usize>,
     /// Slots of the backend server.
     slots: Rc<AdmissionQueue>,
+    /// What callers, other nodes and the platform make the process hold.
+    client_memory: ClientMemory,
     /// Bodies of the requests of callers and other nodes.
     bodies: BodyBudget,
     /// Transfers of large bodies from other nodes.
@@ -216,6 +228,7 @@
         entry_revision: 0,
     };
     let clock = Clock::start();
+    let client_memory = ClientMemory::new(client_memory::account_bytes(settings.memory_mb));
     Ok(Sidecar {
         clock,
         metrics: SidecarMetrics::install()?,
@@ -230,7 +243,8 @@
         stop_plan: RefCell::new(None),
         open_calls: Cell::new(0),
         slots: AdmissionQueue::new(clock, INITIAL_SLOTS),
-        bodies: BodyBudget::new(MAX_HELD_REQUEST_BYTES),
+        bodies: BodyBudget::of_clients(&client_memory),
+        client_memory,
         transfers: AdmissionQueue::new(clock, body_gate::max_transfers(settings.link_mbps)),
         feed: Feed::default(),
         entry_removed: Cell::new(false),
@@ -272,29 +286,80 @@
     let ready = bind(settings.ready_addr).await?;
     let heartbeat = bind(settings.heartbeat_addr).await?;
     let metrics = bind(settings.metrics_addr).await?;
-    let start_platform_server =
-        |listener, handler| HttpServer::start(listener, MAX_PLATFORM_CONNECTIONS, handler);
+    let platform_connections = max_connections(cx, PLATFORM_PARTS, MAX_PLATFORM_CONNECTIONS);
+    let start_platform_server = |listener, handler, port| {
+        let options = port_options(cx, handler, port);
+        HttpServer::start_with_options(listener, platform_connections, options)
+    };
     Ok(Servers {
-        caller: HttpServer::start_pipelined(
+        caller: HttpServer::start_with_options(
             caller,
-            MAX_CALLER_CONNECTIONS,
-            handler(cx, entry::handle),
-            entry::may_overlap(cx),
+            max_connections(cx, CALLER_PARTS, MAX_CALLER_CONNECTIONS),
+            PipelineOptions {
+                may_overlap: entry::may_overlap(cx),
+                limits: current_limits(cx, |limits| limits),
+                ..port_options(cx, handler(cx, entry::handle), 0)
+            },
         ),
-        node: HttpServer::start_with_gate(
+        node: HttpServer::start_with_options(
             node,
-            MAX_NODE_CONNECTIONS,
-            handler(cx, hop::handle),
-            body_gate::gate(cx),
+            max_connections(cx, NODE_PARTS, MAX_NODE_CONNECTIONS),
+            PipelineOptions {
+                gate: Some(body_gate::gate(cx)),
+                limits: current_limits(cx, |limits| CallerLimits {
+                    header_bytes: limits.header_bytes + HOP_HEADER_BYTES,
+                    idle_time: KEEP_ALIVE,
+                    ..limits
+                }),
+                refuses: false,
+                ..port_options(cx, handler(cx, hop::handle), 1)
+            },
         ),
         _platform: [
-            start_platform_server(ready, status_ports::ready_handler(cx)),
-            start_platform_server(heartbeat, handler(cx, heartbeat_port::handle)),
-            start_platform_server(metrics, status_ports::metrics_handler(cx)),
+            start_platform_server(ready, status_ports::ready_handler(cx), 2),
+            start_platform_server(heartbeat, handler(cx, heartbeat_port::handle), 3),
+            start_platform_server(metrics, status_ports::metrics_handler(cx), 4),
         ],
     })
 }
 
+/// Returns the options of a port whose clients are not callers: they keep connections longer than the
+/// configuration allows callers.
+fn port_options(cx: &Rc<Sidecar>, handler: Handler, port: usize) -> PipelineOptions {
+    PipelineOptions {
+        handler,
+        may_overlap: Rc::new(|_| false),
+        gate: None,
+        limits: current_limits(cx, |limits| CallerLimits {
+            idle_time: KEEP_ALIVE,
+            ..limits
+        }),
+        memory: cx.client_memory.clone(),
+        refuses: true,
+        port,
+    }
+}
+
+/// Returns the limits of the configuration in force, changed for a port.
+fn current_limits(cx: &Rc<Sidecar>, change: fn(CallerLimits) -> CallerLimits) -> CurrentLimits {
+    let cx = cx.clone();
+    Rc::new(move || {
+        let limits = cx.table().map(|table| table.limits());
+        change(limits.unwrap_or_default())
+    })
+}
+
+/// Returns the number of connections of a port.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a part of a number of file descriptors"
+)]
+fn max_connections(cx: &Sidecar, part: f64, most: usize) -> usize {
+    let connections = f64::from(cx.settings.max_open_files) * part;
+    (connections as usize).clamp(1, most)
+}
+
 async fn bind(addr: SocketAddr) -> eyre::Result<TcpListener> {
     TcpListener::bind(addr)
         .await
--- a/src/transport/body_budget.rs
+++ b/src/transport/body_budget.rs
@@ -3,6 +3,9 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use crate::transport::client_memory::ClientMemory;
+use crate::transport::client_memory::HeldMemory;
+
 /// Bytes that the bodies of one direction may occupy together.
 #[derive(Clone, Debug)]
 pub struct BodyBudget {
@@ -10,6 +13,8 @@
     max_bytes: usize,
     /// Bytes of each body that are not counted.
     uncounted_bytes: usize,
+    /// Account of all that clients hold, if these bodies belong to it.
+    memory: Option<ClientMemory>,
 }
 
 /// Bytes that one body occupies. They are free again when it is dropped.
@@ -17,6 +22,7 @@
 pub struct HeldBytes {
     budget: BodyBudget,
     counted: usize,
+    memory: Option<HeldMemory>,
 }
 
 impl BodyBudget {
@@ -27,6 +33,7 @@
             held: Rc::default(),
             max_bytes,
             uncounted_bytes: 0,
+            memory: None,
         }
     }
 
@@ -40,12 +47,22 @@
         }
     }
 
+    /// Creates a budget of the bodies of clients, which count in the account of all that clients hold.
+    #[must_use]
+    pub fn of_clients(memory: &ClientMemory) -> Self {
+        Self {
+            memory: Some(memory.clone()),
+            ..Self::new(memory.bounded_bytes())
+        }
+    }
+
     /// Starts to count a body, which is empty at first.
     #[must_use]
     pub fn hold(&self) -> HeldBytes {
         HeldBytes {
             budget: self.clone(),
             counted: 0,
+            memory: self.memory.as_ref().map(ClientMemory::hold_body),
         }
     }
 
@@ -63,7 +80,11 @@
         let held = self.budget.held.get() - self.counted + counted;
         self.budget.held.set(held);
         self.counted = counted;
-        counted == 0 || held <= self.budget.max_bytes
+        let fits = self
+            .memory
+            .as_mut()
+            .is_none_or(|memory| memory.set_body(bytes));
+        fits && (counted == 0 || held <= self.budget.max_bytes)
     }
 }
 
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -83,6 +83,8 @@
 /// Bytes of each response that do not count there. A peer that answers many requests at the same time without
 /// end takes this for each of them; a backend server has some 10 slots.
 const UNCOUNTED_RESPONSE_BYTES: usize = 64 << 10;
+/// Smallest body of a request that is written without a copy, bytes.
+const MIN_UNCOPIED_BYTES: usize = 16 << 10;
 /// Initial size of a read buffer, bytes; most responses fit.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
@@ -455,7 +457,8 @@
         let size = BodySize::Sized(exchange.body.len() as u64);
         let message = Message::Item((RequestHeadType::Owned(head), size));
         let not_sent = |e: io::Error| ExchangeFailure::NotSent(e.to_string());
-        let mut out = BytesMut::with_capacity(1_024 + exchange.body.len());
+        let copied = exchange.body.len().min(MIN_UNCOPIED_BYTES);
+        let mut out = BytesMut::with_capacity(1_024 + copied);
         let codec = self.codec.get_or_insert_default();
         codec.encode(message, &mut out).map_err(not_sent)?;
         if exchange.expect_continue {
@@ -463,9 +466,19 @@
             self.unsent = exchange.body;
             return self.wait_for_continue().await.map_err(not_sent);
         }
-        out.extend_from_slice(&exchange.body);
+        if exchange.body.len() < MIN_UNCOPIED_BYTES {
+            out.extend_from_slice(&exchange.body);
+        }
         let first = self.stream.write(&out).await.map_err(not_sent)?;
-        self.unsent = out.freeze().split_off(first);
+        let mut rest = out.split_off(first);
+        self.unsent = if exchange.body.len() < MIN_UNCOPIED_BYTES {
+            rest.freeze()
+        } else if rest.is_empty() {
+            exchange.body
+        } else {
+            rest.extend_from_slice(&exchange.body);
+            rest.freeze()
+        };
         Ok(())
     }
 
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -22,12 +22,16 @@
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 
+use crate::protocol::mesh::CallerLimits;
 use crate::result_code::Failure;
 use crate::result_code::ResultCode;
 use crate::transport::body_budget::BodyBudget;
 use crate::transport::body_budget::HeldBytes;
+use crate::transport::client_memory;
+use crate::transport::client_memory::ClientMemory;
 use crate::transport::pipeline::MayOverlap;
 use crate::transport::pipeline::Pipeline;
+use crate::transport::pipeline::PipelineOptions;
 use crate::transport::unsent::CountedStream;
 use crate::transport::unsent::UnsentCount;
 
@@ -43,6 +47,12 @@
 /// Time limit for a client to send the body of a request that has no deadline of its own.
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Memory of the smallest instances, MB.
+const DEFAULT_MEMORY_MB: f64 = 160.0;
+/// Bytes of a body for which room is reserved before they arrive. A buffer that grows step by step leaves as much
+/// again behind in the heap; untouched memory costs nothing.
+const MAX_RESERVED_BYTES: usize = 64 << 20;
+
 /// Handles one request.
 pub type Handler = Rc<dyn Fn(Request) -> LocalBoxFuture<'static, Response<BoxBody>>>;
 
@@ -100,20 +110,48 @@
         max_connections: usize,
         handler: Handler,
         may_overlap: MayOverlap,
+    ) -> Self {
+        let options = PipelineOptions {
+            handler,
+            may_overlap,
+            gate: None,
+            limits: Rc::new(CallerLimits::default),
+            memory: ClientMemory::new(client_memory::account_bytes(DEFAULT_MEMORY_MB)),
+            refuses: true,
+            port: 0,
+        };
+        Self::start_with_options(listener, max_connections, options)
+    }
+
+    /// Like [`Self::start_pipelined`], with limits for clients. If there are too many connections, the oldest
+    /// that waits for its client makes room for a new one.
+    #[must_use]
+    pub fn start_with_options(
+        listener: TcpListener,
+        max_connections: usize,
+        options: PipelineOptions,
     ) -> Self {
         let connections = Rc::new(Cell::new(0));
         let unsent = UnsentCount::default();
-        let pipeline = Pipeline::new(handler, may_overlap, unsent.clone());
+        let (memory, port) = (options.memory.clone(), options.port);
+        let pipeline = Pipeline::new(options, unsent.clone());
         let counted = connections.clone();
+        let make_room = move || memory.evict_oldest(port);
         let accept_loop = actix_rt::spawn(async move {
-            accept_each(listener, max_connections, counted, |stream, guard| {
-                let pipeline = pipeline.clone();
-                actix_rt::spawn(async move {
-                    // Connection errors are ignored, since each call reports its own result.
-                    let _ = pipeline.serve(stream).await;
-                    drop(guard);
-                });
-            })
+            accept_each(
+                listener,
+                max_connections,
+                counted,
+                make_room,
+                |stream, guard| {
+                    let pipeline = pipeline.clone();
+                    actix_rt::spawn(async move {
+                        // Connection errors are ignored, since each call reports its own result.
+                        let _ = pipeline.serve(stream).await;
+                        drop(guard);
+                    });
+                },
+            )
             .await;
         });
         Self {
@@ -177,23 +215,31 @@
     let Ok(service) = factory.new_service(()).await else {
         return;
     };
-    accept_each(listener, max_connections, connections, |stream, guard| {
-        let peer_addr = stream.peer_addr().ok();
-        let connection = service.call((CountedStream::new(stream, unsent.clone()), peer_addr));
-        actix_rt::spawn(async move {
-            // Connection errors are ignored, since each call reports its own result.
-            let _ = connection.await;
-            drop(guard);
-        });
-    })
+    accept_each(
+        listener,
+        max_connections,
+        connections,
+        || false,
+        |stream, guard| {
+            let peer_addr = stream.peer_addr().ok();
+            let connection = service.call((CountedStream::new(stream, unsent.clone()), peer_addr));
+            actix_rt::spawn(async move {
+                // Connection errors are ignored, since each call reports its own result.
+                let _ = connection.await;
+                drop(guard);
+            });
+        },
+    )
     .await;
 }
 
-/// Accepts connections, and closes those beyond the limit at once.
+/// Accepts connections. One beyond the limit takes the place of another that `make_room` has ended, and is
+/// closed at once if there is none.
 async fn accept_each(
     listener: TcpListener,
     max_connections: usize,
     connections: Rc<Cell<usize>>,
+    make_room: impl Fn() -> bool,
     start: impl Fn(TcpStream, ConnectionGuard),
 ) {
     loop {
@@ -201,6 +247,10 @@
             actix_rt::time::sleep(ACCEPT_RETRY_PAUSE).await;
             continue;
         };
+        if connections.get() >= max_connections && make_room() {
+            // The connection that has to end does so when its task runs.
+            tokio::task::yield_now().await;
+        }
         if connections.get() >= max_connections {
             drop(stream);
             continue;
@@ -235,7 +285,22 @@
     budget: &BodyBudget,
     time_limit: Duration,
 ) -> Result<(Bytes, HeldBytes), Failure> {
-    let read = actix_rt::time::timeout(time_limit, read_chunks(payload, limit, budget));
+    read_sized_body(payload, None, limit, budget, time_limit).await
+}
+
+/// Like [`read_body_within`], with the length that the head of the request announces.
+///
+/// # Errors
+/// The same.
+pub async fn read_sized_body(
+    payload: &mut Payload,
+    length: Option<usize>,
+    limit: usize,
+    budget: &BodyBudget,
+    time_limit: Duration,
+) -> Result<(Bytes, HeldBytes), Failure> {
+    let reading = read_chunks(payload, length, limit, budget);
+    let read = actix_rt::time::timeout(time_limit, reading);
     read.await.unwrap_or_else(|_| {
         let text = format!("the body is incomplete after {} ms", time_limit.as_millis());
         Err(Failure::new(ResultCode::DeadlineExceeded, text))
@@ -244,12 +309,16 @@
 
 async fn read_chunks(
     payload: &mut Payload,
+    expected: Option<usize>,
     limit: usize,
     budget: &BodyBudget,
 ) -> Result<(Bytes, HeldBytes), Failure> {
+    if expected.is_some_and(|bytes| bytes > limit) {
+        return Err(too_large(limit));
+    }
     let mut held = budget.hold();
     let mut first: Option<Bytes> = None;
-    let mut rest = BytesMut::new();
+    let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|e| {
             Failure::new(
@@ -257,12 +326,9 @@
                 format!("the body is incomplete: {e}"),
             )
         })?;
-        let length = first.as_ref().map_or(0, Bytes::len) + rest.len() + chunk.len();
+        let length = first.as_ref().map_or(0, Bytes::len) + body.len() + chunk.len();
         if length > limit {
-            return Err(Failure::new(
-                ResultCode::BodyTooLarge,
-                format!("the body exceeds {limit} bytes"),
-            ));
+            return Err(too_large(limit));
         }
         if !held.set(length) {
             return Err(Failure::new(
@@ -271,19 +337,24 @@
             ));
         }
         // Most bodies arrive in one chunk, which is returned without a copy.
-        match first {
-            None => first = Some(chunk),
-            Some(_) => rest.extend_from_slice(&chunk),
+        if first.is_none() && body.is_empty() {
+            first = Some(chunk);
+            continue;
         }
+        if let Some(first) = first.take() {
+            body.reserve(expected.unwrap_or(length).min(MAX_RESERVED_BYTES));
+            body.extend_from_slice(&first);
+        }
+        body.extend_from_slice(&chunk);
     }
-    let first = first.unwrap_or_default();
-    if rest.is_empty() {
-        return Ok((first, held));
-    }
-    let mut body = BytesMut::with_capacity(first.len() + rest.len());
-    body.extend_from_slice(&first);
-    body.extend_from_slice(&rest);
-    Ok((body.freeze(), held))
+    Ok((first.unwrap_or_else(|| body.freeze()), held))
+}
+
+fn too_large(limit: usize) -> Failure {
+    Failure::new(
+        ResultCode::BodyTooLarge,
+        format!("the body exceeds {limit} bytes"),
+    )
 }
 
 /// Returns a response without a body.
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -8,10 +8,12 @@
 
 use std::collections::VecDeque;
 use std::io;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::ConnectionType;
+use actix_http::HttpMessage;
 use actix_http::KeepAlive;
 use actix_http::Method;
 use actix_http::Payload;
@@ -34,18 +36,28 @@
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
 use bytes::BytesMut;
+use futures_util::FutureExt;
 use futures_util::Stream;
 use futures_util::stream;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::io::Interest;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
 
-use crate::transport::http_server::HEAD_TIMEOUT;
+use crate::protocol::mesh::CallerLimits;
+use crate::result_code::ResultCode;
+use crate::transport::client_memory::ClientMemory;
+use crate::transport::client_memory::ConnectionMemory;
+use crate::transport::client_memory::HeldMemory;
+use crate::transport::http_server;
+use crate::transport::http_server::BODY_TIMEOUT;
+use crate::transport::http_server::Gate;
 use crate::transport::http_server::Handler;
-use crate::transport::http_server::KEEP_ALIVE;
+use crate::transport::request_head;
 use crate::transport::unsent::Unsent;
 use crate::transport::unsent::UnsentCount;
 
@@ -55,8 +67,16 @@
 const READ_BUFFER_BYTES: usize = 4 << 10;
 /// Chunks of a body that are read ahead of its handler.
 const BODY_CHUNKS: usize = 8;
-/// Bytes that are read ahead of the request that is decoded next; the largest head is half of them.
-const MAX_READ_AHEAD: usize = 256 << 10;
+/// Memory that is counted for a request until its response is there, bytes: its state, and a usual response.
+const REQUEST_BYTES: usize = 32 << 10;
+/// Memory of a header field besides its bytes, in the request and in its copy that is forwarded, bytes.
+const FIELD_BYTES: usize = 400;
+/// Memory of a connection, bytes.
+const CONNECTION_BYTES: usize = READ_BUFFER_BYTES + (2 << 10);
+/// Turns that a request waits for the memory of a connection that has to end.
+const ROOM_TURNS: usize = 4;
+/// Smallest body of a response that is written without a copy, bytes.
+const MIN_UNCOPIED_BYTES: usize = 16 << 10;
 /// Time for which a closed connection is still read, so that unread bytes do not reset it before the
 /// client has received the last response (RFC 9112, section 9.6).
 const LINGER_TIME: Duration = Duration::from_secs(1);
@@ -67,18 +87,45 @@
 /// closes the connection, the client sends the request again, so it has to be idempotent.
 pub type MayOverlap = Rc<dyn Fn(&Request) -> bool>;
 
+/// Time within which the client has to take a response, as an extension of the response;
+/// [`BODY_TIMEOUT`] without it.
+#[derive(Clone, Copy, Debug)]
+pub struct TakeWithin(pub Duration);
+
+/// Returns the limits that are in force.
+pub type CurrentLimits = Rc<dyn Fn() -> CallerLimits>;
+
 /// How the connections of a server are handled.
 #[derive(Clone)]
+pub struct PipelineOptions {
+    /// Handles a request.
+    pub handler: Handler,
+    /// Decides whether a request may start before the ones before it are answered.
+    pub may_overlap: MayOverlap,
+    /// Decides on bodies that are announced before they are sent.
+    pub gate: Option<Gate>,
+    /// Limits for heads and for idle connections.
+    pub limits: CurrentLimits,
+    /// Account of the memory that clients hold.
+    pub memory: ClientMemory,
+    /// Whether requests are refused if the account is full. Calls of other nodes are not: the entry node has
+    /// admitted them, and a refusal without the headers of a hop would leave their result unknown.
+    pub refuses: bool,
+    /// Number of the port in the account.
+    pub port: usize,
+}
+
+/// Handles the connections of a server.
+#[derive(Clone)]
 pub struct Pipeline {
     config: ServiceConfig,
-    handler: Handler,
-    may_overlap: MayOverlap,
+    options: PipelineOptions,
     unsent: UnsentCount,
 }
 
 /// A request that has started, until its response is written.
 struct OpenRequest {
-    response: JoinHandle<Response<BoxBody>>,
+    response: JoinHandle<(Response<BoxBody>, HeldMemory)>,
     method: Method,
     version: Version,
     closes: bool,
@@ -96,13 +143,23 @@
 /// What is read next from a connection.
 enum Reading {
     Head,
-    /// A request that has to wait until the ones before it are answered.
-    Blocked(Box<Request>),
+    /// A request that has to wait until the ones before it are answered, and the memory for its head.
+    Blocked(Box<Request>, usize),
     Body(mpsc::Sender<Result<Bytes, PayloadError>>),
     /// Nothing, since the connection ends with the last open request.
     End,
 }
 
+/// What a connection waits for.
+enum Event {
+    Response((Response<BoxBody>, HeldMemory)),
+    /// Whether the body of the newest request may be sent.
+    Admitted(bool),
+    Closed,
+    Readable,
+    Idle,
+}
+
 struct Connection {
     stream: TcpStream,
     pipeline: Pipeline,
@@ -110,8 +167,11 @@
     buf: BytesMut,
     reading: Reading,
     open: VecDeque<OpenRequest>,
-    /// Whether the newest request waits for [`CONTINUE`].
-    expects_continue: bool,
+    /// Signals that the body of the newest request may be sent, if that waits for [`CONTINUE`].
+    expects_continue: Option<oneshot::Receiver<()>>,
+    memory: Rc<ConnectionMemory>,
+    /// Memory of the connection without its requests.
+    held: HeldMemory,
     /// Time at which the connection ends unless it is used.
     idle_until: Instant,
     /// Counts the last response until the client has closed the connection, which it does when it has
@@ -138,12 +198,12 @@
 impl Pipeline {
     /// Creates the handling of the connections of a server.
     #[must_use]
-    pub fn new(handler: Handler, may_overlap: MayOverlap, unsent: UnsentCount) -> Self {
-        let config = ServiceConfigBuilder::new().keep_alive(KeepAlive::Timeout(KEEP_ALIVE));
+    pub fn new(options: PipelineOptions, unsent: UnsentCount) -> Self {
+        // The times of the connections are kept here, not by the library.
+        let config = ServiceConfigBuilder::new().keep_alive(KeepAlive::Os);
         Self {
             config: config.build(),
-            handler,
-            may_overlap,
+            options,
             unsent,
         }
     }
@@ -151,36 +211,65 @@
     /// Handles a connection until it is closed.
     ///
     /// # Errors
-    /// If the connection breaks. Its open requests are cancelled.
+    /// If the connection breaks, or has to end to make room. Its open requests are cancelled.
     pub async fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        let mut connection = Connection {
+        let addr: Option<IpAddr> = stream.peer_addr().ok().map(|addr| addr.ip());
+        let memory = Rc::new(self.options.memory.connect(addr, self.options.port));
+        let connection = Connection {
             stream,
             pipeline: self.clone(),
             codec: Codec::new(self.config.clone()),
             buf: BytesMut::with_capacity(READ_BUFFER_BYTES),
             reading: Reading::Head,
             open: VecDeque::new(),
-            expects_continue: false,
-            idle_until: Instant::now() + KEEP_ALIVE,
+            expects_continue: None,
+            held: memory.hold(CONNECTION_BYTES),
+            memory: memory.clone(),
+            idle_until: Instant::now() + (self.options.limits)().idle_time,
             last_unsent: None,
         };
-        while connection.step().await? {}
-        connection.linger().await
+        tokio::select! {
+            served = connection.serve() => served,
+            () = memory.evicted() => Err(io::Error::other("no memory left for the connection")),
+        }
     }
 }
 
+/// Returns the memory that the head of a request takes.
+fn head_memory(req: &Request, bytes: usize) -> usize {
+    2 * bytes + FIELD_BYTES * req.headers().len()
+}
+
+/// Returns the memory that a response takes.
+fn response_memory(response: &Response<BoxBody>) -> usize {
+    let body = match response.body().size() {
+        BodySize::Sized(bytes) => usize::try_from(bytes).unwrap_or(usize::MAX / 4),
+        BodySize::None | BodySize::Stream => 0,
+    };
+    body + FIELD_BYTES * response.headers().len()
+}
+
 impl Connection {
+    async fn serve(mut self) -> io::Result<()> {
+        while self.step().await? {}
+        self.linger().await
+    }
+
+    /// Whether the client has closed the connection, also if it has sent more than is read.
+    fn is_closed(&self) -> bool {
+        self.stream
+            .ready(Interest::PRIORITY)
+            .now_or_never()
+            .is_some()
+    }
+
     /// Makes one step. Returns false once the last response was written.
     async fn step(&mut self) -> io::Result<bool> {
-        if let Some(status) = self.decode_available().await {
+        if let Some(status) = self.decode_available().await? {
             self.reading = Reading::End;
             self.respond_after_open(status);
         }
-        if self.expects_continue && self.open.len() == 1 {
-            self.expects_continue = false;
-            self.stream.write_all(CONTINUE).await?;
-        }
         let has_open = !self.open.is_empty();
         if matches!(self.reading, Reading::End) {
             if !has_open {
@@ -190,29 +279,73 @@
             self.buf.clear();
         }
         let was_empty = self.buf.is_empty();
-        let may_read = self.buf.len() < MAX_READ_AHEAD;
+        let limits = (self.pipeline.options.limits)();
+        // Requests that cannot start yet stay in the socket.
+        let may_read = match &self.reading {
+            Reading::Head => {
+                self.open.len() < MAX_OPEN_REQUESTS && self.buf.len() <= limits.header_bytes
+            }
+            Reading::Blocked(..) => false,
+            Reading::Body(_) | Reading::End => true,
+        };
+        let is_body = matches!(self.reading, Reading::Body(_));
+        self.memory.set_waiting(!has_open || is_body);
+        self.held.set(CONNECTION_BYTES + self.buf.len());
+        let may_continue = self.open.len() == 1;
+        let expects_continue = &mut self.expects_continue;
+        let admitted = async {
+            match expects_continue {
+                Some(rx) if may_continue => rx.await.is_ok(),
+                _ => std::future::pending().await,
+            }
+        };
         let response = async {
             match self.open.front_mut() {
                 Some(first) => (&mut first.response).await,
                 None => std::future::pending().await,
             }
         };
-        tokio::select! {
+        let closed = async {
+            if may_read {
+                return std::future::pending().await;
+            }
+            self.stream.ready(Interest::PRIORITY).await
+        };
+        let event = tokio::select! {
             biased;
-            response = response => {
-                // A handler that panicked has no response.
-                let response = response.map_err(io::Error::other)?;
-                self.write_response(response).await?;
+            response = response => Event::Response(response.map_err(io::Error::other)?),
+            is_admitted = admitted => Event::Admitted(is_admitted),
+            closed = closed => {
+                closed?;
+                Event::Closed
+            }
+            readable = self.stream.readable(), if may_read => {
+                readable?;
+                Event::Readable
             }
-            read = self.stream.read_buf(&mut self.buf), if may_read => {
-                if read? == 0 {
-                    return Err(io::ErrorKind::UnexpectedEof.into());
+            () = tokio::time::sleep_until(self.idle_until), if !has_open => Event::Idle,
+        };
+        match event {
+            Event::Response((response, held)) => self.write_response(response, held).await?,
+            Event::Admitted(is_admitted) => {
+                self.expects_continue = None;
+                if is_admitted {
+                    self.stream.write_all(CONTINUE).await?;
+                }
+            }
+            Event::Closed => return Err(io::ErrorKind::UnexpectedEof.into()),
+            Event::Readable => {
+                match self.stream.try_read_buf(&mut self.buf) {
+                    Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                    Ok(_) => {}
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(e) => return Err(e),
                 }
                 if was_empty {
-                    self.idle_until = Instant::now() + HEAD_TIMEOUT;
+                    self.idle_until = Instant::now() + limits.header_time;
                 }
             }
-            () = tokio::time::sleep_until(self.idle_until), if !has_open => {
+            Event::Idle => {
                 if self.buf.is_empty() {
                     return Ok(false);
                 }
@@ -224,37 +357,48 @@
     }
 
     /// Decodes what has been received. Returns the status of an error response for a malformed request.
-    async fn decode_available(&mut self) -> Option<StatusCode> {
+    ///
+    /// # Errors
+    /// If the client has closed the connection: what it has sent ahead is not run.
+    async fn decode_available(&mut self) -> io::Result<Option<StatusCode>> {
         loop {
             match std::mem::replace(&mut self.reading, Reading::Head) {
                 Reading::End => {
                     self.reading = Reading::End;
-                    return None;
+                    return Ok(None);
                 }
-                Reading::Blocked(req) if !self.open.is_empty() => {
-                    self.reading = Reading::Blocked(req);
-                    return None;
+                Reading::Blocked(req, bytes) => {
+                    let held = self.room_for(bytes, &req).await;
+                    if let (false, None) = (self.open.is_empty(), &held) {
+                        self.reading = Reading::Blocked(req, bytes);
+                        return Ok(None);
+                    }
+                    if self.is_closed() {
+                        return Err(io::ErrorKind::UnexpectedEof.into());
+                    }
+                    match held {
+                        Some(held) => self.start(*req, held),
+                        None => self.refuse(),
+                    }
                 }
-                Reading::Blocked(req) => self.start(*req),
-                Reading::Head if self.open.len() >= MAX_OPEN_REQUESTS => return None,
-                Reading::Head => match self.codec.decode(&mut self.buf) {
-                    Ok(Some(Message::Item(req))) => {
-                        let may_start = self.open.is_empty() || (self.pipeline.may_overlap)(&req);
-                        if may_start {
-                            self.start(req);
-                        } else {
-                            self.reading = Reading::Blocked(Box::new(req));
+                Reading::Head if self.open.len() >= MAX_OPEN_REQUESTS => return Ok(None),
+                Reading::Head => {
+                    let max_bytes = (self.pipeline.options.limits)().header_bytes;
+                    match request_head::decode(&mut self.codec, &mut self.buf, max_bytes) {
+                        Ok(Some(head)) => {
+                            let bytes = head_memory(&head.request, head.bytes);
+                            self.reading = Reading::Blocked(Box::new(head.request), bytes);
                         }
+                        Ok(None) => return Ok(None),
+                        Err(ParseError::TooLarge) => {
+                            return Ok(Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+                        }
+                        Err(_) => return Ok(Some(StatusCode::BAD_REQUEST)),
                     }
-                    Ok(Some(Message::Chunk(_))) => {}
-                    Ok(None) => return None,
-                    Err(ParseError::TooLarge) => {
-                        return Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
-                    }
-                    Err(_) => return Some(StatusCode::BAD_REQUEST),
-                },
+                }
                 Reading::Body(tx) => match self.codec.decode(&mut self.buf) {
                     Ok(Some(Message::Chunk(Some(chunk)))) => {
+                        self.memory.set_body(self.memory.body() + chunk.len());
                         // The handler has responded without the rest of the body.
                         let is_read = tx.send(Ok(chunk)).await.is_ok();
                         self.reading = if is_read {
@@ -270,7 +414,7 @@
                     }
                     Ok(None) => {
                         self.reading = Reading::Body(tx);
-                        return None;
+                        return Ok(None);
                     }
                     Err(_) => {
                         let _ = tx.send(Err(PayloadError::EncodingCorrupted)).await;
@@ -282,11 +426,54 @@
         }
     }
 
+    /// Counts the memory of the next request. `None` if it has to wait or, as the only one, to be refused.
+    async fn room_for(&self, bytes: usize, req: &Request) -> Option<HeldMemory> {
+        let options = &self.pipeline.options;
+        if !self.open.is_empty() {
+            let may_overlap = (options.may_overlap)(req);
+            return self
+                .memory
+                .try_hold_ahead(bytes + REQUEST_BYTES)
+                .filter(|_| may_overlap);
+        }
+        if !options.refuses {
+            return Some(self.memory.hold(bytes));
+        }
+        for _ in 0..ROOM_TURNS {
+            let held = self.memory.try_hold(bytes + REQUEST_BYTES);
+            if held.is_some() {
+                return held;
+            }
+            // A connection that had to end frees its memory meanwhile.
+            tokio::task::yield_now().await;
+        }
+        None
+    }
+
+    /// Refuses a request for which there is no memory. It does not run.
+    fn refuse(&mut self) {
+        let code = ResultCode::ClientLimit;
+        let body = format!(
+            "{{\"code\":{},\"error\":\"{}\"}}",
+            code.number(),
+            code.text()
+        );
+        let mut response = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, BoxBody::new(body));
+        http_server::close_after(&mut response);
+        self.push_response(response);
+        self.reading = Reading::End;
+    }
+
     /// Starts the handler of a request.
-    fn start(&mut self, req: Request) {
+    fn start(&mut self, req: Request, held: HeldMemory) {
         let (method, version) = (req.method().clone(), req.version());
         let closes = req.head().connection_type() != ConnectionType::KeepAlive;
-        self.expects_continue = req.head().expect();
+        self.memory.set_body(0);
+        self.reading = Reading::Head;
+        let (admits, admitted) = oneshot::channel();
+        self.expects_continue = req.head().expect().then_some(admitted);
+        let gate = self.pipeline.options.gate.clone();
+        let gate = gate.filter(|_| req.head().expect());
         let has_body = self.codec.message_type() != MessageType::None;
         let req = if has_body {
             let (tx, rx) = mpsc::channel(BODY_CHUNKS);
@@ -298,8 +485,25 @@
         } else {
             req
         };
-        let handler = self.pipeline.handler.clone();
-        let response = actix_rt::spawn(async move { handler(req).await });
+        let handler = self.pipeline.options.handler.clone();
+        let response = actix_rt::spawn(async move {
+            let mut held = held;
+            let admitted = match gate {
+                Some(gate) => gate(req).await,
+                None => Ok(req),
+            };
+            let response = match admitted {
+                Ok(req) => {
+                    // Nobody waits if no body was announced.
+                    let _ = admits.send(());
+                    handler(req).await
+                }
+                Err(response) => response,
+            };
+            // Counted until the client has taken it.
+            held.set(response_memory(&response));
+            (response, held)
+        });
         self.open.push_back(OpenRequest {
             response,
             method,
@@ -328,9 +532,13 @@
 
     /// Adds a response of the connection itself, after those to the open requests.
     fn respond_after_open(&mut self, status: StatusCode) {
-        let response = Response::with_body(status, BoxBody::new(()));
+        self.push_response(Response::with_body(status, BoxBody::new(())));
+    }
+
+    fn push_response(&mut self, response: Response<BoxBody>) {
+        let held = self.memory.hold(0);
         self.open.push_back(OpenRequest {
-            response: actix_rt::spawn(async { response }),
+            response: actix_rt::spawn(async { (response, held) }),
             method: Method::GET,
             version: Version::HTTP_11,
             closes: true,
@@ -339,7 +547,14 @@
     }
 
     /// Writes the response to the oldest open request.
-    async fn write_response(&mut self, response: Response<BoxBody>) -> io::Result<()> {
+    ///
+    /// # Errors
+    /// If the connection breaks, or the client does not take the response in time.
+    async fn write_response(
+        &mut self,
+        response: Response<BoxBody>,
+        _held: HeldMemory,
+    ) -> io::Result<()> {
         let Some(mut request) = self.open.pop_front() else {
             return Ok(());
         };
@@ -361,23 +576,38 @@
         } else {
             ConnectionType::KeepAlive
         };
-        let out = self.encode(&request, response, end).await?;
-        self.idle_until = Instant::now() + KEEP_ALIVE;
-        self.stream.write_all(&out).await?;
+        let within = response.extensions().get::<TakeWithin>().copied();
+        let within = within.map_or(BODY_TIMEOUT, |within| within.0);
+        let (out, content) = self.encode(&request, response, end).await?;
+        self.memory.set_waiting(true);
+        let write = async {
+            self.stream.write_all(&out).await?;
+            self.stream.write_all(&content).await
+        };
+        tokio::time::timeout(within, write)
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let limits = (self.pipeline.options.limits)();
+        let time = if self.buf.is_empty() {
+            limits.idle_time
+        } else {
+            limits.header_time
+        };
+        self.idle_until = Instant::now() + time;
         if matches!(end, ConnectionType::Close) {
             self.last_unsent = request.unsent.take();
         }
         Ok(())
     }
 
-    /// Encodes a response. The codec keeps what the response depends on from the request that it decoded
+    /// Encodes a response; a large body is returned beside its head. The codec keeps what the response depends on from the request that it decoded
     /// last, which may be a later one, so each response has a codec of its own.
     async fn encode(
         &self,
         request: &OpenRequest,
         response: Response<BoxBody>,
         end: ConnectionType,
-    ) -> io::Result<BytesMut> {
+    ) -> io::Result<(BytesMut, Bytes)> {
         let mut codec = Codec::new(self.pipeline.config.clone());
         let head = format!(
             "{} / {:?}\r\nhost: none\r\nconnection: keep-alive\r\n\r\n",
@@ -397,14 +627,24 @@
                 .await
                 .map_err(|e| io::Error::other(e.to_string()))?,
         };
-        let mut out = BytesMut::with_capacity(1_024 + content.len());
+        let has_body = request.method != Method::HEAD
+            && !matches!(
+                response.status(),
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            );
+        let is_uncopied = has_body && content.len() >= MIN_UNCOPIED_BYTES;
+        let copied = if is_uncopied { 0 } else { content.len() };
+        let mut out = BytesMut::with_capacity(1_024 + copied);
         let size = BodySize::Sized(content.len() as u64);
         codec.encode(Message::Item((response, size)), &mut out)?;
+        if is_uncopied {
+            return Ok((out, content));
+        }
         if !content.is_empty() {
             codec.encode(Message::Chunk(Some(content)), &mut out)?;
         }
         codec.encode(Message::Chunk(None), &mut out)?;
-        Ok(out)
+        Ok((out, Bytes::new()))
     }
 
     /// Closes the connection after the last response.
