Charge bodies ahead, count what many fields take, and free the fields of requests early

Bodies that grew side by side until all were refused left their blocks in the heap: 75 MB with one byte short where 24 MB were counted. actix-http keeps the maps of up to 128 requests with their room for fields: 110 MB after 100 clients with 900 fields.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -76,6 +76,7 @@
     let _open = OpenCall::new(cx);
     let mut response = match route_request(cx, &mut req, arrived).await {
         Ok(call) => {
+            http_server::release_fields(&mut req);
             let take_within = TakeWithin(call.route.timeout);
             let mut response = run_call(cx, call).await;
             response.extensions_mut().insert(take_within);
@@ -87,6 +88,7 @@
                 "code" => code.number(), "path" => req.path(),
                 "version" => cx.table().map(|table| table.version()),
                 "view_age_ms" => cx.feed.view_age(cx.clock.now()).map(millis));
+            http_server::release_fields(&mut req);
             cx.metrics.refusals.increment(1);
             error_response(
                 cx,
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -58,11 +58,16 @@
 
 /// Handles a call, a follow request or an entry of another node.
 pub async fn handle(cx: Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
-    let cx = &cx;
+    let response = handle_request(&cx, &mut req).await;
+    http_server::release_fields(&mut req);
+    response
+}
+
+async fn handle_request(cx: &Rc<Sidecar>, req: &mut Request) -> Response<BoxBody> {
     if !req.headers().contains_key(HOP_REQUEST_HEADER) {
         match req.path() {
-            relay_port::FOLLOW_PATH => return relay_port::serve(cx, &req).await,
-            leaves::ENTRY_PATH => return leaves::serve(cx, &mut req).await,
+            relay_port::FOLLOW_PATH => return relay_port::serve(cx, req).await,
+            leaves::ENTRY_PATH => return leaves::serve(cx, req).await,
             _ => {}
         }
     }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -297,6 +297,7 @@
             max_connections(cx, CALLER_PARTS, MAX_CALLER_CONNECTIONS),
             PipelineOptions {
                 may_overlap: entry::may_overlap(cx),
+                any_fields: true,
                 limits: current_limits(cx, |limits| limits),
                 ..port_options(cx, handler(cx, entry::handle), 0)
             },
@@ -312,6 +313,7 @@
                     ..limits
                 }),
                 refuses: false,
+                any_fields: true,
                 ..port_options(cx, handler(cx, hop::handle), 1)
             },
         ),
@@ -337,6 +339,7 @@
         memory: cx.client_memory.clone(),
         refuses: true,
         port,
+        any_fields: false,
     }
 }
 
--- a/src/transport/client_memory.rs
+++ b/src/transport/client_memory.rs
@@ -16,11 +16,11 @@
 /// what the allocator cannot reuse. On an instance of 160 MB a body of 64 MiB fits.
 const CLIENT_SHARE: f64 = 0.6;
 /// Smallest account, bytes.
-const MIN_BYTES: usize = 4 << 20;
+const MIN_BYTES: usize = 8 << 20;
 /// Eighths of the account that large bodies, or one address, may use.
 const BOUNDED_EIGHTHS: usize = 7;
 /// Largest body that may use the rest as well, bytes.
-const SMALL_BODY_BYTES: usize = 64 << 10;
+pub const SMALL_BODY_BYTES: usize = 64 << 10;
 /// Part of the account that one connection may use for requests that it sends ahead.
 const AHEAD_PARTS: usize = 64;
 
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -11,6 +11,7 @@
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
+use actix_http::header::HeaderMap;
 use actix_rt::net::TcpListener;
 use actix_rt::net::TcpStream;
 use actix_rt::task::JoinHandle;
@@ -29,6 +30,7 @@
 use crate::transport::body_budget::HeldBytes;
 use crate::transport::client_memory;
 use crate::transport::client_memory::ClientMemory;
+use crate::transport::client_memory::SMALL_BODY_BYTES;
 use crate::transport::pipeline::MayOverlap;
 use crate::transport::pipeline::Pipeline;
 use crate::transport::pipeline::PipelineOptions;
@@ -49,6 +51,8 @@
 
 /// Memory of the smallest instances, MB.
 const DEFAULT_MEMORY_MB: f64 = 160.0;
+/// Steps in which a body is charged ahead, bytes.
+const BODY_STEP_BYTES: usize = 1 << 20;
 /// Bytes of a body for which room is reserved before they arrive. A buffer that grows step by step leaves as much
 /// again behind in the heap; untouched memory costs nothing.
 const MAX_RESERVED_BYTES: usize = 64 << 20;
@@ -119,6 +123,7 @@
             memory: ClientMemory::new(client_memory::account_bytes(DEFAULT_MEMORY_MB)),
             refuses: true,
             port: 0,
+            any_fields: true,
         };
         Self::start_with_options(listener, max_connections, options)
     }
@@ -330,7 +335,7 @@
         if length > limit {
             return Err(too_large(limit));
         }
-        if !held.set(length) {
+        if !held.set(charged_bytes(length, expected, limit)) {
             return Err(Failure::new(
                 ResultCode::Overloaded,
                 "the bodies of all requests exceed the memory for them",
@@ -342,7 +347,8 @@
             continue;
         }
         if let Some(first) = first.take() {
-            body.reserve(expected.unwrap_or(length).min(MAX_RESERVED_BYTES));
+            let room = expected.unwrap_or(BODY_STEP_BYTES).min(limit);
+            body.reserve(room.min(MAX_RESERVED_BYTES).max(length));
             body.extend_from_slice(&first);
         }
         body.extend_from_slice(&chunk);
@@ -350,6 +356,22 @@
     Ok((first.unwrap_or_else(|| body.freeze()), held))
 }
 
+/// Returns the bytes that a body of `length` so far is charged for. Beyond a small one it is charged ahead, so that
+/// bodies that grow side by side are not all refused half-way, with as much memory left behind in the heap.
+fn charged_bytes(length: usize, expected: Option<usize>, limit: usize) -> usize {
+    if length <= SMALL_BODY_BYTES {
+        return length;
+    }
+    let step = length.next_multiple_of(BODY_STEP_BYTES);
+    step.min(expected.unwrap_or(limit)).max(length)
+}
+
+/// Frees the fields of a request. The library keeps the maps of requests for later ones, with the room for the
+/// largest number of fields that each has had.
+pub fn release_fields(req: &mut Request) {
+    *req.headers_mut() = HeaderMap::new();
+}
+
 fn too_large(limit: usize) -> Failure {
     Failure::new(
         ResultCode::BodyTooLarge,
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -69,8 +69,11 @@
 const BODY_CHUNKS: usize = 8;
 /// Memory that is counted for a request until its response is there, bytes: its state, and a usual response.
 const REQUEST_BYTES: usize = 32 << 10;
-/// Memory of a header field besides its bytes, in the request and in its copy that is forwarded, bytes.
-const FIELD_BYTES: usize = 400;
+/// Header fields of a usual request, whose memory is part of [`REQUEST_BYTES`].
+const USUAL_FIELDS: usize = 32;
+/// Memory of a further header field besides its bytes, in the request and in its copies that are forwarded, bytes.
+/// A map of `actix-http` takes some 200 for each place, and up to twice as many places as fields.
+const FIELD_BYTES: usize = 1_200;
 /// Memory of a connection, bytes.
 const CONNECTION_BYTES: usize = READ_BUFFER_BYTES + (2 << 10);
 /// Turns that a request waits for the memory of a connection that has to end.
@@ -113,6 +116,9 @@
     pub refuses: bool,
     /// Number of the port in the account.
     pub port: usize,
+    /// Whether heads may have any number of fields. Otherwise the library's bound applies; handlers of such
+    /// ports need not call [`http_server::release_fields`].
+    pub any_fields: bool,
 }
 
 /// Handles the connections of a server.
@@ -238,7 +244,7 @@
 
 /// Returns the memory that the head of a request takes.
 fn head_memory(req: &Request, bytes: usize) -> usize {
-    2 * bytes + FIELD_BYTES * req.headers().len()
+    2 * bytes + FIELD_BYTES * req.headers().len().saturating_sub(USUAL_FIELDS)
 }
 
 /// Returns the memory that a response takes.
@@ -247,7 +253,7 @@
         BodySize::Sized(bytes) => usize::try_from(bytes).unwrap_or(usize::MAX / 4),
         BodySize::None | BodySize::Stream => 0,
     };
-    body + FIELD_BYTES * response.headers().len()
+    body + FIELD_BYTES * response.headers().len().saturating_sub(USUAL_FIELDS)
 }
 
 impl Connection {
@@ -384,7 +390,12 @@
                 Reading::Head if self.open.len() >= MAX_OPEN_REQUESTS => return Ok(None),
                 Reading::Head => {
                     let max_bytes = (self.pipeline.options.limits)().header_bytes;
-                    match request_head::decode(&mut self.codec, &mut self.buf, max_bytes) {
+                    match request_head::decode(
+                        &mut self.codec,
+                        &mut self.buf,
+                        max_bytes,
+                        self.pipeline.options.any_fields,
+                    ) {
                         Ok(Some(head)) => {
                             let bytes = head_memory(&head.request, head.bytes);
                             self.reading = Reading::Blocked(Box::new(head.request), bytes);
--- a/src/transport/request_head.rs
+++ b/src/transport/request_head.rs
@@ -61,17 +61,19 @@
 /// Decodes the next request, if its head is complete.
 ///
 /// # Errors
-/// [`ParseError::TooLarge`] if the head exceeds `max_bytes`, others if it is malformed.
+/// [`ParseError::TooLarge`] if the head exceeds `max_bytes`, or has more fields than the library accepts unless
+/// it may have any number; others if it is malformed.
 pub fn decode(
     codec: &mut Codec,
     buf: &mut BytesMut,
     max_bytes: usize,
+    any_fields: bool,
 ) -> Result<Option<DecodedHead>, ParseError> {
     let (end, lines) = head_end(buf);
     if end.unwrap_or(buf.len()) > max_bytes {
         return Err(ParseError::TooLarge);
     }
-    if lines <= MAX_CODEC_LINES {
+    if lines <= MAX_CODEC_LINES || !any_fields {
         let before = buf.len();
         let message = codec.decode(buf)?;
         let bytes = before - buf.len();
