--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -73,11 +73,13 @@
 const USUAL_FIELDS: usize = 32;
 /// Memory of a further header field besides its bytes, in the request and in its copies that are forwarded, bytes.
 /// A map of `actix-http` takes some 200 for each place, and up to twice as many places as fields.
-const FIELD_BYTES: usize = 1_200;
+const FIELD_BYTES: usize = 1_600;
 /// Memory of a connection, bytes.
 const CONNECTION_BYTES: usize = READ_BUFFER_BYTES + (2 << 10);
 /// Turns that a request waits for the memory of a connection that has to end.
 const ROOM_TURNS: usize = 4;
+/// Largest memory for the head of a call of another node that is accepted in any case, bytes.
+const MAX_UNREFUSED_BYTES: usize = 64 << 10;
 /// Smallest body of a response that is written without a copy, bytes.
 const MIN_UNCOPIED_BYTES: usize = 16 << 10;
 /// Time for which a closed connection is still read, so that unread bytes do not reset it before the
@@ -111,8 +113,9 @@
     pub limits: CurrentLimits,
     /// Account of the memory that clients hold.
     pub memory: ClientMemory,
-    /// Whether requests are refused if the account is full. Calls of other nodes are not: the entry node has
-    /// admitted them, and a refusal without the headers of a hop would leave their result unknown.
+    /// Whether requests are refused if the account is full. Usual calls of other nodes are not: the entry node has
+    /// admitted them, and a refusal without the headers of a hop would leave their result unknown. The connection
+    /// of an unusual one ends before it runs.
     pub refuses: bool,
     /// Number of the port in the account.
     pub port: usize,
@@ -384,7 +387,8 @@
                     }
                     match held {
                         Some(held) => self.start(*req, held),
-                        None => self.refuse(),
+                        None if self.pipeline.options.refuses => self.refuse(),
+                        None => return Err(io::Error::other("no memory left for the request")),
                     }
                 }
                 Reading::Head if self.open.len() >= MAX_OPEN_REQUESTS => return Ok(None),
@@ -447,7 +451,7 @@
                 .try_hold_ahead(bytes + REQUEST_BYTES)
                 .filter(|_| may_overlap);
         }
-        if !options.refuses {
+        if !options.refuses && bytes <= MAX_UNREFUSED_BYTES {
             return Some(self.memory.hold(bytes));
         }
         for _ in 0..ROOM_TURNS {
