--- a/src/transport/client_memory.rs
+++ b/src/transport/client_memory.rs
@@ -135,6 +135,7 @@
     }
 
     /// Ends the oldest connection of a port that waits for its client. Returns whether there is one.
+    #[must_use]
     pub fn evict_oldest(&self, port: usize) -> bool {
         let connections = self.0.connections.borrow();
         let mut waiting = connections
--- a/tests/process_clients.rs
+++ b/tests/process_clients.rs
@@ -83,7 +83,8 @@
         "limits": { "header-bytes": 16_384, "body-bytes": instance.body_bytes, "header-ms": 1_000,
             "idle-ms": 3_000 },
     });
-    env.store
+    let _ = env
+        .store
         .put(OPERATOR_TOPIC, "config", config.to_string().as_bytes());
     let fields = Arc::new(AtomicUsize::new(0));
     for index in 0..instance.nodes {
@@ -192,7 +193,7 @@
 }
 
 /// Checks that all nodes run within their instances, and that an ordinary call is answered.
-async fn check(env: &mut TestFleet, memory_mb: u32, crowd: &str) -> eyre::Result<()> {
+fn check(env: &mut TestFleet, memory_mb: u32, crowd: &str) -> eyre::Result<()> {
     for index in 0..env.fleet.nodes().len() {
         expect_true!(env.fleet.is_running_now(index));
         let pid = env.fleet.nodes()[index].process.pid().unwrap_or_default();
@@ -253,7 +254,7 @@
     for (port, addr, path) in ports(&env) {
         let name = format!("{crowd} at {port}");
         let open = send_crowd(addr, clients, &request(path), piece).await?;
-        check(&mut env, instance.memory_mb, &name).await?;
+        check(&mut env, instance.memory_mb, &name)?;
         drop(open);
         check_answered(&mut env, &name).await?;
     }
@@ -372,7 +373,7 @@
         let addr = env.fleet.nodes()[0].addrs.caller;
         let requests = head("GET", "/wrecks/1", "").repeat(AHEAD);
         let open = send_crowd(addr, 2 * CLIENTS, &requests, usize::MAX / 2).await?;
-        check(&mut env, instance.memory_mb, "requests ahead").await?;
+        check(&mut env, instance.memory_mb, "requests ahead")?;
         drop(open);
         check_answered(&mut env, "requests ahead").await
     });
@@ -424,7 +425,7 @@
         let addr = env.fleet.nodes()[0].addrs.caller;
         let request = head("GET", "/wrecks/1", "");
         let open = send_crowd(addr, CLIENTS, &request, usize::MAX / 2).await?;
-        check(&mut env, instance.memory_mb, "unread responses").await?;
+        check(&mut env, instance.memory_mb, "unread responses")?;
         drop(open);
         check_answered(&mut env, "unread responses").await
     });
@@ -451,7 +452,7 @@
         println!("{runs} runs after the client was gone");
         // The node may run 16 requests of a connection at a time, and may learn of the end only then.
         expect_that!(runs, le(32));
-        check(&mut env, instance.memory_mb, "disconnected").await?;
+        check(&mut env, instance.memory_mb, "disconnected")?;
         check_answered(&mut env, "disconnected").await
     });
 }
@@ -474,7 +475,7 @@
             let text = String::from_utf8_lossy(&buf[..count]);
             expect_that!(text, starts_with("HTTP/1.1 200 "), "{nodes} nodes");
             expect_that!(fields.load(Ordering::Relaxed), eq(900));
-            check(&mut env, instance.memory_mb, "many fields").await?;
+            check(&mut env, instance.memory_mb, "many fields")?;
         }
         Ok(())
     });
@@ -507,7 +508,7 @@
             let count = stream.read(&mut buf)?;
             let text = String::from_utf8_lossy(&buf[..count]);
             expect_that!(text, starts_with("HTTP/1.1 200 "), "{nodes} nodes");
-            check(&mut env, instance.memory_mb, "largest body").await?;
+            check(&mut env, instance.memory_mb, "largest body")?;
             check_answered(&mut env, "largest body").await?;
         }
         Ok(())
