--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -12,6 +12,7 @@
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
+use actix_http::header::CONTENT_LENGTH;
 use actix_http::header::CONTENT_TYPE;
 use actix_http::header::HeaderValue;
 use futures_util::future::Either;
@@ -66,6 +67,7 @@
 use crate::transport::http_server::BODY_TIMEOUT;
 use crate::transport::http_server::status_of;
 use crate::transport::pipeline::MayOverlap;
+use crate::transport::pipeline::TakeWithin;
 
 /// Time that the entry node waits beyond the deadline it sends to the serving node, so that a
 /// response sent at the deadline still arrives.
@@ -81,7 +83,13 @@
     let _open = OpenCall::new(cx);
     let mut response = match route_request(cx, &mut req, arrived).await {
         Ok(call) => match take_token(cx, &call) {
-            Ok(()) => run_call(cx, call).await,
+            Ok(()) => {
+                http_server::release_fields(&mut req);
+                let take_within = TakeWithin(call.route.timeout);
+                let mut response = run_call(cx, call).await;
+                response.extensions_mut().insert(take_within);
+                response
+            }
             Err(retry_after) => {
                 cx.metrics.refusals.increment(1);
                 let code = ResultCode::QuotaExceeded;
@@ -94,6 +102,7 @@
                 "code" => code.number(), "path" => req.path(),
                 "version" => cx.table().map(|table| table.version()),
                 "view_age_ms" => cx.feed.view_age(cx.clock.now()).map(millis));
+            http_server::release_fields(&mut req);
             cx.metrics.refusals.increment(1);
             error_response(
                 cx,
@@ -164,9 +173,11 @@
         .as_ref()
         .map_or(BODY_TIMEOUT, |route| route.timeout)
         .min(caller.time_left.unwrap_or(Duration::MAX));
-    let (body, held) = http_server::read_body_within(&mut payload, limit, &cx.bodies, time_limit)
-        .await
-        .map_err(|failure| failure.code)?;
+    let length = headers::number(req.headers(), CONTENT_LENGTH.as_str());
+    let (body, held) =
+        http_server::read_sized_body(&mut payload, length, limit, &cx.bodies, time_limit)
+            .await
+            .map_err(|failure| failure.code)?;
     let route = route?;
     let target = req
         .uri()
--- a/testbed/src/platform/fleet.rs
+++ b/testbed/src/platform/fleet.rs
@@ -63,6 +63,10 @@
     pub cold_excess_and_slack: (f64, f64),
     /// Failure domains that the settings list, named like [`Self::domain`]; none if it is empty.
     pub known_domains: Vec<String>,
+    /// Memory of the instance, MB; `None` leaves the setting out.
+    pub memory_mb: Option<u32>,
+    /// File descriptors that the process may open; `None` leaves the setting out.
+    pub max_open_files: Option<u32>,
 }
 
 /// Returns the region of a failure domain.
@@ -82,6 +86,8 @@
             stop_within_s: 5,
             cold_excess_and_slack: (1.0, 0.0),
             known_domains: Vec::new(),
+            memory_mb: None,
+            max_open_files: None,
         }
     }
 }
@@ -153,7 +159,7 @@
         let domains: Vec<_> = domains
             .map(|domain| json!({ "domain": domain, "region": region_of(domain) }))
             .collect();
-        let settings = json!({
+        let mut settings = json!({
             "id": options.id,
             "region": region_of(&options.domain),
             "domains": domains,
@@ -178,6 +184,12 @@
             "cold_excess": options.cold_excess_and_slack.0,
             "cold_slack": options.cold_excess_and_slack.1,
         });
+        if let Some(memory_mb) = options.memory_mb {
+            settings["memory_mb"] = memory_mb.into();
+        }
+        if let Some(max_open_files) = options.max_open_files {
+            settings["max_open_files"] = max_open_files.into();
+        }
         fs::write(&settings_file, serde_json::to_vec_pretty(&settings)?)?;
         let output = self.dir.path().join(format!("{}.log", options.id));
         self.nodes.push(SidecarNode {
