--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -138,6 +138,10 @@
     /// Time for which the call is refused since it crashes backend servers. It is not offered to other
     /// nodes, which may not know this yet.
     quarantined_for: Option<Duration>,
+    /// Last refusal by a node because of where it stands.
+    location_refusal: Option<(NodeId, ResultCode)>,
+    /// Reason for which the entry node itself refuses the call from now on.
+    denied: Option<ResultCode>,
     last: Option<ResultCode>,
     retry_after: Option<Duration>,
 }
@@ -159,6 +163,8 @@
             may_have_run: false,
             has_failure_response: false,
             quarantined_for: None,
+            location_refusal: None,
+            denied: None,
             last: None,
             retry_after: None,
         }
@@ -205,6 +211,7 @@
         let unsafe_to_retry = self.may_have_run && !self.limits.idempotent;
         if unsafe_to_retry
             || self.quarantined_for.is_some()
+            || self.denied.is_some()
             || self.limits.deadline < now + MIN_ATTEMPT_TIME
             || self.tries >= MAX_TRIES
             || self.arrivals >= self.limits.attempts
@@ -308,8 +315,12 @@
                 }
                 let shortest = self.retry_after.unwrap_or(retry_after).min(retry_after);
                 self.retry_after = Some(shortest);
-                if code == ResultCode::RequestQuarantined {
-                    self.on_quarantined(retry_after);
+                match code {
+                    ResultCode::RequestQuarantined => self.on_quarantined(retry_after),
+                    ResultCode::OutsideHome | ResultCode::DomainEvacuated => {
+                        self.location_refusal = Some((node.clone(), code));
+                    }
+                    _ => {}
                 }
             }
             AttemptFailure::Unknown(code) => {
@@ -326,6 +337,28 @@
         self.quarantined_for = Some(refused_for);
     }
 
+    /// Handles that no node may serve the call, for the reason that the code names. A call that some node has
+    /// refused keeps that reason.
+    pub fn on_excluded(&mut self, code: ResultCode) {
+        self.last = self.last.or(Some(code));
+    }
+
+    /// Returns the node that has refused the call because of where it stands, with its reason, once.
+    pub fn take_location_refusal(&mut self) -> Option<(NodeId, ResultCode)> {
+        self.location_refusal.take()
+    }
+
+    /// Handles that further nodes would refuse the call like the one that has just refused it.
+    pub fn on_refused_alike(&mut self, nodes: &[NodeId]) {
+        self.tried.extend_from_slice(nodes);
+    }
+
+    /// Handles a call that the entry node itself refuses from now on, for example since its credential has been
+    /// revoked. No further attempt is made.
+    pub fn on_denied(&mut self, code: ResultCode) {
+        self.denied = Some(code);
+    }
+
     /// Handles the deadline of the call passing during an attempt.
     pub fn on_timeout(&mut self) {
         self.may_have_run = true;
@@ -344,6 +377,12 @@
                 retry_after: Some(refused_for),
             };
         }
+        if let (Some(code), false) = (self.denied, self.may_have_run) {
+            return Outcome::Refused {
+                code,
+                retry_after: None,
+            };
+        }
         let last = self.last.unwrap_or(ResultCode::Overloaded);
         let timed_out = last == ResultCode::DeadlineExceeded;
         if self.may_have_run && timed_out {
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -18,6 +18,8 @@
 use crate::coordination::backoff::exponential_delay;
 use crate::coordination::slot_queue::ASSUMED_RUN_SHARE;
 use crate::coordination::slot_queue::COLD_START_FACTOR;
+use crate::coordination::zones::evacuation::Evacuations;
+use crate::coordination::zones::homes::AllowedRegions;
 use crate::coordination::zones::spill::SpillCosts;
 use crate::coordination::zones::spill::SpillEnd;
 use crate::coordination::zones::spill::SpillShares;
@@ -35,6 +37,7 @@
 use crate::protocol::name::RouteName;
 use crate::protocol::name::ServiceName;
 use crate::protocol::name::VersionName;
+use crate::result_code::ResultCode;
 
 /// Time for a hop to another node of the same failure domain: parsing the request a second time and
 /// the network round trip.
@@ -475,6 +478,8 @@
         .filter_map(|candidate| Some((candidate, candidate.backend()?)))
         .filter(|(candidate, backend)| {
             backend.service == *request.service
+                && request.regions.allows(&candidate.entry.region)
+                && !request.evacuations.contains(&candidate.entry.domain)
                 && (request.is_allowed)(&candidate.entry.node, &backend.version)
         })
         .collect();
@@ -534,6 +539,10 @@
     pub tried: &'a [NodeId],
     /// Whether the backend server of this node, which has this version, may be used.
     pub is_allowed: &'a dyn Fn(&NodeId, &VersionName) -> bool,
+    /// Regions that may serve the call.
+    pub regions: &'a AllowedRegions,
+    /// Failure domains whose backend servers get no requests.
+    pub evacuations: &'a Evacuations,
 }
 
 /// Chooses serving nodes for the calls of one entry node.
@@ -552,7 +561,9 @@
     service_loads: Vec<(ServiceName, f64)>,
     /// Last entries of nodes that have left, oldest first.
     departed: Vec<DepartedNode>,
-    spill: SpillShares,
+    /// Shares of calls that may leave the own failure domain; `None` if each call goes to the node with the
+    /// least expected cost.
+    spill: Option<SpillShares>,
 }
 
 /// Last entry of a node that has left the fleet.
@@ -576,7 +587,16 @@
             totals: Vec::new(),
             service_loads: Vec::new(),
             departed: Vec::new(),
-            spill: SpillShares::default(),
+            spill: None,
+        }
+    }
+
+    /// Bounds the calls that leave the own failure domain by shares, and to spare capacity of other ones.
+    #[must_use]
+    pub fn with_spillover(self) -> Self {
+        Self {
+            spill: Some(SpillShares::default()),
+            ..self
         }
     }
 
@@ -740,7 +760,7 @@
             choices.reduce(|best, choice| if choice.is_before(best) { choice } else { best })
         };
         let mut spill_share = 0.0;
-        let (chosen, is_spillover) = if can_stay {
+        let (chosen, is_spillover) = if let (true, Some(spill)) = (can_stay, &mut self.spill) {
             let is_home = |choice: &Choice<'_>| choice.candidate.is_in_domain();
             let home = best_of(&|choice| {
                 is_home(choice) && choice.availability != Availability::Unreachable
@@ -764,7 +784,7 @@
                     is_refusal_expected,
                 };
                 let domain = &choice.candidate.entry.domain;
-                let share = self.spill.on_costs(now, request.service, domain, &costs);
+                let share = spill.on_costs(now, request.service, domain, &costs);
                 if away.is_some_and(|away| away.candidate.entry.domain == *domain) {
                     spill_share = share;
                 }
@@ -810,8 +830,8 @@
     }
 
     /// Returns the shares of calls that may leave the own failure domain.
-    pub fn spill_mut(&mut self) -> &mut SpillShares {
-        &mut self.spill
+    pub fn spill_mut(&mut self) -> Option<&mut SpillShares> {
+        self.spill.as_mut()
     }
 
     /// Updates the share of calls that may leave from a finished spillover attempt. `elapsed` is the time of the
@@ -842,21 +862,81 @@
                 SpillEnd::Cancelled
             }
         };
-        self.spill
-            .on_end(now, service, &pick.domain, &pick.node, end);
+        let Some(spill) = &mut self.spill else {
+            return;
+        };
+        spill.on_end(now, service, &pick.domain, &pick.node, end);
     }
 
-    /// Whether a backend server of the service, with a version that passes the filter, accepts
-    /// calls.
+    /// Whether a backend server of the service in these regions, with a version that passes the filter,
+    /// accepts calls.
     #[must_use]
     pub fn has_backend_server(
         &self,
         service: &ServiceName,
+        regions: &AllowedRegions,
         of: impl Fn(&VersionName) -> bool,
     ) -> bool {
-        let backends = self.candidates.iter().filter_map(Candidate::backend);
-        let mut of_service = backends.filter(|backend| backend.service == *service);
-        of_service.any(|backend| of(&backend.version))
+        let mut entries = self.ready_entries(service, regions);
+        entries.any(|(_, backend)| of(&backend.version))
+    }
+
+    /// Returns the nodes in these regions whose backend servers of the service accept calls.
+    fn ready_entries<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        regions: &'a AllowedRegions,
+    ) -> impl Iterator<Item = (&'a FleetEntry, &'a BackendReport)> {
+        let ready = self
+            .candidates
+            .iter()
+            .filter_map(|candidate| Some((&candidate.entry, candidate.backend()?)));
+        ready.filter(move |(entry, backend)| {
+            backend.service == *service && regions.allows(&entry.region)
+        })
+    }
+
+    /// Returns the reason why no backend server of the service may serve a call, if home regions or evacuations
+    /// are that reason.
+    #[must_use]
+    pub fn exclusion(
+        &self,
+        service: &ServiceName,
+        regions: &AllowedRegions,
+        evacuations: &Evacuations,
+    ) -> Option<ResultCode> {
+        let mut ready = self.ready_entries(service, regions).peekable();
+        if ready.peek().is_none() {
+            let is_restricted = *regions != AllowedRegions::Any;
+            return is_restricted.then_some(ResultCode::OutsideHome);
+        }
+        ready
+            .all(|(entry, _)| evacuations.contains(&entry.domain))
+            .then_some(ResultCode::DomainEvacuated)
+    }
+
+    /// Returns the failure domain of a node.
+    #[must_use]
+    pub fn domain_of(&self, node: &NodeId) -> Option<&DomainName> {
+        let index = self.index(node).ok()?;
+        Some(&self.candidates[index].entry.domain)
+    }
+
+    /// Returns the nodes that would refuse a call for the same reason as this node, as far as it is where the
+    /// node stands.
+    #[must_use]
+    pub fn nodes_refusing_as(&self, node: &NodeId, reason: ResultCode) -> Vec<NodeId> {
+        let Ok(index) = self.index(node) else {
+            return Vec::new();
+        };
+        let refusing = &self.candidates[index].entry;
+        let is_alike = |entry: &&FleetEntry| match reason {
+            ResultCode::OutsideHome => entry.region == refusing.region,
+            ResultCode::DomainEvacuated => entry.domain == refusing.domain,
+            _ => false,
+        };
+        let alike = self.entries().filter(is_alike);
+        alike.map(|entry| entry.node.clone()).collect()
     }
 
     /// Applies the load and results that a node reported.
--- a/src/coordination/room/cold_start.rs
+++ b/src/coordination/room/cold_start.rs
@@ -7,6 +7,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::coordination::tenants::fair_share::Rank;
 use crate::protocol::hop::RequestRate;
 use crate::protocol::name::RouteName;
 
@@ -169,8 +170,8 @@
     /// Run times of the last runs relative to the usual ones.
     compared: VecDeque<f64>,
     last_probe_at: Option<Duration>,
-    /// Most urgent priority of late, and the time of its last call.
-    urgent: Option<(u8, Duration)>,
+    /// Most urgent rank of late, and the time of its last call.
+    urgent: Option<(Rank, Duration)>,
 }
 
 impl Default for ColdStart {
@@ -265,23 +266,22 @@
         }
     }
 
-    /// Notes that a call of a priority has arrived; 0 is the highest.
-    pub fn on_offer(&mut self, now: Duration, priority: u8) {
-        let is_kept =
-            |(urgent, at): &(u8, Duration)| *urgent < priority && now < *at + RESERVE_TIME;
+    /// Notes that a call of a rank has arrived.
+    pub fn on_offer(&mut self, now: Duration, rank: Rank) {
+        let is_kept = |(urgent, at): &(Rank, Duration)| *urgent < rank && now < *at + RESERVE_TIME;
         if self.bound.is_some() && !self.urgent.as_ref().is_some_and(is_kept) {
-            self.urgent = Some((priority, now));
+            self.urgent = Some((rank, now));
         }
     }
 
-    /// Returns the time from `now` until a request of a priority may start behind `ahead` other ones.
+    /// Returns the time from `now` until a request of a rank may start behind `ahead` other ones.
     #[must_use]
-    pub fn delay(&self, now: Duration, ahead: usize, priority: u8) -> Duration {
+    pub fn delay(&self, now: Duration, ahead: usize, rank: Rank) -> Duration {
         let (Some(bound), Some(per_s)) = (self.bound, self.per_s(now)) else {
             return Duration::ZERO;
         };
         #[allow(clippy::cast_precision_loss, reason = "queues are short")]
-        let needed = ahead as f64 + 1.0 + self.reserve(now, &bound, priority);
+        let needed = ahead as f64 + 1.0 + self.reserve(now, &bound, rank);
         let missing = needed - self.tokens_at(now);
         let until_token = if missing <= ROUNDING {
             Duration::ZERO
@@ -295,10 +295,10 @@
         }
     }
 
-    /// Whether a request of a priority may start now.
+    /// Whether a request of a rank may start now.
     #[must_use]
-    pub fn allows(&self, now: Duration, priority: u8) -> bool {
-        self.delay(now, 0, priority).is_zero()
+    pub fn allows(&self, now: Duration, rank: Rank) -> bool {
+        self.delay(now, 0, rank).is_zero()
     }
 
     /// Counts the start of a request.
@@ -379,10 +379,10 @@
         true
     }
 
-    /// Tokens that a call of a priority must leave.
-    fn reserve(&self, now: Duration, bound: &ColdBound, priority: u8) -> f64 {
+    /// Tokens that a call of a rank must leave.
+    fn reserve(&self, now: Duration, bound: &ColdBound, rank: Rank) -> f64 {
         let is_less_urgent =
-            |(urgent, at): (u8, Duration)| urgent < priority && now < at + RESERVE_TIME;
+            |(urgent, at): (Rank, Duration)| urgent < rank && now < at + RESERVE_TIME;
         if self.urgent.is_some_and(is_less_urgent) {
             (bound.burst - 1.0).clamp(0.0, MAX_RESERVE)
         } else {
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -53,7 +53,8 @@
     pub limit: Option<RequestRate>,
     /// Tenant whose credential the entry node has found valid.
     pub tenant: Option<TenantName>,
-    /// Priority of the tenant, which goes before that of the route; 0 is the highest.
+    /// Priority of the tenant, which goes before that of the route; 0 is the highest. A call without a tenant
+    /// has that of the most urgent tenant.
     pub tenant_priority: u8,
     /// Whether the call has left its failure domain although that could serve it; it may only use spare
     /// capacity.
@@ -66,9 +67,9 @@
     pub fn encode(&self) -> String {
         let tenant = match &self.tenant {
             Some(tenant) => format!(";{tenant};{}", self.tenant_priority),
-            // Keeps the place of the fields before `is_spillover`.
-            None if self.is_spillover => format!(";;{}", self.tenant_priority),
-            None => String::new(),
+            // Without tenants in the configuration the header is that of earlier builds.
+            None if self.tenant_priority == 0 && !self.is_spillover => String::new(),
+            None => format!(";;{}", self.tenant_priority),
         };
         let spillover = if self.is_spillover { ";1" } else { "" };
         format!(
@@ -104,7 +105,7 @@
             is_overdue: fields.next() == Some("1"),
             tenant: fields
                 .next()
-                .filter(|tenant| !tenant.is_empty())
+                .filter(|field| !field.is_empty())
                 .map(TenantName::from),
             tenant_priority: fields
                 .next()
--- a/src/sidecar/body_gate.rs
+++ b/src/sidecar/body_gate.rs
@@ -86,7 +86,7 @@
     if let Err(code) = serving::usable_backend(cx, &head) {
         return refused(ServeOutcome::refused(code));
     }
-    let offer = serving::slot_offer(&head, arrived);
+    let offer = serving::slot_offer(cx, &head, arrived);
     let (retry_after, run) = cx.slots.with(|queue| {
         let run = queue.expected_run(arrived, &offer);
         (queue.would_refuse(arrived, &offer), run)
@@ -102,6 +102,11 @@
     };
     match cx.transfers.admit(&transfer).await {
         Ok(admitted) => {
+            // The home regions of the call may have changed while it waited, and its body must not be sent
+            // to a node outside. The failure domain may have been evacuated.
+            if let Err(code) = serving::check_location(cx, &head) {
+                return refused(ServeOutcome::refused(code));
+            }
             req.extensions_mut().insert(Transfer {
                 arrived,
                 clock: cx.clock,
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -12,6 +12,7 @@
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
+use actix_http::header::CONTENT_LENGTH;
 use actix_http::header::CONTENT_TYPE;
 use actix_http::header::HeaderValue;
 use futures_util::future::Either;
@@ -31,11 +32,16 @@
 use crate::coordination::placement::Feedback;
 use crate::coordination::placement::Pick;
 use crate::coordination::placement::PickRequest;
+use crate::coordination::tenants::credentials::CallTenant;
+use crate::coordination::zones::evacuation::Evacuations;
+use crate::coordination::zones::homes;
+use crate::coordination::zones::homes::AllowedRegions;
 use crate::platform::requests;
 use crate::protocol::hop::BackendTotals;
 use crate::protocol::hop::HopRequestHeader;
 use crate::protocol::hop::Load;
 use crate::protocol::hop::RouteTotals;
+use crate::protocol::mesh::KeyHash;
 use crate::protocol::mesh::MeshRoute;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::RouteName;
@@ -52,6 +58,8 @@
 use crate::sidecar::serving;
 use crate::sidecar::serving::ServeCall;
 use crate::sidecar::serving::ServeOutcome;
+use crate::sidecar::tenants;
+use crate::sidecar::usage_port;
 use crate::state::routing_table;
 use crate::transport::body_budget::HeldBytes;
 use crate::transport::headers;
@@ -60,6 +68,7 @@
 use crate::transport::http_server::BODY_TIMEOUT;
 use crate::transport::http_server::status_of;
 use crate::transport::pipeline::MayOverlap;
+use crate::transport::pipeline::TakeWithin;
 
 /// Time that the entry node waits beyond the deadline it sends to the serving node, so that a
 /// response sent at the deadline still arrives.
@@ -74,13 +83,27 @@
     cx.metrics.calls.increment(1);
     let _open = OpenCall::new(cx);
     let mut response = match route_request(cx, &mut req, arrived).await {
-        Ok(call) => run_call(cx, call).await,
+        Ok(call) => match take_token(cx, &call) {
+            Ok(()) => {
+                http_server::release_fields(&mut req);
+                let take_within = TakeWithin(call.route.timeout);
+                let mut response = run_call(cx, call).await;
+                response.extensions_mut().insert(take_within);
+                response
+            }
+            Err(retry_after) => {
+                cx.metrics.refusals.increment(1);
+                let code = ResultCode::QuotaExceeded;
+                error_response(cx, status_of(code), code, Some(retry_after))
+            }
+        },
         Err(code) => {
             let attempt = requests::read_client_headers(req.headers()).attempt;
             info!(cx.log, "request refused"; "attempt" => serving::attempt_text(attempt.as_ref()),
                 "code" => code.number(), "path" => req.path(),
                 "version" => cx.table().map(|table| table.version()),
                 "view_age_ms" => cx.feed.view_age(cx.clock.now()).map(millis));
+            http_server::release_fields(&mut req);
             cx.metrics.refusals.increment(1);
             error_response(
                 cx,
@@ -112,6 +135,7 @@
 
 /// A routed request of a caller.
 struct EntryCall {
+    /// Route in the configuration that was in force when the call arrived.
     route: Rc<MeshRoute>,
     serve: ServeCall,
     /// Memory of the body.
@@ -119,6 +143,8 @@
     deadline: Duration,
     /// Hash that repetitions of the request share.
     fingerprint: u64,
+    /// Hash of the credential, which stays at this node.
+    credential: Option<KeyHash>,
 }
 
 async fn route_request(
@@ -138,13 +164,21 @@
             let route = table.find(headers::host(req.headers()), req.path());
             route.cloned().ok_or(ResultCode::NoRoute)
         });
+    let credential = requests::credential(req.headers());
+    let tenant = match &route {
+        // Without the body, which may be large. The connection is closed if the rest of it still arrives.
+        Ok(route) => Some(tenants::authorize(cx, route, credential)?),
+        Err(_) => None,
+    };
     let time_limit = route
         .as_ref()
         .map_or(BODY_TIMEOUT, |route| route.timeout)
         .min(caller.time_left.unwrap_or(Duration::MAX));
-    let (body, held) = http_server::read_body_within(&mut payload, limit, &cx.bodies, time_limit)
-        .await
-        .map_err(|failure| failure.code)?;
+    let length = headers::number(req.headers(), CONTENT_LENGTH.as_str());
+    let (body, held) =
+        http_server::read_sized_body(&mut payload, length, limit, &cx.bodies, time_limit)
+            .await
+            .map_err(|failure| failure.code)?;
     let route = route?;
     let target = req
         .uri()
@@ -183,8 +217,9 @@
             left: time_limit,
             is_overdue,
             limit: None,
-            tenant: None,
-            tenant_priority: 0,
+            // Set again for each attempt, by the configuration in force then.
+            tenant_priority: tenant.as_ref().map_or(0, |tenant| tenant.priority),
+            tenant: tenant.and_then(|tenant| tenant.name),
             is_spillover: false,
         },
         method: req.method().clone(),
@@ -197,12 +232,25 @@
     Ok(EntryCall {
         route,
         fingerprint: crashes::fingerprint(&serve),
+        credential,
         serve,
         _held: held,
         deadline: arrived + time_limit,
     })
 }
 
+/// Takes a token from the quota of the call's tenant, if it has one.
+///
+/// # Errors
+/// The time after which a token is expected.
+fn take_token(cx: &Sidecar, call: &EntryCall) -> Result<(), Duration> {
+    let Some(tenant) = &call.serve.head.tenant else {
+        return Ok(());
+    };
+    let attempt = serving::attempt_text(call.serve.attempt.as_ref());
+    usage_port::admit(cx, tenant, attempt)
+}
+
 async fn run_call(cx: &Rc<Sidecar>, call: EntryCall) -> Response<BoxBody> {
     let mut attempts = Attempts::new(CallLimits {
         arrived: call.serve.arrived,
@@ -228,6 +276,9 @@
     let (code, retry_after) = match outcome {
         Outcome::Refused { code, retry_after } => {
             cx.metrics.refusals.increment(1);
+            if let Some(tenant) = &call.serve.head.tenant {
+                usage_port::give_back(cx, tenant);
+            }
             (
                 code,
                 Some(retry_after.unwrap_or(serving::NO_BACKEND_RETRY_AFTER)),
@@ -257,12 +308,16 @@
             attempts.on_quarantined(refused_for);
             return None;
         }
+        let tenant = authorize(cx, call, attempts)?;
         match attempts.next(now) {
             NextStep::Offer => {}
             NextStep::Retry if may_retry(cx, call, attempts, now) => {}
             NextStep::Retry | NextStep::Stop => return None,
         }
-        let pick = pick(cx, call, attempts, now);
+        let pick = pick(cx, call, &tenant, attempts, now);
+        if pick.is_none() {
+            check_exclusion(cx, call, &tenant, attempts, now);
+        }
         let pick = match attempts.on_choice(now, pick.as_ref().map(chosen)) {
             Choice::Send => pick?,
             Choice::OfferAgain => continue,
@@ -271,10 +326,74 @@
         if attempts.tries() > 1 {
             cx.metrics.attempts_beyond_first.increment(1);
         }
-        let response = attempt_with_hedge(cx, call, attempts, failed_response, &pick, now).await;
+        let planned = Planned { pick, tenant };
+        let response = attempt_with_hedge(cx, call, attempts, failed_response, &planned, now).await;
         if response.is_some() {
             return response;
         }
+        if let Some((node, reason)) = attempts.take_location_refusal() {
+            // The node has a newer view than this one, which concerns its neighbours as well.
+            let state = cx.state.borrow();
+            let alike = state.placement.nodes_refusing_as(&node, reason);
+            attempts.on_refused_alike(&alike);
+        }
+    }
+}
+
+/// Returns the regions that may serve a call: those of the configuration that it was routed with, and of the one
+/// in force. The latter counts for each attempt, so that a change binds calls in flight as well.
+fn regions_for(state: &SidecarState, call: &EntryCall, tenant: &CallTenant) -> AllowedRegions {
+    let table = state.table.as_ref();
+    let tenant_homes = tenants::homes(table, tenant.name.as_ref());
+    let routed = homes::allowed_regions(&call.route.homes, tenant_homes);
+    let current = table.and_then(|table| table.route(&call.route.name));
+    match current {
+        Some(route) if !Rc::ptr_eq(route, &call.route) => routed.restricted_to(&route.homes),
+        _ => routed,
+    }
+}
+
+/// Records the reason why a call has no node, if home regions or evacuations exclude all.
+fn check_exclusion(
+    cx: &Sidecar,
+    call: &EntryCall,
+    tenant: &CallTenant,
+    attempts: &mut Attempts,
+    now: Duration,
+) {
+    let state = cx.state.borrow();
+    let regions = regions_for(&state, call, tenant);
+    let service = &call.serve.head.service;
+    let evacuations = &state.evacuations;
+    let Some(code) = state.placement.exclusion(service, &regions, evacuations) else {
+        return;
+    };
+    attempts.on_excluded(code);
+    cx.metrics.count_location_refusal(code);
+    info!(cx.log, "no node may serve the call"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
+        "route" => call.route.name.as_str(), "code" => code.number(), "regions" => format!("{regions:?}"),
+        "evacuated" => evacuations.count(),
+        "version" => state.table.as_ref().map(|table| table.version()),
+        "view_age_ms" => cx.feed.view_age(now).map(millis));
+}
+
+/// An attempt that is about to be made.
+struct Planned {
+    pick: Pick,
+    tenant: CallTenant,
+}
+
+/// Judges the credential of a call again, by the configuration in force. `None` if no attempt may be made.
+fn authorize(cx: &Sidecar, call: &EntryCall, attempts: &mut Attempts) -> Option<CallTenant> {
+    match tenants::authorize(cx, &call.route, call.credential) {
+        Ok(tenant) => Some(tenant),
+        Err(code) => {
+            info!(cx.log, "no attempt with the credential of the call"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
+                "route" => call.route.name.as_str(), "code" => code.number(), "version" => cx.table().map(|table| table.version()),
+                "view_age_ms" => cx.feed.view_age(cx.clock.now()).map(millis), "tries" => attempts.tries());
+            attempts.on_denied(code);
+            None
+        }
     }
 }
 
@@ -326,12 +445,13 @@
     call: &EntryCall,
     attempts: &mut Attempts,
     failed_response: &mut Option<HttpResponse>,
-    pick: &Pick,
+    planned: &Planned,
     now: Duration,
 ) -> Option<HttpResponse> {
+    let pick = &planned.pick;
     let accepts_late = attempts.accepts_late();
     let superseded = Cell::new(false);
-    let first = make_attempt(cx, call, pick, accepts_late, now, &superseded);
+    let first = make_attempt(cx, call, planned, accepts_late, now, &superseded);
     let mut first = pin!(first);
     let ended = match attempts.hedge_after(chosen(pick)) {
         Some(delay) => actix_rt::time::timeout(delay, &mut first).await.ok(),
@@ -340,15 +460,16 @@
     if let Some(outcome) = ended {
         return record_attempt(call, attempts, failed_response, &pick.node, outcome);
     }
-    let Some(second_pick) = pick_hedge(cx, call, attempts, &pick.node) else {
+    let Some(second_planned) = plan_hedge(cx, call, attempts, &pick.node) else {
         let outcome = first.await;
         return record_attempt(call, attempts, failed_response, &pick.node, outcome);
     };
+    let second_pick = &second_planned.pick;
     let now = cx.clock.now();
     let second = pin!(make_attempt(
         cx,
         call,
-        &second_pick,
+        &second_planned,
         accepts_late,
         now,
         &superseded
@@ -377,16 +498,17 @@
 
 /// Selects a node for a hedged attempt besides the one at `first`, if a hedge is likely to help and
 /// the fleet's retry budget allows it.
-fn pick_hedge(
+fn plan_hedge(
     cx: &Sidecar,
     call: &EntryCall,
     attempts: &mut Attempts,
     first: &NodeId,
-) -> Option<Pick> {
+) -> Option<Planned> {
     let now = cx.clock.now();
+    let tenant = authorize(cx, call, attempts)?;
     let mut tried = attempts.tried().to_vec();
     tried.push(first.clone());
-    let pick = choose(&mut cx.state.borrow_mut(), now, call, &tried)?;
+    let pick = choose(&mut cx.state.borrow_mut(), now, call, &tenant, &tried)?;
     if !attempts.on_hedge(now, chosen(&pick)) || !spend_retry_budget(cx, call, now) {
         return None;
     }
@@ -396,7 +518,7 @@
         "after_ms" => millis(now.saturating_sub(call.serve.arrived)),
         "cost_ms" => format!("{:.1}", pick.cost_ms), "load" => format!("{:.1}", pick.load),
         "load_age_ms" => millis(pick.load_age));
-    Some(pick)
+    Some(Planned { pick, tenant })
 }
 
 /// Whether the fleet's retry budget allows sending a call that has reached a backend server to
@@ -424,11 +546,17 @@
     allowed
 }
 
-fn pick(cx: &Sidecar, call: &EntryCall, attempts: &Attempts, now: Duration) -> Option<Pick> {
+fn pick(
+    cx: &Sidecar,
+    call: &EntryCall,
+    tenant: &CallTenant,
+    attempts: &Attempts,
+    now: Duration,
+) -> Option<Pick> {
     let (load, tally) = serving::load_report(cx);
     let mut state = cx.state.borrow_mut();
     state.placement.on_report(now, &cx.settings.id, load, tally);
-    let pick = choose(&mut state, now, call, attempts.tried())?;
+    let pick = choose(&mut state, now, call, tenant, attempts.tried())?;
     info!(cx.log, "call routed"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
         "route" => call.route.name.as_str(), "to" => pick.node.as_str(), "version" => pick.version.as_str(),
         "try" => attempts.tries() + 1, "accepts_late" => attempts.accepts_late(), "is_overdue" => call.serve.head.is_overdue,
@@ -446,12 +574,14 @@
     state: &mut SidecarState,
     now: Duration,
     call: &EntryCall,
+    tenant: &CallTenant,
     tried: &[NodeId],
 ) -> Option<Pick> {
     let service = &call.serve.head.service;
+    let regions = regions_for(state, call, tenant);
     let Some(plan) = state.moves.plan(service) else {
         let permits = |_: &NodeId, _: &_| true;
-        let request = pick_request(call, tried, &permits);
+        let request = pick_request(call, tried, &regions, &state.evacuations, &permits);
         return state.placement.pick(now, &mut state.rng, &request);
     };
     let exposed = state
@@ -466,7 +596,9 @@
     let is_old = |version: &_| version != target && !moves.is_banned(service, version);
     let old = |_: &NodeId, version: &_| is_old(version);
     let any_new = |_: &NodeId, version: &_| version == target;
-    let has_old = state.placement.has_backend_server(service, is_old);
+    let has_old = state
+        .placement
+        .has_backend_server(service, &regions, is_old);
     let preferences: [Option<Permits<'_>>; 2] = if wants_target {
         [Some(&new), Some(&old)]
     } else {
@@ -475,7 +607,7 @@
         [Some(&old), is_only_one.then_some(&any_new as Permits<'_>)]
     };
     preferences.into_iter().flatten().find_map(|permits| {
-        let request = pick_request(call, tried, permits);
+        let request = pick_request(call, tried, &regions, &state.evacuations, permits);
         state.placement.pick(now, &mut state.rng, &request)
     })
 }
@@ -483,6 +615,8 @@
 fn pick_request<'a>(
     call: &'a EntryCall,
     tried: &'a [NodeId],
+    regions: &'a AllowedRegions,
+    evacuations: &'a Evacuations,
     permits: Permits<'a>,
 ) -> PickRequest<'a> {
     PickRequest {
@@ -493,6 +627,8 @@
         request_bytes: call.serve.body.len(),
         tried,
         is_allowed: permits,
+        regions,
+        evacuations,
     }
 }
 
@@ -555,17 +691,19 @@
 async fn make_attempt(
     cx: &Rc<Sidecar>,
     call: &EntryCall,
-    pick: &Pick,
+    planned: &Planned,
     accepts_late: bool,
     now: Duration,
     superseded: &Cell<bool>,
 ) -> ServeOutcome {
+    let pick = &planned.pick;
     cx.state.borrow_mut().placement.on_start(&pick.node);
     if pick.is_spillover {
         let service = &call.serve.head.service;
         let mut state = cx.state.borrow_mut();
-        let shares = state.placement.spill_mut();
-        shares.on_start(now, service, &pick.domain);
+        if let Some(shares) = state.placement.spill_mut() {
+            shares.on_start(now, service, &pick.domain);
+        }
         cx.metrics.spillover_sent.increment(1);
     }
     let mut in_flight = InFlight {
@@ -586,6 +724,8 @@
     serve.head.limit = pick.limit;
     serve.head.accepts_late = accepts_late;
     serve.head.is_spillover = pick.is_spillover;
+    serve.head.tenant.clone_from(&planned.tenant.name);
+    serve.head.tenant_priority = planned.tenant.priority;
     // The latency objective counts from the arrival at this node, so the serving node gets what is
     // left of it.
     let used = now.saturating_sub(call.serve.arrived);
@@ -632,7 +772,7 @@
         } => AttemptEnd::Overloaded,
         // The call is the reason, not the node.
         ServeOutcome::Refused {
-            code: ResultCode::RequestQuarantined,
+            code: ResultCode::RequestQuarantined | ResultCode::OutsideHome,
             ..
         } => AttemptEnd::Cancelled,
         ServeOutcome::Refused { .. } => AttemptEnd::NoBackend,
@@ -660,13 +800,21 @@
     let mut response = Response::with_body(status, BoxBody::new(body.to_string()));
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
-    if let (StatusCode::SERVICE_UNAVAILABLE, Some(retry_after)) = (status, retry_after) {
-        let spread = cx
-            .state
-            .borrow_mut()
-            .rng
-            .random_range(0.0..RETRY_AFTER_JITTER);
-        let (name, value) = requests::retry_after(retry_after.mul_f64(1.0 + spread));
+    let retry_after = match (status, retry_after) {
+        (StatusCode::SERVICE_UNAVAILABLE, Some(retry_after)) => {
+            let spread = cx
+                .state
+                .borrow_mut()
+                .rng
+                .random_range(0.0..RETRY_AFTER_JITTER);
+            Some(retry_after.mul_f64(1.0 + spread))
+        }
+        // The time of a quota is exact.
+        (StatusCode::TOO_MANY_REQUESTS, retry_after) => retry_after,
+        _ => None,
+    };
+    if let Some(retry_after) = retry_after {
+        let (name, value) = requests::retry_after(retry_after);
         response.headers_mut().insert(name, value);
     }
     response
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -10,6 +10,7 @@
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
+use actix_http::header::CONTENT_LENGTH;
 use actix_http::header::HeaderName;
 use actix_http::header::HeaderValue;
 use slog::warn;
@@ -36,6 +37,7 @@
 use crate::sidecar::serving::ServeCall;
 use crate::sidecar::serving::ServeOutcome;
 use crate::sidecar::topic_follower;
+use crate::sidecar::usage_port;
 use crate::transport::exchange::Exchange;
 use crate::transport::exchange::ExchangeFailure;
 use crate::transport::headers;
@@ -57,11 +59,17 @@
 
 /// Handles a call, a follow request or an entry of another node.
 pub async fn handle(cx: Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
-    let cx = &cx;
+    let response = handle_request(&cx, &mut req).await;
+    http_server::release_fields(&mut req);
+    response
+}
+
+async fn handle_request(cx: &Rc<Sidecar>, req: &mut Request) -> Response<BoxBody> {
     if !req.headers().contains_key(HOP_REQUEST_HEADER) {
         match req.path() {
-            relay_port::FOLLOW_PATH => return relay_port::serve(cx, &req).await,
-            leaves::ENTRY_PATH => return leaves::serve(cx, &mut req).await,
+            relay_port::FOLLOW_PATH => return relay_port::serve(cx, req).await,
+            leaves::ENTRY_PATH => return leaves::serve(cx, req).await,
+            usage_port::USAGE_PATH => return usage_port::serve(cx, req).await,
             _ => {}
         }
     }
@@ -83,8 +91,9 @@
     }
     // Later, nobody waits for the response, and the connection may be cut without being closed.
     let time_left = (arrived + head.left).saturating_sub(cx.clock.now());
-    let read =
-        http_server::read_body_within(&mut payload, MAX_HOP_BODY_BYTES, &cx.bodies, time_left);
+    let length = headers::number(req.headers(), CONTENT_LENGTH.as_str());
+    let (limit, bodies) = (MAX_HOP_BODY_BYTES, &cx.bodies);
+    let read = http_server::read_sized_body(&mut payload, length, limit, bodies, time_left);
     let (body, _held) = match read.await {
         Ok(body) => body,
         Err(failure) => {
@@ -102,11 +111,13 @@
         return call_response(cx, Some(&head.route), outcome);
     }
     let route = head.route.clone();
+    let mut forwarded = headers::end_to_end(req.headers(), 4);
+    forwarded.retain(|(name, _)| !requests::is_of_tenant(name));
     let call = ServeCall {
         head,
         method: req.method().clone(),
         target,
-        headers: headers::end_to_end(req.headers(), 3),
+        headers: forwarded,
         body,
         attempt: requests::read_client_headers(req.headers()).attempt,
         arrived,
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -11,6 +11,7 @@
 
 use crate::logging;
 use crate::node::metrics::start_upkeep;
+use crate::result_code::ResultCode;
 
 /// Bucket bounds of the latency histograms, seconds, from a local call to the longest deadline.
 const LATENCY_BOUNDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 12.0];
@@ -43,6 +44,12 @@
     pub backend_crashes: Counter,
     /// Requests that are refused since they crash backend servers.
     pub quarantined_requests: Counter,
+    /// Requests of tenants with a quota that were admitted.
+    pub quota_admitted: Counter,
+    /// Requests refused since the quota of their tenant is used up.
+    pub quota_refused: Counter,
+    /// Age of the fleet's totals of requests with a quota, seconds.
+    pub quota_totals_age: Gauge,
     /// Configuration version in force.
     pub config_version: Gauge,
     /// Requests a second that the local backend server accepts at most; zero without a limit.
@@ -53,6 +60,12 @@
     pub health_probes: Counter,
     /// Number of known nodes.
     pub nodes: Gauge,
+    /// Calls refused because of their home regions, by the entry node or the serving node.
+    pub home_refusals: Counter,
+    /// Calls refused because of an evacuation, by the entry node or the serving node.
+    pub evacuation_refusals: Counter,
+    /// Number of evacuated failure domains.
+    pub evacuated_domains: Gauge,
     /// Time from a caller's request to its response, seconds.
     pub call_latency: Histogram,
     /// Response time of the local backend server, seconds.
@@ -85,11 +98,17 @@
             store_restores: counter!("sycamorewick_store_restores_total"),
             backend_crashes: counter!("sycamorewick_backend_crashes_total"),
             quarantined_requests: counter!("sycamorewick_quarantined_requests_total"),
+            quota_admitted: counter!("sycamorewick_quota_admitted_total"),
+            quota_refused: counter!("sycamorewick_quota_refused_total"),
+            quota_totals_age: gauge!("sycamorewick_quota_totals_age_seconds"),
             config_version: gauge!("sycamorewick_config_version"),
             backend_limit: gauge!("sycamorewick_backend_limit"),
             backend_cold_bound: gauge!("sycamorewick_backend_cold_bound"),
             health_probes: counter!("sycamorewick_health_probes_total"),
             nodes: gauge!("sycamorewick_nodes"),
+            home_refusals: counter!("sycamorewick_home_refusals_total"),
+            evacuation_refusals: counter!("sycamorewick_evacuation_refusals_total"),
+            evacuated_domains: gauge!("sycamorewick_evacuated_domains"),
             call_latency: histogram!("sycamorewick_call_seconds"),
             backend_latency: histogram!("sycamorewick_backend_seconds"),
             log_lines_dropped: gauge!("sycamorewick_log_lines_dropped"),
@@ -97,6 +116,15 @@
         })
     }
 
+    /// Counts a call that is refused because of the places where it may be served.
+    pub fn count_location_refusal(&self, code: ResultCode) {
+        match code {
+            ResultCode::OutsideHome => self.home_refusals.increment(1),
+            ResultCode::DomainEvacuated => self.evacuation_refusals.increment(1),
+            _ => {}
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -6,6 +6,7 @@
 mod body_gate;
 mod crashes;
 mod entry;
+mod health_check;
 mod health_probe;
 mod heartbeat_port;
 mod hop;
@@ -18,7 +19,9 @@
 pub mod settings;
 mod shutdown;
 mod status_ports;
+mod tenants;
 mod topic_follower;
+mod usage_port;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -44,15 +47,18 @@
 use crate::coordination::caller_age::CallerAges;
 use crate::coordination::crash_watch::CrashWatch;
 use crate::coordination::crashing_requests::CrashingRequests;
+use crate::coordination::heartbeat_hold::HeartbeatHold;
 use crate::coordination::placement::Placement;
 use crate::coordination::retry_quota::RetryQuota;
 use crate::coordination::stop_plan::StopPlan;
 use crate::coordination::version_move::Moves;
+use crate::coordination::zones::evacuation::Evacuations;
 use crate::logging;
 use crate::node::clock::Clock;
 use crate::platform::store::Store;
 use crate::protocol::hop::BackendTotals;
 use crate::protocol::hop::RouteTotals;
+use crate::protocol::mesh::CallerLimits;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::ServiceName;
 use crate::result_code::ResultCode;
@@ -61,22 +67,32 @@
 use crate::sidecar::metrics::SidecarMetrics;
 use crate::sidecar::settings::SidecarSettings;
 use crate::sidecar::topic_follower::Feed;
+use crate::sidecar::usage_port::Quotas;
 use crate::state::local_backend::LocalBackend;
 use crate::state::report_filter::ReportFilter;
 use crate::state::routing_table::RoutingTable;
 use crate::transport::body_budget::BodyBudget;
+use crate::transport::client_memory;
+use crate::transport::client_memory::ClientMemory;
 use crate::transport::exchange::ConnectionPool;
 use crate::transport::http_server::Handler;
 use crate::transport::http_server::HttpServer;
+use crate::transport::http_server::KEEP_ALIVE;
+use crate::transport::pipeline::CurrentLimits;
+use crate::transport::pipeline::PipelineOptions;
 
 /// Largest numbers of open connections of callers, of other nodes and of the platform. The smallest
 /// instances allow 4,100 file descriptors.
 const MAX_CALLER_CONNECTIONS: usize = 1_800;
 const MAX_NODE_CONNECTIONS: usize = 1_200;
 const MAX_PLATFORM_CONNECTIONS: usize = 64;
-/// Bytes of request bodies that a node holds at a time. The smallest instances have 160 MB, a body is held
-/// once more while it is sent, and responses have a budget of the same size.
-const MAX_HELD_REQUEST_BYTES: usize = 32 << 20;
+/// Parts of the file descriptors that make these numbers smaller on an instance that allows fewer, so that the
+/// connections to backend servers and other nodes always have some.
+const CALLER_PARTS: f64 = 0.44;
+const NODE_PARTS: f64 = 0.29;
+const PLATFORM_PARTS: f64 = 0.02;
+/// Bytes of the headers that nodes add to the head of a call.
+const HOP_HEADER_BYTES: usize = 16 << 10;
 /// Slots of the backend server until its first heartbeat.
 const INITIAL_SLOTS: u32 = 1;
 
@@ -88,6 +104,7 @@
     quota: RetryQuota,
     caller_ages: CallerAges,
     backend: LocalBackend,
+    heartbeat_hold: HeartbeatHold,
     report_filter: ReportFilter,
     breaker: Breaker,
     crash_watch: CrashWatch,
@@ -104,6 +121,7 @@
     moves: Moves,
     /// Nodes that receive the traffic share of a new version, sorted by service.
     exposed: Vec<(ServiceName, Vec<NodeId>)>,
+    evacuations: Evacuations,
     /// Whether the entries of the other nodes have been read.
     fleet_read: bool,
     /// Own entry as last written to the store.
@@ -137,6 +155,8 @@
     open_calls: Cell<usize>,
     /// Slots of the backend server.
     slots: Rc<AdmissionQueue>,
+    /// What callers, other nodes and the platform make the process hold.
+    client_memory: ClientMemory,
     /// Bodies of the requests of callers and other nodes.
     bodies: BodyBudget,
     /// Transfers of large bodies from other nodes.
@@ -151,6 +171,8 @@
     entry_tried: Notify,
     /// Whether the last write of the own entry has failed and is not repeated yet.
     entry_write_failed: Cell<bool>,
+    /// Quotas of tenants.
+    quotas: Quotas,
     state: RefCell<SidecarState>,
 }
 
@@ -184,6 +206,7 @@
     topic_follower::start(&cx);
     announcer::start(&cx);
     rollouts::start(&cx);
+    usage_port::start(&cx);
     shutdown::wait_for_signal(&cx, file).await?;
     shutdown::drain(&cx, &servers).await;
     info!(log, "node stopped"; "node" => cx.settings.id.as_str(),
@@ -192,6 +215,19 @@
     Ok(())
 }
 
+fn new_placement(settings: &SidecarSettings) -> Placement {
+    let placement = Placement::new(
+        settings.id.clone(),
+        settings.region.clone(),
+        settings.failure_domain.clone(),
+    );
+    if settings.spillover {
+        placement.with_spillover()
+    } else {
+        placement
+    }
+}
+
 fn new_sidecar(settings: SidecarSettings, log: Logger) -> eyre::Result<Sidecar> {
     let mut rng = StdRng::try_from_rng(&mut rand::rngs::SysRng)?;
     let run = rng.next_u64();
@@ -199,14 +235,11 @@
     let state = SidecarState {
         rng,
         table: None,
-        placement: Placement::new(
-            settings.id.clone(),
-            settings.region.clone(),
-            settings.failure_domain.clone(),
-        ),
+        placement: new_placement(&settings),
         quota: RetryQuota::new(settings.retry_budget()),
         caller_ages: CallerAges::default(),
         backend: LocalBackend::new(settings.heartbeat_interval()),
+        heartbeat_hold: HeartbeatHold::default(),
         report_filter: ReportFilter::new(settings.service.clone(), settings.backend_addr),
         breaker: Breaker::default(),
         crash_watch: CrashWatch::default(),
@@ -217,12 +250,14 @@
         work_time: None,
         moves: Moves::default(),
         exposed: Vec::new(),
+        evacuations: Evacuations::default(),
         fleet_read: false,
         written: None,
         contested_by: None,
         entry_revision: 0,
     };
     let clock = Clock::start();
+    let client_memory = ClientMemory::new(client_memory::account_bytes(settings.memory_mb));
     Ok(Sidecar {
         clock,
         metrics: SidecarMetrics::install()?,
@@ -237,13 +272,15 @@
         stop_plan: RefCell::new(None),
         open_calls: Cell::new(0),
         slots: AdmissionQueue::new(clock, INITIAL_SLOTS),
-        bodies: BodyBudget::new(MAX_HELD_REQUEST_BYTES),
+        bodies: BodyBudget::of_clients(&client_memory),
+        client_memory,
         transfers: AdmissionQueue::new(clock, body_gate::max_transfers(settings.link_mbps)),
         feed: Feed::default(),
         entry_removed: Cell::new(false),
         entry_changed: Notify::new(),
         entry_tried: Notify::new(),
         entry_write_failed: Cell::new(false),
+        quotas: Quotas::new(&settings, run),
         state: RefCell::new(state),
         settings,
     })
@@ -279,29 +316,83 @@
     let ready = bind(settings.ready_addr).await?;
     let heartbeat = bind(settings.heartbeat_addr).await?;
     let metrics = bind(settings.metrics_addr).await?;
-    let start_platform_server =
-        |listener, handler| HttpServer::start(listener, MAX_PLATFORM_CONNECTIONS, handler);
+    let platform_connections = max_connections(cx, PLATFORM_PARTS, MAX_PLATFORM_CONNECTIONS);
+    let start_platform_server = |listener, handler, port| {
+        let options = port_options(cx, handler, port);
+        HttpServer::start_with_options(listener, platform_connections, options)
+    };
     Ok(Servers {
-        caller: HttpServer::start_pipelined(
+        caller: HttpServer::start_with_options(
             caller,
-            MAX_CALLER_CONNECTIONS,
-            handler(cx, entry::handle),
-            entry::may_overlap(cx),
+            max_connections(cx, CALLER_PARTS, MAX_CALLER_CONNECTIONS),
+            PipelineOptions {
+                may_overlap: entry::may_overlap(cx),
+                any_fields: true,
+                limits: current_limits(cx, |limits| limits),
+                ..port_options(cx, handler(cx, entry::handle), 0)
+            },
         ),
-        node: HttpServer::start_with_gate(
+        node: HttpServer::start_with_options(
             node,
-            MAX_NODE_CONNECTIONS,
-            handler(cx, hop::handle),
-            body_gate::gate(cx),
+            max_connections(cx, NODE_PARTS, MAX_NODE_CONNECTIONS),
+            PipelineOptions {
+                gate: Some(body_gate::gate(cx)),
+                limits: current_limits(cx, |limits| CallerLimits {
+                    header_bytes: limits.header_bytes + HOP_HEADER_BYTES,
+                    idle_time: KEEP_ALIVE,
+                    ..limits
+                }),
+                refuses: false,
+                any_fields: true,
+                ..port_options(cx, handler(cx, hop::handle), 1)
+            },
         ),
         _platform: [
-            start_platform_server(ready, status_ports::ready_handler(cx)),
-            start_platform_server(heartbeat, handler(cx, heartbeat_port::handle)),
-            start_platform_server(metrics, status_ports::metrics_handler(cx)),
+            start_platform_server(ready, status_ports::ready_handler(cx), 2),
+            start_platform_server(heartbeat, handler(cx, heartbeat_port::handle), 3),
+            start_platform_server(metrics, status_ports::metrics_handler(cx), 4),
         ],
     })
 }
 
+/// Returns the options of a port whose clients are not callers: they keep connections longer than the
+/// configuration allows callers.
+fn port_options(cx: &Rc<Sidecar>, handler: Handler, port: usize) -> PipelineOptions {
+    PipelineOptions {
+        handler,
+        may_overlap: Rc::new(|_| false),
+        gate: None,
+        limits: current_limits(cx, |limits| CallerLimits {
+            idle_time: KEEP_ALIVE,
+            ..limits
+        }),
+        memory: cx.client_memory.clone(),
+        refuses: true,
+        port,
+        any_fields: false,
+    }
+}
+
+/// Returns the limits of the configuration in force, changed for a port.
+fn current_limits(cx: &Rc<Sidecar>, change: fn(CallerLimits) -> CallerLimits) -> CurrentLimits {
+    let cx = cx.clone();
+    Rc::new(move || {
+        let limits = cx.table().map(|table| table.limits());
+        change(limits.unwrap_or_default())
+    })
+}
+
+/// Returns the number of connections of a port.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a part of a number of file descriptors"
+)]
+fn max_connections(cx: &Sidecar, part: f64, most: usize) -> usize {
+    let connections = f64::from(cx.settings.max_open_files) * part;
+    (connections as usize).clamp(1, most)
+}
+
 async fn bind(addr: SocketAddr) -> eyre::Result<TcpListener> {
     TcpListener::bind(addr)
         .await
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -19,6 +19,7 @@
 use crate::coordination::slot_queue::Offer;
 use crate::coordination::slot_queue::SlotQueue;
 use crate::coordination::version_move::cancelled_percent;
+use crate::coordination::zones::homes;
 use crate::platform::requests;
 use crate::platform::requests::Execution;
 use crate::protocol::call::MAX_RESPONSE_BYTES;
@@ -36,6 +37,7 @@
 use crate::sidecar::admission::Admitted;
 use crate::sidecar::crashes;
 use crate::sidecar::health_probe;
+use crate::sidecar::tenants;
 use crate::transport::exchange::Exchange;
 use crate::transport::exchange::ExchangeFailure;
 use crate::transport::http_client::HttpResponse;
@@ -65,7 +67,7 @@
     pub method: Method,
     /// Path and query.
     pub target: PathAndQuery,
-    /// Headers to forward.
+    /// Headers to forward; without those of the tenant, so that no log line can have a credential.
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// Whole body.
     pub body: Bytes,
@@ -318,6 +320,7 @@
         code, retry_after, ..
     } = outcome
     {
+        cx.metrics.count_location_refusal(*code);
         info!(cx.log, "call refused by admission"; "attempt" => attempt_text(attempt),
             "route" => head.route.as_str(), "code" => code.number(), "running" => load.running,
             "waiting" => load.waiting, "slots" => load.slots, "limit_per_s" => load.limit.map(RequestRate::per_s), "left_ms" => millis(head.left),
@@ -333,8 +336,29 @@
         .unwrap_or("none")
 }
 
+/// Checks by this node's own view that its backend server may serve a call where it stands, so that an entry
+/// node with an older configuration does no harm.
+///
+/// # Errors
+/// The reason why it may not.
+pub fn check_location(cx: &Sidecar, head: &HopRequestHeader) -> Result<(), ResultCode> {
+    let state = cx.state.borrow();
+    let table = state.table.as_ref();
+    let route = table.and_then(|table| table.route(&head.route));
+    let route_homes = route.map_or(&[][..], |route| &route.homes);
+    let tenant_homes = tenants::homes(table, head.tenant.as_ref());
+    if !homes::allowed_regions(route_homes, tenant_homes).allows(&cx.settings.region) {
+        return Err(ResultCode::OutsideHome);
+    }
+    if state.evacuations.contains(&cx.settings.failure_domain) {
+        return Err(ResultCode::DomainEvacuated);
+    }
+    Ok(())
+}
+
 /// Returns the local backend server if it can run the call.
 pub fn usable_backend(cx: &Sidecar, head: &HopRequestHeader) -> Result<BackendReport, ResultCode> {
+    check_location(cx, head)?;
     let state = cx.state.borrow();
     let backend = state.backend.available(cx.clock.now());
     let backend = backend.ok_or(ResultCode::NoBackend)?;
@@ -349,7 +373,7 @@
 }
 
 /// Returns the request of a call for a slot.
-pub fn slot_offer(head: &HopRequestHeader, arrived: Duration) -> Offer {
+pub fn slot_offer(cx: &Sidecar, head: &HopRequestHeader, arrived: Duration) -> Offer {
     let objective_at = if head.is_overdue {
         arrived
     } else {
@@ -357,6 +381,8 @@
     };
     Offer {
         route: head.route.clone(),
+        tenant: tenants::share(cx, head.tenant.as_ref()),
+        tenant_priority: head.tenant_priority,
         priority: head.priority,
         objective: head.objective,
         objective_at,
@@ -367,7 +393,7 @@
 }
 
 async fn admit(cx: &Rc<Sidecar>, call: &ServeCall) -> Result<SlotGuard, Duration> {
-    let offer = slot_offer(&call.head, call.arrived);
+    let offer = slot_offer(cx, &call.head, call.arrived);
     let admitted = cx.slots.admit(&offer).await?;
     Ok(SlotGuard {
         cx: cx.clone(),
@@ -441,6 +467,7 @@
     left: Duration,
 ) -> Result<HttpResponse, Option<ExchangeFailure>> {
     let mut headers = call.headers.clone();
+    headers.extend(call.head.tenant.as_ref().and_then(requests::tenant_header));
     headers.extend(requests::backend_headers(left, &backend.instance));
     let max_idle = if call.head.idempotent {
         MAX_IDLE
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -92,6 +92,9 @@
     /// Requests allowed beyond that.
     #[serde(default)]
     pub cold_slack: f64,
+    /// Whether the calls that leave a failure domain are bounded by shares, and to spare capacity of other ones.
+    #[serde(default)]
+    pub spillover: bool,
     /// Memory of the instance, MB.
     #[serde(default = "default_memory_mb")]
     pub memory_mb: f64,
@@ -174,6 +177,7 @@
     optional("quota_slack", Schema::Number),
     optional("cold_excess", Schema::Number),
     optional("cold_slack", Schema::Number),
+    optional("spillover", Schema::Bool),
     optional("memory_mb", Schema::Number),
     optional("max_open_files", Schema::Integer(u32::MAX as u64)),
 ]);
@@ -243,6 +247,14 @@
         Duration::from_secs_f64(self.config_within_ms / 1e3)
     }
 
+    /// Age of the view of the configuration from which on requests with a credential are refused; `None` if
+    /// they are accepted at any age.
+    #[must_use]
+    pub fn revoke_within(&self) -> Option<Duration> {
+        let limit = Duration::from_secs_f64(self.revoke_within_ms / 1e3);
+        self.strict_revoke.then_some(limit)
+    }
+
     /// Time from SIGTERM until the process is killed.
     #[must_use]
     pub fn stop_within(&self) -> Duration {
--- a/testbed/src/platform/backend.rs
+++ b/testbed/src/platform/backend.rs
@@ -12,6 +12,9 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -66,8 +69,8 @@
 const DRAIN_TIME: Duration = Duration::from_millis(800);
 /// Longest time that a graceful stop takes, also without an acknowledgement.
 const MAX_DRAIN_TIME: Duration = Duration::from_secs(4);
-/// Largest request body, bytes.
-const MAX_BODY_BYTES: usize = 1 << 20;
+/// Largest request body, bytes: the limit of most deployments.
+const MAX_BODY_BYTES: usize = 64 << 20;
 /// Longest wait for a slot, as a multiple of the longest service time; a request that would wait
 /// longer is refused.
 const MAX_WAIT_SERVICE_TIMES: u32 = 2;
@@ -150,8 +153,14 @@
     /// Ids of the attempts that were run, in order.
     runs: Mutex<Vec<String>>,
     announcement: Mutex<BackendAnnouncement>,
+    /// Whether there is a health path.
+    reports_health: AtomicBool,
+    is_draining: AtomicBool,
+    health_checks: AtomicU64,
     /// Path of the requests that end the backend server as soon as it runs one.
     crash_path: Mutex<Option<String>>,
+    /// Headers of the requests that were run, by their attempts, once they are recorded.
+    headers: Mutex<Option<Vec<RecordedHeaders>>>,
     crashed: Notify,
     stop: Notify,
     /// Time until which it is cold.
@@ -162,8 +171,6 @@
     work_time_percent: Mutex<Option<u32>>,
     /// Whether no heartbeats are sent.
     is_silent: Mutex<bool>,
-    /// Requests of the health path.
-    health_requests: Mutex<usize>,
 }
 
 impl Shared {
@@ -179,6 +186,9 @@
     }
 }
 
+/// Id of an attempt with the names and values of all headers of its request.
+pub type RecordedHeaders = (String, Vec<(String, String)>);
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -207,14 +217,17 @@
             rng: Mutex::new(StdRng::seed_from_u64(options.seed)),
             runs: Mutex::default(),
             announcement: Mutex::default(),
+            reports_health: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
+            health_checks: AtomicU64::new(0),
             crash_path: Mutex::default(),
+            headers: Mutex::default(),
             crashed: Notify::new(),
             stop: Notify::new(),
             cold_until: Mutex::new(Instant::now() + Duration::from_millis(options.cold_ms)),
             cold_arrivals: Mutex::default(),
             work_time_percent: Mutex::default(),
             is_silent: Mutex::default(),
-            health_requests: Mutex::default(),
             options,
         });
         let server = {
@@ -244,6 +257,18 @@
         *lock(&self.shared.announcement) = announcement;
     }
 
+    /// Makes the backend server report its health at its health path. Otherwise a request of it is answered like one
+    /// that is not an attempt of a caller.
+    pub fn report_health(&self) {
+        self.shared.reports_health.store(true, Ordering::SeqCst);
+    }
+
+    /// Number of health reports so far.
+    #[must_use]
+    pub fn health_checks(&self) -> u64 {
+        self.shared.health_checks.load(Ordering::SeqCst)
+    }
+
     /// Makes the backend server crash as soon as it runs a request with this path.
     pub fn crash_on(&self, path: &str) {
         *lock(&self.shared.crash_path) = Some(path.to_owned());
@@ -271,10 +296,15 @@
         *lock(&self.shared.is_silent) = is_silent;
     }
 
-    /// Number of requests of the health path.
+    /// Records the headers of the requests that are run from now on.
+    pub fn record_headers(&self) {
+        lock(&self.shared.headers).get_or_insert_default();
+    }
+
+    /// Headers of the requests that were run since [`Self::record_headers`], in order.
     #[must_use]
-    pub fn health_requests(&self) -> usize {
-        *lock(&self.shared.health_requests)
+    pub fn recorded_headers(&self) -> Vec<RecordedHeaders> {
+        lock(&self.shared.headers).clone().unwrap_or_default()
     }
 
     /// Whether the backend server still runs.
@@ -336,6 +366,7 @@
 }
 
 async fn drain_and_deregister(shared: &Shared, client: &awc::Client, mut sequence: u64) {
+    shared.is_draining.store(true, Ordering::SeqCst);
     let drain = async {
         while !heartbeat(shared, client, sequence, "draining").await {
             sequence += 1;
@@ -379,9 +410,17 @@
     sent.is_ok_and(|response| response.status().is_success())
 }
 
+/// Reports health: 200 only while the backend server does not leave.
 fn health_response(shared: &Shared) -> Response<BoxBody> {
-    *lock(&shared.health_requests) += 1;
-    let mut response = Response::build(StatusCode::OK);
+    shared.health_checks.fetch_add(1, Ordering::SeqCst);
+    let is_leaving =
+        shared.is_draining.load(Ordering::SeqCst) || lock(&shared.announcement).is_leaving;
+    let status = if is_leaving {
+        StatusCode::SERVICE_UNAVAILABLE
+    } else {
+        StatusCode::OK
+    };
+    let mut response = Response::build(status);
     let cold_left_ms = shared.cold_left().as_millis().to_string();
     response.insert_header((COLD_HEADER, cold_left_ms));
     response.insert_header((INSTANCE_HEADER, shared.options.id.as_str()));
@@ -399,10 +438,10 @@
 }
 
 async fn handle_request(shared: &Shared, mut req: Request) -> Response<BoxBody> {
-    let options = &shared.options;
-    if req.path() == HEALTH_PATH {
+    if req.path() == HEALTH_PATH && shared.reports_health.load(Ordering::SeqCst) {
         return health_response(shared);
     }
+    let options = &shared.options;
     let Ok(body) = http::read_body(&mut req, MAX_BODY_BYTES).await else {
         return http::text(
             StatusCode::BAD_REQUEST,
@@ -434,6 +473,13 @@
         return not_run_response(StatusCode::SERVICE_UNAVAILABLE, &attempt);
     };
     lock(&shared.runs).push(attempt.clone());
+    if let Some(recorded) = &mut *lock(&shared.headers) {
+        let headers = req.headers().iter().map(|(name, value)| {
+            let value = String::from_utf8_lossy(value.as_bytes());
+            (name.to_string(), value.into_owned())
+        });
+        recorded.push((attempt.clone(), headers.collect()));
+    }
     print_event("run", &attempt);
     if lock(&shared.crash_path).as_deref() == Some(req.path()) {
         print_event("crash", &options.id);
--- a/testbed/src/platform/fleet.rs
+++ b/testbed/src/platform/fleet.rs
@@ -61,6 +61,17 @@
     /// Requests allowed to a cold backend server in a second: a factor on the rate that it tolerates, and a number
     /// beyond that.
     pub cold_excess_and_slack: (f64, f64),
+    /// Failure domains that the settings list, named like [`Self::domain`]; none if it is empty.
+    pub known_domains: Vec<String>,
+    /// Memory of the instance, MB; `None` leaves the setting out.
+    pub memory_mb: Option<u32>,
+    /// File descriptors that the process may open; `None` leaves the setting out.
+    pub max_open_files: Option<u32>,
+}
+
+/// Returns the region of a failure domain.
+fn region_of(domain: &str) -> &str {
+    domain.split('-').next().unwrap_or_default()
 }
 
 impl SidecarOptions {
@@ -74,6 +85,9 @@
             config_within_ms: 2_000,
             stop_within_s: 5,
             cold_excess_and_slack: (1.0, 0.0),
+            known_domains: Vec::new(),
+            memory_mb: None,
+            max_open_files: None,
         }
     }
 }
@@ -141,10 +155,14 @@
     /// If its settings cannot be written.
     pub fn add(&mut self, options: SidecarOptions, addrs: SidecarAddrs) -> eyre::Result<usize> {
         let settings_file = self.dir.path().join(format!("{}.jsonc", options.id));
-        let region = options.domain.split('-').next().unwrap_or_default();
-        let settings = json!({
+        let domains = options.known_domains.iter();
+        let domains: Vec<_> = domains
+            .map(|domain| json!({ "domain": domain, "region": region_of(domain) }))
+            .collect();
+        let mut settings = json!({
             "id": options.id,
-            "region": region,
+            "region": region_of(&options.domain),
+            "domains": domains,
             "failure_domain": options.domain,
             "service": options.service,
             "backend_addr": addrs.backend_proxy,
@@ -166,6 +184,12 @@
             "cold_excess": options.cold_excess_and_slack.0,
             "cold_slack": options.cold_excess_and_slack.1,
         });
+        if let Some(memory_mb) = options.memory_mb {
+            settings["memory_mb"] = memory_mb.into();
+        }
+        if let Some(max_open_files) = options.max_open_files {
+            settings["max_open_files"] = max_open_files.into();
+        }
         fs::write(&settings_file, serde_json::to_vec_pretty(&settings)?)?;
         let output = self.dir.path().join(format!("{}.log", options.id));
         self.nodes.push(SidecarNode {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -10,6 +10,8 @@
 use sycamorewick::coordination::placement::Feedback;
 use sycamorewick::coordination::placement::PickRequest;
 use sycamorewick::coordination::placement::Placement;
+use sycamorewick::coordination::zones::evacuation::Evacuations;
+use sycamorewick::coordination::zones::homes::AllowedRegions;
 use sycamorewick::protocol::fleet::BackendPhase;
 use sycamorewick::protocol::fleet::BackendReport;
 use sycamorewick::protocol::fleet::FleetEntry;
@@ -86,13 +88,7 @@
 }
 
 impl EntryNode {
-    /// Lets every call leave for which another failure domain is cheaper, so that the choice shows the costs. The
-    /// share that grows to that is tested in `zones_spill.rs`.
     fn pick(&mut self, now: Duration, tried: &[NodeId]) -> Option<String> {
-        for domain in ["accra-b", "keta-a"] {
-            let shares = self.placement.spill_mut();
-            shares.set_share(now, &self.service, &domain.into(), 1.0);
-        }
         let is_allowed = |_: &NodeId, _: &_| true;
         let request = PickRequest {
             service: &self.service,
@@ -102,6 +98,8 @@
             request_bytes: self.request_bytes,
             tried,
             is_allowed: &is_allowed,
+            regions: &AllowedRegions::Any,
+            evacuations: &Evacuations::default(),
         };
         let pick = self.placement.pick(now, &mut self.rng, &request)?;
         Some(pick.node.as_str().to_owned())
--- a/tests/process_cold_backend.rs
+++ b/tests/process_cold_backend.rs
@@ -48,6 +48,7 @@
     for index in 0..2 {
         env.add_backend(index, 0.0)?;
     }
+    env.backends[0].report_health();
     env.backends[0].set_cold(COLD_TIME);
     wait_change(&env, 0, |line| line["cold_left_ms"] != 0).await?;
     for index in 0..2 {
@@ -174,21 +175,21 @@
             env.wait_for(WAIT_LIMIT, 0, "/wrecks/1", StatusCode::OK)
                 .await?;
         }
-        expect_that!(env.backends[0].health_requests(), eq(0));
+        expect_that!(env.backends[0].health_checks(), eq(0));
 
         let known = env.fleet.log_lines(0, CHANGED).len();
         let until = Instant::now() + WAIT_LIMIT;
-        while env.backends[0].health_requests() == 0 {
+        while env.backends[0].health_checks() == 0 {
             eyre::ensure!(Instant::now() < until, "no probe");
             env.backends[0].set_silent(true);
             env.backends[0].set_cold(COLD_TIME);
             // The node stops using its backend server after four missing heartbeats, which ends the trial.
             let trial_until = Instant::now() + HEARTBEAT_INTERVAL * 4;
-            while Instant::now() < trial_until && env.backends[0].health_requests() == 0 {
+            while Instant::now() < trial_until && env.backends[0].health_checks() == 0 {
                 env.call(0, "/wrecks/1").await?;
                 actix_rt::time::sleep(Duration::from_millis(20)).await;
             }
-            if env.backends[0].health_requests() == 0 {
+            if env.backends[0].health_checks() == 0 {
                 env.backends[0].set_cold(Duration::ZERO);
                 env.backends[0].set_silent(false);
                 actix_rt::time::sleep(HEARTBEAT_INTERVAL * 2).await;
--- a/tests/topic_cursor.rs
+++ b/tests/topic_cursor.rs
@@ -120,3 +120,18 @@
     cursor.on_newest(&[3, 9], 2, 10);
     expect_that!(cursor.next(), eq(NextRead::From(10)));
 }
+
+/// Guards against a check of the newest records that reads expired or known records again.
+#[gtest]
+fn recheck_keeps_position() {
+    let mut cursor = TopicCursor::default();
+    cursor.recheck();
+    expect_false!(cursor.is_rechecking());
+    cursor.on_newest(&[1, 3], 2, 4);
+    cursor.on_read(9);
+    cursor.recheck();
+    expect_that!(cursor.next(), eq(NextRead::Newest));
+    cursor.on_newest(&[1, 3], 2, 12);
+    expect_false!(cursor.is_rechecking());
+    expect_that!(cursor.next(), eq(NextRead::From(9)));
+}
--- a/tests/zones_spill.rs
+++ b/tests/zones_spill.rs
@@ -19,6 +19,8 @@
 use sycamorewick::coordination::slot_queue::Offer;
 use sycamorewick::coordination::slot_queue::SlotQueue;
 use sycamorewick::coordination::slot_queue::Ticket;
+use sycamorewick::coordination::zones::evacuation::Evacuations;
+use sycamorewick::coordination::zones::homes::AllowedRegions;
 use sycamorewick::coordination::zones::spill::SpillCosts;
 use sycamorewick::coordination::zones::spill::SpillEnd;
 use sycamorewick::coordination::zones::spill::SpillShares;
@@ -145,7 +147,7 @@
     let placement = |node: usize| {
         let entry = &fleet[node];
         let (region, domain) = (entry.region.clone(), entry.domain.clone());
-        let mut placement = Placement::new(entry.node.clone(), region, domain);
+        let mut placement = Placement::new(entry.node.clone(), region, domain).with_spillover();
         for entry in &fleet {
             placement.on_entry(ms(0), entry);
         }
@@ -244,7 +246,7 @@
         entry.on_report(now, &name(origin), own, BackendTotals::default());
         if self.by_least_cost {
             for domain in DOMAINS {
-                let shares = entry.spill_mut();
+                let shares = entry.spill_mut().expect("spillover is on");
                 shares.set_share(now, &SERVICE.into(), &domain.into(), 1.0);
             }
         }
@@ -256,6 +258,8 @@
             request_bytes: 0,
             tried: &call.tried,
             is_allowed: &|_, _| true,
+            regions: &AllowedRegions::Any,
+            evacuations: &Evacuations::default(),
         };
         let Some(pick) = entry.pick(now, &mut self.rng, &request) else {
             if !call.accepts_late {
@@ -267,7 +271,7 @@
         };
         entry.on_start(&pick.node);
         if pick.is_spillover && !self.by_least_cost {
-            let shares = entry.spill_mut();
+            let shares = entry.spill_mut().expect("spillover is on");
             shares.on_start(now, &SERVICE.into(), &pick.domain);
         }
         call.sent = now;
@@ -310,6 +314,8 @@
         let used = call.sent.saturating_sub(call.arrived);
         let offer = Offer {
             route: "lookup".into(),
+            tenant: None,
+            tenant_priority: 0,
             priority: 1,
             objective: OBJECTIVE.saturating_sub(used),
             objective_at: now + OBJECTIVE.saturating_sub(used),
@@ -720,6 +726,8 @@
         request_bytes: 0,
         tried: &[],
         is_allowed: &|node, _| is_allowed(node),
+        regions: &AllowedRegions::Any,
+        evacuations: &Evacuations::default(),
     };
     let mut rng = StdRng::seed_from_u64(1);
     placement.pick(now, &mut rng, &request).expect("a node")
@@ -763,6 +771,8 @@
         request_bytes: 0,
         tried: &[name(0)],
         is_allowed: &|node, _| *node <= name(1),
+        regions: &AllowedRegions::Any,
+        evacuations: &Evacuations::default(),
     };
     let mut rng = StdRng::seed_from_u64(1);
     let pick = placement.pick(ms(1), &mut rng, &request);
