Admit nothing beyond the share of a contended quota at nodes with a share of a request

The log of all nodes shows the level of the fleet's bucket between 80 and -240: whenever it rose above a quarter, each of 84 nodes admitted up to an eighth of it beyond its share. Ruled out: lost counts of restarted nodes (the totals were 0.1 to 0.4 s old), and repeated runs. Nodes whose share is a fraction of a request go on to admit such requests, since small tenants would get none (admit_seven_times_usual).

--- a/src/coordination/tenants/quota.rs
+++ b/src/coordination/tenants/quota.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 use rand::RngExt;
 
+use crate::coordination::tenants::usage::DEMAND_WINDOW;
 use crate::coordination::tenants::usage::DemandWindow;
 use crate::protocol::mesh::Quota;
 use crate::protocol::mesh::Tenant;
@@ -42,6 +43,12 @@
 const EVEN_DEMAND: f64 = 0.25;
 /// Level, as a share of the bucket, from which on requests beyond the share are admitted.
 const EXTRA_LEVEL: f64 = 0.25;
+/// Demand of the fleet, as a share of the rate, from which on a node with a share of at least one request admits
+/// none beyond it. Otherwise all nodes do whenever the level of a contended bucket rises, and empty it together
+/// far below zero: 1,559 requests of a tenant in 5 s were seen, where 1,518 are allowed.
+const EXTRA_DEMAND: f64 = 1.25;
+/// Requests beyond that, so that random peaks of small tenants do not count.
+const EXTRA_DEMAND_SLACK: f64 = 4.0;
 /// Requests beyond the share until the next totals, as a share of the level; at least one.
 const EXTRA_SHARE: f64 = 0.125;
 /// Requests beyond the share from which on the next report is brought forward.
@@ -130,6 +137,8 @@
     level: f64,
     level_at: Duration,
     is_level_known: bool,
+    /// Demand of the fleet within [`DEMAND_WINDOW`] by the last totals.
+    fleet_demand: u32,
     /// Part of the quota that this node may use.
     share: f64,
     tokens: f64,
@@ -211,6 +220,7 @@
                     level: size,
                     level_at: now,
                     is_level_known: false,
+                    fleet_demand: 0,
                     share,
                     tokens: size * share,
                     tokens_at: now,
@@ -269,7 +279,7 @@
         let level = bucket.level_now(now, covered);
         let extra_level = EXTRA_LEVEL * bucket.size * covered;
         let max_extras = (level * EXTRA_SHARE).max(1.0);
-        let has_extra = f64::from(bucket.extras) + 1.0 <= max_extras;
+        let has_extra = f64::from(bucket.extras) + 1.0 <= max_extras && !bucket.is_contended();
         if is_recent && bucket.is_level_known && level >= extra_level && has_extra {
             bucket.extras += 1;
             bucket.admitted += 1;
@@ -445,6 +455,14 @@
         rate
     }
 
+    /// Whether the fleet's demand is clearly larger than the quota, and the share of this node large enough to
+    /// admit requests.
+    fn is_contended(&self) -> bool {
+        let quota = self.quota.rate.per_s() * DEMAND_WINDOW.as_secs_f64();
+        let is_large = f64::from(self.fleet_demand) > EXTRA_DEMAND * quota + EXTRA_DEMAND_SLACK;
+        is_large && self.size * self.share >= 1.0
+    }
+
     fn level_now(&self, now: Duration, covered: f64) -> f64 {
         let elapsed = now.saturating_sub(self.level_at).as_secs_f64();
         let added = self.quota.rate.per_s() * covered * elapsed;
@@ -454,6 +472,7 @@
 
     fn on_totals(&mut self, now: Duration, fleet_demand: Option<u32>, nodes: f64) {
         if let Some(fleet_demand) = fleet_demand {
+            self.fleet_demand = fleet_demand;
             let own = f64::from(self.reported_demand);
             let fleet = f64::from(fleet_demand).max(own);
             self.share = if fleet > 0.0 {
