Forget a held heartbeat when its backend server deregisters

A heartbeat that waited for the node's own entry was used once the entry was read, also if its backend server had deregistered meanwhile and the leave was acknowledged. A deregistration that names no start does not cover the first two heartbeats of an incarnation, so that later ones were used as well. The leave now names the incarnation of the held heartbeat, as it did before heartbeats were held.

--- a/src/coordination/heartbeat_hold.rs
+++ b/src/coordination/heartbeat_hold.rs
@@ -71,6 +71,15 @@
         Some(self.held.take()?.0)
     }
 
+    /// Handles a deregistration, with the start time of its incarnation if it names one. Returns the heartbeat of the
+    /// incarnation that waits: it is from before the leave, and says which incarnation has left.
+    pub fn on_deregister(&mut self, instance: &str, born: Option<u64>) -> Option<BackendReport> {
+        let is_left = |(report, _): &mut (BackendReport, Duration)| {
+            &*report.instance == instance && born.is_none_or(|born| report.born == born)
+        };
+        Some(self.held.take_if(is_left)?.0)
+    }
+
     /// Begins a health check if one is due. Returns the incarnation that it has to confirm.
     pub fn begin_check(
         &mut self,
--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -182,11 +182,13 @@
 fn on_deregister(cx: &Rc<Sidecar>, instance: &str, body: &[u8]) -> Result<Report, String> {
     let born = heartbeat::read_deregistration(body)?;
     let now = cx.clock.now();
-    let was_current = cx
-        .state
-        .borrow_mut()
-        .backend
-        .on_deregister(now, instance, born);
+    let mut state = cx.state.borrow_mut();
+    if let Some(held) = state.heartbeat_hold.on_deregister(instance, born) {
+        // Otherwise it would be used after the leave, which would not name the incarnation.
+        state.backend.on_heartbeat(now, held);
+    }
+    let was_current = state.backend.on_deregister(now, instance, born);
+    drop(state);
     info!(cx.log, "backend server deregistered"; "instance" => instance, "born" => born, "known" => was_current);
     // The entry names the incarnation that left, also if this process did not know it.
     cx.entry_changed.notify_one();
--- a/tests/process_leaves.rs
+++ b/tests/process_leaves.rs
@@ -168,6 +168,60 @@
     }
 }
 
+/// Guards against a heartbeat that waits for the node's own entry and is used, as are later ones of its incarnation,
+/// although the backend server has deregistered meanwhile.
+#[gtest]
+fn leave_while_heartbeat_held() {
+    run(async {
+        let mut env = TestFleet::new(1)?;
+        env.store.change(StoreControlChange {
+            delay_ms: Some(150),
+            ..StoreControlChange::default()
+        });
+        env.fleet.start(0)?;
+        let addrs = env.fleet.nodes()[0].addrs.clone();
+        let client = awc::Client::builder().timeout(WAIT_LIMIT).finish();
+        let send = |call: &str, body: serde_json::Value| {
+            let url = format!(
+                "http://{}/sycamorewick/Instances.{call}/b0",
+                addrs.heartbeat
+            );
+            client.post(url).send_json(&body)
+        };
+        let heartbeat = |sequence: u64| {
+            json!({
+                "address": addrs.backend,
+                "born": 1,
+                "info": { "service": "registry", "version": "v1", "zone": "keta-a", "slots": 4 },
+                "status": { "state": "ready", "seq": sequence, "cold-left-ms": 0 },
+            })
+        };
+        let until = Instant::now() + WAIT_LIMIT;
+        while send("Heartbeat", heartbeat(1)).await.is_err() {
+            eyre::ensure!(Instant::now() < until, "the node does not start");
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+        let left = send("Deregister", json!({})).await;
+        expect_that!(left.ok().map(|r| r.status()), some(eq(StatusCode::OK)));
+        let sent = send("Heartbeat", heartbeat(2)).await;
+        expect_that!(sent.ok().map(|r| r.status()), some(eq(StatusCode::OK)));
+        let until = Instant::now() + WAIT_LIMIT;
+        while env
+            .fleet
+            .log_lines(0, "outdated heartbeat ignored")
+            .is_empty()
+        {
+            let used = env.fleet.log_lines(0, "backend server changed");
+            eyre::ensure!(used.is_empty(), "used after the leave: {used:?}");
+            eyre::ensure!(Instant::now() < until, "the heartbeat is not ignored");
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        expect_that!(env.fleet.log_lines(0, "heartbeat held").len(), eq(1));
+        expect_that!(env.fleet.log_lines(0, "backend server changed"), is_empty());
+        Ok(())
+    });
+}
+
 /// Guards against an acknowledged leave that is forgotten, because the process is killed and starts again while
 /// the store is away: the other node has not read the leave, and is the only source.
 #[gtest]
