Keep nodes that refused a call for their location out of its further offers

Once a call accepts a late response, it is offered again to the nodes that refused it for load. Nodes that had refused it since they are outside its home regions or evacuated became candidates as well, so that the body was sent to them a second time although the entry node had learned that it must not be.

--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -124,6 +124,9 @@
 pub struct Attempts {
     limits: CallLimits,
     tried: Vec<NodeId>,
+    /// Nodes that may not serve the call because of where they stand. They are not offered it again, also if it
+    /// accepts a late response.
+    excluded: Vec<NodeId>,
     tries: usize,
     refusals: usize,
     /// Refusals because of load, including those of offers that accept a late response.
@@ -151,6 +154,7 @@
         Self {
             limits,
             tried: Vec::new(),
+            excluded: Vec::new(),
             tries: 0,
             refusals: 0,
             load_refusals: 0,
@@ -314,6 +318,7 @@
                 match code {
                     ResultCode::RequestQuarantined => self.on_quarantined(retry_after),
                     ResultCode::OutsideHome | ResultCode::DomainEvacuated => {
+                        self.excluded.push(node.clone());
                         self.location_refusal = Some((node.clone(), code));
                     }
                     _ => {}
@@ -347,6 +352,7 @@
     /// Handles that further nodes would refuse the call like the one that has just refused it.
     pub fn on_refused_alike(&mut self, nodes: &[NodeId]) {
         self.tried.extend_from_slice(nodes);
+        self.excluded.extend_from_slice(nodes);
     }
 
     /// Handles the deadline of the call passing during an attempt.
@@ -394,7 +400,7 @@
         self.accepts_late = true;
         self.refusals = 0;
         if self.arrivals == 0 {
-            self.tried.clear();
+            self.tried.clone_from(&self.excluded);
         }
         true
     }
--- a/tests/zones_evacuation.rs
+++ b/tests/zones_evacuation.rs
@@ -9,6 +9,7 @@
 use sycamorewick::coordination::attempts::AttemptFailure;
 use sycamorewick::coordination::attempts::Attempts;
 use sycamorewick::coordination::attempts::CallLimits;
+use sycamorewick::coordination::attempts::Choice;
 use sycamorewick::coordination::placement::PickRequest;
 use sycamorewick::coordination::placement::Placement;
 use sycamorewick::coordination::zones::evacuation::Evacuations;
@@ -259,3 +260,31 @@
     expect_that!(alike(ResultCode::OutsideHome).len(), eq(3));
     expect_that!(alike(ResultCode::NoBackend), is_empty());
 }
+
+/// Guards against a body that is sent again to a node that refused it because of its region, once the call accepts a
+/// late response.
+#[gtest]
+fn on_choice_keeps_location_refusals() {
+    let mut attempts = Attempts::new(CallLimits {
+        arrived: NOW,
+        deadline: NOW + Duration::from_secs(3),
+        objective: Duration::from_millis(250),
+        idempotent: true,
+        attempts: 2,
+        is_overdue: false,
+    });
+    let refused = |code| AttemptFailure::Refused {
+        code,
+        arrived: false,
+        retry_after: Duration::from_millis(300),
+    };
+    let [outside, neighbour, full] = ["a", "b", "c"].map(NodeId::from);
+    attempts.on_failure(&outside, refused(ResultCode::OutsideHome));
+    attempts.on_refused_alike(std::slice::from_ref(&neighbour));
+    attempts.on_failure(&full, refused(ResultCode::Overloaded));
+    expect_that!(attempts.on_choice(NOW, None), eq(Choice::OfferAgain));
+    expect_that!(
+        attempts.tried(),
+        elements_are![eq(&outside), eq(&neighbour)]
+    );
+}
