Use or check a held heartbeat as soon as a peer has relayed the configuration

A process that starts while the store is away held its first heartbeat until the next one after the configuration was there, also without a health path. Before heartbeats were held it used the first one.

--- a/src/coordination/heartbeat_hold.rs
+++ b/src/coordination/heartbeat_hold.rs
@@ -80,6 +80,13 @@
         Some(self.held.take_if(is_left)?.0)
     }
 
+    /// Handles that a configuration was learned while the store is away. Returns the heartbeat that waits if there is no
+    /// health path that could confirm it.
+    pub fn on_configured(&mut self, health_path: HealthPath) -> Option<BackendReport> {
+        let held = self.held.take_if(|_| health_path == HealthPath::Missing);
+        Some(held?.0)
+    }
+
     /// Begins a health check if one is due. Returns the incarnation that it has to confirm.
     pub fn begin_check(
         &mut self,
--- a/src/sidecar/health_check.rs
+++ b/src/sidecar/health_check.rs
@@ -35,37 +35,53 @@
     if let Some(report) = state.heartbeat_hold.on_heartbeat(now, report, known) {
         return Some(report);
     }
-    // An evacuated failure domain gets no requests at all, and the backend server is not used there.
-    let is_evacuated = state.evacuations.contains(&cx.settings.failure_domain);
-    let is_store_available = cx.feed.is_store_available();
-    let check = if is_evacuated {
-        None
-    } else {
-        state
-            .heartbeat_hold
-            .begin_check(now, known, is_store_available)
-    };
     drop(state);
+    let is_checked = start_check(cx, known, path);
     info!(cx.log, "heartbeat held"; "instance" => &*text, "health_path" => format!("{known:?}"),
-        "store_available" => is_store_available, "check" => check.is_some(), "uptime_ms" => millis(now));
-    if let (Some(incarnation), Some(path)) = (check, path) {
-        let cx = cx.clone();
-        actix_rt::spawn(async move {
-            let result = check_health(&cx, path, &incarnation.0).await;
-            let is_healthy = result.is_ok();
-            info!(cx.log, "health checked"; "instance" => &*incarnation.0, "healthy" => is_healthy,
-                "why" => result.err());
-            let confirmed = cx
-                .state
-                .borrow_mut()
-                .heartbeat_hold
-                .on_checked(&incarnation, is_healthy);
-            heartbeat_port::apply_released(&cx, confirmed);
-        });
-    }
+        "store_available" => cx.feed.is_store_available(), "check" => is_checked, "uptime_ms" => millis(now));
     None
 }
 
+/// Uses the heartbeat that has waited for a configuration, or checks it. Otherwise it would wait for the next one.
+pub fn on_topics_relayed(cx: &Rc<Sidecar>) {
+    let (known, path) = health_path(cx);
+    let released = cx.state.borrow_mut().heartbeat_hold.on_configured(known);
+    heartbeat_port::apply_released(cx, released);
+    start_check(cx, known, path);
+}
+
+/// Checks the health of the backend server of the held heartbeat if that is due. Returns whether it is.
+fn start_check(cx: &Rc<Sidecar>, known: HealthPath, path: Option<PathAndQuery>) -> bool {
+    let now = cx.clock.now();
+    let mut state = cx.state.borrow_mut();
+    // An evacuated failure domain gets no requests at all, and the backend server is not used there.
+    if state.evacuations.contains(&cx.settings.failure_domain) {
+        return false;
+    }
+    let is_store_available = cx.feed.is_store_available();
+    let check = state
+        .heartbeat_hold
+        .begin_check(now, known, is_store_available);
+    drop(state);
+    let (Some(incarnation), Some(path)) = (check, path) else {
+        return false;
+    };
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        let result = check_health(&cx, path, &incarnation.0).await;
+        let is_healthy = result.is_ok();
+        info!(cx.log, "health checked"; "instance" => &*incarnation.0, "healthy" => is_healthy,
+            "why" => result.err());
+        let confirmed = cx
+            .state
+            .borrow_mut()
+            .heartbeat_hold
+            .on_checked(&incarnation, is_healthy);
+        heartbeat_port::apply_released(&cx, confirmed);
+    });
+    true
+}
+
 /// Uses the heartbeat that has waited for the node's own entry.
 pub fn on_entry_read(cx: &Rc<Sidecar>) {
     let released = cx.state.borrow_mut().heartbeat_hold.on_entry_read();
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -568,6 +568,8 @@
         records::apply_dropped(cx, &key, offset);
         cx.feed.add_dropped(key, offset);
     }
+    // After all topics, since the leaves in the own entry decide whether a heartbeat is late.
+    health_check::on_topics_relayed(cx);
     let age = Duration::from_millis(response.age_ms);
     let confirmed_at = cx.clock.now().saturating_sub(age);
     cx.feed.confirmed_at.set(Some(confirmed_at));
--- a/tests/process_leaves.rs
+++ b/tests/process_leaves.rs
@@ -16,6 +16,7 @@
 use forwarder::Forwarder;
 use googletest::prelude::*;
 use serde_json::json;
+use sidecar_common::HOST;
 use sidecar_common::TestFleet;
 use sidecar_common::WAIT_LIMIT;
 use sidecar_common::run;
@@ -23,6 +24,7 @@
 use testbed::platform::backend::BackendAnnouncement;
 use testbed::platform::fleet::SidecarFleet;
 use testbed::platform::fleet::SidecarOptions;
+use testbed::platform::store::OPERATOR_TOPIC;
 use testbed::platform::store::StoreControlChange;
 
 /// Time for which a backend server waits for an acknowledgement.
@@ -288,3 +290,77 @@
         });
     }
 }
+
+/// Guards against a heartbeat that is not used although a configuration from a peer names no health path, or one that
+/// confirms it. The process was killed and starts while the store is away, and no further heartbeat comes.
+#[gtest]
+fn restart_without_store_single_heartbeat() {
+    for health_path in ["", "/healthz"] {
+        run(async {
+            let mut env = TestFleet::start(2).await?;
+            put_health_path(&env, health_path);
+            for index in 0..2 {
+                env.wait_for(WAIT_LIMIT, index, "/v2/1", StatusCode::OK)
+                    .await?;
+            }
+            env.backends[1].kill();
+            env.backends[0].report_health();
+            env.backends[0].set_silent(true);
+            env.outage(Outage::Refuse);
+            env.fleet.kill(0)?;
+            let runs = env.backends[0].runs().len();
+            env.fleet.start(0)?;
+            let addrs = env.fleet.nodes()[0].addrs.clone();
+            let client = awc::Client::default();
+            let body = json!({
+                "address": addrs.backend,
+                "born": 1,
+                "info": { "service": "registry", "version": "v1", "zone": "keta-a", "slots": 4 },
+                "status": { "state": "ready", "seq": 1_000, "cold-left-ms": 0 },
+            });
+            let url = format!(
+                "http://{}/sycamorewick/Instances.Heartbeat/b0",
+                addrs.heartbeat
+            );
+            let until = Instant::now() + WAIT_LIMIT;
+            while client.post(&url).send_json(&body).await.is_err() {
+                eyre::ensure!(Instant::now() < until, "the node does not start");
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+            }
+            let until = Instant::now() + WAIT_LIMIT;
+            while env.backends[0].runs().len() == runs {
+                eyre::ensure!(Instant::now() < until, "{health_path:?}: not used");
+                let _ = env.call(1, "/wrecks/1").await?;
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+            }
+            // Otherwise the configuration was there before the heartbeat. Log lines are written some time later.
+            while env.fleet.log_lines(0, "held heartbeat used").is_empty() {
+                eyre::ensure!(Instant::now() < until, "{health_path:?}: not held");
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+            }
+            Ok(())
+        });
+    }
+}
+
+/// Writes version 2 of the configuration, with this health path; none if it is empty.
+fn put_health_path(env: &TestFleet, health_path: &str) {
+    let route = |prefix: &str| {
+        json!({ "host": HOST, "prefix": prefix, "kind": "safe", "timeout-ms": 3000, "slo-ms": 500,
+            "priority": 1, "service": "registry", "attempts": 2 })
+    };
+    let service = if health_path.is_empty() {
+        json!({})
+    } else {
+        json!({ "health-path": health_path })
+    };
+    let config = json!({
+        "version": "00000002",
+        "routes": { "lookup": route("/wrecks/"), "own": route("/v2/") },
+        "services": { "registry": service },
+        "limits": { "header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000 },
+    });
+    let _ = env
+        .store
+        .put(OPERATOR_TOPIC, "config", config.to_string().as_bytes());
+}
