Refuse the calls that wait at a backend server when its failure domain is evacuated

They waited until running calls ended, which in a failure domain that is evacuated for its faults may be their deadlines, so that other nodes could no longer serve them in time. Calls that wait for the transfer of a body are refused as well.

--- a/src/sidecar/admission.rs
+++ b/src/sidecar/admission.rs
@@ -121,6 +121,14 @@
         }
     }
 
+    /// Refuses all waiting calls at once, for example since the backend server may not be used any longer.
+    pub fn refuse_waiting(&self) {
+        for (_, _, tx) in self.waiting.take() {
+            // The receiver is gone if the caller has cancelled the call.
+            let _ = tx.send(Err(NO_BACKEND_RETRY_AFTER));
+        }
+    }
+
     fn admitted(self: &Rc<Self>, route: RouteName) -> Admitted {
         Admitted {
             admission: self.clone(),
--- a/src/sidecar/body_gate.rs
+++ b/src/sidecar/body_gate.rs
@@ -116,6 +116,6 @@
             });
             Ok(req)
         }
-        Err(retry_after) => refused(ServeOutcome::overloaded(retry_after)),
+        Err(retry_after) => refused(serving::not_admitted(cx, &head, retry_after)),
     }
 }
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -140,8 +140,8 @@
     }
 }
 
-/// Logs the begin or end of an evacuation. At the end of its own one the node asks whether its backend server has
-/// become cold meanwhile.
+/// Logs the begin or end of an evacuation. At the begin of its own one the node refuses the calls that wait, so that
+/// they are offered elsewhere in time. At the end it asks whether its backend server has become cold meanwhile.
 fn on_evacuation_change(
     cx: &Rc<Sidecar>,
     domain: &DomainName,
@@ -156,6 +156,10 @@
     if is_evacuated {
         info!(cx.log, "failure domain evacuated"; "domain" => domain.as_str(), "offset" => offset, "why" => why,
             "evacuated" => count, "view_age_ms" => view_age_ms);
+        if *domain == cx.settings.failure_domain {
+            cx.slots.refuse_waiting();
+            cx.transfers.refuse_waiting();
+        }
     } else {
         info!(cx.log, "evacuation ended"; "domain" => domain.as_str(), "offset" => offset, "why" => why,
             "evacuated" => count, "view_age_ms" => view_age_ms);
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -226,7 +226,7 @@
     let slot = match admit(cx, &call).await {
         Ok(slot) => slot,
         Err(retry_after) => {
-            return refuse(cx, &call, ServeOutcome::overloaded(retry_after));
+            return refuse(cx, &call, not_admitted(cx, &call.head, retry_after));
         }
     };
     // The backend server may have stopped while the call waited.
@@ -253,6 +253,15 @@
         .unwrap_or(ServeOutcome::Unknown(ResultCode::OutcomeUnknown))
 }
 
+/// Returns the refusal of a call that got no slot or no transfer. Waiting calls are refused when the failure domain
+/// is evacuated.
+pub fn not_admitted(cx: &Sidecar, head: &HopRequestHeader, retry_after: Duration) -> ServeOutcome {
+    match check_location(cx, head, NO_TENANT_HOMES) {
+        Ok(()) => ServeOutcome::overloaded(retry_after),
+        Err(code) => ServeOutcome::refused(code),
+    }
+}
+
 /// Uses the limit that another node last heard of, if this node has just started.
 fn apply_reported_limit(cx: &Sidecar, limit: RequestRate) {
     let now = cx.clock.now();
--- a/tests/process_zones.rs
+++ b/tests/process_zones.rs
@@ -364,6 +364,45 @@
     });
 }
 
+/// Guards against a call that waits for a slot of an evacuated backend server until the runs there end.
+#[gtest]
+fn evacuation_refuses_waiting() {
+    const SERVICE_TIME: Duration = Duration::from_secs(2);
+    run(async {
+        let (mut env, _path) = start(&["keta-a"]).await?;
+        env.backends[0].kill();
+        env.add_slow_backend(0, SERVICE_TIME)?;
+        wait_logged(&env, 0, "backend server changed", 2, WAIT_LIMIT).await?;
+        let addr = env.fleet.nodes()[0].addrs.caller;
+        let mut calls = Vec::new();
+        // The backend server has four slots.
+        for index in 0..4 {
+            let sent = send_call(addr, format!("run{index}"), "/wrecks/1");
+            calls.push(actix_rt::spawn(sent));
+        }
+        let until = Instant::now() + WAIT_LIMIT;
+        while env.backends[1].runs().len() < calls.len() {
+            eyre::ensure!(Instant::now() < until, "the calls are not run");
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+        let waiting = actix_rt::spawn(send_call(addr, "wait".to_owned(), "/wrecks/1"));
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+        evacuate(&env.store, "keta-a");
+        let reply = waiting.await??;
+        expect_that!(reply.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+        let code = ResultCode::DomainEvacuated.number().to_string();
+        expect_that!(
+            String::from_utf8_lossy(&reply.body),
+            contains_substring(code)
+        );
+        expect_true!(calls.iter().all(|call| !call.is_finished()));
+        for call in calls {
+            expect_that!(call.await??.status, eq(StatusCode::OK));
+        }
+        Ok(())
+    });
+}
+
 /// Guards against running nodes, and their followers, that keep an evacuation for good because the store has dropped
 /// its key without a record.
 #[gtest]
