Check home regions and evacuations again before an announced body is sent

The node that asks for the body may have an older configuration than the entry node, which may have read a new one since the announcement. The body was then sent to a node outside the home regions. The check is made when the node asks for the body; if it fails, the call is refused there as not run.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -702,11 +702,11 @@
             .then_some(ResultCode::DomainEvacuated)
     }
 
-    /// Returns the failure domain of a node.
+    /// Returns the entry of a node.
     #[must_use]
-    pub fn domain_of(&self, node: &NodeId) -> Option<&DomainName> {
+    pub fn entry(&self, node: &NodeId) -> Option<&FleetEntry> {
         let index = self.index(node).ok()?;
-        Some(&self.candidates[index].entry.domain)
+        Some(&self.candidates[index].entry)
     }
 
     /// Returns the nodes that would refuse a call for the same reason as this node, as far as it is where the
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -307,6 +307,24 @@
     }
 }
 
+/// Checks that the chosen node may still serve a call, by the configuration and the evacuations that are in force now.
+///
+/// # Errors
+/// The reason why it may not.
+fn check_pick(cx: &Sidecar, call: &EntryCall, pick: &Pick) -> Result<(), ResultCode> {
+    let state = cx.state.borrow();
+    let Some(entry) = state.placement.entry(&pick.node) else {
+        return Ok(());
+    };
+    if !regions_for(&state, call, NO_TENANT_HOMES).allows(&entry.region) {
+        return Err(ResultCode::OutsideHome);
+    }
+    if state.evacuations.contains(&entry.domain) {
+        return Err(ResultCode::DomainEvacuated);
+    }
+    Ok(())
+}
+
 /// Records the reason why a call has no node, if home regions or evacuations exclude all.
 fn check_exclusion(cx: &Sidecar, call: &EntryCall, attempts: &mut Attempts, now: Duration) {
     let state = cx.state.borrow();
@@ -627,7 +645,8 @@
             route_tallies: RouteTotals::default(),
         }
     } else {
-        hop::send(cx, pick.addr, &serve).await
+        let check = || check_pick(cx, call, pick);
+        hop::send(cx, pick.addr, &serve, &check).await
     };
     in_flight.end = attempt_end(&result);
     in_flight.report = result.report;
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -12,6 +12,7 @@
 use actix_http::body::BoxBody;
 use actix_http::header::HeaderName;
 use actix_http::header::HeaderValue;
+use slog::info;
 use slog::warn;
 
 use crate::platform::requests;
@@ -229,8 +230,14 @@
     pub route_tallies: RouteTotals,
 }
 
-/// Sends a call to the node at `addr`.
-pub async fn send(cx: &Sidecar, addr: SocketAddr, call: &ServeCall) -> HopResult {
+/// Sends a call to the node at `addr`. An announced body is sent only if `check` still allows it when the node asks for
+/// the body.
+pub async fn send(
+    cx: &Sidecar,
+    addr: SocketAddr,
+    call: &ServeCall,
+    check: &dyn Fn() -> Result<(), ResultCode>,
+) -> HopResult {
     let mut headers = call.headers.clone();
     if let Ok(value) = HeaderValue::try_from(call.head.encode()) {
         headers.push((HeaderName::from_static(HOP_REQUEST_HEADER), value));
@@ -253,9 +260,19 @@
         responding: None,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
-    match cx.pool.send(exchange).await {
+    match cx.pool.send_if(exchange, &|| check().is_ok()).await {
         Ok(response) => read_response(response),
         Err(failure) => {
+            if let (ExchangeFailure::NotSent(_), Err(code)) = (&failure, check()) {
+                info!(cx.log, "body not sent"; "to" => addr.to_string(), "code" => code.number(),
+                    "attempt" => serving::attempt_text(call.attempt.as_ref()));
+                return HopResult {
+                    outcome: ServeOutcome::refused(code),
+                    reached: true,
+                    report: None,
+                    route_tallies: RouteTotals::default(),
+                };
+            }
             cx.pool.close_idle(addr);
             warn!(cx.log, "call to a node failed"; "to" => addr.to_string(), "why" => failure.to_string(),
                 "attempt" => serving::attempt_text(call.attempt.as_ref()));
--- a/src/sidecar/rollouts.rs
+++ b/src/sidecar/rollouts.rs
@@ -129,8 +129,8 @@
     evacuations: &Evacuations,
 ) -> Vec<(ServiceName, Vec<NodeId>)> {
     let is_evacuated = |node: &NodeId| {
-        let domain = placement.domain_of(node);
-        domain.is_some_and(|domain| evacuations.contains(domain))
+        let entry = placement.entry(node);
+        entry.is_some_and(|entry| evacuations.contains(&entry.domain))
     };
     let plans = moves.plans().into_iter();
     plans
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -212,6 +212,19 @@
     /// # Errors
     /// An [`ExchangeFailure`], which tells whether the peer may have received the request.
     pub async fn send(&self, exchange: Exchange<'_>) -> Result<HttpResponse, ExchangeFailure> {
+        self.send_if(exchange, &|| true).await
+    }
+
+    /// Sends a request like [`Self::send`]. An announced body is sent only if `may_send_body` says so when the peer
+    /// asks for it, since the peer may take some time.
+    ///
+    /// # Errors
+    /// An [`ExchangeFailure`]; [`ExchangeFailure::NotSent`] if the body may not be sent.
+    pub async fn send_if(
+        &self,
+        exchange: Exchange<'_>,
+        may_send_body: &dyn Fn() -> bool,
+    ) -> Result<HttpResponse, ExchangeFailure> {
         let addr = exchange.addr;
         let id = exchange.echo.map(|(_, id)| xxh3_64(id.as_bytes()));
         let idle = self.take_idle(addr, exchange.max_idle, id);
@@ -228,7 +241,7 @@
         };
         let (echo, max_response_bytes) = (exchange.echo, exchange.max_response_bytes);
         let responding = exchange.responding;
-        connection.write_request(exchange).await?;
+        connection.write_request(exchange, may_send_body).await?;
         for _ in 0..=MAX_SKIPPED_RESPONSES {
             connection.write_unsent().await.map_err(broken)?;
             let response = connection
@@ -435,7 +448,11 @@
 
     /// Writes the first part of a request: head and body together, or the head alone if the peer has to
     /// ask for the body. If this fails, nothing was sent that the peer could run.
-    async fn write_request(&mut self, exchange: Exchange<'_>) -> Result<(), ExchangeFailure> {
+    async fn write_request(
+        &mut self,
+        exchange: Exchange<'_>,
+        may_send_body: &dyn Fn() -> bool,
+    ) -> Result<(), ExchangeFailure> {
         let mut head = RequestHead::default();
         head.method = exchange.method;
         head.uri = Uri::from(exchange.target);
@@ -461,7 +478,11 @@
         if exchange.expect_continue {
             self.stream.write_all(&out).await.map_err(not_sent)?;
             self.unsent = exchange.body;
-            return self.wait_for_continue().await.map_err(not_sent);
+            self.wait_for_continue().await.map_err(not_sent)?;
+            if self.early_head.is_none() && !may_send_body() {
+                return Err(not_sent(io::Error::other("the body may not be sent")));
+            }
+            return Ok(());
         }
         out.extend_from_slice(&exchange.body);
         let first = self.stream.write(&out).await.map_err(not_sent)?;
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -388,6 +388,35 @@
     expect_that!(sent, le(MAX_ENDLESS_BYTES));
 }
 
+/// Guards against an announced body that is sent although it may no longer be, once the peer asks for it.
+#[gtest]
+fn send_if_announced_body_withheld() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let peer = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_head(&mut stream).expect("a head");
+        let _ = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+        let mut body = Vec::new();
+        let _ = stream.read_to_end(&mut body);
+        body.len()
+    });
+    let result = run(async {
+        let exchange = Exchange {
+            body: vec![1; 60_000].into(),
+            expect_continue: true,
+            ..get(addr)
+        };
+        let pool = ConnectionPool::default();
+        pool.send_if(exchange, &|| false).await
+    });
+    expect_that!(
+        result,
+        err(matches_pattern!(ExchangeFailure::NotSent(anything())))
+    );
+    expect_that!(peer.join().expect("the number of bytes"), eq(0));
+}
+
 /// Guards against a peer whose long response in tiny chunks keeps the process from everything else: beside
 /// twelve of them five calls were served in 1.5 s.
 #[gtest]
--- a/tests/process_zones.rs
+++ b/tests/process_zones.rs
@@ -11,7 +11,12 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::net::TcpStream;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -512,3 +517,91 @@
         wait_logged(&env, 0, "failure domain evacuated", 2, WAIT_LIMIT).await
     });
 }
+
+/// A node port that asks for an announced body only when it is told to.
+struct LateNodePort {
+    addr: SocketAddr,
+    /// Receives the announcement of a body.
+    announced: Receiver<()>,
+    /// Makes the port ask for the body.
+    ask: Sender<()>,
+    /// Receives the number of bytes of the body.
+    body: Receiver<usize>,
+}
+
+impl LateNodePort {
+    fn start() -> eyre::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let addr = listener.local_addr()?;
+        let (announced_tx, announced) = mpsc::channel();
+        let (ask, ask_rx) = mpsc::channel();
+        let (body_tx, body) = mpsc::channel();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let Ok(mut stream) = stream else { return };
+                let mut buf = [0; 16 << 10];
+                let length = stream.read(&mut buf).unwrap_or(0);
+                let head = String::from_utf8_lossy(&buf[..length]).to_lowercase();
+                if !head.contains("100-continue") {
+                    continue;
+                }
+                let _ = announced_tx.send(());
+                let _ = ask_rx.recv();
+                let _ = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+                let _ = stream.set_read_timeout(Some(WAIT_LIMIT));
+                let mut body = Vec::new();
+                let _ = stream.read_to_end(&mut body);
+                let _ = body_tx.send(body.len());
+            }
+        });
+        Ok(Self {
+            addr,
+            announced,
+            ask,
+            body,
+        })
+    }
+}
+
+/// Guards against an announced body that is sent to a node outside the home regions, because they have changed since
+/// the announcement and only the entry node knows.
+#[gtest]
+fn home_regions_change_after_announcement() {
+    run(async {
+        let mut env = TestFleet::new(0)?;
+        put_config(&env.store, 2, &[]);
+        let port = LateNodePort::start()?;
+        for (index, domain) in ["keta-a", "accra-a"].into_iter().enumerate() {
+            let options = SidecarOptions::new(&format!("n{index}"), domain, "registry");
+            let mut addrs = SidecarFleet::free_addrs(env.store.addr())?;
+            if index == 1 {
+                addrs.advertised_node = port.addr;
+            }
+            env.fleet.add(options, addrs)?;
+            env.fleet.start(index)?;
+        }
+        env.add_backend(1, 0.0)?;
+        env.wait_peers(0, 1).await?;
+        wait_logged(&env, 0, "configuration in force", 1, WAIT_LIMIT).await?;
+        let before = env.fleet.log_lines(0, "configuration in force").len();
+        let call = async { post(&env, 0, "/home/1", LARGE_BODY_BYTES).await };
+        let change = async {
+            let until = Instant::now() + WAIT_LIMIT;
+            while port.announced.try_recv().is_err() {
+                eyre::ensure!(Instant::now() < until, "no body is announced");
+                actix_rt::time::sleep(Duration::from_millis(5)).await;
+            }
+            put_config(&env.store, 3, &["keta"]);
+            let message = "configuration in force";
+            wait_logged(&env, 0, message, before + 1, WAIT_LIMIT).await?;
+            port.ask.send(())?;
+            Ok(())
+        };
+        let ((status, text), ()) = futures_util::future::try_join(call, change).await?;
+        expect_that!(status, eq(503));
+        let code = ResultCode::OutsideHome.number().to_string();
+        expect_that!(text, contains_substring(code));
+        expect_that!(port.body.recv_timeout(WAIT_LIMIT)?, eq(0));
+        Ok(())
+    });
+}
