Do not take the slots that a node without a backend server reports for a bound

Entry nodes use reported slots since backend servers can be cold. A node that has just started reports one slot until the first heartbeat, so that entry nodes sent it fewer calls for up to a second, also for services without a bound. A comment of the same change is worded more plainly.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -6,8 +6,8 @@
 //! regions is billed, so it adds a fraction of the objective in proportion to the measured response
 //! size of the route; a call that meets its objective locally therefore stays in its failure
 //! domain. The run time is also scaled by the time that work takes on the node's instance at this moment, if
-//! that is reported; the factor of the node is learned without it. Load figures and failure rates decay with age, so that a node with poor figures is tried
-//! again.
+//! that is reported; the factor of the node is learned without it. Load figures and failure rates decay with
+//! age, so that a node with poor figures is tried again.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -831,7 +831,7 @@
         route: &RouteName,
         feedback: &Feedback<'_>,
     ) {
-        // What the instance was slower than usual is not learned: the report says so for each call.
+        // The factor of the node is learned without the momentary slowness of its instance, which reports give.
         let work_time = match feedback.report {
             Some((load, _)) => work_time_factor(load.work_time_percent, Duration::ZERO),
             None => self
@@ -864,7 +864,13 @@
             }
             AttemptEnd::Overloaded => candidate.paused_until = now + OVERLOAD_PAUSE,
             AttemptEnd::Shed | AttemptEnd::Incomplete => candidate.record_result(now, true),
-            AttemptEnd::NoBackend | AttemptEnd::Unreachable => candidate.pause(now),
+            AttemptEnd::NoBackend | AttemptEnd::Unreachable => {
+                candidate.pause(now);
+                if candidate.load.limit.is_none() {
+                    // A node that has not heard of its backend server yet does not know its slots.
+                    candidate.load.slots = 0;
+                }
+            }
             AttemptEnd::Cancelled | AttemptEnd::Superseded => {}
         }
         if let Some(mean_ms) = mean_ms {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -316,6 +316,42 @@
     expect_that!(report(ms(200), SLOTS), some(eq("a")));
 }
 
+/// A node that has just started does not know the slots of its backend server yet, and reports one. The entry node
+/// must not take that for a bound on the backend server that it knows.
+#[gtest]
+fn pick_after_refusal_without_backend() {
+    let mut entry = fleet();
+    let report = |running, slots| {
+        let load = Load {
+            running,
+            slots,
+            mean_run_ms: 0,
+            ..Load::default()
+        };
+        (load, BackendTotals::default())
+    };
+    for step in 0..100 {
+        let (load, tally) = report(4, SLOTS);
+        for node in ["b", "c"] {
+            let node = NodeId::from(node);
+            entry.placement.on_report(ms(step), &node, load, tally);
+        }
+    }
+    let feedback = Feedback {
+        incarnation: &("a".into(), 1),
+        end: AttemptEnd::NoBackend,
+        run: ms(0),
+        report: Some(report(0, 1)),
+        bytes: 0,
+    };
+    let node = NodeId::from("a");
+    entry.placement.on_start(&node);
+    entry
+        .placement
+        .on_end(ms(100), &node, &entry.route, &feedback);
+    expect_that!(entry.pick(ms(900), &[]), some(eq("a")));
+}
+
 fn load_with_work_time(percent: Option<u32>) -> Load {
     Load {
         running: 1,
