--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -551,6 +551,7 @@
         cx.store.observe_reported_era(era);
         sync_history(cx);
     }
+    let was_configured = cx.table().is_some();
     for (topic, part) in response.topics.into_iter().enumerate().take(TOPICS.len()) {
         let end = part.end;
         // Without a copy of its own this node has asked for the whole topic.
@@ -571,8 +572,10 @@
         records::apply_dropped(cx, &key, offset);
         cx.feed.add_dropped(key, offset);
     }
-    // After all topics, since the leaves in the own entry decide whether a heartbeat is late.
-    health_check::on_topics_relayed(cx);
+    if !was_configured {
+        // After all topics, since the leaves in the own entry decide whether a heartbeat is late.
+        health_check::on_topics_relayed(cx);
+    }
     let age = Duration::from_millis(response.age_ms);
     let confirmed_at = cx.clock.now().saturating_sub(age);
     cx.feed.confirmed_at.set(Some(confirmed_at));
