--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -357,12 +357,12 @@
 ///
 /// # Errors
 /// The reason why it may not.
-fn check_pick(cx: &Sidecar, call: &EntryCall, pick: &Pick) -> Result<(), ResultCode> {
+fn check_pick(cx: &Sidecar, call: &EntryCall, planned: &Planned) -> Result<(), ResultCode> {
     let state = cx.state.borrow();
-    let Some(entry) = state.placement.entry(&pick.node) else {
+    let Some(entry) = state.placement.entry(&planned.pick.node) else {
         return Ok(());
     };
-    if !regions_for(&state, call, NO_TENANT_HOMES).allows(&entry.region) {
+    if !regions_for(&state, call, &planned.tenant).allows(&entry.region) {
         return Err(ResultCode::OutsideHome);
     }
     if state.evacuations.contains(&entry.domain) {
@@ -760,7 +760,7 @@
             route_tallies: RouteTotals::default(),
         }
     } else {
-        let check = || check_pick(cx, call, pick);
+        let check = || check_pick(cx, call, planned);
         hop::send(cx, pick.addr, &serve, &check).await
     };
     in_flight.end = attempt_end(&result);
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -254,7 +254,7 @@
 /// Returns the refusal of a call that got no slot or no transfer. Waiting calls are refused when the failure domain
 /// is evacuated.
 pub fn not_admitted(cx: &Sidecar, head: &HopRequestHeader, retry_after: Duration) -> ServeOutcome {
-    match check_location(cx, head, NO_TENANT_HOMES) {
+    match check_location(cx, head) {
         Ok(()) => ServeOutcome::overloaded(retry_after),
         Err(code) => ServeOutcome::refused(code),
     }
--- a/tests/process_tenants.rs
+++ b/tests/process_tenants.rs
@@ -380,6 +380,7 @@
             limit: None,
             tenant: None,
             tenant_priority: 0,
+            is_spillover: false,
         };
         let head = head.encode();
         let headers = [
--- a/tests/process_zones.rs
+++ b/tests/process_zones.rs
@@ -142,6 +142,7 @@
         limit: None,
         tenant: None,
         tenant_priority: 0,
+        is_spillover: false,
     };
     let mut stream = TcpStream::connect(addr)?;
     stream.set_read_timeout(Some(WAIT_LIMIT))?;
--- a/tests/tenants_fair_share.rs
+++ b/tests/tenants_fair_share.rs
@@ -169,6 +169,7 @@
             objective_at: if is_overdue { now } else { now + OBJECTIVE },
             deadline: call.began + DEADLINE,
             accepts_late: is_overdue,
+            is_spillover: false,
         };
         let mut admit = self.queue.offer(now, &offer);
         if matches!(admit, Admit::Refuse(_)) && !offer.accepts_late {
@@ -507,6 +508,7 @@
         objective_at: now + OBJECTIVE,
         deadline: now + DEADLINE,
         accepts_late: false,
+        is_spillover: false,
     };
     queue.offer(Duration::ZERO, &offer("hot"));
     queue.finish(Duration::from_millis(60), &lookup, Some(RUN));
--- a/tests/zones_evacuation.rs
+++ b/tests/zones_evacuation.rs
@@ -205,25 +205,25 @@
 /// although all failure domains are evacuated.
 #[gtest]
 fn pick_evacuated_domains() {
-    let placement = placement();
+    let mut placement = placement();
     let any = AllowedRegions::Any;
     let service = ServiceName::from("registry");
     let mut gone = evacuations(&["accra-a"]);
-    expect_that!(pick(&placement, &gone, &any), some(eq("c")));
+    expect_that!(pick(&mut placement, &gone, &any), some(eq("c")));
     gone.on_record(NOW, &domain("accra-b"), 20, true);
-    expect_that!(pick(&placement, &gone, &any), some(eq("d")));
+    expect_that!(pick(&mut placement, &gone, &any), some(eq("d")));
     expect_that!(placement.exclusion(&service, &any, &gone), none());
     // Home regions hold during an evacuation.
     let home = AllowedRegions::Only(vec!["accra".into()]);
-    expect_that!(pick(&placement, &gone, &home), none());
+    expect_that!(pick(&mut placement, &gone, &home), none());
     let evacuated = some(eq(ResultCode::DomainEvacuated));
     expect_that!(placement.exclusion(&service, &home, &gone), evacuated);
     gone.on_record(NOW, &domain("keta-a"), 21, true);
-    expect_that!(pick(&placement, &gone, &any), none());
+    expect_that!(pick(&mut placement, &gone, &any), none());
     let evacuated = some(eq(ResultCode::DomainEvacuated));
     expect_that!(placement.exclusion(&service, &any, &gone), evacuated);
     gone.on_record(NOW, &domain("accra-b"), 22, false);
-    expect_that!(pick(&placement, &gone, &any), some(eq("c")));
+    expect_that!(pick(&mut placement, &gone, &any), some(eq("c")));
 }
 
 /// Guards against a call that is offered to each node of an evacuated failure domain in turn, by an entry node that
@@ -251,7 +251,7 @@
     expect_that!(attempts.take_location_refusal(), some(eq(&expected)));
     expect_that!(attempts.take_location_refusal(), none());
 
-    let placement = placement();
+    let mut placement = placement();
     let alike = |reason| placement.nodes_refusing_as(&node, reason);
     expect_that!(
         alike(ResultCode::DomainEvacuated),
--- a/tests/zones_homes.rs
+++ b/tests/zones_homes.rs
@@ -118,18 +118,21 @@
 /// Guards against a call that fails over to another region once all nodes of its home regions were tried.
 #[gtest]
 fn pick_home_nodes_tried() {
-    let placement = placement();
+    let mut placement = placement();
     let (home, elsewhere) = (only(&["accra"]), only(&["keta"]));
     let tried: Vec<NodeId> = vec!["a".into(), "b".into()];
-    expect_that!(pick(&placement, &home, &tried[..1]), some(eq(&tried[1])));
-    expect_that!(pick(&placement, &home, &tried), none());
+    expect_that!(
+        pick(&mut placement, &home, &tried[..1]),
+        some(eq(&tried[1]))
+    );
+    expect_that!(pick(&mut placement, &home, &tried), none());
     // The entry node itself is outside.
     expect_that!(
-        pick(&placement, &elsewhere, &[]),
+        pick(&mut placement, &elsewhere, &[]),
         some(eq(&NodeId::from("c")))
     );
     expect_that!(
-        pick(&placement, &AllowedRegions::Any, &tried),
+        pick(&mut placement, &AllowedRegions::Any, &tried),
         some(eq(&NodeId::from("c")))
     );
 }
