--- a/tests/zones_evacuation.rs
+++ b/tests/zones_evacuation.rs
@@ -251,7 +251,7 @@
     expect_that!(attempts.take_location_refusal(), some(eq(&expected)));
     expect_that!(attempts.take_location_refusal(), none());
 
-    let mut placement = placement();
+    let placement = placement();
     let alike = |reason| placement.nodes_refusing_as(&node, reason);
     expect_that!(
         alike(ResultCode::DomainEvacuated),
