Bound the bodies of messages between nodes

Reports of usage and entries of nodes were read outside the account of clients: 1,200 connections to the node port could hold 256 KiB each, 315 MB on an instance of 160 MB. All of them together now have 8 MiB. They are not part of the account, since a crowd of callers would otherwise cut a node off from its collector.

--- a/src/sidecar/leaves.rs
+++ b/src/sidecar/leaves.rs
@@ -29,6 +29,7 @@
 use crate::sidecar::announcer::WrittenEntry;
 use crate::transport::exchange::Exchange;
 use crate::transport::http_server;
+use crate::transport::http_server::BODY_TIMEOUT;
 
 /// Path of a request to write the sender's entry.
 pub const ENTRY_PATH: &str = "/sw/entry";
@@ -185,7 +186,9 @@
 /// Writes the entry of another node, which the store turns away.
 pub async fn serve(cx: &Sidecar, req: &mut Request) -> Response<BoxBody> {
     let mut payload = req.take_payload();
-    let Ok(body) = http_server::read_body(&mut payload, MAX_ENTRY_BYTES).await else {
+    let bodies = &cx.control_bodies;
+    let read = http_server::read_body_within(&mut payload, MAX_ENTRY_BYTES, bodies, BODY_TIMEOUT);
+    let Ok((body, _held)) = read.await else {
         return http_server::empty(StatusCode::BAD_REQUEST);
     };
     let entry = codec::decode::<FleetEntry>(&body).ok();
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -93,6 +93,10 @@
 const PLATFORM_PARTS: f64 = 0.02;
 /// Bytes of the headers that nodes add to the head of a call.
 const HOP_HEADER_BYTES: usize = 16 << 10;
+/// Bytes of the bodies of messages about the state of nodes that are held at a time. The connections of the port
+/// could hold far more than an instance has. They are kept apart from the account of clients, so that a crowd of
+/// callers does not cut a node off from the quotas.
+const MAX_CONTROL_BYTES: usize = 8 << 20;
 /// Slots of the backend server until its first heartbeat.
 const INITIAL_SLOTS: u32 = 1;
 
@@ -159,6 +163,8 @@
     client_memory: ClientMemory,
     /// Bodies of the requests of callers and other nodes.
     bodies: BodyBudget,
+    /// Bodies of messages of other nodes about their state.
+    control_bodies: BodyBudget,
     /// Transfers of large bodies from other nodes.
     transfers: Rc<AdmissionQueue>,
     /// Topics of the store.
@@ -265,6 +271,7 @@
         slots: AdmissionQueue::new(clock, INITIAL_SLOTS),
         bodies: BodyBudget::of_clients(&client_memory),
         client_memory,
+        control_bodies: BodyBudget::new(MAX_CONTROL_BYTES),
         transfers: AdmissionQueue::new(clock, body_gate::max_transfers(settings.link_mbps)),
         feed: Feed::default(),
         entry_removed: Cell::new(false),
--- a/src/sidecar/usage_port.rs
+++ b/src/sidecar/usage_port.rs
@@ -37,6 +37,7 @@
 use crate::sidecar::settings::SidecarSettings;
 use crate::transport::exchange::Exchange;
 use crate::transport::http_server;
+use crate::transport::http_server::BODY_TIMEOUT;
 
 /// Path of a report or an exchange of sums.
 pub const USAGE_PATH: &str = "/sw/usage";
@@ -353,7 +354,9 @@
 /// Handles a report of a node of this failure domain, or the sums of another one.
 pub async fn serve(cx: &Sidecar, req: &mut Request) -> Response<BoxBody> {
     let mut payload = req.take_payload();
-    let Ok(body) = http_server::read_body(&mut payload, MAX_MESSAGE_BYTES).await else {
+    let bodies = &cx.control_bodies;
+    let read = http_server::read_body_within(&mut payload, MAX_MESSAGE_BYTES, bodies, BODY_TIMEOUT);
+    let Ok((body, _held)) = read.await else {
         return http_server::empty(StatusCode::BAD_REQUEST);
     };
     let now = cx.clock.now();
--- a/tests/process_clients.rs
+++ b/tests/process_clients.rs
@@ -297,6 +297,31 @@
     ));
 }
 
+/// Guards against messages between nodes whose bodies stop one byte before their end and are held without a bound
+/// on all of them.
+#[gtest]
+fn messages_one_byte_short() {
+    locked(async {
+        let instance = Instance::default();
+        let (mut env, _) = start(instance, false).await?;
+        let addr = env.fleet.nodes()[0].addrs.node;
+        for (path, bytes) in [("/sw/usage", 256 << 10), ("/sw/entry", 64 << 10)] {
+            let mut request = head("POST", path, &format!("content-length: {bytes}\r\n"));
+            request.resize(request.len() + bytes - 1, b'x');
+            let mut open = send_crowd(addr, CLIENTS, &request, usize::MAX / 2).await?;
+            check(&mut env, instance.memory_mb, path)?;
+            let mut buf = [0; 64];
+            let reads = open.iter_mut().map(|(stream, _)| stream.read(&mut buf));
+            let refused = reads.filter(Result::is_ok).count();
+            // The bound on all of them is a third of what the larger ones need; the smaller ones fit.
+            expect_that!(refused > 0, eq(bytes > 64 << 10), "{refused} of {path}");
+            drop(open);
+            check_answered(&mut env, path).await?;
+        }
+        Ok(())
+    });
+}
+
 /// Guards against small pieces of a body that take more memory than their bytes.
 #[gtest]
 fn bodies_in_small_pieces() {
