End only connections that make room for the request

A request that found no room ended the largest connection that waits for its client. That was its own one if no other waited, so that its client did not learn that the request has not run; and if only the part of its address was full, one of another address, which made no room.

--- a/src/transport/client_memory.rs
+++ b/src/transport/client_memory.rs
@@ -150,12 +150,12 @@
         oldest.is_some()
     }
 
-    /// Ends the connection that holds most because of its client.
-    fn evict_largest(&self) {
+    /// Ends the connection that holds most because of its client, of those that may be chosen.
+    fn evict_largest(&self, may_end: impl Fn(&Rc<Holder>) -> bool) {
         let connections = self.0.connections.borrow();
         let waiting = connections
             .iter()
-            .filter(|holder| holder.waits_for_client.get());
+            .filter(|holder| holder.waits_for_client.get() && may_end(holder));
         let bytes = |holder: &&Rc<Holder>| holder.held.get() + holder.body.get();
         if let Some(largest) = waiting.max_by_key(bytes) {
             // It is chosen once.
@@ -166,8 +166,8 @@
 }
 
 impl ConnectionMemory {
-    /// Counts bytes for a request, if they fit; otherwise the largest holder that waits for its client loses its
-    /// connection, so that there is room soon.
+    /// Counts bytes for a request, if they fit; otherwise the largest other holder that waits for its client loses
+    /// its connection, so that there is room soon.
     #[must_use]
     pub fn try_hold(&self, bytes: usize) -> Option<HeldMemory> {
         let account = &self.account;
@@ -176,7 +176,10 @@
         let is_address_full = held > account.0.max_bytes / 2
             && account.address_bytes(self.holder.addr) + bytes > account.bounded_bytes();
         if !fits || is_address_full {
-            account.evict_largest();
+            // The connections of other addresses make no room for an address that has its part.
+            account.evict_largest(|other| {
+                !Rc::ptr_eq(other, &self.holder) && (!fits || other.addr == self.holder.addr)
+            });
             return None;
         }
         Some(self.hold(bytes))
@@ -247,7 +250,7 @@
     pub fn set(&mut self, bytes: usize) {
         self.replace(bytes);
         if self.account.held_bytes() > self.account.0.max_bytes {
-            self.account.evict_largest();
+            self.account.evict_largest(|_| true);
         }
     }
 
