Forget the body of a connection with its response

The bytes of the last body on a connection counted for its address until the next request, although their memory was free. Idle connections of a client that had sent large bodies were ended, and its requests refused, while the account was more than half full.

--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -574,6 +574,10 @@
             return Ok(());
         };
         let is_last = self.open.is_empty();
+        if is_last {
+            // Its handler has ended, which held it.
+            self.memory.set_body(0);
+        }
         // A body that its handler has not read ends the connection as well.
         let is_unread = is_last && matches!(self.reading, Reading::Body(_));
         let asks_to_close = response.head().connection_type() == ConnectionType::Close;
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -22,12 +23,15 @@
 use futures_util::StreamExt;
 use futures_util::stream;
 use googletest::prelude::*;
+use sycamorewick::protocol::mesh::CallerLimits;
 use sycamorewick::result_code::ResultCode;
 use sycamorewick::transport::body_budget::BodyBudget;
+use sycamorewick::transport::client_memory::ClientMemory;
 use sycamorewick::transport::http_server;
 use sycamorewick::transport::http_server::BODY_TIMEOUT;
 use sycamorewick::transport::http_server::Handler;
 use sycamorewick::transport::http_server::HttpServer;
+use sycamorewick::transport::pipeline::PipelineOptions;
 
 /// Size of a response that does not fit into the buffers of the kernel, bytes.
 const LARGE_RESPONSE: usize = 64 << 20;
@@ -324,3 +328,92 @@
         expect_true!(third.is_ok());
     });
 }
+
+/// Starts a server whose clients share an account, and whose GET requests may overlap.
+async fn start_with_memory(memory: &ClientMemory, handler: Handler) -> (HttpServer, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let options = PipelineOptions {
+        handler,
+        may_overlap: Rc::new(|req: &Request| req.method() == "GET"),
+        gate: None,
+        limits: Rc::new(CallerLimits::default),
+        memory: memory.clone(),
+        refuses: true,
+        port: 0,
+        any_fields: true,
+    };
+    (HttpServer::start_with_options(listener, 10, options), addr)
+}
+
+/// Sends bytes on a new connection and returns it with what comes back until `until` or the end.
+async fn send(addr: SocketAddr, sent: Vec<u8>, until: &'static str) -> (TcpStream, String) {
+    let client = thread::spawn(move || {
+        let mut stream = TcpStream::connect(addr).expect("a connection");
+        let limit = Some(Duration::from_secs(5));
+        stream.set_read_timeout(limit).expect("a time limit");
+        stream.write_all(&sent).expect("the server reads");
+        let mut received = Vec::new();
+        let mut buf = [0; 4_096];
+        while !String::from_utf8_lossy(&received).contains(until) {
+            match stream.read(&mut buf) {
+                Ok(count @ 1..) => received.extend(&buf[..count]),
+                _ => break,
+            }
+        }
+        let text = String::from_utf8_lossy(&received).into_owned();
+        (stream, text)
+    });
+    while !client.is_finished() {
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+    client.join().expect("the client")
+}
+
+/// A request for which there is no memory must get the response that says that it has not run, instead of ending
+/// its own connection to make room.
+#[gtest]
+fn request_without_room_is_answered() {
+    let events = Events::default();
+    System::new().block_on(async {
+        let memory = ClientMemory::new(20_000);
+        let (_server, addr) = start_with_memory(&memory, handler(&events)).await;
+        for _ in 0..20 {
+            let request = b"POST /0/a HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n".to_vec();
+            let (_stream, text) = send(addr, request, "}").await;
+            expect_that!(text, starts_with("HTTP/1.1 503"));
+            expect_that!(text, contains_substring("4021"));
+        }
+    });
+    expect_true!(events.borrow().is_empty());
+}
+
+/// A client that reuses connections must not be refused, or lose them, because of bodies that it has sent on them
+/// before, whose memory is free again.
+#[gtest]
+fn bodies_of_idle_connections_not_counted() {
+    System::new().block_on(async {
+        let memory = ClientMemory::new(2 << 20);
+        let (_server, addr) = start_with_memory(&memory, handler(&Events::default())).await;
+        let mut idle = Vec::new();
+        for _ in 0..3 {
+            let mut request =
+                b"POST /0/a HTTP/1.1\r\nhost: a\r\ncontent-length: 700000\r\n\r\n".to_vec();
+            request.resize(request.len() + 700_000, b'x');
+            let (stream, text) = send(addr, request, ">").await;
+            expect_that!(bodies(&text), eq(&vec!["/0/a 700000"]));
+            idle.push(stream);
+        }
+        // Something else takes more than half of the account, so that each address is bounded.
+        let mut other = memory.hold_body();
+        expect_true!(other.set_body((1 << 20) + 100_000));
+        let request = b"GET /0/b HTTP/1.1\r\nhost: a\r\n\r\n".to_vec();
+        let (_stream, text) = send(addr, request, "}").await;
+        expect_that!(bodies(&text), eq(&vec!["/0/b 0"]));
+        for mut stream in idle {
+            stream.set_nonblocking(true).expect("a mode");
+            let read = stream.read(&mut [0; 1]).map_err(|e| e.kind());
+            expect_that!(read, err(eq(ErrorKind::WouldBlock)));
+        }
+    });
+}
