Let connections end whose responses wait behind a slow one

A client that sends a slow request and others ahead of its response makes the process hold their responses. Such a connection was not among those that end when the account is full, since it was taken to wait for the process.

responses_behind_a_slow_one_are_bounded failed before: four connections held 42 MB in an account of 16 MiB.

--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -298,7 +298,10 @@
             Reading::Body(_) | Reading::End => true,
         };
         let is_body = matches!(self.reading, Reading::Body(_));
-        self.memory.set_waiting(!has_open || is_body);
+        // Responses to requests that were sent ahead wait for the first one.
+        let mut later = self.open.iter().skip(1);
+        let has_unsent = later.any(|open| open.response.is_finished());
+        self.memory.set_waiting(!has_open || is_body || has_unsent);
         self.held.set(CONNECTION_BYTES + self.buf.len());
         let may_continue = self.open.len() == 1;
         let expects_continue = &mut self.expects_continue;
@@ -501,6 +504,7 @@
             req
         };
         let handler = self.pipeline.options.handler.clone();
+        let sent_ahead = (!self.open.is_empty()).then(|| self.memory.clone());
         let response = actix_rt::spawn(async move {
             let mut held = held;
             let admitted = match gate {
@@ -516,6 +520,10 @@
                 Err(response) => response,
             };
             // Counted until the client has taken it.
+            if let Some(memory) = sent_ahead {
+                // It may have to wait for the responses before it.
+                memory.set_waiting(true);
+            }
             held.set(response_memory(&response));
             (response, held)
         });
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -417,3 +417,44 @@
         }
     });
 }
+
+/// Responses that wait behind a slow one must not exceed the account, since the client that sends requests ahead
+/// decides how many there are.
+#[gtest]
+fn responses_behind_a_slow_one_are_bounded() {
+    const ACCOUNT: usize = 16 << 20;
+    const RESPONSE_BYTES: usize = 2 << 20;
+    System::new().block_on(async {
+        let memory = ClientMemory::new(ACCOUNT);
+        let ended = Rc::new(Cell::new(0));
+        let count = ended.clone();
+        let handler: Handler = Rc::new(move |req: Request| {
+            let ended = count.clone();
+            Box::pin(async move {
+                if req.path() == "/slow" {
+                    std::future::pending::<()>().await;
+                }
+                // All of them start before the first response is counted.
+                actix_rt::time::sleep(Duration::from_millis(200)).await;
+                ended.set(ended.get() + 1);
+                let body = Bytes::from(vec![b'x'; RESPONSE_BYTES]);
+                Response::with_body(StatusCode::OK, BoxBody::new(body))
+            })
+        });
+        let (_server, addr) = start_with_memory(&memory, handler).await;
+        let requests = String::from("GET /slow HTTP/1.1\r\nhost: a\r\n\r\n")
+            + &"GET /a HTTP/1.1\r\nhost: a\r\n\r\n".repeat(5);
+        let mut clients = Vec::new();
+        for _ in 0..4 {
+            let mut stream = TcpStream::connect(addr).expect("a connection");
+            stream
+                .write_all(requests.as_bytes())
+                .expect("the server reads");
+            clients.push(stream);
+        }
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        // Without requests that run ahead this would guard against nothing.
+        expect_that!(ended.get() * RESPONSE_BYTES, gt(ACCOUNT));
+        expect_that!(memory.held_bytes(), le(ACCOUNT));
+    });
+}
