Bound the time in which a client takes 100 Continue

All other writes to a client have a time limit. Without one here, a client that reads nothing and fills the buffers of the kernel could hold the task of its connection until it disconnects. There is no test: whether this write or that of a response finds the buffers full depends on the kernel.

--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -342,7 +342,11 @@
             Event::Admitted(is_admitted) => {
                 self.expects_continue = None;
                 if is_admitted {
-                    self.stream.write_all(CONTINUE).await?;
+                    // A client that takes nothing must not hold the connection for good.
+                    let write = self.stream.write_all(CONTINUE);
+                    tokio::time::timeout(BODY_TIMEOUT, write)
+                        .await
+                        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
                 }
             }
             Event::Closed => return Err(io::ErrorKind::UnexpectedEof.into()),
