--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -298,7 +298,10 @@
             Reading::Body(_) | Reading::End => true,
         };
         let is_body = matches!(self.reading, Reading::Body(_));
-        self.memory.set_waiting(!has_open || is_body);
+        // Responses to requests that were sent ahead wait for the first one.
+        let mut later = self.open.iter().skip(1);
+        let has_unsent = later.any(|open| open.response.is_finished());
+        self.memory.set_waiting(!has_open || is_body || has_unsent);
         self.held.set(CONNECTION_BYTES + self.buf.len());
         let may_continue = self.open.len() == 1;
         let expects_continue = &mut self.expects_continue;
@@ -339,7 +342,11 @@
             Event::Admitted(is_admitted) => {
                 self.expects_continue = None;
                 if is_admitted {
-                    self.stream.write_all(CONTINUE).await?;
+                    // A client that takes nothing must not hold the connection for good.
+                    let write = self.stream.write_all(CONTINUE);
+                    tokio::time::timeout(BODY_TIMEOUT, write)
+                        .await
+                        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
                 }
             }
             Event::Closed => return Err(io::ErrorKind::UnexpectedEof.into()),
@@ -501,6 +508,7 @@
             req
         };
         let handler = self.pipeline.options.handler.clone();
+        let sent_ahead = (!self.open.is_empty()).then(|| self.memory.clone());
         let response = actix_rt::spawn(async move {
             let mut held = held;
             let admitted = match gate {
@@ -516,6 +524,10 @@
                 Err(response) => response,
             };
             // Counted until the client has taken it.
+            if let Some(memory) = sent_ahead {
+                // It may have to wait for the responses before it.
+                memory.set_waiting(true);
+            }
             held.set(response_memory(&response));
             (response, held)
         });
@@ -574,6 +586,10 @@
             return Ok(());
         };
         let is_last = self.open.is_empty();
+        if is_last {
+            // Its handler has ended, which held it.
+            self.memory.set_body(0);
+        }
         // A body that its handler has not read ends the connection as well.
         let is_unread = is_last && matches!(self.reading, Reading::Body(_));
         let asks_to_close = response.head().connection_type() == ConnectionType::Close;
