--- a/src/transport/client_memory.rs
+++ b/src/transport/client_memory.rs
@@ -166,8 +166,8 @@
 }
 
 impl ConnectionMemory {
-    /// Counts bytes for a request, if they fit; otherwise the largest other holder that waits for its client loses
-    /// its connection, so that there is room soon.
+    /// Counts bytes for a request, if they fit; otherwise the largest holder that waits for its client loses its
+    /// connection, so that there is room soon.
     #[must_use]
     pub fn try_hold(&self, bytes: usize) -> Option<HeldMemory> {
         let account = &self.account;
@@ -177,9 +177,7 @@
             && account.address_bytes(self.holder.addr) + bytes > account.bounded_bytes();
         if !fits || is_address_full {
             // The connections of other addresses make no room for an address that has its part.
-            account.evict_largest(|other| {
-                !Rc::ptr_eq(other, &self.holder) && (!fits || other.addr == self.holder.addr)
-            });
+            account.evict_largest(|other| !fits || other.addr == self.holder.addr);
             return None;
         }
         Some(self.hold(bytes))
