--- a/src/coordination/zones/homes.rs
+++ b/src/coordination/domains/homes.rs
@@ -14,13 +14,16 @@
     Only(Vec<RegionName>),
 }
 
-/// Returns the regions that the home regions of a route and of a tenant allow together. An empty list names
+/// Returns the regions that the home regions of a route and of a workspace allow together. An empty list names
 /// none and does not restrict.
 #[must_use]
-pub fn allowed_regions(route_homes: &[RegionName], tenant_homes: &[RegionName]) -> AllowedRegions {
+pub fn allowed_regions(
+    route_homes: &[RegionName],
+    workspace_homes: &[RegionName],
+) -> AllowedRegions {
     AllowedRegions::Any
         .restricted_to(route_homes)
-        .restricted_to(tenant_homes)
+        .restricted_to(workspace_homes)
 }
 
 impl AllowedRegions {
@@ -52,7 +55,7 @@
 /// Returns a description of the first home region in a configuration that is not known, with the field that
 /// names it; `None` if all are known.
 ///
-/// A misspelt home region would make every call of its route or tenant fail, so the whole configuration is
+/// A misspelt home region would make every call of its route or workspace fail, so the whole configuration is
 /// refused instead.
 #[must_use]
 pub fn unknown_home(config: &MeshConfig, is_known: impl Fn(&RegionName) -> bool) -> Option<String> {
@@ -60,14 +63,16 @@
         .routes
         .iter()
         .map(|route| ("route", route.name.as_str(), &route.homes));
-    let of_tenants = config
-        .tenants
+    let of_workspaces = config
+        .workspaces
         .iter()
-        .map(|tenant| ("tenant", tenant.name.as_str(), &tenant.homes));
-    of_routes.chain(of_tenants).find_map(|(kind, name, homes)| {
-        let unknown = homes.iter().find(|region| !is_known(region))?;
-        Some(format!(
-            "{kind} {name}: home-regions: the region {unknown} is not in the settings' domains"
-        ))
-    })
+        .map(|workspace| ("workspace", workspace.name.as_str(), &workspace.homes));
+    of_routes
+        .chain(of_workspaces)
+        .find_map(|(kind, name, homes)| {
+            let unknown = homes.iter().find(|region| !is_known(region))?;
+            Some(format!(
+                "{kind} {name}: home-regions: the region {unknown} is not in the settings' domains"
+            ))
+        })
 }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -16,13 +16,13 @@
 use rand::RngExt;
 
 use crate::coordination::backoff::exponential_delay;
+use crate::coordination::domains::evacuation::Evacuations;
+use crate::coordination::domains::homes::AllowedRegions;
+use crate::coordination::domains::spill::SpillCosts;
+use crate::coordination::domains::spill::SpillEnd;
+use crate::coordination::domains::spill::SpillShares;
 use crate::coordination::slot_queue::ASSUMED_RUN_SHARE;
 use crate::coordination::slot_queue::COLD_START_FACTOR;
-use crate::coordination::zones::evacuation::Evacuations;
-use crate::coordination::zones::homes::AllowedRegions;
-use crate::coordination::zones::spill::SpillCosts;
-use crate::coordination::zones::spill::SpillEnd;
-use crate::coordination::zones::spill::SpillShares;
 use crate::protocol::fleet::BackendPhase;
 use crate::protocol::fleet::BackendReport;
 use crate::protocol::fleet::FleetEntry;
--- a/src/coordination/room/cold_start.rs
+++ b/src/coordination/room/cold_start.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::coordination::tenants::fair_share::Rank;
+use crate::coordination::workspaces::fair_share::Rank;
 use crate::protocol::hop::RequestRate;
 use crate::protocol::name::RouteName;
 
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -5,12 +5,12 @@
 //! it can be sent to another node. If no node can meet the objective, the call is offered again
 //! with [`Offer::accepts_late`]. Such calls start only when no waiting call can still meet its
 //! objective: under overload, giving slots to late calls first would make the other calls late as
-//! well. Calls of tenants, then of routes, with a higher priority start first. Calls whose caller has spent the objective
+//! well. Calls of workspaces, then of routes, with a higher priority start first. Calls whose caller has spent the objective
 //! before this try (see [`crate::coordination::caller_age`]) are late from the start.
 //!
-//! Calls of tenants that have the same rank start in the order of their fair shares (see [`FairShare`]), those
-//! without a tenant, such as the calls that running requests make, before them. The wait that decides on a call
-//! is that in this order, so a tenant that fills the queue does not keep out the others. Instead, its own last
+//! Calls of workspaces that have the same rank start in the order of their fair shares (see [`FairShare`]), those
+//! without a workspace, such as the calls that running requests make, before them. The wait that decides on a call
+//! is that in this order, so a workspace that fills the queue does not keep out the others. Instead, its own last
 //! calls are refused as soon as others go before them (see [`SlotQueue::refuse_overtaken`]).
 //!
 //! If the backend server has named a limit on its requests, a call also needs a token of that limit
@@ -21,14 +21,14 @@
 
 use crate::coordination::request_limit::RequestLimit;
 use crate::coordination::room::cold_start::ColdStart;
-use crate::coordination::tenants::fair_share::FairShare;
-use crate::coordination::tenants::fair_share::LOWEST_RANK;
-use crate::coordination::tenants::fair_share::Rank;
-use crate::coordination::tenants::fair_share::TenantShare;
+use crate::coordination::workspaces::fair_share::FairShare;
+use crate::coordination::workspaces::fair_share::LOWEST_RANK;
+use crate::coordination::workspaces::fair_share::Rank;
+use crate::coordination::workspaces::fair_share::WorkspaceShare;
 use crate::protocol::hop::Load;
 use crate::protocol::hop::RequestRate;
 use crate::protocol::name::RouteName;
-use crate::protocol::name::TenantName;
+use crate::protocol::name::WorkspaceName;
 
 /// Minimum weight of one run in the mean run time of its route; the first runs weigh more.
 const RUN_WEIGHT: f64 = 0.1;
@@ -63,10 +63,10 @@
 pub struct Offer {
     /// Route of the call.
     pub route: RouteName,
-    /// Tenant of the call; `None` for a call without one.
-    pub tenant: Option<TenantShare>,
-    /// Priority of the tenant, which goes before that of the route; 0 is the highest.
-    pub tenant_priority: u8,
+    /// Workspace of the call; `None` for a call without one.
+    pub workspace: Option<WorkspaceShare>,
+    /// Priority of the workspace, which goes before that of the route; 0 is the highest.
+    pub workspace_priority: u8,
     /// Priority of the route; 0 is the highest.
     pub priority: u8,
     /// Latency objective of the route.
@@ -84,7 +84,7 @@
 
 impl Offer {
     fn rank(&self) -> Rank {
-        (self.tenant_priority, self.priority)
+        (self.workspace_priority, self.priority)
     }
 }
 
@@ -112,7 +112,7 @@
 #[derive(Debug)]
 struct Waiting {
     rank: Rank,
-    tenant: Option<TenantShare>,
+    workspace: Option<WorkspaceShare>,
     ticket: Ticket,
     expected_run: Duration,
     /// Latest start for a response within the objective.
@@ -128,15 +128,15 @@
     }
 }
 
-/// Virtual time of calls without a tenant, which start before the others of their rank.
-const NO_TENANT_TIME: f64 = f64::NEG_INFINITY;
+/// Virtual time of calls without a workspace, which start before the others of their rank.
+const NO_WORKSPACE_TIME: f64 = f64::NEG_INFINITY;
 
-/// Virtual times at which the waiting calls start; empty if none of them has a tenant.
+/// Virtual times at which the waiting calls start; empty if none of them has a workspace.
 struct StartTimes(Vec<f64>);
 
 impl StartTimes {
     fn of(&self, index: usize) -> f64 {
-        self.0.get(index).copied().unwrap_or(NO_TENANT_TIME)
+        self.0.get(index).copied().unwrap_or(NO_WORKSPACE_TIME)
     }
 }
 
@@ -388,8 +388,8 @@
             if !offer.is_spillover {
                 self.waits -= self.waits * WAIT_WEIGHT;
             }
-            if let Some(tenant) = &offer.tenant {
-                self.shares.on_start(offer.rank(), tenant);
+            if let Some(workspace) = &offer.workspace {
+                self.shares.on_start(offer.rank(), workspace);
             }
             return Admit::Start;
         }
@@ -415,7 +415,7 @@
             index,
             Waiting {
                 rank: offer.rank(),
-                tenant: offer.tenant.clone(),
+                workspace: offer.workspace.clone(),
                 ticket,
                 expected_run,
                 in_time_by,
@@ -471,8 +471,8 @@
                 self.spare_at = now;
             }
             let next = self.waiting.remove(index);
-            if let Some(tenant) = &next.tenant {
-                self.shares.on_start(next.rank, tenant);
+            if let Some(workspace) = &next.workspace {
+                self.shares.on_start(next.rank, workspace);
             }
             changes.start.push(next.ticket);
             self.running += 1;
@@ -512,12 +512,12 @@
         Some((next, &self.waiting[next]))
     }
 
-    /// Refuses the waiting calls of tenants that the call with this ticket goes before by its share, and that are
-    /// not expected to be in time any more. They would wait in vain for their last start. Without tenants no call
+    /// Refuses the waiting calls of workspaces that the call with this ticket goes before by its share, and that are
+    /// not expected to be in time any more. They would wait in vain for their last start. Without workspaces no call
     /// is refused. Has to be called after [`Self::offer`] has let a call wait.
     pub fn refuse_overtaken(&mut self, now: Duration, ticket: Ticket) -> Changes {
         let mut changes = Changes::default();
-        if !self.has_tenants() {
+        if !self.has_workspaces() {
             return changes;
         }
         let order = self.start_times(now);
@@ -532,7 +532,7 @@
             let waiting = &self.waiting[index];
             let wait = self.wait_behind(now, waiting.expected_run, waiting.rank, ahead, work);
             let is_late = now + wait > waiting.in_time_by;
-            if is_behind && is_late && waiting.tenant.is_some() && !waiting.accepts_late {
+            if is_behind && is_late && waiting.workspace.is_some() && !waiting.accepts_late {
                 changes.refuse.push((waiting.ticket, retry_delay(wait)));
                 continue;
             }
@@ -546,14 +546,16 @@
         changes
     }
 
-    fn has_tenants(&self) -> bool {
-        self.waiting.iter().any(|waiting| waiting.tenant.is_some())
+    fn has_workspaces(&self) -> bool {
+        self.waiting
+            .iter()
+            .any(|waiting| waiting.workspace.is_some())
     }
 
     /// Returns the call that starts next, of those that have the rank of the call at `first` and can be in time
     /// like it.
     fn first_by_share(&self, now: Duration, first: usize) -> usize {
-        if !self.has_tenants() {
+        if !self.has_workspaces() {
             return first;
         }
         let rank = self.waiting[first].rank;
@@ -568,44 +570,44 @@
         next.map_or(first, |(index, _)| index)
     }
 
-    /// Returns the virtual time at which a waiting call starts behind `ahead` other ones of its tenant.
+    /// Returns the virtual time at which a waiting call starts behind `ahead` other ones of its workspace.
     fn start_time(&self, waiting: &Waiting, ahead: u32) -> f64 {
-        let tenant = waiting.tenant.as_ref();
-        tenant.map_or(NO_TENANT_TIME, |tenant| {
-            self.shares.start_time(waiting.rank, tenant, ahead)
+        let workspace = waiting.workspace.as_ref();
+        workspace.map_or(NO_WORKSPACE_TIME, |workspace| {
+            self.shares.start_time(waiting.rank, workspace, ahead)
         })
     }
 
-    /// Returns the virtual time at which a new call starts behind those of its tenant that can be in time, or
+    /// Returns the virtual time at which a new call starts behind those of its workspace that can be in time, or
     /// behind those that cannot.
     fn start_time_behind(&self, now: Duration, offer: &Offer, in_time: bool) -> f64 {
-        let Some(tenant) = &offer.tenant else {
-            return NO_TENANT_TIME;
+        let Some(workspace) = &offer.workspace else {
+            return NO_WORKSPACE_TIME;
         };
         let rank = offer.rank();
         let is_ahead = |other: &&Waiting| {
-            let is_same = other.tenant.as_ref().map(|of| &of.name) == Some(&tenant.name);
+            let is_same = other.workspace.as_ref().map(|of| &of.name) == Some(&workspace.name);
             is_same && other.rank == rank && other.can_be_in_time(now) == in_time
         };
         let ahead = self.waiting.iter().filter(is_ahead).count();
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        self.shares.start_time(rank, tenant, ahead)
+        self.shares.start_time(rank, workspace, ahead)
     }
 
     /// Returns the virtual times at which the waiting calls start.
     fn start_times(&self, now: Duration) -> StartTimes {
-        if !self.has_tenants() {
+        if !self.has_workspaces() {
             return StartTimes(Vec::new());
         }
         // Numbers of calls so far, sorted by what they are counted by.
-        let mut counts: Vec<((Rank, bool, &TenantName), u32)> = Vec::new();
+        let mut counts: Vec<((Rank, bool, &WorkspaceName), u32)> = Vec::new();
         let mut times = Vec::with_capacity(self.waiting.len());
         for waiting in &self.waiting {
-            let Some(tenant) = &waiting.tenant else {
-                times.push(NO_TENANT_TIME);
+            let Some(workspace) = &waiting.workspace else {
+                times.push(NO_WORKSPACE_TIME);
                 continue;
             };
-            let of = (waiting.rank, waiting.can_be_in_time(now), &tenant.name);
+            let of = (waiting.rank, waiting.can_be_in_time(now), &workspace.name);
             let index = match counts.binary_search_by(|(known, _)| known.cmp(&of)) {
                 Ok(index) => index,
                 Err(index) => {
--- a/src/coordination/tenants/credentials.rs
+++ b/src/coordination/workspaces/credentials.rs
@@ -1,4 +1,4 @@
-//! Which tenant a request belongs to, by its credential. See `docs/design/tenants.md`, "Credentials".
+//! Which workspace a request belongs to, by its credential. See `docs/design/workspaces.md`, "Credentials".
 //!
 //! The index belongs to one configuration. Each attempt of a call is judged by the configuration that is in
 //! force at that moment, so that a credential that was revoked is refused also for calls under way.
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use crate::protocol::mesh::KeyHash;
-use crate::protocol::mesh::Tenant;
-use crate::protocol::name::TenantName;
+use crate::protocol::mesh::Workspace;
+use crate::protocol::name::WorkspaceName;
 use crate::result_code::ResultCode;
 
 /// Limits on the age of the view of the configuration.
@@ -23,53 +23,53 @@
 /// Decision on the credential of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict<'a> {
-    /// The configuration has no tenants, so that requests need no credential.
-    NoTenants,
+    /// The configuration has no workspaces, so that requests need no credential.
+    NoWorkspaces,
     /// The route needs no credential; one that the request carries is not judged.
     Public,
-    /// The credential belongs to the tenant with this name and priority.
-    Valid(&'a TenantName, u8),
-    /// The request has no credential, or one that belongs to no tenant.
+    /// The credential belongs to the workspace with this name and priority.
+    Valid(&'a WorkspaceName, u8),
+    /// The request has no credential, or one that belongs to no workspace.
     Unknown,
     /// The view of the configuration is too old to tell.
     CannotJudge,
 }
 
-/// Tenant of a call that is allowed, as the serving node is told.
+/// Workspace of a call that is allowed, as the serving node is told.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct CallTenant {
-    /// Name; `None` for a call without a tenant.
-    pub name: Option<TenantName>,
-    /// Priority of the tenant; that of the most urgent one for a call without a tenant.
+pub struct CallWorkspace {
+    /// Name; `None` for a call without a workspace.
+    pub name: Option<WorkspaceName>,
+    /// Priority of the workspace; that of the most urgent one for a call without a workspace.
     pub priority: u8,
 }
 
 /// The credentials of one configuration.
 #[derive(Debug)]
 pub struct Credentials {
-    /// Hashes with the indices of their tenants, sorted. The time of a lookup depends on the hash only, so it
+    /// Hashes with the indices of their workspaces, sorted. The time of a lookup depends on the hash only, so it
     /// reveals nothing about a credential.
     index: Vec<(KeyHash, usize)>,
-    /// Names and priorities of the tenants.
-    tenants: Vec<(TenantName, u8)>,
+    /// Names and priorities of the workspaces.
+    workspaces: Vec<(WorkspaceName, u8)>,
     most_urgent: u8,
 }
 
 impl Credentials {
-    /// Builds the index of the tenants of a configuration.
+    /// Builds the index of the workspaces of a configuration.
     #[must_use]
-    pub fn new(tenants: &[Tenant]) -> Self {
+    pub fn new(workspaces: &[Workspace]) -> Self {
         let mut index: Vec<(KeyHash, usize)> = Vec::new();
-        for (number, tenant) in tenants.iter().enumerate() {
-            index.extend(tenant.keys.iter().map(|key| (*key, number)));
+        for (number, workspace) in workspaces.iter().enumerate() {
+            index.extend(workspace.keys.iter().map(|key| (*key, number)));
         }
         index.sort_unstable();
-        let most_urgent = tenants.iter().map(|tenant| tenant.priority).min();
-        let tenants = tenants.iter();
+        let most_urgent = workspaces.iter().map(|workspace| workspace.priority).min();
+        let workspaces = workspaces.iter();
         Self {
             index,
-            tenants: tenants
-                .map(|tenant| (tenant.name.clone(), tenant.priority))
+            workspaces: workspaces
+                .map(|workspace| (workspace.name.clone(), workspace.priority))
                 .collect(),
             most_urgent: most_urgent.unwrap_or(0),
         }
@@ -85,8 +85,8 @@
         view_age: Option<Duration>,
         limits: &ViewLimits,
     ) -> Verdict<'_> {
-        if self.tenants.is_empty() {
-            return Verdict::NoTenants;
+        if self.workspaces.is_empty() {
+            return Verdict::NoWorkspaces;
         }
         if is_public {
             return Verdict::Public;
@@ -103,7 +103,7 @@
             .binary_search_by_key(&credential, |(key, _)| *key)
         {
             Ok(found) => {
-                let (name, priority) = &self.tenants[self.index[found].1];
+                let (name, priority) = &self.workspaces[self.index[found].1];
                 Verdict::Valid(name, *priority)
             }
             Err(_) if is_older(limits.config_within) => Verdict::CannotJudge,
@@ -111,17 +111,17 @@
         }
     }
 
-    /// Returns the tenant of a call by the verdict on its credential.
+    /// Returns the workspace of a call by the verdict on its credential.
     ///
     /// # Errors
     /// The reason why the call is refused.
-    pub fn tenant(&self, verdict: Verdict<'_>) -> Result<CallTenant, ResultCode> {
+    pub fn workspace(&self, verdict: Verdict<'_>) -> Result<CallWorkspace, ResultCode> {
         match verdict {
-            Verdict::NoTenants | Verdict::Public => Ok(CallTenant {
+            Verdict::NoWorkspaces | Verdict::Public => Ok(CallWorkspace {
                 name: None,
                 priority: self.most_urgent,
             }),
-            Verdict::Valid(name, priority) => Ok(CallTenant {
+            Verdict::Valid(name, priority) => Ok(CallWorkspace {
                 name: Some(name.clone()),
                 priority,
             }),
--- a/src/coordination/tenants/fair_share.rs
+++ b/src/coordination/workspaces/fair_share.rs
@@ -1,43 +1,43 @@
-//! Shares of tenants whose calls wait for the same backend server. See `docs/design/tenants.md`, "Fair sharing".
+//! Shares of workspaces whose calls wait for the same backend server. See `docs/design/workspaces.md`, "Fair sharing".
 //!
 //! Start-time fair queueing (Goyal, Vin and Cheng, 1996): each call has a virtual start time, and the waiting call
 //! with the lowest one starts next. The virtual time of the queue is the start time of the call that started
-//! last. The next call of a tenant starts at that time, or as long after the tenant's previous call as its weight
-//! demands. So tenants that always have calls waiting are served in proportion to their weights, a tenant that was
-//! idle has no claim for that time, and the number of calls that a tenant sends changes nothing.
+//! last. The next call of a workspace starts at that time, or as long after the workspace's previous call as its weight
+//! demands. So workspaces that always have calls waiting are served in proportion to their weights, a workspace that was
+//! idle has no claim for that time, and the number of calls that a workspace sends changes nothing.
 //!
 //! Calls count the same whatever their run times are, since the weights are requests a second. Ranks are kept
 //! apart: a call competes only with calls of its rank.
 
-use crate::protocol::name::TenantName;
+use crate::protocol::name::WorkspaceName;
 
-/// Rank of a call: the priority of its tenant, then that of its route. Calls of a lower number start first.
+/// Rank of a call: the priority of its workspace, then that of its route. Calls of a lower number start first.
 pub type Rank = (u8, u8);
 /// Rank of the least urgent calls.
 pub const LOWEST_RANK: Rank = (u8::MAX, u8::MAX);
 
-/// Weight of a tenant without a quota, in requests a second.
+/// Weight of a workspace without a quota, in requests a second.
 pub const DEFAULT_WEIGHT: f64 = 1.0;
 /// Smallest weight, that of the smallest quota.
 const MIN_WEIGHT: f64 = 0.001;
 /// Ranks that are remembered. Peers choose the priorities, and a configuration uses few of them.
 const MAX_RANKS: usize = 16;
-/// Tenants of one rank that are remembered. Peers choose the names; about 100 tenants are usual.
-const MAX_TENANTS: usize = 512;
+/// Workspaces of one rank that are remembered. Peers choose the names; about 100 workspaces are usual.
+const MAX_WORKSPACES: usize = 512;
 /// Virtual time at which all times of a rank are reduced, far below the range in which the time of one call is
 /// lost by rounding.
 const MAX_VIRTUAL_TIME: f64 = 1e9;
 
-/// Tenant of a call, and its weight at the node beside the backend server.
+/// Workspace of a call, and its weight at the node beside the backend server.
 #[derive(Clone, Debug, PartialEq)]
-pub struct TenantShare {
+pub struct WorkspaceShare {
     /// Name.
-    pub name: TenantName,
-    /// Part of the capacity relative to other tenants.
+    pub name: WorkspaceName,
+    /// Part of the capacity relative to other workspaces.
     pub weight: f64,
 }
 
-impl TenantShare {
+impl WorkspaceShare {
     /// Virtual time that one call takes.
     fn call_time(&self) -> f64 {
         1.0 / self.weight.max(MIN_WEIGHT)
@@ -48,13 +48,13 @@
 struct RankShares {
     rank: Rank,
     virtual_time: f64,
-    /// Virtual times at which the next call of each tenant may start, sorted by tenant.
-    tenants: Vec<(TenantName, f64)>,
+    /// Virtual times at which the next call of each workspace may start, sorted by workspace.
+    workspaces: Vec<(WorkspaceName, f64)>,
     /// Number of the last start.
     last_used: u64,
 }
 
-/// Virtual times of the tenants at one backend server.
+/// Virtual times of the workspaces at one backend server.
 #[derive(Debug, Default)]
 pub struct FairShare {
     /// Sorted by rank.
@@ -63,34 +63,37 @@
 }
 
 impl FairShare {
-    /// Returns the virtual time at which a call starts that has `ahead` calls of its tenant before it.
+    /// Returns the virtual time at which a call starts that has `ahead` calls of its workspace before it.
     #[must_use]
-    pub fn start_time(&self, rank: Rank, tenant: &TenantShare, ahead: u32) -> f64 {
+    pub fn start_time(&self, rank: Rank, workspace: &WorkspaceShare, ahead: u32) -> f64 {
         let first = match self.ranks.binary_search_by_key(&rank, |of| of.rank) {
-            Ok(index) => self.ranks[index].start_time(&tenant.name),
+            Ok(index) => self.ranks[index].start_time(&workspace.name),
             Err(_) => 0.0,
         };
-        first + f64::from(ahead) * tenant.call_time()
+        first + f64::from(ahead) * workspace.call_time()
     }
 
     /// Handles the start of a call.
-    pub fn on_start(&mut self, rank: Rank, tenant: &TenantShare) {
+    pub fn on_start(&mut self, rank: Rank, workspace: &WorkspaceShare) {
         self.starts += 1;
         let starts = self.starts;
         let shares = self.entry(rank);
         shares.last_used = starts;
-        let start = shares.start_time(&tenant.name);
+        let start = shares.start_time(&workspace.name);
         shares.virtual_time = start;
-        shares.set_next(&tenant.name, start + tenant.call_time());
+        shares.set_next(&workspace.name, start + workspace.call_time());
         if shares.virtual_time > MAX_VIRTUAL_TIME {
             shares.reduce_times();
         }
     }
 
-    /// Returns the number of tenants that are remembered, over all ranks.
+    /// Returns the number of workspaces that are remembered, over all ranks.
     #[must_use]
-    pub fn tenant_count(&self) -> usize {
-        self.ranks.iter().map(|shares| shares.tenants.len()).sum()
+    pub fn workspace_count(&self) -> usize {
+        self.ranks
+            .iter()
+            .map(|shares| shares.workspaces.len())
+            .sum()
     }
 
     fn entry(&mut self, rank: Rank) -> &mut RankShares {
@@ -103,7 +106,7 @@
             let shares = RankShares {
                 rank,
                 virtual_time: 0.0,
-                tenants: Vec::new(),
+                workspaces: Vec::new(),
                 last_used: 0,
             };
             self.ranks.insert(index, shares);
@@ -123,40 +126,47 @@
 }
 
 impl RankShares {
-    fn start_time(&self, tenant: &TenantName) -> f64 {
-        let found = self.tenants.binary_search_by(|(name, _)| name.cmp(tenant));
-        let next = found.map_or(0.0, |index| self.tenants[index].1);
+    fn start_time(&self, workspace: &WorkspaceName) -> f64 {
+        let found = self
+            .workspaces
+            .binary_search_by(|(name, _)| name.cmp(workspace));
+        let next = found.map_or(0.0, |index| self.workspaces[index].1);
         next.max(self.virtual_time)
     }
 
-    fn set_next(&mut self, tenant: &TenantName, next: f64) {
-        if let Ok(index) = self.tenants.binary_search_by(|(name, _)| name.cmp(tenant)) {
-            self.tenants[index].1 = next;
+    fn set_next(&mut self, workspace: &WorkspaceName, next: f64) {
+        if let Ok(index) = self
+            .workspaces
+            .binary_search_by(|(name, _)| name.cmp(workspace))
+        {
+            self.workspaces[index].1 = next;
             return;
         }
-        if self.tenants.len() >= MAX_TENANTS {
-            self.forget_tenants();
+        if self.workspaces.len() >= MAX_WORKSPACES {
+            self.forget_workspaces();
         }
-        let index = self.tenants.partition_point(|(name, _)| name < tenant);
-        self.tenants.insert(index, (tenant.clone(), next));
+        let index = self
+            .workspaces
+            .partition_point(|(name, _)| name < workspace);
+        self.workspaces.insert(index, (workspace.clone(), next));
     }
 
-    /// Forgets the tenants whose next call would start now anyway, which changes nothing, or else the one whose
+    /// Forgets the workspaces whose next call would start now anyway, which changes nothing, or else the one whose
     /// next call is due first, which gains less than the time of one call.
-    fn forget_tenants(&mut self) {
+    fn forget_workspaces(&mut self) {
         let virtual_time = self.virtual_time;
-        self.tenants.retain(|(_, next)| *next > virtual_time);
-        if self.tenants.len() >= MAX_TENANTS {
+        self.workspaces.retain(|(_, next)| *next > virtual_time);
+        if self.workspaces.len() >= MAX_WORKSPACES {
             let by_time = |a: &(usize, f64), b: &(usize, f64)| a.1.total_cmp(&b.1);
-            let times = self.tenants.iter().map(|(_, next)| *next).enumerate();
+            let times = self.workspaces.iter().map(|(_, next)| *next).enumerate();
             if let Some((first, _)) = times.min_by(by_time) {
-                self.tenants.remove(first);
+                self.workspaces.remove(first);
             }
         }
     }
 
     fn reduce_times(&mut self) {
-        for (_, next) in &mut self.tenants {
+        for (_, next) in &mut self.workspaces {
             *next = (*next - self.virtual_time).max(0.0);
         }
         self.virtual_time = 0.0;
--- a/src/coordination/tenants/quota.rs
+++ b/src/coordination/workspaces/quota.rs
@@ -1,22 +1,22 @@
-//! Limiter of the requests of tenants with a quota, at each entry node. See `docs/design/quotas.md`.
+//! Limiter of the requests of workspaces with a quota, at each entry node. See `docs/design/quotas.md`.
 //!
 //! All nodes together behave like one token bucket. The collector of the failure domain keeps its level
 //! (`usage.rs`). A node may use its share of that level, by its part of the fleet's demand, until the next
 //! totals. While the level is high, it may admit a few requests beyond its share, since most nodes get a
-//! request of a small tenant less than once a window and have no share to speak of.
+//! request of a small workspace less than once a window and have no share to speak of.
 
 use std::time::Duration;
 
 use rand::Rng;
 use rand::RngExt;
 
-use crate::coordination::tenants::usage::DEMAND_WINDOW;
-use crate::coordination::tenants::usage::DemandWindow;
+use crate::coordination::workspaces::usage::DEMAND_WINDOW;
+use crate::coordination::workspaces::usage::DemandWindow;
 use crate::protocol::mesh::Quota;
-use crate::protocol::mesh::Tenant;
-use crate::protocol::name::TenantName;
-use crate::protocol::usage::TenantCount;
+use crate::protocol::mesh::Workspace;
+use crate::protocol::name::WorkspaceName;
 use crate::protocol::usage::UsageTotals;
+use crate::protocol::usage::WorkspaceCount;
 
 /// Time between two reports of a node.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(320);
@@ -36,7 +36,7 @@
 const LOST_TOLERANCE: f64 = 0.5;
 /// Time without a report after which a node is idle.
 const IDLE_TIME: Duration = Duration::from_secs(1);
-/// Part of the slack that is added to the bucket, so that random peaks of small tenants are admitted. The
+/// Part of the slack that is added to the bucket, so that random peaks of small workspaces are admitted. The
 /// rest, and the excess, cover what nodes admit before they know of each other.
 const SIZE_SLACK: f64 = 0.3;
 /// Part of the demand that is counted as evenly distributed over the nodes.
@@ -45,9 +45,9 @@
 const EXTRA_LEVEL: f64 = 0.25;
 /// Demand of the fleet, as a share of the rate, from which on a node with a share of at least one request admits
 /// none beyond it. Otherwise all nodes do whenever the level of a contended bucket rises, and empty it together
-/// far below zero: 1,559 requests of a tenant in 5 s were seen, where 1,518 are allowed.
+/// far below zero: 1,559 requests of a workspace in 5 s were seen, where 1,518 are allowed.
 const EXTRA_DEMAND: f64 = 1.25;
-/// Requests beyond that, so that random peaks of small tenants do not count.
+/// Requests beyond that, so that random peaks of small workspaces do not count.
 const EXTRA_DEMAND_SLACK: f64 = 4.0;
 /// Requests beyond the share until the next totals, as a share of the level; at least one.
 const EXTRA_SHARE: f64 = 0.125;
@@ -97,7 +97,7 @@
 /// Decision on a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum QuotaDecision {
-    /// The tenant has no quota.
+    /// The workspace has no quota.
     Unlimited,
     /// The request is admitted and counted.
     Admitted,
@@ -121,8 +121,8 @@
 }
 
 #[derive(Debug)]
-struct TenantBucket {
-    tenant: TenantName,
+struct WorkspaceBucket {
+    workspace: WorkspaceName,
     quota: Quota,
     size: f64,
     /// Part of the equal share that nodes without totals use.
@@ -155,8 +155,8 @@
 pub struct QuotaLimiter {
     bounds: QuotaBounds,
     nodes: usize,
-    /// Sorted by tenant.
-    buckets: Vec<TenantBucket>,
+    /// Sorted by workspace.
+    buckets: Vec<WorkspaceBucket>,
     totals_at: Option<Duration>,
     covered: f64,
     acknowledged_by: u64,
@@ -164,12 +164,12 @@
     last_report_at: Option<Duration>,
     /// Whether requests have arrived since the last totals, so that these should be newer.
     awaits_totals: bool,
-    /// Whether the next report has to contain all tenants with a demand.
+    /// Whether the next report has to contain all workspaces with a demand.
     is_full_report_due: bool,
 }
 
 impl QuotaLimiter {
-    /// Creates a limiter without tenants.
+    /// Creates a limiter without workspaces.
     #[must_use]
     pub fn new(bounds: QuotaBounds) -> Self {
         Self {
@@ -186,21 +186,21 @@
         }
     }
 
-    /// Applies the tenants of a configuration, sorted by name. Counts of tenants that stay are kept.
-    pub fn set_tenants(&mut self, now: Duration, tenants: &[Tenant], rng: &mut impl Rng) {
+    /// Applies the workspaces of a configuration, sorted by name. Counts of workspaces that stay are kept.
+    pub fn set_workspaces(&mut self, now: Duration, workspaces: &[Workspace], rng: &mut impl Rng) {
         let mut before = std::mem::take(&mut self.buckets);
-        for tenant in tenants {
-            let Some(quota) = tenant.quota else {
+        for workspace in workspaces {
+            let Some(quota) = workspace.quota else {
                 continue;
             };
             let size = self.bounds.size(quota);
             let lost_factor = self.bounds.lost_factor(quota);
-            let known = before.binary_search_by(|bucket| bucket.tenant.cmp(&tenant.name));
+            let known = before.binary_search_by(|bucket| bucket.workspace.cmp(&workspace.name));
             let bucket = if let Ok(index) = known {
                 let mut bucket = before.remove(index);
                 bucket.tokens = bucket.tokens.min(size * bucket.share);
                 bucket.level = bucket.level.min(size);
-                TenantBucket {
+                WorkspaceBucket {
                     quota,
                     size,
                     lost_factor,
@@ -208,8 +208,8 @@
                 }
             } else {
                 let share = 1.0 / as_f64(self.nodes);
-                TenantBucket {
-                    tenant: tenant.name.clone(),
+                WorkspaceBucket {
+                    workspace: workspace.name.clone(),
                     quota,
                     size,
                     lost_factor,
@@ -237,7 +237,7 @@
         self.nodes = nodes.max(1);
     }
 
-    /// Whether any tenant has a quota.
+    /// Whether any workspace has a quota.
     #[must_use]
     pub fn has_quotas(&self) -> bool {
         !self.buckets.is_empty()
@@ -249,14 +249,14 @@
         self.totals_at.map(|at| now.saturating_sub(at))
     }
 
-    /// Decides on a request of a tenant.
+    /// Decides on a request of a workspace.
     pub fn admit(
         &mut self,
         now: Duration,
-        tenant: &TenantName,
+        workspace: &WorkspaceName,
         rng: &mut impl Rng,
     ) -> QuotaDecision {
-        let Ok(index) = self.index(tenant) else {
+        let Ok(index) = self.index(workspace) else {
             return QuotaDecision::Unlimited;
         };
         // Totals of a node without requests are old because there was no reason to ask for newer ones.
@@ -307,8 +307,8 @@
     }
 
     /// Gives back the token of an admitted request that ended as not run.
-    pub fn give_back(&mut self, tenant: &TenantName) {
-        if let Ok(index) = self.index(tenant) {
+    pub fn give_back(&mut self, workspace: &WorkspaceName) {
+        if let Ok(index) = self.index(workspace) {
             let bucket = &mut self.buckets[index];
             bucket.admitted -= 1;
             bucket.tokens += 1.0;
@@ -321,7 +321,7 @@
         self.totals_age(now).is_some_and(|age| age <= EXTRA_AGE)
     }
 
-    /// Whether the node does not report, since it has no requests of tenants with a quota.
+    /// Whether the node does not report, since it has no requests of workspaces with a quota.
     #[must_use]
     pub fn is_idle(&self, now: Duration) -> bool {
         self.last_report_at
@@ -335,16 +335,16 @@
             return self.has_quotas();
         };
         let elapsed = now.saturating_sub(last);
-        let is_surge = |bucket: &TenantBucket| {
+        let is_surge = |bucket: &WorkspaceBucket| {
             let is_low = bucket.level < SURGE_LEVEL * bucket.size * self.covered;
             bucket.extras >= if is_low { 1 } else { SURGE_EXTRAS }
         };
-        let is_changed = |bucket: &TenantBucket| {
+        let is_changed = |bucket: &WorkspaceBucket| {
             bucket.admitted != bucket.acknowledged
                 || bucket.reported_demand > 0
                 || bucket.demand.sum(now) > 0
         };
-        let is_any = |is: &dyn Fn(&TenantBucket) -> bool| self.buckets.iter().any(is);
+        let is_any = |is: &dyn Fn(&WorkspaceBucket) -> bool| self.buckets.iter().any(is);
         elapsed >= REPORT_INTERVAL
             && self.has_quotas()
             && (self.totals_at.is_none() || is_any(&is_changed))
@@ -358,7 +358,7 @@
         &mut self,
         now: Duration,
         is_new_collector: bool,
-    ) -> (Vec<TenantCount>, u64, u64) {
+    ) -> (Vec<WorkspaceCount>, u64, u64) {
         self.last_report_at = Some(now);
         let is_full = is_new_collector || self.is_full_report_due;
         let counts = self.buckets.iter().filter_map(|bucket| {
@@ -372,8 +372,8 @@
             let level = (is_full && bucket.is_level_known)
                 // Without the refill since then, which is likely to have been used.
                 .then_some(bucket.level as f32);
-            (is_changed || is_full && (demand > 0 || level.is_some())).then(|| TenantCount {
-                tenant: bucket.tenant.clone(),
+            (is_changed || is_full && (demand > 0 || level.is_some())).then(|| WorkspaceCount {
+                workspace: bucket.workspace.clone(),
                 acknowledged: bucket.acknowledged,
                 admitted: bucket.admitted,
                 demand,
@@ -384,7 +384,7 @@
     }
 
     /// Applies the response to a report with these counts.
-    pub fn on_totals(&mut self, now: Duration, counts: &[TenantCount], totals: &UsageTotals) {
+    pub fn on_totals(&mut self, now: Duration, counts: &[WorkspaceCount], totals: &UsageTotals) {
         // A collector that does not know this node has only the counts that have changed.
         self.is_full_report_due = totals.run != self.acknowledged_by;
         self.acknowledged_by = totals.run;
@@ -393,7 +393,7 @@
         self.awaits_totals = false;
         self.covered = f64::from(totals.covered).clamp(0.0, 1.0);
         for count in counts {
-            if let Ok(index) = self.index(&count.tenant) {
+            if let Ok(index) = self.index(&count.workspace) {
                 let bucket = &mut self.buckets[index];
                 bucket.acknowledged = count.admitted;
                 bucket.reported_demand = count.demand;
@@ -403,7 +403,7 @@
         let covered = self.covered;
         for bucket in &mut self.buckets {
             let known = &totals.totals;
-            let total = known.binary_search_by(|total| total.tenant.cmp(&bucket.tenant));
+            let total = known.binary_search_by(|total| total.workspace.cmp(&bucket.workspace));
             let demand = if let Ok(index) = total {
                 bucket.level = f64::from(known[index].level);
                 bucket.is_level_known = true;
@@ -434,13 +434,13 @@
         part(STALE_AGE, EQUAL_AGE) + part(LAST_EQUAL_AGE, LOST_AGE)
     }
 
-    fn index(&self, tenant: &TenantName) -> Result<usize, usize> {
+    fn index(&self, workspace: &WorkspaceName) -> Result<usize, usize> {
         self.buckets
-            .binary_search_by(|bucket| bucket.tenant.cmp(tenant))
+            .binary_search_by(|bucket| bucket.workspace.cmp(workspace))
     }
 }
 
-impl TenantBucket {
+impl WorkspaceBucket {
     /// Adds the tokens since the last request. Returns the rate at which they are added.
     fn refill(&mut self, now: Duration, nodes: f64, shrunk: f64, covered: f64) -> f64 {
         let equal = 1.0 / nodes;
--- a/src/coordination/tenants/usage.rs
+++ b/src/coordination/workspaces/usage.rs
@@ -1,26 +1,26 @@
-//! Counts of the requests of tenants with a quota, and the collector of a failure domain. See
+//! Counts of the requests of workspaces with a quota, and the collector of a failure domain. See
 //! `docs/design/quotas.md`.
 //!
 //! The nodes of a failure domain report to one collector, and the collectors of all domains exchange their
-//! sums. Each collector keeps the level of the fleet's token bucket for each tenant. Counts are cumulative,
+//! sums. Each collector keeps the level of the fleet's token bucket for each workspace. Counts are cumulative,
 //! so that a lost or repeated message does no harm.
 
 use std::time::Duration;
 
-use crate::coordination::tenants::quota::LOST_AGE;
-use crate::coordination::tenants::quota::MIN_REPORT_INTERVAL;
-use crate::coordination::tenants::quota::QuotaBounds;
+use crate::coordination::workspaces::quota::LOST_AGE;
+use crate::coordination::workspaces::quota::MIN_REPORT_INTERVAL;
+use crate::coordination::workspaces::quota::QuotaBounds;
 use crate::protocol::mesh::Quota;
-use crate::protocol::mesh::Tenant;
+use crate::protocol::mesh::Workspace;
 use crate::protocol::name::DomainName;
 use crate::protocol::name::NodeId;
-use crate::protocol::name::TenantName;
+use crate::protocol::name::WorkspaceName;
 use crate::protocol::time::millis;
 use crate::protocol::usage::DomainUsage;
-use crate::protocol::usage::TenantSum;
-use crate::protocol::usage::TenantTotal;
 use crate::protocol::usage::UsageReport;
 use crate::protocol::usage::UsageTotals;
+use crate::protocol::usage::WorkspaceSum;
+use crate::protocol::usage::WorkspaceTotal;
 
 /// Time over which demand is counted.
 pub const DEMAND_WINDOW: Duration = Duration::from_secs(2);
@@ -88,17 +88,17 @@
     }
 }
 
-/// Cumulative admitted requests and demand of a tenant at a node or in a failure domain.
+/// Cumulative admitted requests and demand of a workspace at a node or in a failure domain.
 #[derive(Clone, Debug)]
 struct KnownCount {
-    tenant: TenantName,
+    workspace: WorkspaceName,
     admitted: i64,
     demand: u32,
 }
 
 #[derive(Debug)]
-struct CollectedTenant {
-    tenant: TenantName,
+struct CollectedWorkspace {
+    workspace: WorkspaceName,
     quota: Quota,
     size: f64,
     level: f64,
@@ -124,7 +124,7 @@
     heard_at: Duration,
     /// Whether the use since its last report has been estimated.
     is_charged: bool,
-    /// Sorted by tenant.
+    /// Sorted by workspace.
     counts: Vec<KnownCount>,
 }
 
@@ -148,7 +148,7 @@
     lost_nodes: usize,
     /// Sums of this domain that the other collector has.
     acknowledged: u64,
-    /// Sorted by tenant.
+    /// Sorted by workspace.
     sums: Vec<KnownCount>,
 }
 
@@ -188,8 +188,8 @@
     /// Id of the time since which nodes have reported without a gap; the sums begin with it.
     term: u64,
     bounds: QuotaBounds,
-    /// Sorted by tenant.
-    tenants: Vec<CollectedTenant>,
+    /// Sorted by workspace.
+    workspaces: Vec<CollectedWorkspace>,
     /// Sorted by node.
     nodes: Vec<CollectedNode>,
     /// Other failure domains, sorted by name.
@@ -208,7 +208,7 @@
             run,
             term: run,
             bounds,
-            tenants: Vec::new(),
+            workspaces: Vec::new(),
             nodes: Vec::new(),
             domains: Vec::new(),
             own_nodes: 1,
@@ -217,28 +217,28 @@
         }
     }
 
-    /// Applies the tenants of a configuration, sorted by name.
-    pub fn set_tenants(&mut self, now: Duration, tenants: &[Tenant]) {
-        let mut before = std::mem::take(&mut self.tenants);
+    /// Applies the workspaces of a configuration, sorted by name.
+    pub fn set_workspaces(&mut self, now: Duration, workspaces: &[Workspace]) {
+        let mut before = std::mem::take(&mut self.workspaces);
         self.sequence += 1;
-        for tenant in tenants {
-            let Some(quota) = tenant.quota else {
+        for workspace in workspaces {
+            let Some(quota) = workspace.quota else {
                 continue;
             };
             let size = self.bounds.size(quota);
-            let known = before.binary_search_by(|known| known.tenant.cmp(&tenant.name));
+            let known = before.binary_search_by(|known| known.workspace.cmp(&workspace.name));
             let collected = if let Ok(index) = known {
                 let mut known = before.remove(index);
                 known.level = known.level.min(size);
-                CollectedTenant {
+                CollectedWorkspace {
                     quota,
                     size,
                     total_changed: self.sequence,
                     ..known
                 }
             } else {
-                CollectedTenant {
-                    tenant: tenant.name.clone(),
+                CollectedWorkspace {
+                    workspace: workspace.name.clone(),
                     quota,
                     size,
                     level: size,
@@ -253,7 +253,7 @@
                     published_demand: 0,
                 }
             };
-            self.tenants.push(collected);
+            self.workspaces.push(collected);
         }
     }
 
@@ -299,9 +299,9 @@
         if !self.is_active(now) {
             // Other collectors may have forgotten the sums of an earlier time, or count them as new.
             self.term = self.term.wrapping_add(1);
-            for tenant in &mut self.tenants {
-                tenant.admitted = 0;
-                tenant.sum_changed = self.sequence;
+            for workspace in &mut self.workspaces {
+                workspace.admitted = 0;
+                workspace.sum_changed = self.sequence;
             }
         }
         self.reported_at = Some(now);
@@ -333,14 +333,14 @@
         for count in &report.counts {
             let known = node
                 .counts
-                .binary_search_by(|known| known.tenant.cmp(&count.tenant));
+                .binary_search_by(|known| known.workspace.cmp(&count.workspace));
             let base = match known {
                 // The response to the last report may have been lost.
                 Ok(index) if is_continued => node.counts[index].admitted,
                 _ => count.acknowledged,
             };
             let counted = KnownCount {
-                tenant: count.tenant.clone(),
+                workspace: count.workspace.clone(),
                 admitted: count.admitted,
                 demand: count.demand,
             };
@@ -348,17 +348,19 @@
                 Ok(index) => node.counts[index] = counted,
                 Err(index) => node.counts.insert(index, counted),
             }
-            let tenants = &mut self.tenants;
-            if let Ok(index) = tenants.binary_search_by(|known| known.tenant.cmp(&count.tenant)) {
-                let tenant = &mut tenants[index];
+            let workspaces = &mut self.workspaces;
+            if let Ok(index) =
+                workspaces.binary_search_by(|known| known.workspace.cmp(&count.workspace))
+            {
+                let workspace = &mut workspaces[index];
                 if let (Some(level), false) = (count.level, is_continued) {
-                    tenant.level = tenant.level.min(f64::from(level));
+                    workspace.level = workspace.level.min(f64::from(level));
                 }
                 let added = count.admitted.saturating_sub(base);
-                tenant.admitted += added;
-                tenant.unsent += added;
-                tenant.use_tokens(added, &self.bounds);
-                tenant.sum_changed = self.sequence;
+                workspace.admitted += added;
+                workspace.unsent += added;
+                workspace.use_tokens(added, &self.bounds);
+                workspace.sum_changed = self.sequence;
             }
         }
         self.sum_demand(now);
@@ -373,9 +375,9 @@
         }
         self.advance(now);
         let is_surge = self
-            .tenants
+            .workspaces
             .iter()
-            .any(|tenant| as_f64(tenant.unsent) > (SURGE_USE * tenant.size).max(2.0));
+            .any(|workspace| as_f64(workspace.unsent) > (SURGE_USE * workspace.size).max(2.0));
         let interval = if is_surge {
             MIN_REPORT_INTERVAL
         } else {
@@ -392,8 +394,8 @@
             }
         }
         if !due.is_empty() {
-            for tenant in &mut self.tenants {
-                tenant.unsent = 0;
+            for workspace in &mut self.workspaces {
+                workspace.unsent = 0;
             }
         }
         due
@@ -461,13 +463,13 @@
         for sum in &usage.sums {
             let known = collector
                 .sums
-                .binary_search_by(|known| known.tenant.cmp(&sum.tenant));
+                .binary_search_by(|known| known.workspace.cmp(&sum.workspace));
             let before = match known {
                 Ok(index) => collector.sums[index].admitted,
                 Err(_) => 0,
             };
             let counted = KnownCount {
-                tenant: sum.tenant.clone(),
+                workspace: sum.workspace.clone(),
                 admitted: sum.admitted,
                 demand: sum.demand,
             };
@@ -475,14 +477,16 @@
                 Ok(index) => collector.sums[index] = counted,
                 Err(index) => collector.sums.insert(index, counted),
             }
-            let tenants = &mut self.tenants;
-            if let Ok(index) = tenants.binary_search_by(|known| known.tenant.cmp(&sum.tenant)) {
-                let tenant = &mut tenants[index];
+            let workspaces = &mut self.workspaces;
+            if let Ok(index) =
+                workspaces.binary_search_by(|known| known.workspace.cmp(&sum.workspace))
+            {
+                let workspace = &mut workspaces[index];
                 if is_continued {
                     let added = sum.admitted.saturating_sub(before);
-                    tenant.use_tokens(added, &self.bounds);
+                    workspace.use_tokens(added, &self.bounds);
                 } else {
-                    tenant.level = tenant.level.min(f64::from(sum.level));
+                    workspace.level = workspace.level.min(f64::from(sum.level));
                 }
             }
         }
@@ -494,17 +498,17 @@
     fn message(&self, now: Duration, index: usize) -> DomainUsage {
         let peer = self.domains[index].collectors.last();
         let acknowledged = peer.map_or(0, |peer| peer.acknowledged);
-        let tenants = self.tenants.iter();
-        let changed = tenants.filter(|tenant| tenant.sum_changed > acknowledged);
+        let workspaces = self.workspaces.iter();
+        let changed = workspaces.filter(|workspace| workspace.sum_changed > acknowledged);
         #[allow(
             clippy::cast_possible_truncation,
             reason = "the precision of a float of 32 bits suffices for a level"
         )]
-        let sums = changed.map(|tenant| TenantSum {
-            tenant: tenant.tenant.clone(),
-            admitted: tenant.admitted,
-            demand: tenant.demand,
-            level: tenant.level as f32,
+        let sums = changed.map(|workspace| WorkspaceSum {
+            workspace: workspace.workspace.clone(),
+            admitted: workspace.admitted,
+            demand: workspace.demand,
+            level: workspace.level as f32,
         });
         DomainUsage {
             domain: self.domain.clone(),
@@ -546,17 +550,17 @@
             charged_s = self.charge_stale_domains(now);
             self.charge_lost_nodes(now);
         }
-        for tenant in &mut self.tenants {
-            tenant.level -= charged_s * tenant.quota.rate.per_s();
-            let elapsed = now.saturating_sub(tenant.level_at).as_secs_f64();
-            let added = tenant.quota.rate.per_s() * elapsed;
-            let size = tenant.size * covered;
-            tenant.level = if tenant.level > size {
-                (tenant.level - added * (1.0 - covered)).max(size)
+        for workspace in &mut self.workspaces {
+            workspace.level -= charged_s * workspace.quota.rate.per_s();
+            let elapsed = now.saturating_sub(workspace.level_at).as_secs_f64();
+            let added = workspace.quota.rate.per_s() * elapsed;
+            let size = workspace.size * covered;
+            workspace.level = if workspace.level > size {
+                (workspace.level - added * (1.0 - covered)).max(size)
             } else {
-                (tenant.level + added * covered).min(size)
+                (workspace.level + added * covered).min(size)
             };
-            tenant.level_at = now;
+            workspace.level_at = now;
         }
     }
 
@@ -598,29 +602,29 @@
         }
         let peers = self.domains.iter().map(|peer| peer.nodes);
         let all = as_f64(i64::try_from(self.own_nodes + peers.sum::<usize>()).unwrap_or(i64::MAX));
-        for tenant in &mut self.tenants {
+        for workspace in &mut self.workspaces {
             #[allow(
                 clippy::cast_possible_truncation,
                 reason = "a small number of requests"
             )]
-            let used = (tenant.quota.rate.per_s() * silent_s / all) as i64;
-            tenant.admitted += used;
-            tenant.sum_changed = self.sequence;
-            tenant.use_tokens(used, &self.bounds);
+            let used = (workspace.quota.rate.per_s() * silent_s / all) as i64;
+            workspace.admitted += used;
+            workspace.sum_changed = self.sequence;
+            workspace.use_tokens(used, &self.bounds);
         }
     }
 
     fn sum_demand(&mut self, now: Duration) {
         self.nodes
             .retain(|node| now.saturating_sub(node.heard_at) <= FORGET_NODE);
-        for tenant in &mut self.tenants {
+        for workspace in &mut self.workspaces {
             let nodes = self.nodes.iter();
             let live = nodes.filter(|node| now.saturating_sub(node.heard_at) <= NODE_EXPIRY);
-            let demand = live.map(|node| demand_of(&node.counts, &tenant.tenant));
+            let demand = live.map(|node| demand_of(&node.counts, &workspace.workspace));
             let demand = demand.fold(0, u32::saturating_add);
-            if demand != tenant.demand {
-                tenant.demand = demand;
-                tenant.sum_changed = self.sequence;
+            if demand != workspace.demand {
+                workspace.demand = demand;
+                workspace.sum_changed = self.sequence;
             }
         }
     }
@@ -628,44 +632,45 @@
     /// Marks the totals that differ from what the nodes expect.
     fn publish(&mut self, now: Duration) {
         let covered = self.covered(now);
-        for index in 0..self.tenants.len() {
+        for index in 0..self.workspaces.len() {
             let demand = self.fleet_demand(now, index);
-            let tenant = &mut self.tenants[index];
-            let elapsed = now.saturating_sub(tenant.published_at).as_secs_f64();
-            let expected = tenant.published_level + tenant.quota.rate.per_s() * covered * elapsed;
-            let difference = (expected.min(tenant.size * covered) - tenant.level).abs();
-            let is_changed = difference > LEVEL_CHANGE * tenant.size
-                || f64::from(demand.abs_diff(tenant.published_demand))
+            let workspace = &mut self.workspaces[index];
+            let elapsed = now.saturating_sub(workspace.published_at).as_secs_f64();
+            let expected =
+                workspace.published_level + workspace.quota.rate.per_s() * covered * elapsed;
+            let difference = (expected.min(workspace.size * covered) - workspace.level).abs();
+            let is_changed = difference > LEVEL_CHANGE * workspace.size
+                || f64::from(demand.abs_diff(workspace.published_demand))
                     > DEMAND_CHANGE * f64::from(demand);
             if is_changed {
-                tenant.total_changed = self.sequence;
-                tenant.published_level = tenant.level;
-                tenant.published_at = now;
-                tenant.published_demand = demand;
+                workspace.total_changed = self.sequence;
+                workspace.published_level = workspace.level;
+                workspace.published_at = now;
+                workspace.published_demand = demand;
             }
         }
     }
 
     fn fleet_demand(&self, now: Duration, index: usize) -> u32 {
-        let tenant = &self.tenants[index];
+        let workspace = &self.workspaces[index];
         let fresh = self.domains.iter().flat_map(|peer| peer.fresh(now));
-        let demand = fresh.map(|peer| demand_of(&peer.sums, &tenant.tenant));
-        demand.fold(tenant.demand, u32::saturating_add)
+        let demand = fresh.map(|peer| demand_of(&peer.sums, &workspace.workspace));
+        demand.fold(workspace.demand, u32::saturating_add)
     }
 
     fn totals(&self, now: Duration, since: Option<u64>) -> UsageTotals {
         let covered = self.covered(now);
-        let tenants = self.tenants.iter().enumerate();
-        let changed =
-            tenants.filter(|(_, tenant)| since.is_none_or(|since| tenant.total_changed > since));
+        let workspaces = self.workspaces.iter().enumerate();
+        let changed = workspaces
+            .filter(|(_, workspace)| since.is_none_or(|since| workspace.total_changed > since));
         #[allow(
             clippy::cast_possible_truncation,
             reason = "the precision of a float of 32 bits suffices for a level"
         )]
-        let totals = changed.map(|(index, tenant)| TenantTotal {
-            tenant: tenant.tenant.clone(),
+        let totals = changed.map(|(index, workspace)| WorkspaceTotal {
+            workspace: workspace.workspace.clone(),
             // The domains out of contact may use the rest of the level.
-            level: tenant.level.min(tenant.size * covered) as f32,
+            level: workspace.level.min(workspace.size * covered) as f32,
             demand: self.fleet_demand(now, index),
         });
         #[allow(
@@ -681,7 +686,7 @@
     }
 }
 
-impl CollectedTenant {
+impl CollectedWorkspace {
     /// Takes tokens for admitted requests.
     fn use_tokens(&mut self, requests: i64, bounds: &QuotaBounds) {
         let lowest = -MAX_DEBT * bounds.within_quota(self.quota);
@@ -690,8 +695,8 @@
     }
 }
 
-fn demand_of(counts: &[KnownCount], tenant: &TenantName) -> u32 {
-    let known = counts.binary_search_by(|known| known.tenant.cmp(tenant));
+fn demand_of(counts: &[KnownCount], workspace: &WorkspaceName) -> u32 {
+    let known = counts.binary_search_by(|known| known.workspace.cmp(workspace));
     known.map_or(0, |index| counts[index].demand)
 }
 
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -7,8 +7,8 @@
 use crate::protocol::call::Executed;
 use crate::protocol::name::RouteName;
 use crate::protocol::name::ServiceName;
-use crate::protocol::name::TenantName;
 use crate::protocol::name::VersionName;
+use crate::protocol::name::WorkspaceName;
 use crate::protocol::time::millis;
 
 /// Request header with the [`HopRequestHeader`].
@@ -51,11 +51,11 @@
     /// Limit of the backend server as the entry node last heard of it. A serving node that has just
     /// started uses it until the first answer of its backend server.
     pub limit: Option<RequestRate>,
-    /// Tenant whose credential the entry node has found valid.
-    pub tenant: Option<TenantName>,
-    /// Priority of the tenant, which goes before that of the route; 0 is the highest. A call without a tenant
-    /// has that of the most urgent tenant.
-    pub tenant_priority: u8,
+    /// Workspace whose credential the entry node has found valid.
+    pub workspace: Option<WorkspaceName>,
+    /// Priority of the workspace, which goes before that of the route; 0 is the highest. A call without a workspace
+    /// has that of the most urgent workspace.
+    pub workspace_priority: u8,
     /// Whether the call has left its failure domain although that could serve it; it may only use spare
     /// capacity.
     pub is_spillover: bool,
@@ -65,15 +65,15 @@
     /// Returns the header value.
     #[must_use]
     pub fn encode(&self) -> String {
-        let tenant = match &self.tenant {
-            Some(tenant) => format!(";{tenant};{}", self.tenant_priority),
-            // Without tenants in the configuration the header is that of earlier builds.
-            None if self.tenant_priority == 0 && !self.is_spillover => String::new(),
-            None => format!(";;{}", self.tenant_priority),
+        let workspace = match &self.workspace {
+            Some(workspace) => format!(";{workspace};{}", self.workspace_priority),
+            // Without workspaces in the configuration the header is that of earlier builds.
+            None if self.workspace_priority == 0 && !self.is_spillover => String::new(),
+            None => format!(";;{}", self.workspace_priority),
         };
         let spillover = if self.is_spillover { ";1" } else { "" };
         format!(
-            "{};{};{};{};{};{};{};{};{};{}{tenant}{spillover}",
+            "{};{};{};{};{};{};{};{};{};{}{workspace}{spillover}",
             self.route,
             self.service,
             self.version,
@@ -103,11 +103,11 @@
             limit: decode_limit(fields.next()),
             // Nodes of earlier builds do not send the fields from here on.
             is_overdue: fields.next() == Some("1"),
-            tenant: fields
+            workspace: fields
                 .next()
                 .filter(|field| !field.is_empty())
-                .map(TenantName::from),
-            tenant_priority: fields
+                .map(WorkspaceName::from),
+            workspace_priority: fields
                 .next()
                 .and_then(|field| field.parse().ok())
                 .unwrap_or(0),
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -9,8 +9,8 @@
 use crate::protocol::name::RegionName;
 use crate::protocol::name::RouteName;
 use crate::protocol::name::ServiceName;
-use crate::protocol::name::TenantName;
 use crate::protocol::name::VersionName;
+use crate::protocol::name::WorkspaceName;
 
 /// One complete configuration.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -23,8 +23,8 @@
     pub services: Vec<MeshService>,
     /// Limits for callers.
     pub limits: CallerLimits,
-    /// Tenants, sorted by name. Without any, requests need no credential.
-    pub tenants: Vec<Tenant>,
+    /// Workspaces, sorted by name. Without any, requests need no credential.
+    pub workspaces: Vec<Workspace>,
 }
 
 /// A service of the configuration.
@@ -47,11 +47,11 @@
     pub rate: RequestRate,
 }
 
-/// A tenant of the configuration.
+/// A workspace of the configuration.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Tenant {
+pub struct Workspace {
     /// Name.
-    pub name: TenantName,
+    pub name: WorkspaceName,
     /// Hashes of its credentials, sorted.
     pub keys: Vec<KeyHash>,
     /// Priority, which goes before that of the route; 0 is the highest.
@@ -62,7 +62,7 @@
     pub homes: Vec<RegionName>,
 }
 
-/// Quota of a tenant.
+/// Quota of a workspace.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Quota {
     /// Requests a second.
@@ -111,7 +111,7 @@
     pub max_attempts: u8,
     /// Target services with their weights; never empty.
     pub targets: Vec<(ServiceName, u32)>,
-    /// Whether requests need no credential, although there are tenants.
+    /// Whether requests need no credential, although there are workspaces.
     pub is_public: bool,
     /// Regions that may serve it, sorted; empty if all may.
     pub homes: Vec<RegionName>,
--- a/src/protocol/name.rs
+++ b/src/protocol/name.rs
@@ -72,8 +72,8 @@
     RouteName
 }
 name_type! {
-    /// Names a tenant, a customer of the services with credentials of its own.
-    TenantName
+    /// Names a workspace, a customer of the services with credentials of its own.
+    WorkspaceName
 }
 name_type! {
     /// Names a region.
--- a/src/protocol/usage.rs
+++ b/src/protocol/usage.rs
@@ -1,6 +1,6 @@
-//! Messages between nodes with the requests of tenants that have a quota. See `docs/design/quotas.md`.
+//! Messages between nodes with the requests of workspaces that have a quota. See `docs/design/quotas.md`.
 //!
-//! Later builds add fields at the end of the messages and of [`TenantCount`] and [`TenantTotal`], with
+//! Later builds add fields at the end of the messages and of [`WorkspaceCount`] and [`WorkspaceTotal`], with
 //! defaults, so that messages of other builds stay readable.
 
 use serde::Deserialize;
@@ -8,7 +8,7 @@
 
 use crate::protocol::name::DomainName;
 use crate::protocol::name::NodeId;
-use crate::protocol::name::TenantName;
+use crate::protocol::name::WorkspaceName;
 
 /// Request to a node that collects the counts of its failure domain.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -30,23 +30,23 @@
     pub acknowledged_by: u64,
     /// Number of the last totals that the node has from that collector.
     pub since: u64,
-    /// Tenants whose counts have changed since the last acknowledged report.
-    pub counts: Vec<TenantCount>,
+    /// Workspaces whose counts have changed since the last acknowledged report.
+    pub counts: Vec<WorkspaceCount>,
 }
 
-/// Requests of a tenant at a node.
+/// Requests of a workspace at a node.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct TenantCount {
-    /// Tenant.
+pub struct WorkspaceCount {
+    /// Workspace.
     #[serde(rename = "t")]
-    pub tenant: TenantName,
+    pub workspace: WorkspaceName,
     /// Admitted requests as last acknowledged by a collector.
     #[serde(rename = "k")]
     pub acknowledged: i64,
     /// Admitted requests since the start of the process.
     #[serde(rename = "a")]
     pub admitted: i64,
-    /// Requests within the last [`DEMAND_WINDOW`](crate::coordination::tenants::usage::DEMAND_WINDOW),
+    /// Requests within the last [`DEMAND_WINDOW`](crate::coordination::workspaces::usage::DEMAND_WINDOW),
     /// refused ones included.
     #[serde(rename = "d")]
     pub demand: u32,
@@ -64,16 +64,16 @@
     pub sequence: u64,
     /// Share of the fleet's nodes whose counts the totals contain.
     pub covered: f32,
-    /// Tenants whose totals have changed since the totals that the node has.
-    pub totals: Vec<TenantTotal>,
+    /// Workspaces whose totals have changed since the totals that the node has.
+    pub totals: Vec<WorkspaceTotal>,
 }
 
-/// Total of a tenant.
+/// Total of a workspace.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct TenantTotal {
-    /// Tenant.
+pub struct WorkspaceTotal {
+    /// Workspace.
     #[serde(rename = "t")]
-    pub tenant: TenantName,
+    pub workspace: WorkspaceName,
     /// Level of the fleet's bucket.
     #[serde(rename = "l")]
     pub level: f32,
@@ -99,16 +99,16 @@
     pub known_term: u64,
     /// Number of those sums.
     pub known_sequence: u64,
-    /// Tenants whose sums have changed since those that the receiver has.
-    pub sums: Vec<TenantSum>,
+    /// Workspaces whose sums have changed since those that the receiver has.
+    pub sums: Vec<WorkspaceSum>,
 }
 
-/// Sum of a tenant in a failure domain.
+/// Sum of a workspace in a failure domain.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct TenantSum {
-    /// Tenant.
+pub struct WorkspaceSum {
+    /// Workspace.
     #[serde(rename = "t")]
-    pub tenant: TenantName,
+    pub workspace: WorkspaceName,
     /// Admitted requests since the start of the collector.
     #[serde(rename = "a")]
     pub admitted: i64,
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -114,11 +114,11 @@
     NotReady = 4015, "node not ready";
     /// The request is malformed.
     BadRequest = 4016, "bad request";
-    /// The request has no credential, or one that belongs to no tenant.
+    /// The request has no credential, or one that belongs to no workspace.
     CredentialUnknown = 4017, "credential unknown";
-    /// No backend server in the home regions of the route or tenant may be used.
+    /// No backend server in the home regions of the route or workspace may be used.
     OutsideHome = 4018, "outside the home regions";
-    /// The quota of the tenant is used up.
+    /// The quota of the workspace is used up.
     QuotaExceeded = 4019, "quota exceeded";
     /// The failure domain of the backend server is evacuated.
     DomainEvacuated = 4020, "failure domain evacuated";
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -28,14 +28,14 @@
 use crate::coordination::attempts::ChosenNode;
 use crate::coordination::attempts::NextStep;
 use crate::coordination::attempts::Outcome;
+use crate::coordination::domains::evacuation::Evacuations;
+use crate::coordination::domains::homes;
+use crate::coordination::domains::homes::AllowedRegions;
 use crate::coordination::placement::AttemptEnd;
 use crate::coordination::placement::Feedback;
 use crate::coordination::placement::Pick;
 use crate::coordination::placement::PickRequest;
-use crate::coordination::tenants::credentials::CallTenant;
-use crate::coordination::zones::evacuation::Evacuations;
-use crate::coordination::zones::homes;
-use crate::coordination::zones::homes::AllowedRegions;
+use crate::coordination::workspaces::credentials::CallWorkspace;
 use crate::platform::requests;
 use crate::protocol::hop::BackendTotals;
 use crate::protocol::hop::HopRequestHeader;
@@ -58,8 +58,8 @@
 use crate::sidecar::serving;
 use crate::sidecar::serving::ServeCall;
 use crate::sidecar::serving::ServeOutcome;
-use crate::sidecar::tenants;
 use crate::sidecar::usage_port;
+use crate::sidecar::workspaces;
 use crate::state::routing_table;
 use crate::transport::body_budget::HeldBytes;
 use crate::transport::headers;
@@ -165,9 +165,9 @@
             route.cloned().ok_or(ResultCode::NoRoute)
         });
     let credential = requests::credential(req.headers());
-    let tenant = match &route {
+    let workspace = match &route {
         // Without the body, which may be large. The connection is closed if the rest of it still arrives.
-        Ok(route) => Some(tenants::authorize(cx, route, credential)?),
+        Ok(route) => Some(workspaces::authorize(cx, route, credential)?),
         Err(_) => None,
     };
     let time_limit = route
@@ -218,8 +218,8 @@
             is_overdue,
             limit: None,
             // Set again for each attempt, by the configuration in force then.
-            tenant_priority: tenant.as_ref().map_or(0, |tenant| tenant.priority),
-            tenant: tenant.and_then(|tenant| tenant.name),
+            workspace_priority: workspace.as_ref().map_or(0, |workspace| workspace.priority),
+            workspace: workspace.and_then(|workspace| workspace.name),
             is_spillover: false,
         },
         method: req.method().clone(),
@@ -239,16 +239,16 @@
     })
 }
 
-/// Takes a token from the quota of the call's tenant, if it has one.
+/// Takes a token from the quota of the call's workspace, if it has one.
 ///
 /// # Errors
 /// The time after which a token is expected.
 fn take_token(cx: &Sidecar, call: &EntryCall) -> Result<(), Duration> {
-    let Some(tenant) = &call.serve.head.tenant else {
+    let Some(workspace) = &call.serve.head.workspace else {
         return Ok(());
     };
     let attempt = serving::attempt_text(call.serve.attempt.as_ref());
-    usage_port::admit(cx, tenant, attempt)
+    usage_port::admit(cx, workspace, attempt)
 }
 
 async fn run_call(cx: &Rc<Sidecar>, call: EntryCall) -> Response<BoxBody> {
@@ -276,8 +276,8 @@
     let (code, retry_after) = match outcome {
         Outcome::Refused { code, retry_after } => {
             cx.metrics.refusals.increment(1);
-            if let Some(tenant) = &call.serve.head.tenant {
-                usage_port::give_back(cx, tenant);
+            if let Some(workspace) = &call.serve.head.workspace {
+                usage_port::give_back(cx, workspace);
             }
             (
                 code,
@@ -308,15 +308,15 @@
             attempts.on_quarantined(refused_for);
             return None;
         }
-        let tenant = authorize(cx, call, attempts)?;
+        let workspace = authorize(cx, call, attempts)?;
         match attempts.next(now) {
             NextStep::Offer => {}
             NextStep::Retry if may_retry(cx, call, attempts, now) => {}
             NextStep::Retry | NextStep::Stop => return None,
         }
-        let pick = pick(cx, call, &tenant, attempts, now);
+        let pick = pick(cx, call, &workspace, attempts, now);
         if pick.is_none() {
-            check_exclusion(cx, call, &tenant, attempts, now);
+            check_exclusion(cx, call, &workspace, attempts, now);
         }
         let pick = match attempts.on_choice(now, pick.as_ref().map(chosen)) {
             Choice::Send => pick?,
@@ -326,7 +326,7 @@
         if attempts.tries() > 1 {
             cx.metrics.attempts_beyond_first.increment(1);
         }
-        let planned = Planned { pick, tenant };
+        let planned = Planned { pick, workspace };
         let response = attempt_with_hedge(cx, call, attempts, failed_response, &planned, now).await;
         if response.is_some() {
             return response;
@@ -342,10 +342,14 @@
 
 /// Returns the regions that may serve a call: those of the configuration that it was routed with, and of the one
 /// in force. The latter counts for each attempt, so that a change binds calls in flight as well.
-fn regions_for(state: &SidecarState, call: &EntryCall, tenant: &CallTenant) -> AllowedRegions {
+fn regions_for(
+    state: &SidecarState,
+    call: &EntryCall,
+    workspace: &CallWorkspace,
+) -> AllowedRegions {
     let table = state.table.as_ref();
-    let tenant_homes = tenants::homes(table, tenant.name.as_ref());
-    let routed = homes::allowed_regions(&call.route.homes, tenant_homes);
+    let workspace_homes = workspaces::homes(table, workspace.name.as_ref());
+    let routed = homes::allowed_regions(&call.route.homes, workspace_homes);
     let current = table.and_then(|table| table.route(&call.route.name));
     match current {
         Some(route) if !Rc::ptr_eq(route, &call.route) => routed.restricted_to(&route.homes),
@@ -362,7 +366,7 @@
     let Some(entry) = state.placement.entry(&planned.pick.node) else {
         return Ok(());
     };
-    if !regions_for(&state, call, &planned.tenant).allows(&entry.region) {
+    if !regions_for(&state, call, &planned.workspace).allows(&entry.region) {
         return Err(ResultCode::OutsideHome);
     }
     if state.evacuations.contains(&entry.domain) {
@@ -375,12 +379,12 @@
 fn check_exclusion(
     cx: &Sidecar,
     call: &EntryCall,
-    tenant: &CallTenant,
+    workspace: &CallWorkspace,
     attempts: &mut Attempts,
     now: Duration,
 ) {
     let state = cx.state.borrow();
-    let regions = regions_for(&state, call, tenant);
+    let regions = regions_for(&state, call, workspace);
     let service = &call.serve.head.service;
     let evacuations = &state.evacuations;
     let Some(code) = state.placement.exclusion(service, &regions, evacuations) else {
@@ -398,13 +402,13 @@
 /// An attempt that is about to be made.
 struct Planned {
     pick: Pick,
-    tenant: CallTenant,
+    workspace: CallWorkspace,
 }
 
 /// Judges the credential of a call again, by the configuration in force. `None` if no attempt may be made.
-fn authorize(cx: &Sidecar, call: &EntryCall, attempts: &mut Attempts) -> Option<CallTenant> {
-    match tenants::authorize(cx, &call.route, call.credential) {
-        Ok(tenant) => Some(tenant),
+fn authorize(cx: &Sidecar, call: &EntryCall, attempts: &mut Attempts) -> Option<CallWorkspace> {
+    match workspaces::authorize(cx, &call.route, call.credential) {
+        Ok(workspace) => Some(workspace),
         Err(code) => {
             info!(cx.log, "no attempt with the credential of the call"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
                 "route" => call.route.name.as_str(), "code" => code.number(), "version" => cx.table().map(|table| table.version()),
@@ -523,10 +527,10 @@
     first: &NodeId,
 ) -> Option<Planned> {
     let now = cx.clock.now();
-    let tenant = authorize(cx, call, attempts)?;
+    let workspace = authorize(cx, call, attempts)?;
     let mut tried = attempts.tried().to_vec();
     tried.push(first.clone());
-    let pick = choose(&mut cx.state.borrow_mut(), now, call, &tenant, &tried)?;
+    let pick = choose(&mut cx.state.borrow_mut(), now, call, &workspace, &tried)?;
     if !attempts.on_hedge(now, chosen(&pick)) || !spend_retry_budget(cx, call, now) {
         return None;
     }
@@ -536,7 +540,7 @@
         "after_ms" => millis(now.saturating_sub(call.serve.arrived)),
         "cost_ms" => format!("{:.1}", pick.cost_ms), "load" => format!("{:.1}", pick.load),
         "load_age_ms" => millis(pick.load_age));
-    Some(Planned { pick, tenant })
+    Some(Planned { pick, workspace })
 }
 
 /// Whether the fleet's retry budget allows sending a call that has reached a backend server to
@@ -567,14 +571,14 @@
 fn pick(
     cx: &Sidecar,
     call: &EntryCall,
-    tenant: &CallTenant,
+    workspace: &CallWorkspace,
     attempts: &Attempts,
     now: Duration,
 ) -> Option<Pick> {
     let (load, tally) = serving::load_report(cx);
     let mut state = cx.state.borrow_mut();
     state.placement.on_report(now, &cx.settings.id, load, tally);
-    let pick = choose(&mut state, now, call, tenant, attempts.tried())?;
+    let pick = choose(&mut state, now, call, workspace, attempts.tried())?;
     info!(cx.log, "call routed"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
         "route" => call.route.name.as_str(), "to" => pick.node.as_str(), "version" => pick.version.as_str(),
         "try" => attempts.tries() + 1, "accepts_late" => attempts.accepts_late(), "is_overdue" => call.serve.head.is_overdue,
@@ -592,11 +596,11 @@
     state: &mut SidecarState,
     now: Duration,
     call: &EntryCall,
-    tenant: &CallTenant,
+    workspace: &CallWorkspace,
     tried: &[NodeId],
 ) -> Option<Pick> {
     let service = &call.serve.head.service;
-    let regions = regions_for(state, call, tenant);
+    let regions = regions_for(state, call, workspace);
     let Some(plan) = state.moves.plan(service) else {
         let permits = |_: &NodeId, _: &_| true;
         let request = pick_request(call, tried, &regions, &state.evacuations, &permits);
@@ -742,8 +746,8 @@
     serve.head.limit = pick.limit;
     serve.head.accepts_late = accepts_late;
     serve.head.is_spillover = pick.is_spillover;
-    serve.head.tenant.clone_from(&planned.tenant.name);
-    serve.head.tenant_priority = planned.tenant.priority;
+    serve.head.workspace.clone_from(&planned.workspace.name);
+    serve.head.workspace_priority = planned.workspace.priority;
     // The latency objective counts from the arrival at this node, so the serving node gets what is
     // left of it.
     let used = now.saturating_sub(call.serve.arrived);
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -113,7 +113,7 @@
     }
     let route = head.route.clone();
     let mut forwarded = headers::end_to_end(req.headers(), 4);
-    forwarded.retain(|(name, _)| !requests::is_of_tenant(name));
+    forwarded.retain(|(name, _)| !requests::is_of_workspace(name));
     let call = ServeCall {
         head,
         method: req.method().clone(),
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -44,9 +44,9 @@
     pub backend_crashes: Counter,
     /// Requests that are refused since they crash backend servers.
     pub quarantined_requests: Counter,
-    /// Requests of tenants with a quota that were admitted.
+    /// Requests of workspaces with a quota that were admitted.
     pub quota_admitted: Counter,
-    /// Requests refused since the quota of their tenant is used up.
+    /// Requests refused since the quota of their workspace is used up.
     pub quota_refused: Counter,
     /// Age of the fleet's totals of requests with a quota, seconds.
     pub quota_totals_age: Gauge,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -19,9 +19,9 @@
 pub mod settings;
 mod shutdown;
 mod status_ports;
-mod tenants;
 mod topic_follower;
 mod usage_port;
+mod workspaces;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -47,12 +47,12 @@
 use crate::coordination::caller_age::CallerAges;
 use crate::coordination::crash_watch::CrashWatch;
 use crate::coordination::crashing_requests::CrashingRequests;
+use crate::coordination::domains::evacuation::Evacuations;
 use crate::coordination::heartbeat_hold::HeartbeatHold;
 use crate::coordination::placement::Placement;
 use crate::coordination::retry_quota::RetryQuota;
 use crate::coordination::stop_plan::StopPlan;
 use crate::coordination::version_move::Moves;
-use crate::coordination::zones::evacuation::Evacuations;
 use crate::logging;
 use crate::node::clock::Clock;
 use crate::platform::store::Store;
@@ -177,7 +177,7 @@
     entry_tried: Notify,
     /// Whether the last write of the own entry has failed and is not repeated yet.
     entry_write_failed: Cell<bool>,
-    /// Quotas of tenants.
+    /// Quotas of workspaces.
     quotas: Quotas,
     state: RefCell<SidecarState>,
 }
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -5,10 +5,10 @@
 use slog::info;
 use slog::warn;
 
+use crate::coordination::domains::evacuation::Evacuation;
+use crate::coordination::domains::evacuation::Reading;
+use crate::coordination::domains::homes;
 use crate::coordination::room::cold_start::ProbeReason;
-use crate::coordination::zones::evacuation::Evacuation;
-use crate::coordination::zones::evacuation::Reading;
-use crate::coordination::zones::homes;
 use crate::platform::config;
 use crate::platform::config::OperatorKey;
 use crate::platform::config::ParsedConfig;
--- a/src/sidecar/rollouts.rs
+++ b/src/sidecar/rollouts.rs
@@ -7,11 +7,11 @@
 use slog::info;
 use slog::warn;
 
+use crate::coordination::domains::evacuation::Evacuations;
 use crate::coordination::placement::Placement;
 use crate::coordination::store_retry::FIRST_TIMEOUT;
 use crate::coordination::version_move::MoveAction;
 use crate::coordination::version_move::Moves;
-use crate::coordination::zones::evacuation::Evacuations;
 use crate::platform::config;
 use crate::platform::store::KeyedBatch;
 use crate::platform::store::KeyedRecord;
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -13,13 +13,13 @@
 use slog::info;
 use slog::warn;
 
+use crate::coordination::domains::homes;
 use crate::coordination::placement::WORK_TIME_LIFETIME;
 use crate::coordination::placement::work_time_factor;
 use crate::coordination::room::cold_start::ProbeReason;
 use crate::coordination::slot_queue::Offer;
 use crate::coordination::slot_queue::SlotQueue;
 use crate::coordination::version_move::cancelled_percent;
-use crate::coordination::zones::homes;
 use crate::platform::requests;
 use crate::platform::requests::Execution;
 use crate::protocol::call::MAX_RESPONSE_BYTES;
@@ -37,7 +37,7 @@
 use crate::sidecar::admission::Admitted;
 use crate::sidecar::crashes;
 use crate::sidecar::health_probe;
-use crate::sidecar::tenants;
+use crate::sidecar::workspaces;
 use crate::transport::exchange::Exchange;
 use crate::transport::exchange::ExchangeFailure;
 use crate::transport::http_client::HttpResponse;
@@ -67,7 +67,7 @@
     pub method: Method,
     /// Path and query.
     pub target: PathAndQuery,
-    /// Headers to forward; without those of the tenant, so that no log line can have a credential.
+    /// Headers to forward; without those of the workspace, so that no log line can have a credential.
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// Whole body.
     pub body: Bytes,
@@ -355,8 +355,8 @@
     let table = state.table.as_ref();
     let route = table.and_then(|table| table.route(&head.route));
     let route_homes = route.map_or(&[][..], |route| &route.homes);
-    let tenant_homes = tenants::homes(table, head.tenant.as_ref());
-    if !homes::allowed_regions(route_homes, tenant_homes).allows(&cx.settings.region) {
+    let workspace_homes = workspaces::homes(table, head.workspace.as_ref());
+    if !homes::allowed_regions(route_homes, workspace_homes).allows(&cx.settings.region) {
         return Err(ResultCode::OutsideHome);
     }
     if state.evacuations.contains(&cx.settings.failure_domain) {
@@ -390,8 +390,8 @@
     };
     Offer {
         route: head.route.clone(),
-        tenant: tenants::share(cx, head.tenant.as_ref()),
-        tenant_priority: head.tenant_priority,
+        workspace: workspaces::share(cx, head.workspace.as_ref()),
+        workspace_priority: head.workspace_priority,
         priority: head.priority,
         objective: head.objective,
         objective_at,
@@ -476,7 +476,12 @@
     left: Duration,
 ) -> Result<HttpResponse, Option<ExchangeFailure>> {
     let mut headers = call.headers.clone();
-    headers.extend(call.head.tenant.as_ref().and_then(requests::tenant_header));
+    headers.extend(
+        call.head
+            .workspace
+            .as_ref()
+            .and_then(requests::workspace_header),
+    );
     headers.extend(requests::backend_headers(left, &backend.instance));
     let max_idle = if call.head.idempotent {
         MAX_IDLE
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -14,12 +14,12 @@
 use slog::warn;
 use tokio::sync::Notify;
 
+use crate::coordination::domains::evacuation::RECHECK_INTERVAL;
 use crate::coordination::topic_cursor::NextRead;
 use crate::coordination::topic_cursor::ReadCall;
 use crate::coordination::topic_cursor::TopicCursor;
 use crate::coordination::topic_source::Source;
 use crate::coordination::topic_source::SourceSelector;
-use crate::coordination::zones::evacuation::RECHECK_INTERVAL;
 use crate::platform::store::FLEET_TOPIC;
 use crate::platform::store::KeyedBatch;
 use crate::platform::store::KeyedRecord;
--- a/src/sidecar/usage_port.rs
+++ b/src/sidecar/usage_port.rs
@@ -1,4 +1,4 @@
-//! Quotas of tenants in a running node: the limiter and the collector with their messages. See
+//! Quotas of workspaces in a running node: the limiter and the collector with their messages. See
 //! `docs/design/quotas.md`.
 
 use std::cell::Cell;
@@ -18,15 +18,15 @@
 use slog::info;
 use tokio::sync::Notify;
 
-use crate::coordination::tenants::quota::QuotaBounds;
-use crate::coordination::tenants::quota::QuotaDecision;
-use crate::coordination::tenants::quota::QuotaLimiter;
-use crate::coordination::tenants::usage::Collector;
-use crate::coordination::tenants::usage::CollectorChoice;
+use crate::coordination::workspaces::quota::QuotaBounds;
+use crate::coordination::workspaces::quota::QuotaDecision;
+use crate::coordination::workspaces::quota::QuotaLimiter;
+use crate::coordination::workspaces::usage::Collector;
+use crate::coordination::workspaces::usage::CollectorChoice;
 use crate::protocol::codec;
 use crate::protocol::name::DomainName;
 use crate::protocol::name::NodeId;
-use crate::protocol::name::TenantName;
+use crate::protocol::name::WorkspaceName;
 use crate::protocol::time::millis;
 use crate::protocol::usage::DomainUsage;
 use crate::protocol::usage::UsageReport;
@@ -50,13 +50,13 @@
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle time after which a connection is not reused.
 const MAX_IDLE: Duration = Duration::from_secs(3);
-/// Largest message, bytes; a tenant takes some 40.
+/// Largest message, bytes; a workspace takes some 40.
 const MAX_MESSAGE_BYTES: usize = 256 << 10;
 
 /// Limiter and collector of a node.
 pub struct Quotas {
     state: RefCell<QuotaState>,
-    /// Signals a request of a tenant with a quota, a report or a configuration.
+    /// Signals a request of a workspace with a quota, a report or a configuration.
     changed: Notify,
     is_reporting: Cell<bool>,
 }
@@ -104,14 +104,14 @@
 /// Takes a token for a request.
 ///
 /// # Errors
-/// The time after which a token is expected, if the quota of the tenant is used up.
-pub fn admit(cx: &Sidecar, tenant: &TenantName, attempt: &str) -> Result<(), Duration> {
+/// The time after which a token is expected, if the quota of the workspace is used up.
+pub fn admit(cx: &Sidecar, workspace: &WorkspaceName, attempt: &str) -> Result<(), Duration> {
     let now = cx.clock.now();
     update(cx, now);
     let decision = {
         let rng = &mut cx.state.borrow_mut().rng;
         let limiter = &mut cx.quotas.state.borrow_mut().limiter;
-        limiter.admit(now, tenant, rng)
+        limiter.admit(now, workspace, rng)
     };
     match decision {
         QuotaDecision::Unlimited => return Ok(()),
@@ -122,8 +122,8 @@
     let QuotaDecision::Refused(refusal) = decision else {
         return Ok(());
     };
-    info!(cx.log, "request refused by the quota of its tenant"; "attempt" => attempt,
-        "code" => ResultCode::QuotaExceeded.number(), "tenant" => tenant.as_str(),
+    info!(cx.log, "request refused by the quota of its workspace"; "attempt" => attempt,
+        "code" => ResultCode::QuotaExceeded.number(), "workspace" => workspace.as_str(),
         "share" => format!("{:.4}", refusal.share), "tokens" => format!("{:.2}", refusal.tokens),
         "level" => format!("{:.1}", refusal.level), "totals_age_ms" => refusal.totals_age.map(millis),
         "retry_after_ms" => millis(refusal.retry_after));
@@ -131,9 +131,9 @@
 }
 
 /// Gives back the token of a request that has not run.
-pub fn give_back(cx: &Sidecar, tenant: &TenantName) {
+pub fn give_back(cx: &Sidecar, workspace: &WorkspaceName) {
     let mut state = cx.quotas.state.borrow_mut();
-    state.limiter.give_back(tenant);
+    state.limiter.give_back(workspace);
 }
 
 /// Starts reports and exchanges.
@@ -182,8 +182,8 @@
     if state.config_version != Some(table.version()) {
         state.config_version = Some(table.version());
         let rng = &mut cx.state.borrow_mut().rng;
-        state.limiter.set_tenants(now, table.tenants(), rng);
-        state.collector.set_tenants(now, table.tenants());
+        state.limiter.set_workspaces(now, table.workspaces(), rng);
+        state.collector.set_workspaces(now, table.workspaces());
     }
     let is_counted = |at| now.saturating_sub(at) < FLEET_INTERVAL;
     if !state.limiter.has_quotas() || state.fleet_counted_at.is_some_and(is_counted) {
--- a/src/state/routing_table.rs
+++ b/src/state/routing_table.rs
@@ -2,15 +2,15 @@
 
 use std::rc::Rc;
 
-use crate::coordination::tenants::credentials::Credentials;
+use crate::coordination::workspaces::credentials::Credentials;
 use crate::protocol::mesh::CallerLimits;
 use crate::protocol::mesh::MeshConfig;
 use crate::protocol::mesh::MeshRoute;
 use crate::protocol::mesh::MeshService;
-use crate::protocol::mesh::Tenant;
+use crate::protocol::mesh::Workspace;
 use crate::protocol::name::RouteName;
 use crate::protocol::name::ServiceName;
-use crate::protocol::name::TenantName;
+use crate::protocol::name::WorkspaceName;
 
 /// The routes of one configuration. A new configuration gets a new table.
 #[derive(Debug)]
@@ -23,8 +23,8 @@
     routes_by_name: Vec<Rc<MeshRoute>>,
     /// Services, sorted by name.
     services: Vec<MeshService>,
-    /// Tenants, sorted by name.
-    tenants: Vec<Tenant>,
+    /// Workspaces, sorted by name.
+    workspaces: Vec<Workspace>,
     credentials: Credentials,
 }
 
@@ -42,8 +42,8 @@
             routes,
             routes_by_name,
             services: config.services,
-            credentials: Credentials::new(&config.tenants),
-            tenants: config.tenants,
+            credentials: Credentials::new(&config.workspaces),
+            workspaces: config.workspaces,
         }
     }
 
@@ -88,21 +88,21 @@
         Some(&services[index.ok()?])
     }
 
-    /// Returns all tenants, sorted by name. Without any, requests need no credential.
+    /// Returns all workspaces, sorted by name. Without any, requests need no credential.
     #[must_use]
-    pub fn tenants(&self) -> &[Tenant] {
-        &self.tenants
+    pub fn workspaces(&self) -> &[Workspace] {
+        &self.workspaces
     }
 
-    /// Returns the tenant of this name.
+    /// Returns the workspace of this name.
     #[must_use]
-    pub fn tenant(&self, name: &TenantName) -> Option<&Tenant> {
-        let tenants = &self.tenants;
-        let index = tenants.binary_search_by(|tenant| tenant.name.cmp(name));
-        Some(&tenants[index.ok()?])
+    pub fn workspace(&self, name: &WorkspaceName) -> Option<&Workspace> {
+        let workspaces = &self.workspaces;
+        let index = workspaces.binary_search_by(|workspace| workspace.name.cmp(name));
+        Some(&workspaces[index.ok()?])
     }
 
-    /// Returns the credentials of the tenants.
+    /// Returns the credentials of the workspaces.
     #[must_use]
     pub fn credentials(&self) -> &Credentials {
         &self.credentials
--- a/tests/admission_queue.rs
+++ b/tests/admission_queue.rs
@@ -13,8 +13,8 @@
     let objective = Duration::from_secs(5);
     Offer {
         route: "lookup".into(),
-        tenant: None,
-        tenant_priority: 0,
+        workspace: None,
+        workspace_priority: 0,
         priority: 1,
         objective,
         objective_at: clock.now() + objective * 10,
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -43,8 +43,8 @@
 fn offer(now: Duration, priority: u8) -> Offer {
     Offer {
         route: ROUTE.into(),
-        tenant: None,
-        tenant_priority: 0,
+        workspace: None,
+        workspace_priority: 0,
         priority,
         objective: ms(500),
         objective_at: now + ms(500),
--- a/tests/zones_homes.rs
+++ b/tests/domains_homes.rs
@@ -11,14 +11,14 @@
 use sycamorewick::coordination::attempts::CallLimits;
 use sycamorewick::coordination::attempts::Choice;
 use sycamorewick::coordination::attempts::Outcome;
+use sycamorewick::coordination::domains::evacuation::Evacuations;
+use sycamorewick::coordination::domains::homes;
+use sycamorewick::coordination::domains::homes::AllowedRegions;
+use sycamorewick::coordination::domains::homes::allowed_regions;
 use sycamorewick::coordination::placement::AttemptEnd;
 use sycamorewick::coordination::placement::Feedback;
 use sycamorewick::coordination::placement::PickRequest;
 use sycamorewick::coordination::placement::Placement;
-use sycamorewick::coordination::zones::evacuation::Evacuations;
-use sycamorewick::coordination::zones::homes;
-use sycamorewick::coordination::zones::homes::AllowedRegions;
-use sycamorewick::coordination::zones::homes::allowed_regions;
 use sycamorewick::platform::config;
 use sycamorewick::protocol::fleet::BackendPhase;
 use sycamorewick::protocol::fleet::BackendReport;
@@ -88,7 +88,7 @@
     Some(pick.node)
 }
 
-/// Guards against an empty list that forbids all regions, and against a tenant's home regions that widen those of
+/// Guards against an empty list that forbids all regions, and against a workspace's home regions that widen those of
 /// the route.
 #[gtest]
 fn allowed_regions_both_lists() {
@@ -198,16 +198,16 @@
     expect_that!(attempts.last(), some(eq(ResultCode::OutsideHome)));
 }
 
-/// Guards against a misspelt home region that makes every call of a route or a tenant fail.
+/// Guards against a misspelt home region that makes every call of a route or a workspace fail.
 #[gtest]
 fn unknown_home_names_field() -> googletest::Result<()> {
-    let read = |route: &[&str], tenant: &[&str]| {
+    let read = |route: &[&str], workspace: &[&str]| {
         let config = json!({
             "version": "1",
             "routes": { "lookup": { "host": "a.example", "prefix": "/", "kind": "safe", "timeout-ms": 1000,
                 "slo-ms": 100, "service": "registry", "home-regions": route } },
             "services": { "registry": {} },
-            "tenants": { "harbour": { "home-regions": tenant } },
+            "tenants": { "harbour": { "home-regions": workspace } },
             "limits": { "body-bytes": 1024 },
         });
         config::read_config(config.to_string().as_bytes()).or_fail()
@@ -228,7 +228,7 @@
     let wrong = read(&[], &["kita"])?;
     expect_that!(
         homes::unknown_home(&wrong.config, is_known),
-        some(contains_substring("tenant harbour: home-regions"))
+        some(contains_substring("workspace harbour: home-regions"))
     );
     Ok(())
 }
--- a/tests/zones_spill.rs
+++ b/tests/domains_spill.rs
@@ -10,6 +10,11 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use sycamorewick::coordination::domains::evacuation::Evacuations;
+use sycamorewick::coordination::domains::homes::AllowedRegions;
+use sycamorewick::coordination::domains::spill::SpillCosts;
+use sycamorewick::coordination::domains::spill::SpillEnd;
+use sycamorewick::coordination::domains::spill::SpillShares;
 use sycamorewick::coordination::placement::AttemptEnd;
 use sycamorewick::coordination::placement::Feedback;
 use sycamorewick::coordination::placement::Pick;
@@ -19,11 +24,6 @@
 use sycamorewick::coordination::slot_queue::Offer;
 use sycamorewick::coordination::slot_queue::SlotQueue;
 use sycamorewick::coordination::slot_queue::Ticket;
-use sycamorewick::coordination::zones::evacuation::Evacuations;
-use sycamorewick::coordination::zones::homes::AllowedRegions;
-use sycamorewick::coordination::zones::spill::SpillCosts;
-use sycamorewick::coordination::zones::spill::SpillEnd;
-use sycamorewick::coordination::zones::spill::SpillShares;
 use sycamorewick::protocol::fleet::BackendPhase;
 use sycamorewick::protocol::fleet::BackendReport;
 use sycamorewick::protocol::fleet::FleetEntry;
@@ -314,8 +314,8 @@
         let used = call.sent.saturating_sub(call.arrived);
         let offer = Offer {
             route: "lookup".into(),
-            tenant: None,
-            tenant_priority: 0,
+            workspace: None,
+            workspace_priority: 0,
             priority: 1,
             objective: OBJECTIVE.saturating_sub(used),
             objective_at: now + OBJECTIVE.saturating_sub(used),
--- a/tests/hop_headers.rs
+++ b/tests/hop_headers.rs
@@ -100,7 +100,7 @@
     expect_that!(known, eq(&all));
 }
 
-fn request_header(tenant: Option<&str>, is_spillover: bool) -> HopRequestHeader {
+fn request_header(workspace: Option<&str>, is_spillover: bool) -> HopRequestHeader {
     HopRequestHeader {
         route: "lookup".into(),
         service: "registry".into(),
@@ -112,19 +112,19 @@
         left: Duration::from_millis(900),
         is_overdue: false,
         limit: None,
-        tenant: tenant.map(Into::into),
-        tenant_priority: u8::from(tenant.is_some()),
+        workspace: workspace.map(Into::into),
+        workspace_priority: u8::from(workspace.is_some()),
         is_spillover,
     }
 }
 
 /// Guards against a spillover call that takes capacity like any other because the flag is lost, or that loses its
-/// tenant or gets one, and against a header that differs from that of earlier builds for other calls.
+/// workspace or gets one, and against a header that differs from that of earlier builds for other calls.
 #[gtest]
 fn request_header_with_spillover() {
-    for tenant in [None, Some("acme")] {
-        let plain = request_header(tenant, false);
-        let spillover = request_header(tenant, true);
+    for workspace in [None, Some("acme")] {
+        let plain = request_header(workspace, false);
+        let spillover = request_header(workspace, true);
         for sent in [&plain, &spillover] {
             expect_that!(HopRequestHeader::decode(&sent.encode()), some(eq(sent)));
         }
@@ -137,11 +137,11 @@
     expect_that!(earlier, some(eq(&request_header(None, false))));
 }
 
-/// Guards against a tenant that is lost between nodes, a call without a tenant that loses its priority, and a
-/// header that differs from that of earlier builds although there are no tenants.
+/// Guards against a workspace that is lost between nodes, a call without a workspace that loses its priority, and a
+/// header that differs from that of earlier builds although there are no workspaces.
 #[gtest]
-fn request_header_with_tenant() {
-    let head = |tenant: Option<&str>, tenant_priority| HopRequestHeader {
+fn request_header_with_workspace() {
+    let head = |workspace: Option<&str>, workspace_priority| HopRequestHeader {
         route: "lookup".into(),
         service: "registry".into(),
         version: "v1".into(),
@@ -152,8 +152,8 @@
         left: Duration::from_secs(1),
         is_overdue: false,
         limit: None,
-        tenant: tenant.map(Into::into),
-        tenant_priority,
+        workspace: workspace.map(Into::into),
+        workspace_priority,
         is_spillover: false,
     };
     let plain = head(None, 0);
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -122,8 +122,8 @@
         let is_overdue = self.ages.is_overdue(&self.route, left, OBJECTIVE);
         let mut offer = Offer {
             route: self.route.clone(),
-            tenant: None,
-            tenant_priority: 0,
+            workspace: None,
+            workspace_priority: 0,
             priority: 2,
             objective: OBJECTIVE,
             objective_at: if is_overdue { now } else { now + OBJECTIVE },
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -322,7 +322,7 @@
 fn read_config_tenants() {
     let text = CONFIG.replacen(r#""limits""#, TENANTS, 1);
     let config = config::read_config(text.as_bytes()).expect("a valid configuration");
-    let tenants = config.config.tenants;
+    let tenants = config.config.workspaces;
     let names: Vec<&str> = tenants.iter().map(|tenant| tenant.name.as_str()).collect();
     expect_that!(names, elements_are![eq(&"acme"), eq(&"birch")]);
     expect_that!(tenants[0].priority, eq(3));
--- a/tests/process_zones.rs
+++ b/tests/process_domains.rs
@@ -140,8 +140,8 @@
         left: Duration::from_secs(2),
         is_overdue: false,
         limit: None,
-        tenant: None,
-        tenant_priority: 0,
+        workspace: None,
+        workspace_priority: 0,
         is_spillover: false,
     };
     let mut stream = TcpStream::connect(addr)?;
--- a/tests/process_quota.rs
+++ b/tests/process_quota.rs
@@ -1,4 +1,4 @@
-//! Messages about the requests of tenants with a quota, between real processes.
+//! Messages about the requests of workspaces with a quota, between real processes.
 
 mod sidecar_common;
 
@@ -13,21 +13,21 @@
 use sidecar_common::WAIT_LIMIT;
 use sidecar_common::run;
 use sycamorewick::protocol::codec;
-use sycamorewick::protocol::usage::TenantCount;
 use sycamorewick::protocol::usage::UsageReport;
 use sycamorewick::protocol::usage::UsageRequest;
 use sycamorewick::protocol::usage::UsageTotals;
+use sycamorewick::protocol::usage::WorkspaceCount;
 use testbed::platform::store::OPERATOR_TOPIC;
 
-/// Sends a report with admitted requests of the tenant to a node.
+/// Sends a report with admitted requests of the workspace to a node.
 async fn report(env: &TestFleet, index: usize, admitted: i64) -> eyre::Result<UsageTotals> {
     let request = UsageRequest::Report(UsageReport {
         node: "reporter".into(),
         run: 1,
         acknowledged_by: 0,
         since: 0,
-        counts: vec![TenantCount {
-            tenant: "acme".into(),
+        counts: vec![WorkspaceCount {
+            workspace: "acme".into(),
             acknowledged: 0,
             admitted,
             demand: 1,
--- a/tests/process_stalled_bodies.rs
+++ b/tests/process_stalled_bodies.rs
@@ -42,8 +42,8 @@
         left: TIME_LEFT,
         is_overdue: false,
         limit: None,
-        tenant: None,
-        tenant_priority: 0,
+        workspace: None,
+        workspace_priority: 0,
         is_spillover: false,
     };
     let mut stream = TcpStream::connect(addr)?;
--- a/tests/process_tenants.rs
+++ b/tests/process_workspaces.rs
@@ -1,4 +1,4 @@
-//! Credentials of tenants at real sidecar processes.
+//! Credentials of workspaces at real sidecar processes.
 
 mod sidecar_common;
 
@@ -28,7 +28,7 @@
 use testbed::platform::store::StoreHandle;
 
 const CREDENTIAL_HEADER: &str = "x-sycamorewick-credential";
-const TENANT_HEADER: &str = "x-sycamorewick-tenant";
+const WORKSPACE_HEADER: &str = "x-sycamorewick-tenant";
 const ACME_KEY: &str = "key-of-acme-51f0";
 const BIRCH_KEY: &str = "key-of-birch-93aa";
 const UNKNOWN_KEY: &str = "key-of-nobody-20c7";
@@ -36,8 +36,8 @@
 /// Size of a body that a node must not read before it refuses its request, bytes.
 const LARGE_BODY_BYTES: usize = 60_000;
 
-/// Writes a configuration with a public route `/open/` and these tenants.
-fn put_tenants(store: &StoreHandle, version: u32, tenants: &Value) {
+/// Writes a configuration with a public route `/open/` and these workspaces.
+fn put_workspaces(store: &StoreHandle, version: u32, workspaces: &Value) {
     let route = |prefix: &str, is_public: bool, kind: &str| {
         json!({ "host": HOST, "prefix": prefix, "kind": kind, "timeout-ms": 3000, "slo-ms": 500,
             "priority": 1, "service": "registry", "attempts": 2, "public": is_public })
@@ -52,16 +52,16 @@
         },
         "services": { "registry": { "health-path": "/healthz", "max-conns": 100 } },
         "limits": { "header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000 },
-        "tenants": tenants,
+        "tenants": workspaces,
     });
     let _ = store.put(OPERATOR_TOPIC, "config", config.to_string().as_bytes());
 }
 
-fn both_tenants() -> Value {
+fn both_workspaces() -> Value {
     json!({ "acme": { "api-keys": [ACME_KEY], "priority": 1 }, "birch": { "api-keys": [BIRCH_KEY] } })
 }
 
-/// Waits until all nodes use a configuration of [`put_tenants`].
+/// Waits until all nodes use a configuration of [`put_workspaces`].
 async fn wait_version(env: &mut TestFleet, version: u32) -> eyre::Result<()> {
     for index in 0..env.fleet.nodes().len() {
         let path = format!("/v{version}/x");
@@ -74,7 +74,7 @@
 
 async fn start(nodes: usize) -> eyre::Result<TestFleet> {
     let mut env = TestFleet::start(nodes).await?;
-    put_tenants(&env.store, 2, &both_tenants());
+    put_workspaces(&env.store, 2, &both_workspaces());
     wait_version(&mut env, 2).await?;
     for backend in &env.backends {
         backend.record_headers();
@@ -205,7 +205,7 @@
     Ok(())
 }
 
-/// Guards against a request that runs without a valid key, that counts as one of another tenant, or whose key
+/// Guards against a request that runs without a valid key, that counts as one of another workspace, or whose key
 /// is forwarded to a peer or a backend server, or logged. One of the two nodes has no backend server, so all
 /// of its calls go through the other one.
 #[gtest]
@@ -219,12 +219,12 @@
         for index in 0..2 {
             for call in 0..20 {
                 let id = |kind: &str| format!("{kind}-{index}-{call}");
-                let spoofed = (TENANT_HEADER, "birch");
+                let spoofed = (WORKSPACE_HEADER, "birch");
                 let valid = [(CREDENTIAL_HEADER, ACME_KEY), spoofed];
                 let (status, _) = get(&env, index, lookup, &id("valid"), &valid)?;
                 expect_that!(status, eq(200));
-                let tenants = received(&env, &id("valid"), TENANT_HEADER);
-                expect_that!(tenants, some(elements_are![eq("acme")]));
+                let workspaces = received(&env, &id("valid"), WORKSPACE_HEADER);
+                expect_that!(workspaces, some(elements_are![eq("acme")]));
 
                 let unknown = [(CREDENTIAL_HEADER, UNKNOWN_KEY), spoofed];
                 let (status, text) = get(&env, index, lookup, &id("unknown"), &unknown)?;
@@ -242,8 +242,8 @@
 
                 let (status, _) = get(&env, index, "/open/1", &id("open"), &unknown)?;
                 expect_that!(status, eq(200));
-                let tenants = received(&env, &id("open"), TENANT_HEADER);
-                expect_that!(tenants, some(is_empty()));
+                let workspaces = received(&env, &id("open"), WORKSPACE_HEADER);
+                expect_that!(workspaces, some(is_empty()));
             }
         }
         check_no_key_leaks(&env).await
@@ -251,7 +251,7 @@
 }
 
 /// Guards against a revoked key that is still accepted on a connection that was open before, by requests that
-/// were pipelined behind each other, and against a moved key that still counts for its former tenant.
+/// were pipelined behind each other, and against a moved key that still counts for its former workspace.
 #[gtest]
 fn key_revoked_on_open_connection() {
     run(async {
@@ -263,13 +263,13 @@
         expect_that!(client.receive()?.0, eq(200));
         let moved =
             json!({ "birch": { "api-keys": [BIRCH_KEY] }, "cedar": { "api-keys": [ACME_KEY] } });
-        put_tenants(&env.store, 3, &moved);
+        put_workspaces(&env.store, 3, &moved);
         wait_version(&mut env, 3).await?;
         client.send("/wrecks/1", "moved", &acme)?;
         expect_that!(client.receive()?.0, eq(200));
-        let tenants = received(&env, "moved", TENANT_HEADER);
-        expect_that!(tenants, some(elements_are![eq("cedar")]));
-        put_tenants(
+        let workspaces = received(&env, "moved", WORKSPACE_HEADER);
+        expect_that!(workspaces, some(elements_are![eq("cedar")]));
+        put_workspaces(
             &env.store,
             4,
             &json!({ "birch": { "api-keys": [BIRCH_KEY] } }),
@@ -302,7 +302,7 @@
         let headers = [(CREDENTIAL_HEADER, ACME_KEY), ("content-length", "8")];
         client.send_head("POST", "/claims/1", "late-body", &headers)?;
         client.stream.write_all(b"part")?;
-        put_tenants(
+        put_workspaces(
             &env.store,
             3,
             &json!({ "birch": { "api-keys": [BIRCH_KEY] } }),
@@ -361,7 +361,7 @@
     });
 }
 
-/// Guards against a node that trusts a tenant, or passes on a key, that a node of an earlier build has
+/// Guards against a node that trusts a workspace, or passes on a key, that a node of an earlier build has
 /// forwarded from a client.
 #[gtest]
 fn headers_from_peer_of_earlier_build() {
@@ -378,21 +378,21 @@
             left: Duration::from_secs(2),
             is_overdue: false,
             limit: None,
-            tenant: None,
-            tenant_priority: 0,
+            workspace: None,
+            workspace_priority: 0,
             is_spillover: false,
         };
         let head = head.encode();
         let headers = [
             (HOP_REQUEST_HEADER, head.as_str()),
-            (TENANT_HEADER, "birch"),
+            (WORKSPACE_HEADER, "birch"),
             (CREDENTIAL_HEADER, ACME_KEY),
         ];
         let mut client = Client::connect(env.fleet.nodes()[0].addrs.node)?;
         client.send("/wrecks/1", "peer", &headers)?;
         expect_that!(client.receive()?.0, eq(200));
-        let tenants = received(&env, "peer", TENANT_HEADER);
-        expect_that!(tenants, some(is_empty()));
+        let workspaces = received(&env, "peer", WORKSPACE_HEADER);
+        expect_that!(workspaces, some(is_empty()));
         check_no_key_leaks(&env).await
     });
 }
@@ -408,7 +408,7 @@
         settings["strict_revoke"] = json!(true);
         settings["revoke_within_ms"] = json!(3_000);
         fs::write(&file, settings.to_string())?;
-        put_tenants(&env.store, 2, &both_tenants());
+        put_workspaces(&env.store, 2, &both_workspaces());
         for index in 0..2 {
             env.fleet.start(index)?;
             env.add_backend(index, 0.0)?;
@@ -446,14 +446,14 @@
 }
 
 /// Guards against a configuration that is in force in part, or whose refusal quotes a key in the log: two
-/// tenants have the same key.
+/// workspaces have the same key.
 #[gtest]
 fn configuration_with_shared_key() {
     run(async {
         let env = start(1).await?;
         let shared =
             json!({ "acme": { "api-keys": [ACME_KEY] }, "dahlia": { "api-keys": [ACME_KEY] } });
-        put_tenants(&env.store, 3, &shared);
+        put_workspaces(&env.store, 3, &shared);
         let until = Instant::now() + WAIT_LIMIT;
         let why = loop {
             let lines = env.fleet.log_lines(0, "configuration refused");
--- a/tests/request_limit.rs
+++ b/tests/request_limit.rs
@@ -28,8 +28,8 @@
 fn offer(now: Duration, priority: u8) -> Offer {
     Offer {
         route: ROUTE.into(),
-        tenant: None,
-        tenant_priority: 0,
+        workspace: None,
+        workspace_priority: 0,
         priority,
         objective: ms(250),
         objective_at: now + ms(250),
--- a/tests/routing_table.rs
+++ b/tests/routing_table.rs
@@ -3,14 +3,14 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use sycamorewick::coordination::tenants::credentials::Verdict;
-use sycamorewick::coordination::tenants::credentials::ViewLimits;
+use sycamorewick::coordination::workspaces::credentials::Verdict;
+use sycamorewick::coordination::workspaces::credentials::ViewLimits;
 use sycamorewick::protocol::mesh::CallerLimits;
 use sycamorewick::protocol::mesh::KeyHash;
 use sycamorewick::protocol::mesh::MeshConfig;
 use sycamorewick::protocol::mesh::MeshRoute;
-use sycamorewick::protocol::mesh::Tenant;
-use sycamorewick::protocol::name::TenantName;
+use sycamorewick::protocol::mesh::Workspace;
+use sycamorewick::protocol::name::WorkspaceName;
 use sycamorewick::state::routing_table::RoutingTable;
 use sycamorewick::state::routing_table::choose_service;
 
@@ -39,7 +39,7 @@
             body_bytes: 1_024,
             ..CallerLimits::default()
         },
-        tenants: Vec::new(),
+        workspaces: Vec::new(),
     })
 }
 
@@ -105,7 +105,7 @@
             routes: Vec::new(),
             services: Vec::new(),
             limits: CallerLimits::default(),
-            tenants: vec![Tenant {
+            workspaces: vec![Workspace {
                 name: "acme".into(),
                 keys: vec![KeyHash::of(text.as_bytes())],
                 priority: 1,
@@ -118,7 +118,7 @@
         config_within: Duration::from_secs(3),
         revoke_within: None,
     };
-    let acme = TenantName::from("acme");
+    let acme = WorkspaceName::from("acme");
     for (in_force, verdict) in [
         ("key-a", Verdict::Valid(&acme, 1)),
         ("key-b", Verdict::Unknown),
@@ -129,9 +129,9 @@
         let judged = credentials.judge(false, key, Some(Duration::ZERO), &limits);
         expect_that!(judged, eq(verdict));
         expect_that!(
-            table.tenant(&acme).map(|tenant| tenant.priority),
+            table.workspace(&acme).map(|workspace| workspace.priority),
             some(eq(1))
         );
-        expect_that!(table.tenant(&"birch".into()), none());
+        expect_that!(table.workspace(&"birch".into()), none());
     }
 }
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -20,8 +20,8 @@
 fn offer(now: Duration, priority: u8) -> Offer {
     Offer {
         route: LOOKUP.into(),
-        tenant: None,
-        tenant_priority: 0,
+        workspace: None,
+        workspace_priority: 0,
         priority,
         objective: ms(250),
         objective_at: now + ms(250),
@@ -95,14 +95,14 @@
     expect_that!(next.start, elements_are![eq(&lookup)]);
 }
 
-/// Under overload by tenants of low priority, calls of an urgent tenant must not wait behind them, whatever the
+/// Under overload by workspaces of low priority, calls of an urgent workspace must not wait behind them, whatever the
 /// priorities of the routes are.
 #[gtest]
-fn offer_tenant_priority_first() {
+fn offer_workspace_priority_first() {
     let mut queue = queue();
     let now = ms(1_000);
-    let offer_of = |tenant_priority, priority| Offer {
-        tenant_priority,
+    let offer_of = |workspace_priority, priority| Offer {
+        workspace_priority,
         ..offer(now, priority)
     };
     for _ in 0..2 {
--- a/tests/tenants_credentials.rs
+++ b/tests/workspaces_credentials.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use sycamorewick::coordination::tenants::credentials::CallTenant;
-use sycamorewick::coordination::tenants::credentials::Credentials;
-use sycamorewick::coordination::tenants::credentials::Verdict;
-use sycamorewick::coordination::tenants::credentials::ViewLimits;
+use sycamorewick::coordination::workspaces::credentials::CallWorkspace;
+use sycamorewick::coordination::workspaces::credentials::Credentials;
+use sycamorewick::coordination::workspaces::credentials::Verdict;
+use sycamorewick::coordination::workspaces::credentials::ViewLimits;
 use sycamorewick::protocol::mesh::KeyHash;
-use sycamorewick::protocol::mesh::Tenant;
-use sycamorewick::protocol::name::TenantName;
+use sycamorewick::protocol::mesh::Workspace;
+use sycamorewick::protocol::name::WorkspaceName;
 use sycamorewick::result_code::ResultCode;
 
 const FRESH: Option<Duration> = Some(Duration::from_millis(500));
@@ -26,10 +26,10 @@
     KeyHash::of(text.as_bytes())
 }
 
-fn tenant(name: &str, priority: u8, keys: &[&str]) -> Tenant {
+fn workspace(name: &str, priority: u8, keys: &[&str]) -> Workspace {
     let mut keys: Vec<KeyHash> = keys.iter().map(|text| key(text)).collect();
     keys.sort_unstable();
-    Tenant {
+    Workspace {
         name: name.into(),
         keys,
         priority,
@@ -40,18 +40,18 @@
 
 fn credentials() -> Credentials {
     Credentials::new(&[
-        tenant("acme", 2, &["key-a", "key-b"]),
-        tenant("birch", 1, &["key-c"]),
-        tenant("cedar", 3, &[]),
+        workspace("acme", 2, &["key-a", "key-b"]),
+        workspace("birch", 1, &["key-c"]),
+        workspace("cedar", 3, &[]),
     ])
 }
 
-/// Guards against a request that counts as that of another tenant, and against a key that is refused
+/// Guards against a request that counts as that of another workspace, and against a key that is refused
 /// although it is in the configuration.
 #[gtest]
-fn judge_keys_of_tenants() {
+fn judge_keys_of_workspaces() {
     let credentials = credentials();
-    let (acme, birch) = (TenantName::from("acme"), TenantName::from("birch"));
+    let (acme, birch) = (WorkspaceName::from("acme"), WorkspaceName::from("birch"));
     for (text, found) in [
         ("key-a", Verdict::Valid(&acme, 2)),
         ("key-b", Verdict::Valid(&acme, 2)),
@@ -68,20 +68,20 @@
     expect_that!(without, eq(Verdict::Unknown));
 }
 
-/// Guards against a deployment without tenants that asks for credentials, at any age of its view.
+/// Guards against a deployment without workspaces that asks for credentials, at any age of its view.
 #[gtest]
-fn judge_without_tenants() {
+fn judge_without_workspaces() {
     let credentials = Credentials::new(&[]);
     for view_age in [FRESH, None, Some(Duration::from_mins(1))] {
         for presented in [None, Some(key("key-a"))] {
             let verdict = credentials.judge(false, presented, view_age, &STRICT);
-            expect_that!(verdict, eq(Verdict::NoTenants));
+            expect_that!(verdict, eq(Verdict::NoWorkspaces));
         }
     }
-    let tenant = credentials.tenant(Verdict::NoTenants);
+    let workspace = credentials.workspace(Verdict::NoWorkspaces);
     expect_that!(
-        tenant,
-        ok(eq(&CallTenant {
+        workspace,
+        ok(eq(&CallWorkspace {
             name: None,
             priority: 0
         }))
@@ -89,7 +89,7 @@
 }
 
 /// Guards against a public route that refuses a request because of the credential that it happens to carry,
-/// or that serves it as a request of a tenant.
+/// or that serves it as a request of a workspace.
 #[gtest]
 fn judge_public_route() {
     let credentials = credentials();
@@ -113,7 +113,7 @@
     expect_that!(judge(Some(key("key-d")), None), eq(Verdict::CannotJudge));
     // No configuration makes a request valid that carries no key.
     expect_that!(judge(None, beyond), eq(Verdict::Unknown));
-    let acme = TenantName::from("acme");
+    let acme = WorkspaceName::from("acme");
     expect_that!(
         judge(Some(key("key-a")), None),
         eq(Verdict::Valid(&acme, 2))
@@ -126,7 +126,7 @@
 fn judge_strict_revoke() {
     let credentials = credentials();
     let judge = |presented, view_age| credentials.judge(false, presented, view_age, &STRICT);
-    let acme = TenantName::from("acme");
+    let acme = WorkspaceName::from("acme");
     let at_limit = Some(Duration::from_secs(5));
     let beyond = Some(Duration::from_millis(5_001));
     expect_that!(
@@ -146,22 +146,22 @@
     }
 }
 
-/// Guards against calls of running requests, which have no tenant, that wait behind new calls of tenants.
+/// Guards against calls of running requests, which have no workspace, that wait behind new calls of workspaces.
 #[gtest]
-fn tenant_priorities() {
+fn workspace_priorities() {
     let credentials = credentials();
-    let public = credentials.tenant(Verdict::Public);
-    expect_that!(public.map(|tenant| tenant.priority), ok(eq(1)));
-    let acme = TenantName::from("acme");
-    let valid = credentials.tenant(Verdict::Valid(&acme, 2));
+    let public = credentials.workspace(Verdict::Public);
+    expect_that!(public.map(|workspace| workspace.priority), ok(eq(1)));
+    let acme = WorkspaceName::from("acme");
+    let valid = credentials.workspace(Verdict::Valid(&acme, 2));
     expect_that!(
         valid,
-        ok(eq(&CallTenant {
+        ok(eq(&CallWorkspace {
             name: Some(acme),
             priority: 2
         }))
     );
-    let refused = |verdict| credentials.tenant(verdict).err();
+    let refused = |verdict| credentials.workspace(verdict).err();
     expect_that!(
         refused(Verdict::Unknown),
         some(eq(ResultCode::CredentialUnknown))
--- a/tests/tenants_fair_share.rs
+++ b/tests/workspaces_fair_share.rs
@@ -1,4 +1,4 @@
-//! Tenants that compete for the slots of one backend server, in virtual time. Each pattern demands more than the
+//! Workspaces that compete for the slots of one backend server, in virtual time. Each pattern demands more than the
 //! backend server can serve.
 
 use std::cmp::Reverse;
@@ -14,8 +14,8 @@
 use sycamorewick::coordination::slot_queue::Offer;
 use sycamorewick::coordination::slot_queue::SlotQueue;
 use sycamorewick::coordination::slot_queue::Ticket;
-use sycamorewick::coordination::tenants::fair_share::FairShare;
-use sycamorewick::coordination::tenants::fair_share::TenantShare;
+use sycamorewick::coordination::workspaces::fair_share::FairShare;
+use sycamorewick::coordination::workspaces::fair_share::WorkspaceShare;
 use sycamorewick::protocol::name::RouteName;
 
 const SLOTS: u32 = 6;
@@ -30,11 +30,11 @@
 const COUNTED: Duration = LENGTH.saturating_sub(WARM_UP);
 /// Pause of a client that comes back at once after a refusal: the round trip.
 const AT_ONCE: Duration = Duration::from_millis(20);
-/// Least part of the average share that a tenant has to get.
+/// Least part of the average share that a workspace has to get.
 const LEAST_PART: f64 = 0.25;
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=2;
 
-/// Calls of a tenant.
+/// Calls of a workspace.
 #[derive(Clone, Copy, Debug)]
 enum Demand {
     /// Calls a second, whatever the responses are.
@@ -55,8 +55,8 @@
 
 #[derive(Clone, Debug)]
 struct Client {
-    tenant: Option<TenantShare>,
-    tenant_priority: u8,
+    workspace: Option<WorkspaceShare>,
+    workspace_priority: u8,
     demand: Demand,
     retry: Retry,
 }
@@ -64,8 +64,8 @@
 fn client(name: &str, weight: f64, demand: Demand, retry: Retry) -> Client {
     let name = name.into();
     Client {
-        tenant: Some(TenantShare { name, weight }),
-        tenant_priority: 0,
+        workspace: Some(WorkspaceShare { name, weight }),
+        workspace_priority: 0,
         demand,
         retry,
     }
@@ -162,8 +162,8 @@
         let is_overdue = now > call.began + OBJECTIVE;
         let mut offer = Offer {
             route: "lookup".into(),
-            tenant: client.tenant.clone(),
-            tenant_priority: client.tenant_priority,
+            workspace: client.workspace.clone(),
+            workspace_priority: client.workspace_priority,
             priority: 1,
             objective: OBJECTIVE,
             objective_at: if is_overdue { now } else { now + OBJECTIVE },
@@ -262,16 +262,16 @@
     f64::from(u32::try_from(items).unwrap_or(u32::MAX))
 }
 
-/// Checks that the backend server was busy and that each tenant got its least part of the average share of its
+/// Checks that the backend server was busy and that each workspace got its least part of the average share of its
 /// rank, the served calls by weight.
 fn check_shares(pattern: &str, seed: u64, clients: &[Client], served: &[f64]) {
     let busy = served.iter().sum::<f64>() / (COUNTED.as_secs_f64() * CAPACITY);
     expect_that!(busy, gt(0.85), "{pattern}, seed {seed}");
     for rank in [0, 1] {
         let of_rank = clients.iter().zip(served);
-        let of_rank = of_rank.filter(|(client, _)| client.tenant_priority == rank);
+        let of_rank = of_rank.filter(|(client, _)| client.workspace_priority == rank);
         let shares: Vec<f64> = of_rank
-            .filter_map(|(client, served)| Some(served / client.tenant.as_ref()?.weight))
+            .filter_map(|(client, served)| Some(served / client.workspace.as_ref()?.weight))
             .collect();
         let average = shares.iter().sum::<f64>() / count(shares.len().max(1));
         for share in &shares {
@@ -281,10 +281,10 @@
     }
 }
 
-/// A tenant that sends 7 times its share must not take the shares of others, whose clients give up after one
+/// A workspace that sends 7 times its share must not take the shares of others, whose clients give up after one
 /// refusal, retry as asked, or retry at once.
 #[gtest]
-fn hot_tenant() {
+fn hot_workspace() {
     let share = CAPACITY / 10.0;
     for retry in [Retry::Never, Retry::AsAsked, Retry::AtOnce] {
         for hot_retry in [Retry::Never, Retry::AtOnce] {
@@ -296,7 +296,7 @@
             }
             for seed in SEEDS {
                 let served = Simulation::run(seed, &clients);
-                let pattern = format!("hot tenant, {retry:?}, {hot_retry:?}");
+                let pattern = format!("hot workspace, {retry:?}, {hot_retry:?}");
                 check_shares(&pattern, seed, &clients, &served);
                 // The others stay within their shares, so nearly all of their calls are served.
                 let sent = share * COUNTED.as_secs_f64();
@@ -308,13 +308,13 @@
     }
 }
 
-/// In a burst of all tenants at once none may be left without service.
+/// In a burst of all workspaces at once none may be left without service.
 #[gtest]
 fn burst_of_all() {
-    let tenants = 40;
-    let demand = Demand::Open(7.0 * CAPACITY / f64::from(tenants));
+    let workspaces = 40;
+    let demand = Demand::Open(7.0 * CAPACITY / f64::from(workspaces));
     for retry in [Retry::Never, Retry::AsAsked] {
-        let clients: Vec<Client> = (0..tenants)
+        let clients: Vec<Client> = (0..workspaces)
             .map(|number| client(&format!("t{number}"), 1.0, demand, retry))
             .collect();
         for seed in SEEDS {
@@ -344,10 +344,10 @@
     }
 }
 
-/// Many small tenants beside a large one: neither may the large one keep out the small ones, nor may their number
+/// Many small workspaces beside a large one: neither may the large one keep out the small ones, nor may their number
 /// take its share.
 #[gtest]
-fn small_tenants_beside_large_one() {
+fn small_workspaces_beside_large_one() {
     let weight = 50.0;
     let small = 50;
     for retry in [Retry::Never, Retry::AtOnce] {
@@ -368,7 +368,7 @@
     }
 }
 
-/// A tenant must not get more by opening more connections.
+/// A workspace must not get more by opening more connections.
 #[gtest]
 fn more_connections() {
     for retry in [Retry::Never, Retry::AtOnce] {
@@ -392,11 +392,11 @@
     }
 }
 
-/// Calls of running requests, which have no tenant, must not wait behind new calls of tenants of their rank.
+/// Calls of running requests, which have no workspace, must not wait behind new calls of workspaces of their rank.
 #[gtest]
 fn calls_of_running_requests_first() {
     let running = Client {
-        tenant: None,
+        workspace: None,
         ..client("none", 1.0, Demand::Open(20.0), Retry::Never)
     };
     let mut clients = vec![running];
@@ -412,15 +412,15 @@
     }
 }
 
-/// A tenant of an urgent rank must not be slowed down by the shares of others.
+/// A workspace of an urgent rank must not be slowed down by the shares of others.
 #[gtest]
-fn urgent_tenant_first() {
+fn urgent_workspace_first() {
     let mut clients = vec![client("urgent", 1.0, Demand::Open(50.0), Retry::Never)];
     for number in 0..10 {
         let name = format!("t{number}");
         let other = client(&name, 1.0, Demand::Open(30.0), Retry::AtOnce);
         clients.push(Client {
-            tenant_priority: 1,
+            workspace_priority: 1,
             ..other
         });
     }
@@ -432,12 +432,12 @@
     }
 }
 
-fn share(name: &str, weight: f64) -> TenantShare {
+fn share(name: &str, weight: f64) -> WorkspaceShare {
     let name = name.into();
-    TenantShare { name, weight }
+    WorkspaceShare { name, weight }
 }
 
-/// Virtual times must give the shares of the weights, also after a tenant was idle.
+/// Virtual times must give the shares of the weights, also after a workspace was idle.
 #[gtest]
 fn start_time_by_weight() {
     let mut shares = FairShare::default();
@@ -453,7 +453,7 @@
     for _ in 0..100 {
         shares.on_start((0, 1), &large);
     }
-    // The idle tenant has no claim for the time in which it sent nothing.
+    // The idle workspace has no claim for the time in which it sent nothing.
     shares.on_start((0, 1), &small);
     let behind = shares.start_time((0, 1), &small, 0) - shares.start_time((0, 1), &large, 0);
     expect_that!(behind, gt(0.5));
@@ -462,9 +462,9 @@
     expect_that!(shares.start_time((1, 1), &small, 2), eq(2.0));
 }
 
-/// The memory must stay bounded when peers name ever new tenants and priorities.
+/// The memory must stay bounded when peers name ever new workspaces and priorities.
 #[gtest]
-fn tenant_count_bounded() {
+fn workspace_count_bounded() {
     let mut shares = FairShare::default();
     for number in 0..200_000_u32 {
         let rank = (u8::try_from(number % 251).unwrap_or(0), 1);
@@ -473,7 +473,7 @@
     for number in 0..5_000 {
         shares.on_start((0, 0), &share(&format!("t{number}"), 0.0));
     }
-    expect_that!(shares.tenant_count(), le(16 * 512));
+    expect_that!(shares.workspace_count(), le(16 * 512));
     let time = shares.start_time((0, 0), &share("t4999", 1.0), 0);
     expect_true!(time.is_finite());
 }
@@ -492,7 +492,7 @@
     expect_that!(shares.start_time((0, 0), &usual, 0), gt(first));
 }
 
-/// A call of a tenant that fills the queue must be refused as soon as calls of others go before it, instead of
+/// A call of a workspace that fills the queue must be refused as soon as calls of others go before it, instead of
 /// waiting in vain; a call that is refused is not one of those that go before.
 #[gtest]
 fn refuse_overtaken_last_calls() {
@@ -501,8 +501,8 @@
     let now = Duration::from_secs(1);
     let offer = |name: &str| Offer {
         route: lookup.clone(),
-        tenant: Some(share(name, 1.0)),
-        tenant_priority: 0,
+        workspace: Some(share(name, 1.0)),
+        workspace_priority: 0,
         priority: 1,
         objective: OBJECTIVE,
         objective_at: now + OBJECTIVE,
@@ -525,7 +525,7 @@
     }
     expect_that!(hot.len(), gt(3));
     let Admit::Wait(other, _) = queue.offer(now, &offer("other")) else {
-        panic!("the call of the other tenant is not admitted");
+        panic!("the call of the other workspace is not admitted");
     };
     let changes = queue.refuse_overtaken(now, other);
     let refused: Vec<Ticket> = changes.refuse.iter().map(|(ticket, _)| *ticket).collect();
--- a/tests/tenants_quota.rs
+++ b/tests/workspaces_quota.rs
@@ -1,7 +1,7 @@
-//! Quotas of tenants over all nodes, in a model of a fleet in virtual time.
+//! Quotas of workspaces over all nodes, in a model of a fleet in virtual time.
 //!
 //! The model has nodes with a limiter and a collector each, messages with delays, and clients that send at
-//! random times. It counts what all nodes admit for a tenant in any window.
+//! random times. It counts what all nodes admit for a workspace in any window.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -11,26 +11,26 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use sycamorewick::coordination::tenants::quota::QuotaBounds;
-use sycamorewick::coordination::tenants::quota::QuotaDecision;
-use sycamorewick::coordination::tenants::quota::QuotaLimiter;
-use sycamorewick::coordination::tenants::usage::Collector;
-use sycamorewick::coordination::tenants::usage::CollectorChoice;
+use sycamorewick::coordination::workspaces::quota::QuotaBounds;
+use sycamorewick::coordination::workspaces::quota::QuotaDecision;
+use sycamorewick::coordination::workspaces::quota::QuotaLimiter;
+use sycamorewick::coordination::workspaces::usage::Collector;
+use sycamorewick::coordination::workspaces::usage::CollectorChoice;
 use sycamorewick::protocol::hop::RequestRate;
 use sycamorewick::protocol::mesh::Quota;
-use sycamorewick::protocol::mesh::Tenant;
+use sycamorewick::protocol::mesh::Workspace;
 use sycamorewick::protocol::name::DomainName;
 use sycamorewick::protocol::name::NodeId;
-use sycamorewick::protocol::name::TenantName;
+use sycamorewick::protocol::name::WorkspaceName;
 use sycamorewick::protocol::usage::DomainUsage;
-use sycamorewick::protocol::usage::TenantCount;
 use sycamorewick::protocol::usage::UsageReport;
 use sycamorewick::protocol::usage::UsageTotals;
+use sycamorewick::protocol::usage::WorkspaceCount;
 
 const NODES: usize = 84;
 const DOMAINS: usize = 5;
-const TENANTS: usize = 84;
-/// Requests a second of all tenants together.
+const WORKSPACES: usize = 84;
+/// Requests a second of all workspaces together.
 const DEMAND: f64 = 1_800.0;
 /// Quota as a multiple of the usual demand.
 const QUOTA_FACTOR: f64 = 1.6;
@@ -58,7 +58,7 @@
 
 enum Message {
     Report(UsageReport),
-    Totals(Vec<TenantCount>, UsageTotals),
+    Totals(Vec<WorkspaceCount>, UsageTotals),
     Exchange(DomainUsage),
     Response(DomainUsage),
     NotCollecting,
@@ -74,17 +74,17 @@
     Pause(usize, u64),
     /// Messages for which this is true are lost.
     Cut(fn(usize, usize) -> bool),
-    /// All tenants get this multiple of their quota.
+    /// All workspaces get this multiple of their quota.
     Quotas(f64),
 }
 
-/// What clients do: requests a second of a tenant, and the node that a request goes to.
+/// What clients do: requests a second of a workspace, and the node that a request goes to.
 struct Pattern {
     rate: fn(f64, usize) -> f64,
     node: fn(f64, usize, &mut StdRng) -> usize,
 }
 
-/// Requests of a tenant, with the times of those admitted and an ideal bucket.
+/// Requests of a workspace, with the times of those admitted and an ideal bucket.
 struct Seen {
     quota: Quota,
     admitted: Vec<u64>,
@@ -100,7 +100,7 @@
     messages: BinaryHeap<Reverse<Sent>>,
     bodies: Vec<Option<Message>>,
     cut: fn(usize, usize) -> bool,
-    tenants: Vec<Tenant>,
+    workspaces: Vec<Workspace>,
     seen: Vec<Seen>,
 }
 
@@ -116,18 +116,19 @@
     DomainName::from(format!("d{domain}"))
 }
 
-/// Usual requests a second of a tenant; the largest one sends some 250 times as many as the smallest.
-fn usual(tenant: usize) -> f64 {
-    let weight = |tenant: usize| 1.0 / f64::from(u32::try_from(tenant + 1).unwrap()).powf(1.25);
-    DEMAND * weight(tenant) / (0..TENANTS).map(weight).sum::<f64>()
+/// Usual requests a second of a workspace; the largest one sends some 250 times as many as the smallest.
+fn usual(workspace: usize) -> f64 {
+    let weight =
+        |workspace: usize| 1.0 / f64::from(u32::try_from(workspace + 1).unwrap()).powf(1.25);
+    DEMAND * weight(workspace) / (0..WORKSPACES).map(weight).sum::<f64>()
 }
 
 fn any_node(_: f64, _: usize, rng: &mut StdRng) -> usize {
     rng.random_range(0..NODES)
 }
 
-fn usual_rate(_: f64, tenant: usize) -> f64 {
-    usual(tenant)
+fn usual_rate(_: f64, workspace: usize) -> f64 {
+    usual(workspace)
 }
 
 const USUAL: Pattern = Pattern {
@@ -135,12 +136,12 @@
     node: any_node,
 };
 
-fn tenants(factor: f64) -> Vec<Tenant> {
-    let tenant = |index: usize| {
+fn workspaces(factor: f64) -> Vec<Workspace> {
+    let workspace = |index: usize| {
         let per_s = usual(index) * QUOTA_FACTOR * factor;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let burst = per_s.ceil() as u32;
-        Tenant {
+        Workspace {
             name: format!("t{index:02}").into(),
             keys: Vec::new(),
             priority: 0,
@@ -151,17 +152,17 @@
             homes: Vec::new(),
         }
     };
-    (0..TENANTS).map(tenant).collect()
+    (0..WORKSPACES).map(workspace).collect()
 }
 
-fn name_of(tenant: usize) -> TenantName {
-    format!("t{tenant:02}").into()
+fn name_of(workspace: usize) -> WorkspaceName {
+    format!("t{workspace:02}").into()
 }
 
 impl Fleet {
     fn new(seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let tenants = tenants(1.0);
+        let workspaces = workspaces(1.0);
         let domains: Vec<(DomainName, usize)> = (0..DOMAINS)
             .map(|domain| {
                 let nodes = (0..NODES).filter(|node| domain_of(*node) == domain);
@@ -171,10 +172,10 @@
         let nodes = (0..NODES).map(|index| {
             let mut limiter = QuotaLimiter::new(BOUNDS);
             limiter.set_nodes(NODES);
-            limiter.set_tenants(Duration::ZERO, &tenants, &mut rng);
+            limiter.set_workspaces(Duration::ZERO, &workspaces, &mut rng);
             let run = u64::try_from(index).unwrap() + 1;
             let mut collector = Collector::new(domain_name(domain_of(index)), run, BOUNDS);
-            collector.set_tenants(Duration::ZERO, &tenants);
+            collector.set_workspaces(Duration::ZERO, &workspaces);
             collector.set_domains(&domains);
             Node {
                 limiter,
@@ -188,8 +189,8 @@
             }
         });
         let nodes = nodes.collect();
-        let all_seen = tenants.iter().map(|tenant| {
-            let quota = tenant.quota.unwrap();
+        let all_seen = workspaces.iter().map(|workspace| {
+            let quota = workspace.quota.unwrap();
             Seen {
                 quota,
                 admitted: Vec::new(),
@@ -206,7 +207,7 @@
             bodies: Vec::new(),
             cut: |_, _| false,
             seen: all_seen.collect(),
-            tenants,
+            workspaces,
         }
     }
 
@@ -223,8 +224,8 @@
             for node in 0..NODES {
                 self.step(node);
             }
-            for tenant in 0..TENANTS {
-                self.send_requests(tenant, pattern, begin);
+            for workspace in 0..WORKSPACES {
+                self.send_requests(workspace, pattern, begin);
             }
             self.now += TICK_MS;
         }
@@ -239,15 +240,17 @@
             }
             Change::Cut(cut) => self.cut = *cut,
             Change::Quotas(factor) => {
-                self.tenants = tenants(*factor);
+                self.workspaces = workspaces(*factor);
                 for node in 0..NODES {
                     let now = self.clock(node);
                     let known = &mut self.nodes[node];
-                    known.limiter.set_tenants(now, &self.tenants, &mut self.rng);
-                    known.collector.set_tenants(now, &self.tenants);
+                    known
+                        .limiter
+                        .set_workspaces(now, &self.workspaces, &mut self.rng);
+                    known.collector.set_workspaces(now, &self.workspaces);
                 }
-                for (seen, tenant) in self.seen.iter_mut().zip(&self.tenants) {
-                    seen.quota = tenant.quota.unwrap();
+                for (seen, workspace) in self.seen.iter_mut().zip(&self.workspaces) {
+                    seen.quota = workspace.quota.unwrap();
                 }
             }
         }
@@ -398,28 +401,28 @@
         }
     }
 
-    fn send_requests(&mut self, tenant: usize, pattern: &Pattern, begin: u64) {
+    fn send_requests(&mut self, workspace: usize, pattern: &Pattern, begin: u64) {
         #[allow(clippy::cast_precision_loss)]
         let (at, tick_s) = ((self.now - begin) as f64 / 1e3, TICK_MS as f64 / 1e3);
-        let per_s = self.seen[tenant].quota.rate.per_s();
-        let burst = f64::from(self.seen[tenant].quota.burst);
-        let seen = &mut self.seen[tenant];
+        let per_s = self.seen[workspace].quota.rate.per_s();
+        let burst = f64::from(self.seen[workspace].quota.burst);
+        let seen = &mut self.seen[workspace];
         seen.ideal = (seen.ideal + per_s * tick_s).min(burst);
         // A Poisson process.
-        let mut left = (pattern.rate)(at, tenant) * tick_s;
+        let mut left = (pattern.rate)(at, workspace) * tick_s;
         loop {
             left += self.rng.random_range(f64::MIN_POSITIVE..1.0).ln();
             if left < 0.0 {
                 return;
             }
-            let node = (pattern.node)(at, tenant, &mut self.rng);
+            let node = (pattern.node)(at, workspace, &mut self.rng);
             if !self.is_running(node) {
                 continue;
             }
             let now = self.clock(node);
             let limiter = &mut self.nodes[node].limiter;
-            let decision = limiter.admit(now, &name_of(tenant), &mut self.rng);
-            let seen = &mut self.seen[tenant];
+            let decision = limiter.admit(now, &name_of(workspace), &mut self.rng);
+            let seen = &mut self.seen[workspace];
             seen.sent += 1;
             if decision == QuotaDecision::Admitted {
                 seen.admitted.push(self.now);
@@ -431,10 +434,10 @@
     }
 
     /// Largest number of admitted requests in a window that begins at `from` or later, as a share of what
-    /// is allowed, with the tenant.
+    /// is allowed, with the workspace.
     fn worst(&self, from: u64) -> (f64, usize) {
         let mut worst = (0.0, 0);
-        for (tenant, seen) in self.seen.iter().enumerate() {
+        for (workspace, seen) in self.seen.iter().enumerate() {
             let limit = BOUNDS.limit(seen.quota);
             let mut begin = 0;
             for (end, at) in seen.admitted.iter().enumerate() {
@@ -445,7 +448,7 @@
                 }
                 let count = f64::from(u32::try_from(end + 1 - begin).unwrap());
                 if count / limit > worst.0 {
-                    worst = (count / limit, tenant);
+                    worst = (count / limit, workspace);
                 }
             }
         }
@@ -479,17 +482,17 @@
         fleet.run(6, &USUAL, &[]);
         fleet.reset_counts();
         fleet.run(seconds, pattern, &changes());
-        let (worst, tenant) = fleet.worst(0);
+        let (worst, workspace) = fleet.worst(0);
         println!(
-            "seed {seed}: worst window {worst:.3} of the limit (tenant {tenant}), refused below the limit {:.5}",
+            "seed {seed}: worst window {worst:.3} of the limit (workspace {workspace}), refused below the limit {:.5}",
             fleet.refused_share()
         );
-        expect_that!(worst, le(1.0), "seed {seed}, tenant {tenant}");
+        expect_that!(worst, le(1.0), "seed {seed}, workspace {workspace}");
         check(&fleet, seed);
     }
 }
 
-/// Requests below the quota must not be refused, also of tenants with less than one request a window and
+/// Requests below the quota must not be refused, also of workspaces with less than one request a window and
 /// node.
 #[gtest]
 fn admit_usual_demand() {
@@ -498,11 +501,11 @@
     });
 }
 
-/// A tenant that sends seven times its usual rate must be held to its quota, which it must still get.
+/// A workspace that sends seven times its usual rate must be held to its quota, which it must still get.
 #[gtest]
 fn admit_seven_times_usual() {
     for hot in [0_usize, 3, 10, 30, 80] {
-        println!("tenant {hot}");
+        println!("workspace {hot}");
         let rate: fn(f64, usize) -> f64 = match hot {
             0 => |at, t| usual(t) * if t == 0 && at < 5.0 { 7.0 } else { 1.0 },
             3 => |at, t| usual(t) * if t == 3 && at < 5.0 { 7.0 } else { 1.0 },
@@ -523,19 +526,19 @@
             let admitted = f64::from(u32::try_from(since.count()).unwrap());
             let quota = seen.quota.rate.per_s() * 5.0;
             println!("admitted {admitted} of {quota:.0}");
-            expect_that!(admitted, ge(0.8 * quota), "seed {seed}, tenant {hot}");
+            expect_that!(admitted, ge(0.8 * quota), "seed {seed}, workspace {hot}");
         });
     }
 }
 
-/// All clients of a tenant at one node must get the whole quota there, and no more.
+/// All clients of a workspace at one node must get the whole quota there, and no more.
 #[gtest]
 fn admit_all_clients_at_one_node() {
     let one_node = Pattern {
         rate: usual_rate,
-        node: |_, tenant, rng| match tenant {
-            0..8 => tenant * 7,
-            _ => any_node(0.0, tenant, rng),
+        node: |_, workspace, rng| match workspace {
+            0..8 => workspace * 7,
+            _ => any_node(0.0, workspace, rng),
         },
     };
     run_pattern(12, &one_node, Vec::new, |fleet, seed| {
@@ -548,19 +551,23 @@
 fn admit_surge_at_one_node() {
     let surge = Pattern {
         rate: |at, t| usual(t) * if t < 8 && at > 3.0 { 4.0 } else { 1.0 },
-        node: |_, tenant, rng| match tenant {
-            0..8 => tenant * 7,
-            _ => any_node(0.0, tenant, rng),
+        node: |_, workspace, rng| match workspace {
+            0..8 => workspace * 7,
+            _ => any_node(0.0, workspace, rng),
         },
     };
     run_pattern(10, &surge, Vec::new, |fleet, seed| {
-        for tenant in 0..8 {
-            let seen = &fleet.seen[tenant];
+        for workspace in 0..8 {
+            let seen = &fleet.seen[workspace];
             let last = seen.admitted.iter().filter(|at| **at >= 11_000);
             let admitted = f64::from(u32::try_from(last.count()).unwrap());
             let quota = seen.quota.rate.per_s() * 5.0;
-            println!("tenant {tenant}: admitted {admitted} of {quota:.0}");
-            expect_that!(admitted, ge(0.8 * quota), "seed {seed}, tenant {tenant}");
+            println!("workspace {workspace}: admitted {admitted} of {quota:.0}");
+            expect_that!(
+                admitted,
+                ge(0.8 * quota),
+                "seed {seed}, workspace {workspace}"
+            );
         }
     });
 }
@@ -570,9 +577,9 @@
 fn admit_clients_that_move() {
     let moving = Pattern {
         rate: usual_rate,
-        node: |at, tenant, rng| {
+        node: |at, workspace, rng| {
             let moves = usize::from(at > 4.0) + usize::from(at > 8.0);
-            (tenant + moves) % DOMAINS + DOMAINS * rng.random_range(0..NODES / DOMAINS)
+            (workspace + moves) % DOMAINS + DOMAINS * rng.random_range(0..NODES / DOMAINS)
         },
     };
     run_pattern(12, &moving, Vec::new, |fleet, seed| {
@@ -702,11 +709,11 @@
 fn admit_paused_node() {
     let hot = Pattern {
         rate: |_, t| usual(t) * if t % 3 == 0 { 4.0 } else { 1.0 },
-        node: |_, tenant, rng| match tenant {
+        node: |_, workspace, rng| match workspace {
             // All clients of these are at the node that pauses, or at a collector that does.
             0 => 7,
             3 => 1,
-            _ => any_node(0.0, tenant, rng),
+            _ => any_node(0.0, workspace, rng),
         },
     };
     let pause = || {
@@ -726,23 +733,23 @@
         let mut fleet = Fleet::new(seed);
         fleet.run(6, &USUAL, &[]);
         fleet.run(12, &USUAL, &[(0, Change::Quotas(0.2))]);
-        let (worst, tenant) = fleet.worst(6_000);
-        println!("seed {seed}: worst window {worst:.3} of the limit (tenant {tenant})");
-        expect_that!(worst, le(1.0), "seed {seed}, tenant {tenant}");
+        let (worst, workspace) = fleet.worst(6_000);
+        println!("seed {seed}: worst window {worst:.3} of the limit (workspace {workspace})");
+        expect_that!(worst, le(1.0), "seed {seed}, workspace {workspace}");
     }
 }
 
 /// Creates a limiter of a fleet of one node, with a quota of 10 requests a second and a burst of 4.
 fn single_limiter(rng: &mut StdRng) -> QuotaLimiter {
-    let tenant = Tenant {
+    let workspace = Workspace {
         quota: Some(Quota {
             rate: RequestRate::from_per_s(10.0).unwrap(),
             burst: 4,
         }),
-        ..tenants(1.0).remove(0)
+        ..workspaces(1.0).remove(0)
     };
     let mut limiter = QuotaLimiter::new(BOUNDS);
-    limiter.set_tenants(Duration::ZERO, &[tenant], rng);
+    limiter.set_workspaces(Duration::ZERO, &[workspace], rng);
     limiter
 }
 
@@ -783,7 +790,7 @@
     expect_that!(counts[0].admitted, eq(0));
 }
 
-/// A tenant without a quota must not be limited, and must not cause reports.
+/// A workspace without a quota must not be limited, and must not cause reports.
 #[gtest]
 fn admit_without_quota() {
     let mut rng = StdRng::seed_from_u64(1);
