Bound the connections that a sidecar opens itself

Now the shares of all kinds add up to less than max_open_files (sidecar/file_shares.rs).

At the limit the idle connection that was used least recently is closed. If none is idle, a request waits up to 250 ms in the order of arrival and then fails as not sent, without blaming the peer: the entry node refuses the call with 4021, the serving node as overloaded. Control messages have a limit of their own, the store and the backend server a reserved part.

--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -321,6 +321,8 @@
                 self.retry_after = Some(shortest);
                 match code {
                     ResultCode::RequestQuarantined => self.on_quarantined(retry_after),
+                    // Other nodes cannot be reached either.
+                    ResultCode::ClientLimit => self.on_denied(code),
                     ResultCode::OutsideHome | ResultCode::DomainEvacuated => {
                         self.excluded.push(node.clone());
                         self.location_refusal = Some((node.clone(), code));
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -122,7 +122,7 @@
     QuotaExceeded = 4019, "quota exceeded";
     /// The failure domain of the backend server is evacuated.
     DomainEvacuated = 4020, "failure domain evacuated";
-    /// The memory that clients may use is taken.
+    /// The memory that clients may use is taken, or the connections that the process may open.
     ClientLimit = 4021, "limit of clients";
 
     /// A message between nodes could not be encoded.
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -793,9 +793,9 @@
             code: ResultCode::Overloaded,
             ..
         } => AttemptEnd::Overloaded,
-        // The call is the reason, not the node.
+        // The call or the own limit of connections is the reason, not the node.
         ServeOutcome::Refused {
-            code: ResultCode::RequestQuarantined | ResultCode::OutsideHome,
+            code: ResultCode::RequestQuarantined | ResultCode::OutsideHome | ResultCode::ClientLimit,
             ..
         } => AttemptEnd::Cancelled,
         ServeOutcome::Refused { .. } => AttemptEnd::NoBackend,
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -284,6 +284,17 @@
                     route_tallies: RouteTotals::default(),
                 };
             }
+            if failure == ExchangeFailure::NoConnection {
+                info!(cx.log, "call not sent"; "to" => addr.to_string(), "why" => failure.to_string(),
+                    "code" => ResultCode::ClientLimit.number(),
+                    "attempt" => serving::attempt_text(call.attempt.as_ref()));
+                return HopResult {
+                    outcome: ServeOutcome::refused(ResultCode::ClientLimit),
+                    reached: true,
+                    report: None,
+                    route_tallies: RouteTotals::default(),
+                };
+            }
             cx.pool.close_idle(addr);
             warn!(cx.log, "call to a node failed"; "to" => addr.to_string(), "why" => failure.to_string(),
                 "attempt" => serving::attempt_text(call.attempt.as_ref()));
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -6,6 +6,7 @@
 mod body_gate;
 mod crashes;
 mod entry;
+pub mod file_shares;
 mod health_check;
 mod health_probe;
 mod heartbeat_port;
@@ -64,6 +65,7 @@
 use crate::result_code::ResultCode;
 use crate::sidecar::admission::AdmissionQueue;
 use crate::sidecar::announcer::WrittenEntry;
+use crate::sidecar::file_shares::FileShares;
 use crate::sidecar::metrics::SidecarMetrics;
 use crate::sidecar::settings::SidecarSettings;
 use crate::sidecar::topic_follower::Feed;
@@ -74,6 +76,7 @@
 use crate::transport::body_budget::BodyBudget;
 use crate::transport::client_memory;
 use crate::transport::client_memory::ClientMemory;
+use crate::transport::connection_limit::ConnectionLimit;
 use crate::transport::exchange::ConnectionPool;
 use crate::transport::http_server::Handler;
 use crate::transport::http_server::HttpServer;
@@ -81,16 +84,6 @@
 use crate::transport::pipeline::CurrentLimits;
 use crate::transport::pipeline::PipelineOptions;
 
-/// Largest numbers of open connections of callers, of other nodes and of the platform. The smallest
-/// instances allow 4,100 file descriptors.
-const MAX_CALLER_CONNECTIONS: usize = 1_800;
-const MAX_NODE_CONNECTIONS: usize = 1_200;
-const MAX_PLATFORM_CONNECTIONS: usize = 64;
-/// Parts of the file descriptors that make these numbers smaller on an instance that allows fewer, so that the
-/// connections to backend servers and other nodes always have some.
-const CALLER_PARTS: f64 = 0.44;
-const NODE_PARTS: f64 = 0.29;
-const PLATFORM_PARTS: f64 = 0.02;
 /// Bytes of the headers that nodes add to the head of a call.
 const HOP_HEADER_BYTES: usize = 16 << 10;
 /// Bytes of the bodies of messages about the state of nodes that are held at a time. The connections of the port
@@ -237,7 +230,12 @@
 fn new_sidecar(settings: SidecarSettings, log: Logger) -> eyre::Result<Sidecar> {
     let mut rng = StdRng::try_from_rng(&mut rand::rngs::SysRng)?;
     let run = rng.next_u64();
-    let control_pool = Rc::new(ConnectionPool::default());
+    let shares = FileShares::new(settings.max_open_files);
+    let call_limit = ConnectionLimit::new(shares.calls);
+    let call_limit = call_limit.with_reserved(settings.backend_addr, shares.backend);
+    let control_limit = ConnectionLimit::new(shares.control);
+    let control_limit = control_limit.with_reserved(settings.store_addr, shares.store);
+    let control_pool = Rc::new(ConnectionPool::new(control_limit));
     let state = SidecarState {
         rng,
         table: None,
@@ -268,7 +266,7 @@
         clock,
         metrics: SidecarMetrics::install()?,
         store: Store::new(settings.store_addr, control_pool.clone(), log.clone()),
-        pool: Rc::new(ConnectionPool::default()),
+        pool: Rc::new(ConnectionPool::new(call_limit)),
         control_pool,
         log,
         service_header: HeaderValue::from_str(settings.service.as_str())?,
@@ -323,15 +321,15 @@
     let ready = bind(settings.ready_addr).await?;
     let heartbeat = bind(settings.heartbeat_addr).await?;
     let metrics = bind(settings.metrics_addr).await?;
-    let platform_connections = max_connections(cx, PLATFORM_PARTS, MAX_PLATFORM_CONNECTIONS);
+    let shares = FileShares::new(settings.max_open_files);
     let start_platform_server = |listener, handler, port| {
         let options = port_options(cx, handler, port);
-        HttpServer::start_with_options(listener, platform_connections, options)
+        HttpServer::start_with_options(listener, shares.platform, options)
     };
     Ok(Servers {
         caller: HttpServer::start_with_options(
             caller,
-            max_connections(cx, CALLER_PARTS, MAX_CALLER_CONNECTIONS),
+            shares.callers,
             PipelineOptions {
                 may_overlap: entry::may_overlap(cx),
                 any_fields: true,
@@ -341,7 +339,7 @@
         ),
         node: HttpServer::start_with_options(
             node,
-            max_connections(cx, NODE_PARTS, MAX_NODE_CONNECTIONS),
+            shares.nodes,
             PipelineOptions {
                 gate: Some(body_gate::gate(cx)),
                 limits: current_limits(cx, |limits| CallerLimits {
@@ -389,17 +387,6 @@
     })
 }
 
-/// Returns the number of connections of a port.
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a part of a number of file descriptors"
-)]
-fn max_connections(cx: &Sidecar, part: f64, most: usize) -> usize {
-    let connections = f64::from(cx.settings.max_open_files) * part;
-    (connections as usize).clamp(1, most)
-}
-
 async fn bind(addr: SocketAddr) -> eyre::Result<TcpListener> {
     TcpListener::bind(addr)
         .await
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -546,6 +546,12 @@
                 ServeOutcome::Unknown(ResultCode::InvalidResponse)
             }
         },
+        // The backend server may be well.
+        Err(Some(ExchangeFailure::NoConnection)) => {
+            info!(cx.log, "call not sent"; "attempt" => attempt, "instance" => &*backend.instance,
+                "why" => ExchangeFailure::NoConnection.to_string());
+            ServeOutcome::overloaded(NO_BACKEND_RETRY_AFTER)
+        }
         Err(Some(ExchangeFailure::NotSent(why))) => {
             mark_backend_down(cx, &why);
             ServeOutcome::refused(ResultCode::NoBackend)
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -48,12 +48,17 @@
 
 use crate::transport::body_budget::BodyBudget;
 use crate::transport::body_budget::HeldBytes;
+use crate::transport::connection_limit::ConnectionLimit;
+use crate::transport::connection_limit::ConnectionSlot;
 use crate::transport::cut_response;
 use crate::transport::http_client::HttpResponse;
 
 /// Time limit for opening a connection. Regions are about 8 ms apart, and a SYN packet that is dropped
 /// at a full queue is retransmitted only after seconds.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time that a request waits for a connection at the limit of the pool, as long as opening one may take.
+/// Then nothing was sent, and the caller learns it early enough to try again.
+pub const CONNECTION_WAIT: Duration = CONNECT_TIMEOUT;
 /// Time after which unacknowledged data, or unanswered keep-alive probes, end a connection. Nothing else
 /// detects a connection that a middlebox has dropped silently. The kernel takes keep-alive times in
 /// whole seconds; a shorter time disables them.
@@ -83,6 +88,8 @@
 /// Bytes of each response that do not count there. A peer that answers many requests at the same time without
 /// end takes this for each of them; a backend server has some 10 slots.
 const UNCOUNTED_RESPONSE_BYTES: usize = 64 << 10;
+/// Connections of a pool without a limit of its own.
+const DEFAULT_MAX_CONNECTIONS: usize = 512;
 /// Smallest body of a request that is written without a copy, bytes.
 const MIN_UNCOPIED_BYTES: usize = 16 << 10;
 /// Initial size of a read buffer, bytes; most responses fit.
@@ -121,6 +128,9 @@
 pub enum ExchangeFailure {
     /// No byte of the request was sent.
     NotSent(String),
+    /// No byte of the request was sent, since this process has as many connections as it may open. That says nothing
+    /// about the peer.
+    NoConnection,
     /// After the request was written, the connection ended or the response was malformed.
     Broken {
         /// Description of the failure.
@@ -136,6 +146,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(text) => write!(f, "not sent: {text}"),
+            Self::NoConnection => f.write_str("not sent: limit of connections reached"),
             Self::Broken { text, reused } => {
                 write!(f, "connection broke: {text}, reused: {reused}")
             }
@@ -146,6 +157,8 @@
 
 struct IdleConnection {
     stream: TcpStream,
+    // Dropped after the stream is closed.
+    slot: ConnectionSlot,
     since: Instant,
     recent_ids: RecentIds,
 }
@@ -171,6 +184,12 @@
     }
 }
 
+/// What a request takes from the pool.
+enum Taken {
+    Idle(IdleConnection),
+    Slot(ConnectionSlot),
+}
+
 struct AddressPool {
     addr: SocketAddr,
     idle: Vec<IdleConnection>,
@@ -194,19 +213,33 @@
     pools: RefCell<Vec<AddressPool>>,
     /// Bodies that are being received.
     buffered: BodyBudget,
+    limit: ConnectionLimit,
 }
 
 impl Default for ConnectionPool {
     fn default() -> Self {
+        Self::new(ConnectionLimit::new(DEFAULT_MAX_CONNECTIONS))
+    }
+}
+
+impl ConnectionPool {
+    /// Creates a pool with a limit on its connections, open and idle.
+    #[must_use]
+    pub fn new(limit: ConnectionLimit) -> Self {
         Self {
             pools: RefCell::default(),
             buffered: BodyBudget::new(MAX_BUFFERED_BYTES)
                 .with_uncounted_bytes(UNCOUNTED_RESPONSE_BYTES),
+            limit,
         }
     }
-}
 
-impl ConnectionPool {
+    /// Returns the number of connections, open and idle.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.limit.open_connections()
+    }
+
     /// Sends a request and returns the complete response.
     ///
     /// If the future is dropped, the connection is closed, which cancels the request at the peer.
@@ -229,13 +262,19 @@
     ) -> Result<HttpResponse, ExchangeFailure> {
         let addr = exchange.addr;
         let id = exchange.echo.map(|(_, id)| xxh3_64(id.as_bytes()));
-        let idle = self.take_idle(addr, exchange.max_idle, id);
-        let reused = idle.is_some();
-        let (stream, recent_ids) = match idle {
-            Some(idle) => (idle.stream, idle.recent_ids),
-            None => (connect(addr).await?, RecentIds::default()),
+        let try_take = || {
+            let idle = self.take_idle(addr, exchange.max_idle, id).map(Taken::Idle);
+            idle.or_else(|| self.try_take_slot(addr).map(Taken::Slot))
+        };
+        let taken = self.take(addr, try_take).await;
+        let (idle, reused) = match taken.ok_or(ExchangeFailure::NoConnection)? {
+            Taken::Idle(idle) => (idle, true),
+            Taken::Slot(slot) => {
+                let not_sent = |e: io::Error| ExchangeFailure::NotSent(e.to_string());
+                (connect(addr, slot).await.map_err(not_sent)?, false)
+            }
         };
-        let mut connection = Connection::new(stream, recent_ids, self.budgets(addr));
+        let mut connection = Connection::new(idle, self.budgets(addr));
         connection.recent_ids.add(id);
         let broken = |e: io::Error| ExchangeFailure::Broken {
             text: e.to_string(),
@@ -264,7 +303,7 @@
                 }
                 Echo::Matches | Echo::Missing => {
                     if connection.is_reusable() {
-                        self.put_idle(addr, connection);
+                        self.put_idle(addr, connection.into_idle());
                     }
                     return Ok(response);
                 }
@@ -279,14 +318,58 @@
     /// Opens a connection and keeps it for the next request.
     ///
     /// # Errors
-    /// If the peer refuses the connection, or does not accept it within [`CONNECT_TIMEOUT`].
+    /// If the peer refuses the connection, or does not accept it within [`CONNECT_TIMEOUT`];
+    /// [`io::ErrorKind::QuotaExceeded`] at the limit of connections.
     pub async fn open(&self, addr: SocketAddr) -> io::Result<()> {
-        let stream = open_stream(addr).await?;
-        let connection = Connection::new(stream, RecentIds::default(), self.budgets(addr));
-        self.put_idle(addr, connection);
+        let slot = self.take(addr, || self.try_take_slot(addr)).await;
+        let slot = slot.ok_or(io::ErrorKind::QuotaExceeded)?;
+        let opened = connect(addr, slot).await?;
+        self.put_idle(addr, opened);
         Ok(())
     }
 
+    /// Takes a connection or the permission for one, in the order of the requests that wait. `None` after
+    /// [`CONNECTION_WAIT`].
+    async fn take<T>(&self, addr: SocketAddr, try_take: impl Fn() -> Option<T>) -> Option<T> {
+        let taken = async {
+            let _turn = self.limit.turn(addr).await;
+            loop {
+                if let Some(taken) = try_take() {
+                    return taken;
+                }
+                self.limit.changed(addr).await;
+            }
+        };
+        actix_rt::time::timeout(CONNECTION_WAIT, taken).await.ok()
+    }
+
+    /// Takes the permission for a new connection. At the limit, the idle connection that was not used for the longest
+    /// time is closed.
+    fn try_take_slot(&self, addr: SocketAddr) -> Option<ConnectionSlot> {
+        let slot = self.limit.try_take(addr);
+        if slot.is_some() {
+            return slot;
+        }
+        self.close_oldest_idle(addr)
+            .then(|| self.limit.try_take(addr))
+            .flatten()
+    }
+
+    /// Closes the oldest idle connection that makes room for one to a peer. Returns whether there is one.
+    fn close_oldest_idle(&self, addr: SocketAddr) -> bool {
+        let mut pools = self.pools.borrow_mut();
+        let candidates = pools
+            .iter_mut()
+            .filter(|pool| self.limit.makes_room(pool.addr, addr) && !pool.idle.is_empty());
+        // The connections of a peer are in the order of their last use.
+        let oldest = candidates.min_by_key(|pool| pool.idle[0].since);
+        let Some(oldest) = oldest else {
+            return false;
+        };
+        oldest.idle.remove(0);
+        true
+    }
+
     /// Returns the bytes of the bodies that are being received.
     #[must_use]
     pub fn buffered_bytes(&self) -> usize {
@@ -339,16 +422,12 @@
         }
     }
 
-    fn put_idle(&self, addr: SocketAddr, connection: Connection) {
-        let entry = IdleConnection {
-            stream: connection.stream,
-            since: Instant::now(),
-            recent_ids: connection.recent_ids,
-        };
+    fn put_idle(&self, addr: SocketAddr, entry: IdleConnection) {
         let mut pools = self.pools.borrow_mut();
         let idle = &mut address_pool(&mut pools, addr).idle;
         if idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(entry);
+            self.limit.on_idle();
         }
     }
 }
@@ -364,17 +443,17 @@
     &mut pools[index]
 }
 
-async fn connect(addr: SocketAddr) -> Result<TcpStream, ExchangeFailure> {
-    let stream = open_stream(addr).await;
-    stream.map_err(|e| ExchangeFailure::NotSent(e.to_string()))
-}
-
-async fn open_stream(addr: SocketAddr) -> io::Result<TcpStream> {
+async fn connect(addr: SocketAddr, slot: ConnectionSlot) -> io::Result<IdleConnection> {
     let connected = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
     let timed_out = |_| io::Error::new(io::ErrorKind::TimedOut, "connect timed out");
     let stream = connected.map_err(timed_out)??;
     enable_dead_peer_detection(&stream)?;
-    Ok(stream)
+    Ok(IdleConnection {
+        stream,
+        slot,
+        since: Instant::now(),
+        recent_ids: RecentIds::default(),
+    })
 }
 
 /// Makes the kernel end a connection whose peer no longer responds.
@@ -419,6 +498,8 @@
 
 struct Connection {
     stream: TcpStream,
+    // Dropped after the stream is closed.
+    slot: ConnectionSlot,
     buf: BytesMut,
     codec: Option<ClientCodec>,
     keep_alive: bool,
@@ -434,13 +515,14 @@
 }
 
 impl Connection {
-    fn new(stream: TcpStream, recent_ids: RecentIds, budgets: [BodyBudget; 2]) -> Self {
+    fn new(idle: IdleConnection, budgets: [BodyBudget; 2]) -> Self {
         Self {
-            stream,
+            stream: idle.stream,
+            slot: idle.slot,
             buf: BytesMut::with_capacity(READ_BUFFER_BYTES),
             codec: Some(ClientCodec::default()),
             keep_alive: true,
-            recent_ids,
+            recent_ids: idle.recent_ids,
             unsent: Bytes::new(),
             early_head: None,
             received: 0,
@@ -680,6 +762,15 @@
     fn is_reusable(&self) -> bool {
         self.keep_alive && self.buf.is_empty() && self.unsent.is_empty()
     }
+
+    fn into_idle(self) -> IdleConnection {
+        IdleConnection {
+            stream: self.stream,
+            slot: self.slot,
+            since: Instant::now(),
+            recent_ids: self.recent_ids,
+        }
+    }
 }
 
 /// Sets the size of a body.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod body_budget;
 pub mod client_memory;
+pub mod connection_limit;
 pub mod cut_response;
 pub mod exchange;
 pub mod headers;
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -327,6 +327,36 @@
     expect_that!(call.outcome(), eq(unknown));
 }
 
+/// Guards against a call that waits for a connection to one node after the other, although the entry node may open none.
+#[gtest]
+fn on_failure_without_connection() {
+    for (before, is_refused) in [
+        (None, true),
+        (Some(overloaded(100)), true),
+        (
+            Some(AttemptFailure::Unknown(ResultCode::OutcomeUnknown)),
+            false,
+        ),
+    ] {
+        let mut call = attempts(true);
+        if let Some(before) = before {
+            fail(&mut call, ms(1_000), "a", before);
+        }
+        fail(
+            &mut call,
+            ms(1_050),
+            "b",
+            refused(ResultCode::ClientLimit, false, 100),
+        );
+        expect_that!(call.next(ms(1_100)), eq(NextStep::Stop));
+        let denied = Outcome::Refused {
+            code: ResultCode::ClientLimit,
+            retry_after: None,
+        };
+        expect_that!(call.outcome() == denied, eq(is_refused), "{before:?}");
+    }
+}
+
 /// Guards against a further attempt of a call whose credential was revoked, and against a response that says
 /// that it has not run although it may have.
 #[gtest]
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -23,6 +23,8 @@
 use futures_util::future::select;
 use googletest::prelude::*;
 use socket2::SockRef;
+use sycamorewick::transport::connection_limit::ConnectionLimit;
+use sycamorewick::transport::exchange::CONNECTION_WAIT;
 use sycamorewick::transport::exchange::ConnectionPool;
 use sycamorewick::transport::exchange::Exchange;
 use sycamorewick::transport::exchange::ExchangeFailure;
@@ -723,3 +725,174 @@
     });
     addr
 }
+
+/// Starts a peer that answers all requests on all connections after a time. Returns the events of its connections:
+/// true when one is accepted, false when it is closed.
+fn slow_peer(delay: Duration) -> (SocketAddr, Receiver<bool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let tx = tx.clone();
+            let _ = tx.send(true);
+            thread::spawn(move || {
+                while read_head(&mut stream).is_ok() {
+                    thread::sleep(delay);
+                    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+                }
+                let _ = tx.send(false);
+            });
+        }
+    });
+    (addr, rx)
+}
+
+/// Returns a pool with a limit, some of it reserved for one peer.
+fn limited_pool(max_connections: usize, reserved: Option<(SocketAddr, usize)>) -> ConnectionPool {
+    let limit = ConnectionLimit::new(max_connections);
+    ConnectionPool::new(match reserved {
+        Some((addr, connections)) => limit.with_reserved(addr, connections),
+        None => limit,
+    })
+}
+
+/// Guards against idle connections that take all file descriptors, or keep a request to another peer from being sent:
+/// the one that was not used for the longest time is closed.
+#[gtest]
+fn limit_closes_oldest_idle() {
+    run(async {
+        let pool = limited_pool(2, None);
+        let (first, first_events) = slow_peer(Duration::ZERO);
+        let (second, second_events) = slow_peer(Duration::ZERO);
+        let (third, _) = slow_peer(Duration::ZERO);
+        for addr in [first, second, first, third] {
+            expect_that!(pool.send(get(addr)).await, ok(anything()));
+            expect_that!(pool.open_connections(), le(2));
+        }
+        let limit = Duration::from_secs(5);
+        expect_that!(second_events.recv_timeout(limit), ok(eq(true)));
+        expect_that!(second_events.recv_timeout(limit), ok(eq(false)));
+        // Its connection was used again.
+        expect_that!(first_events.try_iter().collect::<Vec<_>>(), eq(&[true]));
+    });
+}
+
+/// Guards against requests that fail at the limit although a connection is free soon, and against more connections
+/// than the limit.
+#[gtest]
+fn limit_waits_for_a_connection() {
+    run(async {
+        let pool = limited_pool(2, None);
+        let peers: Vec<SocketAddr> = (0..3)
+            .map(|_| slow_peer(Duration::from_millis(20)).0)
+            .collect();
+        let mut peak = 0;
+        let sent = (0..9).map(|index| pool.send(get(peers[index % 3])));
+        let all = futures_util::future::join_all(sent);
+        let sample = async {
+            loop {
+                peak = pool.open_connections().max(peak);
+                actix_rt::time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        let Either::Left((results, _)) = select(pin!(all), pin!(sample)).await;
+        expect_that!(results, each(ok(anything())));
+        expect_that!(peak, eq(2));
+    });
+}
+
+/// Guards against a request at the limit that waits for good, counts as possibly sent, or blames its peer.
+#[gtest]
+fn limit_without_idle_not_sent() {
+    run(async {
+        let pool = limited_pool(1, None);
+        let (slow, _slow_events) = slow_peer(Duration::from_secs(2));
+        let (other, other_events) = slow_peer(Duration::ZERO);
+        let (held, refused) = (pool.send(get(slow)), async {
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+            let began = Instant::now();
+            let result = pool.send(get(other)).await;
+            expect_that!(result, err(eq(&ExchangeFailure::NoConnection)));
+            expect_that!(began.elapsed(), ge(CONNECTION_WAIT));
+            expect_that!(began.elapsed(), lt(4 * CONNECTION_WAIT));
+            let opened = pool.open(other).await.map_err(|e| e.kind());
+            expect_that!(opened, err(eq(io::ErrorKind::QuotaExceeded)));
+        });
+        let (held, ()) = futures_util::future::join(held, refused).await;
+        expect_that!(held, ok(anything()));
+        expect_that!(other_events.try_iter().count(), eq(0));
+        expect_that!(pool.send(get(other)).await, ok(anything()));
+    });
+}
+
+/// Guards against a request that was given up while it waited, and holds up those behind it.
+#[gtest]
+fn limit_after_cancelled_wait() {
+    run(async {
+        let pool = limited_pool(1, None);
+        let (addr, _events) = slow_peer(Duration::from_millis(150));
+        let held = pool.send(get(addr));
+        let cancelled = actix_rt::time::timeout(Duration::from_millis(20), pool.send(get(addr)));
+        let behind = pool.send(get(addr));
+        let all = futures_util::future::join3(held, cancelled, behind);
+        let (held, cancelled, behind) = all.await;
+        expect_that!(held, ok(anything()));
+        expect_true!(cancelled.is_err());
+        expect_that!(behind, ok(anything()));
+    });
+}
+
+/// Guards against calls to other nodes that take the connections to the backend server: nodes that call each other
+/// would wait for each other.
+#[gtest]
+fn limit_reserved_for_one_peer() {
+    run(async {
+        let (slow, _slow_events) = slow_peer(Duration::from_secs(1));
+        let (backend, _backend_events) = slow_peer(Duration::ZERO);
+        let pool = limited_pool(4, Some((backend, 2)));
+        let held = futures_util::future::join3(
+            pool.send(get(slow)),
+            pool.send(get(slow)),
+            pool.send(get(slow)),
+        );
+        let served = async {
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+            let began = Instant::now();
+            let sent = (0..2).map(|_| pool.send(get(backend)));
+            let results = futures_util::future::join_all(sent).await;
+            expect_that!(results, each(ok(anything())));
+            expect_that!(began.elapsed(), lt(CONNECTION_WAIT));
+            expect_that!(pool.open_connections(), eq(4));
+        };
+        let (held, ()) = futures_util::future::join(held, served).await;
+        // The third request did not get a reserved connection, although those are idle.
+        expect_that!(held.0, ok(anything()));
+        expect_that!(held.1, ok(anything()));
+        expect_that!(held.2, err(eq(&ExchangeFailure::NoConnection)));
+    });
+}
+
+/// Guards against connections that stay counted after they have failed or were cancelled.
+#[gtest]
+fn limit_counts_until_closed() {
+    run(async {
+        let pool = limited_pool(1, None);
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let closed = listener.local_addr().expect("an address");
+        drop(listener);
+        for _ in 0..3 {
+            let result = pool.send(get(closed)).await;
+            expect_that!(
+                result,
+                err(matches_pattern!(ExchangeFailure::NotSent(anything())))
+            );
+            let reset = peer(vec![vec!["RESET"]]);
+            expect_that!(pool.send(get(reset)).await, err(anything()));
+            let (slow, _events) = slow_peer(Duration::from_secs(1));
+            let sent = actix_rt::time::timeout(Duration::from_millis(20), pool.send(get(slow)));
+            expect_true!(sent.await.is_err());
+            expect_that!(pool.open_connections(), eq(0));
+        }
+    });
+}
