Refuse a request without memory instead of ending its connection

A request for which there was no memory, while no larger connection waited for its client, ended its own connection, so that its client did not learn that it had not run.

The memory is now computed from the length and the lines of the undecoded head, and the head is decoded only once the memory is counted. Only connections that hold more than the one that needs room have to end. Fields of a request whose connection ends before it starts are released.

--- a/src/transport/client_memory.rs
+++ b/src/transport/client_memory.rs
@@ -57,6 +57,12 @@
     evicted: Notify,
 }
 
+impl Holder {
+    fn bytes(&self) -> usize {
+        self.held.get() + self.body.get()
+    }
+}
+
 /// The account of a process.
 #[derive(Clone, Debug)]
 pub struct ClientMemory(Rc<Account>);
@@ -130,8 +136,7 @@
     fn address_bytes(&self, addr: Option<IpAddr>) -> usize {
         let connections = self.0.connections.borrow();
         let same = connections.iter().filter(|holder| holder.addr == addr);
-        same.map(|holder| holder.held.get() + holder.body.get())
-            .sum()
+        same.map(|holder| holder.bytes()).sum()
     }
 
     /// Ends the oldest connection of a port that waits for its client. Returns whether there is one.
@@ -156,8 +161,7 @@
         let waiting = connections
             .iter()
             .filter(|holder| holder.waits_for_client.get() && may_end(holder));
-        let bytes = |holder: &&Rc<Holder>| holder.held.get() + holder.body.get();
-        if let Some(largest) = waiting.max_by_key(bytes) {
+        if let Some(largest) = waiting.max_by_key(|holder| holder.bytes()) {
             // It is chosen once.
             largest.waits_for_client.set(false);
             largest.evicted.notify_one();
@@ -167,7 +171,8 @@
 
 impl ConnectionMemory {
     /// Counts bytes for a request, if they fit; otherwise the largest holder that waits for its client loses its
-    /// connection, so that there is room soon.
+    /// connection, so that there is room soon. Only a larger one than this connection: a request must not end
+    /// those of others that are idle, or its own, whose client has to learn that it has not run.
     #[must_use]
     pub fn try_hold(&self, bytes: usize) -> Option<HeldMemory> {
         let account = &self.account;
@@ -177,7 +182,9 @@
             && account.address_bytes(self.holder.addr) + bytes > account.bounded_bytes();
         if !fits || is_address_full {
             // The connections of other addresses make no room for an address that has its part.
-            account.evict_largest(|other| !fits || other.addr == self.holder.addr);
+            account.evict_largest(|other| {
+                other.bytes() > self.holder.bytes() && (!fits || other.addr == self.holder.addr)
+            });
             return None;
         }
         Some(self.hold(bytes))
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -13,7 +13,6 @@
 use std::time::Duration;
 
 use actix_http::ConnectionType;
-use actix_http::HttpMessage;
 use actix_http::KeepAlive;
 use actix_http::Method;
 use actix_http::Payload;
@@ -58,6 +57,7 @@
 use crate::transport::http_server::Gate;
 use crate::transport::http_server::Handler;
 use crate::transport::request_head;
+use crate::transport::request_head::HeadSize;
 use crate::transport::unsent::Unsent;
 use crate::transport::unsent::UnsentCount;
 
@@ -152,8 +152,10 @@
 /// What is read next from a connection.
 enum Reading {
     Head,
-    /// A request that has to wait until the ones before it are answered, and the memory for its head.
-    Blocked(Box<Request>, usize),
+    /// A complete head that is not decoded before there is memory for it.
+    Undecoded,
+    /// A request that has to wait until the ones before it are answered.
+    Blocked(Box<Request>, HeldMemory),
     Body(mpsc::Sender<Result<Bytes, PayloadError>>),
     /// Nothing, since the connection ends with the last open request.
     End,
@@ -246,8 +248,8 @@
 }
 
 /// Returns the memory that the head of a request takes.
-fn head_memory(req: &Request, bytes: usize) -> usize {
-    2 * bytes + FIELD_BYTES * req.headers().len().saturating_sub(USUAL_FIELDS)
+fn head_memory(size: HeadSize) -> usize {
+    2 * size.bytes + FIELD_BYTES * size.fields.saturating_sub(USUAL_FIELDS)
 }
 
 /// Returns the memory that a response takes.
@@ -259,6 +261,14 @@
     body + FIELD_BYTES * response.headers().len().saturating_sub(USUAL_FIELDS)
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if let Reading::Blocked(req, _) = &mut self.reading {
+            http_server::release_fields(req);
+        }
+    }
+}
+
 impl Connection {
     async fn serve(mut self) -> io::Result<()> {
         while self.step().await? {}
@@ -294,7 +304,7 @@
             Reading::Head => {
                 self.open.len() < MAX_OPEN_REQUESTS && self.buf.len() <= limits.header_bytes
             }
-            Reading::Blocked(..) => false,
+            Reading::Undecoded | Reading::Blocked(..) => false,
             Reading::Body(_) | Reading::End => true,
         };
         let is_body = matches!(self.reading, Reading::Body(_));
@@ -383,39 +393,25 @@
                     self.reading = Reading::End;
                     return Ok(None);
                 }
-                Reading::Blocked(req, bytes) => {
-                    let held = self.room_for(bytes, &req).await;
-                    if let (false, None) = (self.open.is_empty(), &held) {
-                        self.reading = Reading::Blocked(req, bytes);
+                Reading::Blocked(req, held) => {
+                    if !self.open.is_empty() && !(self.pipeline.options.may_overlap)(&req) {
+                        self.reading = Reading::Blocked(req, held);
                         return Ok(None);
                     }
                     if self.is_closed() {
                         return Err(io::ErrorKind::UnexpectedEof.into());
                     }
-                    match held {
-                        Some(held) => self.start(*req, held),
-                        None if self.pipeline.options.refuses => self.refuse(),
-                        None => return Err(io::Error::other("no memory left for the request")),
-                    }
+                    self.start(*req, held);
                 }
-                Reading::Head if self.open.len() >= MAX_OPEN_REQUESTS => return Ok(None),
-                Reading::Head => {
-                    let max_bytes = (self.pipeline.options.limits)().header_bytes;
-                    match request_head::decode(
-                        &mut self.codec,
-                        &mut self.buf,
-                        max_bytes,
-                        self.pipeline.options.any_fields,
-                    ) {
-                        Ok(Some(head)) => {
-                            let bytes = head_memory(&head.request, head.bytes);
-                            self.reading = Reading::Blocked(Box::new(head.request), bytes);
-                        }
-                        Ok(None) => return Ok(None),
-                        Err(ParseError::TooLarge) => {
-                            return Ok(Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
-                        }
-                        Err(_) => return Ok(Some(StatusCode::BAD_REQUEST)),
+                Reading::Head | Reading::Undecoded if self.open.len() >= MAX_OPEN_REQUESTS => {
+                    return Ok(None);
+                }
+                Reading::Head | Reading::Undecoded => {
+                    if let Some(status) = self.decode_head().await? {
+                        return Ok(Some(status));
+                    }
+                    if matches!(self.reading, Reading::Head | Reading::Undecoded) {
+                        return Ok(None);
                     }
                 }
                 Reading::Body(tx) => match self.codec.decode(&mut self.buf) {
@@ -448,19 +444,55 @@
         }
     }
 
+    /// Decodes the next head, if it is complete and there is memory for it. Returns the status of an error response
+    /// for a malformed one.
+    ///
+    /// # Errors
+    /// If the client has closed the connection, or there is no memory and requests are not refused.
+    async fn decode_head(&mut self) -> io::Result<Option<StatusCode>> {
+        let max_bytes = (self.pipeline.options.limits)().header_bytes;
+        let size = request_head::complete_size(&self.buf);
+        let mut held = None;
+        if let Some(size) = size.filter(|size| size.bytes <= max_bytes) {
+            held = self.room_for(head_memory(size)).await;
+            if held.is_none() && !self.open.is_empty() {
+                self.reading = Reading::Undecoded;
+                return Ok(None);
+            }
+            if held.is_none() && self.is_closed() {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            if held.is_none() && !self.pipeline.options.refuses {
+                return Err(io::Error::other("no memory left for the request"));
+            }
+            if held.is_none() {
+                self.refuse();
+                return Ok(None);
+            }
+        }
+        let any_fields = self.pipeline.options.any_fields;
+        match request_head::decode(&mut self.codec, &mut self.buf, max_bytes, any_fields) {
+            Ok(Some(decoded)) => {
+                let held = held.unwrap_or_else(|| self.memory.hold(2 * decoded.bytes));
+                self.reading = Reading::Blocked(Box::new(decoded.request), held);
+                Ok(None)
+            }
+            Ok(None) => Ok(None),
+            Err(ParseError::TooLarge) => Ok(Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE)),
+            Err(_) => Ok(Some(StatusCode::BAD_REQUEST)),
+        }
+    }
+
     /// Counts the memory of the next request. `None` if it has to wait or, as the only one, to be refused.
-    async fn room_for(&self, bytes: usize, req: &Request) -> Option<HeldMemory> {
-        let options = &self.pipeline.options;
+    async fn room_for(&self, bytes: usize) -> Option<HeldMemory> {
         if !self.open.is_empty() {
-            let may_overlap = (options.may_overlap)(req);
-            return self
-                .memory
-                .try_hold_ahead(bytes + REQUEST_BYTES)
-                .filter(|_| may_overlap);
+            return self.memory.try_hold_ahead(bytes + REQUEST_BYTES);
         }
-        if !options.refuses && bytes <= MAX_UNREFUSED_BYTES {
+        if !self.pipeline.options.refuses && bytes <= MAX_UNREFUSED_BYTES {
             return Some(self.memory.hold(bytes));
         }
+        // The client has done its part, so others that need room must not end the connection.
+        self.memory.set_waiting(false);
         for _ in 0..ROOM_TURNS {
             let held = self.memory.try_hold(bytes + REQUEST_BYTES);
             if held.is_some() {
@@ -482,6 +514,8 @@
         );
         let mut response = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, BoxBody::new(body));
         http_server::close_after(&mut response);
+        // Nothing else that the client has sent is read.
+        self.buf = BytesMut::with_capacity(READ_BUFFER_BYTES);
         self.push_response(response);
         self.reading = Reading::End;
     }
--- a/src/transport/request_head.rs
+++ b/src/transport/request_head.rs
@@ -40,6 +40,26 @@
     pub bytes: usize,
 }
 
+/// Size of the head of a request before it is decoded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HeadSize {
+    /// Bytes, with empty lines before it.
+    pub bytes: usize,
+    /// Number of fields.
+    pub fields: usize,
+}
+
+/// Returns the size of the head at the start of a buffer, if it is complete. Decoded fields take many times their
+/// bytes, so the memory for them has to be known before.
+#[must_use]
+pub fn complete_size(buf: &[u8]) -> Option<HeadSize> {
+    let (end, lines) = head_end(buf);
+    end.map(|bytes| HeadSize {
+        bytes,
+        fields: lines - 1,
+    })
+}
+
 /// Returns the length of the head at the start of a buffer and the number of its lines, if it is complete;
 /// otherwise the lines so far.
 fn head_end(buf: &[u8]) -> (Option<usize>, usize) {
