Bound the time for which a report of a backend server counts

A backend server that became cold while its heartbeats were late or lost got full load until the next report. The health path was asked after two heartbeat intervals, but if it did not answer, or the service names none, nothing bounded this time before the four missing heartbeats that end the use of the backend server.

A warm state now counts for two heartbeat intervals and 0.5 s from the last report, the time for the answer of a probe. Then the backend server counts as cold until it reports. The age of the last report is also checked when a call has run, since calls that wait may start without a further one that arrives. Probes stay at one in 500 ms, and none is sent while heartbeats come as usual.

`is_silent` and `probe` take the heartbeat interval from the state instead of a parameter, so two tests set it there; what they check is the same.

--- a/src/coordination/room/cold_start.rs
+++ b/src/coordination/room/cold_start.rs
@@ -2,7 +2,8 @@
 //!
 //! A cold backend server crashes at a rate that it bears easily when it is warm. The node beside it sends all
 //! of its requests and therefore keeps the bound alone. Reports arrive late and a backend server may become cold
-//! at any time, so a state that is not known counts as cold.
+//! at any time, so a state that is not known counts as cold, and a report counts only for a time
+//! ([`ColdStart::report_lifetime`]).
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -32,8 +33,10 @@
 const RISE_FACTOR: f64 = 2.0;
 /// Shortest time between two probes of the health path, each of which is billed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// Heartbeat intervals without a report after which the backend server counts as silent.
+/// Heartbeat intervals without a report after which the backend server counts as silent, and is asked.
 const SILENT_HEARTBEATS: u32 = 2;
+/// Time for the answer. Without one the backend server counts as cold from then on.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Runs of which the mean decides whether runs have become longer. Run times vary by about 50 %, so the mean of
 /// fewer runs often exceeds [`SLOW_RATIO`] by chance.
 const COMPARED_RUNS: usize = 8;
@@ -128,7 +131,8 @@
 /// What is known of the backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Heat {
-    /// It has not reported since its start or that of this process, and counts as cold.
+    /// It has not reported since its start or that of this process, or its last report is too old. It counts as
+    /// cold.
     Unknown,
     /// By its last report it is cold until this time.
     Cold(Duration),
@@ -157,7 +161,10 @@
 #[derive(Debug)]
 pub struct ColdStart {
     bound: Option<ColdBound>,
-    heat: Heat,
+    /// Time between two heartbeats of the backend server; reports do not lapse before it is set.
+    heartbeat_interval: Option<Duration>,
+    /// What the last report said; see [`Self::heat`].
+    reported: Heat,
     /// Time of the last report.
     reported_at: Option<Duration>,
     tokens: f64,
@@ -178,7 +185,8 @@
     fn default() -> Self {
         Self {
             bound: None,
-            heat: Heat::Unknown,
+            heartbeat_interval: None,
+            reported: Heat::Unknown,
             reported_at: None,
             // An earlier process of the node may just have used the whole burst.
             tokens: 0.0,
@@ -193,6 +201,11 @@
 }
 
 impl ColdStart {
+    /// Sets the time between two heartbeats of the backend server.
+    pub fn set_heartbeat_interval(&mut self, interval: Duration) {
+        self.heartbeat_interval = Some(interval);
+    }
+
     /// Sets the bound of the configuration, `None` if the service has none. Returns whether that is a change.
     pub fn set_bound(&mut self, now: Duration, bound: Option<ColdBound>) -> bool {
         if self.bound == bound {
@@ -218,20 +231,20 @@
     pub fn on_report(&mut self, now: Duration, cold_left: Duration) -> bool {
         self.refill(now);
         let known = |heat: Heat| (heat != Heat::Unknown).then(|| heat.is_cold(now));
-        let before = known(self.heat);
+        let before = self.heat(now);
         self.reported_at = Some(now);
-        self.heat = match self.heat {
+        self.reported = match before {
             _ if !cold_left.is_zero() => Heat::Cold(now.saturating_add(cold_left)),
             Heat::Cold(until) => Heat::Cold(until.min(now)),
             Heat::Unknown | Heat::Warm => Heat::Warm,
         };
-        known(self.heat) != before
+        known(self.reported) != known(before)
     }
 
     /// Handles the loss of the backend server. It counts as cold until its next report.
     pub fn on_lost(&mut self, now: Duration) {
         self.refill(now);
-        self.heat = Heat::Unknown;
+        self.reported = Heat::Unknown;
     }
 
     /// Handles a start of the backend server. Run times of the previous incarnation do not apply to it.
@@ -243,7 +256,7 @@
     /// Whether the backend server counts as cold.
     #[must_use]
     pub fn is_cold(&self, now: Duration) -> bool {
-        self.heat.is_cold(now)
+        self.heat(now).is_cold(now)
     }
 
     /// Returns the age of the last report.
@@ -256,7 +269,7 @@
     #[must_use]
     pub fn per_s(&self, now: Duration) -> Option<f64> {
         let bound = self.bound?;
-        match self.heat {
+        match self.heat(now) {
             Heat::Unknown => Some(bound.per_s),
             Heat::Cold(until) if now < until => Some(bound.per_s),
             Heat::Cold(until) if now < until.saturating_add(RISE_TIME) => {
@@ -289,7 +302,7 @@
             self.time_for(now, missing / bound.per_s)
         };
         let delay = until_token.max(self.window_delay(now, &bound, per_s));
-        match self.heat {
+        match self.heat(now) {
             Heat::Cold(until) => delay.min(until.saturating_add(RISE_TIME).saturating_sub(now)),
             Heat::Unknown | Heat::Warm => delay,
         }
@@ -358,17 +371,41 @@
         is_slow
     }
 
+    /// Returns the longest time for which a report that the backend server is warm counts. One that becomes cold
+    /// without a restart gets no more than the bound at the latest this long after its last report, whether or not
+    /// it could be asked.
+    #[must_use]
+    pub fn report_lifetime(&self) -> Option<Duration> {
+        let interval = self.heartbeat_interval?;
+        Some(interval * SILENT_HEARTBEATS + PROBE_TIMEOUT)
+    }
+
     /// Whether the last report is older than the heartbeats of a live backend server allow.
     #[must_use]
-    pub fn is_silent(&self, now: Duration, heartbeat_interval: Duration) -> bool {
+    pub fn is_silent(&self, now: Duration) -> bool {
         let age = self.report_age(now);
-        age.is_some_and(|age| age > heartbeat_interval * SILENT_HEARTBEATS)
+        let longest = self
+            .heartbeat_interval
+            .map(|interval| interval * SILENT_HEARTBEATS);
+        age.is_some_and(|age| longest.is_some_and(|longest| age > longest))
+    }
+
+    /// Forgets a report whose lifetime has passed. Returns whether it has just passed.
+    pub fn drop_lapsed(&mut self, now: Duration) -> bool {
+        let has_lapsed = self.bound.is_some()
+            && self.reported != Heat::Unknown
+            && self.heat(now) == Heat::Unknown;
+        if has_lapsed {
+            self.on_lost(now);
+        }
+        has_lapsed
     }
 
     /// Whether the health path is to be probed for a reason. A backend server that is known to stay cold until
     /// after its next heartbeat is not asked.
-    pub fn probe(&mut self, now: Duration, heartbeat_interval: Duration) -> bool {
-        let stays_cold = matches!(self.heat, Heat::Cold(until) if until > now + heartbeat_interval);
+    pub fn probe(&mut self, now: Duration) -> bool {
+        let next_heartbeat = now.saturating_add(self.heartbeat_interval.unwrap_or_default());
+        let stays_cold = matches!(self.heat(now), Heat::Cold(until) if until > next_heartbeat);
         let is_early = self
             .last_probe_at
             .is_some_and(|at| now < at + PROBE_INTERVAL);
@@ -379,6 +416,17 @@
         true
     }
 
+    /// What is known of the backend server now. A report that it is cold holds until the time that it names.
+    fn heat(&self, now: Duration) -> Heat {
+        let lifetime = self.report_lifetime();
+        let is_old = |lifetime| self.report_age(now).is_some_and(|age| age >= lifetime);
+        if lifetime.is_some_and(is_old) && !self.reported.is_cold(now) {
+            Heat::Unknown
+        } else {
+            self.reported
+        }
+    }
+
     /// Tokens that a call of a rank must leave.
     fn reserve(&self, now: Duration, bound: &ColdBound, rank: Rank) -> f64 {
         let is_less_urgent =
@@ -400,7 +448,7 @@
 
     /// Time from `now` in which the bucket gets what it gets in `seconds` of the cold state.
     fn time_for(&self, now: Duration, seconds: f64) -> Duration {
-        let cold_s = match self.heat {
+        let cold_s = match self.heat(now) {
             Heat::Cold(until) => until.saturating_sub(now).as_secs_f64().min(seconds),
             Heat::Unknown | Heat::Warm => seconds,
         };
@@ -413,7 +461,7 @@
             return 0.0;
         };
         let elapsed = now.saturating_sub(self.updated_at);
-        let raised = match self.heat {
+        let raised = match self.heat(now) {
             Heat::Cold(until) => now.saturating_sub(until.max(self.updated_at)),
             Heat::Unknown | Heat::Warm => Duration::ZERO,
         };
--- a/src/sidecar/health_probe.rs
+++ b/src/sidecar/health_probe.rs
@@ -11,6 +11,7 @@
 use slog::warn;
 
 use crate::coordination::room::cold_start::ColdBound;
+use crate::coordination::room::cold_start::PROBE_TIMEOUT;
 use crate::coordination::room::cold_start::ProbeReason;
 use crate::platform::requests;
 use crate::platform::requests::Health;
@@ -20,8 +21,6 @@
 use crate::transport::exchange::Exchange;
 use crate::transport::http_client::HttpResponse;
 
-/// Time limit of a probe. A heartbeat is due soon after.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle time of a connection that a probe may use. A new connection is billed, and one that has been idle for
 /// longer may be closed by the backend server at the same moment.
 const MAX_IDLE: Duration = Duration::from_millis(700);
@@ -41,10 +40,13 @@
         Some(cold) => cold.map(|cold| ColdBound::new(cold.rate, excess, slack)),
         None => ColdBound::without_configuration(slack),
     };
-    if cx
-        .slots
-        .with(|queue| queue.cold_start_mut().set_bound(now, bound))
-    {
+    let interval = cx.settings.heartbeat_interval();
+    let has_changed = cx.slots.with(|queue| {
+        let cold = queue.cold_start_mut();
+        cold.set_heartbeat_interval(interval);
+        cold.set_bound(now, bound)
+    });
+    if has_changed {
         info!(cx.log, "bound for cold backend servers changed"; "per_s" => bound.map(|bound| bound.per_s()),
             "per_window" => bound.map(|bound| bound.per_window()), "configured" => table.is_some());
         cx.slots.advance();
@@ -67,17 +69,6 @@
     }
 }
 
-/// Handles a call before its admission.
-pub fn on_call(cx: &Rc<Sidecar>) {
-    let (now, interval) = (cx.clock.now(), cx.settings.heartbeat_interval());
-    if cx
-        .slots
-        .with(|queue| queue.cold_start().is_silent(now, interval))
-    {
-        consider(cx, ProbeReason::Silence);
-    }
-}
-
 /// Handles a complete run of the backend server.
 pub fn on_run(cx: &Rc<Sidecar>, route: &RouteName, run_time: Duration) {
     let now = cx.clock.now();
@@ -87,6 +78,30 @@
     if is_slow {
         consider(cx, ProbeReason::SlowRuns);
     }
+    // Calls that wait for a slot start after it although no further call arrives.
+    check_report_age(cx);
+}
+
+/// Handles a call that may start soon: probes the health path if the last report is old, and logs if it no longer
+/// counts.
+pub fn check_report_age(cx: &Rc<Sidecar>) {
+    let now = cx.clock.now();
+    if cx.state.borrow().backend.available(now).is_none() {
+        // It gets no further calls before its next report.
+        return;
+    }
+    let (is_silent, has_lapsed, per_s) = cx.slots.with(|queue| {
+        let cold = queue.cold_start_mut();
+        let is_silent = cold.is_silent(now);
+        (is_silent, cold.drop_lapsed(now), cold.per_s(now))
+    });
+    if has_lapsed {
+        cx.metrics.backend_cold_bound.set(per_s.unwrap_or(0.0));
+        warn!(cx.log, "backend server counts as cold without reports"; "per_s" => per_s);
+    }
+    if is_silent {
+        consider(cx, ProbeReason::Silence);
+    }
 }
 
 /// Probes the health path for a reason, unless the answer is known or a probe was sent just before.
@@ -95,11 +110,7 @@
     let Some(path) = health_path(cx) else {
         return;
     };
-    let interval = cx.settings.heartbeat_interval();
-    if !cx
-        .slots
-        .with(|queue| queue.cold_start_mut().probe(now, interval))
-    {
+    if !cx.slots.with(|queue| queue.cold_start_mut().probe(now)) {
         return;
     }
     cx.metrics.health_probes.increment(1);
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -220,7 +220,7 @@
     if let Some(limit) = call.head.limit {
         apply_reported_limit(cx, limit);
     }
-    health_probe::on_call(cx);
+    health_probe::check_report_age(cx);
     let slot = match admit(cx, &call).await {
         Ok(slot) => slot,
         Err(retry_after) => {
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -8,6 +8,7 @@
 use rand::rngs::StdRng;
 use sycamorewick::coordination::room::cold_start::ColdBound;
 use sycamorewick::coordination::room::cold_start::ColdStart;
+use sycamorewick::coordination::room::cold_start::PROBE_TIMEOUT;
 use sycamorewick::coordination::slot_queue::Admit;
 use sycamorewick::coordination::slot_queue::Offer;
 use sycamorewick::coordination::slot_queue::SlotQueue;
@@ -93,16 +94,26 @@
     reports: Vec<(Duration, Duration, Duration)>,
     /// Latest delay of a report.
     max_delay_ms: u64,
+    /// Factor of the run times while the backend server is cold.
+    cold_slowness: u32,
+    /// Time of an answer of the health path; `None` if it does not answer.
+    probe_delay: Option<Duration>,
+    probes: Vec<Duration>,
+    /// Arrival of the last report.
+    reported_at: Duration,
     /// Starts in windows that ended while the backend server was known to be cold: the most that were found.
     most: usize,
 }
 
 impl Bench {
     fn new(seed: u64, bound: ColdBound, offered_per_s: f64) -> Self {
+        let mut queue = new_queue(Some(bound));
+        let cold = queue.cold_start_mut();
+        cold.set_heartbeat_interval(HEARTBEAT_INTERVAL);
         Self {
             rng: StdRng::seed_from_u64(seed),
             now: ms(0),
-            queue: new_queue(Some(bound)),
+            queue,
             offered_per_s,
             priorities: 3,
             next_offer: ms(0),
@@ -117,6 +128,10 @@
             next_heartbeat: ms(200),
             reports: Vec::new(),
             max_delay_ms: 300,
+            cold_slowness: 2,
+            probe_delay: None,
+            probes: Vec::new(),
+            reported_at: ms(0),
             most: 0,
         }
     }
@@ -124,8 +139,12 @@
     fn start(&mut self, priority: u8) {
         let now = self.now;
         self.started.push((now, priority));
-        let slow = if now < self.cold_until { 2 } else { 1 };
-        let run = ms(self.rng.random_range(22..220) * slow);
+        let slow = if now < self.cold_until {
+            self.cold_slowness
+        } else {
+            1
+        };
+        let run = ms(self.rng.random_range(22..220)) * slow;
         self.ends.push((now + run, run));
         if self.is_known_cold() {
             let first = self.started.partition_point(|(at, _)| *at + WINDOW <= now);
@@ -153,6 +172,8 @@
     /// Replaces the process beside the backend server. It knows nothing and has to assume a cold state.
     fn restart_process(&mut self, bound: ColdBound) {
         self.queue = started_queue(self.now, Some(bound));
+        let cold = self.queue.cold_start_mut();
+        cold.set_heartbeat_interval(HEARTBEAT_INTERVAL);
         self.ends.clear();
         self.waiting.clear();
         self.known_at = Some(self.now);
@@ -181,6 +202,7 @@
         while self.reports.first().is_some_and(|(at, ..)| *at <= self.now) {
             let (_, sent, left) = self.reports.remove(0);
             self.queue.cold_start_mut().on_report(self.now, left);
+            self.reported_at = self.now;
             // A late report from before the cold state may end what the process knows of it.
             let is_current = left > ms(0) && sent >= self.cold_since;
             self.known_at = is_current.then(|| self.known_at.unwrap_or(self.now));
@@ -188,6 +210,29 @@
         }
     }
 
+    /// Asks the health path for want of heartbeats, as the sidecar does for each call.
+    fn probe_if_silent(&mut self) {
+        let cold = self.queue.cold_start_mut();
+        if cold.is_silent(self.now) && cold.probe(self.now) {
+            self.probes.push(self.now);
+            if let Some(delay) = self.probe_delay {
+                let left = self.cold_until.saturating_sub(self.now);
+                self.reports.push((self.now + delay, self.now, left));
+            }
+        }
+    }
+
+    /// Most starts in a [`WINDOW`] that ends with a start in a time.
+    fn most_starts(&self, from: Duration, until: Duration) -> usize {
+        let ends = self.started.iter().enumerate();
+        let ends = ends.filter(|(_, (at, _))| (from..until).contains(at));
+        let counts = ends.map(|(last, (end, _))| {
+            let first = self.started.partition_point(|(at, _)| *at + WINDOW <= *end);
+            last + 1 - first
+        });
+        counts.max().unwrap_or(0)
+    }
+
     fn step(&mut self) {
         self.heartbeats();
         let mut changes = vec![self.queue.advance(self.now)];
@@ -208,6 +253,7 @@
             }
         }
         if self.next_offer <= self.now {
+            self.probe_if_silent();
             let priority = self.rng.random_range(0..self.priorities);
             self.offered[usize::from(priority)] += 1;
             match self.queue.offer(self.now, &offer(self.now, priority)) {
@@ -265,6 +311,56 @@
     }
 }
 
+/// Guards against a backend server that becomes cold while its heartbeats are late or lost, and gets what a warm one
+/// bears for as long as they are. Its runs take as long as before, so that nothing else shows it. Also guards against
+/// probes beside heartbeats that come as usual, and against a bound that outlasts the next report.
+#[gtest]
+fn starts_without_heartbeats() {
+    let health = [None, Some(ms(20)), Some(PROBE_TIMEOUT)];
+    for (seed, probe_delay) in (0..30).zip(health.into_iter().cycle()) {
+        let mut bench = Bench::new(seed, bound(), 100.0);
+        bench.max_delay_ms = 1_200;
+        bench.cold_slowness = 1;
+        bench.probe_delay = probe_delay;
+        bench.run_until(ms(20_000));
+        expect_that!(bench.probes, is_empty(), "seed {seed}");
+        // No further heartbeat is sent, and the backend server is cold just after the last report.
+        bench.next_heartbeat = ms(60_000);
+        while !bench.reports.is_empty() {
+            bench.step();
+        }
+        let last_report = bench.reported_at;
+        bench.become_cold(ms(60_000));
+        let bounded_from = last_report + HEARTBEAT_INTERVAL * 2 + PROBE_TIMEOUT;
+        bench.run_until(last_report + ms(12_000));
+
+        let allowed = PER_S * EXCESS + SLACK;
+        let most = bench.most_starts(bounded_from, bench.now);
+        expect_that!(count(most), le(allowed), "seed {seed}");
+        expect_that!(most, ge(10), "seed {seed}");
+        // The check is void if the load never exceeds what a cold backend server tolerates.
+        let before = bench.most_starts(last_report, bounded_from);
+        expect_that!(count(before), gt(allowed), "seed {seed}");
+        let first = *bench.probes.first().expect("a probe");
+        let earliest = last_report + HEARTBEAT_INTERVAL * 2;
+        expect_that!(first, all![gt(earliest), lt(earliest + ms(200))]);
+        for pair in bench.probes.windows(2) {
+            expect_that!(pair[1], ge(pair[0] + ms(500)), "seed {seed}");
+        }
+        if probe_delay.is_some() {
+            // It said that it stays cold.
+            expect_that!(bench.probes.len(), eq(1), "seed {seed}");
+        }
+
+        bench.cold_until = bench.now;
+        bench.next_heartbeat = bench.now;
+        let warm_from = bench.now + ms(2_200);
+        bench.run_until(warm_from + WINDOW);
+        let most = bench.most_starts(warm_from, bench.now);
+        expect_that!(count(most), gt(allowed), "seed {seed}");
+    }
+}
+
 /// Guards against a node that sends the burst of its bucket once more each time that its process restarts.
 #[gtest]
 fn starts_over_many_restarts() {
@@ -427,8 +523,7 @@
         expect_that!(reported.load_at(now), eq(plain.load()));
         expect_that!(reported.next_start_at(now), none());
     }
-    let cold = reported.cold_start_mut();
-    expect_false!(cold.probe(ms(0), HEARTBEAT_INTERVAL));
+    expect_false!(reported.cold_start_mut().probe(ms(0)));
 }
 
 /// Guards against entry nodes that count on all slots of a cold backend server.
@@ -446,15 +541,16 @@
 #[gtest]
 fn probe_only_if_needed() {
     let mut cold = ColdStart::default();
+    cold.set_heartbeat_interval(HEARTBEAT_INTERVAL);
     cold.set_bound(ms(0), Some(bound()));
     cold.on_report(ms(0), ms(0));
-    let probes = (0..100).filter(|step| cold.probe(ms(step * 50), HEARTBEAT_INTERVAL));
+    let probes = (0..100).filter(|step| cold.probe(ms(step * 50)));
     expect_that!(probes.count(), eq(10));
     cold.on_report(ms(6_000), ms(5_000));
-    expect_false!(cold.probe(ms(7_000), HEARTBEAT_INTERVAL));
-    expect_true!(cold.probe(ms(10_000), HEARTBEAT_INTERVAL));
-    expect_false!(cold.is_silent(ms(8_000), HEARTBEAT_INTERVAL));
-    expect_true!(cold.is_silent(ms(9_001), HEARTBEAT_INTERVAL));
+    expect_false!(cold.probe(ms(7_000)));
+    expect_true!(cold.probe(ms(10_000)));
+    expect_false!(cold.is_silent(ms(8_000)));
+    expect_true!(cold.is_silent(ms(9_001)));
 }
 
 /// Guards against a backend server that becomes cold unnoticed between two heartbeats, and against probes that
