Remove the unused time of the cold state from the configuration

`ColdLimit::lasts` was read and never used. As a limit on cold reports it would have no effect: each heartbeat replaces the report before it, and after four missing ones the backend server is not used.

--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -41,8 +41,6 @@
 /// Limit on the requests to a backend server that is cold.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ColdLimit {
-    /// Time for which a backend server is cold after its start.
-    pub lasts: Duration,
     /// Requests that it tolerates meanwhile, from all nodes together.
     pub rate: RequestRate,
 }
