Move the decisions of an entry node to a module of their own

An explanation of where a request would go has to run the decisions of a call. They took the whole state of the process and an open call, so that they could run for a call only. They now take the parts of the state that they read and change, which can be copies.

StdRng cannot be copied, so the generator of a node becomes Xoshiro256PlusPlus, seeded by the system as before. It only spreads load, pauses and the order of peers, and gives the id of a process.

No decision changes.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -17,24 +17,19 @@
 use actix_http::header::HeaderValue;
 use futures_util::future::Either;
 use futures_util::future::select;
+use rand::Rng;
 use rand::RngExt;
 use serde_json::json;
 use slog::info;
 
 use crate::coordination::attempts::AttemptFailure;
 use crate::coordination::attempts::Attempts;
-use crate::coordination::attempts::CallLimits;
 use crate::coordination::attempts::Choice;
-use crate::coordination::attempts::ChosenNode;
 use crate::coordination::attempts::NextStep;
 use crate::coordination::attempts::Outcome;
-use crate::coordination::domains::evacuation::Evacuations;
-use crate::coordination::domains::homes;
-use crate::coordination::domains::homes::AllowedRegions;
 use crate::coordination::placement::AttemptEnd;
 use crate::coordination::placement::Feedback;
 use crate::coordination::placement::Pick;
-use crate::coordination::placement::PickRequest;
 use crate::coordination::workspaces::credentials::CallWorkspace;
 use crate::platform::requests;
 use crate::protocol::hop::BackendTotals;
@@ -46,12 +41,13 @@
 use crate::protocol::name::NodeId;
 use crate::protocol::name::RouteName;
 use crate::protocol::name::ServiceName;
-use crate::protocol::name::VersionName;
 use crate::protocol::time::millis;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
-use crate::sidecar::SidecarState;
 use crate::sidecar::crashes;
+use crate::sidecar::decision;
+use crate::sidecar::decision::RoutedCall;
+use crate::sidecar::decision::chosen;
 use crate::sidecar::hop;
 use crate::sidecar::hop::HopResult;
 use crate::sidecar::hop::OpenCall;
@@ -60,7 +56,6 @@
 use crate::sidecar::serving::ServeOutcome;
 use crate::sidecar::usage_port;
 use crate::sidecar::workspaces;
-use crate::state::routing_table;
 use crate::transport::body_budget::HeldBytes;
 use crate::transport::headers;
 use crate::transport::http_client::HttpResponse;
@@ -147,6 +142,16 @@
     credential: Option<KeyHash>,
 }
 
+impl EntryCall {
+    fn routed(&self) -> RoutedCall<'_> {
+        RoutedCall {
+            route: &self.route,
+            service: &self.serve.head.service,
+            request_bytes: self.serve.body.len(),
+        }
+    }
+}
+
 async fn route_request(
     cx: &Rc<Sidecar>,
     req: &mut Request,
@@ -157,13 +162,8 @@
     let limit = limits.unwrap_or_default().body_bytes;
     let mut payload = req.take_payload();
     let caller = requests::read_client_headers(req.headers());
-    let route = table
-        .as_ref()
-        .ok_or(ResultCode::NotReady)
-        .and_then(|table| {
-            let route = table.find(headers::host(req.headers()), req.path());
-            route.cloned().ok_or(ResultCode::NoRoute)
-        });
+    let route =
+        decision::find_route(table.as_ref(), headers::host(req.headers()), req.path()).cloned();
     let credential = requests::credential(req.headers());
     let workspace = match &route {
         // Without the body, which may be large. The connection is closed if the rest of it still arrives.
@@ -185,25 +185,15 @@
         .path_and_query()
         .ok_or(ResultCode::BadRequest)?
         .clone();
-    let time_limit = match &*cx.stop_plan.borrow() {
-        Some(plan) => plan.call_time_limit(arrived, time_limit),
-        None => Some(time_limit),
-    };
-    let time_limit = time_limit.ok_or(ResultCode::Draining)?;
+    let time_limit = decision::time_limit(cx.stop_plan.borrow().as_ref(), arrived, time_limit)?;
     let mut forwarded_headers = headers::end_to_end(req.headers(), 5);
     forwarded_headers.retain(|(name, _)| !requests::is_set_by_node(name));
     forwarded_headers.push(requests::caller_header(&cx.service_header));
     let (service, is_overdue) = {
         let mut state = cx.state.borrow_mut();
-        let is_overdue = caller.time_left.is_some_and(|left| {
-            state
-                .caller_ages
-                .is_overdue(&route.name, left, route.objective)
-        });
-        let point = state.rng.random_range(0.0..1.0);
-        let service = routing_table::choose_service(&route, point).clone();
-        state.quota.on_request(arrived, &service);
-        (service, is_overdue)
+        let chosen = state.decision().choose_service(&route, caller.time_left);
+        state.quota.on_request(arrived, &chosen.0);
+        chosen
     };
     let serve = ServeCall {
         head: HopRequestHeader {
@@ -252,14 +242,9 @@
 }
 
 async fn run_call(cx: &Rc<Sidecar>, call: EntryCall) -> Response<BoxBody> {
-    let mut attempts = Attempts::new(CallLimits {
-        arrived: call.serve.arrived,
-        deadline: call.deadline,
-        objective: call.route.objective,
-        idempotent: call.route.idempotent,
-        attempts: call.route.max_attempts,
-        is_overdue: call.serve.head.is_overdue,
-    });
+    let is_overdue = call.serve.head.is_overdue;
+    let limits = decision::limits(&call.route, call.serve.arrived, call.deadline, is_overdue);
+    let mut attempts = Attempts::new(limits);
     let mut failed_response = None;
     let time_left = call.deadline.saturating_sub(cx.clock.now()) + DEADLINE_MARGIN;
     let all = make_attempts(cx, &call, &mut attempts, &mut failed_response);
@@ -340,23 +325,6 @@
     }
 }
 
-/// Returns the regions that may serve a call: those of the configuration that it was routed with, and of the one
-/// in force. The latter counts for each attempt, so that a change binds calls in flight as well.
-fn regions_for(
-    state: &SidecarState,
-    call: &EntryCall,
-    workspace: &CallWorkspace,
-) -> AllowedRegions {
-    let table = state.table.as_ref();
-    let workspace_homes = workspaces::homes(table, workspace.name.as_ref());
-    let routed = homes::allowed_regions(&call.route.homes, workspace_homes);
-    let current = table.and_then(|table| table.route(&call.route.name));
-    match current {
-        Some(route) if !Rc::ptr_eq(route, &call.route) => routed.restricted_to(&route.homes),
-        _ => routed,
-    }
-}
-
 /// Checks that the chosen node may still serve a call, by the configuration and the evacuations that are in force now.
 ///
 /// # Errors
@@ -366,7 +334,8 @@
     let Some(entry) = state.placement.entry(&planned.pick.node) else {
         return Ok(());
     };
-    if !regions_for(&state, call, &planned.workspace).allows(&entry.region) {
+    let table = state.table.as_ref();
+    if !decision::regions(table, &call.route, &planned.workspace).allows(&entry.region) {
         return Err(ResultCode::OutsideHome);
     }
     if state.evacuations.contains(&entry.domain) {
@@ -384,7 +353,7 @@
     now: Duration,
 ) {
     let state = cx.state.borrow();
-    let regions = regions_for(&state, call, workspace);
+    let regions = decision::regions(state.table.as_ref(), &call.route, workspace);
     let service = &call.serve.head.service;
     let evacuations = &state.evacuations;
     let Some(code) = state.placement.exclusion(service, &regions, evacuations) else {
@@ -419,15 +388,6 @@
     }
 }
 
-fn chosen(pick: &Pick) -> ChosenNode {
-    ChosenNode {
-        time_ms: pick.time_ms,
-        is_unreachable: pick.is_unreachable,
-        has_free_slot: pick.has_free_slot,
-        is_predictable: pick.is_predictable,
-    }
-}
-
 /// Records the result of an attempt. Returns the response if the attempt succeeded, or if the call is
 /// not idempotent and must not run on another backend server.
 fn record_attempt(
@@ -530,7 +490,11 @@
     let workspace = authorize(cx, call, attempts)?;
     let mut tried = attempts.tried().to_vec();
     tried.push(first.clone());
-    let pick = choose(&mut cx.state.borrow_mut(), now, call, &workspace, &tried)?;
+    let pick = {
+        let mut state = cx.state.borrow_mut();
+        let mut decision = state.decision();
+        decision.choose(now, &call.routed(), &workspace, &tried)?
+    };
     if !attempts.on_hedge(now, chosen(&pick)) || !spend_retry_budget(cx, call, now) {
         return None;
     }
@@ -578,7 +542,8 @@
     let (load, tally) = serving::load_report(cx);
     let mut state = cx.state.borrow_mut();
     state.placement.on_report(now, &cx.settings.id, load, tally);
-    let pick = choose(&mut state, now, call, workspace, attempts.tried())?;
+    let mut decision = state.decision();
+    let pick = decision.choose(now, &call.routed(), workspace, attempts.tried())?;
     info!(cx.log, "call routed"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
         "route" => call.route.name.as_str(), "to" => pick.node.as_str(), "version" => pick.version.as_str(),
         "try" => attempts.tries() + 1, "accepts_late" => attempts.accepts_late(), "is_overdue" => call.serve.head.is_overdue,
@@ -588,72 +553,6 @@
     Some(pick)
 }
 
-/// Whether the backend server of a node may be used, given its version.
-type Permits<'a> = &'a dyn Fn(&NodeId, &VersionName) -> bool;
-
-/// Selects the version by the traffic share of the service's rollout, if one runs, then the node.
-fn choose(
-    state: &mut SidecarState,
-    now: Duration,
-    call: &EntryCall,
-    workspace: &CallWorkspace,
-    tried: &[NodeId],
-) -> Option<Pick> {
-    let service = &call.serve.head.service;
-    let regions = regions_for(state, call, workspace);
-    let Some(plan) = state.moves.plan(service) else {
-        let permits = |_: &NodeId, _: &_| true;
-        let request = pick_request(call, tried, &regions, &state.evacuations, &permits);
-        return state.placement.pick(now, &mut state.rng, &request);
-    };
-    let exposed = state
-        .exposed
-        .binary_search_by(|(name, _)| name.cmp(service));
-    let exposed = exposed.map_or(&[][..], |index| &state.exposed[index].1);
-    let wants_target = state.rng.random_range(0.0..1.0) < plan.share;
-    let target = &plan.target;
-    let is_exposed = |node: &NodeId| plan.share >= 1.0 || exposed.binary_search(node).is_ok();
-    let new = |node: &NodeId, version: &_| version == target && is_exposed(node);
-    let moves = &state.moves;
-    let is_old = |version: &_| version != target && !moves.is_banned(service, version);
-    let old = |_: &NodeId, version: &_| is_old(version);
-    let any_new = |_: &NodeId, version: &_| version == target;
-    let has_old = state
-        .placement
-        .has_backend_server(service, &regions, is_old);
-    let preferences: [Option<Permits<'_>>; 2] = if wants_target {
-        [Some(&new), Some(&old)]
-    } else {
-        // The new version gets traffic beyond its share only if no node runs the old version.
-        let is_only_one = !plan.banned && !plan.awaits_result && !has_old;
-        [Some(&old), is_only_one.then_some(&any_new as Permits<'_>)]
-    };
-    preferences.into_iter().flatten().find_map(|permits| {
-        let request = pick_request(call, tried, &regions, &state.evacuations, permits);
-        state.placement.pick(now, &mut state.rng, &request)
-    })
-}
-
-fn pick_request<'a>(
-    call: &'a EntryCall,
-    tried: &'a [NodeId],
-    regions: &'a AllowedRegions,
-    evacuations: &'a Evacuations,
-    permits: Permits<'a>,
-) -> PickRequest<'a> {
-    PickRequest {
-        service: &call.serve.head.service,
-        route: &call.route.name,
-        objective: call.route.objective,
-        idempotent: call.route.idempotent,
-        request_bytes: call.serve.body.len(),
-        tried,
-        is_allowed: permits,
-        regions,
-        evacuations,
-    }
-}
-
 /// Guard that reports the end of an attempt to the placement, also when the caller cancels it.
 struct InFlight<'a> {
     cx: &'a Sidecar,
@@ -813,6 +712,23 @@
         "took_ms" => millis(cx.clock.since(call.serve.arrived)));
 }
 
+/// Returns the time after which a refused caller is told to retry.
+pub fn spread_retry_after(
+    status: StatusCode,
+    retry_after: Option<Duration>,
+    rng: &mut impl Rng,
+) -> Option<Duration> {
+    match (status, retry_after) {
+        (StatusCode::SERVICE_UNAVAILABLE, Some(retry_after)) => {
+            let spread = rng.random_range(0.0..RETRY_AFTER_JITTER);
+            Some(retry_after.mul_f64(1.0 + spread))
+        }
+        // The time of a quota is exact.
+        (StatusCode::TOO_MANY_REQUESTS, retry_after) => retry_after,
+        _ => None,
+    }
+}
+
 fn error_response(
     cx: &Sidecar,
     status: StatusCode,
@@ -823,20 +739,8 @@
     let mut response = Response::with_body(status, BoxBody::new(body.to_string()));
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
-    let retry_after = match (status, retry_after) {
-        (StatusCode::SERVICE_UNAVAILABLE, Some(retry_after)) => {
-            let spread = cx
-                .state
-                .borrow_mut()
-                .rng
-                .random_range(0.0..RETRY_AFTER_JITTER);
-            Some(retry_after.mul_f64(1.0 + spread))
-        }
-        // The time of a quota is exact.
-        (StatusCode::TOO_MANY_REQUESTS, retry_after) => retry_after,
-        _ => None,
-    };
-    if let Some(retry_after) = retry_after {
+    let rng = &mut cx.state.borrow_mut().rng;
+    if let Some(retry_after) = spread_retry_after(status, retry_after, rng) {
         let (name, value) = requests::retry_after(retry_after);
         response.headers_mut().insert(name, value);
     }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -5,6 +5,7 @@
 mod announcer;
 mod body_gate;
 mod crashes;
+mod decision;
 mod entry;
 mod health_check;
 mod health_probe;
@@ -38,7 +39,7 @@
 use eyre::WrapErr;
 use rand::Rng;
 use rand::SeedableRng;
-use rand::rngs::StdRng;
+use rand::rngs::Xoshiro256PlusPlus;
 use slog::Logger;
 use slog::info;
 use tokio::sync::Notify;
@@ -64,6 +65,7 @@
 use crate::result_code::ResultCode;
 use crate::sidecar::admission::AdmissionQueue;
 use crate::sidecar::announcer::WrittenEntry;
+use crate::sidecar::decision::Decision;
 use crate::sidecar::metrics::SidecarMetrics;
 use crate::sidecar::settings::SidecarSettings;
 use crate::sidecar::topic_follower::Feed;
@@ -102,7 +104,8 @@
 
 /// Mutable state of a sidecar.
 struct SidecarState {
-    rng: StdRng,
+    /// Spreads load and pauses.
+    rng: Xoshiro256PlusPlus,
     table: Option<Rc<RoutingTable>>,
     placement: Placement,
     quota: RetryQuota,
@@ -136,6 +139,21 @@
     entry_revision: u64,
 }
 
+impl SidecarState {
+    /// Returns what the decisions on a call need.
+    fn decision(&mut self) -> Decision<'_> {
+        Decision {
+            rng: &mut self.rng,
+            placement: &mut self.placement,
+            caller_ages: &mut self.caller_ages,
+            table: self.table.as_ref(),
+            moves: &self.moves,
+            exposed: &self.exposed,
+            evacuations: &self.evacuations,
+        }
+    }
+}
+
 /// One sidecar process.
 struct Sidecar {
     settings: SidecarSettings,
@@ -235,7 +253,7 @@
 }
 
 fn new_sidecar(settings: SidecarSettings, log: Logger) -> eyre::Result<Sidecar> {
-    let mut rng = StdRng::try_from_rng(&mut rand::rngs::SysRng)?;
+    let mut rng = Xoshiro256PlusPlus::try_from_rng(&mut rand::rngs::SysRng)?;
     let run = rng.next_u64();
     let control_pool = Rc::new(ConnectionPool::default());
     let state = SidecarState {
--- a/src/sidecar/usage_port.rs
+++ b/src/sidecar/usage_port.rs
@@ -13,11 +13,13 @@
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
 use actix_http::uri::PathAndQuery;
+use rand::Rng;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use slog::info;
 use tokio::sync::Notify;
 
+use crate::coordination::placement::Placement;
 use crate::coordination::workspaces::quota::QuotaBounds;
 use crate::coordination::workspaces::quota::QuotaDecision;
 use crate::coordination::workspaces::quota::QuotaLimiter;
@@ -35,6 +37,7 @@
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
 use crate::sidecar::settings::SidecarSettings;
+use crate::state::routing_table::RoutingTable;
 use crate::transport::exchange::Exchange;
 use crate::transport::http_server;
 use crate::transport::http_server::BODY_TIMEOUT;
@@ -66,6 +69,12 @@
     collector: Collector,
     choice: CollectorChoice,
     reports_to: Option<NodeId>,
+    applied: Applied,
+}
+
+/// What the limiter and the collector know of the rest of the node.
+#[derive(Clone, Copy, Default)]
+struct Applied {
     config_version: Option<u64>,
     fleet_counted_at: Option<Duration>,
 }
@@ -92,8 +101,7 @@
                 collector: Collector::new(settings.failure_domain.clone(), run, bounds),
                 choice: CollectorChoice::default(),
                 reports_to: None,
-                config_version: None,
-                fleet_counted_at: None,
+                applied: Applied::default(),
             }),
             changed: Notify::new(),
             is_reporting: Cell::new(false),
@@ -179,18 +187,16 @@
         return;
     };
     let state = &mut *cx.quotas.state.borrow_mut();
-    if state.config_version != Some(table.version()) {
-        state.config_version = Some(table.version());
-        let rng = &mut cx.state.borrow_mut().rng;
-        state.limiter.set_workspaces(now, table.workspaces(), rng);
+    let sidecar = &mut *cx.state.borrow_mut();
+    let (limiter, applied) = (&mut state.limiter, state.applied);
+    let placement = &sidecar.placement;
+    state.applied = update_limiter(limiter, applied, now, &table, placement, &mut sidecar.rng);
+    if state.applied.config_version != applied.config_version {
         state.collector.set_workspaces(now, table.workspaces());
     }
-    let is_counted = |at| now.saturating_sub(at) < FLEET_INTERVAL;
-    if !state.limiter.has_quotas() || state.fleet_counted_at.is_some_and(is_counted) {
+    if state.applied.fleet_counted_at == applied.fleet_counted_at {
         return;
     }
-    state.fleet_counted_at = Some(now);
-    let placement = &cx.state.borrow().placement;
     let mut domains: Vec<(DomainName, usize)> = Vec::new();
     for entry in placement.entries() {
         match domains.binary_search_by(|(domain, _)| domain.cmp(&entry.domain)) {
@@ -198,10 +204,31 @@
             Err(index) => domains.insert(index, (entry.domain.clone(), 1)),
         }
     }
-    state.limiter.set_nodes(placement.nodes());
     state.collector.set_domains(&domains);
 }
 
+/// Applies a new configuration and, from time to time, the number of nodes to a limiter. Returns what it has
+/// applied then.
+fn update_limiter(
+    limiter: &mut QuotaLimiter,
+    mut applied: Applied,
+    now: Duration,
+    table: &RoutingTable,
+    placement: &Placement,
+    rng: &mut impl Rng,
+) -> Applied {
+    if applied.config_version != Some(table.version()) {
+        applied.config_version = Some(table.version());
+        limiter.set_workspaces(now, table.workspaces(), rng);
+    }
+    let is_counted = |at| now.saturating_sub(at) < FLEET_INTERVAL;
+    if limiter.has_quotas() && !applied.fleet_counted_at.is_some_and(is_counted) {
+        applied.fleet_counted_at = Some(now);
+        limiter.set_nodes(placement.nodes());
+    }
+    applied
+}
+
 /// Signals a new configuration.
 pub fn on_config(cx: &Sidecar) {
     cx.quotas.changed.notify_one();
