Show where a sidecar would send a request, and why

An operator could tell from the log lines where requests went, but not where one would go, nor why the other nodes were not chosen. sycamorewick explain asks a sidecar at its metrics port. The sidecar decides like for a call, on copies of its random numbers, its placement and the limiter of quotas, so that the next call takes the node that was named, with the same random part of its cost. Of a key only the hash is sent.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -18,6 +18,7 @@
 use crate::config::Action;
 use crate::config::Color;
 use crate::config::Config;
+use crate::config::ExplainOptions;
 use crate::config::OperatorAccess;
 use crate::config::PublishOptions;
 use crate::exit_code::ExitCode;
@@ -72,6 +73,7 @@
         .subcommand(watch_command())
         .subcommand(revert_command())
         .subcommand(console_command())
+        .subcommand(explain_command())
         .subcommand(completions_command())
 }
 
@@ -282,6 +284,60 @@
         .after_long_help("Example:\n  sycamorewick console --operator 127.0.0.1:7403")
 }
 
+fn explain_command() -> Command {
+    Command::new("explain")
+        .about("Show where a sidecar would send a request, and why")
+        .long_about(
+            "Show where a sidecar would send a request now, and why, without sending it. The \
+             sidecar makes the decisions of a call on a copy of its state; no token of a quota is \
+             taken. A refusal of the request is a result: the exit code is then 0 as well.",
+        )
+        .after_long_help(
+            "Examples:\n  sycamorewick explain --node 127.0.0.1:7406 --host shop.example --path /cart/7\n  \
+             sycamorewick explain --node 127.0.0.1:7406 --host shop.example --path /cart/7 \\\n    \
+             --workspace acme --json | jq .chosen",
+        )
+        .args([
+            Arg::new("node")
+                .long("node")
+                .value_name("ADDRESS")
+                .value_parser(value_parser!(SocketAddr))
+                .required(true)
+                .help("Address of the sidecar's metrics port (metrics_addr)"),
+            Arg::new("host")
+                .long("host")
+                .value_name("HOST")
+                .required(true)
+                .help("Host header of the request"),
+            Arg::new("path")
+                .long("path")
+                .value_name("PATH")
+                .required(true)
+                .help("Path of the request"),
+            Arg::new("key-file")
+                .long("key-file")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("File with the key of a workspace; only its hash is sent"),
+            Arg::new("workspace")
+                .long("workspace")
+                .value_name("NAME")
+                .conflicts_with("key-file")
+                .help("Workspace of the request, instead of a key"),
+            Arg::new("body-bytes")
+                .long("body-bytes")
+                .value_name("NUMBER")
+                .value_parser(value_parser!(u64))
+                .default_value("0")
+                .help("Size of the request body"),
+            Arg::new("time-left-ms")
+                .long("time-left-ms")
+                .value_name("NUMBER")
+                .value_parser(value_parser!(u64))
+                .help("Time until the caller's deadline [default: the route's time limit]"),
+        ])
+}
+
 fn completions_command() -> Command {
     Command::new("completions")
         .about("Print a completion script for a shell")
@@ -413,6 +469,19 @@
         "console" => Action::Console {
             access: operator_access(sub),
         },
+        "explain" => Action::Explain {
+            addr: *sub
+                .get_one::<SocketAddr>("node")
+                .expect("the argument is required"),
+            options: ExplainOptions {
+                host: text_arg(sub, "host"),
+                path: text_arg(sub, "path"),
+                key_file: sub.get_one::<PathBuf>("key-file").cloned(),
+                workspace: sub.get_one::<String>("workspace").cloned(),
+                body_bytes: number_arg(sub, "body-bytes"),
+                time_left_ms: sub.get_one::<u64>("time-left-ms").copied(),
+            },
+        },
         "completions" => Action::Completions {
             shell: sub.get_one::<String>("shell").cloned().unwrap_or_default(),
         },
@@ -449,6 +518,13 @@
         .expect("the argument is required or has a default")
 }
 
+fn text_arg(matches: &ArgMatches, name: &str) -> String {
+    matches
+        .get_one::<String>(name)
+        .cloned()
+        .expect("the argument is required")
+}
+
 fn path_arg(matches: &ArgMatches, name: &str) -> PathBuf {
     matches
         .get_one::<PathBuf>(name)
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod console;
 mod diff;
 mod document_file;
+mod explain;
 mod history;
 mod operator_client;
 mod output;
@@ -58,6 +59,7 @@
             options,
         } => block_on(publish::revert(access, *version, options, output)),
         Action::Console { access } => block_on(console::run(access, output)),
+        Action::Explain { addr, options } => block_on(explain::run(*addr, options, output)),
         Action::Completions { shell } => {
             cli::write_completions(shell);
             ExitCode::Success
--- a/src/config.rs
+++ b/src/config.rs
@@ -48,6 +48,23 @@
     pub timeout: Duration,
 }
 
+/// Request of a caller of which a node is asked where it would send it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ExplainOptions {
+    /// Value of the `Host` header.
+    pub host: String,
+    /// Path.
+    pub path: String,
+    /// File with the credential.
+    pub key_file: Option<PathBuf>,
+    /// Workspace whose credential the request has, instead of the credential.
+    pub workspace: Option<String>,
+    /// Size of the body.
+    pub body_bytes: u64,
+    /// Time until the deadline of the caller, milliseconds.
+    pub time_left_ms: Option<u64>,
+}
+
 /// A subcommand with its arguments.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
@@ -129,6 +146,13 @@
         /// Node that serves the console.
         access: OperatorAccess,
     },
+    /// Show where a request would be sent, without sending it.
+    Explain {
+        /// Metrics port of the sidecar to ask.
+        addr: SocketAddr,
+        /// The request.
+        options: ExplainOptions,
+    },
     /// Print a completion script.
     Completions {
         /// Name of the shell.
--- a/src/coordination/caller_age.rs
+++ b/src/coordination/caller_age.rs
@@ -18,7 +18,7 @@
 /// Calls of a route before the first estimate, which is their median: one unusual caller must not set it.
 const FIRST_CALLS: usize = 9;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct RouteReference {
     route: RouteName,
     /// Time left of the first calls in seconds, sorted.
@@ -28,7 +28,7 @@
 }
 
 /// Time that the callers of each route have left when they arrive.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct CallerAges {
     /// Sorted by route.
     routes: Vec<RouteReference>,
--- a/src/coordination/domains/spill.rs
+++ b/src/coordination/domains/spill.rs
@@ -103,7 +103,7 @@
 }
 
 /// State of one service and target.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Target {
     service: ServiceName,
     domain: DomainName,
@@ -136,7 +136,7 @@
 }
 
 /// Shares of one entry node, by service and target.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct SpillShares {
     /// Sorted by service and domain.
     targets: Vec<Target>,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -23,6 +23,9 @@
 use crate::coordination::domains::spill::SpillShares;
 use crate::coordination::slot_queue::ASSUMED_RUN_SHARE;
 use crate::coordination::slot_queue::COLD_START_FACTOR;
+use crate::protocol::explain::Availability;
+use crate::protocol::explain::CandidateView;
+use crate::protocol::explain::NotChosen;
 use crate::protocol::fleet::BackendPhase;
 use crate::protocol::fleet::BackendReport;
 use crate::protocol::fleet::FleetEntry;
@@ -37,6 +40,7 @@
 use crate::protocol::name::RouteName;
 use crate::protocol::name::ServiceName;
 use crate::protocol::name::VersionName;
+use crate::protocol::time::millis;
 use crate::result_code::ResultCode;
 
 /// Time for a hop to another node of the same failure domain: parsing the request a second time and
@@ -242,17 +246,7 @@
     }
 }
 
-/// Class of a node; a node of an earlier class is preferred at any cost.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Availability {
-    Available,
-    /// The node has just refused a call because of load.
-    Overloaded,
-    /// The node was unreachable or had no backend server when it was last tried.
-    Unreachable,
-}
-
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Candidate {
     entry: FleetEntry,
     distance: Distance,
@@ -410,7 +404,7 @@
 }
 
 /// Results of all known backend servers of a version.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct VersionTotal {
     service: ServiceName,
     version: VersionName,
@@ -419,7 +413,7 @@
 }
 
 /// Mean run time and response size of a route over all backend servers.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct RouteMeans {
     route: RouteName,
     responses: u32,
@@ -450,9 +444,38 @@
 }
 
 impl Choice<'_> {
+    fn rank(&self) -> Rank {
+        (self.availability, self.is_full, self.cost_ms)
+    }
+
     fn is_before(&self, other: &Self) -> bool {
-        let key = |choice: &Self| (choice.availability, choice.is_full, choice.cost_ms);
-        key(self) < key(other)
+        self.rank() < other.rank()
+    }
+}
+
+/// Order in which nodes are preferred: availability, whether the node is full, and cost.
+type Rank = (Availability, bool, f64);
+
+/// What a choice was made by, for its explanation.
+struct Evaluated {
+    node: NodeId,
+    rank: Rank,
+    time_ms: f64,
+}
+
+/// Returns the reason why a node was not chosen, given the rank of the chosen one.
+fn not_chosen(rank: Rank, chosen: Option<Rank>) -> NotChosen {
+    let (availability, is_full, _) = rank;
+    let is_worse = |chosen: Rank| (availability, is_full) > (chosen.0, chosen.1);
+    // A node that ranks before the chosen one is ruled out by the bounds of the calls that leave.
+    if chosen.is_some_and(|chosen| rank >= chosen && !is_worse(chosen)) {
+        return NotChosen::CostsMore;
+    }
+    match availability {
+        Availability::Unreachable => NotChosen::Unreachable,
+        Availability::Overloaded => NotChosen::Overloaded,
+        Availability::Available if is_full => NotChosen::NoSpareSlot,
+        Availability::Available => NotChosen::SpilloverShare,
     }
 }
 
@@ -476,22 +499,41 @@
     })
 }
 
+/// Returns the backend server of a node, if it may serve a call.
+///
+/// # Errors
+/// The reason why it may not.
+fn usable_backend<'a>(
+    candidate: &'a Candidate,
+    request: &PickRequest<'_>,
+) -> Result<&'a BackendReport, NotChosen> {
+    let entry = &candidate.entry;
+    let backend = candidate.backend().ok_or(NotChosen::NoBackend)?;
+    if backend.service != *request.service {
+        Err(NotChosen::NoBackend)
+    } else if !request.regions.allows(&entry.region) {
+        Err(NotChosen::OutsideHome)
+    } else if request.evacuations.contains(&entry.domain) {
+        Err(NotChosen::Evacuated)
+    } else if !(request.is_allowed)(&entry.node, &backend.version) {
+        Err(NotChosen::VersionNotAllowed)
+    } else {
+        Ok(backend)
+    }
+}
+
+/// Returns the nodes that a call may be sent to. `observe` is told of each of them.
 fn choices<'a>(
     candidates: &'a [Candidate],
     now: Duration,
     rng: &mut impl Rng,
     request: &PickRequest<'_>,
     call: &CallCost,
+    observe: &mut dyn FnMut(&Choice<'_>),
 ) -> Choices<'a> {
     let usable: Vec<(&Candidate, &BackendReport)> = candidates
         .iter()
-        .filter_map(|candidate| Some((candidate, candidate.backend()?)))
-        .filter(|(candidate, backend)| {
-            backend.service == *request.service
-                && request.regions.allows(&candidate.entry.region)
-                && !request.evacuations.contains(&candidate.entry.domain)
-                && (request.is_allowed)(&candidate.entry.node, &backend.version)
-        })
+        .filter_map(|candidate| Some((candidate, usable_backend(candidate, request).ok()?)))
         .collect();
     let is_tried = |candidate: &Candidate| request.tried.contains(&candidate.entry.node);
     let may_serve = |candidate: &Candidate| {
@@ -522,6 +564,7 @@
                 && candidate.refuses_spillover(now, backend),
             candidate,
         };
+        observe(&choice);
         let mut known = found.best_of_domains.iter_mut();
         let domain = &candidate.entry.domain;
         match known.find(|best| best.candidate.entry.domain == *domain) {
@@ -556,7 +599,7 @@
 }
 
 /// Chooses serving nodes for the calls of one entry node.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Placement {
     node: NodeId,
     region: RegionName,
@@ -577,7 +620,7 @@
 }
 
 /// Last entry of a node that has left the fleet.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct DepartedNode {
     node: NodeId,
     run: u64,
@@ -744,6 +787,63 @@
         now: Duration,
         rng: &mut impl Rng,
         request: &PickRequest<'_>,
+    ) -> Option<Pick> {
+        self.pick_observed(now, rng, request, &mut |_| {})
+    }
+
+    /// Chooses a node like [`Self::pick`] and returns all nodes with the reasons why they were not chosen. It draws
+    /// random numbers and changes the shares like a choice, so it is asked of a copy.
+    pub fn explain(
+        &mut self,
+        now: Duration,
+        rng: &mut impl Rng,
+        request: &PickRequest<'_>,
+    ) -> (Option<Pick>, Vec<CandidateView>) {
+        let mut evaluated: Vec<Evaluated> = Vec::new();
+        let pick = self.pick_observed(now, rng, request, &mut |choice| {
+            evaluated.push(Evaluated {
+                node: choice.candidate.entry.node.clone(),
+                rank: choice.rank(),
+                time_ms: choice.time_ms,
+            });
+        });
+        let find = |node: &NodeId| evaluated.iter().find(|known| known.node == *node);
+        let chosen = pick.as_ref().and_then(|pick| find(&pick.node));
+        let chosen_rank = chosen.map(|chosen| chosen.rank);
+        let views = self.candidates.iter().map(|candidate| {
+            let entry = &candidate.entry;
+            let known = find(&entry.node);
+            let reason = match (usable_backend(candidate, request), known) {
+                (Err(reason), _) => Some(reason),
+                (Ok(_), None) => Some(NotChosen::Tried),
+                (Ok(_), Some(_)) if chosen.is_some_and(|chosen| chosen.node == entry.node) => None,
+                (Ok(_), Some(known)) => Some(not_chosen(known.rank, chosen_rank)),
+            };
+            let backend = candidate.backend();
+            let has_reported = candidate.load_at > Duration::ZERO;
+            CandidateView {
+                node: entry.node.clone(),
+                failure_domain: entry.domain.clone(),
+                region: entry.region.clone(),
+                service: backend.map(|backend| backend.service.clone()),
+                version: backend.map(|backend| backend.version.clone()),
+                availability: candidate.availability(now),
+                time_ms: known.map(|known| known.time_ms),
+                cost_ms: known.map(|known| known.rank.2),
+                load_age_ms: has_reported.then(|| millis(now.saturating_sub(candidate.load_at))),
+                not_chosen: reason,
+            }
+        });
+        (pick, views.collect())
+    }
+
+    /// Chooses a node. `observe` is told of each node that the call may be sent to.
+    fn pick_observed(
+        &mut self,
+        now: Duration,
+        rng: &mut impl Rng,
+        request: &PickRequest<'_>,
+        observe: &mut dyn FnMut(&Choice<'_>),
     ) -> Option<Pick> {
         let means = self.means(request.route);
         let is_route_known = means.is_some_and(|means| means.responses >= MIN_RESPONSES);
@@ -764,7 +864,7 @@
             best_of_domains,
             can_stay,
             tried_away,
-        } = choices(&self.candidates, now, rng, request, &call);
+        } = choices(&self.candidates, now, rng, request, &call, observe);
         let best_of = |of: &dyn Fn(&Choice<'_>) -> bool| {
             let choices = best_of_domains.iter().filter(|choice| of(choice));
             choices.reduce(|best, choice| if choice.is_before(best) { choice } else { best })
--- a/src/coordination/workspaces/quota.rs
+++ b/src/coordination/workspaces/quota.rs
@@ -12,9 +12,11 @@
 
 use crate::coordination::workspaces::usage::DEMAND_WINDOW;
 use crate::coordination::workspaces::usage::DemandWindow;
+use crate::protocol::explain::QuotaView;
 use crate::protocol::mesh::Quota;
 use crate::protocol::mesh::Workspace;
 use crate::protocol::name::WorkspaceName;
+use crate::protocol::time::millis;
 use crate::protocol::usage::UsageTotals;
 use crate::protocol::usage::WorkspaceCount;
 
@@ -120,7 +122,7 @@
     pub totals_age: Option<Duration>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct WorkspaceBucket {
     workspace: WorkspaceName,
     quota: Quota,
@@ -151,7 +153,7 @@
 }
 
 /// Limiter of one node.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct QuotaLimiter {
     bounds: QuotaBounds,
     nodes: usize,
@@ -306,6 +308,29 @@
         })
     }
 
+    /// Returns what a request of a workspace would find now; `None` if it has no quota.
+    #[must_use]
+    pub fn view(&self, now: Duration, workspace: &WorkspaceName) -> Option<QuotaView> {
+        let index = self.index(workspace).ok()?;
+        // A request asks for newer totals, so that the share shrinks with the age of the present ones.
+        let asking = Self {
+            awaits_totals: true,
+            buckets: Vec::new(),
+            ..*self
+        };
+        let mut bucket = self.buckets[index].clone();
+        let rate = bucket.refill(now, as_f64(self.nodes), asking.shrunk(now), self.covered);
+        let per_s = bucket.quota.rate.per_s();
+        Some(QuotaView {
+            per_s,
+            burst: bucket.quota.burst,
+            share: rate / per_s,
+            tokens: bucket.tokens,
+            level: bucket.level_now(now, self.covered),
+            totals_age_ms: self.totals_age(now).map(millis),
+        })
+    }
+
     /// Gives back the token of an admitted request that ended as not run.
     pub fn give_back(&mut self, workspace: &WorkspaceName) {
         if let Ok(index) = self.index(workspace) {
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -2,6 +2,7 @@
 //! `docs/platform.md`, "Configuration".
 
 use std::fmt;
+use std::fmt::Write as _;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -82,6 +83,30 @@
     pub fn of(credential: &[u8]) -> Self {
         Self(*blake3::hash(credential).as_bytes())
     }
+
+    /// Returns the hash as 64 hexadecimal digits.
+    #[must_use]
+    pub fn to_hex(self) -> String {
+        let mut text = String::with_capacity(64);
+        for byte in self.0 {
+            let _ = write!(text, "{byte:02x}");
+        }
+        text
+    }
+
+    /// Reads what [`Self::to_hex`] returns; `None` if it is something else.
+    #[must_use]
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let is_hex = text.len() == 64 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if !is_hex {
+            return None;
+        }
+        let mut hash = [0; 32];
+        for (index, byte) in hash.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+        }
+        Some(Self(hash))
+    }
 }
 
 impl fmt::Debug for KeyHash {
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,6 +5,7 @@
 pub mod claim;
 pub mod codec;
 pub mod document;
+pub mod explain;
 pub mod fleet;
 pub mod gossip;
 pub mod hop;
--- a/src/sidecar/decision.rs
+++ b/src/sidecar/decision.rs
@@ -1,4 +1,5 @@
-//! Decisions on a call at its entry node: route, service, version and node. See `docs/platform.md`, "Request path".
+//! Decisions on a call at its entry node: route, service, version and node. Calls and their explanations share them.
+//! See `docs/platform.md`, "Request path".
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,7 +28,7 @@
 use crate::state::routing_table;
 use crate::state::routing_table::RoutingTable;
 
-/// State that the decisions on a call read, and the part that they change.
+/// State that the decisions on a call read, and the part that they change. An explanation has copies of that part.
 pub struct Decision<'a> {
     pub rng: &'a mut Xoshiro256PlusPlus,
     pub placement: &'a mut Placement,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod decision;
 mod entry;
+mod explain_port;
 mod health_check;
 mod health_probe;
 mod heartbeat_port;
@@ -104,7 +105,7 @@
 
 /// Mutable state of a sidecar.
 struct SidecarState {
-    /// Spreads load and pauses.
+    /// Spreads load and pauses; an explanation of a call has a copy.
     rng: Xoshiro256PlusPlus,
     table: Option<Rc<RoutingTable>>,
     placement: Placement,
--- a/src/sidecar/status_ports.rs
+++ b/src/sidecar/status_ports.rs
@@ -2,12 +2,15 @@
 
 use std::rc::Rc;
 
+use actix_http::Method;
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_http::body::BoxBody;
 
 use crate::platform::requests::READY_PATH;
+use crate::protocol::explain::EXPLAIN_PATH;
 use crate::sidecar::Sidecar;
+use crate::sidecar::explain_port;
 use crate::transport::http_server;
 use crate::transport::http_server::Handler;
 
@@ -24,10 +27,16 @@
     })
 }
 
-/// Returns the handler of the metrics port.
+/// Returns the handler of the metrics port, which also answers where a request would be sent.
 pub fn metrics_handler(cx: &Rc<Sidecar>) -> Handler {
     let cx = cx.clone();
-    Rc::new(move |_| {
+    Rc::new(move |req| {
+        if req.path() == EXPLAIN_PATH {
+            return match *req.method() {
+                Method::POST => Box::pin(explain_port::handle(cx.clone(), req)),
+                _ => Box::pin(async { http_server::empty(StatusCode::METHOD_NOT_ALLOWED) }),
+            };
+        }
         let text = cx.metrics.render();
         Box::pin(async move { Response::with_body(StatusCode::OK, BoxBody::new(text)) })
     })
--- a/src/sidecar/usage_port.rs
+++ b/src/sidecar/usage_port.rs
@@ -26,6 +26,7 @@
 use crate::coordination::workspaces::usage::Collector;
 use crate::coordination::workspaces::usage::CollectorChoice;
 use crate::protocol::codec;
+use crate::protocol::explain::QuotaView;
 use crate::protocol::name::DomainName;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::WorkspaceName;
@@ -229,6 +230,23 @@
     applied
 }
 
+/// Decides on a request like [`admit`] on a copy of the limiter, so that no token is taken. Returns what the request
+/// would find as well.
+pub fn explain(
+    cx: &Sidecar,
+    now: Duration,
+    workspace: &WorkspaceName,
+    table: &RoutingTable,
+    placement: &Placement,
+    rng: &mut impl Rng,
+) -> (QuotaDecision, Option<QuotaView>) {
+    let state = cx.quotas.state.borrow();
+    let mut limiter = state.limiter.clone();
+    update_limiter(&mut limiter, state.applied, now, table, placement, rng);
+    let view = limiter.view(now, workspace);
+    (limiter.admit(now, workspace, rng), view)
+}
+
 /// Signals a new configuration.
 pub fn on_config(cx: &Sidecar) {
     cx.quotas.changed.notify_one();
--- a/src/transport/headers.rs
+++ b/src/transport/headers.rs
@@ -68,5 +68,11 @@
         .get(HOST)
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default();
+    without_port(host)
+}
+
+/// Returns the value of a `Host` header without its port.
+#[must_use]
+pub fn without_port(host: &str) -> &str {
     host.rsplit_once(':').map_or(host, |(name, _)| name)
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -28,7 +28,7 @@
 
 use env::TestEnv;
 
-const COMMANDS: [&str; 10] = [
+const COMMANDS: [&str; 11] = [
     "node",
     "validate",
     "publish",
@@ -38,6 +38,7 @@
     "watch",
     "revert",
     "console",
+    "explain",
     "completions",
 ];
 
@@ -83,6 +84,32 @@
         vec!["history", "--limit", "0"],
         vec!["status", "--operator", "nowhere"],
         vec!["status", "--color", "blue"],
+        vec!["explain", "--host", "a", "--path", "/"],
+        vec!["explain", "--node", "127.0.0.1:1", "--path", "/"],
+        vec!["explain", "--node", "127.0.0.1:1", "--host", "a"],
+        vec!["explain", "--node", "nowhere", "--host", "a", "--path", "/"],
+        vec![
+            "explain",
+            "--node",
+            "127.0.0.1:1",
+            "--host",
+            "a",
+            "--path",
+            "no-slash",
+        ],
+        vec![
+            "explain",
+            "--node",
+            "127.0.0.1:1",
+            "--host",
+            "a",
+            "--path",
+            "/",
+            "--key-file",
+            "k",
+            "--workspace",
+            "acme",
+        ],
         vec!["fly"],
     ] {
         let run = env::command(&args);
@@ -167,6 +194,38 @@
     Ok(())
 }
 
+/// Guards against a key that is repeated in an error, and against failures of `explain` with the exit code of another
+/// one.
+#[gtest]
+fn explain_failures_have_their_exit_codes() -> googletest::Result<()> {
+    const KEY: &str = "key-of-acme-51f0";
+    let dir = tempfile::tempdir()?;
+    let key_file = dir.path().join("acme.key").display().to_string();
+    let empty = dir.path().join("empty.key").display().to_string();
+    fs::write(&key_file, KEY)?;
+    fs::write(&empty, "\n")?;
+    let closed = testbed::fleet::free_addr().expect("an address").to_string();
+    let run = |file: &str, flags: &[&str]| {
+        let args = ["explain", "--node", &closed, "--host", "a", "--path", "/"];
+        let args: Vec<&str> = args.into_iter().chain(["--key-file", file]).collect();
+        env::command(&[&args[..], flags].concat())
+    };
+    let unreachable = run(&key_file, &[]).expect(6);
+    expect_that!(unreachable.stderr, contains_substring("does not answer"));
+    let unreachable = run(&key_file, &["--json"]).expect(6);
+    expect_that!(unreachable.json()["result"], eq(&json!("failed")));
+    expect_that!(unreachable.stdout, not(contains_substring(KEY)));
+    expect_that!(
+        run("absent.key", &[]).expect(1).stderr,
+        contains_substring("absent.key")
+    );
+    expect_that!(
+        run(&empty, &[]).expect(1).stderr,
+        contains_substring("is empty")
+    );
+    Ok(())
+}
+
 /// Guards against reporting an unreachable node as an empty fleet, and against retries with a wrong
 /// token.
 #[gtest]
--- /dev/null
+++ b/tests/process_explain.rs
@@ -0,0 +1,319 @@
+//! `sycamorewick explain` against real sidecar processes.
+
+mod sidecar_common;
+
+use std::fs;
+use std::process::Command;
+use std::process::Output;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_http::StatusCode;
+use googletest::prelude::*;
+use serde_json::Value;
+use serde_json::json;
+use sidecar_common::HOST;
+use sidecar_common::TestFleet;
+use sidecar_common::WAIT_LIMIT;
+use sidecar_common::run;
+use testbed::platform::backend::ATTEMPT_HEADER;
+use testbed::platform::store::OPERATOR_TOPIC;
+
+const CREDENTIAL_HEADER: &str = "x-sycamorewick-credential";
+const ACME_KEY: &str = "key-of-acme-51f0";
+const BIRCH_KEY: &str = "key-of-birch-93aa";
+const UNKNOWN_KEY: &str = "key-of-nobody-20c7";
+/// Calls that are explained before they are made.
+const ROUNDS: usize = 20;
+/// Metrics that change with time.
+const PASSING_METRICS: [&str; 1] = ["sycamorewick_quota_totals_age_seconds"];
+
+/// Writes a configuration with a workspace whose quota is large, one whose quota is used up soon, and a public
+/// route.
+fn put_workspaces(env: &TestFleet) {
+    let route = |prefix: &str, is_public: bool| {
+        json!({ "host": HOST, "prefix": prefix, "kind": "safe", "timeout-ms": 3000, "slo-ms": 500,
+            "priority": 1, "service": "registry", "attempts": 2, "public": is_public })
+    };
+    let config = json!({
+        "version": "00000002",
+        "routes": { "lookup": route("/wrecks/", false), "open": route("/open/", true) },
+        "services": { "registry": { "health-path": "/healthz", "max-conns": 100 } },
+        "limits": { "header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000 },
+        "tenants": {
+            "acme": { "api-keys": [ACME_KEY], "priority": 1, "per-s": 50, "burst": 500 },
+            "birch": { "api-keys": [BIRCH_KEY], "per-s": 0.01, "burst": 1 },
+        },
+    });
+    let _ = env
+        .store
+        .put(OPERATOR_TOPIC, "config", config.to_string().as_bytes());
+}
+
+async fn start(nodes: usize) -> eyre::Result<TestFleet> {
+    let mut env = TestFleet::start(nodes).await?;
+    put_workspaces(&env);
+    for index in 0..nodes {
+        env.wait_for(WAIT_LIMIT, index, "/open/1", StatusCode::OK)
+            .await?;
+    }
+    Ok(env)
+}
+
+/// Runs the command for a path. The servers of the test need the thread meanwhile.
+async fn explain(env: &TestFleet, index: usize, args: &[&str]) -> eyre::Result<Output> {
+    let addr = env.fleet.nodes()[index].addrs.metrics.to_string();
+    run_command(&addr, args).await
+}
+
+async fn run_command(addr: &str, args: &[&str]) -> eyre::Result<Output> {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sycamorewick"));
+    command.args(["explain", "--node", addr, "--host", HOST]);
+    command.args(args);
+    let output = actix_rt::task::spawn_blocking(move || command.output()).await??;
+    Ok(output)
+}
+
+/// Returns the explanation as JSON, and checks that the command succeeds.
+async fn explain_json(env: &TestFleet, index: usize, args: &[&str]) -> eyre::Result<Value> {
+    let args: Vec<&str> = args.iter().copied().chain(["--json"]).collect();
+    let output = explain(env, index, &args).await?;
+    eyre::ensure!(output.status.code() == Some(0), "{output:?}");
+    Ok(serde_json::from_slice(&output.stdout)?)
+}
+
+/// Sends a call with a key and returns its status.
+async fn call(env: &TestFleet, index: usize, key: &str, attempt: &str) -> eyre::Result<StatusCode> {
+    let addr = env.fleet.nodes()[index].addrs.caller;
+    let client = awc::Client::default();
+    let sent = client
+        .get(format!("http://{addr}/wrecks/1"))
+        .insert_header(("host", HOST))
+        .insert_header((ATTEMPT_HEADER, attempt))
+        .insert_header((CREDENTIAL_HEADER, key))
+        .send();
+    let mut response = sent.await.map_err(|e| eyre::eyre!("{e}"))?;
+    let _ = response.body().await?;
+    Ok(response.status())
+}
+
+/// Waits for the line of the first attempt of a call; lines are written in the background.
+async fn routed_line(env: &TestFleet, index: usize, attempt: &str) -> eyre::Result<Value> {
+    let until = Instant::now() + WAIT_LIMIT;
+    loop {
+        let mut lines = env.fleet.log_lines(index, "call routed").into_iter();
+        if let Some(line) = lines.find(|line| line["attempt"] == attempt) {
+            return Ok(line);
+        }
+        eyre::ensure!(Instant::now() < until, "no line of {attempt}");
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Returns the metrics of a node that do not change with time, sorted.
+async fn metrics(env: &TestFleet, index: usize) -> eyre::Result<String> {
+    let url = format!("http://{}/metrics", env.fleet.nodes()[index].addrs.metrics);
+    let response = awc::Client::default().get(url).send().await;
+    let body = response.map_err(|e| eyre::eyre!("{e}"))?.body().await?;
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let is_kept = |line: &&str| !PASSING_METRICS.iter().any(|name| line.contains(name));
+    let mut lines: Vec<&str> = text.lines().filter(is_kept).collect();
+    lines.sort_unstable();
+    Ok(lines.join("\n"))
+}
+
+/// Sends a question itself and returns the status and the text of the answer.
+async fn post(env: &TestFleet, body: String) -> eyre::Result<(StatusCode, String)> {
+    let url = format!("http://{}/explain", env.fleet.nodes()[0].addrs.metrics);
+    let sent = awc::Client::default().post(url).send_body(body).await;
+    let mut response = sent.map_err(|e| eyre::eyre!("{e}"))?;
+    let text = String::from_utf8_lossy(&response.body().await?).into_owned();
+    Ok((response.status(), text))
+}
+
+/// Guards against an explanation that takes a token or a random number, or that changes a metric or writes a line of
+/// a call, and against one of another node than the one that the next call takes.
+#[gtest]
+fn explain_then_call() {
+    run(async {
+        let env = start(2).await?;
+        let key_file = tempfile::NamedTempFile::new()?;
+        fs::write(key_file.path(), format!("{ACME_KEY}\n"))?;
+        let key_file = key_file.path().display().to_string();
+        expect_that!(call(&env, 0, ACME_KEY, "first").await?, eq(StatusCode::OK));
+        let _ = routed_line(&env, 0, "first").await?;
+        let routed = env.fleet.log_lines(0, "call routed").len();
+        let args = ["--path", "/wrecks/1?a=b", "--key-file", &key_file];
+        for round in 0..ROUNDS {
+            let before = metrics(&env, 0).await?;
+            let first = explain_json(&env, 0, &args).await?;
+            let second = explain_json(&env, 0, &args).await?;
+            expect_that!(metrics(&env, 0).await?, eq(&before));
+            let costs = |explanation: &Value| -> Vec<Value> {
+                let candidates = explanation["candidates"].as_array();
+                let candidates = candidates.into_iter().flatten();
+                candidates
+                    .map(|candidate| candidate["cost_ms"].clone())
+                    .collect()
+            };
+            expect_that!(costs(&first).len(), eq(2));
+            expect_that!(costs(&first), eq(&costs(&second)));
+
+            expect_that!(first["config"]["version"], eq(&json!(2)));
+            expect_that!(first["route"]["name"], eq(&json!("lookup")));
+            expect_that!(first["service"], eq(&json!("registry")));
+            expect_that!(first["refusal"], eq(&Value::Null));
+            expect_that!(first["workspace"]["name"], eq(&json!("acme")));
+            expect_that!(first["workspace"]["priority"], eq(&json!(1)));
+            let quota = &first["workspace"]["quota"];
+            expect_that!(quota["per_s"], eq(&json!(50.0)));
+            expect_that!(quota["tokens"].as_f64(), some(gt(0.0)));
+
+            let attempt = format!("round-{round}");
+            let status = call(&env, 0, ACME_KEY, &attempt).await?;
+            expect_that!(status, eq(StatusCode::OK));
+            let line = routed_line(&env, 0, &attempt).await?;
+            let chosen = &first["chosen"]["node"];
+            expect_that!(line["to"], eq(chosen), "round {round}");
+            let candidates = first["candidates"].as_array().cloned().unwrap_or_default();
+            let candidate = candidates.iter().find(|one| one["node"] == *chosen);
+            let cost = candidate.and_then(|one| one["cost_ms"].as_f64());
+            let cost = format!("{:.1}", cost.unwrap_or_default());
+            // The cost has a random part, so it shows that the call drew the same number.
+            expect_that!(line["cost_ms"], eq(&json!(cost)), "round {round}");
+        }
+        // Only the calls have written lines.
+        expect_that!(
+            env.fleet.log_lines(0, "call routed").len(),
+            eq(routed + ROUNDS)
+        );
+        Ok(())
+    });
+}
+
+/// Guards against a refusal that is explained otherwise than it is sent, and against a key in an answer or a log.
+#[gtest]
+fn explain_refusals() {
+    run(async {
+        let env = start(2).await?;
+        let dir = tempfile::tempdir()?;
+        let unknown = dir.path().join("unknown.key").display().to_string();
+        fs::write(&unknown, UNKNOWN_KEY)?;
+        let lookup = ["--path", "/wrecks/1"];
+        let refusal = |explanation: &Value| {
+            (
+                explanation["refusal"]["status"].clone(),
+                explanation["refusal"]["code"].clone(),
+            )
+        };
+
+        let none = explain_json(&env, 0, &["--path", "/absent/"]).await?;
+        expect_that!(refusal(&none), eq(&(json!(404), json!(4001))));
+        expect_that!(none["route"], eq(&Value::Null));
+        let missing = explain_json(&env, 0, &lookup).await?;
+        expect_that!(refusal(&missing), eq(&(json!(401), json!(4017))));
+        let args = [&lookup[..], &["--key-file", &unknown]].concat();
+        let output = explain(&env, 0, &args).await?;
+        expect_that!(output.status.code(), some(eq(0)));
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        expect_that!(text, contains_substring("refused: 401, code 4017"));
+        expect_that!(text, not(contains_substring(UNKNOWN_KEY)));
+        let large = ["--workspace", "acme", "--body-bytes", "70000"];
+        let large = explain_json(&env, 0, &[&lookup[..], &large].concat()).await?;
+        expect_that!(refusal(&large), eq(&(json!(413), json!(4009))));
+        let late = ["--workspace", "acme", "--time-left-ms", "0"];
+        let late = explain_json(&env, 0, &[&lookup[..], &late].concat()).await?;
+        expect_that!(refusal(&late), eq(&(json!(503), json!(4003))));
+        expect_that!(late["refusal"]["retry_after_ms"].as_u64(), some(gt(0)));
+
+        let by_name = [&lookup[..], &["--workspace", "birch"]].concat();
+        let until = Instant::now() + WAIT_LIMIT;
+        let mut calls = 0;
+        while call(&env, 0, BIRCH_KEY, &format!("birch-{calls}")).await?
+            != StatusCode::TOO_MANY_REQUESTS
+        {
+            eyre::ensure!(Instant::now() < until, "the quota is not used up");
+            calls += 1;
+        }
+        let over = explain_json(&env, 0, &by_name).await?;
+        expect_that!(refusal(&over), eq(&(json!(429), json!(4019))));
+        expect_that!(over["workspace"]["quota"]["tokens"].as_f64(), some(lt(1.0)));
+        expect_that!(over["refusal"]["retry_after_ms"].as_u64(), some(gt(0)));
+
+        let public = explain_json(&env, 0, &["--path", "/open/1"]).await?;
+        expect_that!(public["workspace"], eq(&Value::Null));
+        expect_that!(public["chosen"]["node"], not(eq(&Value::Null)));
+        let _ = env.store.put(OPERATOR_TOPIC, "evacuate/keta-a", b"{}");
+        loop {
+            let public = explain_json(&env, 0, &["--path", "/open/1"]).await?;
+            if refusal(&public) == (json!(503), json!(4020)) {
+                expect_that!(
+                    public["candidates"][0]["not_chosen"],
+                    eq(&json!("evacuated"))
+                );
+                break;
+            }
+            eyre::ensure!(Instant::now() < until, "not evacuated: {public}");
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+        for node in env.fleet.nodes() {
+            for key in [ACME_KEY, BIRCH_KEY, UNKNOWN_KEY] {
+                expect_that!(node.process.output(), not(contains_substring(key)));
+            }
+        }
+        Ok(())
+    });
+}
+
+/// Guards against text without the candidates, and against invalid input that ends a node, gets no plain error or
+/// the exit code of another failure.
+#[gtest]
+fn explain_text_and_errors() {
+    run(async {
+        let env = start(2).await?;
+        let args = ["--path", "/wrecks/1", "--workspace", "acme"];
+        let output = explain(&env, 0, &args).await?;
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        for part in [
+            "node n0: configuration 2",
+            "route: lookup (a.example/wrecks/)",
+            "workspace: acme, priority 1, quota 50 a second and a burst of 500",
+            "service: registry version v1",
+            "FAILURE DOMAIN",
+            "keta-a",
+            "costs more",
+            "sent to n",
+        ] {
+            expect_that!(text, contains_substring(part));
+        }
+
+        let nobody = explain(&env, 0, &["--path", "/wrecks/1", "--workspace", "nobody"]).await?;
+        expect_that!(nobody.status.code(), some(eq(2)));
+        let error = String::from_utf8_lossy(&nobody.stderr).into_owned();
+        expect_that!(error, contains_substring("workspace: "));
+        let closed = testbed::fleet::free_addr()?.to_string();
+        let output = run_command(&closed, &["--path", "/wrecks/1"]).await?;
+        expect_that!(output.status.code(), some(eq(6)));
+        let ready = env.fleet.nodes()[0].addrs.ready.to_string();
+        let output = run_command(&ready, &["--path", "/wrecks/1"]).await?;
+        expect_that!(output.status.code(), some(eq(1)));
+
+        let (status, text) = post(&env, "{}".into()).await?;
+        expect_that!(status, eq(StatusCode::BAD_REQUEST));
+        expect_that!(text, contains_substring("host"));
+        let question = json!({ "host": HOST, "path": "/wrecks/1", "workspace": 7 });
+        let (status, text) = post(&env, question.to_string()).await?;
+        expect_that!(status, eq(StatusCode::BAD_REQUEST));
+        expect_that!(text, contains_substring("workspace"));
+        let question = json!({ "host": HOST, "path": format!("/{}", "x".repeat(70_000)) });
+        let (status, _) = post(&env, question.to_string()).await?;
+        expect_that!(status, eq(StatusCode::PAYLOAD_TOO_LARGE));
+        let url = format!("http://{}/explain", env.fleet.nodes()[0].addrs.metrics);
+        let response = awc::Client::default().get(url).send().await;
+        let status = response.map_err(|e| eyre::eyre!("{e}"))?.status();
+        expect_that!(status, eq(StatusCode::METHOD_NOT_ALLOWED));
+        let (status, _) = post(&env, json!({ "host": HOST, "path": "/open/" }).to_string()).await?;
+        expect_that!(status, eq(StatusCode::OK));
+        Ok(())
+    });
+}
