Compare explanations with calls of split routes, rollouts and quotas

A split route shows whether an explanation draws its random numbers in the order of a call, a rollout whether it takes the same version, and a small quota whether explanations take tokens.

--- a/tests/process_explain.rs
+++ b/tests/process_explain.rs
@@ -28,17 +28,25 @@
 /// Metrics that change with time.
 const PASSING_METRICS: [&str; 1] = ["sycamorewick_quota_totals_age_seconds"];
 
-/// Writes a configuration with a workspace whose quota is large, one whose quota is used up soon, and a public
-/// route.
+/// Writes a configuration with a workspace whose quota is large, one whose quota is used up soon, a public route,
+/// and one of which half of the requests go to a service without a backend server.
 fn put_workspaces(env: &TestFleet) {
     let route = |prefix: &str, is_public: bool| {
         json!({ "host": HOST, "prefix": prefix, "kind": "safe", "timeout-ms": 3000, "slo-ms": 500,
             "priority": 1, "service": "registry", "attempts": 2, "public": is_public })
     };
+    let mut halves = route("/halves/", false);
+    halves["split"] = json!([
+        { "service": "registry", "weight": 50 },
+        { "service": "booth", "weight": 50 },
+    ]);
     let config = json!({
         "version": "00000002",
-        "routes": { "lookup": route("/wrecks/", false), "open": route("/open/", true) },
-        "services": { "registry": { "health-path": "/healthz", "max-conns": 100 } },
+        "routes": { "lookup": route("/wrecks/", false), "open": route("/open/", true), "halves": halves },
+        "services": {
+            "booth": { "health-path": "/healthz", "max-conns": 100 },
+            "registry": { "health-path": "/healthz", "max-conns": 100 },
+        },
         "limits": { "header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000 },
         "tenants": {
             "acme": { "api-keys": [ACME_KEY], "priority": 1, "per-s": 50, "burst": 500 },
@@ -84,10 +92,20 @@
 
 /// Sends a call with a key and returns its status.
 async fn call(env: &TestFleet, index: usize, key: &str, attempt: &str) -> eyre::Result<StatusCode> {
+    call_path(env, index, "/wrecks/1", key, attempt).await
+}
+
+async fn call_path(
+    env: &TestFleet,
+    index: usize,
+    path: &str,
+    key: &str,
+    attempt: &str,
+) -> eyre::Result<StatusCode> {
     let addr = env.fleet.nodes()[index].addrs.caller;
     let client = awc::Client::default();
     let sent = client
-        .get(format!("http://{addr}/wrecks/1"))
+        .get(format!("http://{addr}{path}"))
         .insert_header(("host", HOST))
         .insert_header((ATTEMPT_HEADER, attempt))
         .insert_header((CREDENTIAL_HEADER, key))
@@ -173,14 +191,7 @@
             let status = call(&env, 0, ACME_KEY, &attempt).await?;
             expect_that!(status, eq(StatusCode::OK));
             let line = routed_line(&env, 0, &attempt).await?;
-            let chosen = &first["chosen"]["node"];
-            expect_that!(line["to"], eq(chosen), "round {round}");
-            let candidates = first["candidates"].as_array().cloned().unwrap_or_default();
-            let candidate = candidates.iter().find(|one| one["node"] == *chosen);
-            let cost = candidate.and_then(|one| one["cost_ms"].as_f64());
-            let cost = format!("{:.1}", cost.unwrap_or_default());
-            // The cost has a random part, so it shows that the call drew the same number.
-            expect_that!(line["cost_ms"], eq(&json!(cost)), "round {round}");
+            check_routed(&first, &line);
         }
         // Only the calls have written lines.
         expect_that!(
@@ -191,6 +202,99 @@
     });
 }
 
+/// Checks that a call went to the node of its explanation. The cost has a random part, so it shows that the call drew
+/// the same numbers.
+fn check_routed(explanation: &Value, line: &Value) {
+    let chosen = &explanation["chosen"];
+    let attempt = &line["attempt"];
+    expect_that!(line["to"], eq(&chosen["node"]), "{attempt}");
+    expect_that!(line["version"], eq(&chosen["version"]), "{attempt}");
+    let candidates = explanation["candidates"].as_array();
+    let mut candidates = candidates.into_iter().flatten();
+    let candidate = candidates.find(|candidate| candidate["node"] == chosen["node"]);
+    let cost = candidate.and_then(|candidate| candidate["cost_ms"].as_f64());
+    let cost = format!("{:.1}", cost.unwrap_or_default());
+    expect_that!(line["cost_ms"], eq(&json!(cost)), "{attempt}");
+}
+
+/// Guards against an explanation that draws the random numbers in another order than a call, so that it chooses
+/// another service.
+#[gtest]
+fn explain_then_call_of_split_route() {
+    run(async {
+        let env = start(1).await?;
+        let args = ["--path", "/halves/1", "--workspace", "acme"];
+        let (mut served, mut refused) = (0, 0);
+        for round in 0..ROUNDS {
+            let explanation = explain_json(&env, 0, &args).await?;
+            let path = "/halves/1";
+            let status = call_path(&env, 0, path, ACME_KEY, &format!("halves-{round}")).await?;
+            if explanation["service"] == "registry" {
+                served += 1;
+                expect_that!(status, eq(StatusCode::OK), "round {round}");
+            } else {
+                refused += 1;
+                expect_that!(explanation["service"], eq(&json!("booth")));
+                expect_that!(explanation["refusal"]["code"], eq(&json!(4002)));
+                expect_that!(status, eq(StatusCode::SERVICE_UNAVAILABLE), "round {round}");
+            }
+        }
+        expect_that!(served, gt(0));
+        expect_that!(refused, gt(0));
+        Ok(())
+    });
+}
+
+/// Guards against an explanation that takes the version otherwise than a call during a rollout.
+#[gtest]
+fn explain_then_call_during_rollout() {
+    run(async {
+        let mut env = TestFleet::new(2)?;
+        for (index, version) in ["v1", "v2"].into_iter().enumerate() {
+            env.fleet.start(index)?;
+            env.add_version(index, version)?;
+        }
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        for index in 0..2 {
+            env.wait_peers(index, 1).await?;
+        }
+        let order = json!({ "service": "registry", "target": "v2", "step-s": 30 });
+        let order = order.to_string();
+        let _ = env
+            .store
+            .put(OPERATOR_TOPIC, "rollout/registry", order.as_bytes());
+        let args = ["--path", "/wrecks/1"];
+        let until = Instant::now() + WAIT_LIMIT;
+        let share = |explanation: &Value| explanation["rollout"]["share"].as_f64();
+        while share(&explain_json(&env, 0, &args).await?).is_none_or(|share| share <= 0.0) {
+            eyre::ensure!(Instant::now() < until, "the rollout has not begun");
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+        let mut compared = 0;
+        for round in 0..ROUNDS {
+            let before = explain_json(&env, 0, &args).await?;
+            expect_that!(before["rollout"]["target"], eq(&json!("v2")));
+            let attempt = format!("round-{round}");
+            let status = call(&env, 0, ACME_KEY, &attempt).await?;
+            expect_that!(status, eq(StatusCode::OK));
+            let line = routed_line(&env, 0, &attempt).await?;
+            // A step of the rollout in between changes what the call may use.
+            if before["rollout"] == explain_json(&env, 0, &args).await?["rollout"] {
+                compared += 1;
+                check_routed(&before, &line);
+                let is_new = before["chosen"]["version"] == "v2";
+                let other = usize::from(!is_new);
+                expect_that!(
+                    before["candidates"][other]["not_chosen"],
+                    eq(&json!("version_not_allowed"))
+                );
+            }
+        }
+        expect_that!(compared, gt(ROUNDS / 2));
+        Ok(())
+    });
+}
+
 /// Guards against a refusal that is explained otherwise than it is sent, and against a key in an answer or a log.
 #[gtest]
 fn explain_refusals() {
@@ -227,16 +331,27 @@
         expect_that!(late["refusal"]["retry_after_ms"].as_u64(), some(gt(0)));
 
         let by_name = [&lookup[..], &["--workspace", "birch"]].concat();
+        // The quota admits fewer calls than that.
+        for _ in 0..ROUNDS {
+            let within = explain_json(&env, 0, &by_name).await?;
+            expect_that!(within["refusal"], eq(&Value::Null));
+        }
         let until = Instant::now() + WAIT_LIMIT;
-        let mut calls = 0;
-        while call(&env, 0, BIRCH_KEY, &format!("birch-{calls}")).await?
-            != StatusCode::TOO_MANY_REQUESTS
-        {
-            eyre::ensure!(Instant::now() < until, "the quota is not used up");
+        let (mut served, mut calls) = (0, 0);
+        // Totals that arrive in between may bring tokens of the other node.
+        let over = loop {
+            let explanation = explain_json(&env, 0, &by_name).await?;
+            let status = call(&env, 0, BIRCH_KEY, &format!("birch-{calls}")).await?;
+            let is_refused = refusal(&explanation) == (json!(429), json!(4019));
+            if is_refused && status == StatusCode::TOO_MANY_REQUESTS {
+                break explanation;
+            }
+            eyre::ensure!(Instant::now() < until, "not used up: {explanation}");
             calls += 1;
-        }
-        let over = explain_json(&env, 0, &by_name).await?;
-        expect_that!(refusal(&over), eq(&(json!(429), json!(4019))));
+            served += usize::from(status == StatusCode::OK);
+        };
+        expect_that!(served, gt(0));
+        expect_that!(served, lt(ROUNDS));
         expect_that!(over["workspace"]["quota"]["tokens"].as_f64(), some(lt(1.0)));
         expect_that!(over["refusal"]["retry_after_ms"].as_u64(), some(gt(0)));
 
