Recover the share of calls that leave after a full link has drained

All calls that wait on a full link are answered late, and each of these answers shrank a share again, down to the least one. Growth beyond that value was cautious, so the link was nearly unused for about three seconds. The share now grows faster up to a quarter of what it was before the path became slow.

--- a/src/coordination/domains/spill.rs
+++ b/src/coordination/domains/spill.rs
@@ -34,9 +34,15 @@
 const ADVANTAGE_WEIGHT: f64 = 0.2;
 /// Longest time between two calls that counts; a node without calls learns nothing meanwhile.
 const MAX_STEP: Duration = Duration::from_millis(100);
-/// Growth of the share in a second beyond the value to which a slow path has last reduced it, relative to the share,
-/// so that it stays near what the path carries, however small that is.
+/// Growth of the share in a second after a slow path has reduced it, relative to the share, so that it stays near what
+/// the path carries, however small that is.
 const CAUTIOUS_GROWTH_PER_S: f64 = 1.5;
+/// Part of the share before the path became slow up to which the share grows faster again. All calls that wait on a
+/// full path are answered late, so the share shrinks for long after too few calls leave.
+const CARRIED_PART: f64 = 0.25;
+/// Growth of the share in a second up to that part, relative to the share. With the cautious one alone the path
+/// stayed nearly unused for three seconds.
+const RECOVERY_GROWTH_PER_S: f64 = 4.0;
 /// Time without a slow answer after which that value no longer counts.
 const CAUTION: Duration = Duration::from_secs(5);
 /// Weight of one result in the mean part of refused calls.
@@ -114,8 +120,10 @@
     has_accepted: bool,
     /// Mean part of the calls that the target refuses.
     refused: f64,
-    /// Share to which a slow path has last reduced it, and the time of that.
-    carried: (f64, Duration),
+    /// Share that the path is taken to carry since it became slow, and the time of the last slow answer.
+    carried: Option<(f64, Duration)>,
+    /// Whether the last answer was slow.
+    is_path_slow: bool,
     /// Refusals and other bad results since the last good one.
     refusals: u32,
     shrunk_at: Duration,
@@ -152,7 +160,8 @@
             updated_at: now,
             has_accepted: false,
             refused: 0.0,
-            carried: (1.0, Duration::ZERO),
+            carried: None,
+            is_path_slow: false,
             refusals: 0,
             shrunk_at: Duration::ZERO,
             hold_until: Duration::ZERO,
@@ -205,12 +214,11 @@
             } else {
                 UNPROVEN_SHARE
             };
-            let (carried, reduced_at) = self.carried;
-            let is_cautious = self.share >= carried && now.saturating_sub(reduced_at) < CAUTION;
-            let growth_per_s = if is_cautious {
-                CAUTIOUS_GROWTH_PER_S * self.share
-            } else {
-                GROWTH_PER_S
+            let is_recent = |(_, at): &(f64, Duration)| now.saturating_sub(*at) < CAUTION;
+            let growth_per_s = match self.carried.filter(is_recent) {
+                Some((carried, _)) if self.share < carried => RECOVERY_GROWTH_PER_S * self.share,
+                Some(_) => CAUTIOUS_GROWTH_PER_S * self.share,
+                None => GROWTH_PER_S,
             };
             let grown = (self.share + rate * growth_per_s * step_s).min(most);
             self.share = grown.max(self.share);
@@ -276,14 +284,19 @@
         if is_slow {
             // A path that is slow has accepted the call, so its pause does not grow.
             self.refusals = 0;
+            let carried = match self.carried {
+                Some((carried, _)) if self.is_path_slow => carried,
+                _ => self.share * CARRIED_PART,
+            };
+            self.carried = Some((carried, now));
             self.shrink(now);
-            self.carried = (self.share, now);
             // The calls that were sent before show for as long that the path is slow.
             let drain = Duration::from_secs_f64(path_ms.max(0.0) / 1e3) * 2;
             self.hold_until = self.hold_until.max(now + drain);
         } else {
             self.refusals /= 2;
         }
+        self.is_path_slow = is_slow;
     }
 }
 
--- a/tests/domains_spill.rs
+++ b/tests/domains_spill.rs
@@ -461,6 +461,8 @@
 }
 
 const SEEDS: std::ops::Range<u64> = 0..3;
+/// Seeds of patterns whose figures depend much on the seed.
+const MORE_SEEDS: std::ops::Range<u64> = 0..12;
 
 /// One domain has a quarter of its backend servers.
 fn one_short(seed: u64) -> Model {
@@ -551,7 +553,7 @@
 /// carries 50 responses a second, a quarter of the calls.
 #[gtest]
 fn spill_saturated_link() {
-    for seed in SEEDS {
+    for seed in MORE_SEEDS {
         let [with, least_cost] = both("link", seed, |seed| {
             let mut model = one_short(seed);
             model.link = 100.0;
