Move the hold of heartbeats to the membership

`coordination/heartbeat_hold.rs` lay beside the folders of its layer. It decides whether a heartbeat of the local backend server is used, which docs/platform.md describes under membership. Only paths change.

--- a/src/coordination/membership.rs
+++ b/src/coordination/membership/mod.rs
@@ -1,6 +1,8 @@
 //! Failure detection and group membership with the SWIM protocol (Das et al., 2002) and the
 //! Lifeguard extensions (Dadgar et al., 2017). See `docs/design.md`, section 5.
 
+pub mod heartbeat_hold;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -14,7 +14,6 @@
 pub mod domains;
 pub mod evidence;
 pub mod follow_poll;
-pub mod heartbeat_hold;
 pub mod idempotency;
 pub mod membership;
 pub mod placement;
--- a/src/sidecar/health_check.rs
+++ b/src/sidecar/health_check.rs
@@ -7,7 +7,7 @@
 use actix_http::uri::PathAndQuery;
 use slog::info;
 
-use crate::coordination::heartbeat_hold::HealthPath;
+use crate::coordination::membership::heartbeat_hold::HealthPath;
 use crate::platform::requests;
 use crate::protocol::fleet::BackendReport;
 use crate::protocol::time::millis;
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -48,7 +48,7 @@
 use crate::coordination::crash_watch::CrashWatch;
 use crate::coordination::crashing_requests::CrashingRequests;
 use crate::coordination::domains::evacuation::Evacuations;
-use crate::coordination::heartbeat_hold::HeartbeatHold;
+use crate::coordination::membership::heartbeat_hold::HeartbeatHold;
 use crate::coordination::placement::Placement;
 use crate::coordination::retry_quota::RetryQuota;
 use crate::coordination::stop_plan::StopPlan;
--- a/tests/heartbeat_hold.rs
+++ b/tests/heartbeat_hold.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use sycamorewick::coordination::heartbeat_hold::HealthPath;
-use sycamorewick::coordination::heartbeat_hold::HeartbeatHold;
+use sycamorewick::coordination::membership::heartbeat_hold::HealthPath;
+use sycamorewick::coordination::membership::heartbeat_hold::HeartbeatHold;
 use sycamorewick::protocol::fleet::BackendPhase;
 use sycamorewick::protocol::fleet::BackendReport;
 
