Build the entries of nodes once in the tests of failure domains

`domains_evacuation.rs`, `domains_homes.rs` and `domains_spill.rs` each had the same code for them. It is now in `tests/domains_common/`; what is tested is the same.

--- a/tests/domains_evacuation.rs
+++ b/tests/domains_evacuation.rs
@@ -1,8 +1,11 @@
 //! Evacuated failure domains: which records and readings begin and end an evacuation, and which nodes are chosen.
 
-use std::net::SocketAddr;
+mod domains_common;
+
 use std::time::Duration;
 
+use domains_common::SERVICE;
+use domains_common::entry;
 use googletest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -16,15 +19,13 @@
 use sycamorewick::coordination::domains::homes::AllowedRegions;
 use sycamorewick::coordination::placement::PickRequest;
 use sycamorewick::coordination::placement::Placement;
-use sycamorewick::protocol::fleet::BackendPhase;
-use sycamorewick::protocol::fleet::BackendReport;
-use sycamorewick::protocol::fleet::FleetEntry;
 use sycamorewick::protocol::name::DomainName;
 use sycamorewick::protocol::name::NodeId;
 use sycamorewick::protocol::name::ServiceName;
 use sycamorewick::result_code::ResultCode;
 
 const NOW: Duration = Duration::from_secs(1);
+const SLOTS: u32 = 4;
 
 fn domain(name: &str) -> DomainName {
     name.into()
@@ -57,31 +58,6 @@
     names.collect()
 }
 
-fn entry(node: &str, region: &str, domain: &str, port: u16) -> FleetEntry {
-    FleetEntry {
-        node: node.into(),
-        run: 1,
-        revision: 1,
-        addr: SocketAddr::from(([127, 0, 0, 1], port)),
-        region: region.into(),
-        domain: domain.into(),
-        capacity: 20_000,
-        backend: Some(BackendReport {
-            instance: node.into(),
-            born: 1,
-            sequence: 1,
-            service: "registry".into(),
-            version: "v1".into(),
-            slots: 4,
-            phase: BackendPhase::Ready,
-            cold_left_ms: 0,
-        }),
-        left: None,
-        earlier_left: Vec::new(),
-        crashes: Vec::new(),
-    }
-}
-
 /// Returns entry node `a` in `accra-a`, with `b` there, `c` in `accra-b` and `d` in `keta-a`.
 fn placement() -> Placement {
     let mut placement = Placement::new("a".into(), "accra".into(), "accra-a".into());
@@ -91,7 +67,7 @@
         ("c", "accra", "accra-b", 3),
         ("d", "keta", "keta-a", 4),
     ] {
-        placement.on_entry(NOW, &entry(node, region, domain, port));
+        placement.on_entry(NOW, &entry(node, region, domain, port, SLOTS));
     }
     placement
 }
@@ -102,7 +78,7 @@
     regions: &AllowedRegions,
 ) -> Option<String> {
     let request = PickRequest {
-        service: &"registry".into(),
+        service: &SERVICE.into(),
         route: &"lookup".into(),
         objective: Duration::from_millis(250),
         idempotent: true,
@@ -207,7 +183,7 @@
 fn pick_evacuated_domains() {
     let mut placement = placement();
     let any = AllowedRegions::Any;
-    let service = ServiceName::from("registry");
+    let service = ServiceName::from(SERVICE);
     let mut gone = evacuations(&["accra-a"]);
     expect_that!(pick(&mut placement, &gone, &any), some(eq("c")));
     gone.on_record(NOW, &domain("accra-b"), 20, true);
--- a/tests/domains_homes.rs
+++ b/tests/domains_homes.rs
@@ -1,8 +1,11 @@
 //! Home regions: which regions may serve a call, which nodes are chosen, and which configurations are refused.
 
-use std::net::SocketAddr;
+mod domains_common;
+
 use std::time::Duration;
 
+use domains_common::SERVICE;
+use domains_common::entry;
 use googletest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -20,15 +23,13 @@
 use sycamorewick::coordination::placement::PickRequest;
 use sycamorewick::coordination::placement::Placement;
 use sycamorewick::platform::config;
-use sycamorewick::protocol::fleet::BackendPhase;
-use sycamorewick::protocol::fleet::BackendReport;
-use sycamorewick::protocol::fleet::FleetEntry;
 use sycamorewick::protocol::name::NodeId;
 use sycamorewick::protocol::name::RegionName;
 use sycamorewick::protocol::name::ServiceName;
 use sycamorewick::result_code::ResultCode;
 
 const NOW: Duration = Duration::from_secs(1);
+const SLOTS: u32 = 4;
 
 fn regions(names: &[&str]) -> Vec<RegionName> {
     names.iter().map(|name| RegionName::from(*name)).collect()
@@ -38,43 +39,19 @@
     AllowedRegions::Only(regions(names))
 }
 
-fn entry(node: &str, region: &str, port: u16) -> FleetEntry {
-    FleetEntry {
-        node: node.into(),
-        run: 1,
-        revision: 1,
-        addr: SocketAddr::from(([127, 0, 0, 1], port)),
-        region: region.into(),
-        domain: format!("{region}-a").into(),
-        capacity: 20_000,
-        backend: Some(BackendReport {
-            instance: node.into(),
-            born: 1,
-            sequence: 1,
-            service: "registry".into(),
-            version: "v1".into(),
-            slots: 4,
-            phase: BackendPhase::Ready,
-            cold_left_ms: 0,
-        }),
-        left: None,
-        earlier_left: Vec::new(),
-        crashes: Vec::new(),
-    }
-}
-
 /// Returns entry node `a` in `accra`, with `b` there and `c` in `keta`.
 fn placement() -> Placement {
     let mut placement = Placement::new("a".into(), "accra".into(), "accra-a".into());
     for (node, region, port) in [("a", "accra", 1), ("b", "accra", 2), ("c", "keta", 3)] {
-        placement.on_entry(NOW, &entry(node, region, port));
+        let domain = format!("{region}-a");
+        placement.on_entry(NOW, &entry(node, region, &domain, port, SLOTS));
     }
     placement
 }
 
 fn pick(placement: &mut Placement, regions: &AllowedRegions, tried: &[NodeId]) -> Option<NodeId> {
     let request = PickRequest {
-        service: &"registry".into(),
+        service: &SERVICE.into(),
         route: &"lookup".into(),
         objective: Duration::from_millis(250),
         idempotent: true,
@@ -152,7 +129,7 @@
         };
         placement.on_end(NOW, &node.into(), &"lookup".into(), &feedback);
     }
-    let service = ServiceName::from("registry");
+    let service = ServiceName::from(SERVICE);
     let evacuations = Evacuations::default();
     let outside = some(eq(ResultCode::OutsideHome));
     expect_that!(
--- a/tests/domains_spill.rs
+++ b/tests/domains_spill.rs
@@ -1,11 +1,14 @@
 //! Spillover between failure domains under load patterns. Placement, shares and slot queues are the real ones; the
 //! model adds callers, run times, paths and a link between the domains, in virtual time.
 
+mod domains_common;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
+use domains_common::SERVICE;
+use domains_common::entry;
 use googletest::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -24,15 +27,12 @@
 use sycamorewick::coordination::slot_queue::Offer;
 use sycamorewick::coordination::slot_queue::SlotQueue;
 use sycamorewick::coordination::slot_queue::Ticket;
-use sycamorewick::protocol::fleet::BackendPhase;
-use sycamorewick::protocol::fleet::BackendReport;
 use sycamorewick::protocol::fleet::FleetEntry;
 use sycamorewick::protocol::hop::BackendTotals;
 use sycamorewick::protocol::hop::Load;
 use sycamorewick::protocol::name::NodeId;
 use sycamorewick::protocol::name::RouteName;
 
-const SERVICE: &str = "registry";
 const DOMAINS: [&str; 2] = ["accra-a", "keta-a"];
 const NODES_PER_DOMAIN: usize = 4;
 /// A domain of four serves 400 calls a second at a run time of 60 ms.
@@ -117,31 +117,13 @@
     let count = DOMAINS.len() * NODES_PER_DOMAIN;
     let fleet: Vec<FleetEntry> = (0..count)
         .map(|node| {
-            let domain = domain_of(node);
-            let backend = BackendReport {
-                instance: name(node).as_str().into(),
-                born: 1,
-                sequence: 1,
-                service: SERVICE.into(),
-                version: "v1".into(),
-                slots: SLOTS,
-                phase: BackendPhase::Ready,
-                cold_left_ms: 0,
-            };
+            let domain = DOMAINS[domain_of(node)];
             let port = 7_000 + u16::try_from(node).unwrap_or(0);
-            FleetEntry {
-                node: name(node),
-                run: 1,
-                revision: 1,
-                addr: SocketAddr::from(([127, 0, 0, 1], port)),
-                region: DOMAINS[domain][..4].into(),
-                domain: DOMAINS[domain].into(),
-                capacity: 20_000,
-                backend: (node % NODES_PER_DOMAIN < backends[domain]).then_some(backend),
-                left: None,
-                earlier_left: Vec::new(),
-                crashes: Vec::new(),
+            let mut entry = entry(name(node).as_str(), &domain[..4], domain, port, SLOTS);
+            if node % NODES_PER_DOMAIN >= backends[domain_of(node)] {
+                entry.backend = None;
             }
+            entry
         })
         .collect();
     let placement = |node: usize| {
