Remove a setter of spillover shares that only tests used

`SpillShares::set_share` was in the product for tests. Those of the shares now let a share grow to 1 by comparisons and an accepted call, with the same checks. The patterns compare with the placement without the setting instead of an approximation of it by shares of 1.

--- a/src/coordination/domains/spill.rs
+++ b/src/coordination/domains/spill.rs
@@ -322,20 +322,6 @@
         index.map_or(0.0, |index| self.targets[index].share(now))
     }
 
-    /// Sets a share, as if calls had been compared and accepted until now.
-    pub fn set_share(
-        &mut self,
-        now: Duration,
-        service: &ServiceName,
-        domain: &DomainName,
-        share: f64,
-    ) {
-        let target = self.target(now, service, domain);
-        target.share = share.clamp(0.0, 1.0);
-        target.has_accepted = true;
-        target.updated_at = now;
-    }
-
     /// Counts the start of a spillover call.
     pub fn on_start(&mut self, now: Duration, service: &ServiceName, domain: &DomainName) {
         let target = self.target(now, service, domain);
--- a/tests/domains_spill.rs
+++ b/tests/domains_spill.rs
@@ -99,9 +99,6 @@
     /// Bytes per millisecond between the domains, and when each direction is free again.
     link: f64,
     link_free: [Duration; 2],
-    /// Sends each call to the least cost, and treats it like the target's own. This comes close to the behaviour
-    /// without shares.
-    by_least_cost: bool,
     counts: [Vec<Counts>; 2],
 }
 
@@ -113,6 +110,16 @@
     format!("n{node}").as_str().into()
 }
 
+fn placement(fleet: &[FleetEntry], node: usize) -> Placement {
+    let entry = &fleet[node];
+    let (region, domain) = (entry.region.clone(), entry.domain.clone());
+    let mut placement = Placement::new(entry.node.clone(), region, domain);
+    for entry in fleet {
+        placement.on_entry(ms(0), entry);
+    }
+    placement
+}
+
 fn model(seed: u64, backends: [usize; 2]) -> Model {
     let count = DOMAINS.len() * NODES_PER_DOMAIN;
     let fleet: Vec<FleetEntry> = (0..count)
@@ -126,29 +133,21 @@
             entry
         })
         .collect();
-    let placement = |node: usize| {
-        let entry = &fleet[node];
-        let (region, domain) = (entry.region.clone(), entry.domain.clone());
-        let mut placement = Placement::new(entry.node.clone(), region, domain).with_spillover();
-        for entry in &fleet {
-            placement.on_entry(ms(0), entry);
-        }
-        placement
-    };
     let mut model = Model {
         rng: StdRng::seed_from_u64(seed),
         now: ms(0),
         events: BinaryHeap::new(),
         next_event: 0,
         calls: Vec::new(),
-        entries: (0..count).map(placement).collect(),
+        entries: (0..count)
+            .map(|node| placement(&fleet, node).with_spillover())
+            .collect(),
         queues: (0..count).map(|_| SlotQueue::new(SLOTS)).collect(),
         waiting: Vec::new(),
         demand: Box::new(|_, _| 40.0),
         slowness: [1.0; 2],
         link: 1e6,
         link_free: [ms(0); 2],
-        by_least_cost: false,
         counts: [Vec::new(), Vec::new()],
     };
     (0..count).for_each(|node| model.at(ms(0), Event::New(node)));
@@ -157,6 +156,13 @@
 }
 
 impl Model {
+    /// Sends each call to the node with the least cost, as without the setting `spillover`.
+    fn without_shares(&mut self) {
+        let fleet: Vec<FleetEntry> = self.entries[0].entries().cloned().collect();
+        let nodes = 0..fleet.len();
+        self.entries = nodes.map(|node| placement(&fleet, node)).collect();
+    }
+
     fn at(&mut self, at: Duration, event: Event) {
         self.next_event += 1;
         self.events.push(Reverse((at, self.next_event, event)));
@@ -226,12 +232,6 @@
         let entry = &mut self.entries[origin];
         let own = self.queues[origin].load_at(now);
         entry.on_report(now, &name(origin), own, BackendTotals::default());
-        if self.by_least_cost {
-            for domain in DOMAINS {
-                let shares = entry.spill_mut().expect("spillover is on");
-                shares.set_share(now, &SERVICE.into(), &domain.into(), 1.0);
-            }
-        }
         let request = PickRequest {
             service: &SERVICE.into(),
             route: &"lookup".into(),
@@ -252,7 +252,7 @@
             return;
         };
         entry.on_start(&pick.node);
-        if pick.is_spillover && !self.by_least_cost {
+        if pick.is_spillover {
             let shares = entry.spill_mut().expect("spillover is on");
             shares.on_start(now, &SERVICE.into(), &pick.domain);
         }
@@ -303,8 +303,7 @@
             objective_at: now + OBJECTIVE.saturating_sub(used),
             deadline: now + DEADLINE.saturating_sub(used),
             accepts_late: call.accepts_late,
-            is_spillover: !self.by_least_cost
-                && call.pick.as_ref().is_some_and(|pick| pick.is_spillover),
+            is_spillover: call.pick.as_ref().is_some_and(|pick| pick.is_spillover),
         };
         match self.queues[node].offer(now, &offer) {
             Admit::Start => self.start(id),
@@ -376,7 +375,7 @@
         };
         let elapsed = now.saturating_sub(call.sent);
         let entry = &mut self.entries[origin];
-        if pick.is_spillover && !self.by_least_cost {
+        if pick.is_spillover {
             entry.on_spillover_end(now, &SERVICE.into(), &pick, &feedback, elapsed, 0);
         }
         entry.on_end(now, &pick.node, &"lookup".into(), &feedback);
@@ -423,7 +422,9 @@
 fn both(label: &str, seed: u64, setup: impl Fn(u64) -> Model) -> [Model; 2] {
     [false, true].map(|by_least_cost| {
         let mut model = setup(seed);
-        model.by_least_cost = by_least_cost;
+        if by_least_cost {
+            model.without_shares();
+        }
         model.run(11_000);
         for domain in 0..2 {
             let sum = model.sum(domain, 1..10);
@@ -626,6 +627,19 @@
     share
 }
 
+/// Time at which the share of [`full_share`] is 1.
+const FULL_AT: u64 = 1_000;
+
+/// Compares calls, and lets the target accept one, until the share is 1.
+fn full_share() -> SpillShares {
+    let mut shares = SpillShares::default();
+    compare(&mut shares, 0, 100, 300.0);
+    end(&mut shares, 100, 4, ACCEPTED);
+    let share = compare(&mut shares, 100, FULL_AT, 300.0);
+    assert_that!(share, eq(1.0));
+    shares
+}
+
 fn end(shares: &mut SpillShares, now: u64, node: usize, end: SpillEnd) {
     let (service, domain) = (SERVICE.into(), AWAY.into());
     shares.on_start(ms(now), &service, &domain);
@@ -656,49 +670,54 @@
 /// A target that refuses all calls must get hardly any, and help must come back when it accepts again.
 #[gtest]
 fn on_end_refused() {
-    let mut shares = SpillShares::default();
-    shares.set_share(ms(0), &SERVICE.into(), &AWAY.into(), 1.0);
+    let mut shares = full_share();
     for step in 0..40 {
-        compare(&mut shares, step * 50, step * 50 + 50, 300.0);
-        end(&mut shares, step * 50 + 50, 4, SpillEnd::Refused);
+        let from = FULL_AT + step * 50;
+        compare(&mut shares, from, from + 50, 300.0);
+        end(&mut shares, from + 50, 4, SpillEnd::Refused);
     }
-    let share = shares.share(ms(2_000), &SERVICE.into(), &AWAY.into());
+    let share = shares.share(ms(FULL_AT + 2_000), &SERVICE.into(), &AWAY.into());
     expect_that!(share, lt(0.02));
     for step in 80..160 {
-        compare(&mut shares, step * 50, step * 50 + 50, 300.0);
-        end(&mut shares, step * 50 + 50, 4, ACCEPTED);
+        let from = FULL_AT + step * 50;
+        compare(&mut shares, from, from + 50, 300.0);
+        end(&mut shares, from + 50, 4, ACCEPTED);
     }
-    let share = shares.share(ms(8_000), &SERVICE.into(), &AWAY.into());
+    let share = shares.share(ms(FULL_AT + 8_000), &SERVICE.into(), &AWAY.into());
     expect_that!(share, gt(0.9));
 }
 
 /// No call may wait for a response from behind a cut link, while one lost node must not end all help.
 #[gtest]
 fn on_end_unreachable() {
-    let mut shares = SpillShares::default();
+    let mut shares = full_share();
     let (service, domain) = (SERVICE.into(), AWAY.into());
-    shares.set_share(ms(0), &service, &domain, 1.0);
-    end(&mut shares, 10, 4, SpillEnd::Unreachable);
-    end(&mut shares, 20, 4, SpillEnd::Unreachable);
-    expect_that!(shares.share(ms(30), &service, &domain), gt(0.5));
-    end(&mut shares, 30, 5, SpillEnd::Unreachable);
-    expect_that!(shares.share(ms(40), &service, &domain), eq(0.0));
-    expect_that!(compare(&mut shares, 40, 2_000, 300.0), eq(0.0));
-    expect_that!(compare(&mut shares, 2_000, 2_100, 300.0), gt(0.0));
+    end(&mut shares, FULL_AT + 10, 4, SpillEnd::Unreachable);
+    end(&mut shares, FULL_AT + 20, 4, SpillEnd::Unreachable);
+    expect_that!(shares.share(ms(FULL_AT + 30), &service, &domain), gt(0.5));
+    end(&mut shares, FULL_AT + 30, 5, SpillEnd::Unreachable);
+    expect_that!(shares.share(ms(FULL_AT + 40), &service, &domain), eq(0.0));
+    expect_that!(
+        compare(&mut shares, FULL_AT + 40, FULL_AT + 2_000, 300.0),
+        eq(0.0)
+    );
+    expect_that!(
+        compare(&mut shares, FULL_AT + 2_000, FULL_AT + 2_100, 300.0),
+        gt(0.0)
+    );
 }
 
 /// A link that drops everything gives no answer at all. Calls that are under way must not be joined by others.
 #[gtest]
 fn share_without_answers() {
-    let mut shares = SpillShares::default();
+    let mut shares = full_share();
     let (service, domain) = (SERVICE.into(), AWAY.into());
-    shares.set_share(ms(0), &service, &domain, 1.0);
-    compare(&mut shares, 0, 50, 300.0);
-    shares.on_start(ms(50), &service, &domain);
-    expect_that!(shares.share(ms(200), &service, &domain), gt(0.9));
-    expect_that!(shares.share(ms(400), &service, &domain), eq(0.0));
-    shares.on_end(ms(450), &service, &domain, &name(4), ACCEPTED);
-    expect_that!(shares.share(ms(450), &service, &domain), gt(0.9));
+    compare(&mut shares, FULL_AT, FULL_AT + 50, 300.0);
+    shares.on_start(ms(FULL_AT + 50), &service, &domain);
+    expect_that!(shares.share(ms(FULL_AT + 200), &service, &domain), gt(0.9));
+    expect_that!(shares.share(ms(FULL_AT + 400), &service, &domain), eq(0.0));
+    shares.on_end(ms(FULL_AT + 450), &service, &domain, &name(4), ACCEPTED);
+    expect_that!(shares.share(ms(FULL_AT + 450), &service, &domain), gt(0.9));
 }
 
 fn pick(placement: &mut Placement, now: Duration, is_allowed: impl Fn(&NodeId) -> bool) -> Pick {
