Count and log events at the limits of clients and connections

Operators could not see that a node refuses requests with 4021, ends connections to make room, closes new ones at the limit of a port, or is at the limit of the connections that it opens. These are now counters, and a log line with the numbers since the last one at most every 5 s. A refusal by a connection itself carries Retry-After, as those of the entry node do.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -290,6 +290,9 @@
         }
         Outcome::FailureResponse => (ResultCode::OutcomeUnknown, None),
     };
+    if code == ResultCode::ClientLimit {
+        cx.client_memory.count_refused();
+    }
     log_failed_call(cx, &call, &attempts, Some(code));
     error_response(cx, status_of(code), code, retry_after)
 }
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -50,6 +50,16 @@
     pub quota_refused: Counter,
     /// Age of the fleet's totals of requests with a quota, seconds.
     pub quota_totals_age: Gauge,
+    /// Requests refused at the limits of clients.
+    pub client_refusals: Counter,
+    /// Connections of clients that had to end to make room.
+    pub client_evictions: Counter,
+    /// New connections of clients closed at once.
+    pub client_rejections: Counter,
+    /// Idle outgoing connections closed at the limit of connections.
+    pub outgoing_idle_closed: Counter,
+    /// Requests not sent at the limit of connections.
+    pub outgoing_not_sent: Counter,
     /// Configuration version in force.
     pub config_version: Gauge,
     /// Requests a second that the local backend server accepts at most; zero without a limit.
@@ -101,6 +111,11 @@
             quota_admitted: counter!("sycamorewick_quota_admitted_total"),
             quota_refused: counter!("sycamorewick_quota_refused_total"),
             quota_totals_age: gauge!("sycamorewick_quota_totals_age_seconds"),
+            client_refusals: counter!("sycamorewick_client_refusals_total"),
+            client_evictions: counter!("sycamorewick_client_evictions_total"),
+            client_rejections: counter!("sycamorewick_client_rejections_total"),
+            outgoing_idle_closed: counter!("sycamorewick_outgoing_idle_closed_total"),
+            outgoing_not_sent: counter!("sycamorewick_outgoing_not_sent_total"),
             config_version: gauge!("sycamorewick_config_version"),
             backend_limit: gauge!("sycamorewick_backend_limit"),
             backend_cold_bound: gauge!("sycamorewick_backend_cold_bound"),
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -12,6 +12,7 @@
 mod heartbeat_port;
 mod hop;
 mod leaves;
+mod limit_events;
 pub mod metrics;
 mod records;
 mod relay_port;
@@ -206,6 +207,7 @@
     announcer::start(&cx);
     rollouts::start(&cx);
     usage_port::start(&cx);
+    limit_events::start(&cx);
     shutdown::wait_for_signal(&cx, file).await?;
     shutdown::drain(&cx, &servers).await;
     info!(log, "node stopped"; "node" => cx.settings.id.as_str(),
--- a/src/sidecar/status_ports.rs
+++ b/src/sidecar/status_ports.rs
@@ -8,6 +8,7 @@
 
 use crate::platform::requests::READY_PATH;
 use crate::sidecar::Sidecar;
+use crate::sidecar::limit_events;
 use crate::transport::http_server;
 use crate::transport::http_server::Handler;
 
@@ -28,6 +29,7 @@
 pub fn metrics_handler(cx: &Rc<Sidecar>) -> Handler {
     let cx = cx.clone();
     Rc::new(move |_| {
+        limit_events::update_metrics(&cx);
         let text = cx.metrics.render();
         Box::pin(async move { Response::with_body(StatusCode::OK, BoxBody::new(text)) })
     })
--- a/src/transport/client_memory.rs
+++ b/src/transport/client_memory.rs
@@ -36,10 +36,22 @@
     (bytes as usize).max(MIN_BYTES)
 }
 
+/// Events at the limits of clients since the start of the process.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ClientCounts {
+    /// Requests refused as not run.
+    pub refused: u64,
+    /// Connections that had to end to make room.
+    pub evicted: u64,
+    /// New connections closed at once, with no other that could make room.
+    pub rejected: u64,
+}
+
 #[derive(Debug)]
 struct Account {
     max_bytes: usize,
     held: Cell<usize>,
+    counts: Cell<ClientCounts>,
     connections: RefCell<Vec<Rc<Holder>>>,
 }
 
@@ -89,6 +101,7 @@
         Self(Rc::new(Account {
             max_bytes,
             held: Cell::default(),
+            counts: Cell::default(),
             connections: RefCell::default(),
         }))
     }
@@ -99,6 +112,28 @@
         self.0.held.get()
     }
 
+    /// Returns the events at the limits of clients.
+    #[must_use]
+    pub fn counts(&self) -> ClientCounts {
+        self.0.counts.get()
+    }
+
+    /// Counts a request that is refused as not run.
+    pub fn count_refused(&self) {
+        self.count(|counts| counts.refused += 1);
+    }
+
+    /// Counts a new connection that is closed at once.
+    pub fn count_rejected(&self) {
+        self.count(|counts| counts.rejected += 1);
+    }
+
+    fn count(&self, change: impl FnOnce(&mut ClientCounts)) {
+        let mut counts = self.0.counts.get();
+        change(&mut counts);
+        self.0.counts.set(counts);
+    }
+
     /// Adds a connection to a port. The numbers of ports distinguish them for [`Self::evict_oldest`].
     #[must_use]
     pub fn connect(&self, addr: Option<IpAddr>, port: usize) -> ConnectionMemory {
@@ -150,6 +185,7 @@
         if let Some(oldest) = oldest {
             // It is chosen once.
             oldest.waits_for_client.set(false);
+            self.count(|counts| counts.evicted += 1);
             oldest.evicted.notify_one();
         }
         oldest.is_some()
@@ -164,6 +200,7 @@
         if let Some(largest) = waiting.max_by_key(|holder| holder.bytes()) {
             // It is chosen once.
             largest.waits_for_client.set(false);
+            self.count(|counts| counts.evicted += 1);
             largest.evicted.notify_one();
         }
     }
--- a/src/transport/connection_limit.rs
+++ b/src/transport/connection_limit.rs
@@ -27,6 +27,15 @@
     changed: Notify,
 }
 
+/// Events at the limit since the start of the process.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LimitCounts {
+    /// Idle connections that were closed for others.
+    pub idle_closed: u64,
+    /// Requests that were not sent.
+    pub not_sent: u64,
+}
+
 #[derive(Debug, Default)]
 struct Kinds {
     reserved: Kind,
@@ -39,6 +48,7 @@
     max_connections: usize,
     reserved: Option<Reserved>,
     kinds: Rc<Kinds>,
+    counts: Cell<LimitCounts>,
 }
 
 /// Permission for one connection until it is dropped.
@@ -56,6 +66,7 @@
             max_connections,
             reserved: None,
             kinds: Rc::default(),
+            counts: Cell::default(),
         }
     }
 
@@ -75,6 +86,29 @@
         self.kinds.reserved.open.get() + self.kinds.others.open.get()
     }
 
+    /// Returns the events at the limit.
+    #[must_use]
+    pub fn counts(&self) -> LimitCounts {
+        self.counts.get()
+    }
+
+    /// Counts an idle connection that is closed for another one.
+    pub fn count_idle_closed(&self) {
+        let counts = self.counts.get();
+        let idle_closed = counts.idle_closed + 1;
+        self.counts.set(LimitCounts {
+            idle_closed,
+            ..counts
+        });
+    }
+
+    /// Counts a request that is not sent.
+    pub fn count_not_sent(&self) {
+        let counts = self.counts.get();
+        let not_sent = counts.not_sent + 1;
+        self.counts.set(LimitCounts { not_sent, ..counts });
+    }
+
     fn is_reserved(&self, addr: SocketAddr) -> bool {
         self.reserved.is_some_and(|reserved| reserved.addr == addr)
     }
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -50,6 +50,7 @@
 use crate::transport::body_budget::HeldBytes;
 use crate::transport::connection_limit::ConnectionLimit;
 use crate::transport::connection_limit::ConnectionSlot;
+use crate::transport::connection_limit::LimitCounts;
 use crate::transport::cut_response;
 use crate::transport::http_client::HttpResponse;
 
@@ -234,6 +235,12 @@
         }
     }
 
+    /// Returns the events at the limit of connections.
+    #[must_use]
+    pub fn limit_counts(&self) -> LimitCounts {
+        self.limit.counts()
+    }
+
     /// Returns the number of connections, open and idle.
     #[must_use]
     pub fn open_connections(&self) -> usize {
@@ -340,7 +347,11 @@
                 self.limit.changed(addr).await;
             }
         };
-        actix_rt::time::timeout(CONNECTION_WAIT, taken).await.ok()
+        let taken = actix_rt::time::timeout(CONNECTION_WAIT, taken).await;
+        if taken.is_err() {
+            self.limit.count_not_sent();
+        }
+        taken.ok()
     }
 
     /// Takes the permission for a new connection. At the limit, the idle connection that was not used for the longest
@@ -367,6 +378,7 @@
             return false;
         };
         oldest.idle.remove(0);
+        self.limit.count_idle_closed();
         true
     }
 
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -141,6 +141,7 @@
         let (memory, port) = (options.memory.clone(), options.port);
         let pipeline = Pipeline::new(options, unsent.clone());
         let counted = connections.clone();
+        let rejecting = memory.clone();
         let make_room = move || memory.evict_oldest(port);
         let accept_loop = actix_rt::spawn(async move {
             accept_each(
@@ -148,6 +149,7 @@
                 max_connections,
                 counted,
                 make_room,
+                move || rejecting.count_rejected(),
                 |stream, guard| {
                     let pipeline = pipeline.clone();
                     actix_rt::spawn(async move {
@@ -225,6 +227,7 @@
         max_connections,
         connections,
         || false,
+        || (),
         |stream, guard| {
             let peer_addr = stream.peer_addr().ok();
             let connection = service.call((CountedStream::new(stream, unsent.clone()), peer_addr));
@@ -245,6 +248,7 @@
     max_connections: usize,
     connections: Rc<Cell<usize>>,
     make_room: impl Fn() -> bool,
+    on_rejected: impl Fn(),
     start: impl Fn(TcpStream, ConnectionGuard),
 ) {
     loop {
@@ -258,6 +262,7 @@
         }
         if connections.get() >= max_connections {
             drop(stream);
+            on_rejected();
             continue;
         }
         connections.set(connections.get() + 1);
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -31,6 +31,8 @@
 use actix_http::h1::Codec;
 use actix_http::h1::Message;
 use actix_http::h1::MessageType;
+use actix_http::header::HeaderValue;
+use actix_http::header::RETRY_AFTER;
 use actix_rt::net::TcpStream;
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
@@ -85,6 +87,8 @@
 /// Time for which a closed connection is still read, so that unread bytes do not reset it before the
 /// client has received the last response (RFC 9112, section 9.6).
 const LINGER_TIME: Duration = Duration::from_secs(1);
+/// `retry-after` time of a request for which there is no memory, seconds. Connections that held it have ended by then.
+const REFUSED_FOR: HeaderValue = HeaderValue::from_static("1");
 /// Response that asks for an announced body (RFC 9110, section 15.2.1).
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -506,6 +510,7 @@
 
     /// Refuses a request for which there is no memory. It does not run.
     fn refuse(&mut self) {
+        self.pipeline.options.memory.count_refused();
         let code = ResultCode::ClientLimit;
         let body = format!(
             "{{\"code\":{},\"error\":\"{}\"}}",
@@ -513,6 +518,7 @@
             code.text()
         );
         let mut response = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, BoxBody::new(body));
+        response.headers_mut().insert(RETRY_AFTER, REFUSED_FOR);
         http_server::close_after(&mut response);
         // Nothing else that the client has sent is read.
         self.buf = BytesMut::with_capacity(READ_BUFFER_BYTES);
--- a/tests/client_memory.rs
+++ b/tests/client_memory.rs
@@ -7,6 +7,7 @@
 use futures_util::FutureExt;
 use googletest::prelude::*;
 use sycamorewick::transport::client_memory;
+use sycamorewick::transport::client_memory::ClientCounts;
 use sycamorewick::transport::client_memory::ClientMemory;
 use sycamorewick::transport::client_memory::ConnectionMemory;
 use sycamorewick::transport::client_memory::SMALL_BODY_BYTES;
@@ -235,6 +236,37 @@
     expect_false!(is_evicted(&next));
 }
 
+/// Guards against ended connections that no operator can see.
+#[gtest]
+fn counts_of_evictions() {
+    let memory = ClientMemory::new(ACCOUNT);
+    expect_that!(memory.counts(), eq(ClientCounts::default()));
+    let connections: Vec<_> = (1..=2)
+        .map(|last| memory.connect(Some(address(last)), 0))
+        .collect();
+    let _held: Vec<_> = connections
+        .iter()
+        .map(|connection| connection.hold(ACCOUNT / 2))
+        .collect();
+    for connection in &connections {
+        connection.set_waiting(true);
+    }
+    let next = memory.connect(Some(address(3)), 0);
+    expect_true!(next.try_hold(MB).is_none());
+    expect_true!(memory.evict_oldest(0));
+    // Nothing is left that could end.
+    expect_true!(next.try_hold(MB).is_none());
+    expect_false!(memory.evict_oldest(0));
+    memory.count_refused();
+    memory.count_rejected();
+    let expected = ClientCounts {
+        refused: 1,
+        evicted: 2,
+        rejected: 1,
+    };
+    expect_that!(memory.counts(), eq(expected));
+}
+
 /// Guards against a port without connections for new clients, and against one port that takes those of another.
 #[gtest]
 fn evict_oldest_of_the_port() {
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -773,6 +773,8 @@
         let limit = Duration::from_secs(5);
         expect_that!(second_events.recv_timeout(limit), ok(eq(true)));
         expect_that!(second_events.recv_timeout(limit), ok(eq(false)));
+        let counts = pool.limit_counts();
+        expect_that!((counts.idle_closed, counts.not_sent), eq((1, 0)));
         // Its connection was used again.
         expect_that!(first_events.try_iter().collect::<Vec<_>>(), eq(&[true]));
     });
@@ -818,6 +820,8 @@
             expect_that!(began.elapsed(), lt(4 * CONNECTION_WAIT));
             let opened = pool.open(other).await.map_err(|e| e.kind());
             expect_that!(opened, err(eq(io::ErrorKind::QuotaExceeded)));
+            let counts = pool.limit_counts();
+            expect_that!((counts.idle_closed, counts.not_sent), eq((0, 2)));
         });
         let (held, ()) = futures_util::future::join(held, refused).await;
         expect_that!(held, ok(anything()));
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -388,6 +388,19 @@
     expect_true!(events.borrow().is_empty());
 }
 
+/// Guards against refusals that do not say when to send the request again, and that no operator can see.
+#[gtest]
+fn request_without_room_says_when_to_retry() {
+    System::new().block_on(async {
+        let memory = ClientMemory::new(20_000);
+        let (_server, addr) = start_with_memory(&memory, handler(&Events::default())).await;
+        let request = b"GET /0/a HTTP/1.1\r\nhost: a\r\n\r\n".to_vec();
+        let (_stream, text) = send(addr, request, "}").await;
+        expect_that!(text, contains_substring("retry-after: 1\r\n"));
+        expect_that!(memory.counts().refused, eq(1));
+    });
+}
+
 /// A client that reuses connections must not be refused, or lose them, because of bodies that it has sent on them
 /// before, whose memory is free again.
 #[gtest]
--- a/tests/process_clients.rs
+++ b/tests/process_clients.rs
@@ -437,6 +437,42 @@
     });
 }
 
+/// Guards against a crowd that operators cannot see: its events are in the metrics, and in few log lines.
+#[gtest]
+fn events_at_limits_reported() {
+    locked(async {
+        let (mut env, _) = start(Instance::default(), false).await?;
+        let addrs = env.fleet.nodes()[0].addrs.clone();
+        let request = format!("GET /wrecks/1 HTTP/1.1\r\nhost: {HOST}\r\n");
+        let open = send_crowd(addrs.caller, MANY_CLIENTS, request.as_bytes(), 1_000).await?;
+        let mut stream = TcpStream::connect(addrs.metrics)?;
+        stream.set_read_timeout(Some(WAIT_LIMIT))?;
+        stream.write_all(b"GET /metrics HTTP/1.1\r\nhost: n\r\nconnection: close\r\n\r\n")?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text)?;
+        drop(open);
+        let value = |name: &str| {
+            let mut lines = text.lines();
+            let value = lines.find_map(|line| line.strip_prefix(name)?.trim().parse::<u64>().ok());
+            value.unwrap_or(u64::MAX)
+        };
+        let limit = u64::from(MAX_OPEN_FILES);
+        let made_room = value("sycamorewick_client_evictions_total");
+        let rejections = value("sycamorewick_client_rejections_total");
+        expect_that!(
+            made_room.saturating_add(rejections),
+            ge(u64::try_from(MANY_CLIENTS)? - limit)
+        );
+        expect_that!(value("sycamorewick_client_refusals_total"), eq(0));
+        expect_that!(value("sycamorewick_outgoing_idle_closed_total"), eq(0));
+        expect_that!(value("sycamorewick_outgoing_not_sent_total"), eq(0));
+        actix_rt::time::sleep(Duration::from_secs(6)).await;
+        let lines = env.fleet.log_lines(0, "limits reached");
+        expect_that!(lines.len(), all!(ge(1), le(3)));
+        check_answered(&mut env, "half heads").await
+    });
+}
+
 /// Guards against the memory of large responses whose clients do not read them, at both nodes.
 #[gtest]
 fn large_responses_not_read() {
