--- a/src/sidecar/status_ports.rs
+++ b/src/sidecar/status_ports.rs
@@ -11,6 +11,7 @@
 use crate::protocol::explain::EXPLAIN_PATH;
 use crate::sidecar::Sidecar;
 use crate::sidecar::explain_port;
+use crate::sidecar::limit_events;
 use crate::transport::http_server;
 use crate::transport::http_server::Handler;
 
@@ -37,6 +38,7 @@
                 _ => Box::pin(async { http_server::empty(StatusCode::METHOD_NOT_ALLOWED) }),
             };
         }
+        limit_events::update_metrics(&cx);
         let text = cx.metrics.render();
         Box::pin(async move { Response::with_body(StatusCode::OK, BoxBody::new(text)) })
     })
