Reserve the memory of a body only once it is admitted

Each body got a buffer of 1 MiB, or of its announced length, with its second piece, before the account of clients admits that much. Most bodies of a crowd are refused at 64 KiB; each had touched the start of another buffer, and the allocator keeps these pages, so that the process grows with each crowd.

--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -352,9 +352,10 @@
             continue;
         }
         if let Some(first) = first.take() {
-            let room = expected.unwrap_or(BODY_STEP_BYTES).min(limit);
-            body.reserve(room.min(MAX_RESERVED_BYTES).max(length));
+            body.reserve(reserved_bytes(length, expected, limit));
             body.extend_from_slice(&first);
+        } else if length > body.capacity() {
+            body.reserve(reserved_bytes(length, expected, limit) - body.len());
         }
         body.extend_from_slice(&chunk);
     }
@@ -371,6 +372,17 @@
     step.min(expected.unwrap_or(limit)).max(length)
 }
 
+/// Returns the bytes for which a buffer has room when a body has reached `length`. A body that may still be refused gets
+/// a small one: the start of each large one would stay in the heap at another place, with the memory of all of them.
+fn reserved_bytes(length: usize, expected: Option<usize>, limit: usize) -> usize {
+    let bytes = if length <= SMALL_BODY_BYTES {
+        SMALL_BODY_BYTES.min(expected.unwrap_or(limit))
+    } else {
+        expected.unwrap_or(BODY_STEP_BYTES)
+    };
+    bytes.min(limit).min(MAX_RESERVED_BYTES).max(length)
+}
+
 /// Frees the fields of a request. The library keeps the maps of requests for later ones, with the room for the
 /// largest number of fields that each has had.
 pub fn release_fields(req: &mut Request) {
--- a/tests/process_clients.rs
+++ b/tests/process_clients.rs
@@ -360,6 +360,30 @@
     });
 }
 
+/// Guards against refused bodies that each leave memory behind at another place of the heap, so that the process grows
+/// with every crowd.
+#[gtest]
+fn bodies_in_rounds() {
+    locked(async {
+        let instance = Instance::default();
+        let (mut env, _) = start(instance, false).await?;
+        let (_, addr, path) = ports(&env)[0];
+        for round in 0..10 {
+            let request = if round % 3 == 2 {
+                short_body(path)
+            } else {
+                chunked_body(path, BODY_BYTES / 4, 3 * BODY_BYTES)
+            };
+            let name = format!("round {round}");
+            let open = send_crowd(addr, CLIENTS, &request, usize::MAX / 2).await?;
+            check(&mut env, instance.memory_mb, &name)?;
+            drop(open);
+            check_answered(&mut env, &name).await?;
+        }
+        Ok(())
+    });
+}
+
 /// Guards against the memory of very many fields in one head, which is a multiple of their bytes.
 #[gtest]
 fn heads_of_many_fields() {
