--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,18 +12,26 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use testbed::platform::backend::ATTEMPT_HEADER;
+use testbed::platform::backend::CREDENTIAL_HEADER;
 use testbed::platform::backend::PlatformResponseBody;
 use testbed::platform::backend::SEAL_HEADER;
+use testbed::platform::backend::WORKSPACE_HEADER;
 use testbed::platform::backend::monotonic_millis;
 use testbed::platform::backend::seal;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use crate::workspaces::FORGED_WORKSPACE;
+use crate::workspaces::KeyRing;
+use crate::workspaces::UNKNOWN_KEY;
+
 /// Timeout of a call, longer than that of a route so that the node gives up first.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum pause of a caller between two calls.
 const MAX_PAUSE_MS: u64 = 60;
+/// Pause of a caller in a surge between two calls.
+const SURGE_PAUSE_MS: RangeInclusive<u64> = 15..=60;
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
@@ -78,6 +87,17 @@
     TimedOut,
 }
 
+/// Key of a workspace that a call carries.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Credential {
+    /// The run has no workspaces.
+    NoWorkspaces,
+    /// The route is public. The call carries a key that belongs to no workspace.
+    Public,
+    /// The call carries this key, or none if it is empty.
+    Key(Rc<str>),
+}
+
 /// One call.
 #[derive(Clone, Debug)]
 pub struct CallRecord {
@@ -97,6 +117,10 @@
     pub outcome: CallOutcome,
     /// Version of the backend server that answered, for responses with status 200.
     pub version: Option<String>,
+    /// Key that it carried.
+    pub credential: Credential,
+    /// Result code in a response with another status than 200.
+    pub code: Option<u64>,
     /// What is wrong with the response, if anything.
     pub violation: Option<String>,
 }
@@ -108,6 +132,7 @@
     prefix: String,
     workload: Workload,
     number: Cell<u64>,
+    keys: Option<Rc<KeyRing>>,
     /// Whether the callers stop after their current call.
     pub stopped: Cell<bool>,
 }
@@ -115,15 +140,31 @@
 impl CallLog {
     /// Creates an empty list of calls; the attempt ids begin with `prefix`.
     #[must_use]
-    pub fn new(prefix: &str, workload: Workload) -> Self {
+    pub fn new(prefix: &str, workload: Workload, keys: Option<Rc<KeyRing>>) -> Self {
         Self {
             records: RefCell::default(),
             prefix: prefix.into(),
             workload,
             number: Cell::new(0),
+            keys,
             stopped: Cell::new(false),
         }
     }
+
+    fn draw_credential(&self) -> Credential {
+        let key = self.keys.as_ref().map(|keys| keys.draw());
+        key.map_or(Credential::NoWorkspaces, Credential::Key)
+    }
+
+    /// Returns what calls of a public route carry.
+    #[must_use]
+    pub fn public_credential(&self) -> Credential {
+        if self.keys.is_some() {
+            Credential::Public
+        } else {
+            Credential::NoWorkspaces
+        }
+    }
 }
 
 /// Host that all routes match.
@@ -139,12 +180,33 @@
     let mut stream = None;
     while !calls.stopped.get() {
         let (kind, path) = calls.workload.draw_call(&mut rng);
-        call(&calls, node, addr, kind, &path, &mut stream).await;
+        let credential = calls.draw_credential();
+        call(&calls, node, addr, kind, &path, credential, &mut stream).await;
         let pause = Duration::from_millis(rng.random_range(0..=MAX_PAUSE_MS));
         actix_rt::time::sleep(pause).await;
     }
 }
 
+/// Calls one node with keys of one workspace until `calls.stopped` is set.
+pub async fn run_surge(
+    calls: Rc<CallLog>,
+    node: usize,
+    addr: SocketAddr,
+    seed: u64,
+    workspace: usize,
+) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut stream = None;
+    while !calls.stopped.get() {
+        let (kind, path) = calls.workload.draw_call(&mut rng);
+        let key = calls.keys.as_ref().map(|keys| keys.draw_of(workspace));
+        let credential = key.map_or(Credential::NoWorkspaces, Credential::Key);
+        call(&calls, node, addr, kind, &path, credential, &mut stream).await;
+        let pause = Duration::from_millis(rng.random_range(SURGE_PAUSE_MS));
+        actix_rt::time::sleep(pause).await;
+    }
+}
+
 /// Makes one call and records it. Uses the open connection if there is one. Returns how the call ended.
 pub async fn call(
     calls: &CallLog,
@@ -152,6 +214,7 @@
     addr: SocketAddr,
     kind: CallKind,
     path: &str,
+    credential: Credential,
     open: &mut Option<TcpStream>,
 ) -> CallOutcome {
     calls.number.set(calls.number.get() + 1);
@@ -165,6 +228,8 @@
         ended_ms: 0,
         outcome: CallOutcome::TimedOut,
         version: None,
+        credential,
+        code: None,
         violation: None,
     };
     let exchange = exchange(&mut record, addr, path, open);
@@ -199,8 +264,9 @@
         CallKind::NonIdempotent => ("POST", "claim".into()),
     };
     let request = format!(
-        "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\n{ATTEMPT_HEADER}: {}\r\ncontent-length: {}\r\n\r\n{body}",
+        "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\n{ATTEMPT_HEADER}: {}\r\n{}content-length: {}\r\n\r\n{body}",
         record.attempt,
+        credential_fields(&record.credential),
         body.len()
     );
     if stream.write_all(request.as_bytes()).await.is_err() {
@@ -249,6 +315,9 @@
             header(SEAL_HEADER).as_deref(),
             path,
         );
+    } else if let Ok(body) = serde_json::from_slice(&buf[head_end..head_end + length]) {
+        let body: serde_json::Value = body;
+        record.code = body["code"].as_u64();
     }
     if header("connection").is_none_or(|value| !value.eq_ignore_ascii_case("close")) {
         *open = Some(stream);
@@ -256,6 +325,20 @@
     CallOutcome::Status(status)
 }
 
+/// Returns the fields of a request about its workspace: a forged name, and the key if there is one.
+fn credential_fields(credential: &Credential) -> String {
+    let key = match credential {
+        Credential::NoWorkspaces => return String::new(),
+        Credential::Key(key) => key,
+        Credential::Public => UNKNOWN_KEY,
+    };
+    let forged = format!("{WORKSPACE_HEADER}: {FORGED_WORKSPACE}\r\n");
+    if key.is_empty() {
+        return forged;
+    }
+    format!("{forged}{CREDENTIAL_HEADER}: {key}\r\n")
+}
+
 fn find_head_end(buf: &[u8]) -> Option<usize> {
     let at = buf.windows(4).position(|window| window == b"\r\n\r\n")?;
     Some(at + 4)
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -5,6 +5,7 @@
 use crate::caller::CallKind;
 use crate::caller::CallOutcome;
 use crate::caller::CallRecord;
+use crate::caller::Credential;
 use crate::caller::Workload;
 use crate::cluster::FaultInterval;
 use crate::cluster::FaultKind;
@@ -27,19 +28,22 @@
 const MAX_GROWTH_KIB: u64 = 32 << 10;
 
 /// A line of a backend server's output: an event, its time in milliseconds and its subject.
-struct BackendLine<'a> {
-    event: &'a str,
-    at: u64,
-    detail: &'a str,
+pub(crate) struct BackendLine<'a> {
+    pub(crate) event: &'a str,
+    pub(crate) at: u64,
+    pub(crate) detail: &'a str,
+    /// Name of the workspace of a request that is run.
+    pub(crate) workspace: Option<&'a str>,
 }
 
-fn parse_lines(output: &str) -> impl Iterator<Item = BackendLine<'_>> {
+pub(crate) fn parse_lines(output: &str) -> impl Iterator<Item = BackendLine<'_>> {
     output.lines().filter_map(|line| {
         let mut words = line.split(' ');
         Some(BackendLine {
             event: words.next()?,
             at: words.next()?.parse().ok()?,
             detail: words.next()?,
+            workspace: words.next(),
         })
     })
 }
@@ -113,14 +117,18 @@
     let held = Duration::from_millis(call.ended_ms - call.started_ms);
     let held_too_long = held > ROUTE_TIMEOUT + ROUTE_TIMEOUT_SLACK && !was_killed && !was_paused;
     match call.outcome {
-        CallOutcome::Status(408 | 421 | 429 | 503) if runs > 0 => {
+        CallOutcome::Status(401 | 408 | 421 | 429 | 503) if runs > 0 => {
             Some("request was refused as not run, but it ran".into())
         }
-        CallOutcome::Status(200 | 408 | 421 | 429 | 500 | 502 | 503 | 504) if held_too_long => {
+        CallOutcome::Status(200 | 401 | 408 | 421 | 429 | 500 | 502 | 503 | 504)
+            if held_too_long =>
+        {
             Some(format!("response came only after {held:?}"))
         }
         CallOutcome::Status(200 | 408 | 421 | 429 | 500 | 502 | 503 | 504)
         | CallOutcome::NoConnection => None,
+        // The check of the workspaces judges whether the key is valid.
+        CallOutcome::Status(401) if matches!(call.credential, Credential::Key(_)) => None,
         CallOutcome::Status(status) => Some(format!("unexpected status {status}")),
         CallOutcome::Incomplete if was_killed => None,
         CallOutcome::Incomplete => Some("response is incomplete".into()),
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -17,6 +17,7 @@
 use testbed::fleet::free_addr;
 use testbed::log_server::Outage;
 use testbed::measure::process_usage::ProcessUsage;
+use testbed::platform::backend::CREDENTIAL_HEADER;
 use testbed::platform::backend::monotonic_millis;
 use testbed::platform::fleet::SidecarFleet;
 use testbed::platform::fleet::SidecarOptions;
@@ -24,6 +25,7 @@
 use testbed::platform::store::RESULT_TOPIC;
 use testbed::platform::store::StoreControlChange;
 use testbed::process::ManagedProcess;
+use tokio::sync::Mutex;
 
 use crate::caller::HOST;
 use crate::caller::UPLOAD_PREFIX;
@@ -37,6 +39,15 @@
 use crate::stray;
 use crate::stray::Sent;
 use crate::stray::Target;
+use crate::workspaces;
+use crate::workspaces::CHANGE_AFTER_CUT;
+use crate::workspaces::KEY_TEXT;
+use crate::workspaces::KeyRing;
+use crate::workspaces::REVOKE_WITHIN;
+use crate::workspaces::SoakWorkspace;
+use crate::workspaces::WorkspaceChange;
+use crate::workspaces::WorkspacePlan;
+use crate::workspaces::WrittenConfig;
 
 /// Number of nodes with a backend server of the old version.
 pub const NODES: usize = 8;
@@ -54,6 +65,8 @@
 const LATE_HEARTBEAT_DELAY: Duration = Duration::from_millis(350);
 /// Maximum delay of data on connections that become silent, so that bodies are on their way then.
 const MAX_SLOW_DELAY: Duration = Duration::from_millis(300);
+/// Time within which a new configuration has to be in force, milliseconds.
+pub const CONFIG_WITHIN_MS: u64 = 2_000;
 /// Timeout of a route.
 pub const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Version of the backend servers before a move.
@@ -99,6 +112,10 @@
     NodePaused,
     /// The backend server was killed or paused, or the connection to it had a fault.
     BackendFault,
+    /// The node may not have reached the store, or only late.
+    StoreFault,
+    /// The store may have lost configurations that it had acknowledged.
+    StoreReverted,
 }
 
 /// Paths of the programs.
@@ -138,6 +155,12 @@
     pub move_to_bad_version: Cell<Option<bool>>,
     is_new_version_bad: Cell<bool>,
     is_restoring: Cell<bool>,
+    /// Keys and quotas, in a run with workspaces.
+    keys: Option<Rc<KeyRing>>,
+    /// Configurations that were written, in a run with workspaces.
+    pub written: RefCell<Vec<WrittenConfig>>,
+    /// Held while a configuration is written, so that each version has one content.
+    operator: Mutex<()>,
     client: awc::Client,
 }
 
@@ -146,7 +169,13 @@
     ///
     /// # Errors
     /// If a process cannot be started, or is not ready within the timeout.
-    pub async fn start(programs: Programs, seed: u64, load: Load) -> eyre::Result<Rc<Self>> {
+    pub async fn start(
+        programs: Programs,
+        seed: u64,
+        load: Load,
+        workspaces: Option<(&WorkspacePlan, Rc<KeyRing>)>,
+    ) -> eyre::Result<Rc<Self>> {
+        let is_strict = workspaces.as_ref().is_some_and(|(plan, _)| plan.is_strict);
         let mut fleet = SidecarFleet::new(&programs.sycamorewick)?;
         let store_addr = free_addr()?;
         let mut store = ManagedProcess::new("store", fleet.dir().join("store.log"));
@@ -167,7 +196,10 @@
                 Proxy::start(addrs.backend_proxy, addrs.backend, seed + 2).await?,
             ]);
             let domain = if index % 2 == 0 { "keta-a" } else { "keta-b" };
-            let options = SidecarOptions::new(&format!("n{index}"), domain, service_of(index));
+            let mut options = SidecarOptions::new(&format!("n{index}"), domain, service_of(index));
+            let revoke_within_ms = u64::try_from(REVOKE_WITHIN.as_millis())?;
+            options.config_within_ms = CONFIG_WITHIN_MS;
+            options.strict_revoke_ms = is_strict.then_some(revoke_within_ms);
             fleet.add(options, addrs)?;
             let output = fleet.dir().join(format!("b{index}.out"));
             backends.push(Backend {
@@ -191,6 +223,9 @@
             move_to_bad_version: Cell::new(None),
             is_new_version_bad: Cell::new(false),
             is_restoring: Cell::new(false),
+            keys: workspaces.map(|(_, keys)| keys),
+            written: RefCell::default(),
+            operator: Mutex::new(()),
             client: awc::Client::builder()
                 .timeout(Duration::from_secs(2))
                 .finish(),
@@ -233,7 +268,10 @@
     async fn is_serving(&self, node: usize) -> bool {
         let url = format!("http://{}/wrecks/0", self.caller_addr(node));
         let req = self.client.get(url).insert_header(("host", HOST));
-        let req = req.insert_header((testbed::platform::backend::ATTEMPT_HEADER, "start"));
+        let mut req = req.insert_header((testbed::platform::backend::ATTEMPT_HEADER, "start"));
+        if let Some(keys) = &self.keys {
+            req = req.insert_header((CREDENTIAL_HEADER, &*keys.draw_of(0)));
+        }
         req.send()
             .await
             .is_ok_and(|response| response.status() == 200)
@@ -241,24 +279,75 @@
 
     /// Writes the next configuration. Returns whether the store accepted it.
     pub async fn put_config(&self) -> bool {
+        let _operator = self.operator.lock().await;
+        self.put_next_config().await
+    }
+
+    /// Writes the next configuration, with the operator's lock held.
+    async fn put_next_config(&self) -> bool {
         let version = self.config_version.get() + 1;
-        let config = config(version);
-        let accepted = self.put(OPERATOR_TOPIC, "config", config.to_string()).await;
+        let accepted = self.write_config(version).await;
         if accepted {
             self.config_version.set(version);
         }
         accepted
     }
 
-    async fn put_old_config(&self, truncated: bool) {
-        let mut text = config(self.config_version.get().saturating_sub(1).max(1)).to_string();
-        if truncated {
-            text.truncate(text.len() / 2);
+    /// Writes a version with the newest workspaces, and records it.
+    async fn write_config(&self, version: u32) -> bool {
+        let workspaces = self.keys.as_ref().map(|keys| keys.workspaces());
+        let config = config(version, workspaces.as_deref());
+        let sent_ms = monotonic_millis();
+        let accepted = self.put(OPERATOR_TOPIC, "config", config.to_string()).await;
+        self.written.borrow_mut().push(WrittenConfig {
+            version,
+            sent_ms,
+            acked_ms: accepted.then(monotonic_millis),
+            is_stale: false,
+            workspaces: Rc::new(workspaces.unwrap_or_default()),
+        });
+        accepted
+    }
+
+    async fn change_workspaces(&self, change: WorkspaceChange) {
+        let _operator = self.operator.lock().await;
+        if let Some(keys) = &self.keys {
+            keys.apply(change);
+            println!("workspaces at {} {change:?}", monotonic_millis());
         }
-        if !self.put(OPERATOR_TOPIC, "config", text).await {
-            self.violations
-                .borrow_mut()
-                .push("store did not accept a control request".into());
+        self.put_next_config().await;
+    }
+
+    async fn put_old_config(&self, truncated: bool) {
+        {
+            let _operator = self.operator.lock().await;
+            let version = self.config_version.get().saturating_sub(1).max(1);
+            let workspaces = {
+                let written = self.written.borrow();
+                let mut earlier = written.iter().filter(|other| other.version == version);
+                earlier.next_back().map(|other| other.workspaces.clone())
+            };
+            let workspaces = workspaces.unwrap_or_default();
+            let shown = self.keys.as_ref().map(|_| &**workspaces);
+            let mut text = config(version, shown).to_string();
+            if truncated {
+                text.truncate(text.len() / 2);
+            }
+            let sent_ms = monotonic_millis();
+            if !self.put(OPERATOR_TOPIC, "config", text).await {
+                self.violations
+                    .borrow_mut()
+                    .push("store did not accept a control request".into());
+            }
+            if !truncated {
+                self.written.borrow_mut().push(WrittenConfig {
+                    version,
+                    sent_ms,
+                    acked_ms: Some(monotonic_millis()),
+                    is_stale: true,
+                    workspaces,
+                });
+            }
         }
         // The platform's store accepts only valid configurations. This one accepts all, so a valid one
         // follows: otherwise a node that starts later would find no valid configuration.
@@ -326,6 +415,9 @@
             .args(["--slots", &self.load.slots.to_string()])
             .args(["--service-ms", &self.load.service_ms.to_string()])
             .args(["--seed", &backend.starts.to_string()]);
+        if self.keys.is_some() {
+            command.args(["--secret-text", KEY_TEXT]);
+        }
         // Fails if another event has started the backend server meanwhile.
         let _ = backend.process.start(&mut command);
     }
@@ -344,6 +436,12 @@
         self.faults.borrow_mut().push(fault);
     }
 
+    fn record_fault_of_all(&self, kind: FaultKind, duration: Duration) {
+        for node in 0..ALL_NODES {
+            self.record_fault(node, kind, duration);
+        }
+    }
+
     /// Performs an event and returns after its end.
     pub async fn perform(self: Rc<Self>, event: Event) {
         match event {
@@ -392,12 +490,18 @@
                 if kind == LinkKind::Backend {
                     self.record_fault(node, FaultKind::BackendFault, duration);
                 }
+                if kind == LinkKind::Store {
+                    self.record_fault(node, FaultKind::StoreFault, duration);
+                }
                 self.links[node][link].set_fault(fault);
                 actix_rt::time::sleep(duration).await;
                 self.links[node][link].set_fault(LinkFault::None);
             }
             Event::StoreFault(StoreFault::GoBack, copy_age) => self.restore_store(copy_age).await,
             Event::StoreFault(fault, duration) => {
+                if delays_reads(fault) {
+                    self.record_fault_of_all(FaultKind::StoreFault, duration);
+                }
                 self.change_store(&store_change(fault)).await;
                 actix_rt::time::sleep(duration).await;
                 self.change_store(&healthy_store()).await;
@@ -421,32 +525,74 @@
                 tokio::join!(self.stop_backend(node), late);
             }
             Event::ServiceFault(fault, duration) => {
-                for node in unsafe_service_nodes() {
-                    self.record_fault(node, FaultKind::BackendFault, duration);
-                }
-                let index = link_index(LinkKind::Backend);
-                let links = unsafe_service_nodes().map(|node| &self.links[node][index]);
-                set_faults(links, fault, duration).await;
+                self.inject_service_fault(fault, duration).await;
             }
             Event::SilenceConnections(kind, duration) => {
-                if kind == LinkKind::Backend {
-                    for node in 0..ALL_NODES {
-                        self.record_fault(node, FaultKind::BackendFault, duration);
-                    }
-                }
-                let links = self.links.iter().map(|links| &links[link_index(kind)]);
-                set_faults(links.clone(), LinkFault::Delay(MAX_SLOW_DELAY), duration).await;
-                links.for_each(Proxy::silence_connections);
+                self.silence_connections(kind, duration).await;
+            }
+            Event::ChangeWorkspaces(change) => self.change_workspaces(change).await,
+            Event::ChangeDuringCut {
+                first,
+                count,
+                fault,
+                duration,
+                change,
+            } => {
+                let nodes = (first..first + count).map(|node| node % NODES);
+                self.change_during_cut(nodes, fault, duration, change).await;
             }
+            // The callers belong to the run.
+            Event::Surge(..) => {}
         }
     }
 
+    async fn inject_service_fault(&self, fault: LinkFault, duration: Duration) {
+        for node in unsafe_service_nodes() {
+            self.record_fault(node, FaultKind::BackendFault, duration);
+        }
+        let index = link_index(LinkKind::Backend);
+        let links = unsafe_service_nodes().map(|node| &self.links[node][index]);
+        set_faults(links, fault, duration).await;
+    }
+
+    async fn silence_connections(&self, kind: LinkKind, duration: Duration) {
+        match kind {
+            LinkKind::Backend => self.record_fault_of_all(FaultKind::BackendFault, duration),
+            LinkKind::Store => self.record_fault_of_all(FaultKind::StoreFault, duration),
+            LinkKind::Node => {}
+        }
+        let links = self.links.iter().map(|links| &links[link_index(kind)]);
+        set_faults(links.clone(), LinkFault::Delay(MAX_SLOW_DELAY), duration).await;
+        links.for_each(Proxy::silence_connections);
+    }
+
+    /// Changes the workspaces while the connections of some nodes to the store have a fault.
+    async fn change_during_cut(
+        &self,
+        nodes: impl Iterator<Item = usize> + Clone,
+        fault: LinkFault,
+        duration: Duration,
+        change: WorkspaceChange,
+    ) {
+        for node in nodes.clone() {
+            self.record_fault(node, FaultKind::StoreFault, duration);
+        }
+        let index = link_index(LinkKind::Store);
+        let links = nodes.map(|node| &self.links[node][index]);
+        let change = async {
+            actix_rt::time::sleep(CHANGE_AFTER_CUT).await;
+            self.change_workspaces(change).await;
+        };
+        tokio::join!(set_faults(links, fault, duration), change);
+    }
+
     /// Lets the store go back to a copy of a given age. Restores do not overlap, since the store keeps one
     /// copy.
     async fn restore_store(&self, copy_age: Duration) {
         if self.is_restoring.replace(true) {
             return;
         }
+        let copied_ms = monotonic_millis();
         let take_copy = StoreControlChange {
             take_copy: true,
             ..StoreControlChange::default()
@@ -463,8 +609,19 @@
         if self.move_to_bad_version.get().is_some() {
             self.put_order().await;
         }
-        let config = config(self.config_version.get());
-        self.put(OPERATOR_TOPIC, "config", config.to_string()).await;
+        {
+            let _operator = self.operator.lock().await;
+            self.write_config(self.config_version.get()).await;
+        }
+        let written_ms = monotonic_millis();
+        for node in 0..ALL_NODES {
+            self.faults.borrow_mut().push(FaultInterval {
+                node,
+                kind: FaultKind::StoreReverted,
+                from: copied_ms,
+                to: written_ms,
+            });
+        }
         self.is_restoring.set(false);
     }
 
@@ -635,9 +792,21 @@
     links.for_each(|link| link.set_fault(LinkFault::None));
 }
 
+/// Whether a fault of the store may delay reads beyond the time that nodes have for them.
+fn delays_reads(fault: StoreFault) -> bool {
+    match fault {
+        StoreFault::Refuse | StoreFault::Hang | StoreFault::Slow => true,
+        StoreFault::DropResponses
+        | StoreFault::LateAppends
+        | StoreFault::MissedWakeups
+        | StoreFault::ExpireEarly
+        | StoreFault::GoBack => false,
+    }
+}
+
 /// Returns the configuration of a version. It has one route for each version so far, which shows callers
-/// that the version is in force.
-fn config(version: u32) -> serde_json::Value {
+/// that the version is in force. These routes are public.
+fn config(version: u32, workspaces: Option<&[SoakWorkspace]>) -> serde_json::Value {
     let route_to = |service: &str, prefix: &str, kind: &str| {
         json!({ "host": HOST, "prefix": prefix, "kind": kind, "slo-ms": 500, "priority": 1,
             "timeout-ms": ROUTE_TIMEOUT.as_millis(), "service": service, "attempts": 2 })
@@ -651,9 +820,13 @@
     routes.insert("moorings".into(), moorings);
     for version in 1..=version {
         let prefix = format!("/v{version}/");
-        routes.insert(format!("v{version}"), route(&prefix, "safe"));
+        let mut route = route(&prefix, "safe");
+        if workspaces.is_some() {
+            route["public"] = true.into();
+        }
+        routes.insert(format!("v{version}"), route);
     }
-    json!({
+    let mut config = json!({
         "version": format!("{version:08x}"),
         "routes": routes,
         "services": {
@@ -661,7 +834,11 @@
             UNSAFE_SERVICE: { "health-path": "/healthz", "max-conns": 100 },
         },
         "limits": { "header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000 },
-    })
+    });
+    if let Some(workspaces) = workspaces {
+        config["tenants"] = workspaces::encode(workspaces);
+    }
+    config
 }
 
 fn store_change(fault: StoreFault) -> StoreControlChange {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,3 +7,5 @@
 pub mod plan;
 pub mod proxy;
 pub mod stray;
+pub mod workspace_checker;
+pub mod workspaces;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -26,6 +26,12 @@
 use soak::cluster::NODES;
 use soak::cluster::Programs;
 use soak::plan;
+use soak::plan::Event;
+use soak::plan::Load;
+use soak::workspace_checker;
+use soak::workspace_checker::WorkspaceObservations;
+use soak::workspaces;
+use soak::workspaces::KeyRing;
 use testbed::platform::backend::monotonic_millis;
 
 /// Seeds and lengths of runs that failed before, with their causes.
@@ -38,6 +44,8 @@
 const WATCH_PERIOD: Duration = Duration::from_millis(1_500);
 /// Largest time from the start of the faults to the first reading of the nodes' memory.
 const MAX_WARM_UP: Duration = Duration::from_mins(1);
+/// Callers of a workspace at each node in a surge.
+const SURGE_CALLERS: usize = 6;
 /// Maximum number of violations that are printed for a run.
 const MAX_PRINTED_VIOLATIONS: usize = 12;
 
@@ -82,6 +90,14 @@
                 .action(ArgAction::SetTrue)
                 .help("Run the seeds that failed before, ahead of the others"),
         )
+        .arg(
+            Arg::new("workspaces")
+                .long("workspaces")
+                .value_name("WHEN")
+                .value_parser(["by-seed", "always", "never"])
+                .default_value("by-seed")
+                .help("Which runs have workspaces with keys and quotas"),
+        )
         .arg(
             Arg::new("programs")
                 .long("programs")
@@ -110,10 +126,17 @@
     }
     let seeds = number("seed")..number("seed") + number("seeds");
     runs.extend(seeds.map(|seed| (seed, length)));
+    let when = args.get_one::<String>("workspaces").map(String::as_str);
     let mut passed = true;
     for (seed, length) in runs {
         let system = actix_rt::System::new();
-        passed &= system.block_on(run_seed(programs.clone(), seed, length))?;
+        let has_workspaces = match when {
+            Some("always") => true,
+            Some("never") => false,
+            _ => workspaces::has_workspaces(seed),
+        };
+        let run = run_seed(programs.clone(), seed, length, has_workspaces);
+        passed &= system.block_on(run)?;
     }
     Ok(passed)
 }
@@ -129,37 +152,29 @@
     runs.collect()
 }
 
-async fn run_seed(programs: Programs, seed: u64, length: Duration) -> eyre::Result<bool> {
+async fn run_seed(
+    programs: Programs,
+    seed: u64,
+    length: Duration,
+    has_workspaces: bool,
+) -> eyre::Result<bool> {
     let began = Instant::now();
+    let plan = has_workspaces.then(|| workspaces::draw_plan(seed));
     let load = plan::draw_load(seed);
-    let cluster = Cluster::start(programs, seed, load).await?;
-    let logs =
-        Workload::ALL.map(|workload| Rc::new(CallLog::new(&format!("{workload:?}"), workload)));
-    for node in 0..NODES {
-        let callers = load.callers;
-        start_callers(&cluster, &logs[0], node, callers, seed * 100);
-        actix_rt::spawn(probe_config(cluster.clone(), node));
-    }
-    for node in cluster::unsafe_service_nodes() {
-        // These nodes have no backend server for uploads, so that the bodies go from node to node.
-        start_callers(&cluster, &logs[2], node, 1, seed);
-        start_callers(&cluster, &logs[1], node - NODES, 1, seed);
-    }
+    let load = plan.as_ref().map_or(load, |plan| plan.load(load));
+    let keys = plan.as_ref().map(|plan| Rc::new(KeyRing::new(plan, seed)));
+    let cluster = Cluster::start(programs, seed, load, plan.as_ref().zip(keys.clone())).await?;
+    let logs = start_workloads(&cluster, load, keys.as_ref(), seed);
     let rolled_back_at = Rc::new(RefCell::new(None));
     actix_rt::spawn(watch_move(cluster.clone(), rolled_back_at.clone()));
-    let events = plan::draw(seed, NODES, length);
-    let started = Instant::now();
     let memory = Rc::new(RefCell::new(Vec::new()));
     actix_rt::spawn(read_memory(cluster.clone(), length / 2, memory.clone()));
-    let mut tasks = Vec::new();
-    for (at, event) in &events {
-        actix_rt::time::sleep(at.saturating_sub(started.elapsed())).await;
-        println!("seed {seed} at {} {event:?}", monotonic_millis());
-        tasks.push(actix_rt::spawn(cluster.clone().perform(*event)));
-    }
-    for task in tasks {
-        task.await?;
+    let mut events = plan::draw(seed, NODES, length);
+    if has_workspaces {
+        events.extend(workspaces::draw_events(seed, NODES, length));
+        events.sort_by_key(|(at, _)| *at);
     }
+    let surges = perform_events(&cluster, &events, keys.as_ref(), seed).await?;
     cluster.clear_faults().await;
     actix_rt::time::sleep(RECOVERY_PERIOD).await;
     let watch_start = monotonic_millis();
@@ -170,7 +185,8 @@
     // Calls in progress end within the timeout of their route.
     actix_rt::time::sleep(cluster::ROUTE_TIMEOUT).await;
     let move_state = cluster.move_state().await;
-    let records: Vec<CallRecord> = logs.iter().flat_map(|log| log.records.take()).collect();
+    let all_logs = logs.iter().chain(&surges);
+    let records: Vec<CallRecord> = all_logs.flat_map(|log| log.records.take()).collect();
     let outputs: Vec<String> = (0..ALL_NODES)
         .map(|node| cluster.backend_output(node))
         .collect();
@@ -183,12 +199,24 @@
     };
     violations.extend(checker::check_run(&observations));
     let watched = records.iter().filter(|call| call.started_ms >= watch_start);
-    let watched: Vec<&CallRecord> = watched.collect();
+    let mut watched: Vec<&CallRecord> = watched.collect();
+    violations.extend(checker::find_unserved_workloads(&watched));
+    if let Some(plan) = &plan {
+        let written = cluster.written.borrow();
+        let check = workspace_checker::Check::new(&WorkspaceObservations {
+            calls: &records,
+            backends: &outputs,
+            faults: observations.faults,
+            written: &written,
+            is_strict: plan.is_strict,
+        });
+        violations.extend(check.run());
+        watched.retain(|call| !check.may_be_refused(call));
+    }
     // A bad version that has not been rolled back yet fails calls.
     if cluster.move_to_bad_version.get() != Some(true) {
         violations.extend(checker::find_unserved_calls(&watched, load));
     }
-    violations.extend(checker::find_unserved_workloads(&watched));
     violations.extend(checker::find_growth(&memory.borrow(), &cluster.memory()));
     if cluster.move_to_bad_version.get() == Some(true) && move_state.as_deref() == Some("complete")
     {
@@ -197,14 +225,24 @@
     let served = records
         .iter()
         .filter(|call| call.outcome == CallOutcome::Status(200));
+    let workspaces = match &plan {
+        Some(plan) if plan.is_strict => "strict workspaces",
+        Some(_) => "workspaces",
+        None => "no workspaces",
+    };
     println!(
-        "seed {seed}: {load:?}, {} events, {} calls, {} served, {} violations, {:.0} s",
+        "seed {seed}: {load:?}, {workspaces}, {} events, {} calls, {} served, {} violations, {:.0} s",
         events.len(),
         records.len(),
         served.count(),
         violations.len(),
         began.elapsed().as_secs_f64()
     );
+    print_violations(&cluster, seed, &violations);
+    Ok(violations.is_empty())
+}
+
+fn print_violations(cluster: &Cluster, seed: u64, violations: &[String]) {
     for text in violations.iter().take(MAX_PRINTED_VIOLATIONS) {
         println!("  seed {seed}: {text}");
     }
@@ -214,7 +252,59 @@
             cluster.keep_dir().display()
         );
     }
-    Ok(violations.is_empty())
+}
+
+/// Starts the callers and the probes of the configuration. Returns the calls of each workload.
+fn start_workloads(
+    cluster: &Rc<Cluster>,
+    load: Load,
+    keys: Option<&Rc<KeyRing>>,
+    seed: u64,
+) -> [Rc<CallLog>; 3] {
+    let logs = Workload::ALL.map(|workload| {
+        let prefix = format!("{workload:?}");
+        Rc::new(CallLog::new(&prefix, workload, keys.cloned()))
+    });
+    for node in 0..NODES {
+        let callers = load.callers;
+        start_callers(cluster, &logs[0], node, callers, seed * 100);
+        actix_rt::spawn(probe_config(cluster.clone(), node, keys.cloned()));
+    }
+    for node in cluster::unsafe_service_nodes() {
+        // These nodes have no backend server for uploads, so that the bodies go from node to node.
+        start_callers(cluster, &logs[2], node, 1, seed);
+        start_callers(cluster, &logs[1], node - NODES, 1, seed);
+    }
+    logs
+}
+
+/// Performs the events at their times, and waits until they have ended. Returns the calls of the surges.
+async fn perform_events(
+    cluster: &Rc<Cluster>,
+    events: &[(Duration, Event)],
+    keys: Option<&Rc<KeyRing>>,
+    seed: u64,
+) -> eyre::Result<Vec<Rc<CallLog>>> {
+    let started = Instant::now();
+    let mut tasks = Vec::new();
+    let mut surges = Vec::new();
+    for (at, event) in events {
+        actix_rt::time::sleep(at.saturating_sub(started.elapsed())).await;
+        println!("seed {seed} at {} {event:?}", monotonic_millis());
+        if let Event::Surge(workspace, duration) = *event {
+            let prefix = format!("Surge{}", surges.len());
+            let log = Rc::new(CallLog::new(&prefix, Workload::Mixed, keys.cloned()));
+            surges.push(log.clone());
+            let surge = run_surge(cluster.clone(), log, workspace, duration, seed);
+            tasks.push(actix_rt::spawn(surge));
+        } else {
+            tasks.push(actix_rt::spawn(cluster.clone().perform(*event)));
+        }
+    }
+    for task in tasks {
+        task.await?;
+    }
+    Ok(surges)
 }
 
 fn start_callers(cluster: &Cluster, log: &Rc<CallLog>, node: usize, callers: usize, seed: u64) {
@@ -225,6 +315,27 @@
     }
 }
 
+/// Lets callers of a workspace call all nodes for a time.
+async fn run_surge(
+    cluster: Rc<Cluster>,
+    log: Rc<CallLog>,
+    workspace: usize,
+    duration: Duration,
+    seed: u64,
+) {
+    for node in 0..NODES {
+        for caller in 0..SURGE_CALLERS {
+            let number = u64::try_from(node * SURGE_CALLERS + caller).unwrap_or_default();
+            let addr = cluster.caller_addr(node);
+            let seed = seed * 100 + number;
+            let calls = caller::run_surge(log.clone(), node, addr, seed, workspace);
+            actix_rt::spawn(calls);
+        }
+    }
+    actix_rt::time::sleep(duration).await;
+    log.stopped.set(true);
+}
+
 /// Reads the memory of the nodes once, `after` the start or after [`MAX_WARM_UP`], if that is shorter.
 async fn read_memory(cluster: Rc<Cluster>, after: Duration, memory: Rc<RefCell<Vec<(u32, u64)>>>) {
     actix_rt::time::sleep(after.min(MAX_WARM_UP)).await;
@@ -233,8 +344,8 @@
 
 /// Calls the routes that configuration versions added, at an interval. A node must not revert to an older
 /// configuration while its process lives.
-async fn probe_config(cluster: Rc<Cluster>, node: usize) {
-    let calls = CallLog::new(&format!("probe{node}"), Workload::Mixed);
+async fn probe_config(cluster: Rc<Cluster>, node: usize, keys: Option<Rc<KeyRing>>) {
+    let calls = CallLog::new(&format!("probe{node}"), Workload::Mixed, keys);
     let addr = cluster.caller_addr(node);
     let (mut seen, mut process_start) = (0, 0);
     loop {
@@ -249,8 +360,10 @@
                 continue;
             }
             let path = format!("/v{version}/x");
+            let credential = calls.public_credential();
+            let kind = CallKind::Idempotent;
             let outcome =
-                caller::call(&calls, node, addr, CallKind::Idempotent, &path, &mut None).await;
+                caller::call(&calls, node, addr, kind, &path, credential, &mut None).await;
             let is_same_process = cluster.node_started_ms.borrow()[node] == process_start;
             match outcome {
                 CallOutcome::Status(404) if version <= seen && is_same_process => {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -9,6 +9,7 @@
 use rand::rngs::StdRng;
 
 use crate::proxy::LinkFault;
+use crate::workspaces::WorkspaceChange;
 
 /// Maximum duration of a fault.
 const MAX_FAULT_DURATION: Duration = Duration::from_secs(4);
@@ -104,6 +105,24 @@
     ServiceFault(LinkFault, Duration),
     /// All open connections of a kind become slow and then silent for good. New ones work.
     SilenceConnections(LinkKind, Duration),
+    /// The next configuration is written with other workspaces.
+    ChangeWorkspaces(WorkspaceChange),
+    /// The connections between some nodes and the store have a fault, and meanwhile the next configuration is
+    /// written with other workspaces.
+    ChangeDuringCut {
+        /// Index of the first node.
+        first: usize,
+        /// Number of nodes.
+        count: usize,
+        /// Fault.
+        fault: LinkFault,
+        /// Duration of the fault.
+        duration: Duration,
+        /// Change.
+        change: WorkspaceChange,
+    },
+    /// A workspace sends many times its usual rate.
+    Surge(usize, Duration),
 }
 
 /// Load of a run.
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -4,6 +4,7 @@
 use soak::caller::CallKind;
 use soak::caller::CallOutcome;
 use soak::caller::CallRecord;
+use soak::caller::Credential;
 use soak::caller::Workload;
 use soak::checker::Observations;
 use soak::checker::check_run;
@@ -24,6 +25,8 @@
         ended_ms: 1_040,
         outcome,
         version: None,
+        credential: Credential::NoWorkspaces,
+        code: None,
         violation: None,
     }
 }
--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -206,6 +206,11 @@
             .value_parser(value_parser!(f64))
             .default_value("0"),
         )
+        .arg(option(
+            "secret-text",
+            "TEXT",
+            "Text that no request may contain; a line is printed for each that does",
+        ))
 }
 
 fn platform_backend(args: &ArgMatches) -> eyre::Result<ExitCode> {
@@ -224,6 +229,7 @@
         pad_bytes: size("pad-bytes")?,
         seed: *required(args, "seed")?,
         cold_ms: 0,
+        secret_text: args.get_one::<String>("secret-text").cloned(),
     })
     .wrap_err("cannot start the backend server")?;
     actix_rt::System::new().block_on(wait_for_stop());
--- a/testbed/src/platform/backend.rs
+++ b/testbed/src/platform/backend.rs
@@ -56,6 +56,10 @@
 /// Header of a health response with the time for which the backend server stays cold, milliseconds.
 const COLD_HEADER: &str = "x-sycamorewick-cold-ms";
 /// Header of a health response with the id of the backend server.
+/// Header with the name of the workspace of a request.
+pub const WORKSPACE_HEADER: &str = "x-sycamorewick-tenant";
+/// Header with the key of a workspace, which a backend server must not get.
+pub const CREDENTIAL_HEADER: &str = "x-sycamorewick-credential";
 const INSTANCE_HEADER: &str = "x-sycamorewick-instance";
 /// Path at which the backend server reports its health.
 pub const HEALTH_PATH: &str = "/healthz";
@@ -103,6 +107,8 @@
     pub seed: u64,
     /// Time after its start for which it is cold, milliseconds.
     pub cold_ms: u64,
+    /// Text that no request may contain. A line is printed for each request that does.
+    pub secret_text: Option<String>,
 }
 
 /// What a backend server announces in each response.
@@ -430,6 +436,22 @@
     response.finish().map_into_boxed_body()
 }
 
+/// Whether a request contains a text that it must not contain, or has the header for keys.
+fn has_secret(req: &Request, body: &[u8], secret: &str) -> bool {
+    let contains = |bytes: &[u8]| {
+        let mut windows = bytes.windows(secret.len().max(1));
+        windows.any(|window| window == secret.as_bytes())
+    };
+    let mut headers = req.headers().iter();
+    contains(req.uri().to_string().as_bytes())
+        || contains(body)
+        || headers.any(|(name, value)| {
+            name.as_str() == CREDENTIAL_HEADER
+                || contains(name.as_str().as_bytes())
+                || contains(value.as_bytes())
+        })
+}
+
 fn not_run_response(status: StatusCode, attempt: &str) -> Response<BoxBody> {
     let mut response = Response::build(status);
     response.insert_header((ATTEMPT_HEADER, attempt));
@@ -438,16 +460,25 @@
 }
 
 async fn handle_request(shared: &Shared, mut req: Request) -> Response<BoxBody> {
+    let options = &shared.options;
+    let report_secret = |req: &Request, body: &[u8]| {
+        let secret = options.secret_text.as_deref();
+        if secret.is_some_and(|secret| has_secret(req, body, secret)) {
+            print_event("leak", req.path());
+        }
+    };
     if req.path() == HEALTH_PATH && shared.reports_health.load(Ordering::SeqCst) {
+        report_secret(&req, b"");
         return health_response(shared);
     }
-    let options = &shared.options;
     let Ok(body) = http::read_body(&mut req, MAX_BODY_BYTES).await else {
+        report_secret(&req, b"");
         return http::text(
             StatusCode::BAD_REQUEST,
             "the request body is incomplete or too large",
         );
     };
+    report_secret(&req, &body);
     let header = |name| http::header_text(req.headers(), name).map(ToOwned::to_owned);
     let Some(attempt) = header(ATTEMPT_HEADER) else {
         return not_run_response(StatusCode::BAD_REQUEST, "");
@@ -480,7 +511,10 @@
         });
         recorded.push((attempt.clone(), headers.collect()));
     }
-    print_event("run", &attempt);
+    match header(WORKSPACE_HEADER) {
+        Some(workspace) => print_event("run", &format!("{attempt} {workspace}")),
+        None => print_event("run", &attempt),
+    }
     if lock(&shared.crash_path).as_deref() == Some(req.path()) {
         print_event("crash", &options.id);
         shared.crashed.notify_one();
--- a/testbed/src/platform/fleet.rs
+++ b/testbed/src/platform/fleet.rs
@@ -65,6 +65,9 @@
     pub known_domains: Vec<String>,
     /// Memory of the instance, MB; `None` leaves the setting out.
     pub memory_mb: Option<u32>,
+    /// Age of the view of the configuration from which on requests with a key are refused, milliseconds; `None` if
+    /// they are accepted at any age.
+    pub strict_revoke_ms: Option<u64>,
     /// File descriptors that the process may open; `None` leaves the setting out.
     pub max_open_files: Option<u32>,
 }
@@ -87,6 +90,7 @@
             cold_excess_and_slack: (1.0, 0.0),
             known_domains: Vec::new(),
             memory_mb: None,
+            strict_revoke_ms: None,
             max_open_files: None,
         }
     }
@@ -187,6 +191,10 @@
         if let Some(memory_mb) = options.memory_mb {
             settings["memory_mb"] = memory_mb.into();
         }
+        if let Some(revoke_within_ms) = options.strict_revoke_ms {
+            settings["strict_revoke"] = true.into();
+            settings["revoke_within_ms"] = revoke_within_ms.into();
+        }
         if let Some(max_open_files) = options.max_open_files {
             settings["max_open_files"] = max_open_files.into();
         }
--- a/tests/sidecar_common/mod.rs
+++ b/tests/sidecar_common/mod.rs
@@ -142,6 +142,7 @@
                 pad_bytes,
                 seed: 1,
                 cold_ms: 0,
+                secret_text: None,
             })?);
         Ok(())
     }
