Contend for backend servers in the soak, and cut off all nodes

A node that is cut off learns a change from its neighbours, so half of the changes during a cut now have all nodes cut off.

--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -538,7 +538,7 @@
                 duration,
                 change,
             } => {
-                let nodes = (first..first + count).map(|node| node % NODES);
+                let nodes = (first..first + count).map(|node| node % ALL_NODES);
                 self.change_during_cut(nodes, fault, duration, change).await;
             }
             // The callers belong to the run.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -45,7 +45,7 @@
 /// Largest time from the start of the faults to the first reading of the nodes' memory.
 const MAX_WARM_UP: Duration = Duration::from_mins(1);
 /// Callers of a workspace at each node in a surge.
-const SURGE_CALLERS: usize = 6;
+const SURGE_CALLERS: usize = 10;
 /// Maximum number of violations that are printed for a run.
 const MAX_PRINTED_VIOLATIONS: usize = 12;
 
--- a/soak/src/workspace_checker.rs
+++ b/soak/src/workspace_checker.rs
@@ -112,7 +112,8 @@
 struct Share<'a> {
     name: &'a str,
     priority: u8,
-    weight: f64,
+    /// Smallest and largest weight that a node may give it in the window.
+    weights: (f64, f64),
     served: f64,
     refused: f64,
 }
@@ -350,7 +351,7 @@
             let begin = calls.partition_point(|(at, ..)| *at < from);
             let end = calls.partition_point(|(at, ..)| *at < to);
             let shares = self.shares(&calls[begin..end], from, to);
-            if let Some(text) = shares.and_then(|shares| find_unfair_share(&shares)) {
+            if let Some(text) = find_unfair_share(&shares) {
                 violations.push(format!("in the window from {from}: {text}"));
                 return;
             }
@@ -358,32 +359,36 @@
         }
     }
 
-    /// Counts the calls of each workspace. `None` if a weight may differ between nodes, or changes.
-    fn shares(&self, calls: &[(u64, &str, bool)], from: u64, to: u64) -> Option<Vec<Share<'a>>> {
+    /// Counts the calls of each workspace.
+    fn shares(&self, calls: &[(u64, &str, bool)], from: u64, to: u64) -> Vec<Share<'a>> {
         let written = self.seen.written.iter().zip(&self.in_force);
         let possible = written.filter(|(config, until)| {
             let until = until.iter().max().copied().unwrap_or(u64::MAX);
             config.sent_ms <= to && until >= from
         });
-        let mut configs = possible.map(|(config, _)| config);
-        let first = configs.next()?;
-        let weights =
-            |config: &WrittenConfig| -> Vec<f64> { config.workspaces.iter().map(weight).collect() };
-        let first_weights = weights(first);
-        if configs.any(|config| weights(config) != first_weights) {
-            return None;
-        }
-        let share = |workspace: &'a SoakWorkspace| {
-            let own = || calls.iter().filter(|(_, name, _)| *name == workspace.name);
+        let configs: Vec<&WrittenConfig> = possible.map(|(config, _)| config).collect();
+        let share = |known: &'a SoakWorkspace| {
+            let own = || calls.iter().filter(|(_, name, _)| *name == known.name);
+            let weights = || {
+                let found = configs.iter();
+                found.filter_map(|config| workspace(config, &known.name).map(weight))
+            };
             Share {
-                name: &workspace.name,
-                priority: workspace.priority,
-                weight: weight(workspace),
+                name: &known.name,
+                priority: known.priority,
+                weights: (
+                    weights().fold(f64::INFINITY, f64::min),
+                    weights().fold(0.0, f64::max),
+                ),
                 served: count(own().filter(|(.., is_served)| *is_served)),
                 refused: count(own().filter(|(.., is_served)| !*is_served)),
             }
         };
-        Some(first.workspaces.iter().map(share).collect())
+        let first = self.seen.written.first();
+        let all = first
+            .into_iter()
+            .flat_map(|config| config.workspaces.iter());
+        all.map(share).collect()
     }
 }
 
@@ -396,16 +401,18 @@
 /// of its priority get more than their shares.
 fn find_unfair_share(shares: &[Share<'_>]) -> Option<String> {
     for share in shares {
-        let rank = || {
-            let same = shares
-                .iter()
-                .filter(|other| other.priority == share.priority);
+        let others = || {
+            let others = shares.iter().filter(|other| other.name != share.name);
+            let same = others.filter(|other| other.priority == share.priority);
             same.filter(|other| other.served + other.refused > 0.0)
         };
-        let weights: f64 = rank().map(|other| other.weight).sum();
-        let average = rank().map(|other| other.served).sum::<f64>() / weights;
-        let due = (average * share.weight).min(share.served + share.refused);
-        let others_get_more = rank().any(|other| other.served > average * other.weight);
+        // The least that the share may be, whatever weights the nodes have in force.
+        let (own_weight, _) = share.weights;
+        let weights = own_weight + others().map(|other| other.weights.1).sum::<f64>();
+        let served = share.served + others().map(|other| other.served).sum::<f64>();
+        let average = served / weights;
+        let due = (average * own_weight).min(share.served + share.refused);
+        let others_get_more = others().any(|other| other.served > average * other.weights.1);
         if due >= MIN_SHARE_CALLS && share.served < MIN_SERVED * due && others_get_more {
             return Some(format!(
                 "{} got {} of {due:.0} calls that were due to it: {shares:?}",
--- a/soak/src/workspaces.rs
+++ b/soak/src/workspaces.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::cluster::ALL_NODES;
 use crate::plan::Event;
 use crate::plan::Load;
 use crate::proxy::LinkFault;
@@ -163,7 +164,7 @@
         }
         Load {
             slots: 2,
-            service_ms: load.service_ms.max(150),
+            service_ms: load.service_ms.max(400),
             ..load
         }
     }
@@ -186,11 +187,17 @@
             } else {
                 LinkFault::Reset
             };
+            // A node that is cut off learns the change from one that is not, unless all are.
+            let count = if rng.random_bool(0.5) {
+                ALL_NODES
+            } else {
+                rng.random_range(1..=nodes)
+            };
             Event::ChangeDuringCut {
                 first: rng.random_range(0..nodes),
-                count: rng.random_range(1..=nodes),
+                count,
                 fault,
-                duration: Duration::from_millis(rng.random_range(500..=4_000)),
+                duration: Duration::from_millis(rng.random_range(500..=5_000)),
                 change,
             }
         };
