Count the requests of each workspace

Operators saw only how many requests of all workspaces together a quota admitted and refused, so a workspace that was refused or starved could be found in the log lines only. The entry node now counts, by the name of the workspace, requests that were admitted, refused by the quota, refused for other reasons and served.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -59,6 +59,7 @@
 use crate::sidecar::serving::ServeCall;
 use crate::sidecar::serving::ServeOutcome;
 use crate::sidecar::usage_port;
+use crate::sidecar::workspace_metrics::WorkspaceEvent;
 use crate::sidecar::workspaces;
 use crate::state::routing_table;
 use crate::transport::body_budget::HeldBytes;
@@ -170,6 +171,11 @@
         Ok(route) => Some(workspaces::authorize(cx, route, credential)?),
         Err(_) => None,
     };
+    let refused = |code| {
+        let name = workspace.as_ref().and_then(|known| known.name.as_ref());
+        cx.metrics.workspaces.count(name, WorkspaceEvent::Refused);
+        code
+    };
     let time_limit = route
         .as_ref()
         .map_or(BODY_TIMEOUT, |route| route.timeout)
@@ -178,7 +184,7 @@
     let (body, held) =
         http_server::read_sized_body(&mut payload, length, limit, &cx.bodies, time_limit)
             .await
-            .map_err(|failure| failure.code)?;
+            .map_err(|failure| refused(failure.code))?;
     let route = route?;
     let target = req
         .uri()
@@ -189,7 +195,7 @@
         Some(plan) => plan.call_time_limit(arrived, time_limit),
         None => Some(time_limit),
     };
-    let time_limit = time_limit.ok_or(ResultCode::Draining)?;
+    let time_limit = time_limit.ok_or_else(|| refused(ResultCode::Draining))?;
     let mut forwarded_headers = headers::end_to_end(req.headers(), 5);
     forwarded_headers.retain(|(name, _)| !requests::is_set_by_node(name));
     forwarded_headers.push(requests::caller_header(&cx.service_header));
@@ -248,7 +254,13 @@
         return Ok(());
     };
     let attempt = serving::attempt_text(call.serve.attempt.as_ref());
-    usage_port::admit(cx, workspace, attempt)
+    let decision = usage_port::admit(cx, workspace, attempt);
+    let event = match decision {
+        Ok(()) => WorkspaceEvent::Admitted,
+        Err(_) => WorkspaceEvent::QuotaRefused,
+    };
+    cx.metrics.workspaces.count(Some(workspace), event);
+    decision
 }
 
 async fn run_call(cx: &Rc<Sidecar>, call: EntryCall) -> Response<BoxBody> {
@@ -264,18 +276,22 @@
     let time_left = call.deadline.saturating_sub(cx.clock.now()) + DEADLINE_MARGIN;
     let all = make_attempts(cx, &call, &mut attempts, &mut failed_response);
     match actix_rt::time::timeout(time_left, all).await {
-        Ok(Some(response)) => return hop::backend_response(response),
+        Ok(Some(response)) => return served(cx, &call, response),
         Ok(None) => {}
         Err(_) => attempts.on_timeout(),
     }
     let outcome = attempts.outcome();
     if let (Outcome::FailureResponse, Some(response)) = (outcome, failed_response) {
         log_failed_call(cx, &call, &attempts, None);
-        return hop::backend_response(response);
+        return served(cx, &call, response);
     }
     let (code, retry_after) = match outcome {
         Outcome::Refused { code, retry_after } => {
             cx.metrics.refusals.increment(1);
+            let workspace = call.serve.head.workspace.as_ref();
+            cx.metrics
+                .workspaces
+                .count(workspace, WorkspaceEvent::Refused);
             if let Some(workspace) = &call.serve.head.workspace {
                 usage_port::give_back(cx, workspace);
             }
@@ -294,6 +310,15 @@
     error_response(cx, status_of(code), code, retry_after)
 }
 
+/// Returns the response of a backend server to the caller.
+fn served(cx: &Sidecar, call: &EntryCall, response: HttpResponse) -> Response<BoxBody> {
+    let workspace = call.serve.head.workspace.as_ref();
+    cx.metrics
+        .workspaces
+        .count(workspace, WorkspaceEvent::Served);
+    hop::backend_response(response)
+}
+
 /// Makes attempts until one succeeds or no further one is allowed. `failed_response` receives the last
 /// error response of a backend server.
 async fn make_attempts(
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -12,6 +12,7 @@
 use crate::logging;
 use crate::node::metrics::start_upkeep;
 use crate::result_code::ResultCode;
+use crate::sidecar::workspace_metrics::WorkspaceMetrics;
 
 /// Bucket bounds of the latency histograms, seconds, from a local call to the longest deadline.
 const LATENCY_BOUNDS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 12.0];
@@ -48,6 +49,8 @@
     pub quota_admitted: Counter,
     /// Requests refused since the quota of their workspace is used up.
     pub quota_refused: Counter,
+    /// Requests by workspace.
+    pub workspaces: WorkspaceMetrics,
     /// Age of the fleet's totals of requests with a quota, seconds.
     pub quota_totals_age: Gauge,
     /// Configuration version in force.
@@ -100,6 +103,7 @@
             quarantined_requests: counter!("sycamorewick_quarantined_requests_total"),
             quota_admitted: counter!("sycamorewick_quota_admitted_total"),
             quota_refused: counter!("sycamorewick_quota_refused_total"),
+            workspaces: WorkspaceMetrics::default(),
             quota_totals_age: gauge!("sycamorewick_quota_totals_age_seconds"),
             config_version: gauge!("sycamorewick_config_version"),
             backend_limit: gauge!("sycamorewick_backend_limit"),
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -21,6 +21,7 @@
 mod status_ports;
 mod topic_follower;
 mod usage_port;
+pub mod workspace_metrics;
 mod workspaces;
 
 use std::cell::Cell;
