Measure what a hot workspace takes from the others

`testbed measure workspaces` runs sidecars, backend servers and a store, lets the first of some workspaces send a multiple of its usual rate for a third of the time, and plots the served share of each workspace.

--- a/testbed/src/cli.rs
+++ b/testbed/src/cli.rs
@@ -29,6 +29,8 @@
 use testbed::measure::latency::LatencyOptions;
 use testbed::measure::rollback;
 use testbed::measure::rollback::RollbackOptions;
+use testbed::measure::workspaces;
+use testbed::measure::workspaces::WorkspacesOptions;
 use testbed::platform::backend::PlatformBackend;
 use testbed::platform::backend::PlatformBackendOptions;
 use testbed::platform::store::StoreServer;
@@ -564,6 +566,7 @@
         .subcommand(latency_command())
         .subcommand(convergence_command())
         .subcommand(rollback_command())
+        .subcommand(workspaces_command())
 }
 
 fn binary_arg() -> Arg {
@@ -672,6 +675,59 @@
         )
 }
 
+fn workspaces_command() -> Command {
+    let number = |name, value, default, help| {
+        option(name, value, help)
+            .value_parser(value_parser!(f64))
+            .default_value(default)
+    };
+    let count = |name, default, help| {
+        option(name, "N", help)
+            .value_parser(value_parser!(usize))
+            .default_value(default)
+    };
+    Command::new("workspaces")
+        .about(
+            "Measure what a workspace that sends many times its usual rate takes from the others",
+        )
+        .arg(binary_arg())
+        .arg(plot_arg())
+        .arg(count(
+            "nodes",
+            "4",
+            "Number of sidecars, each with a backend server of 2 slots",
+        ))
+        .arg(count(
+            "workspaces",
+            "6",
+            "Number of workspaces; the first one is hot",
+        ))
+        .arg(number(
+            "rate",
+            "N",
+            "15",
+            "Usual calls per second of a workspace",
+        ))
+        .arg(number(
+            "factor",
+            "N",
+            "8",
+            "Rate of the hot workspace, as a multiple of its usual one",
+        ))
+        .arg(number(
+            "quota",
+            "N",
+            "0",
+            "Quota of each workspace, as a multiple of its usual rate; 0 for none",
+        ))
+        .arg(number(
+            "seconds",
+            "S",
+            "30",
+            "Duration; the second third of it is hot",
+        ))
+}
+
 fn measure(args: &ArgMatches) -> eyre::Result<ExitCode> {
     actix_rt::System::new().block_on(async {
         // A signal drops the measurement, which ends the processes that it started.
@@ -719,6 +775,19 @@
             };
             rollback::run(&options).await?;
         }
+        Some(("workspaces", args)) => {
+            let options = WorkspacesOptions {
+                binary: required::<PathBuf>(args, "binary")?.clone(),
+                nodes: *required(args, "nodes")?,
+                workspaces: *required(args, "workspaces")?,
+                rate: *required(args, "rate")?,
+                factor: *required(args, "factor")?,
+                quota: *required(args, "quota")?,
+                seconds: *required(args, "seconds")?,
+                plot: args.get_one("plot").cloned(),
+            };
+            workspaces::run(&options).await?;
+        }
         _ => {}
     }
     Ok(())
--- a/testbed/src/measure/mod.rs
+++ b/testbed/src/measure/mod.rs
@@ -7,6 +7,7 @@
 pub mod process_usage;
 pub mod rollback;
 pub mod table;
+pub mod workspaces;
 
 use serde::Serialize;
 
