Find a new collector of usage sooner, and use totals from before an idle time

Nodes are now tried at growing distances in the list, and a report without an answer is repeated after 100 ms.

A trace showed requests refused in the 10 ms until the first totals of nodes that had been idle, and levels that were charged with the use of domains which had no requests.

In the model, a report in flight to a node that dies is never answered, so its sender stays without totals. Most of what admit_first_nodes_killed still refuses is due to one or two such nodes.

--- a/src/coordination/workspaces/quota.rs
+++ b/src/coordination/workspaces/quota.rs
@@ -22,8 +22,14 @@
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(320);
 /// Time between two reports during a surge.
 pub const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without an answer to a report from which on a node with a share of at least one request admits none beyond
+/// it. All nodes of the domain have lost their collector then, and none sees what the others admit.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Age of the totals up to which requests beyond the share are admitted.
 pub const EXTRA_AGE: Duration = Duration::from_secs(1);
+/// Time within which the first request of a node that was idle brings newer totals. Until then the old ones count,
+/// since all callers may have moved to it at one moment.
+const FIRST_TOTALS_TIME: Duration = Duration::from_millis(100);
 /// Age of the totals from which on the share shrinks to an equal one.
 pub const STALE_AGE: Duration = Duration::from_secs(2);
 /// Age at which it is the equal one.
@@ -162,8 +168,10 @@
     acknowledged_by: u64,
     since: u64,
     last_report_at: Option<Duration>,
-    /// Whether requests have arrived since the last totals, so that these should be newer.
-    awaits_totals: bool,
+    /// Time of the first request since the last totals, from which on these should be newer.
+    awaits_totals_since: Option<Duration>,
+    /// Time of the first report since the last totals.
+    unanswered_since: Option<Duration>,
     /// Whether the next report has to contain all workspaces with a demand.
     is_full_report_due: bool,
 }
@@ -181,7 +189,8 @@
             acknowledged_by: 0,
             since: 0,
             last_report_at: None,
-            awaits_totals: true,
+            awaits_totals_since: None,
+            unanswered_since: None,
             is_full_report_due: true,
         }
     }
@@ -259,16 +268,15 @@
         let Ok(index) = self.index(workspace) else {
             return QuotaDecision::Unlimited;
         };
-        // Totals of a node without requests are old because there was no reason to ask for newer ones.
-        let is_recent = match self.totals_age(now) {
-            Some(age) => age <= EXTRA_AGE || !self.awaits_totals,
-            None => false,
-        };
-        self.awaits_totals = true;
+        let totals_age = self.totals_age(now);
+        let is_answered = self
+            .unanswered_since
+            .is_none_or(|since| now.saturating_sub(since) <= ANSWER_TIME);
+        let is_recent = totals_age.is_some_and(|age| age <= EXTRA_AGE || !self.awaits_totals(now));
         let (nodes, shrunk) = (as_f64(self.nodes), self.shrunk(now));
-        let (covered, totals_age) = (self.covered, self.totals_age(now));
+        let covered = self.covered;
+        self.count_demand(now, index);
         let bucket = &mut self.buckets[index];
-        bucket.demand.count(now);
         let rate = bucket.refill(now, nodes, shrunk, covered);
         if bucket.tokens >= bucket.threshold {
             bucket.tokens -= 1.0;
@@ -279,7 +287,8 @@
         let level = bucket.level_now(now, covered);
         let extra_level = EXTRA_LEVEL * bucket.size * covered;
         let max_extras = (level * EXTRA_SHARE).max(1.0);
-        let has_extra = f64::from(bucket.extras) + 1.0 <= max_extras && !bucket.is_contended();
+        let has_extra =
+            f64::from(bucket.extras) + 1.0 <= max_extras && !bucket.is_held_to_share(is_answered);
         if is_recent && bucket.is_level_known && level >= extra_level && has_extra {
             bucket.extras += 1;
             bucket.admitted += 1;
@@ -328,13 +337,19 @@
             .is_none_or(|at| now.saturating_sub(at) > IDLE_TIME)
     }
 
-    /// Whether a report is due.
+    /// Whether a report is due, while none is under way.
     #[must_use]
     pub fn is_report_due(&self, now: Duration) -> bool {
         let Some(last) = self.last_report_at else {
             return self.has_quotas();
         };
         let elapsed = now.saturating_sub(last);
+        // A report without an answer is repeated soon, likely at another node. The totals grow old meanwhile.
+        let interval = if self.unanswered_since.is_some() {
+            MIN_REPORT_INTERVAL
+        } else {
+            REPORT_INTERVAL
+        };
         let is_surge = |bucket: &WorkspaceBucket| {
             let is_low = bucket.level < SURGE_LEVEL * bucket.size * self.covered;
             bucket.extras >= if is_low { 1 } else { SURGE_EXTRAS }
@@ -345,7 +360,7 @@
                 || bucket.demand.sum(now) > 0
         };
         let is_any = |is: &dyn Fn(&WorkspaceBucket) -> bool| self.buckets.iter().any(is);
-        elapsed >= REPORT_INTERVAL
+        elapsed >= interval
             && self.has_quotas()
             && (self.totals_at.is_none() || is_any(&is_changed))
             || elapsed >= MIN_REPORT_INTERVAL && is_any(&is_surge)
@@ -360,6 +375,7 @@
         is_new_collector: bool,
     ) -> (Vec<WorkspaceCount>, u64, u64) {
         self.last_report_at = Some(now);
+        self.unanswered_since.get_or_insert(now);
         let is_full = is_new_collector || self.is_full_report_due;
         let counts = self.buckets.iter().filter_map(|bucket| {
             let demand = bucket.demand.sum(now);
@@ -390,7 +406,8 @@
         self.acknowledged_by = totals.run;
         self.since = totals.sequence;
         self.totals_at = Some(now);
-        self.awaits_totals = false;
+        self.awaits_totals_since = None;
+        self.unanswered_since = None;
         self.covered = f64::from(totals.covered).clamp(0.0, 1.0);
         for count in counts {
             if let Ok(index) = self.index(&count.workspace) {
@@ -417,6 +434,18 @@
         }
     }
 
+    fn count_demand(&mut self, now: Duration, index: usize) {
+        self.buckets[index].demand.count(now);
+        self.awaits_totals_since.get_or_insert(now);
+    }
+
+    /// Whether newer totals should have arrived. Totals of a node without requests are old because there was no
+    /// reason to ask for newer ones, and its first request asks for them.
+    fn awaits_totals(&self, now: Duration) -> bool {
+        let since = self.awaits_totals_since;
+        since.is_some_and(|since| now.saturating_sub(since) > FIRST_TOTALS_TIME)
+    }
+
     /// How far the share has shrunk since the totals are old: to the equal share at 1, to a part of the
     /// tolerance at 2.
     fn shrunk(&self, now: Duration) -> f64 {
@@ -424,7 +453,7 @@
             // A new process begins at the equal share.
             return 1.0;
         };
-        if !self.awaits_totals {
+        if !self.awaits_totals(now) {
             return 0.0;
         }
         let part = |from: Duration, to: Duration| {
@@ -455,12 +484,12 @@
         rate
     }
 
-    /// Whether the fleet's demand is clearly larger than the quota, and the share of this node large enough to
-    /// admit requests.
-    fn is_contended(&self) -> bool {
+    /// Whether the share of this node is large enough to admit requests, and the fleet's demand is clearly larger than
+    /// the quota, or is no longer known.
+    fn is_held_to_share(&self, is_answered: bool) -> bool {
         let quota = self.quota.rate.per_s() * DEMAND_WINDOW.as_secs_f64();
         let is_large = f64::from(self.fleet_demand) > EXTRA_DEMAND * quota + EXTRA_DEMAND_SLACK;
-        is_large && self.size * self.share >= 1.0
+        (is_large || !is_answered) && self.size * self.share >= 1.0
     }
 
     fn level_now(&self, now: Duration, covered: f64) -> f64 {
--- a/src/coordination/workspaces/usage.rs
+++ b/src/coordination/workspaces/usage.rs
@@ -174,6 +174,12 @@
         self.collectors.last().map(|collector| collector.heard_at)
     }
 
+    /// Whether the domain had no demand when it was last heard of. Its collector then stops to exchange sums.
+    fn is_idle(&self) -> bool {
+        let mut sums = self.collectors.iter().flat_map(|known| &known.sums);
+        sums.all(|sum| sum.demand == 0)
+    }
+
     fn fresh(&self, now: Duration) -> impl Iterator<Item = &PeerCollector> {
         let collectors = self.collectors.iter();
         collectors.filter(move |collector| collector.is_fresh(now))
@@ -579,8 +585,8 @@
                 continue;
             }
             peer.is_charged = true;
-            // After a longer time there was no traffic that asked for sums.
-            if silent <= 2 * DOMAIN_STALE_AGE {
+            // After a longer time there was no traffic that asked for sums, nor for those of an idle domain.
+            if silent <= 2 * DOMAIN_STALE_AGE && !peer.is_idle() {
                 let nodes = as_f64(i64::try_from(peer.nodes).unwrap_or(i64::MAX));
                 charged_s += nodes / all * silent.as_secs_f64();
             }
@@ -705,7 +711,22 @@
     number as f64
 }
 
-/// Choice of the collector of a failure domain: the first node of its list that answers.
+/// Returns the positions of a list in the order in which its nodes are tried: the first two, the last one, the one
+/// in the middle, and those between at ever smaller distances. Nodes next to each other in the list are likely to
+/// fail together, and each that has failed costs a time limit. Positions may be repeated.
+fn trial_order(nodes: usize) -> impl Iterator<Item = usize> {
+    let ends = [0, 1.min(nodes.saturating_sub(1)), nodes.saturating_sub(1)];
+    let parts = (1..usize::BITS).map(|halvings| 1_usize << halvings);
+    let parts = parts.take_while(move |parts| *parts < 2 * nodes);
+    let between = parts.flat_map(move |parts| {
+        let odd = (1..parts).step_by(2);
+        odd.map(move |part| part * nodes / parts)
+    });
+    let ends = ends.into_iter().filter(move |_| nodes > 0);
+    ends.chain(between).chain(0..nodes)
+}
+
+/// Choice of the collector of a failure domain: the first node that answers, in an order that all nodes share.
 #[derive(Debug, Default)]
 pub struct CollectorChoice {
     failed: Vec<FailedNode>,
@@ -719,19 +740,21 @@
 }
 
 impl CollectorChoice {
-    /// Chooses among the nodes of a failure domain, given in the order that all nodes share. If all have
+    /// Chooses among the nodes of a failure domain, given in an order that all nodes share. If all have
     /// failed, the one whose time ends first is tried.
     pub fn choose<'a>(
         &self,
         now: Duration,
-        nodes: impl Iterator<Item = &'a NodeId> + Clone,
+        nodes: impl Iterator<Item = &'a NodeId>,
     ) -> Option<&'a NodeId> {
         let until = |node: &NodeId| {
             self.find(node)
                 .map_or(Duration::ZERO, |failed| failed.until)
         };
-        let usable = nodes.clone().find(|node| until(node) <= now);
-        usable.or_else(|| nodes.min_by_key(|node| until(node)))
+        let nodes: Vec<_> = nodes.collect();
+        let mut ordered = trial_order(nodes.len()).map(|index| nodes[index]);
+        let usable = ordered.find(|node| until(node) <= now);
+        usable.or_else(|| nodes.iter().copied().min_by_key(|node| until(node)))
     }
 
     /// Whether a node has failed a short time ago.
