Cancel waiting attempts of a call whose credential is revoked

A serving node does not know credentials, so a call that waited in its queue ran although its key had been revoked. The entry node now watches the configuration while an attempt is open, and cancels one that may still wait. The caller gets 401 if the call has certainly not run, else 502. A call that runs at the entry node itself is finished.

--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -365,6 +365,12 @@
         self.denied = Some(code);
     }
 
+    /// Handles an attempt that was cancelled although it may have run.
+    pub fn on_cancelled(&mut self) {
+        self.may_have_run = true;
+        self.last = Some(ResultCode::OutcomeUnknown);
+    }
+
     /// Handles the deadline of the call passing during an attempt.
     pub fn on_timeout(&mut self) {
         self.may_have_run = true;
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -327,7 +327,8 @@
             cx.metrics.attempts_beyond_first.increment(1);
         }
         let planned = Planned { pick, workspace };
-        let response = attempt_with_hedge(cx, call, attempts, failed_response, &planned, now).await;
+        let response =
+            attempt_until_revoked(cx, call, attempts, failed_response, &planned, now).await;
         if response.is_some() {
             return response;
         }
@@ -460,6 +461,77 @@
     None
 }
 
+/// Open attempts of a call, by what this node knows of them.
+#[derive(Default)]
+struct OpenAttempts {
+    /// Number of attempts at other nodes, which may have started to run.
+    remote: Cell<usize>,
+    local: Cell<LocalAttempt>,
+}
+
+/// Progress of an attempt at this node. A call has at most one at a time.
+#[derive(Clone, Copy, Default, Eq, PartialEq)]
+enum LocalAttempt {
+    #[default]
+    None,
+    Waiting,
+    Running,
+}
+
+impl OpenAttempts {
+    fn may_run(&self) -> bool {
+        self.remote.get() > 0 || self.local.get() == LocalAttempt::Running
+    }
+
+    /// Whether an attempt may still wait for a slot.
+    fn may_wait(&self) -> bool {
+        self.remote.get() > 0 || self.local.get() == LocalAttempt::Waiting
+    }
+}
+
+/// Makes an attempt like [`attempt_with_hedge`], and cancels it when the credential of the call is revoked. The
+/// serving node cannot judge the credential. A cancelled exchange closes its connection, which takes a waiting call
+/// out of the queue of the serving node. See `docs/design/workspaces.md`.
+async fn attempt_until_revoked(
+    cx: &Rc<Sidecar>,
+    call: &EntryCall,
+    attempts: &mut Attempts,
+    failed_response: &mut Option<HttpResponse>,
+    planned: &Planned,
+    now: Duration,
+) -> Option<HttpResponse> {
+    let open = OpenAttempts::default();
+    let may_run = {
+        let attempt = attempt_with_hedge(cx, call, attempts, failed_response, planned, now, &open);
+        let revoked = until_revoked(cx, call, &open);
+        match select(pin!(attempt), pin!(revoked)).await {
+            Either::Left((response, _)) => return response,
+            Either::Right((may_run, _)) => may_run,
+        }
+    };
+    if may_run {
+        attempts.on_cancelled();
+    }
+    info!(cx.log, "attempt cancelled, its credential was revoked"; "attempt" => serving::attempt_text(call.serve.attempt.as_ref()),
+        "route" => call.route.name.as_str(), "to" => planned.pick.node.as_str(), "may_have_run" => may_run,
+        "version" => cx.table().map(|table| table.version()));
+    None
+}
+
+/// Waits until the credential of a call is revoked while an attempt may still wait. A call that runs at this node
+/// may finish. Returns whether an open attempt may have run.
+async fn until_revoked(cx: &Sidecar, call: &EntryCall, open: &OpenAttempts) -> bool {
+    loop {
+        let changed = cx.config_changed.notified();
+        let judged = workspaces::authorize(cx, &call.route, call.credential);
+        // Without a recent view, nothing says that the credential was revoked.
+        if judged == Err(ResultCode::CredentialUnknown) && open.may_wait() {
+            return open.may_run();
+        }
+        changed.await;
+    }
+}
+
 /// Makes an attempt, and a hedged second one if the first takes long. Returns the first successful
 /// response and cancels the other attempt.
 async fn attempt_with_hedge(
@@ -469,11 +541,12 @@
     failed_response: &mut Option<HttpResponse>,
     planned: &Planned,
     now: Duration,
+    open: &OpenAttempts,
 ) -> Option<HttpResponse> {
     let pick = &planned.pick;
     let accepts_late = attempts.accepts_late();
     let superseded = Cell::new(false);
-    let first = make_attempt(cx, call, planned, accepts_late, now, &superseded);
+    let first = make_attempt(cx, call, planned, accepts_late, now, &superseded, open);
     let mut first = pin!(first);
     let ended = match attempts.hedge_after(chosen(pick)) {
         Some(delay) => actix_rt::time::timeout(delay, &mut first).await.ok(),
@@ -494,7 +567,8 @@
         &second_planned,
         accepts_late,
         now,
-        &superseded
+        &superseded,
+        open
     ));
     let other: Pin<&mut dyn Future<Output = ServeOutcome>>;
     let (outcome, node, other_node) = match select(first, second).await {
@@ -717,6 +791,7 @@
     accepts_late: bool,
     now: Duration,
     superseded: &Cell<bool>,
+    open: &OpenAttempts,
 ) -> ServeOutcome {
     let pick = &planned.pick;
     cx.state.borrow_mut().placement.on_start(&pick.node);
@@ -755,7 +830,10 @@
     serve.head.left = call.deadline.saturating_sub(now);
     serve.arrived = now;
     let result = if pick.node == cx.settings.id {
-        let outcome = serving::serve(cx, serve).await;
+        open.local.set(LocalAttempt::Waiting);
+        let on_start = || open.local.set(LocalAttempt::Running);
+        let outcome = serving::serve(cx, serve, &on_start).await;
+        open.local.set(LocalAttempt::None);
         HopResult {
             outcome,
             reached: true,
@@ -765,7 +843,10 @@
         }
     } else {
         let check = || check_pick(cx, call, planned);
-        hop::send(cx, pick.addr, &serve, &check).await
+        open.remote.set(open.remote.get() + 1);
+        let result = hop::send(cx, pick.addr, &serve, &check).await;
+        open.remote.set(open.remote.get() - 1);
+        result
     };
     in_flight.end = attempt_end(&result);
     in_flight.report = result.report;
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -171,6 +171,8 @@
     feed: Feed,
     /// Whether the own entry has been removed in a planned stop.
     entry_removed: Cell<bool>,
+    /// Signals to all that wait for it that a configuration has come into force.
+    config_changed: Notify,
     /// Signals that the own entry may have to be written.
     entry_changed: Notify,
     /// Signals that a write of the own entry has succeeded or failed.
@@ -284,6 +286,7 @@
         transfers: AdmissionQueue::new(clock, body_gate::max_transfers(settings.link_mbps)),
         feed: Feed::default(),
         entry_removed: Cell::new(false),
+        config_changed: Notify::new(),
         entry_changed: Notify::new(),
         entry_tried: Notify::new(),
         entry_write_failed: Cell::new(false),
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -212,6 +212,7 @@
     drop(state);
     health_probe::apply_bound(cx);
     usage_port::on_config(cx);
+    cx.config_changed.notify_waiters();
 }
 
 /// Applies the entry of a node.
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -208,8 +208,8 @@
     }
 }
 
-/// Runs a call, or refuses it without running it.
-pub async fn serve(cx: &Rc<Sidecar>, call: ServeCall) -> ServeOutcome {
+/// Runs a call, or refuses it without running it. `on_start` is called before it is sent to the backend server.
+pub async fn serve(cx: &Rc<Sidecar>, call: ServeCall, on_start: &dyn Fn()) -> ServeOutcome {
     if let Err(code) = usable_backend(cx, &call.head) {
         return refuse(cx, &call, ServeOutcome::refused(code));
     }
@@ -240,6 +240,7 @@
     if !cx.state.borrow_mut().breaker.admit(now, idempotent) {
         return refuse(cx, &call, ServeOutcome::refused(ResultCode::NoBackend));
     }
+    on_start();
     let run = run(cx.clone(), call, backend, slot, fingerprint);
     if idempotent {
         return run.await;
--- a/tests/process_workspaces.rs
+++ b/tests/process_workspaces.rs
@@ -38,8 +38,19 @@
 
 /// Writes a configuration with a public route `/open/` and these workspaces.
 fn put_workspaces(store: &StoreHandle, version: u32, workspaces: &Value) {
+    put_workspaces_within(store, version, workspaces, 3_000, 500);
+}
+
+/// The same with other time limits and objectives of the routes, in milliseconds.
+fn put_workspaces_within(
+    store: &StoreHandle,
+    version: u32,
+    workspaces: &Value,
+    timeout_ms: u32,
+    objective_ms: u32,
+) {
     let route = |prefix: &str, is_public: bool, kind: &str| {
-        json!({ "host": HOST, "prefix": prefix, "kind": kind, "timeout-ms": 3000, "slo-ms": 500,
+        json!({ "host": HOST, "prefix": prefix, "kind": kind, "timeout-ms": timeout_ms, "slo-ms": objective_ms,
             "priority": 1, "service": "registry", "attempts": 2, "public": is_public })
     };
     let config = json!({
@@ -315,6 +326,85 @@
     });
 }
 
+/// Waits until a node has routed these attempts.
+async fn wait_routed(env: &TestFleet, index: usize, attempts: &[String]) -> eyre::Result<()> {
+    let until = Instant::now() + WAIT_LIMIT;
+    loop {
+        let lines = env.fleet.log_lines(index, "call routed");
+        let is_routed = |attempt: &String| lines.iter().any(|line| line["attempt"] == **attempt);
+        if attempts.iter().all(is_routed) {
+            return Ok(());
+        }
+        eyre::ensure!(Instant::now() < until, "not routed: {attempts:?}");
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against a call that runs although its key was revoked while it waited for a slot at the serving node, and
+/// against a response that says that it has not run although it may have. At the node beside the backend server it
+/// certainly has not; a call that runs there already is finished.
+#[gtest]
+fn key_revoked_while_waiting() {
+    run(async {
+        let mut env = TestFleet::new(2)?;
+        let put = |store: &StoreHandle, version, workspaces: &Value| {
+            put_workspaces_within(store, version, workspaces, 20_000, 20_000);
+        };
+        let without_acme = json!({ "birch": { "api-keys": [BIRCH_KEY] } });
+        put(&env.store, 2, &both_workspaces());
+        env.fleet.start(0)?;
+        env.fleet.start(1)?;
+        env.add_slow_backend(0, Duration::from_secs(2))?;
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        let ok = actix_http::StatusCode::OK;
+        for index in 0..2 {
+            env.wait_for(WAIT_LIMIT, index, "/v2/x", ok).await?;
+        }
+        let addr = |env: &TestFleet, index: usize| env.fleet.nodes()[index].addrs.caller;
+        let mut version = 2;
+        for (entry, expected) in [(1, 502), (0, 401)] {
+            // Twice as many calls as the backend server has slots, of a more urgent workspace.
+            let busy: Vec<_> = (0..8).map(|call| format!("busy-{entry}-{call}")).collect();
+            let mut busy_clients = Vec::new();
+            for attempt in &busy {
+                let mut client = Client::connect(addr(&env, 0))?;
+                client.send("/wrecks/1", attempt, &[(CREDENTIAL_HEADER, BIRCH_KEY)])?;
+                busy_clients.push(client);
+            }
+            wait_routed(&env, 0, &busy).await?;
+            let waiting = format!("waiting-{entry}");
+            let mut client = Client::connect(addr(&env, entry))?;
+            client.send("/wrecks/1", &waiting, &[(CREDENTIAL_HEADER, ACME_KEY)])?;
+            wait_routed(&env, entry, std::slice::from_ref(&waiting)).await?;
+            put(&env.store, version + 1, &without_acme);
+            let (status, text) = client.receive()?;
+            expect_that!(status, eq(expected), "{text}");
+            expect_that!(text.contains("4017"), eq(expected == 401), "{text}");
+            for client in &mut busy_clients {
+                expect_that!(client.receive()?.0, eq(200));
+            }
+            // It would have started before these calls ended, or before this one.
+            let later = format!("later-{entry}");
+            let birch = [(CREDENTIAL_HEADER, BIRCH_KEY)];
+            expect_that!(get(&env, 0, "/wrecks/1", &later, &birch)?.0, eq(200));
+            expect_false!(has_run(&env, &waiting));
+            version += 2;
+            put(&env.store, version, &both_workspaces());
+            wait_version(&mut env, version).await?;
+        }
+        let mut client = Client::connect(addr(&env, 0))?;
+        client.send("/wrecks/1", "running", &[(CREDENTIAL_HEADER, ACME_KEY)])?;
+        let until = Instant::now() + WAIT_LIMIT;
+        while !has_run(&env, "running") {
+            eyre::ensure!(Instant::now() < until, "the call does not run");
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        put(&env.store, version + 1, &without_acme);
+        expect_that!(client.receive()?.0, eq(200));
+        check_no_key_leaks(&env).await
+    });
+}
+
 /// Guards against a node that reads a large body before it refuses its request, and against a connection on
 /// which the rest of the body is read as the next request.
 #[gtest]
