Count only refusals for load in the soak's check of shares

By the nodes' logs 249 calls in that window were refused with 4004 (a node is stopping) and 385 with 4002 (no backend server known), while nodes were being stopped. Such refusals hit all workspaces alike and were meant to be left out, but only 4015 was. Calls refused with 4003 count now.

--- a/soak/src/workspace_checker.rs
+++ b/soak/src/workspace_checker.rs
@@ -33,8 +33,9 @@
 const MIN_SERVED: f64 = 0.25;
 /// Number of calls below which chance may refuse most of them.
 const MIN_SHARE_CALLS: f64 = 20.0;
-/// Result code of a node that cannot judge a key.
-const NOT_READY: u64 = 4_015;
+/// Result code of a call for which the queues of the backend servers are too long. Calls that are refused since a
+/// node stops or knows no backend server say nothing about shares.
+const OVERLOADED: u64 = 4_003;
 /// Result code of a request beyond a quota.
 const QUOTA_EXCEEDED: u64 = 4_019;
 /// Prefix of the attempts of calls to public routes that no log has.
@@ -330,7 +331,7 @@
             };
             let is_served = match call.outcome {
                 CallOutcome::Status(200) => true,
-                CallOutcome::Status(503) if call.code != Some(NOT_READY) => false,
+                CallOutcome::Status(503) if call.code == Some(OVERLOADED) => false,
                 _ => continue,
             };
             // All calls of this workload have the same backend servers.
--- a/soak/tests/workspaces.rs
+++ b/soak/tests/workspaces.rs
@@ -247,12 +247,15 @@
 /// sends little or gets its share.
 #[gtest]
 fn check_compares_shares() {
-    let find = |own_served: u64, own_refused: u64| {
+    let find = |own_served: u64, own_refused: u64, refusal: u64| {
         let mut calls = Vec::new();
         let mut output = Vec::new();
         let mut add = |key, name, id: u64, status| {
             let attempt = format!("{name}{id}-{status}");
-            let call = call(&attempt, key, 40_000 + 5 * id, status);
+            let call = CallRecord {
+                code: Some(refusal),
+                ..call(&attempt, key, 40_000 + 5 * id, status)
+            };
             if status == 200 {
                 output.push(format!("run {} {attempt} {name}\n", call.started_ms + 10));
             }
@@ -280,10 +283,12 @@
         });
         check.run().len()
     };
-    expect_that!(find(10, 100), eq(1));
-    expect_that!(find(40, 70), eq(0));
-    expect_that!(find(4, 6), eq(0));
-    expect_that!(find(100, 0), eq(0));
+    expect_that!(find(10, 100, 4_003), eq(1));
+    expect_that!(find(40, 70, 4_003), eq(0));
+    expect_that!(find(4, 6, 4_003), eq(0));
+    expect_that!(find(100, 0, 4_003), eq(0));
+    // The node stops.
+    expect_that!(find(10, 100, 4_004), eq(0));
 }
 
 /// Guards against workspaces that cannot be reproduced from the seed, and against workspaces in the runs of
