Refuse a request over the quota of its workspace before its body is read

The quota was checked only after the body. The token is taken when the body is complete, as before: with tokens taken at the head, bodies that arrive slowly and end together could run beyond the bound of a window. So a request that does not run because of its body has taken none.

--- a/src/coordination/workspaces/quota.rs
+++ b/src/coordination/workspaces/quota.rs
@@ -61,6 +61,8 @@
 const SURGE_EXTRAS: u32 = 2;
 /// Level, as a share of the bucket, below which one such request brings the next report forward.
 const SURGE_LEVEL: f64 = 0.6;
+/// Time for which a token is kept for a request whose body arrives. Later, it gets a token of the time of its end.
+const RESERVED_TIME: Duration = REPORT_INTERVAL;
 /// Shortest time after which a refused caller should retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
 
@@ -126,6 +128,29 @@
     pub totals_age: Option<Duration>,
 }
 
+/// Token that is kept for a request whose body arrives.
+#[derive(Debug)]
+pub struct Reservation {
+    workspace: WorkspaceName,
+    number: u64,
+}
+
+/// Where the token of a request comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum TokenSource {
+    /// The share of this node.
+    Share,
+    /// What may be admitted beyond it.
+    Extra,
+}
+
+#[derive(Debug)]
+struct KeptToken {
+    at: Duration,
+    number: u64,
+    source: TokenSource,
+}
+
 #[derive(Debug)]
 struct WorkspaceBucket {
     workspace: WorkspaceName,
@@ -154,6 +179,8 @@
     threshold: f64,
     /// Requests admitted beyond the share since the last totals.
     extras: u32,
+    /// Tokens kept for requests whose bodies arrive.
+    reserved: Vec<KeptToken>,
 }
 
 /// Limiter of one node.
@@ -174,6 +201,7 @@
     unanswered_since: Option<Duration>,
     /// Whether the next report has to contain all workspaces with a demand.
     is_full_report_due: bool,
+    last_reservation: u64,
 }
 
 impl QuotaLimiter {
@@ -192,6 +220,7 @@
             awaits_totals_since: None,
             unanswered_since: None,
             is_full_report_due: true,
+            last_reservation: 0,
         }
     }
 
@@ -235,6 +264,7 @@
                     tokens_at: now,
                     threshold: rng.random_range(0.0..1.0),
                     extras: 0,
+                    reserved: Vec::new(),
                 }
             };
             self.buckets.push(bucket);
@@ -258,7 +288,7 @@
         self.totals_at.map(|at| now.saturating_sub(at))
     }
 
-    /// Decides on a request of a workspace.
+    /// Decides on a request of a workspace that can run now.
     pub fn admit(
         &mut self,
         now: Duration,
@@ -268,6 +298,72 @@
         let Ok(index) = self.index(workspace) else {
             return QuotaDecision::Unlimited;
         };
+        let decided = self.decide(now, index, &[]);
+        self.count_demand(now, index);
+        let bucket = &mut self.buckets[index];
+        match decided {
+            Ok(TokenSource::Share) => {
+                bucket.tokens -= 1.0;
+                bucket.threshold = rng.random_range(0.0..1.0);
+            }
+            Ok(TokenSource::Extra) => bucket.extras += 1,
+            Err(refusal) => return QuotaDecision::Refused(refusal),
+        }
+        bucket.admitted += 1;
+        QuotaDecision::Admitted
+    }
+
+    /// Decides on a request whose body may still arrive. Its token is kept for at most [`RESERVED_TIME`], until
+    /// [`release`](Self::release). The request counts only from [`admit`](Self::admit) on, when it can run: with
+    /// tokens of the time of their heads, requests that arrive slowly and end together would pass the bound. `None`
+    /// if the workspace has no quota.
+    ///
+    /// # Errors
+    /// The request is refused.
+    pub fn reserve(
+        &mut self,
+        now: Duration,
+        workspace: &WorkspaceName,
+    ) -> Result<Option<Reservation>, QuotaRefusal> {
+        let Ok(index) = self.index(workspace) else {
+            return Ok(None);
+        };
+        let mut reserved = std::mem::take(&mut self.buckets[index].reserved);
+        reserved.retain(|kept| now.saturating_sub(kept.at) <= RESERVED_TIME);
+        let decided = self.decide(now, index, &reserved);
+        let decided = decided.map(|source| {
+            self.last_reservation += 1;
+            let number = self.last_reservation;
+            reserved.push(KeptToken {
+                at: now,
+                number,
+                source,
+            });
+            let workspace = workspace.clone();
+            Some(Reservation { workspace, number })
+        });
+        self.buckets[index].reserved = reserved;
+        if decided.is_err() {
+            self.count_demand(now, index);
+        }
+        decided
+    }
+
+    /// Releases the token that is kept for a request.
+    pub fn release(&mut self, reservation: &Reservation) {
+        if let Ok(index) = self.index(&reservation.workspace) {
+            let reserved = &mut self.buckets[index].reserved;
+            reserved.retain(|kept| kept.number != reservation.number);
+        }
+    }
+
+    /// Decides on a request beside those for which tokens are kept.
+    fn decide(
+        &mut self,
+        now: Duration,
+        index: usize,
+        reserved: &[KeptToken],
+    ) -> Result<TokenSource, QuotaRefusal> {
         let totals_age = self.totals_age(now);
         let is_answered = self
             .unanswered_since
@@ -275,26 +371,22 @@
         let is_recent = totals_age.is_some_and(|age| age <= EXTRA_AGE || !self.awaits_totals(now));
         let (nodes, shrunk) = (as_f64(self.nodes), self.shrunk(now));
         let covered = self.covered;
-        self.count_demand(now, index);
+        let kept_of = |source| reserved.iter().filter(|kept| kept.source == source).count();
         let bucket = &mut self.buckets[index];
         let rate = bucket.refill(now, nodes, shrunk, covered);
-        if bucket.tokens >= bucket.threshold {
-            bucket.tokens -= 1.0;
-            bucket.threshold = rng.random_range(0.0..1.0);
-            bucket.admitted += 1;
-            return QuotaDecision::Admitted;
+        let tokens = bucket.tokens - as_f64(kept_of(TokenSource::Share));
+        if tokens >= bucket.threshold {
+            return Ok(TokenSource::Share);
         }
         let level = bucket.level_now(now, covered);
         let extra_level = EXTRA_LEVEL * bucket.size * covered;
         let max_extras = (level * EXTRA_SHARE).max(1.0);
-        let has_extra =
-            f64::from(bucket.extras) + 1.0 <= max_extras && !bucket.is_held_to_share(is_answered);
+        let extras = f64::from(bucket.extras) + as_f64(kept_of(TokenSource::Extra));
+        let has_extra = extras + 1.0 <= max_extras && !bucket.is_held_to_share(is_answered);
         if is_recent && bucket.is_level_known && level >= extra_level && has_extra {
-            bucket.extras += 1;
-            bucket.admitted += 1;
-            return QuotaDecision::Admitted;
+            return Ok(TokenSource::Extra);
         }
-        let mut wait_s = (bucket.threshold - bucket.tokens) / rate.max(f64::MIN_POSITIVE);
+        let mut wait_s = (bucket.threshold - tokens) / rate.max(f64::MIN_POSITIVE);
         if is_recent {
             let fleet_rate = bucket.quota.rate.per_s() * covered;
             let until_level = (extra_level - level) / fleet_rate.max(f64::MIN_POSITIVE);
@@ -306,10 +398,10 @@
             wait_s = wait_s.min(until_level.max(until_totals));
         }
         let longest = self.bounds.window.as_secs_f64();
-        QuotaDecision::Refused(QuotaRefusal {
+        Err(QuotaRefusal {
             retry_after: Duration::from_secs_f64(wait_s.clamp(0.0, longest)).max(MIN_RETRY_AFTER),
             share: rate / bucket.quota.rate.per_s(),
-            tokens: bucket.tokens,
+            tokens,
             level,
             totals_age,
         })
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -82,35 +82,28 @@
     let arrived = cx.clock.now();
     cx.metrics.calls.increment(1);
     let _open = OpenCall::new(cx);
-    let mut response = match route_request(cx, &mut req, arrived).await {
-        Ok(call) => match take_token(cx, &call) {
-            Ok(()) => {
-                http_server::release_fields(&mut req);
-                let take_within = TakeWithin(call.route.timeout);
-                let mut response = run_call(cx, call).await;
-                response.extensions_mut().insert(take_within);
-                response
-            }
-            Err(retry_after) => {
-                cx.metrics.refusals.increment(1);
-                let code = ResultCode::QuotaExceeded;
-                error_response(cx, status_of(code), code, Some(retry_after))
+    let routed = route_request(cx, &mut req, arrived).await;
+    let admitted = routed.and_then(|call| take_token(cx, &call).map(|()| call));
+    let mut response = match admitted {
+        Ok(call) => {
+            http_server::release_fields(&mut req);
+            let take_within = TakeWithin(call.route.timeout);
+            let mut response = run_call(cx, call).await;
+            response.extensions_mut().insert(take_within);
+            response
+        }
+        Err(EntryRefusal { code, retry_after }) => {
+            // A refusal by a quota has a log line of its own.
+            if code != ResultCode::QuotaExceeded {
+                let attempt = requests::read_client_headers(req.headers()).attempt;
+                info!(cx.log, "request refused"; "attempt" => serving::attempt_text(attempt.as_ref()),
+                    "code" => code.number(), "path" => req.path(),
+                    "version" => cx.table().map(|table| table.version()),
+                    "view_age_ms" => cx.feed.view_age(cx.clock.now()).map(millis));
             }
-        },
-        Err(code) => {
-            let attempt = requests::read_client_headers(req.headers()).attempt;
-            info!(cx.log, "request refused"; "attempt" => serving::attempt_text(attempt.as_ref()),
-                "code" => code.number(), "path" => req.path(),
-                "version" => cx.table().map(|table| table.version()),
-                "view_age_ms" => cx.feed.view_age(cx.clock.now()).map(millis));
             http_server::release_fields(&mut req);
             cx.metrics.refusals.increment(1);
-            error_response(
-                cx,
-                status_of(code),
-                code,
-                Some(serving::NO_BACKEND_RETRY_AFTER),
-            )
+            error_response(cx, status_of(code), code, Some(retry_after))
         }
     };
     cx.metrics.call_latency.record(cx.clock.since(arrived));
@@ -147,11 +140,35 @@
     credential: Option<KeyHash>,
 }
 
+/// Refusal of a request before its first attempt.
+struct EntryRefusal {
+    code: ResultCode,
+    retry_after: Duration,
+}
+
+impl EntryRefusal {
+    fn by_quota(retry_after: Duration) -> Self {
+        Self {
+            code: ResultCode::QuotaExceeded,
+            retry_after,
+        }
+    }
+}
+
+impl From<ResultCode> for EntryRefusal {
+    fn from(code: ResultCode) -> Self {
+        Self {
+            code,
+            retry_after: serving::NO_BACKEND_RETRY_AFTER,
+        }
+    }
+}
+
 async fn route_request(
     cx: &Rc<Sidecar>,
     req: &mut Request,
     arrived: Duration,
-) -> Result<EntryCall, ResultCode> {
+) -> Result<EntryCall, EntryRefusal> {
     let table = cx.table();
     let limits = table.as_ref().map(|table| table.limits());
     let limit = limits.unwrap_or_default().body_bytes;
@@ -170,6 +187,16 @@
         Ok(route) => Some(workspaces::authorize(cx, route, credential)?),
         Err(_) => None,
     };
+    let name = workspace
+        .as_ref()
+        .and_then(|workspace| workspace.name.as_ref());
+    let _token = match name {
+        Some(name) => {
+            let attempt = serving::attempt_text(caller.attempt.as_ref());
+            usage_port::reserve(cx, name, attempt).map_err(EntryRefusal::by_quota)?
+        }
+        None => None,
+    };
     let time_limit = route
         .as_ref()
         .map_or(BODY_TIMEOUT, |route| route.timeout)
@@ -242,13 +269,13 @@
 /// Takes a token from the quota of the call's workspace, if it has one.
 ///
 /// # Errors
-/// The time after which a token is expected.
-fn take_token(cx: &Sidecar, call: &EntryCall) -> Result<(), Duration> {
+/// The quota is used up.
+fn take_token(cx: &Sidecar, call: &EntryCall) -> Result<(), EntryRefusal> {
     let Some(workspace) = &call.serve.head.workspace else {
         return Ok(());
     };
     let attempt = serving::attempt_text(call.serve.attempt.as_ref());
-    usage_port::admit(cx, workspace, attempt)
+    usage_port::admit(cx, workspace, attempt).map_err(EntryRefusal::by_quota)
 }
 
 async fn run_call(cx: &Rc<Sidecar>, call: EntryCall) -> Response<BoxBody> {
--- a/src/sidecar/usage_port.rs
+++ b/src/sidecar/usage_port.rs
@@ -21,6 +21,8 @@
 use crate::coordination::workspaces::quota::QuotaBounds;
 use crate::coordination::workspaces::quota::QuotaDecision;
 use crate::coordination::workspaces::quota::QuotaLimiter;
+use crate::coordination::workspaces::quota::QuotaRefusal;
+use crate::coordination::workspaces::quota::Reservation;
 use crate::coordination::workspaces::usage::Collector;
 use crate::coordination::workspaces::usage::CollectorChoice;
 use crate::protocol::codec;
@@ -101,33 +103,82 @@
     }
 }
 
-/// Takes a token for a request.
+/// Token that is kept for a request whose body arrives, until this is dropped.
+pub struct ReservedToken {
+    cx: Rc<Sidecar>,
+    reservation: Reservation,
+}
+
+impl Drop for ReservedToken {
+    fn drop(&mut self) {
+        let mut state = self.cx.quotas.state.borrow_mut();
+        state.limiter.release(&self.reservation);
+    }
+}
+
+/// Keeps a token for a request before its body is read. `None` if the workspace has no quota.
 ///
 /// # Errors
 /// The time after which a token is expected, if the quota of the workspace is used up.
-pub fn admit(cx: &Sidecar, workspace: &WorkspaceName, attempt: &str) -> Result<(), Duration> {
+pub fn reserve(
+    cx: &Rc<Sidecar>,
+    workspace: &WorkspaceName,
+    attempt: &str,
+) -> Result<Option<ReservedToken>, Duration> {
     let now = cx.clock.now();
     update(cx, now);
-    let decision = {
-        let rng = &mut cx.state.borrow_mut().rng;
+    let reserved = {
         let limiter = &mut cx.quotas.state.borrow_mut().limiter;
-        limiter.admit(now, workspace, rng)
+        limiter.reserve(now, workspace)
     };
-    match decision {
-        QuotaDecision::Unlimited => return Ok(()),
-        QuotaDecision::Admitted => cx.metrics.quota_admitted.increment(1),
-        QuotaDecision::Refused(_) => cx.metrics.quota_refused.increment(1),
+    match reserved {
+        Ok(reservation) => Ok(reservation.map(|reservation| ReservedToken {
+            cx: cx.clone(),
+            reservation,
+        })),
+        Err(refusal) => Err(on_refused(cx, workspace, attempt, &refusal)),
     }
+}
+
+/// Counts and logs a request that the quota of its workspace refuses. Returns the time after which a token is
+/// expected.
+fn on_refused(
+    cx: &Sidecar,
+    workspace: &WorkspaceName,
+    attempt: &str,
+    refusal: &QuotaRefusal,
+) -> Duration {
+    cx.metrics.quota_refused.increment(1);
     cx.quotas.changed.notify_one();
-    let QuotaDecision::Refused(refusal) = decision else {
-        return Ok(());
-    };
     info!(cx.log, "request refused by the quota of its workspace"; "attempt" => attempt,
         "code" => ResultCode::QuotaExceeded.number(), "workspace" => workspace.as_str(),
         "share" => format!("{:.4}", refusal.share), "tokens" => format!("{:.2}", refusal.tokens),
         "level" => format!("{:.1}", refusal.level), "totals_age_ms" => refusal.totals_age.map(millis),
         "retry_after_ms" => millis(refusal.retry_after));
-    Err(refusal.retry_after)
+    refusal.retry_after
+}
+
+/// Takes a token for a request that can run now.
+///
+/// # Errors
+/// The time after which a token is expected, if the quota of the workspace is used up.
+pub fn admit(cx: &Sidecar, workspace: &WorkspaceName, attempt: &str) -> Result<(), Duration> {
+    let now = cx.clock.now();
+    update(cx, now);
+    let decision = {
+        let rng = &mut cx.state.borrow_mut().rng;
+        let limiter = &mut cx.quotas.state.borrow_mut().limiter;
+        limiter.admit(now, workspace, rng)
+    };
+    match decision {
+        QuotaDecision::Unlimited => Ok(()),
+        QuotaDecision::Admitted => {
+            cx.metrics.quota_admitted.increment(1);
+            cx.quotas.changed.notify_one();
+            Ok(())
+        }
+        QuotaDecision::Refused(refusal) => Err(on_refused(cx, workspace, attempt, &refusal)),
+    }
 }
 
 /// Gives back the token of a request that has not run.
--- a/tests/process_workspaces.rs
+++ b/tests/process_workspaces.rs
@@ -405,6 +405,50 @@
     });
 }
 
+/// Guards against a node that reads the body of a request before the quota refuses it, against tokens that are lost
+/// with requests whose bodies never end, and against refusals that a caller cannot use.
+#[gtest]
+fn quota_exceeded_before_body() {
+    run(async {
+        let mut env = start(1).await?;
+        let quota = json!({ "acme": { "api-keys": [ACME_KEY], "per-s": 0.01, "burst": 20 } });
+        put_workspaces(&env.store, 3, &quota);
+        wait_version(&mut env, 3).await?;
+        let addr = env.fleet.nodes()[0].addrs.caller;
+        let length = LARGE_BODY_BYTES.to_string();
+        let acme = (CREDENTIAL_HEADER, ACME_KEY);
+        let headers = [acme, ("content-length", length.as_str())];
+        for call in 0..100 {
+            let mut client = Client::connect(addr)?;
+            client.send_head("POST", "/claims/1", &format!("cut-{call}"), &headers)?;
+            client.stream.write_all(b"part")?;
+        }
+        let mut admitted = 0;
+        let until = Instant::now() + WAIT_LIMIT;
+        // Tokens are kept for the requests above until their connections are seen as closed.
+        while admitted < 20 {
+            let (status, text) = get(&env, 0, "/wrecks/1", &format!("get-{admitted}"), &[acme])?;
+            admitted += u32::from(status == 200);
+            eyre::ensure!(Instant::now() < until, "{admitted} admitted: {text}");
+        }
+        while get(&env, 0, "/wrecks/1", "rest", &[acme])?.0 != 429 {
+            eyre::ensure!(Instant::now() < until, "the quota is not exceeded");
+        }
+        let mut client = Client::connect(addr)?;
+        client.send_head("POST", "/claims/1", "unread", &headers)?;
+        let (status, text) = client.receive()?;
+        expect_that!(status, eq(429));
+        expect_that!(text, contains_substring("4019"));
+        expect_that!(text, contains_substring("retry-after"));
+        expect_that!(text, contains_substring("connection: close"));
+        let mut rest = Vec::new();
+        let _ = client.stream.read_to_end(&mut rest);
+        expect_that!(rest, is_empty());
+        expect_false!(has_run(&env, "unread"));
+        check_no_key_leaks(&env).await
+    });
+}
+
 /// Guards against a node that reads a large body before it refuses its request, and against a connection on
 /// which the rest of the body is read as the next request.
 #[gtest]
--- a/tests/workspaces_quota.rs
+++ b/tests/workspaces_quota.rs
@@ -790,6 +790,33 @@
     expect_that!(counts[0].admitted, eq(0));
 }
 
+/// Requests whose bodies arrive at the same time must not all be let in by the same tokens, and must not count before
+/// they can run. A token that is not used must come back.
+#[gtest]
+fn reserve_while_bodies_arrive() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut limiter = single_limiter(&mut rng);
+    let now = Duration::from_secs(1);
+    let mut kept = Vec::new();
+    while let Ok(reservation) = limiter.reserve(now, &name_of(0)) {
+        kept.push(reservation.unwrap());
+    }
+    // A bucket of 4 and 0.3 x 20 tokens.
+    expect_that!(kept.len(), all![ge(10), le(11)]);
+    let (counts, ..) = limiter.report(now, true);
+    expect_true!(counts.iter().all(|count| count.admitted == 0));
+    limiter.release(&kept.pop().unwrap());
+    expect_that!(limiter.reserve(now, &name_of(0)), ok(some(anything())));
+    // Bodies that end much later get tokens of then, and these are not more than for other requests.
+    let later = now + Duration::from_secs(20);
+    expect_that!(limiter.reserve(later, &name_of(0)), ok(some(anything())));
+    let mut admitted = 0;
+    while limiter.admit(later, &name_of(0), &mut rng) == QuotaDecision::Admitted {
+        admitted += 1;
+    }
+    expect_that!(admitted, all![ge(10), le(11)]);
+}
+
 /// A workspace without a quota must not be limited, and must not cause reports.
 #[gtest]
 fn admit_without_quota() {
