Test quotas with nodes that handle messages late

Nodes other than the first of each domain now handle what they receive 300 ms late, while one workspace sends 5.8 times its usual rate.

--- a/tests/workspaces_quota.rs
+++ b/tests/workspaces_quota.rs
@@ -49,6 +49,8 @@
     collector: Collector,
     is_dead: bool,
     paused_until: u64,
+    /// Time after which the node handles what it receives, since its processor is busy.
+    busy_ms: u64,
     /// Time that the node's clock lags behind because of pauses.
     lag: u64,
     is_waiting: bool,
@@ -72,6 +74,8 @@
 enum Change {
     Kill(Vec<usize>),
     Pause(usize, u64),
+    /// The nodes handle what they receive after this time, in milliseconds.
+    Busy(fn(usize) -> u64),
     /// Messages for which this is true are lost.
     Cut(fn(usize, usize) -> bool),
     /// All workspaces get this multiple of their quota.
@@ -182,6 +186,7 @@
                 collector,
                 is_dead: false,
                 paused_until: 0,
+                busy_ms: 0,
                 lag: 0,
                 is_waiting: false,
                 reports_to: usize::MAX,
@@ -238,6 +243,11 @@
                 self.nodes[*node].paused_until = self.now + ms;
                 self.nodes[*node].lag += ms;
             }
+            Change::Busy(busy_ms) => {
+                for (index, node) in self.nodes.iter_mut().enumerate() {
+                    node.busy_ms = busy_ms(index);
+                }
+            }
             Change::Cut(cut) => self.cut = *cut,
             Change::Quotas(factor) => {
                 self.workspaces = workspaces(*factor);
@@ -276,6 +286,11 @@
             _ if domain_of(from) == domain_of(to) => (self.rng.random_range(1..10), message),
             _ => (self.rng.random_range(5..60), message),
         };
+        let delay = delay + self.nodes[to].busy_ms;
+        let is_request = matches!(message, Message::Report(_) | Message::Exchange(_));
+        if is_request && delay > TIMEOUT_MS {
+            self.push(TIMEOUT_MS, to, from, Message::Failed);
+        }
         self.push(delay, from, to, message);
     }
 
@@ -726,6 +741,18 @@
     run_pattern(14, &hot, pause, |_, _| {});
 }
 
+/// Nodes that handle totals late, since their processors are busy, must not all admit requests beyond their shares
+/// whenever they see the level of a contended quota rise.
+#[gtest]
+fn admit_busy_nodes() {
+    let hot = Pattern {
+        rate: |at, t| usual(t) * if t == 0 && at < 8.0 { 5.8 } else { 1.0 },
+        node: any_node,
+    };
+    let busy = || vec![(0, Change::Busy(|node| if node < DOMAINS { 0 } else { 300 }))];
+    run_pattern(10, &hot, busy, |_, _| {});
+}
+
 /// A quota that is cut far below the demand is binding after one window.
 #[gtest]
 fn admit_quota_cut() {
