End the wait for a connection before the deadline of a call

At the limit of outgoing connections a request waited up to 250 ms whatever time its call had left. If the deadline passed meanwhile, the call counted as possibly run and the caller got 502, although nothing was sent.

The time left is now an option of the exchange, and the wait ends 20 ms before it with NoConnection. Without the bound, the new test sees an elapsed time limit instead of NoConnection for 0, 10, 100 and 200 ms.

--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -41,6 +41,7 @@
 use crate::sidecar::usage_port;
 use crate::transport::exchange::Exchange;
 use crate::transport::exchange::ExchangeFailure;
+use crate::transport::exchange::SendOptions;
 use crate::transport::headers;
 use crate::transport::http_client::HttpResponse;
 use crate::transport::http_server;
@@ -271,7 +272,11 @@
         responding: None,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
-    match cx.pool.send_if(exchange, &|| check().is_ok()).await {
+    let options = SendOptions {
+        may_send_body: &|| check().is_ok(),
+        time_left: Some(call.head.left),
+    };
+    match cx.pool.send_with(exchange, &options).await {
         Ok(response) => read_response(response),
         Err(failure) => {
             if let (ExchangeFailure::NotSent(_), Err(code)) = (&failure, check()) {
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -40,6 +40,7 @@
 use crate::sidecar::workspaces;
 use crate::transport::exchange::Exchange;
 use crate::transport::exchange::ExchangeFailure;
+use crate::transport::exchange::SendOptions;
 use crate::transport::http_client::HttpResponse;
 
 /// Idle time after which a connection to the backend server is not reused. Backend servers close
@@ -488,6 +489,7 @@
     } else {
         MAX_IDLE_NOT_IDEMPOTENT
     };
+    let began = cx.clock.now();
     let exchange = |max_idle| Exchange {
         addr: cx.settings.backend_addr,
         method: call.method.clone(),
@@ -503,12 +505,18 @@
         responding: None,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
-    match cx.pool.send(exchange(max_idle)).await {
+    let mut options = SendOptions {
+        time_left: Some(left),
+        ..SendOptions::default()
+    };
+    match cx.pool.send_with(exchange(max_idle), &options).await {
         // The pooled connection was closed while idle and nothing was sent on it, so a new one is tried.
         Err(ExchangeFailure::NotSent(_)) => {}
         other => return other.map_err(Some),
     }
-    cx.pool.send(exchange(Duration::ZERO)).await.map_err(Some)
+    options.time_left = Some(left.saturating_sub(cx.clock.since(began)));
+    let sent = cx.pool.send_with(exchange(Duration::ZERO), &options);
+    sent.await.map_err(Some)
 }
 
 fn interpret_result(
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -59,6 +59,9 @@
 /// Longest time that a request waits for a connection at the limit of the pool, as long as opening one may take.
 /// Then nothing was sent, and the caller learns it early enough to try again.
 pub const CONNECTION_WAIT: Duration = CONNECT_TIMEOUT;
+/// Time before the end of [`SendOptions::time_left`] at which the wait for a connection ends, so that the caller still
+/// learns that nothing was sent.
+const CONNECTION_WAIT_MARGIN: Duration = Duration::from_millis(20);
 /// Time after which unacknowledged data, or unanswered keep-alive probes, end a connection. Nothing else
 /// detects a connection that a middlebox has dropped silently. The kernel takes keep-alive times in
 /// whole seconds; a shorter time disables them.
@@ -123,6 +126,24 @@
     pub max_response_bytes: usize,
 }
 
+/// Conditions under which a request is sent.
+pub struct SendOptions<'a> {
+    /// Whether an announced body may be sent when the peer asks for it, since the peer may take some time.
+    pub may_send_body: &'a dyn Fn() -> bool,
+    /// Time after which the caller gives up, if it takes a request that was given up for one that may have run. The
+    /// wait for a connection ends before it.
+    pub time_left: Option<Duration>,
+}
+
+impl Default for SendOptions<'_> {
+    fn default() -> Self {
+        Self {
+            may_send_body: &|| true,
+            time_left: None,
+        }
+    }
+}
+
 /// Reason why no complete response was received.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ExchangeFailure {
@@ -247,18 +268,17 @@
     /// # Errors
     /// An [`ExchangeFailure`], which tells whether the peer may have received the request.
     pub async fn send(&self, exchange: Exchange<'_>) -> Result<HttpResponse, ExchangeFailure> {
-        self.send_if(exchange, &|| true).await
+        self.send_with(exchange, &SendOptions::default()).await
     }
 
-    /// Sends a request like [`Self::send`]. An announced body is sent only if `may_send_body` says so when the peer
-    /// asks for it, since the peer may take some time.
+    /// Sends a request like [`Self::send`] under further conditions.
     ///
     /// # Errors
     /// An [`ExchangeFailure`]; [`ExchangeFailure::NotSent`] if the body may not be sent.
-    pub async fn send_if(
+    pub async fn send_with(
         &self,
         exchange: Exchange<'_>,
-        may_send_body: &dyn Fn() -> bool,
+        options: &SendOptions<'_>,
     ) -> Result<HttpResponse, ExchangeFailure> {
         let addr = exchange.addr;
         let id = exchange.echo.map(|(_, id)| xxh3_64(id.as_bytes()));
@@ -266,7 +286,8 @@
             let idle = self.take_idle(addr, exchange.max_idle, id).map(Taken::Idle);
             idle.or_else(|| self.try_take_slot(addr).map(Taken::Slot))
         };
-        let taken = self.take(addr, try_take).await;
+        let wait = connection_wait(options.time_left);
+        let taken = self.take(addr, wait, try_take).await;
         let (idle, reused) = match taken.ok_or(ExchangeFailure::NoConnection)? {
             Taken::Idle(idle) => (idle, true),
             Taken::Slot(slot) => {
@@ -282,7 +303,9 @@
         };
         let (echo, max_response_bytes) = (exchange.echo, exchange.max_response_bytes);
         let responding = exchange.responding;
-        connection.write_request(exchange, may_send_body).await?;
+        connection
+            .write_request(exchange, options.may_send_body)
+            .await?;
         for _ in 0..=MAX_SKIPPED_RESPONSES {
             connection.write_unsent().await.map_err(broken)?;
             let response = connection
@@ -321,7 +344,8 @@
     /// If the peer refuses the connection, or does not accept it within [`CONNECT_TIMEOUT`];
     /// [`io::ErrorKind::QuotaExceeded`] at the limit of connections.
     pub async fn open(&self, addr: SocketAddr) -> io::Result<()> {
-        let slot = self.take(addr, || self.try_take_slot(addr)).await;
+        let try_take = || self.try_take_slot(addr);
+        let slot = self.take(addr, CONNECTION_WAIT, try_take).await;
         let slot = slot.ok_or(io::ErrorKind::QuotaExceeded)?;
         let opened = connect(addr, slot).await?;
         self.put_idle(addr, opened);
@@ -329,8 +353,13 @@
     }
 
     /// Takes a connection or the permission for one, in the order of the requests that wait. `None` after
-    /// [`CONNECTION_WAIT`].
-    async fn take<T>(&self, addr: SocketAddr, try_take: impl Fn() -> Option<T>) -> Option<T> {
+    /// the time `wait`.
+    async fn take<T>(
+        &self,
+        addr: SocketAddr,
+        wait: Duration,
+        try_take: impl Fn() -> Option<T>,
+    ) -> Option<T> {
         let taken = async {
             let _turn = self.limit.turn(addr).await;
             loop {
@@ -340,7 +369,7 @@
                 self.limit.changed(addr).await;
             }
         };
-        actix_rt::time::timeout(CONNECTION_WAIT, taken).await.ok()
+        actix_rt::time::timeout(wait, taken).await.ok()
     }
 
     /// Takes the permission for a new connection. At the limit, the idle connection that was not used for the longest
@@ -773,6 +802,14 @@
     }
 }
 
+/// Returns the longest time that a request waits for a connection.
+fn connection_wait(time_left: Option<Duration>) -> Duration {
+    time_left.map_or(CONNECTION_WAIT, |left| {
+        left.saturating_sub(CONNECTION_WAIT_MARGIN)
+            .min(CONNECTION_WAIT)
+    })
+}
+
 /// Sets the size of a body.
 ///
 /// # Errors
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -29,6 +29,7 @@
 use sycamorewick::transport::exchange::Exchange;
 use sycamorewick::transport::exchange::ExchangeFailure;
 use sycamorewick::transport::exchange::MAX_BUFFERED_BYTES;
+use sycamorewick::transport::exchange::SendOptions;
 use sycamorewick::transport::exchange::enable_dead_peer_detection;
 use sycamorewick::transport::http_client::HttpResponse;
 
@@ -392,7 +393,7 @@
 
 /// Guards against an announced body that is sent although it may no longer be, once the peer asks for it.
 #[gtest]
-fn send_if_announced_body_withheld() {
+fn send_with_announced_body_withheld() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let addr = listener.local_addr().expect("an address");
     let peer = thread::spawn(move || {
@@ -410,7 +411,11 @@
             ..get(addr)
         };
         let pool = ConnectionPool::default();
-        pool.send_if(exchange, &|| false).await
+        let options = SendOptions {
+            may_send_body: &|| false,
+            ..SendOptions::default()
+        };
+        pool.send_with(exchange, &options).await
     });
     expect_that!(
         result,
@@ -826,6 +831,40 @@
     });
 }
 
+/// Guards against a wait for a connection that outlasts the deadline: the caller took a request of which nothing was
+/// sent for one that may have run.
+#[gtest]
+fn limit_wait_ends_before_deadline() {
+    run(async {
+        let pool = limited_pool(1, None);
+        let (slow, _slow_events) = slow_peer(Duration::from_secs(1));
+        let (other, other_events) = slow_peer(Duration::ZERO);
+        let within = |left| SendOptions {
+            time_left: Some(Duration::from_millis(left)),
+            ..SendOptions::default()
+        };
+        let (held, ()) = futures_util::future::join(pool.send(get(slow)), async {
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+            for left in [0, 10, 100, 200] {
+                let options = within(left);
+                let sent = pool.send_with(get(other), &options);
+                let limit = Duration::from_millis(left.max(20));
+                let result = actix_rt::time::timeout(limit, sent).await;
+                let not_sent = err(eq(&ExchangeFailure::NoConnection));
+                expect_that!(result, ok(not_sent), "{left} ms left");
+            }
+            expect_that!(other_events.try_iter().count(), eq(0));
+        })
+        .await;
+        expect_that!(held, ok(anything()));
+        // Without a wait, a short time does not matter.
+        for _ in 0..2 {
+            let sent = pool.send_with(get(other), &within(10)).await;
+            expect_that!(sent, ok(anything()));
+        }
+    });
+}
+
 /// Guards against a request that was given up while it waited, and holds up those behind it.
 #[gtest]
 fn limit_after_cancelled_wait() {
