Offer a call without a connection to the own backend server

A call that got no connection to another node was refused with 4021 at once, also if the backend server of its own node, which has connections of its own, could have served it. The same happened if only a hedged attempt got none.

Now all other nodes are excluded and the choice goes on; the call is refused with 4021 once no node is left. on_failure_without_connection expected the refusal. Its replacement expects the offer to the own node, no offer to any other one, and the refusal after that; a second test covers the hedged attempt.

--- a/src/coordination/attempts.rs
+++ b/src/coordination/attempts.rs
@@ -143,6 +143,8 @@
     quarantined_for: Option<Duration>,
     /// Last refusal by a node because of where it stands.
     location_refusal: Option<(NodeId, ResultCode)>,
+    /// Reason for which only the own node is left, since the entry node has no connection to another one.
+    own_node_only: Option<ResultCode>,
     /// Reason for which the entry node itself refuses the call from now on.
     denied: Option<ResultCode>,
     last: Option<ResultCode>,
@@ -168,6 +170,7 @@
             has_failure_response: false,
             quarantined_for: None,
             location_refusal: None,
+            own_node_only: None,
             denied: None,
             last: None,
             retry_after: None,
@@ -239,6 +242,9 @@
             if self.refusals > 0 && self.accept_late() {
                 return Choice::OfferAgain;
             }
+            if let Some(code) = self.own_node_only {
+                self.on_denied(code);
+            }
             self.last = self.last.or(Some(ResultCode::NoBackend));
             return Choice::Stop;
         };
@@ -321,8 +327,8 @@
                 self.retry_after = Some(shortest);
                 match code {
                     ResultCode::RequestQuarantined => self.on_quarantined(retry_after),
-                    // Other nodes cannot be reached either.
-                    ResultCode::ClientLimit => self.on_denied(code),
+                    // No other node can be reached either, but the own one needs no such connection.
+                    ResultCode::ClientLimit => self.own_node_only = Some(code),
                     ResultCode::OutsideHome | ResultCode::DomainEvacuated => {
                         self.excluded.push(node.clone());
                         self.location_refusal = Some((node.clone(), code));
@@ -355,6 +361,12 @@
         self.location_refusal.take()
     }
 
+    /// Whether only the own node is left, since the entry node has no connection to another one.
+    #[must_use]
+    pub fn is_own_node_only(&self) -> bool {
+        self.own_node_only.is_some()
+    }
+
     /// Handles that further nodes would refuse the call like the one that has just refused it.
     pub fn on_refused_alike(&mut self, nodes: &[NodeId]) {
         self.tried.extend_from_slice(nodes);
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -949,6 +949,13 @@
         alike.map(|entry| entry.node.clone()).collect()
     }
 
+    /// Returns all nodes but this one.
+    #[must_use]
+    pub fn nodes_besides(&self, node: &NodeId) -> Vec<NodeId> {
+        let others = self.entries().filter(|entry| entry.node != *node);
+        others.map(|entry| entry.node.clone()).collect()
+    }
+
     /// Applies the load and results that a node reported.
     pub fn on_report(&mut self, now: Duration, node: &NodeId, load: Load, tally: BackendTotals) {
         let Ok(index) = self.index(node) else {
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -337,6 +337,11 @@
             let alike = state.placement.nodes_refusing_as(&node, reason);
             attempts.on_refused_alike(&alike);
         }
+        if attempts.is_own_node_only() {
+            let state = cx.state.borrow();
+            let others = state.placement.nodes_besides(&cx.settings.id);
+            attempts.on_refused_alike(&others);
+        }
     }
 }
 
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -327,9 +327,11 @@
     expect_that!(call.outcome(), eq(unknown));
 }
 
-/// Guards against a call that waits for a connection to one node after the other, although the entry node may open none.
+/// Guards against a call that is refused without a connection to another node although the own backend server could
+/// serve it, and against one that waits for a connection to one node after the other.
 #[gtest]
 fn on_failure_without_connection() {
+    let now = ms(1_100);
     for (before, is_refused) in [
         (None, true),
         (Some(overloaded(100)), true),
@@ -342,13 +344,26 @@
         if let Some(before) = before {
             fail(&mut call, ms(1_000), "a", before);
         }
-        fail(
-            &mut call,
-            ms(1_050),
-            "b",
-            refused(ResultCode::ClientLimit, false, 100),
-        );
-        expect_that!(call.next(ms(1_100)), eq(NextStep::Stop));
+        expect_false!(call.is_own_node_only());
+        let refusal = refused(ResultCode::ClientLimit, false, 100);
+        fail(&mut call, ms(1_050), "b", refusal);
+        expect_true!(call.is_own_node_only());
+        call.on_refused_alike(&["a".into(), "b".into(), "c".into()]);
+        expect_that!(call.next(now), not(eq(NextStep::Stop)), "{before:?}");
+        expect_that!(call.on_choice(now, Some(NEAR)), eq(Choice::Send));
+        // The own node refuses it for load, and is offered it as one that accepts a late response.
+        call.on_failure(&"own".into(), overloaded(100));
+        expect_that!(call.on_choice(now, None), eq(Choice::OfferAgain));
+        expect_that!(call.tried().contains(&"own".into()), eq(!is_refused));
+        for other in ["a", "b", "c"] {
+            expect_that!(call.tried(), contains(eq(&other.into())));
+        }
+        if is_refused {
+            expect_that!(call.on_choice(now, Some(NEAR)), eq(Choice::Send));
+            call.on_failure(&"own".into(), overloaded(100));
+        }
+        expect_that!(call.on_choice(now, None), eq(Choice::Stop));
+        expect_that!(call.next(now), eq(NextStep::Stop));
         let denied = Outcome::Refused {
             code: ResultCode::ClientLimit,
             retry_after: None,
@@ -357,6 +372,21 @@
     }
 }
 
+/// Guards against a hedged attempt without a connection that ends a call whose first attempt is refused for load: the
+/// own node is still free.
+#[gtest]
+fn on_failure_hedge_without_connection() {
+    let now = ms(1_200);
+    let mut call = attempts(true);
+    expect_that!(call.on_choice(ms(1_000), Some(NEAR)), eq(Choice::Send));
+    expect_true!(call.on_hedge(now, NEAR));
+    call.on_failure(&"b".into(), refused(ResultCode::ClientLimit, false, 300));
+    call.on_failure(&"a".into(), overloaded(100));
+    call.on_refused_alike(&["a".into(), "b".into()]);
+    expect_that!(call.next(now), eq(NextStep::Offer));
+    expect_that!(call.on_choice(now, Some(NEAR)), eq(Choice::Send));
+}
+
 /// Guards against a further attempt of a call whose credential was revoked, and against a response that says
 /// that it has not run although it may have.
 #[gtest]
