Free the fields of requests that are dropped early

actix-http keeps up to 128 heads with the room of their maps, some 0.8 MB each after a head of 2,700 fields. The fields were not freed if the client closed its connection before the request started, if a handler was cancelled before its first poll or while it read a body or waited at the gate, and if the quota refused the request.

OwnedRequest frees them when it is dropped, for all of these.

--- a/src/sidecar/body_gate.rs
+++ b/src/sidecar/body_gate.rs
@@ -26,6 +26,7 @@
 use crate::sidecar::serving::ServeOutcome;
 use crate::transport::headers;
 use crate::transport::http_server::Gate;
+use crate::transport::http_server::OwnedRequest;
 
 /// Time that the transfers may keep the link of the node busy; a call behind them waits so long.
 const LINK_QUEUE_TIME: Duration = Duration::from_millis(100);
@@ -73,11 +74,12 @@
 
 /// Waits until the body of a call may be sent, and adds the [`Transfer`] to the request.
 async fn admit(cx: &Rc<Sidecar>, req: Request) -> Result<Request, Response<BoxBody>> {
+    let req = OwnedRequest::new(req);
     let arrived = cx.clock.now();
     let head = headers::text(req.headers(), HOP_REQUEST_HEADER).and_then(HopRequestHeader::decode);
     let Some(head) = head else {
         // The handler refuses the call.
-        return Ok(req);
+        return Ok(req.into_inner());
     };
     let refused = |outcome| Err(hop::refuse_unread(cx, &req, &head, outcome));
     if cx.stopping.get() {
@@ -113,7 +115,7 @@
                 began: cx.clock.now(),
                 admitted,
             });
-            Ok(req)
+            Ok(req.into_inner())
         }
         Err(retry_after) => refused(serving::not_admitted(cx, &head, retry_after)),
     }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -66,6 +66,7 @@
 use crate::transport::http_client::HttpResponse;
 use crate::transport::http_server;
 use crate::transport::http_server::BODY_TIMEOUT;
+use crate::transport::http_server::OwnedRequest;
 use crate::transport::http_server::status_of;
 use crate::transport::pipeline::MayOverlap;
 use crate::transport::pipeline::TakeWithin;
@@ -77,7 +78,8 @@
 const RETRY_AFTER_JITTER: f64 = 0.5;
 
 /// Handles a request of a caller.
-pub async fn handle(cx: Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
+pub async fn handle(cx: Rc<Sidecar>, req: Request) -> Response<BoxBody> {
+    let mut req = OwnedRequest::new(req);
     let cx = &cx;
     let arrived = cx.clock.now();
     cx.metrics.calls.increment(1);
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -45,6 +45,7 @@
 use crate::transport::headers;
 use crate::transport::http_client::HttpResponse;
 use crate::transport::http_server;
+use crate::transport::http_server::OwnedRequest;
 
 /// Idle time after which a connection to another node is not reused.
 const MAX_IDLE: Duration = Duration::from_secs(8);
@@ -60,10 +61,8 @@
 const RETRY_AFTER_HEADER: &str = "sw-come-back-ms";
 
 /// Handles a call, a follow request or an entry of another node.
-pub async fn handle(cx: Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
-    let response = handle_request(&cx, &mut req).await;
-    http_server::release_fields(&mut req);
-    response
+pub async fn handle(cx: Rc<Sidecar>, req: Request) -> Response<BoxBody> {
+    handle_request(&cx, &mut OwnedRequest::new(req)).await
 }
 
 async fn handle_request(cx: &Rc<Sidecar>, req: &mut Request) -> Response<BoxBody> {
--- a/src/transport/http_server.rs
+++ b/src/transport/http_server.rs
@@ -1,6 +1,8 @@
 //! HTTP/1.1 servers of a node: accept loop, limits and graceful stop.
 
 use std::cell::Cell;
+use std::ops::Deref;
+use std::ops::DerefMut;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -372,6 +374,44 @@
     *req.headers_mut() = HeaderMap::new();
 }
 
+/// A request whose fields are freed when it is dropped, also if its handler is cancelled.
+#[derive(Debug)]
+pub struct OwnedRequest(Request);
+
+impl OwnedRequest {
+    /// Takes a request.
+    #[must_use]
+    pub fn new(req: Request) -> Self {
+        Self(req)
+    }
+
+    /// Returns the request with its fields.
+    #[must_use]
+    pub fn into_inner(mut self) -> Request {
+        std::mem::replace(&mut self.0, Request::new())
+    }
+}
+
+impl Deref for OwnedRequest {
+    type Target = Request;
+
+    fn deref(&self) -> &Request {
+        &self.0
+    }
+}
+
+impl DerefMut for OwnedRequest {
+    fn deref_mut(&mut self) -> &mut Request {
+        &mut self.0
+    }
+}
+
+impl Drop for OwnedRequest {
+    fn drop(&mut self) {
+        release_fields(&mut self.0);
+    }
+}
+
 fn too_large(limit: usize) -> Failure {
     Failure::new(
         ResultCode::BodyTooLarge,
--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -56,6 +56,7 @@
 use crate::transport::http_server::BODY_TIMEOUT;
 use crate::transport::http_server::Gate;
 use crate::transport::http_server::Handler;
+use crate::transport::http_server::OwnedRequest;
 use crate::transport::request_head;
 use crate::transport::request_head::HeadSize;
 use crate::transport::unsent::Unsent;
@@ -120,7 +121,7 @@
     /// Number of the port in the account.
     pub port: usize,
     /// Whether heads may have any number of fields. Otherwise the library's bound applies; handlers of such
-    /// ports need not call [`http_server::release_fields`].
+    /// ports need not take an [`OwnedRequest`].
     pub any_fields: bool,
 }
 
@@ -155,7 +156,7 @@
     /// A complete head that is not decoded before there is memory for it.
     Undecoded,
     /// A request that has to wait until the ones before it are answered.
-    Blocked(Box<Request>, HeldMemory),
+    Blocked(Box<OwnedRequest>, HeldMemory),
     Body(mpsc::Sender<Result<Bytes, PayloadError>>),
     /// Nothing, since the connection ends with the last open request.
     End,
@@ -261,14 +262,6 @@
     body + FIELD_BYTES * response.headers().len().saturating_sub(USUAL_FIELDS)
 }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        if let Reading::Blocked(req, _) = &mut self.reading {
-            http_server::release_fields(req);
-        }
-    }
-}
-
 impl Connection {
     async fn serve(mut self) -> io::Result<()> {
         while self.step().await? {}
@@ -474,7 +467,7 @@
         match request_head::decode(&mut self.codec, &mut self.buf, max_bytes, any_fields) {
             Ok(Some(decoded)) => {
                 let held = held.unwrap_or_else(|| self.memory.hold(2 * decoded.bytes));
-                self.reading = Reading::Blocked(Box::new(decoded.request), held);
+                self.reading = Reading::Blocked(Box::new(OwnedRequest::new(decoded.request)), held);
                 Ok(None)
             }
             Ok(None) => Ok(None),
@@ -521,7 +514,7 @@
     }
 
     /// Starts the handler of a request.
-    fn start(&mut self, req: Request, held: HeldMemory) {
+    fn start(&mut self, req: OwnedRequest, held: HeldMemory) {
         let (method, version) = (req.method().clone(), req.version());
         let closes = req.head().connection_type() != ConnectionType::KeepAlive;
         self.memory.set_body(0);
@@ -537,7 +530,7 @@
             let payload: Payload = Payload::Stream {
                 payload: Box::pin(body_stream(rx)),
             };
-            req.replace_payload(payload).0
+            OwnedRequest::new(req.into_inner().replace_payload(payload).0)
         } else {
             req
         };
@@ -546,8 +539,8 @@
         let response = actix_rt::spawn(async move {
             let mut held = held;
             let admitted = match gate {
-                Some(gate) => gate(req).await,
-                None => Ok(req),
+                Some(gate) => gate(req.into_inner()).await,
+                None => Ok(req.into_inner()),
             };
             let response = match admitted {
                 Ok(req) => {
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use actix_http::HttpMessage;
 use actix_http::Payload;
 use actix_http::Request;
 use actix_http::Response;
@@ -31,6 +32,7 @@
 use sycamorewick::transport::http_server::BODY_TIMEOUT;
 use sycamorewick::transport::http_server::Handler;
 use sycamorewick::transport::http_server::HttpServer;
+use sycamorewick::transport::http_server::OwnedRequest;
 use sycamorewick::transport::pipeline::PipelineOptions;
 
 /// Size of a response that does not fit into the buffers of the kernel, bytes.
@@ -458,3 +460,47 @@
         expect_that!(memory.held_bytes(), le(ACCOUNT));
     });
 }
+
+/// Guards against memory that stays with the library: it keeps the maps of requests, and a client that closes its
+/// connection after a head of very many fields left their room in each.
+#[gtest]
+fn fields_freed_after_close() {
+    const FIELDS: usize = 1_500;
+    let fields: Vec<String> = (0..FIELDS).map(|n| format!("a{n}: b\r\n")).collect();
+    let fields = fields.concat();
+    // Closed before the head is read, and while the handler reads the body.
+    for (length, wait) in [(0, 0), (10, 50)] {
+        let head =
+            format!("POST /0/a HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n{fields}\r\n");
+        let most = Rc::new(Cell::new(0));
+        let seen = most.clone();
+        let handler: Handler = Rc::new(move |req: Request| {
+            seen.set(req.headers().len().max(seen.get()));
+            let mut req = OwnedRequest::new(req);
+            Box::pin(async move {
+                let mut payload = req.take_payload();
+                let _ = http_server::read_body(&mut payload, 1 << 20).await;
+                Response::with_body(StatusCode::OK, BoxBody::new(()))
+            })
+        });
+        System::new().block_on(async {
+            let memory = ClientMemory::new(64 << 20);
+            let (_server, addr) = start_with_memory(&memory, handler).await;
+            for _ in 0..4 {
+                let mut stream = TcpStream::connect(addr).expect("a connection");
+                stream
+                    .write_all(head.as_bytes())
+                    .expect("the server has room");
+                if wait > 0 {
+                    actix_rt::time::sleep(Duration::from_millis(wait)).await;
+                }
+                drop(stream);
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+            }
+        });
+        expect_that!(most.get() >= FIELDS, eq(wait > 0));
+        let pooled: Vec<Request> = (0..8).map(|_| Request::new()).collect();
+        let room = pooled.iter().map(|req| req.headers().capacity()).max();
+        expect_that!(room, some(lt(FIELDS / 10)), "body of {length}");
+    }
+}
