Count run time from the end of the wait for a connection

A call counted as running at the backend server before it had a connection, so the wait at the own limit went into the latency of the backend server and the evidence of a rollout, also for calls that were never sent.

The exchange now tells when it got its connection. Calls without one record no latency and no cancelled run. The new test checks the time after a wait, and that it stays unset when there is no connection.

--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -274,6 +274,7 @@
     let options = SendOptions {
         may_send_body: &|| check().is_ok(),
         time_left: Some(call.head.left),
+        started: None,
     };
     match cx.pool.send_with(exchange, &options).await {
         Ok(response) => read_response(response),
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -1,6 +1,7 @@
 //! Serving side of a call: admits calls to the local backend server, which only its own node can
 //! reach, and runs them there. See `docs/platform.md`, "Admission".
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -41,6 +42,7 @@
 use crate::transport::exchange::Exchange;
 use crate::transport::exchange::ExchangeFailure;
 use crate::transport::exchange::SendOptions;
+use crate::transport::exchange::Started;
 use crate::transport::http_client::HttpResponse;
 
 /// Idle time after which a connection to the backend server is not reused. Backend servers close
@@ -187,7 +189,8 @@
 
 /// A call at the backend server.
 struct RunningCall {
-    began: Duration,
+    /// Set once the call has a connection. The wait before that is not the time of the backend server.
+    started: Rc<Cell<Option<Started>>>,
     objective: Duration,
     route: RouteName,
     backend: BackendReport,
@@ -195,13 +198,14 @@
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
-        let now = self.cx.clock.now();
         let mut state = self.cx.state.borrow_mut();
         if !self.reported_to_breaker {
             state.breaker.on_cancelled();
         }
-        if let Some(running) = self.running.take() {
-            let elapsed = now.saturating_sub(running.began);
+        if let Some(running) = self.running.take()
+            && let Some(started) = running.started.get()
+        {
+            let elapsed = started.at.elapsed();
             if let Some(percent) = cancelled_percent(elapsed, running.objective) {
                 add_run(&mut state, &running.backend, &running.route, percent, false);
             }
@@ -420,23 +424,26 @@
     mut slot: SlotGuard,
     fingerprint: u64,
 ) -> ServeOutcome {
-    let began = cx.clock.now();
-    let waited = began.saturating_sub(call.arrived);
+    let waited = cx.clock.since(call.arrived);
     let left = call.head.left.saturating_sub(waited);
+    let started = Rc::new(Cell::new(None));
     slot.running = Some(RunningCall {
-        began,
+        started: started.clone(),
         objective: call.head.objective,
         route: call.head.route.clone(),
         backend: backend.clone(),
     });
-    let sent = forward(&cx, &call, &backend, left);
+    let sent = forward(&cx, &call, &backend, left, &started);
     let result = match actix_rt::time::timeout(left + DEADLINE_MARGIN, sent).await {
         Ok(result) => result,
         Err(_) => Err(None),
     };
     slot.running = None;
-    let run_time = cx.clock.since(began);
-    cx.metrics.backend_latency.record(run_time);
+    let run_time = started.get().map(|started| started.at.elapsed());
+    if let Some(run_time) = run_time {
+        cx.metrics.backend_latency.record(run_time);
+    }
+    let run_time = run_time.unwrap_or_default();
     if let Err(Some(ExchangeFailure::Broken { .. })) = result {
         crashes::on_broken_call(&cx, &backend, fingerprint);
         health_probe::consider(&cx, ProbeReason::ConnectionBack);
@@ -475,6 +482,7 @@
     call: &ServeCall,
     backend: &BackendReport,
     left: Duration,
+    started: &Cell<Option<Started>>,
 ) -> Result<HttpResponse, Option<ExchangeFailure>> {
     let mut headers = call.headers.clone();
     headers.extend(
@@ -507,6 +515,7 @@
     };
     let mut options = SendOptions {
         time_left: Some(left),
+        started: Some(started),
         ..SendOptions::default()
     };
     match cx.pool.send_with(exchange(max_idle), &options).await {
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -133,6 +133,17 @@
     /// Time after which the caller gives up, if it takes a request that was given up for one that may have run. The
     /// wait for a connection ends before it.
     pub time_left: Option<Duration>,
+    /// Set once the request has got a connection, or the permission to open one.
+    pub started: Option<&'a Cell<Option<Started>>>,
+}
+
+/// End of the wait for a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Started {
+    /// Time at which it ended.
+    pub at: Instant,
+    /// Whether the connection is reused.
+    pub reused: bool,
 }
 
 impl Default for SendOptions<'_> {
@@ -140,6 +151,7 @@
         Self {
             may_send_body: &|| true,
             time_left: None,
+            started: None,
         }
     }
 }
@@ -287,8 +299,17 @@
             idle.or_else(|| self.try_take_slot(addr).map(Taken::Slot))
         };
         let wait = connection_wait(options.time_left);
+        if let Some(started) = options.started {
+            started.set(None);
+        }
         let taken = self.take(addr, wait, try_take).await;
-        let (idle, reused) = match taken.ok_or(ExchangeFailure::NoConnection)? {
+        let taken = taken.ok_or(ExchangeFailure::NoConnection)?;
+        if let Some(started) = options.started {
+            let at = Instant::now();
+            let reused = matches!(taken, Taken::Idle(_));
+            started.set(Some(Started { at, reused }));
+        }
+        let (idle, reused) = match taken {
             Taken::Idle(idle) => (idle, true),
             Taken::Slot(slot) => {
                 let not_sent = |e: io::Error| ExchangeFailure::NotSent(e.to_string());
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -865,6 +865,46 @@
     });
 }
 
+/// Guards against a wait for a connection that counts as run time of the peer, also of one that got no request.
+#[gtest]
+fn started_after_wait() {
+    run(async {
+        let pool = limited_pool(1, None);
+        let (slow, _slow_events) = slow_peer(Duration::from_millis(150));
+        let (stuck, _stuck_events) = slow_peer(Duration::from_secs(1));
+        let (started, refused) = (Cell::new(None), Cell::new(None));
+        let options = |started| SendOptions {
+            started: Some(started),
+            ..SendOptions::default()
+        };
+        let began = Instant::now();
+        let (_, (second, time)) = futures_util::future::join(pool.send(get(slow)), async {
+            let second = pool.send_with(get(slow), &options(&started)).await;
+            (second, began.elapsed())
+        })
+        .await;
+        expect_that!(second, ok(anything()));
+        let first = started.get().expect("the request was sent");
+        expect_true!(first.reused);
+        let wait = first.at - began;
+        let run = time.saturating_sub(wait);
+        expect_that!(wait, ge(Duration::from_millis(150)));
+        expect_that!(run, lt(time * 3 / 4));
+        let (held, third) = futures_util::future::join(pool.send(get(stuck)), async {
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+            refused.set(Some(first));
+            pool.send_with(get(slow), &options(&refused)).await
+        })
+        .await;
+        expect_that!(held, ok(anything()));
+        expect_that!(third, err(eq(&ExchangeFailure::NoConnection)));
+        expect_that!(refused.get(), none());
+        let sent = pool.send_with(get(slow), &options(&started)).await;
+        expect_that!(sent, ok(anything()));
+        expect_false!(started.get().is_none_or(|started| started.reused));
+    });
+}
+
 /// Guards against a request that was given up while it waited, and holds up those behind it.
 #[gtest]
 fn limit_after_cancelled_wait() {
