Keep the failure to connect before a missing connection

If the backend server did not accept a connection and the second attempt found none left, the call was refused as overloaded and the backend server stayed in use. The first failure is now kept, unless it was that of a reused connection, which the backend server may have closed while it was idle.

--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -518,14 +518,19 @@
         started: Some(started),
         ..SendOptions::default()
     };
-    match cx.pool.send_with(exchange(max_idle), &options).await {
+    let first = match cx.pool.send_with(exchange(max_idle), &options).await {
         // The pooled connection was closed while idle and nothing was sent on it, so a new one is tried.
-        Err(ExchangeFailure::NotSent(_)) => {}
+        Err(failure @ ExchangeFailure::NotSent(_)) => failure,
         other => return other.map_err(Some),
-    }
+    };
+    let is_unreachable = started.get().is_some_and(|started| !started.reused);
     options.time_left = Some(left.saturating_sub(cx.clock.since(began)));
     let sent = cx.pool.send_with(exchange(Duration::ZERO), &options);
-    sent.await.map_err(Some)
+    sent.await.map_err(|second| {
+        // The own limit must not hide that the backend server did not accept a connection.
+        let hides_first = is_unreachable && second == ExchangeFailure::NoConnection;
+        Some(if hides_first { first } else { second })
+    })
 }
 
 fn interpret_result(
