Do not exclude a reader for a missing own connection

A follow request that got no connection at the own limit counted as a lost reader, which was then excluded. It is now asked again; the pool has waited before that.

--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -33,6 +33,7 @@
 use crate::sidecar::Sidecar;
 use crate::sidecar::topic_follower;
 use crate::transport::exchange::Exchange;
+use crate::transport::exchange::ExchangeFailure;
 use crate::transport::headers;
 use crate::transport::http_server;
 
@@ -244,8 +245,8 @@
 
 /// Failure of a follow request.
 pub struct FetchFailure {
-    /// Kind of the failure.
-    pub failure: ReaderFailure,
+    /// Kind of the failure; `None` if it says nothing about the reader, since this process had no connection left.
+    pub failure: Option<ReaderFailure>,
     /// Description for the log.
     pub why: String,
 }
@@ -254,14 +255,14 @@
     /// The reader's view is too old.
     pub fn behind(why: String) -> Self {
         Self {
-            failure: ReaderFailure::Behind,
+            failure: Some(ReaderFailure::Behind),
             why,
         }
     }
 
     fn lost(why: impl fmt::Display) -> Self {
         Self {
-            failure: ReaderFailure::Lost,
+            failure: Some(ReaderFailure::Lost),
             why: why.to_string(),
         }
     }
@@ -342,16 +343,22 @@
     }
     let response = match result {
         Ok(Ok(response)) => response,
+        Ok(Err(failure @ ExchangeFailure::NoConnection)) => {
+            return Err(FetchFailure {
+                failure: None,
+                why: failure.to_string(),
+            });
+        }
         Ok(Err(failure)) => return Err(FetchFailure::lost(failure)),
         Err(_) => return Err(FetchFailure::lost("no response in time")),
     };
     if response.status != StatusCode::OK {
         return Err(FetchFailure {
-            failure: if response.status == StatusCode::SERVICE_UNAVAILABLE {
+            failure: Some(if response.status == StatusCode::SERVICE_UNAVAILABLE {
                 ReaderFailure::Behind
             } else {
                 ReaderFailure::Lost
-            },
+            }),
             why: format!("status {}", response.status.as_u16()),
         });
     }
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -535,12 +535,17 @@
 }
 
 fn on_reader_failure(cx: &Sidecar, node: &NodeId, failure: &FetchFailure) {
-    info!(cx.log, "reader skipped"; "reader" => node.as_str(), "failure" => format!("{:?}", failure.failure),
+    let Some(kind) = failure.failure else {
+        // No other reader could be reached either, and the pool has waited for a connection.
+        info!(cx.log, "reader not asked"; "reader" => node.as_str(), "why" => &failure.why);
+        return;
+    };
+    info!(cx.log, "reader skipped"; "reader" => node.as_str(), "failure" => format!("{kind:?}"),
         "why" => &failure.why);
     let now = cx.clock.now();
     let view_age = cx.feed.view_age(now).unwrap_or(now);
     let mut relay = cx.feed.relay.borrow_mut();
-    relay.on_failure(now, node, failure.failure, view_age, max_failover_age(cx));
+    relay.on_failure(now, node, kind, view_age, max_failover_age(cx));
     drop(relay);
     cx.feed.interrupt_long_poll();
 }
