--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -41,9 +41,11 @@
 use crate::sidecar::usage_port;
 use crate::transport::exchange::Exchange;
 use crate::transport::exchange::ExchangeFailure;
+use crate::transport::exchange::SendOptions;
 use crate::transport::headers;
 use crate::transport::http_client::HttpResponse;
 use crate::transport::http_server;
+use crate::transport::http_server::OwnedRequest;
 
 /// Idle time after which a connection to another node is not reused.
 const MAX_IDLE: Duration = Duration::from_secs(8);
@@ -59,10 +61,8 @@
 const RETRY_AFTER_HEADER: &str = "sw-come-back-ms";
 
 /// Handles a call, a follow request or an entry of another node.
-pub async fn handle(cx: Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
-    let response = handle_request(&cx, &mut req).await;
-    http_server::release_fields(&mut req);
-    response
+pub async fn handle(cx: Rc<Sidecar>, req: Request) -> Response<BoxBody> {
+    handle_request(&cx, &mut OwnedRequest::new(req)).await
 }
 
 async fn handle_request(cx: &Rc<Sidecar>, req: &mut Request) -> Response<BoxBody> {
@@ -271,7 +271,12 @@
         responding: None,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
-    match cx.pool.send_if(exchange, &|| check().is_ok()).await {
+    let options = SendOptions {
+        may_send_body: &|| check().is_ok(),
+        time_left: Some(call.head.left),
+        started: None,
+    };
+    match cx.pool.send_with(exchange, &options).await {
         Ok(response) => read_response(response),
         Err(failure) => {
             if let (ExchangeFailure::NotSent(_), Err(code)) = (&failure, check()) {
