Test the size of a head against the decoder

A head is decoded only if its size is known, for which memory is then taken. The test compares both on heads with few and many fields, several line ends, and their prefixes.

--- a/tests/request_head.rs
+++ b/tests/request_head.rs
@@ -251,3 +251,42 @@
         }
     });
 }
+
+/// Guards against a head that is decoded before there is memory for it, since its size was not known: each head that
+/// the decoder takes has a size before, with as many bytes and at least as many fields.
+#[gtest]
+fn complete_size_as_decoded() {
+    in_system(|| {
+        let mut count = 0;
+        for further in [0, 1, 88, 89, 90, 120] {
+            for start in ["", "\r\n", "\n\n", "\r\n\n"] {
+                for (end, lines) in [
+                    ("\r\n", "host: x\r\n"),
+                    ("\n", "host: x\n\n"),
+                    ("\r\n", "host: x\r\n\n"),
+                    ("\n", "host: x\ncontent-length: 3\n\r\n"),
+                    ("\r\n", "host: x\r\n folded\r\n"),
+                    ("\r\n", "host: x\r\n\r"),
+                    ("\r\n", ""),
+                ] {
+                    let text = format!("{start}{}abc", head("GET / HTTP/1.1", further, lines));
+                    let text = text.replace("HTTP/1.1\r\n", &format!("HTTP/1.1{end}"));
+                    // A head of many fields cannot end before its last lines.
+                    let first = if further > 1 { text.len() - 24 } else { 0 };
+                    for length in first..=text.len() {
+                        let part = &text[..length];
+                        let size = request_head::complete_size(part.as_bytes());
+                        let Ok(Some(decoded)) = decode_text(part) else {
+                            continue;
+                        };
+                        count += 1;
+                        let fields = decoded.request.headers().len();
+                        let known = size.map(|size| (size.bytes, size.fields >= fields));
+                        expect_that!(known, some(eq((decoded.bytes, true))), "{part:?}");
+                    }
+                }
+            }
+        }
+        expect_that!(count, ge(100));
+    });
+}
