--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -162,6 +162,23 @@
     expect_that!(entry.pick(ms(110), &[]), some(eq("b")));
 }
 
+/// Guards against a call that is refused for want of a connection to another node although the own one may serve it: it
+/// has to be left as the only choice.
+#[gtest]
+fn pick_without_nodes_besides() {
+    let mut entry = fleet();
+    entry.load(ms(100), "a", SLOTS, 3);
+    let others = entry.placement.nodes_besides(&"a".into());
+    expect_that!(
+        others,
+        unordered_elements_are![eq(&NodeId::from("b")), eq(&NodeId::from("c"))]
+    );
+    expect_that!(entry.pick(ms(110), &others), some(eq("a")));
+    // Once the own node has refused the call as well, none is left.
+    let all = [&others[..], &["a".into()]].concat();
+    expect_that!(entry.pick(ms(110), &all), none());
+}
+
 /// When a whole region is full, a call must not wait long while another region has free slots.
 #[gtest]
 fn pick_region_full_leaves_region() {
