--- a/src/coordination/workspaces/quota.rs
+++ b/src/coordination/workspaces/quota.rs
@@ -370,7 +370,8 @@
         let is_answered = self
             .unanswered_since
             .is_none_or(|since| now.saturating_sub(since) <= ANSWER_TIME);
-        let is_recent = totals_age.is_some_and(|age| age <= EXTRA_AGE || !self.awaits_totals(now));
+        let is_new = totals_age.is_some_and(|age| age <= EXTRA_AGE);
+        let is_recent = is_new || totals_age.is_some() && !self.awaits_totals(now);
         let (nodes, shrunk) = (as_f64(self.nodes), self.shrunk(now));
         let covered = self.covered;
         let kept_of = |source| reserved.iter().filter(|kept| kept.source == source).count();
@@ -382,7 +383,12 @@
         }
         let level = bucket.level_now(now, covered);
         let extra_level = EXTRA_LEVEL * bucket.size * covered;
-        let max_extras = (level * EXTRA_SHARE).max(1.0);
+        // The level from before an idle time may be wrong, and many nodes may have been idle.
+        let max_extras = if is_new {
+            (level * EXTRA_SHARE).max(1.0)
+        } else {
+            1.0
+        };
         let extras = f64::from(bucket.extras) + as_f64(kept_of(TokenSource::Extra));
         let has_extra = extras + 1.0 <= max_extras && !bucket.is_held_to_share(is_answered);
         if is_recent && bucket.is_level_known && level >= extra_level && has_extra {
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -82,7 +82,7 @@
     cx.metrics.calls.increment(1);
     let _open = OpenCall::new(cx);
     let routed = route_request(cx, &mut req, arrived).await;
-    let admitted = routed.and_then(|call| take_token(cx, &call).map(|()| call));
+    let admitted = routed.and_then(|call| take_token(cx, call));
     let mut response = match admitted {
         Ok(call) => {
             http_server::release_fields(&mut req);
@@ -137,6 +137,8 @@
     fingerprint: u64,
     /// Hash of the credential, which stays at this node.
     credential: Option<KeyHash>,
+    /// Whether it has taken a token from the quota of its workspace.
+    has_token: bool,
 }
 
 impl EntryCall {
@@ -251,6 +253,7 @@
         route,
         fingerprint: crashes::fingerprint(&serve),
         credential,
+        has_token: false,
         serve,
         _held: held,
         deadline: arrived + time_limit,
@@ -275,16 +278,17 @@
 ///
 /// # Errors
 /// The quota is used up.
-fn take_token(cx: &Sidecar, call: &EntryCall) -> Result<(), EntryRefusal> {
+fn take_token(cx: &Sidecar, mut call: EntryCall) -> Result<EntryCall, EntryRefusal> {
     let Some(workspace) = &call.serve.head.workspace else {
-        return Ok(());
+        return Ok(call);
     };
     let attempt = serving::attempt_text(call.serve.attempt.as_ref());
-    usage_port::admit(cx, workspace, attempt)
+    let has_token = usage_port::admit(cx, workspace, attempt)
         .map_err(|retry_after| refused_by_quota(cx, workspace, retry_after))?;
     let workspaces = &cx.metrics.workspaces;
     workspaces.count(Some(workspace), WorkspaceEvent::Admitted);
-    Ok(())
+    call.has_token = has_token;
+    Ok(call)
 }
 
 async fn run_call(cx: &Rc<Sidecar>, call: EntryCall) -> Response<BoxBody> {
@@ -311,7 +315,7 @@
             cx.metrics
                 .workspaces
                 .count(workspace, WorkspaceEvent::Refused);
-            if let Some(workspace) = &call.serve.head.workspace {
+            if let (true, Some(workspace)) = (call.has_token, &call.serve.head.workspace) {
                 usage_port::give_back(cx, workspace);
             }
             (
@@ -548,6 +552,10 @@
 /// Waits until the credential of a call is revoked while an attempt may still wait. A call that runs at this node
 /// may finish. Returns whether an open attempt may have run.
 async fn until_revoked(cx: &Sidecar, call: &EntryCall, open: &OpenAttempts) -> bool {
+    if call.credential.is_none() {
+        // A configuration that asks for one from now on does not concern calls that were allowed without.
+        return std::future::pending().await;
+    }
     loop {
         let changed = cx.config_changed.notified();
         let judged = workspaces::authorize(cx, &call.route, call.credential);
--- a/src/sidecar/explain_port.rs
+++ b/src/sidecar/explain_port.rs
@@ -23,6 +23,7 @@
 use crate::coordination::domains::homes::AllowedRegions;
 use crate::coordination::placement::Pick;
 use crate::coordination::workspaces::quota::QuotaDecision;
+use crate::coordination::workspaces::quota::QuotaRefusal;
 use crate::protocol::explain::ChosenView;
 use crate::protocol::explain::ConfigView;
 use crate::protocol::explain::ExplainRequest;
@@ -199,6 +200,23 @@
         }
         Err(_) => None,
     };
+    let name = workspace.as_ref().and_then(|known| known.name.as_ref());
+    let mut limiter = table
+        .filter(|_| name.is_some())
+        .map(|table| usage_port::limiter_copy(cx, now, table, copy.placement, copy.rng));
+    let by_quota = |refusal: QuotaRefusal| (ResultCode::QuotaExceeded, Some(refusal.retry_after));
+    if let (Some(name), Some(known), Some(limiter)) = (name, &workspace, &mut limiter) {
+        explanation.workspace = Some(WorkspaceView {
+            name: name.clone(),
+            priority: known.priority,
+            quota: limiter.view(now, name),
+        });
+        // A call needs a token before its body is read, beside those kept for other calls.
+        let reserved = limiter.reserve(now, name).map_err(by_quota)?;
+        if let Some(reservation) = reserved {
+            limiter.release(&reservation);
+        }
+    }
     let limits = table.map(|table| table.limits()).unwrap_or_default();
     if request.body_bytes > limits.body_bytes {
         return Err(refused(ResultCode::BodyTooLarge));
@@ -213,16 +231,10 @@
     explanation.time_limit_ms = Some(millis(time_limit));
     let (service, is_overdue) = copy.choose_service(route, request.time_left());
     explanation.service = Some(service.clone());
-    if let (Some(name), Some(table)) = (&workspace.name, table) {
-        let (decision, quota) = usage_port::explain(cx, now, name, table, copy.placement, copy.rng);
-        explanation.workspace = Some(WorkspaceView {
-            name: name.clone(),
-            priority: workspace.priority,
-            quota,
-        });
-        if let QuotaDecision::Refused(refusal) = decision {
-            return Err((ResultCode::QuotaExceeded, Some(refusal.retry_after)));
-        }
+    if let (Some(name), Some(limiter)) = (&workspace.name, &mut limiter)
+        && let QuotaDecision::Refused(refusal) = limiter.admit(now, name, copy.rng)
+    {
+        return Err(by_quota(refusal));
     }
     explanation.rollout = copy.moves.plan(&service).map(|plan| RolloutView {
         target: plan.target,
--- a/src/sidecar/usage_port.rs
+++ b/src/sidecar/usage_port.rs
@@ -28,7 +28,6 @@
 use crate::coordination::workspaces::usage::Collector;
 use crate::coordination::workspaces::usage::CollectorChoice;
 use crate::protocol::codec;
-use crate::protocol::explain::QuotaView;
 use crate::protocol::name::DomainName;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::WorkspaceName;
@@ -167,11 +166,11 @@
     refusal.retry_after
 }
 
-/// Takes a token for a request that can run now.
+/// Takes a token for a request that can run now. Returns whether its workspace has a quota.
 ///
 /// # Errors
 /// The time after which a token is expected, if the quota of the workspace is used up.
-pub fn admit(cx: &Sidecar, workspace: &WorkspaceName, attempt: &str) -> Result<(), Duration> {
+pub fn admit(cx: &Sidecar, workspace: &WorkspaceName, attempt: &str) -> Result<bool, Duration> {
     let now = cx.clock.now();
     update(cx, now);
     let decision = {
@@ -180,11 +179,11 @@
         limiter.admit(now, workspace, rng)
     };
     match decision {
-        QuotaDecision::Unlimited => Ok(()),
+        QuotaDecision::Unlimited => Ok(false),
         QuotaDecision::Admitted => {
             cx.metrics.quota_admitted.increment(1);
             cx.quotas.changed.notify_one();
-            Ok(())
+            Ok(true)
         }
         QuotaDecision::Refused(refusal) => Err(on_refused(cx, workspace, attempt, &refusal)),
     }
@@ -281,21 +280,18 @@
     applied
 }
 
-/// Decides on a request like [`admit`] on a copy of the limiter, so that no token is taken. Returns what the request
-/// would find as well.
-pub fn explain(
+/// Returns a copy of the limiter that is up to date, on which a request can be tried without taking a token.
+pub fn limiter_copy(
     cx: &Sidecar,
     now: Duration,
-    workspace: &WorkspaceName,
     table: &RoutingTable,
     placement: &Placement,
     rng: &mut impl Rng,
-) -> (QuotaDecision, Option<QuotaView>) {
+) -> QuotaLimiter {
     let state = cx.quotas.state.borrow();
     let mut limiter = state.limiter.clone();
     update_limiter(&mut limiter, state.applied, now, table, placement, rng);
-    let view = limiter.view(now, workspace);
-    (limiter.admit(now, workspace, rng), view)
+    limiter
 }
 
 /// Signals a new configuration.
--- a/tests/process_explain.rs
+++ b/tests/process_explain.rs
@@ -342,7 +342,11 @@
         let over = loop {
             let explanation = explain_json(&env, 0, &by_name).await?;
             let status = call(&env, 0, BIRCH_KEY, &format!("birch-{calls}")).await?;
-            let is_refused = refusal(&explanation) == (json!(429), json!(4019));
+            // A call is refused by the quota before the size of its body is known.
+            let large = [&by_name[..], &["--body-bytes", "70000"]].concat();
+            let large = explain_json(&env, 0, &large).await?;
+            let by_quota = (json!(429), json!(4019));
+            let is_refused = refusal(&explanation) == by_quota && refusal(&large) == by_quota;
             if is_refused && status == StatusCode::TOO_MANY_REQUESTS {
                 break explanation;
             }
