--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -241,6 +241,18 @@
     pub route_tallies: RouteTotals,
 }
 
+impl HopResult {
+    /// Creates the result of an attempt in which the node reported nothing.
+    fn without_report(outcome: ServeOutcome, reached: bool) -> Self {
+        Self {
+            outcome,
+            reached,
+            report: None,
+            route_tallies: RouteTotals::default(),
+        }
+    }
+}
+
 /// Sends a call to the node at `addr`. An announced body is sent only if `check` still allows it when the node asks for
 /// the body.
 pub async fn send(
@@ -282,23 +294,14 @@
             if let (ExchangeFailure::NotSent(_), Err(code)) = (&failure, check()) {
                 info!(cx.log, "body not sent"; "to" => addr.to_string(), "code" => code.number(),
                     "attempt" => serving::attempt_text(call.attempt.as_ref()));
-                return HopResult {
-                    outcome: ServeOutcome::refused(code),
-                    reached: true,
-                    report: None,
-                    route_tallies: RouteTotals::default(),
-                };
+                return HopResult::without_report(ServeOutcome::refused(code), true);
             }
             if failure == ExchangeFailure::NoConnection {
                 info!(cx.log, "call not sent"; "to" => addr.to_string(), "why" => failure.to_string(),
                     "code" => ResultCode::ClientLimit.number(),
                     "attempt" => serving::attempt_text(call.attempt.as_ref()));
-                return HopResult {
-                    outcome: ServeOutcome::refused(ResultCode::ClientLimit),
-                    reached: true,
-                    report: None,
-                    route_tallies: RouteTotals::default(),
-                };
+                let outcome = ServeOutcome::refused(ResultCode::ClientLimit);
+                return HopResult::without_report(outcome, true);
             }
             cx.pool.close_idle(addr);
             warn!(cx.log, "call to a node failed"; "to" => addr.to_string(), "why" => failure.to_string(),
@@ -309,12 +312,7 @@
             } else {
                 ServeOutcome::refused(ResultCode::PeerUnreachable)
             };
-            HopResult {
-                outcome,
-                reached,
-                report: None,
-                route_tallies: RouteTotals::default(),
-            }
+            HopResult::without_report(outcome, reached)
         }
     }
 }
@@ -324,12 +322,8 @@
         .header(HOP_RESPONSE_HEADER)
         .and_then(HopResponseHeader::decode)
     else {
-        return HopResult {
-            outcome: ServeOutcome::Unknown(ResultCode::InvalidResponse),
-            reached: true,
-            report: None,
-            route_tallies: RouteTotals::default(),
-        };
+        let outcome = ServeOutcome::Unknown(ResultCode::InvalidResponse);
+        return HopResult::without_report(outcome, true);
     };
     let code = ResultCode::from_number(end.code);
     let retry_after = headers::number(&response.headers, RETRY_AFTER_HEADER);
