Drop steps of the entry node and of explanations that have no effect

A refused request is dropped right after its response was made, which frees its fields. The copy of the limiter is dropped with the token that it keeps.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -100,7 +100,6 @@
                     "version" => cx.table().map(|table| table.version()),
                     "view_age_ms" => cx.feed.view_age(cx.clock.now()).map(millis));
             }
-            http_server::release_fields(&mut req);
             cx.metrics.refusals.increment(1);
             error_response(cx, status_of(code), code, Some(retry_after))
         }
@@ -315,7 +314,7 @@
             cx.metrics
                 .workspaces
                 .count(workspace, WorkspaceEvent::Refused);
-            if let (true, Some(workspace)) = (call.has_token, &call.serve.head.workspace) {
+            if let (true, Some(workspace)) = (call.has_token, workspace) {
                 usage_port::give_back(cx, workspace);
             }
             (
--- a/src/sidecar/explain_port.rs
+++ b/src/sidecar/explain_port.rs
@@ -212,10 +212,7 @@
             quota: limiter.view(now, name),
         });
         // A call needs a token before its body is read, beside those kept for other calls.
-        let reserved = limiter.reserve(now, name).map_err(by_quota)?;
-        if let Some(reservation) = reserved {
-            limiter.release(&reservation);
-        }
+        limiter.reserve(now, name).map_err(by_quota)?;
     }
     let limits = table.map(|table| table.limits()).unwrap_or_default();
     if request.body_bytes > limits.body_bytes {
