--- a/src/coordination/room/cold_start.rs
+++ b/src/coordination/room/cold_start.rs
@@ -376,18 +376,19 @@
     /// it could be asked.
     #[must_use]
     pub fn report_lifetime(&self) -> Option<Duration> {
-        let interval = self.heartbeat_interval?;
-        Some(interval * SILENT_HEARTBEATS + PROBE_TIMEOUT)
+        Some(self.silent_after()? + PROBE_TIMEOUT)
+    }
+
+    /// Returns the age of the last report after which the backend server counts as silent.
+    fn silent_after(&self) -> Option<Duration> {
+        Some(self.heartbeat_interval? * SILENT_HEARTBEATS)
     }
 
     /// Whether the last report is older than the heartbeats of a live backend server allow.
     #[must_use]
     pub fn is_silent(&self, now: Duration) -> bool {
-        let age = self.report_age(now);
-        let longest = self
-            .heartbeat_interval
-            .map(|interval| interval * SILENT_HEARTBEATS);
-        age.is_some_and(|age| longest.is_some_and(|longest| age > longest))
+        let ages = self.report_age(now).zip(self.silent_after());
+        ages.is_some_and(|(age, longest)| age > longest)
     }
 
     /// Forgets a report whose lifetime has passed. Returns whether it has just passed.
@@ -418,9 +419,9 @@
 
     /// What is known of the backend server now. A report that it is cold holds until the time that it names.
     fn heat(&self, now: Duration) -> Heat {
-        let lifetime = self.report_lifetime();
-        let is_old = |lifetime| self.report_age(now).is_some_and(|age| age >= lifetime);
-        if lifetime.is_some_and(is_old) && !self.reported.is_cold(now) {
+        let ages = self.report_age(now).zip(self.report_lifetime());
+        let is_old = ages.is_some_and(|(age, lifetime)| age >= lifetime);
+        if is_old && !self.reported.is_cold(now) {
             Heat::Unknown
         } else {
             self.reported
