--- a/src/transport/pipeline.rs
+++ b/src/transport/pipeline.rs
@@ -452,18 +452,8 @@
         let mut held = None;
         if let Some(size) = size.filter(|size| size.bytes <= max_bytes) {
             held = self.room_for(head_memory(size)).await;
-            if held.is_none() && !self.open.is_empty() {
-                self.reading = Reading::Undecoded;
-                return Ok(None);
-            }
-            if held.is_none() && self.is_closed() {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-            if held.is_none() && !self.pipeline.options.refuses {
-                return Err(io::Error::other("no memory left for the request"));
-            }
             if held.is_none() {
-                self.refuse();
+                self.on_no_room()?;
                 return Ok(None);
             }
         }
@@ -480,6 +470,23 @@
         }
     }
 
+    /// Handles a complete head for which there is no memory: it waits for the requests before it, or is refused.
+    ///
+    /// # Errors
+    /// If the client has closed the connection, or requests are not refused.
+    fn on_no_room(&mut self) -> io::Result<()> {
+        if !self.open.is_empty() {
+            self.reading = Reading::Undecoded;
+        } else if self.is_closed() {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        } else if self.pipeline.options.refuses {
+            self.refuse();
+        } else {
+            return Err(io::Error::other("no memory left for the request"));
+        }
+        Ok(())
+    }
+
     /// Counts the memory of the next request. `None` if it has to wait or, as the only one, to be refused.
     async fn room_for(&self, bytes: usize) -> Option<HeldMemory> {
         if !self.open.is_empty() {
