--- a/src/transport/connection_limit.rs
+++ b/src/transport/connection_limit.rs
@@ -94,19 +94,18 @@
 
     /// Counts an idle connection that is closed for another one.
     pub fn count_idle_closed(&self) {
-        let counts = self.counts.get();
-        let idle_closed = counts.idle_closed + 1;
-        self.counts.set(LimitCounts {
-            idle_closed,
-            ..counts
-        });
+        self.count(|counts| counts.idle_closed += 1);
     }
 
     /// Counts a request that is not sent.
     pub fn count_not_sent(&self) {
-        let counts = self.counts.get();
-        let not_sent = counts.not_sent + 1;
-        self.counts.set(LimitCounts { not_sent, ..counts });
+        self.count(|counts| counts.not_sent += 1);
+    }
+
+    fn count(&self, change: impl FnOnce(&mut LimitCounts)) {
+        let mut counts = self.counts.get();
+        change(&mut counts);
+        self.counts.set(counts);
     }
 
     fn is_reserved(&self, addr: SocketAddr) -> bool {
