Share entries of nodes and fleets of two versions between tests

explain.rs and placement.rs had built the same entry as domains_common, which is now fleet_common. Three process tests started the same two versions. The wrong arguments of explain are one line each. All assertions are unchanged.

--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -84,37 +84,23 @@
         vec!["history", "--limit", "0"],
         vec!["status", "--operator", "nowhere"],
         vec!["status", "--color", "blue"],
-        vec!["explain", "--host", "a", "--path", "/"],
-        vec!["explain", "--node", "127.0.0.1:1", "--path", "/"],
-        vec!["explain", "--node", "127.0.0.1:1", "--host", "a"],
-        vec!["explain", "--node", "nowhere", "--host", "a", "--path", "/"],
-        vec![
-            "explain",
-            "--node",
-            "127.0.0.1:1",
-            "--host",
-            "a",
-            "--path",
-            "no-slash",
-        ],
-        vec![
-            "explain",
-            "--node",
-            "127.0.0.1:1",
-            "--host",
-            "a",
-            "--path",
-            "/",
-            "--key-file",
-            "k",
-            "--workspace",
-            "acme",
-        ],
         vec!["fly"],
     ] {
         let run = env::command(&args);
         expect_that!(run.code, some(eq(2)), "{args:?}");
     }
+    for args in [
+        "--host a --path /",
+        "--node 127.0.0.1:1 --path /",
+        "--node 127.0.0.1:1 --host a",
+        "--node nowhere --host a --path /",
+        "--node 127.0.0.1:1 --host a --path no-slash",
+        "--node 127.0.0.1:1 --host a --path / --key-file k --workspace acme",
+    ] {
+        let words: Vec<&str> = std::iter::once("explain").chain(args.split(' ')).collect();
+        let run = env::command(&words);
+        expect_that!(run.code, some(eq(2)), "explain {args}");
+    }
 }
 
 /// Guards against completion scripts that lack a command.
--- a/tests/domains_evacuation.rs
+++ b/tests/domains_evacuation.rs
@@ -1,11 +1,11 @@
 //! Evacuated failure domains: which records and readings begin and end an evacuation, and which nodes are chosen.
 
-mod domains_common;
+mod fleet_common;
 
 use std::time::Duration;
 
-use domains_common::SERVICE;
-use domains_common::entry;
+use fleet_common::SERVICE;
+use fleet_common::entry;
 use googletest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
--- a/tests/domains_homes.rs
+++ b/tests/domains_homes.rs
@@ -1,11 +1,11 @@
 //! Home regions: which regions may serve a call, which nodes are chosen, and which configurations are refused.
 
-mod domains_common;
+mod fleet_common;
 
 use std::time::Duration;
 
-use domains_common::SERVICE;
-use domains_common::entry;
+use fleet_common::SERVICE;
+use fleet_common::entry;
 use googletest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
--- a/tests/domains_spill.rs
+++ b/tests/domains_spill.rs
@@ -1,14 +1,14 @@
 //! Spillover between failure domains under load patterns. Placement, shares and slot queues are the real ones; the
 //! model adds callers, run times, paths and a link between the domains, in virtual time.
 
-mod domains_common;
+mod fleet_common;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use domains_common::SERVICE;
-use domains_common::entry;
+use fleet_common::SERVICE;
+use fleet_common::entry;
 use googletest::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -1,8 +1,10 @@
 //! Explanations of the choice of a node, against the choices themselves.
 
-use std::net::SocketAddr;
+mod fleet_common;
+
 use std::time::Duration;
 
+use fleet_common::SERVICE;
 use googletest::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -21,8 +23,6 @@
 use sycamorewick::protocol::explain::CandidateView;
 use sycamorewick::protocol::explain::ExplainRequest;
 use sycamorewick::protocol::explain::NotChosen;
-use sycamorewick::protocol::fleet::BackendPhase;
-use sycamorewick::protocol::fleet::BackendReport;
 use sycamorewick::protocol::fleet::FleetEntry;
 use sycamorewick::protocol::hop::BackendTotals;
 use sycamorewick::protocol::hop::Load;
@@ -36,7 +36,6 @@
 use sycamorewick::protocol::usage::WorkspaceTotal;
 
 const SLOTS: u32 = 8;
-const SERVICE: &str = "registry";
 const ROUTE: &str = "lookup";
 /// Regions with two failure domains each.
 const REGIONS: [&str; 2] = ["accra", "keta"];
@@ -54,28 +53,12 @@
 fn entry(index: usize, domain: &str, service: &str, version: &str) -> FleetEntry {
     let region = domain.split('-').next().unwrap_or_default();
     let port = 7_000 + u16::try_from(index).unwrap_or(0);
-    FleetEntry {
-        node: name(index),
-        run: 1,
-        revision: 1,
-        addr: SocketAddr::from(([127, 0, 0, 1], port)),
-        region: region.into(),
-        domain: domain.into(),
-        capacity: 20_000,
-        backend: Some(BackendReport {
-            instance: name(index).as_str().into(),
-            born: 1,
-            sequence: 1,
-            service: service.into(),
-            version: version.into(),
-            slots: SLOTS,
-            phase: BackendPhase::Ready,
-            cold_left_ms: 0,
-        }),
-        left: None,
-        earlier_left: Vec::new(),
-        crashes: Vec::new(),
+    let mut entry = fleet_common::entry(name(index).as_str(), region, domain, port, SLOTS);
+    if let Some(backend) = &mut entry.backend {
+        backend.service = service.into();
+        backend.version = version.into();
     }
+    entry
 }
 
 /// Returns the placement of node `n0` in `accra-a`.
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -1,5 +1,7 @@
 //! Choice of the serving node for a call under various load patterns.
 
+mod fleet_common;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -34,28 +36,7 @@
 }
 
 fn entry(node: &str, region: &str, domain: &str) -> FleetEntry {
-    FleetEntry {
-        node: node.into(),
-        run: 1,
-        revision: 1,
-        addr: addr(node),
-        region: region.into(),
-        domain: domain.into(),
-        capacity: 20_000,
-        backend: Some(BackendReport {
-            instance: node.into(),
-            born: 1,
-            sequence: 1,
-            service: "registry".into(),
-            version: "v1".into(),
-            slots: SLOTS,
-            phase: BackendPhase::Ready,
-            cold_left_ms: 0,
-        }),
-        left: None,
-        earlier_left: Vec::new(),
-        crashes: Vec::new(),
-    }
+    fleet_common::entry(node, region, domain, addr(node).port(), SLOTS)
 }
 
 struct EntryNode {
--- a/tests/process_explain.rs
+++ b/tests/process_explain.rs
@@ -249,15 +249,8 @@
 #[gtest]
 fn explain_then_call_during_rollout() {
     run(async {
-        let mut env = TestFleet::new(2)?;
-        for (index, version) in ["v1", "v2"].into_iter().enumerate() {
-            env.fleet.start(index)?;
-            env.add_version(index, version)?;
-        }
-        env.fleet.wait_ready(WAIT_LIMIT).await?;
-        for index in 0..2 {
-            env.wait_peers(index, 1).await?;
-        }
+        let mut env = TestFleet::start_two_versions()?;
+        env.wait_fleet().await?;
         let order = json!({ "service": "registry", "target": "v2", "step-s": 30 });
         let order = order.to_string();
         let _ = env
--- a/tests/process_odd_records.rs
+++ b/tests/process_odd_records.rs
@@ -155,11 +155,7 @@
 #[gtest]
 fn rollout_end_known_to_operator_only() {
     run(async {
-        let mut env = TestFleet::new(2)?;
-        for (index, version) in ["v1", "v2"].into_iter().enumerate() {
-            env.fleet.start(index)?;
-            env.add_version(index, version)?;
-        }
+        let mut env = TestFleet::start_two_versions()?;
         // The earlier processes leave their entries, which tell the later ones of the current version.
         for node in ["n0", "n1"] {
             wait_entry(&env, node, "no entry", |entry| entry.backend.is_some()).await?;
--- a/tests/process_rollouts.rs
+++ b/tests/process_rollouts.rs
@@ -47,15 +47,8 @@
 #[gtest]
 fn ban_outlives_next_order() {
     run(async {
-        let mut env = TestFleet::new(2)?;
-        for (index, version) in ["v1", "v2"].into_iter().enumerate() {
-            env.fleet.start(index)?;
-            env.add_version(index, version)?;
-        }
-        env.fleet.wait_ready(WAIT_LIMIT).await?;
-        for index in 0..2 {
-            env.wait_peers(index, 1).await?;
-        }
+        let mut env = TestFleet::start_two_versions()?;
+        env.wait_fleet().await?;
         let order = put_order(&env, "v2");
         let reverted = MoveRecord {
             order,
--- a/tests/sidecar_common/mod.rs
+++ b/tests/sidecar_common/mod.rs
@@ -81,6 +81,26 @@
         Ok(env)
     }
 
+    /// Starts two nodes with backend servers of the versions `v1` and `v2`.
+    pub fn start_two_versions() -> eyre::Result<Self> {
+        let mut env = Self::new(2)?;
+        for (index, version) in ["v1", "v2"].into_iter().enumerate() {
+            env.fleet.start(index)?;
+            env.add_version(index, version)?;
+        }
+        Ok(env)
+    }
+
+    /// Waits until all nodes are ready and know each other's backend servers.
+    pub async fn wait_fleet(&mut self) -> eyre::Result<()> {
+        self.fleet.wait_ready(WAIT_LIMIT).await?;
+        let nodes = self.fleet.nodes().len();
+        for index in 0..nodes {
+            self.wait_peers(index, nodes - 1).await?;
+        }
+        Ok(())
+    }
+
     /// Waits until a node knows the backend servers of `peers` other nodes.
     pub async fn wait_peers(&self, index: usize, peers: usize) -> eyre::Result<()> {
         let until = Instant::now() + WAIT_LIMIT;
