--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -403,14 +403,10 @@
         } else {
             0.0
         };
-        let mut command = Command::new(&self.programs.testbed);
+        let testbed = &self.programs.testbed;
+        let mut command = addrs.backend_command(testbed, &backend.id, service_of(node), version);
         command
-            .arg("platform-backend")
-            .args(["--id", &backend.id, "--version-name", version])
-            .args(["--service", service_of(node)])
             .args(["--born", &monotonic_millis().to_string()])
-            .args(["--listen", &addrs.backend.to_string()])
-            .args(["--heartbeat", &addrs.heartbeat.to_string()])
             .args(["--error-rate", &error_rate.to_string()])
             .args(["--slots", &self.load.slots.to_string()])
             .args(["--service-ms", &self.load.service_ms.to_string()])
--- a/testbed/src/measure/convergence.rs
+++ b/testbed/src/measure/convergence.rs
@@ -41,6 +41,7 @@
 use crate::measure::print_json;
 use crate::measure::process_usage::ProcessUsage;
 use crate::measure::table::Table;
+use crate::measure::to_f64;
 
 /// Configuration changes per day at target size, see `docs/design.md`, section 2.4.
 const CHANGES_PER_DAY: f64 = 1_100.0;
@@ -483,11 +484,6 @@
     }
 }
 
-#[allow(clippy::cast_precision_loss)]
-fn to_f64(n: usize) -> f64 {
-    n as f64
-}
-
 /// Shared state of the pollers of the baseline.
 #[derive(Default)]
 struct Pollers {
--- a/testbed/src/measure/mod.rs
+++ b/testbed/src/measure/mod.rs
@@ -45,6 +45,12 @@
     }
 }
 
+/// Returns a number of nodes, calls or records, which is small.
+#[allow(clippy::cast_precision_loss, reason = "the number is small")]
+fn to_f64(number: usize) -> f64 {
+    number as f64
+}
+
 /// Prints one result as a JSON line.
 ///
 /// # Errors
--- a/testbed/src/measure/workspaces.rs
+++ b/testbed/src/measure/workspaces.rs
@@ -4,7 +4,6 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::Command;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -17,6 +16,7 @@
 use crate::measure::plot;
 use crate::measure::print_json;
 use crate::measure::table::Table;
+use crate::measure::to_f64;
 use crate::platform::backend::ATTEMPT_HEADER;
 use crate::platform::backend::CREDENTIAL_HEADER;
 use crate::platform::fleet::SidecarFleet;
@@ -119,13 +119,9 @@
             fleet.start(index)?;
             let output = fleet.dir().join(format!("b{index}.out"));
             let mut backend = ManagedProcess::new(&format!("b{index}"), output);
-            let mut command = Command::new(&testbed);
+            let id = format!("b{index}");
+            let mut command = addrs.backend_command(&testbed, &id, SERVICE, "v1");
             command
-                .arg("platform-backend")
-                .args(["--id", &format!("b{index}"), "--version-name", "v1"])
-                .args(["--service", SERVICE])
-                .args(["--listen", &addrs.backend.to_string()])
-                .args(["--heartbeat", &addrs.heartbeat.to_string()])
                 .args(["--slots", &SLOTS.to_string()])
                 .args(["--service-ms", &SERVICE_MS.to_string()])
                 .args(["--seed", &index.to_string()]);
@@ -195,7 +191,7 @@
 ) {
     let started = Instant::now();
     // Workspaces do not send at the same moments.
-    let offset = usize_to_f64(workspace) / usize_to_f64(options.workspaces);
+    let offset = to_f64(workspace) / to_f64(options.workspaces);
     let mut at_s = offset / options.rate;
     let mut number = 0;
     while at_s < options.seconds {
@@ -221,14 +217,6 @@
     (1.0 / 3.0..2.0 / 3.0).contains(&(at_s / options.seconds))
 }
 
-#[allow(
-    clippy::cast_precision_loss,
-    reason = "numbers of nodes and calls are small"
-)]
-fn usize_to_f64(number: usize) -> f64 {
-    number as f64
-}
-
 #[allow(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
@@ -300,7 +288,7 @@
 }
 
 fn is_hot_step(options: &WorkspacesOptions, step: usize) -> bool {
-    is_hot_time(options, usize_to_f64(step) * STEP_S)
+    is_hot_time(options, to_f64(step) * STEP_S)
 }
 
 fn print_table(results: &[WorkspaceResult]) {
@@ -323,7 +311,7 @@
 ) -> eyre::Result<()> {
     let lines = counts.iter().enumerate().map(|(index, steps)| {
         let sent = steps.iter().enumerate().filter(|(_, step)| step.sent > 0);
-        let points = sent.map(|(step, counts)| (usize_to_f64(step) * STEP_S, share(*counts)));
+        let points = sent.map(|(step, counts)| (to_f64(step) * STEP_S, share(*counts)));
         let name = workspace_name(index);
         plot::Line {
             name: if index == 0 {
--- a/testbed/src/platform/fleet.rs
+++ b/testbed/src/platform/fleet.rs
@@ -45,6 +45,28 @@
     pub store: SocketAddr,
 }
 
+impl SidecarAddrs {
+    /// Returns the command of a process with the backend server beside the sidecar, as the program of the testbed
+    /// understands it; further arguments may follow.
+    #[must_use]
+    pub fn backend_command(
+        &self,
+        testbed: &Path,
+        id: &str,
+        service: &str,
+        version: &str,
+    ) -> Command {
+        let mut command = Command::new(testbed);
+        command
+            .arg("platform-backend")
+            .args(["--id", id, "--version-name", version])
+            .args(["--service", service])
+            .args(["--listen", &self.backend.to_string()])
+            .args(["--heartbeat", &self.heartbeat.to_string()]);
+        command
+    }
+}
+
 /// Options of a sidecar.
 #[derive(Clone, Debug)]
 pub struct SidecarOptions {
