Await a response of the store that has begun beyond the retry timeout

Cause: after a failed call the store has 0.8 s to answer. A node that lost its reader while configurations of 400 kB followed each other read several at once, up to 1 MB or 0.84 s at 10 Mbit/s, so that each read was cut off and the next one began the transfer anew. Ruled out: a store that is down (it answered other nodes), a reader that was followed with an old view (two refused as behind). Change: a response that has begun gets 0.7 s more, as answers of readers do. Test: read_response_slower_than_timeout failed before.

--- a/src/coordination/store_retry.rs
+++ b/src/coordination/store_retry.rs
@@ -18,6 +18,9 @@
 const RETRY_TIMEOUT: Duration = Duration::from_millis(800);
 /// Timeout of every third attempt, in case the store is slower than [`RETRY_TIMEOUT`].
 const LONG_RETRY_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Further time for a response that has begun. A read returns up to 1 MB, which takes 0.84 s at 10 Mbit/s: if the
+/// retry timeout cut it off, each retry would begin the transfer anew and none would end.
+pub const TRANSFER_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause after the first failure; doubled for each further one up to [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// Upper bound of the pause after a failure.
--- a/tests/store_client.rs
+++ b/tests/store_client.rs
@@ -96,6 +96,71 @@
     });
 }
 
+/// Starts a store that sends the head and the first half of a response at once and the other half after `delay`,
+/// or never.
+fn slow_body_store(delay: Option<Duration>) -> eyre::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let addr = listener.local_addr()?;
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let Ok(mut writer) = stream.try_clone() else {
+                continue;
+            };
+            let mut lines = BufReader::new(stream).lines();
+            let mut lines = lines.by_ref().map_while(std::result::Result::ok);
+            if !lines.any(|line| line.is_empty()) {
+                continue;
+            }
+            let head = "HTTP/1.1 200 OK\r\ncontent-length: 16\r\n\r\n";
+            let _ = writer.write_all(head.as_bytes());
+            let _ = writer.write_all(&[0; 8]);
+            match delay {
+                Some(delay) => {
+                    thread::sleep(delay);
+                    let _ = writer.write_all(&[0; 8]);
+                }
+                // The connection stays open until the client closes it.
+                None => lines.for_each(drop),
+            }
+        }
+    });
+    Ok(addr)
+}
+
+/// Guards against reads of several large records over a slow link that are cut off and begun again by each timeout,
+/// so that none ever ends: a node had an old configuration for more than 5 s in this way.
+#[gtest]
+fn read_response_slower_than_timeout() {
+    run(async {
+        let log = Logger::root(Discard, o!());
+        let addr = slow_body_store(Some(Duration::from_millis(300)))?;
+        let client = Store::new(addr, Rc::new(ConnectionPool::default()), log);
+        let read = client
+            .read(TOPIC, 0, Duration::ZERO, Duration::from_millis(100))
+            .await;
+        expect_that!(read, ok(anything()));
+        Ok(())
+    });
+}
+
+/// Guards against a reader that waits for ever for the rest of a response.
+#[gtest]
+fn read_response_without_end() {
+    run(async {
+        let log = Logger::root(Discard, o!());
+        let client = Store::new(
+            slow_body_store(None)?,
+            Rc::new(ConnectionPool::default()),
+            log,
+        );
+        let read = client.read(TOPIC, 0, Duration::ZERO, Duration::from_millis(100));
+        let read = actix_rt::time::timeout(Duration::from_secs(30), read).await;
+        let timed_out = StoreFailure::NoAnswer("timed out".into());
+        expect_that!(read, ok(err(eq(&timed_out))));
+        Ok(())
+    });
+}
+
 /// Starts a store that answers each request for newest records with a page that is not the last one. The
 /// keys are all the same, or count up.
 fn endless_store(counts: bool) -> eyre::Result<SocketAddr> {
