Ask a peer for the first configuration only while the store does not answer

A node without a configuration requested all topics from the node that had sent it a call, while the response of the store was arriving.

A peer is now asked 300 ms after the last byte of the store (or the start of the read), and at once after a read that failed. The decision is coordination/startup/store_answer.rs; the exchange reports the bytes of a response as they arrive, so that a response that stalls is noticed, too. One request to a peer is open or waiting at a time, to the node that called last.

Ruled out: to abandon the request to the peer once the store answers; the link has carried a part of it by then.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -27,6 +27,7 @@
 pub mod room;
 pub mod route_evidence;
 pub mod slot_queue;
+pub mod startup;
 pub mod stop_plan;
 pub mod store_history;
 pub mod store_retry;
--- /dev/null
+++ b/src/coordination/startup/mod.rs
@@ -0,0 +1,3 @@
+//! Decisions of a process that has no configuration yet. See `docs/design/process-start.md`.
+
+pub mod store_answer;
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -286,7 +286,7 @@
     let options = SendOptions {
         may_send_body: &|| check().is_ok(),
         time_left: Some(call.head.left),
-        started: None,
+        ..SendOptions::default()
     };
     match cx.pool.send_with(exchange, &options).await {
         Ok(response) => read_response(response),
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 
 use crate::coordination::domains::evacuation::RECHECK_INTERVAL;
+use crate::coordination::startup::store_answer::StoreAnswer;
 use crate::coordination::topic_cursor::NextRead;
 use crate::coordination::topic_cursor::ReadCall;
 use crate::coordination::topic_cursor::TopicCursor;
@@ -27,6 +28,7 @@
 use crate::platform::store::OPERATOR_TOPIC;
 use crate::platform::store::StoreFailure;
 use crate::protocol::name::NodeId;
+use crate::protocol::time::millis;
 use crate::sidecar::Sidecar;
 use crate::sidecar::announcer;
 use crate::sidecar::health_check;
@@ -105,8 +107,14 @@
     interrupt_poll: Notify,
     /// Whether the next read of the operator's topic is not a long poll.
     skip_wait: Cell<bool>,
-    /// Whether a copy of all topics is being fetched from another node.
+    /// Whether a copy of all topics is being fetched from another node, or will be if the store stays silent.
     fetching_topics: Cell<bool>,
+    /// Node that sent the last call while the topics were not read.
+    peer_to_ask: Cell<Option<SocketAddr>>,
+    /// How the store answers the reads of each topic.
+    store_answers: Cell<[StoreAnswer; 3]>,
+    /// Signals that a read of a topic has failed, so that another node can be asked at once.
+    read_failed: Notify,
     /// Whether the last read of the operator's topic succeeded.
     store_available: Cell<bool>,
     /// Signals that the store is available again.
@@ -133,6 +141,9 @@
             interrupt_poll: Notify::new(),
             skip_wait: Cell::new(false),
             fetching_topics: Cell::new(false),
+            peer_to_ask: Cell::new(None),
+            store_answers: Cell::default(),
+            read_failed: Notify::new(),
             store_available: Cell::new(true),
             store_recovered: Notify::new(),
             relay: RefCell::default(),
@@ -207,6 +218,18 @@
         }
     }
 
+    fn update_answer(&self, topic: usize, update: impl FnOnce(&mut StoreAnswer)) {
+        let mut answers = self.store_answers.get();
+        update(&mut answers[topic]);
+        self.store_answers.set(answers);
+    }
+
+    /// Returns how the store answers the reads of the topic that a starting process waits for: the operator's topic
+    /// until there is a configuration, then the fleet's topic.
+    fn awaited_answer(&self, has_config: bool) -> StoreAnswer {
+        self.store_answers.get()[if has_config { FLEET } else { OPERATOR }]
+    }
+
     /// Marks a topic that need not be read yet as read.
     fn mark_as_read(&self, topic: usize) {
         self.mirrors.borrow_mut()[topic].advance(0);
@@ -393,18 +416,37 @@
     topic: usize,
     call: ReadCall,
 ) -> Result<KeyedBatch, StoreFailure> {
-    match call.read {
+    let on_receive = || {
+        let now = cx.clock.now();
+        cx.feed
+            .update_answer(topic, |answer| answer.on_receive(now));
+    };
+    let now = cx.clock.now();
+    cx.feed.update_answer(topic, |answer| answer.on_call(now));
+    let result = match call.read {
         NextRead::From(from) => {
             cx.store
                 .read(TOPICS[topic], from, call.wait, call.timeout)
                 .await
         }
-        NextRead::Newest => match cx.store.newest(TOPICS[topic], call.timeout).await {
-            // A topic does not exist before its first record.
-            Err(StoreFailure::Refused(404)) => Ok(KeyedBatch::default()),
-            other => other,
-        },
+        NextRead::Newest => {
+            let newest = cx
+                .store
+                .newest_with(TOPICS[topic], call.timeout, &on_receive);
+            match newest.await {
+                // A topic does not exist before its first record.
+                Err(StoreFailure::Refused(404)) => Ok(KeyedBatch::default()),
+                other => other,
+            }
+        }
+    };
+    if result.is_ok() {
+        on_receive();
+    } else {
+        cx.feed.update_answer(topic, StoreAnswer::on_failure);
+        cx.feed.read_failed.notify_waiters();
     }
+    result
 }
 
 /// Applies the result of a read from the store.
@@ -587,29 +629,62 @@
     cx.feed.view_checked.notify_waiters();
 }
 
-/// Fetches all topics from the node at `origin`, which has just sent a call. A node that starts while
-/// the store is unavailable knows no other node, but others know its address from an earlier run.
+/// Fetches all topics from the node at `origin`, which has just sent a call, unless the store answers. A node that
+/// starts while the store is unavailable knows no other node, but others know its address from an earlier run.
 pub fn fetch_topics(cx: &Rc<Sidecar>, origin: SocketAddr) {
+    cx.feed.peer_to_ask.set(Some(origin));
     if cx.feed.fetching_topics.replace(true) {
         return;
     }
     let cx = cx.clone();
     actix_rt::spawn(async move {
-        match relay_port::fetch(&cx, origin, [0; 3], FetchMode::Everything).await {
-            Ok(response) if !cx.is_synchronized() && !is_outdated(&cx, &response) => {
-                info!(cx.log, "topics fetched from a peer"; "peer" => origin.to_string(), "age_ms" => response.age_ms);
-                apply_relayed(&cx, response);
-            }
-            // The topics were read from the store meanwhile.
-            Ok(_) => {}
-            Err(failure) => {
-                info!(cx.log, "topics not fetched from a peer"; "peer" => origin.to_string(), "why" => failure.why);
-            }
+        if let Some(origin) = wait_for_silence(&cx).await {
+            fetch_topics_now(&cx, origin).await;
         }
         cx.feed.fetching_topics.set(false);
     });
 }
 
+/// Waits until the topics should be fetched from another node, and returns the one that sent the last call. `None` if
+/// they were read from the store meanwhile.
+async fn wait_for_silence(cx: &Sidecar) -> Option<SocketAddr> {
+    let mut was_due = false;
+    while !cx.is_synchronized() {
+        let failed = cx.feed.read_failed.notified();
+        let at = cx.feed.awaited_answer(cx.table().is_some()).ask_peer_at();
+        let now = cx.clock.now();
+        if at > now {
+            was_due = false;
+            // The answer of the store is checked again in either case.
+            let _ = actix_rt::time::timeout(at - now, failed).await;
+        } else if was_due {
+            return cx.feed.peer_to_ask.get();
+        } else {
+            // After a suspension of the process, bytes that have arrived meanwhile are read first.
+            was_due = true;
+            actix_rt::task::yield_now().await;
+        }
+    }
+    None
+}
+
+async fn fetch_topics_now(cx: &Rc<Sidecar>, origin: SocketAddr) {
+    let answer = cx.feed.awaited_answer(cx.table().is_some());
+    info!(cx.log, "topics requested from a peer"; "peer" => origin.to_string(), "store_failed" => answer.has_failed(),
+        "store_silent_ms" => millis(answer.silence(cx.clock.now())));
+    match relay_port::fetch(cx, origin, [0; 3], FetchMode::Everything).await {
+        Ok(response) if !cx.is_synchronized() && !is_outdated(cx, &response) => {
+            info!(cx.log, "topics fetched from a peer"; "peer" => origin.to_string(), "age_ms" => response.age_ms);
+            apply_relayed(cx, response);
+        }
+        // The topics were read from the store meanwhile.
+        Ok(_) => {}
+        Err(failure) => {
+            info!(cx.log, "topics not fetched from a peer"; "peer" => origin.to_string(), "why" => failure.why);
+        }
+    }
+}
+
 fn choose_source(cx: &Rc<Sidecar>) -> Source {
     let now = cx.clock.now();
     let domain = cx.state.borrow().placement.domain_nodes();
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -136,6 +136,9 @@
     pub time_left: Option<Duration>,
     /// Set once the request has got a connection, or the permission to open one.
     pub started: Option<&'a Cell<Option<Started>>>,
+    /// Called each time bytes of the response have arrived, so that a caller can tell a slow response from a stalled
+    /// one.
+    pub on_receive: &'a dyn Fn(),
 }
 
 /// End of the wait for a connection.
@@ -153,6 +156,7 @@
             may_send_body: &|| true,
             time_left: None,
             started: None,
+            on_receive: &|| {},
         }
     }
 }
@@ -323,7 +327,7 @@
                 (connect(addr, slot).await.map_err(not_sent)?, false)
             }
         };
-        let mut connection = Connection::new(idle, self.budgets(addr));
+        let mut connection = Connection::new(idle, self.budgets(addr), options.on_receive);
         connection.recent_ids.add(id);
         let broken = |e: io::Error| ExchangeFailure::Broken {
             text: e.to_string(),
@@ -558,7 +562,7 @@
     UntilClose,
 }
 
-struct Connection {
+struct Connection<'a> {
     stream: TcpStream,
     // Dropped after the stream is closed.
     slot: ConnectionSlot,
@@ -574,10 +578,11 @@
     received: usize,
     /// Bodies that are being received from the address, and by all connections of the pool.
     budgets: [BodyBudget; 2],
+    on_receive: &'a dyn Fn(),
 }
 
-impl Connection {
-    fn new(idle: IdleConnection, budgets: [BodyBudget; 2]) -> Self {
+impl<'a> Connection<'a> {
+    fn new(idle: IdleConnection, budgets: [BodyBudget; 2], on_receive: &'a dyn Fn()) -> Self {
         Self {
             stream: idle.stream,
             slot: idle.slot,
@@ -589,6 +594,7 @@
             early_head: None,
             received: 0,
             budgets,
+            on_receive,
         }
     }
 
@@ -713,7 +719,7 @@
     fn read_early_head(&mut self) -> io::Result<()> {
         match self.stream.try_read_buf(&mut self.buf) {
             Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-            Ok(received) => self.received += received,
+            Ok(received) => self.count_received(received),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             Err(e) => return Err(e),
         }
@@ -807,6 +813,7 @@
         self.keep_alive = false;
         let mut held = self.budgets.each_ref().map(BodyBudget::hold);
         while self.stream.read_buf(&mut self.buf).await? > 0 {
+            (self.on_receive)();
             check_size(&mut held, self.buf.len(), max_bytes)?;
         }
         Ok(self.buf.split().freeze())
@@ -817,10 +824,15 @@
         if received == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
-        self.received += received;
+        self.count_received(received);
         Ok(())
     }
 
+    fn count_received(&mut self, bytes: usize) {
+        self.received += bytes;
+        (self.on_receive)();
+    }
+
     fn is_reusable(&self) -> bool {
         self.keep_alive && self.buf.is_empty() && self.unsent.is_empty()
     }
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -135,6 +135,24 @@
     actix_rt::System::new().block_on(future)
 }
 
+/// Guards against a transfer that counts as stalled although bytes arrive.
+#[gtest]
+fn send_reports_received_bytes() {
+    let calls = Cell::new(0);
+    let response = run(async {
+        let addr = peer(vec![vec!["HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"]]);
+        let pool = ConnectionPool::default();
+        let on_receive = || calls.set(calls.get() + 1);
+        let options = SendOptions {
+            on_receive: &on_receive,
+            ..SendOptions::default()
+        };
+        pool.send_with(get(addr), &options).await
+    });
+    expect_that!(response, ok(anything()));
+    expect_that!(calls.get(), gt(0));
+}
+
 /// Guards against returning the late response to another request.
 #[gtest]
 fn send_skips_unrelated_response() {
