Do not ask a peer for the entries right after the store has sent the configuration

Once the configuration was in force, the silence of the store counted from the start of the read of the fleet's topic. After a configuration that had taken longer than 300 ms, a peer was asked at once if the entries arrived a few milliseconds later, and sent the configuration once more.

The last sign of the store is now the later one of both topics. A failed read of the fleet's topic still counts alone.

--- a/src/coordination/startup/store_answer.rs
+++ b/src/coordination/startup/store_answer.rs
@@ -44,6 +44,15 @@
         self.failed
     }
 
+    /// Returns this state with the last sign of the store in the answers of another topic, if that is later.
+    #[must_use]
+    pub fn with_sign_of(self, other: Self) -> Self {
+        Self {
+            last_sign: self.last_sign.max(other.last_sign),
+            ..self
+        }
+    }
+
     /// Returns the time since the last sign of the store.
     #[must_use]
     pub fn silence(&self, now: Duration) -> Duration {
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -225,9 +225,15 @@
     }
 
     /// Returns how the store answers the reads of the topic that a starting process waits for: the operator's topic
-    /// until there is a configuration, then the fleet's topic.
+    /// until there is a configuration, then the fleet's topic. A store that has just sent the configuration is not
+    /// silent, although the entries of the nodes may arrive later.
     fn awaited_answer(&self, has_config: bool) -> StoreAnswer {
-        self.store_answers.get()[if has_config { FLEET } else { OPERATOR }]
+        let answers = self.store_answers.get();
+        if has_config {
+            answers[FLEET].with_sign_of(answers[OPERATOR])
+        } else {
+            answers[OPERATOR]
+        }
     }
 
     /// Marks a topic that need not be read yet as read.
--- a/tests/startup.rs
+++ b/tests/startup.rs
@@ -63,3 +63,17 @@
     expect_that!(answer.ask_peer_at(), eq(ms(910) + MAX_SILENCE));
     expect_that!(answer.has_failed(), eq(false));
 }
+
+/// Guards against a peer that sends the configuration once more, since the entries of the nodes arrive after it.
+#[gtest]
+fn ask_peer_entries_after_configuration() {
+    let mut config = StoreAnswer::default();
+    let mut entries = StoreAnswer::default();
+    config.on_call(ms(20));
+    entries.on_call(ms(20));
+    config.on_receive(ms(900));
+    let awaited = entries.with_sign_of(config);
+    expect_that!(awaited.ask_peer_at(), eq(ms(900) + MAX_SILENCE));
+    entries.on_failure();
+    expect_that!(entries.with_sign_of(config).has_failed(), eq(true));
+}
