Hold requests of callers for the first configuration

An entry node without a configuration refused each request at once with 503 and 4015, and Retry-After of 0.3 to 0.45 s. When 57 of 95 nodes started together, the first configuration was in force 0.62 to 1.27 s after the start, and 3,215 requests were refused, many of them twice.

Such a request is now held before its body is read, for at most half of its caller's time and until the process is 1.5 s old, and is then checked and routed as usual. It is refused at once if the last read of the store failed and no peer is being asked. Retry-After lasts until the process is 1.5 s old, or for the pause of the store's reads and a transfer of the configuration.

The decision is coordination/startup/hold.rs, without I/O. A request waits for the entries of the nodes as well while the store answers or a peer is asked: in the first run of the process test the configuration came 2 ms before the entries, and the request was refused with 4002, since heartbeats of the own backend server are not used before the own entry is read.

Ruled out: to open the caller port only with the first configuration; callers do not repeat refused connections.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -30,6 +30,7 @@
 use crate::coordination::placement::AttemptEnd;
 use crate::coordination::placement::Feedback;
 use crate::coordination::placement::Pick;
+use crate::coordination::startup::hold::EarlyRequest;
 use crate::coordination::workspaces::credentials::CallWorkspace;
 use crate::platform::requests;
 use crate::protocol::hop::BackendTotals;
@@ -49,6 +50,7 @@
 use crate::sidecar::decision;
 use crate::sidecar::decision::RoutedCall;
 use crate::sidecar::decision::chosen;
+use crate::sidecar::first_config;
 use crate::sidecar::hop;
 use crate::sidecar::hop::HopResult;
 use crate::sidecar::hop::OpenCall;
@@ -81,8 +83,13 @@
     let arrived = cx.clock.now();
     cx.metrics.calls.increment(1);
     let _open = OpenCall::new(cx);
-    let routed = route_request(cx, &mut req, arrived).await;
-    let admitted = routed.and_then(|call| take_token(cx, call));
+    let admitted = match wait_for_config(cx, &req, arrived).await {
+        Ok(()) => {
+            let routed = route_request(cx, &mut req, arrived).await;
+            routed.and_then(|call| take_token(cx, call))
+        }
+        Err(refusal) => Err(refusal),
+    };
     let mut response = match admitted {
         Ok(call) => {
             http_server::release_fields(&mut req);
@@ -91,14 +98,19 @@
             response.extensions_mut().insert(take_within);
             response
         }
-        Err(EntryRefusal { code, retry_after }) => {
+        Err(EntryRefusal {
+            code,
+            retry_after,
+            hold_limit,
+        }) => {
             // A refusal by a quota has a log line of its own.
             if code != ResultCode::QuotaExceeded {
                 let attempt = requests::read_client_headers(req.headers()).attempt;
                 info!(cx.log, "request refused"; "attempt" => serving::attempt_text(attempt.as_ref()),
                     "code" => code.number(), "path" => req.path(),
                     "version" => cx.table().map(|table| table.version()),
-                    "view_age_ms" => cx.feed.view_age(cx.clock.now()).map(millis));
+                    "view_age_ms" => cx.feed.view_age(cx.clock.now()).map(millis),
+                    "hold_limit_ms" => hold_limit.map(millis), "took_ms" => millis(cx.clock.since(arrived)));
             }
             cx.metrics.refusals.increment(1);
             error_response(cx, status_of(code), code, Some(retry_after))
@@ -151,9 +163,13 @@
 }
 
 /// Refusal of a request before its first attempt.
-struct EntryRefusal {
-    code: ResultCode,
-    retry_after: Duration,
+pub struct EntryRefusal {
+    /// Reason.
+    pub code: ResultCode,
+    /// Time after which the caller may repeat it.
+    pub retry_after: Duration,
+    /// Time for which it was to be held at most, if it was held for the first configuration.
+    pub hold_limit: Option<Duration>,
 }
 
 impl From<ResultCode> for EntryRefusal {
@@ -161,10 +177,30 @@
         Self {
             code,
             retry_after: serving::NO_BACKEND_RETRY_AFTER,
+            hold_limit: None,
         }
     }
 }
 
+/// Holds a request while the process waits for its first configuration.
+///
+/// # Errors
+/// There is none, and the request is held no longer.
+async fn wait_for_config(
+    cx: &Rc<Sidecar>,
+    req: &Request,
+    arrived: Duration,
+) -> Result<(), EntryRefusal> {
+    if cx.is_synchronized() {
+        return Ok(());
+    }
+    let request = EarlyRequest {
+        arrived,
+        time_left: requests::read_client_headers(req.headers()).time_left,
+    };
+    first_config::wait(cx, &request).await
+}
+
 async fn route_request(
     cx: &Rc<Sidecar>,
     req: &mut Request,
@@ -202,9 +238,10 @@
         .as_ref()
         .map_or(BODY_TIMEOUT, |route| route.timeout)
         .min(caller.time_left.unwrap_or(Duration::MAX));
+    let body_time = time_limit.saturating_sub(cx.clock.since(arrived));
     let length = headers::number(req.headers(), CONTENT_LENGTH.as_str());
     let (body, held) =
-        http_server::read_sized_body(&mut payload, length, limit, &cx.bodies, time_limit)
+        http_server::read_sized_body(&mut payload, length, limit, &cx.bodies, body_time)
             .await
             .map_err(|failure| refused(failure.code))?;
     let route = route?;
@@ -270,6 +307,7 @@
     EntryRefusal {
         code: ResultCode::QuotaExceeded,
         retry_after,
+        hold_limit: None,
     }
 }
 
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -23,6 +23,10 @@
     pub calls: Counter,
     /// Calls refused without being run.
     pub refusals: Counter,
+    /// Requests of callers that were held for the first configuration.
+    pub start_holds: Counter,
+    /// Requests of callers refused since there was no configuration, held before or not.
+    pub start_refusals: Counter,
     /// Calls whose result is unknown.
     pub unknown_outcomes: Counter,
     /// Attempts after the first one of a call.
@@ -100,6 +104,8 @@
         Ok(Self {
             calls: counter!("sycamorewick_calls_total"),
             refusals: counter!("sycamorewick_refusals_total"),
+            start_holds: counter!("sycamorewick_start_holds_total"),
+            start_refusals: counter!("sycamorewick_start_refusals_total"),
             unknown_outcomes: counter!("sycamorewick_unknown_outcomes_total"),
             attempts_beyond_first: counter!("sycamorewick_attempts_beyond_first_total"),
             retries: counter!("sycamorewick_repeats_total"),
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod explain_port;
 pub mod file_shares;
+mod first_config;
 mod health_check;
 mod health_probe;
 mod heartbeat_port;
@@ -56,6 +57,7 @@
 use crate::coordination::membership::heartbeat_hold::HeartbeatHold;
 use crate::coordination::placement::Placement;
 use crate::coordination::retry_quota::RetryQuota;
+use crate::coordination::startup::hold::HoldCounts;
 use crate::coordination::stop_plan::StopPlan;
 use crate::coordination::version_move::Moves;
 use crate::logging;
@@ -183,6 +185,8 @@
     transfers: Rc<AdmissionQueue>,
     /// Topics of the store.
     feed: Feed,
+    /// Requests of callers that were held for the first configuration.
+    hold_counts: Cell<HoldCounts>,
     /// Whether the own entry has been removed in a planned stop.
     entry_removed: Cell<bool>,
     /// Signals to all that wait for it that a configuration has come into force.
@@ -305,6 +309,7 @@
         control_bodies: BodyBudget::new(MAX_CONTROL_BYTES),
         transfers: AdmissionQueue::new(clock, body_gate::max_transfers(settings.link_mbps)),
         feed: Feed::default(),
+        hold_counts: Cell::default(),
         entry_removed: Cell::new(false),
         config_changed: Notify::new(),
         entry_changed: Notify::new(),
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 
 use crate::coordination::domains::evacuation::RECHECK_INTERVAL;
+use crate::coordination::startup::hold::StartState;
 use crate::coordination::startup::store_answer::StoreAnswer;
 use crate::coordination::topic_cursor::NextRead;
 use crate::coordination::topic_cursor::ReadCall;
@@ -113,8 +114,8 @@
     peer_to_ask: Cell<Option<SocketAddr>>,
     /// How the store answers the reads of each topic.
     store_answers: Cell<[StoreAnswer; 3]>,
-    /// Signals that a read of a topic has failed, so that another node can be asked at once.
-    read_failed: Notify,
+    /// Signals that a read of a topic, or the request to another node, has failed.
+    pub read_failed: Notify,
     /// Whether the last read of the operator's topic succeeded.
     store_available: Cell<bool>,
     /// Signals that the store is available again.
@@ -648,9 +649,23 @@
             fetch_topics_now(&cx, origin).await;
         }
         cx.feed.fetching_topics.set(false);
+        cx.feed.read_failed.notify_waiters();
     });
 }
 
+/// Returns what a process without a configuration, or without the entries of the nodes, waits for.
+pub fn start_state(cx: &Sidecar) -> StartState {
+    let has_config = cx.table().is_some();
+    let topic = if has_config { FLEET } else { OPERATOR };
+    StartState {
+        has_config,
+        answer: cx.feed.awaited_answer(has_config),
+        failures: cx.feed.cursors.borrow()[topic].failures(),
+        is_asking_peer: cx.feed.fetching_topics.get(),
+        is_stopping: cx.stopping.get(),
+    }
+}
+
 /// Waits until the topics should be fetched from another node, and returns the one that sent the last call. `None` if
 /// they were read from the store meanwhile.
 async fn wait_for_silence(cx: &Sidecar) -> Option<SocketAddr> {
@@ -662,7 +677,7 @@
         if at > now {
             was_due = false;
             // The answer of the store is checked again in either case.
-            let _ = actix_rt::time::timeout(at - now, failed).await;
+            let _ = actix_rt::time::timeout(at.saturating_sub(now), failed).await;
         } else if was_due {
             return cx.feed.peer_to_ask.get();
         } else {
