Use the own backend server as soon as its held heartbeat is released

The heartbeat that has waited for the node's own entry was applied when the fleet's topic was read, but the choice of nodes learned of the backend server only from the task that writes the entry, which checks every 20 ms whether the topic was read. Requests that were held for the first configuration were routed before, and refused with 4002.

The release now makes the backend server known to the choice of nodes at once. The entry is written as before.

--- a/src/sidecar/announcer.rs
+++ b/src/sidecar/announcer.rs
@@ -102,6 +102,17 @@
     cx.entry_tried.notify_waiters();
 }
 
+/// Makes the own backend server known to the choice of nodes, without waiting for a write of the entry. Does nothing
+/// before the entry of an earlier process of this node has been read.
+pub fn apply_locally(cx: &Sidecar) {
+    if !cx.state.borrow().fleet_read {
+        return;
+    }
+    let entry = own_entry(cx);
+    let now = cx.clock.now();
+    cx.state.borrow_mut().placement.on_entry(now, &entry);
+}
+
 /// Applies the own entry locally and writes it until the store has acknowledged it.
 async fn announce(cx: &Rc<Sidecar>) {
     let mut failures = 0_u32;
--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -23,6 +23,7 @@
 use crate::protocol::hop::RouteTotals;
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
+use crate::sidecar::announcer;
 use crate::sidecar::health_check;
 use crate::sidecar::health_probe;
 use crate::sidecar::leaves;
@@ -107,9 +108,13 @@
     };
     let instance = report.instance.clone();
     info!(cx.log, "held heartbeat used"; "instance" => &*instance);
-    if let Err(why) = apply_report(cx, report) {
-        warn!(cx.log, "heartbeat refused"; "instance" => &*instance, "why" => why,
-            "code" => ResultCode::BadRequest.number());
+    match apply_report(cx, report) {
+        // Requests that were held for the first configuration are routed next.
+        Ok(_) => announcer::apply_locally(cx),
+        Err(why) => {
+            warn!(cx.log, "heartbeat refused"; "instance" => &*instance, "why" => why,
+                "code" => ResultCode::BadRequest.number());
+        }
     }
 }
 
