Test held requests with an invalid configuration, and calls of other nodes

An invalid configuration must not end the hold, and calls of other nodes must not be held. The counters of held and refused requests are checked as well.

--- a/tests/process_start.rs
+++ b/tests/process_start.rs
@@ -367,8 +367,21 @@
     });
 }
 
+/// Returns the value of a metric of a node.
+async fn metric(env: &TestFleet, index: usize, name: &str) -> eyre::Result<f64> {
+    let addr = env.fleet.nodes()[index].addrs.metrics;
+    let request = awc::Client::default().get(format!("http://{addr}/metrics"));
+    let sent = request.send().await;
+    let mut response = sent.map_err(|e| eyre::eyre!("no metrics: {e}"))?;
+    let body = response.body().limit(1 << 20).await?;
+    let text = String::from_utf8_lossy(&body);
+    let line = text.lines().find_map(|line| line.strip_prefix(name));
+    let value = line.ok_or_else(|| eyre::eyre!("no metric {name}"))?;
+    Ok(value.trim().parse()?)
+}
+
 /// Guards against requests that are held for longer than half of their time, or run, while the store does not answer,
-/// and against requests that are held by an older process.
+/// and against calls of other nodes that are held, or requests that are held by an older process.
 #[gtest]
 fn held_without_answer() {
     run(async {
@@ -376,6 +389,8 @@
         late.env.add_backend(0, 0.0)?;
         let held = request("/wrecks/1", "held", &deadline(600));
         let stream = late.start_with_held(&held).await?;
+        let (addr, origin) = (late.env.fleet.nodes()[0].addrs.node, free_addr()?);
+        actix_rt::task::spawn_blocking(move || send_as_peer(addr, origin)).await??;
         let (stream, status, text) = receive(stream).await?;
         expect_that!(status, eq(503), "{text}");
         expect_that!(text, contains_substring("4015"));
@@ -398,11 +413,36 @@
         let is_late = |line: &&Value| line["attempt"] == "late" && line["hold_limit_ms"].is_null();
         let lines = late.lines("request refused");
         expect_that!(lines.iter().filter(is_late).count(), eq(1), "{lines:?}");
+        let held = metric(&late.env, 0, "sycamorewick_start_holds_total ").await?;
+        let refused = metric(&late.env, 0, "sycamorewick_start_refusals_total ").await?;
+        expect_that!((held, refused), eq((1.0, 2.0)));
         expect_that!(late.env.backends[0].runs(), is_empty());
         Ok(())
     });
 }
 
+/// Guards against requests that are refused as soon as an invalid configuration has arrived, although a valid one may
+/// follow.
+#[gtest]
+fn held_invalid_configuration() {
+    run(async {
+        let mut late = LateStore::new()?;
+        let _ = late.env.store.put(OPERATOR_TOPIC, "config", b"{");
+        let held = request("/wrecks/1", "held", &deadline(1_200));
+        let stream = late.start_with_held(&held).await?;
+        late.link.set(Flow::Free);
+        late.wait_line("configuration refused").await?;
+        let (_, status, text) = receive(stream).await?;
+        expect_that!(status, eq(503), "{text}");
+        expect_that!(text, contains_substring("4015"));
+        let line = late.wait_line("request refused").await?;
+        let limit = line["hold_limit_ms"].as_u64();
+        expect_that!(limit, some(le(600)), "{line}");
+        expect_that!(line["took_ms"].as_u64(), ge(limit), "{line}");
+        Ok(())
+    });
+}
+
 /// Guards against requests that wait for a store that cannot be reached, without a peer.
 #[gtest]
 fn store_unreachable_refused_at_once() {
