Refuse a request that was held for longer than its route allows

Half of the caller's time may be more than the time limit of the route, which is known only with the configuration. Such a request with a body that had not arrived completely was answered with 504 and 4005, as if its result were unknown. It has not run, and is refused with 503 and 4015.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -239,6 +239,10 @@
         .map_or(BODY_TIMEOUT, |route| route.timeout)
         .min(caller.time_left.unwrap_or(Duration::MAX));
     let body_time = time_limit.saturating_sub(cx.clock.since(arrived));
+    if body_time.is_zero() && !time_limit.is_zero() {
+        // It was held for the first configuration, by which its route allows less time.
+        return Err(refused(ResultCode::NotReady).into());
+    }
     let length = headers::number(req.headers(), CONTENT_LENGTH.as_str());
     let (body, held) =
         http_server::read_sized_body(&mut payload, length, limit, &cx.bodies, body_time)
--- a/tests/process_start.rs
+++ b/tests/process_start.rs
@@ -443,6 +443,37 @@
     });
 }
 
+/// Guards against an unknown result of a request that was held for longer than its route allows: it has not run.
+#[gtest]
+fn held_beyond_route_time() {
+    run(async {
+        let mut late = LateStore::new()?;
+        late.env.add_backend(0, 0.0)?;
+        let config = json!({
+            "version": "00000003",
+            "routes": { "lookup": { "host": HOST, "prefix": "/wrecks/", "kind": "safe", "timeout-ms": 100,
+                "slo-ms": 50, "priority": 1, "service": "registry", "attempts": 2 } },
+            "services": { "registry": { "health-path": "/healthz", "max-conns": 100 } },
+            "limits": { "header-bytes": 16384, "body-bytes": 65536, "header-ms": 3000, "idle-ms": 15000 },
+        });
+        let config = config.to_string();
+        let _ = late
+            .env
+            .store
+            .put(OPERATOR_TOPIC, "config", config.as_bytes());
+        let fields = format!("{}content-length: 10\r\n", deadline(4_000));
+        let held = request("/wrecks/1", "held", &fields) + "abc";
+        let stream = late.start_with_held(&held).await?;
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+        late.link.set(Flow::Free);
+        let (_, status, text) = receive(stream).await?;
+        expect_that!(status, eq(503), "{text}");
+        expect_that!(text, contains_substring("4015"));
+        expect_that!(late.env.backends[0].runs(), is_empty());
+        Ok(())
+    });
+}
+
 /// Guards against requests that wait for a store that cannot be reached, without a peer.
 #[gtest]
 fn store_unreachable_refused_at_once() {
