Check again for records that have expired before the store listed them

Cause: if records after the read position have expired, the position moves to the end that the store reported with the newest records. A store that lists records late counts them in that end before it shows them. If such a record expires at once as well, it is neither listed nor read and stays unknown until the next one of its key.

Ruled out: going back before the end, which requests expired records for ever if they were removals.

Change: after such a move the newest records are checked again after each of the next two reads, or until they show a record at that offset or a later one.

--- a/src/coordination/topic_cursor.rs
+++ b/src/coordination/topic_cursor.rs
@@ -21,6 +21,11 @@
 
 use crate::coordination::store_retry;
 
+/// Number of checks of the newest records after the position was moved over expired records that a store may not
+/// have listed yet. A slow store lists a record up to 0.3 s after it has appended it; a check follows a read, which
+/// takes 0.25 s at least, and of which one has no records to return once the store is quiet.
+const GAP_CHECKS: u32 = 2;
+
 /// The next request of the reader to the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NextRead {
@@ -53,6 +58,8 @@
     unverified: bool,
     /// Whether the newest records are read once more, without a change of the position.
     rechecks: bool,
+    /// Offset up to which expired records were passed over, and the number of checks left that may show them.
+    unlisted_before: Option<(u64, u32)>,
     /// Number of calls that have failed since the last successful one.
     failures: u32,
     /// Offset of the newest record of each key, sorted by key.
@@ -110,6 +117,11 @@
     /// first page may change before a later page is read, so reading continues after the first page.
     pub fn on_newest(&mut self, offsets: &[u64], first_page: usize, end: u64) {
         self.failures = 0;
+        let last = offsets.iter().max().copied();
+        self.unlisted_before = self.unlisted_before.and_then(|(before, checks)| {
+            let is_listed = last.is_some_and(|last| last + 1 >= before);
+            (!is_listed && checks > 1).then(|| (before, checks - 1))
+        });
         if std::mem::take(&mut self.rechecks) {
             return;
         }
@@ -120,7 +132,11 @@
         self.reported_end = end;
         self.from = Some(if self.unverified {
             // The records before this position were requested and have expired.
-            self.from.unwrap_or(end)
+            let position = self.from.unwrap_or(end);
+            if after_received < position {
+                self.unlisted_before = Some((position, GAP_CHECKS));
+            }
+            position
         } else {
             after_received.min(end)
         });
@@ -131,6 +147,9 @@
     pub fn on_read(&mut self, end: u64) {
         self.from = Some(end);
         self.failures = 0;
+        if self.unlisted_before.is_some() {
+            self.recheck();
+        }
     }
 
     /// Makes the next request one for the newest records if at least two records have replaced earlier ones
--- a/tests/topic_cursor.rs
+++ b/tests/topic_cursor.rs
@@ -61,6 +61,41 @@
     expect_that!(cursor.next(), eq(NextRead::From(31)));
 }
 
+/// Guards against missing a record for good that has expired before the store has listed it with the newest ones.
+#[gtest]
+fn on_expired_before_listed() {
+    let mut cursor = TopicCursor::default();
+    cursor.on_newest(&[3], 1, 25);
+    cursor.on_expired();
+    // Record 24 is not listed yet.
+    cursor.on_newest(&[3], 1, 25);
+    expect_that!(cursor.next(), eq(NextRead::From(25)));
+    cursor.on_read(26);
+    expect_that!(cursor.next(), eq(NextRead::Newest));
+    expect_true!(cursor.is_rechecking());
+    cursor.on_newest(&[24, 25], 2, 26);
+    expect_that!(cursor.next(), eq(NextRead::From(26)));
+    cursor.on_read(27);
+    expect_that!(cursor.next(), eq(NextRead::From(27)));
+}
+
+/// Guards against checks of the newest records without an end if the expired records were removals.
+#[gtest]
+fn on_expired_removals() {
+    let mut cursor = TopicCursor::default();
+    cursor.on_newest(&[3], 1, 25);
+    cursor.on_expired();
+    cursor.on_newest(&[3], 1, 25);
+    for checks in 0..2 {
+        cursor.on_read(25);
+        expect_that!(cursor.next(), eq(NextRead::Newest), "{checks}");
+        cursor.on_newest(&[3], 1, 25);
+        expect_that!(cursor.next(), eq(NextRead::From(25)), "{checks}");
+    }
+    cursor.on_read(25);
+    expect_that!(cursor.next(), eq(NextRead::From(25)));
+}
+
 /// Guards against a long poll that waits longer than the caller allows: a poll may miss a record, which
 /// left nodes on an old configuration for 11 s and for 2.7 s. No earlier read makes a longer wait safe.
 #[gtest]
