Send a follower all keys of the operator's topic if its reader has not read all removals

Cause: a reader that reads the newest record of each key does not read the removals before them. It ends its own evacuations that the newest records leave out, and names these to its followers. A follower that has come from another reader may know an evacuation or an order that this reader has never seen, and kept it. The reader also kept removed records of other keys in its copy.

Ruled out: naming each removed key, since the reader does not know the keys that it has not read.

Change: a copy notes up to which offset it may have gaps. A follower from before that offset gets the records of all keys, marked as such (`is_complete`, which earlier builds ignore), and handles them like a first reading. The copy forgets records that the newest ones no longer contain. This applies to the operator's topic only.

--- a/src/sidecar/relay_port.rs
+++ b/src/sidecar/relay_port.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
+use std::ops::Not;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -89,6 +90,10 @@
     /// Offset of the next record.
     pub end: u64,
     records: Vec<RelayedRecord>,
+    /// Whether these are the records of all keys, also of those that the follower has not asked for. Earlier
+    /// builds do not send or read it.
+    #[serde(default, skip_serializing_if = "Not::not")]
+    pub is_complete: bool,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -217,10 +222,13 @@
     let mirrors = cx.feed.mirrors.borrow();
     let mut topics = Vec::with_capacity(mirrors.len());
     for (mirror, from) in mirrors.iter().zip(from.in_era(era)) {
-        let records = mirror.records_from(from).iter();
+        let found = mirror.follower_records(from);
         topics.push(TopicRecords {
             end: mirror.end()?,
-            records: records
+            is_complete: found.is_complete,
+            records: found
+                .records
+                .iter()
                 .map(|record| RelayedRecord {
                     key: record.key.to_string(),
                     value: record.value.to_vec(),
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -483,6 +483,11 @@
     if kind != ReadingKind::Changes {
         cx.feed.operator_listed_at.set(cx.clock.now());
     }
+    if kind == ReadingKind::Complete {
+        let mut listed: Vec<&str> = records.iter().map(|record| record.key.as_str()).collect();
+        listed.sort_unstable();
+        cx.feed.mirrors.borrow_mut()[OPERATOR].on_complete(&listed, end);
+    }
     for (key, offset) in records::finish_operator_reading(cx, kind, records, end) {
         cx.feed.add_dropped(key, offset);
     }
@@ -560,7 +565,8 @@
     for (topic, part) in response.topics.into_iter().enumerate().take(TOPICS.len()) {
         let end = part.end;
         // Without a copy of its own this node has asked for the whole topic.
-        let is_complete = cx.feed.mirrors.borrow()[topic].end().is_none();
+        let is_first = cx.feed.mirrors.borrow()[topic].end().is_none();
+        let is_complete = is_first || (topic == OPERATOR && part.is_complete);
         let kind = if is_complete {
             ReadingKind::Complete
         } else {
--- a/src/state/mirror.rs
+++ b/src/state/mirror.rs
@@ -24,6 +24,17 @@
     /// Offset after the last record seen.
     end: u64,
     is_initialised: bool,
+    /// Offset before which records may be missing that were replaced or removed before they were read.
+    gaps_before: u64,
+}
+
+/// Records for a follower.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FollowerRecords<'a> {
+    /// Whether these are the records of all keys, so that a key without a record there was removed.
+    pub is_complete: bool,
+    /// Records, sorted by offset.
+    pub records: &'a [MirrorRecord],
 }
 
 impl Mirror {
@@ -43,6 +54,17 @@
             .retain(|record| &*record.key != key || record.offset > offset);
     }
 
+    /// Handles a reading of the newest record of each key, after its records were applied. `listed` are the keys
+    /// that it has shown, sorted, and `end` is the offset up to which it shows all records. A key without a record
+    /// there was removed by a record that this node has not read.
+    pub fn on_complete(&mut self, listed: &[&str], end: u64) {
+        self.records.retain(|record| {
+            let is_listed = listed.binary_search(&&*record.key).is_ok();
+            is_listed || record.offset >= end || record.value.is_empty()
+        });
+        self.gaps_before = self.gaps_before.max(end);
+    }
+
     /// Marks all records before `end` as seen.
     pub fn advance(&mut self, end: u64) {
         self.end = self.end.max(end);
@@ -68,4 +90,19 @@
         let index = self.records.partition_point(|record| record.offset < from);
         &self.records[index..]
     }
+
+    /// Returns the records for a follower that has read the topic before the offset `from`: those from there on,
+    /// or all if a removal may be missing among them.
+    #[must_use]
+    pub fn follower_records(&self, from: u64) -> FollowerRecords<'_> {
+        let is_complete = from < self.gaps_before;
+        FollowerRecords {
+            is_complete,
+            records: if is_complete {
+                &self.records
+            } else {
+                self.records_from(from)
+            },
+        }
+    }
 }
--- a/tests/topic_source.rs
+++ b/tests/topic_source.rs
@@ -210,3 +210,28 @@
     expect_that!(offsets(4), eq(&vec![7]));
     expect_that!(mirror.end(), some(eq(9)));
 }
+
+/// Guards against a follower that misses a removal which its reader has not read, because it has read the newest
+/// records instead of all, and against a reader that hands on the removed record.
+#[gtest]
+fn follower_records_after_gap() {
+    let mut mirror = Mirror::default();
+    mirror.apply(record("config", 0));
+    mirror.apply(record("evacuate/a", 1));
+    mirror.apply(record("rollout/s", 2));
+    mirror.apply(record("rollout/t", 9));
+    mirror.advance(10);
+    expect_that!(mirror.follower_records(3).is_complete, eq(false));
+    // Records 3 to 6 were not read, and the newest records do not contain 9 yet.
+    mirror.apply(record("config", 7));
+    mirror.on_complete(&["config", "rollout/s"], 8);
+    let offsets = |from| {
+        let found = mirror.follower_records(from);
+        let offsets: Vec<u64> = found.records.iter().map(|record| record.offset).collect();
+        (found.is_complete, offsets)
+    };
+    expect_that!(offsets(3), eq(&(true, vec![2, 7, 9])));
+    expect_that!(offsets(7), eq(&(true, vec![2, 7, 9])));
+    expect_that!(offsets(8), eq(&(false, vec![9])));
+    expect_that!(offsets(10), eq(&(false, vec![])));
+}
