Test configurations in quick succession with real processes

Five nodes of one failure domain, 39 configurations at intervals of 60 ms, and the removal of an evacuation between them.

--- /dev/null
+++ b/tests/process_quick_configs.rs
@@ -0,0 +1,77 @@
+//! Configurations in quick succession with real sidecar processes.
+
+#[allow(dead_code, reason = "other test files use the rest")]
+mod sidecar_common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_http::StatusCode;
+use googletest::prelude::*;
+use sidecar_common::POLL_MARGIN;
+use sidecar_common::REQUIRED_TIME;
+use sidecar_common::TestFleet;
+use sidecar_common::WAIT_LIMIT;
+use sidecar_common::put_config;
+use sidecar_common::run;
+use testbed::platform::store::OPERATOR_TOPIC;
+
+/// Nodes of one failure domain, of which one reads the store and the others follow it.
+const NODES: usize = 5;
+const LAST_VERSION: u32 = 40;
+const INTERVAL: Duration = Duration::from_millis(60);
+const EVACUATION: &str = "evacuate/accra-a";
+
+async fn wait_logged(env: &TestFleet, index: usize, message: &str) -> eyre::Result<()> {
+    let until = Instant::now() + WAIT_LIMIT;
+    while env.fleet.log_lines(index, message).is_empty() {
+        eyre::ensure!(Instant::now() < until, "node {index}: no {message:?}");
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    Ok(())
+}
+
+/// Guards against nodes that put each configuration of a quick succession in force, that have the last one in force
+/// too late, that miss the removal of an evacuation between configurations, or that read the newest records over and
+/// over after the succession.
+#[gtest]
+fn configurations_in_quick_succession() {
+    run(async {
+        let mut env = TestFleet::start(NODES).await?;
+        let _ = env.store.put(OPERATOR_TOPIC, EVACUATION, b"{}");
+        for index in 0..NODES {
+            wait_logged(&env, index, "failure domain evacuated").await?;
+        }
+        for version in 2..=LAST_VERSION {
+            let _ = put_config(&env.store, version);
+            if version == LAST_VERSION / 2 {
+                let _ = env.store.put(OPERATOR_TOPIC, EVACUATION, b"");
+            }
+            actix_rt::time::sleep(INTERVAL).await;
+        }
+        let due = Instant::now() + REQUIRED_TIME + POLL_MARGIN;
+        let path = format!("/v{LAST_VERSION}/1");
+        for index in 0..NODES {
+            let left = due.saturating_duration_since(Instant::now());
+            env.wait_for(left, index, &path, StatusCode::OK).await?;
+            wait_logged(&env, index, "evacuation ended").await?;
+            let lines = env.fleet.log_lines(index, "configuration in force");
+            let versions = lines.iter().filter_map(|line| line["version"].as_u64());
+            let versions: Vec<u64> = versions.collect();
+            expect_true!(versions.is_sorted(), "{versions:?}");
+            // A read takes place every 0.25 s at most, so that it has four configurations.
+            let most = usize::try_from(LAST_VERSION / 2)?;
+            expect_that!(lines.len(), le(most), "node {index}: {versions:?}");
+        }
+        let mut skipped = (0..NODES).map(|index| {
+            let lines = env.fleet.log_lines(index, "replaced records skipped");
+            lines.len()
+        });
+        expect_true!(skipped.any(|count| count > 0));
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        let newest = env.store.calls().newest;
+        actix_rt::time::sleep(Duration::from_secs(2)).await;
+        expect_that!(env.store.calls().newest, eq(newest));
+        Ok(())
+    });
+}
