Apply the last valid configuration if the newest one is refused

Cause: since only the newest record of a key is applied, an invalid configuration hid a valid one that was written shortly before, and the node kept the one before both.

Ruled out: decoding all records of a reading to select the newest valid one, which takes the processor time that is to be saved.

Change: if the newest record is refused, earlier ones of its key in the same reading are tried, newest first. If records were skipped before it, they are read after all (`TopicCursor::on_refused`). An order whose record is unreadable is handled in the same way; a removed order is not replaced by an earlier one.

--- a/src/coordination/topic_cursor.rs
+++ b/src/coordination/topic_cursor.rs
@@ -77,6 +77,8 @@
     /// Whether the newest records are read instead of those after the position, because several records of
     /// one key have accumulated there.
     is_behind: bool,
+    /// Position before the newest records were read instead of those after it.
+    skipped_from: Option<u64>,
     /// Number of calls that have failed since the last successful one.
     failures: u32,
     /// Offset of the newest record of each key, sorted by key.
@@ -181,6 +183,7 @@
             after_received.min(end)
         };
         let former = self.from.replace(position);
+        self.skipped_from = former.filter(|former| self.is_behind && *former < position);
         self.is_behind =
             self.is_behind && former.is_some_and(|former| has_replaced(offsets, former..position));
         self.unverified = false;
@@ -189,6 +192,7 @@
     /// Handles a read up to the offset `end`.
     pub fn on_read(&mut self, end: u64) {
         self.from = Some(end);
+        self.skipped_from = None;
         self.failures = 0;
         if self.unlisted_before.is_some() {
             self.recheck();
@@ -211,6 +215,19 @@
     pub fn on_relayed(&mut self, end: u64) {
         self.from = Some(self.from.map_or(end, |from| from.max(end)));
         self.is_behind = false;
+        self.skipped_from = None;
+    }
+
+    /// Handles that the newest record of a key was refused. If records were skipped before it, they are read now,
+    /// since an earlier one of the key may be valid.
+    pub fn on_refused(&mut self, key: &str) {
+        let Some(skipped_from) = self.skipped_from.take() else {
+            return;
+        };
+        self.from = Some(skipped_from);
+        self.is_behind = false;
+        self.newest_offsets
+            .retain(|(other, offset)| &**other != key || *offset < skipped_from);
     }
 
     /// Handles a call that failed and returns the pause before the next one. `factor` is a random
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -28,10 +28,11 @@
 use crate::sidecar::usage_port;
 use crate::state::routing_table::RoutingTable;
 
-/// Applies a record of the operator's topic: a configuration or an order to roll out a version.
-pub fn apply_operator(cx: &Rc<Sidecar>, record: &KeyedRecord) {
+/// Applies a record of the operator's topic: a configuration or an order to roll out a version. Returns whether the
+/// record is valid.
+pub fn apply_operator(cx: &Rc<Sidecar>, record: &KeyedRecord) -> bool {
     match config::read_key(&record.key) {
-        Some(OperatorKey::Config) => apply_config(cx, record),
+        Some(OperatorKey::Config) => return apply_config(cx, record),
         Some(OperatorKey::Move(service)) => match config::read_order(&record.value) {
             Ok(order) => {
                 let text = format!(
@@ -48,6 +49,8 @@
             }
             Err(why) => {
                 warn!(cx.log, "rollout order ignored"; "service" => service, "offset" => record.offset, "why" => why);
+                // A removed order is not replaced by an earlier one.
+                return record.value.is_empty();
             }
         },
         Some(OperatorKey::Evacuation(domain)) => apply_evacuation(cx, &domain.into(), record),
@@ -55,6 +58,7 @@
             info!(cx.log, "record ignored"; "key" => &record.key, "offset" => record.offset);
         }
     }
+    true
 }
 
 /// Begins the evacuation of a failure domain, or ends it if the record has no value. Any other value counts as an
@@ -170,8 +174,9 @@
     }
 }
 
-/// Puts a configuration in force, unless it is invalid or not newer than the one in force.
-fn apply_config(cx: &Rc<Sidecar>, record: &KeyedRecord) {
+/// Puts a configuration in force, unless it is invalid or not newer than the one in force. Returns whether it is
+/// valid.
+fn apply_config(cx: &Rc<Sidecar>, record: &KeyedRecord) -> bool {
     let ParsedConfig {
         config,
         unknown_kinds,
@@ -179,7 +184,7 @@
         Ok(parsed) => parsed,
         Err(why) => {
             warn!(cx.log, "configuration refused"; "offset" => record.offset, "why" => why);
-            return;
+            return false;
         }
     };
     let domains = &cx.settings.domains;
@@ -188,7 +193,7 @@
     };
     if let Some(why) = homes::unknown_home(&config, is_known) {
         warn!(cx.log, "configuration refused"; "version" => config.version, "offset" => record.offset, "why" => why);
-        return;
+        return false;
     }
     if !unknown_kinds.is_empty() {
         warn!(cx.log, "routes of unknown kinds run requests at most once"; "version" => config.version,
@@ -199,7 +204,7 @@
     if state.table.is_some() && config.version <= in_force {
         info!(cx.log, "configuration ignored"; "version" => config.version, "in_force" => in_force,
             "offset" => record.offset);
-        return;
+        return true;
     }
     let table = RoutingTable::new(config);
     info!(cx.log, "configuration in force"; "version" => table.version(), "before" => in_force,
@@ -213,6 +218,7 @@
     health_probe::apply_bound(cx);
     usage_port::on_config(cx);
     cx.config_changed.notify_waiters();
+    true
 }
 
 /// Applies the entry of a node.
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -284,13 +284,14 @@
     cx.feed.restored.notify_waiters();
 }
 
-/// Applies a record to this process.
-fn apply(cx: &Rc<Sidecar>, topic: usize, record: &KeyedRecord) {
+/// Applies a record to this process. Returns whether a record of the operator is valid.
+fn apply(cx: &Rc<Sidecar>, topic: usize, record: &KeyedRecord) -> bool {
     match topic {
-        OPERATOR => records::apply_operator(cx, record),
+        OPERATOR => return records::apply_operator(cx, record),
         FLEET => records::apply_fleet(cx, record),
         _ => records::apply_moves(cx, record),
     }
+    true
 }
 
 /// Reads one topic from the store while the store is the source.
@@ -455,9 +456,9 @@
 }
 
 /// Applies the records that were not seen before, in the order of their offsets, and keeps them for
-/// followers. Of several records of one key in the operator's topic only the newest is applied. In the other
-/// topics a later record does not make up for an earlier one: the entry of an earlier process of this node names
-/// leaves that it has acknowledged, and the states of a rollout recorded by several nodes are merged.
+/// followers. Of several records of one key in the operator's topic only the newest valid one is applied. In the
+/// other topics a later record does not make up for an earlier one: the entry of an earlier process of this node
+/// names leaves that it has acknowledged, and the states of a rollout recorded by several nodes are merged.
 fn apply_all(
     cx: &Rc<Sidecar>,
     topic: usize,
@@ -473,8 +474,8 @@
         new: 0,
         replaced: 0,
     };
-    for (record, usage) in records.iter().zip(uses) {
-        match usage {
+    for (index, (record, usage)) in records.iter().zip(&uses).enumerate() {
+        match *usage {
             RecordUse::Known => {
                 // The newest records of all keys contain those that were read before.
                 if kind == ReadingKind::Changes {
@@ -489,7 +490,15 @@
             }
             RecordUse::Apply | RecordUse::Replaced => applied.new += 1,
         }
-        apply(cx, topic, record);
+        if !apply(cx, topic, record) {
+            let earlier = records[..index].iter().zip(&uses).rev();
+            let mut replaced = earlier.filter(|(earlier, usage)| {
+                **usage == RecordUse::Replaced && earlier.key == record.key
+            });
+            if !replaced.any(|(earlier, _)| apply(cx, topic, earlier)) {
+                cx.feed.cursors.borrow_mut()[topic].on_refused(&record.key);
+            }
+        }
         cx.feed.mirrors.borrow_mut()[topic].apply(MirrorRecord {
             key: record.key.as_str().into(),
             value: record.value.clone(),
--- a/tests/process_quick_configs.rs
+++ b/tests/process_quick_configs.rs
@@ -75,3 +75,32 @@
         Ok(())
     });
 }
+
+/// Guards against a valid configuration that never comes in force, because an invalid one has replaced it before it
+/// was read: by a read of both, and by a read of the newest records only.
+#[gtest]
+fn invalid_configuration_after_valid_one() {
+    /// Less than the pause of a node after a read that has returned records.
+    const WITHIN_PAUSE: Duration = Duration::from_millis(60);
+    /// More than that pause, and less than two of them.
+    const NEXT_PAUSE: Duration = Duration::from_millis(300);
+    run(async {
+        let mut env = TestFleet::start(1).await?;
+        let put_invalid = |env: &TestFleet| env.store.put(OPERATOR_TOPIC, "config", b"{}");
+        let _ = put_config(&env.store, 2);
+        actix_rt::time::sleep(WITHIN_PAUSE).await;
+        let _ = put_config(&env.store, 3);
+        let _ = put_invalid(&env);
+        let limit = REQUIRED_TIME + POLL_MARGIN;
+        env.wait_for(limit, 0, "/v3/1", StatusCode::OK).await?;
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        let _ = put_config(&env.store, 4);
+        actix_rt::time::sleep(WITHIN_PAUSE).await;
+        let _ = put_config(&env.store, 5);
+        let _ = put_config(&env.store, 6);
+        actix_rt::time::sleep(NEXT_PAUSE).await;
+        let _ = put_config(&env.store, 7);
+        let _ = put_invalid(&env);
+        env.wait_for(limit, 0, "/v7/1", StatusCode::OK).await
+    });
+}
--- a/tests/topic_cursor.rs
+++ b/tests/topic_cursor.rs
@@ -264,3 +264,32 @@
     cursor.on_newest(&[30], 1, 31);
     expect_that!(cursor.next(), eq(NextRead::From(31)));
 }
+
+/// Guards against a valid record that is never applied, because a refused one of its key was the newest one, and
+/// against reading the records in between a second time.
+#[gtest]
+fn on_refused_reads_skipped_records() {
+    let mut cursor = TopicCursor::default();
+    cursor.on_newest(&[3], 1, 4);
+    cursor.on_refused("config");
+    expect_that!(cursor.next(), eq(NextRead::From(4)), "nothing was skipped");
+    cursor.on_read(8);
+    cursor.on_replaced();
+    cursor.on_newest(&[10], 1, 11);
+    let uses = cursor.select(NOW, [("config", 10), ("rollout/s", 9)].into_iter());
+    expect_true!(uses.iter().all(|usage| *usage == RecordUse::Apply));
+    cursor.on_refused("config");
+    expect_that!(cursor.next(), eq(NextRead::From(8)));
+    cursor.on_read(11);
+    let records = [("config", 8), ("rollout/s", 9), ("config", 10)];
+    expect_that!(
+        cursor.select(NOW, records.into_iter()),
+        elements_are![
+            eq(&RecordUse::Replaced),
+            eq(&RecordUse::Known),
+            eq(&RecordUse::Apply)
+        ]
+    );
+    cursor.on_refused("config");
+    expect_that!(cursor.next(), eq(NextRead::From(11)));
+}
