--- a/tests/process_quick_configs.rs
+++ b/tests/process_quick_configs.rs
@@ -1,6 +1,5 @@
 //! Configurations in quick succession with real sidecar processes.
 
-#[allow(dead_code, reason = "other test files use the rest")]
 mod sidecar_common;
 
 use std::time::Duration;
