Move over expired records only after the newest ones had time to be listed

Cause: the check after the move found a record that had expired before it was listed, but too late for followers whose position was behind it already, and it did not show removals.

Ruled out: sending late records to followers again and again, as with dropped keys; a configuration is too large for that.

Change: the position stays at the expired records for three reads with 0.25 s between them, and moves on to what the newest records have shown meanwhile. If these stay the same, the position moves to the end that was reported before the first of the reads.

--- a/src/coordination/topic_cursor.rs
+++ b/src/coordination/topic_cursor.rs
@@ -24,10 +24,10 @@
 
 use crate::coordination::store_retry;
 
-/// Number of checks of the newest records after the position was moved over expired records that a store may not
-/// have listed yet. A slow store lists a record up to 0.3 s after it has appended it; a check follows a read, which
-/// takes 0.25 s at least, and of which one has no records to return once the store is quiet.
-const GAP_CHECKS: u32 = 2;
+/// Number of reads at one position that have to find its records expired before the position moves to the end that
+/// the store had reported before. A slow store lists a record up to 0.3 s after it has appended it, and the caller
+/// waits 0.25 s between these reads, so that the newest records have shown all that there are until then.
+const EXPIRED_READS: u32 = 3;
 
 /// The next request of the reader to the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -60,6 +60,17 @@
     Replaced,
 }
 
+/// Records that were requested and have expired.
+#[derive(Clone, Copy, Debug)]
+struct ExpiredRecords {
+    /// Position at which they were requested.
+    from: u64,
+    /// End that the store had reported before it was read there for the first time.
+    end: u64,
+    /// Number of reads that have found them expired.
+    reads: u32,
+}
+
 /// Read position in one topic.
 #[derive(Debug, Default)]
 pub struct TopicCursor {
@@ -72,8 +83,8 @@
     unverified: bool,
     /// Whether the newest records are read once more, without a change of the position.
     rechecks: bool,
-    /// Offset up to which expired records were passed over, and the number of checks left that may show them.
-    unlisted_before: Option<(u64, u32)>,
+    /// Records that have expired at the position.
+    expired: Option<ExpiredRecords>,
     /// Whether the newest records are read instead of those after the position, because several records of
     /// one key have accumulated there.
     is_behind: bool,
@@ -157,11 +168,6 @@
     /// first page may change before a later page is read, so reading continues after the first page.
     pub fn on_newest(&mut self, offsets: &[u64], first_page: usize, end: u64) {
         self.failures = 0;
-        let last = offsets.iter().max().copied();
-        self.unlisted_before = self.unlisted_before.and_then(|(before, checks)| {
-            let is_listed = last.is_some_and(|last| last + 1 >= before);
-            (!is_listed && checks > 1).then(|| (before, checks - 1))
-        });
         if std::mem::take(&mut self.rechecks) && !self.is_behind {
             return;
         }
@@ -172,11 +178,7 @@
         self.reported_end = end;
         let position = if self.unverified {
             // The records before this position were requested and have expired.
-            let position = self.from.unwrap_or(end);
-            if after_received < position {
-                self.unlisted_before = Some((position, GAP_CHECKS));
-            }
-            position
+            self.from.unwrap_or(end)
         } else {
             // Before the former position if the newest records lack some that were read. Reading these again
             // shows whether they were removed, or are not listed yet.
@@ -194,9 +196,7 @@
         self.from = Some(end);
         self.skipped_from = None;
         self.failures = 0;
-        if self.unlisted_before.is_some() {
-            self.recheck();
-        }
+        self.expired = None;
     }
 
     /// Makes the next request one for the newest records if at least two records have replaced earlier ones
@@ -238,17 +238,37 @@
         pause
     }
 
-    /// Handles the answer of the store that the requested records have expired.
+    /// Handles the answer of the store that the requested records have expired. The newest records are read again,
+    /// and reading goes on after them, or at the end that the store had reported if they stay the same.
     pub fn on_expired(&mut self) {
-        match self.from {
-            Some(from) if from < self.reported_end => {
-                self.from = Some(self.reported_end);
-                self.unverified = true;
-            }
-            _ => self.from = None,
+        let Some(from) = self.from.filter(|from| *from < self.reported_end) else {
+            self.from = None;
+            self.expired = None;
+            return;
+        };
+        let former = self.expired.filter(|expired| expired.from == from);
+        let expired = ExpiredRecords {
+            from,
+            end: former.map_or(self.reported_end, |former| former.end),
+            reads: former.map_or(1, |former| former.reads + 1),
+        };
+        if expired.reads < EXPIRED_READS {
+            self.expired = Some(expired);
+            self.from = None;
+        } else {
+            self.expired = None;
+            self.from = Some(expired.end);
+            self.unverified = true;
         }
     }
 
+    /// Whether the newest records are read again because the records after them have expired. The caller waits before
+    /// this read, so that a slow store has listed them.
+    #[must_use]
+    pub fn awaits_listing(&self) -> bool {
+        self.expired.is_some()
+    }
+
     /// Returns the use of each record of a reading, in the order of their offsets: of the records that are newer
     /// than all earlier ones of their keys, only the last one of each key is applied.
     pub fn select<'a>(
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -364,6 +364,9 @@
             Err(StoreFailure::Expired) => {
                 info!(cx.log, "records expired"; "topic" => TOPICS[topic], "next" => format!("{next:?}"));
                 cx.feed.cursors.borrow_mut()[topic].on_expired();
+                if cx.feed.cursors.borrow()[topic].awaits_listing() {
+                    actix_rt::time::sleep(BURST_PAUSE).await;
+                }
             }
             Err(failure) => {
                 cx.metrics.store_failures.increment(1);
