--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -19,6 +19,7 @@
 use crate::coordination::startup::store_answer::StoreAnswer;
 use crate::coordination::topic_cursor::NextRead;
 use crate::coordination::topic_cursor::ReadCall;
+use crate::coordination::topic_cursor::RecordUse;
 use crate::coordination::topic_cursor::TopicCursor;
 use crate::coordination::topic_source::Source;
 use crate::coordination::topic_source::SourceSelector;
@@ -313,13 +314,14 @@
     cx.feed.restored.notify_waiters();
 }
 
-/// Applies a record to this process.
-fn apply(cx: &Rc<Sidecar>, topic: usize, record: &KeyedRecord) {
+/// Applies a record to this process. Returns whether a record of the operator is valid.
+fn apply(cx: &Rc<Sidecar>, topic: usize, record: &KeyedRecord) -> bool {
     match topic {
-        OPERATOR => records::apply_operator(cx, record),
+        OPERATOR => return records::apply_operator(cx, record),
         FLEET => records::apply_fleet(cx, record),
         _ => records::apply_moves(cx, record),
     }
+    true
 }
 
 /// Reads one topic from the store while the store is the source.
@@ -357,6 +359,7 @@
             call.wait = Duration::ZERO;
         }
         let next = call.read;
+        let was_behind = cx.feed.cursors.borrow()[topic].is_behind();
         let era = cx.feed.era();
         let read = tokio::select! {
             read = read_store(cx, topic, call) => read,
@@ -378,11 +381,12 @@
                 cx.feed.set_store_available(true);
                 let changed = !batch.records.is_empty();
                 let is_start = !cx.state.borrow().fleet_read;
-                apply_read(cx, topic, next, batch);
+                let has_new = apply_read(cx, topic, next, batch);
                 let pause = match (topic, next) {
                     (FLEET, NextRead::Newest) if is_start => FLEET_START_PAUSE,
                     (FLEET, _) if changed => FLEET_BURST_PAUSE,
                     (_, NextRead::From(_)) if changed => BURST_PAUSE,
+                    (_, NextRead::Newest) if was_behind && has_new => BURST_PAUSE,
                     _ => continue,
                 };
                 actix_rt::time::sleep(pause).await;
@@ -390,6 +394,9 @@
             Err(StoreFailure::Expired) => {
                 info!(cx.log, "records expired"; "topic" => TOPICS[topic], "next" => format!("{next:?}"));
                 cx.feed.cursors.borrow_mut()[topic].on_expired();
+                if cx.feed.cursors.borrow()[topic].awaits_listing() {
+                    actix_rt::time::sleep(BURST_PAUSE).await;
+                }
             }
             Err(failure) => {
                 cx.metrics.store_failures.increment(1);
@@ -456,8 +463,8 @@
     result
 }
 
-/// Applies the result of a read from the store.
-fn apply_read(cx: &Rc<Sidecar>, topic: usize, read: NextRead, mut batch: KeyedBatch) {
+/// Applies the result of a read from the store. Returns whether it has shown records that were not seen before.
+fn apply_read(cx: &Rc<Sidecar>, topic: usize, read: NextRead, mut batch: KeyedBatch) -> bool {
     let mut kind = ReadingKind::Changes;
     {
         let mut cursors = cx.feed.cursors.borrow_mut();
@@ -476,11 +483,11 @@
             cursors[topic].on_read(batch.end);
         }
     }
-    let end = match cx.feed.cursors.borrow()[topic].next() {
-        NextRead::From(from) => from,
-        NextRead::Newest => 0,
-    };
-    apply_all(cx, topic, kind, &batch.records, end);
+    let end = cx.feed.cursors.borrow()[topic].position().unwrap_or(0);
+    let applied = apply_all(cx, topic, kind, &batch.records, end);
+    if applied.replaced > 0 {
+        cx.feed.cursors.borrow_mut()[topic].on_replaced();
+    }
     if topic == FLEET {
         health_check::on_entry_read(cx);
     }
@@ -489,22 +496,61 @@
         cx.feed.confirmed_at.set(Some(cx.clock.now()));
         cx.feed.view_checked.notify_waiters();
     }
+    applied.new > 0
+}
+
+/// What became of the records of a reading.
+struct Applied {
+    /// Number of records that were applied.
+    new: usize,
+    /// Number of records that were left out, because a later one of the same reading replaces them.
+    replaced: usize,
 }
 
 /// Applies the records that were not seen before, in the order of their offsets, and keeps them for
-/// followers.
-fn apply_all(cx: &Rc<Sidecar>, topic: usize, kind: ReadingKind, records: &[KeyedRecord], end: u64) {
+/// followers. Of several records of one key in the operator's topic only the newest valid one is applied. In the
+/// other topics a later record does not make up for an earlier one: the entry of an earlier process of this node
+/// names leaves that it has acknowledged, and the states of a rollout recorded by several nodes are merged.
+fn apply_all(
+    cx: &Rc<Sidecar>,
+    topic: usize,
+    kind: ReadingKind,
+    records: &[KeyedRecord],
+    end: u64,
+) -> Applied {
     let now = cx.clock.now();
-    for record in records {
-        if !cx.feed.cursors.borrow_mut()[topic].update_if_newer(now, &record.key, record.offset) {
-            // A recheck shows all keys every few seconds, for as long as an evacuation lasts.
-            if kind != ReadingKind::Recheck {
-                info!(cx.log, "record skipped"; "topic" => TOPICS[topic], "key" => &record.key, "offset" => record.offset,
-                    "why" => "not newer than the last one of its key");
+    let pairs = records.iter();
+    let pairs = pairs.map(|record| (record.key.as_str(), record.offset));
+    let uses = cx.feed.cursors.borrow_mut()[topic].select(now, pairs);
+    let mut applied = Applied {
+        new: 0,
+        replaced: 0,
+    };
+    for (index, (record, usage)) in records.iter().zip(&uses).enumerate() {
+        match *usage {
+            RecordUse::Known => {
+                // The newest records of all keys contain those that were read before.
+                if kind == ReadingKind::Changes {
+                    info!(cx.log, "record skipped"; "topic" => TOPICS[topic], "key" => &record.key, "offset" => record.offset,
+                        "why" => "not newer than the last one of its key");
+                }
+                continue;
+            }
+            RecordUse::Replaced if topic == OPERATOR => {
+                applied.replaced += 1;
+                continue;
+            }
+            RecordUse::Apply | RecordUse::Replaced => applied.new += 1,
+        }
+        if !apply(cx, topic, record) {
+            let earlier = records[..index].iter().zip(&uses).rev();
+            let mut replaced = earlier.filter(|(earlier, usage)| {
+                **usage == RecordUse::Replaced && earlier.key == record.key
+            });
+            if !replaced.any(|(earlier, _)| apply(cx, topic, earlier)) {
+                cx.feed.cursors.borrow_mut()[topic].on_refused(&record.key);
             }
-            continue;
         }
-        apply(cx, topic, record);
         cx.feed.mirrors.borrow_mut()[topic].apply(MirrorRecord {
             key: record.key.as_str().into(),
             value: record.value.clone(),
@@ -521,9 +567,13 @@
             announcer::verify_stored_entry(cx, stored);
         }
     }
+    if applied.replaced > 0 {
+        info!(cx.log, "replaced records skipped"; "topic" => TOPICS[topic], "count" => applied.replaced, "end" => end);
+    }
     if is_first || !records.is_empty() {
         cx.feed.changed.notify_waiters();
     }
+    applied
 }
 
 /// Handles the end of a reading of the operator's topic. Keys that the store has dropped are removed from the copy
@@ -532,6 +582,13 @@
     if kind != ReadingKind::Changes {
         cx.feed.operator_listed_at.set(cx.clock.now());
     }
+    if kind == ReadingKind::Complete {
+        // The copy of a reader may contain a removal that is older than a record which this node knows.
+        let with_value = records.iter().filter(|record| !record.value.is_empty());
+        let mut listed: Vec<&str> = with_value.map(|record| record.key.as_str()).collect();
+        listed.sort_unstable();
+        cx.feed.mirrors.borrow_mut()[OPERATOR].on_complete(&listed, end);
+    }
     for (key, offset) in records::finish_operator_reading(cx, kind, records, end) {
         cx.feed.add_dropped(key, offset);
     }
@@ -609,7 +666,8 @@
     for (topic, part) in response.topics.into_iter().enumerate().take(TOPICS.len()) {
         let end = part.end;
         // Without a copy of its own this node has asked for the whole topic.
-        let is_complete = cx.feed.mirrors.borrow()[topic].end().is_none();
+        let is_first = cx.feed.mirrors.borrow()[topic].end().is_none();
+        let is_complete = is_first || (topic == OPERATOR && part.is_complete);
         let kind = if is_complete {
             ReadingKind::Complete
         } else {
