Name only the field in errors of POST /explain

An invalid value was sent back in the message of the JSON library, and an unknown workspace by its name. Either may be a credential in the wrong place.

Each field now has a fixed requirement text. Names of unknown fields are repeated only if they look like one (at most 32 lower-case letters and underscores). Ruled out: cutting the message of the library, whose wording may change.

--- a/src/protocol/explain.rs
+++ b/src/protocol/explain.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use serde::Serializer;
 use serde::de::Error as _;
+use serde_path_to_error::Segment;
 
 use crate::protocol::mesh::KeyHash;
 use crate::protocol::name::DomainName;
@@ -23,6 +24,19 @@
 /// Largest question, bytes.
 pub const MAX_REQUEST_BYTES: usize = 64 << 10;
 
+/// Fields of a question and what they must be, sorted.
+const FIELDS: [(&str, &str); 6] = [
+    ("body_bytes", "must be a whole number, at least 0"),
+    ("host", "must be a string"),
+    ("key_hash", "must be a BLAKE3 hash of 64 hexadecimal digits"),
+    ("path", "must be a string"),
+    ("time_left_ms", "must be a whole number, at least 0"),
+    ("workspace", "must be the name of a workspace"),
+];
+/// Longest name of an unknown field that an error repeats.
+const MAX_FIELD_NAME_BYTES: usize = 32;
+const NOT_JSON: &str = "body: must be one JSON object";
+
 /// A request of a caller that is not sent.
 #[derive(Clone, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -57,14 +71,8 @@
     /// The field that is invalid, and why.
     pub fn parse(body: &[u8]) -> Result<Self, String> {
         let mut de = serde_json::Deserializer::from_slice(body);
-        let request: Self = serde_path_to_error::deserialize(&mut de).map_err(|e| {
-            let path = e.path().to_string();
-            match path.as_str() {
-                "." => e.inner().to_string(),
-                path => format!("{path}: {}", e.inner()),
-            }
-        })?;
-        de.end().map_err(|e| e.to_string())?;
+        let request: Self = serde_path_to_error::deserialize(&mut de).map_err(|e| defect(&e))?;
+        de.end().map_err(|_| NOT_JSON)?;
         request.check()?;
         Ok(request)
     }
@@ -102,6 +110,42 @@
     }
 }
 
+/// Names the invalid field. Values are not repeated, nor names that are none of a field, since a credential may have
+/// been put there by mistake.
+fn defect(error: &serde_path_to_error::Error<serde_json::Error>) -> String {
+    if !error.inner().is_data() {
+        return NOT_JSON.into();
+    }
+    let Some(Segment::Map { key }) = error.path().iter().next() else {
+        // The messages of serde for these have no value.
+        let text = error.inner().to_string();
+        let begins = |kind: &str, field: &str| text.starts_with(&format!("{kind} field `{field}`"));
+        let named = FIELDS.iter().find_map(|(field, _)| {
+            let missing = begins("missing", field).then(|| format!("{field}: must be present"));
+            let repeated = || begins("duplicate", field).then(|| format!("{field}: is repeated"));
+            missing.or_else(repeated)
+        });
+        return named.unwrap_or_else(|| NOT_JSON.into());
+    };
+    match FIELDS.binary_search_by_key(&key.as_str(), |(field, _)| field) {
+        Ok(index) if error.inner().to_string().starts_with("duplicate field") => {
+            format!("{}: is repeated", FIELDS[index].0)
+        }
+        Ok(index) => {
+            let (field, requirement) = FIELDS[index];
+            format!("{field}: {requirement}")
+        }
+        Err(_) => {
+            let is_plain = |byte: u8| byte.is_ascii_lowercase() || byte == b'_';
+            if key.len() <= MAX_FIELD_NAME_BYTES && key.bytes().all(is_plain) {
+                format!("{key}: is not a field of a query")
+            } else {
+                "body: has an unknown field".into()
+            }
+        }
+    }
+}
+
 fn read_key_hash<'de, D: Deserializer<'de>>(de: D) -> Result<Option<KeyHash>, D::Error> {
     let text = Option::<String>::deserialize(de)?;
     let Some(text) = text else {
--- a/src/sidecar/explain_port.rs
+++ b/src/sidecar/explain_port.rs
@@ -165,10 +165,10 @@
     };
     let workspace = table
         .workspace(name)
-        .ok_or_else(|| format!("workspace: the configuration has no workspace {name}"))?;
+        .ok_or("workspace: the configuration has no workspace of this name")?;
     let key = workspace.keys.first().copied();
     key.map(Some)
-        .ok_or_else(|| format!("workspace: the workspace {name} has no key"))
+        .ok_or_else(|| "workspace: the workspace has no key".into())
 }
 
 /// Makes the decisions on a request in the order of a call. `explanation` receives their inputs.
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -457,3 +457,54 @@
         expect_true!(KeyHash::from_hex(hash).is_none(), "{hash}");
     }
 }
+
+/// Guards against an error that sends a value of the body back, which may be a credential in the wrong place.
+#[gtest]
+fn explain_request_errors_without_values() {
+    let key = "key-of-acme-51f0";
+    let valid = r#""host": "a.example", "path": "/x""#;
+    for (text, field) in [
+        (format!(r#"{{ "host": ["{key}"], "path": "/x" }}"#), "host"),
+        (format!(r#"{{ "host": "{key} ", "path": "/x" }}"#), "host"),
+        (
+            format!(r#"{{ "host": "a.example", "path": {{ "{key}": 1 }} }}"#),
+            "path",
+        ),
+        (
+            format!(r#"{{ {valid}, "key_hash": ["{key}"] }}"#),
+            "key_hash",
+        ),
+        (
+            format!(r#"{{ {valid}, "workspace": {{ "{key}": "{key}" }} }}"#),
+            "workspace",
+        ),
+        (format!(r#"{{ {valid}, "workspace": 7151 }}"#), "workspace"),
+        (
+            format!(r#"{{ {valid}, "body_bytes": "{key}" }}"#),
+            "body_bytes",
+        ),
+        (
+            format!(r#"{{ {valid}, "body_bytes": -7151 }}"#),
+            "body_bytes",
+        ),
+        (
+            format!(r#"{{ {valid}, "time_left_ms": "{key}" }}"#),
+            "time_left_ms",
+        ),
+        (format!(r#"{{ {valid}, "colour": "{key}" }}"#), "colour"),
+        (format!(r#"{{ {valid}, "{key}": 1 }}"#), "body"),
+        (format!(r#"{{ {valid}, "host": "{key}" }}"#), "host"),
+        (format!(r#""{key}""#), "body"),
+        (format!(r#"{{ {valid} }} "{key}""#), "body"),
+        (format!(r#"{{ {valid}, {key} }}"#), "body"),
+        (r#"{ "path": "/x" }"#.to_owned(), "host"),
+        (r#"{ "host": "a.example" }"#.to_owned(), "path"),
+    ] {
+        let error = ExplainRequest::parse(text.as_bytes()).err();
+        let error = error.unwrap_or_default();
+        let named = error.split(':').next();
+        expect_that!(named, some(eq(field)), "{text}: {error}");
+        expect_that!(error, not(contains_substring(key)));
+        expect_that!(error, not(contains_substring("7151")));
+    }
+}
