Count evaluations of explain, and find results without a search

explain searched the evaluated nodes by name for each node of the fleet, which compares names n * n / 2 times. The results are in the order of the nodes, so one pass over both is enough.

The new test counts how often nodes are judged with 75, 150 and 300 entries: at most twice for each node. It passes before the change as well; comparisons of names, which the change removes, are not counted by it.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -807,12 +807,16 @@
                 time_ms: choice.time_ms,
             });
         });
-        let find = |node: &NodeId| evaluated.iter().find(|known| known.node == *node);
-        let chosen = pick.as_ref().and_then(|pick| find(&pick.node));
+        let chosen = pick.as_ref().and_then(|pick| {
+            let mut evaluated = evaluated.iter();
+            evaluated.find(|known| known.node == pick.node)
+        });
         let chosen_rank = chosen.map(|chosen| chosen.rank);
+        // In the order of the candidates.
+        let mut evaluated = evaluated.iter().peekable();
         let views = self.candidates.iter().map(|candidate| {
             let entry = &candidate.entry;
-            let known = find(&entry.node);
+            let known = evaluated.next_if(|known| known.node == entry.node);
             let reason = match (usable_backend(candidate, request), known) {
                 (Err(reason), _) => Some(reason),
                 (Ok(_), None) => Some(NotChosen::Tried),
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -2,6 +2,7 @@
 
 mod fleet_common;
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use fleet_common::SERVICE;
@@ -508,3 +509,49 @@
         expect_that!(error, not(contains_substring("7151")));
     }
 }
+
+/// Guards against a query whose cost grows faster than the fleet. Each node may be judged twice: for the choice, and
+/// for the reason why it was not chosen.
+#[gtest]
+fn explain_evaluations_in_large_fleet() {
+    const EVALUATIONS_PER_NODE: usize = 2;
+    for (is_spilling, nodes) in [
+        (false, 75),
+        (false, 150),
+        (false, 300),
+        (true, 75),
+        (true, 150),
+        (true, 300),
+    ] {
+        let mut placement = placement(is_spilling);
+        for index in 0..nodes {
+            let domain = ["accra-a", "accra-b", "keta-a", "keta-b"][index % 4];
+            placement.on_entry(ms(0), &entry(index, domain, SERVICE, "v1"));
+            load(&mut placement, ms(1), &name(index), 3, 0);
+        }
+        let evaluations = Cell::new(0);
+        let request = PickRequest {
+            service: &SERVICE.into(),
+            route: &ROUTE.into(),
+            objective: ms(250),
+            idempotent: true,
+            request_bytes: 300,
+            tried: &[],
+            is_allowed: &|_, _| {
+                evaluations.set(evaluations.get() + 1);
+                true
+            },
+            regions: &AllowedRegions::Any,
+            evacuations: &Evacuations::default(),
+        };
+        let mut rng = StdRng::seed_from_u64(1);
+        let (pick, candidates) = placement.explain(ms(2), &mut rng, &request);
+        expect_true!(pick.is_some());
+        expect_that!(candidates.len(), eq(nodes));
+        expect_that!(
+            evaluations.get(),
+            le(EVALUATIONS_PER_NODE * nodes),
+            "{nodes} nodes"
+        );
+    }
+}
