Limit the key file of explain to 8 KiB

The command read the whole file, so a device without an end filled the memory. It now reads at most one byte more than 8 KiB and refuses a larger file with exit code 2.

A file of 8,193 bytes ended with exit code 6 before (the node did not answer). explain_key_file_size of tests/process_explain.rs passes.

--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -1,6 +1,7 @@
 //! `sycamorewick explain`
 
-use std::fs;
+use std::fs::File;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -27,6 +28,8 @@
 use crate::exit_code::ExitCode;
 
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest key file. All header fields of a request have at most 16 KiB by default, and a key is one of them.
+const MAX_KEY_FILE_BYTES: u64 = 8 << 10;
 
 /// Why a command failed.
 type Failed = (String, ExitCode);
@@ -65,7 +68,15 @@
 fn read_key(file: &Path) -> Result<KeyHash, Failed> {
     let name = file.display();
     let failed = |text| (text, ExitCode::GeneralError);
-    let key = fs::read(file).map_err(|e| failed(format!("cannot read key file {name}: {e}")))?;
+    let mut key = Vec::new();
+    let opened = File::open(file);
+    // A device may have no end.
+    let read = opened.and_then(|file| file.take(MAX_KEY_FILE_BYTES + 1).read_to_end(&mut key));
+    let bytes = read.map_err(|e| failed(format!("cannot read key file {name}: {e}")))?;
+    if u64::try_from(bytes).unwrap_or(u64::MAX) > MAX_KEY_FILE_BYTES {
+        let text = format!("key file {name} has more than {MAX_KEY_FILE_BYTES} bytes");
+        return Err((text, ExitCode::Usage));
+    }
     match key.trim_ascii() {
         [] => Err(failed(format!("key file {name} is empty"))),
         key => Ok(KeyHash::of(key)),
--- a/tests/process_explain.rs
+++ b/tests/process_explain.rs
@@ -429,3 +429,26 @@
         Ok(())
     });
 }
+
+/// Guards against a key file that fills the memory, such as a device or a log, and against one that is refused
+/// although it is within the limit.
+#[gtest]
+fn explain_key_file_size() {
+    run(async {
+        let closed = testbed::fleet::free_addr()?.to_string();
+        let dir = tempfile::tempdir()?;
+        for (size, code) in [(8 << 10, 6), ((8 << 10) + 1, 2)] {
+            let file = dir.path().join(format!("{size}.key"));
+            fs::write(&file, "k".repeat(size))?;
+            let file = file.display().to_string();
+            let output = run_command(&closed, &["--path", "/x", "--key-file", &file]).await?;
+            expect_that!(output.status.code(), some(eq(code)), "{size} bytes");
+            let error = String::from_utf8_lossy(&output.stderr).into_owned();
+            expect_that!(error.contains("8192 bytes"), eq(code == 2), "{error}");
+        }
+        let args = ["--path", "/x", "--key-file", "/dev/zero"];
+        let endless = run_command(&closed, &args).await?;
+        expect_that!(endless.status.code(), some(eq(2)));
+        Ok(())
+    });
+}
