Limit the queries of explain at the metrics port

A query copies the placement and judges each node, and nothing limited the number of queries of a process that may have a tenth of a processor.

A process begins at most 5 queries in any second and has at most 2 open, from the head until the answer. Others get 503 and Retry-After before their bodies are read, and do not count. A token bucket with a burst was ruled out, since it admits up to twice the limit in one second. A query counts as open also while its body arrives, at most 15 s.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -18,6 +18,7 @@
 pub mod membership;
 pub mod placement;
 pub mod quarantine;
+pub mod query_limit;
 pub mod readiness;
 pub mod rendezvous;
 pub mod request_limit;
--- a/src/sidecar/explain_port.rs
+++ b/src/sidecar/explain_port.rs
@@ -22,8 +22,12 @@
 use crate::coordination::attempts::Outcome;
 use crate::coordination::domains::homes::AllowedRegions;
 use crate::coordination::placement::Pick;
+use crate::coordination::query_limit::MAX_OPEN;
+use crate::coordination::query_limit::MAX_PER_S;
+use crate::coordination::query_limit::QueryRefusal;
 use crate::coordination::workspaces::quota::QuotaDecision;
 use crate::coordination::workspaces::quota::QuotaRefusal;
+use crate::platform::requests;
 use crate::protocol::explain::ChosenView;
 use crate::protocol::explain::ConfigView;
 use crate::protocol::explain::ExplainRequest;
@@ -54,8 +58,22 @@
 /// A refusal of the entry node, with the time after which to retry.
 type Refusal = (ResultCode, Option<Duration>);
 
+/// Query that counts as open until it is dropped, also if its client disconnects.
+struct OpenQuery<'a>(&'a Sidecar);
+
+impl Drop for OpenQuery<'_> {
+    fn drop(&mut self) {
+        self.0.queries.borrow_mut().end();
+    }
+}
+
 /// Handles a question of an operator.
 pub async fn handle(cx: Rc<Sidecar>, mut req: Request) -> Response<BoxBody> {
+    let begun = cx.queries.borrow_mut().begin(cx.clock.now());
+    if let Err(refusal) = begun {
+        return refuse(refusal);
+    }
+    let _open = OpenQuery(&cx);
     let mut payload = req.take_payload();
     let length = headers::number(req.headers(), CONTENT_LENGTH.as_str());
     let reading = http_server::read_sized_body(
@@ -83,6 +101,17 @@
         .map_err(|e| Failure::new(ResultCode::EncodeFailed, e.to_string()))
 }
 
+fn refuse(refusal: QueryRefusal) -> Response<BoxBody> {
+    let text = match refusal {
+        QueryRefusal::TooMany => format!("the node answers {MAX_OPEN} queries at a time"),
+        QueryRefusal::TooFrequent(_) => format!("the node answers {MAX_PER_S} queries in a second"),
+    };
+    let mut response = respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", text);
+    let (name, value) = requests::retry_after(refusal.retry_after());
+    response.headers_mut().insert(name, value);
+    response
+}
+
 fn respond(status: StatusCode, kind: &'static str, text: String) -> Response<BoxBody> {
     let mut response = Response::with_body(status, BoxBody::new(text));
     let kind = HeaderValue::from_static(kind);
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -55,6 +55,7 @@
 use crate::coordination::domains::evacuation::Evacuations;
 use crate::coordination::membership::heartbeat_hold::HeartbeatHold;
 use crate::coordination::placement::Placement;
+use crate::coordination::query_limit::QueryLimit;
 use crate::coordination::retry_quota::RetryQuota;
 use crate::coordination::stop_plan::StopPlan;
 use crate::coordination::version_move::Moves;
@@ -193,6 +194,8 @@
     entry_tried: Notify,
     /// Whether the last write of the own entry has failed and is not repeated yet.
     entry_write_failed: Cell<bool>,
+    /// Queries of operators.
+    queries: RefCell<QueryLimit>,
     /// Quotas of workspaces.
     quotas: Quotas,
     state: RefCell<SidecarState>,
@@ -310,6 +313,7 @@
         entry_changed: Notify::new(),
         entry_tried: Notify::new(),
         entry_write_failed: Cell::new(false),
+        queries: RefCell::default(),
         quotas: Quotas::new(&settings, run),
         state: RefCell::new(state),
         settings,
