Check credentials of waiting calls when the view is confirmed

A waiting call was checked only when a configuration came into force. While one is applied after an outage of the store, the view is still that of before, and an old view cannot tell whether a credential was revoked. The check worked only because the view is confirmed in the same step, before the woken calls run.

key_revoked_while_store_away passes before the change too; no state was found in which the old code misses a revocation.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -548,6 +548,13 @@
     None
 }
 
+/// Whether the credential of a call was revoked after the call was allowed.
+fn is_revoked(cx: &Sidecar, route: &MeshRoute, credential: Option<KeyHash>) -> bool {
+    // Without a recent view, nothing says that the credential was revoked.
+    credential.is_some()
+        && workspaces::authorize(cx, route, credential) == Err(ResultCode::CredentialUnknown)
+}
+
 /// Waits until the credential of a call is revoked while an attempt may still wait. A call that runs at this node
 /// may finish. Returns whether an open attempt may have run.
 async fn until_revoked(cx: &Sidecar, call: &EntryCall, open: &OpenAttempts) -> bool {
@@ -557,12 +564,12 @@
     }
     loop {
         let changed = cx.config_changed.notified();
-        let judged = workspaces::authorize(cx, &call.route, call.credential);
-        // Without a recent view, nothing says that the credential was revoked.
-        if judged == Err(ResultCode::CredentialUnknown) && open.may_wait() {
+        // A configuration that comes into force while the view is old is judged again once the view is confirmed.
+        let checked = cx.feed.view_checked.notified();
+        if is_revoked(cx, &call.route, call.credential) && open.may_wait() {
             return open.may_run();
         }
-        changed.await;
+        select(pin!(changed), pin!(checked)).await;
     }
 }
 
--- a/tests/process_workspaces.rs
+++ b/tests/process_workspaces.rs
@@ -405,6 +405,57 @@
     });
 }
 
+/// Guards against a call that starts although its key was revoked while the store was away, in the last configuration
+/// before the view was confirmed again. While that configuration is applied, the view is still too old to tell.
+#[gtest]
+fn key_revoked_while_store_away() {
+    run(async {
+        let mut env = TestFleet::new(1)?;
+        let put = |store: &StoreHandle, version, workspaces: &Value| {
+            put_workspaces_within(store, version, workspaces, 40_000, 40_000);
+        };
+        put(&env.store, 2, &both_workspaces());
+        env.fleet.start(0)?;
+        env.add_slow_backend(0, Duration::from_secs(8))?;
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        let until = Instant::now() + WAIT_LIMIT;
+        while get(&env, 0, "/v2/x", "first", &[])?.0 != 200 {
+            eyre::ensure!(Instant::now() < until, "no call is served");
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+        let addr = env.fleet.nodes()[0].addrs.caller;
+        // Twice as many calls as the backend server has slots, of a more urgent workspace.
+        let busy: Vec<_> = (0..8).map(|call| format!("busy-{call}")).collect();
+        let mut busy_clients = Vec::new();
+        for attempt in &busy {
+            let mut client = Client::connect(addr)?;
+            client.send("/wrecks/1", attempt, &[(CREDENTIAL_HEADER, BIRCH_KEY)])?;
+            busy_clients.push(client);
+        }
+        wait_routed(&env, 0, &busy).await?;
+        let mut waiting = Client::connect(addr)?;
+        waiting.send("/wrecks/1", "waiting", &[(CREDENTIAL_HEADER, ACME_KEY)])?;
+        wait_routed(&env, 0, &["waiting".to_owned()]).await?;
+        env.outage(Outage::Refuse);
+        let unknown = [(CREDENTIAL_HEADER, UNKNOWN_KEY)];
+        let until = Instant::now() + WAIT_LIMIT;
+        while get(&env, 0, "/wrecks/1", "unknown", &unknown)?.0 != 503 {
+            eyre::ensure!(Instant::now() < until, "the view is not too old");
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+        put(
+            &env.store,
+            3,
+            &json!({ "birch": { "api-keys": [BIRCH_KEY] } }),
+        );
+        env.outage(Outage::Off);
+        let (status, text) = waiting.receive()?;
+        expect_that!(status, eq(401), "{text}");
+        expect_false!(has_run(&env, "waiting"));
+        check_no_key_leaks(&env).await
+    });
+}
+
 /// Guards against a node that reads the body of a request before the quota refuses it, against tokens that are lost
 /// with requests whose bodies never end, and against refusals that a caller cannot use.
 #[gtest]
