Check the credential when a call at its own node has got a connection

SendOptions has a condition that is evaluated before the first byte is written. If it no longer holds, the request ends as Withdrawn: the connection stays idle, the wait is no run time, the backend server does not count as down, and the placement learns nothing of the node. The next check of the credential ends the call with 401. Cancelling the wait from outside was ruled out, since a call that is not idempotent goes on in a task of its own.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -812,7 +812,9 @@
     let result = if pick.node == cx.settings.id {
         open.local.set(LocalAttempt::Waiting);
         let on_start = || open.local.set(LocalAttempt::Running);
-        let outcome = serving::serve(cx, serve, &on_start).await;
+        let (route, credential) = (call.route.clone(), call.credential);
+        let may_send = Rc::new(move |cx: &Sidecar| !is_revoked(cx, &route, credential));
+        let outcome = serving::serve(cx, serve, &on_start, may_send).await;
         open.local.set(LocalAttempt::None);
         HopResult {
             outcome,
@@ -856,7 +858,11 @@
         } => AttemptEnd::Overloaded,
         // The call or the own limit of connections is the reason, not the node.
         ServeOutcome::Refused {
-            code: ResultCode::RequestQuarantined | ResultCode::OutsideHome | ResultCode::ClientLimit,
+            code:
+                ResultCode::RequestQuarantined
+                | ResultCode::OutsideHome
+                | ResultCode::ClientLimit
+                | ResultCode::CredentialUnknown,
             ..
         } => AttemptEnd::Cancelled,
         ServeOutcome::Refused { .. } => AttemptEnd::NoBackend,
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -123,7 +123,9 @@
         attempt: requests::read_client_headers(req.headers()).attempt,
         arrived,
     };
-    let outcome = serving::serve(cx, call, &|| {}).await;
+    // Only the entry node knows the credential of a call.
+    let may_send = Rc::new(|_: &Sidecar| true);
+    let outcome = serving::serve(cx, call, &|| {}, may_send).await;
     call_response(cx, Some(&route), outcome)
 }
 
@@ -284,6 +286,7 @@
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
     let options = SendOptions {
+        may_send: &|| true,
         may_send_body: &|| check().is_ok(),
         time_left: Some(call.head.left),
         started: None,
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -213,8 +213,18 @@
     }
 }
 
-/// Runs a call, or refuses it without running it. `on_start` is called before it is sent to the backend server.
-pub async fn serve(cx: &Rc<Sidecar>, call: ServeCall, on_start: &dyn Fn()) -> ServeOutcome {
+/// Whether the credential of a call still allows to send it to the backend server. A call that is not idempotent runs
+/// to its end in a task of its own, so the function outlives its caller.
+pub type MaySend = Rc<dyn Fn(&Sidecar) -> bool>;
+
+/// Runs a call, or refuses it without running it. `on_start` is called when it has a slot, and `may_send` when it has
+/// a connection to the backend server.
+pub async fn serve(
+    cx: &Rc<Sidecar>,
+    call: ServeCall,
+    on_start: &dyn Fn(),
+    may_send: MaySend,
+) -> ServeOutcome {
     if let Err(code) = usable_backend(cx, &call.head) {
         return refuse(cx, &call, ServeOutcome::refused(code));
     }
@@ -246,7 +256,7 @@
         return refuse(cx, &call, ServeOutcome::refused(ResultCode::NoBackend));
     }
     on_start();
-    let run = run(cx.clone(), call, backend, slot, fingerprint);
+    let run = run(cx.clone(), call, backend, slot, fingerprint, may_send);
     if idempotent {
         return run.await;
     }
@@ -424,6 +434,7 @@
     backend: BackendReport,
     mut slot: SlotGuard,
     fingerprint: u64,
+    may_send: MaySend,
 ) -> ServeOutcome {
     let waited = cx.clock.since(call.arrived);
     let left = call.head.left.saturating_sub(waited);
@@ -434,7 +445,13 @@
         route: call.head.route.clone(),
         backend: backend.clone(),
     });
-    let sent = forward(&cx, &call, &backend, left, &started);
+    let conditions = SendOptions {
+        may_send: &|| may_send(&cx),
+        time_left: Some(left),
+        started: Some(&started),
+        ..SendOptions::default()
+    };
+    let sent = forward(&cx, &call, &backend, conditions);
     let result = match actix_rt::time::timeout(left + DEADLINE_MARGIN, sent).await {
         Ok(result) => result,
         Err(_) => Err(None),
@@ -482,9 +499,9 @@
     cx: &Sidecar,
     call: &ServeCall,
     backend: &BackendReport,
-    left: Duration,
-    started: &Cell<Option<Started>>,
+    mut options: SendOptions<'_>,
 ) -> Result<HttpResponse, Option<ExchangeFailure>> {
+    let left = options.time_left.unwrap_or(call.head.left);
     let mut headers = call.headers.clone();
     headers.extend(
         call.head
@@ -514,17 +531,13 @@
         responding: None,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
-    let mut options = SendOptions {
-        time_left: Some(left),
-        started: Some(started),
-        ..SendOptions::default()
-    };
     let first = match cx.pool.send_with(exchange(max_idle), &options).await {
         // The pooled connection was closed while idle and nothing was sent on it, so a new one is tried.
         Err(failure @ ExchangeFailure::NotSent(_)) => failure,
         other => return other.map_err(Some),
     };
-    let is_unreachable = started.get().is_some_and(|started| !started.reused);
+    let started = options.started.and_then(Cell::get);
+    let is_unreachable = started.is_some_and(|started| !started.reused);
     options.time_left = Some(left.saturating_sub(cx.clock.since(began)));
     let sent = cx.pool.send_with(exchange(Duration::ZERO), &options);
     sent.await.map_err(|second| {
@@ -575,6 +588,11 @@
                 "why" => ExchangeFailure::NoConnection.to_string());
             ServeOutcome::overloaded(NO_BACKEND_RETRY_AFTER)
         }
+        Err(Some(ExchangeFailure::Withdrawn)) => {
+            info!(cx.log, "call not sent"; "attempt" => attempt, "instance" => &*backend.instance,
+                "why" => "its credential was revoked while it waited for a connection");
+            ServeOutcome::refused(ResultCode::CredentialUnknown)
+        }
         Err(Some(ExchangeFailure::NotSent(why))) => {
             mark_backend_down(cx, &why);
             ServeOutcome::refused(ResultCode::NoBackend)
--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -129,6 +129,8 @@
 
 /// Conditions under which a request is sent.
 pub struct SendOptions<'a> {
+    /// Whether the request may still be sent when it has got a connection, since that may take some time.
+    pub may_send: &'a dyn Fn() -> bool,
     /// Whether an announced body may be sent when the peer asks for it, since the peer may take some time.
     pub may_send_body: &'a dyn Fn() -> bool,
     /// Time after which the caller gives up, if it takes a request that was given up for one that may have run. The
@@ -150,6 +152,7 @@
 impl Default for SendOptions<'_> {
     fn default() -> Self {
         Self {
+            may_send: &|| true,
             may_send_body: &|| true,
             time_left: None,
             started: None,
@@ -165,6 +168,9 @@
     /// No byte of the request was sent, since this process has as many connections as it may open. That says nothing
     /// about the peer.
     NoConnection,
+    /// No byte of the request was sent, since [`SendOptions::may_send`] no longer allowed it. That says nothing about the
+    /// peer.
+    Withdrawn,
     /// After the request was written, the connection ended or the response was malformed.
     Broken {
         /// Description of the failure.
@@ -181,6 +187,7 @@
         match self {
             Self::NotSent(text) => write!(f, "not sent: {text}"),
             Self::NoConnection => f.write_str("not sent: limit of connections reached"),
+            Self::Withdrawn => f.write_str("not sent: withdrawn while waiting for a connection"),
             Self::Broken { text, reused } => {
                 write!(f, "connection broke: {text}, reused: {reused}")
             }
@@ -293,7 +300,8 @@
     /// Sends a request like [`Self::send`] under further conditions.
     ///
     /// # Errors
-    /// An [`ExchangeFailure`]; [`ExchangeFailure::NotSent`] if the body may not be sent.
+    /// An [`ExchangeFailure`]; [`ExchangeFailure::Withdrawn`] if the request may no longer be sent, and
+    /// [`ExchangeFailure::NotSent`] if its body may not.
     pub async fn send_with(
         &self,
         exchange: Exchange<'_>,
@@ -323,6 +331,13 @@
                 (connect(addr, slot).await.map_err(not_sent)?, false)
             }
         };
+        if !(options.may_send)() {
+            if let Some(started) = options.started {
+                started.set(None);
+            }
+            self.put_idle(addr, idle);
+            return Err(ExchangeFailure::Withdrawn);
+        }
         let mut connection = Connection::new(idle, self.budgets(addr));
         connection.recent_ids.add(id);
         let broken = |e: io::Error| ExchangeFailure::Broken {
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -909,6 +909,45 @@
     });
 }
 
+/// Guards against a request that is sent although it was withdrawn while it waited for a connection, that counts as
+/// started, or that closes the connection it got.
+#[gtest]
+fn limit_withdrawn_while_waiting() {
+    run(async {
+        let pool = limited_pool(1, None);
+        let (addr, events) = slow_peer(Duration::from_millis(100));
+        let is_withdrawn = Cell::new(false);
+        let asked_at_limit = Cell::new(0);
+        let started = Cell::new(None);
+        let options = SendOptions {
+            may_send: &|| {
+                asked_at_limit.set(asked_at_limit.get() + pool.open_connections());
+                !is_withdrawn.get()
+            },
+            started: Some(&started),
+            ..SendOptions::default()
+        };
+        let withdrawn = pool.send_with(get(addr), &options);
+        let withdraw = async {
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+            expect_that!(asked_at_limit.get(), eq(0));
+            is_withdrawn.set(true);
+        };
+        let all = futures_util::future::join3(pool.send(get(addr)), withdrawn, withdraw);
+        let (held, withdrawn, ()) = all.await;
+        expect_that!(held, ok(anything()));
+        expect_that!(withdrawn, err(eq(&ExchangeFailure::Withdrawn)));
+        expect_that!(asked_at_limit.get(), eq(1));
+        expect_that!(started.get(), none());
+        is_withdrawn.set(false);
+        let sent = pool.send_with(get(addr), &options).await;
+        expect_that!(sent, ok(anything()));
+        expect_that!(started.get().map(|started| started.reused), some(eq(true)));
+        // The requests on one connection.
+        expect_that!(events.try_iter().count(), eq(1));
+    });
+}
+
 /// Guards against a request that was given up while it waited, and holds up those behind it.
 #[gtest]
 fn limit_after_cancelled_wait() {
