Test revocations at the limit of connections with real processes

The condition of a request in the pool was tested, but not that an entry node sets it. A node with eight connections to its backend server gets calls of both kinds of routes until one of each is withdrawn; the wait for a connection lasts at most 250 ms, so the test repeats its round instead of relying on one.

--- a/tests/process_workspaces.rs
+++ b/tests/process_workspaces.rs
@@ -23,7 +23,11 @@
 use sycamorewick::protocol::hop::HopRequestHeader;
 use testbed::log_server::Outage;
 use testbed::platform::backend::ATTEMPT_HEADER;
+use testbed::platform::backend::PlatformBackend;
 use testbed::platform::backend::PlatformBackendHandle;
+use testbed::platform::backend::PlatformBackendOptions;
+use testbed::platform::fleet::SidecarFleet;
+use testbed::platform::fleet::SidecarOptions;
 use testbed::platform::store::OPERATOR_TOPIC;
 use testbed::platform::store::StoreHandle;
 
@@ -405,6 +409,104 @@
     });
 }
 
+/// Guards against a call that starts although its key was revoked while it had a slot at its own node and waited for a
+/// connection, also one that is not idempotent, which goes on in a task of its own. The wait ends after 250 ms, so
+/// calls are sent and the key is revoked until this hits calls of both kinds.
+#[gtest]
+fn key_revoked_at_connection_limit() {
+    run(async {
+        let mut env = TestFleet::new(0)?;
+        let options = SidecarOptions {
+            // Leaves eight connections to the backend server.
+            max_open_files: Some(100),
+            ..SidecarOptions::new("n0", "keta-a", "registry")
+        };
+        let addrs = SidecarFleet::free_addrs(env.store.addr())?;
+        env.fleet.add(options, addrs)?;
+        let put = |store: &StoreHandle, version, workspaces: &Value| {
+            put_workspaces_within(store, version, workspaces, 5_000, 5_000);
+        };
+        let without_acme = json!({ "birch": { "api-keys": [BIRCH_KEY] } });
+        let mut version = 2;
+        put(&env.store, version, &both_workspaces());
+        env.fleet.start(0)?;
+        let addrs = &env.fleet.nodes()[0].addrs;
+        let (caller, backend, heartbeat) = (addrs.caller, addrs.backend, addrs.heartbeat);
+        env.backends
+            .push(PlatformBackend::start(PlatformBackendOptions {
+                id: "b0".into(),
+                born: 1,
+                service: "registry".into(),
+                version: "v1".into(),
+                listen: backend,
+                heartbeat_addr: heartbeat,
+                slots: 32,
+                service_ms: 200,
+                error_rate: 0.0,
+                pad_bytes: 400,
+                seed: 1,
+                cold_ms: 0,
+                secret_text: None,
+            })?);
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        wait_version(&mut env, version).await?;
+        let until = Instant::now() + WAIT_LIMIT;
+        let mut withdrawn = [0, 0];
+        for round in 0.. {
+            if withdrawn.iter().all(|count| *count > 0) {
+                break;
+            }
+            eyre::ensure!(
+                Instant::now() < until,
+                "no call was withdrawn: {withdrawn:?}"
+            );
+            let send = |path: &str, attempt: &str, method: &str, key: &str| {
+                let mut client = Client::connect(caller)?;
+                client.send_head(method, path, attempt, &[(CREDENTIAL_HEADER, key)])?;
+                eyre::Ok(client)
+            };
+            let mut busy = Vec::new();
+            let mut attempts = Vec::new();
+            for call in 0..8 {
+                attempts.push(format!("busy-{round}-{call}"));
+                busy.push(send("/wrecks/1", &attempts[call], "GET", BIRCH_KEY)?);
+            }
+            wait_routed(&env, 0, &attempts).await?;
+            let mut calls = Vec::new();
+            for call in 0..8 {
+                let attempt = format!("acme-{round}-{call}");
+                let (path, method) = [("/wrecks/1", "GET"), ("/claims/1", "POST")][call % 2];
+                let client = send(path, &attempt, method, ACME_KEY)?;
+                calls.push((attempt, call % 2, client));
+            }
+            put(&env.store, version + 1, &without_acme);
+            for client in &mut busy {
+                let _ = client.receive()?;
+            }
+            let mut refused = Vec::new();
+            for (attempt, kind, mut client) in calls {
+                let (status, text) = client.receive()?;
+                if status == 401 {
+                    expect_false!(has_run(&env, &attempt), "{attempt}: {text}");
+                    refused.push((attempt, kind));
+                }
+            }
+            version += 2;
+            put(&env.store, version, &both_workspaces());
+            wait_version(&mut env, version).await?;
+            let lines = env.fleet.log_lines(0, "call not sent");
+            for (attempt, kind) in refused {
+                let is_withdrawn = |line: &&Value| {
+                    let why = line["why"].as_str().unwrap_or_default();
+                    line["attempt"] == *attempt && why.contains("revoked")
+                };
+                withdrawn[kind] += lines.iter().filter(is_withdrawn).count();
+            }
+        }
+        check_no_key_leaks(&env).await
+    });
+}
+
 /// Guards against a call that starts although its key was revoked while the store was away, in the last configuration
 /// before the view was confirmed again. While that configuration is applied, the view is still too old to tell.
 #[gtest]
