--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -590,6 +590,13 @@
     None
 }
 
+/// Whether the credential of a call was revoked after the call was allowed.
+fn is_revoked(cx: &Sidecar, route: &MeshRoute, credential: Option<KeyHash>) -> bool {
+    // Without a recent view, nothing says that the credential was revoked.
+    credential.is_some()
+        && workspaces::authorize(cx, route, credential) == Err(ResultCode::CredentialUnknown)
+}
+
 /// Waits until the credential of a call is revoked while an attempt may still wait. A call that runs at this node
 /// may finish. Returns whether an open attempt may have run.
 async fn until_revoked(cx: &Sidecar, call: &EntryCall, open: &OpenAttempts) -> bool {
@@ -599,12 +606,12 @@
     }
     loop {
         let changed = cx.config_changed.notified();
-        let judged = workspaces::authorize(cx, &call.route, call.credential);
-        // Without a recent view, nothing says that the credential was revoked.
-        if judged == Err(ResultCode::CredentialUnknown) && open.may_wait() {
+        // A configuration that comes into force while the view is old is judged again once the view is confirmed.
+        let checked = cx.feed.view_checked.notified();
+        if is_revoked(cx, &call.route, call.credential) && open.may_wait() {
             return open.may_run();
         }
-        changed.await;
+        select(pin!(changed), pin!(checked)).await;
     }
 }
 
@@ -847,7 +854,9 @@
     let result = if pick.node == cx.settings.id {
         open.local.set(LocalAttempt::Waiting);
         let on_start = || open.local.set(LocalAttempt::Running);
-        let outcome = serving::serve(cx, serve, &on_start).await;
+        let (route, credential) = (call.route.clone(), call.credential);
+        let may_send = Rc::new(move |cx: &Sidecar| !is_revoked(cx, &route, credential));
+        let outcome = serving::serve(cx, serve, &on_start, may_send).await;
         open.local.set(LocalAttempt::None);
         HopResult {
             outcome,
@@ -891,7 +900,11 @@
         } => AttemptEnd::Overloaded,
         // The call or the own limit of connections is the reason, not the node.
         ServeOutcome::Refused {
-            code: ResultCode::RequestQuarantined | ResultCode::OutsideHome | ResultCode::ClientLimit,
+            code:
+                ResultCode::RequestQuarantined
+                | ResultCode::OutsideHome
+                | ResultCode::ClientLimit
+                | ResultCode::CredentialUnknown,
             ..
         } => AttemptEnd::Cancelled,
         ServeOutcome::Refused { .. } => AttemptEnd::NoBackend,
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -2,6 +2,7 @@
 
 mod fleet_common;
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use fleet_common::SERVICE;
@@ -457,3 +458,100 @@
         expect_true!(KeyHash::from_hex(hash).is_none(), "{hash}");
     }
 }
+
+/// Guards against an error that sends a value of the body back, which may be a credential in the wrong place.
+#[gtest]
+fn explain_request_errors_without_values() {
+    let key = "key-of-acme-51f0";
+    let valid = r#""host": "a.example", "path": "/x""#;
+    for (text, field) in [
+        (format!(r#"{{ "host": ["{key}"], "path": "/x" }}"#), "host"),
+        (format!(r#"{{ "host": "{key} ", "path": "/x" }}"#), "host"),
+        (
+            format!(r#"{{ "host": "a.example", "path": {{ "{key}": 1 }} }}"#),
+            "path",
+        ),
+        (
+            format!(r#"{{ {valid}, "key_hash": ["{key}"] }}"#),
+            "key_hash",
+        ),
+        (
+            format!(r#"{{ {valid}, "workspace": {{ "{key}": "{key}" }} }}"#),
+            "workspace",
+        ),
+        (format!(r#"{{ {valid}, "workspace": 7151 }}"#), "workspace"),
+        (
+            format!(r#"{{ {valid}, "body_bytes": "{key}" }}"#),
+            "body_bytes",
+        ),
+        (
+            format!(r#"{{ {valid}, "body_bytes": -7151 }}"#),
+            "body_bytes",
+        ),
+        (
+            format!(r#"{{ {valid}, "time_left_ms": "{key}" }}"#),
+            "time_left_ms",
+        ),
+        (format!(r#"{{ {valid}, "colour": "{key}" }}"#), "colour"),
+        (format!(r#"{{ {valid}, "{key}": 1 }}"#), "body"),
+        (format!(r#"{{ {valid}, "host": "{key}" }}"#), "host"),
+        (format!(r#""{key}""#), "body"),
+        (format!(r#"{{ {valid} }} "{key}""#), "body"),
+        (format!(r"{{ {valid}, {key} }}"), "body"),
+        (r#"{ "path": "/x" }"#.to_owned(), "host"),
+        (r#"{ "host": "a.example" }"#.to_owned(), "path"),
+    ] {
+        let error = ExplainRequest::parse(text.as_bytes()).err();
+        let error = error.unwrap_or_default();
+        let named = error.split(':').next();
+        expect_that!(named, some(eq(field)), "{text}: {error}");
+        expect_that!(error, not(contains_substring(key)));
+        expect_that!(error, not(contains_substring("7151")));
+    }
+}
+
+/// Guards against a query whose cost grows faster than the fleet. Each node may be judged twice: for the choice, and
+/// for the reason why it was not chosen.
+#[gtest]
+fn explain_evaluations_in_large_fleet() {
+    const EVALUATIONS_PER_NODE: usize = 2;
+    for (is_spilling, nodes) in [
+        (false, 75),
+        (false, 150),
+        (false, 300),
+        (true, 75),
+        (true, 150),
+        (true, 300),
+    ] {
+        let mut placement = placement(is_spilling);
+        for index in 0..nodes {
+            let domain = ["accra-a", "accra-b", "keta-a", "keta-b"][index % 4];
+            placement.on_entry(ms(0), &entry(index, domain, SERVICE, "v1"));
+            load(&mut placement, ms(1), &name(index), 3, 0);
+        }
+        let evaluations = Cell::new(0);
+        let request = PickRequest {
+            service: &SERVICE.into(),
+            route: &ROUTE.into(),
+            objective: ms(250),
+            idempotent: true,
+            request_bytes: 300,
+            tried: &[],
+            is_allowed: &|_, _| {
+                evaluations.set(evaluations.get() + 1);
+                true
+            },
+            regions: &AllowedRegions::Any,
+            evacuations: &Evacuations::default(),
+        };
+        let mut rng = StdRng::seed_from_u64(1);
+        let (pick, candidates) = placement.explain(ms(2), &mut rng, &request);
+        expect_true!(pick.is_some());
+        expect_that!(candidates.len(), eq(nodes));
+        expect_that!(
+            evaluations.get(),
+            le(EVALUATIONS_PER_NODE * nodes),
+            "{nodes} nodes"
+        );
+    }
+}
