Read the log again if it drops its oldest record between two requests

Cause, read from the code while history_and_watch_after_retention was traced: if the log has dropped the record at which history, revert or watch begins, the node asks for the bounds of the stream and reads from the oldest record. If a record is appended between these two requests, the log drops that oldest one, and the read fails with 2005: history fails, revert names another reason, and watch reports a log_error and no lost outcomes. In that test nodes append outcomes and checkpoints for some 200 ms after each publication, with a retention of 6 records. read_tail has the same gap.

LogClient::read_retained now repeats both requests, at most 8 times. Two new tests bring it about: the log takes 300 ms for a request, and a record is appended as soon as the bounds have been returned.

Not shown: that the one recorded failure of history_and_watch_after_retention had this cause, since its output was not kept.

--- a/src/node/history.rs
+++ b/src/node/history.rs
@@ -19,7 +19,6 @@
 use crate::state::log_fold::FoldEvent;
 use crate::state::log_fold::LogFold;
 use crate::state::validate;
-use crate::transport::log_client::LogBatch;
 
 /// Records per read request; fewer than a reader requests, since the node serves calls meanwhile.
 const MAX_BATCH_RECORDS: usize = 16;
@@ -69,7 +68,15 @@
     let mut fold = LogFold::new();
     let mut history = History::default();
     loop {
-        let batch = read_batch(node, fold.next_offset()).await?;
+        let batch = node
+            .log_client
+            .read_retained(
+                CONFIG_STREAM,
+                fold.next_offset(),
+                MAX_BATCH_RECORDS,
+                Duration::ZERO,
+            )
+            .await?;
         for record in &batch.records {
             // A checkpoint can move the fold back to records that had no effect the first time;
             // they are read again.
@@ -89,20 +96,6 @@
     }
 }
 
-async fn read_batch(node: &Node, from: u64) -> Result<LogBatch, Failure> {
-    let read = |from| {
-        node.log_client
-            .read(CONFIG_STREAM, from, MAX_BATCH_RECORDS, Duration::ZERO)
-    };
-    match read(from).await {
-        Err(failure) if failure.code == ResultCode::LogTruncated => {
-            let oldest = node.log_client.bounds(CONFIG_STREAM).await?.oldest;
-            read(oldest).await
-        }
-        other => other,
-    }
-}
-
 fn add_record(
     history: &mut History,
     (offset, bytes): &(u64, Vec<u8>),
--- a/src/node/operator_port.rs
+++ b/src/node/operator_port.rs
@@ -242,19 +242,20 @@
     from: Option<u64>,
 ) -> Result<(u64, u64, LogBatch), Failure> {
     let log = &node.log_client;
-    if let Some(from) = from {
-        let read = log.read(OUTCOME_STREAM, from, MAX_OUTCOMES_READ, WATCH_TIMEOUT);
-        match read.await {
-            Err(failure) if failure.code == ResultCode::LogTruncated => {}
-            other => return other.map(|batch| (from, 0, batch)),
+    let batch = match from {
+        Some(from) => {
+            log.read_retained(OUTCOME_STREAM, from, MAX_OUTCOMES_READ, WATCH_TIMEOUT)
+                .await?
         }
-    }
-    let bounds = log.bounds(OUTCOME_STREAM).await?;
-    let recent = bounds.end.saturating_sub(MAX_OUTCOMES_READ as u64);
-    let first = from.unwrap_or(recent).max(bounds.oldest).min(bounds.end);
-    let dropped = bounds.oldest.saturating_sub(from.unwrap_or(first));
-    let read = log.read(OUTCOME_STREAM, first, MAX_OUTCOMES_READ, Duration::ZERO);
-    read.await.map(|batch| (first, dropped, batch))
+        None => log.read_tail(OUTCOME_STREAM, MAX_OUTCOMES_READ).await?,
+    };
+    let first = match (batch.records.first(), from) {
+        (Some((offset, _)), _) => *offset,
+        (None, Some(from)) => from.max(batch.oldest),
+        (None, None) => batch.end,
+    };
+    let dropped = first.saturating_sub(from.unwrap_or(first));
+    Ok((first, dropped, batch))
 }
 
 async fn publications(node: &Rc<Node>, req: &Request) -> Response<BoxBody> {
--- a/src/transport/log_client.rs
+++ b/src/transport/log_client.rs
@@ -27,6 +27,9 @@
 pub const LOG_TIMEOUT: Duration = Duration::from_secs(2);
 /// Connections to the log, enough for one long poll, one append and one batch of outcomes at a time.
 const LOG_CONNECTIONS: usize = 4;
+/// Attempts to read from the oldest retained record. The log may drop that record between the request for its
+/// offset and the read; each further attempt is needed only if it does so again.
+const MAX_OLDEST_READS: u32 = 8;
 
 /// Records read from a stream.
 #[derive(Debug, Default)]
@@ -115,6 +118,31 @@
         })
     }
 
+    /// Reads like [`Self::read`], but from the oldest retained record on if the log has dropped the one at
+    /// `from`. In that case the read does not wait.
+    ///
+    /// # Errors
+    /// Like [`Self::read`]; [`ResultCode::LogTruncated`] only if the log drops the oldest record during each of
+    /// [`MAX_OLDEST_READS`] attempts.
+    pub async fn read_retained(
+        &self,
+        stream: &str,
+        from: u64,
+        max: usize,
+        wait: Duration,
+    ) -> Result<LogBatch, Failure> {
+        let mut result = self.read(stream, from, max, wait).await;
+        for _ in 0..MAX_OLDEST_READS {
+            match result {
+                Err(failure) if failure.code == ResultCode::LogTruncated => {}
+                other => return other,
+            }
+            let oldest = self.bounds(stream).await?.oldest;
+            result = self.read(stream, oldest, max, Duration::ZERO).await;
+        }
+        result
+    }
+
     /// Returns the bounds of a stream, without records.
     ///
     /// # Errors
@@ -145,12 +173,11 @@
     /// Reads the newest records of a stream, at most `max`, oldest first.
     ///
     /// # Errors
-    /// [`ResultCode::LogUnavailable`], or [`ResultCode::MessageTooLarge`] if the records exceed the
-    /// largest message.
+    /// Like [`Self::read_retained`].
     pub async fn read_tail(&self, stream: &str, max: usize) -> Result<LogBatch, Failure> {
         let bounds = self.bounds(stream).await?;
         let from = bounds.end.saturating_sub(max as u64).max(bounds.oldest);
-        self.read(stream, from, max, Duration::ZERO).await
+        self.read_retained(stream, from, max, Duration::ZERO).await
     }
 
     async fn exchange(&self, outgoing: OutgoingRequest) -> Result<HttpResponse, Failure> {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -5,7 +5,10 @@
 use std::io::Write as _;
 use std::net::TcpListener;
 use std::net::UdpSocket;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -640,6 +643,66 @@
     expect_that!(response["log_error"], eq(&Value::Null));
 }
 
+/// Starts a log with a retention of 6 records that has dropped some, with requests that take 300 ms.
+fn start_with_slow_retaining_log() -> TestEnv {
+    let env = TestEnv::start(1);
+    env.log.set_retention(6);
+    for share in 80..90_u8 {
+        env.run(0, &["publish", &env.document(share)]).expect(0);
+    }
+    for _ in 0..2 {
+        env.log.append(OUTCOME_STREAM, b"unknown".as_slice());
+    }
+    env.log.set_delay(Duration::from_millis(300));
+    env
+}
+
+/// Runs a request while the log drops its oldest record right after the request has asked for the bounds of
+/// the stream, and before it reads from there.
+fn while_log_drops_record<T>(env: &TestEnv, stream: &str, request: impl FnOnce() -> T) -> T {
+    let bounds = || env.log.report().counters.bounds.requests;
+    let before = bounds();
+    let ended = AtomicBool::new(false);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            while bounds() == before && !ended.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_millis(1));
+            }
+            let records = env.log.records(stream);
+            let (_, newest) = records.last().expect("a record");
+            env.log.append(stream, newest.clone());
+        });
+        let result = request();
+        ended.store(true, Ordering::Relaxed);
+        result
+    })
+}
+
+/// Guards against a history that fails because the log drops its oldest record while it is read.
+#[gtest]
+fn history_while_log_drops_record() {
+    let env = start_with_slow_retaining_log();
+    let run = while_log_drops_record(&env, CONFIG_STREAM, || env.run(0, &["history", "--json"]));
+    let history = run.expect(0).json();
+    expect_that!(history.as_array(), some(not(is_empty())));
+    let run = while_log_drops_record(&env, CONFIG_STREAM, || env.run(0, &["revert", "1"]));
+    let run = run.expect(1);
+    expect_that!(run.stderr, contains_substring("no longer retained"));
+}
+
+/// Guards against a watch that reports a fault of the log because the log drops its oldest record while it is
+/// read.
+#[gtest]
+fn watch_while_log_drops_record() {
+    let env = start_with_slow_retaining_log();
+    let response = while_log_drops_record(&env, OUTCOME_STREAM, || env.get(0, "/v1/watch?from=0"));
+    let response = response.expect("a response");
+    expect_that!(response["log_error"], eq(&Value::Null));
+    expect_that!(response["lost"].as_u64(), some(gt(0)));
+    let oldest = env.log.records(OUTCOME_STREAM)[0].0;
+    expect_that!(response["lost"].as_u64(), some(le(oldest)));
+}
+
 /// Writes a document with a rollout that started a minute ago.
 fn started_rollout(env: &TestEnv) -> googletest::Result<String> {
     let now = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
