Let a failed status request count as unknown in paused_node_is_routed_around

A status request that failed counted as "not alive". The test now waits for a status that names the node and does not call it alive, and first until all threads of the paused process are stopped, since the signal takes effect on a thread only when that is scheduled. The assertion is unchanged: no call runs beside the paused node. A failure prints the counters of the backend server, the states of the threads and the views of the other nodes.

--- a/tests/process_calls.rs
+++ b/tests/process_calls.rs
@@ -2,6 +2,7 @@
 
 mod process_common;
 
+use std::fs;
 use std::time::Duration;
 
 use actix_http::Method;
@@ -115,6 +116,18 @@
     });
 }
 
+/// Returns the state of each thread of a node's process: `T` if it is stopped.
+fn thread_states(fleet: &Fleet, index: usize) -> eyre::Result<Vec<String>> {
+    let pid = fleet.nodes()[index].pid().unwrap_or_default();
+    let mut states = Vec::new();
+    for thread in fs::read_dir(format!("/proc/{pid}/task"))? {
+        let stat = fs::read_to_string(thread?.path().join("stat"))?;
+        let (_, after_name) = stat.rsplit_once(") ").unwrap_or_default();
+        states.push(after_name.chars().take(1).collect());
+    }
+    Ok(states)
+}
+
 /// Guards against a paused node that keeps receiving calls and, after it resumes, against a node
 /// that does not rejoin, returns to an older configuration version, or runs calls with the same key
 /// again.
@@ -130,24 +143,41 @@
         let writes = CallerThread::start(writes)?;
         let reads = CallerThread::start(get_load(&fleet, &[0, 1, 3], 30.0, 9))?;
         actix_rt::time::sleep(Duration::from_secs(1)).await;
-        fleet.pause_node(2)?;
         let (paused, others) = (2, [0, 1, 3]);
+        fleet.pause_node(paused)?;
+        // The signal takes effect on each thread only when that is scheduled.
+        wait_for("all threads of the node are stopped", || async {
+            thread_states(&fleet, paused).is_ok_and(|states| states.iter().all(|s| s == "T"))
+        })
+        .await?;
         for index in others {
             wait_for("the paused node is not alive for the others", || async {
-                let status = fleet.status(index).await.unwrap_or_default();
-                status["members"][paused]["status"] != "alive"
+                let Ok(status) = fleet.status(index).await else {
+                    return false;
+                };
+                let status = &status["members"][paused]["status"];
+                status.is_string() && status != "alive"
             })
             .await?;
         }
         let newer = publish(&fleet, 0, &document(&fleet))
             .await
             .unwrap_or(version);
-        let before = backends[paused].report().counters.ran;
+        let before = backends[paused].report().counters;
         actix_rt::time::sleep(Duration::from_secs(2)).await;
-        eyre::ensure!(
-            backends[paused].report().counters.ran == before,
-            "calls ran beside the paused node"
-        );
+        let after = backends[paused].report().counters;
+        if after.ran != before.ran {
+            let mut views = Vec::new();
+            for index in others {
+                let status = fleet.status(index).await.unwrap_or_default();
+                views.push(status["members"][paused].clone());
+            }
+            eyre::bail!(
+                "calls ran beside the paused node, whose threads are {:?}: {before:?}, 2 s later {after:?}; for the \
+                 others it is {views:?}",
+                thread_states(&fleet, paused)?
+            );
+        }
         fleet.resume_node(2)?;
         wait_alive(&fleet, 4).await?;
         fleet.wait_version(newer, WAIT_TIMEOUT).await?;
