--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -856,7 +856,7 @@
         let on_start = || open.local.set(LocalAttempt::Running);
         let (route, credential) = (call.route.clone(), call.credential);
         let may_send = Rc::new(move |cx: &Sidecar| !is_revoked(cx, &route, credential));
-        let outcome = serving::serve(cx, serve, &on_start, may_send).await;
+        let outcome = serving::serve(cx, serve, Some(call.fingerprint), &on_start, may_send).await;
         open.local.set(LocalAttempt::None);
         HopResult {
             outcome,
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -125,7 +125,7 @@
     };
     // Only the entry node knows the credential of a call.
     let may_send = Rc::new(|_: &Sidecar| true);
-    let outcome = serving::serve(cx, call, &|| {}, may_send).await;
+    let outcome = serving::serve(cx, call, None, &|| {}, may_send).await;
     call_response(cx, Some(&route), outcome)
 }
 
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -217,18 +217,20 @@
 /// to its end in a task of its own, so the function outlives its caller.
 pub type MaySend = Rc<dyn Fn(&Sidecar) -> bool>;
 
-/// Runs a call, or refuses it without running it. `on_start` is called when it has a slot, and `may_send` when it has
-/// a connection to the backend server.
+/// Runs a call, or refuses it without running it. `fingerprint` is that of the call if it has been computed. `on_start`
+/// is called when the call has a slot, and `may_send` when it has a connection to the backend server.
 pub async fn serve(
     cx: &Rc<Sidecar>,
     call: ServeCall,
+    fingerprint: Option<u64>,
     on_start: &dyn Fn(),
     may_send: MaySend,
 ) -> ServeOutcome {
     if let Err(code) = usable_backend(cx, &call.head) {
         return refuse(cx, &call, ServeOutcome::refused(code));
     }
-    let fingerprint = crashes::fingerprint(&call);
+    // Hashing a large body blocks the process.
+    let fingerprint = fingerprint.unwrap_or_else(|| crashes::fingerprint(&call));
     if let Some(refused_for) = crashes::refused_for(cx, fingerprint) {
         return refuse(cx, &call, ServeOutcome::quarantined(refused_for));
     }
