--- a/tests/process_start.rs
+++ b/tests/process_start.rs
@@ -519,13 +519,18 @@
             let (_, status, text) = receive(stream).await?;
             expect_that!(status, eq(503), "{text}");
             if text.contains("4004") {
-                return Ok(());
+                let line = late.wait_line("request refused").await?;
+                // At the end of its hold, a request is refused with the same code.
+                if line["took_ms"].as_u64() < line["hold_limit_ms"].as_u64() {
+                    return Ok(());
+                }
+            } else {
+                late.wait_line("requests no longer held").await?;
+                eyre::ensure!(late.is_too_old(), "{text}");
             }
-            late.wait_line("requests no longer held").await?;
-            eyre::ensure!(late.is_too_old(), "{text}");
             late.env.fleet.kill(0)?;
         }
-        eyre::bail!("the machine is too slow for {MAX_STARTS} starts")
+        eyre::bail!("no request was refused before the end of its hold in {MAX_STARTS} starts")
     });
 }
 
