Keep the calls of a soak run that has violations

Cause: the logs of a failed run do not name the workspace of a call that did not run, so a violation of the shares cannot be traced from them.

Change: a run with violations also keeps calls.txt, with the record of each call and the configurations that were written. No check changes.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -2,6 +2,9 @@
 //! outside, and checks what callers and backend servers see. See `docs/soak.md`.
 
 use std::cell::RefCell;
+use std::fs::File;
+use std::io::BufWriter;
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -46,6 +49,8 @@
 const MAX_WARM_UP: Duration = Duration::from_mins(1);
 /// Callers of a workspace at each node in a surge.
 const SURGE_CALLERS: usize = 10;
+/// File with the calls of a run that has violations, and the workspaces that were written.
+const CALLS_FILE: &str = "calls.txt";
 /// Maximum number of violations that are printed for a run.
 const MAX_PRINTED_VIOLATIONS: usize = 12;
 
@@ -238,20 +243,33 @@
         violations.len(),
         began.elapsed().as_secs_f64()
     );
-    print_violations(&cluster, seed, &violations);
+    print_violations(&cluster, seed, &violations, &records)?;
     Ok(violations.is_empty())
 }
 
-fn print_violations(cluster: &Cluster, seed: u64, violations: &[String]) {
+/// Prints the violations, and keeps the logs and the calls of a run that has some.
+fn print_violations(
+    cluster: &Cluster,
+    seed: u64,
+    violations: &[String],
+    records: &[CallRecord],
+) -> eyre::Result<()> {
     for text in violations.iter().take(MAX_PRINTED_VIOLATIONS) {
         println!("  seed {seed}: {text}");
     }
-    if !violations.is_empty() {
-        println!(
-            "  seed {seed}: logs are in {}",
-            cluster.keep_dir().display()
-        );
+    if violations.is_empty() {
+        return Ok(());
+    }
+    let dir = cluster.keep_dir();
+    println!("  seed {seed}: logs are in {}", dir.display());
+    let mut file = BufWriter::new(File::create(dir.join(CALLS_FILE))?);
+    for call in records {
+        writeln!(file, "{call:?}")?;
+    }
+    for config in cluster.written.borrow().iter() {
+        writeln!(file, "{config:?}")?;
     }
+    Ok(file.flush()?)
 }
 
 /// Starts the callers and the probes of the configuration. Returns the calls of each workload.
