Compare shares of workspaces in the soak by node and time of the call

A heartbeat of another program at 90 ms of the surge replaces all backend servers; until their own heartbeats come back at 520 ms, all nodes refuse nearly all calls with 4003, those of w2 among them. The paused reader and the reset connections to the store then keep the new entries from the nodes, so for 1.7 s each of nodes 1, 2 and 5 has its own backend server only and serves the surge of w0 there, while calls to nodes 3, 4, 6 and 7 get 4002 or 4004. The check added both up.

Ruled out: calls of a higher weight refused while those of a lower one are served on one backend server; weights that differ between nodes (w2 had weight 24 at all nodes).

Change: what is due to a workspace is counted for each node and quarter of a second. Its share by weight of all served calls is as before; only its own calls, if they are fewer, now count where they competed. The bounds are the same, and what is due is never more than before.

--- a/soak/src/workspace_checker.rs
+++ b/soak/src/workspace_checker.rs
@@ -3,6 +3,8 @@
 //! A node may decide by each configuration that it may have in force. One is replaced by a later one a bounded
 //! time after the store has acknowledged that, or after the end of the faults that kept the node from reading it.
 
+use std::collections::BTreeMap;
+
 use crate::caller::CallOutcome;
 use crate::caller::CallRecord;
 use crate::caller::Credential;
@@ -29,6 +31,9 @@
 const SHARE_WINDOW_MS: u64 = 2_000;
 /// Time between the starts of two such windows.
 const SHARE_STEP_MS: u64 = 500;
+/// Part of a window in which calls to one node count as having competed. Shares hold at each backend server: after a
+/// fault, the calls of one moment or node may be refused for want of any backend server, and those of another be served.
+const COMPETITION_MS: u64 = 250;
 /// Part of its share, or of its calls if they are fewer, that a workspace gets at least.
 const MIN_SERVED: f64 = 0.25;
 /// Number of calls below which chance may refuse most of them.
@@ -108,6 +113,15 @@
     }
 }
 
+/// Call that was served, or refused because of the load.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct SharedCall<'a> {
+    at: u64,
+    node: usize,
+    workspace: &'a str,
+    is_served: bool,
+}
+
 /// Counts of a workspace in a window.
 #[derive(Clone, Debug)]
 struct Share<'a> {
@@ -117,6 +131,14 @@
     weights: (f64, f64),
     served: f64,
     refused: f64,
+    /// Calls served and refused, by node and part of the window.
+    parts: BTreeMap<(usize, u64), (f64, f64)>,
+}
+
+impl Share<'_> {
+    fn served_in(&self, part: &(usize, u64)) -> f64 {
+        self.parts.get(part).map_or(0.0, |(served, _)| *served)
+    }
 }
 
 impl<'a> Check<'a> {
@@ -323,8 +345,7 @@
     }
 
     fn check_shares(&self, violations: &mut Vec<String>) {
-        // Start, workspace, and whether it was served; otherwise it was refused because of the load.
-        let mut calls: Vec<(u64, &str, bool)> = Vec::new();
+        let mut calls: Vec<SharedCall<'_>> = Vec::new();
         for call in self.seen.calls {
             let Credential::Key(key) = &call.credential else {
                 continue;
@@ -338,19 +359,24 @@
             if call.workload != Workload::Mixed {
                 continue;
             }
-            if let [Some(name)] = self.owners(call, key, call.ended_ms)[..] {
-                calls.push((call.started_ms, name, is_served));
+            if let [Some(workspace)] = self.owners(call, key, call.ended_ms)[..] {
+                calls.push(SharedCall {
+                    at: call.started_ms,
+                    node: call.node,
+                    workspace,
+                    is_served,
+                });
             }
         }
         calls.sort_unstable();
-        let Some((mut from, ..)) = calls.first().copied() else {
+        let Some(mut from) = calls.first().map(|call| call.at) else {
             return;
         };
-        let last = calls.last().map_or(0, |(at, ..)| *at);
+        let last = calls.last().map_or(0, |call| call.at);
         while from + SHARE_WINDOW_MS <= last {
             let to = from + SHARE_WINDOW_MS;
-            let begin = calls.partition_point(|(at, ..)| *at < from);
-            let end = calls.partition_point(|(at, ..)| *at < to);
+            let begin = calls.partition_point(|call| call.at < from);
+            let end = calls.partition_point(|call| call.at < to);
             let shares = self.shares(&calls[begin..end], from, to);
             if let Some(text) = find_unfair_share(&shares) {
                 violations.push(format!("in the window from {from}: {text}"));
@@ -361,7 +387,7 @@
     }
 
     /// Counts the calls of each workspace.
-    fn shares(&self, calls: &[(u64, &str, bool)], from: u64, to: u64) -> Vec<Share<'a>> {
+    fn shares(&self, calls: &[SharedCall<'_>], from: u64, to: u64) -> Vec<Share<'a>> {
         let written = self.seen.written.iter().zip(&self.in_force);
         let possible = written.filter(|(config, until)| {
             let until = until.iter().max().copied().unwrap_or(u64::MAX);
@@ -369,7 +395,13 @@
         });
         let configs: Vec<&WrittenConfig> = possible.map(|(config, _)| config).collect();
         let share = |known: &'a SoakWorkspace| {
-            let own = || calls.iter().filter(|(_, name, _)| *name == known.name);
+            let own = || calls.iter().filter(|call| call.workspace == known.name);
+            let mut parts = BTreeMap::<_, (f64, f64)>::new();
+            for call in own() {
+                let part = (call.node, (call.at - from) / COMPETITION_MS);
+                let (served, refused) = parts.entry(part).or_default();
+                *(if call.is_served { served } else { refused }) += 1.0;
+            }
             let weights = || {
                 let found = configs.iter();
                 found.filter_map(|config| workspace(config, &known.name).map(weight))
@@ -381,8 +413,9 @@
                     weights().fold(f64::INFINITY, f64::min),
                     weights().fold(0.0, f64::max),
                 ),
-                served: count(own().filter(|(.., is_served)| *is_served)),
-                refused: count(own().filter(|(.., is_served)| !*is_served)),
+                served: count(own().filter(|call| call.is_served)),
+                refused: count(own().filter(|call| !call.is_served)),
+                parts,
             }
         };
         let first = self.seen.written.first();
@@ -399,7 +432,8 @@
 }
 
 /// Returns a workspace that gets less than a quarter of its share, or of its calls if they are fewer, while others
-/// of its priority get more than their shares.
+/// of its priority get more than their shares. In each part of the window, the share is one of the calls that were
+/// served in it.
 fn find_unfair_share(shares: &[Share<'_>]) -> Option<String> {
     for share in shares {
         let others = || {
@@ -412,12 +446,26 @@
         let weights = own_weight + others().map(|other| other.weights.1).sum::<f64>();
         let served = share.served + others().map(|other| other.served).sum::<f64>();
         let average = served / weights;
-        let due = (average * own_weight).min(share.served + share.refused);
+        let due_in = |(part, (own_served, refused)): (&(usize, u64), &(f64, f64))| {
+            let served = own_served + others().map(|other| other.served_in(part)).sum::<f64>();
+            (served / weights * own_weight).min(own_served + refused)
+        };
+        let due: f64 = share.parts.iter().map(due_in).sum();
         let others_get_more = others().any(|other| other.served > average * other.weights.1);
         if due >= MIN_SHARE_CALLS && share.served < MIN_SERVED * due && others_get_more {
+            let counts = |share: &Share<'_>| {
+                let (name, (least, most)) = (share.name, share.weights);
+                format!(
+                    "{name} (weight {least} to {most}, priority {}) {} served, {} refused",
+                    share.priority, share.served, share.refused
+                )
+            };
+            let all: Vec<String> = shares.iter().map(counts).collect();
             return Some(format!(
-                "{} got {} of {due:.0} calls that were due to it: {shares:?}",
-                share.name, share.served
+                "{} got {} of {due:.0} calls that were due to it: {}",
+                share.name,
+                share.served,
+                all.join("; ")
             ));
         }
     }
--- a/soak/tests/workspaces.rs
+++ b/soak/tests/workspaces.rs
@@ -291,6 +291,56 @@
     expect_that!(find(10, 100, 4_004), eq(0));
 }
 
+/// Guards against reports of a workspace whose calls were refused where or when no backend server could serve any, as
+/// after a fault that leaves some nodes with their own backend servers only; and against a check that no longer
+/// compares calls that competed.
+#[gtest]
+fn check_shares_compares_competing_calls() {
+    // 300 calls of `b` are served at node 0, four calls in 20 ms; the others are refused.
+    let find = |b_refused_at: Option<usize>, c_node: usize, c_from: u64| {
+        let mut calls = Vec::new();
+        let mut output = Vec::new();
+        for id in 0..300 {
+            let served = call(&format!("b{id}"), "l", 40_000 + 5 * id, 200);
+            output.push(format!(
+                "run {} {} b\n",
+                served.started_ms + 10,
+                served.attempt
+            ));
+            calls.push(served);
+        }
+        let refused = |attempt: String, key, at, node| CallRecord {
+            node,
+            code: Some(4_003),
+            ..call(&attempt, key, at, 503)
+        };
+        for id in 0..100 {
+            calls.push(refused(format!("c{id}"), "n", c_from + 2 * id, c_node));
+            let b_node = b_refused_at.into_iter();
+            calls.extend(b_node.map(|node| refused(format!("d{id}"), "l", c_from + 2 * id, node)));
+        }
+        // The window has to end before the last call.
+        calls.push(refused("last".into(), "l", 43_000, 0));
+        let workspaces = vec![workspace("b", 0.0, "l"), workspace("c", 0.0, "n")];
+        let (backends, written) = ([output.concat()], [written(1, 0, workspaces)]);
+        let check = Check::new(&WorkspaceObservations {
+            calls: &calls,
+            backends: &backends,
+            faults: &[],
+            written: &written,
+            is_strict: false,
+        });
+        check.run().len()
+    };
+    // At the same node and time.
+    expect_that!(find(None, 0, 40_250), eq(1));
+    expect_that!(find(Some(0), 0, 40_250), eq(1));
+    // At another node, which serves nothing.
+    expect_that!(find(Some(1), 1, 40_250), eq(0));
+    // At the same node, after the last call that it serves.
+    expect_that!(find(Some(0), 0, 41_500), eq(0));
+}
+
 /// Guards against workspaces that cannot be reproduced from the seed, and against workspaces in the runs of
 /// `regressions.txt` that are older than they.
 #[gtest]
