Give processes that start together equal shares of the quotas of workspaces

Cause: a limiter gets the workspaces before the number of nodes, so a new bucket has the share of a fleet of one node. Totals without a demand leave it so, and the node may then use the whole bucket when its callers begin. In a new fleet, the number stays one in addition: the first read of the fleet's topic finds no entries, and the next one comes 2 s later. Until then each node is its own collector.

Change: equal shares follow the number of nodes as long as totals have no demand, and the number is applied when it changes instead of once a second.

--- a/src/coordination/workspaces/quota.rs
+++ b/src/coordination/workspaces/quota.rs
@@ -174,6 +174,8 @@
     fleet_demand: u32,
     /// Part of the quota that this node may use.
     share: f64,
+    /// Whether the share is that of the fleet's demand, and not an equal one since there was no demand.
+    has_demand_share: bool,
     tokens: f64,
     tokens_at: Duration,
     /// Tokens needed for the next request, from 0 to 1. On average over all nodes, the requests that are
@@ -262,6 +264,7 @@
                     is_level_known: false,
                     fleet_demand: 0,
                     share,
+                    has_demand_share: false,
                     tokens: size * share,
                     tokens_at: now,
                     threshold: rng.random_range(0.0..1.0),
@@ -273,9 +276,20 @@
         }
     }
 
-    /// Applies the number of nodes of the fleet.
+    /// Applies the number of nodes of the fleet. Equal shares are those of this number: processes that start together
+    /// know of no other node at first, and each of them would keep the whole quota until there is a demand.
     pub fn set_nodes(&mut self, nodes: usize) {
-        self.nodes = nodes.max(1);
+        let nodes = nodes.max(1);
+        if nodes == self.nodes {
+            return;
+        }
+        self.nodes = nodes;
+        let share = 1.0 / self.covered_nodes();
+        let equal = self.buckets.iter_mut();
+        for bucket in equal.filter(|bucket| !bucket.has_demand_share) {
+            bucket.share = share;
+            bucket.tokens = bucket.tokens.min(bucket.size * share);
+        }
     }
 
     /// Whether any workspace has a quota.
@@ -533,7 +547,7 @@
                 bucket.reported_demand = count.demand;
             }
         }
-        let covered_nodes = (as_f64(self.nodes) * self.covered).max(1.0);
+        let covered_nodes = self.covered_nodes();
         let covered = self.covered;
         for bucket in &mut self.buckets {
             let known = &totals.totals;
@@ -580,6 +594,11 @@
         part(STALE_AGE, EQUAL_AGE) + part(LAST_EQUAL_AGE, LOST_AGE)
     }
 
+    /// Number of nodes that the totals cover.
+    fn covered_nodes(&self) -> f64 {
+        (as_f64(self.nodes) * self.covered).max(1.0)
+    }
+
     fn index(&self, workspace: &WorkspaceName) -> Result<usize, usize> {
         self.buckets
             .binary_search_by(|bucket| bucket.workspace.cmp(workspace))
@@ -621,7 +640,8 @@
             self.fleet_demand = fleet_demand;
             let own = f64::from(self.reported_demand);
             let fleet = f64::from(fleet_demand).max(own);
-            self.share = if fleet > 0.0 {
+            self.has_demand_share = fleet > 0.0;
+            self.share = if self.has_demand_share {
                 (own + EVEN_DEMAND * fleet / nodes) / (fleet * (1.0 + EVEN_DEMAND))
             } else {
                 1.0 / nodes
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -350,6 +350,8 @@
                 let is_start = !cx.state.borrow().fleet_read;
                 apply_read(cx, topic, next, batch);
                 let pause = match (topic, next) {
+                    // Without another node, the fleet is new: each node would use the whole quotas of workspaces.
+                    (FLEET, NextRead::Newest) if is_start && is_alone(cx) => FLEET_BURST_PAUSE,
                     (FLEET, NextRead::Newest) if is_start => FLEET_START_PAUSE,
                     (FLEET, _) if changed => FLEET_BURST_PAUSE,
                     (_, NextRead::From(_)) if changed => BURST_PAUSE,
@@ -610,6 +612,11 @@
     });
 }
 
+/// Whether this node knows of no other one.
+fn is_alone(cx: &Sidecar) -> bool {
+    cx.state.borrow().placement.nodes() == 1
+}
+
 fn choose_source(cx: &Rc<Sidecar>) -> Source {
     let now = cx.clock.now();
     let domain = cx.state.borrow().placement.domain_nodes();
--- a/src/sidecar/usage_port.rs
+++ b/src/sidecar/usage_port.rs
@@ -48,7 +48,7 @@
 pub const USAGE_PATH: &str = "/sw/usage";
 /// Interval at which due messages are looked for while there are requests with a quota.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval at which the nodes of the fleet are counted.
+/// Interval at which the nodes of each failure domain are counted, unless their number changes.
 const FLEET_INTERVAL: Duration = Duration::from_secs(1);
 /// Time limit for a response within the failure domain, and from another one.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -79,6 +79,7 @@
 struct Applied {
     config_version: Option<u64>,
     fleet_counted_at: Option<Duration>,
+    nodes: usize,
 }
 
 /// Why a request got no response.
@@ -232,7 +233,7 @@
     is_due || is_active
 }
 
-/// Applies a new configuration and, from time to time, the number of nodes.
+/// Applies a new configuration and the number of nodes.
 fn update(cx: &Sidecar, now: Duration) {
     let Some(table) = cx.table() else {
         return;
@@ -258,8 +259,9 @@
     state.collector.set_domains(&domains);
 }
 
-/// Applies a new configuration and, from time to time, the number of nodes to a limiter. Returns what it has
-/// applied then.
+/// Applies a new configuration and the number of nodes to a limiter. Returns what it has applied then. Each change of
+/// the number counts at once: processes that start together know of no other node at first, and each of them would
+/// use the whole quota until the next count.
 fn update_limiter(
     limiter: &mut QuotaLimiter,
     mut applied: Applied,
@@ -272,10 +274,12 @@
         applied.config_version = Some(table.version());
         limiter.set_workspaces(now, table.workspaces(), rng);
     }
-    let is_counted = |at| now.saturating_sub(at) < FLEET_INTERVAL;
+    let nodes = placement.nodes();
+    let is_counted = |at| nodes == applied.nodes && now.saturating_sub(at) < FLEET_INTERVAL;
     if limiter.has_quotas() && !applied.fleet_counted_at.is_some_and(is_counted) {
         applied.fleet_counted_at = Some(now);
-        limiter.set_nodes(placement.nodes());
+        applied.nodes = nodes;
+        limiter.set_nodes(nodes);
     }
     applied
 }
--- a/tests/workspaces_quota.rs
+++ b/tests/workspaces_quota.rs
@@ -80,6 +80,8 @@
     Cut(fn(usize, usize) -> bool),
     /// All workspaces get this multiple of their quota.
     Quotas(f64),
+    /// All nodes know this number of nodes.
+    Known(usize),
 }
 
 /// What clients do: requests a second of a workspace, and the node that a request goes to.
@@ -165,6 +167,11 @@
 
 impl Fleet {
     fn new(seed: u64) -> Self {
+        Self::with_known_nodes(seed, NODES)
+    }
+
+    /// Creates a fleet whose nodes know this number of nodes when they apply the configuration.
+    fn with_known_nodes(seed: u64, known: usize) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let workspaces = workspaces(1.0);
         let domains: Vec<(DomainName, usize)> = (0..DOMAINS)
@@ -175,7 +182,7 @@
             .collect();
         let nodes = (0..NODES).map(|index| {
             let mut limiter = QuotaLimiter::new(BOUNDS);
-            limiter.set_nodes(NODES);
+            limiter.set_nodes(known);
             limiter.set_workspaces(Duration::ZERO, &workspaces, &mut rng);
             let run = u64::try_from(index).unwrap() + 1;
             let mut collector = Collector::new(domain_name(domain_of(index)), run, BOUNDS);
@@ -249,6 +256,10 @@
                 }
             }
             Change::Cut(cut) => self.cut = *cut,
+            Change::Known(nodes) => {
+                let known = self.nodes.iter_mut();
+                known.for_each(|node| node.limiter.set_nodes(*nodes));
+            }
             Change::Quotas(factor) => {
                 self.workspaces = workspaces(*factor);
                 for node in 0..NODES {
@@ -753,6 +764,48 @@
     run_pattern(10, &hot, busy, |_, _| {});
 }
 
+/// Processes that start together must not admit a bucket each. Like the processes, the nodes of the model apply the
+/// configuration while they know of no other node; they know the fleet from 200 ms on, and have totals of a fleet
+/// without requests when the callers begin at 1 s, far above the quotas, at eight nodes or at all.
+#[gtest]
+fn admit_first_requests_of_new_processes() {
+    let at_eight = Pattern {
+        rate: |at, t| if at < 1.0 { 0.0 } else { usual(t) * 8.5 },
+        node: |_, _, rng| rng.random_range(0..8),
+    };
+    let at_all = Pattern {
+        node: any_node,
+        ..at_eight
+    };
+    for (name, pattern) in [("eight nodes", at_eight), ("all nodes", at_all)] {
+        for seed in SEEDS {
+            let mut fleet = Fleet::with_known_nodes(seed, 1);
+            fleet.run(8, &pattern, &[(200, Change::Known(NODES))]);
+            let (worst, workspace) = fleet.worst(0);
+            println!(
+                "{name}, seed {seed}: worst window {worst:.3} of the limit (workspace {workspace})"
+            );
+            expect_that!(worst, le(1.0), "{name}, seed {seed}, workspace {workspace}");
+        }
+    }
+}
+
+/// What bounds the first requests of new processes must not refuse those of workspaces below their quotas.
+#[gtest]
+fn admit_usual_demand_of_new_processes() {
+    let usual_later = Pattern {
+        rate: |at, t| if at < 1.0 { 0.0 } else { usual(t) },
+        node: any_node,
+    };
+    for seed in SEEDS {
+        let mut fleet = Fleet::with_known_nodes(seed, 1);
+        fleet.run(11, &usual_later, &[(200, Change::Known(NODES))]);
+        let refused = fleet.refused_share();
+        println!("seed {seed}: refused below the limit {refused:.5}");
+        expect_that!(refused, lt(0.005), "seed {seed}");
+    }
+}
+
 /// A quota that is cut far below the demand is binding after one window.
 #[gtest]
 fn admit_quota_cut() {
@@ -766,6 +819,44 @@
     }
 }
 
+/// Eight processes that start together, know of no other node at first, and have totals without any demand must not
+/// admit a bucket each when their callers begin at one moment. Guards against shares that stay those of a single node:
+/// 287 requests were admitted where 270 are allowed.
+#[gtest]
+fn admit_at_once_by_new_processes() {
+    let quota = Quota {
+        rate: RequestRate::from_per_s(38.0).unwrap(),
+        burst: 38,
+    };
+    let workspace = Workspace {
+        quota: Some(quota),
+        ..workspaces(1.0).remove(0)
+    };
+    let mut rng = StdRng::seed_from_u64(1);
+    let now = Duration::from_secs(1);
+    let mut admitted = 0;
+    for _ in 0..8 {
+        let mut limiter = QuotaLimiter::new(BOUNDS);
+        limiter.set_workspaces(Duration::ZERO, std::slice::from_ref(&workspace), &mut rng);
+        limiter.set_nodes(1);
+        let (counts, ..) = limiter.report(now, true);
+        let totals = UsageTotals {
+            run: 1,
+            sequence: 1,
+            covered: 1.0,
+            totals: Vec::new(),
+        };
+        limiter.on_totals(now, &counts, &totals);
+        limiter.set_nodes(8);
+        while limiter.admit(now, &name_of(0), &mut rng) == QuotaDecision::Admitted {
+            admitted += 1;
+        }
+    }
+    // What is left is for the requests of the next five seconds.
+    let left = BOUNDS.limit(quota) - quota.rate.per_s() * 5.0;
+    expect_that!(f64::from(admitted), le(left));
+}
+
 /// Creates a limiter of a fleet of one node, with a quota of 10 requests a second and a burst of 4.
 fn single_limiter(rng: &mut StdRng) -> QuotaLimiter {
     let workspace = Workspace {
