Count the age of a peer's view that is older than the process

Cause: a node that starts while the store is away takes the topics and the age of their view from a peer. The time of the view was the process's own clock less that age, which ends at zero, the start of the process.

--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -85,6 +85,8 @@
     pub mirrors: RefCell<[Mirror; 3]>,
     /// Time at which the view of the operator's topic was last known to be complete.
     pub confirmed_at: Cell<Option<Duration>>,
+    /// Age that this view had when the process started, if it is that of a peer and older than the process.
+    age_at_start: Cell<Duration>,
     /// Time at which the newest records of the operator's topic were last read.
     operator_listed_at: Cell<Duration>,
     /// Keys of the operator's topic that the store has dropped in this era, oldest first.
@@ -122,6 +124,7 @@
             cursors: RefCell::default(),
             mirrors: RefCell::default(),
             confirmed_at: Cell::new(None),
+            age_at_start: Cell::default(),
             operator_listed_at: Cell::default(),
             dropped_keys: RefCell::default(),
             followed_era: Cell::new(None),
@@ -179,7 +182,7 @@
     /// complete. `None` before the topic was read.
     pub fn view_age(&self, now: Duration) -> Option<Duration> {
         let confirmed_at = self.confirmed_at.get();
-        confirmed_at.map(|at| now.saturating_sub(at))
+        confirmed_at.map(|at| now.saturating_sub(at) + self.age_at_start.get())
     }
 
     /// Waits while the store is unavailable. Only reads of the operator's topic probe it meanwhile, since
@@ -440,6 +443,7 @@
     if topic == OPERATOR {
         finish_operator_reading(cx, kind, &batch.records, end);
         cx.feed.confirmed_at.set(Some(cx.clock.now()));
+        cx.feed.age_at_start.set(Duration::ZERO);
         cx.feed.view_checked.notify_waiters();
     }
 }
@@ -584,8 +588,10 @@
         health_check::on_topics_relayed(cx);
     }
     let age = Duration::from_millis(response.age_ms);
-    let confirmed_at = cx.clock.now().saturating_sub(age);
-    cx.feed.confirmed_at.set(Some(confirmed_at));
+    let now = cx.clock.now();
+    cx.feed.confirmed_at.set(Some(now.saturating_sub(age)));
+    // The clock starts with the process, and the view may be older than that.
+    cx.feed.age_at_start.set(age.saturating_sub(now));
     cx.feed.view_checked.notify_waiters();
 }
 
--- a/tests/process_workspaces.rs
+++ b/tests/process_workspaces.rs
@@ -579,6 +579,58 @@
     });
 }
 
+/// Guards against a strict node that accepts keys by an old view since it has just started: it learns the topics from a
+/// peer, whose view is older than its process.
+#[gtest]
+fn restart_with_old_view_of_peer() {
+    run(async {
+        let mut env = TestFleet::new(2)?;
+        let file = env.fleet.dir().join("n1.jsonc");
+        let mut settings: Value = serde_json::from_slice(&fs::read(&file)?)?;
+        settings["strict_revoke"] = json!(true);
+        settings["revoke_within_ms"] = json!(3_000);
+        fs::write(&file, settings.to_string())?;
+        put_workspaces(&env.store, 2, &both_workspaces());
+        for index in 0..2 {
+            env.fleet.start(index)?;
+            env.add_backend(index, 0.0)?;
+        }
+        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        let acme = [(CREDENTIAL_HEADER, ACME_KEY)];
+        wait_version(&mut env, 2).await?;
+        expect_that!(get(&env, 1, "/wrecks/1", "a", &acme)?.0, eq(200));
+        let until = Instant::now() + WAIT_LIMIT;
+        let is_known = |line: &Value| line["peer"] == "n1" && line["backend"] != "none";
+        while !env.fleet.log_lines(0, "peer changed").iter().any(is_known) {
+            eyre::ensure!(Instant::now() < until, "node 0 does not know node 1");
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+        env.outage(Outage::Refuse);
+        while get(&env, 1, "/wrecks/1", "b", &acme)?.0 != 503 {
+            eyre::ensure!(Instant::now() < until, "the strict node accepts the key");
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+        env.fleet.kill(1)?;
+        // Node 0 has no backend server now, so it calls node 1, which learns the topics from it.
+        env.backends[0].kill();
+        env.fleet.start(1)?;
+        let fetched = "topics fetched from a peer";
+        while env.fleet.log_lines(1, fetched).is_empty() {
+            eyre::ensure!(Instant::now() < until, "node 1 has not learned the topics");
+            let _ = get(&env, 0, "/wrecks/1", "c", &acme);
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        // Without the age of the peer's view, the key would be accepted until 3 s after the start.
+        let until = Instant::now() + Duration::from_secs(1);
+        while Instant::now() < until {
+            let (status, response) = get(&env, 1, "/wrecks/1", "d", &acme)?;
+            expect_that!((status, response.contains("4015")), eq((503, true)));
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(())
+    });
+}
+
 /// Guards against a configuration that is in force in part, or whose refusal quotes a key in the log: two
 /// workspaces have the same key.
 #[gtest]
