Print the processor time of a node with a late response in the soak

Change: the readings contain the processor time of the thread, and a violation names it. What is subtracted does not change.

--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -58,39 +58,45 @@
     pub faults: &'a [FaultInterval],
     /// Time at which the rollback of a move to a bad version was seen.
     pub rolled_back_at: Option<u64>,
-    /// Readings of the time for which the nodes waited for a processor, in the order of time.
-    pub processor_waits: &'a [ProcessorWait],
+    /// Readings of the processor use of the nodes, in the order of time.
+    pub processor_uses: &'a [ProcessorUse],
 }
 
-/// Reading of the time for which a node has waited for a processor.
+/// Reading of the processor use of a node.
 #[derive(Clone, Copy, Debug)]
-pub struct ProcessorWait {
+pub struct ProcessorUse {
     /// Index of the node.
     pub node: usize,
     /// Process id of the node.
     pub pid: u32,
     /// Time of the reading, milliseconds of the monotonic clock.
     pub at: u64,
-    /// Time since the start of the process for which its first thread was ready to run and waited.
+    /// Processor time of its first thread since the start of the process.
+    pub ran: Duration,
+    /// Time since then for which that thread was ready to run and waited for a processor.
     pub waited: Duration,
 }
 
-/// Returns for how long a node waited for a processor from one time to another one, as far as the readings of one
+/// Returns how long a node ran and waited for a processor from one time to another one, as far as the readings of one
 /// process show it. Of the time between two readings, the part counts that lies between the two times.
-fn processor_wait(waits: &[ProcessorWait], node: usize, from: u64, to: u64) -> Duration {
-    let own: Vec<&ProcessorWait> = waits.iter().filter(|wait| wait.node == node).collect();
+fn processor_use(uses: &[ProcessorUse], node: usize, from: u64, to: u64) -> (Duration, Duration) {
+    let own: Vec<&ProcessorUse> = uses.iter().filter(|used| used.node == node).collect();
     let pairs = own.windows(2).filter(|pair| pair[0].pid == pair[1].pid);
-    let parts = pairs.map(|pair| {
+    let (mut ran, mut waited) = (Duration::ZERO, Duration::ZERO);
+    for pair in pairs {
         let length = Duration::from_millis(pair[1].at.saturating_sub(pair[0].at));
         let inside = pair[1].at.min(to).saturating_sub(pair[0].at.max(from));
         let inside = Duration::from_millis(inside);
         if inside.is_zero() {
-            return Duration::ZERO;
+            continue;
         }
-        let waited = pair[1].waited.saturating_sub(pair[0].waited);
-        waited.mul_f64(inside.div_duration_f64(length)).min(inside)
-    });
-    parts.sum()
+        let part = inside.div_duration_f64(length);
+        let share =
+            |before, after: Duration| after.saturating_sub(before).mul_f64(part).min(inside);
+        ran += share(pair[0].ran, pair[1].ran);
+        waited += share(pair[0].waited, pair[1].waited);
+    }
+    (ran, waited)
 }
 
 /// Returns a description of each violation.
@@ -158,11 +164,11 @@
     let held = Duration::from_millis(call.ended_ms - call.started_ms);
     let is_late = held > ROUTE_TIMEOUT + ROUTE_TIMEOUT_SLACK && !was_killed && !was_paused;
     // On a busy machine, a node may wait for a processor longer than the slack.
-    let waits = observations.processor_waits;
-    let waited = if is_late {
-        processor_wait(waits, call.node, call.started_ms, call.ended_ms)
+    let uses = observations.processor_uses;
+    let (ran, waited) = if is_late {
+        processor_use(uses, call.node, call.started_ms, call.ended_ms)
     } else {
-        Duration::ZERO
+        (Duration::ZERO, Duration::ZERO)
     };
     let held_too_long = is_late && held > ROUTE_TIMEOUT + ROUTE_TIMEOUT_SLACK + waited;
     match call.outcome {
@@ -173,7 +179,7 @@
             if held_too_long =>
         {
             Some(format!(
-                "response came only after {held:?}, in which its node waited {waited:?} for a processor"
+                "response came only after {held:?}, in which its node ran for {ran:.0?} and waited {waited:.0?} for a processor"
             ))
         }
         CallOutcome::Status(200 | 408 | 421 | 429 | 500 | 502 | 503 | 504)
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -29,7 +29,7 @@
 
 use crate::caller::HOST;
 use crate::caller::UPLOAD_PREFIX;
-use crate::checker::ProcessorWait;
+use crate::checker::ProcessorUse;
 use crate::plan::Event;
 use crate::plan::LinkKind;
 use crate::plan::Load;
@@ -656,16 +656,18 @@
         usages.collect()
     }
 
-    /// Returns for how long each running node has waited for a processor.
+    /// Returns the processor use of each running node.
     #[must_use]
-    pub fn processor_waits(&self) -> Vec<ProcessorWait> {
+    pub fn processor_uses(&self) -> Vec<ProcessorUse> {
         let read = |node| {
             let pid = self.pid(node)?;
-            Some(ProcessorWait {
+            let (ran, waited) = ProcessUsage::read_main_thread(pid).ok()?;
+            Some(ProcessorUse {
                 node,
                 pid,
                 at: monotonic_millis(),
-                waited: ProcessUsage::read_main_thread_wait(pid).ok()?,
+                ran,
+                waited,
             })
         };
         (0..ALL_NODES).filter_map(read).collect()
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -23,7 +23,7 @@
 use soak::caller::Workload;
 use soak::checker;
 use soak::checker::Observations;
-use soak::checker::ProcessorWait;
+use soak::checker::ProcessorUse;
 use soak::cluster;
 use soak::cluster::ALL_NODES;
 use soak::cluster::Cluster;
@@ -46,8 +46,8 @@
 const RECOVERY_PERIOD: Duration = Duration::from_secs(6);
 /// Time after the recovery period in which every call must be served.
 const WATCH_PERIOD: Duration = Duration::from_millis(1_500);
-/// Time between two readings of the time for which nodes wait for a processor.
-const WAIT_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two readings of the processor use of the nodes.
+const USE_INTERVAL: Duration = Duration::from_millis(50);
 /// Largest time from the start of the faults to the first reading of the nodes' memory.
 const MAX_WARM_UP: Duration = Duration::from_mins(1);
 /// Callers of a workspace at each node in a surge.
@@ -177,11 +177,8 @@
     actix_rt::spawn(watch_move(cluster.clone(), rolled_back_at.clone()));
     let memory = Rc::new(RefCell::new(Vec::new()));
     actix_rt::spawn(read_memory(cluster.clone(), length / 2, memory.clone()));
-    let processor_waits = Rc::new(RefCell::new(Vec::new()));
-    actix_rt::spawn(read_processor_waits(
-        cluster.clone(),
-        processor_waits.clone(),
-    ));
+    let processor_uses = Rc::new(RefCell::new(Vec::new()));
+    actix_rt::spawn(read_processor_uses(cluster.clone(), processor_uses.clone()));
     let mut events = plan::draw(seed, NODES, length);
     if has_workspaces {
         events.extend(workspaces::draw_events(seed, NODES, length));
@@ -209,7 +206,7 @@
         backends: &outputs,
         faults: &cluster.faults.borrow(),
         rolled_back_at: *rolled_back_at.borrow(),
-        processor_waits: &processor_waits.borrow(),
+        processor_uses: &processor_uses.borrow(),
     };
     violations.extend(checker::check_run(&observations));
     let watched = records.iter().filter(|call| call.started_ms >= watch_start);
@@ -363,11 +360,11 @@
     log.stopped.set(true);
 }
 
-/// Reads at an interval for how long the nodes have waited for a processor.
-async fn read_processor_waits(cluster: Rc<Cluster>, waits: Rc<RefCell<Vec<ProcessorWait>>>) {
+/// Reads the processor use of the nodes at an interval.
+async fn read_processor_uses(cluster: Rc<Cluster>, uses: Rc<RefCell<Vec<ProcessorUse>>>) {
     loop {
-        waits.borrow_mut().extend(cluster.processor_waits());
-        actix_rt::time::sleep(WAIT_INTERVAL).await;
+        uses.borrow_mut().extend(cluster.processor_uses());
+        actix_rt::time::sleep(USE_INTERVAL).await;
     }
 }
 
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -9,7 +9,7 @@
 use soak::caller::Credential;
 use soak::caller::Workload;
 use soak::checker::Observations;
-use soak::checker::ProcessorWait;
+use soak::checker::ProcessorUse;
 use soak::checker::check_run;
 use soak::checker::find_growth;
 use soak::checker::find_unserved_calls;
@@ -41,7 +41,7 @@
         backends: &backends,
         faults,
         rolled_back_at: Some(500),
-        processor_waits: &[],
+        processor_uses: &[],
     })
 }
 
@@ -162,19 +162,20 @@
     let find = |ended_ms, waits: &[(usize, u32, u64, u64)]| {
         let mut late = call(CallKind::Idempotent, CallOutcome::Status(200));
         late.ended_ms = ended_ms;
-        let read = |(node, pid, at, waited)| ProcessorWait {
+        let read = |(node, pid, at, waited)| ProcessorUse {
             node,
             pid,
             at,
+            ran: Duration::ZERO,
             waited: Duration::from_millis(waited),
         };
-        let waits: Vec<ProcessorWait> = waits.iter().copied().map(read).collect();
+        let waits: Vec<ProcessorUse> = waits.iter().copied().map(read).collect();
         check_run(&Observations {
             calls: &[late],
             backends: &[],
             faults: &[],
             rolled_back_at: None,
-            processor_waits: &waits,
+            processor_uses: &waits,
         })
         .len()
     };
--- a/testbed/src/measure/process_usage.rs
+++ b/testbed/src/measure/process_usage.rs
@@ -51,15 +51,18 @@
         })
     }
 
-    /// Reads the time for which the first thread of a process was ready to run and waited for a processor. A node
-    /// handles all calls in that thread.
+    /// Reads the processor time of the first thread of a process, and the time for which it was ready to run and waited
+    /// for a processor. A node handles all calls in that thread.
     ///
     /// # Errors
     /// Returns an error if the process has ended.
-    pub fn read_main_thread_wait(pid: u32) -> eyre::Result<Duration> {
+    pub fn read_main_thread(pid: u32) -> eyre::Result<(Duration, Duration)> {
         let text = fs::read_to_string(format!("/proc/{pid}/schedstat"))?;
-        let nanos = text.split_whitespace().nth(1).and_then(|n| n.parse().ok());
-        let nanos = nanos.ok_or_else(|| eyre::eyre!("schedstat of {pid} is {text:?}"))?;
-        Ok(Duration::from_nanos(nanos))
+        let numbers = text.split_whitespace().map(str::parse);
+        let mut nanos = numbers.map(|n| n.map(Duration::from_nanos));
+        match (nanos.next(), nanos.next()) {
+            (Some(Ok(ran)), Some(Ok(waited))) => Ok((ran, waited)),
+            _ => Err(eyre::eyre!("schedstat of {pid} is {text:?}")),
+        }
     }
 }
