Compare shares in the soak by node and second instead of quarters of a second

Change: the parts of a window are seconds. In the test, the refused calls begin in the second after the served ones.

--- a/soak/src/workspace_checker.rs
+++ b/soak/src/workspace_checker.rs
@@ -33,7 +33,8 @@
 const SHARE_STEP_MS: u64 = 500;
 /// Part of a window in which calls to one node count as having competed. Shares hold at each backend server: after a
 /// fault, the calls of one moment or node may be refused for want of any backend server, and those of another be served.
-const COMPETITION_MS: u64 = 250;
+/// With 250 ms, two of five runs without shares in the queue were not found, since few calls are served in a part.
+const COMPETITION_MS: u64 = 1_000;
 /// Part of its share, or of its calls if they are fewer, that a workspace gets at least.
 const MIN_SERVED: f64 = 0.25;
 /// Number of calls below which chance may refuse most of them.
--- a/soak/tests/workspaces.rs
+++ b/soak/tests/workspaces.rs
@@ -337,8 +337,8 @@
     expect_that!(find(Some(0), 0, 40_250), eq(1));
     // At another node, which serves nothing.
     expect_that!(find(Some(1), 1, 40_250), eq(0));
-    // At the same node, after the last call that it serves.
-    expect_that!(find(Some(0), 0, 41_500), eq(0));
+    // At the same node, in the second after that of the last call that it serves.
+    expect_that!(find(Some(0), 0, 42_000), eq(0));
 }
 
 /// Guards against workspaces that cannot be reproduced from the seed, and against workspaces in the runs of
