--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -58,6 +58,45 @@
     pub faults: &'a [FaultInterval],
     /// Time at which the rollback of a move to a bad version was seen.
     pub rolled_back_at: Option<u64>,
+    /// Readings of the processor use of the nodes, in the order of time.
+    pub processor_uses: &'a [ProcessorUse],
+}
+
+/// Reading of the processor use of a node.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessorUse {
+    /// Index of the node.
+    pub node: usize,
+    /// Process id of the node.
+    pub pid: u32,
+    /// Time of the reading, milliseconds of the monotonic clock.
+    pub at: u64,
+    /// Processor time of its first thread since the start of the process.
+    pub ran: Duration,
+    /// Time since then for which that thread was ready to run and waited for a processor.
+    pub waited: Duration,
+}
+
+/// Returns how long a node ran and waited for a processor from one time to another one, as far as the readings of one
+/// process show it. Of the time between two readings, the part counts that lies between the two times.
+fn processor_use(uses: &[ProcessorUse], node: usize, from: u64, to: u64) -> (Duration, Duration) {
+    let own: Vec<&ProcessorUse> = uses.iter().filter(|used| used.node == node).collect();
+    let pairs = own.windows(2).filter(|pair| pair[0].pid == pair[1].pid);
+    let (mut ran, mut waited) = (Duration::ZERO, Duration::ZERO);
+    for pair in pairs {
+        let length = Duration::from_millis(pair[1].at.saturating_sub(pair[0].at));
+        let inside = pair[1].at.min(to).saturating_sub(pair[0].at.max(from));
+        let inside = Duration::from_millis(inside);
+        if inside.is_zero() {
+            continue;
+        }
+        let part = inside.div_duration_f64(length);
+        let share =
+            |before, after: Duration| after.saturating_sub(before).mul_f64(part).min(inside);
+        ran += share(pair[0].ran, pair[1].ran);
+        waited += share(pair[0].waited, pair[1].waited);
+    }
+    (ran, waited)
 }
 
 /// Returns a description of each violation.
@@ -76,7 +115,7 @@
         let count = own
             .take_while(|(attempt, _)| *attempt == call.attempt)
             .count();
-        if let Some(why) = check_call(call, count, observations.faults) {
+        if let Some(why) = check_call(call, count, observations) {
             violations.push(format!("{why}: {call:?}, {count} runs"));
         }
     }
@@ -100,11 +139,19 @@
     on_node.any(|other| other.kind == kind && other.from <= to && other.to >= from)
 }
 
-fn check_call(call: &CallRecord, runs: usize, faults: &[FaultInterval]) -> Option<String> {
+fn check_call(call: &CallRecord, runs: usize, observations: &Observations<'_>) -> Option<String> {
     if let Some(why) = &call.violation {
         return Some(why.clone());
     }
-    let during = |kind| overlaps(faults, call.node, kind, call.started_ms, call.ended_ms);
+    let during = |kind| {
+        overlaps(
+            observations.faults,
+            call.node,
+            kind,
+            call.started_ms,
+            call.ended_ms,
+        )
+    };
     let was_killed = during(FaultKind::NodeKilled);
     let was_paused = during(FaultKind::NodePaused);
     let allowed = match call.kind {
@@ -115,7 +162,15 @@
         return Some(format!("request ran more than {allowed} times"));
     }
     let held = Duration::from_millis(call.ended_ms - call.started_ms);
-    let held_too_long = held > ROUTE_TIMEOUT + ROUTE_TIMEOUT_SLACK && !was_killed && !was_paused;
+    let is_late = held > ROUTE_TIMEOUT + ROUTE_TIMEOUT_SLACK && !was_killed && !was_paused;
+    // On a busy machine, a node may wait for a processor longer than the slack.
+    let uses = observations.processor_uses;
+    let (ran, waited) = if is_late {
+        processor_use(uses, call.node, call.started_ms, call.ended_ms)
+    } else {
+        (Duration::ZERO, Duration::ZERO)
+    };
+    let held_too_long = is_late && held > ROUTE_TIMEOUT + ROUTE_TIMEOUT_SLACK + waited;
     match call.outcome {
         CallOutcome::Status(401 | 408 | 421 | 429 | 503) if runs > 0 => {
             Some("request was refused as not run, but it ran".into())
@@ -123,7 +178,9 @@
         CallOutcome::Status(200 | 401 | 408 | 421 | 429 | 500 | 502 | 503 | 504)
             if held_too_long =>
         {
-            Some(format!("response came only after {held:?}"))
+            Some(format!(
+                "response came only after {held:?}, in which its node ran for {ran:.0?} and waited {waited:.0?} for a processor"
+            ))
         }
         CallOutcome::Status(200 | 408 | 421 | 429 | 500 | 502 | 503 | 504)
         | CallOutcome::NoConnection => None,
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -29,6 +29,7 @@
 
 use crate::caller::HOST;
 use crate::caller::UPLOAD_PREFIX;
+use crate::checker::ProcessorUse;
 use crate::plan::Event;
 use crate::plan::LinkKind;
 use crate::plan::Load;
@@ -655,6 +656,23 @@
         usages.collect()
     }
 
+    /// Returns the processor use of each running node.
+    #[must_use]
+    pub fn processor_uses(&self) -> Vec<ProcessorUse> {
+        let read = |node| {
+            let pid = self.pid(node)?;
+            let (ran, waited) = ProcessUsage::read_main_thread(pid).ok()?;
+            Some(ProcessorUse {
+                node,
+                pid,
+                at: monotonic_millis(),
+                ran,
+                waited,
+            })
+        };
+        (0..ALL_NODES).filter_map(read).collect()
+    }
+
     async fn stop_node(&self, node: usize) {
         // Fails if the node does not run.
         let Ok(()) = self.fleet.borrow().signal(node, Signal::TERM) else {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -2,6 +2,9 @@
 //! outside, and checks what callers and backend servers see. See `docs/soak.md`.
 
 use std::cell::RefCell;
+use std::fs::File;
+use std::io::BufWriter;
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -20,6 +23,7 @@
 use soak::caller::Workload;
 use soak::checker;
 use soak::checker::Observations;
+use soak::checker::ProcessorUse;
 use soak::cluster;
 use soak::cluster::ALL_NODES;
 use soak::cluster::Cluster;
@@ -42,10 +46,14 @@
 const RECOVERY_PERIOD: Duration = Duration::from_secs(6);
 /// Time after the recovery period in which every call must be served.
 const WATCH_PERIOD: Duration = Duration::from_millis(1_500);
+/// Time between two readings of the processor use of the nodes.
+const USE_INTERVAL: Duration = Duration::from_millis(50);
 /// Largest time from the start of the faults to the first reading of the nodes' memory.
 const MAX_WARM_UP: Duration = Duration::from_mins(1);
 /// Callers of a workspace at each node in a surge.
 const SURGE_CALLERS: usize = 10;
+/// File with the calls of a run that has violations, and the workspaces that were written.
+const CALLS_FILE: &str = "calls.txt";
 /// Maximum number of violations that are printed for a run.
 const MAX_PRINTED_VIOLATIONS: usize = 12;
 
@@ -169,6 +177,8 @@
     actix_rt::spawn(watch_move(cluster.clone(), rolled_back_at.clone()));
     let memory = Rc::new(RefCell::new(Vec::new()));
     actix_rt::spawn(read_memory(cluster.clone(), length / 2, memory.clone()));
+    let processor_uses = Rc::new(RefCell::new(Vec::new()));
+    actix_rt::spawn(read_processor_uses(cluster.clone(), processor_uses.clone()));
     let mut events = plan::draw(seed, NODES, length);
     if has_workspaces {
         events.extend(workspaces::draw_events(seed, NODES, length));
@@ -196,6 +206,7 @@
         backends: &outputs,
         faults: &cluster.faults.borrow(),
         rolled_back_at: *rolled_back_at.borrow(),
+        processor_uses: &processor_uses.borrow(),
     };
     violations.extend(checker::check_run(&observations));
     let watched = records.iter().filter(|call| call.started_ms >= watch_start);
@@ -238,20 +249,33 @@
         violations.len(),
         began.elapsed().as_secs_f64()
     );
-    print_violations(&cluster, seed, &violations);
+    print_violations(&cluster, seed, &violations, &records)?;
     Ok(violations.is_empty())
 }
 
-fn print_violations(cluster: &Cluster, seed: u64, violations: &[String]) {
+/// Prints the violations, and keeps the logs and the calls of a run that has some.
+fn print_violations(
+    cluster: &Cluster,
+    seed: u64,
+    violations: &[String],
+    records: &[CallRecord],
+) -> eyre::Result<()> {
     for text in violations.iter().take(MAX_PRINTED_VIOLATIONS) {
         println!("  seed {seed}: {text}");
     }
-    if !violations.is_empty() {
-        println!(
-            "  seed {seed}: logs are in {}",
-            cluster.keep_dir().display()
-        );
+    if violations.is_empty() {
+        return Ok(());
+    }
+    let dir = cluster.keep_dir();
+    println!("  seed {seed}: logs are in {}", dir.display());
+    let mut file = BufWriter::new(File::create(dir.join(CALLS_FILE))?);
+    for call in records {
+        writeln!(file, "{call:?}")?;
     }
+    for config in cluster.written.borrow().iter() {
+        writeln!(file, "{config:?}")?;
+    }
+    Ok(file.flush()?)
 }
 
 /// Starts the callers and the probes of the configuration. Returns the calls of each workload.
@@ -336,6 +360,14 @@
     log.stopped.set(true);
 }
 
+/// Reads the processor use of the nodes at an interval.
+async fn read_processor_uses(cluster: Rc<Cluster>, uses: Rc<RefCell<Vec<ProcessorUse>>>) {
+    loop {
+        uses.borrow_mut().extend(cluster.processor_uses());
+        actix_rt::time::sleep(USE_INTERVAL).await;
+    }
+}
+
 /// Reads the memory of the nodes once, `after` the start or after [`MAX_WARM_UP`], if that is shorter.
 async fn read_memory(cluster: Rc<Cluster>, after: Duration, memory: Rc<RefCell<Vec<(u32, u64)>>>) {
     actix_rt::time::sleep(after.min(MAX_WARM_UP)).await;
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -28,8 +28,9 @@
 use crate::sidecar::usage_port;
 use crate::state::routing_table::RoutingTable;
 
-/// Applies a record of the operator's topic: a configuration or an order to roll out a version. Returns whether the
-/// record is valid.
+/// Applies a record of the operator's topic: a configuration or an order to roll out a version. Returns whether it
+/// stands for the earlier ones of its key: not if it is invalid, or a configuration that is not newer than the one in
+/// force.
 pub fn apply_operator(cx: &Rc<Sidecar>, record: &KeyedRecord) -> bool {
     match config::read_key(&record.key) {
         Some(OperatorKey::Config) => return apply_config(cx, record),
@@ -174,8 +175,8 @@
     }
 }
 
-/// Puts a configuration in force, unless it is invalid or not newer than the one in force. Returns whether it is
-/// valid.
+/// Puts a configuration in force, unless it is invalid or not newer than the one in force. Returns whether it was put
+/// in force: if not, an earlier record that it has replaced may be.
 fn apply_config(cx: &Rc<Sidecar>, record: &KeyedRecord) -> bool {
     let ParsedConfig {
         config,
@@ -204,7 +205,7 @@
     if state.table.is_some() && config.version <= in_force {
         info!(cx.log, "configuration ignored"; "version" => config.version, "in_force" => in_force,
             "offset" => record.offset);
-        return true;
+        return false;
     }
     let table = RoutingTable::new(config);
     info!(cx.log, "configuration in force"; "version" => table.version(), "before" => in_force,
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -89,6 +89,8 @@
     pub mirrors: RefCell<[Mirror; 3]>,
     /// Time at which the view of the operator's topic was last known to be complete.
     pub confirmed_at: Cell<Option<Duration>>,
+    /// Age that this view had when the process started, if it is that of a peer and older than the process.
+    age_at_start: Cell<Duration>,
     /// Time at which the newest records of the operator's topic were last read.
     operator_listed_at: Cell<Duration>,
     /// Keys of the operator's topic that the store has dropped in this era, oldest first.
@@ -132,6 +134,7 @@
             cursors: RefCell::default(),
             mirrors: RefCell::default(),
             confirmed_at: Cell::new(None),
+            age_at_start: Cell::default(),
             operator_listed_at: Cell::default(),
             dropped_keys: RefCell::default(),
             followed_era: Cell::new(None),
@@ -196,7 +199,7 @@
     /// complete. `None` before the topic was read.
     pub fn view_age(&self, now: Duration) -> Option<Duration> {
         let confirmed_at = self.confirmed_at.get();
-        confirmed_at.map(|at| now.saturating_sub(at))
+        confirmed_at.map(|at| now.saturating_sub(at) + self.age_at_start.get())
     }
 
     /// Waits while the store is unavailable. Only reads of the operator's topic probe it meanwhile, since
@@ -318,7 +321,7 @@
     cx.feed.restored.notify_waiters();
 }
 
-/// Applies a record to this process. Returns whether a record of the operator is valid.
+/// Applies a record to this process. Returns whether a record of the operator stands for the earlier ones of its key.
 fn apply(cx: &Rc<Sidecar>, topic: usize, record: &KeyedRecord) -> bool {
     match topic {
         OPERATOR => return records::apply_operator(cx, record),
@@ -387,6 +390,8 @@
                 let is_start = !cx.state.borrow().fleet_read;
                 let has_new = apply_read(cx, topic, next, batch);
                 let pause = match (topic, next) {
+                    // Without another node, the fleet is new: each node would use the whole quotas of workspaces.
+                    (FLEET, NextRead::Newest) if is_start && is_alone(cx) => FLEET_BURST_PAUSE,
                     (FLEET, NextRead::Newest) if is_start => FLEET_START_PAUSE,
                     (FLEET, _) if changed => FLEET_BURST_PAUSE,
                     (_, NextRead::From(_)) if changed => BURST_PAUSE,
@@ -498,6 +503,7 @@
     if topic == OPERATOR {
         finish_operator_reading(cx, kind, &batch.records, end);
         cx.feed.confirmed_at.set(Some(cx.clock.now()));
+        cx.feed.age_at_start.set(Duration::ZERO);
         cx.feed.view_checked.notify_waiters();
     }
     applied.new > 0
@@ -693,8 +699,10 @@
         health_check::on_topics_relayed(cx);
     }
     let age = Duration::from_millis(response.age_ms);
-    let confirmed_at = cx.clock.now().saturating_sub(age);
-    cx.feed.confirmed_at.set(Some(confirmed_at));
+    let now = cx.clock.now();
+    cx.feed.confirmed_at.set(Some(now.saturating_sub(age)));
+    // The clock starts with the process, and the view may be older than that.
+    cx.feed.age_at_start.set(age.saturating_sub(now));
     cx.feed.view_checked.notify_waiters();
 }
 
@@ -768,6 +776,11 @@
     }
 }
 
+/// Whether this node knows of no other one.
+fn is_alone(cx: &Sidecar) -> bool {
+    cx.state.borrow().placement.nodes() == 1
+}
+
 fn choose_source(cx: &Rc<Sidecar>) -> Source {
     let now = cx.clock.now();
     let domain = cx.state.borrow().placement.domain_nodes();
