Keep the state of followed topics and the requests to peers in modules of their own

Moves only: Feed and the indices of the topics to sidecar/feed.rs, the request of a starting process to a peer to sidecar/peer_topics.rs.

--- a/src/sidecar/first_config.rs
+++ b/src/sidecar/first_config.rs
@@ -14,7 +14,7 @@
 use crate::result_code::ResultCode;
 use crate::sidecar::Sidecar;
 use crate::sidecar::entry::EntryRefusal;
-use crate::sidecar::topic_follower;
+use crate::sidecar::peer_topics;
 
 /// Interval at which the end of all holds is checked for its log line.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -47,7 +47,7 @@
         let checked = Box::pin(cx.feed.view_checked.notified());
         let failed = Box::pin(cx.feed.read_failed.notified());
         let now = cx.clock.now();
-        match hold::decide(now, request, &topic_follower::start_state(cx)) {
+        match hold::decide(now, request, &peer_topics::start_state(cx)) {
             Verdict::Hold(until) => {
                 if held.is_none() {
                     held = Some(begin(cx, request));
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -33,11 +33,11 @@
 use crate::sidecar::Sidecar;
 use crate::sidecar::body_gate::Transfer;
 use crate::sidecar::leaves;
+use crate::sidecar::peer_topics;
 use crate::sidecar::relay_port;
 use crate::sidecar::serving;
 use crate::sidecar::serving::ServeCall;
 use crate::sidecar::serving::ServeOutcome;
-use crate::sidecar::topic_follower;
 use crate::sidecar::usage_port;
 use crate::transport::exchange::Exchange;
 use crate::transport::exchange::ExchangeFailure;
@@ -88,7 +88,7 @@
     if !cx.is_synchronized()
         && let Some(origin) = headers::number(req.headers(), ORIGIN_HEADER)
     {
-        topic_follower::fetch_topics(cx, origin);
+        peer_topics::fetch_topics(cx, origin);
     }
     // Later, nobody waits for the response, and the connection may be cut without being closed.
     let time_left = (arrived + head.left).saturating_sub(cx.clock.now());
--- a/src/sidecar/topic_follower.rs
+++ b/src/sidecar/topic_follower.rs
@@ -2,9 +2,6 @@
 //! of the same failure domain that reads the store for the others.
 //! See `docs/platform.md`, "Store".
 
-use std::cell::Cell;
-use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,27 +9,23 @@
 use rand::RngExt;
 use slog::info;
 use slog::warn;
-use tokio::sync::Notify;
 
 use crate::coordination::domains::evacuation::RECHECK_INTERVAL;
-use crate::coordination::startup::hold::StartState;
 use crate::coordination::startup::store_answer::StoreAnswer;
 use crate::coordination::topic_cursor::NextRead;
 use crate::coordination::topic_cursor::ReadCall;
 use crate::coordination::topic_cursor::RecordUse;
-use crate::coordination::topic_cursor::TopicCursor;
 use crate::coordination::topic_source::Source;
-use crate::coordination::topic_source::SourceSelector;
-use crate::platform::store::FLEET_TOPIC;
 use crate::platform::store::KeyedBatch;
 use crate::platform::store::KeyedRecord;
-use crate::platform::store::MOVE_TOPIC;
-use crate::platform::store::OPERATOR_TOPIC;
 use crate::platform::store::StoreFailure;
 use crate::protocol::name::NodeId;
-use crate::protocol::time::millis;
 use crate::sidecar::Sidecar;
 use crate::sidecar::announcer;
+use crate::sidecar::feed::FLEET;
+use crate::sidecar::feed::MOVES;
+use crate::sidecar::feed::OPERATOR;
+use crate::sidecar::feed::TOPICS;
 use crate::sidecar::health_check;
 use crate::sidecar::records;
 use crate::sidecar::records::ReadingKind;
@@ -41,17 +34,8 @@
 use crate::sidecar::relay_port::FetchFailure;
 use crate::sidecar::relay_port::FetchMode;
 use crate::sidecar::relay_port::FollowResponse;
-use crate::state::mirror::Mirror;
 use crate::state::mirror::MirrorRecord;
 
-/// Topics that a node follows.
-pub const TOPICS: [&str; 3] = [OPERATOR_TOPIC, FLEET_TOPIC, MOVE_TOPIC];
-/// Index of the operator's topic. The age of a node's view is the age of its copy of this topic.
-const OPERATOR: usize = 0;
-/// Index of the fleet's topic.
-const FLEET: usize = 1;
-/// Index of the topic with the progress of rollouts.
-const MOVES: usize = 2;
 /// Pause after a read that returned records, so that a burst of changes costs few calls. It is well
 /// below the 2 s within which a configuration has to be in force.
 const BURST_PAUSE: Duration = Duration::from_millis(250);
@@ -61,8 +45,6 @@
 /// Pause after the first read of the fleet's topic. Nodes that start together write their entries
 /// within a heartbeat interval, after which a reader of the own failure domain can be followed.
 const FLEET_START_PAUSE: Duration = Duration::from_secs(2);
-/// Longest wait of a topic for the operator's topic to be readable again; then it is read anyway.
-const INDEPENDENT_RETRY_AFTER: Duration = Duration::from_secs(4);
 /// Long-poll time of the operator's topic at the store and of a follower at its reader, as a share of
 /// the time within which a configuration has to be in force. A record that a poll misses, or a reader
 /// that is cut off, is detected within it, which leaves the other half of the time for reading.
@@ -79,184 +61,6 @@
 const FAILOVER_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which the source is checked while it is the store.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Dropped keys that are remembered for followers. There are about as many failure domains at most.
-const MAX_DROPPED_KEYS: usize = 16;
-
-/// Read positions, local copies and the source of the topics.
-pub struct Feed {
-    cursors: RefCell<[TopicCursor; 3]>,
-    /// Local copies of the topics.
-    pub mirrors: RefCell<[Mirror; 3]>,
-    /// Time at which the view of the operator's topic was last known to be complete.
-    pub confirmed_at: Cell<Option<Duration>>,
-    /// Age that this view had when the process started, if it is that of a peer and older than the process.
-    age_at_start: Cell<Duration>,
-    /// Time at which the newest records of the operator's topic were last read.
-    operator_listed_at: Cell<Duration>,
-    /// Keys of the operator's topic that the store has dropped in this era, oldest first.
-    pub dropped_keys: RefCell<Vec<DroppedKey>>,
-    /// Era that the read positions and the local copies belong to.
-    followed_era: Cell<Option<u64>>,
-    /// Whether every topic has been read once.
-    is_started: Cell<bool>,
-    /// Whether the store may have lost the own entry when it went back.
-    own_entry_unverified: Cell<bool>,
-    /// Signals that the store has gone back, so that reads begin anew.
-    restored: Notify,
-    /// Signals that records were applied.
-    pub changed: Notify,
-    /// Signals that the view of the operator's topic was found to be complete, or could not be checked.
-    pub view_checked: Notify,
-    /// Interrupts a long poll of the operator's topic, so that the view is confirmed at once.
-    interrupt_poll: Notify,
-    /// Whether the next read of the operator's topic is not a long poll.
-    skip_wait: Cell<bool>,
-    /// Whether a copy of all topics is being fetched from another node, or will be if the store stays silent.
-    fetching_topics: Cell<bool>,
-    /// Node that sent the last call while the topics were not read.
-    peer_to_ask: Cell<Option<SocketAddr>>,
-    /// How the store answers the reads of each topic.
-    store_answers: Cell<[StoreAnswer; 3]>,
-    /// Signals that a read of a topic, or the request to another node, has failed.
-    pub read_failed: Notify,
-    /// Whether the last read of the operator's topic succeeded.
-    store_available: Cell<bool>,
-    /// Signals that the store is available again.
-    store_recovered: Notify,
-    relay: RefCell<SourceSelector>,
-    source: RefCell<Source>,
-    source_changed: Notify,
-}
-
-impl Default for Feed {
-    fn default() -> Self {
-        Self {
-            cursors: RefCell::default(),
-            mirrors: RefCell::default(),
-            confirmed_at: Cell::new(None),
-            age_at_start: Cell::default(),
-            operator_listed_at: Cell::default(),
-            dropped_keys: RefCell::default(),
-            followed_era: Cell::new(None),
-            is_started: Cell::new(false),
-            own_entry_unverified: Cell::new(false),
-            restored: Notify::new(),
-            changed: Notify::new(),
-            view_checked: Notify::new(),
-            interrupt_poll: Notify::new(),
-            skip_wait: Cell::new(false),
-            fetching_topics: Cell::new(false),
-            peer_to_ask: Cell::new(None),
-            store_answers: Cell::default(),
-            read_failed: Notify::new(),
-            store_available: Cell::new(true),
-            store_recovered: Notify::new(),
-            relay: RefCell::default(),
-            source: RefCell::new(Source::Store),
-            source_changed: Notify::new(),
-        }
-    }
-}
-
-impl Feed {
-    /// Returns the offset from which a reader is asked for each topic, or `None` until every topic was read once.
-    fn positions(&self) -> Option<[u64; 3]> {
-        self.is_started
-            .set(self.is_started.get() || self.is_complete());
-        let mirrors = self.mirrors.borrow();
-        let cursors = self.cursors.borrow();
-        let from = std::array::from_fn(|topic| {
-            let copied = mirrors[topic].end().unwrap_or(0);
-            cursors[topic].follow_from(copied)
-        });
-        self.is_started.get().then_some(from)
-    }
-
-    /// Whether every topic has been read, in the current era.
-    pub fn is_complete(&self) -> bool {
-        let mirrors = self.mirrors.borrow();
-        mirrors.iter().all(|mirror| mirror.end().is_some())
-    }
-
-    /// Records that the store has dropped the record of a key of the operator's topic without a later one, so that
-    /// followers learn of it. A later record of the key stays.
-    fn add_dropped(&self, key: String, offset: u64) {
-        self.mirrors.borrow_mut()[OPERATOR].forget(&key, offset);
-        let mut dropped = self.dropped_keys.borrow_mut();
-        dropped.retain(|other| other.key != key);
-        if dropped.len() >= MAX_DROPPED_KEYS {
-            dropped.remove(0);
-        }
-        dropped.push(DroppedKey { key, offset });
-    }
-
-    /// Returns the era that the read positions and the local copies belong to.
-    pub fn era(&self) -> Option<u64> {
-        self.followed_era.get()
-    }
-
-    /// Returns the age of the view of the operator's topic: the time since it was last known to be
-    /// complete. `None` before the topic was read.
-    pub fn view_age(&self, now: Duration) -> Option<Duration> {
-        let confirmed_at = self.confirmed_at.get();
-        confirmed_at.map(|at| now.saturating_sub(at) + self.age_at_start.get())
-    }
-
-    /// Waits while the store is unavailable. Only reads of the operator's topic probe it meanwhile, since
-    /// failed calls are charged as well. Returns whether it waited until the store was available again.
-    /// After a timeout the caller tries its own call, since an outage may affect single topics.
-    pub async fn wait_for_store(&self) -> bool {
-        if self.store_available.get() {
-            return false;
-        }
-        let recovered = self.store_recovered.notified();
-        let waited = actix_rt::time::timeout(INDEPENDENT_RETRY_AFTER, recovered).await;
-        waited.is_ok()
-    }
-
-    /// Whether the last read of the operator's topic succeeded, at the store or at a reader.
-    pub fn is_store_available(&self) -> bool {
-        self.store_available.get()
-    }
-
-    fn set_store_available(&self, available: bool) {
-        if available && !self.store_available.replace(true) {
-            self.store_recovered.notify_waiters();
-        } else if !available {
-            self.store_available.set(false);
-        }
-    }
-
-    fn update_answer(&self, topic: usize, update: impl FnOnce(&mut StoreAnswer)) {
-        let mut answers = self.store_answers.get();
-        update(&mut answers[topic]);
-        self.store_answers.set(answers);
-    }
-
-    /// Returns how the store answers the reads of the topic that a starting process waits for: the operator's topic
-    /// until there is a configuration, then the fleet's topic. A store that has just sent the configuration is not
-    /// silent, although the entries of the nodes may arrive later.
-    fn awaited_answer(&self, has_config: bool) -> StoreAnswer {
-        let answers = self.store_answers.get();
-        if has_config {
-            answers[FLEET].with_sign_of(answers[OPERATOR])
-        } else {
-            answers[OPERATOR]
-        }
-    }
-
-    /// Marks a topic that need not be read yet as read.
-    fn mark_as_read(&self, topic: usize) {
-        self.mirrors.borrow_mut()[topic].advance(0);
-    }
-
-    /// Interrupts the long poll of the operator's topic and makes the next read return at once.
-    pub fn interrupt_long_poll(&self) {
-        self.skip_wait.set(true);
-        self.interrupt_poll.notify_waiters();
-    }
-}
-
 /// Long-poll time of the operator's topic at the store, and of a follow request.
 pub fn long_poll_wait(cx: &Sidecar) -> Duration {
     cx.settings.config_within().mul_f64(LONG_POLL_SHARE)
@@ -646,7 +450,7 @@
 }
 
 /// Whether a reader has not noticed yet that the store has gone back.
-fn is_outdated(cx: &Sidecar, response: &FollowResponse) -> bool {
+pub(super) fn is_outdated(cx: &Sidecar, response: &FollowResponse) -> bool {
     response.era.is_some() && response.era < cx.store.era()
 }
 
@@ -667,7 +471,7 @@
 }
 
 /// Applies the topics received from another node.
-fn apply_relayed(cx: &Rc<Sidecar>, response: FollowResponse) {
+pub(super) fn apply_relayed(cx: &Rc<Sidecar>, response: FollowResponse) {
     if let Some(era) = response.era {
         cx.store.observe_reported_era(era);
         sync_history(cx);
@@ -706,76 +510,6 @@
     cx.feed.view_checked.notify_waiters();
 }
 
-/// Fetches all topics from the node at `origin`, which has just sent a call, unless the store answers. A node that
-/// starts while the store is unavailable knows no other node, but others know its address from an earlier run.
-pub fn fetch_topics(cx: &Rc<Sidecar>, origin: SocketAddr) {
-    cx.feed.peer_to_ask.set(Some(origin));
-    if cx.feed.fetching_topics.replace(true) {
-        return;
-    }
-    let cx = cx.clone();
-    actix_rt::spawn(async move {
-        if let Some(origin) = wait_for_silence(&cx).await {
-            fetch_topics_now(&cx, origin).await;
-        }
-        cx.feed.fetching_topics.set(false);
-        cx.feed.read_failed.notify_waiters();
-    });
-}
-
-/// Returns what a process without a configuration, or without the entries of the nodes, waits for.
-pub fn start_state(cx: &Sidecar) -> StartState {
-    let has_config = cx.table().is_some();
-    let topic = if has_config { FLEET } else { OPERATOR };
-    StartState {
-        has_config,
-        answer: cx.feed.awaited_answer(has_config),
-        failures: cx.feed.cursors.borrow()[topic].failures(),
-        is_asking_peer: cx.feed.fetching_topics.get(),
-        is_stopping: cx.stopping.get(),
-    }
-}
-
-/// Waits until the topics should be fetched from another node, and returns the one that sent the last call. `None` if
-/// they were read from the store meanwhile.
-async fn wait_for_silence(cx: &Sidecar) -> Option<SocketAddr> {
-    let mut was_due = false;
-    while !cx.is_synchronized() {
-        let failed = cx.feed.read_failed.notified();
-        let at = cx.feed.awaited_answer(cx.table().is_some()).ask_peer_at();
-        let now = cx.clock.now();
-        if at > now {
-            was_due = false;
-            // The answer of the store is checked again in either case.
-            let _ = actix_rt::time::timeout(at.saturating_sub(now), failed).await;
-        } else if was_due {
-            return cx.feed.peer_to_ask.get();
-        } else {
-            // After a suspension of the process, bytes that have arrived meanwhile are read first.
-            was_due = true;
-            actix_rt::task::yield_now().await;
-        }
-    }
-    None
-}
-
-async fn fetch_topics_now(cx: &Rc<Sidecar>, origin: SocketAddr) {
-    let answer = cx.feed.awaited_answer(cx.table().is_some());
-    info!(cx.log, "topics requested from a peer"; "peer" => origin.to_string(), "store_failed" => answer.has_failed(),
-        "store_silent_ms" => millis(answer.silence(cx.clock.now())));
-    match relay_port::fetch(cx, origin, [0; 3], FetchMode::Everything).await {
-        Ok(response) if !cx.is_synchronized() && !is_outdated(cx, &response) => {
-            info!(cx.log, "topics fetched from a peer"; "peer" => origin.to_string(), "age_ms" => response.age_ms);
-            apply_relayed(cx, response);
-        }
-        // The topics were read from the store meanwhile.
-        Ok(_) => {}
-        Err(failure) => {
-            info!(cx.log, "topics not fetched from a peer"; "peer" => origin.to_string(), "why" => failure.why);
-        }
-    }
-}
-
 /// Whether this node knows of no other one.
 fn is_alone(cx: &Sidecar) -> bool {
     cx.state.borrow().placement.nodes() == 1
