--- a/tests/process_domains.rs
+++ b/tests/process_domains.rs
@@ -27,10 +27,10 @@
 use sidecar_common::HOST;
 use sidecar_common::TestFleet;
 use sidecar_common::WAIT_LIMIT;
+use sidecar_common::hop_header;
 use sidecar_common::run;
 use sidecar_common::send_call;
 use sycamorewick::protocol::hop::HOP_REQUEST_HEADER;
-use sycamorewick::protocol::hop::HopRequestHeader;
 use sycamorewick::result_code::ResultCode;
 use testbed::log_server::Outage;
 use testbed::platform::backend::ATTEMPT_HEADER;
@@ -129,21 +129,7 @@
 /// Sends the head of a call to a node as another node does that has an older view, and announces a body. Returns
 /// the response.
 fn announce_as_peer(addr: SocketAddr, route: &str) -> eyre::Result<String> {
-    let head = HopRequestHeader {
-        route: route.into(),
-        service: "registry".into(),
-        version: "v1".into(),
-        idempotent: true,
-        accepts_late: true,
-        priority: 1,
-        objective: Duration::from_secs(2),
-        left: Duration::from_secs(2),
-        is_overdue: false,
-        limit: None,
-        workspace: None,
-        workspace_priority: 0,
-        is_spillover: false,
-    };
+    let head = hop_header(route, Duration::from_secs(2));
     let mut stream = TcpStream::connect(addr)?;
     stream.set_read_timeout(Some(WAIT_LIMIT))?;
     write!(
--- a/tests/process_stalled_bodies.rs
+++ b/tests/process_stalled_bodies.rs
@@ -14,9 +14,9 @@
 use sidecar_common::HOST;
 use sidecar_common::TestFleet;
 use sidecar_common::WAIT_LIMIT;
+use sidecar_common::hop_header;
 use sidecar_common::run;
 use sycamorewick::protocol::hop::HOP_REQUEST_HEADER;
-use sycamorewick::protocol::hop::HopRequestHeader;
 use sycamorewick::result_code::ResultCode;
 use testbed::platform::backend::ATTEMPT_HEADER;
 
@@ -31,21 +31,7 @@
 
 /// Announces a large body to a node as another node does.
 fn announce_body(addr: SocketAddr) -> eyre::Result<TcpStream> {
-    let head = HopRequestHeader {
-        route: "lookup".into(),
-        service: "registry".into(),
-        version: "v1".into(),
-        idempotent: true,
-        accepts_late: true,
-        priority: 1,
-        objective: TIME_LEFT,
-        left: TIME_LEFT,
-        is_overdue: false,
-        limit: None,
-        workspace: None,
-        workspace_priority: 0,
-        is_spillover: false,
-    };
+    let head = hop_header("lookup", TIME_LEFT);
     let mut stream = TcpStream::connect(addr)?;
     stream.set_read_timeout(Some(TIME_LEFT))?;
     write!(
--- a/tests/process_start.rs
+++ b/tests/process_start.rs
@@ -24,11 +24,11 @@
 use sidecar_common::HOST;
 use sidecar_common::TestFleet;
 use sidecar_common::WAIT_LIMIT;
+use sidecar_common::hop_header;
 use sidecar_common::run;
 use sycamorewick::coordination::startup::hold::MAX_AGE;
 use sycamorewick::coordination::startup::store_answer::MAX_SILENCE;
 use sycamorewick::protocol::hop::HOP_REQUEST_HEADER;
-use sycamorewick::protocol::hop::HopRequestHeader;
 use sycamorewick::protocol::hop::ORIGIN_HEADER;
 use testbed::fleet::free_addr;
 use testbed::platform::backend::ATTEMPT_HEADER;
@@ -109,21 +109,7 @@
 
 /// Sends a call to a node as the node at `origin` does. The response does not matter, and there may be none.
 fn send_as_peer(addr: SocketAddr, origin: SocketAddr) -> std::io::Result<()> {
-    let head = HopRequestHeader {
-        route: "lookup".into(),
-        service: "registry".into(),
-        version: "v1".into(),
-        idempotent: true,
-        accepts_late: true,
-        priority: 1,
-        objective: Duration::from_secs(2),
-        left: Duration::from_secs(2),
-        is_overdue: false,
-        limit: None,
-        workspace: None,
-        workspace_priority: 0,
-        is_spillover: false,
-    };
+    let head = hop_header("lookup", Duration::from_secs(2));
     let mut stream = TcpStream::connect(addr)?;
     stream.set_read_timeout(Some(WAIT_LIMIT))?;
     write!(
--- a/tests/process_workspaces.rs
+++ b/tests/process_workspaces.rs
@@ -684,23 +684,29 @@
     });
 }
 
+/// Starts two nodes with both workspaces, of which the second one is strict.
+async fn start_with_strict_node() -> eyre::Result<TestFleet> {
+    let mut env = TestFleet::new(2)?;
+    let file = env.fleet.dir().join("n1.jsonc");
+    let mut settings: Value = serde_json::from_slice(&fs::read(&file)?)?;
+    settings["strict_revoke"] = json!(true);
+    settings["revoke_within_ms"] = json!(3_000);
+    fs::write(&file, settings.to_string())?;
+    put_workspaces(&env.store, 2, &both_workspaces());
+    for index in 0..2 {
+        env.fleet.start(index)?;
+        env.add_backend(index, 0.0)?;
+    }
+    env.fleet.wait_ready(WAIT_LIMIT).await?;
+    Ok(env)
+}
+
 /// Guards against 401 for a key that may be new while the store is away, against known keys that are refused
 /// then, and against known keys that are accepted for good where the settings forbid this.
 #[gtest]
 fn store_away() {
     run(async {
-        let mut env = TestFleet::new(2)?;
-        let file = env.fleet.dir().join("n1.jsonc");
-        let mut settings: Value = serde_json::from_slice(&fs::read(&file)?)?;
-        settings["strict_revoke"] = json!(true);
-        settings["revoke_within_ms"] = json!(3_000);
-        fs::write(&file, settings.to_string())?;
-        put_workspaces(&env.store, 2, &both_workspaces());
-        for index in 0..2 {
-            env.fleet.start(index)?;
-            env.add_backend(index, 0.0)?;
-        }
-        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        let mut env = start_with_strict_node().await?;
         let ok = actix_http::StatusCode::OK;
         for index in 0..2 {
             env.wait_for(WAIT_LIMIT, index, "/v2/x", ok).await?;
@@ -737,18 +743,7 @@
 #[gtest]
 fn restart_with_old_view_of_peer() {
     run(async {
-        let mut env = TestFleet::new(2)?;
-        let file = env.fleet.dir().join("n1.jsonc");
-        let mut settings: Value = serde_json::from_slice(&fs::read(&file)?)?;
-        settings["strict_revoke"] = json!(true);
-        settings["revoke_within_ms"] = json!(3_000);
-        fs::write(&file, settings.to_string())?;
-        put_workspaces(&env.store, 2, &both_workspaces());
-        for index in 0..2 {
-            env.fleet.start(index)?;
-            env.add_backend(index, 0.0)?;
-        }
-        env.fleet.wait_ready(WAIT_LIMIT).await?;
+        let mut env = start_with_strict_node().await?;
         let acme = [(CREDENTIAL_HEADER, ACME_KEY)];
         wait_version(&mut env, 2).await?;
         expect_that!(get(&env, 1, "/wrecks/1", "a", &acme)?.0, eq(200));
--- a/tests/sidecar_common/mod.rs
+++ b/tests/sidecar_common/mod.rs
@@ -11,6 +11,7 @@
 use actix_http::StatusCode;
 use bytes::Bytes;
 use serde_json::json;
+use sycamorewick::protocol::hop::HopRequestHeader;
 use testbed::log_server::Outage;
 use testbed::platform::backend::ATTEMPT_HEADER;
 use testbed::platform::backend::PlatformBackend;
@@ -33,6 +34,25 @@
 pub const POLL_MARGIN: Duration = Duration::from_millis(400);
 pub const HOST: &str = "a.example";
 
+/// Header of a call that another node sends for an idempotent request without a workspace.
+pub fn hop_header(route: &str, left: Duration) -> HopRequestHeader {
+    HopRequestHeader {
+        route: route.into(),
+        service: "registry".into(),
+        version: "v1".into(),
+        idempotent: true,
+        accepts_late: true,
+        priority: 1,
+        objective: left,
+        left,
+        is_overdue: false,
+        limit: None,
+        workspace: None,
+        workspace_priority: 0,
+        is_spillover: false,
+    }
+}
+
 /// A store, sidecars and their backend servers.
 pub struct TestFleet {
     pub store: StoreHandle,
