--- a/review/standin-2/src/bin/pipelined_beside_crowd.rs
+++ b/review/standin-2/src/bin/pipelined_beside_crowd.rs
@@ -38,13 +38,13 @@
 const CROWD: usize = 1_200;
 const ANNOUNCED_BYTES: usize = 65_000;
 const SENT_BYTES: usize = 60_000;
-const WAVE: Duration = Duration::from_millis(1_500);
+const WAVE: Duration = Duration::from_millis(2_500);
 const PAUSE: Duration = Duration::from_millis(2_000);
 /// Ordinary clients, and the requests that each sends before the first answer.
 const CLIENTS: usize = 3;
 const AHEAD: usize = 8;
 const DEADLINE: Duration = Duration::from_millis(4_000);
-const PLAY: Duration = Duration::from_secs(20);
+const PLAY: Duration = Duration::from_secs(24);
 
 fn config() -> String {
     let route = |prefix: &str, kind: &str| {
