--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -39,6 +41,8 @@
     /// Its address.
     pub addr: SocketAddr,
     topics: Arc<Topics>,
+    /// Whether each request at this address is turned away.
+    is_busy: Arc<AtomicBool>,
 }
 
 fn base64(bytes: &[u8]) -> String {
@@ -100,15 +104,40 @@
         let store = Self {
             addr: listener.local_addr()?,
             topics: Arc::default(),
+            is_busy: Arc::default(),
         };
-        let serving = store.clone();
+        store.listen(listener);
+        Ok(store)
+    }
+
+    /// Another address of the same store, which can turn its clients away on its own.
+    ///
+    /// # Errors
+    /// If no port is free.
+    pub fn door(&self) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let door = Self {
+            addr: listener.local_addr()?,
+            topics: self.topics.clone(),
+            is_busy: Arc::default(),
+        };
+        door.listen(listener);
+        Ok(door)
+    }
+
+    fn listen(&self, listener: TcpListener) {
+        let serving = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = serving.clone();
                 thread::spawn(move || store.serve(stream));
             }
         });
-        Ok(store)
+    }
+
+    /// Answers each request at this address with 503 from now on, or serves them again.
+    pub fn set_busy(&self, is_busy: bool) {
+        self.is_busy.store(is_busy, Ordering::SeqCst);
     }
 
     /// Writes the value of a key, as the operator does.
@@ -138,6 +167,12 @@
         let mut reader = Reader::new(reading);
         while let Ok(Some(request)) = reader.read() {
             thread::sleep(ANSWER_TIME);
+            if self.is_busy.load(Ordering::SeqCst) {
+                if http::write(&mut stream, "HTTP/1.1 503 -", &[], b"").is_err() {
+                    return;
+                }
+                continue;
+            }
             let (status, body) = self.answer(&request);
             let start = format!("HTTP/1.1 {status} -");
             let json = ("Content-Type", "application/json".to_owned());
