--- a/review/standin-2/src/bin/leave_after_outage.rs
+++ b/review/standin-2/src/bin/leave_after_outage.rs
@@ -24,13 +24,17 @@
 const HOST: &str = "ficu95.example";
 const NODES: usize = ZONES.len();
 /// Zones with one machine each, and their regions.
-const ZONES: [(&str, &str); 6] = [
+const ZONES: [(&str, &str); 10] = [
     ("accra-a", "accra"),
     ("takoradi-a", "takoradi"),
     ("keta-a", "keta"),
     ("accra-b", "accra"),
     ("takoradi-b", "takoradi"),
     ("keta-b", "keta"),
+    ("accra-c", "accra"),
+    ("takoradi-c", "takoradi"),
+    ("keta-c", "keta"),
+    ("accra-d", "accra"),
 ];
 /// Times that the upstream has left under its id before.
 const EARLIER_LEAVES: u64 = 4;
--- a/review/standin-2/src/platform.rs
+++ b/review/standin-2/src/platform.rs
@@ -10,6 +10,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -52,7 +54,18 @@
 /// # Errors
 /// If there is none.
 pub fn free_addr() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    // Below the ports that outgoing connections get, which could take one before its process starts. None is given twice.
+    static GIVEN: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = GIVEN.fetch_add(1, Ordering::SeqCst);
+        let port = 12_000 + (std::process::id() * 131 + number) % 20_000;
+        let addr = SocketAddr::from(([127, 0, 0, 1], u16::try_from(port).unwrap()));
+        match TcpListener::bind(addr) {
+            Ok(_) => return Ok(addr),
+            Err(_) if number < 20_000 => {}
+            Err(e) => return Err(e),
+        }
+    }
 }
 
 /// Settings of one machine that differ between cases.
