Refuse a response that was reset while its request was written

Cause: the kernel reports a reset to one call on the socket only. If the write of the request gets it, the pool reads on, since a response may have arrived before; the read then finds an ordinary end, which completes a body without a length.

Ruled out: responses with a length or in chunks, whose end is in their bytes, and a reset that a read finds first, which was an error before (send_body_until_reset).

Change: the pool keeps the error of the write, and a body that ends with the connection is not complete after one. A broken pipe is the exception: Linux returns it for a reset that follows the peer's FIN, so the response has ended before. This is the only place where a response is read on after an error of its connection.

--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -587,6 +587,8 @@
     recent_ids: RecentIds,
     /// Part of the request that has not been written.
     unsent: Bytes,
+    /// Error that ended the writing of the request, if the begin of a response had arrived before it.
+    write_error: Option<io::Error>,
     /// Head of a response that arrived before the request was written.
     early_head: Option<ResponseHead>,
     /// Bytes received since the current part of a response began.
@@ -606,6 +608,7 @@
             keep_alive: true,
             recent_ids: idle.recent_ids,
             unsent: Bytes::new(),
+            write_error: None,
             early_head: None,
             received: 0,
             budgets,
@@ -713,7 +716,8 @@
                     Err(e) if matches!(reader.try_read_buf(&mut self.buf), Ok(0) | Err(_)) => {
                         return Err(e);
                     }
-                    Err(_) => {
+                    Err(e) => {
+                        self.write_error = Some(e);
                         self.early_head = Some(self.read_head().await?);
                         return Ok(());
                     }
@@ -823,7 +827,8 @@
         Ok(body.freeze())
     }
 
-    /// Reads until the peer closes the connection. A reset is a read error and does not complete the body.
+    /// Reads until the peer closes the connection. A reset does not complete the body. The kernel reports it only
+    /// once: after a write that has failed, the next read finds an ordinary end.
     async fn read_until_close(&mut self, max_bytes: usize) -> io::Result<Bytes> {
         self.keep_alive = false;
         let mut held = self.budgets.each_ref().map(BodyBudget::hold);
@@ -831,7 +836,12 @@
             (self.on_receive)();
             check_size(&mut held, self.buf.len(), max_bytes)?;
         }
-        Ok(self.buf.split().freeze())
+        match self.write_error.take() {
+            // A write fails with a broken pipe if the peer had closed the connection, and so ended its response, before
+            // the reset.
+            Some(e) if e.kind() != io::ErrorKind::BrokenPipe => Err(e),
+            _ => Ok(self.buf.split().freeze()),
+        }
     }
 
     async fn fill(&mut self) -> io::Result<()> {
--- /dev/null
+++ b/tests/broken_common/mod.rs
@@ -0,0 +1,84 @@
+//! A peer whose responses are broken.
+
+#![allow(dead_code, reason = "each test file uses only some of the helpers")]
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use socket2::SockRef;
+
+/// What a peer does after a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// Waits for the next request.
+    Open,
+    /// Closes the connection.
+    Close,
+    /// Resets the connection without an end of the response.
+    Reset,
+    /// Ends the response, then resets the connection since the request has not been read.
+    CloseThenReset,
+}
+
+/// Starts a peer that answers each request, given its head, without reading its body.
+pub fn start_peer(
+    addr: SocketAddr,
+    respond: impl Fn(&str) -> (Vec<u8>, End) + Clone + Send + 'static,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(addr)?;
+    let addr = listener.local_addr()?;
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let respond = respond.clone();
+            thread::spawn(move || serve(stream, respond));
+        }
+    });
+    Ok(addr)
+}
+
+fn serve(mut stream: TcpStream, respond: impl Fn(&str) -> (Vec<u8>, End)) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    loop {
+        let (response, end) = respond(&read_head(&mut stream)?);
+        // In two segments, so that a head often arrives in parts.
+        let (first, second) = response.split_at(response.len() / 2);
+        stream.write_all(first)?;
+        stream.write_all(second)?;
+        match end {
+            End::Open => continue,
+            End::Close => return Ok(()),
+            End::Reset => {}
+            End::CloseThenReset => stream.shutdown(Shutdown::Write)?,
+        }
+        return SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    }
+}
+
+/// Reads a head, with the part of the body that arrives together with it.
+fn read_head(stream: &mut TcpStream) -> io::Result<String> {
+    let mut head = Vec::new();
+    let mut buf = [0; 4 << 10];
+    while !head.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+        let received = stream.read(&mut buf)?;
+        if received == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        head.extend_from_slice(&buf[..received]);
+    }
+    Ok(String::from_utf8_lossy(&head).into_owned())
+}
+
+/// Heads of a response without a length, whose body ends with the connection. They end before the last empty line.
+pub const HEADS_WITHOUT_LENGTH: [&str; 4] = [
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nconnection: close\r\n",
+    "HTTP/1.1 200 OK\r\nconnection: keep-alive\r\n",
+    "HTTP/1.0 200 OK\r\n",
+];
--- /dev/null
+++ b/tests/broken_responses.rs
@@ -0,0 +1,124 @@
+//! Broken responses on the loopback interface, read by both HTTP clients: the connection pool of the sidecar, which
+//! also calls the store, other nodes and health paths, and the client of `node`, which the commands use as well.
+
+mod broken_common;
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_http::uri::PathAndQuery;
+use broken_common::End;
+use broken_common::HEADS_WITHOUT_LENGTH;
+use bytes::Bytes;
+use googletest::prelude::*;
+use sycamorewick::transport::exchange::ConnectionPool;
+use sycamorewick::transport::exchange::Exchange;
+use sycamorewick::transport::exchange::ExchangeFailure;
+use sycamorewick::transport::http_client::HttpClient;
+use sycamorewick::transport::http_client::HttpResponse;
+use sycamorewick::transport::http_client::OutgoingRequest;
+use sycamorewick::transport::http_client::SendFailure;
+
+/// Body of an upload, bytes; more than the socket buffers take.
+const UPLOAD_BYTES: usize = 8 << 20;
+/// Uploads for each form of a response. In how many of them the reset is found by a write is up to the kernel.
+const UPLOADS: usize = 20;
+/// Time limit of a request; a client that waits longer has taken a broken head for an incomplete one.
+const TIME_LIMIT: Duration = Duration::from_secs(10);
+
+/// Starts a peer that answers each request with the same bytes.
+fn peer(response: &str, end: End) -> io::Result<SocketAddr> {
+    let response = response.as_bytes().to_vec();
+    let addr = (Ipv4Addr::LOCALHOST, 0).into();
+    broken_common::start_peer(addr, move |_| (response.clone(), end))
+}
+
+/// Sends a request through a new connection pool.
+async fn send_by_pool(
+    addr: SocketAddr,
+    body: usize,
+) -> std::result::Result<HttpResponse, ExchangeFailure> {
+    let exchange = Exchange {
+        addr,
+        method: Method::POST,
+        target: PathAndQuery::from_static("/wrecks/1"),
+        headers: Vec::new(),
+        body: vec![b'x'; body].into(),
+        max_idle: Duration::ZERO,
+        echo: None,
+        expect_continue: false,
+        responding: None,
+        max_response_bytes: 1 << 20,
+    };
+    let pool = ConnectionPool::default();
+    let sent = actix_rt::time::timeout(TIME_LIMIT, pool.send(exchange));
+    sent.await.expect("the exchange ends in time")
+}
+
+/// Sends a request through a new client of `node`.
+async fn send_by_client(
+    addr: SocketAddr,
+    method: Method,
+    body: usize,
+) -> std::result::Result<HttpResponse, SendFailure> {
+    let outgoing = OutgoingRequest {
+        method,
+        target: PathAndQuery::from_static("/wrecks/1"),
+        headers: Vec::new(),
+        body: vec![b'x'; body].into(),
+        timeout: TIME_LIMIT,
+        max_response_bytes: 1 << 20,
+    };
+    HttpClient::new(1).send(addr, outgoing).await
+}
+
+/// Runs a test in an `actix` system.
+fn run<F: Future<Output = io::Result<()>>>(test: F) {
+    actix_rt::System::new().block_on(test).expect("a peer");
+}
+
+fn text(response: HttpResponse) -> (u16, Bytes) {
+    (response.status.as_u16(), response.body)
+}
+
+/// Guards against a part of a response that is taken for a whole one: the upstream resets the connection while the
+/// request is still being written, the write finds the reset, and the kernel does not report it to the next read.
+#[gtest]
+fn pool_upload_reset_after_part() {
+    run(async {
+        for head in HEADS_WITHOUT_LENGTH {
+            let addr = peer(&format!("{head}\r\npart"), End::Reset)?;
+            for _ in 0..UPLOADS {
+                let sent = send_by_pool(addr, UPLOAD_BYTES).await;
+                expect_that!(
+                    sent.map(text),
+                    err(matches_pattern!(ExchangeFailure::Broken { .. })),
+                    "{head:?}"
+                );
+            }
+        }
+        Ok(())
+    });
+}
+
+/// Guards against a part of a response that is taken for a whole one.
+#[gtest]
+fn client_upload_reset_after_part() {
+    run(async {
+        for head in HEADS_WITHOUT_LENGTH {
+            let addr = peer(&format!("{head}\r\npart"), End::Reset)?;
+            for _ in 0..UPLOADS {
+                let sent = send_by_client(addr, Method::POST, UPLOAD_BYTES).await;
+                expect_that!(
+                    sent.map(text),
+                    err(matches_pattern!(SendFailure::Broken(_))),
+                    "{head:?}"
+                );
+            }
+        }
+        Ok(())
+    });
+}
