Deliver a response that arrived just before a failed write

Callers got 502 although the whole response to their upload had arrived: the backend server answered without reading the body, ended its response and closed the connection.

Cause: after a failed write the pool looked for the response with try_read_buf, which reads only if the runtime has already seen the socket as readable. If response and reset arrive between two writes, it has not.

Ruled out: that the response was still on its way. A broken pipe means that the end of the response had been received.

Change: the response is read as usual after a failed write. That does not wait: the socket is closed, so a read returns what was received and then the end.

--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -712,13 +712,13 @@
                         self.unsent.advance(count);
                         false
                     }
-                    // The response may have arrived before the peer closed the connection.
-                    Err(e) if matches!(reader.try_read_buf(&mut self.buf), Ok(0) | Err(_)) => {
-                        return Err(e);
-                    }
                     Err(e) => {
+                        // The response may have arrived before the peer closed the connection.
+                        let Ok(head) = self.read_head().await else {
+                            return Err(e);
+                        };
+                        self.early_head = Some(head);
                         self.write_error = Some(e);
-                        self.early_head = Some(self.read_head().await?);
                         return Ok(());
                     }
                 },
--- a/tests/broken_responses.rs
+++ b/tests/broken_responses.rs
@@ -104,6 +104,24 @@
     });
 }
 
+/// Guards against refusing a whole response to an upload because the connection was reset after its end. Of HTTP/1.0
+/// the pool takes responses with a length only.
+#[gtest]
+fn pool_upload_reset_after_end() {
+    run(async {
+        let heads = HEADS_WITHOUT_LENGTH.iter();
+        for head in heads.filter(|head| head.starts_with("HTTP/1.1")) {
+            let addr = peer(&format!("{head}\r\nwhole"), End::CloseThenReset)?;
+            for _ in 0..UPLOADS {
+                let sent = send_by_pool(addr, UPLOAD_BYTES).await;
+                let whole = (200, Bytes::from_static(b"whole"));
+                expect_that!(sent.map(text), ok(eq(&whole)), "{head:?}");
+            }
+        }
+        Ok(())
+    });
+}
+
 /// Guards against a part of a response that is taken for a whole one.
 #[gtest]
 fn client_upload_reset_after_part() {
