Refuse responses with blanks before the colon of a header

Cause: the codec of actix-http accepts such blanks in responses and removes them. RFC 9112, section 5.1, lets a proxy do that; but the sender that wrote the line is in trouble, and other recipients read it in another way.

The other forms held: blanks and control bytes inside a name, an empty name, a line without a colon, and in values continued lines, NUL and a bare CR (pool_invalid_field_value) were answered with 502, or failed as broken.

Ruled out: checking the names after the codec has decoded the head, since the blanks are gone then.

Change: the pool parses each head with httparse, the parser of the codec, without options, before the codec does. The pool is the only reader of responses in a sidecar: from backend servers, other nodes, the store and health paths.

After the change all forms fail as broken in the pool, and are answered with 502 by the nodes.

--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -1,11 +1,11 @@
 //! HTTP/1.1 client with connection pooling and explicit control over each connection. See
 //! `docs/platform.md`, "Connections".
 //!
-//! It uses the codec of `actix-http` and adds six rules: a response to another request is skipped, a
+//! It uses the codec of `actix-http` and adds seven rules: a response to another request is skipped, a
 //! request is not sent again on a connection that has carried it, a response without a length is complete
 //! only if its connection is closed without an error (RFC 9112, section 6.3), a connection with
-//! unexpected bytes is closed, a head that two responses share is refused, and a response of any form ends
-//! within a bounded number of bytes.
+//! unexpected bytes is closed, a head that two responses share is refused, so is one that breaks the
+//! grammar, and a response of any form ends within a bounded number of bytes.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -53,6 +53,7 @@
 use crate::transport::connection_limit::LimitCounts;
 use crate::transport::cut_response;
 use crate::transport::http_client::HttpResponse;
+use crate::transport::response_head;
 
 /// Time limit for opening a connection. Regions are about 8 ms apart, and a SYN packet that is dropped
 /// at a full queue is retransmitted only after seconds.
@@ -755,6 +756,7 @@
         if cut_response::contains_second_status_line(&self.buf) {
             return Err(io::Error::other("the head is that of two responses"));
         }
+        response_head::check(&self.buf)?;
         let codec = self.codec.get_or_insert_default();
         codec.decode(&mut self.buf).map_err(io::Error::other)
     }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -12,6 +12,7 @@
 pub mod log_client;
 pub mod pipeline;
 pub mod request_head;
+pub mod response_head;
 pub mod strict_stream;
 pub mod udp;
 pub mod unsent;
--- a/tests/broken_common/mod.rs
+++ b/tests/broken_common/mod.rs
@@ -82,3 +82,33 @@
     "HTTP/1.1 200 OK\r\nconnection: keep-alive\r\n",
     "HTTP/1.0 200 OK\r\n",
 ];
+
+/// Fields whose name is not a token (RFC 9110, section 5.1).
+pub const INVALID_FIELD_NAMES: [&str; 18] = [
+    "x-note : 1",
+    "x-note\t: 1",
+    "x-note  \t: 1",
+    "content-length : 2",
+    "Content-Length : 1",
+    "transfer-encoding : chunked",
+    "x note: 1",
+    "x\tnote: 1",
+    "content length: 1",
+    "transfer encoding: chunked",
+    " x-note: 1",
+    "x\u{1}note: 1",
+    "x\0note: 1",
+    "x-note\u{7f}: 1",
+    "\u{1b}x-note: 1",
+    "content-length\u{1}: 1",
+    ": 1",
+    "x-note",
+];
+
+/// Fields whose value is continued or holds a control byte (RFC 9110, section 5.5, and RFC 9112, section 5.2).
+pub const INVALID_FIELD_VALUES: [&str; 4] = [
+    "x-note: 1\r\n 2",
+    "x-note: 1\r\n\t2",
+    "x-note: 1\0",
+    "x-note: 1\r2",
+];
--- a/tests/broken_responses.rs
+++ b/tests/broken_responses.rs
@@ -12,6 +12,8 @@
 use actix_http::uri::PathAndQuery;
 use broken_common::End;
 use broken_common::HEADS_WITHOUT_LENGTH;
+use broken_common::INVALID_FIELD_NAMES;
+use broken_common::INVALID_FIELD_VALUES;
 use bytes::Bytes;
 use googletest::prelude::*;
 use sycamorewick::transport::exchange::ConnectionPool;
@@ -80,10 +82,45 @@
     actix_rt::System::new().block_on(test).expect("a peer");
 }
 
+/// Expects that a client reports each of these responses as broken.
+fn expect_broken_by_pool(responses: impl Iterator<Item = String>) {
+    run(async {
+        for response in responses {
+            let sent = send_by_pool(peer(&response, End::Open)?, 0).await;
+            expect_that!(
+                sent.map(text),
+                err(matches_pattern!(ExchangeFailure::Broken { .. })),
+                "{response:?}"
+            );
+        }
+        Ok(())
+    });
+}
+
 fn text(response: HttpResponse) -> (u16, Bytes) {
     (response.status.as_u16(), response.body)
 }
 
+fn with_field_names() -> impl Iterator<Item = String> {
+    let beside_length = INVALID_FIELD_NAMES.iter().flat_map(|field| {
+        let first = format!("HTTP/1.1 200 OK\r\n{field}\r\ncontent-length: 2\r\n\r\nok");
+        let last = format!("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n{field}\r\n\r\nok");
+        [first, last]
+    });
+    // The broken field determines the length of the body.
+    let as_length = [
+        "HTTP/1.1 200 OK\r\ncontent-length : 1\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    ];
+    beside_length.chain(as_length.map(str::to_owned))
+}
+
+fn with_field_values() -> impl Iterator<Item = String> {
+    INVALID_FIELD_VALUES
+        .iter()
+        .map(|field| format!("HTTP/1.1 200 OK\r\n{field}\r\ncontent-length: 2\r\n\r\nok"))
+}
+
 /// Guards against a part of a response that is taken for a whole one: the upstream resets the connection while the
 /// request is still being written, the write finds the reset, and the kernel does not report it to the next read.
 #[gtest]
@@ -122,6 +159,18 @@
     });
 }
 
+/// Guards against a head whose broken line is passed on, or read as another field.
+#[gtest]
+fn pool_invalid_field_name() {
+    expect_broken_by_pool(with_field_names());
+}
+
+/// Guards against a value that is passed on with a control byte, or without its continuation.
+#[gtest]
+fn pool_invalid_field_value() {
+    expect_broken_by_pool(with_field_values());
+}
+
 /// Guards against a part of a response that is taken for a whole one.
 #[gtest]
 fn client_upload_reset_after_part() {
--- a/tests/process_broken_responses.rs
+++ b/tests/process_broken_responses.rs
@@ -12,6 +12,7 @@
 use actix_http::StatusCode;
 use broken_common::End;
 use broken_common::HEADS_WITHOUT_LENGTH;
+use broken_common::INVALID_FIELD_NAMES;
 use googletest::prelude::*;
 use serde_json::json;
 use sidecar_common::HOST;
@@ -166,3 +167,11 @@
         run(expect_failed(&responses, End::Reset, UPLOADS, bytes));
     }
 }
+
+/// Guards against a head whose broken line reaches the client, or that is read with another field in its place.
+#[gtest]
+fn invalid_field_name() {
+    let responses = INVALID_FIELD_NAMES
+        .map(|field| format!("HTTP/1.1 200 OK\r\nID{field}\r\ncontent-length: 2\r\n\r\nok"));
+    run(expect_failed(&responses, End::Open, 1, 0));
+}
