Refuse responses whose head has invalid line ends

Callers got answers as sound whose head did not keep to the grammar in other ways than by a blank before a colon: lines that end with a bare LF, an empty line before the head, and a status line that ends with its code.

Cause: the same as for names of fields. httparse accepts these three also without options, and so does the codec. RFC 9112 lets a recipient repair them (sections 2.2 and 4), or leaves them open; they are refused, since another recipient may find another end of the head.

Ruled out: a line-based parser of our own, since httparse already refuses the rest of these forms.

Change: response_head checks the line ends and the status line of a complete head.

After the change the 9 forms fail as broken.

--- a/src/transport/response_head.rs
+++ b/src/transport/response_head.rs
@@ -10,6 +10,8 @@
 
 /// Fields that the codec accepts.
 const MAX_FIELDS: usize = 96;
+/// Length of the begin of a status line, as in `HTTP/1.1 200`.
+const STATUS_LINE_START_BYTES: usize = 12;
 
 /// Checks the head at the start of a buffer. Returns whether it is complete.
 ///
@@ -20,5 +22,23 @@
     let mut head = Response::new(&mut fields);
     // By default the parser refuses blanks between a name and its colon, which the codec accepts.
     let parsed = head.parse(buf).map_err(io::Error::other)?;
-    Ok(parsed.is_complete())
+    let httparse::Status::Complete(len) = parsed else {
+        return Ok(false);
+    };
+    check_lines(&buf[..len])?;
+    Ok(true)
+}
+
+/// Checks what the parser accepts although the grammar does not: empty lines before the head, lines that end with a
+/// bare LF (RFC 9112, section 2.2), and a status line that ends with its code (section 4).
+fn check_lines(head: &[u8]) -> io::Result<()> {
+    let mut lines = head.split_inclusive(|byte| *byte == b'\n');
+    if !head.starts_with(b"HTTP/") || !lines.all(|line| line.ends_with(b"\r\n")) {
+        return Err(io::Error::other("the head has invalid line ends"));
+    }
+    // The blank behind the code is required also if no reason follows.
+    if head.get(STATUS_LINE_START_BYTES) != Some(&b' ') {
+        return Err(io::Error::other("the status line ends with its code"));
+    }
+    Ok(())
 }
--- a/tests/broken_common/mod.rs
+++ b/tests/broken_common/mod.rs
@@ -112,3 +112,17 @@
     "x-note: 1\0",
     "x-note: 1\r2",
 ];
+
+/// Heads with other line ends or separators than those of the grammar (RFC 9112, sections 2.2 and 4). Each has a body
+/// of two bytes.
+pub const INVALID_LINES: [&str; 9] = [
+    "HTTP/1.1 200 OK\ncontent-length: 2\n\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\n\r\n",
+    "HTTP/1.1 200 OK\ncontent-length: 2\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\n",
+    "\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n",
+    "HTTP/1.1  200 OK\r\ncontent-length: 2\r\n\r\n",
+    "HTTP/1.1\t200 OK\r\ncontent-length: 2\r\n\r\n",
+    "HTTP/1.1 200\r\ncontent-length: 2\r\n\r\n",
+    "HTTP/1.1 200 O\u{1}K\r\ncontent-length: 2\r\n\r\n",
+];
--- a/tests/broken_responses.rs
+++ b/tests/broken_responses.rs
@@ -14,6 +14,7 @@
 use broken_common::HEADS_WITHOUT_LENGTH;
 use broken_common::INVALID_FIELD_NAMES;
 use broken_common::INVALID_FIELD_VALUES;
+use broken_common::INVALID_LINES;
 use bytes::Bytes;
 use googletest::prelude::*;
 use sycamorewick::transport::exchange::ConnectionPool;
@@ -121,6 +122,10 @@
         .map(|field| format!("HTTP/1.1 200 OK\r\n{field}\r\ncontent-length: 2\r\n\r\nok"))
 }
 
+fn with_lines() -> impl Iterator<Item = String> {
+    INVALID_LINES.iter().map(|head| format!("{head}ok"))
+}
+
 /// Guards against a part of a response that is taken for a whole one: the upstream resets the connection while the
 /// request is still being written, the write finds the reset, and the kernel does not report it to the next read.
 #[gtest]
@@ -171,6 +176,12 @@
     expect_broken_by_pool(with_field_values());
 }
 
+/// Guards against a head whose lines other recipients divide in another way.
+#[gtest]
+fn pool_invalid_lines() {
+    expect_broken_by_pool(with_lines());
+}
+
 /// Guards against a part of a response that is taken for a whole one.
 #[gtest]
 fn client_upload_reset_after_part() {
