Refuse responses with a status from 600 on

Callers got answers with codes that are no status: 600 and 999 were passed on, with the body of the backend server.

Cause: the codec takes any number from 100 to 999 as a status. RFC 9110, section 15, calls all outside 100 to 599 invalid and lets a client treat them as a 5xx. A caller that sees 502 does not have to know that.

Evidence, on the unchanged code:

They stay in the tests.

Change: response_head checks the code.

After the change the 11 forms fail as broken in the pool, and are answered with 502 by the nodes.

--- a/src/transport/response_head.rs
+++ b/src/transport/response_head.rs
@@ -16,7 +16,7 @@
 /// Checks the head at the start of a buffer. Returns whether it is complete.
 ///
 /// # Errors
-/// If the head breaks the grammar of RFC 9112.
+/// If the head breaks the grammar of RFC 9112, or its code is no status (RFC 9110, section 15).
 pub fn check(buf: &[u8]) -> io::Result<bool> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut head = Response::new(&mut fields);
@@ -26,6 +26,9 @@
         return Ok(false);
     };
     check_lines(&buf[..len])?;
+    if !matches!(head.code, Some(100..=599)) {
+        return Err(io::Error::other("the code of the response is no status"));
+    }
     Ok(true)
 }
 
--- a/tests/broken_common/mod.rs
+++ b/tests/broken_common/mod.rs
@@ -83,6 +83,21 @@
     "HTTP/1.0 200 OK\r\n",
 ];
 
+/// Status lines whose code is no status (RFC 9110, section 15).
+pub const INVALID_STATUS_LINES: [&str; 11] = [
+    "HTTP/1.1 000 Trouble",
+    "HTTP/1.1 000 ",
+    "HTTP/1.0 000 Trouble",
+    "HTTP/1.1 001 Trouble",
+    "HTTP/1.1 099 Trouble",
+    "HTTP/1.1 00 Trouble",
+    "HTTP/1.1 20 Trouble",
+    "HTTP/1.1 2000 Trouble",
+    "HTTP/1.1 -20 Trouble",
+    "HTTP/1.1 600 Trouble",
+    "HTTP/1.1 999 Trouble",
+];
+
 /// Fields whose name is not a token (RFC 9110, section 5.1).
 pub const INVALID_FIELD_NAMES: [&str; 18] = [
     "x-note : 1",
--- a/tests/broken_responses.rs
+++ b/tests/broken_responses.rs
@@ -15,6 +15,7 @@
 use broken_common::INVALID_FIELD_NAMES;
 use broken_common::INVALID_FIELD_VALUES;
 use broken_common::INVALID_LINES;
+use broken_common::INVALID_STATUS_LINES;
 use bytes::Bytes;
 use googletest::prelude::*;
 use sycamorewick::transport::exchange::ConnectionPool;
@@ -102,6 +103,12 @@
     (response.status.as_u16(), response.body)
 }
 
+fn with_status_lines() -> impl Iterator<Item = String> {
+    INVALID_STATUS_LINES
+        .iter()
+        .map(|line| format!("{line}\r\ncontent-length: 2\r\n\r\nno"))
+}
+
 fn with_field_names() -> impl Iterator<Item = String> {
     let beside_length = INVALID_FIELD_NAMES.iter().flat_map(|field| {
         let first = format!("HTTP/1.1 200 OK\r\n{field}\r\ncontent-length: 2\r\n\r\nok");
@@ -164,6 +171,12 @@
     });
 }
 
+/// Guards against an answer with a code that is no status.
+#[gtest]
+fn pool_invalid_status() {
+    expect_broken_by_pool(with_status_lines());
+}
+
 /// Guards against a head whose broken line is passed on, or read as another field.
 #[gtest]
 fn pool_invalid_field_name() {
--- a/tests/process_broken_responses.rs
+++ b/tests/process_broken_responses.rs
@@ -13,6 +13,7 @@
 use broken_common::End;
 use broken_common::HEADS_WITHOUT_LENGTH;
 use broken_common::INVALID_FIELD_NAMES;
+use broken_common::INVALID_STATUS_LINES;
 use googletest::prelude::*;
 use serde_json::json;
 use sidecar_common::HOST;
@@ -168,6 +169,14 @@
     }
 }
 
+/// Guards against an answer with a code that is no status.
+#[gtest]
+fn invalid_status() {
+    let responses =
+        INVALID_STATUS_LINES.map(|line| format!("{line}\r\nIDcontent-length: 2\r\n\r\nno"));
+    run(expect_failed(&responses, End::Open, 1, 0));
+}
+
 /// Guards against a head whose broken line reaches the client, or that is read with another field in its place.
 #[gtest]
 fn invalid_field_name() {
