Refuse responses whose head leaves the length of the body open

Callers got a 200 with an empty body, framed as whole, for a response with "transfer-encoding: identity". One with both transfer-encoding and content-length was passed on with the body in chunks.

Cause: the codec reads "identity" as no coding, and the pool takes a response with any transfer-encoding for one whose body the codec delimits. RFC 9112, section 6.3, ends such a body with the connection, and calls a response with both fields an attempt at response splitting that ought to be handled as an error.

Ruled out: reading an identity body until the end of the connection. The coding was removed from HTTP, so it is not known what its sender means.

Change: response_head accepts "chunked" alone, in HTTP/1.1 and without content-length.

After the change the 14 forms fail as broken.

--- a/src/transport/response_head.rs
+++ b/src/transport/response_head.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 
+use httparse::Header;
 use httparse::Response;
 
 /// Fields that the codec accepts.
@@ -16,7 +17,8 @@
 /// Checks the head at the start of a buffer. Returns whether it is complete.
 ///
 /// # Errors
-/// If the head breaks the grammar of RFC 9112, or its code is no status (RFC 9110, section 15).
+/// If the head breaks the grammar of RFC 9112, its code is no status (RFC 9110, section 15), or the length of its body
+/// is not clear.
 pub fn check(buf: &[u8]) -> io::Result<bool> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut head = Response::new(&mut fields);
@@ -29,6 +31,7 @@
     if !matches!(head.code, Some(100..=599)) {
         return Err(io::Error::other("the code of the response is no status"));
     }
+    check_framing(head.version, head.headers)?;
     Ok(true)
 }
 
@@ -45,3 +48,26 @@
     }
     Ok(())
 }
+
+/// Checks the transfer codings, which override the length of the body (RFC 9112, sections 6.1 and 6.3). Only `chunked`
+/// is decoded, and HTTP/1.0 has none. The codec checks the length itself.
+fn check_framing(version: Option<u8>, fields: &[Header<'_>]) -> io::Result<()> {
+    let values = |name: &'static str| {
+        fields
+            .iter()
+            .filter(move |field| field.name.eq_ignore_ascii_case(name))
+            .map(|field| field.value)
+    };
+    let mut codings = values("transfer-encoding");
+    let Some(coding) = codings.next() else {
+        return Ok(());
+    };
+    let is_clear = version == Some(1)
+        && coding.trim_ascii().eq_ignore_ascii_case(b"chunked")
+        && codings.next().is_none()
+        && values("content-length").next().is_none();
+    if !is_clear {
+        return Err(io::Error::other("the length of the body is not clear"));
+    }
+    Ok(())
+}
--- a/tests/broken_common/mod.rs
+++ b/tests/broken_common/mod.rs
@@ -141,3 +141,22 @@
     "HTTP/1.1 200\r\ncontent-length: 2\r\n\r\n",
     "HTTP/1.1 200 O\u{1}K\r\ncontent-length: 2\r\n\r\n",
 ];
+
+/// Status lines and fields that contradict each other about the length of the body, or name a coding that is not
+/// decoded (RFC 9112, sections 6.1 and 6.3).
+pub const INVALID_FRAMINGS: [&str; 14] = [
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 2",
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 1",
+    "HTTP/1.1 200 OK\r\ncontent-length: 2, 2",
+    "HTTP/1.1 200 OK\r\ncontent-length: +2",
+    "HTTP/1.1 200 OK\r\ncontent-length: -2",
+    "HTTP/1.1 200 OK\r\ncontent-length: 2x",
+    "HTTP/1.1 200 OK\r\ncontent-length:",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 2",
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked, chunked",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: identity",
+    "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked",
+];
--- a/tests/broken_responses.rs
+++ b/tests/broken_responses.rs
@@ -14,6 +14,7 @@
 use broken_common::HEADS_WITHOUT_LENGTH;
 use broken_common::INVALID_FIELD_NAMES;
 use broken_common::INVALID_FIELD_VALUES;
+use broken_common::INVALID_FRAMINGS;
 use broken_common::INVALID_LINES;
 use broken_common::INVALID_STATUS_LINES;
 use bytes::Bytes;
@@ -133,6 +134,12 @@
     INVALID_LINES.iter().map(|head| format!("{head}ok"))
 }
 
+fn with_framings() -> impl Iterator<Item = String> {
+    INVALID_FRAMINGS
+        .iter()
+        .map(|head| format!("{head}\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+}
+
 /// Guards against a part of a response that is taken for a whole one: the upstream resets the connection while the
 /// request is still being written, the write finds the reset, and the kernel does not report it to the next read.
 #[gtest]
@@ -195,6 +202,12 @@
     expect_broken_by_pool(with_lines());
 }
 
+/// Guards against a body whose length other recipients determine in another way.
+#[gtest]
+fn pool_invalid_framing() {
+    expect_broken_by_pool(with_framings());
+}
+
 /// Guards against a part of a response that is taken for a whole one.
 #[gtest]
 fn client_upload_reset_after_part() {
