Refuse broken heads of responses in the client of node

The client of `node`, which the commands use as well, returned the same broken responses as the pool of a sidecar did: fields with a blank before the colon, invalid line ends, a status from 600 on, a body whose length is not clear.

Cause: `awc` has the codec that the pool has, and repairs the same heads.

Ruled out: checking the head that `awc` returns, since the blanks are gone then; and replacing `awc` by the pool, which would change limits and time limits of `node` as well.

Change: the stream below `awc`, which already reports the end of the connection as an error, collects the head of each response and checks it with response_head. The read that completes a broken head fails, so `awc` never gets its end.

After the change all forms fail as broken.

--- a/src/transport/strict_stream.rs
+++ b/src/transport/strict_stream.rs
@@ -1,9 +1,10 @@
-//! TCP stream that reports the end of the connection as an error.
+//! TCP stream that reports the end of the connection, and a head that breaks the grammar, as an error.
 //!
 //! `awc` treats the end of the connection as the end of the body, so a truncated response would look
 //! like a shorter complete one (invariant 5). A complete response ends with its `content-length` or its
 //! last chunk, before the end of the connection is read. A response without either, which RFC 9112,
 //! section 6.3, allows, cannot be distinguished from a truncated one and becomes an error as well.
+//! `awc` also repairs heads, see [`response_head`].
 
 use std::io;
 use std::pin::Pin;
@@ -25,9 +26,16 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 
-/// Stream that reports its end as [`io::ErrorKind::UnexpectedEof`].
+use crate::transport::response_head;
+
+/// Stream that reports its end as [`io::ErrorKind::UnexpectedEof`], and a broken head as [`io::ErrorKind::Other`].
 #[derive(Debug)]
-pub struct StrictStream(TcpStream);
+pub struct StrictStream {
+    stream: TcpStream,
+    /// Received part of the head of the response, `None` from its end until the next request is written. `awc` reads
+    /// only after it has written the whole request.
+    head: Option<Vec<u8>>,
+}
 
 /// Returns a service that opens [`StrictStream`]s.
 #[must_use]
@@ -39,7 +47,7 @@
         .service()
         .map(|connection: Connection<Uri, TcpStream>| {
             let (stream, uri) = connection.into_parts();
-            Connection::new(uri, StrictStream(stream))
+            Connection::new(uri, StrictStream { stream, head: None })
         })
 }
 
@@ -51,10 +59,17 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let had_room = buf.remaining() > 0;
-        ready!(Pin::new(&mut self.0).poll_read(cx, buf))?;
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         if had_room && buf.filled().len() == before {
             return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
         }
+        if let Some(head) = &mut self.head {
+            head.extend_from_slice(&buf.filled()[before..]);
+            // `awc` does not get the end of a broken head.
+            if response_head::check(head)? {
+                self.head = None;
+            }
+        }
         Poll::Ready(Ok(()))
     }
 }
@@ -65,24 +80,25 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(cx, buf)
+        self.head.get_or_insert_default();
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
 
 impl ActixStream for StrictStream {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.0, cx)
+        ActixStream::poll_read_ready(&self.stream, cx)
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.0, cx)
+        ActixStream::poll_write_ready(&self.stream, cx)
     }
 }
--- a/tests/broken_responses.rs
+++ b/tests/broken_responses.rs
@@ -100,6 +100,21 @@
     });
 }
 
+/// Expects that the client of `node` reports each of these responses as broken.
+fn expect_broken_by_client(responses: impl Iterator<Item = String>) {
+    run(async {
+        for response in responses {
+            let sent = send_by_client(peer(&response, End::Open)?, Method::POST, 0).await;
+            expect_that!(
+                sent.map(text),
+                err(matches_pattern!(SendFailure::Broken(_))),
+                "{response:?}"
+            );
+        }
+        Ok(())
+    });
+}
+
 fn text(response: HttpResponse) -> (u16, Bytes) {
     (response.status.as_u16(), response.body)
 }
@@ -226,3 +241,33 @@
         Ok(())
     });
 }
+
+/// Guards against an answer with a code that is no status.
+#[gtest]
+fn client_invalid_status() {
+    expect_broken_by_client(with_status_lines());
+}
+
+/// Guards against a head whose broken line is passed on, or read as another field.
+#[gtest]
+fn client_invalid_field_name() {
+    expect_broken_by_client(with_field_names());
+}
+
+/// Guards against a value that is passed on with a control byte, or without its continuation.
+#[gtest]
+fn client_invalid_field_value() {
+    expect_broken_by_client(with_field_values());
+}
+
+/// Guards against a head whose lines other recipients divide in another way.
+#[gtest]
+fn client_invalid_lines() {
+    expect_broken_by_client(with_lines());
+}
+
+/// Guards against a body whose length other recipients determine in another way.
+#[gtest]
+fn client_invalid_framing() {
+    expect_broken_by_client(with_framings());
+}
