Refuse responses without a length in the client of node

Callers of a fleet on the project's own log got a 200 with an empty body, framed as whole, for a response of HTTP/1.1 that had no length and whose body ended with the connection.

Cause: `awc` takes the body of such a response for empty. The stream below it turns the end of the connection into an error, as its page says, but `awc` never reads as far as that end.

Ruled out: reading the body until the end of the connection below `awc`, where a reset could be told from an orderly end.

Change: the client refuses a response with neither content-length nor transfer-encoding, unless its status or method has no body.

--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -10,9 +10,11 @@
 use actix_http::Method;
 use actix_http::StatusCode;
 use actix_http::Uri;
+use actix_http::header::CONTENT_LENGTH;
 use actix_http::header::HeaderMap;
 use actix_http::header::HeaderName;
 use actix_http::header::HeaderValue;
+use actix_http::header::TRANSFER_ENCODING;
 use actix_http::uri::Authority;
 use actix_http::uri::PathAndQuery;
 use actix_http::uri::Scheme;
@@ -204,6 +206,7 @@
     parts.authority = Some(authority);
     parts.path_and_query = Some(outgoing.target);
     let uri = Uri::from_parts(parts).map_err(|e| SendFailure::NotConnected(e.to_string()))?;
+    let is_head = outgoing.method == Method::HEAD;
     let mut request = client.request(outgoing.method, uri).no_decompress();
     for (name, value) in outgoing.headers {
         request.headers_mut().append(name, value);
@@ -212,6 +215,9 @@
         .send_body(outgoing.body)
         .await
         .map_err(convert_error)?;
+    if !is_head && !has_known_end(response.status(), response.headers()) {
+        return Err(SendFailure::Broken("the response has no length".into()));
+    }
     let body = response
         .body()
         .limit(outgoing.max_response_bytes)
@@ -227,6 +233,14 @@
     })
 }
 
+/// Whether the end of a response to any method but `HEAD` is known from its head. `awc` takes the body of one without
+/// a length, which ends with its connection (RFC 9112, section 6.3), for empty.
+fn has_known_end(status: StatusCode, headers: &HeaderMap) -> bool {
+    matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+        || headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Converts an error of the HTTP library. `ConnectError::Disconnected` is also reported if the
 /// connection closes after the request was sent, so it is not converted to `NotConnected`.
 fn convert_error(error: SendRequestError) -> SendFailure {
--- a/tests/broken_responses.rs
+++ b/tests/broken_responses.rs
@@ -242,6 +242,23 @@
     });
 }
 
+/// Guards against a response without a length that is passed on with an empty body instead of its own.
+#[gtest]
+fn client_response_without_length() {
+    run(async {
+        for head in HEADS_WITHOUT_LENGTH {
+            let addr = peer(&format!("{head}\r\nwhole"), End::Close)?;
+            let sent = send_by_client(addr, Method::GET, 0).await;
+            expect_that!(
+                sent.map(text),
+                err(matches_pattern!(SendFailure::Broken(_))),
+                "{head:?}"
+            );
+        }
+        Ok(())
+    });
+}
+
 /// Guards against an answer with a code that is no status.
 #[gtest]
 fn client_invalid_status() {
