Refuse a response that was reset behind a skipped one

Cause: a skipped response is followed by another attempt to write the rest of the request. The reset has been reported by then, so that this write fails with a broken pipe, and its error took the place of the reset.

Ruled out: other places that write after a failed write. There are none; an exchange ends with its other errors.

Change: the pool keeps the first error of a write.

--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -588,7 +588,7 @@
     recent_ids: RecentIds,
     /// Part of the request that has not been written.
     unsent: Bytes,
-    /// Error that ended the writing of the request, if the begin of a response had arrived before it.
+    /// First error of a write of the request, if the start of a response had arrived before it.
     write_error: Option<io::Error>,
     /// Head of a response that arrived before the request was written.
     early_head: Option<ResponseHead>,
@@ -719,7 +719,8 @@
                             return Err(e);
                         };
                         self.early_head = Some(head);
-                        self.write_error = Some(e);
+                        // A later write fails with a broken pipe whatever ended the connection.
+                        self.write_error.get_or_insert(e);
                         return Ok(());
                     }
                 },
--- a/tests/broken_responses.rs
+++ b/tests/broken_responses.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use actix_http::Method;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
 use actix_http::uri::PathAndQuery;
 use broken_common::End;
 use broken_common::HEADS_WITHOUT_LENGTH;
@@ -33,6 +35,9 @@
 const UPLOADS: usize = 20;
 /// Time limit of a request; a client that waits longer has taken a broken head for an incomplete one.
 const TIME_LIMIT: Duration = Duration::from_secs(10);
+/// Header that names the request in a response.
+const ID: HeaderName = HeaderName::from_static("x-id");
+const ID_VALUE: &str = "own";
 
 /// Starts a peer that answers each request with the same bytes.
 fn peer(response: &str, end: End) -> io::Result<SocketAddr> {
@@ -46,6 +51,7 @@
     addr: SocketAddr,
     body: usize,
 ) -> std::result::Result<HttpResponse, ExchangeFailure> {
+    let id = HeaderValue::from_static(ID_VALUE);
     let exchange = Exchange {
         addr,
         method: Method::POST,
@@ -53,7 +59,7 @@
         headers: Vec::new(),
         body: vec![b'x'; body].into(),
         max_idle: Duration::ZERO,
-        echo: None,
+        echo: Some((&ID, &id)),
         expect_continue: false,
         responding: None,
         max_response_bytes: 1 << 20,
@@ -175,6 +181,28 @@
     });
 }
 
+/// Guards against the same after a response to another request, which is skipped: the write that follows it fails with
+/// another error than the reset.
+#[gtest]
+fn pool_upload_reset_after_skipped_response() {
+    run(async {
+        for head in HEADS_WITHOUT_LENGTH {
+            let skipped = format!("HTTP/1.1 200 OK\r\n{ID}: other\r\ncontent-length: 3\r\n\r\nold");
+            let part = format!("{head}{ID}: {ID_VALUE}\r\n\r\npart");
+            let addr = peer(&format!("{skipped}{part}"), End::Reset)?;
+            for _ in 0..UPLOADS {
+                let sent = send_by_pool(addr, UPLOAD_BYTES).await;
+                expect_that!(
+                    sent.map(text),
+                    err(matches_pattern!(ExchangeFailure::Broken { .. })),
+                    "{head:?}"
+                );
+            }
+        }
+        Ok(())
+    });
+}
+
 /// Guards against refusing a whole response to an upload because the connection was reset after its end. Of HTTP/1.0
 /// the pool takes responses with a length only.
 #[gtest]
