Use the usual terms in the checks of responses

Comments, error messages and one name from the last reading of the change: space and whitespace instead of blank, invalid status code, line endings, ambiguous framing. No behaviour changes.

--- a/src/transport/exchange.rs
+++ b/src/transport/exchange.rs
@@ -4,8 +4,8 @@
 //! It uses the codec of `actix-http` and adds seven rules: a response to another request is skipped, a
 //! request is not sent again on a connection that has carried it, a response without a length is complete
 //! only if its connection is closed without an error (RFC 9112, section 6.3), a connection with
-//! unexpected bytes is closed, a head that two responses share is refused, so is one that breaks the
-//! grammar, and a response of any form ends within a bounded number of bytes.
+//! unexpected bytes is closed, a head that two responses share is refused, as is one that breaks
+//! the grammar, and a response of any form ends within a bounded number of bytes.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -830,8 +830,8 @@
         Ok(body.freeze())
     }
 
-    /// Reads until the peer closes the connection. A reset does not complete the body. The kernel reports it only
-    /// once: after a write that has failed, the next read finds an ordinary end.
+    /// Reads until the peer closes the connection. A reset does not complete the body. The kernel reports a reset only
+    /// once, so after a failed write the next read returns an ordinary end.
     async fn read_until_close(&mut self, max_bytes: usize) -> io::Result<Bytes> {
         self.keep_alive = false;
         let mut held = self.budgets.each_ref().map(BodyBudget::hold);
@@ -840,8 +840,8 @@
             check_size(&mut held, self.buf.len(), max_bytes)?;
         }
         match self.write_error.take() {
-            // A write fails with a broken pipe if the peer had closed the connection, and so ended its response, before
-            // the reset.
+            // The first write to fail returns a broken pipe if the peer had closed the connection, and so ended its
+            // response, before the reset.
             Some(e) if e.kind() != io::ErrorKind::BrokenPipe => Err(e),
             _ => Ok(self.buf.split().freeze()),
         }
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -233,8 +233,8 @@
     })
 }
 
-/// Whether the end of a response to any method but `HEAD` is known from its head. `awc` takes the body of one without
-/// a length, which ends with its connection (RFC 9112, section 6.3), for empty.
+/// Whether the head of a response to any method but `HEAD` tells where its body ends. Otherwise the body ends with the
+/// connection (RFC 9112, section 6.3), but `awc` returns an empty one.
 fn has_known_end(status: StatusCode, headers: &HeaderMap) -> bool {
     matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
         || headers.contains_key(CONTENT_LENGTH)
--- a/src/transport/response_head.rs
+++ b/src/transport/response_head.rs
@@ -8,43 +8,46 @@
 
 use httparse::Header;
 use httparse::Response;
+use httparse::Status;
 
 /// Fields that the codec accepts.
 const MAX_FIELDS: usize = 96;
-/// Length of the begin of a status line, as in `HTTP/1.1 200`.
+/// Length of the start of a status line, as in `HTTP/1.1 200`.
 const STATUS_LINE_START_BYTES: usize = 12;
 
 /// Checks the head at the start of a buffer. Returns whether it is complete.
 ///
 /// # Errors
-/// If the head breaks the grammar of RFC 9112, its code is no status (RFC 9110, section 15), or the length of its body
-/// is not clear.
+/// If the head breaks the grammar of RFC 9112, its status code is invalid (RFC 9110, section 15), or the framing of its
+/// body is ambiguous.
 pub fn check(buf: &[u8]) -> io::Result<bool> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut head = Response::new(&mut fields);
-    // By default the parser refuses blanks between a name and its colon, which the codec accepts.
+    // By default the parser refuses whitespace between a field name and its colon, which the codec accepts.
     let parsed = head.parse(buf).map_err(io::Error::other)?;
-    let httparse::Status::Complete(len) = parsed else {
+    let Status::Complete(len) = parsed else {
         return Ok(false);
     };
     check_lines(&buf[..len])?;
     if !matches!(head.code, Some(100..=599)) {
-        return Err(io::Error::other("the code of the response is no status"));
+        return Err(io::Error::other("the status code is invalid"));
     }
     check_framing(head.version, head.headers)?;
     Ok(true)
 }
 
-/// Checks what the parser accepts although the grammar does not: empty lines before the head, lines that end with a
-/// bare LF (RFC 9112, section 2.2), and a status line that ends with its code (section 4).
+/// Checks for what the parser accepts although the grammar does not: empty lines before the head, lines that end with a
+/// bare LF (RFC 9112, section 2.2), and a status line without the space after its code (section 4).
 fn check_lines(head: &[u8]) -> io::Result<()> {
     let mut lines = head.split_inclusive(|byte| *byte == b'\n');
     if !head.starts_with(b"HTTP/") || !lines.all(|line| line.ends_with(b"\r\n")) {
-        return Err(io::Error::other("the head has invalid line ends"));
+        return Err(io::Error::other("the head has invalid line endings"));
     }
-    // The blank behind the code is required also if no reason follows.
+    // The space is required even if no reason follows.
     if head.get(STATUS_LINE_START_BYTES) != Some(&b' ') {
-        return Err(io::Error::other("the status line ends with its code"));
+        return Err(io::Error::other(
+            "the status line has no space after its code",
+        ));
     }
     Ok(())
 }
@@ -62,12 +65,12 @@
     let Some(coding) = codings.next() else {
         return Ok(());
     };
-    let is_clear = version == Some(1)
+    let is_unambiguous = version == Some(1)
         && coding.trim_ascii().eq_ignore_ascii_case(b"chunked")
         && codings.next().is_none()
         && values("content-length").next().is_none();
-    if !is_clear {
-        return Err(io::Error::other("the length of the body is not clear"));
+    if !is_unambiguous {
+        return Err(io::Error::other("the framing of the body is ambiguous"));
     }
     Ok(())
 }
--- a/src/transport/strict_stream.rs
+++ b/src/transport/strict_stream.rs
@@ -1,10 +1,10 @@
-//! TCP stream that reports the end of the connection, and a head that breaks the grammar, as an error.
+//! TCP stream that reports the end of the connection, or an invalid head of a response, as an error.
 //!
 //! `awc` treats the end of the connection as the end of the body, so a truncated response would look
 //! like a shorter complete one (invariant 5). A complete response ends with its `content-length` or its
 //! last chunk, before the end of the connection is read. A response without either, which RFC 9112,
 //! section 6.3, allows, cannot be distinguished from a truncated one and becomes an error as well.
-//! `awc` also repairs heads, see [`response_head`].
+//! `awc` also accepts heads that break the grammar, see [`response_head`].
 
 use std::io;
 use std::pin::Pin;
@@ -28,7 +28,7 @@
 
 use crate::transport::response_head;
 
-/// Stream that reports its end as [`io::ErrorKind::UnexpectedEof`], and a broken head as [`io::ErrorKind::Other`].
+/// Stream that reports its end as [`io::ErrorKind::UnexpectedEof`] and an invalid head as [`io::ErrorKind::Other`].
 #[derive(Debug)]
 pub struct StrictStream {
     stream: TcpStream,
@@ -65,7 +65,7 @@
         }
         if let Some(head) = &mut self.head {
             head.extend_from_slice(&buf.filled()[before..]);
-            // `awc` does not get the end of a broken head.
+            // `awc` never sees the end of an invalid head.
             if response_head::check(head)? {
                 self.head = None;
             }
--- a/tests/broken_common/mod.rs
+++ b/tests/broken_common/mod.rs
@@ -21,9 +21,9 @@
     Open,
     /// Closes the connection.
     Close,
-    /// Resets the connection without an end of the response.
+    /// Resets the connection, so that the response never ends.
     Reset,
-    /// Ends the response, then resets the connection since the request has not been read.
+    /// Closes its side of the connection, which ends the response, then resets the connection.
     CloseThenReset,
 }
 
@@ -83,7 +83,7 @@
     "HTTP/1.0 200 OK\r\n",
 ];
 
-/// Status lines whose code is no status (RFC 9110, section 15).
+/// Status lines with an invalid status code (RFC 9110, section 15).
 pub const INVALID_STATUS_LINES: [&str; 11] = [
     "HTTP/1.1 000 Trouble",
     "HTTP/1.1 000 ",
@@ -128,8 +128,8 @@
     "x-note: 1\r2",
 ];
 
-/// Heads with other line ends or separators than those of the grammar (RFC 9112, sections 2.2 and 4). Each has a body
-/// of two bytes.
+/// Complete heads with line endings or separators that break the grammar (RFC 9112, sections 2.2 and 4). The body has
+/// two bytes.
 pub const INVALID_LINES: [&str; 9] = [
     "HTTP/1.1 200 OK\ncontent-length: 2\n\n",
     "HTTP/1.1 200 OK\r\ncontent-length: 2\n\r\n",
@@ -142,8 +142,8 @@
     "HTTP/1.1 200 O\u{1}K\r\ncontent-length: 2\r\n\r\n",
 ];
 
-/// Status lines and fields that contradict each other about the length of the body, or name a coding that is not
-/// decoded (RFC 9112, sections 6.1 and 6.3).
+/// Heads, without the last line ending, that frame the body ambiguously or with a coding that is not decoded (RFC 9112,
+/// sections 6.1 and 6.3).
 pub const INVALID_FRAMINGS: [&str; 14] = [
     "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 2",
     "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 1",
--- a/tests/broken_responses.rs
+++ b/tests/broken_responses.rs
@@ -31,9 +31,9 @@
 
 /// Body of an upload, bytes; more than the socket buffers take.
 const UPLOAD_BYTES: usize = 8 << 20;
-/// Uploads for each form of a response. In how many of them the reset is found by a write is up to the kernel.
+/// Uploads for each form of a response. In how many of them a write finds the reset is up to the kernel.
 const UPLOADS: usize = 20;
-/// Time limit of a request; a client that waits longer has taken a broken head for an incomplete one.
+/// Time limit of a request. A client that waits longer has taken an invalid head for an incomplete one.
 const TIME_LIMIT: Duration = Duration::from_secs(10);
 /// Header that names the request in a response.
 const ID: HeaderName = HeaderName::from_static("x-id");
@@ -161,8 +161,8 @@
         .map(|head| format!("{head}\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
 }
 
-/// Guards against a part of a response that is taken for a whole one: the upstream resets the connection while the
-/// request is still being written, the write finds the reset, and the kernel does not report it to the next read.
+/// Guards against a partial response that is taken for a complete one: the peer resets the connection while the request
+/// is still being written, the write finds the reset, and the kernel does not report it to the next read.
 #[gtest]
 fn pool_upload_reset_after_part() {
     run(async {
@@ -203,8 +203,8 @@
     });
 }
 
-/// Guards against refusing a whole response to an upload because the connection was reset after its end. Of HTTP/1.0
-/// the pool takes responses with a length only.
+/// Guards against refusing a complete response to an upload because the connection was reset after its end. The pool
+/// refuses HTTP/1.0 responses without a length.
 #[gtest]
 fn pool_upload_reset_after_end() {
     run(async {
@@ -221,37 +221,37 @@
     });
 }
 
-/// Guards against an answer with a code that is no status.
+/// Guards against a response with an invalid status code that is passed on.
 #[gtest]
 fn pool_invalid_status() {
     expect_broken_by_pool(with_status_lines());
 }
 
-/// Guards against a head whose broken line is passed on, or read as another field.
+/// Guards against an invalid line of a head that is passed on or read as another field.
 #[gtest]
 fn pool_invalid_field_name() {
     expect_broken_by_pool(with_field_names());
 }
 
-/// Guards against a value that is passed on with a control byte, or without its continuation.
+/// Guards against a value that is passed on with a control byte or without its continuation.
 #[gtest]
 fn pool_invalid_field_value() {
     expect_broken_by_pool(with_field_values());
 }
 
-/// Guards against a head whose lines other recipients divide in another way.
+/// Guards against a head that other recipients split into other lines.
 #[gtest]
 fn pool_invalid_lines() {
     expect_broken_by_pool(with_lines());
 }
 
-/// Guards against a body whose length other recipients determine in another way.
+/// Guards against a body whose end other recipients find elsewhere.
 #[gtest]
 fn pool_invalid_framing() {
     expect_broken_by_pool(with_framings());
 }
 
-/// Guards against a part of a response that is taken for a whole one.
+/// Guards against a partial response that is taken for a complete one.
 #[gtest]
 fn client_upload_reset_after_part() {
     run(async {
@@ -287,31 +287,31 @@
     });
 }
 
-/// Guards against an answer with a code that is no status.
+/// Guards against a response with an invalid status code that is passed on.
 #[gtest]
 fn client_invalid_status() {
     expect_broken_by_client(with_status_lines());
 }
 
-/// Guards against a head whose broken line is passed on, or read as another field.
+/// Guards against an invalid line of a head that is passed on or read as another field.
 #[gtest]
 fn client_invalid_field_name() {
     expect_broken_by_client(with_field_names());
 }
 
-/// Guards against a value that is passed on with a control byte, or without its continuation.
+/// Guards against a value that is passed on with a control byte or without its continuation.
 #[gtest]
 fn client_invalid_field_value() {
     expect_broken_by_client(with_field_values());
 }
 
-/// Guards against a head whose lines other recipients divide in another way.
+/// Guards against a head that other recipients split into other lines.
 #[gtest]
 fn client_invalid_lines() {
     expect_broken_by_client(with_lines());
 }
 
-/// Guards against a body whose length other recipients determine in another way.
+/// Guards against a body whose end other recipients find elsewhere.
 #[gtest]
 fn client_invalid_framing() {
     expect_broken_by_client(with_framings());
--- a/tests/process_broken_responses.rs
+++ b/tests/process_broken_responses.rs
@@ -29,8 +29,8 @@
 /// Bodies of uploads, bytes. The kernel takes the smaller one at once, so that the reset comes between the writes of
 /// the head and of the body; the larger one is still being written.
 const UPLOAD_BYTES: [usize; 2] = [1 << 20, 8 << 20];
-/// Uploads of each size for each form of a response and each node. In how many of them the reset is found by a write is up to the
-/// kernel.
+/// Uploads of each size for each form of a response and each node. In how many of them a write finds the reset is up
+/// to the kernel.
 const UPLOADS: usize = 8;
 /// Time between heartbeats of the backend server.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
@@ -159,7 +159,7 @@
     Ok(())
 }
 
-/// Guards against a part of a response that a client gets as a whole one: its backend server resets the connection
+/// Guards against a partial response that a client gets as a complete one: the backend server resets the connection
 /// while the node is still writing the upload.
 #[gtest]
 fn upload_reset_after_part() {
@@ -169,7 +169,7 @@
     }
 }
 
-/// Guards against an answer with a code that is no status.
+/// Guards against a response with an invalid status code that is passed on.
 #[gtest]
 fn invalid_status() {
     let responses =
@@ -177,7 +177,7 @@
     run(expect_failed(&responses, End::Open, 1, 0));
 }
 
-/// Guards against a head whose broken line reaches the client, or that is read with another field in its place.
+/// Guards against an invalid line of a head that reaches the client or is read as another field.
 #[gtest]
 fn invalid_field_name() {
     let responses = INVALID_FIELD_NAMES
