Share the check of uploads between two tests

pool_upload_reset_after_part and pool_upload_reset_after_skipped_response had the same loop. Both still fail if a body after a failed write counts as complete, and pass otherwise.

--- a/tests/broken_responses.rs
+++ b/tests/broken_responses.rs
@@ -106,6 +106,25 @@
     });
 }
 
+/// Expects that a client reports uploads as broken whose response is made from each head without a length, and then
+/// reset.
+fn expect_broken_uploads_by_pool(response: impl Fn(&str) -> String) {
+    run(async {
+        for head in HEADS_WITHOUT_LENGTH {
+            let addr = peer(&response(head), End::Reset)?;
+            for _ in 0..UPLOADS {
+                let sent = send_by_pool(addr, UPLOAD_BYTES).await;
+                expect_that!(
+                    sent.map(text),
+                    err(matches_pattern!(ExchangeFailure::Broken { .. })),
+                    "{head:?}"
+                );
+            }
+        }
+        Ok(())
+    });
+}
+
 /// Expects that the client of `node` reports each of these responses as broken.
 fn expect_broken_by_client(responses: impl Iterator<Item = String>) {
     run(async {
@@ -165,42 +184,15 @@
 /// is still being written, the write finds the reset, and the kernel does not report it to the next read.
 #[gtest]
 fn pool_upload_reset_after_part() {
-    run(async {
-        for head in HEADS_WITHOUT_LENGTH {
-            let addr = peer(&format!("{head}\r\npart"), End::Reset)?;
-            for _ in 0..UPLOADS {
-                let sent = send_by_pool(addr, UPLOAD_BYTES).await;
-                expect_that!(
-                    sent.map(text),
-                    err(matches_pattern!(ExchangeFailure::Broken { .. })),
-                    "{head:?}"
-                );
-            }
-        }
-        Ok(())
-    });
+    expect_broken_uploads_by_pool(|head| format!("{head}\r\npart"));
 }
 
 /// Guards against the same after a response to another request, which is skipped: the write that follows it fails with
 /// another error than the reset.
 #[gtest]
 fn pool_upload_reset_after_skipped_response() {
-    run(async {
-        for head in HEADS_WITHOUT_LENGTH {
-            let skipped = format!("HTTP/1.1 200 OK\r\n{ID}: other\r\ncontent-length: 3\r\n\r\nold");
-            let part = format!("{head}{ID}: {ID_VALUE}\r\n\r\npart");
-            let addr = peer(&format!("{skipped}{part}"), End::Reset)?;
-            for _ in 0..UPLOADS {
-                let sent = send_by_pool(addr, UPLOAD_BYTES).await;
-                expect_that!(
-                    sent.map(text),
-                    err(matches_pattern!(ExchangeFailure::Broken { .. })),
-                    "{head:?}"
-                );
-            }
-        }
-        Ok(())
-    });
+    let skipped = format!("HTTP/1.1 200 OK\r\n{ID}: other\r\ncontent-length: 3\r\n\r\nold");
+    expect_broken_uploads_by_pool(|head| format!("{skipped}{head}{ID}: {ID_VALUE}\r\n\r\npart"));
 }
 
 /// Guards against refusing a complete response to an upload because the connection was reset after its end. The pool
