--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,6 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review-3/release/standins-3 ] || exit 2
+# The program reads it: 0 leaves the disruption out.
+export TROUBLE="${TROUBLE:-1}"
 exec target/review-3/release/standins-3 route "$folder/record.txt"
