--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -208,6 +208,36 @@
     connection.read_response()
 }
 
+/// Time between two looks for new connections.
+pub const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Accepts connections as long as a condition holds, each on a thread of its own, and closes the listener then.
+pub fn serve_while(
+    listener: TcpListener,
+    may_serve: impl Fn() -> bool + Send + 'static,
+    handle: impl Fn(Connection) + Send + Sync + 'static,
+) {
+    let handle = Arc::new(handle);
+    thread::spawn(move || {
+        if listener.set_nonblocking(true).is_err() {
+            return;
+        }
+        while may_serve() {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(ACCEPT_INTERVAL);
+                continue;
+            };
+            let handle = handle.clone();
+            thread::spawn(move || {
+                let _ = stream.set_nonblocking(false);
+                if let Ok(connection) = Connection::new(stream) {
+                    handle(connection);
+                }
+            });
+        }
+    });
+}
+
 /// Accepts connections, each on a thread of its own. The threads end with the process.
 pub fn serve(listener: TcpListener, handle: impl Fn(Connection) + Send + Sync + 'static) {
     let handle = Arc::new(handle);
--- a/review/standins-3/src/machine.rs
+++ b/review/standins-3/src/machine.rs
@@ -4,8 +4,10 @@
 use std::fs::File;
 use std::io;
 use std::io::BufRead;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -13,12 +15,14 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use crate::http;
 use crate::http::Connection;
@@ -70,21 +74,34 @@
     pub read_first: Option<usize>,
 }
 
-/// Start of the upstreams.
+/// Start of the upstreams that are not started again.
 const BORN: u64 = 1_780_000_000_000;
+/// Time for which an upstream that has been started again is slow, and the factor, as in the site files.
+const COLD: Duration = Duration::from_secs(3);
+const COLD_FACTOR: u32 = 2;
 /// Body from which on a request counts as long.
 pub const LONG_BODY: usize = 64 << 10;
 
+/// One start of an upstream.
+struct Incarnation {
+    id: String,
+    born: u64,
+    /// Time until which it is slow.
+    cold_until: Instant,
+    /// Whether it runs. Once it has ended it accepts and answers nothing any more.
+    is_up: AtomicBool,
+    running: AtomicUsize,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
 pub struct Upstream {
-    pub id: String,
+    name: String,
     pub service: String,
     pub addr: SocketAddr,
     pub runs: Mutex<Vec<Run>>,
     work: Work,
     slots: usize,
-    running: AtomicUsize,
-    /// One of so many requests fails after its work; none if it is zero.
-    fails_each: AtomicUsize,
+    incarnation: Mutex<Arc<Incarnation>>,
     record: Arc<Record>,
 }
 
@@ -97,31 +114,89 @@
         record: Arc<Record>,
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let upstream = Arc::new(Self {
+        let incarnation = Arc::new(Incarnation {
             id: id.to_owned(),
+            born: BORN,
+            cold_until: Instant::now(),
+            is_up: AtomicBool::new(true),
+            running: AtomicUsize::new(0),
+            connections: Mutex::default(),
+        });
+        let upstream = Arc::new(Self {
+            name: id.to_owned(),
             service: service.to_owned(),
             addr: listener.local_addr()?,
             runs: Mutex::default(),
             work,
             slots,
-            running: AtomicUsize::new(0),
-            fails_each: AtomicUsize::new(0),
+            incarnation: Mutex::new(incarnation.clone()),
             record,
         });
-        let serving = upstream.clone();
-        http::serve(listener, move |mut connection| {
+        upstream.serve(listener, incarnation);
+        Ok(upstream)
+    }
+
+    fn serve(self: &Arc<Self>, listener: TcpListener, incarnation: Arc<Incarnation>) {
+        let serving = self.clone();
+        let accepting = incarnation.clone();
+        let is_up = move || accepting.is_up.load(Ordering::SeqCst);
+        http::serve_while(listener, is_up, move |mut connection| {
+            if let Ok(stream) = connection.stream.try_clone() {
+                incarnation.connections.lock().unwrap().push(stream);
+            }
             while let Ok(head) = connection.read_head() {
-                if serving.handle(&mut connection, &head).is_err() {
+                let result = serving.handle(&mut connection, &head, &incarnation);
+                if result.is_err() || !incarnation.is_up.load(Ordering::SeqCst) {
                     return;
                 }
             }
         });
-        Ok(upstream)
     }
 
-    fn handle(&self, connection: &mut Connection, head: &Head) -> io::Result<()> {
+    /// Ends the upstream as a crash does: all its connections end, and new ones are refused.
+    pub fn crash(&self) {
+        let incarnation = self.current();
+        incarnation.is_up.store(false, Ordering::SeqCst);
+        // The listener is closed by then.
+        thread::sleep(2 * http::ACCEPT_INTERVAL);
+        for stream in incarnation.connections.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Starts a new incarnation at the same address, with an id of its own, after [`Self::crash`].
+    pub fn start_again(self: &Arc<Self>) -> io::Result<()> {
+        let listener = TcpListener::bind(self.addr)?;
+        let born = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
+        let born = u64::try_from(born.as_millis()).unwrap_or(BORN);
+        let incarnation = Arc::new(Incarnation {
+            id: format!("{}-{born}", self.name),
+            born,
+            cold_until: Instant::now() + COLD,
+            is_up: AtomicBool::new(true),
+            running: AtomicUsize::new(0),
+            connections: Mutex::default(),
+        });
+        *self.incarnation.lock().unwrap() = incarnation.clone();
+        self.serve(listener, incarnation);
+        Ok(())
+    }
+
+    fn current(&self) -> Arc<Incarnation> {
+        self.incarnation.lock().unwrap().clone()
+    }
+
+    fn handle(
+        &self,
+        connection: &mut Connection,
+        head: &Head,
+        incarnation: &Incarnation,
+    ) -> io::Result<()> {
+        let own_id = incarnation.id.as_str();
         if head.path() == "/healthz" {
-            let response = Response::new(200, "").with("X-Sycamorewick-Instance", &self.id);
+            let response = Response::new(200, "").with("X-Sycamorewick-Instance", own_id);
             return response.write(&mut connection.stream);
         }
         let id = head.field("x-sycamorewick-attempt-id").unwrap_or_default();
@@ -129,7 +204,7 @@
             connection.drop_body(head.length())?;
             let response = Response::new(status, "")
                 .with("X-Sycamorewick-Attempt-Id", id)
-                .with("X-Sycamorewick-Instance", &self.id)
+                .with("X-Sycamorewick-Instance", own_id)
                 .with("X-Sycamorewick-Not-Executed", "1");
             response.write(&mut connection.stream)
         };
@@ -137,11 +212,12 @@
             return not_run(400, connection);
         }
         let expected = head.field("x-sycamorewick-expect-instance");
-        if expected.is_some_and(|expected| expected != self.id) {
+        if expected.is_some_and(|expected| expected != own_id) {
             return not_run(421, connection);
         }
-        if self.running.fetch_add(1, Ordering::SeqCst) >= self.slots {
-            self.running.fetch_sub(1, Ordering::SeqCst);
+        let running = &incarnation.running;
+        if running.fetch_add(1, Ordering::SeqCst) >= self.slots {
+            running.fetch_sub(1, Ordering::SeqCst);
             return not_run(503, connection);
         }
         let index = {
@@ -152,27 +228,23 @@
             });
             runs.len() - 1
         };
-        let each = self.fails_each.load(Ordering::SeqCst);
-        let fails = each > 0 && index % each == 0;
         let is_long = head.length() >= LONG_BODY;
         if is_long {
             self.record.line(&format!(
-                "upstream {} begins to run {id}, body {} bytes",
-                self.id,
+                "upstream {own_id} begins to run {id}, body {} bytes",
                 head.length()
             ));
         }
-        let result = self.run(connection, head, id, fails);
+        let result = self.run(connection, head, id, incarnation);
         let end = if result.is_ok() {
             "answered"
         } else {
             "connection broke"
         };
         self.runs.lock().unwrap()[index].end = Some(end);
-        self.running.fetch_sub(1, Ordering::SeqCst);
+        running.fetch_sub(1, Ordering::SeqCst);
         if is_long {
-            self.record
-                .line(&format!("upstream {}: {id} {end}", self.id));
+            self.record.line(&format!("upstream {own_id}: {id} {end}"));
         }
         result
     }
@@ -182,22 +254,26 @@
         connection: &mut Connection,
         head: &Head,
         id: &str,
-        fails: bool,
+        incarnation: &Incarnation,
     ) -> io::Result<()> {
+        let is_cold = Instant::now() < incarnation.cold_until;
+        let factor = if is_cold { COLD_FACTOR } else { 1 };
         let length = head.length();
         if length >= LONG_BODY {
             let first = self.work.read_first.unwrap_or(length).min(length);
             connection.drop_body(first)?;
-            thread::sleep(self.work.long);
+            thread::sleep(self.work.long * factor);
             connection.drop_body(length - first)?;
         } else {
             connection.drop_body(length)?;
-            thread::sleep(self.work.short);
+            thread::sleep(self.work.short * factor);
         }
-        let status = if fails { 503 } else { 200 };
-        let response = Response::new(status, format!("{} {}", self.id, head.target))
+        let response = Response::new(200, format!("{} {}", incarnation.id, head.target))
             .with("X-Sycamorewick-Attempt-Id", id)
-            .with("X-Sycamorewick-Response-Seal", &format!("{}.{id}", self.id));
+            .with(
+                "X-Sycamorewick-Response-Seal",
+                &format!("{}.{id}", incarnation.id),
+            );
         response.write(&mut connection.stream)
     }
 
@@ -206,13 +282,14 @@
         runs.iter().find(|run| run.id == id).cloned()
     }
 
-    /// Makes one of so many requests fail after its work, or none if the number is zero.
-    pub fn set_failing(&self, each: usize) {
-        self.fails_each.store(each, Ordering::SeqCst);
+    /// Returns the ids of all requests that have run.
+    pub fn run_ids(&self) -> Vec<String> {
+        let runs = self.runs.lock().unwrap();
+        runs.iter().map(|run| run.id.clone()).collect()
     }
 
     pub fn running(&self) -> usize {
-        self.running.load(Ordering::SeqCst)
+        self.current().running.load(Ordering::SeqCst)
     }
 }
 
@@ -230,7 +307,7 @@
 /// listens there.
 fn free_addr() -> io::Result<SocketAddr> {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let first = u16::try_from(std::process::id() % 900).unwrap_or(0) * 20;
+    let first = u16::try_from(std::process::id() % 180).unwrap_or(0) * 110;
     for _ in 0..2_000 {
         let number = NEXT.fetch_add(1, Ordering::SeqCst);
         let port = 10_000 + first.wrapping_add(number) % 20_000;
@@ -383,28 +460,39 @@
     fn start_heartbeats(self: &Arc<Self>) {
         let machine = Arc::downgrade(self);
         thread::spawn(move || {
-            let mut seq = 1;
+            let (mut seq, mut born) = (1, BORN);
+            let mut next = Instant::now();
             while let Some(machine) = machine.upgrade() {
-                let _ = machine.send_heartbeat(seq);
-                seq += 1;
+                let incarnation = machine.upstream.current();
+                if incarnation.born != born {
+                    (seq, born, next) = (1, incarnation.born, Instant::now());
+                }
+                if Instant::now() >= next && incarnation.is_up.load(Ordering::SeqCst) {
+                    let _ = machine.send_heartbeat_of(&incarnation, seq);
+                    seq += 1;
+                    next = Instant::now() + Duration::from_millis(1_500);
+                }
                 drop(machine);
-                thread::sleep(Duration::from_millis(1_500));
+                thread::sleep(Duration::from_millis(10));
             }
         });
     }
 
     /// Sends a heartbeat that reports the upstream as ready, and returns the status of the answer.
-    pub fn send_heartbeat(&self, seq: usize) -> io::Result<u16> {
+    fn send_heartbeat_of(&self, incarnation: &Incarnation, seq: usize) -> io::Result<u16> {
         let upstream = &self.upstream;
+        let cold_left = incarnation
+            .cold_until
+            .saturating_duration_since(Instant::now());
         let body = format!(
-            "{{\"address\":\"{}\",\"born\":{BORN},\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\"zone\":\"z\",\"slots\":{}}},\"status\":{{\"state\":\"ready\",\"seq\":{seq},\"cold-left-ms\":0}}}}",
-            upstream.addr, upstream.service, upstream.slots
+            "{{\"address\":\"{}\",\"born\":{},\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\"zone\":\"z\",\"slots\":{}}},\"status\":{{\"state\":\"ready\",\"seq\":{seq},\"cold-left-ms\":{}}}}}",
+            upstream.addr,
+            incarnation.born,
+            upstream.service,
+            upstream.slots,
+            cold_left.as_millis()
         );
-        self.report("Heartbeat", &body)
-    }
-
-    fn report(&self, call: &str, body: &str) -> io::Result<u16> {
-        let target = format!("/sycamorewick/Instances.{call}/{}", self.upstream.id);
+        let target = format!("/sycamorewick/Instances.Heartbeat/{}", incarnation.id);
         let fields = [("Host", "platform"), ("Content-Type", "application/json")];
         let limit = Duration::from_secs(1);
         let control = self.addrs.control;
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -1,12 +1,13 @@
 //! Cases of the third review. Usage: `standins-3 CASE RECORD`, from the root of the repository. Exits with 1 if the
 //! rule was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` the disruption is left out.
 
+mod crash;
 mod http;
 mod machine;
 mod memory;
 mod names;
+
 mod record;
-mod refused;
 mod store;
 mod upload;
 
@@ -64,9 +65,9 @@
         .line(&format!("case {name}, disruption: {}", case.trouble));
     let verdict = match name {
         "memory" => memory::play(&case),
+        "crash" => crash::play(&case),
         "tenant" => names::play_tenant(&case),
         "route" => names::play_route(&case),
-        "refused" => refused::play(&case),
         "upload" => upload::play(&case),
         _ => Err(format!("there is no case {name}")),
     };
