Encode names in the headers between nodes

Cause: names were written into sw-hop and sw-end as they are, with semicolons between them, and read as visible ASCII. A letter outside of it makes the header unreadable for the serving node, which logs "call from a node refused" with 4016; a semicolon moves all fields behind it.

Ruled out: the configuration is in force (its first route is served, and the added one at the nodes beside its own backend servers); the head is accepted by the HTTP library (the call reaches the handler).

Change: protocol/name_field.rs writes and reads every name in both headers, percent-encoded where it is not visible ASCII. It is the only place for that, so that no reader and writer can differ. Headers of names that earlier builds could carry are the same as before, but for a "%" in a name. The crate percent-encoding was a dependency of url already.

--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -9,6 +9,8 @@
 use crate::protocol::name::ServiceName;
 use crate::protocol::name::VersionName;
 use crate::protocol::name::WorkspaceName;
+use crate::protocol::name_field;
+use crate::protocol::name_field::SEPARATOR;
 use crate::protocol::time::millis;
 
 /// Request header with the [`HopRequestHeader`].
@@ -17,8 +19,6 @@
 pub const ORIGIN_HEADER: &str = "sw-origin";
 /// Response header with the [`HopResponseHeader`].
 pub const HOP_RESPONSE_HEADER: &str = "sw-end";
-/// Separates the fields of both headers; names on the platform do not contain it.
-const SEPARATOR: char = ';';
 /// Routes of one service whose results are kept apart.
 const MAX_ROUTES: usize = 128;
 
@@ -66,7 +66,10 @@
     #[must_use]
     pub fn encode(&self) -> String {
         let workspace = match &self.workspace {
-            Some(workspace) => format!(";{workspace};{}", self.workspace_priority),
+            Some(workspace) => {
+                let name = name_field::encode(workspace.as_str());
+                format!(";{name};{}", self.workspace_priority)
+            }
             // Without workspaces in the configuration the header is that of earlier builds.
             None if self.workspace_priority == 0 && !self.is_spillover => String::new(),
             None => format!(";;{}", self.workspace_priority),
@@ -74,9 +77,9 @@
         let spillover = if self.is_spillover { ";1" } else { "" };
         format!(
             "{};{};{};{};{};{};{};{};{};{}{workspace}{spillover}",
-            self.route,
-            self.service,
-            self.version,
+            name_field::encode(self.route.as_str()),
+            name_field::encode(self.service.as_str()),
+            name_field::encode(self.version.as_str()),
             u8::from(self.idempotent),
             u8::from(self.accepts_late),
             self.priority,
@@ -92,9 +95,9 @@
     pub fn decode(text: &str) -> Option<Self> {
         let mut fields = text.split(SEPARATOR);
         Some(Self {
-            route: fields.next()?.into(),
-            service: fields.next()?.into(),
-            version: fields.next()?.into(),
+            route: decode_name(fields.next())?,
+            service: decode_name(fields.next())?,
+            version: decode_name(fields.next())?,
             idempotent: fields.next()? == "1",
             accepts_late: fields.next()? == "1",
             priority: fields.next()?.parse().ok()?,
@@ -103,10 +106,10 @@
             limit: decode_limit(fields.next()),
             // Nodes of earlier builds do not send the fields from here on.
             is_overdue: fields.next() == Some("1"),
-            workspace: fields
-                .next()
-                .filter(|field| !field.is_empty())
-                .map(WorkspaceName::from),
+            workspace: match fields.next() {
+                None | Some("") => None,
+                field => Some(decode_name(field)?),
+            },
             workspace_priority: fields
                 .next()
                 .and_then(|field| field.parse().ok())
@@ -116,6 +119,11 @@
     }
 }
 
+/// Parses a field with a name; `None` if it is missing or malformed.
+fn decode_name<T: for<'a> From<&'a str>>(field: Option<&str>) -> Option<T> {
+    Some(name_field::decode(field?)?.as_ref().into())
+}
+
 /// Cumulative results of a backend server since its node first heard of it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct BackendTotals {
@@ -323,6 +331,7 @@
                 failures,
                 latency_percent,
             } = tally;
+            let route = name_field::encode(route.as_str());
             let _ = write!(
                 route_tallies,
                 ";{route};{runs};{failures};{latency_percent}"
@@ -374,14 +383,14 @@
         header.load.limit = decode_limit(fields.next());
         header.load.is_leaving = fields.next() == Some("1");
         decode_waits(&mut header.load, fields.next());
-        while let Some(route) = fields.next() {
+        while let Some(route) = fields.next().and_then(name_field::decode) {
             let mut number = || fields.next().and_then(|field| field.parse().ok());
             let (Some(runs), Some(failures), Some(latency_percent)) =
                 (number(), number(), number())
             else {
                 break;
             };
-            if let Some(tally) = header.route_tallies.entry(&route.into()) {
+            if let Some(tally) = header.route_tallies.entry(&route.as_ref().into()) {
                 *tally = BackendTotals {
                     runs,
                     failures,
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -11,6 +11,7 @@
 pub mod hop;
 pub mod mesh;
 pub mod name;
+pub mod name_field;
 pub mod record;
 pub mod time;
 pub mod usage;
--- a/tests/hop_headers.rs
+++ b/tests/hop_headers.rs
@@ -1,7 +1,10 @@
 //! Headers of calls between nodes.
 
+mod name_common;
+
 use std::time::Duration;
 
+use actix_http::header::HeaderValue;
 use googletest::prelude::*;
 use sycamorewick::protocol::call::Executed;
 use sycamorewick::protocol::hop::BackendTotals;
@@ -169,3 +172,72 @@
         expect_that!(text, starts_with(plain.encode()));
     }
 }
+
+/// Fails if a header between nodes is not visible ASCII text, or would lose blanks on the way.
+fn expect_header_text(text: &str) {
+    let value = HeaderValue::from_str(text);
+    let read = value.as_ref().ok().and_then(|value| value.to_str().ok());
+    expect_that!(read, some(eq(text.trim())), "{text:?}");
+}
+
+/// Guards against a call that another node cannot read, or reads with other fields, because of a character in the name
+/// of its route, service, version or workspace.
+#[gtest]
+fn request_header_with_random_names() {
+    let names = [
+        name_common::any_names(1, 2_000),
+        name_common::sendable_names(1, 200),
+    ]
+    .concat();
+    for (index, name) in names.iter().enumerate() {
+        let other = names[(index * 7 + 3) % names.len()].as_str();
+        let sent = HopRequestHeader {
+            route: name.as_str().into(),
+            service: other.into(),
+            version: name.as_str().into(),
+            ..request_header(Some(other), index % 2 == 0)
+        };
+        let text = sent.encode();
+        expect_header_text(&text);
+        expect_that!(HopRequestHeader::decode(&text), some(eq(&sent)), "{text}");
+    }
+}
+
+/// Guards against results by route that are lost, or taken for those of another route, because of a character in the
+/// name of a route.
+#[gtest]
+fn response_header_with_random_names() {
+    let names = [
+        name_common::any_names(2, 2_000),
+        name_common::sendable_names(2, 200),
+    ]
+    .concat();
+    for pair in names.chunks_exact(2) {
+        let tallies = [(&*pair[0], totals(30, 3)), (&*pair[1], totals(60, 0))];
+        let sent = header(routes(&tallies));
+        let text = sent.encode();
+        expect_header_text(&text);
+        expect_that!(HopResponseHeader::decode(&text), some(eq(&sent)), "{text}");
+    }
+}
+
+/// Guards against a name that differs from that of earlier builds although these can read it, and against a field of
+/// an earlier build that is read as another name.
+#[gtest]
+fn names_of_earlier_builds() {
+    for name in ["lookup", "acme corp.", "a=b,c", "\"x\""] {
+        let sent = HopRequestHeader {
+            route: name.into(),
+            ..request_header(None, false)
+        };
+        expect_that!(sent.encode(), starts_with(format!("{name};registry;")));
+    }
+    let earlier = HopRequestHeader::decode("100%;registry;v1;1;0;2;250;900;;0");
+    let route = earlier.map(|head| head.route.as_str().to_owned());
+    expect_that!(route, some(eq("100%")));
+    // Not UTF-8.
+    expect_that!(
+        HopRequestHeader::decode("%ff;registry;v1;1;0;2;250;900;;0"),
+        none()
+    );
+}
