Accept the name of every workspace in a configuration

Callers saw: a configuration that takes a key away and adds a tenant called "Murphy; Sons" and a route never comes into force.

Cause: platform/config.rs took a name that the header between nodes could not carry for an invalid configuration, and refused it whole. After a restart the refused record is the newest one of its key, so there is no other to use.

Ruled out: the record is read (the log line names its offset), and with the name "Murphy and Sons" the same change is in force.

Where the name cannot be the value of X-Sycamorewick-Tenant (control characters, blanks or tabs at an end), only the requests of this workspace are refused, with 503 and the new code 4022, before their bodies are read, since the backend server would take them for those of another workspace. Invalid records are refused whole as before.

--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -124,6 +124,8 @@
     DomainEvacuated = 4020, "failure domain evacuated";
     /// The memory that clients may use is taken, or the connections that the process may open.
     ClientLimit = 4021, "limit of clients";
+    /// A name of the call cannot be sent to a backend server or another node.
+    NameNotSendable = 4022, "name cannot be sent";
 
     /// A message between nodes could not be encoded.
     EncodeFailed = 5001, "encoding failed";
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -904,7 +904,8 @@
                 ResultCode::RequestQuarantined
                 | ResultCode::OutsideHome
                 | ResultCode::ClientLimit
-                | ResultCode::CredentialUnknown,
+                | ResultCode::CredentialUnknown
+                | ResultCode::NameNotSendable,
             ..
         } => AttemptEnd::Cancelled,
         ServeOutcome::Refused { .. } => AttemptEnd::NoBackend,
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -16,6 +16,7 @@
 use crate::protocol::codec;
 use crate::protocol::fleet::FleetEntry;
 use crate::protocol::fleet::MoveRecord;
+use crate::protocol::mesh::Workspace;
 use crate::protocol::name::DomainName;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::RegionName;
@@ -26,6 +27,7 @@
 use crate::sidecar::crashes;
 use crate::sidecar::health_probe;
 use crate::sidecar::usage_port;
+use crate::sidecar::workspaces;
 use crate::state::routing_table::RoutingTable;
 
 /// Applies a record of the operator's topic: a configuration or an order to roll out a version. Returns whether it
@@ -200,6 +202,12 @@
         warn!(cx.log, "routes of unknown kinds run requests at most once"; "version" => config.version,
             "offset" => record.offset, "kinds" => unknown_kinds.join(", "));
     }
+    for Workspace { name, .. } in &config.workspaces {
+        if let Err(code) = workspaces::check_name(Some(name)) {
+            warn!(cx.log, "requests of a workspace are refused"; "version" => config.version, "offset" => record.offset,
+                "workspace" => name.as_str(), "code" => code.number(), "why" => code.text());
+        }
+    }
     let mut state = cx.state.borrow_mut();
     let in_force = state.table.as_ref().map_or(0, |table| table.version());
     if state.table.is_some() && config.version <= in_force {
--- a/src/sidecar/serving.rs
+++ b/src/sidecar/serving.rs
@@ -386,6 +386,7 @@
 /// Returns the local backend server if it can run the call.
 pub fn usable_backend(cx: &Sidecar, head: &HopRequestHeader) -> Result<BackendReport, ResultCode> {
     check_location(cx, head)?;
+    workspaces::check_name(head.workspace.as_ref())?;
     let state = cx.state.borrow();
     let backend = state.backend.available(cx.clock.now());
     let backend = backend.ok_or(ResultCode::NoBackend)?;
--- a/src/sidecar/workspaces.rs
+++ b/src/sidecar/workspaces.rs
@@ -7,6 +7,7 @@
 use crate::coordination::workspaces::credentials::ViewLimits;
 use crate::coordination::workspaces::fair_share::DEFAULT_WEIGHT;
 use crate::coordination::workspaces::fair_share::WorkspaceShare;
+use crate::platform::requests;
 use crate::protocol::mesh::KeyHash;
 use crate::protocol::mesh::MeshRoute;
 use crate::protocol::name::RegionName;
@@ -34,7 +35,23 @@
         revoke_within: cx.settings.revoke_within(),
     };
     let credentials = table.credentials();
-    credentials.workspace(credentials.judge(is_public, credential, view_age, &limits))
+    let workspace =
+        credentials.workspace(credentials.judge(is_public, credential, view_age, &limits))?;
+    check_name(workspace.name.as_ref())?;
+    Ok(workspace)
+}
+
+/// Checks that backend servers can be told the workspace of a call.
+///
+/// # Errors
+/// [`ResultCode::NameNotSendable`] if they cannot: they would take the call for one of another workspace, or of none.
+pub fn check_name(workspace: Option<&WorkspaceName>) -> Result<(), ResultCode> {
+    match workspace {
+        Some(name) if requests::workspace_header(name).is_none() => {
+            Err(ResultCode::NameNotSendable)
+        }
+        _ => Ok(()),
+    }
 }
 
 /// Returns the home regions of a workspace in a configuration; empty if all regions may serve it.
