Answer a call with an unreadable header with 503 instead of 400

Cause: the serving node refused such a call as a bad request, and the entry node passes the code of a refusal on to the caller. The request of the caller is not at fault, but the message between the nodes.

Evidence: call_with_malformed_header fails with the earlier src/ (found BadRequest, expected MessageMalformed) and passes now.

--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -82,8 +82,10 @@
     let mut payload = req.take_payload();
     let head = headers::text(req.headers(), HOP_REQUEST_HEADER).and_then(HopRequestHeader::decode);
     let (Some(head), Some(target)) = (head, req.uri().path_and_query().cloned()) else {
-        warn!(cx.log, "call from a node refused"; "code" => ResultCode::BadRequest.number(), "path" => req.path());
-        return call_response(cx, None, ServeOutcome::refused(ResultCode::BadRequest));
+        // The caller is not at fault, so its request is not answered with 400.
+        let code = ResultCode::MessageMalformed;
+        warn!(cx.log, "call from a node refused"; "code" => code.number(), "path" => req.path());
+        return call_response(cx, None, ServeOutcome::refused(code));
     };
     if !cx.is_synchronized()
         && let Some(origin) = headers::number(req.headers(), ORIGIN_HEADER)
--- a/tests/process_names.rs
+++ b/tests/process_names.rs
@@ -12,6 +12,12 @@
 use sidecar_common::TestFleet;
 use sidecar_common::WAIT_LIMIT;
 use sidecar_common::run;
+use sycamorewick::protocol::call::Executed;
+use sycamorewick::protocol::hop::HOP_REQUEST_HEADER;
+use sycamorewick::protocol::hop::HOP_RESPONSE_HEADER;
+use sycamorewick::protocol::hop::HopResponseHeader;
+use sycamorewick::result_code::ResultCode;
+use sycamorewick::transport::http_server;
 use testbed::platform::backend::ATTEMPT_HEADER;
 use testbed::platform::backend::PlatformBackend;
 use testbed::platform::backend::PlatformBackendHandle;
@@ -246,3 +252,28 @@
         Ok(())
     });
 }
+
+/// Guards against a request that gets 400, which its caller does not repeat, since a node cannot read the header of a
+/// call from another node.
+#[gtest]
+fn call_with_malformed_header() {
+    run(async {
+        let config = Config {
+            version: 1,
+            ..Config::default()
+        };
+        let env = start(&config, "b").await?;
+        let url = format!("http://{}/wrecks/1", env.fleet.nodes()[0].addrs.node);
+        let request = awc::Client::default().get(url);
+        let request = request.insert_header((HOP_REQUEST_HEADER, "wrecks;%ff;v1"));
+        let response = request.send().await.map_err(|e| eyre::eyre!("{e}"))?;
+        let end = response.headers().get(HOP_RESPONSE_HEADER);
+        let end = end.and_then(|value| HopResponseHeader::decode(value.to_str().ok()?));
+        let end = end.map(|end| (end.run, ResultCode::from_number(end.code)));
+        let code = ResultCode::MessageMalformed;
+        expect_that!(end, some(eq((Executed::No, Some(code)))));
+        let status = http_server::status_of(code);
+        expect_that!(status, eq(StatusCode::SERVICE_UNAVAILABLE));
+        Ok(())
+    });
+}
