Refuse a call whose names are too long for the headers between nodes

Callers saw 502 for requests on a route with a name of 40 kB at each node that is not beside a backend server of its service: the next node refuses the head as too large. While a rollout runs, the name also goes into the responses of other routes, whose heads the entry node would refuse.

Change: names of up to 4 KiB fit into each head whatever their letters (64 KiB for the headers that nodes add). A call with a longer one is not sent to another node but refused with 4022 as not run, and its results are left out of the responses to other calls.

--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -62,6 +62,19 @@
 }
 
 impl HopRequestHeader {
+    /// Whether the names of the call are short enough to be sent to another node.
+    #[must_use]
+    pub fn is_sendable(&self) -> bool {
+        let workspace = self.workspace.as_ref().map(WorkspaceName::as_str);
+        let names = [
+            self.route.as_str(),
+            self.service.as_str(),
+            self.version.as_str(),
+        ];
+        let mut names = names.into_iter().chain(workspace);
+        names.all(name_field::is_sendable)
+    }
+
     /// Returns the header value.
     #[must_use]
     pub fn encode(&self) -> String {
@@ -321,11 +334,12 @@
 }
 
 impl HopResponseHeader {
-    /// Returns the header value.
+    /// Returns the header value. Results of routes whose names are not sent between nodes are left out.
     #[must_use]
     pub fn encode(&self) -> String {
         let mut route_tallies = String::new();
-        for (route, tally) in self.route_tallies.iter() {
+        let all = self.route_tallies.iter();
+        for (route, tally) in all.filter(|(route, _)| name_field::is_sendable(route.as_str())) {
             let BackendTotals {
                 runs,
                 failures,
--- a/src/protocol/name_field.rs
+++ b/src/protocol/name_field.rs
@@ -11,6 +11,11 @@
 use percent_encoding::percent_decode_str;
 use percent_encoding::utf8_percent_encode;
 
+/// Longest name that is sent between nodes, bytes. Heads have a limit, and a longer name would cost other calls their
+/// responses, which carry results of several routes.
+pub const MAX_NAME_BYTES: usize = 4 << 10;
+/// Longest field of such a name: each byte takes up to three characters.
+pub const MAX_FIELD_BYTES: usize = 3 * MAX_NAME_BYTES;
 /// Separates the fields of a header.
 pub const SEPARATOR: char = ';';
 /// Encoded characters, besides those outside of ASCII.
@@ -21,6 +26,12 @@
 /// Field of an empty name, so that it differs from a field without a name. No other name is encoded like this.
 const EMPTY_NAME: &str = "%";
 
+/// Whether a name is sent between nodes.
+#[must_use]
+pub fn is_sendable(name: &str) -> bool {
+    name.len() <= MAX_NAME_BYTES
+}
+
 /// Returns the field of a name. It is not empty.
 #[must_use]
 pub fn encode(name: &str) -> Cow<'_, str> {
--- a/src/sidecar/hop.rs
+++ b/src/sidecar/hop.rs
@@ -265,6 +265,12 @@
     call: &ServeCall,
     check: &dyn Fn() -> Result<(), ResultCode>,
 ) -> HopResult {
+    if !call.head.is_sendable() {
+        let code = ResultCode::NameNotSendable;
+        info!(cx.log, "call not sent"; "to" => addr.to_string(), "code" => code.number(),
+            "attempt" => serving::attempt_text(call.attempt.as_ref()));
+        return HopResult::without_report(ServeOutcome::refused(code), true);
+    }
     let mut headers = call.headers.clone();
     if let Ok(value) = HeaderValue::try_from(call.head.encode()) {
         headers.push((HeaderName::from_static(HOP_REQUEST_HEADER), value));
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -71,6 +71,7 @@
 use crate::protocol::mesh::CallerLimits;
 use crate::protocol::name::NodeId;
 use crate::protocol::name::ServiceName;
+use crate::protocol::name_field::MAX_FIELD_BYTES;
 use crate::result_code::ResultCode;
 use crate::sidecar::admission::AdmissionQueue;
 use crate::sidecar::announcer::WrittenEntry;
@@ -94,8 +95,8 @@
 use crate::transport::pipeline::CurrentLimits;
 use crate::transport::pipeline::PipelineOptions;
 
-/// Bytes of the headers that nodes add to the head of a call.
-const HOP_HEADER_BYTES: usize = 16 << 10;
+/// Bytes of the headers that nodes add to the head of a call: its route, service, version and workspace, and others.
+const HOP_HEADER_BYTES: usize = 4 * MAX_FIELD_BYTES + (16 << 10);
 /// Bytes of the bodies of messages about the state of nodes that are held at a time. The connections of the port
 /// could hold far more than an instance has. They are kept apart from the account of clients, so that a crowd of
 /// callers does not cut a node off from the quotas.
--- a/tests/hop_headers.rs
+++ b/tests/hop_headers.rs
@@ -241,3 +241,39 @@
         none()
     );
 }
+
+/// Guards against a response that no node accepts since the name of a route is too long for a head, and against a call
+/// that is sent with such a name.
+#[gtest]
+fn names_beyond_the_limit() {
+    let long = "é".repeat(2_048);
+    let too_long = format!("{long}x");
+    let tallies = [(&*long, totals(30, 3)), (&*too_long, totals(60, 0))];
+    let sent = header(routes(&tallies));
+    let read = HopResponseHeader::decode(&sent.encode());
+    let expected = header(routes(&tallies[..1]));
+    expect_that!(read, some(eq(&expected)));
+    let plain = request_header(None, false);
+    let heads = |name: &str| {
+        [
+            HopRequestHeader {
+                route: name.into(),
+                ..plain.clone()
+            },
+            HopRequestHeader {
+                service: name.into(),
+                ..plain.clone()
+            },
+            HopRequestHeader {
+                version: name.into(),
+                ..plain.clone()
+            },
+            request_header(Some(name), false),
+        ]
+    };
+    for (name, is_sendable) in [("", true), (&*long, true), (&*too_long, false)] {
+        for head in heads(name) {
+            expect_that!(head.is_sendable(), eq(is_sendable), "{} bytes", name.len());
+        }
+    }
+}
--- a/tests/process_names.rs
+++ b/tests/process_names.rs
@@ -277,3 +277,33 @@
         Ok(())
     });
 }
+
+/// Guards against a long name that makes the head of a call too long for the next node, and against one that is too long
+/// for any head and costs other routes their requests.
+#[gtest]
+fn long_names() {
+    run(async {
+        let long = "é".repeat(2_048);
+        let config = Config {
+            version: 1,
+            routes: vec![long.clone(), "é".repeat(20_000)],
+            workspaces: vec![(long.clone(), vec!["key".into()])],
+        };
+        let mut env = start(&config, "b").await?;
+        for node in 0..SERVICES.len() {
+            let reply = env.call(node, "/r0/x").await?;
+            expect_that!(reply.status, eq(StatusCode::OK), "node {node}");
+            let (status, workspace) = call_with_key(&mut env, node, "key").await?;
+            expect_that!(status, eq(StatusCode::OK), "node {node}");
+            expect_that!(workspace, some(eq(&long)));
+        }
+        // No header carries the second route; the node beside the backend server needs none.
+        for (node, status) in [(0, StatusCode::OK), (1, StatusCode::SERVICE_UNAVAILABLE)] {
+            let reply = env.call(node, "/r1/x").await?;
+            expect_that!(reply.status, eq(status), "node {node}");
+            let text = String::from_utf8_lossy(&reply.body).into_owned();
+            expect_that!(text.contains("4022"), eq(node == 1), "{text}");
+        }
+        Ok(())
+    });
+}
