--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -120,6 +120,24 @@
     expect_true!(arrived.checked_add(order.within).is_some());
 }
 
+/// Guards against a configuration that is not used at all since a priority or a number of attempts has no place in a
+/// byte.
+#[gtest]
+fn read_config_large_counts() {
+    let text = CONFIG.replacen(r#""limits""#, TENANTS, 1);
+    let read = |found: &str, replaced: &str| {
+        let text = text.replacen(found, replaced, 1);
+        config::read_config(text.as_bytes()).expect(replaced).config
+    };
+    let config = read(r#""priority":1,"service""#, r#""priority":1000,"service""#);
+    let priorities: Vec<u8> = config.routes.iter().map(|route| route.priority).collect();
+    expect_that!(priorities, elements_are![eq(&255), eq(&2)]);
+    let config = read(r#""attempts":2"#, r#""attempts":300"#);
+    expect_that!(config.routes[0].max_attempts, eq(255));
+    let config = read(r#""priority":3"#, r#""priority":256"#);
+    expect_that!(config.workspaces[0].priority, eq(255));
+}
+
 /// Guards against a process that ends, or that stops reading, because of one record of another writer:
 /// nested deeply, with a number out of range, or with fields of another type.
 #[gtest]
