Decode the id of a backend server in the path of its heartbeats

Callers would see 503 for all requests to a backend server with a blank, a separator or a letter outside of ASCII in its id: it refuses each with 421.

Cause: the path of a heartbeat carries the id percent-encoded, and the node took the encoded text for the id, which it sends in Expect-Instance. The health response of such a backend server was read as visible ASCII, so that it confirmed no id.

Change: the id is decoded (RFC 3986, section 2.1), and the id in a health response read as UTF-8. A heartbeat whose id cannot be the value of a header is refused with 400: without Expect-Instance its requests could run at another service's upstream at the same address. The stand-in encodes its id.

--- a/src/sidecar/heartbeat_port.rs
+++ b/src/sidecar/heartbeat_port.rs
@@ -66,17 +66,23 @@
         }
     };
     let (id, handled) = match heartbeat::read_path(req.path()) {
-        Some(BackendCall::Heartbeat(id)) => (id, on_heartbeat(cx, id, &body)),
-        Some(BackendCall::Deregister(id)) => (id, on_deregister(cx, id, &body)),
+        Some(BackendCall::Heartbeat(id)) => {
+            let handled = on_heartbeat(cx, &id, &body);
+            (id, handled)
+        }
+        Some(BackendCall::Deregister(id)) => {
+            let handled = on_deregister(cx, &id, &body);
+            (id, handled)
+        }
         None => return json_response(StatusCode::NOT_FOUND),
     };
     match handled {
-        Ok(Report::Leave) if !leaves::store_leave(cx, id).await => {
+        Ok(Report::Leave) if !leaves::store_leave(cx, &id).await => {
             json_response(StatusCode::SERVICE_UNAVAILABLE)
         }
         Ok(_) => json_response(StatusCode::OK),
         Err(why) => {
-            warn!(cx.log, "heartbeat refused"; "instance" => id, "why" => why,
+            warn!(cx.log, "heartbeat refused"; "instance" => &*id, "why" => why,
                 "code" => ResultCode::BadRequest.number());
             json_response(StatusCode::BAD_REQUEST)
         }
--- a/testbed/src/http.rs
+++ b/testbed/src/http.rs
@@ -223,7 +223,7 @@
 /// Returns the value of a request header as text.
 #[must_use]
 pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name).and_then(|v| v.to_str().ok())
+    std::str::from_utf8(headers.get(name)?.as_bytes()).ok()
 }
 
 /// Returns the value of a parameter of the query string, without percent decoding.
--- a/testbed/src/platform/backend.rs
+++ b/testbed/src/platform/backend.rs
@@ -3,6 +3,7 @@
 //! It sends heartbeats to the sidecar beside it, adds a seal header to its responses, and prints a
 //! line for each request that it runs, so that the runs can be counted even after it was killed.
 
+use std::fmt::Display;
 use std::future;
 use std::io;
 use std::io::Write;
@@ -25,6 +26,8 @@
 use actix_http::body::BoxBody;
 use bytes::Bytes;
 use futures_util::future::select;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -387,7 +390,7 @@
     {
         print_event("unacknowledged", &shared.options.id);
     }
-    let path = format!("Instances.Deregister/{}", shared.options.id);
+    let path = format!("Instances.Deregister/{}", encoded_id(&shared.options));
     post(shared, client, &path, &json!({})).await;
 }
 
@@ -405,10 +408,15 @@
         },
         "status": { "state": state, "seq": sequence, "cold-left-ms": cold_left_ms },
     });
-    let path = format!("Instances.Heartbeat/{}", options.id);
+    let path = format!("Instances.Heartbeat/{}", encoded_id(options));
     post(shared, client, &path, &body).await
 }
 
+/// Returns the id of a backend server as a segment of a path.
+fn encoded_id(options: &PlatformBackendOptions) -> impl Display {
+    utf8_percent_encode(&options.id, NON_ALPHANUMERIC)
+}
+
 async fn post(shared: &Shared, client: &awc::Client, path: &str, body: &serde_json::Value) -> bool {
     let addr = shared.options.heartbeat_addr;
     let url = format!("http://{addr}/sycamorewick/{path}");
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -9,6 +9,8 @@
 use actix_http::header::HeaderName;
 use actix_http::header::HeaderValue;
 use googletest::prelude::*;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
 use sycamorewick::platform::config;
 use sycamorewick::platform::config::OperatorKey;
 use sycamorewick::platform::heartbeat;
@@ -262,18 +264,58 @@
 #[gtest]
 fn read_path_calls() {
     let heartbeat = heartbeat::read_path("/sycamorewick/Instances.Heartbeat/i-1");
-    expect_that!(heartbeat, some(eq(&BackendCall::Heartbeat("i-1"))));
+    expect_that!(heartbeat, some(eq(&BackendCall::Heartbeat("i-1".into()))));
     let deregister = heartbeat::read_path("/sycamorewick/Instances.Deregister/i-1");
-    expect_that!(deregister, some(eq(&BackendCall::Deregister("i-1"))));
+    expect_that!(deregister, some(eq(&BackendCall::Deregister("i-1".into()))));
     expect_that!(heartbeat::read_path("/other"), none());
 }
 
+/// Guards against a backend server that refuses all its requests, since they expect its id as the path of its heartbeats
+/// encodes it.
+#[gtest]
+fn read_path_ids() {
+    let mut ids = name_common::any_names(7, 500);
+    ids.extend(name_common::sendable_names(7, 100));
+    for id in &ids {
+        let encoded = utf8_percent_encode(id, NON_ALPHANUMERIC);
+        let path = format!("/sycamorewick/Instances.Heartbeat/{encoded}");
+        let expected = BackendCall::Heartbeat(id.as_str().into());
+        expect_that!(heartbeat::read_path(&path), some(eq(&expected)));
+        let path = format!("/sycamorewick/Instances.Deregister/{encoded}");
+        let expected = BackendCall::Deregister(id.as_str().into());
+        expect_that!(heartbeat::read_path(&path), some(eq(&expected)));
+    }
+    for id in ["50%", "%zz", "%ff"] {
+        let path = format!("/sycamorewick/Instances.Heartbeat/{id}");
+        let expected = BackendCall::Heartbeat(id.into());
+        expect_that!(heartbeat::read_path(&path), some(eq(&expected)));
+    }
+}
+
+/// Guards against requests that reach whatever listens at the address of a backend server, since no header can have its
+/// id.
+#[gtest]
+fn read_body_ids() {
+    let body = r#"{"address":"127.0.0.1:8080","info":{"service":"a","version":"v1","slots":2},"status":{"state":"ready","seq":1}}"#;
+    let read = |id: &str| heartbeat::read_body(id, body.as_bytes());
+    for id in name_common::sendable_names(8, 100) {
+        let instance = read(&id).map(|heartbeat| heartbeat.report.instance);
+        expect_that!(instance.as_deref(), ok(eq(id.as_str())));
+        let headers = requests::backend_headers(Duration::from_secs(1), &id);
+        let values: Vec<&[u8]> = headers.iter().map(|(_, value)| value.as_bytes()).collect();
+        expect_that!(values, elements_are![eq(&&b"1000"[..]), eq(&id.as_bytes())]);
+    }
+    for id in ["", " i-1", "i-1\t", "i\n1"] {
+        expect_true!(read(id).is_err(), "{id:?}");
+    }
+}
+
 fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
     let mut headers = HeaderMap::new();
     for (name, value) in pairs {
         headers.insert(
             HeaderName::from_static(name),
-            HeaderValue::from_static(value),
+            HeaderValue::from_bytes(value.as_bytes()).expect("a value"),
         );
     }
     headers
@@ -441,6 +483,8 @@
     expect_that!(cold_left("1e300"), some(anything()));
     let named = requests::read_health(&headers(&[("x-sycamorewick-instance", "b7")]));
     expect_that!(named.instance, some(eq("b7")));
+    let named = requests::read_health(&headers(&[("x-sycamorewick-instance", "bé 7")]));
+    expect_that!(named.instance, some(eq("bé 7")));
 }
 
 /// Guards against a figure that is read from another place of the load header, and against one that is made up where
--- a/tests/process_names.rs
+++ b/tests/process_names.rs
@@ -29,6 +29,7 @@
 
 const CALLER_HEADER: &str = "x-sycamorewick-caller";
 const CREDENTIAL_HEADER: &str = "x-sycamorewick-credential";
+const INSTANCE_HEADER: &str = "x-sycamorewick-expect-instance";
 const WORKSPACE_HEADER: &str = "x-sycamorewick-tenant";
 /// Services of the nodes, in their order.
 const SERVICES: [&str; 2] = ["clár; wrecks", "próifíl 100%"];
@@ -307,3 +308,29 @@
         Ok(())
     });
 }
+
+/// Guards against a backend server that is never used, or whose leave is not noticed, because of a character in its id.
+#[gtest]
+fn instance_names() {
+    run(async {
+        let config = Config {
+            version: 1,
+            ..Config::default()
+        };
+        let mut env = start(&config, "b; é/%41 \"x\" ").await?;
+        for node in 0..SERVICES.len() {
+            let reply = env.call(node, "/wrecks/1").await?;
+            expect_that!(reply.status, eq(StatusCode::OK), "node {node}");
+            let expected = last_received(&env, INSTANCE_HEADER);
+            expect_that!(expected, some(eq("b; é/%41 \"x\" 0")));
+        }
+        env.backends[0].request_stop();
+        let refused = StatusCode::SERVICE_UNAVAILABLE;
+        for node in 0..SERVICES.len() {
+            env.wait_for(WAIT_LIMIT, node, "/wrecks/1", refused).await?;
+        }
+        // The backend server goes on for some time after its leave.
+        expect_true!(env.backends[0].is_running());
+        Ok(())
+    });
+}
