Keep acknowledged leaves when a node stops as planned

Cause: a node that stops after its backend server has deregistered removed its entry, so that the others forget it. The entry is the only place of the leaves that outlasts the process; the next one found none and used the heartbeat. A process that had not had a heartbeat yet removed the entry as well, with the leaves of the process before it.

Ruled out: the leave is stored before it is acknowledged ("leave stored"), and the next process reads the store, not an old copy of a reader.

Change: the last entry of such a node says that it has stopped, and keeps the leaves. Other nodes take it out of the fleet as before; one of them removes the entry 30 s later, only if the topic has no record that it does not know, so that the entry of a process that started meanwhile stays. An entry of an earlier process that was not read is left as it is.

stop_removes_entry asserted that nothing is stored after the stop, which was the fault. stop_writes_last_entry asserts what is stored last, and that nothing follows it; stopped_node_leaves_fleet that peers forget the node and the entry is removed in the end.

A planned stop costs one more write, the removal by another node.

--- a/src/coordination/membership/mod.rs
+++ b/src/coordination/membership/mod.rs
@@ -2,6 +2,7 @@
 //! Lifeguard extensions (Dadgar et al., 2017). See `docs/design.md`, section 5.
 
 pub mod heartbeat_hold;
+pub mod stopped_nodes;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -730,10 +730,21 @@
 
     /// Removes a node that has left the fleet.
     pub fn forget(&mut self, node: &NodeId) {
-        let Ok(index) = self.index(node) else {
-            return;
-        };
-        let entry = self.candidates.remove(index).entry;
+        if let Ok(index) = self.index(node) {
+            let entry = self.candidates.remove(index).entry;
+            self.add_departed(entry);
+        }
+    }
+
+    /// Removes a node that has stopped, by its last entry.
+    pub fn on_stopped(&mut self, entry: &FleetEntry) {
+        if let Ok(index) = self.index(&entry.node) {
+            self.candidates.remove(index);
+        }
+        self.add_departed(entry.clone());
+    }
+
+    fn add_departed(&mut self, entry: FleetEntry) {
         if self.departed.len() >= MAX_DEPARTED_NODES {
             self.departed.remove(0);
         }
@@ -751,7 +762,7 @@
     }
 
     /// Returns the entries of all known nodes.
-    pub fn entries(&self) -> impl Iterator<Item = &FleetEntry> {
+    pub fn entries(&self) -> impl Iterator<Item = &FleetEntry> + Clone {
         self.candidates.iter().map(|candidate| &candidate.entry)
     }
 
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -2,6 +2,7 @@
 //! store. See `docs/platform.md`, "Membership".
 
 use std::net::SocketAddr;
+use std::ops::Not;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -119,6 +120,10 @@
     /// Crashes of the local backend server, oldest first.
     #[serde(default)]
     pub crashes: Vec<RequestCrash>,
+    /// Whether the node has stopped after its backend server left. The entry stays for the leaves that it names; the
+    /// node is no longer one of the fleet.
+    #[serde(default, skip_serializing_if = "Not::not")]
+    pub is_stopped: bool,
 }
 
 /// A request that was running when a backend server crashed.
--- a/src/sidecar/announcer.rs
+++ b/src/sidecar/announcer.rs
@@ -49,7 +49,7 @@
 
 /// Whether the entry of an earlier process of this node has been read, so that it may be overwritten.
 pub fn may_write(cx: &Sidecar) -> bool {
-    cx.state.borrow().fleet_read && !cx.entry_removed.get()
+    cx.state.borrow().fleet_read && !cx.is_entry_final.get()
 }
 
 /// Waits after a failed call, longer after each one.
@@ -77,6 +77,7 @@
         left: leaves.pop(),
         earlier_left: leaves,
         crashes: state.crashing.reported(cx.clock.now()),
+        is_stopped: cx.is_entry_final.get(),
     }
 }
 
@@ -116,7 +117,7 @@
 /// Applies the own entry locally and writes it until the store has acknowledged it.
 async fn announce(cx: &Rc<Sidecar>) {
     let mut failures = 0_u32;
-    while !cx.entry_removed.get() {
+    while !cx.is_entry_final.get() {
         let entry = own_entry(cx);
         let now = cx.clock.now();
         {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -26,6 +26,7 @@
 pub mod settings;
 mod shutdown;
 mod status_ports;
+mod stopped_nodes;
 mod topic_follower;
 mod usage_port;
 pub mod workspace_metrics;
@@ -57,6 +58,7 @@
 use crate::coordination::crashing_requests::CrashingRequests;
 use crate::coordination::domains::evacuation::Evacuations;
 use crate::coordination::membership::heartbeat_hold::HeartbeatHold;
+use crate::coordination::membership::stopped_nodes::StoppedNodes;
 use crate::coordination::placement::Placement;
 use crate::coordination::query_limit::QueryLimit;
 use crate::coordination::retry_quota::RetryQuota;
@@ -137,6 +139,7 @@
     written: Option<WrittenEntry>,
     /// Last process of another node whose entry named the address of this one.
     contested_by: Option<(NodeId, u64)>,
+    stopped_nodes: StoppedNodes,
     /// Number of the last own entry that was sent to the store.
     entry_revision: u64,
 }
@@ -191,8 +194,8 @@
     feed: Feed,
     /// Requests of callers that were held for the first configuration.
     hold_counts: Cell<HoldCounts>,
-    /// Whether the own entry has been removed in a planned stop.
-    entry_removed: Cell<bool>,
+    /// Whether the last entry of this process is being written, or was removed, in a planned stop.
+    is_entry_final: Cell<bool>,
     /// Signals to all that wait for it that a configuration has come into force.
     config_changed: Notify,
     /// Signals that the own entry may have to be written.
@@ -237,6 +240,7 @@
         "service" => cx.settings.service.as_str(), "failure_domain" => cx.settings.failure_domain.as_str());
     topic_follower::start(&cx);
     announcer::start(&cx);
+    stopped_nodes::start(&cx);
     heartbeat_port::start(&cx);
     rollouts::start(&cx);
     usage_port::start(&cx);
@@ -293,6 +297,7 @@
         fleet_read: false,
         written: None,
         contested_by: None,
+        stopped_nodes: StoppedNodes::default(),
         entry_revision: 0,
     };
     let clock = Clock::start();
@@ -317,7 +322,7 @@
         transfers: AdmissionQueue::new(clock, body_gate::max_transfers(settings.link_mbps)),
         feed: Feed::default(),
         hold_counts: Cell::default(),
-        entry_removed: Cell::new(false),
+        is_entry_final: Cell::new(false),
         config_changed: Notify::new(),
         entry_changed: Notify::new(),
         entry_tried: Notify::new(),
--- a/src/sidecar/records.rs
+++ b/src/sidecar/records.rs
@@ -238,10 +238,10 @@
         if is_own {
             announcer::write_again(cx);
         } else {
-            cx.state
-                .borrow_mut()
-                .placement
-                .forget(&NodeId::from(&*record.key));
+            let node = NodeId::from(&*record.key);
+            let mut state = cx.state.borrow_mut();
+            state.placement.forget(&node);
+            state.stopped_nodes.forget(&node);
             info!(cx.log, "node left"; "peer" => &record.key, "offset" => record.offset);
         }
         return;
@@ -274,6 +274,13 @@
     }
     let quarantined = state.crashing.on_entry(now, &entry.node, &entry.crashes);
     crashes::log_quarantined(cx, &quarantined);
+    if entry.is_stopped {
+        state.placement.on_stopped(&entry);
+        state.stopped_nodes.on_stopped(now, &entry.node);
+        info!(cx.log, "node left"; "peer" => entry.node.as_str(), "offset" => record.offset);
+        return;
+    }
+    state.stopped_nodes.forget(&entry.node);
     if state.placement.on_entry(now, &entry) {
         let backend = entry.backend.as_ref();
         info!(cx.log, "peer changed"; "peer" => entry.node.as_str(), "offset" => record.offset,
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -14,14 +14,16 @@
 use crate::coordination::stop_plan::StopPhase;
 use crate::coordination::stop_plan::StopPlan;
 use crate::platform::store::FLEET_TOPIC;
+use crate::protocol::codec;
 use crate::sidecar::Servers;
 use crate::sidecar::Sidecar;
+use crate::sidecar::announcer;
 use crate::sidecar::settings;
 
 /// Interval at which the open calls are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Time limit for removing the node's entry from the store.
-const REMOVE_ENTRY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time limit for writing the last entry of the node.
+const FINISH_ENTRY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Waits for SIGTERM or SIGINT. SIGHUP re-reads the settings and logs whether they changed.
 pub async fn wait_for_signal(cx: &Rc<Sidecar>, file: &Path) -> eyre::Result<()> {
@@ -83,7 +85,7 @@
                 withdrawn = true;
                 servers.caller.stop_accepting();
                 let cx = cx.clone();
-                actix_rt::spawn(async move { remove_entry(&cx).await });
+                actix_rt::spawn(async move { finish_entry(&cx).await });
             }
             StopPhase::Exit => break,
         }
@@ -96,23 +98,42 @@
     }
 }
 
-/// Removes the node's entry if its backend server has deregistered. Otherwise the node is expected to
-/// restart, and the entry stays.
-async fn remove_entry(cx: &Rc<Sidecar>) {
+/// Takes the node out of the fleet if its backend server has deregistered. Otherwise the node is expected to restart,
+/// and the entry stays as it is.
+///
+/// Another process may start here while the backend server goes on for a while. It has to know the leaves that this one
+/// has acknowledged, so an entry that names leaves is not removed but marked as that of a stopped node.
+async fn finish_entry(cx: &Rc<Sidecar>) {
     if cx.state.borrow().backend.report().is_some() {
         return;
     }
-    cx.entry_removed.set(true);
+    if !announcer::may_write(cx) {
+        info!(cx.log, "node entry left as it is"; "why" => "the one of an earlier process has not been read");
+        return;
+    }
+    cx.is_entry_final.set(true);
+    let entry = announcer::next_entry(cx);
+    let has_leaves = entry.leaves().next().is_some();
+    let value = match codec::encode(&entry) {
+        Ok(value) if has_leaves => value,
+        Ok(_) => Vec::new(),
+        Err(failure) => {
+            warn!(cx.log, "node entry not encoded"; "why" => failure.text);
+            return;
+        }
+    };
     let put = cx
         .store
-        .put(FLEET_TOPIC, cx.settings.id.as_str(), &[], None);
-    match actix_rt::time::timeout(REMOVE_ENTRY_TIMEOUT, put).await {
-        Ok(Ok(offset)) => info!(cx.log, "node entry removed"; "offset" => offset),
+        .put(FLEET_TOPIC, cx.settings.id.as_str(), &value, None);
+    match actix_rt::time::timeout(FINISH_ENTRY_TIMEOUT, put).await {
+        Ok(Ok(offset)) => {
+            info!(cx.log, "last node entry written"; "offset" => offset, "leaves" => entry.leaves().count());
+        }
         Ok(Err(failure)) => {
-            warn!(cx.log, "node entry not removed"; "why" => format!("{failure:?}"));
+            warn!(cx.log, "last node entry not written"; "why" => format!("{failure:?}"));
         }
         Err(_) => {
-            warn!(cx.log, "node entry not removed"; "why" => "the store did not respond in time");
+            warn!(cx.log, "last node entry not written"; "why" => "the store did not respond in time");
         }
     }
 }
--- a/tests/fleet_common/mod.rs
+++ b/tests/fleet_common/mod.rs
@@ -32,5 +32,6 @@
         left: None,
         earlier_left: Vec::new(),
         crashes: Vec::new(),
+        is_stopped: false,
     }
 }
--- a/tests/process_leaves.rs
+++ b/tests/process_leaves.rs
@@ -15,11 +15,16 @@
 use actix_http::StatusCode;
 use forwarder::Forwarder;
 use googletest::prelude::*;
+use rustix::process::Signal;
 use serde_json::json;
 use sidecar_common::HOST;
 use sidecar_common::TestFleet;
 use sidecar_common::WAIT_LIMIT;
 use sidecar_common::run;
+use sycamorewick::coordination::membership::stopped_nodes::STOPPED_ENTRY_TIME;
+use sycamorewick::platform::store::FLEET_TOPIC;
+use sycamorewick::protocol::codec;
+use sycamorewick::protocol::fleet::FleetEntry;
 use testbed::log_server::Outage;
 use testbed::platform::backend::BackendAnnouncement;
 use testbed::platform::fleet::SidecarFleet;
@@ -364,3 +369,80 @@
         .store
         .put(OPERATOR_TOPIC, "config", config.to_string().as_bytes());
 }
+
+/// Writes an entry of a node that does not run. A process that starts after it reads the topic from there on.
+fn put_other_entry(env: &TestFleet, name: &str) -> eyre::Result<()> {
+    let entry = env.store.newest(FLEET_TOPIC, "n1");
+    let mut entry: FleetEntry = codec::decode(&entry.unwrap_or_default())?;
+    entry.node = name.into();
+    entry.addr = testbed::fleet::free_addr()?;
+    entry.backend = None;
+    let _ = env.store.put(FLEET_TOPIC, name, &codec::encode(&entry)?);
+    Ok(())
+}
+
+/// Stops a node as planned and waits for its end.
+async fn stop_node(env: &mut TestFleet, index: usize) -> eyre::Result<()> {
+    env.fleet.signal(index, Signal::TERM)?;
+    wait_stopped(env, index).await
+}
+
+async fn wait_stopped(env: &mut TestFleet, index: usize) -> eyre::Result<()> {
+    let until = Instant::now() + WAIT_LIMIT;
+    while env.fleet.is_running_now(index) {
+        eyre::ensure!(Instant::now() < until, "node {index} does not stop");
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    Ok(())
+}
+
+/// Guards against a leave that is acknowledged during a planned stop, or known from an earlier process, and forgotten
+/// with the process: the next one uses a late heartbeat. The second stop is of a process whose backend server has left
+/// before it began.
+#[gtest]
+fn leave_then_planned_restarts() {
+    run(async {
+        let mut env = TestFleet::start(2).await?;
+        env.backends[1].kill();
+        env.fleet.signal(0, Signal::TERM)?;
+        // The backend server has reported itself to the stopping process.
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        let left = leave(&env, Leave::Deregister).await;
+        expect_that!(left, some(eq(StatusCode::OK)));
+        wait_stopped(&mut env, 0).await?;
+        for name in ["n8", "n9"] {
+            put_other_entry(&env, name)?;
+            env.fleet.start(0)?;
+            env.fleet.wait_ready(WAIT_LIMIT).await?;
+            expect_unused(&mut env).await?;
+            stop_node(&mut env, 0).await?;
+        }
+        Ok(())
+    });
+}
+
+/// Guards against a stopped node that its peers go on to take for one of the fleet, and against its entry that stays in
+/// the store for good.
+#[gtest]
+fn stopped_node_leaves_fleet() {
+    run(async {
+        let mut env = TestFleet::start(2).await?;
+        env.backends[0].request_stop();
+        env.backends[0].join();
+        stop_node(&mut env, 0).await?;
+        let wait_line = async |line: &str, limit: Duration| {
+            let until = Instant::now() + limit;
+            while env.fleet.log_lines(1, line).is_empty() {
+                eyre::ensure!(Instant::now() < until, "no line: {line}");
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+            }
+            Ok(())
+        };
+        wait_line("node left", WAIT_LIMIT).await?;
+        let removal = "entry of a stopped node removed";
+        wait_line(removal, STOPPED_ENTRY_TIME + WAIT_LIMIT).await?;
+        let stored = env.store.newest(FLEET_TOPIC, "n0").unwrap_or_default();
+        expect_that!(stored.len(), eq(0));
+        Ok(())
+    });
+}
--- a/tests/process_sidecar.rs
+++ b/tests/process_sidecar.rs
@@ -543,10 +543,10 @@
     });
 }
 
-/// Guards against a node that writes its entry again after it has removed it in a planned stop: its peers take
-/// it for a node that can be followed.
+/// Guards against a node that writes its entry again after the last one of a planned stop: its peers take it for a node
+/// that can be followed.
 #[gtest]
-fn stop_removes_entry() {
+fn stop_writes_last_entry() {
     run(async {
         let mut env = TestFleet::start(2).await?;
         env.backends[0].request_stop();
@@ -555,13 +555,24 @@
         let until = Instant::now() + WAIT_LIMIT;
         while env.fleet.is_running_now(0) {
             eyre::ensure!(Instant::now() < until, "the node does not stop");
-            // Open calls keep the node running after it has removed its entry.
+            // Open calls keep the node running after it has written its last entry.
             let addr = env.fleet.nodes()[0].addrs.caller;
             let _ = send_claim(addr, "t0").await;
         }
-        expect_that!(env.fleet.log_lines(0, "node entry removed").len(), eq(1));
-        let last = env.store.history(FLEET_TOPIC, "n0").pop();
-        expect_that!(last.map(|value| value.len()), some(eq(0)));
+        expect_that!(
+            env.fleet.log_lines(0, "last node entry written").len(),
+            eq(1)
+        );
+        let last = env
+            .store
+            .history(FLEET_TOPIC, "n0")
+            .pop()
+            .unwrap_or_default();
+        let last: FleetEntry = codec::decode(&last)?;
+        expect_true!(last.is_stopped);
+        expect_that!(last.backend, none());
+        let left: Vec<&str> = last.leaves().map(|left| &*left.incarnation.0).collect();
+        expect_that!(left, elements_are![eq(&"b0")]);
         Ok(())
     });
 }
@@ -615,6 +626,7 @@
         left: None,
         earlier_left: Vec::new(),
         crashes: Vec::new(),
+        is_stopped: false,
     };
     let no_port = SocketAddr::from(([127, 0, 0, 1], 0));
     let no_slots = testbed::fleet::free_addr()?;
