--- a/tests/process_names.rs
+++ b/tests/process_names.rs
@@ -248,12 +248,30 @@
                     expect_that!(status, eq(StatusCode::SERVICE_UNAVAILABLE), "{name:?}");
                     expect_that!(workspace, none(), "{name:?}");
                 }
+                let metrics = metrics_of(&env, node).await?;
+                for name in &names {
+                    let label = format!("workspace=\"{}\"", escaped_label(name));
+                    expect_true!(metrics.contains(&label), "no {label} at node {node}");
+                }
             }
         }
         Ok(())
     });
 }
 
+async fn metrics_of(env: &TestFleet, node: usize) -> eyre::Result<String> {
+    let url = format!("http://{}/metrics", env.fleet.nodes()[node].addrs.metrics);
+    let response = awc::Client::default().get(url).send().await;
+    let body = response.map_err(|e| eyre::eyre!("{e}"))?.body().await?;
+    Ok(String::from_utf8(body.to_vec())?)
+}
+
+/// Returns the value of a label in the text format of Prometheus.
+fn escaped_label(value: &str) -> String {
+    let value = value.replace('\\', "\\\\");
+    value.replace('"', "\\\"").replace('\n', "\\n")
+}
+
 /// Guards against a request that gets 400, which its caller does not repeat, since a node cannot read the header of a
 /// call from another node.
 #[gtest]
