Share the checks of two workspaces and the wait for a stop between tests

Three tests of the soak's shares built the same check, and two tests of leaves waited for the end of a process each in their own way.

--- a/soak/tests/workspaces.rs
+++ b/soak/tests/workspaces.rs
@@ -243,6 +243,20 @@
     }
 }
 
+/// Checks a run with the workspaces `b` and `c` of equal weight, whose keys are `l` and `n`.
+fn count_violations(calls: &[CallRecord], output: &str) -> usize {
+    let workspaces = vec![workspace("b", 0.0, "l"), workspace("c", 0.0, "n")];
+    let (backends, written) = ([output.to_owned()], [written(1, 0, workspaces)]);
+    let check = Check::new(&WorkspaceObservations {
+        calls,
+        backends: &backends,
+        faults: &[],
+        written: &written,
+        is_strict: false,
+    });
+    check.run().len()
+}
+
 /// Guards against a workspace that gets almost nothing while others get more, and against reports of one that
 /// sends little or gets its share.
 #[gtest]
@@ -272,16 +286,7 @@
         }
         // The window has to end before the last call.
         add("l", "b", 500, 200);
-        let workspaces = vec![workspace("b", 0.0, "l"), workspace("c", 0.0, "n")];
-        let (backends, written) = ([output.concat()], [written(1, 0, workspaces)]);
-        let check = Check::new(&WorkspaceObservations {
-            calls: &calls,
-            backends: &backends,
-            faults: &[],
-            written: &written,
-            is_strict: false,
-        });
-        check.run().len()
+        count_violations(&calls, &output.concat())
     };
     expect_that!(find(10, 100, 4_003), eq(1));
     expect_that!(find(40, 70, 4_003), eq(0));
@@ -321,16 +326,7 @@
         }
         // The window has to end before the last call.
         calls.push(refused("last".into(), "l", 43_000, 0));
-        let workspaces = vec![workspace("b", 0.0, "l"), workspace("c", 0.0, "n")];
-        let (backends, written) = ([output.concat()], [written(1, 0, workspaces)]);
-        let check = Check::new(&WorkspaceObservations {
-            calls: &calls,
-            backends: &backends,
-            faults: &[],
-            written: &written,
-            is_strict: false,
-        });
-        check.run().len()
+        count_violations(&calls, &output.concat())
     };
     // At the same node and time.
     expect_that!(find(None, 0, 40_250), eq(1));
@@ -367,16 +363,7 @@
         }
         // The window has to end before the last call.
         calls.push(call("last", "l", 43_000, 200));
-        let workspaces = vec![workspace("b", 0.0, "l"), workspace("c", 0.0, "n")];
-        let (backends, written) = ([output.concat()], [written(1, 0, workspaces)]);
-        let check = Check::new(&WorkspaceObservations {
-            calls: &calls,
-            backends: &backends,
-            faults: &[],
-            written: &written,
-            is_strict: false,
-        });
-        check.run().len()
+        count_violations(&calls, &output.concat())
     };
     expect_that!(find(false), eq(1));
     expect_that!(find(true), eq(0));
--- a/tests/process_leaves.rs
+++ b/tests/process_leaves.rs
@@ -381,21 +381,6 @@
     Ok(())
 }
 
-/// Stops a node as planned and waits for its end.
-async fn stop_node(env: &mut TestFleet, index: usize) -> eyre::Result<()> {
-    env.fleet.signal(index, Signal::TERM)?;
-    wait_stopped(env, index).await
-}
-
-async fn wait_stopped(env: &mut TestFleet, index: usize) -> eyre::Result<()> {
-    let until = Instant::now() + WAIT_LIMIT;
-    while env.fleet.is_running_now(index) {
-        eyre::ensure!(Instant::now() < until, "node {index} does not stop");
-        actix_rt::time::sleep(Duration::from_millis(20)).await;
-    }
-    Ok(())
-}
-
 /// Guards against a leave that is acknowledged during a planned stop, or known from an earlier process, and forgotten
 /// with the process: the next one uses a late heartbeat. The second stop is of a process whose backend server has left
 /// before it began.
@@ -409,13 +394,14 @@
         actix_rt::time::sleep(Duration::from_millis(500)).await;
         let left = leave(&env, Leave::Deregister).await;
         expect_that!(left, some(eq(StatusCode::OK)));
-        wait_stopped(&mut env, 0).await?;
+        env.wait_stopped(0).await?;
         for name in ["n8", "n9"] {
             put_other_entry(&env, name)?;
             env.fleet.start(0)?;
             env.fleet.wait_ready(WAIT_LIMIT).await?;
             expect_unused(&mut env).await?;
-            stop_node(&mut env, 0).await?;
+            env.fleet.signal(0, Signal::TERM)?;
+            env.wait_stopped(0).await?;
         }
         Ok(())
     });
@@ -429,7 +415,8 @@
         let mut env = TestFleet::start(2).await?;
         env.backends[0].request_stop();
         env.backends[0].join();
-        stop_node(&mut env, 0).await?;
+        env.fleet.signal(0, Signal::TERM)?;
+        env.wait_stopped(0).await?;
         let wait_line = async |line: &str, limit: Duration| {
             let until = Instant::now() + limit;
             while env.fleet.log_lines(1, line).is_empty() {
--- a/tests/sidecar_common/mod.rs
+++ b/tests/sidecar_common/mod.rs
@@ -231,6 +231,16 @@
         }
     }
 
+    /// Waits until the process of a node has ended.
+    pub async fn wait_stopped(&mut self, index: usize) -> eyre::Result<()> {
+        let until = Instant::now() + WAIT_LIMIT;
+        while self.fleet.is_running_now(index) {
+            eyre::ensure!(Instant::now() < until, "node {index} does not stop");
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        Ok(())
+    }
+
     pub fn outage(&self, outage: Outage) {
         self.store.change(StoreControlChange {
             outage: Some(outage),
